--- /dev/null
+++ b/crates/benchlink/src/door.rs
@@ -0,0 +1,279 @@
+//! One instance: its aggregator, and the names that the wire uses for what the aggregator knows by index.
+
+use std::cell::RefCell;
+use std::collections::{HashMap, VecDeque};
+use std::rc::Rc;
+
+use orchidvalve::Aggregator;
+use orchidvalve::interface::{Nanos, PartIx, ReplicaIx, RetrievalIx, Writer};
+use orchidvalve::ledger::{Ending, Ledger};
+use serde_json::{Value, json};
+
+use crate::orders;
+use crate::wire::{Entry, Fields, flag, index, number, or, text, whole};
+
+/// News of one instance, each with the roster list that it refers to.
+pub type News<'a> = Vec<(&'a Fields, Option<Rc<Vec<Entry>>>)>;
+
+#[derive(Clone, Copy)]
+enum Known {
+    Retrieval(RetrievalIx),
+    Part(PartIx),
+}
+
+/// Names in the order of their indices; those that nothing refers to any more are dropped from the front.
+#[derive(Default)]
+struct Names {
+    first: usize,
+    kept: VecDeque<String>,
+}
+
+impl Names {
+    fn of(&self, index: usize) -> &str {
+        &self.kept[index - self.first]
+    }
+
+    fn drop_before(&mut self, first: usize, mut forget: impl FnMut(String)) {
+        while self.first < first {
+            self.kept.pop_front().into_iter().for_each(&mut forget);
+            self.first += 1;
+        }
+    }
+}
+
+#[derive(Default)]
+struct Register {
+    known: HashMap<String, Known>,
+    by_query: HashMap<u64, RetrievalIx>,
+    retrievals: Names,
+    queries: VecDeque<u64>,
+    parts: Names,
+    replicas: HashMap<String, ReplicaIx>,
+    servers: Vec<String>,
+}
+
+pub struct Door {
+    who: i64,
+    grades: usize,
+    aggregator: Aggregator,
+    register: RefCell<Register>,
+}
+
+impl Door {
+    pub fn open(who: i64, boot: &Fields) -> Result<Door, String> {
+        let conf = boot.get("conf").and_then(Value::as_object).ok_or("'boot': no object 'conf'")?;
+        let seed = boot.get("nonce64").and_then(|n| n.as_u64().or(n.as_i64().map(|n| n as u64)));
+        let seed = seed.ok_or("'boot': no whole number 'nonce64'")?;
+        let orders = orders::read(conf)?;
+        let (grades, register) = (orders.grades.len(), RefCell::default());
+        Ok(Door { who, grades, aggregator: Aggregator::new(orders, seed), register })
+    }
+
+    /// Nothing is put out when the news hold a fault: the instance ends with its report.
+    pub fn round(
+        &mut self,
+        now: Nanos,
+        news: &[(&Fields, Option<Rc<Vec<Entry>>>)],
+    ) -> Result<Vec<Value>, String> {
+        let (register, grades) = (&self.register, self.grades);
+        let mut reply = Reply { who: self.who, register, output: Vec::new() };
+        let mut heard = Ok(());
+        let came_in = |ledger: &mut Ledger| {
+            let mut register = register.borrow_mut();
+            heard = news
+                .iter()
+                .try_for_each(|(item, list)| register.record(item, list.as_deref(), grades, ledger));
+        };
+        self.aggregator.round(now, came_in, &mut reply);
+        let output = reply.output;
+        self.register.borrow_mut().tidy(self.aggregator.ledger());
+        heard.map(|()| output)
+    }
+}
+
+impl Register {
+    fn record(
+        &mut self,
+        item: &Fields,
+        list: Option<&Vec<Entry>>,
+        grades: usize,
+        ledger: &mut Ledger,
+    ) -> Result<(), String> {
+        match text(item, "verb")? {
+            "knock" => self.knock(item, grades, ledger),
+            "finished" => self.finished(item, ledger),
+            "lapsed" => {
+                if let Some(Known::Retrieval(ix)) = self.known.get(text(item, "xid")?) {
+                    ledger.retrieval_lapsed(*ix);
+                }
+                Ok(())
+            }
+            "topology" => self.topology(item, list, ledger),
+            "statusBack" => {
+                let answered = text(item, "status")? == "served";
+                ledger.probe_ended(self.replica(item)?, answered);
+                Ok(())
+            }
+            // A timer only wakes the instance; neither peers nor streamed answers are used by any grade here.
+            "ring" | "peerData" | "established" => Ok(()),
+            other => Err(format!("unknown verb '{other}'")),
+        }
+    }
+
+    fn replica(&self, item: &Fields) -> Result<ReplicaIx, String> {
+        let server = text(item, "server")?;
+        self.replicas.get(server).copied().ok_or(format!("index server '{server}' is in no list so far"))
+    }
+
+    fn knock(&mut self, item: &Fields, grades: usize, ledger: &mut Ledger) -> Result<(), String> {
+        let (xid, query) = (text(item, "xid")?.to_owned(), number(item, "query")? as u64);
+        let slice = number(item, "slice")?;
+        if slice < 0.0 {
+            let grade = index(item, "grade")?;
+            if grade >= grades {
+                return Err(format!("'knock': grade {grade} is not among the {grades} classes"));
+            }
+            let ix = ledger.retrieval_taken(
+                grade,
+                whole(item, "validUntilNs")?,
+                or(item, "weightHintNs", 0, whole)?,
+            );
+            self.retrievals.kept.push_back(xid.clone());
+            self.queries.push_back(query);
+            self.by_query.insert(query, ix);
+            self.known.insert(xid, Known::Retrieval(ix));
+        } else if let Some(&retrieval) = self.by_query.get(&query) {
+            let ix = ledger.part_taken(retrieval, slice as usize, or(item, "measure", 0.0, number)?);
+            self.parts.kept.push_back(xid.clone());
+            self.known.insert(xid, Known::Part(ix));
+        }
+        Ok(())
+    }
+
+    fn finished(&mut self, item: &Fields, ledger: &mut Ledger) -> Result<(), String> {
+        let ending = match text(item, "status")? {
+            "served" => Ending::Done,
+            "turned_away" => Ending::Full,
+            "no_connection" => Ending::Unreached,
+            "server_error" | "connection_lost" => Ending::Faulty,
+            "no_answer" => Ending::Silent,
+            "called_off" => Ending::CalledOff,
+            "not_sent" => Ending::Unsent,
+            other => return Err(format!("'finished': unknown status '{other}'")),
+        };
+        let (launch, took) = (or(item, "copy", 0, index)?, or(item, "lagNs", 0, whole)?);
+        let over = or(item, "finished", false, flag)?;
+        if let Some(Known::Part(part)) = self.known.get(text(item, "xid")?) {
+            ledger.launch_ended(*part, launch, ending, took, over);
+        }
+        Ok(())
+    }
+
+    fn topology(
+        &mut self,
+        item: &Fields,
+        list: Option<&Vec<Entry>>,
+        ledger: &mut Ledger,
+    ) -> Result<(), String> {
+        let complete = match text(item, "form")? {
+            "incr" => false,
+            "total" | "warm_copy" => true,
+            "lost" => {
+                ledger.roster_lost();
+                return Ok(());
+            }
+            other => return Err(format!("'topology': unknown form '{other}'")),
+        };
+        let list = list.ok_or("'topology': its list was never declared")?;
+        ledger.roster_opens(complete);
+        for entry in list {
+            let ix = self.replicas.get(&entry.server).copied().unwrap_or_else(|| {
+                let ix = ledger.replica_met(entry.cell);
+                self.servers.push(entry.server.clone());
+                self.replicas.insert(entry.server.clone(), ix);
+                ix
+            });
+            ledger.roster_names(ix, entry.cell, entry.serving, entry.started);
+        }
+        ledger.roster_closes();
+        Ok(())
+    }
+
+    fn tidy(&mut self, ledger: &Ledger) {
+        let known = &mut self.known;
+        self.parts.drop_before(ledger.first_part().0, |name| {
+            known.remove(&name);
+        });
+        let (queries, by_query) = (&mut self.queries, &mut self.by_query);
+        self.retrievals.drop_before(ledger.first_retrieval().0, |name| {
+            known.remove(&name);
+            queries.pop_front().map(|query| by_query.remove(&query));
+        });
+    }
+}
+
+struct Reply<'a> {
+    who: i64,
+    register: &'a RefCell<Register>,
+    output: Vec<Value>,
+}
+
+impl Reply<'_> {
+    fn retrieval(&self, ix: RetrievalIx) -> String {
+        self.register.borrow().retrievals.of(ix.0).to_owned()
+    }
+
+    fn part(&self, ix: PartIx) -> String {
+        self.register.borrow().parts.of(ix.0).to_owned()
+    }
+
+    fn server(&self, ix: ReplicaIx) -> String {
+        self.register.borrow().servers[ix.0].clone()
+    }
+}
+
+impl Writer for Reply<'_> {
+    fn launch(&mut self, part: PartIx, replica: ReplicaIx, limit: Nanos) {
+        let (xid, server) = (self.part(part), self.server(replica));
+        let action =
+            json!({"verb": "submitTo", "who": self.who, "xid": xid, "server": server, "limitNs": limit});
+        self.output.push(action);
+    }
+
+    fn retract(&mut self, part: PartIx, launch: usize) {
+        let xid = self.part(part);
+        self.output.push(json!({"verb": "retract", "who": self.who, "xid": xid, "copy": launch}));
+    }
+
+    fn answer(&mut self, retrieval: RetrievalIx, whole: bool) {
+        let xid = self.retrieval(retrieval);
+        self.output.push(json!({"verb": "settleQuery", "who": self.who, "xid": xid, "on": whole}));
+    }
+
+    fn dismiss(&mut self, retrieval: RetrievalIx, stay_away: Nanos) {
+        let xid = self.retrieval(retrieval);
+        self.output.push(json!({"verb": "turnAway", "who": self.who, "xid": xid, "coolDownNs": stay_away}));
+    }
+
+    fn give_up(&mut self, retrieval: RetrievalIx) {
+        let xid = self.retrieval(retrieval);
+        self.output.push(json!({"verb": "respondError", "who": self.who, "xid": xid}));
+    }
+
+    fn probe(&mut self, replica: ReplicaIx) {
+        let server = self.server(replica);
+        self.output.push(json!({"verb": "probe", "who": self.who, "server": server}));
+    }
+
+    fn wake(&mut self, at: Nanos) {
+        self.output.push(json!({"verb": "arm", "who": self.who, "momentNs": at, "nonce": "wake"}));
+    }
+
+    fn follow_roster(&mut self) {
+        self.output.push(json!({"verb": "subscribe", "who": self.who, "on": true}));
+    }
+
+    fn remark(&mut self, text: &str) {
+        self.output.push(json!({"verb": "noteDown", "who": self.who, "bodyText": text}));
+    }
+}
--- /dev/null
+++ b/src/choice.rs
@@ -0,0 +1,542 @@
+//! Every decision of an aggregator, every threshold and tuned value. The facts it rests on are in `ledger.rs`;
+//! what a host hands over at the start, and the `Writer` that takes the decisions, are in `interface.rs`.
+//!
+//! Call [`Aggregator::round`] once a round: `came_in` records all that happened since the last one, and when it
+//! returns, the decisions go to the writer. The source of the design is cited in `docs/design.md`.
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+use crate::interface::{Effect, Nanos, PartIx, ReplicaIx, RetrievalIx, StandingOrders, Writer};
+use crate::ledger::{Ending, Launch, Ledger, Part, Replica, Retrieval, RingLengths, Sample};
+
+/// Samples: enough parts for a steady percentile, few enough to follow a change within seconds.
+const RINGS: RingLengths = RingLengths { overall: 200, per_replica: 48, launches: 64, probes: 8 };
+/// Delay of a copy: this share of the soft limit until so many parts have been timed, then that percentile.
+const FIRST_DELAY: f64 = 0.25;
+const DELAY_SAMPLES: usize = 20;
+const DELAY_PERCENTILE: f64 = 0.9;
+/// Copies stay under this share of the parts of so many abandon times.
+const COPY_SHARE: f64 = 0.1;
+const COPY_WINDOW: f64 = 2.0;
+/// A replica is silent after this many times the usual 90th percentile, between these shares of a soft limit.
+const PATIENCE: f64 = 2.0;
+const PATIENCE_LEAST: f64 = 0.25;
+const PATIENCE_MOST: f64 = 0.5;
+/// Failures in a row, and slowness against all replicas over so many samples, that set a replica aside.
+const FAILURES: usize = 2;
+const LAGGARD: f64 = 3.0;
+const LAGGARD_SAMPLES: usize = 5;
+/// Probes a replica set aside must answer, doubling with each relapse up to a limit; their pace in soft limits.
+const PROBES_BACK: usize = 1;
+const PROBES_BACK_MOST: usize = 8;
+const PROBE_PACE: f64 = 0.4;
+/// Parts a replica must answer one at a time before it counts as sound again.
+const TRIAL_PARTS: usize = 2;
+/// Share of a cold server's budget that we use: clocks, chance and fronts of unlike traffic need the rest.
+const COLD_CAUTION: f64 = 0.7;
+/// Rounds kept free before a client's time is up.
+const MARGIN_ROUNDS: Nanos = 3;
+const WAKE_ROUNDS: Nanos = 2;
+
+/// What is thought of a replica.
+#[derive(Clone, Debug)]
+struct Opinion {
+    aside: Option<Nanos>,
+    back: Nanos,
+    relapses: u32,
+    probe_due: Nanos,
+}
+
+pub struct Aggregator {
+    orders: StandingOrders,
+    ledger: Ledger,
+    chance: Pcg64,
+    opinions: Vec<Opinion>,
+    roster_ask: Option<Nanos>,
+    roster_misses: u32,
+    wake: Nanos,
+}
+
+impl Aggregator {
+    pub fn new(orders: StandingOrders, seed: u64) -> Self {
+        let roster_ask = orders.roster_on_request.then_some(Nanos::MIN);
+        let ledger = Ledger::new(RINGS);
+        let (chance, opinions) = (Pcg64::seed_from_u64(seed), Vec::new());
+        Aggregator { orders, ledger, chance, opinions, roster_ask, roster_misses: 0, wake: Nanos::MIN }
+    }
+
+    pub fn ledger(&self) -> &Ledger {
+        &self.ledger
+    }
+
+    pub fn round(&mut self, now: Nanos, came_in: impl FnOnce(&mut Ledger), w: &mut dyn Writer) {
+        self.ledger.begin(now);
+        came_in(&mut self.ledger);
+        let fresh = Opinion { aside: None, back: Nanos::MIN, relapses: 0, probe_due: 0 };
+        self.opinions.resize(self.ledger.replicas.len(), fresh);
+        self.follow_roster(w);
+        self.release_counts();
+        self.judge_replicas(w);
+        self.finish(w);
+        self.place(w);
+        self.endgame(w);
+        self.retract_losers(w);
+        self.ledger.tidy(now - self.longest_window());
+        self.set_alarm(w);
+    }
+
+    // ---- figures ----
+
+    fn now(&self) -> Nanos {
+        self.ledger.now()
+    }
+
+    fn shortest_soft_limit(&self) -> Nanos {
+        self.orders.grades.iter().map(|g| g.soft_limit).min().unwrap_or(0)
+    }
+
+    fn copy_window(&self) -> Nanos {
+        let abandon = self.orders.grades.iter().map(|g| g.abandon).max().unwrap_or(0);
+        scaled(abandon, COPY_WINDOW)
+    }
+
+    fn longest_window(&self) -> Nanos {
+        self.copy_window().max(self.orders.ration.map_or(0, |r| r.span))
+    }
+
+    /// The percentile of the last part latencies; none before there are enough of them.
+    fn usual(&self, share: f64) -> Option<Nanos> {
+        let took: Vec<Nanos> = self.ledger.latencies.iter().collect();
+        (took.len() >= DELAY_SAMPLES).then(|| percentile(took, share))
+    }
+
+    fn copy_delay(&self, soft_limit: Nanos) -> Nanos {
+        self.usual(DELAY_PERCENTILE).unwrap_or(scaled(soft_limit, FIRST_DELAY))
+    }
+
+    fn patience(&self) -> Nanos {
+        let soft = self.shortest_soft_limit();
+        let usual = self.usual(DELAY_PERCENTILE).map_or(0, |p| scaled(p, PATIENCE));
+        usual.clamp(scaled(soft, PATIENCE_LEAST), scaled(soft, PATIENCE_MOST))
+    }
+
+    fn soft_end(&self, r: &Retrieval) -> Nanos {
+        let grade = &self.orders.grades[r.grade];
+        let limit = grade.soft_limit + scaled(r.work, grade.soft_stretch);
+        r.taken + limit.min(grade.abandon)
+    }
+
+    /// When nothing more can be earned: at the client's own end, or at the soft limit where late earns nothing.
+    fn end_of_use(&self, r: &Retrieval) -> Nanos {
+        let late = self.orders.grades[r.grade].late_earnings > 0.0;
+        let end = if late { r.valid_until } else { self.soft_end(r).min(r.valid_until) };
+        end - MARGIN_ROUNDS * self.orders.beat
+    }
+
+    // ---- the roster ----
+
+    /// Asks for the roster's changes where they come only on request; after a miss the waits grow and are spread
+    /// by chance, lest all aggregators ask a roster that just came back at once.
+    fn follow_roster(&mut self, w: &mut dyn Writer) {
+        if !self.orders.roster_on_request {
+            return;
+        }
+        let now = self.now();
+        if self.ledger.roster_lost {
+            self.ledger.roster_lost = false;
+            self.roster_misses = (self.roster_misses + 1).min(4);
+            let most = scaled(self.orders.roster_within, 0.05) << self.roster_misses;
+            self.roster_ask = Some(now + self.chance.random_range(most / 4..=most));
+        } else if self.ledger.roster_heard == Some(now) && self.roster_ask.is_none() {
+            self.roster_misses = 0;
+        }
+        if self.roster_ask.is_some_and(|due| due <= now) {
+            self.roster_ask = None;
+            w.follow_roster();
+        }
+    }
+
+    // ---- counts ----
+
+    /// Against silent replicas and fast errors alike: a launch that ended without an answer goes on counting as in
+    /// flight until the replica answers a later one, or for as long as we would wait for an answer. Else the count
+    /// of a replica that answers nothing, or only errors, empties first and draws all the parts.
+    fn release_counts(&mut self) {
+        let (now, patience) = (self.now(), self.patience());
+        for r in &mut self.ledger.replicas {
+            let answered = r.last_done_sent;
+            r.held.retain(|h| match h.ended {
+                None => true,
+                Some((Ending::Done | Ending::Unsent, _)) => false,
+                Some((_, at)) => answered < h.sent && now < at + patience,
+            });
+        }
+    }
+
+    /// This aggregator's calls on the replica; a part alone is a call where parts share none.
+    fn in_flight(&self, replica: ReplicaIx) -> usize {
+        let held = &self.ledger.replicas[replica.0].held;
+        let calls = held.chunk_by(|a, b| a.call == b.call);
+        calls.map(|c| c.len().div_ceil(self.orders.call_parts)).sum()
+    }
+
+    /// Whether a part sent now would travel in a call already being written this round.
+    fn joins(&self, replica: ReplicaIx) -> bool {
+        let held = self.ledger.replicas[replica.0].held.iter().rev();
+        !held.take_while(|h| h.call == self.ledger.call()).count().is_multiple_of(self.orders.call_parts)
+    }
+
+    fn in_flight_after(&self, replica: ReplicaIx) -> usize {
+        self.in_flight(replica) + usize::from(!self.joins(replica))
+    }
+
+    // ---- health ----
+
+    fn silent(&self, r: &Replica, back: Nanos, patience: Nanos) -> bool {
+        let since = self.now() - patience;
+        r.last_done_at < since && r.held.iter().any(|h| h.ended.is_none() && h.sent >= back && h.sent < since)
+    }
+
+    fn failing(r: &Replica, back: Nanos) -> bool {
+        let told = r.samples.iter().rev().filter(|s| s.at >= back && s.ending != Ending::Full);
+        let last: Vec<Ending> = told.take(FAILURES).map(|s| s.ending).collect();
+        let all_failed = last.len() == FAILURES && !last.contains(&Ending::Done);
+        all_failed || last.first() == Some(&Ending::Unreached)
+    }
+
+    fn lagging(&self, r: &Replica, back: Nanos) -> bool {
+        let done = |s: &Sample| s.ending == Ending::Done && s.at >= back;
+        let took: Vec<Nanos> =
+            r.samples.iter().rev().filter(done).take(LAGGARD_SAMPLES).map(|s| s.took).collect();
+        let usual = self.usual(0.5);
+        took.len() == LAGGARD_SAMPLES && usual.is_some_and(|u| percentile(took, 0.5) > scaled(u, LAGGARD))
+    }
+
+    /// Sets aside a replica that is silent, fails or lags, whatever the cause, probes it, and lets it back by
+    /// degrees: a probe may prove no more than that a process runs, so the first parts come one at a time.
+    fn judge_replicas(&mut self, w: &mut dyn Writer) {
+        let (now, patience) = (self.now(), self.patience());
+        let pace = scaled(self.shortest_soft_limit(), PROBE_PACE);
+        for ix in 0..self.ledger.replicas.len() {
+            let r = &self.ledger.replicas[ix];
+            let Opinion { aside, back, relapses, probe_due } = self.opinions[ix].clone();
+            if !r.serving {
+                continue;
+            }
+            if let Some(since) = aside {
+                let needed = (PROBES_BACK << relapses.min(8)).min(PROBES_BACK_MOST);
+                let answered = r.probes_answered.iter().filter(|&sent| sent >= since).count();
+                if answered >= needed || !self.orders.may_probe && now > since + pace * needed as Nanos {
+                    self.opinions[ix].aside = None;
+                    self.opinions[ix].back = now;
+                } else if self.orders.may_probe && r.probe_sent.is_none() && now >= probe_due {
+                    self.ledger.probed(ReplicaIx(ix));
+                    self.opinions[ix].probe_due = now + pace;
+                    w.probe(ReplicaIx(ix));
+                }
+            } else if self.silent(r, back, patience) || Self::failing(r, back) || self.lagging(r, back) {
+                self.opinions[ix].aside = Some(now);
+                self.opinions[ix].relapses = relapses + 1;
+            } else if relapses > 0 && self.answered_since(r, back) >= LAGGARD_SAMPLES {
+                self.opinions[ix].relapses = 0;
+            }
+        }
+    }
+
+    fn answered_since(&self, r: &Replica, back: Nanos) -> usize {
+        r.samples.iter().filter(|s| s.ending == Ending::Done && s.at >= back).count()
+    }
+
+    /// Room left for a replica that is back but has not answered enough parts yet.
+    fn on_trial(&self, ix: ReplicaIx) -> bool {
+        let (r, o) = (&self.ledger.replicas[ix.0], &self.opinions[ix.0]);
+        o.back > Nanos::MIN && self.answered_since(r, o.back) < TRIAL_PARTS
+    }
+
+    fn sound(&self, ix: ReplicaIx) -> bool {
+        let o = &self.opinions[ix.0];
+        let tried = || self.ledger.replicas[ix.0].held.iter().any(|h| h.sent >= o.back);
+        o.aside.is_none() && !(self.on_trial(ix) && tried())
+    }
+
+    /// Share of its capacity that a server can be counted on for, by the time since its start.
+    fn warmth(&self, r: &Replica) -> f64 {
+        let thaw = &self.orders.thaw;
+        let Some(started) = r.started else { return 1.0 };
+        let age = (self.now() - started).max(0) as f64 / thaw.lasts.max(1) as f64;
+        if age >= 1.0 { 1.0 } else { thaw.share + (1.0 - thaw.share) * age }
+    }
+
+    /// Against pushing a cold server over: within the rule's window we send it no more than the rule's multiple of
+    /// what warm replicas have done for us in that time, scaled by its warmth. As all fronts' done parts together
+    /// never pass a server's capacity, fronts that all do this keep the rule without talking to each other.
+    fn has_room(&self, ix: ReplicaIx) -> bool {
+        let r = &self.ledger.replicas[ix.0];
+        let warmth = self.warmth(r);
+        if warmth >= 1.0 {
+            return true;
+        }
+        let (now, thaw) = (self.now(), &self.orders.thaw);
+        let span = thaw.lasts / 4;
+        let warm = self.ledger.replicas.iter().filter(|o| o.serving && self.warmth(o) >= 1.0);
+        let (done, count) =
+            warm.fold((0, 0), |(done, count), o| (done + self.answered_since(o, now - span), count + 1));
+        let borne = done as f64 / count.max(1) as f64 * thaw.window as f64 / span.max(1) as f64;
+        let room = (thaw.multiple * warmth * borne * COLD_CAUTION).max(1.0);
+        let sent = r.launched_at.iter().rev().take_while(|&at| at > now - thaw.window).count();
+        ((sent + 1) as f64) <= room
+    }
+
+    // ---- launching ----
+
+    fn holds(&self, ix: ReplicaIx, shard: usize) -> bool {
+        let r = &self.ledger.replicas[ix.0];
+        let cells = self.orders.cells.max(1);
+        r.serving && (r.cell + cells - shard % cells) % cells < self.orders.reach
+    }
+
+    fn holders(&self, shard: usize) -> Vec<ReplicaIx> {
+        (0..self.ledger.replicas.len()).map(ReplicaIx).filter(|&ix| self.holds(ix, shard)).collect()
+    }
+
+    /// Replicas that may get a launch of the part now: sound ones, not tried yet if there are such. Where all look
+    /// bad, the evidence or the view is bad, and all of them are tried.
+    fn choices(&self, part: &Part) -> Vec<ReplicaIx> {
+        let out = |ix: ReplicaIx| part.out().any(|(_, l)| l.replica == ix);
+        let mut all = self.holders(part.shard);
+        all.retain(|&ix| !out(ix) && self.has_room(ix));
+        prefer(&mut all, |ix| self.sound(ix));
+        prefer(&mut all, |ix| part.launches.iter().all(|l| l.replica != ix));
+        all
+    }
+
+    /// Whether the rules and the grade allow a launch beyond the part's first.
+    fn may_repeat(&self, part: &Part) -> bool {
+        let may_have_run = |l: &&Launch| !l.end.is_some_and(Ending::never_ran);
+        let first = part.launches.iter().find(may_have_run).map(|l| l.sent);
+        let allowed = match (self.orders.grades[self.ledger.retrieval(part.retrieval).grade].effect, first) {
+            (_, None) | (Effect::Pure, _) => true,
+            (Effect::Receipted(window), Some(sent)) => self.now() < sent + window - self.orders.beat,
+            (Effect::Effectful, Some(_)) => false,
+        };
+        allowed && part.launches.len() < self.orders.launches_cap
+    }
+
+    fn within_ration(&self) -> bool {
+        self.orders.ration.is_none_or(|ration| {
+            let within = |at: &&Nanos| **at > self.now() - ration.span;
+            let further = self.ledger.further.iter().rev().take_while(within).count() + 1;
+            let taken = self.ledger.taken.iter().rev().take_while(within).count();
+            further as f64 <= ration.free + ration.share * taken as f64
+        })
+    }
+
+    /// A further launch without waiting for an ending, the departure from the endgame's conditions: only while
+    /// every replica that has the part is set aside.
+    fn stranded(&self, part: &Part) -> bool {
+        let mut out = part.out();
+        let first = out.next();
+        let all_aside = first.is_some_and(|(_, l)| self.opinions[l.replica.0].aside.is_some());
+        all_aside && out.next().is_none() && self.orders.may_copy
+    }
+
+    /// The ordinary path: each part goes to its shard's replica with fewest of our calls in flight. Ties break at
+    /// random, but a replica where more of the round's parts can share one call comes first, as a call costs work.
+    fn place(&mut self, w: &mut dyn Writer) {
+        let waits = |p: &Part| match (p.launches.is_empty(), p.out().next().is_none()) {
+            (true, _) => true,
+            (_, true) => self.may_repeat(p),
+            _ => self.may_repeat(p) && self.stranded(p),
+        };
+        let mut waiting: Vec<PartIx> =
+            self.ledger.wanted().filter(|(_, p)| waits(p)).map(|(ix, _)| ix).collect();
+        while !waiting.is_empty() {
+            let part = waiting.remove(0);
+            if !self.ledger.part(part).launches.is_empty() && !self.within_ration() {
+                continue;
+            }
+            let fewest = self.fewest(part);
+            let rest: Vec<Vec<ReplicaIx>> = match self.orders.call_parts {
+                1 => Vec::new(),
+                _ => waiting.iter().map(|&p| self.fewest(p)).collect(),
+            };
+            let gathers = |ix: ReplicaIx| {
+                let others = rest.iter().filter(|f| f.contains(&ix)).count().min(self.orders.call_parts - 1);
+                (self.joins(ix), others)
+            };
+            let most = fewest.iter().map(|&ix| gathers(ix)).max();
+            let tied: Vec<ReplicaIx> =
+                fewest.iter().copied().filter(|&ix| Some(gathers(ix)) == most).collect();
+            if let Some(replica) = self.any_of(&tied) {
+                self.launch(part, replica, false, w);
+            }
+        }
+    }
+
+    fn fewest(&self, part: PartIx) -> Vec<ReplicaIx> {
+        let choices = self.choices(self.ledger.part(part));
+        let least = choices.iter().map(|&ix| self.in_flight_after(ix)).min();
+        choices.into_iter().filter(|&ix| Some(self.in_flight_after(ix)) == least).collect()
+    }
+
+    fn any_of(&mut self, replicas: &[ReplicaIx]) -> Option<ReplicaIx> {
+        (!replicas.is_empty()).then(|| replicas[self.chance.random_range(0..replicas.len())])
+    }
+
+    fn launch(&mut self, part: PartIx, replica: ReplicaIx, copy: bool, w: &mut dyn Writer) {
+        let retrieval = self.ledger.retrieval(self.ledger.part(part).retrieval);
+        let limit = (self.end_of_use(retrieval) - self.now()).max(self.orders.beat);
+        self.ledger.launched(part, replica, copy);
+        w.launch(part, replica, limit);
+    }
+
+    /// Near a retrieval's end idle replicas get a copy of a pending part, oldest launch first, after the delay.
+    fn endgame(&mut self, w: &mut dyn Writer) {
+        let mut pending: Vec<(Nanos, PartIx)> = Vec::new();
+        for (_, r) in self.ledger.open() {
+            let unanswered: Vec<PartIx> = r.parts.iter().copied().filter(|&p| self.unanswered(p)).collect();
+            let due = self.now() - self.copy_delay(self.orders.grades[r.grade].soft_limit);
+            let alone = |p: &PartIx| {
+                let mut out = self.ledger.part(*p).out();
+                out.next().filter(|(_, l)| l.sent <= due && out.next().is_none()).map(|(_, l)| (l.sent, *p))
+            };
+            let late: Vec<(Nanos, PartIx)> = unanswered.iter().filter_map(alone).collect();
+            if !late.is_empty() && unanswered.len() < self.replicas_of(&unanswered) {
+                pending.extend(late);
+            }
+        }
+        pending.sort();
+        for (_, part) in pending {
+            let p = self.ledger.part(part);
+            if !self.orders.may_copy || !self.copies_left() || !self.may_repeat(p) || !self.within_ration() {
+                continue;
+            }
+            let mut idle = self.choices(p);
+            idle.retain(|&ix| self.sound(ix) && self.in_flight(ix) == 0);
+            if let Some(replica) = self.any_of(&idle) {
+                self.launch(part, replica, true, w);
+            }
+        }
+    }
+
+    fn unanswered(&self, part: PartIx) -> bool {
+        let p = self.ledger.part(part);
+        !p.done && !p.closed
+    }
+
+    fn replicas_of(&self, parts: &[PartIx]) -> usize {
+        let held = |&ix: &usize| parts.iter().any(|&p| self.holds(ReplicaIx(ix), self.ledger.part(p).shard));
+        (0..self.ledger.replicas.len()).filter(held).count()
+    }
+
+    fn copies_left(&self) -> bool {
+        let within = |at: &&Nanos| **at > self.now() - self.copy_window();
+        let copies = self.ledger.copies.iter().rev().take_while(within).count();
+        let parts = self.ledger.parts_taken.iter().rev().take_while(within).count();
+        ((copies + 1) as f64) < COPY_SHARE * parts as f64
+    }
+
+    /// When one twin has answered, or its retrieval is over, the launches still out are cancelled.
+    fn retract_losers(&mut self, w: &mut dyn Writer) {
+        if !self.orders.may_retract {
+            return;
+        }
+        let loose: Vec<(PartIx, usize)> = self.ledger.loose().collect();
+        for (part, launch) in loose {
+            self.ledger.withdrawn(part, launch);
+            w.retract(part, launch);
+        }
+    }
+
+    // ---- final answers ----
+
+    fn finish(&mut self, w: &mut dyn Writer) {
+        let open: Vec<RetrievalIx> = self.ledger.open().map(|(ix, _)| ix).collect();
+        for ix in open {
+            self.finish_one(ix, w);
+        }
+    }
+
+    fn finish_one(&mut self, ix: RetrievalIx, w: &mut dyn Writer) {
+        let r = self.ledger.retrieval(ix);
+        let grade = &self.orders.grades[r.grade];
+        let (now, second) = (self.now(), r.step > 0);
+        let (whole, floor) = (if second { 1.0 } else { grade.whole }, grade.floor);
+        let (mut in_hand, mut lost) = (0.0, 0.0);
+        for part in r.parts.iter().map(|&p| self.ledger.part(p)).filter(|p| p.step == r.step) {
+            if part.done {
+                in_hand += part.weight;
+            } else if self.hopeless(part) {
+                lost += part.weight;
+            }
+        }
+        let (in_hand, within_reach) = (in_hand + 1e-6, 1.0 - lost + 1e-6);
+        let may_be_short = floor < grade.whole && in_hand >= floor;
+        let short_earns = grade.short_earnings * in_hand / grade.whole;
+        let soft_over = now >= self.soft_end(r) - MARGIN_ROUNDS * self.orders.beat;
+        let ended = now >= self.end_of_use(r);
+        if in_hand >= whole {
+            self.answer(ix, true, w);
+        } else if may_be_short
+            && (ended || soft_over && short_earns > grade.late_earnings || within_reach < whole)
+        {
+            self.answer(ix, false, w);
+        } else if ended || within_reach < floor.min(whole) {
+            self.end(ix, w);
+        }
+    }
+
+    /// No launch of the part is out and none may follow.
+    fn hopeless(&self, part: &Part) -> bool {
+        part.closed || !part.launches.is_empty() && part.out().next().is_none() && !self.may_repeat(part)
+    }
+
+    fn answer(&mut self, ix: RetrievalIx, whole: bool, w: &mut dyn Writer) {
+        let r = self.ledger.retrieval(ix);
+        if self.orders.grades[r.grade].second_step > 0 && r.step == 0 {
+            self.ledger.next_step(ix);
+        } else {
+            self.ledger.close(ix);
+        }
+        w.answer(ix, whole);
+    }
+
+    /// A dismissal promises that trying again is harmless; where a part of more than a pure grade may have run, it
+    /// is a give-up instead.
+    fn end(&mut self, ix: RetrievalIx, w: &mut dyn Writer) {
+        let r = self.ledger.retrieval(ix);
+        let launches = r.parts.iter().flat_map(|&p| &self.ledger.part(p).launches);
+        let never_ran = launches.clone().all(|l| l.end.is_some_and(Ending::never_ran));
+        let harmless = self.orders.grades[r.grade].effect == Effect::Pure || never_ran;
+        self.ledger.close(ix);
+        if harmless { w.dismiss(ix, 0) } else { w.give_up(ix) }
+    }
+
+    // ---- waking ----
+
+    fn set_alarm(&mut self, w: &mut dyn Writer) {
+        let now = self.now();
+        let watched = self.opinions.iter().any(|o| o.aside.is_some()) || self.roster_ask.is_some();
+        if self.wake <= now && (watched || self.ledger.open().next().is_some()) {
+            self.wake = now + WAKE_ROUNDS * self.orders.beat;
+            w.wake(self.wake);
+        }
+    }
+}
+
+fn scaled(time: Nanos, by: f64) -> Nanos {
+    (time as f64 * by) as Nanos
+}
+
+fn percentile(mut took: Vec<Nanos>, share: f64) -> Nanos {
+    let at = ((took.len() as f64 * share) as usize).min(took.len() - 1);
+    *took.select_nth_unstable(at).1
+}
+
+/// Keeps those that pass, where any does.
+fn prefer(replicas: &mut Vec<ReplicaIx>, pass: impl Fn(ReplicaIx) -> bool) {
+    if replicas.iter().any(|&ix| pass(ix)) {
+        replicas.retain(|&ix| pass(ix));
+    }
+}
--- /dev/null
+++ b/src/ledger.rs
@@ -0,0 +1,436 @@
+//! The facts of one aggregator: what was taken, what was launched, what came of it, what the roster says.
+//! Nothing here decides anything; the lengths of all sample rings come from the caller.
+
+use std::collections::VecDeque;
+
+use crate::interface::{Nanos, PartIx, ReplicaIx, RetrievalIx};
+
+/// How a launch ended, as far as the aggregator can know.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Ending {
+    Done,
+    /// Turned away unread, for want of room.
+    Full,
+    /// No connection in time.
+    Unreached,
+    /// An error or a broken connection: it may have run.
+    Faulty,
+    /// No answer within its limit: it may have run, or run still.
+    Silent,
+    CalledOff,
+    Unsent,
+}
+
+impl Ending {
+    pub fn never_ran(self) -> bool {
+        matches!(self, Ending::Full | Ending::Unreached | Ending::Unsent)
+    }
+}
+
+/// The last few samples, oldest first.
+#[derive(Clone, Debug)]
+pub struct Ring<T> {
+    cap: usize,
+    kept: VecDeque<T>,
+}
+
+impl<T: Copy> Ring<T> {
+    pub fn new(cap: usize) -> Self {
+        Ring { cap, kept: VecDeque::with_capacity(cap) }
+    }
+
+    pub fn push(&mut self, sample: T) {
+        if self.kept.len() == self.cap {
+            self.kept.pop_front();
+        }
+        self.kept.push_back(sample);
+    }
+
+    pub fn iter(&self) -> impl DoubleEndedIterator<Item = T> + ExactSizeIterator + '_ {
+        self.kept.iter().copied()
+    }
+
+    pub fn clear(&mut self) {
+        self.kept.clear();
+    }
+}
+
+/// One ended launch.
+#[derive(Clone, Copy, Debug)]
+pub struct Sample {
+    pub at: Nanos,
+    pub took: Nanos,
+    pub ending: Ending,
+}
+
+#[derive(Clone, Debug)]
+pub struct Launch {
+    pub replica: ReplicaIx,
+    pub sent: Nanos,
+    pub end: Option<Ending>,
+    pub withdrawn: bool,
+}
+
+#[derive(Clone, Debug)]
+pub struct Part {
+    pub retrieval: RetrievalIx,
+    pub shard: usize,
+    pub weight: f64,
+    pub step: usize,
+    pub launches: Vec<Launch>,
+    pub done: bool,
+    /// Its retrieval has its final answer, or the host said that the part is over.
+    pub closed: bool,
+}
+
+impl Part {
+    pub fn out(&self) -> impl Iterator<Item = (usize, &Launch)> {
+        self.launches.iter().enumerate().filter(|(_, l)| l.end.is_none())
+    }
+}
+
+#[derive(Clone, Debug)]
+pub struct Retrieval {
+    pub grade: usize,
+    pub taken: Nanos,
+    pub valid_until: Nanos,
+    /// Expected work of all its parts; 0 where nothing was said.
+    pub work: Nanos,
+    pub parts: Vec<PartIx>,
+    /// 0 until its first step was answered.
+    pub step: usize,
+    pub closed: bool,
+}
+
+/// A launch that is on its replica, or may be: it stays after an ending that is no answer.
+#[derive(Clone, Copy, Debug)]
+pub struct Held {
+    pub part: PartIx,
+    pub launch: usize,
+    pub sent: Nanos,
+    /// Launches of one replica in one round share it.
+    pub call: u64,
+    pub ended: Option<(Ending, Nanos)>,
+}
+
+#[derive(Clone, Debug)]
+pub struct Replica {
+    pub cell: usize,
+    pub serving: bool,
+    pub started: Option<Nanos>,
+    named: bool,
+    pub held: Vec<Held>,
+    /// Ended launches, without those called off here.
+    pub samples: Ring<Sample>,
+    /// When the latest-sent launch that was done had been sent, and when the last answer came.
+    pub last_done_sent: Nanos,
+    pub last_done_at: Nanos,
+    pub launched_at: Ring<Nanos>,
+    pub probe_sent: Option<Nanos>,
+    /// When the answered probes had been sent.
+    pub probes_answered: Ring<Nanos>,
+}
+
+/// Lengths of the sample rings.
+#[derive(Clone, Copy, Debug)]
+pub struct RingLengths {
+    pub overall: usize,
+    pub per_replica: usize,
+    pub launches: usize,
+    pub probes: usize,
+}
+
+#[derive(Clone, Debug)]
+pub struct Ledger {
+    now: Nanos,
+    lengths: RingLengths,
+    first_retrieval: usize,
+    retrievals: VecDeque<Retrieval>,
+    first_part: usize,
+    parts: VecDeque<Part>,
+    pub replicas: Vec<Replica>,
+    /// Times taken by the last parts that were done.
+    pub latencies: Ring<Nanos>,
+    /// When retrievals and parts were taken, parts alone; further launches sent, and copies alone.
+    pub taken: VecDeque<Nanos>,
+    pub parts_taken: VecDeque<Nanos>,
+    pub further: VecDeque<Nanos>,
+    pub copies: VecDeque<Nanos>,
+    pub roster_lost: bool,
+    pub roster_heard: Option<Nanos>,
+    calls: u64,
+    roster_complete: bool,
+}
+
+impl Ledger {
+    pub fn new(lengths: RingLengths) -> Self {
+        Ledger {
+            now: 0,
+            lengths,
+            first_retrieval: 0,
+            retrievals: VecDeque::new(),
+            first_part: 0,
+            parts: VecDeque::new(),
+            replicas: Vec::new(),
+            latencies: Ring::new(lengths.overall),
+            taken: VecDeque::new(),
+            parts_taken: VecDeque::new(),
+            further: VecDeque::new(),
+            copies: VecDeque::new(),
+            roster_lost: false,
+            roster_heard: None,
+            calls: 0,
+            roster_complete: false,
+        }
+    }
+
+    pub fn begin(&mut self, now: Nanos) {
+        self.now = now;
+        self.calls += 1;
+    }
+
+    // ---- what comes in ----
+
+    pub fn retrieval_taken(&mut self, grade: usize, valid_until: Nanos, work: Nanos) -> RetrievalIx {
+        self.taken.push_back(self.now);
+        let (taken, parts) = (self.now, Vec::new());
+        self.retrievals.push_back(Retrieval {
+            grade,
+            taken,
+            valid_until,
+            work,
+            parts,
+            step: 0,
+            closed: false,
+        });
+        RetrievalIx(self.first_retrieval + self.retrievals.len() - 1)
+    }
+
+    pub fn part_taken(&mut self, retrieval: RetrievalIx, shard: usize, weight: f64) -> PartIx {
+        self.taken.push_back(self.now);
+        self.parts_taken.push_back(self.now);
+        let ix = PartIx(self.first_part + self.parts.len());
+        let (step, closed) = match self.retrieval_mut(retrieval) {
+            Some(r) => {
+                r.parts.push(ix);
+                (r.step, r.closed)
+            }
+            None => (0, true),
+        };
+        self.parts.push_back(Part {
+            retrieval,
+            shard,
+            weight,
+            step,
+            launches: Vec::new(),
+            done: false,
+            closed,
+        });
+        ix
+    }
+
+    /// `part_over`: the host says that nothing more can come of the part.
+    pub fn launch_ended(
+        &mut self,
+        part: PartIx,
+        launch: usize,
+        ending: Ending,
+        took: Nanos,
+        part_over: bool,
+    ) {
+        let now = self.now;
+        let Some(p) = part.0.checked_sub(self.first_part).and_then(|at| self.parts.get_mut(at)) else {
+            return;
+        };
+        p.closed |= part_over && ending != Ending::Done;
+        let Some(l) = p.launches.get_mut(launch) else { return };
+        l.end = Some(ending);
+        let (sent, replica, withdrawn) = (l.sent, l.replica, l.withdrawn);
+        if ending == Ending::Done {
+            p.done |= !p.closed;
+            self.latencies.push(took);
+        }
+        let r = &mut self.replicas[replica.0];
+        if let Some(h) = r.held.iter_mut().find(|h| h.part == part && h.launch == launch) {
+            h.ended = Some((ending, now));
+        }
+        if ending == Ending::Done {
+            r.last_done_sent = r.last_done_sent.max(sent);
+            r.last_done_at = now;
+        }
+        if !withdrawn && ending != Ending::Unsent || ending == Ending::Done {
+            r.samples.push(Sample { at: now, took, ending });
+        }
+    }
+
+    /// The client has gone, or its time is up.
+    pub fn retrieval_lapsed(&mut self, retrieval: RetrievalIx) {
+        self.close(retrieval);
+    }
+
+    pub fn probe_ended(&mut self, replica: ReplicaIx, answered: bool) {
+        let r = &mut self.replicas[replica.0];
+        if let (Some(sent), true) = (r.probe_sent.take(), answered) {
+            r.probes_answered.push(sent);
+        }
+    }
+
+    pub fn replica_met(&mut self, cell: usize) -> ReplicaIx {
+        self.replicas.push(Replica {
+            cell,
+            serving: false,
+            started: None,
+            named: false,
+            held: Vec::new(),
+            samples: Ring::new(self.lengths.per_replica),
+            last_done_sent: Nanos::MIN,
+            last_done_at: Nanos::MIN,
+            launched_at: Ring::new(self.lengths.launches),
+            probe_sent: None,
+            probes_answered: Ring::new(self.lengths.probes),
+        });
+        ReplicaIx(self.replicas.len() - 1)
+    }
+
+    /// Roster news: `complete` where every replica that exists is about to be named.
+    pub fn roster_opens(&mut self, complete: bool) {
+        self.roster_complete = complete;
+        self.replicas.iter_mut().for_each(|r| r.named = false);
+    }
+
+    pub fn roster_names(&mut self, replica: ReplicaIx, cell: usize, serving: bool, started: Option<Nanos>) {
+        let r = &mut self.replicas[replica.0];
+        if started.is_some() && started != r.started {
+            // What an earlier process held or answered says nothing of this one.
+            r.held.retain(|h| h.ended.is_none());
+            r.samples.clear();
+        }
+        (r.named, r.cell, r.serving, r.started) = (true, cell, serving, started);
+    }
+
+    pub fn roster_closes(&mut self) {
+        if self.roster_complete {
+            self.replicas.iter_mut().filter(|r| !r.named).for_each(|r| r.serving = false);
+        }
+        self.roster_lost = false;
+        self.roster_heard = Some(self.now);
+    }
+
+    pub fn roster_lost(&mut self) {
+        self.roster_lost = true;
+    }
+
+    // ---- what was decided ----
+
+    pub fn launched(&mut self, part: PartIx, replica: ReplicaIx, copy: bool) {
+        let (now, call) = (self.now, self.calls);
+        let p = self.part_mut(part);
+        let launch = p.launches.len();
+        p.launches.push(Launch { replica, sent: now, end: None, withdrawn: false });
+        if launch > 0 {
+            self.further.push_back(now);
+        }
+        if copy {
+            self.copies.push_back(now);
+        }
+        let r = &mut self.replicas[replica.0];
+        r.launched_at.push(now);
+        r.held.push(Held { part, launch, sent: now, call, ended: None });
+    }
+
+    pub fn withdrawn(&mut self, part: PartIx, launch: usize) {
+        self.part_mut(part).launches[launch].withdrawn = true;
+    }
+
+    pub fn probed(&mut self, replica: ReplicaIx) {
+        self.replicas[replica.0].probe_sent = Some(self.now);
+    }
+
+    pub fn next_step(&mut self, retrieval: RetrievalIx) {
+        if let Some(r) = self.retrieval_mut(retrieval) {
+            r.step += 1;
+        }
+    }
+
+    pub fn close(&mut self, retrieval: RetrievalIx) {
+        let Some(r) = self.retrieval_mut(retrieval) else { return };
+        r.closed = true;
+        for part in r.parts.clone() {
+            self.part_mut(part).closed = true;
+        }
+    }
+
+    /// Drops what no answer can refer to any more, and times from before the given moment.
+    pub fn tidy(&mut self, before: Nanos) {
+        while self.retrievals.front().is_some_and(|r| {
+            r.closed && r.parts.iter().all(|p| self.parts[p.0 - self.first_part].out().next().is_none())
+        }) {
+            self.retrievals.pop_front();
+            self.first_retrieval += 1;
+        }
+        while self.parts.front().is_some_and(|p| p.retrieval.0 < self.first_retrieval) {
+            self.parts.pop_front();
+            self.first_part += 1;
+        }
+        for times in [&mut self.taken, &mut self.parts_taken, &mut self.further, &mut self.copies] {
+            while times.front().is_some_and(|&t| t < before) {
+                times.pop_front();
+            }
+        }
+    }
+
+    // ---- looking up ----
+
+    pub fn now(&self) -> Nanos {
+        self.now
+    }
+
+    pub fn call(&self) -> u64 {
+        self.calls
+    }
+
+    pub fn first_retrieval(&self) -> RetrievalIx {
+        RetrievalIx(self.first_retrieval)
+    }
+
+    pub fn first_part(&self) -> PartIx {
+        PartIx(self.first_part)
+    }
+
+    /// Retrievals without a final answer, oldest first.
+    pub fn open(&self) -> impl Iterator<Item = (RetrievalIx, &Retrieval)> {
+        let numbered = self.retrievals.iter().enumerate();
+        numbered.filter(|(_, r)| !r.closed).map(|(i, r)| (RetrievalIx(self.first_retrieval + i), r))
+    }
+
+    /// Parts still wanted, oldest first.
+    pub fn wanted(&self) -> impl Iterator<Item = (PartIx, &Part)> {
+        let numbered = self.parts.iter().enumerate();
+        numbered.filter(|(_, p)| !p.closed && !p.done).map(|(i, p)| (PartIx(self.first_part + i), p))
+    }
+
+    /// Launches still out of parts that need them no more, not withdrawn yet.
+    pub fn loose(&self) -> impl Iterator<Item = (PartIx, usize)> {
+        let over = self.parts.iter().enumerate().filter(|(_, p)| p.done || p.closed);
+        over.flat_map(move |(i, p)| {
+            let out = p.out().filter(|(_, l)| !l.withdrawn);
+            out.map(move |(n, _)| (PartIx(self.first_part + i), n))
+        })
+    }
+
+    pub fn retrieval(&self, ix: RetrievalIx) -> &Retrieval {
+        &self.retrievals[ix.0 - self.first_retrieval]
+    }
+
+    pub fn part(&self, ix: PartIx) -> &Part {
+        &self.parts[ix.0 - self.first_part]
+    }
+
+    fn part_mut(&mut self, ix: PartIx) -> &mut Part {
+        &mut self.parts[ix.0 - self.first_part]
+    }
+
+    fn retrieval_mut(&mut self, ix: RetrievalIx) -> Option<&mut Retrieval> {
+        ix.0.checked_sub(self.first_retrieval).and_then(|at| self.retrievals.get_mut(at))
+    }
+}
