Hold parts back while a replica is full; set aside a third of the replicas at most

It should also guard against bursts, slow servers and lost capacity of any cause. It could harm where a replica's pace is misjudged: a floor of a few parts is always allowed.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -19,10 +19,16 @@
 /// Copies stay under this share of the parts of so many abandon times.
 const COPY_SHARE: f64 = 0.1;
 const COPY_WINDOW: f64 = 2.0;
-/// A replica is silent after this many times the usual 90th percentile, between these shares of a soft limit.
+/// A replica is silent after this many times the usual 90th percentile, and at least this share of a soft limit.
 const PATIENCE: f64 = 2.0;
 const PATIENCE_LEAST: f64 = 0.25;
-const PATIENCE_MOST: f64 = 0.5;
+/// Share of the replicas that may be set aside at once: where more look bad, it is load, or our own view.
+const ASIDE_MOST: f64 = 0.34;
+/// A replica is full when our parts on it, at the pace of its answers over so many soft limits, would take longer
+/// than this share of a soft limit; so many parts it may always hold.
+const FULL_AFTER: f64 = 0.5;
+const PACE_SPAN: f64 = 2.0;
+const ALWAYS_ROOM: usize = 3;
 /// Failures in a row, and slowness against all replicas over so many samples, that set a replica aside.
 const FAILURES: usize = 2;
 const LAGGARD: f64 = 3.0;
@@ -118,7 +124,7 @@
     fn patience(&self) -> Nanos {
         let soft = self.shortest_soft_limit();
         let usual = self.usual(DELAY_PERCENTILE).map_or(0, |p| scaled(p, PATIENCE));
-        usual.clamp(scaled(soft, PATIENCE_LEAST), scaled(soft, PATIENCE_MOST))
+        usual.max(scaled(soft, PATIENCE_LEAST))
     }
 
     fn soft_end(&self, r: &Retrieval) -> Nanos {
@@ -218,6 +224,8 @@
     fn judge_replicas(&mut self, w: &mut dyn Writer) {
         let (now, patience) = (self.now(), self.patience());
         let pace = scaled(self.shortest_soft_limit(), PROBE_PACE);
+        let serving = self.ledger.replicas.iter().filter(|r| r.serving).count();
+        let most = (serving as f64 * ASIDE_MOST) as usize;
         for ix in 0..self.ledger.replicas.len() {
             let r = &self.ledger.replicas[ix];
             let Opinion { aside, back, relapses, probe_due } = self.opinions[ix].clone();
@@ -236,6 +244,9 @@
                     w.probe(ReplicaIx(ix));
                 }
             } else if self.silent(r, back, patience) || Self::failing(r, back) || self.lagging(r, back) {
+                if self.opinions.iter().filter(|o| o.aside.is_some()).count() >= most {
+                    continue;
+                }
                 self.opinions[ix].aside = Some(now);
                 self.opinions[ix].relapses = relapses + 1;
             } else if relapses > 0 && self.answered_since(r, back) >= LAGGARD_SAMPLES {
@@ -288,6 +299,16 @@
         ((sent + 1) as f64) <= room
     }
 
+    /// Against queues that outlast the soft limit, where every answer comes too late and retries keep it so: a part
+    /// waits here, where it costs nothing, while the replica holds all of our parts that it can answer in time.
+    /// By Little's law this acts only once answers take longer than that share of the soft limit.
+    fn full(&self, ix: ReplicaIx) -> bool {
+        let (r, soft) = (&self.ledger.replicas[ix.0], self.shortest_soft_limit());
+        let paced =
+            self.answered_since(r, self.now() - scaled(soft, PACE_SPAN)) as f64 * FULL_AFTER / PACE_SPAN;
+        r.held.len() >= ALWAYS_ROOM.max(self.orders.call_parts).max(paced as usize)
+    }
+
     // ---- launching ----
 
     fn holds(&self, ix: ReplicaIx, shard: usize) -> bool {
@@ -305,7 +326,7 @@
     fn choices(&self, part: &Part) -> Vec<ReplicaIx> {
         let out = |ix: ReplicaIx| part.out().any(|(_, l)| l.replica == ix);
         let mut all = self.holders(part.shard);
-        all.retain(|&ix| !out(ix) && self.has_room(ix));
+        all.retain(|&ix| !out(ix) && self.has_room(ix) && !self.full(ix));
         prefer(&mut all, |ix| self.sound(ix));
         prefer(&mut all, |ix| part.launches.iter().all(|l| l.replica != ix));
         all
@@ -482,11 +503,18 @@
             && (ended || soft_over && short_earns > grade.late_earnings || within_reach < whole)
         {
             self.answer(ix, false, w);
-        } else if ended || within_reach < floor.min(whole) {
+        } else if ended || within_reach < floor.min(whole) || self.crowded_out(r) {
             self.end(ix, w);
         }
     }
 
+    /// A part has found no room, and an ordinary answer would now come after the soft limit.
+    fn crowded_out(&self, r: &Retrieval) -> bool {
+        let unsent = |&p: &PartIx| self.ledger.part(p).launches.is_empty();
+        let last_call = self.soft_end(r) - self.usual(0.5).unwrap_or(0);
+        self.now() >= last_call && r.parts.iter().any(unsent)
+    }
+
     /// No launch of the part is out and none may follow.
     fn hopeless(&self, part: &Part) -> bool {
         part.closed || !part.launches.is_empty() && part.out().next().is_none() && !self.may_repeat(part)
