Let a retrieval in whole or not at all; judge soundness before room; seats once a round

Cause: parts of a retrieval were launched as each found room, and the retrieval was dismissed when one did not: its work was wasted, and waiting until the last moment made the rest late. A dead replica, having nothing of ours, looked like the only one with room. It should also hold against hot shards. It could harm a large retrieval, which needs room at many replicas at once.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,6 +4,8 @@
 //! Call [`Aggregator::round`] once a round: `came_in` records all that happened since the last one, and when it
 //! returns, the decisions go to the writer. The source of the design is cited in `docs/design.md`.
 
+use std::collections::VecDeque;
+
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
 
@@ -26,9 +28,9 @@
 const ASIDE_MOST: f64 = 0.34;
 /// A replica is full when our parts on it, at the pace of its answers over so many soft limits, would take longer
 /// than this share of a soft limit; so many parts it may always hold.
-const FULL_AFTER: f64 = 0.5;
+const FULL_AFTER: f64 = 0.35;
 const PACE_SPAN: f64 = 2.0;
-const ALWAYS_ROOM: usize = 3;
+const ALWAYS_ROOM: usize = 1;
 /// Failures in a row, and slowness against all replicas over so many samples, that set a replica aside.
 const FAILURES: usize = 2;
 const LAGGARD: f64 = 3.0;
@@ -54,6 +56,20 @@
     probe_due: Nanos,
 }
 
+/// How a replica stands for the launches of this round.
+#[derive(Clone, Copy, Debug)]
+struct Seat {
+    sound: bool,
+    /// False for a cold server whose share is spent.
+    open: bool,
+    full: bool,
+    /// Whether a part sent now would travel in a call already being written.
+    joins: bool,
+    /// Our calls in flight on it, and with one part more.
+    calls: usize,
+    after: usize,
+}
+
 pub struct Aggregator {
     orders: StandingOrders,
     ledger: Ledger,
@@ -117,10 +133,6 @@
         (took.len() >= DELAY_SAMPLES).then(|| percentile(took, share))
     }
 
-    fn copy_delay(&self, soft_limit: Nanos) -> Nanos {
-        self.usual(DELAY_PERCENTILE).unwrap_or(scaled(soft_limit, FIRST_DELAY))
-    }
-
     fn patience(&self) -> Nanos {
         let soft = self.shortest_soft_limit();
         let usual = self.usual(DELAY_PERCENTILE).map_or(0, |p| scaled(p, PATIENCE));
@@ -193,8 +205,14 @@
         !held.take_while(|h| h.call == self.ledger.call()).count().is_multiple_of(self.orders.call_parts)
     }
 
-    fn in_flight_after(&self, replica: ReplicaIx) -> usize {
-        self.in_flight(replica) + usize::from(!self.joins(replica))
+    fn seat(&self, ix: ReplicaIx) -> Seat {
+        let (joins, calls) = (self.joins(ix), self.in_flight(ix));
+        let (open, full) = (self.has_room(ix), self.full(ix));
+        Seat { sound: self.sound(ix), open, full, joins, calls, after: calls + usize::from(!joins) }
+    }
+
+    fn seats(&self) -> Vec<Seat> {
+        (0..self.ledger.replicas.len()).map(|ix| self.seat(ReplicaIx(ix))).collect()
     }
 
     // ---- health ----
@@ -211,11 +229,10 @@
         all_failed || last.first() == Some(&Ending::Unreached)
     }
 
-    fn lagging(&self, r: &Replica, back: Nanos) -> bool {
+    fn lagging(r: &Replica, back: Nanos, usual: Option<Nanos>) -> bool {
         let done = |s: &Sample| s.ending == Ending::Done && s.at >= back;
         let took: Vec<Nanos> =
             r.samples.iter().rev().filter(done).take(LAGGARD_SAMPLES).map(|s| s.took).collect();
-        let usual = self.usual(0.5);
         took.len() == LAGGARD_SAMPLES && usual.is_some_and(|u| percentile(took, 0.5) > scaled(u, LAGGARD))
     }
 
@@ -225,7 +242,8 @@
         let (now, patience) = (self.now(), self.patience());
         let pace = scaled(self.shortest_soft_limit(), PROBE_PACE);
         let serving = self.ledger.replicas.iter().filter(|r| r.serving).count();
-        let most = (serving as f64 * ASIDE_MOST) as usize;
+        let usual = self.usual(0.5);
+        let most = (serving as f64 * ASIDE_MOST).ceil() as usize;
         for ix in 0..self.ledger.replicas.len() {
             let r = &self.ledger.replicas[ix];
             let Opinion { aside, back, relapses, probe_due } = self.opinions[ix].clone();
@@ -243,7 +261,10 @@
                     self.opinions[ix].probe_due = now + pace;
                     w.probe(ReplicaIx(ix));
                 }
-            } else if self.silent(r, back, patience) || Self::failing(r, back) || self.lagging(r, back) {
+            } else if self.silent(r, back, patience)
+                || Self::failing(r, back)
+                || Self::lagging(r, back, usual)
+            {
                 if self.opinions.iter().filter(|o| o.aside.is_some()).count() >= most {
                     continue;
                 }
@@ -295,18 +316,20 @@
             warm.fold((0, 0), |(done, count), o| (done + self.answered_since(o, now - span), count + 1));
         let borne = done as f64 / count.max(1) as f64 * thaw.window as f64 / span.max(1) as f64;
         let room = (thaw.multiple * warmth * borne * COLD_CAUTION).max(1.0);
-        let sent = r.launched_at.iter().rev().take_while(|&at| at > now - thaw.window).count();
+        let since = (now - thaw.window).max(r.started.unwrap_or(now));
+        let sent = r.launched_at.iter().rev().take_while(|&at| at >= since).count();
         ((sent + 1) as f64) <= room
     }
 
-    /// Against queues that outlast the soft limit, where every answer comes too late and retries keep it so: a part
-    /// waits here, where it costs nothing, while the replica holds all of our parts that it can answer in time.
-    /// By Little's law this acts only once answers take longer than that share of the soft limit.
+    /// Against queues that outlast the soft limit, where every answer comes too late and retries keep it so: a
+    /// replica is full when it holds all of our parts that it can answer in time. By Little's law this can be so only
+    /// once answers take longer than that share of the soft limit. A retrieval is let in, whole, when each of its
+    /// parts finds a replica that is not full; until then it waits here, where it costs nothing.
     fn full(&self, ix: ReplicaIx) -> bool {
         let (r, soft) = (&self.ledger.replicas[ix.0], self.shortest_soft_limit());
         let paced =
             self.answered_since(r, self.now() - scaled(soft, PACE_SPAN)) as f64 * FULL_AFTER / PACE_SPAN;
-        r.held.len() >= ALWAYS_ROOM.max(self.orders.call_parts).max(paced as usize)
+        !self.joins(ix) && r.held.len() >= ALWAYS_ROOM.max(paced.ceil() as usize)
     }
 
     // ---- launching ----
@@ -321,13 +344,12 @@
         (0..self.ledger.replicas.len()).map(ReplicaIx).filter(|&ix| self.holds(ix, shard)).collect()
     }
 
-    /// Replicas that may get a launch of the part now: sound ones, not tried yet if there are such. Where all look
-    /// bad, the evidence or the view is bad, and all of them are tried.
-    fn choices(&self, part: &Part) -> Vec<ReplicaIx> {
-        let out = |ix: ReplicaIx| part.out().any(|(_, l)| l.replica == ix);
+    /// Replicas that may get a launch of the part: sound ones, not tried yet if there are such. Where all look bad,
+    /// the evidence or the view is bad, and all of them are tried.
+    fn choices(&self, part: &Part, seats: &[Seat]) -> Vec<ReplicaIx> {
         let mut all = self.holders(part.shard);
-        all.retain(|&ix| !out(ix) && self.has_room(ix) && !self.full(ix));
-        prefer(&mut all, |ix| self.sound(ix));
+        all.retain(|&ix| part.out().all(|(_, l)| l.replica != ix));
+        prefer(&mut all, |ix| seats[ix.0].sound);
         prefer(&mut all, |ix| part.launches.iter().all(|l| l.replica != ix));
         all
     }
@@ -362,45 +384,58 @@
         all_aside && out.next().is_none() && self.orders.may_copy
     }
 
-    /// The ordinary path: each part goes to its shard's replica with fewest of our calls in flight. Ties break at
-    /// random, but a replica where more of the round's parts can share one call comes first, as a call costs work.
+    /// Retrievals are let in oldest first; further launches of those already let in come before.
     fn place(&mut self, w: &mut dyn Writer) {
+        let mut seats = self.seats();
         let waits = |p: &Part| match (p.launches.is_empty(), p.out().next().is_none()) {
-            (true, _) => true,
+            (true, _) => self.ledger.retrieval(p.retrieval).parts.iter().any(|&p| self.begun(p)),
             (_, true) => self.may_repeat(p),
             _ => self.may_repeat(p) && self.stranded(p),
         };
-        let mut waiting: Vec<PartIx> =
-            self.ledger.wanted().filter(|(_, p)| waits(p)).map(|(ix, _)| ix).collect();
-        while !waiting.is_empty() {
-            let part = waiting.remove(0);
-            if !self.ledger.part(part).launches.is_empty() && !self.within_ration() {
+        let waiting: Vec<PartIx> = self.ledger.wanted().filter(|(_, p)| waits(p)).map(|(ix, _)| ix).collect();
+        self.place_together(&waiting, &mut seats, w);
+        let open: Vec<RetrievalIx> = self.ledger.open().map(|(ix, _)| ix).collect();
+        for ix in open {
+            let parts = self.ledger.retrieval(ix).parts.clone();
+            if !parts.iter().any(|&p| self.begun(p)) && parts.iter().all(|&p| self.finds_room(p, &seats)) {
+                self.place_together(&parts, &mut seats, w);
+            }
+        }
+    }
+
+    fn begun(&self, part: PartIx) -> bool {
+        !self.ledger.part(part).launches.is_empty()
+    }
+
+    fn finds_room(&self, part: PartIx, seats: &[Seat]) -> bool {
+        let choices = self.choices(self.ledger.part(part), seats);
+        choices.iter().any(|ix| seats[ix.0].open && !seats[ix.0].full)
+    }
+
+    /// The ordinary path: each part goes to its shard's replica with fewest of our calls in flight. Ties break at
+    /// random, but a replica where more of these parts can share one call comes first, as a call costs work.
+    fn place_together(&mut self, parts: &[PartIx], seats: &mut [Seat], w: &mut dyn Writer) {
+        let choices = |&p: &PartIx| (p, self.choices(self.ledger.part(p), seats));
+        let mut waiting: VecDeque<(PartIx, Vec<ReplicaIx>)> = parts.iter().map(choices).collect();
+        while let Some((part, choices)) = waiting.pop_front() {
+            let fewest = fewest(&choices, seats);
+            if fewest.is_empty() || self.begun(part) && !self.within_ration() {
                 continue;
             }
-            let fewest = self.fewest(part);
-            let rest: Vec<Vec<ReplicaIx>> = match self.orders.call_parts {
-                1 => Vec::new(),
-                _ => waiting.iter().map(|&p| self.fewest(p)).collect(),
-            };
             let gathers = |ix: ReplicaIx| {
-                let others = rest.iter().filter(|f| f.contains(&ix)).count().min(self.orders.call_parts - 1);
-                (self.joins(ix), others)
+                let others = waiting.iter().filter(|(_, c)| c.contains(&ix) && is_fewest(ix, c, seats));
+                (seats[ix.0].joins, others.take(self.orders.call_parts - 1).count())
             };
             let most = fewest.iter().map(|&ix| gathers(ix)).max();
             let tied: Vec<ReplicaIx> =
                 fewest.iter().copied().filter(|&ix| Some(gathers(ix)) == most).collect();
             if let Some(replica) = self.any_of(&tied) {
                 self.launch(part, replica, false, w);
+                seats[replica.0] = self.seat(replica);
             }
         }
     }
 
-    fn fewest(&self, part: PartIx) -> Vec<ReplicaIx> {
-        let choices = self.choices(self.ledger.part(part));
-        let least = choices.iter().map(|&ix| self.in_flight_after(ix)).min();
-        choices.into_iter().filter(|&ix| Some(self.in_flight_after(ix)) == least).collect()
-    }
-
     fn any_of(&mut self, replicas: &[ReplicaIx]) -> Option<ReplicaIx> {
         (!replicas.is_empty()).then(|| replicas[self.chance.random_range(0..replicas.len())])
     }
@@ -414,10 +449,11 @@
 
     /// Near a retrieval's end idle replicas get a copy of a pending part, oldest launch first, after the delay.
     fn endgame(&mut self, w: &mut dyn Writer) {
-        let mut pending: Vec<(Nanos, PartIx)> = Vec::new();
+        let (mut pending, usual): (Vec<(Nanos, PartIx)>, _) = (Vec::new(), self.usual(DELAY_PERCENTILE));
         for (_, r) in self.ledger.open() {
             let unanswered: Vec<PartIx> = r.parts.iter().copied().filter(|&p| self.unanswered(p)).collect();
-            let due = self.now() - self.copy_delay(self.orders.grades[r.grade].soft_limit);
+            let soft = self.orders.grades[r.grade].soft_limit;
+            let due = self.now() - usual.unwrap_or(scaled(soft, FIRST_DELAY));
             let alone = |p: &PartIx| {
                 let mut out = self.ledger.part(*p).out();
                 out.next().filter(|(_, l)| l.sent <= due && out.next().is_none()).map(|(_, l)| (l.sent, *p))
@@ -428,15 +464,17 @@
             }
         }
         pending.sort();
+        let mut seats = self.seats();
         for (_, part) in pending {
             let p = self.ledger.part(part);
             if !self.orders.may_copy || !self.copies_left() || !self.may_repeat(p) || !self.within_ration() {
                 continue;
             }
-            let mut idle = self.choices(p);
-            idle.retain(|&ix| self.sound(ix) && self.in_flight(ix) == 0);
+            let mut idle = self.choices(p, &seats);
+            idle.retain(|&ix| seats[ix.0].sound && seats[ix.0].open && seats[ix.0].calls == 0);
             if let Some(replica) = self.any_of(&idle) {
                 self.launch(part, replica, true, w);
+                seats[replica.0] = self.seat(replica);
             }
         }
     }
@@ -474,12 +512,13 @@
 
     fn finish(&mut self, w: &mut dyn Writer) {
         let open: Vec<RetrievalIx> = self.ledger.open().map(|(ix, _)| ix).collect();
+        let usual = self.usual(DELAY_PERCENTILE).unwrap_or(0);
         for ix in open {
-            self.finish_one(ix, w);
+            self.finish_one(ix, usual, w);
         }
     }
 
-    fn finish_one(&mut self, ix: RetrievalIx, w: &mut dyn Writer) {
+    fn finish_one(&mut self, ix: RetrievalIx, usual: Nanos, w: &mut dyn Writer) {
         let r = self.ledger.retrieval(ix);
         let grade = &self.orders.grades[r.grade];
         let (now, second) = (self.now(), r.step > 0);
@@ -503,16 +542,14 @@
             && (ended || soft_over && short_earns > grade.late_earnings || within_reach < whole)
         {
             self.answer(ix, false, w);
-        } else if ended || within_reach < floor.min(whole) || self.crowded_out(r) {
+        } else if ended || within_reach < floor.min(whole) || self.crowded_out(r, usual) {
             self.end(ix, w);
         }
     }
 
-    /// A part has found no room, and an ordinary answer would now come after the soft limit.
-    fn crowded_out(&self, r: &Retrieval) -> bool {
-        let unsent = |&p: &PartIx| self.ledger.part(p).launches.is_empty();
-        let last_call = self.soft_end(r) - self.usual(0.5).unwrap_or(0);
-        self.now() >= last_call && r.parts.iter().any(unsent)
+    /// It was not let in, and an ordinary answer would now come after the soft limit.
+    fn crowded_out(&self, r: &Retrieval, usual: Nanos) -> bool {
+        self.now() >= self.soft_end(r) - usual && !r.parts.iter().any(|&p| self.begun(p))
     }
 
     /// No launch of the part is out and none may follow.
@@ -562,6 +599,16 @@
     *took.select_nth_unstable(at).1
 }
 
+/// Replicas with fewest calls in flight, counting the part to be sent, among those that are open.
+fn fewest(choices: &[ReplicaIx], seats: &[Seat]) -> Vec<ReplicaIx> {
+    choices.iter().copied().filter(|&ix| is_fewest(ix, choices, seats)).collect()
+}
+
+fn is_fewest(ix: ReplicaIx, choices: &[ReplicaIx], seats: &[Seat]) -> bool {
+    let rivals = choices.iter().filter(|ix| seats[ix.0].open);
+    seats[ix.0].open && rivals.map(|ix| seats[ix.0].after).all(|after| seats[ix.0].after <= after)
+}
+
 /// Keeps those that pass, where any does.
 fn prefer(replicas: &mut Vec<ReplicaIx>, pass: impl Fn(ReplicaIx) -> bool) {
     if replicas.iter().any(|&ix| pass(ix)) {
--- /dev/null
+++ b/tests/stories.rs
@@ -0,0 +1,282 @@
+//! One short story for each failure met or foreseen.
+
+mod host;
+
+use host::*;
+use orchidvalve::interface::*;
+use orchidvalve::ledger::Ending;
+
+const A: ReplicaIx = ReplicaIx(0);
+const B: ReplicaIx = ReplicaIx(1);
+
+#[test]
+fn a_part_goes_to_the_holder_with_fewest_in_flight() {
+    let mut host = Host::new(orders(3));
+    let (_, first) = host.take(0, &[0]);
+    let busy = launches(&first)[0].1;
+    let (_, second) = host.take(0, &[0]);
+    let other = launches(&second)[0].1;
+    assert_ne!(busy, other);
+    assert!([A, B].contains(&other), "only the two holders of shard 0 may serve it");
+}
+
+#[test]
+fn a_whole_answer_waits_for_every_part() {
+    let mut host = Host::new(orders(3));
+    let (ix, told) = host.take(0, &[0, 2]);
+    let early = launches(&told)[0].1;
+    assert!(!host.end(|r| (r == early).then_some(Ending::Done)).contains(&Told::Answer(ix, true)));
+    assert!(host.end(|_| Some(Ending::Done)).contains(&Told::Answer(ix, true)));
+}
+
+#[test]
+fn in_the_endgame_an_idle_replica_gets_one_copy_and_the_loser_is_cancelled() {
+    let mut host = Host::new(orders(2));
+    host.traffic(40, &[]);
+    let (ix, told) = host.take(0, &[0]);
+    let (part, slow) = launches(&told)[0];
+    assert!(launches(&host.wait(20 * MS)).is_empty(), "a copy waits for its delay");
+    let copy = launches(&host.wait(60 * MS));
+    assert_eq!(copy, vec![(part, if slow == A { B } else { A })]);
+    assert!(launches(&host.wait(60 * MS)).is_empty(), "a part runs on two replicas at most");
+    let told = host.end(|r| (r != slow).then_some(Ending::Done));
+    assert!(told.contains(&Told::Answer(ix, true)) && told.contains(&Told::Retract(part, 0)));
+}
+
+#[test]
+fn copies_stay_under_a_tenth_of_the_parts() {
+    let mut host = Host::new(orders(12));
+    host.traffic(60, &[]);
+    for shard in 0..12 {
+        host.take(0, &[shard]);
+    }
+    let copies = launches(&host.wait(90 * MS)).len();
+    assert!((1..=7).contains(&copies), "{copies} copies for 72 parts");
+}
+
+#[test]
+fn a_silent_replica_does_not_empty_its_count_and_draw_more() {
+    let mut host = Host::new(orders(2));
+    let told = host.traffic(30, &[A]);
+    let to_silent = launches(&told).iter().filter(|l| l.1 == A).count();
+    assert!(to_silent <= 4, "{to_silent} of {} went to the silent one", launches(&told).len());
+}
+
+#[test]
+fn a_replica_that_answers_errors_fast_does_not_draw_the_parts() {
+    let mut host = Host::new(orders(2));
+    host.traffic(30, &[]);
+    let mut to_bad = 0;
+    for _ in 0..30 {
+        let (_, told) = host.take(0, &[0]);
+        to_bad += launches(&told).iter().filter(|l| l.1 == A).count();
+        host.now += 2 * MS;
+        to_bad +=
+            launches(&host.end(|r| (r == A).then_some(Ending::Faulty))).iter().filter(|l| l.1 == A).count();
+        host.now += 50 * MS;
+        host.end(|r| (r == B).then_some(Ending::Done));
+    }
+    assert!(to_bad <= 4, "{to_bad} parts drawn");
+}
+
+#[test]
+fn what_a_silent_replica_holds_is_launched_elsewhere_and_it_comes_back_after_probes() {
+    let mut host = Host::new(orders(4));
+    host.traffic(40, &[]);
+    let mut held = Vec::new();
+    while held.is_empty() {
+        let (_, told) = host.take(0, &[0]);
+        held = launches(&told).into_iter().filter(|l| l.1 == A).collect();
+        host.now += 50 * MS;
+        host.end(|r| (r != A).then_some(Ending::Done));
+    }
+    let mut told = host.wait(300 * MS);
+    told.extend(host.wait(10 * MS));
+    assert!(told.contains(&Told::Probe(A)));
+    let twins = host.aggregator.ledger().part(held[0].0).launches.len();
+    assert_eq!(twins, 2, "the stranded part has a second launch, and the first still counts");
+    host.end(|r| (r != A).then_some(Ending::Done));
+    assert!(launches(&host.traffic(4, &[A])).iter().all(|l| l.1 != A), "set aside");
+    for _ in 0..40 {
+        host.now += 100 * MS;
+        let told = host.round(|l| l.probe_ended(A, true));
+        drop(told);
+    }
+    let trials = launches(&host.traffic(24, &[])).iter().filter(|l| l.1 == A).count();
+    assert!(trials > 0, "a replica that answers probes gets parts again");
+}
+
+#[test]
+fn where_everything_looks_bad_everything_is_tried() {
+    let mut host = Host::new(orders(2));
+    for _ in 0..6 {
+        host.take(0, &[0]);
+        host.now += 5 * MS;
+        host.end(|_| Some(Ending::Unreached));
+        host.end(|_| Some(Ending::Unreached));
+        host.now += 400 * MS;
+    }
+    let (ix, _) = host.take(0, &[0]);
+    let part = host.aggregator.ledger().retrieval(ix).parts[0];
+    for _ in 0..16 {
+        host.end(|_| Some(Ending::Unreached));
+        host.now += 60 * MS;
+    }
+    assert!(!host.aggregator.ledger().part(part).launches.is_empty());
+}
+
+#[test]
+fn a_drained_or_unlisted_replica_gets_nothing_new() {
+    let mut host = Host::new(orders(2));
+    host.round(|l| {
+        l.roster_opens(true);
+        l.roster_names(B, 1, true, None);
+        l.roster_closes();
+    });
+    assert!(launches(&host.traffic(10, &[])).iter().all(|l| l.1 == B));
+    host.round(|l| {
+        l.roster_opens(false);
+        l.roster_names(A, 0, true, None);
+        l.roster_names(B, 1, false, None);
+        l.roster_closes();
+    });
+    assert!(launches(&host.traffic(10, &[])).iter().all(|l| l.1 == A));
+}
+
+#[test]
+fn a_cold_server_gets_no_burst() {
+    let mut host = Host::new(orders(2));
+    host.traffic(100, &[]);
+    let now = host.now;
+    host.round(|l| {
+        l.roster_opens(false);
+        l.roster_names(A, 0, true, Some(now));
+        l.roster_closes();
+    });
+    let told: Vec<Told> = (0..40).flat_map(|_| host.take(0, &[0]).1).collect();
+    let to_cold = launches(&told).iter().filter(|l| l.1 == A).count();
+    // Warm replicas did about ten parts a second each: a quarter of that, by the rule's multiple of four.
+    assert!((1..=10).contains(&to_cold), "{to_cold} parts at once on a cold server");
+}
+
+#[test]
+fn parts_wait_here_while_all_holders_are_full_and_a_hopeless_retrieval_is_dismissed_in_time() {
+    let mut host = Host::new(orders(2));
+    host.traffic(40, &[]);
+    let taken: Vec<(RetrievalIx, Vec<Told>)> = (0..60).map(|_| host.take(0, &[0])).collect();
+    let sent: usize = taken.iter().map(|(_, told)| launches(told).len()).sum();
+    assert!(sent < 40, "{sent} of 60 parts sent at once");
+    let mut told = Vec::new();
+    for _ in 0..200 {
+        told.extend(host.wait(5 * MS));
+    }
+    assert!(told.contains(&Told::Dismiss(taken[59].0)));
+}
+
+#[test]
+fn an_effectful_part_that_may_have_run_is_neither_launched_again_nor_dismissed() {
+    let mut orders = orders(2);
+    orders.grades[0].effect = Effect::Effectful;
+    let mut host = Host::new(orders);
+    let (ix, _) = host.take(0, &[0]);
+    host.now += 5 * MS;
+    let told = host.end(|_| Some(Ending::Unreached));
+    assert_eq!(launches(&told).len(), 1, "a launch known not to have run may be repeated");
+    host.now += 5 * MS;
+    let told = host.end(|_| Some(Ending::Faulty));
+    assert_eq!(told.iter().filter(|t| **t == Told::GiveUp(ix)).count(), 1);
+    assert!(launches(&told).is_empty() && !told.contains(&Told::Dismiss(ix)));
+}
+
+#[test]
+fn a_receipted_part_is_not_sent_again_after_its_window() {
+    let mut orders = orders(2);
+    orders.grades[0].effect = Effect::Receipted(300 * MS);
+    let mut host = Host::new(orders);
+    let (ix, _) = host.take(0, &[0]);
+    host.now += 310 * MS;
+    let told = host.end(|_| Some(Ending::Faulty));
+    assert!(launches(&told).is_empty());
+    assert!(told.contains(&Told::GiveUp(ix)));
+}
+
+#[test]
+fn further_launches_stay_within_a_stated_ration() {
+    let mut orders = orders(2);
+    orders.ration = Some(Ration { free: 1.0, share: 0.1, span: 10_000 * MS });
+    let mut host = Host::new(orders);
+    let mut further = 0;
+    for _ in 0..20 {
+        host.take(0, &[0]);
+        host.now += 5 * MS;
+        further += launches(&host.end(|_| Some(Ending::Faulty))).len();
+    }
+    // Forty retrievals and parts were taken.
+    assert!((1..=5).contains(&further), "{further} further launches");
+}
+
+#[test]
+fn a_short_answer_is_given_at_the_soft_limit_where_it_earns_more_than_waiting() {
+    let mut orders = orders(5);
+    orders.grades[0].floor = 0.5;
+    let mut host = Host::new(orders);
+    let (ix, told) = host.take(0, &[0, 2]);
+    let slow = launches(&told)[0].1;
+    host.now += 50 * MS;
+    assert!(!host.end(|r| (r != slow).then_some(Ending::Done)).contains(&Told::Answer(ix, false)));
+    host.out.clear();
+    let told: Vec<Told> = (0..100).flat_map(|_| host.wait(10 * MS)).collect();
+    assert!(told.contains(&Told::Answer(ix, false)));
+}
+
+#[test]
+fn a_second_step_is_awaited_before_the_final_answer() {
+    let mut orders = orders(3);
+    orders.grades[0].second_step = 1;
+    let mut host = Host::new(orders);
+    let (ix, _) = host.take(0, &[0]);
+    assert!(host.end(|_| Some(Ending::Done)).contains(&Told::Answer(ix, true)));
+    let told = host.round(|l| _ = l.part_taken(ix, 0, 1.0));
+    assert!(launches(&told).len() == 1 && !told.contains(&Told::Answer(ix, true)));
+    assert!(host.end(|_| Some(Ending::Done)).contains(&Told::Answer(ix, true)));
+}
+
+#[test]
+fn every_retrieval_gets_its_final_answer_before_the_clients_time_is_up() {
+    let mut host = Host::new(orders(2));
+    let (ix, _) = host.take(0, &[0, 1]);
+    let until = host.now + 3_000 * MS;
+    let mut last = 0;
+    while host.now < until + 100 * MS {
+        let told = host.wait(5 * MS);
+        if told.iter().any(|t| [Told::Dismiss(ix), Told::GiveUp(ix)].contains(t)) {
+            assert_eq!(last, 0, "one final answer");
+            last = host.now;
+        }
+        assert!(last == 0 || launches(&told).is_empty(), "nothing is sent after the final answer");
+    }
+    assert!(last > 0 && last <= until);
+}
+
+#[test]
+fn a_lost_roster_is_asked_again_after_a_wait() {
+    let mut orders = orders(2);
+    orders.roster_on_request = true;
+    let mut host = Host::new(orders);
+    assert!(!host.round(|l| l.roster_lost()).contains(&Told::Roster), "not at once");
+    let told: Vec<Told> = (0..300).flat_map(|_| host.wait(10 * MS)).collect();
+    assert_eq!(told.iter().filter(|t| **t == Told::Roster).count(), 1);
+}
+
+#[test]
+fn parts_of_a_round_share_calls_where_a_call_takes_several() {
+    let mut orders = orders(3);
+    (orders.call_parts, orders.reach) = (4, 3);
+    let mut host = Host::new(orders);
+    let (_, told) = host.take(0, &[0, 1, 2]);
+    let first = launches(&told)[0].1;
+    assert!(
+        launches(&told).iter().all(|l| l.1 == first),
+        "every replica holds all three: one call is enough"
+    );
+}
