Let the newest retrieval in first, those asked again last

Cause: under a burst all waited until the last moment, were let in late, answered late, or dismissed too late for the client's next try to earn.

--- a/crates/benchlink/src/door.rs
+++ b/crates/benchlink/src/door.rs
@@ -133,11 +133,8 @@
             if grade >= grades {
                 return Err(format!("'knock': grade {grade} is not among the {grades} classes"));
             }
-            let ix = ledger.retrieval_taken(
-                grade,
-                whole(item, "validUntilNs")?,
-                or(item, "weightHintNs", 0, whole)?,
-            );
+            let (valid_until, work) = (whole(item, "validUntilNs")?, or(item, "weightHintNs", 0, whole)?);
+            let ix = ledger.retrieval_taken(grade, valid_until, work, or(item, "isRetry", false, flag)?);
             self.retrievals.kept.push_back(xid.clone());
             self.queries.push_back(query);
             self.by_query.insert(query, ix);
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,6 +4,7 @@
 //! Call [`Aggregator::round`] once a round: `came_in` records all that happened since the last one, and when it
 //! returns, the decisions go to the writer. The source of the design is cited in `docs/design.md`.
 
+use std::cmp::Reverse;
 use std::collections::VecDeque;
 
 use rand::{Rng, SeedableRng};
@@ -28,7 +29,7 @@
 const ASIDE_MOST: f64 = 0.34;
 /// A replica is full when our parts on it, at the pace of its answers over so many soft limits, would take longer
 /// than this share of a soft limit; so many parts it may always hold.
-const FULL_AFTER: f64 = 0.35;
+const FULL_AFTER: f64 = 0.5;
 const PACE_SPAN: f64 = 2.0;
 const ALWAYS_ROOM: usize = 1;
 /// Failures in a row, and slowness against all replicas over so many samples, that set a replica aside.
@@ -384,7 +385,8 @@
         all_aside && out.next().is_none() && self.orders.may_copy
     }
 
-    /// Retrievals are let in oldest first; further launches of those already let in come before.
+    /// Against a queue in which each waits until it is too late: the newest is let in first, as it has most of its
+    /// time left, and those asked again come last, as their time began with an earlier try.
     fn place(&mut self, w: &mut dyn Writer) {
         let mut seats = self.seats();
         let waits = |p: &Part| match (p.launches.is_empty(), p.out().next().is_none()) {
@@ -394,8 +396,10 @@
         };
         let waiting: Vec<PartIx> = self.ledger.wanted().filter(|(_, p)| waits(p)).map(|(ix, _)| ix).collect();
         self.place_together(&waiting, &mut seats, w);
-        let open: Vec<RetrievalIx> = self.ledger.open().map(|(ix, _)| ix).collect();
-        for ix in open {
+        let key = |(ix, r): (RetrievalIx, &Retrieval)| (r.again, Reverse(ix));
+        let mut open: Vec<(bool, Reverse<RetrievalIx>)> = self.ledger.open().map(key).collect();
+        open.sort();
+        for (_, Reverse(ix)) in open {
             let parts = self.ledger.retrieval(ix).parts.clone();
             if !parts.iter().any(|&p| self.begun(p)) && parts.iter().all(|&p| self.finds_room(p, &seats)) {
                 self.place_together(&parts, &mut seats, w);
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -96,6 +96,8 @@
     pub valid_until: Nanos,
     /// Expected work of all its parts; 0 where nothing was said.
     pub work: Nanos,
+    /// Whether the client said that it asks again.
+    pub again: bool,
     pub parts: Vec<PartIx>,
     /// 0 until its first step was answered.
     pub step: usize,
@@ -191,7 +193,13 @@
 
     // ---- what comes in ----
 
-    pub fn retrieval_taken(&mut self, grade: usize, valid_until: Nanos, work: Nanos) -> RetrievalIx {
+    pub fn retrieval_taken(
+        &mut self,
+        grade: usize,
+        valid_until: Nanos,
+        work: Nanos,
+        again: bool,
+    ) -> RetrievalIx {
         self.taken.push_back(self.now);
         let (taken, parts) = (self.now, Vec::new());
         self.retrievals.push_back(Retrieval {
@@ -199,6 +207,7 @@
             taken,
             valid_until,
             work,
+            again,
             parts,
             step: 0,
             closed: false,
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -123,7 +123,7 @@
     pub fn take(&mut self, grade: usize, shards: &[usize]) -> (RetrievalIx, Vec<Told>) {
         let (mut ix, until) = (None, self.now + 3_000 * MS);
         let told = self.round(|l| {
-            let retrieval = l.retrieval_taken(grade, until, 0);
+            let retrieval = l.retrieval_taken(grade, until, 0, false);
             for &shard in shards {
                 l.part_taken(retrieval, shard, 1.0 / shards.len() as f64);
             }
