--- a/src/choice.rs
+++ b/src/choice.rs
@@ -27,8 +27,10 @@
 const PATIENCE_LEAST: f64 = 0.25;
 /// Share of the replicas that may be set aside at once: where more look bad, it is load, or our own view.
 const ASIDE_MOST: f64 = 0.34;
-/// A replica is full when our parts on it, at the pace of its answers over so many soft limits, would take longer
-/// than this share of a soft limit; so many parts it may always hold.
+/// A part finds no room where our parts on the replica, at the pace of its answers over so many soft limits, would
+/// take longer than this share of a soft limit; so many parts it may always hold. A retrieval is let in when no more
+/// than this share of its parts find no room.
+const CROWDED_MOST: f64 = 0.25;
 const FULL_AFTER: f64 = 0.5;
 const PACE_SPAN: f64 = 2.0;
 const ALWAYS_ROOM: usize = 1;
@@ -63,7 +65,7 @@
     sound: bool,
     /// False for a cold server whose share is spent.
     open: bool,
-    full: bool,
+    backlog: Nanos,
     /// Whether a part sent now would travel in a call already being written.
     joins: bool,
     /// Our calls in flight on it, and with one part more.
@@ -208,8 +210,8 @@
 
     fn seat(&self, ix: ReplicaIx) -> Seat {
         let (joins, calls) = (self.joins(ix), self.in_flight(ix));
-        let (open, full) = (self.has_room(ix), self.full(ix));
-        Seat { sound: self.sound(ix), open, full, joins, calls, after: calls + usize::from(!joins) }
+        let (open, backlog) = (self.has_room(ix), self.backlog(ix));
+        Seat { sound: self.sound(ix), open, backlog, joins, calls, after: calls + usize::from(!joins) }
     }
 
     fn seats(&self) -> Vec<Seat> {
@@ -322,15 +324,12 @@
         ((sent + 1) as f64) <= room
     }
 
-    /// Against queues that outlast the soft limit, where every answer comes too late and retries keep it so: a
-    /// replica is full when it holds all of our parts that it can answer in time. By Little's law this can be so only
-    /// once answers take longer than that share of the soft limit. A retrieval is let in, whole, when each of its
-    /// parts finds a replica that is not full; until then it waits here, where it costs nothing.
-    fn full(&self, ix: ReplicaIx) -> bool {
-        let (r, soft) = (&self.ledger.replicas[ix.0], self.shortest_soft_limit());
-        let paced =
-            self.answered_since(r, self.now() - scaled(soft, PACE_SPAN)) as f64 * FULL_AFTER / PACE_SPAN;
-        !self.joins(ix) && r.held.len() >= ALWAYS_ROOM.max(paced.ceil() as usize)
+    /// How long the replica will take for what it holds of ours, at the pace of its answers. By Little's law this
+    /// comes to a share of the soft limit only once answers take that long.
+    fn backlog(&self, ix: ReplicaIx) -> Nanos {
+        let (r, span) = (&self.ledger.replicas[ix.0], scaled(self.shortest_soft_limit(), PACE_SPAN));
+        let answered = self.answered_since(r, self.now() - span).max(1);
+        if r.held.len() < ALWAYS_ROOM { 0 } else { span / answered as Nanos * r.held.len() as Nanos }
     }
 
     // ---- launching ----
@@ -385,8 +384,10 @@
         all_aside && out.next().is_none() && self.orders.may_copy
     }
 
-    /// Against a queue in which each waits until it is too late: the newest is let in first, as it has most of its
-    /// time left, and those asked again come last, as their time began with an earlier try.
+    /// Against queues that outlast the soft limit, where every answer comes too late and retries keep it so: a
+    /// retrieval is let in, whole, when its parts find replicas that would answer in time; until then it waits here,
+    /// where it costs nothing. The newest is let in first, as it has most of its time left, and those asked again
+    /// come last, as their time began with an earlier try.
     fn place(&mut self, w: &mut dyn Writer) {
         let mut seats = self.seats();
         let waits = |p: &Part| match (p.launches.is_empty(), p.out().next().is_none()) {
@@ -400,8 +401,10 @@
         let mut open: Vec<(bool, Reverse<RetrievalIx>)> = self.ledger.open().map(key).collect();
         open.sort();
         for (_, Reverse(ix)) in open {
-            let parts = self.ledger.retrieval(ix).parts.clone();
-            if !parts.iter().any(|&p| self.begun(p)) && parts.iter().all(|&p| self.finds_room(p, &seats)) {
+            let r = self.ledger.retrieval(ix);
+            let (parts, soft) = (r.parts.clone(), self.orders.grades[r.grade].soft_limit);
+            let crowded = parts.iter().filter(|&&p| !self.finds_room(p, soft, &seats)).count();
+            if !parts.iter().any(|&p| self.begun(p)) && crowded as f64 <= CROWDED_MOST * parts.len() as f64 {
                 self.place_together(&parts, &mut seats, w);
             }
         }
@@ -411,9 +414,10 @@
         !self.ledger.part(part).launches.is_empty()
     }
 
-    fn finds_room(&self, part: PartIx, seats: &[Seat]) -> bool {
+    fn finds_room(&self, part: PartIx, soft_limit: Nanos, seats: &[Seat]) -> bool {
+        let most = scaled(soft_limit, FULL_AFTER);
         let choices = self.choices(self.ledger.part(part), seats);
-        choices.iter().any(|ix| seats[ix.0].open && !seats[ix.0].full)
+        choices.iter().any(|ix| seats[ix.0].open && seats[ix.0].backlog <= most)
     }
 
     /// The ordinary path: each part goes to its shard's replica with fewest of our calls in flight. Ties break at
