--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,6 +30,8 @@
 const FULL_AFTER: f64 = 0.5;
 const PACE_SPAN: f64 = 2.0;
 const ALWAYS_ROOM: usize = 1;
+const RECENT: usize = 5;
+const LATELY: f64 = 2.0;
 /// Failures in a row, and slowness against all replicas over so many samples, that set a replica aside.
 const FAILURES: usize = 2;
 const LAGGARD: f64 = 3.0;
@@ -315,12 +317,19 @@
         ((sent + 1) as f64) <= room
     }
 
-    /// How long the replica will take for what it holds of ours, at the pace of its answers. By Little's law this
-    /// comes to a share of the soft limit only once answers take that long.
+    /// How long the replica will take for what it holds of ours: at the pace of its answers, which by Little's law
+    /// comes to a share of the soft limit only once answers take that long; but a pace is also slow where we send
+    /// little, so no longer than a few times what its last answers, or the oldest part it holds, took.
     fn backlog(&self, ix: ReplicaIx) -> Nanos {
         let (r, span) = (&self.ledger.replicas[ix.0], scaled(self.shortest_soft_limit(), PACE_SPAN));
-        let answered = self.answered_since(r, self.now() - span).max(1);
-        if r.held.len() < ALWAYS_ROOM { 0 } else { span / answered as Nanos * r.held.len() as Nanos }
+        let since = self.now() - span;
+        let oldest =
+            r.held.iter().filter(|h| h.ended.is_none()).map(|h| self.now() - h.sent).max().unwrap_or(0);
+        let recent = r.samples.iter().rev().take(RECENT).filter(|s| s.at >= since).map(|s| s.took);
+        let took: Vec<Nanos> = recent.collect();
+        let lately = if took.is_empty() { oldest } else { oldest.max(percentile(took, 0.5)) };
+        let paced = span / self.answered_since(r, since).max(1) as Nanos * r.held.len() as Nanos;
+        if r.held.len() < ALWAYS_ROOM { 0 } else { paced.min(scaled(lately, LATELY)) }
     }
 
     // ---- launching ----
