--- a/src/choice.rs
+++ b/src/choice.rs
@@ -223,10 +223,12 @@
         r.last_done_at < since && r.held.iter().any(|h| h.ended.is_none() && h.sent >= back && h.sent < since)
     }
 
-    fn failing(r: &Replica, back: Nanos) -> bool {
-        let told = r.samples.iter().rev().filter(|s| s.at >= back && s.ending != Ending::Full);
-        let last: Vec<Ending> = told.take(FAILURES).map(|s| s.ending).collect();
-        let all_failed = last.len() == FAILURES && !last.contains(&Ending::Done);
+    /// Turned away counts too: a replica that hangs, once filled by all fronts, says no more than that it is full.
+    fn failing(r: &Replica, back: Nanos, on_trial: bool) -> bool {
+        let last: Vec<Ending> =
+            r.samples.iter().rev().filter(|s| s.at >= back).take(FAILURES).map(|s| s.ending).collect();
+        let enough = if on_trial { 1 } else { FAILURES };
+        let all_failed = last.len() >= enough && !last.contains(&Ending::Done);
         all_failed || last.first() == Some(&Ending::Unreached)
     }
 
@@ -261,7 +263,7 @@
                     w.probe(ReplicaIx(ix));
                 }
             } else if self.silent(r, back, patience)
-                || Self::failing(r, back)
+                || Self::failing(r, back, self.on_trial(ReplicaIx(ix)))
                 || Self::lagging(r, back, usual)
             {
                 self.opinions[ix].aside = Some(now);
