--- a/src/choice.rs
+++ b/src/choice.rs
@@ -347,12 +347,16 @@
     }
 
     /// Replicas that may get a launch of the part: sound ones, not tried yet if there are such. Where all look bad,
-    /// the evidence or the view is bad, and all of them are tried.
-    fn choices(&self, part: &Part, seats: &[Seat]) -> Vec<ReplicaIx> {
+    /// the evidence or the view is bad, and all of them are tried. One that was tried is tried again only when that
+    /// launch counts no more: else a part burns all its launches on full replicas within a few rounds.
+    fn choices(&self, id: PartIx, seats: &[Seat]) -> Vec<ReplicaIx> {
+        let part = self.ledger.part(id);
         let mut all = self.holders(part.shard);
+        let tried = |ix: ReplicaIx| part.launches.iter().any(|l| l.replica == ix);
         all.retain(|&ix| part.out().all(|(_, l)| l.replica != ix));
         prefer(&mut all, |ix| seats[ix.0].sound);
-        prefer(&mut all, |ix| part.launches.iter().all(|l| l.replica != ix));
+        prefer(&mut all, |ix| !tried(ix));
+        all.retain(|&ix| !tried(ix) || self.ledger.replicas[ix.0].held.iter().all(|h| h.part != id));
         all
     }
 
@@ -418,14 +422,14 @@
 
     fn finds_room(&self, part: PartIx, soft_limit: Nanos, seats: &[Seat]) -> bool {
         let most = scaled(soft_limit, FULL_AFTER);
-        let choices = self.choices(self.ledger.part(part), seats);
+        let choices = self.choices(part, seats);
         choices.iter().any(|ix| seats[ix.0].open && seats[ix.0].backlog <= most)
     }
 
     /// The ordinary path: each part goes to its shard's replica with fewest of our calls in flight. Ties break at
     /// random, but a replica where more of these parts can share one call comes first, as a call costs work.
     fn place_together(&mut self, parts: &[PartIx], seats: &mut [Seat], w: &mut dyn Writer) {
-        let choices = |&p: &PartIx| (p, self.choices(self.ledger.part(p), seats));
+        let choices = |&p: &PartIx| (p, self.choices(p, seats));
         let mut waiting: VecDeque<(PartIx, Vec<ReplicaIx>)> = parts.iter().map(choices).collect();
         while let Some((part, choices)) = waiting.pop_front() {
             let fewest = fewest(&choices, seats);
@@ -480,7 +484,7 @@
             if !self.orders.may_copy || !self.copies_left() || !self.may_repeat(p) || !self.within_ration() {
                 continue;
             }
-            let mut idle = self.choices(p, &seats);
+            let mut idle = self.choices(part, &seats);
             idle.retain(|&ix| seats[ix.0].sound && seats[ix.0].open && seats[ix.0].calls == 0);
             if let Some(replica) = self.any_of(&idle) {
                 self.launch(part, replica, true, w);
