--- a/src/choice.rs
+++ b/src/choice.rs
@@ -403,14 +403,14 @@
         };
         let waiting: Vec<PartIx> = self.ledger.wanted().filter(|(_, p)| waits(p)).map(|(ix, _)| ix).collect();
         self.place_together(&waiting, &mut seats, w);
+        let most = scaled(self.shortest_soft_limit(), FULL_AFTER);
         let key = |(ix, r): (RetrievalIx, &Retrieval)| (r.again, Reverse(ix));
         let mut open: Vec<(bool, Reverse<RetrievalIx>)> = self.ledger.open().map(key).collect();
         open.sort();
         for (_, Reverse(ix)) in open {
-            let r = self.ledger.retrieval(ix);
-            let (parts, soft) = (r.parts.clone(), self.orders.grades[r.grade].soft_limit);
+            let parts = self.ledger.retrieval(ix).parts.clone();
             let begun = parts.iter().any(|&p| self.begun(p));
-            if !begun && parts.iter().all(|&p| self.finds_room(p, soft, &seats)) {
+            if !begun && parts.iter().all(|&p| self.finds_room(p, most, &seats)) {
                 self.place_together(&parts, &mut seats, w);
             }
         }
@@ -420,8 +420,7 @@
         !self.ledger.part(part).launches.is_empty()
     }
 
-    fn finds_room(&self, part: PartIx, soft_limit: Nanos, seats: &[Seat]) -> bool {
-        let most = scaled(soft_limit, FULL_AFTER);
+    fn finds_room(&self, part: PartIx, most: Nanos, seats: &[Seat]) -> bool {
         let choices = self.choices(part, seats);
         choices.iter().any(|ix| seats[ix.0].open && seats[ix.0].backlog <= most)
     }
