--- a/src/choice.rs
+++ b/src/choice.rs
@@ -44,6 +44,8 @@
 const TRIAL_PARTS: usize = 2;
 /// Share of a cold server's budget that we use: clocks, chance and fronts of unlike traffic need the rest.
 const COLD_CAUTION: f64 = 0.7;
+/// Weights of a step sum to 1 but for this.
+const ROUNDING: f64 = 1e-6;
 /// Rounds kept free before a client's time is up.
 const MARGIN_ROUNDS: Nanos = 3;
 const WAKE_ROUNDS: Nanos = 2;
@@ -391,26 +393,33 @@
     }
 
     /// Against queues that outlast the soft limit, where every answer comes too late and retries keep it so: a
-    /// retrieval is let in, whole, when its parts find replicas that would answer in time; until then it waits here,
-    /// where it costs nothing. The newest is let in first, as it has most of its time left, and those asked again
+    /// retrieval is let in when its parts, or as many as the least that may be answered from, find replicas that would
+    /// answer in time; until then it waits here, where it costs nothing, and so does any part left over. The newest is let in first, as it has most of its time left, and those asked again
     /// come last, as their time began with an earlier try.
     fn place(&mut self, w: &mut dyn Writer) {
         let mut seats = self.seats();
-        let waits = |p: &Part| match (p.launches.is_empty(), p.out().next().is_none()) {
-            (true, _) => self.ledger.retrieval(p.retrieval).parts.iter().any(|&p| self.begun(p)),
+        let most = scaled(self.shortest_soft_limit(), FULL_AFTER);
+        let begun = |r: RetrievalIx| self.ledger.retrieval(r).parts.iter().any(|&p| self.begun(p));
+        let waits = |(ix, p): &(PartIx, &Part)| match (p.launches.is_empty(), p.out().next().is_none()) {
+            (true, _) => begun(p.retrieval) && self.finds_room(*ix, most, &seats),
             (_, true) => self.may_repeat(p),
             _ => self.may_repeat(p) && self.stranded(p),
         };
-        let waiting: Vec<PartIx> = self.ledger.wanted().filter(|(_, p)| waits(p)).map(|(ix, _)| ix).collect();
+        let waiting: Vec<PartIx> = self.ledger.wanted().filter(waits).map(|(ix, _)| ix).collect();
         self.place_together(&waiting, &mut seats, w);
-        let most = scaled(self.shortest_soft_limit(), FULL_AFTER);
         let key = |(ix, r): (RetrievalIx, &Retrieval)| (r.again, Reverse(ix));
         let mut open: Vec<(bool, Reverse<RetrievalIx>)> = self.ledger.open().map(key).collect();
         open.sort();
         for (_, Reverse(ix)) in open {
-            let parts = self.ledger.retrieval(ix).parts.clone();
-            let begun = parts.iter().any(|&p| self.begun(p));
-            if !begun && parts.iter().all(|&p| self.finds_room(p, most, &seats)) {
+            let r = self.ledger.retrieval(ix);
+            if r.parts.iter().any(|&p| self.begun(p)) {
+                continue;
+            }
+            let parts: Vec<PartIx> =
+                r.parts.iter().copied().filter(|&p| self.finds_room(p, most, &seats)).collect();
+            let weight: f64 = parts.iter().map(|&p| self.ledger.part(p).weight).sum();
+            let grade = &self.orders.grades[r.grade];
+            if weight + ROUNDING >= grade.floor.min(grade.whole) {
                 self.place_together(&parts, &mut seats, w);
             }
         }
@@ -544,7 +553,7 @@
                 lost += part.weight;
             }
         }
-        let (in_hand, within_reach) = (in_hand + 1e-6, 1.0 - lost + 1e-6);
+        let (in_hand, within_reach) = (in_hand + ROUNDING, 1.0 - lost + ROUNDING);
         let may_be_short = floor < grade.whole && in_hand >= floor;
         let short_earns = grade.short_earnings * in_hand / grade.whole;
         let soft_over = now >= self.soft_end(r) - MARGIN_ROUNDS * self.orders.beat;
