--- a/src/choice.rs
+++ b/src/choice.rs
@@ -419,7 +419,7 @@
                 r.parts.iter().copied().filter(|&p| self.finds_room(p, most, &seats)).collect();
             let weight: f64 = parts.iter().map(|&p| self.ledger.part(p).weight).sum();
             let grade = &self.orders.grades[r.grade];
-            if weight + ROUNDING >= grade.floor.min(grade.whole) {
+            if weight + ROUNDING >= grade.whole.min((grade.floor + 1.0) / 2.0) {
                 self.place_together(&parts, &mut seats, w);
             }
         }
