--- a/src/choice.rs
+++ b/src/choice.rs
@@ -4,6 +4,7 @@
 //! Call [`Aggregator::round`] once a round: `came_in` records all that happened since the last one, and when it
 //! returns, the decisions go to the writer. The source of the design is cited in `docs/design.md`.
 
+use std::cmp::Reverse;
 use std::collections::VecDeque;
 
 use rand::{Rng, SeedableRng};
@@ -406,11 +407,10 @@
         };
         let waiting: Vec<PartIx> = self.ledger.wanted().filter(waits).map(|(ix, _)| ix).collect();
         self.place_together(&waiting, &mut seats, w);
-        let dear = |r: &Retrieval| self.orders.grades[r.grade].earnings / r.parts.len().max(1) as f64;
-        let mut open: Vec<(RetrievalIx, bool, f64)> =
-            self.ledger.open().map(|(ix, r)| (ix, r.again, dear(r))).collect();
-        open.sort_by(|a, b| a.1.cmp(&b.1).then(b.2.total_cmp(&a.2)).then(b.0.cmp(&a.0)));
-        for (ix, ..) in open {
+        let key = |(ix, r): (RetrievalIx, &Retrieval)| (r.again, Reverse(ix));
+        let mut open: Vec<(bool, Reverse<RetrievalIx>)> = self.ledger.open().map(key).collect();
+        open.sort();
+        for (_, Reverse(ix)) in open {
             let r = self.ledger.retrieval(ix);
             if r.parts.iter().any(|&p| self.begun(p)) {
                 continue;
