Last call by the client's own end too, and never before half the retrieval's time

Found beside it: after a jam the usual times are old, and a last call made of them alone would have kept everything out for good (story test).

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -569,9 +569,12 @@
         }
     }
 
-    /// It was not let in, and an ordinary answer would now come after the soft limit.
+    /// It was not let in, and an ordinary answer would now come after the soft limit, or after its client has gone, as
+    /// with clients that ask often and wait little. Half of its time it may wait whatever the usual times say: after
+    /// a jam they are old, and would else keep everything out for good.
     fn crowded_out(&self, r: &Retrieval, usual: Nanos) -> bool {
-        self.now() >= self.soft_end(r) - usual && !r.parts.iter().any(|&p| self.begun(p))
+        let end = self.soft_end(r).min(r.valid_until);
+        self.now() >= end - usual.min((end - r.taken) / 2) && !r.parts.iter().any(|&p| self.begun(p))
     }
 
     /// No launch of the part is out and none may follow.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -173,6 +173,22 @@
     assert!(told.contains(&Told::Dismiss(taken[59].0)));
 }
 
+#[test]
+fn after_a_jam_retrievals_are_let_in_again() {
+    let mut host = Host::new(orders(2));
+    host.traffic(40, &[]);
+    for _ in 0..200 {
+        host.take(0, &[0]);
+        host.now += 10 * MS;
+    }
+    host.end(|_| Some(Ending::Done));
+    host.now += 10_000 * MS;
+    host.end(|_| Some(Ending::Silent));
+    host.wait(5_000 * MS);
+    let (ix, _) = host.take(0, &[0]);
+    assert!(host.end(|_| Some(Ending::Done)).contains(&Told::Answer(ix, true)));
+}
+
 #[test]
 fn an_effectful_part_that_may_have_run_is_neither_launched_again_nor_dismissed() {
     let mut orders = orders(2);
