Copies wait for the 95th percentile of part latencies

No rule broken, copies and cancels kept. Conclusion: kept; patience and the last call stay with the 90th.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -18,7 +18,9 @@
 /// Delay of a copy: this share of the soft limit until so many parts have been timed, then that percentile.
 const FIRST_DELAY: f64 = 0.25;
 const DELAY_SAMPLES: usize = 20;
-const DELAY_PERCENTILE: f64 = 0.9;
+const DELAY_PERCENTILE: f64 = 0.95;
+/// The usual longest time of a part: what patience and the last call go by.
+const USUAL_LONGEST: f64 = 0.9;
 /// Copies stay under this share of the parts of so many abandon times.
 const COPY_SHARE: f64 = 0.1;
 const COPY_WINDOW: f64 = 2.0;
@@ -138,7 +140,7 @@
 
     fn patience(&self) -> Nanos {
         let soft = self.shortest_soft_limit();
-        let usual = self.usual(DELAY_PERCENTILE).map_or(0, |p| scaled(p, PATIENCE));
+        let usual = self.usual(USUAL_LONGEST).map_or(0, |p| scaled(p, PATIENCE));
         usual.max(scaled(soft, PATIENCE_LEAST))
     }
 
@@ -534,7 +536,7 @@
 
     fn finish(&mut self, w: &mut dyn Writer) {
         let open: Vec<RetrievalIx> = self.ledger.open().map(|(ix, _)| ix).collect();
-        let usual = self.usual(DELAY_PERCENTILE).unwrap_or(0);
+        let usual = self.usual(USUAL_LONGEST).unwrap_or(0);
         for ix in open {
             self.finish_one(ix, usual, w);
         }
