--- a/src/choice.rs
+++ b/src/choice.rs
@@ -385,13 +385,14 @@
         })
     }
 
-    /// A further launch without waiting for an ending, the departure from the endgame's conditions: only while
-    /// every replica that has the part is set aside.
-    fn stranded(&self, part: &Part) -> bool {
+    /// A further launch without waiting for an ending, the departure from the endgame's conditions: only while the
+    /// one replica that has the part is set aside, and the part is out longer than usual. A replica that only lags
+    /// still answers, so its fresh parts stay single: twins for all of them would double the load that made it lag.
+    fn stranded(&self, part: &Part, usual: Nanos) -> bool {
         let mut out = part.out();
-        let first = out.next();
-        let all_aside = first.is_some_and(|(_, l)| self.opinions[l.replica.0].aside.is_some());
-        all_aside && out.next().is_none() && self.orders.may_copy
+        let overdue = |l: &Launch| self.opinions[l.replica.0].aside.is_some() && self.now() - l.sent >= usual;
+        let first = out.next().is_some_and(|(_, l)| overdue(l));
+        first && out.next().is_none() && self.orders.may_copy
     }
 
     /// Against queues that outlast the soft limit, where every answer comes too late and retries keep it so: a
@@ -401,11 +402,12 @@
     fn place(&mut self, w: &mut dyn Writer) {
         let mut seats = self.seats();
         let most = scaled(self.shortest_soft_limit(), FULL_AFTER);
+        let usual = self.usual(USUAL_LONGEST).unwrap_or(0);
         let begun = |r: RetrievalIx| self.ledger.retrieval(r).parts.iter().any(|&p| self.begun(p));
         let waits = |(ix, p): &(PartIx, &Part)| match (p.launches.is_empty(), p.out().next().is_none()) {
             (true, _) => begun(p.retrieval) && self.finds_room(*ix, most, &seats),
             (_, true) => self.may_repeat(p),
-            _ => self.may_repeat(p) && self.stranded(p),
+            _ => self.may_repeat(p) && self.stranded(p, usual),
         };
         let waiting: Vec<PartIx> = self.ledger.wanted().filter(waits).map(|(ix, _)| ix).collect();
         self.place_together(&waiting, &mut seats, w);
