--- a/src/choice.rs
+++ b/src/choice.rs
@@ -604,7 +604,7 @@
         let never_ran = launches.clone().all(|l| l.end.is_some_and(Ending::never_ran));
         let harmless = self.orders.grades[r.grade].effect == Effect::Pure || never_ran;
         self.ledger.close(ix);
-        if harmless { w.dismiss(ix, 0) } else { w.give_up(ix) }
+        if harmless { w.dismiss(ix, self.orders.stay_away) } else { w.give_up(ix) }
     }
 
     // ---- waking ----
