--- a/src/choice.rs
+++ b/src/choice.rs
@@ -397,7 +397,8 @@
 
     /// Against queues that outlast the soft limit, where every answer comes too late and retries keep it so: a
     /// retrieval is let in when its parts, or as many as the least that may be answered from, find replicas that would
-    /// answer in time; until then it waits here, where it costs nothing, and so does any part left over. The newest is let in first, as it has most of its time left, and those asked again
+    /// answer in time, after waiting in half of the time left; until then it waits here, where it costs nothing, and
+    /// so does any part left over. The newest is let in first, as it has most of its time left, and those asked again
     /// come last, as their time began with an earlier try.
     fn place(&mut self, w: &mut dyn Writer) {
         let mut seats = self.seats();
@@ -419,6 +420,7 @@
             if r.parts.iter().any(|&p| self.begun(p)) {
                 continue;
             }
+            let most = most.min(scaled(self.soft_end(r) - self.now(), FULL_AFTER));
             let parts: Vec<PartIx> =
                 r.parts.iter().copied().filter(|&p| self.finds_room(p, most, &seats)).collect();
             let weight: f64 = parts.iter().map(|&p| self.ledger.part(p).weight).sum();
