Three unanswered of the last six launches set a replica aside, called-off ones counted

It should also hold against replicas with a bad link. It could harm one whose parts are often copied by chance.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -34,8 +34,11 @@
 const ALWAYS_ROOM: usize = 1;
 const RECENT: usize = 5;
 const LATELY: f64 = 2.0;
-/// Failures in a row, and slowness against all replicas over so many samples, that set a replica aside.
+/// Failures in a row, unanswered launches among the last few, and slowness against all replicas over so many
+/// samples, that set a replica aside.
 const FAILURES: usize = 2;
+const LOSING: usize = 3;
+const LOSING_OF: usize = 6;
 const LAGGARD: f64 = 3.0;
 const LAGGARD_SAMPLES: usize = 5;
 /// Probes a replica set aside must answer, doubling with each relapse up to a limit; their pace in soft limits.
@@ -227,13 +230,20 @@
         r.last_done_at < since && r.held.iter().any(|h| h.ended.is_none() && h.sent >= back && h.sent < since)
     }
 
-    /// Turned away counts too: a replica that hangs, once filled by all fronts, says no more than that it is full.
-    fn failing(r: &Replica, back: Nanos, on_trial: bool) -> bool {
-        let last: Vec<Ending> =
-            r.samples.iter().rev().filter(|s| s.at >= back).take(FAILURES).map(|s| s.ending).collect();
+    /// Turned away counts too: a replica that hangs, once filled by all fronts, says no more than that it is full. So
+    /// does a launch called off after longer than usual, against replicas that answer some parts and lose others:
+    /// what their twins answer would else hide it.
+    fn failing(r: &Replica, back: Nanos, on_trial: bool, usual: Option<Nanos>) -> bool {
+        let told = |s: &Sample| s.ending != Ending::CalledOff || usual.is_some_and(|u| s.took >= u);
+        let since = r.samples.iter().rev().filter(|s| s.at - s.took >= back && told(s));
+        let last: Vec<Ending> = since.take(LOSING_OF).map(|s| s.ending).collect();
+        let in_a_row = last.iter().take_while(|&&e| e != Ending::Done && e != Ending::CalledOff).count();
+        let lost = last.iter().filter(|&&e| e != Ending::Done).count();
         let enough = if on_trial { 1 } else { FAILURES };
-        let all_failed = last.len() >= enough && !last.contains(&Ending::Done);
-        all_failed || last.first() == Some(&Ending::Unreached)
+        in_a_row >= enough
+            || lost >= LOSING
+            || on_trial && lost > 0
+            || last.first() == Some(&Ending::Unreached)
     }
 
     fn lagging(r: &Replica, back: Nanos, usual: Option<Nanos>) -> bool {
@@ -248,7 +258,7 @@
     fn judge_replicas(&mut self, w: &mut dyn Writer) {
         let (now, patience) = (self.now(), self.patience());
         let pace = scaled(self.shortest_soft_limit(), PROBE_PACE);
-        let usual = self.usual(0.5);
+        let (usual, longest) = (self.usual(0.5), self.usual(USUAL_LONGEST));
         for ix in 0..self.ledger.replicas.len() {
             let r = &self.ledger.replicas[ix];
             let Opinion { aside, back, relapses, probe_due } = self.opinions[ix].clone();
@@ -267,7 +277,7 @@
                     w.probe(ReplicaIx(ix));
                 }
             } else if self.silent(r, back, patience)
-                || Self::failing(r, back, self.on_trial(ReplicaIx(ix)))
+                || Self::failing(r, back, self.on_trial(ReplicaIx(ix)), longest)
                 || Self::lagging(r, back, usual)
             {
                 self.opinions[ix].aside = Some(now);
@@ -331,7 +341,13 @@
         let since = self.now() - span;
         let oldest =
             r.held.iter().filter(|h| h.ended.is_none()).map(|h| self.now() - h.sent).max().unwrap_or(0);
-        let recent = r.samples.iter().rev().take(RECENT).filter(|s| s.at >= since).map(|s| s.took);
+        let recent = r
+            .samples
+            .iter()
+            .rev()
+            .filter(|s| s.ending == Ending::Done && s.at >= since)
+            .take(RECENT)
+            .map(|s| s.took);
         let took: Vec<Nanos> = recent.collect();
         let lately = if took.is_empty() { oldest } else { oldest.max(percentile(took, 0.5)) };
         let paced = span / self.answered_since(r, since).max(1) as Nanos * r.held.len() as Nanos;
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -122,7 +122,7 @@
     pub started: Option<Nanos>,
     named: bool,
     pub held: Vec<Held>,
-    /// Ended launches, without those called off here.
+    /// Ended launches, those called off here too.
     pub samples: Ring<Sample>,
     /// When the latest-sent launch that was done had been sent, and when the last answer came.
     pub last_done_sent: Nanos,
@@ -254,7 +254,7 @@
         p.closed |= part_over && ending != Ending::Done;
         let Some(l) = p.launches.get_mut(launch) else { return };
         l.end = Some(ending);
-        let (sent, replica, withdrawn) = (l.sent, l.replica, l.withdrawn);
+        let (sent, replica) = (l.sent, l.replica);
         if ending == Ending::Done {
             p.done |= !p.closed;
             self.latencies.push(took);
@@ -267,7 +267,7 @@
             r.last_done_sent = r.last_done_sent.max(sent);
             r.last_done_at = now;
         }
-        if !withdrawn && ending != Ending::Unsent || ending == Ending::Done {
+        if ending != Ending::Unsent {
             r.samples.push(Sample { at: now, took, ending });
         }
     }
