--- a/src/choice.rs
+++ b/src/choice.rs
@@ -45,11 +45,8 @@
 const PROBES_BACK: usize = 1;
 const PROBES_BACK_MOST: usize = 8;
 const PROBE_PACE: f64 = 0.4;
-/// Parts a replica must answer one at a time before it counts as sound, doubling with each relapse up to a limit,
-/// and in all before its relapses are forgotten.
-const TRIAL_PARTS: usize = 1;
-const TRIAL_PARTS_MOST: usize = 8;
-const SOUND_AGAIN: usize = 24;
+/// Parts a replica must answer one at a time before it counts as sound again.
+const TRIAL_PARTS: usize = 2;
 /// Share of a cold server's budget that we use: clocks, chance and fronts of unlike traffic need the rest.
 const COLD_CAUTION: f64 = 0.7;
 /// Weights of a step sum to 1 but for this.
@@ -285,7 +282,7 @@
             {
                 self.opinions[ix].aside = Some(now);
                 self.opinions[ix].relapses = relapses + 1;
-            } else if relapses > 0 && self.answered_since(r, back) >= SOUND_AGAIN {
+            } else if relapses > 0 && self.answered_since(r, back) >= LAGGARD_SAMPLES {
                 self.opinions[ix].relapses = 0;
             }
         }
@@ -298,9 +295,7 @@
     /// Room left for a replica that is back but has not answered enough parts yet.
     fn on_trial(&self, ix: ReplicaIx) -> bool {
         let (r, o) = (&self.ledger.replicas[ix.0], &self.opinions[ix.0]);
-        let answered =
-            r.samples.iter().filter(|s| s.ending == Ending::Done && s.at - s.took >= o.back).count();
-        o.back > Nanos::MIN && answered < (TRIAL_PARTS << o.relapses.min(8)).min(TRIAL_PARTS_MOST)
+        o.back > Nanos::MIN && self.answered_since(r, o.back) < TRIAL_PARTS
     }
 
     fn sound(&self, ix: ReplicaIx) -> bool {
