--- a/src/choice.rs
+++ b/src/choice.rs
@@ -29,7 +29,7 @@
 const PATIENCE_LEAST: f64 = 0.25;
 /// A part finds no room where our parts on the replica, at the pace of its answers over so many soft limits, would
 /// take longer than this share of a soft limit; so many parts it may always hold.
-const FULL_AFTER: f64 = 0.28;
+const FULL_AFTER: f64 = 0.38;
 const PACE_SPAN: f64 = 2.0;
 const ALWAYS_ROOM: usize = 1;
 const RECENT: usize = 5;
