--- a/src/choice.rs
+++ b/src/choice.rs
@@ -409,8 +409,8 @@
         let mut out = part.out();
         let overdue = |l: &Launch| {
             let (age, aside) = (self.now() - l.sent, self.opinions[l.replica.0].aside.is_some());
-            let overtaken = self.ledger.replicas[l.replica.0].last_done_sent > l.sent;
-            aside && age >= usual || overtaken && age >= scaled(usual, PATIENCE)
+            let overtaken = self.ledger.replicas[l.replica.0].last_done_sent >= l.sent + usual / 2;
+            (aside || overtaken) && age >= usual
         };
         let first = out.next().is_some_and(|(_, l)| overdue(l));
         first && out.next().is_none() && self.orders.may_copy
