--- a/src/choice.rs
+++ b/src/choice.rs
@@ -401,17 +401,12 @@
         })
     }
 
-    /// A further launch without waiting for an ending, the departure from the endgame's conditions: while the one
-    /// replica that has the part is set aside and the part is out longer than usual, or it is out for longer than our
-    /// patience and the replica has answered one sent later, so that it seems lost. A replica that only lags still
-    /// answers, so its fresh parts stay single: twins for all of them would double the load that made it lag.
+    /// A further launch without waiting for an ending, the departure from the endgame's conditions: only while the
+    /// one replica that has the part is set aside, and the part is out longer than usual. A replica that only lags
+    /// still answers, so its fresh parts stay single: twins for all of them would double the load that made it lag.
     fn stranded(&self, part: &Part, usual: Nanos) -> bool {
         let mut out = part.out();
-        let overdue = |l: &Launch| {
-            let (age, aside) = (self.now() - l.sent, self.opinions[l.replica.0].aside.is_some());
-            let overtaken = self.ledger.replicas[l.replica.0].last_done_sent >= l.sent + usual / 2;
-            (aside || overtaken) && age >= usual
-        };
+        let overdue = |l: &Launch| self.opinions[l.replica.0].aside.is_some() && self.now() - l.sent >= usual;
         let first = out.next().is_some_and(|(_, l)| overdue(l));
         first && out.next().is_none() && self.orders.may_copy
     }
