--- a/crates/benchlink/src/door.rs
+++ b/crates/benchlink/src/door.rs
@@ -269,8 +269,4 @@
     fn follow_roster(&mut self) {
         self.output.push(json!({"verb": "subscribe", "who": self.who, "on": true}));
     }
-
-    fn remark(&mut self, text: &str) {
-        self.output.push(json!({"verb": "noteDown", "who": self.who, "bodyText": text}));
-    }
 }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -28,7 +28,7 @@
     /// The soft limit grows by this multiple of the retrieval's own work.
     pub soft_stretch: f64,
     pub abandon: Nanos,
-    pub earnings: f64,
+    /// What an answer after the soft limit earns, as a share.
     pub late_earnings: f64,
     pub effect: Effect,
     /// Least share of the parts' weight that may be answered from.
@@ -68,8 +68,6 @@
     /// Parts that may share a call.
     pub call_parts: usize,
     pub launches_cap: usize,
-    /// Retrievals and parts that may be open here at once.
-    pub open_cap: usize,
     pub may_retract: bool,
     pub may_copy: bool,
     pub may_probe: bool,
@@ -96,5 +94,4 @@
     /// Asks to be called again at that time.
     fn wake(&mut self, at: Nanos);
     fn follow_roster(&mut self);
-    fn remark(&mut self, text: &str);
 }
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -49,7 +49,6 @@
     fn follow_roster(&mut self) {
         self.told.push(Told::Roster);
     }
-    fn remark(&mut self, _: &str) {}
 }
 
 pub struct Host {
@@ -65,7 +64,6 @@
         soft_limit: 1_000 * MS,
         soft_stretch: 0.0,
         abandon: 3_000 * MS,
-        earnings: 1.0,
         late_earnings: 0.3,
         effect: Effect::Pure,
         floor: 1.0,
@@ -79,7 +77,6 @@
         reach: 2,
         call_parts: 1,
         launches_cap: 4,
-        open_cap: 1_000,
         may_retract: true,
         may_copy: true,
         may_probe: true,
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -106,6 +106,111 @@
     assert!(trials > 0, "a replica that answers probes gets parts again");
 }
 
+#[test]
+fn a_replica_that_answers_some_parts_and_loses_others_is_set_aside() {
+    let mut host = Host::new(orders(2));
+    host.traffic(40, &[]);
+    let mut told = Vec::new();
+    for n in 0..24 {
+        told.extend(host.take(0, &[0]).1);
+        host.now += 50 * MS;
+        told.extend(host.end(|r| (r != A || n % 2 == 0).then_some(Ending::Done)));
+        host.now += 200 * MS;
+        told.extend(host.wait(0));
+        // Whatever A lost has a twin by now, and what is called off comes back so.
+        host.end(|r| (r == B).then_some(Ending::Done));
+        host.end(|_| Some(Ending::CalledOff));
+    }
+    assert!(told.contains(&Told::Probe(A)), "set aside and probed");
+    assert!(!told.contains(&Told::Probe(B)));
+}
+
+#[test]
+fn a_replica_far_slower_than_the_others_is_set_aside() {
+    let mut host = Host::new(orders(2));
+    host.traffic(60, &[]);
+    let mut told = Vec::new();
+    for _ in 0..12 {
+        told.extend(host.take(0, &[0]).1);
+        told.extend(host.take(0, &[0]).1);
+        host.now += 50 * MS;
+        told.extend(host.end(|r| (r == B).then_some(Ending::Done)));
+        host.now += 150 * MS;
+        told.extend(host.end(|_| Some(Ending::Done)));
+    }
+    assert!(told.contains(&Told::Probe(A)) && !told.contains(&Told::Probe(B)));
+}
+
+#[test]
+fn a_front_cut_off_from_most_replicas_works_with_the_rest() {
+    let mut orders = orders(3);
+    orders.reach = 3;
+    let mut host = Host::new(orders);
+    host.traffic(60, &[]);
+    let told = host.traffic(60, &[A, B]);
+    let late = launches(&told[told.len() / 2..]);
+    assert!(late.iter().filter(|l| l.1 != A && l.1 != B).count() * 10 > late.len() * 9, "{late:?}");
+}
+
+#[test]
+fn a_part_does_not_burn_its_launches_on_full_replicas() {
+    let mut host = Host::new(orders(2));
+    host.traffic(40, &[]);
+    let (_, told) = host.take(0, &[0]);
+    let mut sent = launches(&told).len();
+    for _ in 0..10 {
+        host.now += 5 * MS;
+        sent += launches(&host.end(|_| Some(Ending::Full))).len();
+    }
+    assert_eq!(sent, 2, "each holder was tried once within 50 ms");
+}
+
+#[test]
+fn in_a_crowd_the_newest_comes_first_and_those_asked_again_last() {
+    let mut host = Host::new(orders(2));
+    host.traffic(40, &[]);
+    while !launches(&host.take(0, &[0]).1).is_empty() {}
+    let until = host.now + 3_000 * MS;
+    let (mut old, mut again, mut new) = (None, None, None);
+    for (slot, asked) in [(&mut old, false), (&mut new, false), (&mut again, true)] {
+        host.round(|l| {
+            let retrieval = l.retrieval_taken(0, until, 0, asked);
+            *slot = Some(l.part_taken(retrieval, 0, 1.0));
+        });
+    }
+    host.now += 10 * MS;
+    let told = host.end(|_| Some(Ending::Done));
+    let order: Vec<PartIx> = launches(&told).iter().map(|l| l.0).collect();
+    let place = |part: Option<PartIx>| order.iter().position(|&p| Some(p) == part);
+    assert!(place(new) < place(old) && place(old) < place(again), "{order:?}");
+}
+
+#[test]
+fn a_large_retrieval_that_may_be_answered_short_does_not_wait_for_its_most_crowded_part() {
+    let mut orders = orders(8);
+    orders.grades[0].floor = 0.5;
+    let mut host = Host::new(orders);
+    host.traffic(80, &[]);
+    while !launches(&host.take(0, &[0]).1).is_empty() {}
+    let (_, told) = host.take(0, &[0, 1, 2, 3, 4, 5, 6, 7]);
+    assert_eq!(launches(&told).len(), 7, "all but the part for the crowded shard");
+}
+
+#[test]
+fn a_client_that_waits_little_is_told_early() {
+    let mut host = Host::new(orders(2));
+    host.traffic(40, &[]);
+    while !launches(&host.take(0, &[0]).1).is_empty() {}
+    let (until, mut asked) = (host.now + 60 * MS, None);
+    host.round(|l| {
+        let retrieval = l.retrieval_taken(0, until, 0, true);
+        l.part_taken(retrieval, 0, 1.0);
+        asked = Some(retrieval);
+    });
+    let told: Vec<Told> = (0..8).flat_map(|_| host.wait(5 * MS)).collect();
+    assert!(told.contains(&Told::Dismiss(asked.unwrap())));
+}
+
 #[test]
 fn where_everything_looks_bad_everything_is_tried() {
     let mut host = Host::new(orders(2));
