Those asked again find 0.4 of the room

Cause: half of what was let in under load were later tries, whose soft limit began with the first: answered late, they took the room of fresh ones. It could harm clients whose first try failed early, with time left.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,6 +30,8 @@
 /// A part finds no room where our parts on the replica, at the pace of its answers over so many soft limits, would
 /// take longer than this share of a soft limit; so many parts it may always hold.
 const FULL_AFTER: f64 = 0.38;
+/// Share of that room for those asked again, whose time began with an earlier try: the rest is kept for fresh ones.
+const AGAIN_ROOM: f64 = 0.4;
 const PACE_SPAN: f64 = 2.0;
 const ALWAYS_ROOM: usize = 1;
 const RECENT: usize = 5;
@@ -436,7 +438,8 @@
             if r.parts.iter().any(|&p| self.begun(p)) {
                 continue;
             }
-            let most = most.min(scaled(self.soft_end(r) - self.now(), FULL_AFTER));
+            let share = if r.again { AGAIN_ROOM } else { 1.0 };
+            let most = scaled(most.min(scaled(self.soft_end(r) - self.now(), FULL_AFTER)), share);
             let parts: Vec<PartIx> =
                 r.parts.iter().copied().filter(|&p| self.finds_room(p, most, &seats)).collect();
             let weight: f64 = parts.iter().map(|&p| self.ledger.part(p).weight).sum();
