--- a/src/choice.rs
+++ b/src/choice.rs
@@ -31,7 +31,7 @@
 /// take longer than this share of a soft limit; so many parts it may always hold.
 const FULL_AFTER: f64 = 0.38;
 /// Share of that room for those asked again, whose time began with an earlier try: the rest is kept for fresh ones.
-const AGAIN_ROOM: f64 = 0.4;
+const AGAIN_ROOM: f64 = 0.15;
 const PACE_SPAN: f64 = 2.0;
 const ALWAYS_ROOM: usize = 1;
 const RECENT: usize = 5;
