--- a/src/choice.rs
+++ b/src/choice.rs
@@ -32,8 +32,6 @@
 const FULL_AFTER: f64 = 0.38;
 /// Share of that room for those asked again, whose time began with an earlier try: the rest is kept for fresh ones.
 const AGAIN_ROOM: f64 = 0.25;
-/// The same for those that may be answered short: they need not find room everywhere, and would crowd out the rest.
-const SHORT_ROOM: f64 = 0.5;
 const PACE_SPAN: f64 = 2.0;
 const ALWAYS_ROOM: usize = 1;
 const RECENT: usize = 5;
@@ -440,9 +438,7 @@
             if r.parts.iter().any(|&p| self.begun(p)) {
                 continue;
             }
-            let grade = &self.orders.grades[r.grade];
-            let share = if r.again { AGAIN_ROOM } else { 1.0 }
-                * if grade.floor < grade.whole { SHORT_ROOM } else { 1.0 };
+            let share = if r.again { AGAIN_ROOM } else { 1.0 };
             let most = scaled(most.min(scaled(self.soft_end(r) - self.now(), FULL_AFTER)), share);
             let parts: Vec<PartIx> =
                 r.parts.iter().copied().filter(|&p| self.finds_room(p, most, &seats)).collect();
