--- a/src/choice.rs
+++ b/src/choice.rs
@@ -339,7 +339,7 @@
 
     /// How long the replica will take for what it holds of ours: at the pace of its answers, which by Little's law
     /// comes to a share of the soft limit only once answers take that long; but a pace is also slow where we send
-    /// little, so down to half of that where its last answers, and the oldest part it holds, took less.
+    /// little, so down to a third of that where its last answers, and the oldest part it holds, took less.
     fn backlog(&self, ix: ReplicaIx) -> Nanos {
         let (r, span) = (&self.ledger.replicas[ix.0], scaled(self.shortest_soft_limit(), PACE_SPAN));
         let since = self.now() - span;
@@ -355,7 +355,7 @@
         let took: Vec<Nanos> = recent.collect();
         let lately = if took.is_empty() { oldest } else { oldest.max(percentile(took, 0.5)) };
         let paced = span / self.answered_since(r, since).max(1) as Nanos * r.held.len() as Nanos;
-        if r.held.len() < ALWAYS_ROOM { 0 } else { paced.min(scaled(lately, LATELY).max(paced / 2)) }
+        if r.held.len() < ALWAYS_ROOM { 0 } else { paced.min(scaled(lately, LATELY).max(paced / 3)) }
     }
 
     // ---- launching ----
