--- a/src/choice.rs
+++ b/src/choice.rs
@@ -496,28 +496,25 @@
         w.launch(part, replica, limit);
     }
 
-    /// Near a retrieval's end idle replicas get a copy of a pending part, after the delay: the oldest launch first, but
-    /// those whose soft limit has passed last, as copies are few and can make the others come in time.
+    /// Near a retrieval's end idle replicas get a copy of a pending part, oldest launch first, after the delay.
     fn endgame(&mut self, w: &mut dyn Writer) {
-        let (mut pending, usual) = (Vec::new(), self.usual(DELAY_PERCENTILE));
+        let (mut pending, usual): (Vec<(Nanos, PartIx)>, _) = (Vec::new(), self.usual(DELAY_PERCENTILE));
         for (_, r) in self.ledger.open() {
             let unanswered: Vec<PartIx> = r.parts.iter().copied().filter(|&p| self.unanswered(p)).collect();
-            let (soft, over) = (self.orders.grades[r.grade].soft_limit, self.now() >= self.soft_end(r));
+            let soft = self.orders.grades[r.grade].soft_limit;
             let due = self.now() - usual.unwrap_or(scaled(soft, FIRST_DELAY));
             let alone = |p: &PartIx| {
                 let mut out = self.ledger.part(*p).out();
-                out.next()
-                    .filter(|(_, l)| l.sent <= due && out.next().is_none())
-                    .map(|(_, l)| (over, l.sent, *p))
+                out.next().filter(|(_, l)| l.sent <= due && out.next().is_none()).map(|(_, l)| (l.sent, *p))
             };
-            let slow: Vec<(bool, Nanos, PartIx)> = unanswered.iter().filter_map(alone).collect();
-            if !slow.is_empty() && unanswered.len() < self.replicas_of(&unanswered) {
-                pending.extend(slow);
+            let late: Vec<(Nanos, PartIx)> = unanswered.iter().filter_map(alone).collect();
+            if !late.is_empty() && unanswered.len() < self.replicas_of(&unanswered) {
+                pending.extend(late);
             }
         }
         pending.sort();
         let mut seats = self.seats();
-        for (.., part) in pending {
+        for (_, part) in pending {
             let p = self.ledger.part(part);
             if !self.orders.may_copy || !self.copies_left() || !self.may_repeat(p) || !self.within_ration() {
                 continue;
