A tenant that takes here alone more than its share comes after the others

Cause: traffic beyond a share earns little, whatever is done with it. One front sees only its own part of a tenant's traffic, so only the certain case is acted on. It could harm a tenant whose traffic all comes through one front in a burst.

--- a/crates/benchlink/src/door.rs
+++ b/crates/benchlink/src/door.rs
@@ -134,7 +134,13 @@
                 return Err(format!("'knock': grade {grade} is not among the {grades} classes"));
             }
             let (valid_until, work) = (whole(item, "validUntilNs")?, or(item, "weightHintNs", 0, whole)?);
-            let ix = ledger.retrieval_taken(grade, valid_until, work, or(item, "isRetry", false, flag)?);
+            let ix = ledger.retrieval_taken(
+                grade,
+                or(item, "clientGroup", 0, index)?,
+                valid_until,
+                work,
+                or(item, "isRetry", false, flag)?,
+            );
             self.retrievals.kept.push_back(xid.clone());
             self.queries.push_back(query);
             self.by_query.insert(query, ix);
--- a/crates/benchlink/src/orders.rs
+++ b/crates/benchlink/src/orders.rs
@@ -11,9 +11,16 @@
     let (extra, limits, rules) = (section("extra"), section("limits"), section("rules"));
     let classes = conf.get("classes").and_then(Value::as_array).ok_or("'boot': no array 'classes'")?;
     let grades = classes.iter().enumerate().map(|(at, class)| grade(class, at, extra));
+    let none_listed = Vec::new();
+    let projects = conf.get("projects").and_then(Value::as_array).unwrap_or(&none_listed);
+    let shares = projects.iter().map(|p| {
+        let tenant = p.as_object().ok_or("'boot': a project is not an object")?;
+        or(tenant, "allowancePerS", f64::INFINITY, number)
+    });
     let heeded = or(limits, "retryAfter", false, flag)?;
     Ok(StandingOrders {
         grades: grades.collect::<Result<_, _>>()?,
+        shares: shares.collect::<Result<_, _>>()?,
         cells: index(extra, "positions")?,
         reach: index(extra, "reach")?,
         call_parts: or(extra, "bundleMax", 1, index)?.max(1),
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -30,8 +30,8 @@
 /// A part finds no room where our parts on the replica, at the pace of its answers over so many soft limits, would
 /// take longer than this share of a soft limit; so many parts it may always hold.
 const FULL_AFTER: f64 = 0.38;
-/// Share of that room for those asked again, whose time began with an earlier try: the rest is kept for fresh ones.
-const AGAIN_ROOM: f64 = 0.25;
+/// Share of that room for those that earn little: the rest is kept for the others.
+const LESSER_ROOM: f64 = 0.25;
 const PACE_SPAN: f64 = 2.0;
 /// Share of the same room up to which a replica is eased enough to gather parts into a call.
 const EASED: f64 = 0.5;
@@ -420,8 +420,8 @@
     /// Against queues that outlast the soft limit, where every answer comes too late and retries keep it so: a
     /// retrieval is let in when its parts, or as many as the least that may be answered from, find replicas that would
     /// answer in time, after waiting in half of the time left; until then it waits here, where it costs nothing, and
-    /// so does any part left over. The newest is let in first, as it has most of its time left, and those asked again
-    /// come last, as their time began with an earlier try.
+    /// so does any part left over. The newest is let in first, as it has most of its time left, and those that earn
+    /// little come last.
     fn place(&mut self, w: &mut dyn Writer) {
         let mut seats = self.seats();
         let most = scaled(self.shortest_soft_limit(), FULL_AFTER);
@@ -434,7 +434,7 @@
         };
         let waiting: Vec<PartIx> = self.ledger.wanted().filter(waits).map(|(ix, _)| ix).collect();
         self.place_together(&waiting, &mut seats, w);
-        let key = |(ix, r): (RetrievalIx, &Retrieval)| (r.again, Reverse(ix));
+        let key = |(ix, r): (RetrievalIx, &Retrieval)| (self.earns_little(r), Reverse(ix));
         let mut open: Vec<(bool, Reverse<RetrievalIx>)> = self.ledger.open().map(key).collect();
         open.sort();
         for (_, Reverse(ix)) in open {
@@ -442,7 +442,7 @@
             if r.parts.iter().any(|&p| self.begun(p)) {
                 continue;
             }
-            let share = if r.again { AGAIN_ROOM } else { 1.0 };
+            let share = if self.earns_little(r) { LESSER_ROOM } else { 1.0 };
             let most = scaled(most.min(scaled(self.soft_end(r) - self.now(), FULL_AFTER)), share);
             let parts: Vec<PartIx> =
                 r.parts.iter().copied().filter(|&p| self.finds_room(p, most, &seats)).collect();
@@ -454,6 +454,19 @@
         }
     }
 
+    /// One asked again, as its time began with an earlier try, or one of a tenant that takes here alone more than its
+    /// share of all fronts. What other fronts carry is not seen, so most of what is beyond a share passes unknown.
+    fn earns_little(&self, r: &Retrieval) -> bool {
+        let window = self.copy_window();
+        let beyond = |share: &f64| {
+            let since = self.now() - window;
+            let of_tenant =
+                self.ledger.asked.iter().filter(|&&(at, tenant)| tenant == r.tenant && at > since);
+            of_tenant.count() as f64 > share * window as f64 / 1e9
+        };
+        r.again || self.orders.shares.get(r.tenant).is_some_and(beyond)
+    }
+
     fn begun(&self, part: PartIx) -> bool {
         !self.ledger.part(part).launches.is_empty()
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -62,6 +62,8 @@
 #[derive(Clone, Debug)]
 pub struct StandingOrders {
     pub grades: Vec<ServiceGrade>,
+    /// Retrievals a second within each tenant's share, over all fronts; empty where there are no tenants.
+    pub shares: Vec<f64>,
     /// Cells of the ring, and how many cells in a row hold a shard.
     pub cells: usize,
     pub reach: usize,
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -92,6 +92,7 @@
 #[derive(Clone, Debug)]
 pub struct Retrieval {
     pub grade: usize,
+    pub tenant: usize,
     pub taken: Nanos,
     pub valid_until: Nanos,
     /// Expected work of all its parts; 0 where nothing was said.
@@ -158,6 +159,8 @@
     pub parts_taken: VecDeque<Nanos>,
     pub further: VecDeque<Nanos>,
     pub copies: VecDeque<Nanos>,
+    /// When retrievals were taken, and of which tenant.
+    pub asked: VecDeque<(Nanos, usize)>,
     pub roster_lost: bool,
     pub roster_heard: Option<Nanos>,
     calls: u64,
@@ -179,6 +182,7 @@
             parts_taken: VecDeque::new(),
             further: VecDeque::new(),
             copies: VecDeque::new(),
+            asked: VecDeque::new(),
             roster_lost: false,
             roster_heard: None,
             calls: 0,
@@ -196,14 +200,17 @@
     pub fn retrieval_taken(
         &mut self,
         grade: usize,
+        tenant: usize,
         valid_until: Nanos,
         work: Nanos,
         again: bool,
     ) -> RetrievalIx {
+        self.asked.push_back((self.now, tenant));
         self.taken.push_back(self.now);
         let (taken, parts) = (self.now, Vec::new());
         self.retrievals.push_back(Retrieval {
             grade,
+            tenant,
             taken,
             valid_until,
             work,
@@ -381,6 +388,9 @@
             self.parts.pop_front();
             self.first_part += 1;
         }
+        while self.asked.front().is_some_and(|&(t, _)| t < before) {
+            self.asked.pop_front();
+        }
         for times in [&mut self.taken, &mut self.parts_taken, &mut self.further, &mut self.copies] {
             while times.front().is_some_and(|&t| t < before) {
                 times.pop_front();
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -26,7 +26,7 @@
 //!     floor: 1.0, whole: 1.0, short_earnings: 0.0, second_step: 0,
 //! };
 //! let orders = StandingOrders {
-//!     grades: vec![grade], cells: 2, reach: 2, call_parts: 1, launches_cap: 4, may_retract: true, may_copy: true,
+//!     grades: vec![grade], shares: vec![], cells: 2, reach: 2, call_parts: 1, launches_cap: 4, may_retract: true, may_copy: true,
 //!     may_probe: true, stay_away: 0, roster_on_request: false, roster_within: 10 * second, ration: None,
 //!     thaw: Thaw { share: 0.25, lasts: 10 * second, multiple: 4.0, window: second }, beat: second / 200,
 //! };
@@ -39,7 +39,7 @@
 //!         ledger.roster_names(replica, cell, true, None);
 //!     }
 //!     ledger.roster_closes();
-//!     let retrieval = ledger.retrieval_taken(0, 3 * second, 0, false);
+//!     let retrieval = ledger.retrieval_taken(0, 0, 3 * second, 0, false);
 //!     ledger.part_taken(retrieval, 0, 0.5);
 //!     ledger.part_taken(retrieval, 1, 0.5);
 //! };
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -70,6 +70,7 @@
     };
     StandingOrders {
         grades: vec![grade],
+        shares: Vec::new(),
         cells,
         reach: 2,
         call_parts: 1,
@@ -117,7 +118,7 @@
     pub fn take(&mut self, grade: usize, shards: &[usize]) -> (RetrievalIx, Vec<Told>) {
         let (mut ix, until) = (None, self.now + 3_000 * MS);
         let told = self.round(|l| {
-            let retrieval = l.retrieval_taken(grade, until, 0, false);
+            let retrieval = l.retrieval_taken(grade, 0, until, 0, false);
             for &shard in shards {
                 l.part_taken(retrieval, shard, 1.0 / shards.len() as f64);
             }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -149,7 +149,7 @@
     let (mut old, mut again, mut new) = (None, None, None);
     for (slot, asked) in [(&mut old, false), (&mut new, false), (&mut again, true)] {
         host.round(|l| {
-            let retrieval = l.retrieval_taken(0, until, 0, asked);
+            let retrieval = l.retrieval_taken(0, 0, until, 0, asked);
             *slot = Some(l.part_taken(retrieval, 0, 1.0));
         });
     }
@@ -178,7 +178,7 @@
     while !launches(&host.take(0, &[0]).1).is_empty() {}
     let (until, mut asked) = (host.now + 60 * MS, None);
     host.round(|l| {
-        let retrieval = l.retrieval_taken(0, until, 0, true);
+        let retrieval = l.retrieval_taken(0, 0, until, 0, true);
         l.part_taken(retrieval, 0, 1.0);
         asked = Some(retrieval);
     });
@@ -422,3 +422,24 @@
     let shared = host.aggregator.ledger().retrieval(ix).parts[1];
     assert!(launches(&told).contains(&(shared, ReplicaIx(2))), "{told:?}");
 }
+
+#[test]
+fn a_tenant_beyond_its_share_comes_after_the_others() {
+    let mut orders = orders(2);
+    orders.shares = vec![1.0, 100.0];
+    let mut host = Host::new(orders);
+    host.traffic(40, &[]);
+    while !launches(&host.take(0, &[0]).1).is_empty() {}
+    let (until, mut parts, mut told) = (host.now + 3_000 * MS, Vec::new(), Vec::new());
+    for tenant in [1, 0] {
+        told.extend(host.round(|l| {
+            let retrieval = l.retrieval_taken(0, tenant, until, 0, false);
+            parts.push(l.part_taken(retrieval, 0, 1.0));
+        }));
+    }
+    host.now += 10 * MS;
+    told.extend(host.end(|_| Some(Ending::Done)));
+    let order = launches(&told);
+    let place = |part: PartIx| order.iter().position(|l| l.0 == part).unwrap_or(usize::MAX);
+    assert!(place(parts[0]) < place(parts[1]), "{order:?}");
+}
