--- a/src/choice.rs
+++ b/src/choice.rs
@@ -6,6 +6,7 @@
 
 use std::cmp::Reverse;
 use std::collections::VecDeque;
+use std::ops::Index;
 
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64;
@@ -60,7 +61,7 @@
 const WAKE_ROUNDS: Nanos = 2;
 
 /// What is thought of a replica.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 struct Opinion {
     aside: Option<Nanos>,
     back: Nanos,
@@ -82,6 +83,16 @@
     after: usize,
 }
 
+struct Seats(Vec<Option<Seat>>);
+
+impl Index<ReplicaIx> for Seats {
+    type Output = Seat;
+
+    fn index(&self, ix: ReplicaIx) -> &Seat {
+        self.0[ix.0].as_ref().expect("seats were made for all holders of the parts in hand")
+    }
+}
+
 pub struct Aggregator {
     orders: StandingOrders,
     ledger: Ledger,
@@ -90,6 +101,15 @@
     roster_ask: Option<Nanos>,
     roster_misses: u32,
     wake: Nanos,
+    usual: Usual,
+}
+
+/// Percentiles of the last part latencies, worked out once a round; none before there are enough of them.
+#[derive(Clone, Copy, Debug, Default)]
+struct Usual {
+    half: Option<Nanos>,
+    longest: Option<Nanos>,
+    delay: Option<Nanos>,
 }
 
 impl Aggregator {
@@ -97,7 +117,8 @@
         let roster_ask = orders.roster_on_request.then_some(Nanos::MIN);
         let ledger = Ledger::new(RINGS);
         let (chance, opinions) = (Pcg64::seed_from_u64(seed), Vec::new());
-        Aggregator { orders, ledger, chance, opinions, roster_ask, roster_misses: 0, wake: Nanos::MIN }
+        let (roster_misses, wake, usual) = (0, Nanos::MIN, Usual::default());
+        Aggregator { orders, ledger, chance, opinions, roster_ask, roster_misses, wake, usual }
     }
 
     pub fn ledger(&self) -> &Ledger {
@@ -109,6 +130,9 @@
         came_in(&mut self.ledger);
         let fresh = Opinion { aside: None, back: Nanos::MIN, relapses: 0, probe_due: 0 };
         self.opinions.resize(self.ledger.replicas.len(), fresh);
+        let usual = |share| self.percentile_of_all(share);
+        self.usual =
+            Usual { half: usual(0.5), longest: usual(USUAL_LONGEST), delay: usual(DELAY_PERCENTILE) };
         self.follow_roster(w);
         self.release_counts();
         self.judge_replicas(w);
@@ -139,15 +163,14 @@
         self.copy_window().max(self.orders.ration.map_or(0, |r| r.span))
     }
 
-    /// The percentile of the last part latencies; none before there are enough of them.
-    fn usual(&self, share: f64) -> Option<Nanos> {
+    fn percentile_of_all(&self, share: f64) -> Option<Nanos> {
         let took: Vec<Nanos> = self.ledger.latencies.iter().collect();
         (took.len() >= DELAY_SAMPLES).then(|| percentile(took, share))
     }
 
     fn patience(&self) -> Nanos {
         let soft = self.shortest_soft_limit();
-        let usual = self.usual(USUAL_LONGEST).map_or(0, |p| scaled(p, PATIENCE));
+        let usual = self.usual.longest.map_or(0, |p| scaled(p, PATIENCE));
         usual.max(scaled(soft, PATIENCE_LEAST))
     }
 
@@ -194,7 +217,8 @@
     /// of a replica that answers nothing, or only errors, empties first and draws all the parts.
     fn release_counts(&mut self) {
         let (now, patience) = (self.now(), self.patience());
-        for r in &mut self.ledger.replicas {
+        for &ix in &self.ledger.busy {
+            let r = &mut self.ledger.replicas[ix.0];
             let answered = r.last_done_sent;
             r.held.retain(|h| match h.ended {
                 None => true,
@@ -223,8 +247,18 @@
         Seat { sound: self.sound(ix), open, backlog, joins, calls, after: calls + usize::from(!joins) }
     }
 
-    fn seats(&self) -> Vec<Seat> {
-        (0..self.ledger.replicas.len()).map(|ix| self.seat(ReplicaIx(ix))).collect()
+    /// Seats of the holders of these parts; the rest of a large fleet is left out.
+    fn seats(&self, parts: impl Iterator<Item = PartIx>) -> Seats {
+        let mut shards: Vec<usize> = parts.map(|p| self.ledger.part(p).shard).collect();
+        shards.sort();
+        shards.dedup();
+        let mut seats = vec![None; self.ledger.replicas.len()];
+        for ix in shards.into_iter().flat_map(|shard| self.holders(shard)) {
+            if seats[ix.0].is_none() {
+                seats[ix.0] = Some(self.seat(ix));
+            }
+        }
+        Seats(seats)
     }
 
     // ---- health ----
@@ -262,10 +296,14 @@
     fn judge_replicas(&mut self, w: &mut dyn Writer) {
         let (now, patience) = (self.now(), self.patience());
         let pace = scaled(self.shortest_soft_limit(), PROBE_PACE);
-        let usual = self.usual(0.5);
+        let usual = self.usual.half;
         for ix in 0..self.ledger.replicas.len() {
+            let Opinion { aside, back, relapses, probe_due } = self.opinions[ix];
+            // Only a replica that held something of ours since the last round can have changed.
+            if aside.is_none() && !self.ledger.busy.contains(&ReplicaIx(ix)) {
+                continue;
+            }
             let r = &self.ledger.replicas[ix];
-            let Opinion { aside, back, relapses, probe_due } = self.opinions[ix].clone();
             if !r.serving {
                 continue;
             }
@@ -362,25 +400,20 @@
 
     // ---- launching ----
 
-    fn holds(&self, ix: ReplicaIx, shard: usize) -> bool {
-        let r = &self.ledger.replicas[ix.0];
+    fn holders(&self, shard: usize) -> impl Iterator<Item = ReplicaIx> {
         let cells = self.orders.cells.max(1);
-        r.serving && (r.cell + cells - shard % cells) % cells < self.orders.reach
-    }
-
-    fn holders(&self, shard: usize) -> Vec<ReplicaIx> {
-        (0..self.ledger.replicas.len()).map(ReplicaIx).filter(|&ix| self.holds(ix, shard)).collect()
+        (0..self.orders.reach.min(cells)).flat_map(move |j| self.ledger.in_cell((shard + j) % cells))
     }
 
     /// Replicas that may get a launch of the part: sound ones, not tried yet if there are such. Where all look bad,
     /// the evidence or the view is bad, and all of them are tried. One that was tried is tried again only when that
     /// launch counts no more: else a part burns all its launches on full replicas within a few rounds.
-    fn choices(&self, id: PartIx, seats: &[Seat]) -> Vec<ReplicaIx> {
+    fn choices(&self, id: PartIx, seats: &Seats) -> Vec<ReplicaIx> {
         let part = self.ledger.part(id);
-        let mut all = self.holders(part.shard);
+        let mut all: Vec<ReplicaIx> = self.holders(part.shard).collect();
         let tried = |ix: ReplicaIx| part.launches.iter().any(|l| l.replica == ix);
         all.retain(|&ix| part.out().all(|(_, l)| l.replica != ix));
-        prefer(&mut all, |ix| seats[ix.0].sound);
+        prefer(&mut all, |ix| seats[ix].sound);
         prefer(&mut all, |ix| !tried(ix));
         all.retain(|&ix| !tried(ix) || self.ledger.replicas[ix.0].held.iter().all(|h| h.part != id));
         all
@@ -423,9 +456,9 @@
     /// so does any part left over. The newest is let in first, as it has most of its time left, and those that earn
     /// little come last.
     fn place(&mut self, w: &mut dyn Writer) {
-        let mut seats = self.seats();
+        let mut seats = self.seats(self.ledger.wanted().map(|(ix, _)| ix));
         let most = scaled(self.shortest_soft_limit(), FULL_AFTER);
-        let usual = self.usual(USUAL_LONGEST).unwrap_or(0);
+        let usual = self.usual.longest.unwrap_or(0);
         let begun = |r: RetrievalIx| self.ledger.retrieval(r).parts.iter().any(|&p| self.begun(p));
         let waits = |(ix, p): &(PartIx, &Part)| match (p.launches.is_empty(), p.out().next().is_none()) {
             (true, _) => begun(p.retrieval) && self.finds_room(*ix, most, &seats),
@@ -471,15 +504,15 @@
         !self.ledger.part(part).launches.is_empty()
     }
 
-    fn finds_room(&self, part: PartIx, most: Nanos, seats: &[Seat]) -> bool {
+    fn finds_room(&self, part: PartIx, most: Nanos, seats: &Seats) -> bool {
         let choices = self.choices(part, seats);
-        choices.iter().any(|ix| seats[ix.0].open && seats[ix.0].backlog <= most)
+        choices.iter().any(|&ix| seats[ix].open && seats[ix].backlog <= most)
     }
 
     /// The ordinary path: each part goes to its shard's replica with fewest of our calls in flight. Ties break at
     /// random, but a replica where more of these parts can share one call comes first, as a call costs work; not so
     /// one with a backlog, or a shard's last holder would draw its neighbours' parts into the calls it must take.
-    fn place_together(&mut self, parts: &[PartIx], seats: &mut [Seat], w: &mut dyn Writer) {
+    fn place_together(&mut self, parts: &[PartIx], seats: &mut Seats, w: &mut dyn Writer) {
         let eased = scaled(self.shortest_soft_limit(), FULL_AFTER * EASED);
         let choices = |&p: &PartIx| (p, self.choices(p, seats));
         let mut waiting: VecDeque<(PartIx, Vec<ReplicaIx>)> = parts.iter().map(choices).collect();
@@ -490,18 +523,14 @@
             }
             let gathers = |ix: ReplicaIx| {
                 let others = waiting.iter().filter(|(_, c)| c.contains(&ix) && is_fewest(ix, c, seats));
-                (
-                    seats[ix.0].backlog <= eased,
-                    seats[ix.0].joins,
-                    others.take(self.orders.call_parts - 1).count(),
-                )
+                (seats[ix].backlog <= eased, seats[ix].joins, others.take(self.orders.call_parts - 1).count())
             };
             let most = fewest.iter().map(|&ix| gathers(ix)).max();
             let tied: Vec<ReplicaIx> =
                 fewest.iter().copied().filter(|&ix| Some(gathers(ix)) == most).collect();
             if let Some(replica) = self.any_of(&tied) {
                 self.launch(part, replica, false, w);
-                seats[replica.0] = self.seat(replica);
+                seats.0[replica.0] = Some(self.seat(replica));
             }
         }
     }
@@ -519,7 +548,7 @@
 
     /// Near a retrieval's end idle replicas get a copy of a pending part, oldest launch first, after the delay.
     fn endgame(&mut self, w: &mut dyn Writer) {
-        let (mut pending, usual): (Vec<(Nanos, PartIx)>, _) = (Vec::new(), self.usual(DELAY_PERCENTILE));
+        let (mut pending, usual): (Vec<(Nanos, PartIx)>, _) = (Vec::new(), self.usual.delay);
         for (_, r) in self.ledger.open() {
             let unanswered: Vec<PartIx> = r.parts.iter().copied().filter(|&p| self.unanswered(p)).collect();
             let soft = self.orders.grades[r.grade].soft_limit;
@@ -529,22 +558,22 @@
                 out.next().filter(|(_, l)| l.sent <= due && out.next().is_none()).map(|(_, l)| (l.sent, *p))
             };
             let late: Vec<(Nanos, PartIx)> = unanswered.iter().filter_map(alone).collect();
-            if !late.is_empty() && unanswered.len() < self.replicas_of(&unanswered) {
+            if !late.is_empty() && self.few_left(&unanswered) {
                 pending.extend(late);
             }
         }
         pending.sort();
-        let mut seats = self.seats();
+        let mut seats = self.seats(pending.iter().map(|&(_, part)| part));
         for (_, part) in pending {
             let p = self.ledger.part(part);
             if !self.orders.may_copy || !self.copies_left() || !self.may_repeat(p) || !self.within_ration() {
                 continue;
             }
             let mut idle = self.choices(part, &seats);
-            idle.retain(|&ix| seats[ix.0].sound && seats[ix.0].open && seats[ix.0].calls == 0);
+            idle.retain(|&ix| seats[ix].sound && seats[ix].open && seats[ix].calls == 0);
             if let Some(replica) = self.any_of(&idle) {
                 self.launch(part, replica, true, w);
-                seats[replica.0] = self.seat(replica);
+                seats.0[replica.0] = Some(self.seat(replica));
             }
         }
     }
@@ -554,9 +583,12 @@
         !p.done && !p.closed
     }
 
-    fn replicas_of(&self, parts: &[PartIx]) -> usize {
-        let held = |&ix: &usize| parts.iter().any(|&p| self.holds(ReplicaIx(ix), self.ledger.part(p).shard));
-        (0..self.ledger.replicas.len()).filter(held).count()
+    fn few_left(&self, unanswered: &[PartIx]) -> bool {
+        let mut holders: Vec<ReplicaIx> =
+            unanswered.iter().flat_map(|&p| self.holders(self.ledger.part(p).shard)).collect();
+        holders.sort();
+        holders.dedup();
+        unanswered.len() < holders.len()
     }
 
     fn copies_left(&self) -> bool {
@@ -582,7 +614,7 @@
 
     fn finish(&mut self, w: &mut dyn Writer) {
         let open: Vec<RetrievalIx> = self.ledger.open().map(|(ix, _)| ix).collect();
-        let usual = self.usual(USUAL_LONGEST).unwrap_or(0);
+        let usual = self.usual.longest.unwrap_or(0);
         for ix in open {
             self.finish_one(ix, usual, w);
         }
@@ -673,13 +705,13 @@
 }
 
 /// Replicas with fewest calls in flight, counting the part to be sent, among those that are open.
-fn fewest(choices: &[ReplicaIx], seats: &[Seat]) -> Vec<ReplicaIx> {
+fn fewest(choices: &[ReplicaIx], seats: &Seats) -> Vec<ReplicaIx> {
     choices.iter().copied().filter(|&ix| is_fewest(ix, choices, seats)).collect()
 }
 
-fn is_fewest(ix: ReplicaIx, choices: &[ReplicaIx], seats: &[Seat]) -> bool {
-    let rivals = choices.iter().filter(|ix| seats[ix.0].open);
-    seats[ix.0].open && rivals.map(|ix| seats[ix.0].after).all(|after| seats[ix.0].after <= after)
+fn is_fewest(ix: ReplicaIx, choices: &[ReplicaIx], seats: &Seats) -> bool {
+    let rivals = choices.iter().copied().filter(|&ix| seats[ix].open);
+    seats[ix].open && rivals.map(|ix| seats[ix].after).all(|after| seats[ix].after <= after)
 }
 
 /// Keeps those that pass, where any does.
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -1,7 +1,7 @@
 //! The facts of one aggregator: what was taken, what was launched, what came of it, what the roster says.
 //! Nothing here decides anything; the lengths of all sample rings come from the caller.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 
 use crate::interface::{Nanos, PartIx, ReplicaIx, RetrievalIx};
 
@@ -152,6 +152,10 @@
     first_part: usize,
     parts: VecDeque<Part>,
     pub replicas: Vec<Replica>,
+    /// Replicas that held something of ours at any moment of this round.
+    pub busy: BTreeSet<ReplicaIx>,
+    /// Replicas that serve, by cell.
+    cells: Vec<Vec<ReplicaIx>>,
     /// Times taken by the last parts that were done.
     pub latencies: Ring<Nanos>,
     /// When retrievals and parts were taken, parts alone; further launches sent, and copies alone.
@@ -177,6 +181,8 @@
             first_part: 0,
             parts: VecDeque::new(),
             replicas: Vec::new(),
+            busy: BTreeSet::new(),
+            cells: Vec::new(),
             latencies: Ring::new(lengths.overall),
             taken: VecDeque::new(),
             parts_taken: VecDeque::new(),
@@ -328,6 +334,11 @@
         if self.roster_complete {
             self.replicas.iter_mut().filter(|r| !r.named).for_each(|r| r.serving = false);
         }
+        self.cells.iter_mut().for_each(Vec::clear);
+        for (ix, r) in self.replicas.iter().enumerate().filter(|(_, r)| r.serving) {
+            self.cells.resize(self.cells.len().max(r.cell + 1), Vec::new());
+            self.cells[r.cell].push(ReplicaIx(ix));
+        }
         self.roster_lost = false;
         self.roster_heard = Some(self.now);
     }
@@ -349,6 +360,7 @@
         if copy {
             self.copies.push_back(now);
         }
+        self.busy.insert(replica);
         let r = &mut self.replicas[replica.0];
         r.launched_at.push(now);
         r.held.push(Held { part, launch, sent: now, call, ended: None });
@@ -388,6 +400,7 @@
             self.parts.pop_front();
             self.first_part += 1;
         }
+        self.busy.retain(|ix| !self.replicas[ix.0].held.is_empty());
         while self.asked.front().is_some_and(|&(t, _)| t < before) {
             self.asked.pop_front();
         }
@@ -408,6 +421,11 @@
         self.calls
     }
 
+    /// Replicas of a cell that serve, as the roster says.
+    pub fn in_cell(&self, cell: usize) -> impl Iterator<Item = ReplicaIx> {
+        self.cells.get(cell).into_iter().flatten().copied()
+    }
+
     pub fn first_retrieval(&self) -> RetrievalIx {
         RetrievalIx(self.first_retrieval)
     }
