--- a/src/choice.rs
+++ b/src/choice.rs
@@ -25,8 +25,9 @@
 /// Copies stay under this share of the parts of so many abandon times.
 const COPY_SHARE: f64 = 0.1;
 const COPY_WINDOW: f64 = 2.0;
-/// A replica is silent after this many times the usual 90th percentile, and at least this share of a soft limit.
-const PATIENCE: f64 = 2.0;
+/// A replica is silent after this many times the usual median, and at least this share of a soft limit. The median,
+/// as a part of the fleet that goes slow moves the upper percentiles at once, and patience with them.
+const PATIENCE: f64 = 4.0;
 const PATIENCE_LEAST: f64 = 0.25;
 /// A part finds no room where our parts on the replica, at the pace of its answers over so many soft limits, would
 /// take longer than this share of a soft limit; so many parts it may always hold.
@@ -170,7 +171,7 @@
 
     fn patience(&self) -> Nanos {
         let soft = self.shortest_soft_limit();
-        let usual = self.usual.longest.map_or(0, |p| scaled(p, PATIENCE));
+        let usual = self.usual.half.map_or(0, |p| scaled(p, PATIENCE));
         usual.max(scaled(soft, PATIENCE_LEAST))
     }
 
