Late and missing answers count until a replica's next turn; a pace needs a few parts

Cause: with a hundred fronts a front sends a replica a part every 7 to 25 s, so nearly all counts are zero and ties decide; and a replica with one part out and none answered in 3 s was held to have a backlog of over a second, which shut it. Should hold against any lasting unevenness a front can see only by its own rare parts; harms where one late answer was chance: that replica then gets one turn less.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,6 +14,8 @@
 use crate::interface::{Effect, Nanos, PartIx, ReplicaIx, RetrievalIx, StandingOrders, Writer};
 use crate::ledger::{Ending, Launch, Ledger, Part, Replica, Retrieval, RingLengths, Sample};
 
+/// An answer is late at this many times the usual median.
+const LATE: f64 = 2.5;
 /// Samples: enough parts for a steady percentile, few enough to follow a change within seconds.
 const RINGS: RingLengths = RingLengths { overall: 200, per_replica: 48, launches: 64, probes: 8 };
 /// Delay of a copy: this share of the soft limit until so many parts have been timed, then that percentile.
@@ -37,7 +39,8 @@
 const PACE_SPAN: f64 = 2.0;
 /// Share of the same room up to which a replica is eased enough to gather parts into a call.
 const EASED: f64 = 0.5;
-const ALWAYS_ROOM: usize = 1;
+/// A pace says something only where so many parts were answered or are out.
+const PACE_PARTS: usize = 3;
 const RECENT: usize = 5;
 const LATELY: f64 = 2.0;
 /// Failures in a row, unanswered launches among the last few, and slowness against all replicas over so many
@@ -215,20 +218,34 @@
 
     /// Against silent replicas and fast errors alike: a launch that ended without an answer goes on counting as in
     /// flight until the replica answers a later one, or for as long as we would wait for an answer. Else the count
-    /// of a replica that answers nothing, or only errors, empties first and draws all the parts.
+    /// of a replica that answers nothing, or only errors, empties first and draws all the parts. Where we send a
+    /// replica a part only every many seconds nearly all counts are zero and say nothing of queues or slow machines,
+    /// so there an end without an answer, or a late answer, counts until the replica's next turn would have come.
     fn release_counts(&mut self) {
-        let (now, patience) = (self.now(), self.patience());
+        let (now, patience, turn) = (self.now(), self.patience(), self.turn());
+        let late = self.usual.half.map_or(Nanos::MAX, |u| scaled(u, LATE));
         for &ix in &self.ledger.busy {
             let r = &mut self.ledger.replicas[ix.0];
             let answered = r.last_done_sent;
             r.held.retain(|h| match h.ended {
                 None => true,
-                Some((Ending::Done | Ending::Unsent, _)) => false,
-                Some((_, at)) => answered < h.sent && now < at + patience,
+                Some((Ending::Unsent, _)) => false,
+                Some((Ending::Done, at)) => {
+                    at - h.sent >= late && answered <= h.sent && now < at + turn
+                }
+                Some((_, at)) => answered < h.sent && now < at + patience.max(turn),
             });
         }
     }
 
+    /// How long it is until a replica's next part from us, on average over the fleet.
+    fn turn(&self) -> Nanos {
+        let window = self.copy_window();
+        let since = self.now() - window;
+        let parts = self.ledger.parts_taken.iter().rev().take_while(|&&at| at > since).count();
+        window / parts.max(1) as Nanos * self.ledger.serving() as Nanos
+    }
+
     /// This aggregator's calls on the replica; a part alone is a call where parts share none.
     fn in_flight(&self, replica: ReplicaIx) -> usize {
         let held = &self.ledger.replicas[replica.0].held;
@@ -384,6 +401,8 @@
     fn backlog(&self, ix: ReplicaIx) -> Nanos {
         let (r, span) = (&self.ledger.replicas[ix.0], scaled(self.shortest_soft_limit(), PACE_SPAN));
         let since = self.now() - span;
+        let patience = self.patience();
+        let held = r.held.iter().filter(|h| h.ended.is_none_or(|(_, at)| self.now() < at + patience)).count();
         let oldest =
             r.held.iter().filter(|h| h.ended.is_none()).map(|h| self.now() - h.sent).max().unwrap_or(0);
         let recent = r
@@ -395,8 +414,10 @@
             .map(|s| s.took);
         let took: Vec<Nanos> = recent.collect();
         let lately = if took.is_empty() { oldest } else { oldest.max(percentile(took, 0.5)) };
-        let paced = span / self.answered_since(r, since).max(1) as Nanos * r.held.len() as Nanos;
-        if r.held.len() < ALWAYS_ROOM { 0 } else { paced.min(scaled(lately, LATELY).max(paced / 3)) }
+        let answered = self.answered_since(r, since);
+        let paced = span / answered.max(1) as Nanos * held as Nanos;
+        let known = answered + held >= PACE_PARTS;
+        paced.min(scaled(lately, LATELY).max(if known { paced / 3 } else { 0 }))
     }
 
     // ---- launching ----
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -421,6 +421,11 @@
         self.calls
     }
 
+    /// How many replicas serve, as the roster says.
+    pub fn serving(&self) -> usize {
+        self.cells.iter().map(Vec::len).sum()
+    }
+
     /// Replicas of a cell that serve, as the roster says.
     pub fn in_cell(&self, cell: usize) -> impl Iterator<Item = ReplicaIx> {
         self.cells.get(cell).into_iter().flatten().copied()
