--- a/src/choice.rs
+++ b/src/choice.rs
@@ -567,11 +567,7 @@
 
     fn launch(&mut self, part: PartIx, replica: ReplicaIx, copy: bool, w: &mut dyn Writer) {
         let retrieval = self.ledger.retrieval(self.ledger.part(part).retrieval);
-        // A launch still unanswered at the soft limit is worth little, and its place in a queue keeps others from
-        // theirs: servers that drop what is overdue may drop it then. A launch made later has the client's time.
-        let soft = self.soft_end(retrieval) - MARGIN_ROUNDS * self.orders.beat - self.now();
-        let end = self.end_of_use(retrieval) - self.now();
-        let limit = if soft > self.patience() { soft.min(end) } else { end.max(self.orders.beat) };
+        let limit = (self.end_of_use(retrieval) - self.now()).max(self.orders.beat);
         self.ledger.launched(part, replica, copy);
         w.launch(part, replica, limit);
     }
