--- a/src/choice.rs
+++ b/src/choice.rs
@@ -230,9 +230,7 @@
             r.held.retain(|h| match h.ended {
                 None => true,
                 Some((Ending::Unsent, _)) => false,
-                Some((Ending::Done, at)) => {
-                    at - h.sent >= late && answered <= h.sent && now < at + turn
-                }
+                Some((Ending::Done, at)) => at - h.sent >= late && answered <= h.sent && now < at + turn,
                 Some((_, at)) => answered < h.sent && now < at + patience.max(turn),
             });
         }
@@ -292,7 +290,8 @@
     fn failing(r: &Replica, back: Nanos, on_trial: bool, patience: Nanos) -> bool {
         let told = |s: &Sample| s.ending != Ending::CalledOff || s.took >= patience;
         let since = r.samples.iter().rev().filter(|s| s.at - s.took >= back && told(s));
-        let last: Vec<Ending> = since.take(LOSING_OF).map(|s| s.ending).collect();
+        let last: Vec<Ending> =
+            since.filter(|s| s.ending != Ending::Full).take(LOSING_OF).map(|s| s.ending).collect();
         let in_a_row = last.iter().take_while(|&&e| e != Ending::Done && e != Ending::CalledOff).count();
         let lost = last.iter().filter(|&&e| e != Ending::Done).count();
         let enough = if on_trial { 1 } else { FAILURES };
