No room at a replica whose last word was a refusal

Holds against any full queue seen through rare parts; harms for two soft limits after a short burst.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -400,6 +400,10 @@
     fn backlog(&self, ix: ReplicaIx) -> Nanos {
         let (r, span) = (&self.ledger.replicas[ix.0], scaled(self.shortest_soft_limit(), PACE_SPAN));
         let since = self.now() - span;
+        // A refusal for want of room says of the queue what no pace of ours can.
+        if r.samples.iter().last().is_some_and(|s| s.ending == Ending::Full && s.at >= since) {
+            return span;
+        }
         let patience = self.patience();
         let held = r.held.iter().filter(|h| h.ended.is_none_or(|(_, at)| self.now() < at + patience)).count();
         let oldest =
