--- a/src/choice.rs
+++ b/src/choice.rs
@@ -419,8 +419,8 @@
         let lately = if took.is_empty() { oldest } else { oldest.max(percentile(took, 0.5)) };
         let answered = self.answered_since(r, since);
         let paced = span / answered.max(1) as Nanos * held as Nanos;
-        let known = answered + held >= PACE_PARTS;
-        paced.min(scaled(lately, LATELY).max(if known { paced / 3 } else { 0 }))
+        // With so few parts there is no pace, and what the last ones took is all that is known.
+        if answered + held < PACE_PARTS { lately } else { paced.min(scaled(lately, LATELY).max(paced / 3)) }
     }
 
     // ---- launching ----
