--- a/src/choice.rs
+++ b/src/choice.rs
@@ -400,8 +400,9 @@
     fn backlog(&self, ix: ReplicaIx) -> Nanos {
         let (r, span) = (&self.ledger.replicas[ix.0], scaled(self.shortest_soft_limit(), PACE_SPAN));
         let since = self.now() - span;
+        let known_since = since.min(self.now() - self.turn());
         // A refusal for want of room says of the queue what no pace of ours can.
-        if r.samples.iter().last().is_some_and(|s| s.ending == Ending::Full && s.at >= since) {
+        if r.samples.iter().last().is_some_and(|s| s.ending == Ending::Full && s.at >= known_since) {
             return span;
         }
         let patience = self.patience();
@@ -412,7 +413,7 @@
             .samples
             .iter()
             .rev()
-            .filter(|s| s.ending == Ending::Done && s.at >= since)
+            .filter(|s| s.ending == Ending::Done && s.at >= known_since)
             .take(RECENT)
             .map(|s| s.took);
         let took: Vec<Nanos> = recent.collect();
