--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,6 +14,7 @@
 use crate::interface::{Effect, Nanos, PartIx, ReplicaIx, RetrievalIx, StandingOrders, Writer};
 use crate::ledger::{Ending, Launch, Ledger, Part, Replica, Retrieval, RingLengths, Sample};
 
+const MEMORY: Nanos = 2;
 /// An answer is late at this many times the usual median.
 const LATE: f64 = 2.5;
 /// Samples: enough parts for a steady percentile, few enough to follow a change within seconds.
@@ -241,7 +242,7 @@
         let window = self.copy_window();
         let since = self.now() - window;
         let parts = self.ledger.parts_taken.iter().rev().take_while(|&&at| at > since).count();
-        window / parts.max(1) as Nanos * self.ledger.serving() as Nanos
+        MEMORY * window / parts.max(1) as Nanos * self.ledger.serving() as Nanos
     }
 
     /// This aggregator's calls on the replica; a part alone is a call where parts share none.
