--- a/src/choice.rs
+++ b/src/choice.rs
@@ -545,11 +545,7 @@
         let mut waiting: VecDeque<(PartIx, Vec<ReplicaIx>)> = parts.iter().map(choices).collect();
         while let Some((part, choices)) = waiting.pop_front() {
             let fewest = fewest(&choices, seats);
-            // A second launch beside one that is out is a copy to the cap, whatever its reason: where a cancelled
-            // launch runs on, second launches would else feed the very jam that made the first ones late.
-            let copy = self.ledger.part(part).out().next().is_some();
-            let allowed = !self.begun(part) || self.within_ration() && (!copy || self.copies_left());
-            if fewest.is_empty() || !allowed {
+            if fewest.is_empty() || self.begun(part) && !self.within_ration() {
                 continue;
             }
             let gathers = |ix: ReplicaIx| {
@@ -560,7 +556,7 @@
             let tied: Vec<ReplicaIx> =
                 fewest.iter().copied().filter(|&ix| Some(gathers(ix)) == most).collect();
             if let Some(replica) = self.any_of(&tied) {
-                self.launch(part, replica, copy, w);
+                self.launch(part, replica, false, w);
                 seats.0[replica.0] = Some(self.seat(replica));
             }
         }
