--- a/src/choice.rs
+++ b/src/choice.rs
@@ -24,7 +24,6 @@
 const DELAY_SAMPLES: usize = 20;
 const DELAY_PERCENTILE: f64 = 0.95;
 /// The usual longest time of a part: what patience and the last call go by.
-const USUAL_QUICK: f64 = 0.25;
 const USUAL_LONGEST: f64 = 0.9;
 /// Copies stay under this share of the parts of so many abandon times.
 const COPY_SHARE: f64 = 0.1;
@@ -113,7 +112,6 @@
 /// Percentiles of the last part latencies, worked out once a round; none before there are enough of them.
 #[derive(Clone, Copy, Debug, Default)]
 struct Usual {
-    quick: Option<Nanos>,
     half: Option<Nanos>,
     longest: Option<Nanos>,
     delay: Option<Nanos>,
@@ -138,12 +136,8 @@
         let fresh = Opinion { aside: None, back: Nanos::MIN, relapses: 0, probe_due: 0 };
         self.opinions.resize(self.ledger.replicas.len(), fresh);
         let usual = |share| self.percentile_of_all(share);
-        self.usual = Usual {
-            quick: usual(USUAL_QUICK),
-            half: usual(0.5),
-            longest: usual(USUAL_LONGEST),
-            delay: usual(DELAY_PERCENTILE),
-        };
+        self.usual =
+            Usual { half: usual(0.5), longest: usual(USUAL_LONGEST), delay: usual(DELAY_PERCENTILE) };
         self.follow_roster(w);
         self.release_counts();
         self.judge_replicas(w);
@@ -427,12 +421,8 @@
         let lately = if took.is_empty() { oldest } else { oldest.max(percentile(took, 0.5)) };
         let answered = self.answered_since(r, since);
         let paced = span / answered.max(1) as Nanos * held as Nanos;
-        // With so few parts there is no pace, and what the last ones took beyond a quick one is all that is known.
-        if answered + held < PACE_PARTS {
-            lately - self.usual.quick.unwrap_or(0)
-        } else {
-            paced.min(scaled(lately, LATELY).max(paced / 3))
-        }
+        // With so few parts there is no pace, and what the last ones took is all that is known.
+        if answered + held < PACE_PARTS { lately } else { paced.min(scaled(lately, LATELY).max(paced / 3)) }
     }
 
     // ---- launching ----
