--- a/src/choice.rs
+++ b/src/choice.rs
@@ -15,8 +15,6 @@
 use crate::ledger::{Ending, Launch, Ledger, Part, Replica, Retrieval, RingLengths, Sample};
 
 const MEMORY: Nanos = 2;
-/// An answer is late at this many times the usual median.
-const LATE: f64 = 2.5;
 /// Samples: enough parts for a steady percentile, few enough to follow a change within seconds.
 const RINGS: RingLengths = RingLengths { overall: 200, per_replica: 48, launches: 64, probes: 8 };
 /// Delay of a copy: this share of the soft limit until so many parts have been timed, then that percentile.
@@ -224,14 +222,13 @@
     /// so there an end without an answer, or a late answer, counts until the replica's next turn would have come.
     fn release_counts(&mut self) {
         let (now, patience, turn) = (self.now(), self.patience(), self.turn());
-        let late = self.usual.half.map_or(Nanos::MAX, |u| scaled(u, LATE));
         for &ix in &self.ledger.busy {
             let r = &mut self.ledger.replicas[ix.0];
             let answered = r.last_done_sent;
             r.held.retain(|h| match h.ended {
                 None => true,
                 Some((Ending::Unsent, _)) => false,
-                Some((Ending::Done, at)) => at - h.sent >= late && answered <= h.sent && now < at + turn,
+                Some((Ending::Done, at)) => at - h.sent >= patience && answered <= h.sent && now < at + turn,
                 Some((_, at)) => answered < h.sent && now < at + patience.max(turn),
             });
         }
@@ -242,7 +239,7 @@
         let window = self.copy_window();
         let since = self.now() - window;
         let parts = self.ledger.parts_taken.iter().rev().take_while(|&&at| at > since).count();
-        MEMORY * window / parts.max(1) as Nanos * self.ledger.serving() as Nanos
+        window.min(MEMORY * window / parts.max(1) as Nanos * self.ledger.serving() as Nanos)
     }
 
     /// This aggregator's calls on the replica; a part alone is a call where parts share none.
