--- a/src/choice.rs
+++ b/src/choice.rs
@@ -239,7 +239,7 @@
         let window = self.copy_window();
         let since = self.now() - window;
         let parts = self.ledger.parts_taken.iter().rev().take_while(|&&at| at > since).count();
-        window.min(MEMORY * window / parts.max(1) as Nanos * self.ledger.serving() as Nanos)
+        MEMORY * window.min(window / parts.max(1) as Nanos * self.ledger.serving() as Nanos)
     }
 
     /// This aggregator's calls on the replica; a part alone is a call where parts share none.
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -287,6 +287,7 @@
     host.now += 10_000 * MS;
     host.end(|_| Some(Ending::Silent));
     host.wait(5_000 * MS);
+    host.end(|_| Some(Ending::CalledOff));
     let (ix, _) = host.take(0, &[0]);
     assert!(host.end(|_| Some(Ending::Done)).contains(&Told::Answer(ix, true)));
 }
