Patience is at most the soft limit; main is green again

Cause: after a jam four old medians made patience eight seconds, and what was called off shut replicas for as long.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -26,7 +26,7 @@
 /// Copies stay under this share of the parts of so many abandon times.
 const COPY_SHARE: f64 = 0.1;
 const COPY_WINDOW: f64 = 2.0;
-/// A replica is silent after this many times the usual median, and at least this share of a soft limit. The median,
+/// A replica is silent after this many times the usual median, from this share of a soft limit to all of it. The median,
 /// as a part of the fleet that goes slow moves the upper percentiles at once, and patience with them.
 const PATIENCE: f64 = 4.0;
 const PATIENCE_LEAST: f64 = 0.25;
@@ -174,7 +174,7 @@
     fn patience(&self) -> Nanos {
         let soft = self.shortest_soft_limit();
         let usual = self.usual.half.map_or(0, |p| scaled(p, PATIENCE));
-        usual.max(scaled(soft, PATIENCE_LEAST))
+        usual.clamp(scaled(soft, PATIENCE_LEAST), soft)
     }
 
     fn soft_end(&self, r: &Retrieval) -> Nanos {
