A retrieval that breaks off at different replicas is ended; others scout while connections break

Cause: each part of some retrievals brings down the server that begins it, and further launches brought down the next holder. Should hold too against servers that crash by themselves in numbers; harms where single answers are reset: a retrieval then takes one part's time longer.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -16,7 +16,7 @@
 
 const MEMORY: Nanos = 2;
 /// Samples: enough parts for a steady percentile, few enough to follow a change within seconds.
-const RINGS: RingLengths = RingLengths { overall: 200, per_replica: 48, launches: 64, probes: 8 };
+const RINGS: RingLengths = RingLengths { overall: 200, per_replica: 48, launches: 64, probes: 8, broken: 16 };
 /// Delay of a copy: this share of the soft limit until so many parts have been timed, then that percentile.
 const FIRST_DELAY: f64 = 0.25;
 const DELAY_SAMPLES: usize = 20;
@@ -49,6 +49,9 @@
 const LOSING_OF: usize = 6;
 const LAGGARD: f64 = 3.0;
 const LAGGARD_SAMPLES: usize = 5;
+/// Replicas at which connections broke lately that make us wary, and those that one retrieval may take down.
+const BREAKING: usize = 3;
+const KILLED: usize = 2;
 /// Probes a replica set aside must answer, doubling with each relapse up to a limit; their pace in soft limits.
 const PROBES_BACK: usize = 1;
 const PROBES_BACK_MOST: usize = 8;
@@ -483,9 +486,14 @@
         let mut seats = self.seats(self.ledger.wanted().map(|(ix, _)| ix));
         let most = scaled(self.shortest_soft_limit(), FULL_AFTER);
         let usual = self.usual.longest.unwrap_or(0);
+        let wary = self.servers_break();
         let begun = |r: RetrievalIx| self.ledger.retrieval(r).parts.iter().any(|&p| self.begun(p));
         let waits = |(ix, p): &(PartIx, &Part)| match (p.launches.is_empty(), p.out().next().is_none()) {
-            (true, _) => begun(p.retrieval) && self.finds_room(*ix, most, &seats),
+            (true, _) => {
+                begun(p.retrieval)
+                    && !(wary && self.scouting(p.retrieval))
+                    && self.finds_room(*ix, most, &seats)
+            }
             (_, true) => self.may_repeat(p),
             _ => self.may_repeat(p) && self.stranded(p, usual),
         };
@@ -501,16 +509,46 @@
             }
             let share = if self.earns_little(r) { LESSER_ROOM } else { 1.0 };
             let most = scaled(most.min(scaled(self.soft_end(r) - self.now(), FULL_AFTER)), share);
-            let parts: Vec<PartIx> =
+            let mut parts: Vec<PartIx> =
                 r.parts.iter().copied().filter(|&p| self.finds_room(p, most, &seats)).collect();
             let weight: f64 = parts.iter().map(|&p| self.ledger.part(p).weight).sum();
             let grade = &self.orders.grades[r.grade];
             if weight + ROUNDING >= grade.whole.min((grade.floor + 1.0) / 2.0) {
+                parts.truncate(if wary { 1 } else { parts.len() });
                 self.place_together(&parts, &mut seats, w);
             }
         }
     }
 
+    /// Against retrievals that bring down every server that begins a part of them: while connections break at several
+    /// replicas, whatever the cause, each retrieval sends one part ahead, and the others when that one is done, or
+    /// has been out past our patience. Harm: then a retrieval takes one part's time longer.
+    fn servers_break(&self) -> bool {
+        let since = self.now() - self.copy_window();
+        let mut broke: Vec<ReplicaIx> =
+            self.ledger.broken.iter().filter(|b| b.0 > since).map(|b| b.1).collect();
+        broke.sort();
+        broke.dedup();
+        broke.len() >= BREAKING
+    }
+
+    fn scouting(&self, r: RetrievalIx) -> bool {
+        let parts = || self.ledger.retrieval(r).parts.iter().map(|&p| self.ledger.part(p));
+        let since = self.now() - self.patience();
+        !parts().any(|p| p.done) && parts().flat_map(|p| &p.launches).all(|l| l.sent > since)
+    }
+
+    /// Nothing of it was ever done, and its launches broke off at different replicas: the next one may be taken down
+    /// too, and the client asks again as it is.
+    fn kills(&self, r: &Retrieval) -> bool {
+        let parts = || r.parts.iter().map(|&p| self.ledger.part(p));
+        let broke = parts().flat_map(|p| &p.launches).filter(|l| l.end == Some(Ending::Faulty));
+        let mut broke: Vec<ReplicaIx> = broke.map(|l| l.replica).collect();
+        broke.sort();
+        broke.dedup();
+        broke.len() >= KILLED && !parts().any(|p| p.done)
+    }
+
     /// One asked again, as its time began with an earlier try, or one of a tenant that takes here alone more than its
     /// share of all fronts. What other fronts carry is not seen, so most of what is beyond a share passes unknown.
     fn earns_little(&self, r: &Retrieval) -> bool {
@@ -668,7 +706,7 @@
             && (ended || soft_over && short_earns > grade.late_earnings || within_reach < whole)
         {
             self.answer(ix, false, w);
-        } else if ended || within_reach < floor.min(whole) || self.crowded_out(r, usual) {
+        } else if ended || within_reach < floor.min(whole) || self.crowded_out(r, usual) || self.kills(r) {
             self.end(ix, w);
         }
     }
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -141,6 +141,7 @@
     pub per_replica: usize,
     pub launches: usize,
     pub probes: usize,
+    pub broken: usize,
 }
 
 #[derive(Clone, Debug)]
@@ -158,6 +159,8 @@
     cells: Vec<Vec<ReplicaIx>>,
     /// Times taken by the last parts that were done.
     pub latencies: Ring<Nanos>,
+    /// When launches broke off, and where.
+    pub broken: Ring<(Nanos, ReplicaIx)>,
     /// When retrievals and parts were taken, parts alone; further launches sent, and copies alone.
     pub taken: VecDeque<Nanos>,
     pub parts_taken: VecDeque<Nanos>,
@@ -184,6 +187,7 @@
             busy: BTreeSet::new(),
             cells: Vec::new(),
             latencies: Ring::new(lengths.overall),
+            broken: Ring::new(lengths.broken),
             taken: VecDeque::new(),
             parts_taken: VecDeque::new(),
             further: VecDeque::new(),
@@ -272,6 +276,9 @@
             p.done |= !p.closed;
             self.latencies.push(took);
         }
+        if ending == Ending::Faulty {
+            self.broken.push((now, replica));
+        }
         let r = &mut self.replicas[replica.0];
         if let Some(h) = r.held.iter_mut().find(|h| h.part == part && h.launch == launch) {
             h.ended = Some((ending, now));
