--- a/src/choice.rs
+++ b/src/choice.rs
@@ -619,10 +619,8 @@
                 let mut out = self.ledger.part(*p).out();
                 out.next().filter(|(_, l)| l.sent <= due && out.next().is_none()).map(|(_, l)| (l.sent, *p))
             };
-            // A copy that cannot come before the soft limit is work for next to nothing, and a jam is when all are late.
-            let in_time = self.now() + self.usual.half.unwrap_or(0) < self.soft_end(r);
             let late: Vec<(Nanos, PartIx)> = unanswered.iter().filter_map(alone).collect();
-            if in_time && !late.is_empty() && self.few_left(&unanswered) {
+            if !late.is_empty() && self.few_left(&unanswered) {
                 pending.extend(late);
             }
         }
