--- a/crates/benchlink/src/door.rs
+++ b/crates/benchlink/src/door.rs
@@ -111,7 +111,9 @@
             "topology" => self.topology(item, list, ledger),
             "statusBack" => {
                 let answered = text(item, "status")? == "served";
-                ledger.probe_ended(self.replica(item)?, answered);
+                let pressure = item.get("pressure").and_then(Value::as_object);
+                let told = |name| pressure.and_then(|p| p.get(name)).and_then(Value::as_f64);
+                ledger.probe_ended(self.replica(item)?, answered, told("waiting").zip(told("rps")));
                 Ok(())
             }
             // A timer only wakes the instance; neither peers nor streamed answers are used by any grade here.
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -40,6 +40,8 @@
 const EASED: f64 = 0.5;
 /// A pace says something only where so many parts were answered or are out.
 const PACE_PARTS: usize = 3;
+/// Parts a second that a replica is taken to do at least, whatever it reports.
+const SLOWEST_RATE: f64 = 1.0;
 const RECENT: usize = 5;
 const LATELY: f64 = 2.0;
 /// Failures in a row, unanswered launches among the last few, and slowness against all replicas over so many
@@ -315,6 +317,7 @@
         let (now, patience) = (self.now(), self.patience());
         let pace = scaled(self.shortest_soft_limit(), PROBE_PACE);
         let usual = self.usual.half;
+        let most = scaled(self.shortest_soft_limit(), FULL_AFTER);
         for ix in 0..self.ledger.replicas.len() {
             let Opinion { aside, back, relapses, probe_due } = self.opinions[ix];
             // Only a replica that held something of ours since the last round can have changed.
@@ -328,12 +331,15 @@
             if let Some(since) = aside {
                 let needed = (PROBES_BACK << (relapses - 1).min(8)).min(PROBES_BACK_MOST);
                 let answered = r.probes_answered.iter().filter(|&sent| sent >= since).count();
-                if answered >= needed || !self.orders.may_probe && now > since + pace * needed as Nanos {
+                let wait = self.reported_wait(r);
+                if answered >= needed && wait <= most
+                    || !self.orders.may_probe && now > since + pace * needed as Nanos
+                {
                     self.opinions[ix].aside = None;
                     self.opinions[ix].back = now;
                 } else if self.orders.may_probe && r.probe_sent.is_none() && now >= probe_due {
                     self.ledger.probed(ReplicaIx(ix));
-                    self.opinions[ix].probe_due = now + pace;
+                    self.opinions[ix].probe_due = now + pace.max(wait / 2);
                     w.probe(ReplicaIx(ix));
                 }
             } else if self.silent(r, back, patience)
@@ -395,6 +401,15 @@
         ((sent + 1) as f64) <= room
     }
 
+    /// How long what waits at a replica will take, as it said when last probed. Against servers that work through
+    /// queues in which all is overdue: they answer nothing in time and, fed as before, never catch up, while the
+    /// fronts that feed them hold little there and see no pace of theirs.
+    fn reported_wait(&self, r: &Replica) -> Nanos {
+        let since = self.now() - scaled(self.shortest_soft_limit(), PACE_SPAN);
+        let wait = |(_, waiting, rate): (Nanos, f64, f64)| (waiting / rate.max(SLOWEST_RATE) * 1e9) as Nanos;
+        r.report.filter(|told| told.0 >= since).map_or(0, wait)
+    }
+
     /// How long the replica will take for what it holds of ours: at the pace of its answers, which by Little's law
     /// comes to a share of the soft limit only once answers take that long; but a pace is also slow where we send
     /// little, so down to a third of that where its last answers, and the oldest part it holds, took less.
@@ -406,6 +421,7 @@
         if r.samples.iter().last().is_some_and(|s| s.ending == Ending::Full && s.at >= known_since) {
             return span;
         }
+        let told = self.reported_wait(r);
         let patience = self.patience();
         let held = r.held.iter().filter(|h| h.ended.is_none_or(|(_, at)| self.now() < at + patience)).count();
         let oldest =
@@ -422,7 +438,8 @@
         let answered = self.answered_since(r, since);
         let paced = span / answered.max(1) as Nanos * held as Nanos;
         // With so few parts there is no pace, and what the last ones took is all that is known.
-        if answered + held < PACE_PARTS { lately } else { paced.min(scaled(lately, LATELY).max(paced / 3)) }
+        let few = answered + held < PACE_PARTS;
+        told.max(if few { lately } else { paced.min(scaled(lately, LATELY).max(paced / 3)) })
     }
 
     // ---- launching ----
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -132,6 +132,8 @@
     pub probe_sent: Option<Nanos>,
     /// When the answered probes had been sent.
     pub probes_answered: Ring<Nanos>,
+    /// Its last report: when it came, parts waiting, and parts done a second.
+    pub report: Option<(Nanos, f64, f64)>,
 }
 
 /// Lengths of the sample rings.
@@ -297,11 +299,14 @@
         self.close(retrieval);
     }
 
-    pub fn probe_ended(&mut self, replica: ReplicaIx, answered: bool) {
+    /// `report`: parts waiting and parts done a second, where the probe brought both.
+    pub fn probe_ended(&mut self, replica: ReplicaIx, answered: bool, report: Option<(f64, f64)>) {
+        let now = self.now;
         let r = &mut self.replicas[replica.0];
         if let (Some(sent), true) = (r.probe_sent.take(), answered) {
             r.probes_answered.push(sent);
         }
+        r.report = report.map(|(waiting, rate)| (now, waiting, rate)).or(r.report);
     }
 
     pub fn replica_met(&mut self, cell: usize) -> ReplicaIx {
@@ -317,6 +322,7 @@
             launched_at: Ring::new(self.lengths.launches),
             probe_sent: None,
             probes_answered: Ring::new(self.lengths.probes),
+            report: None,
         });
         ReplicaIx(self.replicas.len() - 1)
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -75,7 +75,7 @@
     host.end(|_| Some(Ending::Silent));
     for _ in 0..20 {
         host.now += 100 * MS;
-        host.round(|l| l.probe_ended(silent, true));
+        host.round(|l| l.probe_ended(silent, true, None));
     }
     let trials = launches(&host.traffic(24, &[])).iter().filter(|l| l.1 == silent).count();
     assert!(trials > 0, "a replica that answers probes gets parts again");
