--- a/src/choice.rs
+++ b/src/choice.rs
@@ -511,7 +511,7 @@
                     && !(wary && self.scouting(p.retrieval))
                     && self.finds_room(*ix, most, &seats)
             }
-            (_, true) => self.may_repeat(p) && self.finds_room(*ix, most, &seats),
+            (_, true) => self.may_repeat(p),
             _ => self.may_repeat(p) && self.stranded(p, usual),
         };
         let waiting: Vec<PartIx> = self.ledger.wanted().filter(waits).map(|(ix, _)| ix).collect();
