--- a/crates/benchlink/src/orders.rs
+++ b/crates/benchlink/src/orders.rs
@@ -17,6 +17,7 @@
         let tenant = p.as_object().ok_or("'boot': a project is not an object")?;
         or(tenant, "allowancePerS", f64::INFINITY, number)
     });
+    let told = section("feedback").get("names").and_then(Value::as_array).unwrap_or(&none_listed);
     let heeded = or(limits, "retryAfter", false, flag)?;
     Ok(StandingOrders {
         grades: grades.collect::<Result<_, _>>()?,
@@ -28,6 +29,7 @@
         may_retract: or(limits, "cancel", false, flag)?,
         may_copy: or(limits, "secondCopies", false, flag)?,
         may_probe: or(limits, "probes", false, flag)?,
+        queues_told: ["waiting", "rps"].iter().all(|name| told.iter().any(|v| v.as_str() == Some(name))),
         stay_away: if heeded { or(limits, "maxRetryAfterNs", 0, whole)? } else { 0 },
         roster_on_request: or(conf, "discovery", false, |f, n| Ok(wire::text(f, n)? == "on_request"))?,
         roster_within: or(rules, "askWithinNs", 0, whole)?,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -328,19 +328,17 @@
             if !r.serving {
                 continue;
             }
+            let wait = self.reported_wait(r);
             if let Some(since) = aside {
                 let needed = (PROBES_BACK << (relapses - 1).min(8)).min(PROBES_BACK_MOST);
                 let answered = r.probes_answered.iter().filter(|&sent| sent >= since).count();
-                let wait = self.reported_wait(r);
                 if answered >= needed && wait <= most
                     || !self.orders.may_probe && now > since + pace * needed as Nanos
                 {
                     self.opinions[ix].aside = None;
                     self.opinions[ix].back = now;
-                } else if self.orders.may_probe && r.probe_sent.is_none() && now >= probe_due {
-                    self.ledger.probed(ReplicaIx(ix));
-                    self.opinions[ix].probe_due = now + pace.max(wait / 2);
-                    w.probe(ReplicaIx(ix));
+                } else if now >= probe_due {
+                    self.ask(ReplicaIx(ix), pace.max(wait / 2), w);
                 }
             } else if self.silent(r, back, patience)
                 || Self::failing(r, back, self.on_trial(ReplicaIx(ix)), patience)
@@ -350,10 +348,25 @@
                 self.opinions[ix].relapses = relapses + 1;
             } else if relapses > 0 && self.answered_since(r, back) >= LAGGARD_SAMPLES {
                 self.opinions[ix].relapses = 0;
+            } else if self.orders.queues_told && now >= probe_due {
+                // A late answer or a refusal may be chance, or a queue that the replica can tell of.
+                let last = r.samples.iter().last().filter(|s| s.at == now);
+                let queues = |s: Sample| s.ending == Ending::Full || s.took >= patience;
+                if wait > most || last.is_some_and(queues) {
+                    self.ask(ReplicaIx(ix), pace.max(wait / 2), w);
+                }
             }
         }
     }
 
+    fn ask(&mut self, ix: ReplicaIx, pace: Nanos, w: &mut dyn Writer) {
+        if self.orders.may_probe && self.ledger.replicas[ix.0].probe_sent.is_none() {
+            self.ledger.probed(ix);
+            self.opinions[ix.0].probe_due = self.now() + pace;
+            w.probe(ix);
+        }
+    }
+
     fn answered_since(&self, r: &Replica, back: Nanos) -> usize {
         r.samples.iter().filter(|s| s.ending == Ending::Done && s.at >= back).count()
     }
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -73,6 +73,8 @@
     pub may_retract: bool,
     pub may_copy: bool,
     pub may_probe: bool,
+    /// Whether probes bring how many parts wait and how many are done a second.
+    pub queues_told: bool,
     /// Longest stay-away that clients heed; 0 where they are never told.
     pub stay_away: Nanos,
     /// Whether news of the roster comes only to those who ask.
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -78,6 +78,7 @@
         may_retract: true,
         may_copy: true,
         may_probe: true,
+        queues_told: false,
         stay_away: 0,
         roster_on_request: false,
         roster_within: 10_000 * MS,
