--- a/src/choice.rs
+++ b/src/choice.rs
@@ -472,9 +472,6 @@
         all.retain(|&ix| part.out().all(|(_, l)| l.replica != ix));
         prefer(&mut all, |ix| seats[ix].sound);
         prefer(&mut all, |ix| !tried(ix));
-        // Else a part let in because one holder has room could go to another that has none.
-        let most = scaled(self.shortest_soft_limit(), FULL_AFTER);
-        prefer(&mut all, |ix| seats[ix].backlog <= most);
         all.retain(|&ix| !tried(ix) || self.ledger.replicas[ix.0].held.iter().all(|h| h.part != id));
         all
     }
