--- a/src/choice.rs
+++ b/src/choice.rs
@@ -452,7 +452,11 @@
         let paced = span / answered.max(1) as Nanos * held as Nanos;
         // With so few parts there is no pace, and what the last ones took is all that is known.
         let few = answered + held < PACE_PARTS;
-        told.max(if few { lately } else { paced.min(scaled(lately, LATELY).max(paced / 3)) })
+        told.max(if few {
+            if lately >= patience { lately } else { 0 }
+        } else {
+            paced.min(scaled(lately, LATELY).max(paced / 3))
+        })
     }
 
     // ---- launching ----
