--- a/src/choice.rs
+++ b/src/choice.rs
@@ -22,7 +22,6 @@
 const DELAY_SAMPLES: usize = 20;
 const DELAY_PERCENTILE: f64 = 0.95;
 /// The usual longest time of a part: what patience and the last call go by.
-const USUAL_QUICK: f64 = 0.25;
 const USUAL_LONGEST: f64 = 0.9;
 /// Copies stay under this share of the parts of so many abandon times.
 const COPY_SHARE: f64 = 0.1;
@@ -41,8 +40,6 @@
 const EASED: f64 = 0.5;
 /// A pace says something only where so many parts were answered or are out.
 const PACE_PARTS: usize = 3;
-/// With fewer, an answer tells of a queue from so many times a quick one: the median moves too much in a jam.
-const SLOW_ANSWER: f64 = 4.0;
 /// Parts a second that a replica is taken to do at least, whatever it reports.
 const SLOWEST_RATE: f64 = 1.0;
 const RECENT: usize = 5;
@@ -118,7 +115,6 @@
 /// Percentiles of the last part latencies, worked out once a round; none before there are enough of them.
 #[derive(Clone, Copy, Debug, Default)]
 struct Usual {
-    quick: Option<Nanos>,
     half: Option<Nanos>,
     longest: Option<Nanos>,
     delay: Option<Nanos>,
@@ -143,12 +139,8 @@
         let fresh = Opinion { aside: None, back: Nanos::MIN, relapses: 0, probe_due: 0 };
         self.opinions.resize(self.ledger.replicas.len(), fresh);
         let usual = |share| self.percentile_of_all(share);
-        self.usual = Usual {
-            quick: usual(USUAL_QUICK),
-            half: usual(0.5),
-            longest: usual(USUAL_LONGEST),
-            delay: usual(DELAY_PERCENTILE),
-        };
+        self.usual =
+            Usual { half: usual(0.5), longest: usual(USUAL_LONGEST), delay: usual(DELAY_PERCENTILE) };
         self.follow_roster(w);
         self.release_counts();
         self.judge_replicas(w);
@@ -458,14 +450,15 @@
         let lately = if took.is_empty() { oldest } else { oldest.max(percentile(took, 0.5)) };
         let answered = self.answered_since(r, since);
         let paced = span / answered.max(1) as Nanos * held as Nanos;
-        // With so few parts there is no pace, and what the last ones took is all that is known.
-        let slow = self.usual.quick.map_or(0, |quick| scaled(quick, SLOW_ANSWER));
-        let few = answered + held < PACE_PARTS;
-        told.max(if few {
-            if lately >= slow { lately } else { 0 }
-        } else {
-            paced.min(scaled(lately, LATELY).max(paced / 3))
-        })
+        // With so few parts there is no pace, and what the last ones took is all that is known. Where replicas tell
+        // of their queues a word of theirs corrects it; where they do not, only what is late past patience tells.
+        let corrected = r.report.is_some_and(|told| r.samples.iter().last().is_none_or(|s| s.at < told.0));
+        let own = match answered + held < PACE_PARTS {
+            false => paced.min(scaled(lately, LATELY).max(paced / 3)),
+            true if corrected || !self.orders.queues_told && lately < patience => 0,
+            true => lately,
+        };
+        told.max(own)
     }
 
     // ---- launching ----
