--- a/src/choice.rs
+++ b/src/choice.rs
@@ -450,12 +450,11 @@
         let lately = if took.is_empty() { oldest } else { oldest.max(percentile(took, 0.5)) };
         let answered = self.answered_since(r, since);
         let paced = span / answered.max(1) as Nanos * held as Nanos;
-        // With so few parts there is no pace, and what the last ones took is all that is known. Where replicas tell
-        // of their queues a word of theirs corrects it; where they do not, only what is late past patience tells.
-        let corrected = r.report.is_some_and(|told| r.samples.iter().last().is_none_or(|s| s.at < told.0));
+        // With so few parts there is no pace, and what the last ones took is all that is known: where replicas tell
+        // of their queues it is taken for one and they are asked; else it may be the link, and must be past patience.
         let own = match answered + held < PACE_PARTS {
             false => paced.min(scaled(lately, LATELY).max(paced / 3)),
-            true if corrected || !self.orders.queues_told && lately < patience => 0,
+            true if !self.orders.queues_told && lately < patience => 0,
             true => lately,
         };
         told.max(own)
