--- a/src/choice.rs
+++ b/src/choice.rs
@@ -434,7 +434,6 @@
         if r.samples.iter().last().is_some_and(|s| s.ending == Ending::Full && s.at >= known_since) {
             return span;
         }
-        let told = self.reported_wait(r);
         let patience = self.patience();
         let held = r.held.iter().filter(|h| h.ended.is_none_or(|(_, at)| self.now() < at + patience)).count();
         let oldest =
@@ -452,12 +451,11 @@
         let paced = span / answered.max(1) as Nanos * held as Nanos;
         // With so few parts there is no pace, and what the last ones took is all that is known: where replicas tell
         // of their queues it is taken for one and they are asked; else it may be the link, and must be past patience.
-        let own = match answered + held < PACE_PARTS {
+        match answered + held < PACE_PARTS {
             false => paced.min(scaled(lately, LATELY).max(paced / 3)),
             true if !self.orders.queues_told && lately < patience => 0,
-            true => lately,
-        };
-        told.max(own)
+            true => lately.max(self.reported_wait(r)),
+        }
     }
 
     // ---- launching ----
