--- a/src/choice.rs
+++ b/src/choice.rs
@@ -418,9 +418,10 @@
     /// queues in which all is overdue: they answer nothing in time and, fed as before, never catch up, while the
     /// fronts that feed them hold little there and see no pace of theirs.
     fn reported_wait(&self, r: &Replica) -> Nanos {
-        let since = self.now() - scaled(self.shortest_soft_limit(), PACE_SPAN);
-        let wait = |(_, waiting, rate): (Nanos, f64, f64)| (waiting / rate.max(SLOWEST_RATE) * 1e9) as Nanos;
-        r.report.filter(|told| told.0 >= since).map_or(0, wait)
+        let span = scaled(self.shortest_soft_limit(), PACE_SPAN);
+        let wait =
+            r.report.map(|(at, waiting, rate)| (at, (waiting / rate.max(SLOWEST_RATE) * 1e9) as Nanos));
+        wait.filter(|&(at, wait)| self.now() - at < wait.max(span)).map_or(0, |(_, wait)| wait)
     }
 
     /// How long the replica will take for what it holds of ours: at the pace of its answers, which by Little's law
@@ -474,6 +475,9 @@
         let tried = |ix: ReplicaIx| part.launches.iter().any(|l| l.replica == ix);
         all.retain(|&ix| part.out().all(|(_, l)| l.replica != ix));
         prefer(&mut all, |ix| seats[ix].sound);
+        // Where all look bad a queue that a replica told of is the one thing sure.
+        let most = scaled(self.shortest_soft_limit(), FULL_AFTER);
+        prefer(&mut all, |ix| self.reported_wait(&self.ledger.replicas[ix.0]) <= most);
         prefer(&mut all, |ix| !tried(ix));
         all.retain(|&ix| !tried(ix) || self.ledger.replicas[ix.0].held.iter().all(|h| h.part != id));
         all
