--- a/src/choice.rs
+++ b/src/choice.rs
@@ -14,7 +14,7 @@
 use crate::interface::{Effect, Nanos, PartIx, ReplicaIx, RetrievalIx, StandingOrders, Writer};
 use crate::ledger::{Ending, Launch, Ledger, Part, Replica, Retrieval, RingLengths, Sample};
 
-const MEMORY: Nanos = 3;
+const MEMORY: Nanos = 2;
 /// Samples: enough parts for a steady percentile, few enough to follow a change within seconds.
 const RINGS: RingLengths = RingLengths { overall: 200, per_replica: 48, launches: 64, probes: 8, broken: 16 };
 /// Delay of a copy: this share of the soft limit until so many parts have been timed, then that percentile.
