--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -444,3 +444,100 @@
     let place = |part: PartIx| order.iter().position(|l| l.0 == part).unwrap_or(usize::MAX);
     assert!(place(parts[0]) < place(parts[1]), "{order:?}");
 }
+
+#[test]
+fn where_parts_are_rare_a_late_answer_is_remembered_until_the_replicas_next_turn() {
+    let mut host = Host::new(orders(40));
+    host.traffic(80, &[]);
+    // One part at A takes long past our patience; nothing else is out anywhere afterwards.
+    let mut late = None;
+    while late.is_none() {
+        late = launches(&host.take(0, &[39]).1).into_iter().find(|l| l.1 == A);
+        host.now += if late.is_some() { 900 * MS } else { 50 * MS };
+        host.end(|_| Some(Ending::Done));
+        host.end(|_| Some(Ending::CalledOff));
+    }
+    let mut to_late = 0;
+    for _ in 0..12 {
+        to_late += launches(&host.take(0, &[39]).1).iter().filter(|l| l.1 == A).count();
+        host.now += 50 * MS;
+        host.end(|_| Some(Ending::Done));
+    }
+    assert_eq!(to_late, 0, "its neighbour has no such mark, and both have nothing out");
+}
+
+#[test]
+fn a_replica_that_refused_the_last_part_has_no_room_though_nothing_is_out() {
+    let mut host = Host::new(orders(40));
+    host.traffic(80, &[]);
+    let (first, _) = host.take(0, &[0]);
+    host.end(|_| Some(Ending::Full));
+    host.end(|_| Some(Ending::Full));
+    host.now += 100 * MS;
+    let (next, told) = host.take(0, &[0]);
+    assert!(launches(&told).is_empty(), "both holders said that they are full: {told:?}");
+    assert_ne!(first, next);
+}
+
+#[test]
+fn a_replica_that_tells_of_a_long_queue_stays_aside_though_it_answers_probes() {
+    let told_of = |waiting: f64| {
+        let mut orders = orders(2);
+        orders.queues_told = true;
+        let mut host = Host::new(orders);
+        host.traffic(40, &[]);
+        host.traffic(30, &[A]);
+        let mut told = Vec::new();
+        for _ in 0..20 {
+            host.now += 100 * MS;
+            host.end(|r| (r == A).then_some(Ending::CalledOff));
+            host.round(|l| l.probe_ended(A, true, Some((waiting, 10.0))));
+            told.extend(host.traffic(2, &[A]));
+        }
+        launches(&told).iter().filter(|l| l.1 == A).count()
+    };
+    assert_eq!(told_of(40.0), 0, "four seconds of work wait there");
+    assert!(told_of(0.0) > 0, "with nothing waiting it is tried again");
+}
+
+#[test]
+fn a_retrieval_whose_parts_break_off_everywhere_is_ended_before_it_takes_more_down() {
+    let mut host = Host::new(orders(12));
+    host.traffic(40, &[]);
+    let (ix, told) = host.take(0, &[0, 2, 4, 6]);
+    assert_eq!(launches(&told).len(), 4);
+    host.now += 20 * MS;
+    let told = host.end(|_| Some(Ending::Faulty));
+    assert!(told.contains(&Told::Dismiss(ix)) && launches(&told).is_empty(), "{told:?}");
+}
+
+#[test]
+fn while_connections_break_a_retrieval_sends_one_part_ahead() {
+    let mut host = Host::new(orders(12));
+    host.traffic(40, &[]);
+    host.take(0, &[0, 2, 4, 6]);
+    host.now += 20 * MS;
+    host.end(|_| Some(Ending::Faulty));
+    let (ix, told) = host.take(0, &[1, 5, 9]);
+    assert_eq!(launches(&told).len(), 1);
+    host.now += 50 * MS;
+    let told = host.end(|_| Some(Ending::Done));
+    assert_eq!(launches(&told).len(), 2, "nothing died under it: the others follow");
+    host.now += 50 * MS;
+    assert!(host.end(|_| Some(Ending::Done)).contains(&Told::Answer(ix, true)));
+}
+
+#[test]
+fn a_jam_does_not_stretch_patience_beyond_the_soft_limit() {
+    let mut host = Host::new(orders(2));
+    host.traffic(4, &[]);
+    for _ in 0..30 {
+        host.take(0, &[0]);
+        host.now += 900 * MS;
+        host.end(|_| Some(Ending::Done));
+    }
+    let told: Vec<Told> = host.take(0, &[0]).1;
+    let silent = launches(&told)[0].1;
+    let told: Vec<Told> = (0..24).flat_map(|_| host.wait(50 * MS)).collect();
+    assert!(told.contains(&Told::Probe(silent)), "silent for a whole soft limit");
+}
