--- a/src/choice.rs
+++ b/src/choice.rs
@@ -66,7 +66,7 @@
 const ROUNDING: f64 = 1e-6;
 /// Rounds kept free before a client's time is up.
 const MARGIN_ROUNDS: Nanos = 3;
-const WAKE_ROUNDS: Nanos = 2;
+const WAKE_ROUNDS: Nanos = 4;
 
 /// What is thought of a replica.
 #[derive(Clone, Copy, Debug)]
@@ -112,12 +112,15 @@
     usual: Usual,
 }
 
-/// Percentiles of the last part latencies, worked out once a round; none before there are enough of them.
+/// Worked out once a round, as every seat needs them: percentiles of the last part latencies (none before there are
+/// enough of them), our patience, and a replica's turn.
 #[derive(Clone, Copy, Debug, Default)]
 struct Usual {
     half: Option<Nanos>,
     longest: Option<Nanos>,
     delay: Option<Nanos>,
+    patience: Nanos,
+    turn: Nanos,
 }
 
 impl Aggregator {
@@ -139,8 +142,8 @@
         let fresh = Opinion { aside: None, back: Nanos::MIN, relapses: 0, probe_due: 0 };
         self.opinions.resize(self.ledger.replicas.len(), fresh);
         let usual = |share| self.percentile_of_all(share);
-        self.usual =
-            Usual { half: usual(0.5), longest: usual(USUAL_LONGEST), delay: usual(DELAY_PERCENTILE) };
+        let (half, longest, delay) = (usual(0.5), usual(USUAL_LONGEST), usual(DELAY_PERCENTILE));
+        self.usual = Usual { half, longest, delay, patience: self.patience(half), turn: self.turn() };
         self.follow_roster(w);
         self.release_counts();
         self.judge_replicas(w);
@@ -176,9 +179,9 @@
         (took.len() >= DELAY_SAMPLES).then(|| percentile(took, share))
     }
 
-    fn patience(&self) -> Nanos {
+    fn patience(&self, half: Option<Nanos>) -> Nanos {
         let soft = self.shortest_soft_limit();
-        let usual = self.usual.half.map_or(0, |p| scaled(p, PATIENCE));
+        let usual = half.map_or(0, |p| scaled(p, PATIENCE));
         usual.clamp(scaled(soft, PATIENCE_LEAST), soft)
     }
 
@@ -226,7 +229,7 @@
     /// replica a part only every many seconds nearly all counts are zero and say nothing of queues or slow machines,
     /// so there an end without an answer, or a late answer, counts until the replica's next turn would have come.
     fn release_counts(&mut self) {
-        let (now, patience, turn) = (self.now(), self.patience(), self.turn());
+        let (now, patience, turn) = (self.now(), self.usual.patience, self.usual.turn);
         for &ix in &self.ledger.busy {
             let r = &mut self.ledger.replicas[ix.0];
             let answered = r.last_done_sent;
@@ -314,16 +317,16 @@
     /// Sets aside a replica that is silent, fails or lags, whatever the cause, probes it, and lets it back by
     /// degrees: a probe may prove no more than that a process runs, so the first parts come one at a time.
     fn judge_replicas(&mut self, w: &mut dyn Writer) {
-        let (now, patience) = (self.now(), self.patience());
+        let (now, patience) = (self.now(), self.usual.patience);
         let pace = scaled(self.shortest_soft_limit(), PROBE_PACE);
         let usual = self.usual.half;
         let most = scaled(self.shortest_soft_limit(), FULL_AFTER);
-        for ix in 0..self.ledger.replicas.len() {
+        // Only those that are set aside, or held something of ours since the last round, can have changed.
+        let aside = |ix: &usize| self.opinions[*ix].aside.is_some();
+        let mut watched: Vec<usize> = (0..self.opinions.len()).filter(aside).collect();
+        watched.extend(self.ledger.busy.iter().map(|ix| ix.0).filter(|ix| !aside(ix)));
+        for ix in watched {
             let Opinion { aside, back, relapses, probe_due } = self.opinions[ix];
-            // Only a replica that held something of ours since the last round can have changed.
-            if aside.is_none() && !self.ledger.busy.contains(&ReplicaIx(ix)) {
-                continue;
-            }
             let r = &self.ledger.replicas[ix];
             if !r.serving {
                 continue;
@@ -430,12 +433,12 @@
     fn backlog(&self, ix: ReplicaIx) -> Nanos {
         let (r, span) = (&self.ledger.replicas[ix.0], scaled(self.shortest_soft_limit(), PACE_SPAN));
         let since = self.now() - span;
-        let known_since = since.min(self.now() - self.turn());
+        let known_since = since.min(self.now() - self.usual.turn);
         // A refusal for want of room says of the queue what no pace of ours can.
         if r.samples.iter().last().is_some_and(|s| s.ending == Ending::Full && s.at >= known_since) {
             return span;
         }
-        let patience = self.patience();
+        let patience = self.usual.patience;
         let held = r.held.iter().filter(|h| h.ended.is_none_or(|(_, at)| self.now() < at + patience)).count();
         let oldest =
             r.held.iter().filter(|h| h.ended.is_none()).map(|h| self.now() - h.sent).max().unwrap_or(0);
@@ -520,9 +523,10 @@
     /// so does any part left over. The newest is let in first, as it has most of its time left, and those that earn
     /// little come last.
     fn place(&mut self, w: &mut dyn Writer) {
-        let mut seats = self.seats(self.ledger.wanted().map(|(ix, _)| ix));
         let most = scaled(self.shortest_soft_limit(), FULL_AFTER);
         let usual = self.usual.longest.unwrap_or(0);
+        let idle = |(_, p): &(PartIx, &Part)| p.out().next().is_none() || self.stranded(p, usual);
+        let mut seats = self.seats(self.ledger.wanted().filter(idle).map(|(ix, _)| ix));
         let wary = self.servers_break();
         let begun = |r: RetrievalIx| self.ledger.retrieval(r).parts.iter().any(|&p| self.begun(p));
         let waits = |(ix, p): &(PartIx, &Part)| match (p.launches.is_empty(), p.out().next().is_none()) {
@@ -571,7 +575,7 @@
 
     fn scouting(&self, r: RetrievalIx) -> bool {
         let parts = || self.ledger.retrieval(r).parts.iter().map(|&p| self.ledger.part(p));
-        let since = self.now() - self.patience();
+        let since = self.now() - self.usual.patience;
         !parts().any(|p| p.done) && parts().flat_map(|p| &p.launches).all(|l| l.sent > since)
     }
 
