--- a/src/choice.rs
+++ b/src/choice.rs
@@ -528,17 +528,20 @@
         let idle = |(_, p): &(PartIx, &Part)| p.out().next().is_none() || self.stranded(p, usual);
         let mut seats = self.seats(self.ledger.wanted().filter(idle).map(|(ix, _)| ix));
         let wary = self.servers_break();
-        let begun = |r: RetrievalIx| self.ledger.retrieval(r).parts.iter().any(|&p| self.begun(p));
-        let waits = |(ix, p): &(PartIx, &Part)| match (p.launches.is_empty(), p.out().next().is_none()) {
-            (true, _) => {
-                begun(p.retrieval)
-                    && !(wary && self.scouting(p.retrieval))
-                    && self.finds_room(*ix, most, &seats)
-            }
-            (_, true) => self.may_repeat(p),
-            _ => self.may_repeat(p) && self.stranded(p, usual),
-        };
-        let waiting: Vec<PartIx> = self.ledger.wanted().filter(waits).map(|(ix, _)| ix).collect();
+        let mut waiting: Vec<PartIx> = Vec::new();
+        for (_, r) in self.ledger.open() {
+            let begun = r.parts.iter().any(|&p| self.begun(p));
+            let ahead = !begun || wary && self.scouting(r);
+            let waits = |ix: &PartIx| {
+                let p = self.ledger.part(*ix);
+                match (p.launches.is_empty(), p.out().next().is_none()) {
+                    (true, _) => !ahead && self.finds_room(*ix, most, &seats),
+                    (_, true) => self.may_repeat(p),
+                    _ => self.may_repeat(p) && self.stranded(p, usual),
+                }
+            };
+            waiting.extend(r.parts.iter().copied().filter(|&p| self.unanswered(p)).filter(waits));
+        }
         self.place_together(&waiting, &mut seats, w);
         let key = |(ix, r): (RetrievalIx, &Retrieval)| (self.earns_little(r), Reverse(ix));
         let mut open: Vec<(bool, Reverse<RetrievalIx>)> = self.ledger.open().map(key).collect();
@@ -573,8 +576,8 @@
         broke.len() >= BREAKING
     }
 
-    fn scouting(&self, r: RetrievalIx) -> bool {
-        let parts = || self.ledger.retrieval(r).parts.iter().map(|&p| self.ledger.part(p));
+    fn scouting(&self, r: &Retrieval) -> bool {
+        let parts = || r.parts.iter().map(|&p| self.ledger.part(p));
         let since = self.now() - self.usual.patience;
         !parts().any(|p| p.done) && parts().flat_map(|p| &p.launches).all(|l| l.sent > since)
     }
