--- a/src/choice.rs
+++ b/src/choice.rs
@@ -66,7 +66,7 @@
 const ROUNDING: f64 = 1e-6;
 /// Rounds kept free before a client's time is up.
 const MARGIN_ROUNDS: Nanos = 3;
-const WAKE_ROUNDS: Nanos = 4;
+const WAKE_ROUNDS: Nanos = 2;
 
 /// What is thought of a replica.
 #[derive(Clone, Copy, Debug)]
