--- a/src/choice.rs
+++ b/src/choice.rs
@@ -295,7 +295,8 @@
     /// what their twins answer would else hide it.
     fn failing(r: &Replica, back: Nanos, on_trial: bool, patience: Nanos) -> bool {
         let told = |s: &Sample| s.ending != Ending::CalledOff || s.took >= patience;
-        let since = r.samples.iter().rev().filter(|s| s.at - s.took >= back && told(s));
+        let since =
+            r.samples.iter().rev().take_while(|s| s.at >= back).filter(|s| s.at - s.took >= back && told(s));
         let last: Vec<Ending> =
             since.filter(|s| s.ending != Ending::Full).take(LOSING_OF).map(|s| s.ending).collect();
         let in_a_row = last.iter().take_while(|&&e| e != Ending::Done && e != Ending::CalledOff).count();
@@ -371,7 +372,7 @@
     }
 
     fn answered_since(&self, r: &Replica, back: Nanos) -> usize {
-        r.samples.iter().filter(|s| s.ending == Ending::Done && s.at >= back).count()
+        r.samples.iter().rev().take_while(|s| s.at >= back).filter(|s| s.ending == Ending::Done).count()
     }
 
     /// Room left for a replica that is back but has not answered enough parts yet.
@@ -446,7 +447,8 @@
             .samples
             .iter()
             .rev()
-            .filter(|s| s.ending == Ending::Done && s.at >= known_since)
+            .take_while(|s| s.at >= known_since)
+            .filter(|s| s.ending == Ending::Done)
             .take(RECENT)
             .map(|s| s.took);
         let took: Vec<Nanos> = recent.collect();
