--- a/src/choice.rs
+++ b/src/choice.rs
@@ -1,8 +1,8 @@
-//! Every decision of an aggregator, every threshold and tuned value. The facts it rests on are in `ledger.rs`;
-//! what a host hands over at the start, and the `Writer` that takes the decisions, are in `interface.rs`.
+//! Every decision of an aggregator, every threshold and tuned value. The facts they rest on are in
+//! `ledger.rs`; what a host hands over at the start, and the `Writer`, are in `interface.rs`.
 //!
-//! Call [`Aggregator::round`] once a round: `came_in` records all that happened since the last one, and when it
-//! returns, the decisions go to the writer. The source of the design is cited in `docs/design.md`.
+//! Call [`Aggregator::round`] once a round: `came_in` records all that happened since the last one, and when
+//! it returns, the decisions go to the writer. The source of the design is cited in `docs/design.md`.
 
 use std::cmp::Reverse;
 use std::collections::VecDeque;
@@ -26,12 +26,12 @@
 /// Copies stay under this share of the parts of so many abandon times.
 const COPY_SHARE: f64 = 0.1;
 const COPY_WINDOW: f64 = 2.0;
-/// A replica is silent after this many times the usual median, from this share of a soft limit to all of it. The median,
-/// as a part of the fleet that goes slow moves the upper percentiles at once, and patience with them.
+/// A replica is silent after this many times the usual median, from this share of a soft limit to all of it.
+/// The median, as a part of the fleet that goes slow moves the upper percentiles at once.
 const PATIENCE: f64 = 4.0;
 const PATIENCE_LEAST: f64 = 0.25;
-/// A part finds no room where our parts on the replica, at the pace of its answers over so many soft limits, would
-/// take longer than this share of a soft limit; so many parts it may always hold.
+/// A part finds no room where our parts on the replica, at the pace of its answers over so many soft limits,
+/// would take longer than this share of a soft limit.
 const FULL_AFTER: f64 = 0.38;
 /// Share of that room for those that earn little: the rest is kept for the others.
 const LESSER_ROOM: f64 = 0.25;
@@ -54,7 +54,8 @@
 /// Replicas at which connections broke lately that make us wary, and those that one retrieval may take down.
 const BREAKING: usize = 3;
 const KILLED: usize = 2;
-/// Probes a replica set aside must answer, doubling with each relapse up to a limit; their pace in soft limits.
+/// Probes a replica set aside must answer, doubling with each relapse up to a limit; their pace in soft
+/// limits.
 const PROBES_BACK: usize = 1;
 const PROBES_BACK_MOST: usize = 8;
 const PROBE_PACE: f64 = 0.4;
@@ -112,8 +113,8 @@
     usual: Usual,
 }
 
-/// Worked out once a round, as every seat needs them: percentiles of the last part latencies (none before there are
-/// enough of them), our patience, and a replica's turn.
+/// Worked out once a round, as every seat needs them: percentiles of the last part latencies (none before
+/// there are enough of them), our patience, and a replica's turn.
 #[derive(Clone, Copy, Debug, Default)]
 struct Usual {
     half: Option<Nanos>,
@@ -191,7 +192,8 @@
         r.taken + limit.min(grade.abandon)
     }
 
-    /// When nothing more can be earned: at the client's own end, or at the soft limit where late earns nothing.
+    /// When nothing more can be earned: at the client's own end, or at the soft limit where late earns
+    /// nothing.
     fn end_of_use(&self, r: &Retrieval) -> Nanos {
         let late = self.orders.grades[r.grade].late_earnings > 0.0;
         let end = if late { r.valid_until } else { self.soft_end(r).min(r.valid_until) };
@@ -200,8 +202,8 @@
 
     // ---- the roster ----
 
-    /// Asks for the roster's changes where they come only on request; after a miss the waits grow and are spread
-    /// by chance, lest all aggregators ask a roster that just came back at once.
+    /// Asks for the roster's changes where they come only on request; after a miss the waits grow and are
+    /// spread by chance, lest all aggregators ask a roster that just came back at once.
     fn follow_roster(&mut self, w: &mut dyn Writer) {
         if !self.orders.roster_on_request {
             return;
@@ -223,11 +225,12 @@
 
     // ---- counts ----
 
-    /// Against silent replicas and fast errors alike: a launch that ended without an answer goes on counting as in
-    /// flight until the replica answers a later one, or for as long as we would wait for an answer. Else the count
-    /// of a replica that answers nothing, or only errors, empties first and draws all the parts. Where we send a
-    /// replica a part only every many seconds nearly all counts are zero and say nothing of queues or slow machines,
-    /// so there an end without an answer, or a late answer, counts until the replica's next turn would have come.
+    /// Against silent replicas and fast errors alike: a launch that ended without an answer goes on counting
+    /// as in flight until the replica answers a later one, or for as long as we would wait for an answer.
+    /// Else the count of a replica that answers nothing, or only errors, empties first and draws all the
+    /// parts. Where we send a replica a part only every many seconds nearly all counts are zero and say
+    /// nothing of queues or slow machines, so there an end without an answer, or a late answer, counts until
+    /// the replica's next turn would have come.
     fn release_counts(&mut self) {
         let (now, patience, turn) = (self.now(), self.usual.patience, self.usual.turn);
         for &ix in &self.ledger.busy {
@@ -290,9 +293,8 @@
         r.last_done_at < since && r.held.iter().any(|h| h.ended.is_none() && h.sent >= back && h.sent < since)
     }
 
-    /// Turned away counts too: a replica that hangs, once filled by all fronts, says no more than that it is full. So
-    /// does a launch called off after our patience, against replicas that answer some parts and lose others:
-    /// what their twins answer would else hide it.
+    /// A refusal for want of room tells of a queue, not of a fault. A launch called off after our patience counts,
+    /// against replicas that answer some parts and lose others: what twins answer would else hide it.
     fn failing(r: &Replica, back: Nanos, on_trial: bool, patience: Nanos) -> bool {
         let told = |s: &Sample| s.ending != Ending::CalledOff || s.took >= patience;
         let since =
@@ -395,10 +397,11 @@
         if age >= 1.0 { 1.0 } else { thaw.share + (1.0 - thaw.share) * age }
     }
 
-    /// Against pushing a cold server over: within the rule's window we send it no more than the rule's multiple of
-    /// what warm replicas have done for us in that time, scaled by its warmth. As all fronts' done parts together
-    /// never pass a server's capacity, fronts that all do this keep the rule without talking to each other. What the
-    /// server has itself done counts as well, or a fleet restarted at once would stay at one part a window.
+    /// Against pushing a cold server over: within the rule's window we send it no more than the rule's
+    /// multiple of what warm replicas have done for us in that time, scaled by its warmth. As all fronts'
+    /// done parts together never pass a server's capacity, fronts that all do this keep the rule without
+    /// talking to each other. What the server has itself done counts as well, or a fleet restarted at once
+    /// would stay at one part a window.
     fn has_room(&self, ix: ReplicaIx) -> bool {
         let r = &self.ledger.replicas[ix.0];
         let warmth = self.warmth(r);
@@ -418,9 +421,9 @@
         ((sent + 1) as f64) <= room
     }
 
-    /// How long what waits at a replica will take, as it said when last probed. Against servers that work through
-    /// queues in which all is overdue: they answer nothing in time and, fed as before, never catch up, while the
-    /// fronts that feed them hold little there and see no pace of theirs.
+    /// How long what waits at a replica will take, as it said when last probed. Against servers that work
+    /// through queues in which all is overdue: they answer nothing in time and, fed as before, never catch
+    /// up, while the fronts that feed them hold little there and see no pace of theirs.
     fn reported_wait(&self, r: &Replica) -> Nanos {
         let span = scaled(self.shortest_soft_limit(), PACE_SPAN);
         let wait =
@@ -428,9 +431,10 @@
         wait.filter(|&(at, wait)| self.now() - at < wait.max(span)).map_or(0, |(_, wait)| wait)
     }
 
-    /// How long the replica will take for what it holds of ours: at the pace of its answers, which by Little's law
-    /// comes to a share of the soft limit only once answers take that long; but a pace is also slow where we send
-    /// little, so down to a third of that where its last answers, and the oldest part it holds, took less.
+    /// How long the replica will take for what it holds of ours: at the pace of its answers, which by
+    /// Little's law comes to a share of the soft limit only once answers take that long; but a pace is also
+    /// slow where we send little, so down to a third of that where its last answers, and the oldest part it
+    /// holds, took less.
     fn backlog(&self, ix: ReplicaIx) -> Nanos {
         let (r, span) = (&self.ledger.replicas[ix.0], scaled(self.shortest_soft_limit(), PACE_SPAN));
         let since = self.now() - span;
@@ -455,8 +459,9 @@
         let lately = if took.is_empty() { oldest } else { oldest.max(percentile(took, 0.5)) };
         let answered = self.answered_since(r, since);
         let paced = span / answered.max(1) as Nanos * held as Nanos;
-        // With so few parts there is no pace, and what the last ones took is all that is known: where replicas tell
-        // of their queues it is taken for one and they are asked; else it may be the link, and must be past patience.
+        // With so few parts there is no pace, and what the last ones took is all that is known: where
+        // replicas tell of their queues it is taken for one and they are asked; else it may be the link, and
+        // must be past patience.
         match answered + held < PACE_PARTS {
             false => paced.min(scaled(lately, LATELY).max(paced / 3)),
             true if !self.orders.queues_told && lately < patience => 0,
@@ -471,9 +476,10 @@
         (0..self.orders.reach.min(cells)).flat_map(move |j| self.ledger.in_cell((shard + j) % cells))
     }
 
-    /// Replicas that may get a launch of the part: sound ones, not tried yet if there are such. Where all look bad,
-    /// the evidence or the view is bad, and all of them are tried. One that was tried is tried again only when that
-    /// launch counts no more: else a part burns all its launches on full replicas within a few rounds.
+    /// Replicas that may get a launch of the part: sound ones, not tried yet if there are such. Where all
+    /// look bad, the evidence or the view is bad, and all of them are tried. One that was tried is tried
+    /// again only when that launch counts no more: else a part burns all its launches on full replicas within
+    /// a few rounds.
     fn choices(&self, id: PartIx, seats: &Seats) -> Vec<ReplicaIx> {
         let part = self.ledger.part(id);
         let mut all: Vec<ReplicaIx> = self.holders(part.shard).collect();
@@ -509,9 +515,10 @@
         })
     }
 
-    /// A further launch without waiting for an ending, the departure from the endgame's conditions: only while the
-    /// one replica that has the part is set aside, and the part is out longer than usual. A replica that only lags
-    /// still answers, so its fresh parts stay single: twins for all of them would double the load that made it lag.
+    /// A further launch without waiting for an ending, the departure from the endgame's conditions: only
+    /// while the one replica that has the part is set aside, and the part is out longer than usual. A replica
+    /// that only lags still answers, so its fresh parts stay single: twins for all of them would double the
+    /// load that made it lag.
     fn stranded(&self, part: &Part, usual: Nanos) -> bool {
         let mut out = part.out();
         let overdue = |l: &Launch| self.opinions[l.replica.0].aside.is_some() && self.now() - l.sent >= usual;
@@ -519,11 +526,11 @@
         first && out.next().is_none() && self.orders.may_copy
     }
 
-    /// Against queues that outlast the soft limit, where every answer comes too late and retries keep it so: a
-    /// retrieval is let in when its parts, or as many as the least that may be answered from, find replicas that would
-    /// answer in time, after waiting in half of the time left; until then it waits here, where it costs nothing, and
-    /// so does any part left over. The newest is let in first, as it has most of its time left, and those that earn
-    /// little come last.
+    /// Against queues that outlast the soft limit, where every answer comes too late and retries keep it so:
+    /// a retrieval is let in when its parts, or as many as the least that may be answered from, find replicas
+    /// that would answer in time, after waiting in half of the time left; until then it waits here, where it
+    /// costs nothing, and so does any part left over. The newest is let in first, as it has most of its time
+    /// left, and those that earn little come last.
     fn place(&mut self, w: &mut dyn Writer) {
         let most = scaled(self.shortest_soft_limit(), FULL_AFTER);
         let usual = self.usual.longest.unwrap_or(0);
@@ -566,9 +573,9 @@
         }
     }
 
-    /// Against retrievals that bring down every server that begins a part of them: while connections break at several
-    /// replicas, whatever the cause, each retrieval sends one part ahead, and the others when that one is done, or
-    /// has been out past our patience. Harm: then a retrieval takes one part's time longer.
+    /// Against retrievals that bring down every server that begins a part of them: while connections break at
+    /// several replicas, whatever the cause, each retrieval sends one part ahead, and the others when that
+    /// one is done, or has been out past our patience. Harm: then a retrieval takes one part's time longer.
     fn servers_break(&self) -> bool {
         let since = self.now() - self.copy_window();
         let mut broke: Vec<ReplicaIx> =
@@ -584,8 +591,8 @@
         !parts().any(|p| p.done) && parts().flat_map(|p| &p.launches).all(|l| l.sent > since)
     }
 
-    /// Nothing of it was ever done, and its launches broke off at different replicas: the next one may be taken down
-    /// too, and the client asks again as it is.
+    /// Nothing of it was ever done, and its launches broke off at different replicas: the next one may be
+    /// taken down too, and the client asks again as it is.
     fn kills(&self, r: &Retrieval) -> bool {
         let parts = || r.parts.iter().map(|&p| self.ledger.part(p));
         let broke = parts().flat_map(|p| &p.launches).filter(|l| l.end == Some(Ending::Faulty));
@@ -595,8 +602,9 @@
         broke.len() >= KILLED && !parts().any(|p| p.done)
     }
 
-    /// One asked again, as its time began with an earlier try, or one of a tenant that takes here alone more than its
-    /// share of all fronts. What other fronts carry is not seen, so most of what is beyond a share passes unknown.
+    /// One asked again, as its time began with an earlier try, or one of a tenant that takes here alone more
+    /// than its share of all fronts. What other fronts carry is not seen, so most of what is beyond a share
+    /// passes unknown.
     fn earns_little(&self, r: &Retrieval) -> bool {
         let window = self.copy_window();
         let beyond = |share: &f64| {
@@ -617,9 +625,10 @@
         choices.iter().any(|&ix| seats[ix].open && seats[ix].backlog <= most)
     }
 
-    /// The ordinary path: each part goes to its shard's replica with fewest of our calls in flight. Ties break at
-    /// random, but a replica where more of these parts can share one call comes first, as a call costs work; not so
-    /// one with a backlog, or a shard's last holder would draw its neighbours' parts into the calls it must take.
+    /// The ordinary path: each part goes to its shard's replica with fewest of our calls in flight. Ties
+    /// break at random, but a replica where more of these parts can share one call comes first, as a call
+    /// costs work; not so one with a backlog, or a shard's last holder would draw its neighbours' parts into
+    /// the calls it must take.
     fn place_together(&mut self, parts: &[PartIx], seats: &mut Seats, w: &mut dyn Writer) {
         let eased = scaled(self.shortest_soft_limit(), FULL_AFTER * EASED);
         let choices = |&p: &PartIx| (p, self.choices(p, seats));
@@ -654,7 +663,8 @@
         w.launch(part, replica, limit);
     }
 
-    /// Near a retrieval's end idle replicas get a copy of a pending part, oldest launch first, after the delay.
+    /// Near a retrieval's end idle replicas get a copy of a pending part, oldest launch first, after the
+    /// delay.
     fn endgame(&mut self, w: &mut dyn Writer) {
         let (mut pending, usual): (Vec<(Nanos, PartIx)>, _) = (Vec::new(), self.usual.delay);
         for (_, r) in self.ledger.open() {
@@ -757,9 +767,9 @@
         }
     }
 
-    /// It was not let in, and an ordinary answer would now come after the soft limit, or after its client has gone, as
-    /// with clients that ask often and wait little. Half of its time it may wait whatever the usual times say: after
-    /// a jam they are old, and would else keep everything out for good.
+    /// It was not let in, and an ordinary answer would now come after the soft limit, or after its client has
+    /// gone, as with clients that ask often and wait little. Half of its time it may wait whatever the usual
+    /// times say: after a jam they are old, and would else keep everything out for good.
     fn crowded_out(&self, r: &Retrieval, usual: Nanos) -> bool {
         let end = self.soft_end(r).min(r.valid_until);
         self.now() >= end - usual.min((end - r.taken) / 2) && !r.parts.iter().any(|&p| self.begun(p))
@@ -780,8 +790,8 @@
         w.answer(ix, whole);
     }
 
-    /// A dismissal promises that trying again is harmless; where a part of more than a pure grade may have run, it
-    /// is a give-up instead.
+    /// A dismissal promises that trying again is harmless; where a part of more than a pure grade may have
+    /// run, it is a give-up instead.
     fn end(&mut self, ix: RetrievalIx, w: &mut dyn Writer) {
         let r = self.ledger.retrieval(ix);
         let launches = r.parts.iter().flat_map(|&p| &self.ledger.part(p).launches);
