--- a/src/choice.rs
+++ b/src/choice.rs
@@ -293,7 +293,7 @@
         r.last_done_at < since && r.held.iter().any(|h| h.ended.is_none() && h.sent >= back && h.sent < since)
     }
 
-    /// A refusal for want of room tells of a queue, not a fault. A launch called off after our patience counts,
+    /// A refusal for want of room tells of a queue, not a fault. One called off after our patience counts,
     /// against replicas that answer some parts and lose others: what twins answer would else hide it.
     fn failing(r: &Replica, back: Nanos, on_trial: bool, patience: Nanos) -> bool {
         let told = |s: &Sample| s.ending != Ending::CalledOff || s.took >= patience;
