--- a/crates/benchlink/src/door.rs
+++ b/crates/benchlink/src/door.rs
@@ -7,13 +7,13 @@
 use orchidvalve::Aggregator;
 use orchidvalve::interface::{Nanos, PartIx, ReplicaIx, RetrievalIx, Writer};
 use orchidvalve::ledger::{Ending, Ledger};
+use orchidvalve_orders::{Section, read};
 use serde_json::{Value, json};
 
-use crate::orders;
-use crate::wire::{Entry, Fields, flag, index, number, or, text, whole};
+use crate::wire::Entry;
 
 /// News of one instance, each with the roster list that it refers to.
-pub type News<'a> = Vec<(&'a Fields, Option<Rc<Vec<Entry>>>)>;
+pub type News<'a> = Vec<(Section<'a>, Option<Rc<Vec<Entry>>>)>;
 
 #[derive(Clone, Copy)]
 enum Known {
@@ -60,11 +60,13 @@
 }
 
 impl Door {
-    pub fn open(who: i64, boot: &Fields) -> Result<Door, String> {
-        let conf = boot.get("conf").and_then(Value::as_object).ok_or("'boot': no object 'conf'")?;
+    pub fn open(who: i64, boot: &Section) -> Result<Door, String> {
+        if !boot.has("conf") {
+            return Err(boot.fault("conf", "missing"));
+        }
         let seed = boot.get("nonce64").and_then(|n| n.as_u64().or(n.as_i64().map(|n| n as u64)));
-        let seed = seed.ok_or("'boot': no whole number 'nonce64'")?;
-        let orders = orders::read(conf)?;
+        let seed = seed.ok_or_else(|| boot.fault("nonce64", "should be a whole number"))?;
+        let orders = read(&boot.section("conf")?)?;
         let (grades, register) = (orders.grades.len(), RefCell::default());
         Ok(Door { who, grades, aggregator: Aggregator::new(orders, seed), register })
     }
@@ -73,7 +75,7 @@
     pub fn round(
         &mut self,
         now: Nanos,
-        news: &[(&Fields, Option<Rc<Vec<Entry>>>)],
+        news: &[(Section, Option<Rc<Vec<Entry>>>)],
     ) -> Result<Vec<Value>, String> {
         let (register, grades) = (&self.register, self.grades);
         let mut reply = Reply { who: self.who, register, output: Vec::new() };
@@ -94,24 +96,24 @@
 impl Register {
     fn record(
         &mut self,
-        item: &Fields,
+        item: &Section,
         list: Option<&Vec<Entry>>,
         grades: usize,
         ledger: &mut Ledger,
     ) -> Result<(), String> {
-        match text(item, "verb")? {
+        match item.text("verb")? {
             "knock" => self.knock(item, grades, ledger),
             "finished" => self.finished(item, ledger),
             "lapsed" => {
-                if let Some(Known::Retrieval(ix)) = self.known.get(text(item, "xid")?) {
+                if let Some(Known::Retrieval(ix)) = self.known.get(item.text("xid")?) {
                     ledger.retrieval_lapsed(*ix);
                 }
                 Ok(())
             }
             "topology" => self.topology(item, list, ledger),
             "statusBack" => {
-                let answered = text(item, "status")? == "served";
-                let pressure = item.get("pressure").and_then(Value::as_object);
+                let answered = item.text("status")? == "served";
+                let pressure = item.get("pressure");
                 let told = |name| pressure.and_then(|p| p.get(name)).and_then(Value::as_f64);
                 ledger.probe_ended(self.replica(item)?, answered, told("waiting").zip(told("rps")));
                 Ok(())
@@ -122,41 +124,42 @@
         }
     }
 
-    fn replica(&self, item: &Fields) -> Result<ReplicaIx, String> {
-        let server = text(item, "server")?;
+    fn replica(&self, item: &Section) -> Result<ReplicaIx, String> {
+        let server = item.text("server")?;
         self.replicas.get(server).copied().ok_or(format!("index server '{server}' is in no list so far"))
     }
 
-    fn knock(&mut self, item: &Fields, grades: usize, ledger: &mut Ledger) -> Result<(), String> {
-        let (xid, query) = (text(item, "xid")?.to_owned(), number(item, "query")? as u64);
-        let slice = number(item, "slice")?;
+    fn knock(&mut self, item: &Section, grades: usize, ledger: &mut Ledger) -> Result<(), String> {
+        let (xid, query) = (item.text("xid")?.to_owned(), item.number("query")? as u64);
+        let slice = item.number("slice")?;
         if slice < 0.0 {
-            let grade = index(item, "grade")?;
+            let grade = item.index("grade")?;
             if grade >= grades {
                 return Err(format!("'knock': grade {grade} is not among the {grades} classes"));
             }
-            let (valid_until, work) = (whole(item, "validUntilNs")?, or(item, "weightHintNs", 0, whole)?);
+            let (valid_until, work) =
+                (item.whole("validUntilNs")?, item.or("weightHintNs", 0, Section::whole)?);
             let ix = ledger.retrieval_taken(
                 grade,
-                or(item, "clientGroup", 0, index)?,
+                item.or("clientGroup", 0, Section::index)?,
                 valid_until,
                 work,
-                or(item, "isRetry", false, flag)?,
+                item.or("isRetry", false, Section::flag)?,
             );
             self.retrievals.kept.push_back(xid.clone());
             self.queries.push_back(query);
             self.by_query.insert(query, ix);
             self.known.insert(xid, Known::Retrieval(ix));
         } else if let Some(&retrieval) = self.by_query.get(&query) {
-            let ix = ledger.part_taken(retrieval, slice as usize, or(item, "measure", 0.0, number)?);
+            let ix = ledger.part_taken(retrieval, slice as usize, item.or("measure", 0.0, Section::number)?);
             self.parts.kept.push_back(xid.clone());
             self.known.insert(xid, Known::Part(ix));
         }
         Ok(())
     }
 
-    fn finished(&mut self, item: &Fields, ledger: &mut Ledger) -> Result<(), String> {
-        let ending = match text(item, "status")? {
+    fn finished(&mut self, item: &Section, ledger: &mut Ledger) -> Result<(), String> {
+        let ending = match item.text("status")? {
             "served" => Ending::Done,
             "turned_away" => Ending::Full,
             "no_connection" => Ending::Unreached,
@@ -166,9 +169,9 @@
             "not_sent" => Ending::Unsent,
             other => return Err(format!("'finished': unknown status '{other}'")),
         };
-        let (launch, took) = (or(item, "copy", 0, index)?, or(item, "lagNs", 0, whole)?);
-        let over = or(item, "finished", false, flag)?;
-        if let Some(Known::Part(part)) = self.known.get(text(item, "xid")?) {
+        let (launch, took) = (item.or("copy", 0, Section::index)?, item.or("lagNs", 0, Section::whole)?);
+        let over = item.or("finished", false, Section::flag)?;
+        if let Some(Known::Part(part)) = self.known.get(item.text("xid")?) {
             ledger.launch_ended(*part, launch, ending, took, over);
         }
         Ok(())
@@ -176,11 +179,11 @@
 
     fn topology(
         &mut self,
-        item: &Fields,
+        item: &Section,
         list: Option<&Vec<Entry>>,
         ledger: &mut Ledger,
     ) -> Result<(), String> {
-        let complete = match text(item, "form")? {
+        let complete = match item.text("form")? {
             "incr" => false,
             "total" | "warm_copy" => true,
             "lost" => {
--- a/crates/benchlink/src/main.rs
+++ b/crates/benchlink/src/main.rs
@@ -1,7 +1,6 @@
 //! The bench's wire on standard input and output: one line in, one line out, one aggregator for each `who`.
 
 mod door;
-mod orders;
 mod wire;
 
 use std::collections::BTreeMap;
@@ -10,8 +9,9 @@
 use std::rc::Rc;
 
 use door::{Door, News};
+use orchidvalve_orders::Section;
 use serde_json::{Value, json};
-use wire::{Entry, Fields};
+use wire::Entry;
 
 #[derive(Default)]
 struct Tier {
@@ -24,18 +24,19 @@
     /// means that the line cannot be read at all; what concerns one instance becomes that instance's fault report.
     fn batch(&mut self, line: &str) -> Result<Value, String> {
         let batch: Value = serde_json::from_str(line).map_err(|e| format!("malformed line: {e}"))?;
-        let batch = batch.as_object().ok_or("malformed line: not an object")?;
-        let now = wire::whole(batch, "timeNs")?;
+        let batch = Section::of("malformed line", &batch)?;
+        let now = batch.whole("timeNs")?;
         let news = batch.get("news").and_then(Value::as_array).ok_or("malformed line: no array 'news'")?;
         let mut by_instance: Vec<(i64, News)> = Vec::new();
         for item in news {
-            let item = item.as_object().ok_or("malformed line: an item of 'news' is not an object")?;
-            if wire::text(item, "verb")? == "census" {
-                let list = Rc::new(wire::entries(item)?);
-                self.lists.insert(wire::whole(item, "ref")?, list);
+            let verb = item.get("verb").and_then(Value::as_str).unwrap_or("message");
+            let item = Section::of(verb, item)?;
+            if item.text("verb")? == "census" {
+                let list = Rc::new(wire::entries(&item)?);
+                self.lists.insert(item.whole("ref")?, list);
                 continue;
             }
-            let who = wire::whole(item, "who")?;
+            let who = item.whole("who")?;
             let list = item.get("ref").and_then(Value::as_i64).and_then(|n| self.lists.get(&n).cloned());
             match by_instance.iter_mut().find(|(w, _)| *w == who) {
                 Some((_, news)) => news.push((item, list)),
@@ -56,7 +57,7 @@
     fn instance(&mut self, who: i64, now: i64, news: &News, output: &mut Vec<Value>) -> Result<(), String> {
         let mut rest = &news[..];
         while let Some((first, _)) = rest.first() {
-            match wire::text(first, "verb")? {
+            match first.text("verb")? {
                 "detach" => {
                     self.doors.remove(&who);
                     rest = &rest[1..];
@@ -69,7 +70,7 @@
                 _ => {}
             }
             let ends =
-                |item: &Fields| matches!(item.get("verb").and_then(Value::as_str), Some("boot" | "detach"));
+                |item: &Section| matches!(item.get("verb").and_then(Value::as_str), Some("boot" | "detach"));
             let life = rest.iter().position(|(item, _)| ends(item)).unwrap_or(rest.len());
             let door = self.doors.get_mut(&who).ok_or(format!("instance {who} has news but no 'boot'"))?;
             output.extend(door.round(now, &rest[..life])?);
--- /dev/null
+++ b/crates/frontnode/src/clients.rs
@@ -0,0 +1,415 @@
+//! The listener and the connections of clients: what they ask, and what they are answered.
+
+use std::borrow::Cow;
+use std::io;
+use std::net::{SocketAddr, TcpListener};
+use std::rc::Rc;
+
+use calloop::generic::Generic;
+use calloop::{Interest, Mode, PostAction};
+use orchidvalve::interface::{Nanos, RetrievalIx};
+use orchidvalve::ledger::Ledger;
+use orchidvalve_orders::Section;
+use serde_json::Value;
+use slotmap::{SlotMap, new_key_type};
+
+use crate::config::Plan;
+use crate::deadlines::Mark;
+use crate::desk::{Asked, Desk};
+use crate::http::{self, Fault, Message};
+use crate::log;
+use crate::node::{Due, Kit};
+use crate::streams::{Loop, Noted, Stream, Who};
+
+new_key_type! {
+    pub struct ClientKey;
+}
+
+const LONGEST_ID: usize = 200;
+const TEXT: &str = "text/plain; charset=utf-8";
+const JSON: &str = "application/json";
+
+struct Client {
+    stream: Stream,
+    /// What it waits for.
+    asked: Option<RetrievalIx>,
+    /// Since when the request that is being read, or served, is here.
+    since: Option<Nanos>,
+    used: Nanos,
+    /// Whether it stays open after the answer.
+    stays: bool,
+    /// Nothing more is written; what the peer still sends is read until it closes, or until then.
+    lingers: Option<Mark>,
+}
+
+impl Client {
+    fn idle(&self) -> bool {
+        self.asked.is_none()
+            && self.lingers.is_none()
+            && self.stream.inbox().is_empty()
+            && self.stream.flushed()
+    }
+}
+
+pub struct Clients {
+    listener: Rc<TcpListener>,
+    table: SlotMap<ClientKey, Client>,
+    most: usize,
+    linger: Nanos,
+    /// Someone may wait at the door, as there was no room.
+    queue: bool,
+    pub serving: bool,
+    pub draining: bool,
+    /// When the last connection came in.
+    pub accepted: Nanos,
+}
+
+/// What becomes of one message.
+enum Heard {
+    Taken(RetrievalIx),
+    Said(u16, Cow<'static, str>),
+}
+
+impl Clients {
+    pub fn listen(plan: &Plan, most: usize, events: &Loop) -> io::Result<Clients> {
+        let listener = Rc::new(TcpListener::bind(plan.listen)?);
+        listener.set_nonblocking(true)?;
+        let source = Generic::new(listener.clone(), Interest::READ, Mode::Edge);
+        let noted = |_, _: &mut _, noted: &mut Noted| {
+            noted.note(Who::Door);
+            Ok(PostAction::Continue)
+        };
+        events.insert_source(source, noted).map_err(|e| io::Error::other(e.to_string()))?;
+        let (table, linger) = (SlotMap::with_key(), plan.connect_within);
+        let (queue, serving, draining, accepted) = (false, false, false, 0);
+        Ok(Clients { listener, table, most, linger, queue, serving, draining, accepted })
+    }
+
+    pub fn address(&self) -> io::Result<SocketAddr> {
+        self.listener.local_addr()
+    }
+
+    pub fn connected(&self) -> usize {
+        self.table.len()
+    }
+
+    /// Whether all that was taken is answered and written.
+    pub fn quiet(&self) -> bool {
+        self.table.values().all(|c| c.asked.is_none() && c.stream.flushed())
+    }
+
+    // ---- connections ----
+
+    pub fn accept(&mut self, kit: &mut Kit) {
+        self.queue = false;
+        loop {
+            if self.table.len() >= self.most && !self.evict(kit) {
+                self.queue = true;
+                log!("no room for more than {} clients: others wait", self.most);
+                return;
+            }
+            match self.listener.accept() {
+                Ok((socket, _)) => {
+                    let (events, now) = (&kit.events, kit.now);
+                    let admitted = self.table.try_insert_with_key(|key| {
+                        let stream = Stream::new(events, socket, Who::Client(key))?;
+                        let (asked, since, stays, lingers) = (None, None, true, None);
+                        Ok::<_, io::Error>(Client { stream, asked, since, used: now, stays, lingers })
+                    });
+                    match admitted {
+                        Ok(_) => {
+                            kit.counters.clients_accepted += 1;
+                            self.accepted = now;
+                        }
+                        Err(fault) => log!("a client could not be taken in: {fault}"),
+                    }
+                }
+                Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
+                Err(e)
+                    if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
+                Err(fault) => {
+                    // Out of descriptors, most likely: the door is tried again when something was closed.
+                    log!("cannot accept: {fault}");
+                    self.queue = true;
+                    if !self.evict(kit) {
+                        return;
+                    }
+                }
+            }
+        }
+    }
+
+    /// Closes the connection that has been idle longest.
+    fn evict(&mut self, kit: &mut Kit) -> bool {
+        let idle = self.table.iter().filter(|(_, c)| c.idle());
+        let Some(key) = idle.min_by_key(|(_, c)| c.used).map(|(key, _)| key) else { return false };
+        kit.counters.clients_evicted += 1;
+        self.remove(key, kit);
+        true
+    }
+
+    /// The one place where a connection is given back.
+    fn remove(&mut self, key: ClientKey, kit: &mut Kit) -> Option<RetrievalIx> {
+        let client = self.table.remove(key)?;
+        client.lingers.into_iter().for_each(|mark| kit.deadlines.clear(mark));
+        if self.queue {
+            kit.again.push(Who::Door);
+        }
+        client.asked
+    }
+
+    /// From now on connections end with their next answer; those without a request end now.
+    pub fn drain(&mut self, kit: &mut Kit) {
+        self.draining = true;
+        let idle: Vec<ClientKey> = self.table.iter().filter(|(_, c)| c.idle()).map(|(key, _)| key).collect();
+        idle.into_iter().for_each(|key| self.finish(key, kit));
+    }
+
+    fn finish(&mut self, key: ClientKey, kit: &mut Kit) {
+        let Some(client) = self.table.get_mut(key) else { return };
+        client.stays = false;
+        if client.stream.flushed() && client.lingers.is_none() {
+            client.stream.finish();
+            client.lingers = Some(kit.deadlines.set(kit.now + self.linger, Due::Linger(key)));
+        }
+    }
+
+    pub fn linger_over(&mut self, key: ClientKey, kit: &mut Kit) {
+        self.remove(key, kit);
+    }
+
+    // ---- requests ----
+
+    /// Gives the retrieval whose client has gone.
+    pub fn ready(
+        &mut self,
+        key: ClientKey,
+        at: Nanos,
+        plan: &Plan,
+        desk: &mut Desk,
+        ledger: &mut Ledger,
+        kit: &mut Kit,
+    ) -> Option<RetrievalIx> {
+        let client = self.table.get_mut(key)?;
+        let before = client.stream.read;
+        let filled = client.stream.fill(http::MESSAGE);
+        kit.counters.bytes_in += client.stream.read - before;
+        if client.lingers.is_some() {
+            client.stream.take(client.stream.inbox().len());
+        }
+        if !matches!(filled, Ok(true)) {
+            return self.remove(key, kit);
+        }
+        let lapsed = self.flush(key, kit);
+        if lapsed.is_some() {
+            return lapsed;
+        }
+        while let Some(client) = self.table.get_mut(key) {
+            if client.asked.is_some() || client.lingers.is_some() || !client.stream.flushed() {
+                break;
+            }
+            if !client.stream.inbox().is_empty() {
+                client.since.get_or_insert(at);
+            }
+            match http::request(client.stream.inbox()) {
+                Ok(None) => break,
+                Ok(Some(message)) => {
+                    let since = client.since.take().unwrap_or(at);
+                    let (length, stays) = (message.length, message.stays && !self.draining);
+                    let serving = self.serving && !self.draining;
+                    let heard = heed(&message, (key, since), serving, plan, desk, ledger, kit);
+                    client.stream.take(length);
+                    client.stays = stays;
+                    client.used = kit.now;
+                    match heard {
+                        Heard::Taken(ix) => client.asked = Some(ix),
+                        Heard::Said(status, text) => self.answer(key, status, TEXT, "", text.as_bytes(), kit),
+                    }
+                }
+                Err(Fault(status, text)) => {
+                    kit.counters.bad_requests += 1;
+                    client.stays = false;
+                    client.stream.take(client.stream.inbox().len());
+                    self.answer(key, status, TEXT, "", text.as_bytes(), kit);
+                }
+            }
+        }
+        None
+    }
+
+    /// Writes an answer; on a retrieval's own, its connection is free again.
+    fn answer(&mut self, key: ClientKey, status: u16, kind: &str, more: &str, body: &[u8], kit: &mut Kit) {
+        let draining = self.draining;
+        let Some(client) = self.table.get_mut(key) else { return };
+        client.stays &= !draining;
+        client.asked = None;
+        http::answer(client.stream.outbox(), status, kind, more, body, client.stays);
+        self.flush(key, kit);
+    }
+
+    fn flush(&mut self, key: ClientKey, kit: &mut Kit) -> Option<RetrievalIx> {
+        let client = self.table.get_mut(key)?;
+        let before = client.stream.written;
+        let waits = !client.stream.flushed();
+        let flushed = client.stream.flush();
+        kit.counters.bytes_out += client.stream.written - before;
+        if flushed.is_err() {
+            return self.remove(key, kit);
+        }
+        if waits && client.stream.flushed() {
+            client.used = kit.now;
+            if !client.stays {
+                self.finish(key, kit);
+            } else if !client.stream.inbox().is_empty() {
+                kit.again.push(Who::Client(key));
+            }
+        }
+        None
+    }
+
+    // ---- final answers ----
+
+    /// Answers from the parts that are in.
+    pub fn served(&mut self, ix: RetrievalIx, whole: bool, desk: &Desk, kit: &mut Kit) {
+        let Some(r) = desk.retrieval(ix) else { return };
+        let mut body = format!("{{\"entire\":{whole},\"items\":[");
+        let mut first = true;
+        for part in r.parts.iter().filter_map(|&p| desk.part(p)) {
+            if let Some(value) = &part.value {
+                let (comma, value) = (if first { "" } else { "," }, Value::from(&**value));
+                body.push_str(&format!("{comma}{{\"slice\":{},\"body\":{value}}}", part.shard));
+                first = false;
+            }
+        }
+        body.push_str("]}");
+        let count = if whole { &mut kit.counters.answers_whole } else { &mut kit.counters.answers_short };
+        *count += 1;
+        self.answer(r.client, 200, JSON, "", body.as_bytes(), kit);
+    }
+
+    pub fn dismissed(&mut self, ix: RetrievalIx, stay_away: Nanos, desk: &Desk, kit: &mut Kit) {
+        let Some(r) = desk.retrieval(ix) else { return };
+        let more = match stay_away {
+            ..=0 => String::new(),
+            wait => format!("Retry-After: {}\r\n", wait as f64 / 1e9),
+        };
+        kit.counters.dismissed += 1;
+        self.answer(r.client, 503, TEXT, &more, b"dismissed: trying again is harmless\n", kit);
+    }
+
+    pub fn given_up(&mut self, ix: RetrievalIx, desk: &Desk, kit: &mut Kit) {
+        let Some(r) = desk.retrieval(ix) else { return };
+        kit.counters.given_up += 1;
+        self.answer(r.client, 504, TEXT, "", b"given up: parts of it may have run\n", kit);
+    }
+}
+
+/// `from`: whose message it is, and since when it is here.
+fn heed(
+    message: &Message,
+    from: (ClientKey, Nanos),
+    serving: bool,
+    plan: &Plan,
+    desk: &mut Desk,
+    ledger: &mut Ledger,
+    kit: &mut Kit,
+) -> Heard {
+    let path = message.path.split('?').next().unwrap_or_default();
+    let said = |status, text: &'static str| Heard::Said(status, Cow::Borrowed(text));
+    match (message.method, path) {
+        ("POST", "/api") => {}
+        ("GET", "/_health") if serving => return said(200, "serving\n"),
+        ("GET", "/_health") => return said(503, "not serving\n"),
+        ("GET", "/metrics") => return Heard::Said(200, kit.counters_text(desk).into()),
+        (_, "/api" | "/_health" | "/metrics") => return said(405, "no such method here\n"),
+        _ => return said(404, "nothing here\n"),
+    }
+    let body = serde_json::from_slice::<Value>(&message.body).map_err(|e| format!("body: no JSON: {e}"));
+    let taken = body.and_then(|body| {
+        let body = Section::of("body", &body)?;
+        let asked = asked(message, &body, from.1, plan)?;
+        if desk.is_open(asked.id) {
+            return Ok(said(409, "Request-Id: it is open already\n"));
+        }
+        if desk.open >= plan.open_most {
+            kit.counters.retrievals_over_cap += 1;
+            return Ok(said(503, "too much is open\n"));
+        }
+        Ok(Heard::Taken(desk.take(&asked, from.0, ledger, kit)))
+    });
+    taken.unwrap_or_else(|fault| {
+        kit.counters.bad_requests += 1;
+        log!("bad request: {}", fault.escape_default());
+        Heard::Said(400, format!("{fault}\n").into())
+    })
+}
+
+fn asked<'a>(
+    message: &Message<'a>,
+    body: &Section<'a>,
+    since: Nanos,
+    plan: &Plan,
+) -> Result<Asked<'a>, String> {
+    let header = |name: &str| message.header(name).ok_or_else(|| format!("{name}: missing"));
+    let id = mark("Request-Id", header("Request-Id")?)?;
+    let class = header("Request-Class")?;
+    let grade = plan.grades.iter().position(|(name, _)| name == class);
+    let grade = grade.ok_or_else(|| format!("Request-Class: unknown class '{class}'"))?;
+    let tenant = match plan.tenants.is_empty() {
+        true => 0,
+        false => {
+            let name = header("Tenant")?;
+            let tenant = plan.tenants.iter().position(|t| t == name);
+            tenant.ok_or_else(|| format!("Tenant: unknown tenant '{name}'"))?
+        }
+    };
+    let valid_until = since.saturating_add(timeout(header("Request-Timeout")?)?);
+    let key = match plan.grades[grade].1 {
+        true => Some(mark("Idempotency-Key", header("Idempotency-Key")?)?),
+        false => None,
+    };
+    let (mut parts, mut work) = (Vec::new(), 0i64);
+    for slice in body.list("slices")?.ok_or_else(|| body.fault("slices", "missing"))? {
+        let (shard, weight) = (slice.index("slice")?, slice.number("mass")?);
+        if shard >= plan.shards {
+            return Err(slice.fault("slice", &format!("no shard {shard} among {}", plan.shards)));
+        }
+        if parts.iter().any(|&(other, _)| other == shard) {
+            return Err(slice.fault("slice", &format!("shard {shard} is named twice")));
+        }
+        if !(weight > 0.0 && weight.is_finite()) {
+            return Err(slice.fault("mass", "should be above 0"));
+        }
+        let hint = slice.or("micros", 0.0, Section::number)?;
+        work = work.saturating_add((hint.max(0.0) * 1e3) as i64);
+        parts.push((shard, weight));
+    }
+    if parts.is_empty() {
+        return Err(body.fault("slices", "should name one part at least"));
+    }
+    let text = body.or("filter", "", Section::text)?;
+    let again = message.header("Client-Retry").is_some_and(|v| v == "1");
+    Ok(Asked { id, grade, tenant, valid_until, work, again, key, text, parts })
+}
+
+/// Ids and keys go into the lines of frames and must not break one.
+fn mark<'a>(name: &str, text: &'a str) -> Result<&'a str, String> {
+    let plain = |b: u8| b.is_ascii_graphic() && b != b',';
+    if (1..=LONGEST_ID).contains(&text.len()) && text.bytes().all(plain) {
+        Ok(text)
+    } else {
+        Err(format!("{name}: should be 1 to {LONGEST_ID} plain characters without spaces and commas"))
+    }
+}
+
+fn timeout(text: &str) -> Result<Nanos, String> {
+    let unit = match text.as_bytes().last() {
+        Some(b'm') => 1_000_000,
+        Some(b'u') => 1_000,
+        _ => 0,
+    };
+    let digits = text.get(..text.len().saturating_sub(1)).unwrap_or_default();
+    let number = if digits.bytes().all(|b| b.is_ascii_digit()) { digits.parse::<i64>().ok() } else { None };
+    let time = number.and_then(|n| n.checked_mul(unit)).filter(|&time| time > 0);
+    time.ok_or_else(|| "Request-Timeout: should be a number and a unit, 'm' or 'u'".to_owned())
+}
--- /dev/null
+++ b/crates/frontnode/src/config.rs
@@ -0,0 +1,136 @@
+//! All that the node is configured with: read, checked and given defaults here, and nowhere else.
+
+use std::net::SocketAddr;
+
+use orchidvalve::interface::{Effect, Nanos, StandingOrders};
+use orchidvalve_orders::Section;
+use serde_json::Value;
+
+use crate::members::{self, Roster};
+
+/// Variable that holds the path of the configuration.
+pub const VARIABLE: &str = "NODE_CONFIG";
+
+/// What the node goes by; the aggregator gets its own part of it.
+#[derive(Debug)]
+pub struct Plan {
+    pub name: String,
+    pub listen: SocketAddr,
+    pub discovery: SocketAddr,
+    pub seed: u64,
+    pub sockets: usize,
+    pub memory: usize,
+    pub known: Roster,
+    /// Names of the service grades, and whether their retrievals carry a receipt.
+    pub grades: Vec<(String, bool)>,
+    pub tenants: Vec<String>,
+    pub shards: usize,
+    pub call_parts: usize,
+    pub roster_on_request: bool,
+    /// Retrievals and parts that may be open at once.
+    pub open_most: usize,
+    /// Parts that a connection to a replica carries at once.
+    pub link_parts: usize,
+    pub link_idle: Nanos,
+    pub connect_within: Nanos,
+    /// Whether a probe may ask for a report.
+    pub load_told: bool,
+    pub beat: Nanos,
+}
+
+/// The configuration that the environment names.
+pub fn from_environment() -> Result<(Plan, StandingOrders), String> {
+    let path =
+        std::env::var(VARIABLE).map_err(|_| format!("${VARIABLE}: not set; it names the configuration"))?;
+    let text = std::fs::read_to_string(&path).map_err(|e| format!("${VARIABLE}: cannot read {path}: {e}"))?;
+    read(&text)
+}
+
+/// ```
+/// let fault = orchidvalve_frontnode::config::read(r#"{"name": "n1", "listen": "here"}"#).unwrap_err();
+/// assert_eq!(fault, "configuration.listen: should be an address and a port, not 'here'");
+/// ```
+pub fn read(text: &str) -> Result<(Plan, StandingOrders), String> {
+    let whole: Value = serde_json::from_str(text).map_err(|e| format!("configuration: no JSON: {e}"))?;
+    let whole = Section::of("configuration", &whole)?;
+    let name = whole.text("name")?.to_owned();
+    let (listen, discovery) = (address(&whole, "listen")?, address(&whole, "discovery")?);
+    let seed = u64::from_str_radix(whole.text("seed")?, 16);
+    let seed = seed.map_err(|_| whole.fault("seed", "should be up to 16 hex digits"))?;
+    let given = whole.section("limits")?;
+    let sockets = at_least(&given, "sockets", given.or("sockets", 1024, Section::index)?, 64)?;
+    let memory = at_least(&given, "memory_mb", given.or("memory_mb", 192, Section::index)?, 16)?;
+    let known = members::roster(&whole.section("known")?)?;
+    if !whole.has("settings") {
+        return Err(whole.fault("settings", "missing"));
+    }
+    let settings = whole.section("settings")?;
+    let orders = orchidvalve_orders::read(&settings)?;
+    let (extra, limits) = (settings.section("extra")?, settings.section("limits")?);
+    if orders.grades.iter().any(|g| g.second_step > 0) {
+        return Err(extra.fault("classFetch", "a second step is not spoken on sockets"));
+    }
+    checked(&settings, &extra, &orders)?;
+    let classes = settings.list("classes")?.unwrap_or_default();
+    let receipted = orders.grades.iter().map(|g| matches!(g.effect, Effect::Receipted(_)));
+    let grades: Result<Vec<String>, String> =
+        classes.iter().map(|c| c.text("name").map(str::to_owned)).collect();
+    let tenants = settings.list("projects")?.unwrap_or_default();
+    let connect_within = limits.or("connectTimeoutNs", 250_000_000, Section::whole)?;
+    let link_idle = limits.or("connIdleNs", 15_000_000_000, Section::whole)?;
+    let plan = Plan {
+        name,
+        listen,
+        discovery,
+        seed,
+        sockets,
+        memory: memory << 20,
+        known,
+        grades: grades?.into_iter().zip(receipted).collect(),
+        tenants: tenants.iter().map(|t| t.text("name").map(str::to_owned)).collect::<Result<_, _>>()?,
+        shards: at_least(&extra, "slices", extra.index("slices")?, 1)?,
+        call_parts: orders.call_parts,
+        roster_on_request: orders.roster_on_request,
+        open_most: limits.or("openCap", usize::MAX, Section::index)?,
+        link_parts: at_least(&limits, "multiplex", limits.or("multiplex", 1, Section::index)?, 1)?,
+        link_idle: positive(&limits, "connIdleNs", link_idle)?,
+        connect_within: positive(&limits, "connectTimeoutNs", connect_within)?,
+        load_told: settings.section("feedback")?.or("how", "off", Section::text)? != "off",
+        beat: orders.beat,
+    };
+    Ok((plan, orders))
+}
+
+/// What the settings must not say, as the node would stand still or answer nothing.
+fn checked(settings: &Section, extra: &Section, orders: &StandingOrders) -> Result<(), String> {
+    if orders.grades.is_empty() {
+        return Err(settings.fault("classes", "should name one class at least"));
+    }
+    at_least(extra, "positions", orders.cells, 1)?;
+    at_least(extra, "reach", orders.reach, 1)?;
+    for (class, grade) in settings.list("classes")?.unwrap_or_default().iter().zip(&orders.grades) {
+        positive(class, "objectiveNs", grade.soft_limit)?;
+        positive(class, "deadlineNs", grade.abandon)?;
+        if let Effect::Receipted(window) = grade.effect {
+            positive(class, "windowNs", window)?;
+        }
+    }
+    Ok(())
+}
+
+fn address(section: &Section, name: &str) -> Result<SocketAddr, String> {
+    let text = section.text(name)?;
+    text.parse().map_err(|_| section.fault(name, &format!("should be an address and a port, not '{text}'")))
+}
+
+fn at_least(section: &Section, name: &str, found: usize, least: usize) -> Result<usize, String> {
+    if found >= least {
+        Ok(found)
+    } else {
+        Err(section.fault(name, &format!("should be {least} or more, not {found}")))
+    }
+}
+
+fn positive(section: &Section, name: &str, found: Nanos) -> Result<Nanos, String> {
+    if found > 0 { Ok(found) } else { Err(section.fault(name, &format!("should be above 0, not {found}"))) }
+}
--- /dev/null
+++ b/crates/frontnode/src/desk.rs
@@ -0,0 +1,211 @@
+//! The retrievals taken and their parts, by the aggregator's numbers, until the aggregator forgets them.
+
+use std::collections::{HashMap, VecDeque};
+
+use orchidvalve::interface::{Nanos, PartIx, ReplicaIx, RetrievalIx};
+use orchidvalve::ledger::{Ending, Ledger};
+
+use crate::clients::ClientKey;
+use crate::deadlines::Mark;
+use crate::node::{Due, Kit};
+use crate::servers::LinkKey;
+
+/// A table whose slots are given out in order and taken back from the front.
+struct Window<T> {
+    first: usize,
+    kept: VecDeque<T>,
+}
+
+impl<T> Window<T> {
+    fn new() -> Self {
+        Window { first: 0, kept: VecDeque::new() }
+    }
+
+    fn get(&self, ix: usize) -> Option<&T> {
+        self.kept.get(ix.checked_sub(self.first)?)
+    }
+
+    fn get_mut(&mut self, ix: usize) -> Option<&mut T> {
+        self.kept.get_mut(ix.checked_sub(self.first)?)
+    }
+
+    fn drop_before(&mut self, first: usize) {
+        let over = first.saturating_sub(self.first).min(self.kept.len());
+        self.kept.drain(..over);
+        self.first += over;
+    }
+}
+
+pub struct Retrieval {
+    pub client: ClientKey,
+    pub id: Box<str>,
+    pub key: Option<Box<str>>,
+    pub text: Box<str>,
+    pub parts: Vec<PartIx>,
+    pub open: bool,
+}
+
+pub struct Part {
+    pub retrieval: RetrievalIx,
+    pub shard: usize,
+    pub value: Option<Box<str>>,
+    launches: Vec<Launch>,
+}
+
+pub struct Launch {
+    pub replica: ReplicaIx,
+    sent: Nanos,
+    pub until: Nanos,
+    limit: Mark,
+    /// The connection that it waits for, or is out on.
+    pub link: Option<LinkKey>,
+    pub written: bool,
+    ended: bool,
+}
+
+/// A retrieval as its client asked for it.
+pub struct Asked<'a> {
+    pub id: &'a str,
+    pub grade: usize,
+    pub tenant: usize,
+    pub valid_until: Nanos,
+    pub work: Nanos,
+    pub again: bool,
+    pub key: Option<&'a str>,
+    pub text: &'a str,
+    /// Shard and weight of each part.
+    pub parts: Vec<(usize, f64)>,
+}
+
+pub struct Desk {
+    retrievals: Window<Retrieval>,
+    parts: Window<Part>,
+    by_id: HashMap<Box<str>, RetrievalIx>,
+    /// Retrievals without a final answer and their parts without a value.
+    pub open: usize,
+    /// Launches that ended since the last round: part, number, ending, time taken.
+    pub ended: Vec<(PartIx, usize, Ending, Nanos)>,
+}
+
+impl Desk {
+    pub fn new() -> Self {
+        let (retrievals, parts) = (Window::new(), Window::new());
+        Desk { retrievals, parts, by_id: HashMap::new(), open: 0, ended: Vec::new() }
+    }
+
+    pub fn is_open(&self, id: &str) -> bool {
+        self.by_id.contains_key(id)
+    }
+
+    /// Retrievals that wait for their final answer.
+    pub fn unanswered(&self) -> usize {
+        self.by_id.len()
+    }
+
+    pub fn take(
+        &mut self,
+        asked: &Asked,
+        client: ClientKey,
+        ledger: &mut Ledger,
+        kit: &mut Kit,
+    ) -> RetrievalIx {
+        let Asked { grade, tenant, valid_until, work, again, .. } = *asked;
+        let ix = ledger.retrieval_taken(grade, tenant, valid_until, work, again);
+        let mut parts = Vec::with_capacity(asked.parts.len());
+        for &(shard, weight) in &asked.parts {
+            parts.push(ledger.part_taken(ix, shard, weight));
+            self.parts.kept.push_back(Part { retrieval: ix, shard, value: None, launches: Vec::new() });
+        }
+        kit.counters.retrievals_taken += 1;
+        kit.counters.parts_taken += parts.len() as u64;
+        self.open += 1 + parts.len();
+        self.by_id.insert(asked.id.into(), ix);
+        let (id, key, text) = (asked.id.into(), asked.key.map(Into::into), asked.text.into());
+        self.retrievals.kept.push_back(Retrieval { client, id, key, text, parts, open: true });
+        ix
+    }
+
+    pub fn retrieval(&self, ix: RetrievalIx) -> Option<&Retrieval> {
+        self.retrievals.get(ix.0)
+    }
+
+    pub fn part(&self, ix: PartIx) -> Option<&Part> {
+        self.parts.get(ix.0)
+    }
+
+    /// The part with its retrieval.
+    pub fn whole_part(&self, ix: PartIx) -> Option<(&Part, &Retrieval)> {
+        let part = self.part(ix)?;
+        Some((part, self.retrieval(part.retrieval)?))
+    }
+
+    /// One that is still out.
+    pub fn launch(&mut self, part: PartIx, launch: usize) -> Option<&mut Launch> {
+        self.parts.get_mut(part.0)?.launches.get_mut(launch).filter(|l| !l.ended)
+    }
+
+    pub fn launched(
+        &mut self,
+        part: PartIx,
+        replica: ReplicaIx,
+        limit: Nanos,
+        kit: &mut Kit,
+    ) -> Option<usize> {
+        let p = self.parts.get_mut(part.0)?;
+        let (sent, until, number) = (kit.now, kit.now + limit, p.launches.len());
+        let limit = kit.deadlines.set(until, Due::Launch(part, number));
+        p.launches.push(Launch { replica, sent, until, limit, link: None, written: false, ended: false });
+        kit.counters.launches += 1;
+        Some(number)
+    }
+
+    /// The one place where a launch is given back.
+    pub fn end(&mut self, part: PartIx, launch: usize, ending: Ending, kit: &mut Kit) {
+        let Some(l) = self.launch(part, launch) else { return };
+        l.ended = true;
+        let (limit, took) = (l.limit, kit.now - l.sent);
+        kit.deadlines.clear(limit);
+        kit.counters.launch_ended(ending);
+        self.ended.push((part, launch, ending, took));
+    }
+
+    /// Keeps a part's value, where its retrieval still waits for it.
+    pub fn value(&mut self, part: PartIx, value: &str) {
+        let Some(p) = self.parts.get_mut(part.0) else { return };
+        if p.value.is_none() && self.retrievals.get(p.retrieval.0).is_some_and(|r| r.open) {
+            p.value = Some(value.into());
+            self.open -= 1;
+        }
+    }
+
+    /// The one place where a retrieval ends: false where it had ended before.
+    pub fn close(&mut self, ix: RetrievalIx) -> bool {
+        let Some(r) = self.retrievals.get_mut(ix.0).filter(|r| r.open) else { return false };
+        r.open = false;
+        self.by_id.remove(&r.id);
+        let waiting = r.parts.iter().filter(|p| self.parts.get(p.0).is_some_and(|p| p.value.is_none()));
+        self.open -= 1 + waiting.count();
+        true
+    }
+
+    /// Launches of a retrieval that wait for a connection.
+    pub fn unwritten(&self, ix: RetrievalIx) -> Vec<(PartIx, usize)> {
+        let parts = self.retrieval(ix).into_iter().flat_map(|r| &r.parts);
+        let of = |&ix: &PartIx| {
+            let launches = self.part(ix).into_iter().flat_map(|p| p.launches.iter().enumerate());
+            launches.filter(|(_, l)| !l.ended && !l.written).map(move |(n, _)| (ix, n)).collect::<Vec<_>>()
+        };
+        parts.flat_map(of).collect()
+    }
+
+    pub fn tidy(&mut self, ledger: &Ledger) {
+        self.retrievals.drop_before(ledger.first_retrieval().0);
+        self.parts.drop_before(ledger.first_part().0);
+    }
+}
+
+impl Default for Desk {
+    fn default() -> Self {
+        Desk::new()
+    }
+}
--- /dev/null
+++ b/crates/frontnode/src/frames.rs
@@ -0,0 +1,101 @@
+//! Frames to and from index servers: four bytes of length, a letter, and the rest.
+
+use orchidvalve::ledger::Ending;
+
+pub const CALL: u8 = b'1';
+pub const CANCEL: u8 = b'2';
+pub const PROBE: u8 = b'3';
+pub const PROBE_LOAD: u8 = b'4';
+pub const ANSWER: u8 = b'5';
+pub const UNUSABLE: u8 = b'X';
+
+/// Longest frame taken in.
+pub const LONGEST: usize = 1 << 20;
+
+/// One part of a call.
+pub struct Share<'a> {
+    pub retrieval: &'a str,
+    pub shard: usize,
+    /// Milliseconds that the node will wait.
+    pub wait: i64,
+    pub key: Option<&'a str>,
+    pub text: &'a str,
+}
+
+pub fn begin(out: &mut Vec<u8>, letter: u8) -> usize {
+    let at = out.len();
+    out.extend_from_slice(&[0, 0, 0, 0, letter]);
+    at
+}
+
+pub fn end(out: &mut [u8], at: usize) {
+    let length = u32::try_from(out.len() - at - 4).unwrap_or(u32::MAX);
+    out[at..at + 4].copy_from_slice(&length.to_be_bytes());
+}
+
+pub fn share(out: &mut Vec<u8>, part: &Share) {
+    let Share { retrieval, shard, wait, key, text } = part;
+    out.extend_from_slice(format!("{retrieval}.{shard} {shard} d={wait}").as_bytes());
+    if let Some(key) = key {
+        out.extend_from_slice(format!(",k={key}").as_bytes());
+    }
+    out.extend_from_slice(format!(" {}\n", text.len()).as_bytes());
+    out.extend_from_slice(text.as_bytes());
+}
+
+pub fn cancel(out: &mut Vec<u8>, retrieval: &str, shard: usize) {
+    let at = begin(out, CANCEL);
+    out.extend_from_slice(format!("{retrieval}.{shard}").as_bytes());
+    end(out, at);
+}
+
+pub fn probe(out: &mut Vec<u8>, load: bool) {
+    let at = begin(out, if load { PROBE_LOAD } else { PROBE });
+    end(out, at);
+}
+
+/// A frame's letter, its rest, and the bytes that it took of the buffer.
+pub type Frame<'a> = (u8, &'a [u8], usize);
+
+/// None while more bytes are needed.
+pub fn next(buffer: &[u8]) -> Result<Option<Frame<'_>>, String> {
+    let Some((length, rest)) = buffer.split_first_chunk::<4>() else { return Ok(None) };
+    let length = u32::from_be_bytes(*length) as usize;
+    if !(1..=LONGEST).contains(&length) {
+        return Err(format!("a frame of {length} bytes"));
+    }
+    let Some(frame) = rest.get(..length) else { return Ok(None) };
+    Ok(Some((frame[0], &frame[1..], 4 + length)))
+}
+
+/// An answer's id, apart into retrieval and shard, how the launch ended, and its value.
+pub fn answer(rest: &[u8]) -> Result<(&str, usize, Ending, &str), String> {
+    let end = rest.iter().position(|&b| b == b'\n').ok_or("an answer without the end of its line")?;
+    let text = |bytes| std::str::from_utf8(bytes).map_err(|_| "an answer that is no text".to_owned());
+    let (line, value) = (text(&rest[..end])?, text(&rest[end + 1..])?);
+    let wrong = || format!("a bad answer line '{}'", line.escape_default());
+    let mut words = line.split(' ');
+    let (Some(id), Some(ending), Some(_score), Some(_report), None) =
+        (words.next(), words.next(), words.next(), words.next(), words.next())
+    else {
+        return Err(wrong());
+    };
+    let (retrieval, shard) = id.rsplit_once('.').ok_or_else(wrong)?;
+    let ending = match ending {
+        "S" => Ending::Done,
+        "E" => Ending::Faulty,
+        "B" => Ending::Full,
+        _ => return Err(wrong()),
+    };
+    Ok((retrieval, shard.parse().map_err(|_| wrong())?, ending, value))
+}
+
+/// Parts waiting and parts done a second, where a report says both.
+pub fn report(rest: &str) -> Option<(f64, f64)> {
+    let told = |name: &str| {
+        let (_, value) =
+            rest.split(',').filter_map(|pair| pair.split_once('=')).find(|(n, _)| n.trim() == name)?;
+        value.trim().parse::<f64>().ok().filter(|v| v.is_finite())
+    };
+    told("waiting").or_else(|| told("queue")).zip(told("rps").or_else(|| told("qps")))
+}
--- /dev/null
+++ b/crates/frontnode/src/lib.rs
@@ -0,0 +1,16 @@
+//! The front node on sockets: clients over HTTP, index servers over frames, and one aggregator between them.
+//!
+//! [`node::Node`] runs one; [`config`] reads what it is told. Every decision is made by the crate `orchidvalve`.
+
+pub mod clients;
+pub mod config;
+pub mod counters;
+pub mod deadlines;
+pub mod desk;
+pub mod frames;
+pub mod http;
+pub mod log;
+pub mod members;
+pub mod node;
+pub mod servers;
+pub mod streams;
--- /dev/null
+++ b/crates/frontnode/src/members.rs
@@ -0,0 +1,232 @@
+//! Discovery: one watch after another at the agent, and the roster that they tell.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+
+use orchidvalve::interface::{Nanos, ReplicaIx};
+use orchidvalve::ledger::Ledger;
+use orchidvalve_orders::Section;
+use serde_json::Value;
+
+use crate::config::Plan;
+use crate::deadlines::Mark;
+use crate::desk::Desk;
+use crate::http;
+use crate::log;
+use crate::node::{Due, Kit};
+use crate::servers::{Servers, connect};
+use crate::streams::{Stream, Who};
+
+/// How long a watch may wait for something new, and how much later its answer is missed.
+const HOLD_MS: i64 = 20_000;
+const SLACK_MS: i64 = 2_000;
+/// Waits after misses grow to this many times the first.
+const MOST_DOUBLINGS: u32 = 4;
+
+/// What discovery told, once read whole.
+#[derive(Clone, Debug)]
+pub struct Roster {
+    revision: i64,
+    complete: bool,
+    members: Vec<Member>,
+}
+
+#[derive(Clone, Debug)]
+struct Member {
+    id: String,
+    address: SocketAddr,
+    cell: usize,
+    serving: bool,
+    started: Option<Nanos>,
+}
+
+pub fn roster(told: &Section) -> Result<Roster, String> {
+    let revision = told.or("revision", 0, Section::whole)?;
+    let complete = told.or("complete", false, Section::flag)?;
+    let listed = told.list("members")?.ok_or_else(|| told.fault("members", "missing"))?;
+    Ok(Roster { revision, complete, members: listed.iter().map(member).collect::<Result<_, _>>()? })
+}
+
+fn member(told: &Section) -> Result<Member, String> {
+    let address = told.text("host_port")?;
+    let address = address.parse().map_err(|_| told.fault("host_port", "should be an address and a port"))?;
+    let serving = match told.text("phase")? {
+        "up" => true,
+        "draining" | "removed" => false,
+        other => return Err(told.fault("phase", &format!("unknown phase '{other}'"))),
+    };
+    let started = told.or("up_since_ms", 0, Section::whole)?;
+    Ok(Member {
+        id: told.text("id")?.to_owned(),
+        address,
+        cell: told.index("cell")?,
+        serving,
+        started: (started > 0).then(|| started.saturating_mul(1_000_000)),
+    })
+}
+
+pub struct Members {
+    agent: SocketAddr,
+    on_request: bool,
+    replicas: HashMap<String, ReplicaIx>,
+    revision: i64,
+    call: Option<Stream>,
+    asked: bool,
+    /// When the answer is missed, or when to ask again.
+    mark: Option<Mark>,
+    misses: u32,
+    first_wait: Nanos,
+}
+
+impl Members {
+    pub fn new(plan: &Plan) -> Self {
+        Members {
+            agent: plan.discovery,
+            on_request: plan.roster_on_request,
+            replicas: HashMap::new(),
+            revision: 0,
+            call: None,
+            asked: false,
+            mark: None,
+            misses: 0,
+            first_wait: plan.connect_within,
+        }
+    }
+
+    pub fn any(&self) -> bool {
+        !self.replicas.is_empty()
+    }
+
+    /// Takes in what discovery told, all of it or changes.
+    pub fn learn(
+        &mut self,
+        told: Roster,
+        servers: &mut Servers,
+        desk: &mut Desk,
+        ledger: &mut Ledger,
+        kit: &mut Kit,
+    ) {
+        ledger.roster_opens(told.complete);
+        let mut named = vec![false; self.replicas.len()];
+        for Member { id, address, cell, serving, started } in told.members {
+            let ix = *self.replicas.entry(id).or_insert_with(|| ledger.replica_met(cell));
+            named.resize(named.len().max(ix.0 + 1), false);
+            named[ix.0] = true;
+            servers.named(ix, address, serving, started, desk, kit);
+            ledger.roster_names(ix, cell, serving, started);
+        }
+        ledger.roster_closes();
+        if told.complete {
+            let absent = named.iter().enumerate().filter(|(_, named)| !**named);
+            absent.for_each(|(ix, _)| servers.serves(ReplicaIx(ix), false, desk, kit));
+        }
+        self.revision = told.revision;
+    }
+
+    /// Starts the watch where changes come unasked for; elsewhere the aggregator asks.
+    pub fn start(&mut self, ledger: &mut Ledger, kit: &mut Kit) {
+        if !self.on_request {
+            self.ask(ledger, kit);
+        }
+    }
+
+    pub fn ask(&mut self, ledger: &mut Ledger, kit: &mut Kit) {
+        if self.asked {
+            return;
+        }
+        if self.call.is_none() {
+            match connect(self.agent).and_then(|socket| Stream::new(&kit.events, socket, Who::Agent)) {
+                Ok(stream) => self.call = Some(stream),
+                Err(fault) => return self.missed(&fault.to_string(), ledger, kit),
+            }
+        }
+        if let Some(stream) = &mut self.call {
+            let (agent, from) = (self.agent, self.revision);
+            let path = format!("/catalog/members?from={from}&hold_ms={HOLD_MS}");
+            let head = format!("GET {path} HTTP/1.1\r\nHost: {agent}\r\n\r\n");
+            stream.outbox().extend_from_slice(head.as_bytes());
+        }
+        self.asked = true;
+        self.remind(kit.now + (HOLD_MS + SLACK_MS) * 1_000_000, kit);
+        self.flush(ledger, kit);
+    }
+
+    fn remind(&mut self, at: Nanos, kit: &mut Kit) {
+        self.mark.take().into_iter().for_each(|mark| kit.deadlines.clear(mark));
+        self.mark = Some(kit.deadlines.set(at, Due::Agent));
+    }
+
+    fn flush(&mut self, ledger: &mut Ledger, kit: &mut Kit) {
+        let Some(stream) = &mut self.call else { return };
+        let flushed = match stream.came_up() {
+            None => return,
+            Some(up) => up.and_then(|()| stream.flush()),
+        };
+        if let Err(fault) = flushed {
+            self.missed(&fault.to_string(), ledger, kit);
+        }
+    }
+
+    pub fn ready(&mut self, servers: &mut Servers, desk: &mut Desk, ledger: &mut Ledger, kit: &mut Kit) {
+        self.flush(ledger, kit);
+        let Some(stream) = self.call.as_mut().filter(|s| matches!(s.came_up(), Some(Ok(())))) else { return };
+        let filled = stream.fill(http::MESSAGE);
+        let heard = match http::response(stream.inbox()) {
+            Ok(None) => None,
+            Err(fault) => Some(Err(fault.1.to_owned())),
+            Ok(Some(message)) => {
+                let told = match message.status {
+                    200 => read(&message.body),
+                    other => Err(format!("status {other}")),
+                };
+                Some(told.map(|told| (told, message.length, message.stays)))
+            }
+        };
+        match heard {
+            Some(Err(fault)) => {
+                kit.counters.bad_rosters += 1;
+                self.missed(&fault, ledger, kit);
+            }
+            Some(Ok((told, length, stays))) if self.asked => {
+                stream.take(length);
+                if !stays || !matches!(filled, Ok(true)) {
+                    self.call = None;
+                }
+                (self.asked, self.misses) = (false, 0);
+                kit.counters.roster_news += 1;
+                self.learn(told, servers, desk, ledger, kit);
+                self.ask(ledger, kit);
+            }
+            Some(Ok(_)) => self.missed("an answer that was not asked for", ledger, kit),
+            None => match filled {
+                Ok(true) => {}
+                Ok(false) => self.missed("closed by the agent", ledger, kit),
+                Err(fault) => self.missed(&fault.to_string(), ledger, kit),
+            },
+        }
+    }
+
+    pub fn due(&mut self, ledger: &mut Ledger, kit: &mut Kit) {
+        self.mark = None;
+        if self.asked { self.missed("no answer", ledger, kit) } else { self.ask(ledger, kit) }
+    }
+
+    /// The last roster stays in force; the agent is asked again after a wait that grows.
+    fn missed(&mut self, fault: &str, ledger: &mut Ledger, kit: &mut Kit) {
+        (self.call, self.asked) = (None, false);
+        kit.counters.roster_misses += 1;
+        log!("roster not heard from {}: {fault}", self.agent);
+        if self.on_request {
+            self.mark.take().into_iter().for_each(|mark| kit.deadlines.clear(mark));
+            ledger.roster_lost();
+        } else {
+            self.remind(kit.now + (self.first_wait << self.misses.min(MOST_DOUBLINGS)), kit);
+            self.misses += 1;
+        }
+    }
+}
+
+fn read(body: &[u8]) -> Result<Roster, String> {
+    let told: Value = serde_json::from_slice(body).map_err(|e| format!("no JSON: {e}"))?;
+    roster(&Section::of("roster", &told)?)
+}
--- /dev/null
+++ b/crates/frontnode/src/node.rs
@@ -0,0 +1,310 @@
+//! The loop: wait for readiness or the next deadline, read all, one round of the aggregator, write.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use calloop::EventLoop;
+use calloop::signals::{Signal, Signals};
+use orchidvalve::Aggregator;
+use orchidvalve::interface::{Nanos, PartIx, ReplicaIx, RetrievalIx, StandingOrders, Writer};
+use orchidvalve::ledger::Ledger;
+
+use crate::clients::{ClientKey, Clients};
+use crate::config::Plan;
+use crate::counters::Counters;
+use crate::deadlines::{Clock, Deadlines, Mark};
+use crate::desk::Desk;
+use crate::log;
+use crate::members::Members;
+use crate::servers::{LinkKey, Servers};
+use crate::streams::{Loop, Noted, Who};
+
+/// Descriptors that are neither clients nor replicas: the loop's own, the listener, the agent, the log.
+const OTHER_SOCKETS: usize = 16;
+/// Most memory that one client may bind: its message, its answer, and what is kept of both.
+const CLIENT_MEMORY: usize = 4 * crate::http::MESSAGE;
+/// After the last connection came in, a node told to stop waits so long for more.
+const QUIET: Nanos = 1_000_000_000;
+
+/// What can fall due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    Launch(PartIx, usize),
+    Link(LinkKey),
+    Probe(LinkKey),
+    Linger(ClientKey),
+    Agent,
+    Wake,
+    Stop,
+}
+
+/// What all parts of the node use.
+pub struct Kit {
+    /// The time of this round.
+    pub now: Nanos,
+    pub events: Loop,
+    pub deadlines: Deadlines<Due>,
+    pub counters: Counters,
+    /// Who has something left to do in the next round.
+    pub again: Vec<Who>,
+}
+
+impl Kit {
+    pub fn counters_text(&self, desk: &Desk) -> String {
+        self.counters.text(&[
+            ("retrievals_open", "retrievals that wait for their answer", desk.unanswered()),
+            ("deadlines_set", "deadlines not due yet", self.deadlines.len()),
+        ])
+    }
+}
+
+struct Works {
+    plan: Plan,
+    kit: Kit,
+    desk: Desk,
+    clients: Clients,
+    servers: Servers,
+    members: Members,
+    wake: Option<Mark>,
+    follow: bool,
+    stopping: bool,
+    stopped: bool,
+}
+
+pub struct Node {
+    events: EventLoop<'static, Noted>,
+    noted: Noted,
+    aggregator: Aggregator,
+    works: RefCell<Works>,
+    beat: Nanos,
+    last: Nanos,
+}
+
+impl Node {
+    /// Listens, and takes in the roster last known.
+    pub fn start((plan, orders): (Plan, StandingOrders)) -> Result<Node, String> {
+        let events = EventLoop::try_new().map_err(|e| format!("no event loop: {e}"))?;
+        let noted = Noted { clock: Clock::start(), ready: Vec::new() };
+        let (aggregator, beat) = (Aggregator::new(orders, plan.seed), plan.beat);
+        // Half of the descriptors are for replicas: clients that come in numbers must not cut those off.
+        let links = plan.sockets.saturating_sub(OTHER_SOCKETS) / 2;
+        let most = links.min(plan.memory / 2 / CLIENT_MEMORY).max(1);
+        let clients = Clients::listen(&plan, most, &events.handle())
+            .map_err(|e| format!("configuration.listen: cannot listen on {}: {e}", plan.listen))?;
+        let kit = Kit {
+            now: noted.clock.now(),
+            events: events.handle(),
+            deadlines: Deadlines::default(),
+            counters: Counters::default(),
+            again: Vec::new(),
+        };
+        let (servers, members) = (Servers::new(&plan, links), Members::new(&plan));
+        let works = Works {
+            kit,
+            desk: Desk::new(),
+            clients,
+            servers,
+            members,
+            wake: None,
+            follow: false,
+            stopping: false,
+            stopped: false,
+            plan,
+        };
+        let works = RefCell::new(works);
+        let mut node = Node { events, noted, aggregator, works, beat, last: Nanos::MIN / 2 };
+        let known = node.works.borrow().plan.known.clone();
+        node.round(|works, ledger| {
+            let Works { members, servers, desk, kit, .. } = works;
+            members.learn(known, servers, desk, ledger, kit);
+            members.start(ledger, kit);
+        });
+        Ok(node)
+    }
+
+    /// Stops in order on SIGTERM and on SIGINT.
+    pub fn heed_signals(&self) -> Result<(), String> {
+        let signals =
+            Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|e| format!("no signals: {e}"))?;
+        let noted = |_, _: &mut _, noted: &mut Noted| noted.note(Who::Stop);
+        self.events.handle().insert_source(signals, noted).map_err(|e| format!("no signals: {e}"))?;
+        Ok(())
+    }
+
+    pub fn address(&self) -> Result<SocketAddr, String> {
+        self.works.borrow().clients.address().map_err(|e| format!("no address: {e}"))
+    }
+
+    /// Serves until it was told to stop and all that was taken is answered.
+    pub fn run(&mut self) -> Result<(), String> {
+        while !self.works.borrow().stopped {
+            let now = self.noted.clock.now();
+            let due = if self.has_work() { Some(now) } else { self.works.borrow().kit.deadlines.next() };
+            let due = due.map(|due| due.max(self.last + self.beat));
+            let wait = due.map(|due| Duration::from_nanos((due - now).max(0) as u64));
+            self.events.dispatch(wait, &mut self.noted).map_err(|e| format!("the event loop failed: {e}"))?;
+            let now = self.noted.clock.now();
+            let works = self.works.get_mut();
+            let fallen = works.kit.deadlines.next().is_some_and(|at| at <= now);
+            if now - self.last >= self.beat && (fallen || self.has_work()) {
+                if due.is_some_and(|due| now > due + self.beat) {
+                    self.works.get_mut().kit.counters.rounds_late += 1;
+                }
+                let ready = std::mem::take(&mut self.noted.ready);
+                self.round(|works, ledger| works.hear(ready, ledger));
+            }
+        }
+        let works = self.works.borrow();
+        log!("stopped; {}", works.kit.counters.line());
+        Ok(())
+    }
+
+    fn has_work(&self) -> bool {
+        let works = self.works.borrow();
+        let ended = !works.desk.ended.is_empty() || !works.servers.probed.is_empty();
+        ended || works.follow || !self.noted.ready.is_empty() || !works.kit.again.is_empty()
+    }
+
+    fn round(&mut self, hear: impl FnOnce(&mut Works, &mut Ledger)) {
+        let now = self.noted.clock.now();
+        self.last = now;
+        let works = &self.works;
+        works.borrow_mut().kit.now = now;
+        works.borrow_mut().kit.counters.rounds += 1;
+        let came_in = |ledger: &mut Ledger| {
+            let mut works = works.borrow_mut();
+            hear(&mut works, ledger);
+            works.report(ledger);
+        };
+        self.aggregator.round(now, came_in, &mut Hand(works));
+        let works = self.works.get_mut();
+        works.servers.post(&mut works.desk, &mut works.kit);
+        works.desk.tidy(self.aggregator.ledger());
+    }
+}
+
+impl Works {
+    fn hear(&mut self, ready: Vec<(Who, Nanos)>, ledger: &mut Ledger) {
+        let now = self.kit.now;
+        let again = std::mem::take(&mut self.kit.again).into_iter().map(|who| (who, now));
+        for (who, at) in ready.into_iter().chain(again) {
+            let Works { plan, kit, desk, clients, servers, members, .. } = self;
+            match who {
+                Who::Door => clients.accept(kit),
+                Who::Client(key) => {
+                    if let Some(ix) = clients.ready(key, at, plan, desk, ledger, kit) {
+                        kit.counters.lapsed += 1;
+                        ledger.retrieval_lapsed(ix);
+                        desk.close(ix);
+                        servers.abandon(ix, desk, kit);
+                    }
+                }
+                Who::Link(key) => servers.ready(key, desk, kit),
+                Who::Agent => members.ready(servers, desk, ledger, kit),
+                Who::Stop => self.stop(),
+            }
+        }
+        while let Some(due) = self.kit.deadlines.due(now) {
+            let Works { kit, desk, clients, servers, members, .. } = self;
+            match due {
+                Due::Launch(part, launch) => servers.overdue(part, launch, desk, kit),
+                Due::Link(key) => servers.link_due(key, desk, kit),
+                Due::Probe(key) => servers.probe_overdue(key, kit),
+                Due::Linger(key) => clients.linger_over(key, kit),
+                Due::Agent => members.due(ledger, kit),
+                Due::Wake => self.wake = None,
+                Due::Stop => self.stop(),
+            }
+        }
+        if std::mem::take(&mut self.follow) {
+            self.members.ask(ledger, &mut self.kit);
+        }
+        self.clients.serving = self.members.any();
+    }
+
+    /// What ended since the last round, whoever found out.
+    fn report(&mut self, ledger: &mut Ledger) {
+        for (replica, answered, report) in self.servers.probed.drain(..) {
+            ledger.probe_ended(replica, answered, report);
+        }
+        for (part, launch, ending, took) in self.desk.ended.drain(..) {
+            ledger.launch_ended(part, launch, ending, took, false);
+        }
+    }
+
+    /// New connections go on coming for a while after the word to stop, and are served.
+    fn stop(&mut self) {
+        let kit = &mut self.kit;
+        if !self.stopping {
+            self.stopping = true;
+            log!(
+                "told to stop: {} retrievals open, {} clients",
+                self.desk.unanswered(),
+                self.clients.connected()
+            );
+            self.clients.accepted = kit.now;
+            self.clients.drain(kit);
+        }
+        self.clients.accept(kit);
+        let quiet_at = self.clients.accepted + QUIET;
+        if kit.now >= quiet_at && self.clients.quiet() {
+            self.stopped = true;
+        } else {
+            kit.deadlines.set(quiet_at.max(kit.now + self.plan.beat), Due::Stop);
+        }
+    }
+}
+
+/// Carries out a round's decisions.
+struct Hand<'a>(&'a RefCell<Works>);
+
+impl Writer for Hand<'_> {
+    fn launch(&mut self, part: PartIx, replica: ReplicaIx, limit: Nanos) {
+        let Works { desk, servers, kit, .. } = &mut *self.0.borrow_mut();
+        if let Some(launch) = desk.launched(part, replica, limit, kit) {
+            servers.gather(part, launch, replica);
+        }
+    }
+
+    fn retract(&mut self, part: PartIx, launch: usize) {
+        let Works { desk, servers, kit, .. } = &mut *self.0.borrow_mut();
+        servers.retract(part, launch, desk, kit);
+    }
+
+    fn answer(&mut self, retrieval: RetrievalIx, whole: bool) {
+        self.0.borrow_mut().end(retrieval, |clients, desk, kit| clients.served(retrieval, whole, desk, kit));
+    }
+
+    fn dismiss(&mut self, retrieval: RetrievalIx, stay_away: Nanos) {
+        self.0.borrow_mut().end(retrieval, |c, desk, kit| c.dismissed(retrieval, stay_away, desk, kit));
+    }
+
+    fn give_up(&mut self, retrieval: RetrievalIx) {
+        self.0.borrow_mut().end(retrieval, |clients, desk, kit| clients.given_up(retrieval, desk, kit));
+    }
+
+    fn probe(&mut self, replica: ReplicaIx) {
+        let Works { desk, servers, kit, .. } = &mut *self.0.borrow_mut();
+        servers.probe(replica, desk, kit);
+    }
+
+    fn wake(&mut self, at: Nanos) {
+        let Works { kit, wake, .. } = &mut *self.0.borrow_mut();
+        wake.take().into_iter().for_each(|mark| kit.deadlines.clear(mark));
+        *wake = Some(kit.deadlines.set(at, Due::Wake));
+    }
+
+    fn follow_roster(&mut self) {
+        self.0.borrow_mut().follow = true;
+    }
+}
+
+impl Works {
+    fn end(&mut self, ix: RetrievalIx, tell: impl FnOnce(&mut Clients, &Desk, &mut Kit)) {
+        if self.desk.close(ix) {
+            tell(&mut self.clients, &self.desk, &mut self.kit);
+            self.servers.abandon(ix, &mut self.desk, &mut self.kit);
+        }
+    }
+}
--- /dev/null
+++ b/crates/frontnode/src/servers.rs
@@ -0,0 +1,493 @@
+//! Connections to the replicas: which call travels on which, what is out on each, probes, and their ends.
+
+use std::collections::VecDeque;
+use std::net::{SocketAddr, TcpStream};
+
+use orchidvalve::interface::{Nanos, PartIx, ReplicaIx, RetrievalIx};
+use orchidvalve::ledger::Ending;
+use rustix::io::Errno;
+use slotmap::{SlotMap, new_key_type};
+use socket2::{Domain, Protocol, Socket, Type};
+
+use crate::config::Plan;
+use crate::deadlines::Mark;
+use crate::desk::Desk;
+use crate::frames;
+use crate::log;
+use crate::node::{Due, Kit};
+use crate::streams::{Stream, Who};
+
+new_key_type! {
+    pub struct LinkKey;
+}
+
+type Call = Vec<(PartIx, usize)>;
+
+/// A probe that ended: of whom, whether it was answered, and the report that came with it.
+type Probed = (ReplicaIx, bool, Option<(f64, f64)>);
+
+struct Peer {
+    address: SocketAddr,
+    serving: bool,
+    started: Option<Nanos>,
+    links: Vec<LinkKey>,
+    /// Launches of this round.
+    gathered: Call,
+}
+
+/// A launch on a connection, and where its frame ends in the bytes written.
+struct Sent {
+    part: PartIx,
+    launch: usize,
+    ends_at: u64,
+}
+
+/// What is out on a connection.
+struct Out {
+    replica: ReplicaIx,
+    launches: Vec<Sent>,
+    probe: Option<Mark>,
+}
+
+struct Link {
+    address: SocketAddr,
+    stream: Stream,
+    /// When it came up.
+    up: Option<Nanos>,
+    /// Until it is up: when that is too late. While it is idle: when it is closed.
+    mark: Option<Mark>,
+    waiting: VecDeque<Call>,
+    out: Out,
+    /// A probe on it timed out: it may be an open end to a machine that is gone.
+    suspect: bool,
+}
+
+impl Out {
+    fn hear(
+        &mut self,
+        letter: u8,
+        rest: &[u8],
+        probed: &mut Vec<Probed>,
+        desk: &mut Desk,
+        kit: &mut Kit,
+    ) -> Result<(), String> {
+        match letter {
+            frames::ANSWER => {
+                let (id, shard, ending, value) = frames::answer(rest)?;
+                let asked =
+                    |s: &Sent| desk.whole_part(s.part).is_some_and(|(p, r)| p.shard == shard && *r.id == *id);
+                let Some(at) = self.launches.iter().position(asked) else {
+                    kit.counters.late_answers += 1;
+                    return Ok(());
+                };
+                let Sent { part, launch, .. } = self.launches.swap_remove(at);
+                if ending == Ending::Done {
+                    desk.value(part, value);
+                }
+                desk.end(part, launch, ending, kit);
+                Ok(())
+            }
+            frames::PROBE | frames::PROBE_LOAD => {
+                if let Some(mark) = self.probe.take() {
+                    kit.deadlines.clear(mark);
+                    let answered = rest != b"E";
+                    let report = std::str::from_utf8(rest).ok().and_then(frames::report);
+                    kit.counters.probes_answered += u64::from(answered);
+                    probed.push((self.replica, answered, report));
+                }
+                Ok(())
+            }
+            frames::UNUSABLE => Err(format!("its server could not use a frame: {}", rest.escape_ascii())),
+            other => Err(format!("an unknown frame '{}'", other.escape_ascii())),
+        }
+    }
+}
+
+impl Link {
+    fn load(&self) -> usize {
+        self.out.launches.len() + self.waiting.iter().map(Vec::len).sum::<usize>()
+    }
+}
+
+pub struct Servers {
+    peers: Vec<Peer>,
+    links: SlotMap<LinkKey, Link>,
+    most: usize,
+    call_parts: usize,
+    link_parts: usize,
+    link_idle: Nanos,
+    connect_within: Nanos,
+    load_told: bool,
+    /// Replicas with launches of this round.
+    gathering: Vec<ReplicaIx>,
+    /// Probes that ended since the last round.
+    pub probed: Vec<Probed>,
+}
+
+impl Servers {
+    pub fn new(plan: &Plan, most: usize) -> Self {
+        Servers {
+            peers: Vec::new(),
+            links: SlotMap::with_key(),
+            most,
+            call_parts: plan.call_parts,
+            link_parts: plan.link_parts,
+            // A connection that its server may close under a call is closed before that.
+            link_idle: (plan.link_idle - plan.connect_within).max(plan.link_idle / 2),
+            connect_within: plan.connect_within,
+            load_told: plan.load_told,
+            gathering: Vec::new(),
+            probed: Vec::new(),
+        }
+    }
+
+    pub fn links(&self) -> usize {
+        self.links.len()
+    }
+
+    // ---- the roster ----
+
+    pub fn named(
+        &mut self,
+        ix: ReplicaIx,
+        address: SocketAddr,
+        serving: bool,
+        started: Option<Nanos>,
+        desk: &mut Desk,
+        kit: &mut Kit,
+    ) {
+        if self.peers.len() <= ix.0 {
+            let peer = Peer { address, serving, started, links: Vec::new(), gathered: Vec::new() };
+            self.peers.push(peer);
+            return;
+        }
+        let peer = &mut self.peers[ix.0];
+        (peer.address, peer.started) = (address, started.or(peer.started));
+        self.serves(ix, serving, desk, kit);
+    }
+
+    /// What waits for a connection to a replica that drains or is gone is dropped: it may not be sent.
+    pub fn serves(&mut self, ix: ReplicaIx, serving: bool, desk: &mut Desk, kit: &mut Kit) {
+        let peer = &mut self.peers[ix.0];
+        peer.serving = serving;
+        for key in peer.links.clone() {
+            if !serving {
+                let unsent: Vec<Call> = self.links[key].waiting.drain(..).collect();
+                unsent.into_iter().flatten().for_each(|(part, n)| desk.end(part, n, Ending::Unsent, kit));
+            }
+            self.rest(key, kit);
+        }
+    }
+
+    // ---- launches ----
+
+    pub fn gather(&mut self, part: PartIx, launch: usize, replica: ReplicaIx) {
+        let peer = &mut self.peers[replica.0];
+        if peer.gathered.is_empty() {
+            self.gathering.push(replica);
+        }
+        peer.gathered.push((part, launch));
+    }
+
+    /// Sends what the round launched: the parts for one replica share calls.
+    pub fn post(&mut self, desk: &mut Desk, kit: &mut Kit) {
+        for replica in std::mem::take(&mut self.gathering) {
+            let mut launches = std::mem::take(&mut self.peers[replica.0].gathered);
+            launches.retain(|&(part, n)| desk.launch(part, n).is_some());
+            for call in launches.chunks(self.call_parts) {
+                let Some(key) = self.link_for(replica, call.len(), kit) else {
+                    call.iter().for_each(|&(part, n)| desk.end(part, n, Ending::Unreached, kit));
+                    continue;
+                };
+                for &(part, n) in call {
+                    if let Some(l) = desk.launch(part, n) {
+                        l.link = Some(key);
+                    }
+                }
+                self.links[key].waiting.push_back(call.to_vec());
+                self.busy(key, kit);
+                self.pump(key, desk, kit);
+            }
+        }
+    }
+
+    /// One with room, else a new one: connections and handshakes cost.
+    fn link_for(&mut self, replica: ReplicaIx, parts: usize, kit: &mut Kit) -> Option<LinkKey> {
+        let room = |&key: &LinkKey| {
+            let load = self.links[key].load();
+            load == 0 || load + parts <= self.link_parts
+        };
+        let usable = self.peers[replica.0].links.iter().copied().filter(|&key| self.usable(key)).filter(room);
+        let first = usable.min_by_key(|&key| (self.links[key].up.is_none(), self.links[key].load()));
+        first.or_else(|| self.open(replica, kit))
+    }
+
+    /// Whether it leads to the process that the roster names, as far as can be known.
+    fn usable(&self, key: LinkKey) -> bool {
+        let link = &self.links[key];
+        let peer = &self.peers[link.out.replica.0];
+        let stale = peer.started.is_some_and(|started| link.up.is_some_and(|up| up < started));
+        !link.suspect && !stale && link.address == peer.address
+    }
+
+    fn open(&mut self, replica: ReplicaIx, kit: &mut Kit) -> Option<LinkKey> {
+        if self.links.len() >= self.most {
+            log!("no connection left for a replica: {} are open", self.links.len());
+            return None;
+        }
+        let address = self.peers[replica.0].address;
+        let begun = connect(address).and_then(|socket| {
+            self.links.try_insert_with_key(|key| {
+                let stream = Stream::new(&kit.events, socket, Who::Link(key))?;
+                let mark = Some(kit.deadlines.set(kit.now + self.connect_within, Due::Link(key)));
+                let out = Out { replica, launches: Vec::new(), probe: None };
+                Ok(Link { address, stream, up: None, mark, waiting: VecDeque::new(), out, suspect: false })
+            })
+        });
+        match begun {
+            Ok(key) => {
+                kit.counters.links_opened += 1;
+                self.peers[replica.0].links.push(key);
+                Some(key)
+            }
+            Err(fault) => {
+                kit.counters.links_failed += 1;
+                log!("no connection to {address}: {fault}");
+                None
+            }
+        }
+    }
+
+    /// Writes what waits, one call at a time, so that what has not begun can still be dropped.
+    fn pump(&mut self, key: LinkKey, desk: &mut Desk, kit: &mut Kit) {
+        let Some(link) = self.links.get_mut(key) else { return };
+        let before = link.stream.written;
+        let mut flushed = if link.up.is_some() { link.stream.flush() } else { return };
+        while flushed.is_ok() && link.stream.flushed() {
+            let Some(mut call) = link.waiting.pop_front() else { break };
+            call.retain(|&(part, n)| desk.launch(part, n).is_some());
+            if call.is_empty() {
+                continue;
+            }
+            let at = frames::begin(link.stream.outbox(), frames::CALL);
+            for &(part, n) in &call {
+                let Some(l) = desk.launch(part, n) else { continue };
+                l.written = true;
+                let wait = ((l.until - kit.now) / 1_000_000).max(1);
+                if let Some((p, r)) = desk.whole_part(part) {
+                    let (retrieval, key, text) = (&*r.id, r.key.as_deref(), &*r.text);
+                    let share = frames::Share { retrieval, shard: p.shard, wait, key, text };
+                    frames::share(link.stream.outbox(), &share);
+                }
+            }
+            frames::end(link.stream.outbox(), at);
+            let ends_at = link.stream.queued();
+            link.out.launches.extend(call.iter().map(|&(part, launch)| Sent { part, launch, ends_at }));
+            kit.counters.calls += 1;
+            kit.counters.launches_written += call.len() as u64;
+            flushed = link.stream.flush();
+        }
+        kit.counters.bytes_out += link.stream.written - before;
+        if let Err(fault) = flushed {
+            self.broken(key, &fault.to_string(), desk, kit);
+        }
+    }
+
+    /// The launch is wanted no more: its server is told, or it is never sent.
+    pub fn retract(&mut self, part: PartIx, launch: usize, desk: &mut Desk, kit: &mut Kit) {
+        self.give_back(part, launch, Ending::CalledOff, Ending::Unsent, desk, kit);
+    }
+
+    /// Its time is up.
+    pub fn overdue(&mut self, part: PartIx, launch: usize, desk: &mut Desk, kit: &mut Kit) {
+        self.give_back(part, launch, Ending::Silent, Ending::Unreached, desk, kit);
+    }
+
+    /// A retrieval that is over sends nothing more.
+    pub fn abandon(&mut self, retrieval: RetrievalIx, desk: &mut Desk, kit: &mut Kit) {
+        for (part, launch) in desk.unwritten(retrieval) {
+            self.retract(part, launch, desk, kit);
+        }
+    }
+
+    fn give_back(
+        &mut self,
+        part: PartIx,
+        launch: usize,
+        written: Ending,
+        unwritten: Ending,
+        desk: &mut Desk,
+        kit: &mut Kit,
+    ) {
+        let Some(l) = desk.launch(part, launch) else { return };
+        let (key, ending) = (l.link, if l.written { written } else { unwritten });
+        desk.end(part, launch, ending, kit);
+        let Some(link) = key.and_then(|key| self.links.get_mut(key)) else { return };
+        if ending == written {
+            link.out.launches.retain(|s| (s.part, s.launch) != (part, launch));
+            if let Some((p, r)) = desk.whole_part(part) {
+                frames::cancel(link.stream.outbox(), &r.id, p.shard);
+            }
+        } else {
+            link.waiting.iter_mut().for_each(|call| call.retain(|&l| l != (part, launch)));
+            link.waiting.retain(|call| !call.is_empty());
+        }
+        if let Some(key) = key {
+            self.pump(key, desk, kit);
+            self.rest(key, kit);
+        }
+    }
+
+    // ---- probes ----
+
+    pub fn probe(&mut self, replica: ReplicaIx, desk: &mut Desk, kit: &mut Kit) {
+        kit.counters.probes += 1;
+        let links = self.peers[replica.0].links.iter().copied();
+        let free = links.filter(|&key| self.usable(key) && self.links[key].out.probe.is_none());
+        let first = free.min_by_key(|&key| self.links[key].up.is_none());
+        let Some(key) = first.or_else(|| self.open(replica, kit)) else {
+            self.probed.push((replica, false, None));
+            return;
+        };
+        self.busy(key, kit);
+        let link = &mut self.links[key];
+        link.out.probe = Some(kit.deadlines.set(kit.now + self.connect_within, Due::Probe(key)));
+        frames::probe(link.stream.outbox(), self.load_told);
+        self.pump(key, desk, kit);
+    }
+
+    /// Against connections that stay open to a machine that has vanished: nothing new uses one on which a
+    /// probe found no answer, and the next probe takes a fresh one.
+    pub fn probe_overdue(&mut self, key: LinkKey, kit: &mut Kit) {
+        let Some(link) = self.links.get_mut(key) else { return };
+        if link.out.probe.take().is_some() {
+            link.suspect = true;
+            log!("no answer to a probe from {}: its connection is used no more", link.address);
+            self.probed.push((link.out.replica, false, None));
+            self.rest(key, kit);
+        }
+    }
+
+    // ---- what comes in ----
+
+    pub fn ready(&mut self, key: LinkKey, desk: &mut Desk, kit: &mut Kit) {
+        let Some(link) = self.links.get_mut(key) else { return };
+        if link.up.is_none() {
+            match link.stream.came_up() {
+                None => return,
+                Some(Err(fault)) => return self.broken(key, &fault.to_string(), desk, kit),
+                Some(Ok(())) => {
+                    link.up = Some(kit.now);
+                    if let Some(mark) = link.mark.take() {
+                        kit.deadlines.clear(mark);
+                    }
+                }
+            }
+        }
+        let before = link.stream.read;
+        let filled = link.stream.fill(frames::LONGEST + 4);
+        kit.counters.bytes_in += link.stream.read - before;
+        let heard = loop {
+            let Some(link) = self.links.get_mut(key) else { return };
+            match frames::next(link.stream.inbox()) {
+                Ok(None) => break Ok(()),
+                Err(fault) => break Err(fault),
+                Ok(Some((letter, rest, length))) => {
+                    let heard = link.out.hear(letter, rest, &mut self.probed, desk, kit);
+                    link.stream.take(length);
+                    if let Err(fault) = heard {
+                        break Err(fault);
+                    }
+                }
+            }
+        };
+        match (heard, filled) {
+            (Err(fault), _) => {
+                kit.counters.bad_frames += 1;
+                self.broken(key, &fault, desk, kit);
+            }
+            (Ok(()), Ok(true)) => {
+                self.pump(key, desk, kit);
+                self.rest(key, kit);
+            }
+            (Ok(()), Ok(false)) => self.broken(key, "closed by its server", desk, kit),
+            (Ok(()), Err(fault)) => self.broken(key, &fault.to_string(), desk, kit),
+        }
+    }
+
+    // ---- their ends ----
+
+    /// Too late to come up, or idle for long enough.
+    pub fn link_due(&mut self, key: LinkKey, desk: &mut Desk, kit: &mut Kit) {
+        let Some(link) = self.links.get_mut(key) else { return };
+        link.mark = None;
+        if link.up.is_none() {
+            return self.broken(key, "it did not come up in time", desk, kit);
+        }
+        kit.counters.links_idle += 1;
+        self.close(key, kit);
+    }
+
+    /// Ends what was on it, by what is known of each launch: what was not written whole never ran.
+    fn broken(&mut self, key: LinkKey, fault: &str, desk: &mut Desk, kit: &mut Kit) {
+        let Some(mut link) = self.close(key, kit) else { return };
+        let idle = link.load() == 0 && link.out.probe.is_none();
+        let count =
+            if link.up.is_none() { &mut kit.counters.links_failed } else { &mut kit.counters.links_broken };
+        *count += u64::from(!idle || link.up.is_none());
+        if !idle {
+            log!("connection to {} with {} parts: {fault}", link.address, link.load());
+        }
+        for Sent { part, launch, ends_at } in link.out.launches.drain(..) {
+            let whole = ends_at <= link.stream.written;
+            desk.end(part, launch, if whole { Ending::Faulty } else { Ending::Unreached }, kit);
+        }
+        for (part, launch) in link.waiting.drain(..).flatten() {
+            desk.end(part, launch, Ending::Unreached, kit);
+        }
+        if link.out.probe.is_some() {
+            self.probed.push((link.out.replica, false, None));
+        }
+    }
+
+    /// The one place where a connection is given back.
+    fn close(&mut self, key: LinkKey, kit: &mut Kit) -> Option<Link> {
+        let link = self.links.remove(key)?;
+        link.mark.into_iter().chain(link.out.probe).for_each(|mark| kit.deadlines.clear(mark));
+        self.peers[link.out.replica.0].links.retain(|&k| k != key);
+        Some(link)
+    }
+
+    /// It has something to do again.
+    fn busy(&mut self, key: LinkKey, kit: &mut Kit) {
+        let link = &mut self.links[key];
+        if link.up.is_some()
+            && let Some(mark) = link.mark.take()
+        {
+            kit.deadlines.clear(mark);
+        }
+    }
+
+    /// Where it has nothing to do it is closed at once, if nothing may use it again, or when idle long enough.
+    fn rest(&mut self, key: LinkKey, kit: &mut Kit) {
+        let Some(link) = self.links.get(key) else { return };
+        if link.up.is_none() || link.load() > 0 || link.out.probe.is_some() {
+            return;
+        }
+        if !self.usable(key) || !self.peers[link.out.replica.0].serving {
+            self.close(key, kit);
+        } else if self.links[key].mark.is_none() {
+            self.links[key].mark = Some(kit.deadlines.set(kit.now + self.link_idle, Due::Link(key)));
+        }
+    }
+}
+
+/// Begins a connection; the event loop says when it is up.
+pub fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    match socket.connect(&address.into()) {
+        Err(e) if e.raw_os_error() != Some(Errno::INPROGRESS.raw_os_error()) => Err(e),
+        _ => Ok(socket.into()),
+    }
+}
--- /dev/null
+++ b/crates/frontnode/src/streams.rs
@@ -0,0 +1,170 @@
+//! One non-blocking connection: its descriptor, its place in the event loop, and its two buffers.
+
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{Shutdown, TcpStream};
+use std::rc::Rc;
+
+use calloop::generic::Generic;
+use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
+use orchidvalve::interface::Nanos;
+
+use crate::clients::ClientKey;
+use crate::deadlines::Clock;
+use crate::servers::LinkKey;
+
+/// Who something was ready for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Who {
+    Door,
+    Client(ClientKey),
+    Link(LinkKey),
+    Agent,
+    Stop,
+}
+
+/// What the event loop notes for the next round: who is ready, and since when.
+pub struct Noted {
+    pub clock: Clock,
+    pub ready: Vec<(Who, Nanos)>,
+}
+
+impl Noted {
+    pub fn note(&mut self, who: Who) {
+        let now = self.clock.now();
+        if !self.ready.iter().any(|&(w, _)| w == who) {
+            self.ready.push((who, now));
+        }
+    }
+}
+
+pub type Loop = LoopHandle<'static, Noted>;
+
+const LEAST: usize = 4 << 10;
+
+pub struct Stream {
+    socket: Rc<TcpStream>,
+    place: RegistrationToken,
+    events: Loop,
+    inbox: Vec<u8>,
+    first: usize,
+    last: usize,
+    outbox: Vec<u8>,
+    sent: usize,
+    /// Bytes of the connection that the system has taken so far.
+    pub written: u64,
+    pub read: u64,
+}
+
+impl Stream {
+    pub fn new(events: &Loop, socket: TcpStream, who: Who) -> io::Result<Stream> {
+        socket.set_nonblocking(true)?;
+        socket.set_nodelay(true)?;
+        let socket = Rc::new(socket);
+        let source = Generic::new(socket.clone(), Interest::BOTH, Mode::Edge);
+        let noted = move |_, _: &mut _, noted: &mut Noted| {
+            noted.note(who);
+            Ok(PostAction::Continue)
+        };
+        let place = events.insert_source(source, noted).map_err(|e| io::Error::other(e.to_string()))?;
+        Ok(Stream {
+            socket,
+            place,
+            events: events.clone(),
+            inbox: Vec::new(),
+            first: 0,
+            last: 0,
+            outbox: Vec::new(),
+            sent: 0,
+            written: 0,
+            read: 0,
+        })
+    }
+
+    /// Whether a connection begun earlier is up; None while that is open.
+    pub fn came_up(&self) -> Option<io::Result<()>> {
+        match self.socket.take_error() {
+            Ok(Some(fault)) | Err(fault) => Some(Err(fault)),
+            Ok(None) => self.socket.peer_addr().is_ok().then_some(Ok(())),
+        }
+    }
+
+    pub fn inbox(&self) -> &[u8] {
+        &self.inbox[self.first..self.last]
+    }
+
+    pub fn take(&mut self, length: usize) {
+        self.first += length;
+        if self.first == self.last {
+            (self.first, self.last) = (0, 0);
+        }
+    }
+
+    /// Reads until nothing more is there or so many bytes wait in the inbox; false at the end of the stream.
+    pub fn fill(&mut self, most: usize) -> io::Result<bool> {
+        loop {
+            if self.last - self.first >= most {
+                return Ok(true);
+            }
+            if self.last == self.inbox.len() {
+                self.inbox.copy_within(self.first..self.last, 0);
+                (self.first, self.last) = (0, self.last - self.first);
+                if self.last * 2 >= self.inbox.len() {
+                    self.inbox.resize((self.inbox.len() * 2).max(LEAST), 0);
+                }
+            }
+            match (&*self.socket).read(&mut self.inbox[self.last..]) {
+                Ok(0) => return Ok(false),
+                Ok(length) => {
+                    self.last += length;
+                    self.read += length as u64;
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(true),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+    }
+
+    pub fn outbox(&mut self) -> &mut Vec<u8> {
+        &mut self.outbox
+    }
+
+    /// Where the outbox ends in the stream of all bytes written.
+    pub fn queued(&self) -> u64 {
+        self.written + (self.outbox.len() - self.sent) as u64
+    }
+
+    pub fn flushed(&self) -> bool {
+        self.sent == self.outbox.len()
+    }
+
+    pub fn flush(&mut self) -> io::Result<()> {
+        while !self.flushed() {
+            match (&*self.socket).write(&self.outbox[self.sent..]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(length) => {
+                    self.sent += length;
+                    self.written += length as u64;
+                }
+                Err(e) if e.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(e) if e.kind() == ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        self.outbox.clear();
+        self.sent = 0;
+        Ok(())
+    }
+
+    /// Says that nothing more will be written; what the peer still sends is read, lest it be told of a reset
+    /// before it has read all.
+    pub fn finish(&self) {
+        let _ = self.socket.shutdown(Shutdown::Write);
+    }
+}
+
+impl Drop for Stream {
+    fn drop(&mut self) {
+        self.events.remove(self.place);
+    }
+}
