Stories of the node over loopback; the agent's connection gets a time to come up

Fourteen stories run the program with stand-ins in the test: values as given, fragments, shared calls, broken and refused connections, silence, a client gone, an open end to a vanished machine, drain and move, SIGTERM, bad requests, the cap, replicas that talk nonsense, bad configurations.

Found while writing them: a connection to the agent that never comes up was noticed only after a whole watch (members.rs, ask), and a chunked body that fills the buffer without an end was never refused (clients.rs, ready). Both mended here.

--- a/crates/frontnode/src/clients.rs
+++ b/crates/frontnode/src/clients.rs
@@ -211,7 +211,9 @@
             if !client.stream.inbox().is_empty() {
                 client.since.get_or_insert(at);
             }
-            match http::request(client.stream.inbox()) {
+            let full = client.stream.inbox().len() >= http::MESSAGE;
+            let read = http::request(client.stream.inbox());
+            match if full { read.and_then(|m| m.map(Some).ok_or(http::BODY_TOO_LARGE)) } else { read } {
                 Ok(None) => break,
                 Ok(Some(message)) => {
                     let since = client.since.take().unwrap_or(at);
--- a/crates/frontnode/src/http.rs
+++ b/crates/frontnode/src/http.rs
@@ -16,7 +16,7 @@
 const BAD_HEAD: Fault = Fault(400, "malformed head");
 const HEAD_TOO_LARGE: Fault = Fault(431, "head too large");
 const BAD_LENGTH: Fault = Fault(400, "malformed length");
-const BODY_TOO_LARGE: Fault = Fault(413, "body too large");
+pub const BODY_TOO_LARGE: Fault = Fault(413, "body too large");
 const BAD_CHUNK: Fault = Fault(400, "malformed chunk");
 
 #[derive(Debug)]
--- a/crates/frontnode/src/members.rs
+++ b/crates/frontnode/src/members.rs
@@ -147,7 +147,8 @@
             stream.outbox().extend_from_slice(head.as_bytes());
         }
         self.asked = true;
-        self.remind(kit.now + (HOLD_MS + SLACK_MS) * 1_000_000, kit);
+        // Until the connection is up; from then on for the watch.
+        self.remind(kit.now + self.first_wait, kit);
         self.flush(ledger, kit);
     }
 
@@ -158,12 +159,15 @@
 
     fn flush(&mut self, ledger: &mut Ledger, kit: &mut Kit) {
         let Some(stream) = &mut self.call else { return };
+        let waits = !stream.flushed();
         let flushed = match stream.came_up() {
             None => return,
             Some(up) => up.and_then(|()| stream.flush()),
         };
-        if let Err(fault) = flushed {
-            self.missed(&fault.to_string(), ledger, kit);
+        match flushed {
+            Ok(()) if waits => self.remind(kit.now + (HOLD_MS + SLACK_MS) * 1_000_000, kit),
+            Ok(()) => {}
+            Err(fault) => self.missed(&fault.to_string(), ledger, kit),
         }
     }
 
--- /dev/null
+++ b/crates/frontnode/tests/sockets.rs
@@ -0,0 +1,556 @@
+//! The node as a process, with stand-ins for its replicas, its roster agent and its clients in the test itself.
+//! No story sleeps: each waits for what must come, and the waits below only end a story that has failed.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, ChildStderr, Command, Stdio};
+use std::time::Duration;
+
+use serde_json::{Value, json};
+use socket2::SockRef;
+
+const TOO_LONG: Duration = Duration::from_secs(20);
+
+/// Shard `n` is held by replica `n` alone, so that each story knows where a part must go.
+fn settings(replicas: usize) -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "effect": effect, "objectiveNs": 400_000_000, "deadlineNs": 3_000_000_000u64,
+               "lateWorth": 0.3, "windowNs": 2_000_000_000})
+    };
+    json!({
+        "classes": [class("look", "pure"), class("hold", "token"), class("pay", "side_effect")],
+        "projects": [{"name": "acme", "allowancePerS": 1000.0}],
+        "extra": {"positions": replicas, "reach": 1, "slices": replicas, "bundleMax": 4},
+        "feedback": {"how": "on_probe", "names": ["waiting", "rps"]},
+        "limits": {"attemptsCap": 4, "cancel": true, "secondCopies": true, "probes": true, "multiplex": 8,
+                   "openCap": 8, "connIdleNs": 15_000_000_000u64, "connectTimeoutNs": 100_000_000},
+        "rules": {"coldShare": 0.25, "coldNs": 1_000_000_000, "fallMultiple": 4.0, "fallNs": 1_000_000_000},
+        "resolutionNs": 5_000_000
+    })
+}
+
+struct Stage {
+    child: Child,
+    log: BufReader<ChildStderr>,
+    node: SocketAddr,
+    replicas: Vec<TcpListener>,
+    agent: TcpListener,
+}
+
+impl Drop for Stage {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn listener() -> TcpListener {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    SockRef::from(&listener).set_read_timeout(Some(TOO_LONG)).unwrap();
+    listener
+}
+
+fn config(settings: Value, members: Value, agent: SocketAddr) -> Value {
+    json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": agent.to_string(), "seed": "8c1f30d27a5be964",
+           "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+           "known": {"revision": 1, "complete": true, "members": members}, "settings": settings})
+}
+
+fn member(cell: usize, address: SocketAddr, phase: &str) -> Value {
+    json!({"id": format!("s-{cell}"), "host_port": address.to_string(), "cell": cell, "phase": phase,
+           "up_since_ms": 0})
+}
+
+/// Runs the program on that configuration; each gets a file of its own.
+fn spawn(story: &str, config: &Value) -> Child {
+    let path = format!("{}/{story}.json", env!("CARGO_TARGET_TMPDIR"));
+    std::fs::write(&path, config.to_string()).unwrap();
+    let mut command = Command::new(env!("CARGO_BIN_EXE_orchidvalved"));
+    command.env("NODE_CONFIG", path).stderr(Stdio::piped()).spawn().unwrap()
+}
+
+impl Stage {
+    fn open(story: &str, replicas: usize) -> Stage {
+        Stage::open_with(story, replicas, settings(replicas))
+    }
+
+    /// Two replicas hold shard 0; both are at one address, as it is left to chance which is asked first.
+    fn open_pair(story: &str) -> Stage {
+        let mut settings = settings(2);
+        settings["extra"]["reach"] = json!(2);
+        let replicas = vec![listener()];
+        let known = (0..2).map(|n| member(n, replicas[0].local_addr().unwrap(), "up")).collect();
+        Stage::begin(story, replicas, known, settings)
+    }
+
+    fn open_with(story: &str, replicas: usize, settings: Value) -> Stage {
+        let replicas: Vec<_> = (0..replicas).map(|_| listener()).collect();
+        let known = replicas.iter().enumerate().map(|(n, r)| member(n, r.local_addr().unwrap(), "up"));
+        let known = known.collect();
+        Stage::begin(story, replicas, known, settings)
+    }
+
+    fn begin(story: &str, replicas: Vec<TcpListener>, known: Value, settings: Value) -> Stage {
+        let agent = listener();
+        let config = config(settings, known, agent.local_addr().unwrap());
+        let mut child = spawn(story, &config);
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        let mut line = String::new();
+        log.read_line(&mut line).unwrap();
+        let node = line.trim().rsplit(' ').next().unwrap().parse().expect(&line);
+        Stage { child, log, node, replicas, agent }
+    }
+
+    fn client(&self) -> Peer {
+        Peer::new(TcpStream::connect(self.node).unwrap())
+    }
+
+    fn replica(&self, n: usize) -> Peer {
+        Peer::new(self.replicas[n].accept().unwrap().0)
+    }
+
+    fn health(&self) -> u16 {
+        let mut client = self.client();
+        client.send(b"GET /_health HTTP/1.1\r\n\r\n");
+        client.response().0
+    }
+
+    fn counter(&self, name: &str) -> u64 {
+        let mut client = self.client();
+        client.send(b"GET /metrics HTTP/1.1\r\n\r\n");
+        let text = client.response().2;
+        let line = text.lines().find(|l| l.starts_with(&format!("orchidvalve_{name}_total "))).unwrap();
+        line.rsplit(' ').next().unwrap().parse().unwrap()
+    }
+
+    /// The rest of the log and how the program ended.
+    fn end(mut self) -> (String, Option<i32>) {
+        let mut log = String::new();
+        self.log.read_to_string(&mut log).unwrap();
+        (log, self.child.wait().unwrap().code())
+    }
+}
+
+/// One connection, read with blocking calls.
+struct Peer {
+    stream: TcpStream,
+    inbox: Vec<u8>,
+}
+
+impl Peer {
+    fn new(stream: TcpStream) -> Peer {
+        stream.set_read_timeout(Some(TOO_LONG)).unwrap();
+        stream.set_nodelay(true).unwrap();
+        Peer { stream, inbox: Vec::new() }
+    }
+
+    fn send(&mut self, bytes: &[u8]) {
+        self.stream.write_all(bytes).unwrap();
+    }
+
+    /// False at the end of the stream.
+    fn more(&mut self) -> bool {
+        let mut buffer = [0; 4096];
+        match self.stream.read(&mut buffer) {
+            Ok(length) => {
+                self.inbox.extend_from_slice(&buffer[..length]);
+                length > 0
+            }
+            Err(e) if e.kind() == std::io::ErrorKind::ConnectionReset => false,
+            Err(e) => panic!("nothing came: {e}"),
+        }
+    }
+
+    fn take(&mut self, length: usize) -> Vec<u8> {
+        while self.inbox.len() < length {
+            assert!(self.more(), "the connection ended");
+        }
+        self.inbox.drain(..length).collect()
+    }
+
+    /// A frame's letter and rest.
+    fn frame(&mut self) -> (char, String) {
+        let length = u32::from_be_bytes(self.take(4).try_into().unwrap());
+        let frame = String::from_utf8(self.take(length as usize)).unwrap();
+        (frame.chars().next().unwrap(), frame[1..].to_owned())
+    }
+
+    /// The next call's lines, one a part, without their texts.
+    fn call(&mut self) -> Vec<String> {
+        let (letter, rest) = self.frame();
+        assert_eq!(letter, '1', "{rest}");
+        let (mut lines, mut rest) = (Vec::new(), &rest[..]);
+        while let Some((line, after)) = rest.split_once('\n') {
+            lines.push(line.to_owned());
+            rest = &after[line.rsplit(' ').next().unwrap().parse::<usize>().unwrap()..];
+        }
+        lines
+    }
+
+    /// Answers probes until a call comes.
+    fn probed_until_called(&mut self) -> String {
+        loop {
+            match self.frame() {
+                ('4', _) => self.send_frame("4waiting=0,rps=9"),
+                (letter, rest) => {
+                    assert_eq!(letter, '1', "{rest}");
+                    return rest;
+                }
+            }
+        }
+    }
+
+    fn send_frame(&mut self, frame: &str) {
+        let mut bytes = (frame.len() as u32).to_be_bytes().to_vec();
+        bytes.extend_from_slice(frame.as_bytes());
+        self.send(&bytes);
+    }
+
+    /// Answers a call's line.
+    fn answer(&mut self, line: &str, end: &str, value: &str) {
+        let id = line.split(' ').next().unwrap();
+        self.send_frame(&format!("5{id} {end} 7 -\n{value}"));
+    }
+
+    /// Status, head and body.
+    fn response(&mut self) -> (u16, String, String) {
+        loop {
+            if let Some(end) = self.inbox.windows(4).position(|w| w == b"\r\n\r\n") {
+                let head = String::from_utf8(self.take(end + 4)).unwrap();
+                let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: ")).unwrap();
+                let body = self.take(length.parse().unwrap());
+                let status = head.split(' ').nth(1).unwrap().parse().unwrap();
+                return (status, head, String::from_utf8(body).unwrap());
+            }
+            assert!(self.more(), "the connection ended");
+        }
+    }
+
+    fn ask(&mut self, id: &str, class: &str, shards: &[usize], timeout: &str) {
+        let request = request(id, class, shards, timeout);
+        self.send(request.as_bytes());
+    }
+}
+
+fn body(shards: &[usize]) -> String {
+    let share = 1.0 / shards.len() as f64;
+    let slices: Vec<Value> = shards.iter().map(|s| json!({"slice": s, "mass": share})).collect();
+    json!({"slices": slices, "filter": "c41e77d0"}).to_string()
+}
+
+fn request(id: &str, class: &str, shards: &[usize], timeout: &str) -> String {
+    let body = body(shards);
+    let head = head(id, class, timeout);
+    format!("{head}Content-Length: {}\r\n\r\n{body}", body.len())
+}
+
+fn head(id: &str, class: &str, timeout: &str) -> String {
+    format!(
+        "POST /api HTTP/1.1\r\nRequest-Id: {id}\r\nRequest-Class: {class}\r\nTenant: acme\r\n\
+         Request-Timeout: {timeout}\r\nIdempotency-Key: k-{id}\r\n"
+    )
+}
+
+#[test]
+fn a_retrieval_is_answered_with_the_values_as_its_replicas_gave_them() {
+    let stage = Stage::open("answered", 2);
+    assert_eq!(stage.health(), 200);
+    let mut client = stage.client();
+    client.ask("r1", "hold", &[0, 1], "2000m");
+    for (n, value) in [(0, "5be2a07c19f04d63"), (1, "a\"b\\c")] {
+        let mut replica = stage.replica(n);
+        let call = replica.call();
+        let words: Vec<&str> = call[0].split(' ').collect();
+        assert_eq!(
+            (call.len(), words[0], words[1], words[3]),
+            (1, &*format!("r1.{n}"), &*n.to_string(), "8")
+        );
+        let (wait, key) = words[2].split_once(',').unwrap();
+        let wait: u64 = wait.strip_prefix("d=").unwrap().parse().unwrap();
+        assert!((1..=2000).contains(&wait) && key == "k=k-r1", "{call:?}");
+        replica.answer(&call[0], "S", value);
+    }
+    let (status, _, body) = client.response();
+    let items = json!([{"slice": 0, "body": "5be2a07c19f04d63"}, {"slice": 1, "body": "a\"b\\c"}]);
+    let body: Value = serde_json::from_str(&body).unwrap();
+    assert_eq!((status, body), (200, json!({"entire": true, "items": items})));
+}
+
+#[test]
+fn a_request_in_pieces_and_the_next_one_behind_it_are_both_served() {
+    let stage = Stage::open("pieces", 1);
+    let (mut client, text) = (stage.client(), body(&[0]));
+    let (left, right) = text.split_at(9);
+    let chunks = format!("{:x}\r\n{left}\r\n{:x};x=y\r\n{right}\r\n0\r\n\r\n", left.len(), right.len());
+    let coded = format!("{}Transfer-Encoding: chunked\r\n\r\n{chunks}", head("r1", "look", "2000m"));
+    for byte in coded.bytes() {
+        client.send(&[byte]);
+    }
+    client.ask("r2", "look", &[0], "2000m");
+    let mut replica = stage.replica(0);
+    for id in ["r1", "r2"] {
+        let call = replica.call();
+        assert!(call[0].starts_with(&format!("{id}.0 0 d=")), "{call:?}");
+        replica.answer(&call[0], "S", id);
+        assert!(client.response().2.contains(&format!("\"body\":\"{id}\"")));
+    }
+}
+
+#[test]
+fn parts_for_one_replica_share_a_call() {
+    let stage = Stage::open_with("call", 1, {
+        let mut settings = settings(1);
+        settings["extra"]["slices"] = json!(6);
+        settings
+    });
+    let mut client = stage.client();
+    client.ask("r1", "look", &[0, 1, 2, 3, 4, 5], "2000m");
+    let mut replica = stage.replica(0);
+    let (first, second) = (replica.call(), replica.call());
+    assert_eq!((first.len(), second.len()), (4, 2));
+    first.iter().chain(&second).for_each(|line| replica.answer(line, "S", "v"));
+    assert_eq!(client.response().0, 200);
+    assert_eq!(stage.counter("links_opened"), 1);
+}
+
+#[test]
+fn a_part_whose_connection_broke_is_launched_again_where_it_may_be() {
+    let stage = Stage::open_pair("broken");
+    let mut client = stage.client();
+    client.ask("r1", "look", &[0], "2500m");
+    stage.replica(0).call();
+    let mut replica = stage.replica(0);
+    let call = replica.call();
+    replica.answer(&call[0], "S", "v");
+    assert_eq!(client.response().0, 200);
+    assert_eq!(stage.counter("launches_faulty"), 1);
+}
+
+#[test]
+fn an_effectful_part_that_may_have_run_is_given_up_and_one_that_never_ran_is_dismissed() {
+    let stage = Stage::open("effectful", 1);
+    let mut client = stage.client();
+    client.ask("r1", "pay", &[0], "2500m");
+    let mut replica = stage.replica(0);
+    let call = replica.call();
+    replica.answer(&call[0], "E", "");
+    assert_eq!(client.response().0, 504);
+    drop(replica);
+
+    let mut stage = Stage::open("refused", 1);
+    let mut client = stage.client();
+    stage.replicas.clear();
+    client.ask("r2", "pay", &[0], "600m");
+    assert_eq!(client.response().0, 503);
+    assert!(stage.counter("launches_unreached") > 0);
+}
+
+#[test]
+fn a_silent_launch_is_given_up_in_time_and_its_replica_is_told() {
+    let stage = Stage::open("silent", 1);
+    let mut client = stage.client();
+    client.ask("r1", "pay", &[0], "500m");
+    let mut replica = stage.replica(0);
+    replica.call();
+    assert_eq!(client.response().0, 504);
+    let cancelled = std::iter::repeat_with(|| replica.frame()).find(|(letter, _)| *letter == '2').unwrap();
+    assert_eq!(cancelled.1, "r1.0");
+}
+
+#[test]
+fn a_client_that_went_away_ends_its_launches_and_its_slot_serves_another() {
+    let stage = Stage::open("gone", 1);
+    let mut client = stage.client();
+    client.ask("r1", "look", &[0], "2500m");
+    let mut replica = stage.replica(0);
+    let first = replica.call();
+    drop(client);
+    assert_eq!(replica.frame(), ('2', "r1.0".to_owned()));
+    let mut client = stage.client();
+    client.ask("r2", "look", &[0], "2500m");
+    let second = replica.call();
+    // The late answer is not for the client that has the slot now.
+    replica.answer(&first[0], "S", "late");
+    replica.answer(&second[0], "S", "fresh");
+    assert!(client.response().2.contains("fresh"));
+    assert_eq!((stage.counter("lapsed"), stage.counter("late_answers")), (1, 1));
+}
+
+#[test]
+fn an_open_end_to_a_machine_that_is_gone_is_not_used_again() {
+    let stage = Stage::open("open-end", 1);
+    let mut client = stage.client();
+    client.ask("r1", "look", &[0], "2500m");
+    let mut silent = stage.replica(0);
+    silent.call();
+    assert_eq!(silent.frame().0, '4');
+    drop(client);
+    // That probe stays without an answer; the next one, and all else, comes on a connection of its own.
+    let mut fresh = stage.replica(0);
+    let mut other = stage.client();
+    other.ask("r2", "look", &[0], "2500m");
+    let call = fresh.probed_until_called();
+    assert!(call.starts_with("r2.0 "), "{call}");
+    fresh.answer(&call, "S", "v");
+    assert_eq!(other.response().0, 200);
+}
+
+/// Answers the node's watch, which asks from the given revision on.
+fn tell(agent: &mut Peer, from: u64, told: &Value) {
+    let mut asked = String::new();
+    while !asked.ends_with("\r\n\r\n") {
+        asked.push(agent.take(1)[0] as char);
+    }
+    assert!(asked.starts_with(&format!("GET /catalog/members?from={from}&hold_ms=")), "{asked}");
+    let told = told.to_string();
+    agent.send(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{told}", told.len()).as_bytes());
+}
+
+#[test]
+fn nothing_new_goes_to_a_replica_that_drains_and_a_moved_one_is_found() {
+    let stage = Stage::open("drain", 1);
+    let mut agent = Peer::new(stage.agent.accept().unwrap().0);
+    let address = stage.replicas[0].local_addr().unwrap();
+    let told = |revision: u64, address, phase| json!({"revision": revision, "complete": false, "members": [member(0, address, phase)]});
+    tell(&mut agent, 1, &told(2, address, "draining"));
+    // The next watch shows that the last answer was taken in; a bad one leaves it in force.
+    tell(&mut agent, 2, &json!({"revision": 3, "members": [{"id": "s-0"}]}));
+    let mut agent = Peer::new(stage.agent.accept().unwrap().0);
+    let mut client = stage.client();
+    client.ask("r1", "look", &[0], "300m");
+    assert_eq!(client.response().0, 503);
+    assert_eq!((stage.counter("launches"), stage.counter("bad_rosters")), (0, 1));
+    let moved = listener();
+    tell(&mut agent, 2, &told(4, moved.local_addr().unwrap(), "up"));
+    agent.take(1);
+    client.ask("r2", "look", &[0], "2000m");
+    let mut replica = Peer::new(moved.accept().unwrap().0);
+    let call = replica.call();
+    replica.answer(&call[0], "S", "v");
+    assert_eq!(client.response().0, 200);
+}
+
+#[test]
+fn a_node_told_to_stop_answers_what_it_took_and_ends_well() {
+    let stage = Stage::open("stop", 1);
+    let (mut client, mut idle) = (stage.client(), stage.client());
+    client.ask("r1", "look", &[0], "2500m");
+    let mut replica = stage.replica(0);
+    let call = replica.call();
+    let kill = format!("kill -TERM {}", stage.child.id());
+    assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+    // Idle connections end, which also says that the word was heard.
+    assert!(!idle.more());
+    assert_eq!(stage.health(), 503);
+    replica.answer(&call[0], "S", "v");
+    let (status, head, _) = client.response();
+    assert!(status == 200 && head.contains("Connection: close"), "{head}");
+    assert!(!client.more());
+    let (log, code) = stage.end();
+    assert_eq!(code, Some(0), "{log}");
+    assert!(log.contains("stopped; ") && log.contains("answers_whole=1"), "{log}");
+}
+
+#[test]
+fn bad_requests_are_named_and_touch_nobody_else() {
+    let stage = Stage::open("bad", 2);
+    let mut open = stage.client();
+    open.ask("open", "look", &[0], "5000m");
+    let mut replica = stage.replica(0);
+    let call = replica.call();
+    let good = request("r1", "look", &[0, 1], "500m");
+    let with = |from: &str, to: &str| good.replace(from, to);
+    let sized =
+        |body: &str| format!("{}Content-Length: {}\r\n\r\n{body}", head("r1", "look", "9m"), body.len());
+    let slices = |slices: &str| sized(&format!("{{\"slices\":{slices}}}"));
+    let cases = [
+        (400, "head", "NONSENSE\r\n\r\n".to_owned()),
+        (404, "nothing", with("/api", "/elsewhere")),
+        (405, "method", with("POST", "PUT")),
+        (400, "Request-Id", with("Request-Id: r1", "Request-Id: r 1")),
+        (400, "Request-Id", with("Request-Id: r1", "Request-Id: r,1")),
+        (400, "Request-Id", with("Request-Id", "Other")),
+        (409, "Request-Id", with("Request-Id: r1", "Request-Id: open")),
+        (400, "Request-Class", with("look", "loot")),
+        (400, "Tenant", with("acme", "nobody")),
+        (400, "Request-Timeout", with("500m", "500")),
+        (400, "Request-Timeout", with("500m", "99999999999999999999m")),
+        (400, "Idempotency-Key", with("look", "hold").replace("Idempotency-Key", "Other")),
+        (400, "length", with("Content-Length: ", "Transfer-Encoding: chunked\r\nContent-Length: ")),
+        (400, "length", with("Content-Length: ", "Content-Length: -")),
+        (413, "large", with("Content-Length: ", "Content-Length: 99999")),
+        (
+            413,
+            "large",
+            format!("{}Transfer-Encoding: chunked\r\n\r\nfffffffffffffff0\r\n", head("r1", "look", "9m")),
+        ),
+        (400, "chunk", format!("{}Transfer-Encoding: chunked\r\n\r\nxyz\r\n", head("r1", "look", "9m"))),
+        (431, "large", format!("GET / HTTP/1.1\r\nLong: {}", "x".repeat(20_000))),
+        (400, "body", sized("{\"slices\":")),
+        (400, "body.slices", sized("{}")),
+        (400, "body.slices", slices("[]")),
+        (400, "body.slices[0].slice", slices("[{\"slice\":2,\"mass\":1}]")),
+        (400, "body.slices[1].slice", slices("[{\"slice\":1,\"mass\":1},{\"slice\":1,\"mass\":1}]")),
+        (400, "body.slices[0].mass", slices("[{\"slice\":1,\"mass\":0}]")),
+    ];
+    for (status, named, request) in cases {
+        let mut client = stage.client();
+        client.send(request.as_bytes());
+        let (found, _, body) = client.response();
+        assert!(found == status && body.contains(named), "{request}\n{found} {body}");
+    }
+    assert_eq!(stage.counter("retrievals_taken"), 1);
+    replica.answer(&call[0], "S", "v");
+    assert_eq!(open.response().0, 200);
+}
+
+#[test]
+fn what_is_beyond_the_cap_is_turned_away() {
+    let stage = Stage::open("cap", 1);
+    // Two bodies a retrieval: itself and its part; eight may be open.
+    let mut clients: Vec<Peer> = (0..5).map(|_| stage.client()).collect();
+    for (n, client) in clients.iter_mut().enumerate().take(4) {
+        client.ask(&format!("r{n}"), "look", &[0], "5000m");
+        assert!((0..10_000).any(|_| stage.counter("retrievals_taken") > n as u64));
+    }
+    clients[4].ask("r4", "look", &[0], "5000m");
+    assert_eq!((clients[4].response().0, stage.counter("retrievals_over_cap")), (503, 1));
+}
+
+#[test]
+fn a_replica_that_talks_nonsense_loses_its_connection_and_no_more() {
+    let stage = Stage::open("nonsense", 2);
+    for (n, nonsense) in ["9what", "5r0.0 Q 1 -\nv", "5no end of line", "Xwhat was that"].iter().enumerate() {
+        let mut client = stage.client();
+        client.ask(&format!("r{n}"), "pay", &[0], "5000m");
+        let mut replica = stage.replica(0);
+        replica.probed_until_called();
+        replica.send_frame(nonsense);
+        assert_eq!(client.response().0, 504, "{nonsense}");
+    }
+    assert_eq!(stage.counter("bad_frames"), 4);
+    assert_eq!(stage.health(), 200);
+}
+
+#[test]
+fn a_bad_configuration_is_named_and_ends_the_program() {
+    let whole = config(settings(1), json!([]), listener().local_addr().unwrap());
+    for (key, value, named) in [
+        ("/listen", json!("here"), "configuration.listen"),
+        ("/seed", json!("xyz"), "configuration.seed"),
+        ("/limits/sockets", json!(3), "configuration.limits.sockets"),
+        ("/known/members", json!(7), "configuration.known.members"),
+        ("/settings/extra/slices", json!("many"), "configuration.settings.extra.slices"),
+        ("/settings/extra/reach", json!(0), "configuration.settings.extra.reach"),
+        ("/settings/limits/multiplex", json!(0), "configuration.settings.limits.multiplex"),
+        ("/settings/classes/1/windowNs", json!(-1), "configuration.settings.classes[1].windowNs"),
+        ("/settings/classes/0/effect", json!("odd"), "configuration.settings.classes[0].effect"),
+        ("/settings/projects/0/name", json!(1), "configuration.settings.projects[0].name"),
+    ] {
+        let mut config = whole.clone();
+        *config.pointer_mut(key).unwrap() = value;
+        let run = spawn("bad-configuration", &config).wait_with_output().unwrap();
+        let log = String::from_utf8(run.stderr).unwrap();
+        assert!(!run.status.success() && log.contains(&format!("{named}: ")), "{key}: {log}");
+    }
+}
