A client that does not read or does not finish its request holds no slot for good

At the limit of clients, connections that have not sent their request whole are closed after the idle ones; an answer that is not read ends its connection after the idle time of connections; a full door is tried again after a while also where no client leaves, as descriptors come back elsewhere too. Hints of work beyond a quarter of an hour are cut, as they would overflow the aggregator's sums. Guards against slow and greedy peers whatever their cause; harm: a slow sender may have to send again, when all places are taken.

Probes bring avg_ms, rps and waiting, as the settings name them (seen by a trace).

--- a/crates/frontnode/src/clients.rs
+++ b/crates/frontnode/src/clients.rs
@@ -26,6 +26,8 @@
 }
 
 const LONGEST_ID: usize = 200;
+/// In microseconds; beyond it a guess at the work is none, and would overflow the aggregator's sums.
+const LONGEST_HINT: f64 = 1e9;
 const TEXT: &str = "text/plain; charset=utf-8";
 const JSON: &str = "application/json";
 
@@ -38,16 +40,20 @@
     used: Nanos,
     /// Whether it stays open after the answer.
     stays: bool,
-    /// Nothing more is written; what the peer still sends is read until it closes, or until then.
-    lingers: Option<Mark>,
+    /// Nothing more is written; what the peer still sends is read until it closes.
+    finished: bool,
+    /// When the connection is closed whatever its peer does: one that ends, or does not read its answer.
+    closes: Option<Mark>,
 }
 
 impl Client {
     fn idle(&self) -> bool {
-        self.asked.is_none()
-            && self.lingers.is_none()
-            && self.stream.inbox().is_empty()
-            && self.stream.flushed()
+        self.asked.is_none() && !self.finished && self.stream.inbox().is_empty() && self.stream.flushed()
+    }
+
+    fn close_at(&mut self, at: Option<Mark>, kit: &mut Kit) {
+        let before = std::mem::replace(&mut self.closes, at);
+        before.into_iter().for_each(|mark| kit.deadlines.clear(mark));
     }
 }
 
@@ -55,7 +61,9 @@
     listener: Rc<TcpListener>,
     table: SlotMap<ClientKey, Client>,
     most: usize,
+    /// How long a connection that ends may take, and how long a peer may take to read.
     linger: Nanos,
+    read_within: Nanos,
     /// Someone may wait at the door, as there was no room.
     queue: bool,
     pub serving: bool,
@@ -80,9 +88,9 @@
             Ok(PostAction::Continue)
         };
         events.insert_source(source, noted).map_err(|e| io::Error::other(e.to_string()))?;
-        let (table, linger) = (SlotMap::with_key(), plan.connect_within);
+        let (table, linger, read_within) = (SlotMap::with_key(), plan.connect_within, plan.link_idle);
         let (queue, serving, draining, accepted) = (false, false, false, 0);
-        Ok(Clients { listener, table, most, linger, queue, serving, draining, accepted })
+        Ok(Clients { listener, table, most, linger, read_within, queue, serving, draining, accepted })
     }
 
     pub fn address(&self) -> io::Result<SocketAddr> {
@@ -104,17 +112,24 @@
         self.queue = false;
         loop {
             if self.table.len() >= self.most && !self.evict(kit) {
-                self.queue = true;
                 log!("no room for more than {} clients: others wait", self.most);
-                return;
+                return self.full(kit);
             }
             match self.listener.accept() {
                 Ok((socket, _)) => {
                     let (events, now) = (&kit.events, kit.now);
                     let admitted = self.table.try_insert_with_key(|key| {
                         let stream = Stream::new(events, socket, Who::Client(key))?;
-                        let (asked, since, stays, lingers) = (None, None, true, None);
-                        Ok::<_, io::Error>(Client { stream, asked, since, used: now, stays, lingers })
+                        let (asked, since, stays, finished, closes) = (None, None, true, false, None);
+                        Ok::<_, io::Error>(Client {
+                            stream,
+                            asked,
+                            since,
+                            used: now,
+                            stays,
+                            finished,
+                            closes,
+                        })
                     });
                     match admitted {
                         Ok(_) => {
@@ -127,22 +142,29 @@
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e)
                     if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
+                // Out of descriptors, most likely; one given back now may be taken by others before.
                 Err(fault) => {
-                    // Out of descriptors, most likely: the door is tried again when something was closed.
                     log!("cannot accept: {fault}");
-                    self.queue = true;
-                    if !self.evict(kit) {
-                        return;
-                    }
+                    self.evict(kit);
+                    return self.full(kit);
                 }
             }
         }
     }
 
-    /// Closes the connection that has been idle longest.
+    /// Others wait at the door, which tells of them only once: it is tried again when a client leaves, or soon.
+    fn full(&mut self, kit: &mut Kit) {
+        if !std::mem::replace(&mut self.queue, true) {
+            kit.deadlines.set(kit.now + self.linger, Due::Door);
+        }
+    }
+
+    /// Closes the connection that has been idle longest; where none is idle, one that has not sent its request.
     fn evict(&mut self, kit: &mut Kit) -> bool {
-        let idle = self.table.iter().filter(|(_, c)| c.idle());
-        let Some(key) = idle.min_by_key(|(_, c)| c.used).map(|(key, _)| key) else { return false };
+        let free = self.table.iter().filter(|(_, c)| c.asked.is_none() && c.stream.flushed());
+        let Some(key) = free.min_by_key(|(_, c)| (!c.idle(), c.used)).map(|(key, _)| key) else {
+            return false;
+        };
         kit.counters.clients_evicted += 1;
         self.remove(key, kit);
         true
@@ -151,7 +173,7 @@
     /// The one place where a connection is given back.
     fn remove(&mut self, key: ClientKey, kit: &mut Kit) -> Option<RetrievalIx> {
         let client = self.table.remove(key)?;
-        client.lingers.into_iter().for_each(|mark| kit.deadlines.clear(mark));
+        client.closes.into_iter().for_each(|mark| kit.deadlines.clear(mark));
         if self.queue {
             kit.again.push(Who::Door);
         }
@@ -168,13 +190,15 @@
     fn finish(&mut self, key: ClientKey, kit: &mut Kit) {
         let Some(client) = self.table.get_mut(key) else { return };
         client.stays = false;
-        if client.stream.flushed() && client.lingers.is_none() {
+        if client.stream.flushed() && !client.finished {
             client.stream.finish();
-            client.lingers = Some(kit.deadlines.set(kit.now + self.linger, Due::Linger(key)));
+            client.finished = true;
+            let at = kit.deadlines.set(kit.now + self.linger, Due::Client(key));
+            client.close_at(Some(at), kit);
         }
     }
 
-    pub fn linger_over(&mut self, key: ClientKey, kit: &mut Kit) {
+    pub fn overdue(&mut self, key: ClientKey, kit: &mut Kit) {
         self.remove(key, kit);
     }
 
@@ -194,7 +218,7 @@
         let before = client.stream.read;
         let filled = client.stream.fill(http::MESSAGE);
         kit.counters.bytes_in += client.stream.read - before;
-        if client.lingers.is_some() {
+        if client.finished {
             client.stream.take(client.stream.inbox().len());
         }
         if !matches!(filled, Ok(true)) {
@@ -205,7 +229,7 @@
             return lapsed;
         }
         while let Some(client) = self.table.get_mut(key) {
-            if client.asked.is_some() || client.lingers.is_some() || !client.stream.flushed() {
+            if client.asked.is_some() || client.finished || !client.stream.flushed() {
                 break;
             }
             if !client.stream.inbox().is_empty() {
@@ -258,8 +282,12 @@
         if flushed.is_err() {
             return self.remove(key, kit);
         }
+        if !client.stream.flushed() && client.closes.is_none() {
+            client.closes = Some(kit.deadlines.set(kit.now + self.read_within, Due::Client(key)));
+        }
         if waits && client.stream.flushed() {
             client.used = kit.now;
+            client.close_at(None, kit);
             if !client.stays {
                 self.finish(key, kit);
             } else if !client.stream.inbox().is_empty() {
@@ -383,7 +411,7 @@
             return Err(slice.fault("mass", "should be above 0"));
         }
         let hint = slice.or("micros", 0.0, Section::number)?;
-        work = work.saturating_add((hint.max(0.0) * 1e3) as i64);
+        work = work.saturating_add((hint.clamp(0.0, LONGEST_HINT) * 1e3) as i64);
         parts.push((shard, weight));
     }
     if parts.is_empty() {
--- a/crates/frontnode/src/frames.rs
+++ b/crates/frontnode/src/frames.rs
@@ -93,9 +93,9 @@
 /// Parts waiting and parts done a second, where a report says both.
 pub fn report(rest: &str) -> Option<(f64, f64)> {
     let told = |name: &str| {
-        let (_, value) =
-            rest.split(',').filter_map(|pair| pair.split_once('=')).find(|(n, _)| n.trim() == name)?;
-        value.trim().parse::<f64>().ok().filter(|v| v.is_finite())
+        let mut pairs = rest.split(',').filter_map(|pair| pair.split_once('='));
+        let (_, value) = pairs.find(|pair| pair.0 == name)?;
+        value.parse::<f64>().ok().filter(|v| v.is_finite())
     };
-    told("waiting").or_else(|| told("queue")).zip(told("rps").or_else(|| told("qps")))
+    told("waiting").zip(told("rps"))
 }
