Readings that stop at the cap go on next round; evictions spare those that just came

Found by reading the node again and by the story of a crowd: the loop is edge-triggered, so a connection to a replica with more bytes waiting than one reading takes was not read on until more came (streams.rs, fill; now a flag sends it to the next round). At the limit of descriptors a client could lose its place in the round in which it came, before its request was read (clients.rs, evict). Frames longer than a value can be are refused earlier, so that memory follows.

Stories: a connection that never comes up, idle connections, crowds beyond the node's and the system's limits, Retry-After.

--- a/crates/frontnode/src/clients.rs
+++ b/crates/frontnode/src/clients.rs
@@ -10,6 +10,7 @@
 use orchidvalve::interface::{Nanos, RetrievalIx};
 use orchidvalve::ledger::Ledger;
 use orchidvalve_orders::Section;
+use rustix::io::Errno;
 use serde_json::Value;
 use slotmap::{SlotMap, new_key_type};
 
@@ -142,10 +143,12 @@
                 Err(e) if e.kind() == io::ErrorKind::WouldBlock => return,
                 Err(e)
                     if matches!(e.kind(), io::ErrorKind::Interrupted | io::ErrorKind::ConnectionAborted) => {}
-                // Out of descriptors, most likely; one given back now may be taken by others before.
                 Err(fault) => {
                     log!("cannot accept: {fault}");
-                    self.evict(kit);
+                    let none_left = [Errno::MFILE, Errno::NFILE].map(|e| Some(e.raw_os_error()));
+                    if none_left.contains(&fault.raw_os_error()) && self.evict(kit) {
+                        continue;
+                    }
                     return self.full(kit);
                 }
             }
@@ -160,8 +163,10 @@
     }
 
     /// Closes the connection that has been idle longest; where none is idle, one that has not sent its request.
+    /// Those that came in this round are spared: their requests may be there, not read yet.
     fn evict(&mut self, kit: &mut Kit) -> bool {
-        let free = self.table.iter().filter(|(_, c)| c.asked.is_none() && c.stream.flushed());
+        let free =
+            self.table.iter().filter(|(_, c)| c.asked.is_none() && c.stream.flushed() && c.used < kit.now);
         let Some(key) = free.min_by_key(|(_, c)| (!c.idle(), c.used)).map(|(key, _)| key) else {
             return false;
         };
@@ -290,7 +295,7 @@
             client.close_at(None, kit);
             if !client.stays {
                 self.finish(key, kit);
-            } else if !client.stream.inbox().is_empty() {
+            } else if client.stream.more || !client.stream.inbox().is_empty() {
                 kit.again.push(Who::Client(key));
             }
         }
--- a/crates/frontnode/src/frames.rs
+++ b/crates/frontnode/src/frames.rs
@@ -9,8 +9,8 @@
 pub const ANSWER: u8 = b'5';
 pub const UNUSABLE: u8 = b'X';
 
-/// Longest frame taken in.
-pub const LONGEST: usize = 1 << 20;
+/// Longest frame taken in: a value goes into a body, with its line before it.
+pub const LONGEST: usize = crate::http::BODY + 1024;
 
 /// One part of a call.
 pub struct Share<'a> {
--- a/crates/frontnode/src/members.rs
+++ b/crates/frontnode/src/members.rs
@@ -203,6 +203,7 @@
             }
             Some(Ok(_)) => self.missed("an answer that was not asked for", ledger, kit),
             None => match filled {
+                Ok(true) if stream.more => self.missed("an answer without end", ledger, kit),
                 Ok(true) => {}
                 Ok(false) => self.missed("closed by the agent", ledger, kit),
                 Err(fault) => self.missed(&fault.to_string(), ledger, kit),
@@ -219,7 +220,7 @@
     fn missed(&mut self, fault: &str, ledger: &mut Ledger, kit: &mut Kit) {
         (self.call, self.asked) = (None, false);
         kit.counters.roster_misses += 1;
-        log!("roster not heard from {}: {fault}", self.agent);
+        log!("roster not heard from {}: {}", self.agent, fault.escape_default());
         if self.on_request {
             self.mark.take().into_iter().for_each(|mark| kit.deadlines.clear(mark));
             ledger.roster_lost();
--- a/crates/frontnode/src/servers.rs
+++ b/crates/frontnode/src/servers.rs
@@ -407,6 +407,9 @@
                 self.broken(key, &fault, desk, kit);
             }
             (Ok(()), Ok(true)) => {
+                if self.links[key].stream.more {
+                    kit.again.push(Who::Link(key));
+                }
                 self.pump(key, desk, kit);
                 self.rest(key, kit);
             }
--- a/crates/frontnode/src/streams.rs
+++ b/crates/frontnode/src/streams.rs
@@ -50,7 +50,9 @@
     last: usize,
     outbox: Vec<u8>,
     sent: usize,
-    /// Bytes of the connection that the system has taken so far.
+    /// Whether the last reading stopped before all was read: the loop tells of the rest only once.
+    pub more: bool,
+    /// Bytes of the connection that the system has taken, and brought, so far.
     pub written: u64,
     pub read: u64,
 }
@@ -75,6 +77,7 @@
             last: 0,
             outbox: Vec::new(),
             sent: 0,
+            more: false,
             written: 0,
             read: 0,
         })
@@ -102,7 +105,8 @@
     /// Reads until nothing more is there or so many bytes wait in the inbox; false at the end of the stream.
     pub fn fill(&mut self, most: usize) -> io::Result<bool> {
         loop {
-            if self.last - self.first >= most {
+            self.more = self.last - self.first >= most;
+            if self.more {
                 return Ok(true);
             }
             if self.last == self.inbox.len() {
--- a/crates/frontnode/tests/sockets.rs
+++ b/crates/frontnode/tests/sockets.rs
@@ -7,7 +7,7 @@
 use std::time::Duration;
 
 use serde_json::{Value, json};
-use socket2::SockRef;
+use socket2::{Domain, SockRef, Socket, Type};
 
 const TOO_LONG: Duration = Duration::from_secs(20);
 
@@ -52,7 +52,7 @@
 
 fn config(settings: Value, members: Value, agent: SocketAddr) -> Value {
     json!({"name": "n1", "listen": "127.0.0.1:0", "discovery": agent.to_string(), "seed": "8c1f30d27a5be964",
-           "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 256},
+           "limits": {"cores": 1.0, "memory_mb": 192, "sockets": 64},
            "known": {"revision": 1, "complete": true, "members": members}, "settings": settings})
 }
 
@@ -61,12 +61,13 @@
            "up_since_ms": 0})
 }
 
-/// Runs the program on that configuration; each gets a file of its own.
-fn spawn(story: &str, config: &Value) -> Child {
+/// Runs the program on that configuration, behind what the shell is told first; each gets a file of its own.
+fn spawn(first: &str, story: &str, config: &Value) -> Child {
     let path = format!("{}/{story}.json", env!("CARGO_TARGET_TMPDIR"));
     std::fs::write(&path, config.to_string()).unwrap();
-    let mut command = Command::new(env!("CARGO_BIN_EXE_orchidvalved"));
-    command.env("NODE_CONFIG", path).stderr(Stdio::piped()).spawn().unwrap()
+    let run = format!("{first}exec {}", env!("CARGO_BIN_EXE_orchidvalved"));
+    let mut command = Command::new("sh");
+    command.args(["-c", &run]).env("NODE_CONFIG", path).stderr(Stdio::piped()).spawn().unwrap()
 }
 
 impl Stage {
@@ -80,20 +81,24 @@
         settings["extra"]["reach"] = json!(2);
         let replicas = vec![listener()];
         let known = (0..2).map(|n| member(n, replicas[0].local_addr().unwrap(), "up")).collect();
-        Stage::begin(story, replicas, known, settings)
+        Stage::begin("", story, replicas, known, settings)
     }
 
     fn open_with(story: &str, replicas: usize, settings: Value) -> Stage {
+        Stage::open_under("", story, replicas, settings)
+    }
+
+    fn open_under(first: &str, story: &str, replicas: usize, settings: Value) -> Stage {
         let replicas: Vec<_> = (0..replicas).map(|_| listener()).collect();
         let known = replicas.iter().enumerate().map(|(n, r)| member(n, r.local_addr().unwrap(), "up"));
         let known = known.collect();
-        Stage::begin(story, replicas, known, settings)
+        Stage::begin(first, story, replicas, known, settings)
     }
 
-    fn begin(story: &str, replicas: Vec<TcpListener>, known: Value, settings: Value) -> Stage {
+    fn begin(first: &str, story: &str, replicas: Vec<TcpListener>, known: Value, settings: Value) -> Stage {
         let agent = listener();
         let config = config(settings, known, agent.local_addr().unwrap());
-        let mut child = spawn(story, &config);
+        let mut child = spawn(first, story, &config);
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
         log.read_line(&mut line).unwrap();
@@ -338,11 +343,17 @@
     assert_eq!(client.response().0, 504);
     drop(replica);
 
-    let mut stage = Stage::open("refused", 1);
+    let mut stage = Stage::open_with("refused", 1, {
+        let mut settings = settings(1);
+        settings["limits"]["retryAfter"] = json!(true);
+        settings["limits"]["maxRetryAfterNs"] = json!(500_000_000);
+        settings
+    });
     let mut client = stage.client();
     stage.replicas.clear();
     client.ask("r2", "pay", &[0], "600m");
-    assert_eq!(client.response().0, 503);
+    let (status, head, _) = client.response();
+    assert!(status == 503 && head.contains("Retry-After: 0.5\r\n"), "{head}");
     assert!(stage.counter("launches_unreached") > 0);
 }
 
@@ -396,6 +407,65 @@
     assert_eq!(other.response().0, 200);
 }
 
+#[test]
+fn a_connection_that_never_comes_up_is_known_never_to_have_run_anything() {
+    let mut stage = Stage::open("never-up", 1);
+    // One waits in the queue of a listener that takes no more: what comes then hears nothing.
+    let full = Socket::new(Domain::IPV4, Type::STREAM, None).unwrap();
+    full.bind(&"127.0.0.1:0".parse::<SocketAddr>().unwrap().into()).unwrap();
+    full.listen(0).unwrap();
+    let address = full.local_addr().unwrap();
+    let _waits = TcpStream::connect(address.as_socket().unwrap()).unwrap();
+    let mut agent = Peer::new(stage.agent.accept().unwrap().0);
+    let moved = member(0, address.as_socket().unwrap(), "up");
+    tell(&mut agent, 1, &json!({"revision": 2, "complete": false, "members": [moved]}));
+    agent.take(1);
+    stage.replicas.clear();
+    let mut client = stage.client();
+    client.ask("r1", "pay", &[0], "1500m");
+    assert_eq!(client.response().0, 503);
+    assert!(stage.counter("launches_unreached") > 0 && stage.counter("launches_written") == 0);
+}
+
+#[test]
+fn an_idle_connection_is_closed_before_its_server_may_close_it() {
+    let stage = Stage::open_with("idle", 1, {
+        let mut settings = settings(1);
+        settings["limits"]["connIdleNs"] = json!(300_000_000);
+        settings
+    });
+    for id in ["r1", "r2"] {
+        let mut client = stage.client();
+        client.ask(id, "look", &[0], "2500m");
+        let mut replica = stage.replica(0);
+        let call = replica.call();
+        replica.answer(&call[0], "S", "v");
+        assert_eq!(client.response().0, 200);
+        assert!(!replica.more());
+    }
+    assert_eq!((stage.counter("links_idle"), stage.counter("links_broken")), (2, 0));
+}
+
+#[test]
+fn a_crowd_of_idle_clients_keeps_no_one_out_and_closes_none_that_waits() {
+    // First by the node's own count, then by the system's.
+    for (story, prefix) in [("crowd", ""), ("descriptors", "ulimit -n 24; ")] {
+        let mut settings = settings(1);
+        settings["limits"]["openCap"] = json!(100);
+        let stage = Stage::open_under(prefix, story, 1, settings);
+        let mut waits = stage.client();
+        waits.ask("r1", "look", &[0], "5000m");
+        let mut replica = stage.replica(0);
+        let call = replica.call();
+        let crowd: Vec<Peer> = (0..100).map(|_| stage.client()).collect();
+        assert_eq!(stage.health(), 200, "{story}");
+        assert!(stage.counter("clients_evicted") > 0, "{story}");
+        replica.answer(&call[0], "S", "v");
+        assert_eq!(waits.response().0, 200, "{story}");
+        drop(crowd);
+    }
+}
+
 /// Answers the node's watch, which asks from the given revision on.
 fn tell(agent: &mut Peer, from: u64, told: &Value) {
     let mut asked = String::new();
@@ -550,7 +620,7 @@
     ] {
         let mut config = whole.clone();
         *config.pointer_mut(key).unwrap() = value;
-        let run = spawn("bad-configuration", &config).wait_with_output().unwrap();
+        let run = spawn("", "bad-configuration", &config).wait_with_output().unwrap();
         let log = String::from_utf8(run.stderr).unwrap();
         assert!(!run.status.success() && log.contains(&format!("{named}: ")), "{key}: {log}");
     }
