--- a/crates/benchlink/src/wire.rs
+++ b/crates/benchlink/src/wire.rs
@@ -1,6 +1,7 @@
 //! Reading the numbered lists of index servers.
 
 use orchidvalve_orders::Section;
+use serde_json::Value;
 
 /// One index server in a numbered list.
 pub struct Entry {
@@ -11,11 +12,14 @@
 }
 
 pub fn entries(census: &Section) -> Result<Vec<Entry>, String> {
-    let hosts = census.list("hosts")?.ok_or_else(|| census.fault("hosts", "missing"))?;
+    let hosts = census.get("hosts").and_then(Value::as_array);
+    let hosts = hosts.ok_or_else(|| census.fault("hosts", "should be a list"))?;
     hosts.iter().map(entry).collect()
 }
 
-fn entry(host: &Section) -> Result<Entry, String> {
+/// Without its number in the path: lists are long and come often, and a path is made for each read.
+fn entry(host: &Value) -> Result<Entry, String> {
+    let host = Section::of("census.hosts", host)?;
     Ok(Entry {
         server: host.text("server")?.to_owned(),
         cell: host.or("position", 0, Section::index)?,
--- a/crates/frontnode/src/counters.rs
+++ b/crates/frontnode/src/counters.rs
@@ -54,8 +54,8 @@
     roster_misses: "roster calls that brought nothing",
     rounds: "rounds of the aggregator",
     rounds_late: "rounds begun more than a beat after they were due",
-    bytes_in: "bytes read from all connections",
-    bytes_out: "bytes written to all connections",
+    bytes_in: "bytes read from clients and replicas",
+    bytes_out: "bytes written to clients and replicas",
 }
 
 impl Counters {
