A part on two silent replicas gives its older launch up, so that a third holder has it in time

At fault: a part may be on two replicas at once, and stranded() in choice.rs waits for one of two to end; both are set aside, so neither answers. gives_way(): where both replicas that have a part are set aside, both launches are overdue, and a sound holder was not tried, the older launch is called off and the third holder gets the part. Two at most still hold. It answers any cause that silences two holders at once: hung, cut off, vanished. Harm: where both only lag, an answer that was near is thrown away; it acts only while a sound holder is free to try.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -5,7 +5,7 @@
 //! it returns, the decisions go to the writer. The source of the design is cited in `docs/design.md`.
 
 use std::cmp::Reverse;
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::ops::Index;
 
 use rand::{Rng, SeedableRng};
@@ -142,7 +142,8 @@
         came_in(&mut self.ledger);
         let fresh = Opinion { aside: None, back: Nanos::MIN, relapses: 0, probe_due: 0 };
         self.opinions.resize(self.ledger.replicas.len(), fresh);
-        let usual = |share| self.percentile_of_all(share);
+        let took: Vec<Nanos> = self.ledger.latencies.iter().collect();
+        let usual = |share| (took.len() >= DELAY_SAMPLES).then(|| percentile(took.clone(), share));
         let (half, longest, delay) = (usual(0.5), usual(USUAL_LONGEST), usual(DELAY_PERCENTILE));
         self.usual = Usual { half, longest, delay, patience: self.patience(half), turn: self.turn() };
         self.follow_roster(w);
@@ -152,7 +153,7 @@
         self.place(w);
         self.endgame(w);
         self.retract_losers(w);
-        self.ledger.tidy(now - self.longest_window());
+        self.ledger.tidy(now - self.copy_window().max(self.orders.ration.map_or(0, |r| r.span)));
         self.set_alarm(w);
     }
 
@@ -171,15 +172,6 @@
         scaled(abandon, COPY_WINDOW)
     }
 
-    fn longest_window(&self) -> Nanos {
-        self.copy_window().max(self.orders.ration.map_or(0, |r| r.span))
-    }
-
-    fn percentile_of_all(&self, share: f64) -> Option<Nanos> {
-        let took: Vec<Nanos> = self.ledger.latencies.iter().collect();
-        (took.len() >= DELAY_SAMPLES).then(|| percentile(took, share))
-    }
-
     fn patience(&self, half: Option<Nanos>) -> Nanos {
         let soft = self.shortest_soft_limit();
         let usual = half.map_or(0, |p| scaled(p, PATIENCE));
@@ -520,10 +512,22 @@
     /// that only lags still answers, so its fresh parts stay single: twins for all of them would double the
     /// load that made it lag.
     fn stranded(&self, part: &Part, usual: Nanos) -> bool {
-        let mut out = part.out();
-        let overdue = |l: &Launch| self.opinions[l.replica.0].aside.is_some() && self.now() - l.sent >= usual;
-        let first = out.next().is_some_and(|(_, l)| overdue(l));
-        first && out.next().is_none() && self.orders.may_copy
+        part.out().count() == 1 && part.out().all(|(_, l)| self.overdue(l, usual)) && self.orders.may_copy
+    }
+
+    fn overdue(&self, l: &Launch, usual: Nanos) -> bool {
+        self.opinions[l.replica.0].aside.is_some() && self.now() - l.sent >= usual
+    }
+
+    /// Against machines that go silent together: where both replicas that have a part are set aside, its older
+    /// launch is called off, so that a sound holder not tried yet can have the part while two at most have it.
+    fn gives_way(&self, part: &Part) -> bool {
+        let usual = self.usual.longest.unwrap_or(0);
+        let fresh = |ix: ReplicaIx| self.sound(ix) && part.launches.iter().all(|l| l.replica != ix);
+        part.out().count() == 2
+            && part.out().all(|(_, l)| !l.withdrawn && self.overdue(l, usual))
+            && self.may_repeat(part)
+            && self.holders(part.shard).any(fresh)
     }
 
     /// Against queues that outlast the soft limit, where every answer comes too late and retries keep it so:
@@ -578,11 +582,8 @@
     /// one is done, or has been out past our patience. Harm: then a retrieval takes one part's time longer.
     fn servers_break(&self) -> bool {
         let since = self.now() - self.copy_window();
-        let mut broke: Vec<ReplicaIx> =
-            self.ledger.broken.iter().filter(|b| b.0 > since).map(|b| b.1).collect();
-        broke.sort();
-        broke.dedup();
-        broke.len() >= BREAKING
+        let broke = self.ledger.broken.iter().filter(|b| b.0 > since).map(|b| b.1);
+        broke.collect::<BTreeSet<_>>().len() >= BREAKING
     }
 
     fn scouting(&self, r: &Retrieval) -> bool {
@@ -596,10 +597,7 @@
     fn kills(&self, r: &Retrieval) -> bool {
         let parts = || r.parts.iter().map(|&p| self.ledger.part(p));
         let broke = parts().flat_map(|p| &p.launches).filter(|l| l.end == Some(Ending::Faulty));
-        let mut broke: Vec<ReplicaIx> = broke.map(|l| l.replica).collect();
-        broke.sort();
-        broke.dedup();
-        broke.len() >= KILLED && !parts().any(|p| p.done)
+        broke.map(|l| l.replica).collect::<BTreeSet<_>>().len() >= KILLED && !parts().any(|p| p.done)
     }
 
     /// One asked again, as its time began with an earlier try, or one of a tenant that takes here alone more
@@ -634,7 +632,8 @@
         let choices = |&p: &PartIx| (p, self.choices(p, seats));
         let mut waiting: VecDeque<(PartIx, Vec<ReplicaIx>)> = parts.iter().map(choices).collect();
         while let Some((part, choices)) = waiting.pop_front() {
-            let fewest = fewest(&choices, seats);
+            let mut fewest = choices.clone();
+            fewest.retain(|&ix| is_fewest(ix, &choices, seats));
             if fewest.is_empty() || self.begun(part) && !self.within_ration() {
                 continue;
             }
@@ -721,7 +720,9 @@
         if !self.orders.may_retract {
             return;
         }
-        let loose: Vec<(PartIx, usize)> = self.ledger.loose().collect();
+        let mut loose: Vec<(PartIx, usize)> = self.ledger.loose().collect();
+        let lost = self.ledger.wanted().filter(|(_, p)| self.gives_way(p));
+        loose.extend(lost.filter_map(|(ix, p)| p.out().next().map(|(n, _)| (ix, n))));
         for (part, launch) in loose {
             self.ledger.withdrawn(part, launch);
             w.retract(part, launch);
@@ -822,11 +823,7 @@
     *took.select_nth_unstable(at).1
 }
 
-/// Replicas with fewest calls in flight, counting the part to be sent, among those that are open.
-fn fewest(choices: &[ReplicaIx], seats: &Seats) -> Vec<ReplicaIx> {
-    choices.iter().copied().filter(|&ix| is_fewest(ix, choices, seats)).collect()
-}
-
+/// Whether it has fewest calls in flight, counting the part to be sent, among those that are open.
 fn is_fewest(ix: ReplicaIx, choices: &[ReplicaIx], seats: &Seats) -> bool {
     let rivals = choices.iter().copied().filter(|&ix| seats[ix].open);
     seats[ix].open && rivals.map(|ix| seats[ix].after).all(|after| seats[ix].after <= after)
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -539,3 +539,25 @@
     let told: Vec<Told> = (0..24).flat_map(|_| host.wait(50 * MS)).collect();
     assert!(told.contains(&Told::Probe(silent)), "silent for a whole soft limit");
 }
+
+#[test]
+fn a_part_out_on_two_silent_replicas_reaches_the_third_holder_in_time() {
+    let mut orders = orders(3);
+    orders.reach = 3;
+    let mut host = Host::new(orders);
+    host.traffic(40, &[]);
+    let (ix, told) = host.take(0, &[0]);
+    let (mut on, begun) = (launches(&told), host.now);
+    while on.len() < 3 && host.now < begun + 900 * MS {
+        let mut told = host.wait(5 * MS);
+        if told.iter().any(|t| matches!(t, Told::Retract(..))) {
+            let first = on[0].1;
+            told.extend(host.end(|r| (r == first).then_some(Ending::CalledOff)));
+        }
+        on.extend(launches(&told));
+        assert!(host.out.len() <= 2);
+    }
+    assert!(on.len() == 3 && on[2].1 != on[0].1 && on[2].1 != on[1].1, "{on:?}");
+    let third = on[2].1;
+    assert!(host.end(|r| (r == third).then_some(Ending::Done)).contains(&Told::Answer(ix, true)));
+}
