--- a/src/choice.rs
+++ b/src/choice.rs
@@ -519,15 +519,17 @@
         self.opinions[l.replica.0].aside.is_some() && self.now() - l.sent >= usual
     }
 
-    /// Against machines that go silent together: where both replicas that have a part are set aside, its older
-    /// launch is called off, so that a sound holder not tried yet can have the part while two at most have it.
+    /// Against machines silent together: where both replicas that have a part are set aside and mute, its older
+    /// launch is called off for a sound holder that can be in time. One that only lags has it ready soon.
     fn gives_way(&self, part: &Part) -> bool {
         let usual = self.usual.longest.unwrap_or(0);
-        let fresh = |ix: ReplicaIx| self.sound(ix) && part.launches.iter().all(|l| l.replica != ix);
+        let left = self.soft_end(self.ledger.retrieval(part.retrieval)) - self.now() - usual;
+        let mute = |l: &Launch| !l.withdrawn && self.ledger.replicas[l.replica.0].last_done_at < l.sent;
+        let tried = |ix: ReplicaIx| part.launches.iter().any(|l| l.replica == ix);
         part.out().count() == 2
-            && part.out().all(|(_, l)| !l.withdrawn && self.overdue(l, usual))
+            && part.out().all(|(_, l)| mute(l) && self.overdue(l, usual))
             && self.may_repeat(part)
-            && self.holders(part.shard).any(fresh)
+            && self.holders(part.shard).any(|ix| self.sound(ix) && !tried(ix) && self.backlog(ix) <= left)
     }
 
     /// Against queues that outlast the soft limit, where every answer comes too late and retries keep it so:
@@ -722,7 +724,7 @@
         }
         let mut loose: Vec<(PartIx, usize)> = self.ledger.loose().collect();
         let lost = self.ledger.wanted().filter(|(_, p)| self.gives_way(p));
-        loose.extend(lost.filter_map(|(ix, p)| p.out().next().map(|(n, _)| (ix, n))));
+        loose.extend(lost.flat_map(|(ix, p)| p.out().take(1).map(move |(n, _)| (ix, n))));
         for (part, launch) in loose {
             self.ledger.withdrawn(part, launch);
             w.retract(part, launch);
