--- a/src/choice.rs
+++ b/src/choice.rs
@@ -519,8 +519,8 @@
         self.opinions[l.replica.0].aside.is_some() && self.now() - l.sent >= usual
     }
 
-    /// Against machines silent together: where both replicas with a part are set aside and mute, its older launch
-    /// is called off for a sound holder that can be in time. One that only lags has it ready soon.
+    /// Against machines silent together: where both replicas with a part are set aside and mute, the older
+    /// launch is called off for a sound holder that can be in time. One that only lags has it ready soon.
     fn gives_way(&self, part: &Part) -> bool {
         let usual = self.usual.longest.unwrap_or(0);
         let left = self.soft_end(self.ledger.retrieval(part.retrieval)) - self.now() - usual;
