SIGHUP reads the configuration again and follows the agent that it names

The log ends at the signal; no other cause. Signals are now taken before the node listens, the file is read and checked by config, and members leaves the old agent and asks the new one for the whole list. A file that cannot be used changes nothing. Also guards against an agent that moves for any other reason; it could harm where a new agent tells an older list than the last one, which is not seen here.

--- a/crates/frontnode/src/config.rs
+++ b/crates/frontnode/src/config.rs
@@ -1,5 +1,6 @@
 //! All that the node is configured with: read, checked and given defaults here, and nowhere else.
 
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
 use orchidvalve::interface::{Effect, Nanos, StandingOrders};
@@ -36,6 +37,16 @@
     /// Whether a probe may ask for a report.
     pub load_told: bool,
     pub beat: Nanos,
+    /// A print of each section that cannot change while the node runs.
+    fixed: Vec<(&'static str, u64)>,
+}
+
+impl Plan {
+    /// What a later configuration would change that stays as it is until the next start.
+    pub fn fixed_otherwise(&self, later: &Plan) -> Vec<&'static str> {
+        let pairs = self.fixed.iter().zip(&later.fixed);
+        pairs.filter(|(now, then)| now != then).map(|(now, _)| now.0).collect()
+    }
 }
 
 /// The configuration that the environment names.
@@ -97,6 +108,7 @@
         connect_within: positive(&limits, "connectTimeoutNs", connect_within)?,
         load_told: settings.section("feedback")?.or("how", "off", Section::text)? != "off",
         beat: orders.beat,
+        fixed: ["name", "listen", "limits", "settings"].map(|key| (key, print(whole.get(key)))).to_vec(),
     };
     Ok((plan, orders))
 }
@@ -118,6 +130,13 @@
     Ok(())
 }
 
+/// Sections are compared by it, so that they need not be kept.
+fn print(section: Option<&Value>) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    section.map(Value::to_string).hash(&mut hasher);
+    hasher.finish()
+}
+
 fn address(section: &Section, name: &str) -> Result<SocketAddr, String> {
     let text = section.text(name)?;
     text.parse().map_err(|_| section.fault(name, &format!("should be an address and a port, not '{text}'")))
--- a/crates/frontnode/src/counters.rs
+++ b/crates/frontnode/src/counters.rs
@@ -52,6 +52,8 @@
     links_idle: "connections to replicas closed as idle",
     roster_news: "roster answers taken in",
     roster_misses: "roster calls that brought nothing",
+    reloads: "configurations read again and taken up",
+    bad_reloads: "configurations read again that could not be used",
     rounds: "rounds of the aggregator",
     rounds_late: "rounds begun more than a beat after they were due",
     bytes_in: "bytes read from clients and replicas",
--- a/crates/frontnode/src/main.rs
+++ b/crates/frontnode/src/main.rs
@@ -2,11 +2,12 @@
 
 use std::process::ExitCode;
 
-use orchidvalve_frontnode::{config, log, node::Node};
+use orchidvalve_frontnode::{config, log, node, node::Node};
 
 fn serve() -> Result<(), String> {
+    let signals = node::signals()?;
     let mut node = Node::start(config::from_environment()?)?;
-    node.heed_signals()?;
+    node.heed(signals)?;
     log!("listening on {}", node.address()?);
     node.run()
 }
--- a/crates/frontnode/src/members.rs
+++ b/crates/frontnode/src/members.rs
@@ -69,7 +69,8 @@
     agent: SocketAddr,
     on_request: bool,
     replicas: HashMap<String, ReplicaIx>,
-    revision: i64,
+    /// The agent's own count; none before it told the whole roster.
+    revision: Option<i64>,
     call: Option<Stream>,
     asked: bool,
     /// When the answer is missed, or when to ask again.
@@ -84,7 +85,7 @@
             agent: plan.discovery,
             on_request: plan.roster_on_request,
             replicas: HashMap::new(),
-            revision: 0,
+            revision: None,
             call: None,
             asked: false,
             mark: None,
@@ -120,7 +121,17 @@
             let absent = named.iter().enumerate().filter(|(_, named)| !**named);
             absent.for_each(|(ix, _)| servers.serves(ReplicaIx(ix), false, desk, kit));
         }
-        self.revision = told.revision;
+        self.revision = Some(told.revision);
+    }
+
+    /// Another agent is asked at once, and for all of it: its revisions need not go on from the last one's.
+    pub fn follow(&mut self, agent: SocketAddr, ledger: &mut Ledger, kit: &mut Kit) {
+        if agent == self.agent {
+            return;
+        }
+        (self.agent, self.revision, self.misses) = (agent, None, 0);
+        (self.call, self.asked) = (None, false);
+        self.ask(ledger, kit);
     }
 
     /// Starts the watch where changes come unasked for; elsewhere the aggregator asks.
@@ -142,7 +153,8 @@
         }
         if let Some(stream) = &mut self.call {
             let (agent, from) = (self.agent, self.revision);
-            let path = format!("/catalog/members?from={from}&hold_ms={HOLD_MS}");
+            let watch = from.map(|from| format!("?from={from}&hold_ms={HOLD_MS}")).unwrap_or_default();
+            let path = format!("/catalog/members{watch}");
             let head = format!("GET {path} HTTP/1.1\r\nHost: {agent}\r\n\r\n");
             stream.outbox().extend_from_slice(head.as_bytes());
         }
@@ -165,7 +177,10 @@
             Some(up) => up.and_then(|()| stream.flush()),
         };
         match flushed {
-            Ok(()) if waits => self.remind(kit.now + (HOLD_MS + SLACK_MS) * 1_000_000, kit),
+            Ok(()) if waits => {
+                let hold = self.revision.map_or(0, |_| HOLD_MS);
+                self.remind(kit.now + (hold + SLACK_MS) * 1_000_000, kit);
+            }
             Ok(()) => {}
             Err(fault) => self.missed(&fault.to_string(), ledger, kit),
         }
--- a/crates/frontnode/src/node.rs
+++ b/crates/frontnode/src/node.rs
@@ -11,7 +11,7 @@
 use orchidvalve::ledger::Ledger;
 
 use crate::clients::{ClientKey, Clients};
-use crate::config::Plan;
+use crate::config::{self, Plan};
 use crate::counters::Counters;
 use crate::deadlines::{Clock, Deadlines, Mark};
 use crate::desk::Desk;
@@ -82,6 +82,11 @@
     last: Nanos,
 }
 
+/// Taken before the node can be reached: from then on a signal waits until the node heeds it.
+pub fn signals() -> Result<Signals, String> {
+    Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(|e| format!("no signals: {e}"))
+}
+
 impl Node {
     /// Listens, and takes in the roster last known.
     pub fn start((plan, orders): (Plan, StandingOrders)) -> Result<Node, String> {
@@ -124,11 +129,12 @@
         Ok(node)
     }
 
-    /// Stops in order on SIGTERM and on SIGINT.
-    pub fn heed_signals(&self) -> Result<(), String> {
-        let signals =
-            Signals::new(&[Signal::SIGTERM, Signal::SIGINT]).map_err(|e| format!("no signals: {e}"))?;
-        let noted = |_, _: &mut _, noted: &mut Noted| noted.note(Who::Stop);
+    /// Stops in order on SIGTERM and on SIGINT; reads the configuration again on SIGHUP.
+    pub fn heed(&self, signals: Signals) -> Result<(), String> {
+        let noted = |told: calloop::signals::Event, _: &mut _, noted: &mut Noted| match told.signal() {
+            Signal::SIGHUP => noted.note(Who::Reload),
+            _ => noted.note(Who::Stop),
+        };
         self.events.handle().insert_source(signals, noted).map_err(|e| format!("no signals: {e}"))?;
         Ok(())
     }
@@ -204,6 +210,7 @@
                 Who::Link(key) => servers.ready(key, desk, kit),
                 Who::Agent => members.ready(servers, desk, ledger, kit),
                 Who::Stop => self.stop(),
+                Who::Reload => self.reload(ledger),
             }
         }
         while let Some(due) = self.kit.deadlines.due(now) {
@@ -235,6 +242,28 @@
         }
     }
 
+    /// Takes up what may change while the node runs, which is where discovery is; all else goes on as it was.
+    fn reload(&mut self, ledger: &mut Ledger) {
+        match config::from_environment() {
+            Ok((later, _)) => {
+                let fixed = self.plan.fixed_otherwise(&later);
+                if !fixed.is_empty() {
+                    log!(
+                        "changed in the configuration, but in force from the next start: {}",
+                        fixed.join(", ")
+                    );
+                }
+                log!("configuration read again: discovery at {}", later.discovery);
+                self.kit.counters.reloads += 1;
+                self.members.follow(later.discovery, ledger, &mut self.kit);
+            }
+            Err(fault) => {
+                self.kit.counters.bad_reloads += 1;
+                log!("the configuration stays as it was: {}", fault.escape_default());
+            }
+        }
+    }
+
     /// New connections go on coming for a while after the word to stop, and are served.
     fn stop(&mut self) {
         let kit = &mut self.kit;
--- a/crates/frontnode/src/streams.rs
+++ b/crates/frontnode/src/streams.rs
@@ -20,6 +20,7 @@
     Link(LinkKey),
     Agent,
     Stop,
+    Reload,
 }
 
 /// What the event loop notes for the next round: who is ready, and since when.
--- a/crates/frontnode/tests/sockets.rs
+++ b/crates/frontnode/tests/sockets.rs
@@ -35,6 +35,8 @@
     node: SocketAddr,
     replicas: Vec<TcpListener>,
     agent: TcpListener,
+    config: Value,
+    path: String,
 }
 
 impl Drop for Stage {
@@ -61,9 +63,14 @@
            "up_since_ms": 0})
 }
 
-/// Runs the program on that configuration, behind what the shell is told first; each gets a file of its own.
+/// Each story has a configuration of its own.
+fn path(story: &str) -> String {
+    format!("{}/{story}.json", env!("CARGO_TARGET_TMPDIR"))
+}
+
+/// Runs the program on that configuration, behind what the shell is told first.
 fn spawn(first: &str, story: &str, config: &Value) -> Child {
-    let path = format!("{}/{story}.json", env!("CARGO_TARGET_TMPDIR"));
+    let path = path(story);
     std::fs::write(&path, config.to_string()).unwrap();
     let run = format!("{first}exec {}", env!("CARGO_BIN_EXE_orchidvalved"));
     let mut command = Command::new("sh");
@@ -103,7 +110,12 @@
         let mut line = String::new();
         log.read_line(&mut line).unwrap();
         let node = line.trim().rsplit(' ').next().unwrap().parse().expect(&line);
-        Stage { child, log, node, replicas, agent }
+        Stage { child, log, node, replicas, agent, config, path: path(story) }
+    }
+
+    fn signal(&self, name: &str) {
+        let kill = format!("kill -{name} {}", self.child.id());
+        assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
     }
 
     fn client(&self) -> Peer {
@@ -518,11 +530,15 @@
 
 /// Answers the node's watch, which asks from the given revision on.
 fn tell(agent: &mut Peer, from: u64, told: &Value) {
+    tell_at(agent, &format!("?from={from}&hold_ms="), told);
+}
+
+fn tell_at(agent: &mut Peer, path: &str, told: &Value) {
     let mut asked = String::new();
     while !asked.ends_with("\r\n\r\n") {
         asked.push(agent.take(1)[0] as char);
     }
-    assert!(asked.starts_with(&format!("GET /catalog/members?from={from}&hold_ms=")), "{asked}");
+    assert!(asked.starts_with(&format!("GET /catalog/members{path}")), "{asked}");
     let told = told.to_string();
     agent.send(format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{told}", told.len()).as_bytes());
 }
@@ -556,6 +572,41 @@
     }
 }
 
+#[test]
+fn a_new_agent_is_asked_for_the_whole_roster_and_what_is_open_goes_on() {
+    let mut stage = Stage::open("reload", 2);
+    let mut old = Peer::new(stage.agent.accept().unwrap().0);
+    let mut client = stage.client();
+    client.ask("r1", "pay", &[0], "5000m");
+    let mut replica = stage.replica(0);
+    let call = replica.call();
+    // What cannot be used leaves all as it was, whatever it is.
+    for (n, text) in ["{", "{\"name\": \"n1\", \"listen\": \"here\"}"].iter().enumerate() {
+        std::fs::write(&stage.path, text).unwrap();
+        stage.signal("HUP");
+        assert!((0..10_000).any(|_| stage.counter("bad_reloads") == n as u64 + 1));
+    }
+    for revision in [9, 1] {
+        let agent = listener();
+        stage.config["discovery"] = json!(agent.local_addr().unwrap().to_string());
+        std::fs::write(&stage.path, stage.config.to_string()).unwrap();
+        stage.signal("HUP");
+        let mut agent = Peer::new(agent.accept().unwrap().0);
+        // Its revisions are its own, and who is not in it is gone.
+        let members = [member(0, stage.replicas[0].local_addr().unwrap(), "up")];
+        tell_at(&mut agent, " HTTP", &json!({"revision": revision, "complete": true, "members": members}));
+        tell(&mut agent, revision, &json!({"revision": revision, "complete": false, "members": []}));
+        while old.more() {}
+        old = agent;
+    }
+    let mut other = stage.client();
+    other.ask("r2", "look", &[1], "300m");
+    assert_eq!(other.response().0, 503);
+    replica.answer(&call[0], "S", "v");
+    assert_eq!(client.response().0, 200);
+    assert_eq!((stage.counter("retrievals_taken"), stage.counter("reloads")), (2, 2));
+}
+
 #[test]
 fn a_node_told_to_stop_answers_what_it_took_and_ends_well() {
     let stage = Stage::open("stop", 1);
@@ -563,8 +614,7 @@
     client.ask("r1", "look", &[0], "2500m");
     let mut replica = stage.replica(0);
     let call = replica.call();
-    let kill = format!("kill -TERM {}", stage.child.id());
-    assert!(Command::new("sh").args(["-c", &kill]).status().unwrap().success());
+    stage.signal("TERM");
     // Idle connections end, which also says that the word was heard.
     assert!(!idle.more());
     assert_eq!(stage.health(), 503);
