Half requests are told in time, and weights that do not add up are refused

Weights of any sum were scaled and served (clients.rs asked). Now: 2.3 s for a whole request, then 408, or a close where nothing was said; who was told of an error is read on unheard until it goes; silent newcomers are evicted before idle clients; clients get half of the descriptors whatever the memory, and unread requests together a quarter of it; buffers over 16 KiB are given back; weights must add up to 1 within 1e-5 a part; a header that matters twice, a second Content-Length, a missing filter are errors. Guards as well against slow or cut-off clients; harms one that needs over 2.3 s for its request.

--- a/crates/frontnode/src/clients.rs
+++ b/crates/frontnode/src/clients.rs
@@ -29,11 +29,17 @@
 const LONGEST_ID: usize = 200;
 /// In microseconds; beyond it a guess at the work is none, and would overflow the aggregator's sums.
 const LONGEST_HINT: f64 = 1e9;
+/// By how much a weight may be off for its digits: real ones carry six, and seven parts were seen 6e-6 off.
+const ROUNDED: f64 = 1e-5;
+/// Bytes that are read in one round of what nobody listens to.
+const DISCARDED: u64 = 256 << 10;
 const TEXT: &str = "text/plain; charset=utf-8";
 const JSON: &str = "application/json";
 
 struct Client {
     stream: Stream,
+    /// Whether it ever sent a whole request.
+    asks: bool,
     /// What it waits for.
     asked: Option<RetrievalIx>,
     /// Since when the request that is being read, or served, is here.
@@ -43,7 +49,7 @@
     stays: bool,
     /// Nothing more is written; what the peer still sends is read until it closes.
     finished: bool,
-    /// When the connection is closed whatever its peer does: one that ends, or does not read its answer.
+    /// When its peer has had its time: to send a whole request, to read its answer, or to go.
     closes: Option<Mark>,
 }
 
@@ -62,7 +68,10 @@
     listener: Rc<TcpListener>,
     table: SlotMap<ClientKey, Client>,
     most: usize,
-    /// How long a connection that ends may take, and how long a peer may take to read.
+    /// Bytes that the unread requests of all may take.
+    requests_most: usize,
+    /// How long a peer may take to send a whole request, to say nothing more at the end, and to read.
+    request_within: Nanos,
     linger: Nanos,
     read_within: Nanos,
     /// Someone may wait at the door, as there was no room.
@@ -80,7 +89,7 @@
 }
 
 impl Clients {
-    pub fn listen(plan: &Plan, most: usize, events: &Loop) -> io::Result<Clients> {
+    pub fn listen(plan: &Plan, events: &Loop) -> io::Result<Clients> {
         let listener = Rc::new(TcpListener::bind(plan.listen)?);
         listener.set_nonblocking(true)?;
         let source = Generic::new(listener.clone(), Interest::READ, Mode::Edge);
@@ -89,9 +98,19 @@
             Ok(PostAction::Continue)
         };
         events.insert_source(source, noted).map_err(|e| io::Error::other(e.to_string()))?;
-        let (table, linger, read_within) = (SlotMap::with_key(), plan.connect_within, plan.link_idle);
-        let (queue, serving, draining, accepted) = (false, false, false, 0);
-        Ok(Clients { listener, table, most, linger, read_within, queue, serving, draining, accepted })
+        Ok(Clients {
+            listener,
+            table: SlotMap::with_key(),
+            most: plan.clients_most,
+            requests_most: plan.requests_most,
+            request_within: plan.request_within,
+            linger: plan.connect_within,
+            read_within: plan.link_idle,
+            queue: false,
+            serving: false,
+            draining: false,
+            accepted: 0,
+        })
     }
 
     pub fn address(&self) -> io::Result<SocketAddr> {
@@ -113,12 +132,14 @@
             }
             match self.listener.accept() {
                 Ok((socket, _)) => {
-                    let (events, now) = (&kit.events, kit.now);
+                    let (now, within) = (kit.now, self.request_within);
                     let admitted = self.table.try_insert_with_key(|key| {
-                        let stream = Stream::new(events, socket, Who::Client(key))?;
-                        let (asked, since, stays, finished, closes) = (None, None, true, false, None);
+                        let stream = Stream::new(&kit.events, socket, Who::Client(key))?;
+                        let closes = Some(kit.deadlines.set(now + within, Due::Client(key)));
+                        let (asks, asked, since, stays, finished) = (false, None, None, true, false);
                         Ok::<_, io::Error>(Client {
                             stream,
+                            asks,
                             asked,
                             since,
                             used: now,
@@ -157,12 +178,14 @@
         }
     }
 
-    /// Closes the connection that has been idle longest; where none is idle, one that has not sent its request.
-    /// Those that came in this round are spared: their requests may be there, not read yet.
+    /// Closes a connection that has said nothing for a while since it came; where there is none, the one that
+    /// has been idle longest, and where none is idle, one that has not sent its request whole. Those that came
+    /// in this round are spared: their requests may be there, not read yet.
     fn evict(&mut self, kit: &mut Kit) -> bool {
-        let free =
-            self.table.iter().filter(|(_, c)| c.asked.is_none() && c.stream.flushed() && c.used < kit.now);
-        let Some(key) = free.min_by_key(|(_, c)| (!c.idle(), c.used)).map(|(key, _)| key) else {
+        let (now, linger) = (kit.now, self.linger);
+        let free = self.table.iter().filter(|(_, c)| c.asked.is_none() && c.stream.flushed() && c.used < now);
+        let mute = |c: &Client| c.idle() && !c.asks && c.used + linger <= now;
+        let Some(key) = free.min_by_key(|(_, c)| (!mute(c), !c.idle(), c.used)).map(|(key, _)| key) else {
             return false;
         };
         kit.counters.clients_evicted += 1;
@@ -205,8 +228,26 @@
         }
     }
 
-    pub fn overdue(&mut self, key: ClientKey, kit: &mut Kit) {
-        self.remove(key, kit);
+    /// Its time is up. Half a request is told so; who has said nothing, or has been told, is closed. Gives the
+    /// retrieval whose client has gone.
+    pub fn overdue(&mut self, key: ClientKey, kit: &mut Kit) -> Option<RetrievalIx> {
+        let client = self.table.get_mut(key)?;
+        client.closes = None;
+        if client.asked.is_some() || client.idle() || client.finished || !client.stream.flushed() {
+            return self.remove(key, kit);
+        }
+        self.faulty(key, http::TOO_SLOW, kit);
+        None
+    }
+
+    /// Told what is wrong, and to go: what more it sends cannot be told apart into requests.
+    fn faulty(&mut self, key: ClientKey, Fault(status, text): Fault, kit: &mut Kit) {
+        let Some(client) = self.table.get_mut(key) else { return };
+        kit.counters.bad_requests += 1;
+        (client.stays, client.used) = (false, kit.now);
+        client.stream.take(client.stream.inbox().len());
+        client.close_at(None, kit);
+        self.answer(key, status, TEXT, "", text.as_bytes(), kit);
     }
 
     // ---- requests ----
@@ -223,14 +264,35 @@
     ) -> Option<RetrievalIx> {
         let client = self.table.get_mut(key)?;
         let before = client.stream.read;
-        let filled = client.stream.fill(http::MESSAGE);
-        kit.counters.bytes_in += client.stream.read - before;
-        if client.finished {
-            client.stream.take(client.stream.inbox().len());
-        }
+        let filled = if client.finished {
+            client.stream.discard(DISCARDED)
+        } else {
+            client.stream.fill(http::MESSAGE)
+        };
+        let came = client.stream.read - before;
+        kit.counters.bytes_in += came;
         if !matches!(filled, Ok(true)) {
             return self.remove(key, kit);
         }
+        if client.finished {
+            // While it still sends, closing would take the answer from it before it is read.
+            if came > 0 {
+                let at = (kit.now + self.linger).min(client.used + 2 * self.request_within);
+                let at = kit.deadlines.set(at, Due::Client(key));
+                client.close_at(Some(at), kit);
+            }
+            if client.stream.more {
+                kit.again.push(Who::Client(key));
+            }
+            return None;
+        }
+        if client.stream.held() > http::HEAD && client.asked.is_none() && client.stream.flushed() {
+            let held: usize = self.table.values().map(|c| c.stream.held()).sum();
+            if held > self.requests_most {
+                self.faulty(key, http::NO_MEMORY, kit);
+                return None;
+            }
+        }
         let lapsed = self.flush(key, kit);
         if lapsed.is_some() {
             return lapsed;
@@ -245,7 +307,13 @@
             let full = client.stream.inbox().len() >= http::MESSAGE;
             let read = http::request(client.stream.inbox());
             match if full { read.and_then(|m| m.map(Some).ok_or(http::BODY_TOO_LARGE)) } else { read } {
-                Ok(None) => break,
+                Ok(None) => {
+                    if let (Some(since), None) = (client.since, client.closes) {
+                        let at = since + self.request_within;
+                        client.closes = Some(kit.deadlines.set(at, Due::Client(key)));
+                    }
+                    break;
+                }
                 Ok(Some(message)) => {
                     let since = client.since.take().unwrap_or(at);
                     let (length, stays) = (message.length, message.stays && !self.draining);
@@ -253,18 +321,14 @@
                     let heard = heed(&message, (key, since), serving, plan, desk, ledger, kit);
                     client.stream.take(length);
                     client.stays = stays;
-                    client.used = kit.now;
+                    (client.asks, client.used) = (true, kit.now);
+                    client.close_at(None, kit);
                     match heard {
                         Heard::Taken(ix) => client.asked = Some(ix),
                         Heard::Said(status, text) => self.answer(key, status, TEXT, "", text.as_bytes(), kit),
                     }
                 }
-                Err(Fault(status, text)) => {
-                    kit.counters.bad_requests += 1;
-                    client.stays = false;
-                    client.stream.take(client.stream.inbox().len());
-                    self.answer(key, status, TEXT, "", text.as_bytes(), kit);
-                }
+                Err(fault) => self.faulty(key, fault, kit),
             }
         }
         None
@@ -387,7 +451,7 @@
     since: Nanos,
     plan: &Plan,
 ) -> Result<Asked<'a>, String> {
-    let header = |name: &str| message.header(name).ok_or_else(|| format!("{name}: missing"));
+    let header = |name: &str| message.header(name).ok_or_else(|| format!("{name}: missing, or there twice"));
     let id = mark("Request-Id", header("Request-Id")?)?;
     let class = header("Request-Class")?;
     let grade = plan.grades.iter().position(|(name, _)| name == class);
@@ -414,8 +478,8 @@
         if parts.iter().any(|&(other, _)| other == shard) {
             return Err(slice.fault("slice", &format!("shard {shard} is named twice")));
         }
-        if !(weight > 0.0 && weight.is_finite()) {
-            return Err(slice.fault("mass", "should be above 0"));
+        if !(weight > 0.0 && weight <= 1.0 + ROUNDED) {
+            return Err(slice.fault("mass", "should be above 0, and 1 at most"));
         }
         let hint = slice.or("micros", 0.0, Section::number)?;
         work = work.saturating_add((hint.clamp(0.0, LONGEST_HINT) * 1e3) as i64);
@@ -426,8 +490,11 @@
     }
     // Written with few digits, weights sum to a little less than the whole, which then never seems to be in.
     let whole: f64 = parts.iter().map(|part| part.1).sum();
+    if (whole - 1.0).abs() > ROUNDED * parts.len() as f64 {
+        return Err(body.fault("slices", &format!("their weights should add up to 1, not {whole}")));
+    }
     parts.iter_mut().for_each(|part| part.1 /= whole);
-    let text = body.or("filter", "", Section::text)?;
+    let text = body.text("filter")?;
     let again = message.header("Client-Retry").is_some_and(|v| v == "1");
     Ok(Asked { id, grade, tenant, valid_until, work, again, key, text, parts })
 }
--- a/crates/frontnode/src/config.rs
+++ b/crates/frontnode/src/config.rs
@@ -12,6 +12,12 @@
 /// Variable that holds the path of the configuration.
 pub const VARIABLE: &str = "NODE_CONFIG";
 
+/// Descriptors that are neither clients nor replicas: the loop's own, the listener, the agent, the log.
+const OTHER_SOCKETS: usize = 16;
+/// A client that asks sends its request at once, and connects in order to ask. Those that do not are still told
+/// before they are owed it; less would close connections that may be about to be used.
+const REQUEST_WITHIN: Nanos = 2_300_000_000;
+
 /// What the node goes by; the aggregator gets its own part of it.
 #[derive(Debug)]
 pub struct Plan {
@@ -19,8 +25,6 @@
     pub listen: SocketAddr,
     pub discovery: SocketAddr,
     pub seed: u64,
-    pub sockets: usize,
-    pub memory: usize,
     pub known: Roster,
     /// Names of the service grades, and whether their retrievals carry a receipt.
     pub grades: Vec<(String, bool)>,
@@ -34,6 +38,13 @@
     pub link_parts: usize,
     pub link_idle: Nanos,
     pub connect_within: Nanos,
+    /// Connections of clients, and to replicas, that may be open at once.
+    pub clients_most: usize,
+    pub links_most: usize,
+    /// Bytes that the unread requests of all clients may take.
+    pub requests_most: usize,
+    /// How long a client may take to send a whole request, and to go once it was told of an error.
+    pub request_within: Nanos,
     /// Whether a probe may ask for a report.
     pub load_told: bool,
     pub beat: Nanos,
@@ -88,14 +99,14 @@
         classes.iter().map(|c| c.text("name").map(str::to_owned)).collect();
     let tenants = settings.list("projects")?.unwrap_or_default();
     let connect_within = limits.or("connectTimeoutNs", 250_000_000, Section::whole)?;
+    // Half of the descriptors are for replicas: clients that come in numbers must not cut those off.
+    let half = (sockets - OTHER_SOCKETS) / 2;
     let link_idle = limits.or("connIdleNs", 15_000_000_000, Section::whole)?;
     let plan = Plan {
         name,
         listen,
         discovery,
         seed,
-        sockets,
-        memory: memory << 20,
         known,
         grades: grades?.into_iter().zip(receipted).collect(),
         tenants: tenants.iter().map(|t| t.text("name").map(str::to_owned)).collect::<Result<_, _>>()?,
@@ -106,6 +117,10 @@
         link_parts: at_least(&limits, "multiplex", limits.or("multiplex", 1, Section::index)?, 1)?,
         link_idle: positive(&limits, "connIdleNs", link_idle)?,
         connect_within: positive(&limits, "connectTimeoutNs", connect_within)?,
+        clients_most: half,
+        links_most: half,
+        requests_most: (memory << 20) / 4,
+        request_within: REQUEST_WITHIN,
         load_told: settings.section("feedback")?.or("how", "off", Section::text)? != "off",
         beat: orders.beat,
         fixed: ["name", "listen", "limits", "settings"].map(|key| (key, print(whole.get(key)))).to_vec(),
--- a/crates/frontnode/src/http.rs
+++ b/crates/frontnode/src/http.rs
@@ -16,6 +16,9 @@
 const BAD_HEAD: Fault = Fault(400, "malformed head");
 const HEAD_TOO_LARGE: Fault = Fault(431, "head too large");
 const BAD_LENGTH: Fault = Fault(400, "malformed length");
+/// It did not come whole in time.
+pub const TOO_SLOW: Fault = Fault(408, "the request did not come whole in time");
+pub const NO_MEMORY: Fault = Fault(503, "too many long requests at once");
 pub const BODY_TOO_LARGE: Fault = Fault(413, "body too large");
 const BAD_CHUNK: Fault = Fault(400, "malformed chunk");
 
@@ -35,9 +38,10 @@
 }
 
 impl<'a> Message<'a> {
-    /// None where there is no such header, or it is no text.
+    /// None where there is no such header, it is no text, or there are two: the next reader may go by the other.
     pub fn header(&self, name: &str) -> Option<&'a str> {
-        let (_, value) = self.headers.iter().find(|(n, _)| n.eq_ignore_ascii_case(name))?;
+        let mut named = self.headers.iter().filter(|(n, _)| n.eq_ignore_ascii_case(name));
+        let (Some((_, value)), None) = (named.next(), named.next()) else { return None };
         std::str::from_utf8(value).ok().map(str::trim)
     }
 }
@@ -94,8 +98,8 @@
     let (body, taken) = match (coding.next(), lengths.next()) {
         (None, None) => (Cow::Borrowed(&[][..]), 0),
         (None, Some(length)) => {
-            // Two that agree are one; two that differ are how requests are smuggled.
-            if lengths.any(|other| other != length) {
+            // Two are how requests are smuggled, and who sends two that agree may send two that do not.
+            if lengths.next().is_some() {
                 return Err(BAD_LENGTH);
             }
             let length = decimal(length)?;
@@ -175,6 +179,7 @@
         200 => "OK",
         400 => "Bad Request",
         404 => "Not Found",
+        408 => "Request Timeout",
         405 => "Method Not Allowed",
         409 => "Conflict",
         413 => "Content Too Large",
--- a/crates/frontnode/src/node.rs
+++ b/crates/frontnode/src/node.rs
@@ -20,10 +20,6 @@
 use crate::servers::{LinkKey, Servers};
 use crate::streams::{Loop, Noted, Who};
 
-/// Descriptors that are neither clients nor replicas: the loop's own, the listener, the agent, the log.
-const OTHER_SOCKETS: usize = 16;
-/// Most memory that one client may bind: its message, its answer, and what is kept of both.
-const CLIENT_MEMORY: usize = 4 * crate::http::MESSAGE;
 /// After the last connection came in, a node told to stop waits so long for more.
 const QUIET: Nanos = 1_000_000_000;
 
@@ -93,10 +89,7 @@
         let events = EventLoop::try_new().map_err(|e| format!("no event loop: {e}"))?;
         let noted = Noted { clock: Clock::start(), ready: Vec::new() };
         let (aggregator, beat) = (Aggregator::new(orders, plan.seed), plan.beat);
-        // Half of the descriptors are for replicas: clients that come in numbers must not cut those off.
-        let links = plan.sockets.saturating_sub(OTHER_SOCKETS) / 2;
-        let most = links.min(plan.memory / 2 / CLIENT_MEMORY).max(1);
-        let clients = Clients::listen(&plan, most, &events.handle())
+        let clients = Clients::listen(&plan, &events.handle())
             .map_err(|e| format!("configuration.listen: cannot listen on {}: {e}", plan.listen))?;
         let kit = Kit {
             now: noted.clock.now(),
@@ -105,7 +98,7 @@
             counters: Counters::default(),
             again: Vec::new(),
         };
-        let (servers, members) = (Servers::new(&plan, links), Members::new(&plan));
+        let (servers, members) = (Servers::new(&plan), Members::new(&plan));
         let works = Works {
             kit,
             desk: Desk::new(),
@@ -201,10 +194,7 @@
                 Who::Door => clients.accept(kit),
                 Who::Client(key) => {
                     if let Some(ix) = clients.ready(key, at, plan, desk, ledger, kit) {
-                        kit.counters.lapsed += 1;
-                        ledger.retrieval_lapsed(ix);
-                        desk.close(ix);
-                        servers.abandon(ix, desk, kit);
+                        lapsed(ix, desk, servers, ledger, kit);
                     }
                 }
                 Who::Link(key) => servers.ready(key, desk, kit),
@@ -219,7 +209,11 @@
                 Due::Launch(part, launch) => servers.overdue(part, launch, desk, kit),
                 Due::Link(key) => servers.link_due(key, desk, kit),
                 Due::Probe(key) => servers.probe_overdue(key, kit),
-                Due::Client(key) => clients.overdue(key, kit),
+                Due::Client(key) => {
+                    if let Some(ix) = clients.overdue(key, kit) {
+                        lapsed(ix, desk, servers, ledger, kit);
+                    }
+                }
                 Due::Door => clients.accept(kit),
                 Due::Agent => members.due(ledger, kit),
                 Due::Wake => self.wake = None,
@@ -287,6 +281,14 @@
     }
 }
 
+/// Its client has gone.
+fn lapsed(ix: RetrievalIx, desk: &mut Desk, servers: &mut Servers, ledger: &mut Ledger, kit: &mut Kit) {
+    kit.counters.lapsed += 1;
+    ledger.retrieval_lapsed(ix);
+    desk.close(ix);
+    servers.abandon(ix, desk, kit);
+}
+
 /// Carries out a round's decisions.
 struct Hand<'a>(&'a RefCell<Works>);
 
--- a/crates/frontnode/src/servers.rs
+++ b/crates/frontnode/src/servers.rs
@@ -125,11 +125,11 @@
 }
 
 impl Servers {
-    pub fn new(plan: &Plan, most: usize) -> Self {
+    pub fn new(plan: &Plan) -> Self {
         Servers {
             peers: Vec::new(),
             links: SlotMap::with_key(),
-            most,
+            most: plan.links_most,
             call_parts: plan.call_parts,
             link_parts: plan.link_parts,
             // A connection that its server may close under a call is closed before that.
--- a/crates/frontnode/src/streams.rs
+++ b/crates/frontnode/src/streams.rs
@@ -41,6 +41,8 @@
 pub type Loop = LoopHandle<'static, Noted>;
 
 const LEAST: usize = 4 << 10;
+/// An empty buffer larger than this is given back.
+const KEPT: usize = 16 << 10;
 
 pub struct Stream {
     socket: Rc<TcpStream>,
@@ -100,6 +102,30 @@
         self.first += length;
         if self.first == self.last {
             (self.first, self.last) = (0, 0);
+            // What one long message took is not kept for the day.
+            if self.inbox.len() > KEPT {
+                self.inbox = Vec::new();
+            }
+        }
+    }
+
+    /// Bytes that the inbox takes, read or not.
+    pub fn held(&self) -> usize {
+        self.inbox.len()
+    }
+
+    /// Reads so much at most and keeps nothing of it; false at the end of the stream.
+    pub fn discard(&mut self, most: u64) -> io::Result<bool> {
+        let enough = self.read + most;
+        loop {
+            self.take(self.last - self.first);
+            self.more = self.read >= enough;
+            if self.more || !self.fill(LEAST)? {
+                return Ok(self.more);
+            }
+            if !self.more {
+                return Ok(true);
+            }
         }
     }
 
@@ -157,6 +183,7 @@
             }
         }
         self.outbox.clear();
+        self.outbox.shrink_to(KEPT);
         self.sent = 0;
         Ok(())
     }
--- a/crates/frontnode/tests/sockets.rs
+++ b/crates/frontnode/tests/sockets.rs
@@ -95,6 +95,12 @@
         Stage::open_under("", story, replicas, settings)
     }
 
+    fn open_limited(story: &str, limits: Value) -> Stage {
+        let replicas = vec![listener()];
+        let known = json!([member(0, replicas[0].local_addr().unwrap(), "up")]);
+        Stage::begin_limited("", story, replicas, known, settings(1), limits)
+    }
+
     fn open_under(first: &str, story: &str, replicas: usize, settings: Value) -> Stage {
         let replicas: Vec<_> = (0..replicas).map(|_| listener()).collect();
         let known = replicas.iter().enumerate().map(|(n, r)| member(n, r.local_addr().unwrap(), "up"));
@@ -103,8 +109,21 @@
     }
 
     fn begin(first: &str, story: &str, replicas: Vec<TcpListener>, known: Value, settings: Value) -> Stage {
+        let limits = json!({"cores": 1.0, "memory_mb": 192, "sockets": 64});
+        Stage::begin_limited(first, story, replicas, known, settings, limits)
+    }
+
+    fn begin_limited(
+        first: &str,
+        story: &str,
+        replicas: Vec<TcpListener>,
+        known: Value,
+        settings: Value,
+        limits: Value,
+    ) -> Stage {
         let agent = listener();
-        let config = config(settings, known, agent.local_addr().unwrap());
+        let mut config = config(settings, known, agent.local_addr().unwrap());
+        config["limits"] = limits;
         let mut child = spawn(first, story, &config);
         let mut log = BufReader::new(child.stderr.take().unwrap());
         let mut line = String::new();
@@ -660,6 +679,8 @@
         (400, "length", with("Content-Length: ", "Transfer-Encoding: chunked\r\nContent-Length: ")),
         (400, "length", with("Content-Length: ", "Content-Length: -")),
         (400, "length", with("Content-Length: ", "Content-Length: 1\r\nContent-Length: ")),
+        (400, "length", with("Content-Length: ", "Content-Length: 74\r\nContent-Length: ")),
+        (400, "Request-Id", with("Request-Id: r1", "Request-Id: r1\r\nrequest-id: r2")),
         (413, "large", with("Content-Length: ", "Content-Length: 99999")),
         (
             413,
@@ -674,6 +695,10 @@
         (400, "body.slices[0].slice", slices("[{\"slice\":2,\"mass\":1}]")),
         (400, "body.slices[1].slice", slices("[{\"slice\":1,\"mass\":1},{\"slice\":1,\"mass\":1}]")),
         (400, "body.slices[0].mass", slices("[{\"slice\":1,\"mass\":0}]")),
+        (400, "body.slices[0].mass", slices("[{\"slice\":1,\"mass\":1.5}]")),
+        (400, "body.slices", slices("[{\"slice\":0,\"mass\":0.5},{\"slice\":1,\"mass\":0.4}]")),
+        (400, "body.slices", slices("[{\"slice\":0,\"mass\":0.7},{\"slice\":1,\"mass\":0.7}]")),
+        (400, "body.filter", slices("[{\"slice\":1,\"mass\":1}]")),
     ];
     for (status, named, request) in cases {
         let mut client = stage.client();
@@ -686,6 +711,44 @@
     assert_eq!(open.response().0, 200);
 }
 
+#[test]
+fn who_does_not_send_a_whole_request_in_time_is_told_and_who_waits_is_left_alone() {
+    let stage = Stage::open("slow-clients", 1);
+    let begun = Instant::now();
+    let mut waits = stage.client();
+    waits.ask("r1", "look", &[0], "9000m");
+    let mut replica = stage.replica(0);
+    let call = replica.call();
+    let whole = request("r2", "look", &[0], "9000m");
+    let (mut silent, mut head, mut body) = (stage.client(), stage.client(), stage.client());
+    head.send(&whole.as_bytes()[..40]);
+    body.send(&whole.as_bytes()[..whole.len() - 1]);
+    assert!(!silent.more());
+    for half in [&mut head, &mut body] {
+        assert_eq!(half.response().0, 408);
+        assert!(!half.more());
+    }
+    assert!(begun.elapsed() < Duration::from_secs(3));
+    replica.answer(&call[0], "S", "v");
+    assert_eq!(waits.response().0, 200);
+    assert_eq!((stage.counter("retrievals_taken"), stage.counter("bad_requests")), (1, 2));
+    waits.send(b"GET /_health HTTP/1.1\r\n\r\n");
+    assert_eq!(waits.response().0, 200);
+}
+
+#[test]
+fn long_requests_that_do_not_end_share_a_bounded_memory() {
+    let stage = Stage::open_limited("memory", json!({"memory_mb": 16, "sockets": 128}));
+    // Many small chunks take more room than the body that they carry.
+    let chunk = format!("f\r\n{}\r\n", "x".repeat(15)).repeat(4_000);
+    let endless = format!("{}Transfer-Encoding: chunked\r\n\r\n{chunk}", head("r1", "look", "9m"));
+    let mut crowd: Vec<Peer> = (0..50).map(|_| stage.client()).collect();
+    crowd.iter_mut().for_each(|client| client.send(endless.as_bytes()));
+    // The last one finds the memory taken, and is told before its time is up.
+    assert_eq!(crowd[49].response().0, 503);
+    assert_eq!(stage.health(), 200);
+}
+
 #[test]
 fn what_is_beyond_the_cap_is_turned_away() {
     let stage = Stage::open("cap", 1);
