A spoilt answer ends its connection as one piece of news and makes nobody wary

A log of frames showed 2 to 3 spoilt answers a second over all replicas, each ending up to six launches as Faulty. Now such launches end as Spoilt: may have run, one sample a connection and moment, not broken. An id never out on the connection, a frame that is not whole in half a second and bytes left with nothing out end it. An unreadable report spoils no answer; a report beyond a million is none. Also guards against half-dead proxies; harms an answer over a link so slow that a frame takes half a second.

--- a/crates/frontnode/src/frames.rs
+++ b/crates/frontnode/src/frames.rs
@@ -68,18 +68,27 @@
     Ok(Some((frame[0], &frame[1..], 4 + length)))
 }
 
-/// An answer's id, apart into retrieval and shard, how the launch ended, and its value.
+/// An answer's id, apart into retrieval and shard, how the launch ended, and its value. Its report is not read,
+/// and spoils nothing whatever it says.
+///
+/// ```
+/// use orchidvalve_frontnode::frames::answer;
+///
+/// assert_eq!(answer(b"r1.3 S 7 \xff what=\nvalue").unwrap().3, "value");
+/// assert_eq!(answer(b"r1.3 S\nvalue").unwrap_err(), "a bad answer line 'r1.3 S'");
+/// ```
 pub fn answer(rest: &[u8]) -> Result<(&str, usize, Ending, &str), String> {
     let end = rest.iter().position(|&b| b == b'\n').ok_or("an answer without the end of its line")?;
-    let text = |bytes| std::str::from_utf8(bytes).map_err(|_| "an answer that is no text".to_owned());
-    let (line, value) = (text(&rest[..end])?, text(&rest[end + 1..])?);
-    let wrong = || format!("a bad answer line '{}'", line.escape_default());
-    let mut words = line.split(' ');
-    let (Some(id), Some(ending), Some(_score), Some(_report), None) =
-        (words.next(), words.next(), words.next(), words.next(), words.next())
+    let (line, value) = (&rest[..end], &rest[end + 1..]);
+    let wrong = || format!("a bad answer line '{}'", line.escape_ascii());
+    let text = |bytes| std::str::from_utf8(bytes).map_err(|_| wrong());
+    let mut words = line.splitn(4, |&b| b == b' ');
+    let (Some(id), Some(ending), Some(_score), Some(_report)) =
+        (words.next(), words.next(), words.next(), words.next())
     else {
         return Err(wrong());
     };
+    let (id, ending, value) = (text(id)?, text(ending)?, text(value)?);
     let (retrieval, shard) = id.rsplit_once('.').ok_or_else(wrong)?;
     let ending = match ending {
         "S" => Ending::Done,
@@ -90,12 +99,24 @@
     Ok((retrieval, shard.parse().map_err(|_| wrong())?, ending, value))
 }
 
+/// Beyond it a report says nothing that could be true, and would be believed for hours.
+const MOST_REPORTED: f64 = 1e6;
+
 /// Parts waiting and parts done a second, where a report says both.
+///
+/// ```
+/// use orchidvalve_frontnode::frames::report;
+///
+/// assert_eq!(report("avg_ms=13.1,rps=76.3,waiting=2"), Some((2.0, 76.3)));
+/// for bad in ["rps=76.3,waiting=nan", "rps=76.3,waiting=-1", "rps=76.3,waiting=1e300", "=,="] {
+///     assert_eq!(report(bad), None);
+/// }
+/// ```
 pub fn report(rest: &str) -> Option<(f64, f64)> {
     let told = |name: &str| {
         let mut pairs = rest.split(',').filter_map(|pair| pair.split_once('='));
         let (_, value) = pairs.find(|pair| pair.0 == name)?;
-        value.parse::<f64>().ok().filter(|v| v.is_finite())
+        value.parse::<f64>().ok().filter(|v| (0.0..=MOST_REPORTED).contains(v))
     };
     told("waiting").zip(told("rps"))
 }
--- a/crates/frontnode/src/node.rs
+++ b/crates/frontnode/src/node.rs
@@ -29,6 +29,7 @@
     Launch(PartIx, usize),
     Link(LinkKey),
     Probe(LinkKey),
+    Frame(LinkKey),
     Client(ClientKey),
     Door,
     Agent,
@@ -208,6 +209,7 @@
             match due {
                 Due::Launch(part, launch) => servers.overdue(part, launch, desk, kit),
                 Due::Link(key) => servers.link_due(key, desk, kit),
+                Due::Frame(key) => servers.frame_overdue(key, desk, kit),
                 Due::Probe(key) => servers.probe_overdue(key, kit),
                 Due::Client(key) => {
                     if let Some(ix) = clients.overdue(key, kit) {
--- a/crates/frontnode/src/servers.rs
+++ b/crates/frontnode/src/servers.rs
@@ -1,6 +1,7 @@
 //! Connections to the replicas: which call travels on which, what is out on each, probes, and their ends.
 
 use std::collections::VecDeque;
+use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::{SocketAddr, TcpStream};
 
 use orchidvalve::interface::{Nanos, PartIx, ReplicaIx, RetrievalIx};
@@ -21,6 +22,9 @@
     pub struct LinkKey;
 }
 
+/// How many times as long as a connection may take to come up a frame may take to come whole.
+const FRAME_TIMES: Nanos = 2;
+
 type Call = Vec<(PartIx, usize)>;
 
 /// A probe that ended: of whom, whether it was answered, and the report that came with it.
@@ -47,6 +51,8 @@
     replica: ReplicaIx,
     launches: Vec<Sent>,
     probe: Option<Mark>,
+    /// Prints of the last that were out, as answers to them may still come, or come twice.
+    past: VecDeque<u64>,
 }
 
 struct Link {
@@ -60,9 +66,31 @@
     out: Out,
     /// A probe on it timed out: it may be an open end to a machine that is gone.
     suspect: bool,
+    /// When the frame that has begun to come should be whole.
+    frame: Option<Mark>,
+}
+
+/// Launches of a connection that are remembered once they ended.
+const PAST: usize = 256;
+
+fn print(retrieval: &str, shard: usize) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    (retrieval, shard).hash(&mut hasher);
+    hasher.finish()
 }
 
 impl Out {
+    fn remember(&mut self, print: u64) {
+        if self.past.len() == PAST {
+            self.past.pop_front();
+        }
+        self.past.push_back(print);
+    }
+
+    fn is_empty(&self) -> bool {
+        self.launches.is_empty() && self.probe.is_none()
+    }
+
     fn hear(
         &mut self,
         letter: u8,
@@ -78,8 +106,11 @@
                     |s: &Sent| desk.whole_part(s.part).is_some_and(|(p, r)| p.shard == shard && *r.id == *id);
                 let Some(at) = self.launches.iter().position(asked) else {
                     kit.counters.late_answers += 1;
-                    return Ok(());
+                    // One with an id that was never out here is the spoilt answer of something that is.
+                    let known = self.is_empty() || self.past.contains(&print(id, shard));
+                    return if known { Ok(()) } else { Err(format!("an answer to nothing, '{id}.{shard}'")) };
                 };
+                self.remember(print(id, shard));
                 let Sent { part, launch, .. } = self.launches.swap_remove(at);
                 if ending == Ending::Done {
                     desk.value(part, value);
@@ -240,8 +271,9 @@
             self.links.try_insert_with_key(|key| {
                 let stream = Stream::new(&kit.events, socket, Who::Link(key))?;
                 let mark = Some(kit.deadlines.set(kit.now + self.connect_within, Due::Link(key)));
-                let out = Out { replica, launches: Vec::new(), probe: None };
-                Ok(Link { address, stream, up: None, mark, waiting: VecDeque::new(), out, suspect: false })
+                let out = Out { replica, launches: Vec::new(), probe: None, past: VecDeque::new() };
+                let (waiting, suspect, frame) = (VecDeque::new(), false, None);
+                Ok(Link { address, stream, up: None, mark, waiting, out, suspect, frame })
             })
         });
         match begun {
@@ -323,6 +355,7 @@
             link.out.launches.retain(|s| (s.part, s.launch) != (part, launch));
             if let Some((p, r)) = desk.whole_part(part) {
                 frames::cancel(link.stream.outbox(), &r.id, p.shard);
+                link.out.remember(print(&r.id, p.shard));
             }
         } else {
             link.waiting.iter_mut().for_each(|call| call.retain(|&l| l != (part, launch)));
@@ -383,6 +416,7 @@
         let before = link.stream.read;
         let filled = link.stream.fill(frames::LONGEST + 4);
         kit.counters.bytes_in += link.stream.read - before;
+        let mut came = 0;
         let heard = loop {
             let Some(link) = self.links.get_mut(key) else { return };
             match frames::next(link.stream.inbox()) {
@@ -391,6 +425,7 @@
                 Ok(Some((letter, rest, length))) => {
                     let heard = link.out.hear(letter, rest, &mut self.probed, desk, kit);
                     link.stream.take(length);
+                    came += 1;
                     if let Err(fault) = heard {
                         break Err(fault);
                     }
@@ -398,14 +433,19 @@
             }
         };
         match (heard, filled) {
-            (Err(fault), _) => {
-                kit.counters.bad_frames += 1;
-                self.broken(key, &fault, desk, kit);
-            }
+            (Err(fault), _) => self.spoilt(key, &fault, desk, kit),
             (Ok(()), Ok(true)) => {
-                if self.links[key].stream.more {
+                let link = &mut self.links[key];
+                if link.stream.more {
                     kit.again.push(Who::Link(key));
                 }
+                if came > 0 || link.stream.inbox().is_empty() {
+                    link.frame.take().into_iter().for_each(|mark| kit.deadlines.clear(mark));
+                }
+                if link.frame.is_none() && !link.stream.inbox().is_empty() {
+                    let at = kit.now + FRAME_TIMES * self.connect_within;
+                    link.frame = Some(kit.deadlines.set(at, Due::Frame(key)));
+                }
                 self.pump(key, desk, kit);
                 self.rest(key, kit);
             }
@@ -414,6 +454,23 @@
         }
     }
 
+    /// Against a length that does not fit: what comes later would be swallowed as the rest of that frame.
+    pub fn frame_overdue(&mut self, key: LinkKey, desk: &mut Desk, kit: &mut Kit) {
+        if let Some(link) = self.links.get_mut(key) {
+            link.frame = None;
+            self.spoilt(key, "a frame that does not end", desk, kit);
+        }
+    }
+
+    fn spoilt(&mut self, key: LinkKey, fault: &str, desk: &mut Desk, kit: &mut Kit) {
+        kit.counters.bad_frames += 1;
+        self.ended(key, fault, Ending::Spoilt, desk, kit);
+    }
+
+    fn broken(&mut self, key: LinkKey, fault: &str, desk: &mut Desk, kit: &mut Kit) {
+        self.ended(key, fault, Ending::Faulty, desk, kit);
+    }
+
     // ---- their ends ----
 
     /// Too late to come up, or idle for long enough.
@@ -428,7 +485,7 @@
     }
 
     /// Ends what was on it, by what is known of each launch: what was not written whole never ran.
-    fn broken(&mut self, key: LinkKey, fault: &str, desk: &mut Desk, kit: &mut Kit) {
+    fn ended(&mut self, key: LinkKey, fault: &str, ending: Ending, desk: &mut Desk, kit: &mut Kit) {
         let Some(mut link) = self.close(key, kit) else { return };
         let idle = link.load() == 0 && link.out.probe.is_none();
         let count =
@@ -439,7 +496,7 @@
         }
         for Sent { part, launch, ends_at } in link.out.launches.drain(..) {
             let whole = ends_at <= link.stream.written;
-            desk.end(part, launch, if whole { Ending::Faulty } else { Ending::Unreached }, kit);
+            desk.end(part, launch, if whole { ending } else { Ending::Unreached }, kit);
         }
         for (part, launch) in link.waiting.drain(..).flatten() {
             desk.end(part, launch, Ending::Unreached, kit);
@@ -452,7 +509,11 @@
     /// The one place where a connection is given back.
     fn close(&mut self, key: LinkKey, kit: &mut Kit) -> Option<Link> {
         let link = self.links.remove(key)?;
-        link.mark.into_iter().chain(link.out.probe).for_each(|mark| kit.deadlines.clear(mark));
+        link.mark
+            .into_iter()
+            .chain(link.out.probe)
+            .chain(link.frame)
+            .for_each(|mark| kit.deadlines.clear(mark));
         self.peers[link.out.replica.0].links.retain(|&k| k != key);
         Some(link)
     }
@@ -473,7 +534,9 @@
         if link.up.is_none() || link.load() > 0 || link.out.probe.is_some() {
             return;
         }
-        if !self.usable(key) || !self.peers[link.out.replica.0].serving {
+        // Bytes left over with nothing out would be read as the beginning of the next answer.
+        let leftover = !link.stream.inbox().is_empty();
+        if leftover || !self.usable(key) || !self.peers[link.out.replica.0].serving {
             self.close(key, kit);
         } else if self.links[key].mark.is_none() {
             self.links[key].mark = Some(kit.deadlines.set(kit.now + self.link_idle, Due::Link(key)));
--- a/crates/frontnode/tests/sockets.rs
+++ b/crates/frontnode/tests/sockets.rs
@@ -784,6 +784,52 @@
     assert_eq!(stage.health(), 200);
 }
 
+#[test]
+fn a_spoilt_answer_that_nothing_tells_of_holds_up_nothing() {
+    let stage = Stage::open("spoilt", 1);
+    // An id that was never out, a frame that does not come whole.
+    for (n, spoilt) in
+        [&b"\0\0\0\x105other.0 S 7 -\nv"[..], b"\0\0\0\x50", b"\0\0\0\xff5r2"].iter().enumerate()
+    {
+        let mut client = stage.client();
+        client.ask(&format!("r{n}"), "pay", &[0], "9000m");
+        let mut replica = stage.replica(0);
+        replica.probed_until_called();
+        replica.send(spoilt);
+        assert_eq!((client.response().0, stage.counter("launches_spoilt")), (504, n as u64 + 1));
+    }
+    // What is left over with nothing out does not become the beginning of the next answer.
+    for n in 3..6 {
+        let mut client = stage.client();
+        client.ask(&format!("r{n}"), "look", &[0], "9000m");
+        let mut replica = stage.replica(0);
+        let call = replica.probed_until_called();
+        let id = call.split(' ').next().unwrap();
+        let good = format!("5{id} S 7 %% =,=\nv{n}");
+        let good = [&(good.len() as u32).to_be_bytes(), good.as_bytes(), &[0, 0, 1]].concat();
+        replica.send(&good);
+        assert!(client.response().2.contains(&format!("v{n}")));
+    }
+    assert_eq!(stage.counter("launches_spoilt"), 3);
+}
+
+#[test]
+fn a_second_copy_of_an_answer_spoils_nothing() {
+    let stage = Stage::open("second-copy", 1);
+    let mut client = stage.client();
+    client.ask("r1", "look", &[0], "9000m");
+    let mut replica = stage.replica(0);
+    let first = replica.call();
+    replica.answer(&first[0], "S", "v1");
+    assert_eq!(client.response().0, 200);
+    client.ask("r2", "look", &[0], "9000m");
+    let second = replica.call();
+    replica.answer(&first[0], "S", "v1");
+    replica.answer(&second[0], "S", "v2");
+    assert!(client.response().2.contains("v2"));
+    assert_eq!((stage.counter("links_opened"), stage.counter("late_answers")), (1, 1));
+}
+
 #[test]
 fn a_bad_configuration_is_named_and_ends_the_program() {
     let whole = config(settings(1), json!([]), listener().local_addr().unwrap());
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -15,6 +15,8 @@
     Unreached,
     /// An error or a broken connection: it may have run.
     Faulty,
+    /// Something came that could not be used, on its connection: it may have run, and its replica talks.
+    Spoilt,
     /// No answer within its limit: it may have run, or run still.
     Silent,
     CalledOff,
@@ -289,7 +291,9 @@
             r.last_done_sent = r.last_done_sent.max(sent);
             r.last_done_at = now;
         }
-        if ending != Ending::Unsent {
+        // What was out on one connection with a spoilt answer is one piece of news: the others were sound.
+        let again = |s: Sample| ending == Ending::Spoilt && (s.ending, s.at) == (ending, now);
+        if ending != Ending::Unsent && !r.samples.iter().last().is_some_and(again) {
             r.samples.push(Sample { at: now, took, ending });
         }
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -561,3 +561,27 @@
     let third = on[2].1;
     assert!(host.end(|r| (r == third).then_some(Ending::Done)).contains(&Told::Answer(ix, true)));
 }
+
+#[test]
+fn one_spoilt_connection_neither_sets_its_replica_aside_nor_makes_us_wary() {
+    let mut host = Host::new(orders(3));
+    host.traffic(30, &[]);
+    host.take(0, &[0, 1, 2]);
+    host.take(0, &[0, 1, 2]);
+    assert!((0..3).all(|n| host.out.iter().filter(|o| o.2 == ReplicaIx(n)).count() == 2));
+    let told = host.end(|_| Some(Ending::Spoilt));
+    assert!(!told.iter().any(|t| matches!(t, Told::Probe(_))), "{told:?}");
+    host.end(|_| Some(Ending::Done));
+    host.now += 50 * MS;
+    assert_eq!(launches(&host.take(0, &[0, 1, 2]).1).len(), 3);
+    // A replica that spoils one connection after the other is found out.
+    let bad = ReplicaIx(0);
+    let spoils = |r| Some(if r == bad { Ending::Spoilt } else { Ending::Done });
+    let mut told = Vec::new();
+    for n in 0..60 {
+        told.extend(host.take(0, &[n % 3]).1);
+        host.now += 50 * MS;
+        told.extend(host.end(spoils));
+    }
+    assert!(told.contains(&Told::Probe(bad)), "{told:?}");
+}
