Errors of replicas that live end no retrieval; only broken connections count as killing

A trace of launches showed it; the replicas served other grades all the while. At fault: choice.rs kills and ledger.rs broken, which took an answered error for a connection that broke. Harms where a server answers errors as it goes down.

--- a/crates/frontnode/src/servers.rs
+++ b/crates/frontnode/src/servers.rs
@@ -521,7 +521,7 @@
     }
 
     fn broken(&mut self, key: LinkKey, fault: &str, desk: &mut Desk, kit: &mut Kit) {
-        self.ended(key, fault, Ending::Faulty, desk, kit);
+        self.ended(key, fault, Ending::Broken, desk, kit);
     }
 
     // ---- their ends ----
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -598,7 +598,7 @@
     /// taken down too, and the client asks again as it is.
     fn kills(&self, r: &Retrieval) -> bool {
         let parts = || r.parts.iter().map(|&p| self.ledger.part(p));
-        let broke = parts().flat_map(|p| &p.launches).filter(|l| l.end == Some(Ending::Faulty));
+        let broke = parts().flat_map(|p| &p.launches).filter(|l| l.end == Some(Ending::Broken));
         broke.map(|l| l.replica).collect::<BTreeSet<_>>().len() >= KILLED && !parts().any(|p| p.done)
     }
 
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -13,8 +13,10 @@
     Full,
     /// No connection in time.
     Unreached,
-    /// An error or a broken connection: it may have run.
+    /// Answered with an error: it may have run, and its replica lives.
     Faulty,
+    /// Its connection broke: it may have run, and may have taken its replica down.
+    Broken,
     /// Its connection brought what cannot be used, or stayed silent while another one of its replica did not:
     /// it may have run, and its replica talks.
     Spoilt,
@@ -281,7 +283,7 @@
             p.done |= !p.closed;
             self.latencies.push(took);
         }
-        if ending == Ending::Faulty {
+        if ending == Ending::Broken {
             self.broken.push((now, replica));
         }
         let r = &mut self.replicas[replica.0];
