A replica that fails one grade is passed over for that grade and keeps the others

At fault: choice.rs failing, which counts an error of one grade against the replica. Now the last word on a grade (an answer or an error) is believed for two soft limits: choices prefers sound holders whose last word on that grade is no error, and an error beside answers sets nothing aside. Also guards against any part of a server that fails while the rest works; harms where one error was chance: that grade goes elsewhere for a second.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -217,12 +217,10 @@
 
     // ---- counts ----
 
-    /// Against silent replicas and fast errors alike: a launch that ended without an answer goes on counting
-    /// as in flight until the replica answers a later one, or for as long as we would wait for an answer.
-    /// Else the count of a replica that answers nothing, or only errors, empties first and draws all the
-    /// parts. Where we send a replica a part only every many seconds nearly all counts are zero and say
-    /// nothing of queues or slow machines, so there an end without an answer, or a late answer, counts until
-    /// the replica's next turn would have come.
+    /// Against silent replicas and fast errors, whose count would empty first and draw all the parts: a
+    /// launch that ended without an answer counts as in flight until the replica answers a later one, or for
+    /// as long as we would wait. Where a replica gets a part only every many seconds most counts are zero, so
+    /// there such an end, or a late answer, counts until its next turn would have come.
     fn release_counts(&mut self) {
         let (now, patience, turn) = (self.now(), self.usual.patience, self.usual.turn);
         for &ix in &self.ledger.busy {
@@ -285,10 +283,13 @@
         r.last_done_at < since && r.held.iter().any(|h| h.ended.is_none() && h.sent >= back && h.sent < since)
     }
 
-    /// A refusal for want of room tells of a queue, not a fault. One called off after our patience counts,
-    /// against replicas that answer some parts and lose others: what twins answer would else hide it.
+    /// A refusal for want of room tells of a queue, not a fault; an error beside answers tells of a grade.
+    /// One called off after our patience counts, against replicas that answer some parts and lose others.
     fn failing(r: &Replica, back: Nanos, on_trial: bool, patience: Nanos) -> bool {
-        let told = |s: &Sample| s.ending != Ending::CalledOff || s.took >= patience;
+        let told = |s: &Sample| {
+            (s.ending != Ending::CalledOff || s.took >= patience)
+                && (s.ending != Ending::Faulty || r.last_done_at < s.at - patience)
+        };
         let since =
             r.samples.iter().rev().take_while(|s| s.at >= back).filter(|s| s.at - s.took >= back && told(s));
         let last: Vec<Ending> =
@@ -302,6 +303,15 @@
             || last.first() == Some(&Ending::Unreached)
     }
 
+    /// Against replicas that answer one grade with errors, fast, and serve the others: the last word on that
+    /// grade is believed for a while, and only those parts go elsewhere.
+    fn errs(&self, ix: ReplicaIx, grade: usize) -> bool {
+        let since = self.now() - scaled(self.shortest_soft_limit(), PACE_SPAN);
+        let told = |s: &Sample| s.grade == grade && matches!(s.ending, Ending::Done | Ending::Faulty);
+        let last = self.ledger.replicas[ix.0].samples.iter().rev().find(told);
+        last.is_some_and(|s| s.ending == Ending::Faulty && s.at > since)
+    }
+
     fn lagging(r: &Replica, back: Nanos, usual: Option<Nanos>) -> bool {
         let done = |s: &Sample| s.ending == Ending::Done && s.at >= back;
         let took: Vec<Nanos> =
@@ -391,9 +401,8 @@
 
     /// Against pushing a cold server over: within the rule's window we send it no more than the rule's
     /// multiple of what warm replicas have done for us in that time, scaled by its warmth. As all fronts'
-    /// done parts together never pass a server's capacity, fronts that all do this keep the rule without
-    /// talking to each other. What the server has itself done counts as well, or a fleet restarted at once
-    /// would stay at one part a window.
+    /// done parts are within a server's capacity, fronts that all do this keep the rule without talking. What
+    /// it has itself done counts as well, or a fleet restarted at once would stay at one part a window.
     fn has_room(&self, ix: ReplicaIx) -> bool {
         let r = &self.ledger.replicas[ix.0];
         let warmth = self.warmth(r);
@@ -413,9 +422,8 @@
         ((sent + 1) as f64) <= room
     }
 
-    /// How long what waits at a replica will take, as it said when last probed. Against servers that work
-    /// through queues in which all is overdue: they answer nothing in time and, fed as before, never catch
-    /// up, while the fronts that feed them hold little there and see no pace of theirs.
+    /// How long what waits at a replica will take, as it said when last probed. Against servers whose queues
+    /// are all overdue: fed as before they never catch up, while fronts hold little there and see no pace.
     fn reported_wait(&self, r: &Replica) -> Nanos {
         let span = scaled(self.shortest_soft_limit(), PACE_SPAN);
         let wait =
@@ -423,10 +431,9 @@
         wait.filter(|&(at, wait)| self.now() - at < wait.max(span)).map_or(0, |(_, wait)| wait)
     }
 
-    /// How long the replica will take for what it holds of ours: at the pace of its answers, which by
-    /// Little's law comes to a share of the soft limit only once answers take that long; but a pace is also
-    /// slow where we send little, so down to a third of that where its last answers, and the oldest part it
-    /// holds, took less.
+    /// How long the replica will take for what it holds of ours: at the pace of its answers, which comes to a
+    /// share of the soft limit only once answers take that long (Little's law); but a pace is also slow where
+    /// we send little, so down to a third of that where its last answers, and its oldest part, took less.
     fn backlog(&self, ix: ReplicaIx) -> Nanos {
         let (r, span) = (&self.ledger.replicas[ix.0], scaled(self.shortest_soft_limit(), PACE_SPAN));
         let since = self.now() - span;
@@ -469,15 +476,15 @@
     }
 
     /// Replicas that may get a launch of the part: sound ones, not tried yet if there are such. Where all
-    /// look bad, the evidence or the view is bad, and all of them are tried. One that was tried is tried
-    /// again only when that launch counts no more: else a part burns all its launches on full replicas within
-    /// a few rounds.
+    /// look bad, the evidence or the view is bad, and all are tried. One that was tried is tried again only
+    /// when that launch counts no more, lest a part burn its launches on full replicas.
     fn choices(&self, id: PartIx, seats: &Seats) -> Vec<ReplicaIx> {
         let part = self.ledger.part(id);
         let mut all: Vec<ReplicaIx> = self.holders(part.shard).collect();
         let tried = |ix: ReplicaIx| part.launches.iter().any(|l| l.replica == ix);
         all.retain(|&ix| part.out().all(|(_, l)| l.replica != ix));
-        prefer(&mut all, |ix| seats[ix].sound);
+        let grade = self.ledger.retrieval(part.retrieval).grade;
+        prefer(&mut all, |ix| seats[ix].sound && !self.errs(ix, grade));
         // Where all look bad a queue that a replica told of is the one thing sure.
         let most = scaled(self.shortest_soft_limit(), FULL_AFTER);
         prefer(&mut all, |ix| self.reported_wait(&self.ledger.replicas[ix.0]) <= most);
@@ -508,9 +515,8 @@
     }
 
     /// A further launch without waiting for an ending, the departure from the endgame's conditions: only
-    /// while the one replica that has the part is set aside, and the part is out longer than usual. A replica
-    /// that only lags still answers, so its fresh parts stay single: twins for all of them would double the
-    /// load that made it lag.
+    /// while the one replica that has the part is set aside, and the part is out longer than usual. One that
+    /// only lags still answers, so its fresh parts stay single: twins would double the load that made it lag.
     fn stranded(&self, part: &Part, usual: Nanos) -> bool {
         part.out().count() == 1 && part.out().all(|(_, l)| self.overdue(l, usual)) && self.orders.may_copy
     }
@@ -532,11 +538,10 @@
             && self.holders(part.shard).any(|ix| self.sound(ix) && !tried(ix) && self.backlog(ix) <= left)
     }
 
-    /// Against queues that outlast the soft limit, where every answer comes too late and retries keep it so:
-    /// a retrieval is let in when its parts, or as many as the least that may be answered from, find replicas
-    /// that would answer in time, after waiting in half of the time left; until then it waits here, where it
-    /// costs nothing, and so does any part left over. The newest is let in first, as it has most of its time
-    /// left, and those that earn little come last.
+    /// Against queues that outlast the soft limit, where every answer comes late and retries keep it so: a
+    /// retrieval is let in when its parts, or the least that may be answered from, find replicas that would
+    /// answer in time; until then it waits here, at no cost, as does any part left over. The newest is let in
+    /// first, as it has most of its time left, and those that earn little come last.
     fn place(&mut self, w: &mut dyn Writer) {
         let most = scaled(self.shortest_soft_limit(), FULL_AFTER);
         let usual = self.usual.longest.unwrap_or(0);
@@ -603,8 +608,7 @@
     }
 
     /// One asked again, as its time began with an earlier try, or one of a tenant that takes here alone more
-    /// than its share of all fronts. What other fronts carry is not seen, so most of what is beyond a share
-    /// passes unknown.
+    /// than its share of all fronts: what other fronts carry is not seen.
     fn earns_little(&self, r: &Retrieval) -> bool {
         let window = self.copy_window();
         let beyond = |share: &f64| {
@@ -626,9 +630,8 @@
     }
 
     /// The ordinary path: each part goes to its shard's replica with fewest of our calls in flight. Ties
-    /// break at random, but a replica where more of these parts can share one call comes first, as a call
-    /// costs work; not so one with a backlog, or a shard's last holder would draw its neighbours' parts into
-    /// the calls it must take.
+    /// break at random, but a replica where more of these parts share one call comes first, as calls cost
+    /// work; not one with a backlog, or a shard's last holder would draw its neighbours' parts as well.
     fn place_together(&mut self, parts: &[PartIx], seats: &mut Seats, w: &mut dyn Writer) {
         let eased = scaled(self.shortest_soft_limit(), FULL_AFTER * EASED);
         let choices = |&p: &PartIx| (p, self.choices(p, seats));
@@ -664,8 +667,7 @@
         w.launch(part, replica, limit);
     }
 
-    /// Near a retrieval's end idle replicas get a copy of a pending part, oldest launch first, after the
-    /// delay.
+    /// Near a retrieval's end idle replicas get a copy of a pending part, oldest first, after the delay.
     fn endgame(&mut self, w: &mut dyn Writer) {
         let (mut pending, usual): (Vec<(Nanos, PartIx)>, _) = (Vec::new(), self.usual.delay);
         for (_, r) in self.ledger.open() {
@@ -771,8 +773,7 @@
     }
 
     /// It was not let in, and an ordinary answer would now come after the soft limit, or after its client has
-    /// gone, as with clients that ask often and wait little. Half of its time it may wait whatever the usual
-    /// times say: after a jam they are old, and would else keep everything out for good.
+    /// gone. Half of its time it may wait whatever the usual times say: after a jam they are old.
     fn crowded_out(&self, r: &Retrieval, usual: Nanos) -> bool {
         let end = self.soft_end(r).min(r.valid_until);
         self.now() >= end - usual.min((end - r.taken) / 2) && !r.parts.iter().any(|&p| self.begun(p))
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -66,6 +66,7 @@
     pub at: Nanos,
     pub took: Nanos,
     pub ending: Ending,
+    pub grade: usize,
 }
 
 #[derive(Clone, Debug)]
@@ -278,7 +279,7 @@
         p.closed |= part_over && ending != Ending::Done;
         let Some(l) = p.launches.get_mut(launch) else { return };
         l.end = Some(ending);
-        let (sent, replica) = (l.sent, l.replica);
+        let (sent, replica, retrieval) = (l.sent, l.replica, p.retrieval);
         if ending == Ending::Done {
             p.done |= !p.closed;
             self.latencies.push(took);
@@ -286,6 +287,7 @@
         if ending == Ending::Broken {
             self.broken.push((now, replica));
         }
+        let grade = self.retrieval_mut(retrieval).map_or(0, |r| r.grade);
         let r = &mut self.replicas[replica.0];
         if let Some(h) = r.held.iter_mut().find(|h| h.part == part && h.launch == launch) {
             h.ended = Some((ending, now));
@@ -297,7 +299,7 @@
         // What was out on one connection with a spoilt answer is one piece of news: the others were sound.
         let again = |s: Sample| ending == Ending::Spoilt && (s.ending, s.at) == (ending, now);
         if ending != Ending::Unsent && !r.samples.iter().last().is_some_and(again) {
-            r.samples.push(Sample { at: now, took, ending });
+            r.samples.push(Sample { at: now, took, ending, grade });
         }
     }
 
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -600,3 +600,35 @@
     }
     assert!(told.contains(&Told::Probe(bad)), "{told:?}");
 }
+
+#[test]
+fn a_replica_that_fails_one_grade_keeps_the_others_and_gets_that_grade_again_later() {
+    let mut orders = orders(2);
+    orders.grades.push(orders.grades[0].clone());
+    let mut host = Host::new(orders);
+    host.traffic(30, &[]);
+    // Replica A answers the second grade with errors at once.
+    let mut to_a = [0, 0];
+    let mut probed = false;
+    for n in 0..40 {
+        let grade = n % 2;
+        let (_, mut told) = host.take(grade, &[0]);
+        to_a[grade] += launches(&told).iter().filter(|l| l.1 == A).count();
+        host.now += 2 * MS;
+        if grade == 1 {
+            told.extend(host.end(|r| (r == A).then_some(Ending::Faulty)));
+        }
+        host.now += 20 * MS;
+        told.extend(host.end(|_| Some(Ending::Done)));
+        probed |= told.iter().any(|t| matches!(t, Told::Probe(_)));
+    }
+    assert!(to_a[0] >= 5 && (1..=2).contains(&to_a[1]) && !probed, "{to_a:?} {probed}");
+    host.now += 3_000 * MS;
+    let again = (0..40).any(|_| {
+        let (_, told) = host.take(1, &[0]);
+        host.now += 20 * MS;
+        host.end(|_| Some(Ending::Done));
+        launches(&told)[0].1 == A
+    });
+    assert!(again);
+}
