Clients get three tenths of the descriptors, and a silent newcomer goes before idle clients

At fault: config.rs, half of the descriptors for clients where they may hold a third; clients.rs evict, which spared silent ones for 250 ms and closed idle usual clients meanwhile. Also guards against any crowd of connections; harms a client that connects at the cap and asks later than that, which comes again.

--- a/crates/frontnode/src/clients.rs
+++ b/crates/frontnode/src/clients.rs
@@ -13,6 +13,7 @@
 use rustix::io::Errno;
 use serde_json::Value;
 use slotmap::{SlotMap, new_key_type};
+use socket2::{Domain, Socket, Type};
 
 use crate::config::Plan;
 use crate::deadlines::Mark;
@@ -31,6 +32,9 @@
 const LONGEST_HINT: f64 = 1e9;
 /// By how much a weight may be off for its digits: real ones carry six, and seven parts were seen 6e-6 off.
 const ROUNDED: f64 = 1e-5;
+/// Connections that the system keeps until they are taken in: crowds come at once, and one turned away there comes
+/// back a second later.
+const WAITING: i32 = 1024;
 /// Bytes that are read in one round of what nobody listens to.
 const DISCARDED: u64 = 256 << 10;
 const TEXT: &str = "text/plain; charset=utf-8";
@@ -90,7 +94,11 @@
 
 impl Clients {
     pub fn listen(plan: &Plan, events: &Loop) -> io::Result<Clients> {
-        let listener = Rc::new(TcpListener::bind(plan.listen)?);
+        let door = Socket::new(Domain::for_address(plan.listen), Type::STREAM, None)?;
+        door.set_reuse_address(true)?;
+        door.bind(&plan.listen.into())?;
+        door.listen(WAITING)?;
+        let listener = Rc::new(TcpListener::from(door));
         listener.set_nonblocking(true)?;
         let source = Generic::new(listener.clone(), Interest::READ, Mode::Edge);
         let noted = |_, _: &mut _, noted: &mut Noted| {
@@ -178,13 +186,13 @@
         }
     }
 
-    /// Closes a connection that has said nothing for a while since it came; where there is none, the one that
-    /// has been idle longest, and where none is idle, one that has not sent its request whole. Those that came
+    /// Closes a connection that has said nothing since it came, where who connects in order to ask would have;
+    /// where there is none, the one that has been idle longest, and where none is idle, one that has not sent its request whole. Those that came
     /// in this round are spared: their requests may be there, not read yet.
     fn evict(&mut self, kit: &mut Kit) -> bool {
-        let (now, linger) = (kit.now, self.linger);
+        let (now, soon) = (kit.now, self.linger / 10);
         let free = self.table.iter().filter(|(_, c)| c.asked.is_none() && c.stream.flushed() && c.used < now);
-        let mute = |c: &Client| c.idle() && !c.asks && c.used + linger <= now;
+        let mute = |c: &Client| c.idle() && !c.asks && c.used + soon <= now;
         let Some(key) = free.min_by_key(|(_, c)| (!mute(c), !c.idle(), c.used)).map(|(key, _)| key) else {
             return false;
         };
--- a/crates/frontnode/src/config.rs
+++ b/crates/frontnode/src/config.rs
@@ -99,7 +99,8 @@
         classes.iter().map(|c| c.text("name").map(str::to_owned)).collect();
     let tenants = settings.list("projects")?.unwrap_or_default();
     let connect_within = limits.or("connectTimeoutNs", 250_000_000, Section::whole)?;
-    // Half of the descriptors are for replicas: clients that come in numbers must not cut those off.
+    // Half of the descriptors are for replicas, as clients that come in numbers must not cut those off; and fewer
+    // than the third that clients may hold are for them, or idle ones take the places of those that come.
     let half = (sockets - OTHER_SOCKETS) / 2;
     let link_idle = limits.or("connIdleNs", 15_000_000_000, Section::whole)?;
     let plan = Plan {
@@ -117,7 +118,7 @@
         link_parts: at_least(&limits, "multiplex", limits.or("multiplex", 1, Section::index)?, 1)?,
         link_idle: positive(&limits, "connIdleNs", link_idle)?,
         connect_within: positive(&limits, "connectTimeoutNs", connect_within)?,
-        clients_most: half,
+        clients_most: sockets * 3 / 10,
         links_most: half,
         requests_most: (memory << 20) / 4,
         request_within: REQUEST_WITHIN,
--- a/crates/frontnode/tests/sockets.rs
+++ b/crates/frontnode/tests/sockets.rs
@@ -736,6 +736,27 @@
     assert_eq!(waits.response().0, 200);
 }
 
+#[test]
+fn a_crowd_that_says_nothing_takes_the_places_of_its_own() {
+    let stage = Stage::open_limited("mute", json!({"memory_mb": 64, "sockets": 128}));
+    let ask = |client: &mut Peer| {
+        client.send(b"GET /_health HTTP/1.1\r\n\r\n");
+        client.response().0
+    };
+    let (mut usual, begun) = (stage.client(), Instant::now());
+    assert_eq!(ask(&mut usual), 200);
+    let mut crowd: Vec<Peer> = (0..25).map(|_| stage.client()).collect();
+    // Newcomers get a moment to speak.
+    while begun.elapsed() < Duration::from_millis(30) {
+        assert_eq!(stage.health(), 200);
+    }
+    crowd.extend((0..25).map(|_| stage.client()));
+    assert!((0..10_000).any(|_| stage.counter("clients_evicted") > 0));
+    assert_eq!(ask(&mut usual), 200);
+    // Under a third of the descriptors are theirs in all.
+    assert!(stage.counter("clients_evicted") >= 10);
+}
+
 #[test]
 fn long_requests_that_do_not_end_share_a_bounded_memory() {
     let stage = Stage::open_limited("memory", json!({"memory_mb": 16, "sockets": 128}));
