Slots of replaced replicas are used again, and nothing of the predecessor stays

Seen: on churn a replica is replaced every 2.3 s under a new id; members, servers, ledger and opinions kept one slot for each that ever was (some 3 KB with its samples), and a removed one that was set aside kept the node waking. At fault: ledger.rs replica_met, members.rs learn, which only added. Now a removed replica is retired, its opinion dropped, and its slot taken by the next one met once nothing is out there, no probe waits and no open part remembers it. Harms where an id leaves the roster and comes back: what was thought of it is gone.

--- a/crates/frontnode/src/members.rs
+++ b/crates/frontnode/src/members.rs
@@ -37,6 +37,7 @@
     address: SocketAddr,
     cell: usize,
     serving: bool,
+    removed: bool,
     started: Option<Nanos>,
 }
 
@@ -50,9 +51,10 @@
 fn member(told: &Section) -> Result<Member, String> {
     let address = told.text("host_port")?;
     let address = address.parse().map_err(|_| told.fault("host_port", "should be an address and a port"))?;
-    let serving = match told.text("phase")? {
-        "up" => true,
-        "draining" | "removed" => false,
+    let (serving, removed) = match told.text("phase")? {
+        "up" => (true, false),
+        "draining" => (false, false),
+        "removed" => (false, true),
         other => return Err(told.fault("phase", &format!("unknown phase '{other}'"))),
     };
     let started = told.or("up_since_ms", 0, Section::whole)?;
@@ -61,6 +63,7 @@
         address,
         cell: told.index("cell")?,
         serving,
+        removed,
         started: (started > 0).then(|| started.saturating_mul(1_000_000)),
     })
 }
@@ -109,17 +112,31 @@
     ) {
         ledger.roster_opens(told.complete);
         let mut named = vec![false; self.replicas.len()];
-        for Member { id, address, cell, serving, started } in told.members {
-            let ix = *self.replicas.entry(id).or_insert_with(|| ledger.replica_met(cell));
+        for Member { id, address, cell, serving, removed, started } in told.members {
+            let known = self.replicas.get(&id).copied();
+            let ix = known.unwrap_or_else(|| {
+                let ix = ledger.replica_met(cell);
+                // Where it takes the slot of one that is gone, nothing of that one stays.
+                self.replicas.retain(|_, other| *other != ix);
+                servers.met(ix, kit);
+                self.replicas.insert(id, ix);
+                ix
+            });
             named.resize(named.len().max(ix.0 + 1), false);
             named[ix.0] = true;
             servers.named(ix, address, serving, started, desk, kit);
             ledger.roster_names(ix, cell, serving, started);
+            if removed {
+                ledger.replica_retired(ix);
+            }
         }
         ledger.roster_closes();
         if told.complete {
             let absent = named.iter().enumerate().filter(|(_, named)| !**named);
-            absent.for_each(|(ix, _)| servers.serves(ReplicaIx(ix), false, desk, kit));
+            for ix in absent.map(|(ix, _)| ReplicaIx(ix)) {
+                servers.serves(ix, false, desk, kit);
+                ledger.replica_retired(ix);
+            }
         }
         self.revision = Some(told.revision);
     }
--- a/crates/frontnode/src/servers.rs
+++ b/crates/frontnode/src/servers.rs
@@ -191,6 +191,15 @@
 
     // ---- the roster ----
 
+    /// A slot that is new, or was another's.
+    pub fn met(&mut self, ix: ReplicaIx, kit: &mut Kit) {
+        let Some(peer) = self.peers.get_mut(ix.0) else { return };
+        peer.started = None;
+        for key in std::mem::take(&mut peer.links) {
+            self.close(key, kit);
+        }
+    }
+
     pub fn named(
         &mut self,
         ix: ReplicaIx,
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -54,8 +54,7 @@
 /// Replicas at which connections broke lately that make us wary, and those that one retrieval may take down.
 const BREAKING: usize = 3;
 const KILLED: usize = 2;
-/// Probes a replica set aside must answer, doubling with each relapse up to a limit; their pace in soft
-/// limits.
+/// Probes one set aside must answer, doubled with each relapse up to a limit; their pace in soft limits.
 const PROBES_BACK: usize = 1;
 const PROBES_BACK_MOST: usize = 8;
 const PROBE_PACE: f64 = 0.4;
@@ -142,6 +141,7 @@
         came_in(&mut self.ledger);
         let fresh = Opinion { aside: None, back: Nanos::MIN, relapses: 0, probe_due: 0 };
         self.opinions.resize(self.ledger.replicas.len(), fresh);
+        self.ledger.retired.drain(..).for_each(|ix| self.opinions[ix.0] = fresh);
         let took: Vec<Nanos> = self.ledger.latencies.iter().collect();
         let usual = |share| (took.len() >= DELAY_SAMPLES).then(|| percentile(took.clone(), share));
         let (half, longest, delay) = (usual(0.5), usual(USUAL_LONGEST), usual(DELAY_PERCENTILE));
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -128,6 +128,8 @@
     pub serving: bool,
     pub started: Option<Nanos>,
     named: bool,
+    /// Removed for good, as far as the roster tells: its slot is free once nothing refers to it.
+    retired: bool,
     pub held: Vec<Held>,
     /// Ended launches, those called off here too.
     pub samples: Ring<Sample>,
@@ -161,6 +163,8 @@
     first_part: usize,
     parts: VecDeque<Part>,
     pub replicas: Vec<Replica>,
+    /// Those that retired since the last round.
+    pub retired: Vec<ReplicaIx>,
     /// Replicas that held something of ours at any moment of this round.
     pub busy: BTreeSet<ReplicaIx>,
     /// Replicas that serve, by cell.
@@ -192,6 +196,7 @@
             first_part: 0,
             parts: VecDeque::new(),
             replicas: Vec::new(),
+            retired: Vec::new(),
             busy: BTreeSet::new(),
             cells: Vec::new(),
             latencies: Ring::new(lengths.overall),
@@ -318,12 +323,15 @@
         r.report = report.map(|(waiting, rate)| (now, waiting, rate)).or(r.report);
     }
 
+    /// Takes a free slot, so that a fleet whose replicas are replaced all day takes no more room than one that
+    /// stays.
     pub fn replica_met(&mut self, cell: usize) -> ReplicaIx {
-        self.replicas.push(Replica {
+        let met = Replica {
             cell,
             serving: false,
             started: None,
             named: false,
+            retired: false,
             held: Vec::new(),
             samples: Ring::new(self.lengths.per_replica),
             last_done_sent: Nanos::MIN,
@@ -332,8 +340,33 @@
             probe_sent: None,
             probes_answered: Ring::new(self.lengths.probes),
             report: None,
-        });
-        ReplicaIx(self.replicas.len() - 1)
+        };
+        match (0..self.replicas.len()).find(|&ix| self.free(ReplicaIx(ix))) {
+            Some(ix) => {
+                self.replicas[ix] = met;
+                ReplicaIx(ix)
+            }
+            None => {
+                self.replicas.push(met);
+                ReplicaIx(self.replicas.len() - 1)
+            }
+        }
+    }
+
+    /// Whether nothing of ours is there, or may be, and no part remembers it.
+    fn free(&self, ix: ReplicaIx) -> bool {
+        let r = &self.replicas[ix.0];
+        let tried = |p: &Part| p.launches.iter().any(|l| l.replica == ix);
+        r.retired && r.held.is_empty() && r.probe_sent.is_none() && !self.parts.iter().any(tried)
+    }
+
+    /// The roster has removed it. What is out there may still end; nothing is thought of it any more.
+    pub fn replica_retired(&mut self, replica: ReplicaIx) {
+        let r = &mut self.replicas[replica.0];
+        if !r.serving && !r.retired {
+            r.retired = true;
+            self.retired.push(replica);
+        }
     }
 
     /// Roster news: `complete` where every replica that exists is about to be named.
@@ -350,6 +383,7 @@
             r.samples.clear();
         }
         (r.named, r.cell, r.serving, r.started) = (true, cell, serving, started);
+        r.retired = false;
     }
 
     pub fn roster_closes(&mut self) {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -632,3 +632,44 @@
     });
     assert!(again);
 }
+
+#[test]
+fn replicas_that_are_replaced_all_day_take_no_more_slots_than_those_that_stay() {
+    let mut host = Host::new(orders(2));
+    host.traffic(30, &[]);
+    // A falls silent, is set aside, and is removed with a part of ours still on it.
+    while host.take(0, &[0]).1.iter().all(|t| !matches!(t, Told::Launch(_, r) if *r == A)) {
+        host.end(|_| Some(Ending::Done));
+    }
+    host.end(|r| (r == B).then_some(Ending::Done));
+    let told: Vec<Told> = (0..20).flat_map(|_| host.wait(50 * MS)).collect();
+    assert!(told.contains(&Told::Probe(A)));
+    let replace = |host: &mut Host, gone: ReplicaIx| {
+        let mut met = None;
+        host.round(|l| {
+            l.probe_ended(gone, false, None);
+            l.roster_opens(false);
+            l.roster_names(gone, 0, false, None);
+            l.replica_retired(gone);
+            let ix = l.replica_met(0);
+            l.roster_names(ix, 0, true, None);
+            l.roster_closes();
+            met = Some(ix);
+        });
+        met.unwrap()
+    };
+    let second = replace(&mut host, A);
+    assert_eq!(second, ReplicaIx(2), "what is out on A may still be answered");
+    host.end(|_| Some(Ending::Done));
+    let mut last = second;
+    for _ in 0..20 {
+        host.traffic(10, &[]);
+        host.now += 10_000 * MS;
+        host.wait(0);
+        last = replace(&mut host, last);
+        assert!(last.0 < 3, "{last:?}");
+    }
+    // Whoever has the slot now is not thought ill of for what A did.
+    assert!(host.traffic(20, &[]).iter().all(|t| !matches!(t, Told::Probe(_))));
+    assert!(host.aggregator.ledger().replicas[last.0].samples.iter().len() > 0);
+}
