--- a/crates/frontnode/src/clients.rs
+++ b/crates/frontnode/src/clients.rs
@@ -1,6 +1,5 @@
 //! The listener and the connections of clients: what they ask, and what they are answered.
 
-use std::borrow::Cow;
 use std::io;
 use std::net::{SocketAddr, TcpListener};
 use std::rc::Rc;
@@ -9,43 +8,32 @@
 use calloop::{Interest, Mode, PostAction};
 use orchidvalve::interface::{Nanos, RetrievalIx};
 use orchidvalve::ledger::Ledger;
-use orchidvalve_orders::Section;
 use rustix::io::Errno;
-use serde_json::Value;
-use slotmap::{SlotMap, new_key_type};
+use slotmap::SlotMap;
 use socket2::{Domain, Socket, Type};
 
 use crate::config::Plan;
 use crate::deadlines::Mark;
 use crate::desk::{Asked, Desk};
+use crate::doors::{Door, Heard};
+use crate::forms::{Bind, Outcome, Reply};
 use crate::http::{self, Fault, Message};
+use crate::kit::{ClientKey, Due, Kit, Loop, Noted, Who};
 use crate::log;
-use crate::node::{Due, Kit};
-use crate::streams::{Loop, Noted, Stream, Who};
+use crate::streams::Stream;
 
-new_key_type! {
-    pub struct ClientKey;
-}
-
-const LONGEST_ID: usize = 200;
-/// In microseconds; beyond it a guess at the work is none, and would overflow the aggregator's sums.
-const LONGEST_HINT: f64 = 1e9;
-/// By how much a weight may be off for its digits: real ones carry six, and seven parts were seen 6e-6 off.
-const ROUNDED: f64 = 1e-5;
 /// Connections that the system keeps until they are taken in: crowds come at once, and one turned away there comes
 /// back a second later.
 const WAITING: i32 = 1024;
 /// Bytes that are read in one round of what nobody listens to.
 const DISCARDED: u64 = 256 << 10;
-const TEXT: &str = "text/plain; charset=utf-8";
-const JSON: &str = "application/json";
 
 struct Client {
     stream: Stream,
     /// Whether it ever sent a whole request.
     asks: bool,
     /// What it waits for.
-    asked: Option<RetrievalIx>,
+    asked: Option<Batch>,
     /// Since when the request that is being read, or served, is here.
     since: Option<Nanos>,
     used: Nanos,
@@ -57,6 +45,17 @@
     closes: Option<Mark>,
 }
 
+/// All that one message asked, until each has its answer.
+struct Batch {
+    items: Vec<Item>,
+    bind: Bind,
+}
+
+enum Item {
+    Open(RetrievalIx),
+    Said(Reply),
+}
+
 impl Client {
     fn idle(&self) -> bool {
         self.asked.is_none() && !self.finished && self.stream.inbox().is_empty() && self.stream.flushed()
@@ -69,6 +68,7 @@
 }
 
 pub struct Clients {
+    doors: Vec<Box<dyn Door>>,
     listener: Rc<TcpListener>,
     table: SlotMap<ClientKey, Client>,
     most: usize,
@@ -86,14 +86,8 @@
     pub accepted: Nanos,
 }
 
-/// What becomes of one message.
-enum Heard {
-    Taken(RetrievalIx),
-    Said(u16, Cow<'static, str>),
-}
-
 impl Clients {
-    pub fn listen(plan: &Plan, events: &Loop) -> io::Result<Clients> {
+    pub fn listen(plan: &Plan, doors: Vec<Box<dyn Door>>, events: &Loop) -> io::Result<Clients> {
         let door = Socket::new(Domain::for_address(plan.listen), Type::STREAM, None)?;
         door.set_reuse_address(true)?;
         door.bind(&plan.listen.into())?;
@@ -107,6 +101,7 @@
         };
         events.insert_source(source, noted).map_err(|e| io::Error::other(e.to_string()))?;
         Ok(Clients {
+            doors,
             listener,
             table: SlotMap::with_key(),
             most: plan.clients_most,
@@ -202,13 +197,19 @@
     }
 
     /// The one place where a connection is given back.
-    fn remove(&mut self, key: ClientKey, kit: &mut Kit) -> Option<RetrievalIx> {
-        let client = self.table.remove(key)?;
+    /// Gives the retrievals that nobody waits for any more.
+    fn remove(&mut self, key: ClientKey, kit: &mut Kit) -> Vec<RetrievalIx> {
+        let Some(client) = self.table.remove(key) else { return Vec::new() };
         client.closes.into_iter().for_each(|mark| kit.deadlines.clear(mark));
         if self.queue {
             kit.again.push(Who::Door);
         }
-        client.asked
+        let items = client.asked.map_or(Vec::new(), |batch| batch.items);
+        let open = items.into_iter().filter_map(|item| match item {
+            Item::Open(ix) => Some(ix),
+            Item::Said(_) => None,
+        });
+        open.collect()
     }
 
     /// From now on connections end with their next answer; those without a request end now. What has come on
@@ -237,15 +238,15 @@
     }
 
     /// Its time is up. Half a request is told so; who has said nothing, or has been told, is closed. Gives the
-    /// retrieval whose client has gone.
-    pub fn overdue(&mut self, key: ClientKey, kit: &mut Kit) -> Option<RetrievalIx> {
-        let client = self.table.get_mut(key)?;
+    /// retrievals whose client has gone.
+    pub fn overdue(&mut self, key: ClientKey, kit: &mut Kit) -> Vec<RetrievalIx> {
+        let Some(client) = self.table.get_mut(key) else { return Vec::new() };
         client.closes = None;
         if client.asked.is_some() || client.idle() || client.finished || !client.stream.flushed() {
             return self.remove(key, kit);
         }
         self.faulty(key, http::TOO_SLOW, kit);
-        None
+        Vec::new()
     }
 
     /// Told what is wrong, and to go: what more it sends cannot be told apart into requests.
@@ -255,12 +256,12 @@
         (client.stays, client.used) = (false, kit.now);
         client.stream.take(client.stream.inbox().len());
         client.close_at(None, kit);
-        self.answer(key, status, TEXT, "", text.as_bytes(), kit);
+        self.answer(key, &Reply::text(status, text), kit);
     }
 
     // ---- requests ----
 
-    /// Gives the retrieval whose client has gone.
+    /// Gives the retrievals whose client has gone.
     pub fn ready(
         &mut self,
         key: ClientKey,
@@ -269,8 +270,8 @@
         desk: &mut Desk,
         ledger: &mut Ledger,
         kit: &mut Kit,
-    ) -> Option<RetrievalIx> {
-        let client = self.table.get_mut(key)?;
+    ) -> Vec<RetrievalIx> {
+        let Some(client) = self.table.get_mut(key) else { return Vec::new() };
         let before = client.stream.read;
         let filled = if client.finished {
             client.stream.discard(DISCARDED)
@@ -292,17 +293,17 @@
             if client.stream.more {
                 kit.again.push(Who::Client(key));
             }
-            return None;
+            return Vec::new();
         }
         if client.stream.held() > http::HEAD && client.asked.is_none() && client.stream.flushed() {
             let held: usize = self.table.values().map(|c| c.stream.held()).sum();
             if held > self.requests_most {
                 self.faulty(key, http::NO_MEMORY, kit);
-                return None;
+                return Vec::new();
             }
         }
         let lapsed = self.flush(key, kit);
-        if lapsed.is_some() {
+        if !lapsed.is_empty() {
             return lapsed;
         }
         while let Some(client) = self.table.get_mut(key) {
@@ -326,34 +327,57 @@
                     let since = client.since.take().unwrap_or(at);
                     let (length, stays) = (message.length, message.stays && !self.draining);
                     let serving = self.serving && !self.draining;
-                    let heard = heed(&message, (key, since), serving, plan, desk, ledger, kit);
+                    let heard = house(&message, serving, desk, kit);
+                    let heard =
+                        heard.or_else(|| self.doors.iter().find_map(|d| d.hear(&message, since, plan)));
+                    let done = match heard.unwrap_or_else(|| Heard::Said(Reply::text(404, "nothing here\n")))
+                    {
+                        Heard::Said(reply) => Err(reply),
+                        Heard::Asked(asked, bind) => {
+                            let take = |(item, asked)| match asked {
+                                Ok(asked) => take((key, item), asked, plan, desk, ledger, kit),
+                                Err(reply) => Item::Said(reply),
+                            };
+                            Ok(Batch { items: asked.into_iter().enumerate().map(take).collect(), bind })
+                        }
+                    };
                     client.stream.take(length);
                     client.stays = stays;
                     (client.asks, client.used) = (true, kit.now);
                     client.close_at(None, kit);
-                    match heard {
-                        Heard::Taken(ix) => client.asked = Some(ix),
-                        Heard::Said(status, text) => self.answer(key, status, TEXT, "", text.as_bytes(), kit),
+                    match done {
+                        Ok(batch) => {
+                            client.asked = Some(batch);
+                            self.settle(key, kit);
+                        }
+                        Err(reply) => {
+                            if reply.status == 400 {
+                                kit.counters.bad_requests += 1;
+                                log!("bad request: {}", reply.body.escape_ascii());
+                            }
+                            self.answer(key, &reply, kit);
+                        }
                     }
                 }
                 Err(fault) => self.faulty(key, fault, kit),
             }
         }
-        None
+        Vec::new()
     }
 
     /// Writes an answer; on a retrieval's own, its connection is free again.
-    fn answer(&mut self, key: ClientKey, status: u16, kind: &str, more: &str, body: &[u8], kit: &mut Kit) {
+    fn answer(&mut self, key: ClientKey, reply: &Reply, kit: &mut Kit) {
         let draining = self.draining;
         let Some(client) = self.table.get_mut(key) else { return };
         client.stays &= !draining;
         client.asked = None;
-        http::answer(client.stream.outbox(), status, kind, more, body, client.stays);
+        let Reply { status, kind, more, body } = reply;
+        http::answer(client.stream.outbox(), *status, kind, more, body, client.stays);
         self.flush(key, kit);
     }
 
-    fn flush(&mut self, key: ClientKey, kit: &mut Kit) -> Option<RetrievalIx> {
-        let client = self.table.get_mut(key)?;
+    fn flush(&mut self, key: ClientKey, kit: &mut Kit) -> Vec<RetrievalIx> {
+        let Some(client) = self.table.get_mut(key) else { return Vec::new() };
         let before = client.stream.written;
         let waits = !client.stream.flushed();
         let flushed = client.stream.flush();
@@ -373,158 +397,66 @@
                 kit.again.push(Who::Client(key));
             }
         }
-        None
+        Vec::new()
     }
 
     // ---- final answers ----
 
-    /// Answers from the parts that are in.
-    pub fn served(&mut self, ix: RetrievalIx, whole: bool, desk: &Desk, kit: &mut Kit) {
-        let Some(r) = desk.retrieval(ix) else { return };
-        let mut body = format!("{{\"entire\":{whole},\"items\":[");
-        let mut first = true;
-        for part in r.parts.iter().filter_map(|&p| desk.part(p)) {
-            if let Some(value) = &part.value {
-                let (comma, value) = (if first { "" } else { "," }, Value::from(&**value));
-                body.push_str(&format!("{comma}{{\"slice\":{},\"body\":{value}}}", part.shard));
-                first = false;
-            }
-        }
-        body.push_str("]}");
-        let count = if whole { &mut kit.counters.answers_whole } else { &mut kit.counters.answers_short };
-        *count += 1;
-        self.answer(r.client, 200, JSON, "", body.as_bytes(), kit);
+    /// One of the things that a client's message asked has its answer; the message is answered with the last.
+    pub fn answered(&mut self, (key, item): (ClientKey, usize), reply: Reply, kit: &mut Kit) {
+        let Some(batch) = self.table.get_mut(key).and_then(|c| c.asked.as_mut()) else { return };
+        let Some(open @ Item::Open(_)) = batch.items.get_mut(item) else { return };
+        *open = Item::Said(reply);
+        self.settle(key, kit);
     }
 
-    pub fn dismissed(&mut self, ix: RetrievalIx, stay_away: Nanos, desk: &Desk, kit: &mut Kit) {
-        let Some(r) = desk.retrieval(ix) else { return };
-        let more = match stay_away {
-            ..=0 => String::new(),
-            wait => format!("Retry-After: {}\r\n", wait as f64 / 1e9),
-        };
-        kit.counters.dismissed += 1;
-        self.answer(r.client, 503, TEXT, &more, b"dismissed: trying again is harmless\n", kit);
+    fn settle(&mut self, key: ClientKey, kit: &mut Kit) {
+        let said = |item: &Item| matches!(item, Item::Said(_));
+        let Some(client) = self.table.get_mut(key) else { return };
+        let Some(batch) = client.asked.take_if(|b| b.items.iter().all(said)) else { return };
+        let replies = batch.items.into_iter().filter_map(|item| match item {
+            Item::Said(reply) => Some(reply),
+            Item::Open(_) => None,
+        });
+        let reply = (batch.bind)(replies.collect());
+        self.answer(key, &reply, kit);
     }
+}
 
-    pub fn given_up(&mut self, ix: RetrievalIx, desk: &Desk, kit: &mut Kit) {
-        let Some(r) = desk.retrieval(ix) else { return };
-        kit.counters.given_up += 1;
-        self.answer(r.client, 504, TEXT, "", b"given up: parts of it may have run\n", kit);
-    }
+/// What the node itself is asked, whatever its doors.
+fn house<'a>(message: &Message, serving: bool, desk: &Desk, kit: &Kit) -> Option<Heard<'a>> {
+    let path = message.path.split('?').next().unwrap_or_default();
+    let reply = match (message.method, path) {
+        ("GET", "/_health") if serving => Reply::text(200, "serving\n"),
+        ("GET", "/_health") => Reply::text(503, "not serving\n"),
+        ("GET", "/metrics") => Reply::text(
+            200,
+            kit.counters.text(&[
+                ("retrievals_open", "retrievals that wait for their answer", desk.unanswered()),
+                ("deadlines_set", "deadlines not due yet", kit.deadlines.len()),
+            ]),
+        ),
+        (_, "/_health" | "/metrics") => Reply::text(405, "no such method here\n"),
+        _ => return None,
+    };
+    Some(Heard::Said(reply))
 }
 
-/// `from`: whose message it is, and since when it is here.
-fn heed(
-    message: &Message,
-    from: (ClientKey, Nanos),
-    serving: bool,
+/// Hands over one thing that a message asked, where there is room for it.
+fn take(
+    from: (ClientKey, usize),
+    asked: Asked,
     plan: &Plan,
     desk: &mut Desk,
     ledger: &mut Ledger,
     kit: &mut Kit,
-) -> Heard {
-    let path = message.path.split('?').next().unwrap_or_default();
-    let said = |status, text: &'static str| Heard::Said(status, Cow::Borrowed(text));
-    match (message.method, path) {
-        ("POST", "/api") => {}
-        ("GET", "/_health") if serving => return said(200, "serving\n"),
-        ("GET", "/_health") => return said(503, "not serving\n"),
-        ("GET", "/metrics") => return Heard::Said(200, kit.counters_text(desk).into()),
-        (_, "/api" | "/_health" | "/metrics") => return said(405, "no such method here\n"),
-        _ => return said(404, "nothing here\n"),
+) -> Item {
+    if desk.is_open(&asked.id) {
+        return Item::Said(asked.form.reply(Outcome::Open));
     }
-    let body = serde_json::from_slice::<Value>(&message.body).map_err(|e| format!("body: no JSON: {e}"));
-    let taken = body.and_then(|body| {
-        let body = Section::of("body", &body)?;
-        let asked = asked(message, &body, from.1, plan)?;
-        if desk.is_open(asked.id) {
-            return Ok(said(409, "Request-Id: it is open already\n"));
-        }
-        if desk.open >= plan.open_most {
-            kit.counters.retrievals_over_cap += 1;
-            return Ok(said(503, "too much is open\n"));
-        }
-        Ok(Heard::Taken(desk.take(&asked, from.0, ledger, kit)))
-    });
-    taken.unwrap_or_else(|fault| {
-        kit.counters.bad_requests += 1;
-        log!("bad request: {}", fault.escape_default());
-        Heard::Said(400, format!("{fault}\n").into())
-    })
-}
-
-fn asked<'a>(
-    message: &Message<'a>,
-    body: &Section<'a>,
-    since: Nanos,
-    plan: &Plan,
-) -> Result<Asked<'a>, String> {
-    let header = |name: &str| message.header(name).ok_or_else(|| format!("{name}: missing, or there twice"));
-    let id = mark("Request-Id", header("Request-Id")?)?;
-    let class = header("Request-Class")?;
-    let grade = plan.grades.iter().position(|(name, _)| name == class);
-    let grade = grade.ok_or_else(|| format!("Request-Class: unknown class '{class}'"))?;
-    let tenant = match plan.tenants.is_empty() {
-        true => 0,
-        false => {
-            let name = header("Tenant")?;
-            let tenant = plan.tenants.iter().position(|t| t == name);
-            tenant.ok_or_else(|| format!("Tenant: unknown tenant '{name}'"))?
-        }
-    };
-    let valid_until = since.saturating_add(timeout(header("Request-Timeout")?)?);
-    let key = match plan.grades[grade].1 {
-        true => Some(mark("Idempotency-Key", header("Idempotency-Key")?)?),
-        false => None,
-    };
-    let (mut parts, mut work) = (Vec::new(), 0i64);
-    for slice in body.list("slices")?.ok_or_else(|| body.fault("slices", "missing"))? {
-        let (shard, weight) = (slice.index("slice")?, slice.number("mass")?);
-        if shard >= plan.shards {
-            return Err(slice.fault("slice", &format!("no shard {shard} among {}", plan.shards)));
-        }
-        if parts.iter().any(|&(other, _)| other == shard) {
-            return Err(slice.fault("slice", &format!("shard {shard} is named twice")));
-        }
-        if !(weight > 0.0 && weight <= 1.0 + ROUNDED) {
-            return Err(slice.fault("mass", "should be above 0, and 1 at most"));
-        }
-        let hint = slice.or("micros", 0.0, Section::number)?;
-        work = work.saturating_add((hint.clamp(0.0, LONGEST_HINT) * 1e3) as i64);
-        parts.push((shard, weight));
-    }
-    if parts.is_empty() {
-        return Err(body.fault("slices", "should name one part at least"));
-    }
-    // Written with few digits, weights sum to a little less than the whole, which then never seems to be in.
-    let whole: f64 = parts.iter().map(|part| part.1).sum();
-    if (whole - 1.0).abs() > ROUNDED * parts.len() as f64 {
-        return Err(body.fault("slices", &format!("their weights should add up to 1, not {whole}")));
-    }
-    parts.iter_mut().for_each(|part| part.1 /= whole);
-    let text = body.text("filter")?;
-    let again = message.header("Client-Retry").is_some_and(|v| v == "1");
-    Ok(Asked { id, grade, tenant, valid_until, work, again, key, text, parts })
-}
-
-/// Ids and keys go into the lines of frames and must not break one.
-fn mark<'a>(name: &str, text: &'a str) -> Result<&'a str, String> {
-    let plain = |b: u8| b.is_ascii_graphic() && b != b',';
-    if (1..=LONGEST_ID).contains(&text.len()) && text.bytes().all(plain) {
-        Ok(text)
-    } else {
-        Err(format!("{name}: should be 1 to {LONGEST_ID} plain characters without spaces and commas"))
+    if desk.open >= plan.open_most {
+        kit.counters.retrievals_over_cap += 1;
+        return Item::Said(asked.form.reply(Outcome::OverCap));
     }
-}
-
-fn timeout(text: &str) -> Result<Nanos, String> {
-    let unit = match text.as_bytes().last() {
-        Some(b'm') => 1_000_000,
-        Some(b'u') => 1_000,
-        _ => 0,
-    };
-    let digits = text.get(..text.len().saturating_sub(1)).unwrap_or_default();
-    let number = if digits.bytes().all(|b| b.is_ascii_digit()) { digits.parse::<i64>().ok() } else { None };
-    let time = number.and_then(|n| n.checked_mul(unit)).filter(|&time| time > 0);
-    time.ok_or_else(|| "Request-Timeout: should be a number and a unit, 'm' or 'u'".to_owned())
+    Item::Open(desk.take(asked, from, ledger, kit))
 }
--- a/crates/frontnode/src/config.rs
+++ b/crates/frontnode/src/config.rs
@@ -7,7 +7,8 @@
 use orchidvalve_orders::Section;
 use serde_json::Value;
 
-use crate::members::{self, Roster};
+use crate::roster::{self, Roster};
+use crate::wires::WireOrders;
 
 /// Variable that holds the path of the configuration.
 pub const VARIABLE: &str = "NODE_CONFIG";
@@ -30,12 +31,10 @@
     pub grades: Vec<(String, bool)>,
     pub tenants: Vec<String>,
     pub shards: usize,
-    pub call_parts: usize,
+    pub wires: WireOrders,
     pub roster_on_request: bool,
     /// Retrievals and parts that may be open at once.
     pub open_most: usize,
-    /// Parts that a connection to a replica carries at once.
-    pub link_parts: usize,
     pub link_idle: Nanos,
     pub connect_within: Nanos,
     /// Connections of clients, and to replicas, that may be open at once.
@@ -45,8 +44,6 @@
     pub requests_most: usize,
     /// How long a client may take to send a whole request, and to go once it was told of an error.
     pub request_within: Nanos,
-    /// Whether a probe may ask for a report.
-    pub load_told: bool,
     pub beat: Nanos,
     /// A print of each section that cannot change while the node runs.
     fixed: Vec<(&'static str, u64)>,
@@ -82,7 +79,7 @@
     let given = whole.section("limits")?;
     let sockets = at_least(&given, "sockets", given.or("sockets", 1024, Section::index)?, 64)?;
     let memory = at_least(&given, "memory_mb", given.or("memory_mb", 192, Section::index)?, 16)?;
-    let known = members::roster(&whole.section("known")?)?;
+    let known = roster::roster(&whole.section("known")?)?;
     if !whole.has("settings") {
         return Err(whole.fault("settings", "missing"));
     }
@@ -112,17 +109,19 @@
         grades: grades?.into_iter().zip(receipted).collect(),
         tenants: tenants.iter().map(|t| t.text("name").map(str::to_owned)).collect::<Result<_, _>>()?,
         shards: at_least(&extra, "slices", extra.index("slices")?, 1)?,
-        call_parts: orders.call_parts,
+        wires: WireOrders {
+            call_parts: orders.call_parts,
+            link_parts: at_least(&limits, "multiplex", limits.or("multiplex", 1, Section::index)?, 1)?,
+            load_told: settings.section("feedback")?.or("how", "off", Section::text)? != "off",
+        },
         roster_on_request: orders.roster_on_request,
         open_most: limits.or("openCap", usize::MAX, Section::index)?,
-        link_parts: at_least(&limits, "multiplex", limits.or("multiplex", 1, Section::index)?, 1)?,
         link_idle: positive(&limits, "connIdleNs", link_idle)?,
         connect_within: positive(&limits, "connectTimeoutNs", connect_within)?,
         clients_most: sockets * 3 / 10,
         links_most: half,
         requests_most: (memory << 20) / 4,
         request_within: REQUEST_WITHIN,
-        load_told: settings.section("feedback")?.or("how", "off", Section::text)? != "off",
         beat: orders.beat,
         fixed: ["name", "listen", "limits", "settings"].map(|key| (key, print(whole.get(key)))).to_vec(),
     };
--- a/crates/frontnode/src/desk.rs
+++ b/crates/frontnode/src/desk.rs
@@ -1,14 +1,14 @@
 //! The retrievals taken and their parts, by the aggregator's numbers, until the aggregator forgets them.
 
+use std::borrow::Cow;
 use std::collections::{HashMap, VecDeque};
 
 use orchidvalve::interface::{Nanos, PartIx, ReplicaIx, RetrievalIx};
 use orchidvalve::ledger::{Ending, Ledger};
 
-use crate::clients::ClientKey;
 use crate::deadlines::Mark;
-use crate::node::{Due, Kit};
-use crate::servers::LinkKey;
+use crate::forms::{Form, Outcome, Reply};
+use crate::kit::{ClientKey, Due, Kit, LinkKey};
 
 /// A table whose slots are given out in order and taken back from the front.
 struct Window<T> {
@@ -37,7 +37,9 @@
 }
 
 pub struct Retrieval {
-    pub client: ClientKey,
+    /// Whose it is, and which of the things that the client's message asked.
+    pub client: (ClientKey, usize),
+    form: Box<dyn Form>,
     pub id: Box<str>,
     pub key: Option<Box<str>>,
     pub text: Box<str>,
@@ -65,14 +67,17 @@
 
 /// A retrieval as its client asked for it.
 pub struct Asked<'a> {
-    pub id: &'a str,
+    pub id: Cow<'a, str>,
     pub grade: usize,
     pub tenant: usize,
     pub valid_until: Nanos,
     pub work: Nanos,
     pub again: bool,
-    pub key: Option<&'a str>,
-    pub text: &'a str,
+    /// Least share of the parts' weight that it may be answered from, where it is more than its grade's.
+    pub floor: f64,
+    pub key: Option<Cow<'a, str>>,
+    pub text: Cow<'a, str>,
+    pub form: Box<dyn Form>,
     /// Shard and weight of each part.
     pub parts: Vec<(usize, f64)>,
 }
@@ -104,13 +109,14 @@
 
     pub fn take(
         &mut self,
-        asked: &Asked,
-        client: ClientKey,
+        asked: Asked,
+        client: (ClientKey, usize),
         ledger: &mut Ledger,
         kit: &mut Kit,
     ) -> RetrievalIx {
-        let Asked { grade, tenant, valid_until, work, again, .. } = *asked;
+        let Asked { grade, tenant, valid_until, work, again, floor, .. } = asked;
         let ix = ledger.retrieval_taken(grade, tenant, valid_until, work, again);
+        ledger.retrieval_needs(ix, floor);
         let mut parts = Vec::with_capacity(asked.parts.len());
         for &(shard, weight) in &asked.parts {
             parts.push(ledger.part_taken(ix, shard, weight));
@@ -119,9 +125,10 @@
         kit.counters.retrievals_taken += 1;
         kit.counters.parts_taken += parts.len() as u64;
         self.open += 1 + parts.len();
-        self.by_id.insert(asked.id.into(), ix);
-        let (id, key, text) = (asked.id.into(), asked.key.map(Into::into), asked.text.into());
-        self.retrievals.kept.push_back(Retrieval { client, id, key, text, parts, open: true });
+        let (id, key): (Box<str>, Option<Box<str>>) = (asked.id.into(), asked.key.map(Into::into));
+        let (text, form) = (asked.text.into(), asked.form);
+        self.by_id.insert(id.clone(), ix);
+        self.retrievals.kept.push_back(Retrieval { client, form, id, key, text, parts, open: true });
         ix
     }
 
@@ -129,6 +136,19 @@
         self.retrievals.get(ix.0)
     }
 
+    /// Whose it is, and its answer from the parts that are in.
+    pub fn answered(&self, ix: RetrievalIx, whole: bool) -> Option<((ClientKey, usize), Reply)> {
+        let r = self.retrieval(ix)?;
+        let parts = r.parts.iter().filter_map(|&p| self.part(p));
+        let parts: Vec<_> = parts.map(|p| (p.shard, p.value.as_deref())).collect();
+        Some((r.client, r.form.reply(Outcome::Done { whole, parts: &parts })))
+    }
+
+    /// Whose it is, and its answer that brings no part.
+    pub fn ended_without(&self, ix: RetrievalIx, outcome: Outcome) -> Option<((ClientKey, usize), Reply)> {
+        self.retrieval(ix).map(|r| (r.client, r.form.reply(outcome)))
+    }
+
     pub fn part(&self, ix: PartIx) -> Option<&Part> {
         self.parts.get(ix.0)
     }
--- /dev/null
+++ b/crates/frontnode/src/kit.rs
@@ -0,0 +1,71 @@
+//! The ground floor: the keys of the tables, what can be ready and what can fall due, and what every part of the
+//! node uses. It knows none of them, so that imports run one way: the loop over clients and their doors, these
+//! over the desk; the loop over the servers and their wires; all of it over streams, and those over this.
+
+use calloop::LoopHandle;
+use orchidvalve::interface::{Nanos, PartIx};
+use slotmap::new_key_type;
+
+use crate::counters::Counters;
+use crate::deadlines::{Clock, Deadlines};
+
+new_key_type! {
+    /// A client's connection.
+    pub struct ClientKey;
+    /// A connection to a replica.
+    pub struct LinkKey;
+}
+
+/// Who something was ready for.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Who {
+    Door,
+    Client(ClientKey),
+    Link(LinkKey),
+    Agent,
+    Stop,
+    Reload,
+}
+
+/// What can fall due.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Due {
+    Launch(PartIx, usize),
+    Link(LinkKey),
+    Probe(LinkKey),
+    Frame(LinkKey),
+    Doom(LinkKey),
+    Client(ClientKey),
+    Door,
+    Agent,
+    Wake,
+    Stop,
+}
+
+/// What the event loop notes for the next round: who is ready, and since when.
+pub struct Noted {
+    pub clock: Clock,
+    pub ready: Vec<(Who, Nanos)>,
+}
+
+impl Noted {
+    pub fn note(&mut self, who: Who) {
+        let now = self.clock.now();
+        if !self.ready.iter().any(|&(w, _)| w == who) {
+            self.ready.push((who, now));
+        }
+    }
+}
+
+pub type Loop = LoopHandle<'static, Noted>;
+
+/// What all parts of the node use.
+pub struct Kit {
+    /// The time of this round.
+    pub now: Nanos,
+    pub events: Loop,
+    pub deadlines: Deadlines<Due>,
+    pub counters: Counters,
+    /// Who has something left to do in the next round.
+    pub again: Vec<Who>,
+}
--- a/crates/frontnode/src/members.rs
+++ b/crates/frontnode/src/members.rs
@@ -5,17 +5,17 @@
 
 use orchidvalve::interface::{Nanos, ReplicaIx};
 use orchidvalve::ledger::Ledger;
-use orchidvalve_orders::Section;
-use serde_json::Value;
 
 use crate::config::Plan;
 use crate::deadlines::Mark;
 use crate::desk::Desk;
 use crate::http;
+use crate::kit::{Due, Kit, Who};
 use crate::log;
-use crate::node::{Due, Kit};
-use crate::servers::{Servers, connect};
-use crate::streams::{Stream, Who};
+use crate::roster::{self, Member, Roster};
+use crate::servers::Servers;
+use crate::streams::{Stream, connect};
+use crate::wires::Speech;
 
 /// How long a watch may wait for something new, and how much later its answer is missed.
 const HOLD_MS: i64 = 20_000;
@@ -23,51 +23,6 @@
 /// Waits after misses grow to this many times the first.
 const MOST_DOUBLINGS: u32 = 4;
 
-/// What discovery told, once read whole.
-#[derive(Clone, Debug)]
-pub struct Roster {
-    revision: i64,
-    complete: bool,
-    members: Vec<Member>,
-}
-
-#[derive(Clone, Debug)]
-struct Member {
-    id: String,
-    address: SocketAddr,
-    cell: usize,
-    serving: bool,
-    removed: bool,
-    started: Option<Nanos>,
-}
-
-pub fn roster(told: &Section) -> Result<Roster, String> {
-    let revision = told.or("revision", 0, Section::whole)?;
-    let complete = told.or("complete", false, Section::flag)?;
-    let listed = told.list("members")?.ok_or_else(|| told.fault("members", "missing"))?;
-    Ok(Roster { revision, complete, members: listed.iter().map(member).collect::<Result<_, _>>()? })
-}
-
-fn member(told: &Section) -> Result<Member, String> {
-    let address = told.text("host_port")?;
-    let address = address.parse().map_err(|_| told.fault("host_port", "should be an address and a port"))?;
-    let (serving, removed) = match told.text("phase")? {
-        "up" => (true, false),
-        "draining" => (false, false),
-        "removed" => (false, true),
-        other => return Err(told.fault("phase", &format!("unknown phase '{other}'"))),
-    };
-    let started = told.or("up_since_ms", 0, Section::whole)?;
-    Ok(Member {
-        id: told.text("id")?.to_owned(),
-        address,
-        cell: told.index("cell")?,
-        serving,
-        removed,
-        started: (started > 0).then(|| started.saturating_mul(1_000_000)),
-    })
-}
-
 pub struct Members {
     agent: SocketAddr,
     on_request: bool,
@@ -124,7 +79,7 @@
             });
             named.resize(named.len().max(ix.0 + 1), false);
             named[ix.0] = true;
-            servers.named(ix, address, serving, started, desk, kit);
+            servers.named(ix, (address, Speech::Frames), serving, started, desk, kit);
             ledger.roster_names(ix, cell, serving, started);
             if removed {
                 ledger.replica_retired(ix);
@@ -212,7 +167,7 @@
             Err(fault) => Some(Err(fault.1.to_owned())),
             Ok(Some(message)) => {
                 let told = match message.status {
-                    200 => read(&message.body),
+                    200 => roster::read(&message.body),
                     other => Err(format!("status {other}")),
                 };
                 Some(told.map(|told| (told, message.length, message.stays)))
@@ -262,8 +217,3 @@
         }
     }
 }
-
-fn read(body: &[u8]) -> Result<Roster, String> {
-    let told: Value = serde_json::from_slice(body).map_err(|e| format!("no JSON: {e}"))?;
-    roster(&Section::of("roster", &told)?)
-}
--- a/crates/frontnode/src/node.rs
+++ b/crates/frontnode/src/node.rs
@@ -10,54 +10,21 @@
 use orchidvalve::interface::{Nanos, PartIx, ReplicaIx, RetrievalIx, StandingOrders, Writer};
 use orchidvalve::ledger::Ledger;
 
-use crate::clients::{ClientKey, Clients};
+use crate::clients::Clients;
 use crate::config::{self, Plan};
 use crate::counters::Counters;
 use crate::deadlines::{Clock, Deadlines, Mark};
 use crate::desk::Desk;
+use crate::doors;
+use crate::forms::{Outcome, Reply};
+use crate::kit::{ClientKey, Due, Kit, Noted, Who};
 use crate::log;
 use crate::members::Members;
-use crate::servers::{LinkKey, Servers};
-use crate::streams::{Loop, Noted, Who};
+use crate::servers::Servers;
 
 /// After the last connection came in, a node told to stop waits so long for more.
 const QUIET: Nanos = 1_000_000_000;
 
-/// What can fall due.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Due {
-    Launch(PartIx, usize),
-    Link(LinkKey),
-    Probe(LinkKey),
-    Frame(LinkKey),
-    Doom(LinkKey),
-    Client(ClientKey),
-    Door,
-    Agent,
-    Wake,
-    Stop,
-}
-
-/// What all parts of the node use.
-pub struct Kit {
-    /// The time of this round.
-    pub now: Nanos,
-    pub events: Loop,
-    pub deadlines: Deadlines<Due>,
-    pub counters: Counters,
-    /// Who has something left to do in the next round.
-    pub again: Vec<Who>,
-}
-
-impl Kit {
-    pub fn counters_text(&self, desk: &Desk) -> String {
-        self.counters.text(&[
-            ("retrievals_open", "retrievals that wait for their answer", desk.unanswered()),
-            ("deadlines_set", "deadlines not due yet", self.deadlines.len()),
-        ])
-    }
-}
-
 struct Works {
     plan: Plan,
     kit: Kit,
@@ -91,7 +58,7 @@
         let events = EventLoop::try_new().map_err(|e| format!("no event loop: {e}"))?;
         let noted = Noted { clock: Clock::start(), ready: Vec::new() };
         let (aggregator, beat) = (Aggregator::new(orders, plan.seed), plan.beat);
-        let clients = Clients::listen(&plan, &events.handle())
+        let clients = Clients::listen(&plan, doors::all(&plan), &events.handle())
             .map_err(|e| format!("configuration.listen: cannot listen on {}: {e}", plan.listen))?;
         let kit = Kit {
             now: noted.clock.now(),
@@ -195,7 +162,7 @@
             match who {
                 Who::Door => clients.accept(kit),
                 Who::Client(key) => {
-                    if let Some(ix) = clients.ready(key, at, plan, desk, ledger, kit) {
+                    for ix in clients.ready(key, at, plan, desk, ledger, kit) {
                         lapsed(ix, desk, servers, ledger, kit);
                     }
                 }
@@ -214,7 +181,7 @@
                 Due::Doom(key) => servers.doom_due(key, desk, kit),
                 Due::Probe(key) => servers.probe_overdue(key, kit),
                 Due::Client(key) => {
-                    if let Some(ix) = clients.overdue(key, kit) {
+                    for ix in clients.overdue(key, kit) {
                         lapsed(ix, desk, servers, ledger, kit);
                     }
                 }
@@ -310,15 +277,20 @@
     }
 
     fn answer(&mut self, retrieval: RetrievalIx, whole: bool) {
-        self.0.borrow_mut().end(retrieval, |clients, desk, kit| clients.served(retrieval, whole, desk, kit));
+        let count = |c: &mut Counters| {
+            *(if whole { &mut c.answers_whole } else { &mut c.answers_short }) += 1;
+        };
+        self.0.borrow_mut().end(retrieval, count, |desk| desk.answered(retrieval, whole));
     }
 
     fn dismiss(&mut self, retrieval: RetrievalIx, stay_away: Nanos) {
-        self.0.borrow_mut().end(retrieval, |c, desk, kit| c.dismissed(retrieval, stay_away, desk, kit));
+        let told = |desk: &Desk| desk.ended_without(retrieval, Outcome::Dismissed(stay_away));
+        self.0.borrow_mut().end(retrieval, |c| c.dismissed += 1, told);
     }
 
     fn give_up(&mut self, retrieval: RetrievalIx) {
-        self.0.borrow_mut().end(retrieval, |clients, desk, kit| clients.given_up(retrieval, desk, kit));
+        let told = |desk: &Desk| desk.ended_without(retrieval, Outcome::GivenUp);
+        self.0.borrow_mut().end(retrieval, |c| c.given_up += 1, told);
     }
 
     fn probe(&mut self, replica: ReplicaIx) {
@@ -338,9 +310,17 @@
 }
 
 impl Works {
-    fn end(&mut self, ix: RetrievalIx, tell: impl FnOnce(&mut Clients, &Desk, &mut Kit)) {
+    fn end(
+        &mut self,
+        ix: RetrievalIx,
+        count: impl FnOnce(&mut Counters),
+        tell: impl FnOnce(&Desk) -> Option<((ClientKey, usize), Reply)>,
+    ) {
         if self.desk.close(ix) {
-            tell(&mut self.clients, &self.desk, &mut self.kit);
+            count(&mut self.kit.counters);
+            if let Some((client, reply)) = tell(&self.desk) {
+                self.clients.answered(client, reply, &mut self.kit);
+            }
             self.servers.abandon(ix, &mut self.desk, &mut self.kit);
         }
     }
--- a/crates/frontnode/src/servers.rs
+++ b/crates/frontnode/src/servers.rs
@@ -2,25 +2,19 @@
 
 use std::collections::VecDeque;
 use std::hash::{DefaultHasher, Hash, Hasher};
-use std::net::{SocketAddr, TcpStream};
+use std::net::SocketAddr;
 
 use orchidvalve::interface::{Nanos, PartIx, ReplicaIx, RetrievalIx};
 use orchidvalve::ledger::Ending;
-use rustix::io::Errno;
-use slotmap::{SlotMap, new_key_type};
-use socket2::{Domain, Protocol, Socket, Type};
+use slotmap::SlotMap;
 
 use crate::config::Plan;
 use crate::deadlines::Mark;
 use crate::desk::Desk;
-use crate::frames;
+use crate::kit::{Due, Kit, LinkKey, Who};
 use crate::log;
-use crate::node::{Due, Kit};
-use crate::streams::{Stream, Who};
-
-new_key_type! {
-    pub struct LinkKey;
-}
+use crate::streams::{Stream, connect};
+use crate::wires::{Manners, Share, Speech, Told, Wire, WireOrders};
 
 /// How many times as long as a connection may take to come up a frame may take to come whole.
 const FRAME_TIMES: Nanos = 2;
@@ -35,6 +29,7 @@
 
 struct Peer {
     address: SocketAddr,
+    speech: Speech,
     serving: bool,
     started: Option<Nanos>,
     links: Vec<LinkKey>,
@@ -69,6 +64,8 @@
 struct Link {
     address: SocketAddr,
     stream: Stream,
+    speech: Speech,
+    wire: Box<dyn Wire>,
     /// When it came up.
     up: Option<Nanos>,
     /// Until it is up: when that is too late. While it is idle: when it is closed.
@@ -106,44 +103,37 @@
 
     fn hear(
         &mut self,
-        letter: u8,
-        rest: &[u8],
+        told: Told,
         probed: &mut Vec<Probed>,
         desk: &mut Desk,
         kit: &mut Kit,
     ) -> Result<(), String> {
-        match letter {
-            frames::ANSWER => {
-                let (id, shard, ending, value) = frames::answer(rest)?;
+        match told {
+            Told::Answer { retrieval: id, shard, ending, value } => {
                 let asked =
                     |s: &Sent| desk.whole_part(s.part).is_some_and(|(p, r)| p.shard == shard && *r.id == *id);
                 let Some(at) = self.launches.iter().position(asked) else {
                     kit.counters.late_answers += 1;
                     // One with an id that was never out here is the spoilt answer of something that is.
-                    let known = self.is_empty() || self.past.contains(&print(id, shard));
+                    let known = self.is_empty() || self.past.contains(&print(&id, shard));
                     return if known { Ok(()) } else { Err(format!("an answer to nothing, '{id}.{shard}'")) };
                 };
-                self.remember(print(id, shard));
+                self.remember(print(&id, shard));
                 let Sent { part, launch, .. } = self.launches.swap_remove(at);
                 if ending == Ending::Done {
-                    desk.value(part, value);
+                    desk.value(part, &value);
                 }
                 desk.end(part, launch, ending, kit);
-                Ok(())
             }
-            frames::PROBE | frames::PROBE_LOAD => {
+            Told::Probe { answered, report } => {
                 if let Some(Probe { mark, .. }) = self.probe.take() {
                     kit.deadlines.clear(mark);
-                    let answered = rest != b"E";
-                    let report = std::str::from_utf8(rest).ok().and_then(frames::report);
                     kit.counters.probes_answered += u64::from(answered);
                     probed.push((self.replica, answered, report));
                 }
-                Ok(())
             }
-            frames::UNUSABLE => Err(format!("its server could not use a frame: {}", rest.escape_ascii())),
-            other => Err(format!("an unknown frame '{}'", other.escape_ascii())),
         }
+        Ok(())
     }
 }
 
@@ -157,11 +147,9 @@
     peers: Vec<Peer>,
     links: SlotMap<LinkKey, Link>,
     most: usize,
-    call_parts: usize,
-    link_parts: usize,
+    wires: WireOrders,
     link_idle: Nanos,
     connect_within: Nanos,
-    load_told: bool,
     /// Replicas with launches of this round.
     gathering: Vec<ReplicaIx>,
     /// Probes that ended since the last round.
@@ -174,12 +162,10 @@
             peers: Vec::new(),
             links: SlotMap::with_key(),
             most: plan.links_most,
-            call_parts: plan.call_parts,
-            link_parts: plan.link_parts,
+            wires: plan.wires.clone(),
             // A connection that its server may close under a call is closed before that.
             link_idle: (plan.link_idle - plan.connect_within).max(plan.link_idle / 2),
             connect_within: plan.connect_within,
-            load_told: plan.load_told,
             gathering: Vec::new(),
             probed: Vec::new(),
         }
@@ -203,19 +189,20 @@
     pub fn named(
         &mut self,
         ix: ReplicaIx,
-        address: SocketAddr,
+        (address, speech): (SocketAddr, Speech),
         serving: bool,
         started: Option<Nanos>,
         desk: &mut Desk,
         kit: &mut Kit,
     ) {
         if self.peers.len() <= ix.0 {
-            let peer = Peer { address, serving, started, links: Vec::new(), gathered: Vec::new() };
+            let (links, gathered) = (Vec::new(), Vec::new());
+            let peer = Peer { address, speech, serving, started, links, gathered };
             self.peers.push(peer);
             return;
         }
         let peer = &mut self.peers[ix.0];
-        (peer.address, peer.started) = (address, started.or(peer.started));
+        (peer.address, peer.speech, peer.started) = (address, speech, started.or(peer.started));
         self.serves(ix, serving, desk, kit);
     }
 
@@ -247,7 +234,7 @@
         for replica in std::mem::take(&mut self.gathering) {
             let mut launches = std::mem::take(&mut self.peers[replica.0].gathered);
             launches.retain(|&(part, n)| desk.launch(part, n).is_some());
-            for call in launches.chunks(self.call_parts) {
+            for call in launches.chunks(self.manners(replica).call_parts) {
                 let Some(key) = self.link_for(replica, call.len(), kit) else {
                     call.iter().for_each(|&(part, n)| desk.end(part, n, Ending::Unreached, kit));
                     continue;
@@ -264,11 +251,16 @@
         }
     }
 
+    fn manners(&self, replica: ReplicaIx) -> Manners {
+        self.wires.manners(self.peers[replica.0].speech)
+    }
+
     /// One with room, else a new one: connections and handshakes cost.
     fn link_for(&mut self, replica: ReplicaIx, parts: usize, kit: &mut Kit) -> Option<LinkKey> {
+        let most = self.manners(replica).link_parts;
         let room = |&key: &LinkKey| {
             let load = self.links[key].load();
-            load == 0 || load + parts <= self.link_parts
+            load == 0 || load + parts <= most
         };
         let usable = self.peers[replica.0].links.iter().copied().filter(|&key| self.usable(key)).filter(room);
         // One that owes the answer to a probe may be silent.
@@ -282,7 +274,7 @@
         let link = &self.links[key];
         let peer = &self.peers[link.out.replica.0];
         let stale = peer.started.is_some_and(|started| link.up.is_some_and(|up| up < started));
-        !link.suspect && !stale && link.address == peer.address
+        !link.suspect && !stale && link.address == peer.address && link.speech == peer.speech
     }
 
     fn open(&mut self, replica: ReplicaIx, kit: &mut Kit) -> Option<LinkKey> {
@@ -290,14 +282,16 @@
             log!("no connection left for a replica: {} are open", self.links.len());
             return None;
         }
-        let address = self.peers[replica.0].address;
+        let Peer { address, speech, .. } = self.peers[replica.0];
         let begun = connect(address).and_then(|socket| {
             self.links.try_insert_with_key(|key| {
                 let stream = Stream::new(&kit.events, socket, Who::Link(key))?;
                 let mark = Some(kit.deadlines.set(kit.now + self.connect_within, Due::Link(key)));
                 let out = Out { replica, launches: Vec::new(), probe: None, past: VecDeque::new() };
                 let (waiting, suspect, frame, doom) = (VecDeque::new(), false, None, None);
-                Ok(Link { address, stream, up: None, mark, waiting, out, suspect, frame, doom })
+                let wire = self.wires.begin(speech);
+                let up = None;
+                Ok(Link { address, stream, speech, wire, up, mark, waiting, out, suspect, frame, doom })
             })
         });
         match begun {
@@ -321,18 +315,17 @@
         let mut flushed = if link.up.is_some() { link.stream.flush() } else { return };
         while flushed.is_ok() && link.stream.flushed() {
             let Some(call) = link.waiting.pop_front() else { break };
-            let at = frames::begin(link.stream.outbox(), frames::CALL);
+            let mut waits = Vec::with_capacity(call.len());
             for &(part, n) in &call {
                 let Some(l) = desk.launch(part, n) else { continue };
                 l.written = true;
-                let wait = ((l.until - kit.now) / 1_000_000).max(1);
-                if let Some((p, r)) = desk.whole_part(part) {
-                    let (retrieval, key, text) = (&*r.id, r.key.as_deref(), &*r.text);
-                    let share = frames::Share { retrieval, shard: p.shard, wait, key, text };
-                    frames::share(link.stream.outbox(), &share);
-                }
+                waits.push((part, ((l.until - kit.now) / 1_000_000).max(1)));
             }
-            frames::end(link.stream.outbox(), at);
+            let shares = waits.iter().filter_map(|&(part, wait)| {
+                let (p, r) = desk.whole_part(part)?;
+                Some(Share { retrieval: &r.id, shard: p.shard, wait, key: r.key.as_deref(), text: &r.text })
+            });
+            link.wire.call(link.stream.outbox(), &shares.collect::<Vec<_>>());
             let ends_at = link.stream.queued();
             link.out.launches.extend(call.iter().map(|&(part, launch)| Sent { part, launch, ends_at }));
             kit.counters.calls += 1;
@@ -378,7 +371,7 @@
         if ending == written {
             link.out.launches.retain(|s| (s.part, s.launch) != (part, launch));
             if let Some((p, r)) = desk.whole_part(part) {
-                frames::cancel(link.stream.outbox(), &r.id, p.shard);
+                link.wire.cancel(link.stream.outbox(), &r.id, p.shard);
                 link.out.remember(print(&r.id, p.shard));
             }
         } else {
@@ -412,7 +405,7 @@
             let link = &mut self.links[key];
             let mark = kit.deadlines.set(kit.now + self.connect_within, Due::Probe(key));
             link.out.probe = Some(Probe { mark, asked });
-            frames::probe(link.stream.outbox(), self.load_told);
+            link.wire.probe(link.stream.outbox());
             self.pump(key, desk, kit);
         }
     }
@@ -423,7 +416,8 @@
         let Some(link) = self.links.get(answered) else { return };
         for &key in &self.peers[link.out.replica.0].links {
             let other = &mut self.links[key];
-            let waits = !other.out.launches.is_empty() && other.out.launches.len() < self.link_parts;
+            let most = self.wires.manners(other.speech).link_parts;
+            let waits = !other.out.launches.is_empty() && other.out.launches.len() < most;
             let asked = other.out.probe.is_some() || other.suspect;
             if key != answered && waits && asked && other.doom.is_none() {
                 let at = kit.now + self.connect_within / DOOM_PART;
@@ -470,16 +464,16 @@
             }
         }
         let (before, probed) = (link.stream.read, link.out.probe.is_some());
-        let filled = link.stream.fill(frames::LONGEST + 4);
+        let filled = link.stream.fill(self.wires.manners(link.speech).longest);
         kit.counters.bytes_in += link.stream.read - before;
         let mut came = 0;
         let heard = loop {
             let Some(link) = self.links.get_mut(key) else { return };
-            match frames::next(link.stream.inbox()) {
+            match link.wire.next(link.stream.inbox()) {
                 Ok(None) => break Ok(()),
                 Err(fault) => break Err(fault),
-                Ok(Some((letter, rest, length))) => {
-                    let heard = link.out.hear(letter, rest, &mut self.probed, desk, kit);
+                Ok(Some((told, length))) => {
+                    let heard = link.out.hear(told, &mut self.probed, desk, kit);
                     link.stream.take(length);
                     came += 1;
                     if let Err(fault) = heard {
@@ -606,13 +600,3 @@
         }
     }
 }
-
-/// Begins a connection; the event loop says when it is up.
-pub fn connect(address: SocketAddr) -> std::io::Result<TcpStream> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
-    socket.set_nonblocking(true)?;
-    match socket.connect(&address.into()) {
-        Err(e) if e.raw_os_error() != Some(Errno::INPROGRESS.raw_os_error()) => Err(e),
-        _ => Ok(socket.into()),
-    }
-}
--- a/crates/frontnode/src/streams.rs
+++ b/crates/frontnode/src/streams.rs
@@ -1,44 +1,15 @@
 //! One non-blocking connection: its descriptor, its place in the event loop, and its two buffers.
 
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{Shutdown, TcpStream};
+use std::net::{Shutdown, SocketAddr, TcpStream};
 use std::rc::Rc;
 
 use calloop::generic::Generic;
-use calloop::{Interest, LoopHandle, Mode, PostAction, RegistrationToken};
-use orchidvalve::interface::Nanos;
-
-use crate::clients::ClientKey;
-use crate::deadlines::Clock;
-use crate::servers::LinkKey;
-
-/// Who something was ready for.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Who {
-    Door,
-    Client(ClientKey),
-    Link(LinkKey),
-    Agent,
-    Stop,
-    Reload,
-}
-
-/// What the event loop notes for the next round: who is ready, and since when.
-pub struct Noted {
-    pub clock: Clock,
-    pub ready: Vec<(Who, Nanos)>,
-}
-
-impl Noted {
-    pub fn note(&mut self, who: Who) {
-        let now = self.clock.now();
-        if !self.ready.iter().any(|&(w, _)| w == who) {
-            self.ready.push((who, now));
-        }
-    }
-}
+use calloop::{Interest, Mode, PostAction, RegistrationToken};
+use rustix::io::Errno;
+use socket2::{Domain, Protocol, Socket, Type};
 
-pub type Loop = LoopHandle<'static, Noted>;
+use crate::kit::{Loop, Noted, Who};
 
 const LEAST: usize = 4 << 10;
 /// An empty buffer larger than this is given back.
@@ -195,6 +166,16 @@
     }
 }
 
+/// Begins a connection; the event loop says when it is up.
+pub fn connect(address: SocketAddr) -> io::Result<TcpStream> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_nonblocking(true)?;
+    match socket.connect(&address.into()) {
+        Err(e) if e.raw_os_error() != Some(Errno::INPROGRESS.raw_os_error()) => Err(e),
+        _ => Ok(socket.into()),
+    }
+}
+
 impl Drop for Stream {
     fn drop(&mut self) {
         self.events.remove(self.place);
--- /dev/null
+++ b/crates/frontnode/src/wires.rs
@@ -0,0 +1,89 @@
+//! The protocols of stores, a file each: a wire turns a call into bytes, and bytes into what they tell.
+
+pub mod frames;
+
+use orchidvalve::ledger::Ending;
+
+/// One part of a call.
+pub struct Share<'a> {
+    pub retrieval: &'a str,
+    pub shard: usize,
+    /// Milliseconds that the node will wait.
+    pub wait: i64,
+    pub key: Option<&'a str>,
+    pub text: &'a str,
+}
+
+/// What one message of a store tells.
+#[derive(Debug, PartialEq)]
+pub enum Told {
+    /// A part's answer: its retrieval and shard, how the launch ended, and its value.
+    Answer { retrieval: String, shard: usize, ending: Ending, value: String },
+    /// A probe's: whether it counts as answered, and parts waiting and parts done a second where it says both.
+    Probe { answered: bool, report: Option<(f64, f64)> },
+}
+
+/// How connections are used under a protocol.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct Manners {
+    pub call_parts: usize,
+    /// Parts that a connection carries at once.
+    pub link_parts: usize,
+    /// Whether a probe may travel beside parts.
+    pub probes_beside: bool,
+    /// Longest message taken in.
+    pub longest: usize,
+}
+
+pub trait Wire {
+    fn call(&mut self, out: &mut Vec<u8>, parts: &[Share]);
+
+    /// A part is wanted no more. False where its server learns of that only when the connection closes.
+    fn cancel(&mut self, out: &mut Vec<u8>, retrieval: &str, shard: usize) -> bool;
+
+    fn probe(&mut self, out: &mut Vec<u8>);
+
+    /// The next message, and the bytes that it took of the buffer; none while more are needed. An error where
+    /// what came cannot be used, nor anything after it.
+    fn next(&mut self, buffer: &[u8]) -> Result<Option<(Told, usize)>, String>;
+
+    /// Whether another call may follow the last message.
+    fn stays(&self) -> bool {
+        true
+    }
+}
+
+/// Which protocol a store speaks.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub enum Speech {
+    #[default]
+    Frames,
+}
+
+/// What the wires are told at the start.
+#[derive(Clone, Debug)]
+pub struct WireOrders {
+    pub call_parts: usize,
+    pub link_parts: usize,
+    pub load_told: bool,
+}
+
+impl WireOrders {
+    pub fn manners(&self, speech: Speech) -> Manners {
+        match speech {
+            Speech::Frames => Manners {
+                call_parts: self.call_parts,
+                link_parts: self.link_parts,
+                probes_beside: true,
+                longest: frames::LONGEST + 4,
+            },
+        }
+    }
+
+    /// The state of one connection.
+    pub fn begin(&self, speech: Speech) -> Box<dyn Wire> {
+        match speech {
+            Speech::Frames => Box::new(frames::Frames::new(self.load_told)),
+        }
+    }
+}
--- a/crates/frontnode/src/frames.rs
+++ b/crates/frontnode/src/wires/frames.rs
@@ -2,6 +2,8 @@
 
 use orchidvalve::ledger::Ending;
 
+use super::{Share, Told, Wire};
+
 pub const CALL: u8 = b'1';
 pub const CANCEL: u8 = b'2';
 pub const PROBE: u8 = b'3';
@@ -12,14 +14,49 @@
 /// Longest frame taken in: a value goes into a body, with its line before it.
 pub const LONGEST: usize = crate::http::BODY + 1024;
 
-/// One part of a call.
-pub struct Share<'a> {
-    pub retrieval: &'a str,
-    pub shard: usize,
-    /// Milliseconds that the node will wait.
-    pub wait: i64,
-    pub key: Option<&'a str>,
-    pub text: &'a str,
+/// One connection.
+pub struct Frames {
+    load_told: bool,
+}
+
+impl Frames {
+    pub fn new(load_told: bool) -> Self {
+        Frames { load_told }
+    }
+}
+
+impl Wire for Frames {
+    fn call(&mut self, out: &mut Vec<u8>, parts: &[Share]) {
+        let at = begin(out, CALL);
+        parts.iter().for_each(|part| share(out, part));
+        end(out, at);
+    }
+
+    fn cancel(&mut self, out: &mut Vec<u8>, retrieval: &str, shard: usize) -> bool {
+        cancel(out, retrieval, shard);
+        true
+    }
+
+    fn probe(&mut self, out: &mut Vec<u8>) {
+        probe(out, self.load_told);
+    }
+
+    fn next(&mut self, buffer: &[u8]) -> Result<Option<(Told, usize)>, String> {
+        let Some((letter, rest, length)) = next(buffer)? else { return Ok(None) };
+        let told = match letter {
+            ANSWER => {
+                let (retrieval, shard, ending, value) = answer(rest)?;
+                Told::Answer { retrieval: retrieval.to_owned(), shard, ending, value: value.to_owned() }
+            }
+            PROBE | PROBE_LOAD => Told::Probe {
+                answered: rest != b"E",
+                report: std::str::from_utf8(rest).ok().and_then(report),
+            },
+            UNUSABLE => return Err(format!("its server could not use a frame: {}", rest.escape_ascii())),
+            other => return Err(format!("an unknown frame '{}'", other.escape_ascii())),
+        };
+        Ok(Some((told, length)))
+    }
 }
 
 pub fn begin(out: &mut Vec<u8>, letter: u8) -> usize {
@@ -72,7 +109,7 @@
 /// and spoils nothing whatever it says.
 ///
 /// ```
-/// use orchidvalve_frontnode::frames::answer;
+/// use orchidvalve_frontnode::wires::frames::answer;
 ///
 /// assert_eq!(answer(b"r1.3 S 7 \xff what=\nvalue").unwrap().3, "value");
 /// assert_eq!(answer(b"r1.3 S\nvalue").unwrap_err(), "a bad answer line 'r1.3 S'");
@@ -105,7 +142,7 @@
 /// Parts waiting and parts done a second, where a report says both.
 ///
 /// ```
-/// use orchidvalve_frontnode::frames::report;
+/// use orchidvalve_frontnode::wires::frames::report;
 ///
 /// assert_eq!(report("avg_ms=13.1,rps=76.3,waiting=2"), Some((2.0, 76.3)));
 /// for bad in ["rps=76.3,waiting=nan", "rps=76.3,waiting=-1", "rps=76.3,waiting=1e300", "=,="] {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -747,7 +747,9 @@
         let r = self.ledger.retrieval(ix);
         let grade = &self.orders.grades[r.grade];
         let (now, second) = (self.now(), r.step > 0);
-        let (whole, floor) = (if second { 1.0 } else { grade.whole }, grade.floor);
+        // A client that wants all of it or nothing has a floor of its own, which never lowers its grade's.
+        let (whole, floor) = (grade.whole.max(r.floor), grade.floor.max(r.floor));
+        let whole = if second { 1.0 } else { whole };
         let (mut in_hand, mut lost) = (0.0, 0.0);
         for part in r.parts.iter().map(|&p| self.ledger.part(p)).filter(|p| p.step == r.step) {
             if part.done {
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -105,6 +105,8 @@
     pub work: Nanos,
     /// Whether the client said that it asks again.
     pub again: bool,
+    /// Least share of the parts' weight that it may be answered from, where it is more than its grade's.
+    pub floor: f64,
     pub parts: Vec<PartIx>,
     /// 0 until its first step was answered.
     pub step: usize,
@@ -238,6 +240,7 @@
             valid_until,
             work,
             again,
+            floor: 0.0,
             parts,
             step: 0,
             closed: false,
@@ -245,6 +248,13 @@
         RetrievalIx(self.first_retrieval + self.retrievals.len() - 1)
     }
 
+    /// A floor of its own, which the client asked for.
+    pub fn retrieval_needs(&mut self, retrieval: RetrievalIx, floor: f64) {
+        if let Some(r) = self.retrieval_mut(retrieval) {
+            r.floor = floor;
+        }
+    }
+
     pub fn part_taken(&mut self, retrieval: RetrievalIx, shard: usize, weight: f64) -> PartIx {
         self.taken.push_back(self.now);
         self.parts_taken.push_back(self.now);
