--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -673,3 +673,36 @@
     assert!(host.traffic(20, &[]).iter().all(|t| !matches!(t, Told::Probe(_))));
     assert!(host.aggregator.ledger().replicas[last.0].samples.iter().len() > 0);
 }
+
+#[test]
+fn a_retrieval_that_wants_all_or_nothing_is_not_answered_short_and_no_wish_lowers_a_floor() {
+    for (floor, answered) in [(0.0, true), (0.2, true), (1.0, false)] {
+        let mut orders = orders(2);
+        (orders.grades[0].floor, orders.grades[0].whole) = (0.4, 0.9);
+        let mut host = Host::new(orders);
+        host.traffic(40, &[]);
+        let (mut ix, until) = (None, host.now + 3_000 * MS);
+        host.round(|l| {
+            let retrieval = l.retrieval_taken(0, 0, until, 0, false);
+            l.retrieval_needs(retrieval, floor);
+            l.part_taken(retrieval, 0, 0.3);
+            l.part_taken(retrieval, 1, 0.7);
+            ix = Some(retrieval);
+        });
+        let ix = ix.unwrap();
+        // The heavier part is answered, the lighter one never.
+        let light = host.out.iter().map(|o| o.0).min().unwrap();
+        let out = std::mem::take(&mut host.out);
+        let mut told = host.round(|l| {
+            for (part, launch, ..) in out.into_iter().filter(|o| o.0 != light) {
+                l.launch_ended(part, launch, Ending::Done, 50 * MS, false);
+            }
+        });
+        for _ in 0..640 {
+            told.extend(host.wait(5 * MS));
+        }
+        let ends = |t: &&Told| matches!(t, Told::Answer(..) | Told::Dismiss(_) | Told::GiveUp(_));
+        let ends: Vec<Told> = told.iter().filter(ends).copied().collect();
+        assert_eq!(ends, [if answered { Told::Answer(ix, false) } else { Told::Dismiss(ix) }], "{floor}");
+    }
+}
