--- /dev/null
+++ b/crates/cli/src/main.rs
@@ -0,0 +1,71 @@
+//! The command line for operators: `orchidvalve node`, `orchidvalve search`, `orchidvalve standin`.
+
+mod search;
+mod standin;
+
+use std::process::ExitCode;
+
+use clap::{Args, Parser, Subcommand, ValueEnum};
+use orchidvalve_frontnode::config::{ROUTES_VARIABLE, Source, VARIABLE};
+use orchidvalve_frontnode::{log, node};
+
+/// What cannot be used: a file, a key or a query. Told as `FILE: PATH: reason`.
+pub const UNUSABLE: u8 = 2;
+
+#[derive(Parser)]
+#[command(name = "orchidvalve", version, about = "Co-ordinates queries over replicated shards")]
+struct Line {
+    #[command(subcommand)]
+    command: Command,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Run a front node until it is told to stop (SIGTERM)
+    Node(NodeArgs),
+    /// Look into queries and routes of the search door, without a node
+    #[command(subcommand)]
+    Search(search::Command),
+    /// Run a stand-in for a store on loopback, with documents in memory
+    Standin(standin::StandinArgs),
+}
+
+#[derive(Args)]
+struct NodeArgs {
+    /// The configuration
+    #[arg(long, env = VARIABLE, value_name = "FILE")]
+    config: String,
+    /// The routes of the search door, where the configuration does not name them
+    #[arg(long, env = ROUTES_VARIABLE, value_name = "FILE")]
+    search: Option<String>,
+    /// How log lines are written on standard error
+    #[arg(long, value_enum, default_value = "text")]
+    log_format: LogFormat,
+}
+
+#[derive(Clone, Copy, ValueEnum)]
+enum LogFormat {
+    Text,
+    Json,
+}
+
+fn main() -> ExitCode {
+    let done = match Line::parse().command {
+        Command::Node(args) => {
+            log::start(match args.log_format {
+                LogFormat::Text => log::Format::Text,
+                LogFormat::Json => log::Format::Json,
+            });
+            node::serve(Source { config: args.config, search: args.search }).map_err(|fault| (1, fault))
+        }
+        Command::Search(command) => search::run(command).map_err(|fault| (UNUSABLE, fault)),
+        Command::Standin(args) => standin::run(args).map_err(|fault| (UNUSABLE, fault)),
+    };
+    match done {
+        Ok(()) => ExitCode::SUCCESS,
+        Err((status, fault)) => {
+            eprintln!("orchidvalve: {fault}");
+            ExitCode::from(status)
+        }
+    }
+}
--- a/crates/frontnode/src/clients.rs
+++ b/crates/frontnode/src/clients.rs
@@ -49,6 +49,7 @@
 struct Batch {
     items: Vec<Item>,
     bind: Bind,
+    since: Nanos,
 }
 
 enum Item {
@@ -338,7 +339,11 @@
                                 Ok(asked) => take((key, item), asked, plan, desk, ledger, kit),
                                 Err(reply) => Item::Said(reply),
                             };
-                            Ok(Batch { items: asked.into_iter().enumerate().map(take).collect(), bind })
+                            Ok(Batch {
+                                items: asked.into_iter().enumerate().map(take).collect(),
+                                bind,
+                                since,
+                            })
                         }
                     };
                     client.stream.take(length);
@@ -418,7 +423,7 @@
             Item::Said(reply) => Some(reply),
             Item::Open(_) => None,
         });
-        let reply = (batch.bind)(replies.collect());
+        let reply = (batch.bind)(replies.collect(), kit.now - batch.since);
         self.answer(key, &reply, kit);
     }
 }
@@ -452,11 +457,11 @@
     kit: &mut Kit,
 ) -> Item {
     if desk.is_open(&asked.id) {
-        return Item::Said(asked.form.reply(Outcome::Open));
+        return Item::Said(asked.form.reply(Outcome::Open, 0));
     }
     if desk.open >= plan.open_most {
         kit.counters.retrievals_over_cap += 1;
-        return Item::Said(asked.form.reply(Outcome::OverCap));
+        return Item::Said(asked.form.reply(Outcome::OverCap, 0));
     }
     Item::Open(desk.take(asked, from, ledger, kit))
 }
--- a/crates/frontnode/src/config.rs
+++ b/crates/frontnode/src/config.rs
@@ -2,16 +2,21 @@
 
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use orchidvalve::interface::{Effect, Nanos, StandingOrders};
 use orchidvalve_orders::Section;
+use orchidvalve_search::routes::{PoolOrders, Routes, Settled};
 use serde_json::Value;
 
+use crate::pool::PoolTerms;
 use crate::roster::{self, Roster};
 use crate::wires::WireOrders;
 
 /// Variable that holds the path of the configuration.
 pub const VARIABLE: &str = "NODE_CONFIG";
+/// Variable that may hold the path of the routes, beside the configuration's key `search`.
+pub const ROUTES_VARIABLE: &str = "NODE_SEARCH";
 
 /// Descriptors that are neither clients nor replicas: the loop's own, the listener, the agent, the log.
 const OTHER_SOCKETS: usize = 16;
@@ -30,6 +35,10 @@
     /// Names of the service grades, and whether their retrievals carry a receipt.
     pub grades: Vec<(String, bool)>,
     pub tenants: Vec<String>,
+    /// When each grade's retrievals are abandoned, counted from their beginning.
+    pub abandon: Vec<Nanos>,
+    /// Where queries of the search door go; none where it is closed.
+    pub routes: Option<Rc<Routes>>,
     pub shards: usize,
     pub wires: WireOrders,
     pub roster_on_request: bool,
@@ -57,19 +66,34 @@
     }
 }
 
-/// The configuration that the environment names.
-pub fn from_environment() -> Result<(Plan, StandingOrders), String> {
-    let path =
-        std::env::var(VARIABLE).map_err(|_| format!("${VARIABLE}: not set; it names the configuration"))?;
-    let text = std::fs::read_to_string(&path).map_err(|e| format!("${VARIABLE}: cannot read {path}: {e}"))?;
-    read(&text)
+/// Where the configuration is: read at the start, and again on SIGHUP.
+#[derive(Clone, Debug, Default)]
+pub struct Source {
+    pub config: String,
+    /// The file of routes, where the configuration's key `search` does not name it: its form is not always ours.
+    pub search: Option<String>,
+}
+
+impl Source {
+    pub fn from_environment() -> Result<Source, String> {
+        let config = std::env::var(VARIABLE);
+        let config = config.map_err(|_| format!("${VARIABLE}: not set; it names the configuration"))?;
+        Ok(Source { config, search: std::env::var(ROUTES_VARIABLE).ok().filter(|path| !path.is_empty()) })
+    }
+
+    pub fn read(&self) -> Result<(Plan, StandingOrders), String> {
+        let path = &self.config;
+        let text =
+            std::fs::read_to_string(path).map_err(|e| format!("${VARIABLE}: cannot read {path}: {e}"))?;
+        read(&text, self.search.as_deref())
+    }
 }
 
 /// ```
-/// let fault = orchidvalve_frontnode::config::read(r#"{"name": "n1", "listen": "here"}"#).unwrap_err();
+/// let fault = orchidvalve_frontnode::config::read(r#"{"name": "n1", "listen": "here"}"#, None).unwrap_err();
 /// assert_eq!(fault, "configuration.listen: should be an address and a port, not 'here'");
 /// ```
-pub fn read(text: &str) -> Result<(Plan, StandingOrders), String> {
+pub fn read(text: &str, search: Option<&str>) -> Result<(Plan, StandingOrders), String> {
     let whole: Value = serde_json::from_str(text).map_err(|e| format!("configuration: no JSON: {e}"))?;
     let whole = Section::of("configuration", &whole)?;
     let name = whole.text("name")?.to_owned();
@@ -100,19 +124,26 @@
     // than the third that clients may hold are for them, or idle ones take the places of those that come.
     let half = (sockets - OTHER_SOCKETS) / 2;
     let link_idle = limits.or("connIdleNs", 15_000_000_000, Section::whole)?;
+    let grades: Vec<(String, bool)> = grades?.into_iter().zip(receipted).collect();
+    let shards = at_least(&extra, "slices", extra.index("slices")?, 1)?;
+    let routes = routes(&whole, search, Settled { grades: grades.clone(), slices: shards })?;
+    let pool = pool_terms(routes.as_ref().map_or(PoolOrders::default(), |routes| routes.pool));
     let plan = Plan {
         name,
         listen,
         discovery,
         seed,
         known,
-        grades: grades?.into_iter().zip(receipted).collect(),
+        grades,
         tenants: tenants.iter().map(|t| t.text("name").map(str::to_owned)).collect::<Result<_, _>>()?,
-        shards: at_least(&extra, "slices", extra.index("slices")?, 1)?,
+        shards,
+        abandon: orders.grades.iter().map(|g| g.abandon).collect(),
+        routes,
         wires: WireOrders {
             call_parts: orders.call_parts,
             link_parts: at_least(&limits, "multiplex", limits.or("multiplex", 1, Section::index)?, 1)?,
             load_told: settings.section("feedback")?.or("how", "off", Section::text)? != "off",
+            pool,
         },
         roster_on_request: orders.roster_on_request,
         open_most: limits.or("openCap", usize::MAX, Section::index)?,
@@ -123,11 +154,38 @@
         requests_most: (memory << 20) / 4,
         request_within: REQUEST_WITHIN,
         beat: orders.beat,
-        fixed: ["name", "listen", "limits", "settings"].map(|key| (key, print(whole.get(key)))).to_vec(),
+        fixed: ["name", "listen", "limits", "settings", "search"]
+            .map(|key| (key, print(whole.get(key))))
+            .to_vec(),
     };
     Ok((plan, orders))
 }
 
+/// The file of routes, by the key `search` or else by what the program was told.
+fn routes(whole: &Section, told: Option<&str>, settled: Settled) -> Result<Option<Rc<Routes>>, String> {
+    let path = whole.or("search", told.unwrap_or_default(), Section::text)?;
+    if path.is_empty() {
+        return Ok(None);
+    }
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| whole.fault("search", &format!("cannot read {path}: {e}")))?;
+    Routes::read(&text, &settled).map(|routes| Some(Rc::new(routes))).map_err(|e| format!("{path}: {e}"))
+}
+
+fn pool_terms(orders: PoolOrders) -> PoolTerms {
+    let second = 1_000_000_000;
+    let close_every = second / Nanos::from(orders.closes_a_second.max(1));
+    PoolTerms {
+        most: orders.connections,
+        waiting_most: orders.waiting,
+        wait: orders.wait_ms.saturating_mul(1_000_000),
+        close_every,
+        // A second's worth; none at all where no connection may be closed.
+        closes_saved: if orders.closes_a_second == 0 { 0 } else { second },
+        read_out: orders.read_out_ms.saturating_mul(1_000_000),
+    }
+}
+
 /// What the settings must not say, as the node would stand still or answer nothing.
 fn checked(settings: &Section, extra: &Section, orders: &StandingOrders) -> Result<(), String> {
     if orders.grades.is_empty() {
--- a/crates/frontnode/src/desk.rs
+++ b/crates/frontnode/src/desk.rs
@@ -40,6 +40,7 @@
     /// Whose it is, and which of the things that the client's message asked.
     pub client: (ClientKey, usize),
     form: Box<dyn Form>,
+    taken: Nanos,
     pub id: Box<str>,
     pub key: Option<Box<str>>,
     pub text: Box<str>,
@@ -128,7 +129,16 @@
         let (id, key): (Box<str>, Option<Box<str>>) = (asked.id.into(), asked.key.map(Into::into));
         let (text, form) = (asked.text.into(), asked.form);
         self.by_id.insert(id.clone(), ix);
-        self.retrievals.kept.push_back(Retrieval { client, form, id, key, text, parts, open: true });
+        self.retrievals.kept.push_back(Retrieval {
+            client,
+            form,
+            taken: kit.now,
+            id,
+            key,
+            text,
+            parts,
+            open: true,
+        });
         ix
     }
 
@@ -137,16 +147,21 @@
     }
 
     /// Whose it is, and its answer from the parts that are in.
-    pub fn answered(&self, ix: RetrievalIx, whole: bool) -> Option<((ClientKey, usize), Reply)> {
+    pub fn answered(&self, ix: RetrievalIx, whole: bool, now: Nanos) -> Option<((ClientKey, usize), Reply)> {
         let r = self.retrieval(ix)?;
         let parts = r.parts.iter().filter_map(|&p| self.part(p));
         let parts: Vec<_> = parts.map(|p| (p.shard, p.value.as_deref())).collect();
-        Some((r.client, r.form.reply(Outcome::Done { whole, parts: &parts })))
+        Some((r.client, r.form.reply(Outcome::Done { whole, parts: &parts }, now - r.taken)))
     }
 
     /// Whose it is, and its answer that brings no part.
-    pub fn ended_without(&self, ix: RetrievalIx, outcome: Outcome) -> Option<((ClientKey, usize), Reply)> {
-        self.retrieval(ix).map(|r| (r.client, r.form.reply(outcome)))
+    pub fn ended_without(
+        &self,
+        ix: RetrievalIx,
+        outcome: Outcome,
+        now: Nanos,
+    ) -> Option<((ClientKey, usize), Reply)> {
+        self.retrieval(ix).map(|r| (r.client, r.form.reply(outcome, now - r.taken)))
     }
 
     pub fn part(&self, ix: PartIx) -> Option<&Part> {
--- a/crates/frontnode/src/doors.rs
+++ b/crates/frontnode/src/doors.rs
@@ -2,6 +2,7 @@
 //! answers take.
 
 pub mod own;
+pub mod search;
 
 use orchidvalve::interface::Nanos;
 
@@ -24,6 +25,10 @@
 }
 
 /// Those that the plan opens, in the order in which they are asked whose a message is.
-pub fn all(_plan: &Plan) -> Vec<Box<dyn Door>> {
-    vec![Box::new(own::Own)]
+pub fn all(plan: &Plan) -> Vec<Box<dyn Door>> {
+    let mut doors: Vec<Box<dyn Door>> = vec![Box::new(own::Own)];
+    if let Some(routes) = &plan.routes {
+        doors.push(Box::new(search::SearchDoor::new(routes.clone(), plan.seed)));
+    }
+    doors
 }
--- a/crates/frontnode/src/doors/own.rs
+++ b/crates/frontnode/src/doors/own.rs
@@ -2,6 +2,7 @@
 
 use orchidvalve::interface::Nanos;
 use orchidvalve_orders::Section;
+use orchidvalve_search::request::Carried;
 use serde_json::Value;
 
 use super::{Door, Heard};
@@ -38,7 +39,7 @@
 struct Plain;
 
 impl Form for Plain {
-    fn reply(&self, outcome: Outcome) -> Reply {
+    fn reply(&self, outcome: Outcome, _: Nanos) -> Reply {
         match outcome {
             Outcome::Done { whole, parts } => Reply::json(200, items(whole, parts)),
             Outcome::Dismissed(wait) => {
@@ -110,7 +111,16 @@
         return Err(body.fault("slices", &format!("their weights should add up to 1, not {whole}")));
     }
     parts.iter_mut().for_each(|part| part.1 /= whole);
-    let text = body.text("filter")?.to_owned().into();
+    let filter = body.text("filter")?;
+    if let Some(routes) = plan.routes.as_ref().filter(|routes| routes.any_search_store()) {
+        let carried = Carried::read(filter, |index| routes.mapping(index));
+        let carried = carried.map_err(|fault| body.fault("filter", &fault.to_string()))?;
+        // Stores that speak no frames know a document by its id, which then is its receipt.
+        if matches!(&carried, Carried::Create(create) if key != Some(&*create.id)) {
+            return Err(body.fault("filter", "create.id: should be the Idempotency-Key"));
+        }
+    }
+    let text = filter.to_owned().into();
     let again = message.header("Client-Retry").is_some_and(|v| v == "1");
     let (id, key, form) = (id.into(), key.map(Into::into), Box::new(Plain));
     Ok(Asked { id, grade, tenant, valid_until, work, again, floor: 0.0, key, text, parts, form })
--- a/crates/frontnode/src/forms.rs
+++ b/crates/frontnode/src/forms.rs
@@ -56,14 +56,14 @@
 }
 
 pub trait Form {
-    /// A retrieval's one answer.
-    fn reply(&self, outcome: Outcome) -> Reply;
+    /// A retrieval's one answer. `took`: since it was taken.
+    fn reply(&self, outcome: Outcome, took: Nanos) -> Reply;
 }
 
-/// Makes one message of the answers to all that one message asked, in its order.
-pub type Bind = fn(Vec<Reply>) -> Reply;
+/// Makes one message of the answers to all that one message asked, in its order, and of the time since it came.
+pub type Bind = fn(Vec<Reply>, Nanos) -> Reply;
 
 /// For doors whose messages ask one thing each.
-pub fn alone(mut replies: Vec<Reply>) -> Reply {
+pub fn alone(mut replies: Vec<Reply>, _: Nanos) -> Reply {
     replies.pop().unwrap_or_else(|| Reply::text(400, "nothing was asked\n"))
 }
--- a/crates/frontnode/src/http.rs
+++ b/crates/frontnode/src/http.rs
@@ -174,16 +174,41 @@
     if rest.len() > HEAD { Err(HEAD_TOO_LARGE) } else { Ok(None) }
 }
 
+/// Percent-encoded, but for what may stand in a path's segment or a query's value as it is.
+pub fn encoded(text: &str) -> String {
+    let plain = |b: u8| b.is_ascii_alphanumeric() || b"-._~".contains(&b);
+    text.bytes().map(|b| if plain(b) { char::from(b).to_string() } else { format!("%{b:02X}") }).collect()
+}
+
+/// None where an escape is broken or the bytes are no text. `plus`: whether it stands for a space, as in a query.
+pub fn decoded(text: &str, plus: bool) -> Option<String> {
+    let (mut bytes, mut rest) = (Vec::with_capacity(text.len()), text.bytes());
+    while let Some(byte) = rest.next() {
+        bytes.push(match byte {
+            b'%' => {
+                let mut digit = || rest.next().and_then(|b| char::from(b).to_digit(16));
+                (digit()? * 16 + digit()?) as u8
+            }
+            b'+' if plus => b' ',
+            byte => byte,
+        });
+    }
+    String::from_utf8(bytes).ok()
+}
+
 pub fn reason(status: u16) -> &'static str {
     match status {
         200 => "OK",
+        201 => "Created",
         400 => "Bad Request",
         404 => "Not Found",
         408 => "Request Timeout",
         405 => "Method Not Allowed",
         409 => "Conflict",
         413 => "Content Too Large",
+        429 => "Too Many Requests",
         431 => "Request Header Fields Too Large",
+        500 => "Internal Server Error",
         503 => "Service Unavailable",
         504 => "Gateway Timeout",
         _ => "Status",
--- a/crates/frontnode/src/kit.rs
+++ b/crates/frontnode/src/kit.rs
@@ -31,6 +31,8 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub enum Due {
     Launch(PartIx, usize),
+    /// A launch has waited for a connection for long enough.
+    Place(PartIx, usize),
     Link(LinkKey),
     Probe(LinkKey),
     Frame(LinkKey),
--- a/crates/frontnode/src/lib.rs
+++ b/crates/frontnode/src/lib.rs
@@ -14,6 +14,7 @@
 pub mod log;
 pub mod members;
 pub mod node;
+pub mod pool;
 pub mod roster;
 pub mod servers;
 pub mod streams;
--- a/crates/frontnode/src/main.rs
+++ b/crates/frontnode/src/main.rs
@@ -2,18 +2,12 @@
 
 use std::process::ExitCode;
 
-use orchidvalve_frontnode::{config, log, node, node::Node};
-
-fn serve() -> Result<(), String> {
-    let signals = node::signals()?;
-    let mut node = Node::start(config::from_environment()?)?;
-    node.heed(signals)?;
-    log!("listening on {}", node.address()?);
-    node.run()
-}
+use orchidvalve_frontnode::config::Source;
+use orchidvalve_frontnode::{log, node};
 
 fn main() -> ExitCode {
-    match serve() {
+    log::start(log::Format::Text);
+    match Source::from_environment().and_then(node::serve) {
         Ok(()) => ExitCode::SUCCESS,
         Err(fault) => {
             log!("{fault}");
--- a/crates/frontnode/src/members.rs
+++ b/crates/frontnode/src/members.rs
@@ -2,9 +2,11 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 
 use orchidvalve::interface::{Nanos, ReplicaIx};
 use orchidvalve::ledger::Ledger;
+use orchidvalve_search::routes::{Routes, WireName};
 
 use crate::config::Plan;
 use crate::deadlines::Mark;
@@ -24,6 +26,7 @@
 const MOST_DOUBLINGS: u32 = 4;
 
 pub struct Members {
+    routes: Option<Rc<Routes>>,
     agent: SocketAddr,
     on_request: bool,
     replicas: HashMap<String, ReplicaIx>,
@@ -40,6 +43,7 @@
 impl Members {
     pub fn new(plan: &Plan) -> Self {
         Members {
+            routes: plan.routes.clone(),
             agent: plan.discovery,
             on_request: plan.roster_on_request,
             replicas: HashMap::new(),
@@ -52,6 +56,14 @@
         }
     }
 
+    /// The operator's routes say which stores speak what.
+    fn speech(&self, id: &str, flavor: &str, locality: &str) -> Speech {
+        match self.routes.as_ref().map_or(WireName::Frames, |r| r.wire(id, flavor, locality)) {
+            WireName::Frames => Speech::Frames,
+            WireName::Search => Speech::Search,
+        }
+    }
+
     pub fn any(&self) -> bool {
         !self.replicas.is_empty()
     }
@@ -67,7 +79,8 @@
     ) {
         ledger.roster_opens(told.complete);
         let mut named = vec![false; self.replicas.len()];
-        for Member { id, address, cell, serving, removed, started } in told.members {
+        for Member { id, address, flavor, locality, cell, serving, removed, started } in told.members {
+            let speech = self.speech(&id, &flavor, &locality);
             let known = self.replicas.get(&id).copied();
             let ix = known.unwrap_or_else(|| {
                 let ix = ledger.replica_met(cell);
@@ -79,7 +92,7 @@
             });
             named.resize(named.len().max(ix.0 + 1), false);
             named[ix.0] = true;
-            servers.named(ix, (address, Speech::Frames), serving, started, desk, kit);
+            servers.named(ix, (address, speech), serving, started, desk, kit);
             ledger.roster_names(ix, cell, serving, started);
             if removed {
                 ledger.replica_retired(ix);
--- a/crates/frontnode/src/node.rs
+++ b/crates/frontnode/src/node.rs
@@ -7,11 +7,11 @@
 use calloop::EventLoop;
 use calloop::signals::{Signal, Signals};
 use orchidvalve::Aggregator;
-use orchidvalve::interface::{Nanos, PartIx, ReplicaIx, RetrievalIx, StandingOrders, Writer};
+use orchidvalve::interface::{Nanos, PartIx, ReplicaIx, RetrievalIx, Writer};
 use orchidvalve::ledger::Ledger;
 
 use crate::clients::Clients;
-use crate::config::{self, Plan};
+use crate::config::{Plan, Source};
 use crate::counters::Counters;
 use crate::deadlines::{Clock, Deadlines, Mark};
 use crate::desk::Desk;
@@ -26,6 +26,7 @@
 const QUIET: Nanos = 1_000_000_000;
 
 struct Works {
+    source: Source,
     plan: Plan,
     kit: Kit,
     desk: Desk,
@@ -47,14 +48,24 @@
     last: Nanos,
 }
 
+/// Serves by that configuration until it is told to stop.
+pub fn serve(source: Source) -> Result<(), String> {
+    let signals = signals()?;
+    let mut node = Node::start(source)?;
+    node.heed(signals)?;
+    log!("listening on {}", node.address()?);
+    node.run()
+}
+
 /// Taken before the node can be reached: from then on a signal waits until the node heeds it.
 pub fn signals() -> Result<Signals, String> {
     Signals::new(&[Signal::SIGTERM, Signal::SIGINT, Signal::SIGHUP]).map_err(|e| format!("no signals: {e}"))
 }
 
 impl Node {
-    /// Listens, and takes in the roster last known.
-    pub fn start((plan, orders): (Plan, StandingOrders)) -> Result<Node, String> {
+    /// Reads the configuration, listens, and takes in the roster last known.
+    pub fn start(source: Source) -> Result<Node, String> {
+        let (plan, orders) = source.read()?;
         let events = EventLoop::try_new().map_err(|e| format!("no event loop: {e}"))?;
         let noted = Noted { clock: Clock::start(), ready: Vec::new() };
         let (aggregator, beat) = (Aggregator::new(orders, plan.seed), plan.beat);
@@ -69,6 +80,7 @@
         };
         let (servers, members) = (Servers::new(&plan), Members::new(&plan));
         let works = Works {
+            source,
             kit,
             desk: Desk::new(),
             clients,
@@ -131,7 +143,7 @@
 
     fn has_work(&self) -> bool {
         let works = self.works.borrow();
-        let ended = !works.desk.ended.is_empty() || !works.servers.probed.is_empty();
+        let ended = !works.desk.ended.is_empty() || works.servers.has_work();
         ended || works.follow || !self.noted.ready.is_empty() || !works.kit.again.is_empty()
     }
 
@@ -176,6 +188,7 @@
             let Works { kit, desk, clients, servers, members, .. } = self;
             match due {
                 Due::Launch(part, launch) => servers.overdue(part, launch, desk, kit),
+                Due::Place(part, launch) => servers.place_due(part, launch, desk, kit),
                 Due::Link(key) => servers.link_due(key, desk, kit),
                 Due::Frame(key) => servers.frame_overdue(key, desk, kit),
                 Due::Doom(key) => servers.doom_due(key, desk, kit),
@@ -209,7 +222,7 @@
 
     /// Takes up what may change while the node runs, which is where discovery is; all else goes on as it was.
     fn reload(&mut self, ledger: &mut Ledger) {
-        match config::from_environment() {
+        match self.source.read() {
             Ok((later, _)) => {
                 let fixed = self.plan.fixed_otherwise(&later);
                 if !fixed.is_empty() {
@@ -280,16 +293,16 @@
         let count = |c: &mut Counters| {
             *(if whole { &mut c.answers_whole } else { &mut c.answers_short }) += 1;
         };
-        self.0.borrow_mut().end(retrieval, count, |desk| desk.answered(retrieval, whole));
+        self.0.borrow_mut().end(retrieval, count, |desk, now| desk.answered(retrieval, whole, now));
     }
 
     fn dismiss(&mut self, retrieval: RetrievalIx, stay_away: Nanos) {
-        let told = |desk: &Desk| desk.ended_without(retrieval, Outcome::Dismissed(stay_away));
+        let told = |desk: &Desk, now| desk.ended_without(retrieval, Outcome::Dismissed(stay_away), now);
         self.0.borrow_mut().end(retrieval, |c| c.dismissed += 1, told);
     }
 
     fn give_up(&mut self, retrieval: RetrievalIx) {
-        let told = |desk: &Desk| desk.ended_without(retrieval, Outcome::GivenUp);
+        let told = |desk: &Desk, now| desk.ended_without(retrieval, Outcome::GivenUp, now);
         self.0.borrow_mut().end(retrieval, |c| c.given_up += 1, told);
     }
 
@@ -314,11 +327,11 @@
         &mut self,
         ix: RetrievalIx,
         count: impl FnOnce(&mut Counters),
-        tell: impl FnOnce(&Desk) -> Option<((ClientKey, usize), Reply)>,
+        tell: impl FnOnce(&Desk, Nanos) -> Option<((ClientKey, usize), Reply)>,
     ) {
         if self.desk.close(ix) {
             count(&mut self.kit.counters);
-            if let Some((client, reply)) = tell(&self.desk) {
+            if let Some((client, reply)) = tell(&self.desk, self.kit.now) {
                 self.clients.answered(client, reply, &mut self.kit);
             }
             self.servers.abandon(ix, &mut self.desk, &mut self.kit);
--- a/crates/frontnode/src/roster.rs
+++ b/crates/frontnode/src/roster.rs
@@ -18,6 +18,9 @@
 pub struct Member {
     pub id: String,
     pub address: SocketAddr,
+    /// Its kind and its place, as far as discovery tells them.
+    pub flavor: String,
+    pub locality: String,
     pub cell: usize,
     pub serving: bool,
     pub removed: bool,
@@ -41,9 +44,13 @@
         other => return Err(told.fault("phase", &format!("unknown phase '{other}'"))),
     };
     let started = told.or("up_since_ms", 0, Section::whole)?;
+    // Nothing but routes go by these, and none of ours is worth refusing the list for.
+    let word = |name| told.get(name).and_then(Value::as_str).unwrap_or_default().to_owned();
     Ok(Member {
         id: told.text("id")?.to_owned(),
         address,
+        flavor: word("flavor"),
+        locality: word("locality"),
         cell: told.index("cell")?,
         serving,
         removed,
--- a/crates/frontnode/src/servers.rs
+++ b/crates/frontnode/src/servers.rs
@@ -1,6 +1,6 @@
 //! Connections to the replicas: which call travels on which, what is out on each, probes, and their ends.
 
-use std::collections::VecDeque;
+use std::collections::{BTreeMap, VecDeque};
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 
@@ -13,8 +13,9 @@
 use crate::desk::Desk;
 use crate::kit::{Due, Kit, LinkKey, Who};
 use crate::log;
+use crate::pool::{CalledOff, Place, Pool, ProbePlace, Room};
 use crate::streams::{Stream, connect};
-use crate::wires::{Manners, Share, Speech, Told, Wire, WireOrders};
+use crate::wires::{Load, Manners, Share, Speech, Told, Wire, WireOrders};
 
 /// How many times as long as a connection may take to come up a frame may take to come whole.
 const FRAME_TIMES: Nanos = 2;
@@ -22,11 +23,16 @@
 /// later one: enough for answers that cross.
 const DOOM_PART: Nanos = 10;
 
-type Call = Vec<(PartIx, usize)>;
+/// A part's launch.
+type Ticket = (PartIx, usize);
+type Call = Vec<Ticket>;
 
 /// A probe that ended: of whom, whether it was answered, and the report that came with it.
 type Probed = (ReplicaIx, bool, Option<(f64, f64)>);
 
+/// Of whom a probe was answered so, and how its server says it is loaded.
+type Reported = (ReplicaIx, bool, Option<Load>);
+
 struct Peer {
     address: SocketAddr,
     speech: Speech,
@@ -35,6 +41,26 @@
     links: Vec<LinkKey>,
     /// Launches of this round.
     gathered: Call,
+    /// Where its protocol carries one part at a time on a connection.
+    pool: Option<Pool<LinkKey, Ticket>>,
+    /// Its last counts: when they came, and parts turned away and done since its start.
+    counted: Option<(Nanos, u64, u64)>,
+}
+
+impl Peer {
+    /// Parts waiting and parts done a second. Counts make a rate where there are two of them and the first is the
+    /// lower: a store that has restarted counts from 0. Those turned away since then would wait, had there been room.
+    fn load(&mut self, told: Load, now: Nanos) -> Option<(f64, f64)> {
+        match told {
+            Load::Rate { waiting, rate } => Some((waiting, rate)),
+            Load::Counts { waiting, rejected, completed } => {
+                let (at, before, done) = self.counted.replace((now, rejected, completed))?;
+                let (turned_away, done) = (rejected.checked_sub(before)?, completed.checked_sub(done)?);
+                let seconds = (now - at) as f64 / 1e9;
+                (seconds > 0.0).then(|| (waiting.max(turned_away) as f64, done as f64 / seconds))
+            }
+        }
+    }
 }
 
 /// A launch on a connection, and where its frame ends in the bytes written.
@@ -104,7 +130,7 @@
     fn hear(
         &mut self,
         told: Told,
-        probed: &mut Vec<Probed>,
+        (written, reported): (u64, &mut Vec<Reported>),
         desk: &mut Desk,
         kit: &mut Kit,
     ) -> Result<(), String> {
@@ -119,7 +145,10 @@
                     return if known { Ok(()) } else { Err(format!("an answer to nothing, '{id}.{shard}'")) };
                 };
                 self.remember(print(&id, shard));
-                let Sent { part, launch, .. } = self.launches.swap_remove(at);
+                let Sent { part, launch, ends_at } = self.launches.swap_remove(at);
+                // Turned away on its head alone, before all of it was there to be run.
+                let unread = ends_at > written && ending != Ending::Done;
+                let ending = if unread && ending != Ending::Full { Ending::Unreached } else { ending };
                 if ending == Ending::Done {
                     desk.value(part, &value);
                 }
@@ -129,7 +158,7 @@
                 if let Some(Probe { mark, .. }) = self.probe.take() {
                     kit.deadlines.clear(mark);
                     kit.counters.probes_answered += u64::from(answered);
-                    probed.push((self.replica, answered, report));
+                    reported.push((self.replica, answered, report));
                 }
             }
         }
@@ -152,6 +181,12 @@
     connect_within: Nanos,
     /// Replicas with launches of this round.
     gathering: Vec<ReplicaIx>,
+    /// When parts that wait for a connection have waited for long enough.
+    places: BTreeMap<Ticket, Mark>,
+    /// Replicas whose pool may want a connection.
+    stirred: Vec<ReplicaIx>,
+    /// Parts that found no connection, whose launches are still to be ended.
+    unreached: Vec<Ticket>,
     /// Probes that ended since the last round.
     pub probed: Vec<Probed>,
 }
@@ -167,6 +202,9 @@
             link_idle: (plan.link_idle - plan.connect_within).max(plan.link_idle / 2),
             connect_within: plan.connect_within,
             gathering: Vec::new(),
+            places: BTreeMap::new(),
+            stirred: Vec::new(),
+            unreached: Vec::new(),
             probed: Vec::new(),
         }
     }
@@ -180,7 +218,7 @@
     /// A slot that is new, or was another's.
     pub fn met(&mut self, ix: ReplicaIx, kit: &mut Kit) {
         let Some(peer) = self.peers.get_mut(ix.0) else { return };
-        peer.started = None;
+        (peer.started, peer.counted) = (None, None);
         for key in std::mem::take(&mut peer.links) {
             self.close(key, kit);
         }
@@ -197,10 +235,19 @@
     ) {
         if self.peers.len() <= ix.0 {
             let (links, gathered) = (Vec::new(), Vec::new());
-            let peer = Peer { address, speech, serving, started, links, gathered };
+            let (pool, counted) = (self.pool(speech), None);
+            let peer = Peer { address, speech, serving, started, links, gathered, pool, counted };
             self.peers.push(peer);
             return;
         }
+        let pool = self.pool(speech);
+        let peer = &mut self.peers[ix.0];
+        if peer.speech != speech {
+            // Its connections speak the other language, and close with what is on them.
+            let waiting = peer.pool.as_mut().map_or(Vec::new(), Pool::drain);
+            peer.pool = pool;
+            self.unsent(waiting, desk, kit);
+        }
         let peer = &mut self.peers[ix.0];
         (peer.address, peer.speech, peer.started) = (address, speech, started.or(peer.started));
         self.serves(ix, serving, desk, kit);
@@ -210,6 +257,9 @@
     pub fn serves(&mut self, ix: ReplicaIx, serving: bool, desk: &mut Desk, kit: &mut Kit) {
         let peer = &mut self.peers[ix.0];
         peer.serving = serving;
+        let waiting = peer.pool.as_mut().filter(|_| !serving).map_or(Vec::new(), Pool::drain);
+        self.unsent(waiting, desk, kit);
+        let peer = &self.peers[ix.0];
         for key in peer.links.clone() {
             if !serving {
                 let unsent: Vec<Call> = self.links[key].waiting.drain(..).collect();
@@ -219,6 +269,17 @@
         }
     }
 
+    fn pool(&self, speech: Speech) -> Option<Pool<LinkKey, Ticket>> {
+        self.wires.manners(speech).pooled.then(|| Pool::new(self.wires.pool))
+    }
+
+    fn unsent(&mut self, waiting: Vec<Ticket>, desk: &mut Desk, kit: &mut Kit) {
+        for (part, launch) in waiting {
+            self.seated((part, launch), kit);
+            desk.end(part, launch, Ending::Unsent, kit);
+        }
+    }
+
     // ---- launches ----
 
     pub fn gather(&mut self, part: PartIx, launch: usize, replica: ReplicaIx) {
@@ -234,6 +295,10 @@
         for replica in std::mem::take(&mut self.gathering) {
             let mut launches = std::mem::take(&mut self.peers[replica.0].gathered);
             launches.retain(|&(part, n)| desk.launch(part, n).is_some());
+            if self.peers[replica.0].pool.is_some() {
+                launches.into_iter().for_each(|ticket| self.place(replica, ticket, desk, kit));
+                continue;
+            }
             for call in launches.chunks(self.manners(replica).call_parts) {
                 let Some(key) = self.link_for(replica, call.len(), kit) else {
                     call.iter().for_each(|&(part, n)| desk.end(part, n, Ending::Unreached, kit));
@@ -249,6 +314,125 @@
                 self.pump(key, desk, kit);
             }
         }
+        for replica in std::mem::take(&mut self.stirred) {
+            self.stretch(replica, kit);
+        }
+        for (part, launch) in std::mem::take(&mut self.unreached) {
+            self.seated((part, launch), kit);
+            desk.end(part, launch, Ending::Unreached, kit);
+        }
+    }
+
+    // ---- pools ----
+
+    fn room(&self, replica: ReplicaIx) -> Room {
+        let stores = self.peers.iter().filter(|p| p.serving).count();
+        let mut room = Room { most: self.most, open: self.links.len(), stores, owed: 0 };
+        let others = self.peers.iter().enumerate().filter(|(ix, p)| *ix != replica.0 && p.serving);
+        room.owed = others.filter_map(|(_, p)| p.pool.as_ref()).map(|pool| pool.owed(room)).sum();
+        room
+    }
+
+    fn place(&mut self, replica: ReplicaIx, ticket: Ticket, desk: &mut Desk, kit: &mut Kit) {
+        let Some(pool) = &mut self.peers[replica.0].pool else { return };
+        match pool.ask(ticket) {
+            Place::On(key) => self.put(key, ticket, desk, kit),
+            Place::Wait => {
+                let at = kit.now + pool.terms().wait;
+                self.places.insert(ticket, kit.deadlines.set(at, Due::Place(ticket.0, ticket.1)));
+                self.stirred.push(replica);
+            }
+            Place::Full => {
+                kit.counters.places_refused += 1;
+                desk.end(ticket.0, ticket.1, Ending::Full, kit);
+            }
+        }
+    }
+
+    /// It waits no more.
+    fn seated(&mut self, ticket: Ticket, kit: &mut Kit) {
+        self.places.remove(&ticket).into_iter().for_each(|mark| kit.deadlines.clear(mark));
+    }
+
+    fn put(&mut self, key: LinkKey, ticket: Ticket, desk: &mut Desk, kit: &mut Kit) {
+        self.seated(ticket, kit);
+        if let Some(l) = desk.launch(ticket.0, ticket.1) {
+            l.link = Some(key);
+        }
+        self.links[key].waiting.push_back(vec![ticket]);
+        self.busy(key, kit);
+        self.pump(key, desk, kit);
+    }
+
+    /// Begins the connections that the pool wants and may have.
+    fn stretch(&mut self, replica: ReplicaIx, kit: &mut Kit) {
+        loop {
+            let room = self.room(replica);
+            let Some(pool) = &mut self.peers[replica.0].pool else { return };
+            self.unreached.extend(pool.stranded(room));
+            if !pool.wants(room) {
+                return;
+            }
+            let Some(key) = self.open(replica, kit) else {
+                // The system would not begin one; what waits may still find one that comes free.
+                if let Some(pool) = self.peers[replica.0].pool.as_mut().filter(|pool| pool.links() == 0) {
+                    self.unreached.extend(pool.drain());
+                }
+                return;
+            };
+            if let Some(pool) = &mut self.peers[replica.0].pool {
+                pool.begun(key, false);
+            }
+        }
+    }
+
+    /// A connection of a pool with nothing out on it carries the next part, if it may carry any.
+    fn relieve(&mut self, key: LinkKey, desk: &mut Desk, kit: &mut Kit) {
+        let Some(link) = self.links.get(key) else { return };
+        let replica = link.out.replica;
+        if link.up.is_none() || link.load() > 0 || link.out.probe.is_some() {
+            return;
+        }
+        let sound = link.wire.stays() && link.stream.inbox().is_empty() && link.stream.flushed();
+        let sound = sound && self.usable(key) && self.peers[replica.0].serving;
+        let Some(pool) = self.peers[replica.0].pool.as_mut().filter(|pool| pool.is_busy(key)) else { return };
+        if !sound {
+            self.close(key, kit);
+        } else if let Some(ticket) = pool.free(key) {
+            self.put(key, ticket, desk, kit);
+        }
+    }
+
+    /// It has waited for a connection for long enough: others of its holders may have one.
+    pub fn place_due(&mut self, part: PartIx, launch: usize, desk: &mut Desk, kit: &mut Kit) {
+        self.places.remove(&(part, launch));
+        let Some(replica) = desk.launch(part, launch).map(|l| l.replica) else { return };
+        let pool = self.peers[replica.0].pool.as_mut();
+        if pool.is_some_and(|pool| pool.leave((part, launch))) {
+            kit.counters.places_given_up += 1;
+            desk.end(part, launch, Ending::Full, kit);
+        }
+    }
+
+    /// A part out on a connection of a pool, or waiting for one, is wanted no more.
+    fn call_off(&mut self, replica: ReplicaIx, ticket: Ticket, kit: &mut Kit) {
+        self.seated(ticket, kit);
+        let peer = &mut self.peers[replica.0];
+        let Some(pool) = &mut peer.pool else { return };
+        let begun = |key: &LinkKey| !self.links[*key].stream.inbox().is_empty();
+        let on = |key: &&LinkKey| self.links[**key].out.launches.iter().any(|s| (s.part, s.launch) == ticket);
+        let begun = peer.links.iter().find(on).is_some_and(begun);
+        match pool.call_off(kit.now, ticket, begun) {
+            CalledOff::Waited | CalledOff::Unknown => {}
+            CalledOff::Close(key) => {
+                kit.counters.links_cut += 1;
+                self.close(key, kit);
+            }
+            CalledOff::ReadOut(key, until) => {
+                kit.counters.links_read_out += 1;
+                self.links[key].mark = Some(kit.deadlines.set(until, Due::Link(key)));
+            }
+        }
     }
 
     fn manners(&self, replica: ReplicaIx) -> Manners {
@@ -289,7 +473,7 @@
                 let mark = Some(kit.deadlines.set(kit.now + self.connect_within, Due::Link(key)));
                 let out = Out { replica, launches: Vec::new(), probe: None, past: VecDeque::new() };
                 let (waiting, suspect, frame, doom) = (VecDeque::new(), false, None, None);
-                let wire = self.wires.begin(speech);
+                let wire = self.wires.begin(speech, address);
                 let up = None;
                 Ok(Link { address, stream, speech, wire, up, mark, waiting, out, suspect, frame, doom })
             })
@@ -325,7 +509,11 @@
                 let (p, r) = desk.whole_part(part)?;
                 Some(Share { retrieval: &r.id, shard: p.shard, wait, key: r.key.as_deref(), text: &r.text })
             });
-            link.wire.call(link.stream.outbox(), &shares.collect::<Vec<_>>());
+            if !link.wire.call(link.stream.outbox(), &shares.collect::<Vec<_>>()) {
+                log!("a part that the protocol of {} cannot say was not sent", link.address);
+                call.iter().for_each(|&(part, n)| desk.end(part, n, Ending::Unreached, kit));
+                continue;
+            }
             let ends_at = link.stream.queued();
             link.out.launches.extend(call.iter().map(|&(part, launch)| Sent { part, launch, ends_at }));
             kit.counters.calls += 1;
@@ -365,8 +553,11 @@
         kit: &mut Kit,
     ) {
         let Some(l) = desk.launch(part, launch) else { return };
-        let (key, ending) = (l.link, if l.written { written } else { unwritten });
+        let (key, replica, ending) = (l.link, l.replica, if l.written { written } else { unwritten });
         desk.end(part, launch, ending, kit);
+        if key.is_none_or(|key| !self.links.contains_key(key)) || ending == written {
+            self.call_off(replica, (part, launch), kit);
+        }
         let Some(link) = key.and_then(|key| self.links.get_mut(key)) else { return };
         if ending == written {
             link.out.launches.retain(|s| (s.part, s.launch) != (part, launch));
@@ -380,6 +571,7 @@
         }
         if let Some(key) = key {
             self.pump(key, desk, kit);
+            self.relieve(key, desk, kit);
             self.rest(key, kit);
         }
     }
@@ -390,6 +582,9 @@
     /// one, a fresh one if need be, and those are asked too, to be held against it.
     pub fn probe(&mut self, replica: ReplicaIx, desk: &mut Desk, kit: &mut Kit) {
         kit.counters.probes += 1;
+        if self.peers[replica.0].pool.is_some() {
+            return self.probe_pooled(replica, desk, kit);
+        }
         let links = self.peers[replica.0].links.iter().copied();
         let free = links.filter(|&key| self.usable(key) && self.links[key].out.probe.is_none());
         let (waited, clear): (Vec<_>, Vec<_>) =
@@ -410,6 +605,28 @@
         }
     }
 
+    /// Parts of a pool have their connections to themselves, and a probe one too.
+    fn probe_pooled(&mut self, replica: ReplicaIx, desk: &mut Desk, kit: &mut Kit) {
+        let room = self.room(replica);
+        let Some(pool) = &mut self.peers[replica.0].pool else { return };
+        let key = match pool.probe(room) {
+            ProbePlace::On(key) => Some(key),
+            ProbePlace::Open => self.open(replica, kit).inspect(|&key| {
+                if let Some(pool) = &mut self.peers[replica.0].pool {
+                    pool.begun(key, true);
+                }
+            }),
+            ProbePlace::Nowhere => None,
+        };
+        let Some(key) = key else { return self.probed.push((replica, false, None)) };
+        self.busy(key, kit);
+        let link = &mut self.links[key];
+        let mark = kit.deadlines.set(kit.now + self.connect_within, Due::Probe(key));
+        link.out.probe = Some(Probe { mark, asked: true });
+        link.wire.probe(link.stream.outbox());
+        self.pump(key, desk, kit);
+    }
+
     /// Its server has answered on it. What stays silent then is not the server but a connection: one on which
     /// launches are out, not so many that the server leaves the rest unread, and a probe found no answer so far.
     fn compare(&mut self, answered: LinkKey, kit: &mut Kit) {
@@ -464,6 +681,7 @@
             }
         }
         let (before, probed) = (link.stream.read, link.out.probe.is_some());
+        let (written, mut reported) = (link.stream.written, Vec::new());
         let filled = link.stream.fill(self.wires.manners(link.speech).longest);
         kit.counters.bytes_in += link.stream.read - before;
         let mut came = 0;
@@ -473,7 +691,7 @@
                 Ok(None) => break Ok(()),
                 Err(fault) => break Err(fault),
                 Ok(Some((told, length))) => {
-                    let heard = link.out.hear(told, &mut self.probed, desk, kit);
+                    let heard = link.out.hear(told, (written, &mut reported), desk, kit);
                     link.stream.take(length);
                     came += 1;
                     if let Err(fault) = heard {
@@ -482,6 +700,10 @@
                 }
             }
         };
+        for (replica, answered, report) in reported {
+            let report = report.and_then(|told| self.peers[replica.0].load(told, kit.now));
+            self.probed.push((replica, answered, report));
+        }
         match (heard, filled) {
             (Err(fault), _) => self.spoilt(key, &fault, desk, kit),
             (Ok(()), Ok(true)) => {
@@ -503,6 +725,7 @@
                     self.compare(key, kit);
                 }
                 self.pump(key, desk, kit);
+                self.relieve(key, desk, kit);
                 self.rest(key, kit);
             }
             (Ok(()), Ok(false)) => self.broken(key, "closed by its server", desk, kit),
@@ -536,7 +759,9 @@
         if link.up.is_none() {
             return self.broken(key, "it did not come up in time", desk, kit);
         }
-        kit.counters.links_idle += 1;
+        let replica = link.out.replica;
+        let reads_out = self.peers[replica.0].pool.as_ref().is_some_and(|pool| pool.reads_out(key));
+        *(if reads_out { &mut kit.counters.links_cut } else { &mut kit.counters.links_idle }) += 1;
         self.close(key, kit);
     }
 
@@ -571,7 +796,12 @@
             .chain(link.frame)
             .chain(link.doom)
             .for_each(|mark| kit.deadlines.clear(mark));
-        self.peers[link.out.replica.0].links.retain(|&k| k != key);
+        let peer = &mut self.peers[link.out.replica.0];
+        peer.links.retain(|&k| k != key);
+        if let Some(pool) = &mut peer.pool {
+            self.unreached.extend(pool.lost(key));
+            self.stirred.push(link.out.replica);
+        }
         Some(link)
     }
 
@@ -585,12 +815,21 @@
         }
     }
 
+    /// Whether something is left to do once the round is decided.
+    pub fn has_work(&self) -> bool {
+        !self.probed.is_empty() || !self.stirred.is_empty() || !self.unreached.is_empty()
+    }
+
     /// Where it has nothing to do it is closed at once, if nothing may use it again, or when idle long enough.
     fn rest(&mut self, key: LinkKey, kit: &mut Kit) {
         let Some(link) = self.links.get(key) else { return };
         if link.up.is_none() || link.load() > 0 || link.out.probe.is_some() {
             return;
         }
+        let pool = self.peers[link.out.replica.0].pool.as_ref();
+        if pool.is_some_and(|pool| pool.reads_out(key)) {
+            return;
+        }
         // Bytes left over with nothing out would be read as the beginning of the next answer.
         let leftover = !link.stream.inbox().is_empty();
         if leftover || !self.usable(key) || !self.peers[link.out.replica.0].serving {
--- a/crates/frontnode/src/wires.rs
+++ b/crates/frontnode/src/wires.rs
@@ -1,9 +1,15 @@
 //! The protocols of stores, a file each: a wire turns a call into bytes, and bytes into what they tell.
 
 pub mod frames;
+pub mod search;
+
+use std::net::SocketAddr;
 
 use orchidvalve::ledger::Ending;
 
+use crate::http;
+use crate::pool::PoolTerms;
+
 /// One part of a call.
 pub struct Share<'a> {
     pub retrieval: &'a str,
@@ -19,8 +25,17 @@
 pub enum Told {
     /// A part's answer: its retrieval and shard, how the launch ended, and its value.
     Answer { retrieval: String, shard: usize, ending: Ending, value: String },
-    /// A probe's: whether it counts as answered, and parts waiting and parts done a second where it says both.
-    Probe { answered: bool, report: Option<(f64, f64)> },
+    /// A probe's: whether it counts as answered, and what it says of the load.
+    Probe { answered: bool, report: Option<Load> },
+}
+
+/// What a store says of its load.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub enum Load {
+    /// Parts waiting, and parts done a second.
+    Rate { waiting: f64, rate: f64 },
+    /// Parts waiting, and parts turned away and done since its start.
+    Counts { waiting: u64, rejected: u64, completed: u64 },
 }
 
 /// How connections are used under a protocol.
@@ -29,14 +44,15 @@
     pub call_parts: usize,
     /// Parts that a connection carries at once.
     pub link_parts: usize,
-    /// Whether a probe may travel beside parts.
-    pub probes_beside: bool,
+    /// Whether connections carry one part at a time, and so are pooled.
+    pub pooled: bool,
     /// Longest message taken in.
     pub longest: usize,
 }
 
 pub trait Wire {
-    fn call(&mut self, out: &mut Vec<u8>, parts: &[Share]);
+    /// False where the parts cannot be said in this protocol; then nothing was written.
+    fn call(&mut self, out: &mut Vec<u8>, parts: &[Share]) -> bool;
 
     /// A part is wanted no more. False where its server learns of that only when the connection closes.
     fn cancel(&mut self, out: &mut Vec<u8>, retrieval: &str, shard: usize) -> bool;
@@ -58,6 +74,7 @@
 pub enum Speech {
     #[default]
     Frames,
+    Search,
 }
 
 /// What the wires are told at the start.
@@ -66,6 +83,7 @@
     pub call_parts: usize,
     pub link_parts: usize,
     pub load_told: bool,
+    pub pool: PoolTerms,
 }
 
 impl WireOrders {
@@ -74,16 +92,18 @@
             Speech::Frames => Manners {
                 call_parts: self.call_parts,
                 link_parts: self.link_parts,
-                probes_beside: true,
+                pooled: false,
                 longest: frames::LONGEST + 4,
             },
+            Speech::Search => Manners { call_parts: 1, link_parts: 1, pooled: true, longest: http::MESSAGE },
         }
     }
 
     /// The state of one connection.
-    pub fn begin(&self, speech: Speech) -> Box<dyn Wire> {
+    pub fn begin(&self, speech: Speech, address: SocketAddr) -> Box<dyn Wire> {
         match speech {
             Speech::Frames => Box::new(frames::Frames::new(self.load_told)),
+            Speech::Search => Box::new(search::Search::new(address.to_string())),
         }
     }
 }
--- a/crates/frontnode/src/wires/frames.rs
+++ b/crates/frontnode/src/wires/frames.rs
@@ -2,7 +2,7 @@
 
 use orchidvalve::ledger::Ending;
 
-use super::{Share, Told, Wire};
+use super::{Load, Share, Told, Wire};
 
 pub const CALL: u8 = b'1';
 pub const CANCEL: u8 = b'2';
@@ -26,10 +26,11 @@
 }
 
 impl Wire for Frames {
-    fn call(&mut self, out: &mut Vec<u8>, parts: &[Share]) {
+    fn call(&mut self, out: &mut Vec<u8>, parts: &[Share]) -> bool {
         let at = begin(out, CALL);
         parts.iter().for_each(|part| share(out, part));
         end(out, at);
+        true
     }
 
     fn cancel(&mut self, out: &mut Vec<u8>, retrieval: &str, shard: usize) -> bool {
@@ -50,7 +51,10 @@
             }
             PROBE | PROBE_LOAD => Told::Probe {
                 answered: rest != b"E",
-                report: std::str::from_utf8(rest).ok().and_then(report),
+                report: std::str::from_utf8(rest)
+                    .ok()
+                    .and_then(report)
+                    .map(|(waiting, rate)| Load::Rate { waiting, rate }),
             },
             UNUSABLE => return Err(format!("its server could not use a frame: {}", rest.escape_ascii())),
             other => return Err(format!("an unknown frame '{}'", other.escape_ascii())),
--- /dev/null
+++ b/crates/frontnode/tests/search.rs
@@ -0,0 +1,476 @@
+//! The search door and the search wire, on a node that runs as a process in front of stand-in stores.
+//! No story sleeps: each waits for what must come, and the waits below only end a story that has failed.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use orchidvalve_search::answer::merge;
+use orchidvalve_search::evaluate::{self, Document};
+use orchidvalve_search::request::Search;
+use orchidvalve_search::routes::{Routes, Settled};
+use orchidvalve_standin::{Script, Shelf, Store, Trouble};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+use serde_json::{Value, json};
+
+const TOO_LONG: Duration = Duration::from_secs(20);
+const SLICES: usize = 3;
+
+const ROUTES: &str = r#"
+[index.jobs]
+grade = "look"
+create = "hold"
+slices = "all"
+[index.jobs.fields]
+customer = "keyword"
+notes = "text"
+crew = "long"
+[index.vans]
+grade = "van-search"
+slices = "all"
+weights = [0.5, 0.3, 0.2]
+[index.vans.fields]
+customer = "keyword"
+crew = "long"
+[index.moves]
+grade = "look"
+slices = "routing"
+[index.moves.fields]
+customer = "keyword"
+"#;
+
+fn settled() -> Settled {
+    let grade = |name: &str, receipted| (name.to_owned(), receipted);
+    Settled {
+        grades: vec![grade("look", false), grade("van-search", false), grade("hold", true)],
+        slices: SLICES,
+    }
+}
+
+/// Three slices; slice `n` is held by store `n`, and by the next ones up to `reach`.
+fn settings(reach: usize) -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "effect": effect, "objectiveNs": 400_000_000, "deadlineNs": 3_000_000_000u64,
+               "lateWorth": 0.3, "windowNs": 2_000_000_000})
+    };
+    json!({
+        "classes": [class("look", "pure"), class("van-search", "pure"), class("hold", "token")],
+        "extra": {"positions": SLICES, "reach": reach, "slices": SLICES, "bundleMax": 4,
+                  "classFloor": [1.0, 0.6, 1.0], "wholeAt": [1.0, 1.0, 1.0], "shortWorth": [0.0, 0.6, 0.0]},
+        "limits": {"attemptsCap": 4, "cancel": true, "secondCopies": true, "probes": true, "multiplex": 8,
+                   "connIdleNs": 15_000_000_000u64, "connectTimeoutNs": 100_000_000},
+        "rules": {"coldShare": 0.25, "coldNs": 1_000_000_000, "fallMultiple": 4.0, "fallNs": 1_000_000_000},
+        "resolutionNs": 1_000_000
+    })
+}
+
+struct Rig {
+    child: Child,
+    node: SocketAddr,
+    stores: Vec<Store>,
+    shelf: Arc<Mutex<Shelf>>,
+    agent: TcpListener,
+    members: Value,
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn member(n: usize, store: &Store, flavor: &str, phase: &str) -> Value {
+    json!({"id": format!("s-{n}"), "host_port": store.address.to_string(), "cell": n, "phase": phase,
+           "flavor": flavor, "locality": "a", "up_since_ms": 0})
+}
+
+impl Rig {
+    /// `flavors`: of each store; those that begin with `os` speak the search protocol.
+    fn open(story: &str, reach: usize, flavors: [&str; SLICES], more: &str) -> Rig {
+        let file = format!("{ROUTES}\n[[stores]]\nflavor = \"os*\"\nwire = \"search\"\n{more}");
+        let routes = Arc::new(Routes::read(&file, &settled()).unwrap());
+        let shelf = Arc::new(Mutex::new(Shelf::new(routes)));
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let stores: Vec<Store> = (0..SLICES).map(|_| Store::start(any, shelf.clone()).unwrap()).collect();
+        let agent = TcpListener::bind(any).unwrap();
+        let members = stores.iter().zip(flavors).enumerate();
+        let members: Value = members.map(|(n, (store, flavor))| member(n, store, flavor, "up")).collect();
+        let path = |kind: &str| format!("{}/search-{story}.{kind}", env!("CARGO_TARGET_TMPDIR"));
+        let config = json!({
+            "name": "n1", "listen": "127.0.0.1:0", "discovery": agent.local_addr().unwrap().to_string(),
+            "seed": "8c1f30d27a5be964", "limits": {"memory_mb": 192, "sockets": 128}, "search": path("toml"),
+            "known": {"revision": 1, "complete": true, "members": members}, "settings": settings(reach)
+        });
+        std::fs::write(path("toml"), file).unwrap();
+        std::fs::write(path("json"), config.to_string()).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_orchidvalved"));
+        let mut child = command.env("NODE_CONFIG", path("json")).stderr(Stdio::piped()).spawn().unwrap();
+        let mut line = String::new();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        log.read_line(&mut line).unwrap();
+        let node = line.trim().rsplit(' ').next().unwrap().parse().expect(&line);
+        // Read on, lest the node write to a pipe that nobody reads.
+        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        Rig { child, node, stores, shelf, agent, members }
+    }
+
+    fn shelf(&self) -> MutexGuard<'_, Shelf> {
+        self.shelf.lock().unwrap()
+    }
+
+    fn fill(&self, index: &str, documents: u64) -> Vec<Document> {
+        let routes = self.shelf().routes.clone();
+        let index = routes.index(index).unwrap();
+        let made = (0..documents).map(|n| {
+            let notes = ["piano up", "two stairs", "piano and stairs", ""][n as usize % 4];
+            let mut source = json!({"customer": format!("c{}", n % 7), "crew": n % 5});
+            if index.name == "jobs" {
+                source["notes"] = json!(notes);
+            }
+            let document = Document::new(&format!("d{n:03}"), source, &index.mapping).unwrap();
+            let home = index.home(&document.id, None).unwrap();
+            self.shelf().put(&index.name, home, document.clone());
+            document
+        });
+        made.collect()
+    }
+
+    fn script(&self, store: usize, all: Option<Trouble>, rules: &[(&str, Trouble)]) {
+        let rules = rules.iter().map(|&(words, trouble)| (words.to_owned(), trouble)).collect();
+        self.stores[store].script(Script { rules, all, probes: None });
+    }
+
+    fn send(&self, method: &str, path: &str, more: &str, body: &str) -> Peer {
+        let mut stream = TcpStream::connect(self.node).unwrap();
+        stream.set_read_timeout(Some(TOO_LONG)).unwrap();
+        let head = format!("{method} {path} HTTP/1.1\r\n{more}Content-Length: {}\r\n\r\n", body.len());
+        stream.write_all(format!("{head}{body}").as_bytes()).unwrap();
+        Peer(stream)
+    }
+
+    fn ask(&self, method: &str, path: &str, body: &Value) -> (u16, Value) {
+        let (status, _, body) = self.send(method, path, "", &body.to_string()).answer();
+        (status, body)
+    }
+
+    fn parts(&self) -> usize {
+        self.stores.iter().map(|s| s.seen().parts.len()).sum()
+    }
+
+    fn counter(&self, name: &str) -> u64 {
+        let (_, _, text) = self.send("GET", "/metrics", "", "").text();
+        let line = text.lines().find(|l| l.starts_with(&format!("orchidvalve_{name}_total "))).unwrap();
+        line.rsplit(' ').next().unwrap().parse().unwrap()
+    }
+
+    fn until(&self, what: &str, mut holds: impl FnMut(&Rig) -> bool) {
+        let end = Instant::now() + TOO_LONG;
+        while !holds(self) {
+            assert!(Instant::now() < end, "{what}");
+            std::thread::yield_now();
+        }
+    }
+}
+
+struct Peer(TcpStream);
+
+impl Peer {
+    fn text(mut self) -> (u16, String, String) {
+        let mut inbox = Vec::new();
+        let mut buffer = [0; 16 << 10];
+        loop {
+            if let Some(end) = inbox.windows(4).position(|w| w == b"\r\n\r\n") {
+                let head = String::from_utf8(inbox[..end].to_vec()).unwrap();
+                let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: ")).unwrap();
+                if inbox.len() >= end + 4 + length.parse::<usize>().unwrap() {
+                    let status = head.split(' ').nth(1).unwrap().parse().unwrap();
+                    return (status, head, String::from_utf8(inbox[end + 4..].to_vec()).unwrap());
+                }
+            }
+            let length = self.0.read(&mut buffer).unwrap();
+            assert!(length > 0, "closed without an answer");
+            inbox.extend_from_slice(&buffer[..length]);
+        }
+    }
+
+    fn answer(self) -> (u16, String, Value) {
+        let (status, head, body) = self.text();
+        (status, head, serde_json::from_str(&body).unwrap_or(Value::Null))
+    }
+}
+
+const OS: [&str; SLICES] = ["os", "os", "os"];
+const FRAMES: [&str; SLICES] = ["m", "m", "m"];
+
+#[test]
+fn what_nobody_can_map_is_refused_by_path_and_no_part_is_sent() {
+    let rig = Rig::open("refused", 1, OS, "");
+    let refused = [
+        ("POST", "/jobs/_search", json!({"query": {"fuzzy": {"customer": "c"}}}), "query.fuzzy"),
+        (
+            "POST",
+            "/jobs/_search",
+            json!({"query": {"bool": {"must": [{"term": {"colour": 1}}]}}}),
+            "query.bool.must[0].term.colour",
+        ),
+        ("GET", "/jobs/_count", json!({"query": {"match_all": {}}, "size": 1}), "size"),
+        ("POST", "/jobs/_search?routing=c1", json!({}), "routing"),
+        ("POST", "/moves/_search", json!({}), "routing"),
+        ("POST", "/jobs/_search?preference=_local", json!({}), "preference"),
+        ("POST", "/jobs/_search?filter_path=hits", json!({}), "[filter_path]"),
+        ("POST", "/jobs/_search?timeout=5", json!({}), "timeout"),
+        ("PUT", "/jobs/_create/j1", json!({"crew": "four"}), "crew"),
+        ("PUT", "/vans/_create/j1", json!({"crew": 4}), "takes no documents"),
+        ("POST", "/jobs/_update/j1", json!({}), "[_update]"),
+    ];
+    for (method, path, body, words) in refused {
+        let (status, told) = rig.ask(method, path, &body);
+        assert_eq!(status, 400, "{path}: {told}");
+        let reason = told["error"]["reason"].as_str().unwrap();
+        assert!(reason.contains(words) && told["error"]["root_cause"][0]["reason"] == *reason, "{told}");
+        assert_eq!(told["status"], 400);
+    }
+    assert_eq!(rig.ask("POST", "/jibs/_search", &json!({})).1["error"]["type"], "index_not_found_exception");
+    assert_eq!(rig.ask("DELETE", "/jobs/_search", &json!({})).0, 405);
+    assert_eq!((rig.parts(), rig.counter("retrievals_taken")), (0, 0));
+}
+
+#[test]
+fn a_short_answer_says_which_slices_it_lacks_and_all_or_nothing_gets_none() {
+    let rig = Rig::open("short", 1, OS, "");
+    rig.fill("vans", 30);
+    rig.script(2, Some(Trouble::Silent), &[]);
+    let (status, told) = rig.ask("POST", "/vans/_search?timeout=900ms", &json!({"size": 40}));
+    assert_eq!((status, &told["timed_out"]), (200, &json!(true)), "{told}");
+    let shards = &told["_shards"];
+    assert_eq!(
+        [&shards["total"], &shards["successful"], &shards["failed"]],
+        [&json!(3), &json!(2), &json!(1)]
+    );
+    assert_eq!(shards["failures"][0]["shard"], 2);
+    let total = &told["hits"]["total"];
+    assert_eq!(
+        (&total["relation"], total["value"].as_u64()),
+        (&json!("gte"), Some(told["hits"]["hits"].as_array().unwrap().len() as u64))
+    );
+    let (status, told) = rig.ask("POST", "/vans/_count", &json!({}));
+    assert_eq!((status, &told["relation"]), (200, &json!("gte")));
+    let path = "/vans/_search?timeout=900ms&allow_partial_search_results=false";
+    let (status, told) = rig.ask("POST", path, &json!({}));
+    assert_eq!((status, &told["error"]["type"]), (429, &json!("rejected_execution_exception")), "{told}");
+    // A wish for less never lowers the floor of a grade.
+    let (status, _) =
+        rig.ask("POST", "/jobs/_search?timeout=900ms&allow_partial_search_results=true", &json!({}));
+    assert_eq!(status, 429);
+}
+
+#[test]
+fn a_store_whose_200_is_not_whole_has_not_answered_and_another_copy_is_asked() {
+    for (story, trouble) in [
+        ("failed", Trouble::Short),
+        ("late", Trouble::Late),
+        ("garbled", Trouble::Garbled),
+        ("cut", Trouble::Cut),
+    ] {
+        let rig = Rig::open(story, 2, OS, "");
+        let documents = rig.fill("jobs", 30);
+        rig.script(1, Some(trouble), &[]);
+        for _ in 0..4 {
+            let (status, told) = rig.ask("POST", "/jobs/_search", &json!({"size": 50}));
+            assert_eq!((status, &told["timed_out"]), (200, &json!(false)), "{told}");
+            assert_eq!(told["hits"]["hits"].as_array().unwrap().len(), documents.len());
+        }
+        let ended: u64 =
+            ["launches_faulty", "launches_spoilt", "launches_broken"].iter().map(|n| rig.counter(n)).sum();
+        assert!(ended > 0 && rig.stores[1].seen().parts.len() as u64 >= ended, "{trouble:?}");
+    }
+}
+
+#[test]
+fn each_line_of_an_msearch_has_its_own_end_in_its_place() {
+    let rig = Rig::open("msearch", 1, OS, "");
+    rig.fill("vans", 12);
+    // Store 1 never answers the short one, and every store turns the hopeless one away.
+    for store in 0..SLICES {
+        let short = if store == 1 { vec![("c3", Trouble::Silent)] } else { vec![] };
+        rig.script(store, None, &[&[("c5", Trouble::Error)][..], &short].concat());
+    }
+    let term = |c: &str| json!({"query": {"term": {"customer": c}}}).to_string();
+    let lines = [
+        "{}",
+        "{\"query\":{\"trem\":{}}}",
+        "{\"index\":\"vans\"}",
+        &term("c5"),
+        "",
+        &term("c3"),
+        "{}",
+        &term("c1"),
+    ];
+    let body = lines.join("\n") + "\n";
+    let (status, head, told) = rig.send("POST", "/vans/_msearch", "X-Opaque-Id: m7\r\n", &body).answer();
+    let responses = told["responses"].as_array().unwrap();
+    let ends: Vec<u64> = responses.iter().map(|r| r["status"].as_u64().unwrap()).collect();
+    assert_eq!((status, ends), (200, vec![400, 429, 200, 200]), "{told} {head}");
+    let failed: Vec<&Value> = responses[2..].iter().map(|r| &r["_shards"]["failed"]).collect();
+    assert_eq!(failed, [&json!(1), &json!(0)]);
+    assert_eq!(rig.counter("retrievals_taken"), 3);
+}
+
+#[test]
+fn a_client_that_leaves_in_the_middle_of_an_msearch_ends_all_its_lines() {
+    let rig = Rig::open("leaves", 1, OS, "");
+    (0..SLICES).for_each(|store| rig.script(store, Some(Trouble::Silent), &[]));
+    let peer = rig.send("POST", "/jobs/_msearch", "", "{}\n{}\n{}\n{}\n");
+    rig.until("all parts are out", |rig| rig.parts() == 2 * SLICES);
+    drop(peer);
+    rig.until("both are closed", |rig| rig.counter("lapsed") == 2);
+    rig.until("nothing is held for them", |rig| rig.stores.iter().all(|s| s.seen().open == 0));
+    assert_eq!(rig.counter("dismissed") + rig.counter("given_up"), 0);
+}
+
+#[test]
+fn a_document_is_put_in_once_whatever_is_repeated_and_whoever_dies() {
+    for (story, flavors) in [("create-os", OS), ("create-mixed", ["os", "m", "os"])] {
+        let rig = Rig::open(story, 2, flavors, "");
+        let document = json!({"customer": "c1", "crew": 3});
+        let create = |id: &str| rig.ask("PUT", &format!("/jobs/_create/{id}"), &document);
+        let (status, told) = create("j1");
+        assert_eq!((status, &told["result"]), (201, &json!("created")), "{told}");
+        // Asked again by its client: the store has it, and says so.
+        assert_eq!(create("j1").0, 201);
+        // A store that dies once it has run it: launched again within the window, with the same key.
+        (0..SLICES).for_each(|s| rig.script(s, None, &[("j2", Trouble::Dead)]));
+        let peer = rig.send("PUT", "/jobs/_create/j2", "", &document.to_string());
+        rig.until("it has run", |rig| rig.shelf().count("jobs", "j2") == 1);
+        (0..SLICES).for_each(|s| rig.script(s, None, &[]));
+        let (status, _, told) = peer.answer();
+        assert!(
+            status == 201 || status == 500,
+            "never a refusal, which would say that it has not run: {told}"
+        );
+        // Outside its window it is the store that knows the key.
+        assert_eq!(create("j2").0, 201);
+        for id in ["j1", "j2"] {
+            assert_eq!(rig.shelf().count("jobs", id), 1);
+        }
+    }
+}
+
+#[test]
+fn a_store_that_never_finishes_fills_its_own_places_and_the_others_serve_on() {
+    for (story, trouble) in
+        [("silent", Trouble::Silent), ("stall", Trouble::Stall), ("trickle", Trouble::Trickle)]
+    {
+        let pool =
+            "[pool]\nconnections = 4\nwaiting = 4\nwait_ms = 100\ncloses_a_second = 5\nread_out_ms = 100\n";
+        let rig = Rig::open(story, 2, OS, pool);
+        let documents = rig.fill("jobs", 20);
+        rig.script(0, Some(trouble), &[]);
+        let mut served = 0;
+        for _ in 0..12 {
+            let peers: Vec<Peer> =
+                (0..8).map(|_| rig.send("POST", "/jobs/_search", "", "{\"size\":50}")).collect();
+            for peer in peers {
+                let (status, _, told) = peer.answer();
+                assert!(status == 200 || status == 429, "{told}");
+                served += usize::from(
+                    status == 200 && told["hits"]["hits"].as_array().unwrap().len() == documents.len(),
+                );
+            }
+            assert!(rig.stores[0].seen().open <= 5, "its places and one for a probe");
+        }
+        assert!(served >= 80, "{trouble:?}: {served} of 96 whole");
+    }
+}
+
+#[test]
+fn a_part_that_waits_for_a_connection_to_a_draining_store_is_not_sent() {
+    let rig = Rig::open("drain", 1, OS, "[pool]\nconnections = 1\nwait_ms = 5000\n");
+    rig.script(0, Some(Trouble::Silent), &[]);
+    let path = "/jobs/_search?preference=_shards:0&timeout=1500ms";
+    let first = rig.send("POST", path, "", "");
+    rig.until("the first is out", |rig| rig.stores[0].seen().parts.len() == 1);
+    let second = rig.send("POST", path, "", "");
+    rig.until("both are taken", |rig| rig.counter("launches") >= 2);
+    let (mut agent, _) = rig.agent.accept().unwrap();
+    let mut request = [0; 512];
+    assert!(agent.read(&mut request).unwrap() > 0);
+    let mut members = rig.members.clone();
+    members[0]["phase"] = json!("draining");
+    let roster = json!({"revision": 2, "complete": true, "members": members}).to_string();
+    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{roster}", roster.len());
+    agent.write_all(answer.as_bytes()).unwrap();
+    rig.until("what waits is dropped", |rig| rig.counter("launches_unsent") >= 1);
+    assert_eq!((first.answer().0, second.answer().0), (429, 429));
+    assert_eq!(rig.stores[0].seen().parts.len(), 1, "nothing new");
+}
+
+/// A query from chance, and how its parts fare at every store.
+fn drawn(chance: &mut Pcg64) -> (Value, Option<&'static str>) {
+    let customer = format!("c{}", chance.random_range(0..8));
+    let words = ["piano", "stairs up", "two piano"][chance.random_range(0..3)];
+    let leaf = match chance.random_range(0..6) {
+        0 => json!({"match_all": {}}),
+        1 => json!({"term": {"customer": customer}}),
+        2 => json!({"match": {"notes": words}}),
+        3 => json!({"range": {"crew": {"gte": chance.random_range(0..5)}}}),
+        4 => json!({"bool": {"must": {"match": {"notes": "piano"}}, "must_not": {"term": {"crew": 2}}}}),
+        _ => json!({"bool": {"should": [{"prefix": {"customer": "c1"}}, {"term": {"crew": 4}}]}}),
+    };
+    let mut body = json!({"query": leaf, "size": chance.random_range(0..20)});
+    if chance.random_range(0..2) == 0 {
+        body["sort"] = json!([{"crew": "desc"}, "_score"]);
+    }
+    let trouble = match chance.random_range(0..20) {
+        0 => Some("fails"),
+        1 => Some("short"),
+        _ => None,
+    };
+    if let Some(trouble) = trouble {
+        body["query"] = json!({"bool": {"must": body["query"], "must_not": {"term": {"customer": trouble}}}});
+    }
+    (body, trouble)
+}
+
+/// The same retrievals through both doors and both wires: the same answers, those of the evaluator over all
+/// documents, and the same outcomes where a script says how a retrieval fares.
+#[test]
+fn both_doors_and_both_wires_give_the_same_answers_and_outcomes() {
+    for (story, flavors) in [("ways-os", OS), ("ways-frames", FRAMES), ("ways-mixed", ["os", "m", "os"])] {
+        let rig = Rig::open(story, 2, flavors, "");
+        let documents = rig.fill("jobs", 60);
+        let rules = [("fails", Trouble::Error), ("short", Trouble::Short)];
+        (0..SLICES).for_each(|store| rig.script(store, None, &rules));
+        let routes = rig.shelf().routes.clone();
+        let index = routes.index("jobs").unwrap();
+        let mut chance = Pcg64::seed_from_u64(5);
+        for n in 0..150 {
+            let (body, trouble) = drawn(&mut chance);
+            let search = Search::read(body.to_string().as_bytes(), "jobs", &index.mapping, 0).unwrap();
+            let truth = evaluate::search(&search, documents.iter()).text();
+            let truth: Value =
+                serde_json::from_str(&merge(&search, &[(0, Some(&truth))]).response("jobs", 0)).unwrap();
+            let (status, told) = rig.ask("POST", "/jobs/_search", &body);
+            let slices: Vec<Value> =
+                (0..SLICES).map(|s| json!({"slice": s, "mass": 1.0 / SLICES as f64})).collect();
+            let own = json!({"slices": slices, "filter": search.canonical()});
+            let head = format!("Request-Id: r{n}\r\nRequest-Class: look\r\nRequest-Timeout: 3000m\r\n");
+            let (own_status, _, own) = rig.send("POST", "/api", &head, &own.to_string()).answer();
+            if trouble.is_some() {
+                assert_eq!((status, own_status), (429, 503), "{story} {n}: {told}");
+                continue;
+            }
+            assert_eq!((status, own_status), (200, 200), "{story} {n}: {told}");
+            assert_eq!(told["hits"], truth["hits"], "{story} {n}: {body}");
+            let items = own["items"].as_array().unwrap();
+            let parts: Vec<(usize, Option<&str>)> =
+                items.iter().map(|i| (i["slice"].as_u64().unwrap() as usize, i["body"].as_str())).collect();
+            let merged: Value = serde_json::from_str(&merge(&search, &parts).response("jobs", 0)).unwrap();
+            assert_eq!((&own["entire"], &merged["hits"]), (&json!(true), &truth["hits"]), "{story} {n}");
+        }
+    }
+}
--- a/crates/search/src/routes.rs
+++ b/crates/search/src/routes.rs
@@ -169,6 +169,19 @@
         Ok(Routes { indices, pool: p, rules })
     }
 
+    /// The grades that a file names, each as the file uses it, for those who look at it without the settings.
+    pub fn grades_named(text: &str) -> Vec<(String, bool)> {
+        let Ok(file) = toml::from_str::<File>(text) else { return Vec::new() };
+        let mut grades: BTreeMap<String, bool> = BTreeMap::new();
+        for index in file.index.into_values() {
+            grades.entry(index.grade).or_insert(false);
+            index.create.into_iter().for_each(|grade| {
+                grades.insert(grade, true);
+            });
+        }
+        grades.into_iter().collect()
+    }
+
     pub fn index(&self, name: &str) -> Result<&Index, Fault> {
         let unknown = || {
             let fault = Fault::new(NO_INDEX, "", format!("no such index [{name}]"));
