--- /dev/null
+++ b/crates/frontnode/tests/rig/mod.rs
@@ -0,0 +1,212 @@
+//! A node as a process, stand-in stores in front of which it runs, and clients with blocking calls.
+#![allow(dead_code)]
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream};
+use std::process::{Child, Command, Stdio};
+use std::sync::{Arc, Mutex, MutexGuard};
+use std::time::{Duration, Instant};
+
+use orchidvalve_search::evaluate::Document;
+use orchidvalve_search::routes::{Routes, Settled};
+use orchidvalve_standin::{Script, Shelf, Store, Trouble};
+use serde_json::{Value, json};
+
+pub const TOO_LONG: Duration = Duration::from_secs(20);
+pub const SLICES: usize = 3;
+
+const ROUTES: &str = r#"
+[index.jobs]
+grade = "look"
+create = "hold"
+slices = "all"
+[index.jobs.fields]
+customer = "keyword"
+notes = "text"
+crew = "long"
+[index.vans]
+grade = "van-search"
+slices = "all"
+weights = [0.5, 0.3, 0.2]
+[index.vans.fields]
+customer = "keyword"
+crew = "long"
+[index.moves]
+grade = "look"
+slices = "routing"
+[index.moves.fields]
+customer = "keyword"
+"#;
+
+pub fn settled() -> Settled {
+    let grade = |name: &str, receipted| (name.to_owned(), receipted);
+    Settled {
+        grades: vec![grade("look", false), grade("van-search", false), grade("hold", true)],
+        slices: SLICES,
+    }
+}
+
+/// Three slices; slice `n` is held by store `n`, and by the next ones up to `reach`.
+fn settings(reach: usize) -> Value {
+    let class = |name: &str, effect: &str| {
+        json!({"name": name, "effect": effect, "objectiveNs": 400_000_000, "deadlineNs": 3_000_000_000u64,
+               "lateWorth": 0.3, "windowNs": 2_000_000_000})
+    };
+    json!({
+        "classes": [class("look", "pure"), class("van-search", "pure"), class("hold", "token")],
+        "extra": {"positions": SLICES, "reach": reach, "slices": SLICES, "bundleMax": 4,
+                  "classFloor": [1.0, 0.6, 1.0], "wholeAt": [1.0, 1.0, 1.0], "shortWorth": [0.0, 0.6, 0.0]},
+        "limits": {"attemptsCap": 4, "cancel": true, "secondCopies": true, "probes": true, "multiplex": 8,
+                   "connIdleNs": 15_000_000_000u64, "connectTimeoutNs": 100_000_000},
+        "rules": {"coldShare": 0.25, "coldNs": 1_000_000_000, "fallMultiple": 4.0, "fallNs": 1_000_000_000},
+        "resolutionNs": 1_000_000
+    })
+}
+
+pub struct Rig {
+    pub child: Child,
+    pub node: SocketAddr,
+    pub stores: Vec<Store>,
+    pub shelf: Arc<Mutex<Shelf>>,
+    pub agent: TcpListener,
+    pub members: Value,
+}
+
+impl Drop for Rig {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+fn member(n: usize, store: &Store, flavor: &str, phase: &str) -> Value {
+    json!({"id": format!("s-{n}"), "host_port": store.address.to_string(), "cell": n, "phase": phase,
+           "flavor": flavor, "locality": "a", "up_since_ms": 0})
+}
+
+impl Rig {
+    /// With room for many clients and many connections to stores, for measurements.
+    pub fn open_wide(story: &str, flavors: [&str; SLICES]) -> Rig {
+        Rig::open_with(story, 2, flavors, "[pool]\nconnections = 64\n", 1024)
+    }
+
+    /// `flavors`: of each store; those that begin with `os` speak the search protocol.
+    pub fn open(story: &str, reach: usize, flavors: [&str; SLICES], more: &str) -> Rig {
+        Rig::open_with(story, reach, flavors, more, 128)
+    }
+
+    fn open_with(story: &str, reach: usize, flavors: [&str; SLICES], more: &str, sockets: usize) -> Rig {
+        let file = format!("{ROUTES}\n[[stores]]\nflavor = \"os*\"\nwire = \"search\"\n{more}");
+        let routes = Arc::new(Routes::read(&file, &settled()).unwrap());
+        let shelf = Arc::new(Mutex::new(Shelf::new(routes)));
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let stores: Vec<Store> = (0..SLICES).map(|_| Store::start(any, shelf.clone()).unwrap()).collect();
+        let agent = TcpListener::bind(any).unwrap();
+        let members = stores.iter().zip(flavors).enumerate();
+        let members: Value = members.map(|(n, (store, flavor))| member(n, store, flavor, "up")).collect();
+        let path = |kind: &str| format!("{}/search-{story}.{kind}", env!("CARGO_TARGET_TMPDIR"));
+        let config = json!({
+            "name": "n1", "listen": "127.0.0.1:0", "discovery": agent.local_addr().unwrap().to_string(),
+            "seed": "8c1f30d27a5be964", "limits": {"memory_mb": 192, "sockets": sockets}, "search": path("toml"),
+            "known": {"revision": 1, "complete": true, "members": members}, "settings": settings(reach)
+        });
+        std::fs::write(path("toml"), file).unwrap();
+        std::fs::write(path("json"), config.to_string()).unwrap();
+        let mut command = Command::new(env!("CARGO_BIN_EXE_orchidvalved"));
+        let mut child = command.env("NODE_CONFIG", path("json")).stderr(Stdio::piped()).spawn().unwrap();
+        let mut line = String::new();
+        let mut log = BufReader::new(child.stderr.take().unwrap());
+        log.read_line(&mut line).unwrap();
+        let node = line.trim().rsplit(' ').next().unwrap().parse().expect(&line);
+        // Read on, lest the node write to a pipe that nobody reads.
+        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+        Rig { child, node, stores, shelf, agent, members }
+    }
+
+    pub fn shelf(&self) -> MutexGuard<'_, Shelf> {
+        self.shelf.lock().unwrap()
+    }
+
+    pub fn fill(&self, index: &str, documents: u64) -> Vec<Document> {
+        let routes = self.shelf().routes.clone();
+        let index = routes.index(index).unwrap();
+        let made = (0..documents).map(|n| {
+            let notes = ["piano up", "two stairs", "piano and stairs", ""][n as usize % 4];
+            let mut source = json!({"customer": format!("c{}", n % 7), "crew": n % 5});
+            if index.name == "jobs" {
+                source["notes"] = json!(notes);
+            }
+            let document = Document::new(&format!("d{n:03}"), source, &index.mapping).unwrap();
+            let home = index.home(&document.id, None).unwrap();
+            self.shelf().put(&index.name, home, document.clone());
+            document
+        });
+        made.collect()
+    }
+
+    pub fn script(&self, store: usize, all: Option<Trouble>, rules: &[(&str, Trouble)]) {
+        let rules = rules.iter().map(|&(words, trouble)| (words.to_owned(), trouble)).collect();
+        self.stores[store].script(Script { rules, all, probes: None });
+    }
+
+    pub fn send(&self, method: &str, path: &str, more: &str, body: &str) -> Peer {
+        let mut stream = TcpStream::connect(self.node).unwrap();
+        stream.set_read_timeout(Some(TOO_LONG)).unwrap();
+        let head = format!("{method} {path} HTTP/1.1\r\n{more}Content-Length: {}\r\n\r\n", body.len());
+        stream.write_all(format!("{head}{body}").as_bytes()).unwrap();
+        Peer(stream)
+    }
+
+    pub fn ask(&self, method: &str, path: &str, body: &Value) -> (u16, Value) {
+        let (status, _, body) = self.send(method, path, "", &body.to_string()).answer();
+        (status, body)
+    }
+
+    pub fn parts(&self) -> usize {
+        self.stores.iter().map(|s| s.seen().parts.len()).sum()
+    }
+
+    pub fn counter(&self, name: &str) -> u64 {
+        let (_, _, text) = self.send("GET", "/metrics", "", "").text();
+        let line = text.lines().find(|l| l.starts_with(&format!("orchidvalve_{name}_total "))).unwrap();
+        line.rsplit(' ').next().unwrap().parse().unwrap()
+    }
+
+    pub fn until(&self, what: &str, mut holds: impl FnMut(&Rig) -> bool) {
+        let end = Instant::now() + TOO_LONG;
+        while !holds(self) {
+            assert!(Instant::now() < end, "{what}");
+            std::thread::yield_now();
+        }
+    }
+}
+
+pub struct Peer(pub TcpStream);
+
+impl Peer {
+    pub fn text(mut self) -> (u16, String, String) {
+        let mut inbox = Vec::new();
+        let mut buffer = [0; 16 << 10];
+        loop {
+            if let Some(end) = inbox.windows(4).position(|w| w == b"\r\n\r\n") {
+                let head = String::from_utf8(inbox[..end].to_vec()).unwrap();
+                let length = head.lines().find_map(|l| l.strip_prefix("Content-Length: ")).unwrap();
+                if inbox.len() >= end + 4 + length.parse::<usize>().unwrap() {
+                    let status = head.split(' ').nth(1).unwrap().parse().unwrap();
+                    return (status, head, String::from_utf8(inbox[end + 4..].to_vec()).unwrap());
+                }
+            }
+            let length = self.0.read(&mut buffer).unwrap();
+            assert!(length > 0, "closed without an answer");
+            inbox.extend_from_slice(&buffer[..length]);
+        }
+    }
+
+    pub fn answer(self) -> (u16, String, Value) {
+        let (status, head, body) = self.text();
+        (status, head, serde_json::from_str(&body).unwrap_or(Value::Null))
+    }
+}
+
+pub const OS: [&str; SLICES] = ["os", "os", "os"];
+pub const FRAMES: [&str; SLICES] = ["m", "m", "m"];
