--- /dev/null
+++ b/crates/cli/src/logbook.rs
@@ -0,0 +1,192 @@
+//! `orchidvalve logbook`: looking at a store's directory, and mending it. Looking takes nothing from its owner.
+
+use std::io::{IsTerminal, Write};
+use std::sync::Arc;
+use std::time::Instant;
+
+use clap::{Args, Subcommand};
+use orchidvalve_logbook::disk::Disk;
+use orchidvalve_logbook::disk::real::RealDisk;
+use orchidvalve_logbook::record::Kind;
+use orchidvalve_logbook::salvage::{Check, Told, check, live, records};
+use orchidvalve_logbook::store::{Compacted, LogbookOrders, Store};
+use serde_json::{Value, json};
+
+#[derive(Subcommand)]
+pub enum Command {
+    /// Read every byte and say what is damaged; status 2 if anything is. Works on a store in use
+    Check(Dir),
+    /// List the live records, oldest first. Works on a store in use
+    Dump(Dir),
+    /// Segments, sizes and records. Works on a store in use
+    Stats(Dir),
+    /// Merge all that is worth it. The store must not be in use
+    Compact(CompactArgs),
+    /// List all records that can be told in files kept aside, or in the one named
+    Salvage(SalvageArgs),
+}
+
+#[derive(Args)]
+pub struct Dir {
+    /// The store's directory
+    dir: String,
+    /// As JSON: an object, or an object a line for records
+    #[arg(long)]
+    json: bool,
+}
+
+#[derive(Args)]
+pub struct CompactArgs {
+    #[command(flatten)]
+    dir: Dir,
+    /// What the store is for
+    #[arg(long, default_value = "orchidvalve-node")]
+    name: String,
+}
+
+#[derive(Args)]
+pub struct SalvageArgs {
+    #[command(flatten)]
+    dir: Dir,
+    /// A file in it, such as salvage-0000000000000007.seg; all that are kept aside where none is named
+    #[arg(long)]
+    file: Option<String>,
+}
+
+pub fn run(command: Command) -> Result<(), String> {
+    match command {
+        Command::Check(dir) => checked(&dir, true),
+        Command::Stats(dir) => checked(&dir, false),
+        Command::Dump(dir) => {
+            let told = live(&open(&dir)?).map_err(|e| format!("{}: {e}", dir.dir))?;
+            print(&told, dir.json)
+        }
+        Command::Compact(args) => compact(&args),
+        Command::Salvage(args) => salvage(&args),
+    }
+}
+
+fn open(dir: &Dir) -> Result<RealDisk, String> {
+    RealDisk::existing(&dir.dir).map_err(|e| format!("{}: {e}", dir.dir))
+}
+
+/// Says how far long work has come, on a terminal only.
+fn progress() -> impl FnMut(u64, u64) {
+    let (mut said, terminal) = (Instant::now(), std::io::stderr().is_terminal());
+    move |done, all| {
+        if terminal && (said.elapsed().as_millis() > 200 || done >= all) {
+            said = Instant::now();
+            let end = if done >= all { "\n" } else { "" };
+            eprint!("\r{} of {} MB{end}", done >> 20, all >> 20);
+        }
+    }
+}
+
+fn checked(dir: &Dir, judge: bool) -> Result<(), String> {
+    let told = check(&open(dir)?, progress()).map_err(|e| format!("{}: {e}", dir.dir))?;
+    if dir.json {
+        println!("{}", as_json(&told));
+    } else {
+        println!("{:<24} {:>12} {:>10} {:>14} {:>14}  kind", "segment", "bytes", "records", "first", "next");
+        for s in &told.segments {
+            let kind = match (s.active, s.merged, s.unread) {
+                (true, ..) if s.unread.is_some() => "active, its end is not whole",
+                (true, ..) => "active",
+                (_, true, _) => "merged",
+                _ => "sealed",
+            };
+            println!(
+                "{:<24} {:>12} {:>10} {:>14} {:>14}  {kind}",
+                s.name, s.bytes, s.records, s.first, s.next
+            );
+        }
+        let sum =
+            |of: fn(&orchidvalve_logbook::salvage::Checked) -> u64| told.segments.iter().map(of).sum::<u64>();
+        println!("{:<24} {:>12} {:>10}", "all", sum(|s| s.bytes), sum(|s| s.records));
+        told.aside.iter().for_each(|name| println!("kept aside: {name}"));
+    }
+    match told.faults.first() {
+        Some(_) if judge => Err(format!("{}: {}", dir.dir, told.faults.join("; "))),
+        _ => Ok(()),
+    }
+}
+
+fn as_json(told: &Check) -> Value {
+    let segments = told.segments.iter().map(|s| {
+        json!({"name": s.name, "bytes": s.bytes, "records": s.records, "first": s.first, "next": s.next,
+               "merged": s.merged, "active": s.active, "unread_from": s.unread.map(|(at, _)| at)})
+    });
+    json!({"generation": told.generation, "segments": segments.collect::<Vec<_>>(), "missing": told.missing,
+           "aside": told.aside, "faults": told.faults})
+}
+
+/// A key or a value as text where it is some, else as hex digits.
+fn shown(bytes: &[u8]) -> String {
+    match std::str::from_utf8(bytes) {
+        Ok(text) if !text.contains(char::is_control) => text.to_owned(),
+        _ => bytes.iter().map(|b| format!("{b:02x}")).collect(),
+    }
+}
+
+fn print(told: &[Told], as_json: bool) -> Result<(), String> {
+    let mut out = std::io::stdout().lock();
+    for r in told {
+        let kind = if r.kind == Kind::Put { "put" } else { "delete" };
+        let (key, value) = (shown(&r.key), shown(&r.value));
+        let line = if as_json {
+            json!({"sequence": r.sequence, "kind": kind, "space": r.space, "key": key, "value": value})
+                .to_string()
+        } else {
+            format!("{:>12} {kind:<6} {:>5} {key} {value}", r.sequence, r.space)
+        };
+        // Who reads the list may have seen enough.
+        if writeln!(out, "{line}").is_err() {
+            return Ok(());
+        }
+    }
+    Ok(())
+}
+
+fn compact(args: &CompactArgs) -> Result<(), String> {
+    let wrong = |e: String| format!("{}: {e}", args.dir.dir);
+    let orders = LogbookOrders::named(&args.name);
+    let (mut store, _) = Store::open(Arc::new(open(&args.dir)?), orders).map_err(|e| wrong(e.to_string()))?;
+    let (before, mut runs, mut done, mut said) = (store.bytes(), 0, 0, progress());
+    loop {
+        match store.compact_unbounded().map_err(|e| wrong(e.to_string()))? {
+            Compacted::Nothing | Compacted::Later => break,
+            Compacted::Damaged(number) => {
+                return Err(wrong(format!("segment {number:016x} cannot be read; see logbook check")));
+            }
+            Compacted::Some(bytes) => {
+                done += bytes;
+                said(done, 2 * before);
+            }
+            Compacted::Run(..) => runs += 1,
+        }
+    }
+    let after = store.bytes();
+    if args.dir.json {
+        println!("{}", json!({"before": before, "after": after, "runs": runs}));
+    } else {
+        println!("{before} bytes before, {after} after, {runs} runs merged");
+    }
+    Ok(())
+}
+
+fn salvage(args: &SalvageArgs) -> Result<(), String> {
+    let disk = open(&args.dir)?;
+    let wrong = |e: std::io::Error| format!("{}: {e}", args.dir.dir);
+    let names = match &args.file {
+        Some(name) => vec![name.clone()],
+        None => disk.list().map_err(wrong)?.into_iter().filter(|n| n.starts_with("salvage-")).collect(),
+    };
+    for name in names {
+        let told = records(&disk, &name).map_err(|e| format!("{}/{name}: {e}", args.dir.dir))?;
+        if !args.dir.json {
+            println!("{name}: {} records", told.len());
+        }
+        print(&told, args.dir.json)?;
+    }
+    Ok(())
+}
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,12 +1,13 @@
-//! The command line for operators: `orchidvalve node`, `orchidvalve search`, `orchidvalve standin`.
+//! The command line for operators: `orchidvalve node`, `logbook`, `search`, `standin`.
 
+mod logbook;
 mod search;
 mod standin;
 
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
-use orchidvalve_frontnode::config::{ROUTES_VARIABLE, Source, VARIABLE};
+use orchidvalve_frontnode::config::{LOGBOOK_VARIABLE, ROUTES_VARIABLE, Source, VARIABLE};
 use orchidvalve_frontnode::{log, node};
 
 /// What cannot be used: a file, a key or a query. Told as `FILE: PATH: reason`.
@@ -26,6 +27,9 @@
     /// Look into queries and routes of the search door, without a node
     #[command(subcommand)]
     Search(search::Command),
+    /// Look at, compact or salvage the directory of a logbook
+    #[command(subcommand)]
+    Logbook(logbook::Command),
     /// Run a stand-in for a store on loopback, with documents in memory
     Standin(standin::StandinArgs),
 }
@@ -38,6 +42,9 @@
     /// The routes of the search door, where the configuration does not name them
     #[arg(long, env = ROUTES_VARIABLE, value_name = "FILE")]
     search: Option<String>,
+    /// The file of the logbook, where the configuration does not name it
+    #[arg(long, env = LOGBOOK_VARIABLE, value_name = "FILE")]
+    logbook: Option<String>,
     /// How log lines are written on standard error
     #[arg(long, value_enum, default_value = "text")]
     log_format: LogFormat,
@@ -56,9 +63,11 @@
                 LogFormat::Text => log::Format::Text,
                 LogFormat::Json => log::Format::Json,
             });
-            node::serve(Source { config: args.config, search: args.search }).map_err(|fault| (1, fault))
+            node::serve(Source { config: args.config, search: args.search, logbook: args.logbook })
+                .map_err(|fault| (1, fault))
         }
         Command::Search(command) => search::run(command).map_err(|fault| (UNUSABLE, fault)),
+        Command::Logbook(command) => logbook::run(command).map_err(|fault| (UNUSABLE, fault)),
         Command::Standin(args) => standin::run(args).map_err(|fault| (UNUSABLE, fault)),
     };
     match done {
--- a/crates/frontnode/src/clients.rs
+++ b/crates/frontnode/src/clients.rs
@@ -12,6 +12,7 @@
 use slotmap::SlotMap;
 use socket2::{Domain, Socket, Type};
 
+use crate::archive::Archive;
 use crate::config::Plan;
 use crate::deadlines::Mark;
 use crate::desk::{Asked, Desk};
@@ -434,13 +435,14 @@
     let reply = match (message.method, path) {
         ("GET", "/_health") if serving => Reply::text(200, "serving\n"),
         ("GET", "/_health") => Reply::text(503, "not serving\n"),
-        ("GET", "/metrics") => Reply::text(
-            200,
-            kit.counters.text(&[
+        ("GET", "/metrics") => {
+            let mut now = vec![
                 ("retrievals_open", "retrievals that wait for their answer", desk.unanswered()),
                 ("deadlines_set", "deadlines not due yet", kit.deadlines.len()),
-            ]),
-        ),
+            ];
+            now.extend(kit.archive.iter().flat_map(Archive::gauges));
+            Reply::text(200, kit.counters.text(&now))
+        }
         (_, "/_health" | "/metrics") => Reply::text(405, "no such method here\n"),
         _ => return None,
     };
--- a/crates/frontnode/src/config.rs
+++ b/crates/frontnode/src/config.rs
@@ -9,6 +9,7 @@
 use orchidvalve_search::routes::{PoolOrders, Routes, Settled};
 use serde_json::Value;
 
+use crate::archive::ArchiveOrders;
 use crate::pool::PoolTerms;
 use crate::roster::{self, Roster};
 use crate::wires::WireOrders;
@@ -17,6 +18,8 @@
 pub const VARIABLE: &str = "NODE_CONFIG";
 /// Variable that may hold the path of the routes, beside the configuration's key `search`.
 pub const ROUTES_VARIABLE: &str = "NODE_SEARCH";
+/// Variable that may hold the path of the logbook's file, beside the key `logbook`.
+pub const LOGBOOK_VARIABLE: &str = "NODE_LOGBOOK";
 
 /// Descriptors that are neither clients nor replicas: the loop's own, the listener, the agent, the log.
 const OTHER_SOCKETS: usize = 16;
@@ -35,6 +38,8 @@
     /// Names of the service grades, and whether their retrievals carry a receipt.
     pub grades: Vec<(String, bool)>,
     pub tenants: Vec<String>,
+    /// What is remembered over a restart, and where; none where nothing is.
+    pub archive: Option<ArchiveOrders>,
     /// When each grade's retrievals are abandoned, counted from their beginning.
     pub abandon: Vec<Nanos>,
     /// Where queries of the search door go; none where it is closed.
@@ -72,28 +77,36 @@
     pub config: String,
     /// The file of routes, where the configuration's key `search` does not name it: its form is not always ours.
     pub search: Option<String>,
+    /// The operator's file of the logbook, in the same way beside the key `logbook`.
+    pub logbook: Option<String>,
 }
 
 impl Source {
     pub fn from_environment() -> Result<Source, String> {
         let config = std::env::var(VARIABLE);
         let config = config.map_err(|_| format!("${VARIABLE}: not set; it names the configuration"))?;
-        Ok(Source { config, search: std::env::var(ROUTES_VARIABLE).ok().filter(|path| !path.is_empty()) })
+        let path = |name| std::env::var(name).ok().filter(|path| !path.is_empty());
+        Ok(Source { config, search: path(ROUTES_VARIABLE), logbook: path(LOGBOOK_VARIABLE) })
     }
 
     pub fn read(&self) -> Result<(Plan, StandingOrders), String> {
         let path = &self.config;
         let text =
             std::fs::read_to_string(path).map_err(|e| format!("${VARIABLE}: cannot read {path}: {e}"))?;
-        read(&text, self.search.as_deref())
+        read(&text, self.search.as_deref(), self.logbook.as_deref())
     }
 }
 
 /// ```
-/// let fault = orchidvalve_frontnode::config::read(r#"{"name": "n1", "listen": "here"}"#, None).unwrap_err();
+/// let fault = orchidvalve_frontnode::config::read(r#"{"name": "n1", "listen": "here"}"#, None, None).unwrap_err();
 /// assert_eq!(fault, "configuration.listen: should be an address and a port, not 'here'");
 /// ```
-pub fn read(text: &str, search: Option<&str>) -> Result<(Plan, StandingOrders), String> {
+/// `search`, `logbook`: files that the keys of those names go before.
+pub fn read(
+    text: &str,
+    search: Option<&str>,
+    logbook: Option<&str>,
+) -> Result<(Plan, StandingOrders), String> {
     let whole: Value = serde_json::from_str(text).map_err(|e| format!("configuration: no JSON: {e}"))?;
     let whole = Section::of("configuration", &whole)?;
     let name = whole.text("name")?.to_owned();
@@ -137,6 +150,7 @@
         grades,
         tenants: tenants.iter().map(|t| t.text("name").map(str::to_owned)).collect::<Result<_, _>>()?,
         shards,
+        archive: archive(&whole, logbook)?,
         abandon: orders.grades.iter().map(|g| g.abandon).collect(),
         routes,
         wires: WireOrders {
@@ -154,7 +168,7 @@
         requests_most: (memory << 20) / 4,
         request_within: REQUEST_WITHIN,
         beat: orders.beat,
-        fixed: ["name", "listen", "limits", "settings", "search"]
+        fixed: ["name", "listen", "limits", "settings", "search", "logbook"]
             .map(|key| (key, print(whole.get(key))))
             .to_vec(),
     };
@@ -172,6 +186,17 @@
     Routes::read(&text, &settled).map(|routes| Some(Rc::new(routes))).map_err(|e| format!("{path}: {e}"))
 }
 
+/// The file of the logbook, by the key `logbook` or else by what the program was told.
+fn archive(whole: &Section, told: Option<&str>) -> Result<Option<ArchiveOrders>, String> {
+    let path = whole.or("logbook", told.unwrap_or_default(), Section::text)?;
+    if path.is_empty() {
+        return Ok(None);
+    }
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| whole.fault("logbook", &format!("cannot read {path}: {e}")))?;
+    ArchiveOrders::read(&text).map(Some).map_err(|e| format!("{path}: {e}"))
+}
+
 fn pool_terms(orders: PoolOrders) -> PoolTerms {
     let second = 1_000_000_000;
     let close_every = second / Nanos::from(orders.closes_a_second.max(1));
--- a/crates/frontnode/src/kit.rs
+++ b/crates/frontnode/src/kit.rs
@@ -6,6 +6,7 @@
 use orchidvalve::interface::{Nanos, PartIx};
 use slotmap::new_key_type;
 
+use crate::archive::Archive;
 use crate::counters::Counters;
 use crate::deadlines::{Clock, Deadlines};
 
@@ -70,4 +71,6 @@
     pub counters: Counters,
     /// Who has something left to do in the next round.
     pub again: Vec<Who>,
+    /// What is remembered over a restart, where that is switched on.
+    pub archive: Option<Archive>,
 }
--- a/crates/frontnode/src/lib.rs
+++ b/crates/frontnode/src/lib.rs
@@ -2,6 +2,7 @@
 //!
 //! [`node::Node`] runs one; [`config`] reads what it is told. Every decision is made by the crate `orchidvalve`.
 
+pub mod archive;
 pub mod clients;
 pub mod config;
 pub mod counters;
--- a/crates/frontnode/src/members.rs
+++ b/crates/frontnode/src/members.rs
@@ -79,13 +79,20 @@
     ) {
         ledger.roster_opens(told.complete);
         let mut named = vec![false; self.replicas.len()];
-        for Member { id, address, flavor, locality, cell, serving, removed, started } in told.members {
+        for member in told.members {
+            if let Some(archive) = &mut kit.archive {
+                archive.member(&member);
+            }
+            let Member { id, address, flavor, locality, cell, serving, removed, started } = member;
             let speech = self.speech(&id, &flavor, &locality);
             let known = self.replicas.get(&id).copied();
             let ix = known.unwrap_or_else(|| {
                 let ix = ledger.replica_met(cell);
                 // Where it takes the slot of one that is gone, nothing of that one stays.
                 self.replicas.retain(|_, other| *other != ix);
+                if let Some(archive) = &mut kit.archive {
+                    archive.met(ix);
+                }
                 servers.met(ix, kit);
                 self.replicas.insert(id, ix);
                 ix
@@ -104,9 +111,21 @@
             for ix in absent.map(|(ix, _)| ReplicaIx(ix)) {
                 servers.serves(ix, false, desk, kit);
                 ledger.replica_retired(ix);
+                let id = self.replicas.iter().find(|(_, other)| **other == ix).map(|(id, _)| id);
+                if let (Some(archive), Some(id)) = (&mut kit.archive, id) {
+                    archive.gone(id);
+                }
             }
         }
         self.revision = Some(told.revision);
+        if let Some(archive) = &mut kit.archive {
+            archive.heard(told.revision, kit.now);
+        }
+    }
+
+    /// Replicas by the aggregator's numbers.
+    pub fn named(&self) -> impl Iterator<Item = (&str, ReplicaIx)> {
+        self.replicas.iter().map(|(id, ix)| (&**id, *ix))
     }
 
     /// Another agent is asked at once, and for all of it: its revisions need not go on from the last one's.
--- a/crates/frontnode/src/node.rs
+++ b/crates/frontnode/src/node.rs
@@ -10,6 +10,7 @@
 use orchidvalve::interface::{Nanos, PartIx, ReplicaIx, RetrievalIx, Writer};
 use orchidvalve::ledger::Ledger;
 
+use crate::archive::Archive;
 use crate::clients::Clients;
 use crate::config::{Plan, Source};
 use crate::counters::Counters;
@@ -77,7 +78,10 @@
             deadlines: Deadlines::default(),
             counters: Counters::default(),
             again: Vec::new(),
+            archive: None,
         };
+        let archive = plan.archive.as_ref().map(|orders| Archive::open(orders, kit.now)).transpose()?;
+        let kit = Kit { archive, ..kit };
         let (servers, members) = (Servers::new(&plan), Members::new(&plan));
         let works = Works {
             source,
@@ -136,6 +140,9 @@
                 self.round(|works, ledger| works.hear(ready, ledger));
             }
         }
+        if let Some(archive) = self.works.get_mut().kit.archive.take() {
+            archive.stop();
+        }
         let works = self.works.borrow();
         log!("stopped; {}", works.kit.counters.line());
         Ok(())
@@ -162,6 +169,14 @@
         let works = self.works.get_mut();
         works.servers.post(&mut works.desk, &mut works.kit);
         works.desk.tidy(self.aggregator.ledger());
+        if let Some(archive) = &mut works.kit.archive {
+            for (id, ix) in works.members.named() {
+                if let Some(standing) = self.aggregator.standing(ix) {
+                    archive.thought(ix, id, standing, now);
+                }
+            }
+            archive.flush();
+        }
     }
 }
 
--- a/crates/frontnode/src/roster.rs
+++ b/crates/frontnode/src/roster.rs
@@ -4,6 +4,7 @@
 
 use orchidvalve::interface::Nanos;
 use orchidvalve_orders::Section;
+use serde::{Deserialize, Serialize};
 use serde_json::Value;
 
 /// What discovery told, once read whole.
@@ -14,7 +15,7 @@
     pub members: Vec<Member>,
 }
 
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
 pub struct Member {
     pub id: String,
     pub address: SocketAddr,
--- a/crates/frontnode/tests/rig/mod.rs
+++ b/crates/frontnode/tests/rig/mod.rs
@@ -70,6 +70,7 @@
     pub shelf: Arc<Mutex<Shelf>>,
     pub agent: TcpListener,
     pub members: Value,
+    config: String,
 }
 
 impl Drop for Rig {
@@ -84,7 +85,41 @@
            "flavor": flavor, "locality": "a", "up_since_ms": 0})
 }
 
+/// Runs the node until it listens; and the lines that it wrote before.
+fn spawn(config: &str) -> (Child, SocketAddr, Vec<String>) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_orchidvalved"));
+    let mut child = command.env("NODE_CONFIG", config).stderr(Stdio::piped()).spawn().unwrap();
+    let (mut lines, mut log) = (Vec::new(), BufReader::new(child.stderr.take().unwrap()));
+    let node = loop {
+        let mut line = String::new();
+        assert!(log.read_line(&mut line).unwrap() > 0, "it ended: {lines:?}");
+        if line.contains("listening on") {
+            break line.trim().rsplit(' ').next().unwrap().parse().expect(&line);
+        }
+        lines.push(line);
+    };
+    // Read on, lest the node write to a pipe that nobody reads.
+    std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+    (child, node, lines)
+}
+
 impl Rig {
+    /// Kills it as power that goes does, and starts it again; what it wrote before it listened.
+    pub fn restart(&mut self) -> Vec<String> {
+        self.child.kill().unwrap();
+        self.child.wait().unwrap();
+        let lines;
+        (self.child, self.node, lines) = spawn(&self.config);
+        lines
+    }
+
+    /// Tells the agent's next caller this roster.
+    pub fn tell(&self, agent: &mut TcpStream, roster: &Value) {
+        let roster = roster.to_string();
+        let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{roster}", roster.len());
+        let _ = agent.write_all(answer.as_bytes());
+    }
+
     /// With room for many clients and many connections to stores, for measurements.
     pub fn open_wide(story: &str, flavors: [&str; SLICES]) -> Rig {
         Rig::open_with(story, 2, flavors, "[pool]\nconnections = 64\n", 1024)
@@ -110,17 +145,17 @@
             "seed": "8c1f30d27a5be964", "limits": {"memory_mb": 192, "sockets": sockets}, "search": path("toml"),
             "known": {"revision": 1, "complete": true, "members": members}, "settings": settings(reach)
         });
+        let book = format!("[logbook]\ndir = \"{}\"\nsoon_ms = 1\n", path("book"));
+        let _ = std::fs::remove_dir_all(path("book"));
+        std::fs::write(path("book.toml"), book).unwrap();
+        let mut config = config;
+        if more.contains("# logbook") {
+            config["logbook"] = json!(path("book.toml"));
+        }
         std::fs::write(path("toml"), file).unwrap();
         std::fs::write(path("json"), config.to_string()).unwrap();
-        let mut command = Command::new(env!("CARGO_BIN_EXE_orchidvalved"));
-        let mut child = command.env("NODE_CONFIG", path("json")).stderr(Stdio::piped()).spawn().unwrap();
-        let mut line = String::new();
-        let mut log = BufReader::new(child.stderr.take().unwrap());
-        log.read_line(&mut line).unwrap();
-        let node = line.trim().rsplit(' ').next().unwrap().parse().expect(&line);
-        // Read on, lest the node write to a pipe that nobody reads.
-        std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-        Rig { child, node, stores, shelf, agent, members }
+        let (child, node, _) = spawn(&path("json"));
+        Rig { child, node, stores, shelf, agent, members, config: path("json") }
     }
 
     pub fn shelf(&self) -> MutexGuard<'_, Shelf> {
--- a/crates/frontnode/tests/search.rs
+++ b/crates/frontnode/tests/search.rs
@@ -3,7 +3,7 @@
 
 mod rig;
 
-use std::io::{Read, Write};
+use std::io::Read;
 
 use orchidvalve_search::answer::merge;
 use orchidvalve_search::evaluate;
@@ -237,9 +237,7 @@
     assert!(agent.read(&mut request).unwrap() > 0);
     let mut members = rig.members.clone();
     members[0]["phase"] = json!("draining");
-    let roster = json!({"revision": 2, "complete": true, "members": members}).to_string();
-    let answer = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{roster}", roster.len());
-    agent.write_all(answer.as_bytes()).unwrap();
+    rig.tell(&mut agent, &json!({"revision": 2, "complete": true, "members": members}));
     rig.until("what waits is dropped", |rig| rig.counter("launches_unsent") >= 1);
     assert_eq!((first.answer().0, second.answer().0), (429, 429));
     assert_eq!(rig.stores[0].seen().parts.len(), 1, "nothing new");
--- /dev/null
+++ b/crates/logbook/src/disk/real.rs
@@ -0,0 +1,121 @@
+//! A directory of the system.
+
+use std::fs::{File, OpenOptions, TryLockError};
+use std::io;
+use std::os::unix::fs::FileExt;
+use std::path::{Path, PathBuf};
+use std::sync::Arc;
+
+use super::{Disk, DiskFile};
+
+const LOCK: &str = "LOCK";
+
+pub struct RealDisk {
+    path: PathBuf,
+}
+
+impl RealDisk {
+    /// Made where it is not there.
+    pub fn at(path: impl Into<PathBuf>) -> io::Result<RealDisk> {
+        let path = path.into();
+        std::fs::create_dir_all(&path)?;
+        Ok(RealDisk { path })
+    }
+
+    /// One that must be there.
+    pub fn existing(path: impl Into<PathBuf>) -> io::Result<RealDisk> {
+        let path = path.into();
+        let kind = std::fs::metadata(&path)?;
+        if kind.is_dir() { Ok(RealDisk { path }) } else { Err(io::ErrorKind::NotADirectory.into()) }
+    }
+
+    pub fn path(&self) -> &Path {
+        &self.path
+    }
+}
+
+struct RealFile(File);
+
+impl DiskFile for RealFile {
+    fn write_at(&self, at: u64, bytes: &[u8]) -> io::Result<()> {
+        self.0.write_all_at(bytes, at)
+    }
+
+    fn read_at(&self, at: u64, into: &mut [u8]) -> io::Result<usize> {
+        let mut read = 0;
+        while read < into.len() {
+            match self.0.read_at(&mut into[read..], at + read as u64) {
+                Ok(0) => break,
+                Ok(length) => read += length,
+                Err(e) if e.kind() == io::ErrorKind::Interrupted => {}
+                Err(e) => return Err(e),
+            }
+        }
+        Ok(read)
+    }
+
+    fn length(&self) -> io::Result<u64> {
+        Ok(self.0.metadata()?.len())
+    }
+
+    fn truncate(&self, length: u64) -> io::Result<()> {
+        self.0.set_len(length)
+    }
+
+    fn sync(&self) -> io::Result<()> {
+        self.0.sync_data()
+    }
+}
+
+impl Disk for RealDisk {
+    fn list(&self) -> io::Result<Vec<String>> {
+        let mut names = Vec::new();
+        for entry in std::fs::read_dir(&self.path)? {
+            names.extend(entry?.file_name().into_string().ok());
+        }
+        names.sort();
+        Ok(names)
+    }
+
+    fn create(&self, name: &str) -> io::Result<Arc<dyn DiskFile>> {
+        let mut how = OpenOptions::new();
+        let file = how.read(true).write(true).create(true).truncate(true).open(self.path.join(name))?;
+        Ok(Arc::new(RealFile(file)))
+    }
+
+    fn open(&self, name: &str) -> io::Result<Arc<dyn DiskFile>> {
+        let file = OpenOptions::new().read(true).write(true).open(self.path.join(name));
+        // Those who only look may not be allowed to write.
+        let file = file.or_else(|_| File::open(self.path.join(name)))?;
+        Ok(Arc::new(RealFile(file)))
+    }
+
+    fn rename(&self, from: &str, to: &str) -> io::Result<()> {
+        std::fs::rename(self.path.join(from), self.path.join(to))
+    }
+
+    fn remove(&self, name: &str) -> io::Result<()> {
+        std::fs::remove_file(self.path.join(name))
+    }
+
+    fn sync_names(&self) -> io::Result<()> {
+        File::open(&self.path)?.sync_all()
+    }
+
+    fn lock(&self) -> io::Result<Box<dyn Send + Sync>> {
+        let mut how = OpenOptions::new();
+        let file = how.read(true).write(true).create(true).truncate(false).open(self.path.join(LOCK))?;
+        match file.try_lock() {
+            Ok(()) => Ok(Box::new(file)),
+            Err(TryLockError::WouldBlock) => {
+                Err(io::Error::new(io::ErrorKind::ResourceBusy, "another process has it open"))
+            }
+            Err(TryLockError::Error(e)) => Err(e),
+        }
+    }
+
+    fn free(&self) -> io::Result<u64> {
+        let told = rustix::fs::statvfs(&self.path)?;
+        Ok(told.f_bavail.saturating_mul(told.f_frsize))
+    }
+}
--- /dev/null
+++ b/crates/logbook/tests/crash.rs
@@ -0,0 +1,485 @@
+//! Crashes, cuts, flips and failing calls at every place, on a simulated disk. Whatever happens, the store opens as it
+//! was after some batch that was issued, and no earlier than the last one that was acknowledged as durable.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use orchidvalve_logbook::disk::Disk;
+use orchidvalve_logbook::disk::sim::{Kept, Loss, SimDisk};
+use orchidvalve_logbook::index::View;
+use orchidvalve_logbook::policy::CompactionOrders;
+use orchidvalve_logbook::salvage;
+use orchidvalve_logbook::store::{Batch, Compacted, Found, LogbookOrders, OpenFault, Store};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64;
+
+type State = BTreeMap<(u16, Vec<u8>), Vec<u8>>;
+
+fn orders(checkpoints: bool) -> LogbookOrders {
+    let compaction =
+        CompactionOrders { waste_share: 0.2, segments_most: 6, free_least: 0, ..CompactionOrders::default() };
+    LogbookOrders { segment_bytes: 500, checkpoints, compaction, ..LogbookOrders::named("test") }
+}
+
+fn open(disk: &SimDisk, checkpoints: bool) -> (Store, Found) {
+    Store::open(Arc::new(disk.clone()), orders(checkpoints)).unwrap()
+}
+
+/// What a workload issued and what it was told.
+#[derive(Default)]
+struct History {
+    /// The state after each batch; the first is the empty one.
+    states: Vec<State>,
+    /// As many batches were acknowledged as durable.
+    durable: usize,
+    /// A batch that failed was still issued: a crash may have kept it.
+    failed: bool,
+}
+
+#[derive(Clone, Copy, PartialEq)]
+enum On {
+    /// The machine is gone with the first call that fails.
+    Die,
+    /// Calls fail once, and the owner goes on.
+    GoOn,
+}
+
+fn batch(chance: &mut Pcg64, state: &mut State) -> Batch {
+    let mut batch = Batch::new();
+    for _ in 0..chance.random_range(1..4) {
+        let (space, key) = (chance.random_range(1..3), vec![b'k', chance.random_range(b'0'..b'6')]);
+        if chance.random_range(0..4) == 0 {
+            batch = batch.delete(space, &key);
+            state.remove(&(space, key));
+        } else {
+            let value = vec![chance.random(); chance.random_range(0..40)];
+            batch = batch.put(space, &key, &value);
+            state.insert((space, key), value);
+        }
+    }
+    batch
+}
+
+fn work(disk: &SimDisk, seed: u64, steps: usize, on: On) -> History {
+    let mut history = History { states: vec![State::new()], ..History::default() };
+    let opened = Store::open(Arc::new(disk.clone()), orders(true));
+    let Ok((mut store, _)) = opened else {
+        assert!(on == On::Die || !matches!(opened, Err(OpenFault::Foreign | OpenFault::Newer(_))));
+        return history;
+    };
+    let mut chance = Pcg64::seed_from_u64(seed);
+    for _ in 0..steps {
+        let failed = match chance.random_range(0..10) {
+            0..6 => {
+                let mut state = history.states.last().unwrap().clone();
+                let batch = batch(&mut chance, &mut state);
+                let failed = store.append(&batch).is_err();
+                if !failed || on == On::Die {
+                    history.states.push(state);
+                }
+                history.failed |= failed;
+                failed
+            }
+            6..8 => {
+                let synced = store.sync().is_ok();
+                if synced {
+                    history.durable = history.states.len() - 1;
+                }
+                !synced
+            }
+            _ => store.compact_unbounded().is_err(),
+        };
+        if failed && on == On::Die {
+            return history;
+        }
+    }
+    history
+}
+
+fn state(view: &View) -> State {
+    let spaces = [1, 2].into_iter();
+    spaces
+        .flat_map(|space| view.each(space).map(move |(key, value)| ((space, key), value.unwrap())))
+        .collect()
+}
+
+/// Which state of the history it is.
+fn place(found: &State, history: &History) -> Option<usize> {
+    history.states.iter().rposition(|state| state == found)
+}
+
+fn check(disk: &SimDisk, history: &History, what: &str) {
+    for checkpoints in [true, false] {
+        let disk = disk.copy();
+        let (mut store, _) = open(&disk, checkpoints);
+        let found = state(&store.view());
+        let at =
+            place(&found, history).unwrap_or_else(|| panic!("{what}: no state of the history: {found:?}"));
+        assert!(at >= history.durable, "{what}: batch {at}, but {} were durable", history.durable);
+        // It goes on, and what it takes now is there the next time.
+        store.append(&Batch::new().put(1, b"after", b"x")).unwrap();
+        store.sync().unwrap();
+        drop(store);
+        let mut expected = found;
+        expected.insert((1, b"after".to_vec()), b"x".to_vec());
+        assert_eq!(state(&open(&disk, checkpoints).0.view()), expected, "{what}");
+    }
+}
+
+/// The losses that a crash may cause, up to a bound: in order up to any change, torn, and out of order by one.
+fn losses(disk: &SimDisk) -> Vec<Loss> {
+    const MOST: usize = 3;
+    let (files, names) = disk.pending();
+    let kept = |pending: usize| {
+        let mut kept = vec![Kept::Nothing, Kept::All];
+        for n in pending.saturating_sub(MOST)..pending {
+            kept.extend([Kept::First(n), Kept::Without(n)]);
+        }
+        kept
+    };
+    let (files, names) = (kept(files), kept(names));
+    files.iter().flat_map(|&files| names.iter().map(move |&names| Loss { files, names })).collect()
+}
+
+#[test]
+fn a_crash_at_every_call_under_every_loss_keeps_a_prefix_with_all_that_was_durable() {
+    let (mut states, mut again) = (0, 0);
+    for seed in 0..3 {
+        let whole = SimDisk::new(1 << 20);
+        work(&whole, seed, 70, On::Die);
+        for call in 0..whole.calls() {
+            let disk = SimDisk::new(1 << 20);
+            disk.die_at(call);
+            let history = work(&disk, seed, 70, On::Die);
+            for (n, loss) in losses(&disk).into_iter().enumerate() {
+                let left = disk.after_crash(loss);
+                check(&left, &history, &format!("seed {seed}, call {call}, {loss:?}"));
+                states += 1;
+                // A second crash, at every call of the recovery.
+                if n % 5 == (call as usize) % 5 {
+                    let calls = {
+                        drop(open(&left.copy(), false));
+                        let l = left.copy();
+                        drop(open(&l, false));
+                        l.calls()
+                    };
+                    for second in 0..calls {
+                        let twice = left.copy();
+                        twice.die_at(second);
+                        let opened = Store::open(Arc::new(twice.clone()), orders(second % 2 == 0));
+                        assert!(opened.is_err() || second + 1 >= calls, "it noticed nothing");
+                        drop(opened);
+                        for loss in [
+                            (Kept::Nothing, Kept::Nothing),
+                            (Kept::All, Kept::All),
+                            (Kept::All, Kept::Nothing),
+                            (Kept::First(0), Kept::All),
+                        ] {
+                            let left = twice.after_crash(Loss { files: loss.0, names: loss.1 });
+                            check(&left, &history, &format!("seed {seed}, calls {call} and {second}"));
+                            again += 1;
+                        }
+                    }
+                }
+            }
+        }
+    }
+    println!("{states} states after a crash, {again} after a second one in the recovery");
+    assert!(states > 5_000 && again > 5_000, "{states} and {again}");
+}
+
+#[test]
+fn a_crash_that_takes_the_manifest_too_keeps_the_same() {
+    let whole = SimDisk::new(1 << 20);
+    work(&whole, 1, 90, On::Die);
+    for call in 4..whole.calls() {
+        let disk = SimDisk::new(1 << 20);
+        disk.die_at(call);
+        let history = work(&disk, 1, 90, On::Die);
+        for loss in losses(&disk) {
+            let left = disk.after_crash(loss);
+            let _ = left.remove("MANIFEST");
+            check(&left, &history, &format!("call {call}, {loss:?}, no manifest"));
+        }
+    }
+}
+
+#[test]
+fn what_a_start_has_shown_is_not_lost_by_a_crash_after_it() {
+    let disk = SimDisk::new(1 << 20);
+    let (mut store, _) = open(&disk, true);
+    store.append(&Batch::new().put(1, b"a", b"b")).unwrap();
+    // The process is killed, and the system still has what it wrote.
+    drop(store);
+    assert_eq!(open(&disk, true).0.view().len(), 1);
+    let left = disk.after_crash(Loss { files: Kept::Nothing, names: Kept::Nothing });
+    assert_eq!(open(&left, true).0.view().len(), 1);
+}
+
+#[test]
+fn a_tombstone_stays_as_long_as_something_older_may_come_back() {
+    let disk = SimDisk::new(1 << 20);
+    let mut orders = orders(true);
+    (orders.compaction.waste_share, orders.compaction.run_most) = (0.75, 1_500);
+    let (mut store, _) = Store::open(Arc::new(disk.clone()), orders).unwrap();
+    let mut put = |key: &[u8], value: &[u8]| {
+        store.append(&Batch::new().put(1, key, value)).unwrap();
+    };
+    // The oldest segment has no waste but one small record, and so is left as it is.
+    (0..6u8).for_each(|n| put(&[b'o', n], &[n; 30]));
+    put(b"gone", b"");
+    (0..12u8).for_each(|n| put(b"hot", &[n; 40]));
+    store.append(&Batch::new().delete(1, b"gone")).unwrap();
+    for n in 0..24u8 {
+        store.append(&Batch::new().put(1, b"hot", &[n; 40])).unwrap();
+    }
+    let oldest = store.segments()[0];
+    while store.compact_unbounded().unwrap() != Compacted::Nothing {}
+    assert_eq!(store.segments()[0], oldest, "it was not merged");
+    assert!(store.segments()[1].2, "those behind it were: {:?}", store.segments());
+    store.sync().unwrap();
+    drop(store);
+    for checkpoints in [true, false] {
+        let (store, _) = open(&disk.copy(), checkpoints);
+        assert_eq!((store.view().get(1, b"gone").unwrap(), store.view().len()), (None, 7));
+    }
+}
+
+type Seen = Vec<((u16, Vec<u8>), Option<Vec<u8>>)>;
+
+/// A disk with several sealed segments, merged ones among them, and its history.
+fn worked() -> (SimDisk, History) {
+    let disk = SimDisk::new(1 << 20);
+    let history = work(&disk, 4, 140, On::Die);
+    let segments = open(&disk.copy(), true).0.segments();
+    assert!(segments.len() > 3 && segments.iter().any(|(.., merged)| *merged), "{segments:?}");
+    (disk, history)
+}
+
+#[test]
+fn every_file_cut_at_every_byte_leaves_a_prefix() {
+    let (disk, history) = worked();
+    let mut cuts = 0;
+    for name in disk.names() {
+        let bytes = disk.bytes(&name).unwrap();
+        for length in 0..bytes.len() {
+            let cut = disk.copy();
+            cut.set_bytes(&name, bytes[..length].to_vec());
+            for checkpoints in [true, false] {
+                let found = state(&open(&cut.copy(), checkpoints).0.view());
+                assert!(place(&found, &history).is_some(), "{name} cut at {length}");
+            }
+            cuts += 1;
+        }
+    }
+    println!("{cuts} cuts");
+    assert!(cuts > 2_000);
+}
+
+#[test]
+fn a_bit_flipped_at_any_byte_of_any_file_is_noticed_or_harmless() {
+    let (disk, history) = worked();
+    let (mut flips, mut refusals) = (0, 0);
+    for name in disk.names() {
+        let bytes = disk.bytes(&name).unwrap();
+        for at in 0..bytes.len() {
+            let mut spoilt = bytes.clone();
+            spoilt[at] ^= 1 << (at % 8);
+            let disk = disk.copy();
+            disk.set_bytes(&name, spoilt);
+            // All read at the start: a state of the history.
+            let found = state(&open(&disk.copy(), false).0.view());
+            assert!(place(&found, &history).is_some(), "{name}, byte {at}");
+            // By checkpoints: what is read is right, or is said to be damaged.
+            let (store, _) = open(&disk.copy(), true);
+            let view = store.view();
+            let reads: Seen = [1, 2]
+                .into_iter()
+                .flat_map(|space| view.each(space).map(move |(key, value)| ((space, key), value.ok())))
+                .collect();
+            refusals += reads.iter().filter(|(_, value)| value.is_none()).count();
+            let fits = |state: &State| {
+                let same = |(key, value): &((u16, Vec<u8>), Option<Vec<u8>>)| {
+                    state.get(key).is_some_and(|v| value.as_ref().is_none_or(|value| value == v))
+                };
+                state.len() == reads.len() && reads.iter().all(same)
+            };
+            assert!(history.states.iter().any(fits), "{name}, byte {at}, by checkpoints");
+            flips += 1;
+        }
+    }
+    println!("{flips} flips, {refusals} reads refused as damaged");
+    assert!(flips > 2_000 && refusals > 0);
+}
+
+#[test]
+fn any_call_that_fails_once_loses_nothing_that_was_acknowledged() {
+    let whole = SimDisk::new(1 << 20);
+    work(&whole, 9, 90, On::GoOn);
+    for call in 0..whole.calls() {
+        let disk = SimDisk::new(1 << 20);
+        disk.fail_at(call);
+        let history = work(&disk, 9, 90, On::GoOn);
+        for loss in losses(&disk) {
+            check(&disk.after_crash(loss), &history, &format!("call {call} failed, {loss:?}"));
+        }
+    }
+}
+
+#[test]
+fn a_sync_that_fails_once_and_writes_nothing_is_made_good_from_memory() {
+    let whole = SimDisk::new(1 << 20);
+    work(&whole, 9, 90, On::GoOn);
+    assert!(whole.syncs() > 20);
+    for sync in 0..whole.syncs() {
+        let disk = SimDisk::new(1 << 20);
+        disk.fail_sync(sync);
+        let history = work(&disk, 9, 90, On::GoOn);
+        for loss in losses(&disk) {
+            check(&disk.after_crash(loss), &history, &format!("sync {sync} failed, {loss:?}"));
+        }
+    }
+}
+
+#[test]
+fn a_full_disk_fails_writes_and_nothing_else_and_compaction_brings_room_back() {
+    let disk = SimDisk::new(6_000);
+    let (mut store, _) = open(&disk, true);
+    let put =
+        |n: u32| Batch::new().put(1, &[(n % 5) as u8], &n.to_le_bytes()).put(2, &[(n % 5) as u8], &[7; 30]);
+    let full = (0..10_000).find(|&n| store.append(&put(n)).is_err()).expect("it runs full");
+    assert!(full > 20);
+    let last = |view: &View| view.get(1, &[((full - 1) % 5) as u8]).unwrap().unwrap();
+    assert_eq!(last(&store.view()), (full - 1).to_le_bytes(), "reading goes on");
+    // Merging has to write before it may remove: with some room it gives back far more.
+    disk.resize(8_000);
+    store.sync().unwrap();
+    while store.compact_unbounded().unwrap() != Compacted::Nothing {}
+    disk.resize(6_000);
+    assert!(disk.used() < 3_000, "{} bytes", disk.used());
+    store.append(&put(full)).unwrap();
+    store.sync().unwrap();
+    drop(store);
+    let left = disk.after_crash(Loss { files: Kept::Nothing, names: Kept::Nothing });
+    let (store, _) = open(&left, true);
+    assert_eq!(store.view().get(1, &[(full % 5) as u8]).unwrap().unwrap(), full.to_le_bytes());
+}
+
+#[test]
+fn a_disk_that_runs_full_at_any_size_keeps_what_was_durable() {
+    for capacity in (200..4_000).step_by(37) {
+        let disk = SimDisk::new(capacity);
+        let history = work(&disk, 11, 80, On::GoOn);
+        disk.resize(1 << 20);
+        for loss in losses(&disk) {
+            check(&disk.after_crash(loss), &history, &format!("{capacity} bytes, {loss:?}"));
+        }
+    }
+}
+
+#[test]
+fn a_view_stays_as_it_was_while_its_segments_are_compacted_away() {
+    let disk = SimDisk::new(1 << 20);
+    let (mut store, _) = open(&disk, true);
+    let put = |store: &mut Store, n: u64| {
+        store.append(&Batch::new().put(1, &[(n % 4) as u8], &n.to_le_bytes())).unwrap();
+    };
+    (0..40).for_each(|n| put(&mut store, n));
+    let (view, before) = (store.view(), store.segments());
+    for n in 40..400 {
+        put(&mut store, n);
+        while store.compact_unbounded().unwrap() != Compacted::Nothing {}
+    }
+    let numbers: Vec<u64> = store.segments().iter().map(|s| s.0).collect();
+    assert!(before.iter().all(|s| !numbers.contains(&s.0)), "none of its segments is left");
+    let values: Vec<u64> =
+        view.each(1).map(|(_, v)| u64::from_le_bytes(v.unwrap().try_into().unwrap())).collect();
+    assert_eq!(values, [36, 37, 38, 39]);
+}
+
+#[test]
+fn a_key_written_without_end_takes_bounded_room() {
+    let disk = SimDisk::new(1 << 30);
+    let orders = LogbookOrders { segment_bytes: 16 << 10, ..orders(true) };
+    let (mut store, _) = Store::open(Arc::new(disk.clone()), orders).unwrap();
+    let mut most = 0;
+    for n in 0..100_000u32 {
+        store.append(&Batch::new().put(1, &[(n % 10) as u8], &n.to_le_bytes())).unwrap();
+        if n % 500 == 0 {
+            while store.compact_unbounded().unwrap() != Compacted::Nothing {}
+            most = most.max(disk.used());
+        }
+    }
+    assert!(most < 120 << 10, "{most} bytes at most");
+    assert_eq!(store.view().len(), 10);
+}
+
+#[test]
+fn another_stores_directory_a_later_format_and_a_second_owner_are_refused() {
+    let disk = SimDisk::new(1 << 20);
+    let (mut store, _) = open(&disk, true);
+    store.append(&Batch::new().put(1, b"a", b"b")).unwrap();
+    store.sync().unwrap();
+    let second = Store::open(Arc::new(disk.clone()), orders(true));
+    assert!(matches!(second, Err(OpenFault::Owned(_))));
+    drop(store);
+    let other = LogbookOrders::named("something else");
+    assert!(matches!(Store::open(Arc::new(disk.clone()), other.clone()), Err(OpenFault::Foreign)));
+    // The manifest lost as well: the segments still say whose they are.
+    let lost = disk.copy();
+    lost.remove("MANIFEST").unwrap();
+    assert!(matches!(Store::open(Arc::new(lost), other), Err(OpenFault::Foreign)));
+    let mut bytes = disk.bytes("MANIFEST").unwrap();
+    bytes[8] = 9;
+    let end = bytes.len() - 4;
+    let sum = crc32c::crc32c(&bytes[..end]);
+    bytes[end..].copy_from_slice(&sum.to_le_bytes());
+    disk.set_bytes("MANIFEST", bytes);
+    assert!(matches!(Store::open(Arc::new(disk), orders(true)), Err(OpenFault::Newer(9))));
+}
+
+#[test]
+fn damage_is_told_by_segment_and_byte_and_what_stands_behind_it_can_be_salvaged() {
+    let disk = SimDisk::new(1 << 20);
+    let big = LogbookOrders { segment_bytes: 100_000, ..orders(false) };
+    let (mut store, _) = Store::open(Arc::new(disk.clone()), big.clone()).unwrap();
+    for n in 0..50u8 {
+        store.append(&Batch::new().put(1, &[n], &[n; 20])).unwrap();
+    }
+    store.sync().unwrap();
+    let place = store.view().entries().nth(20).map(|(.., entry)| entry.place).unwrap();
+    drop(store);
+    let name = "0000000000000001.seg";
+    let mut bytes = disk.bytes(name).unwrap();
+    bytes[place.at as usize + 30] ^= 1;
+    disk.set_bytes(name, bytes);
+    let told = salvage::check(&disk, |_, _| {}).unwrap();
+    assert!(
+        told.faults[0].contains(&format!("damaged at byte {}; records can be told", place.at)),
+        "{told:?}"
+    );
+    let (store, found) = Store::open(Arc::new(disk.clone()), big).unwrap();
+    assert_eq!((found.damaged, store.view().len()), (Some((1, place.at)), 20));
+    assert_eq!(found.aside, ["salvage-0000000000000001.seg"]);
+    let records = salvage::records(&disk, &found.aside[0]).unwrap();
+    let keys: Vec<u8> = records.iter().map(|r| r.key[0]).collect();
+    let expected: Vec<u8> = (0..50).filter(|n| *n != 20).collect();
+    assert_eq!(keys, expected, "all but the damaged one");
+    assert!(salvage::check(&disk, |_, _| {}).unwrap().sound());
+}
+
+#[test]
+fn a_clock_that_steps_back_stops_nothing() {
+    let disk = SimDisk::new(1 << 20);
+    let (mut store, _) = open(&disk, true);
+    let mut runs = 0;
+    for n in 0..2_000u32 {
+        store.tick(if n % 100 == 99 { -5_000_000_000 } else { i64::from(n) * 1_000_000 });
+        store.append(&Batch::new().put(1, &[(n % 4) as u8], &n.to_le_bytes())).unwrap();
+        if let Compacted::Run(before, after) = store.compact().unwrap() {
+            assert!(after < before);
+            runs += 1;
+        }
+    }
+    assert!(runs > 10, "{runs}");
+}
--- /dev/null
+++ b/crates/logbook/tests/model.rs
@@ -0,0 +1,147 @@
+//! The store against a plain map, with restarts, and readers beside a writer.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+
+use orchidvalve_logbook::disk::sim::SimDisk;
+use orchidvalve_logbook::keeper::{Durability, Keeper, KeeperOrders};
+use orchidvalve_logbook::store::{Batch, LogbookOrders, Store};
+use proptest::prelude::*;
+use proptest::test_runner::{Config, RngSeed};
+
+#[derive(Clone, Debug)]
+enum Act {
+    Put(u16, Vec<u8>, Vec<u8>),
+    Delete(u16, Vec<u8>),
+    Sync,
+    Compact,
+    Restart(bool),
+}
+
+fn act() -> impl Strategy<Value = Act> {
+    let key = || (0u16..2, proptest::collection::vec(0u8..4, 0..3));
+    prop_oneof![
+        6 => (key(), proptest::collection::vec(any::<u8>(), 0..60)).prop_map(|((s, k), v)| Act::Put(s, k, v)),
+        2 => key().prop_map(|(s, k)| Act::Delete(s, k)),
+        1 => Just(Act::Sync),
+        3 => Just(Act::Compact),
+        1 => any::<bool>().prop_map(Act::Restart),
+    ]
+}
+
+fn orders(checkpoints: bool) -> LogbookOrders {
+    let mut orders = LogbookOrders { segment_bytes: 300, checkpoints, ..LogbookOrders::named("model") };
+    (orders.compaction.waste_share, orders.compaction.free_least) = (0.1, 0);
+    orders
+}
+
+fn many() -> Config {
+    Config { cases: 200, rng_seed: RngSeed::Fixed(3), failure_persistence: None, ..Config::default() }
+}
+
+proptest! {
+    #![proptest_config(many())]
+
+    #[test]
+    fn whatever_is_done_the_store_holds_what_a_map_would(acts in proptest::collection::vec(act(), 1..160)) {
+        let disk = SimDisk::new(1 << 24);
+        let mut map: BTreeMap<(u16, Vec<u8>), Vec<u8>> = BTreeMap::new();
+        let mut store = Some(Store::open(Arc::new(disk.clone()), orders(true)).unwrap().0);
+        for act in acts {
+            let s = store.as_mut().unwrap();
+            match act {
+                Act::Put(space, key, value) => {
+                    s.append(&Batch::new().put(space, &key, &value)).unwrap();
+                    map.insert((space, key), value);
+                }
+                Act::Delete(space, key) => {
+                    s.append(&Batch::new().delete(space, &key)).unwrap();
+                    map.remove(&(space, key));
+                }
+                Act::Sync => s.sync().unwrap(),
+                Act::Compact => drop(s.compact_unbounded().unwrap()),
+                Act::Restart(checkpoints) => {
+                    drop(store.take());
+                    store = Some(Store::open(Arc::new(disk.clone()), orders(checkpoints)).unwrap().0);
+                }
+            }
+            let view = store.as_ref().unwrap().view();
+            let found: BTreeMap<(u16, Vec<u8>), Vec<u8>> =
+                view.entries().map(|(s, k, _)| ((s, k.to_vec()), view.get(s, k).unwrap().unwrap())).collect();
+            prop_assert_eq!(&found, &map);
+        }
+    }
+}
+
+#[test]
+fn readers_see_batches_whole_and_in_order_while_one_writes_and_compacts() {
+    let disk = SimDisk::new(1 << 26);
+    let (store, _) =
+        Store::open(Arc::new(disk.clone()), LogbookOrders { segment_bytes: 2_000, ..orders(true) }).unwrap();
+    let keeper = Keeper::start(store, KeeperOrders::default()).unwrap();
+    let (over, looked) = (AtomicBool::new(false), std::sync::atomic::AtomicU64::new(0));
+    std::thread::scope(|scope| {
+        for _ in 0..4 {
+            scope.spawn(|| {
+                let (mut last, mut held) = (0, None);
+                while !over.load(Relaxed) {
+                    let view = keeper.view();
+                    assert!(view.sequence >= last, "never back");
+                    last = view.sequence;
+                    let of = |space| view.get(space, b"n").unwrap();
+                    assert_eq!(of(1), of(2), "a batch is there whole");
+                    // One view is kept for long, over compactions.
+                    let (kept, value): &(Arc<_>, _) = held.get_or_insert_with(|| (view.clone(), of(1)));
+                    assert_eq!(&kept.get(1, b"n").unwrap(), value);
+                    looked.fetch_add(1, Relaxed);
+                }
+            });
+        }
+        let hand = keeper.hand();
+        for n in 0..5_000u32 {
+            let batch = Batch::new().put(1, b"n", &n.to_le_bytes()).put(2, b"n", &n.to_le_bytes());
+            let durability = if n % 100 == 0 { Durability::Durable } else { Durability::Soon };
+            if let Some(ticket) = hand.append(batch, durability).unwrap() {
+                ticket.wait().unwrap();
+            }
+        }
+        keeper.compact().unwrap();
+        over.store(true, Relaxed);
+    });
+    assert!(looked.load(Relaxed) > 0 && keeper.counts().compactions.load(Relaxed) > 0);
+    let store = keeper.stop().unwrap();
+    assert_eq!(store.view().get(1, b"n").unwrap().unwrap(), 4_999u32.to_le_bytes());
+}
+
+#[test]
+fn a_full_queue_merges_state_by_key_and_refuses_receipts() {
+    let disk = SimDisk::new(1 << 26);
+    let (store, _) = Store::open(Arc::new(disk.clone()), orders(true)).unwrap();
+    let keeper = Keeper::start(store, KeeperOrders { queue: 1, held: 2, ..KeeperOrders::default() }).unwrap();
+    let mut hand = keeper.hand();
+    let (mut refused, mut kept) = (0, Vec::new());
+    for n in 0..20_000u32 {
+        assert!(hand.state(1, &[(n % 2) as u8], Some(&n.to_le_bytes())), "two keys always have room");
+        match hand.receipt(Batch::new().put(2, &n.to_le_bytes(), b"r")) {
+            Ok(ticket) => kept.push((n, ticket)),
+            Err(batch) => {
+                assert_eq!(batch.len(), 1, "what is refused is given back");
+                refused += 1;
+            }
+        }
+    }
+    let kept: Vec<u32> = kept.into_iter().map(|(n, ticket)| ticket.wait().map(|_| n).unwrap()).collect();
+    while !hand.flush() {
+        std::thread::yield_now();
+    }
+    let counted = keeper.counts().refused.load(Relaxed);
+    let store = keeper.stop().unwrap();
+    let view = store.view();
+    assert_eq!(counted, refused);
+    assert!(kept.iter().all(|n| view.get(2, &n.to_le_bytes()).unwrap().is_some()) && !kept.is_empty());
+    assert_eq!(view.each(2).count(), kept.len(), "none that was refused is there");
+    let last: Vec<u32> =
+        view.each(1).map(|(_, v)| u32::from_le_bytes(v.unwrap().try_into().unwrap())).collect();
+    assert_eq!(last, [19_998, 19_999], "the latest state");
+}
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -77,6 +77,14 @@
     probe_due: Nanos,
 }
 
+/// What is thought of a replica, for hosts that remember it over a restart.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Standing {
+    /// Since when it is set aside.
+    pub aside: Option<Nanos>,
+    pub relapses: u32,
+}
+
 /// How a replica stands for the launches of this round.
 #[derive(Clone, Copy, Debug)]
 struct Seat {
@@ -136,6 +144,11 @@
         &self.ledger
     }
 
+    /// None for a slot that no round has seen.
+    pub fn standing(&self, ix: ReplicaIx) -> Option<Standing> {
+        self.opinions.get(ix.0).map(|o| Standing { aside: o.aside, relapses: o.relapses })
+    }
+
     pub fn round(&mut self, now: Nanos, came_in: impl FnOnce(&mut Ledger), w: &mut dyn Writer) {
         self.ledger.begin(now);
         came_in(&mut self.ledger);
