--- a/crates/cli/src/logbook.rs
+++ b/crates/cli/src/logbook.rs
@@ -151,6 +151,7 @@
     let wrong = |e: String| format!("{}: {e}", args.dir.dir);
     let orders = LogbookOrders::named(&args.name);
     let (mut store, _) = Store::open(Arc::new(open(&args.dir)?), orders).map_err(|e| wrong(e.to_string()))?;
+    store.seal_active().map_err(|e| wrong(e.to_string()))?;
     let (before, mut runs, mut done, mut said) = (store.bytes(), 0, 0, progress());
     loop {
         match store.compact_unbounded().map_err(|e| wrong(e.to_string()))? {
--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -3,11 +3,12 @@
 mod logbook;
 mod search;
 mod standin;
+mod why;
 
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
-use orchidvalve_frontnode::config::{LOGBOOK_VARIABLE, ROUTES_VARIABLE, Source, VARIABLE};
+use orchidvalve_frontnode::config::{LOGBOOK_VARIABLE, ROUTES_VARIABLE, Source, TRACE_VARIABLE, VARIABLE};
 use orchidvalve_frontnode::{log, node};
 
 /// What cannot be used: a file, a key or a query. Told as `FILE: PATH: reason`.
@@ -30,6 +31,8 @@
     /// Look at, compact or salvage the directory of a logbook
     #[command(subcommand)]
     Logbook(logbook::Command),
+    /// Tell from a trace why retrievals fared as they did
+    Why(why::WhyArgs),
     /// Run a stand-in for a store on loopback, with documents in memory
     Standin(standin::StandinArgs),
 }
@@ -45,6 +48,9 @@
     /// The file of the logbook, where the configuration does not name it
     #[arg(long, env = LOGBOOK_VARIABLE, value_name = "FILE")]
     logbook: Option<String>,
+    /// Write the reason of each decision to this file, - for standard error; `orchidvalve why` reads it
+    #[arg(long, env = TRACE_VARIABLE, value_name = "FILE")]
+    trace: Option<String>,
     /// How log lines are written on standard error
     #[arg(long, value_enum, default_value = "text")]
     log_format: LogFormat,
@@ -63,11 +69,17 @@
                 LogFormat::Text => log::Format::Text,
                 LogFormat::Json => log::Format::Json,
             });
-            node::serve(Source { config: args.config, search: args.search, logbook: args.logbook })
-                .map_err(|fault| (1, fault))
+            node::serve(Source {
+                config: args.config,
+                search: args.search,
+                logbook: args.logbook,
+                trace: args.trace,
+            })
+            .map_err(|fault| (1, fault))
         }
         Command::Search(command) => search::run(command).map_err(|fault| (UNUSABLE, fault)),
         Command::Logbook(command) => logbook::run(command).map_err(|fault| (UNUSABLE, fault)),
+        Command::Why(args) => why::run(&args).map_err(|fault| (UNUSABLE, fault)),
         Command::Standin(args) => standin::run(args).map_err(|fault| (UNUSABLE, fault)),
     };
     match done {
--- /dev/null
+++ b/crates/frontnode/benches/archive.rs
@@ -0,0 +1,46 @@
+//! What remembering costs the node: two nodes that hear of a roster all the time and serve the same clients, one with
+//! a logbook and one without, in turns. `cargo bench -p orchidvalve-frontnode --bench archive`, with `-- ROUNDS`.
+
+#[path = "../tests/rig/mod.rs"]
+mod rig;
+
+mod play;
+
+use play::Figures;
+use rig::FRAMES;
+
+fn main() {
+    let rounds: usize = std::env::args().filter_map(|a| a.parse().ok()).next().unwrap_or(6);
+    let mut both = [
+        Figures::new("logbook off", true, FRAMES, ""),
+        Figures::new("logbook on", true, FRAMES, "# logbook\n"),
+    ];
+    both.iter().for_each(|figures| drop(figures.rig.news()));
+    let mut longest = [Vec::new(), Vec::new()];
+    for round in 0..rounds {
+        for (figures, longest) in both.iter_mut().zip(&mut longest) {
+            figures.turn(round);
+            longest.push(figures.rig.gauge("round_p99_us"));
+        }
+    }
+    println!("| | retrievals a processor second | p50 ms | p99 ms | round p99 us, turns | rosters heard |");
+    println!("| --- | --- | --- | --- | --- | --- |");
+    for (f, longest) in both.iter().zip(&mut longest) {
+        longest.sort_unstable();
+        let ms = |q| f.latencies.value_at_quantile(q) as f64 / 1e3;
+        println!(
+            "| {} | {:.0} | {:.2} | {:.2} | {} to {}, middle {} | {} |",
+            f.name,
+            f.done as f64 / f.processor,
+            ms(0.5),
+            ms(0.99),
+            longest[0],
+            longest[longest.len() - 1],
+            longest[longest.len() / 2],
+            f.rig.counter("roster_news")
+        );
+    }
+    let keys = ["logbook_batches", "logbook_syncs", "logbook_merged", "logbook_refused"];
+    let counts: Vec<String> = keys.iter().map(|k| format!("{k} {}", both[1].rig.gauge(k))).collect();
+    println!("{}", counts.join(", "));
+}
--- a/crates/frontnode/benches/doors.rs
+++ b/crates/frontnode/benches/doors.rs
@@ -4,133 +4,19 @@
 #[path = "../tests/rig/mod.rs"]
 mod rig;
 
-use std::io::{Read, Write};
-use std::net::TcpStream;
-use std::time::{Duration, Instant};
+mod play;
 
-use hdrhistogram::Histogram;
-use rig::{FRAMES, OS, Rig, SLICES};
-use serde_json::json;
-
-const CLIENTS: usize = 24;
-const TURN: Duration = Duration::from_millis(1500);
-
-struct Figures {
-    name: &'static str,
-    rig: Rig,
-    /// The request that each client sends, but for the id of the own door's.
-    own: bool,
-    body: String,
-    latencies: Histogram<u64>,
-    done: u64,
-    seconds: f64,
-    processor: f64,
-    /// Of each turn.
-    rates: Vec<f64>,
-}
-
-/// Seconds of processor time that a process has used: fields 14 and 15 of its stat, a hundred a second on Linux.
-fn processor(rig: &Rig) -> f64 {
-    let stat = std::fs::read_to_string(format!("/proc/{}/stat", rig.child.id())).unwrap();
-    let after = stat.rsplit_once(") ").unwrap().1;
-    let ticks: u64 = after.split(' ').skip(11).take(2).map(|t| t.parse::<u64>().unwrap()).sum();
-    ticks as f64 / 100.0
-}
-
-fn resident_kb(rig: &Rig) -> u64 {
-    let status = std::fs::read_to_string(format!("/proc/{}/status", rig.child.id())).unwrap();
-    let line = status.lines().find(|l| l.starts_with("VmHWM:")).unwrap();
-    line.split_whitespace().nth(1).unwrap().parse().unwrap()
-}
-
-impl Figures {
-    fn new(name: &'static str, own: bool, flavors: [&str; SLICES]) -> Figures {
-        let rig = Rig::open_wide(&name.replace([' ', ','], "-"), flavors);
-        rig.fill("jobs", 90);
-        let asked = json!({"query": {"bool": {"must": {"match": {"notes": "piano"}},
-                                              "filter": {"range": {"crew": {"gte": 1}}}}}, "size": 10});
-        let body = if own {
-            let routes = rig.shelf().routes.clone();
-            let mapping = routes.mapping("jobs").unwrap();
-            let search =
-                orchidvalve_search::request::Search::read(asked.to_string().as_bytes(), "jobs", mapping, 0)
-                    .unwrap();
-            let slices: Vec<_> =
-                (0..SLICES).map(|s| json!({"slice": s, "mass": 1.0 / SLICES as f64})).collect();
-            json!({"slices": slices, "filter": search.canonical()}).to_string()
-        } else {
-            asked.to_string()
-        };
-        let latencies = Histogram::new(3).unwrap();
-        Figures { name, rig, own, body, latencies, done: 0, seconds: 0.0, processor: 0.0, rates: Vec::new() }
-    }
-
-    fn request(&self, id: &str) -> String {
-        let length = self.body.len();
-        let head = if self.own {
-            format!(
-                "POST /api HTTP/1.1\r\nRequest-Id: {id}\r\nRequest-Class: look\r\nRequest-Timeout: 3000m\r\n"
-            )
-        } else {
-            "POST /jobs/_search HTTP/1.1\r\n".to_owned()
-        };
-        format!("{head}Content-Length: {length}\r\n\r\n{}", self.body)
-    }
-
-    fn turn(&mut self, turn: usize) {
-        let (began, before) = (Instant::now(), processor(&self.rig));
-        let this = &*self;
-        let taken: Vec<Vec<u64>> = std::thread::scope(|scope| {
-            let client = |n: usize| move || this.client(n, turn, began + TURN);
-            let clients: Vec<_> = (0..CLIENTS).map(|n| scope.spawn(client(n))).collect();
-            clients.into_iter().map(|client| client.join().unwrap()).collect()
-        });
-        let (seconds, used) = (began.elapsed().as_secs_f64(), processor(&self.rig) - before);
-        let done = taken.iter().map(Vec::len).sum::<usize>();
-        taken.into_iter().flatten().for_each(|micros| self.latencies.record(micros).unwrap());
-        self.done += done as u64;
-        self.seconds += seconds;
-        self.processor += used;
-        self.rates.push(done as f64 / used);
-    }
-
-    /// One after the other until the end: microseconds of each.
-    fn client(&self, n: usize, turn: usize, end: Instant) -> Vec<u64> {
-        let mut stream = TcpStream::connect(self.rig.node).unwrap();
-        stream.set_nodelay(true).unwrap();
-        let (mut taken, mut inbox, mut buffer) = (Vec::new(), Vec::new(), vec![0; 64 << 10]);
-        while Instant::now() < end {
-            let request = self.request(&format!("{turn}-{n}-{}", taken.len()));
-            let began = Instant::now();
-            stream.write_all(request.as_bytes()).unwrap();
-            loop {
-                let length = stream.read(&mut buffer).unwrap();
-                assert!(length > 0, "closed");
-                inbox.extend_from_slice(&buffer[..length]);
-                let Some(head) = inbox.windows(4).position(|w| w == b"\r\n\r\n") else { continue };
-                let text = std::str::from_utf8(&inbox[..head]).unwrap();
-                let body = text.lines().find_map(|l| l.strip_prefix("Content-Length: ")).unwrap();
-                let whole = head + 4 + body.parse::<usize>().unwrap();
-                if inbox.len() >= whole {
-                    assert!(text.starts_with("HTTP/1.1 200"), "{text}");
-                    inbox.drain(..whole);
-                    break;
-                }
-            }
-            taken.push(began.elapsed().as_micros() as u64);
-        }
-        taken
-    }
-}
+use play::{Figures, resident_kb};
+use rig::{FRAMES, OS};
 
 fn main() {
     // Cargo hands over flags of its own.
     let rounds = std::env::args().filter_map(|a| a.parse().ok()).next().unwrap_or(5);
     let mut all = [
-        Figures::new("own door, frames", true, FRAMES),
-        Figures::new("search door, frames", false, FRAMES),
-        Figures::new("own door, search", true, OS),
-        Figures::new("search door, search", false, OS),
+        Figures::new("own door, frames", true, FRAMES, ""),
+        Figures::new("search door, frames", false, FRAMES, ""),
+        Figures::new("own door, search", true, OS, ""),
+        Figures::new("search door, search", false, OS, ""),
     ];
     for round in 0..rounds {
         eprintln!("round {} of {rounds}", round + 1);
--- a/crates/frontnode/src/clients.rs
+++ b/crates/frontnode/src/clients.rs
@@ -439,6 +439,11 @@
             let mut now = vec![
                 ("retrievals_open", "retrievals that wait for their answer", desk.unanswered()),
                 ("deadlines_set", "deadlines not due yet", kit.deadlines.len()),
+                (
+                    "round_p99_us",
+                    "99 of 100 of the last rounds took no longer",
+                    (kit.round_p99() / 1000) as usize,
+                ),
             ];
             now.extend(kit.archive.iter().flat_map(Archive::gauges));
             Reply::text(200, kit.counters.text(&now))
--- a/crates/frontnode/src/config.rs
+++ b/crates/frontnode/src/config.rs
@@ -20,6 +20,8 @@
 pub const ROUTES_VARIABLE: &str = "NODE_SEARCH";
 /// Variable that may hold the path of the logbook's file, beside the key `logbook`.
 pub const LOGBOOK_VARIABLE: &str = "NODE_LOGBOOK";
+/// Variable that may name the file that the reasons of decisions are written to.
+pub const TRACE_VARIABLE: &str = "NODE_TRACE";
 
 /// Descriptors that are neither clients nor replicas: the loop's own, the listener, the agent, the log.
 const OTHER_SOCKETS: usize = 16;
@@ -79,6 +81,8 @@
     pub search: Option<String>,
     /// The operator's file of the logbook, in the same way beside the key `logbook`.
     pub logbook: Option<String>,
+    /// Where the reasons of decisions are written, `-` for standard error; none where they are not kept.
+    pub trace: Option<String>,
 }
 
 impl Source {
@@ -86,7 +90,12 @@
         let config = std::env::var(VARIABLE);
         let config = config.map_err(|_| format!("${VARIABLE}: not set; it names the configuration"))?;
         let path = |name| std::env::var(name).ok().filter(|path| !path.is_empty());
-        Ok(Source { config, search: path(ROUTES_VARIABLE), logbook: path(LOGBOOK_VARIABLE) })
+        Ok(Source {
+            config,
+            search: path(ROUTES_VARIABLE),
+            logbook: path(LOGBOOK_VARIABLE),
+            trace: path(TRACE_VARIABLE),
+        })
     }
 
     pub fn read(&self) -> Result<(Plan, StandingOrders), String> {
--- a/crates/frontnode/src/kit.rs
+++ b/crates/frontnode/src/kit.rs
@@ -4,6 +4,7 @@
 
 use calloop::LoopHandle;
 use orchidvalve::interface::{Nanos, PartIx};
+use orchidvalve::ledger::Ring;
 use slotmap::new_key_type;
 
 use crate::archive::Archive;
@@ -69,8 +70,19 @@
     pub events: Loop,
     pub deadlines: Deadlines<Due>,
     pub counters: Counters,
+    /// How long the last rounds took, all that was read and written in them.
+    pub rounds: Ring<Nanos>,
     /// Who has something left to do in the next round.
     pub again: Vec<Who>,
     /// What is remembered over a restart, where that is switched on.
     pub archive: Option<Archive>,
 }
+
+impl Kit {
+    /// The time within which 99 of 100 of the last rounds were over.
+    pub fn round_p99(&self) -> Nanos {
+        let mut took: Vec<Nanos> = self.rounds.iter().collect();
+        took.sort_unstable();
+        took.get(took.len() * 99 / 100).copied().unwrap_or(0)
+    }
+}
--- a/crates/frontnode/src/lib.rs
+++ b/crates/frontnode/src/lib.rs
@@ -19,4 +19,5 @@
 pub mod roster;
 pub mod servers;
 pub mod streams;
+pub mod tracer;
 pub mod wires;
--- a/crates/frontnode/src/members.rs
+++ b/crates/frontnode/src/members.rs
@@ -30,6 +30,8 @@
     agent: SocketAddr,
     on_request: bool,
     replicas: HashMap<String, ReplicaIx>,
+    /// Those met since the last round.
+    fresh: Vec<ReplicaIx>,
     /// The agent's own count; none before it told the whole roster.
     revision: Option<i64>,
     call: Option<Stream>,
@@ -47,6 +49,7 @@
             agent: plan.discovery,
             on_request: plan.roster_on_request,
             replicas: HashMap::new(),
+            fresh: Vec::new(),
             revision: None,
             call: None,
             asked: false,
@@ -94,6 +97,7 @@
                     archive.met(ix);
                 }
                 servers.met(ix, kit);
+                self.fresh.push(ix);
                 self.replicas.insert(id, ix);
                 ix
             });
@@ -123,6 +127,16 @@
         }
     }
 
+    /// Replicas met since the last round.
+    pub fn fresh(&self) -> impl Iterator<Item = (&str, ReplicaIx)> {
+        self.named().filter(|(_, ix)| self.fresh.contains(ix))
+    }
+
+    /// The round is over.
+    pub fn told(&mut self) {
+        self.fresh.clear();
+    }
+
     /// Replicas by the aggregator's numbers.
     pub fn named(&self) -> impl Iterator<Item = (&str, ReplicaIx)> {
         self.replicas.iter().map(|(id, ix)| (&**id, *ix))
--- a/crates/frontnode/src/node.rs
+++ b/crates/frontnode/src/node.rs
@@ -8,11 +8,11 @@
 use calloop::signals::{Signal, Signals};
 use orchidvalve::Aggregator;
 use orchidvalve::interface::{Nanos, PartIx, ReplicaIx, RetrievalIx, Writer};
-use orchidvalve::ledger::Ledger;
+use orchidvalve::ledger::{Ledger, Ring};
 
 use crate::archive::Archive;
 use crate::clients::Clients;
-use crate::config::{Plan, Source};
+use crate::config::{self, Plan, Source};
 use crate::counters::Counters;
 use crate::deadlines::{Clock, Deadlines, Mark};
 use crate::desk::Desk;
@@ -22,9 +22,12 @@
 use crate::log;
 use crate::members::Members;
 use crate::servers::Servers;
+use crate::tracer::Tracer;
 
 /// After the last connection came in, a node told to stop waits so long for more.
 const QUIET: Nanos = 1_000_000_000;
+/// Rounds whose times are kept: some seconds of a busy node.
+const ROUNDS_KEPT: usize = 1024;
 
 struct Works {
     source: Source,
@@ -34,6 +37,7 @@
     clients: Clients,
     servers: Servers,
     members: Members,
+    tracer: Option<Tracer>,
     wake: Option<Mark>,
     follow: bool,
     stopping: bool,
@@ -69,7 +73,8 @@
         let (plan, orders) = source.read()?;
         let events = EventLoop::try_new().map_err(|e| format!("no event loop: {e}"))?;
         let noted = Noted { clock: Clock::start(), ready: Vec::new() };
-        let (aggregator, beat) = (Aggregator::new(orders, plan.seed), plan.beat);
+        let (mut aggregator, beat) = (Aggregator::new(orders, plan.seed), plan.beat);
+        aggregator.switch_trace(source.trace.is_some());
         let clients = Clients::listen(&plan, doors::all(&plan), &events.handle())
             .map_err(|e| format!("configuration.listen: cannot listen on {}: {e}", plan.listen))?;
         let kit = Kit {
@@ -77,11 +82,15 @@
             events: events.handle(),
             deadlines: Deadlines::default(),
             counters: Counters::default(),
+            rounds: Ring::new(ROUNDS_KEPT),
             again: Vec::new(),
             archive: None,
         };
         let archive = plan.archive.as_ref().map(|orders| Archive::open(orders, kit.now)).transpose()?;
-        let kit = Kit { archive, ..kit };
+        let tracer = source.trace.as_deref().map(|path| {
+            Tracer::open(path).map_err(|e| format!("${}: cannot write {path}: {e}", config::TRACE_VARIABLE))
+        });
+        let tracer = tracer.transpose()?;
         let (servers, members) = (Servers::new(&plan), Members::new(&plan));
         let works = Works {
             source,
@@ -90,6 +99,7 @@
             clients,
             servers,
             members,
+            tracer,
             wake: None,
             follow: false,
             stopping: false,
@@ -104,6 +114,8 @@
             members.learn(known, servers, desk, ledger, kit);
             members.start(ledger, kit);
         });
+        // From here on: the roster that the configuration knows was not heard.
+        node.works.get_mut().kit.archive = archive;
         Ok(node)
     }
 
@@ -168,6 +180,13 @@
         self.aggregator.round(now, came_in, &mut Hand(works));
         let works = self.works.get_mut();
         works.servers.post(&mut works.desk, &mut works.kit);
+        if let Some(tracer) = &mut works.tracer {
+            for (id, ix) in works.members.fresh() {
+                tracer.replica(now, ix, id);
+            }
+            tracer.write(&self.aggregator.take_notes(), &works.desk);
+        }
+        works.members.told();
         works.desk.tidy(self.aggregator.ledger());
         if let Some(archive) = &mut works.kit.archive {
             for (id, ix) in works.members.named() {
@@ -177,6 +196,7 @@
             }
             archive.flush();
         }
+        works.kit.rounds.push(self.noted.clock.now() - now);
     }
 }
 
--- a/crates/frontnode/tests/rig/mod.rs
+++ b/crates/frontnode/tests/rig/mod.rs
@@ -4,6 +4,7 @@
 use std::io::{BufRead, BufReader, Read, Write};
 use std::net::{SocketAddr, TcpListener, TcpStream};
 use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicI64, Ordering::Relaxed};
 use std::sync::{Arc, Mutex, MutexGuard};
 use std::time::{Duration, Instant};
 
@@ -104,6 +105,13 @@
 }
 
 impl Rig {
+    /// What a second node by the same configuration says before it ends, and how it ends.
+    pub fn second(&self) -> (String, Option<i32>) {
+        let mut command = Command::new(env!("CARGO_BIN_EXE_orchidvalved"));
+        let child = command.env("NODE_CONFIG", &self.config).stderr(Stdio::piped()).output().unwrap();
+        (String::from_utf8(child.stderr).unwrap(), child.status.code())
+    }
+
     /// Kills it as power that goes does, and starts it again; what it wrote before it listened.
     pub fn restart(&mut self) -> Vec<String> {
         self.child.kill().unwrap();
@@ -113,6 +121,37 @@
         lines
     }
 
+    /// An agent that has news whenever it is asked, until the node is gone for good. Gives the revision last told.
+    pub fn news(&self) -> Arc<AtomicI64> {
+        let (agent, members) = (self.agent.try_clone().unwrap(), self.members.clone());
+        let told = Arc::new(AtomicI64::new(1));
+        let count = told.clone();
+        std::thread::spawn(move || {
+            for mut stream in agent.incoming().flatten() {
+                let mut request = [0; 1024];
+                while stream.read(&mut request).is_ok_and(|length| length > 0) {
+                    let revision = count.fetch_add(1, Relaxed) + 1;
+                    let mut members = members.clone();
+                    members[(revision % 3) as usize]["locality"] = json!(format!("a{revision}"));
+                    let roster =
+                        json!({"revision": revision, "complete": true, "members": members}).to_string();
+                    let head = format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n", roster.len());
+                    if stream.write_all(format!("{head}{roster}").as_bytes()).is_err() {
+                        break;
+                    }
+                }
+            }
+        });
+        told
+    }
+
+    /// A number of `/metrics` that is there at the moment.
+    pub fn gauge(&self, name: &str) -> u64 {
+        let (_, _, text) = self.send("GET", "/metrics", "", "").text();
+        let line = text.lines().find(|l| l.starts_with(&format!("orchidvalve_{name} "))).unwrap();
+        line.rsplit(' ').next().unwrap().parse().unwrap()
+    }
+
     /// Tells the agent's next caller this roster.
     pub fn tell(&self, agent: &mut TcpStream, roster: &Value) {
         let roster = roster.to_string();
@@ -121,8 +160,8 @@
     }
 
     /// With room for many clients and many connections to stores, for measurements.
-    pub fn open_wide(story: &str, flavors: [&str; SLICES]) -> Rig {
-        Rig::open_with(story, 2, flavors, "[pool]\nconnections = 64\n", 1024)
+    pub fn open_wide(story: &str, flavors: [&str; SLICES], more: &str) -> Rig {
+        Rig::open_with(story, 2, flavors, &format!("[pool]\nconnections = 64\n{more}"), 1024)
     }
 
     /// `flavors`: of each store; those that begin with `os` speak the search protocol.
--- a/crates/logbook/src/keeper.rs
+++ b/crates/logbook/src/keeper.rs
@@ -5,8 +5,8 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::sync::Arc;
 use std::sync::atomic::{AtomicU64, Ordering::Relaxed};
+use std::sync::{Arc, Condvar, Mutex, OnceLock, PoisonError};
 use std::thread::JoinHandle;
 use std::time::{Duration, Instant};
 
@@ -69,23 +69,75 @@
 }
 
 enum Letter {
-    Batch(Batch, Option<Sender<Result<u64, String>>>),
-    Compact(Sender<Result<u64, String>>),
+    Batch(Batch, Option<Owed>),
+    Compact(Owed),
     Stop,
 }
 
+type Outcome = Result<u64, String>;
+
+/// Where those who wait for a sync are woken: all of them by one call, as one by one the last would wait for the rest.
+#[derive(Default)]
+struct Bell {
+    rung: Mutex<()>,
+    heard: Condvar,
+}
+
+impl Bell {
+    fn ring(&self) {
+        drop(self.rung.lock().unwrap_or_else(PoisonError::into_inner));
+        self.heard.notify_all();
+    }
+}
+
+/// The keeper's end of a ticket: one that is dropped without a word says that the keeper has ended.
+struct Owed {
+    slot: Arc<OnceLock<Outcome>>,
+    bell: Arc<Bell>,
+}
+
+impl Owed {
+    fn tell(&self, outcome: Outcome) {
+        let _ = self.slot.set(outcome);
+    }
+}
+
+impl Drop for Owed {
+    fn drop(&mut self) {
+        if self.slot.set(Err("the keeper has ended".to_owned())).is_ok() {
+            self.bell.ring();
+        }
+    }
+}
+
 /// Told of the sequence once a batch is durable, or of why it is not.
-pub struct Ticket(Receiver<Result<u64, String>>);
+pub struct Ticket {
+    slot: Arc<OnceLock<Outcome>>,
+    bell: Arc<Bell>,
+}
 
 impl Ticket {
+    fn new(bell: &Arc<Bell>) -> (Owed, Ticket) {
+        let slot = Arc::new(OnceLock::new());
+        let owed = Owed { slot: slot.clone(), bell: bell.clone() };
+        (owed, Ticket { slot, bell: bell.clone() })
+    }
+
     pub fn wait(self) -> Result<u64, String> {
-        self.0.recv().unwrap_or_else(|_| Err("the keeper has ended".to_owned()))
+        let mut rung = self.bell.rung.lock().unwrap_or_else(PoisonError::into_inner);
+        loop {
+            if let Some(outcome) = self.slot.get() {
+                return outcome.clone();
+            }
+            rung = self.bell.heard.wait(rung).unwrap_or_else(PoisonError::into_inner);
+        }
     }
 }
 
 /// One sender's way to the store.
 pub struct Hand {
     letters: Sender<Letter>,
+    bell: Arc<Bell>,
     counts: Arc<KeeperCounts>,
     held_most: usize,
     /// State that found the queue full: by keyspace and key, the value or its deletion.
@@ -93,8 +145,8 @@
 }
 
 impl Hand {
-    /// Hands over the state of a key, durable soon. Never waits. False where there is no room for it at all: then
-    /// nothing of it is kept, and it is counted.
+    /// Notes the state of a key, which goes with the next [`Hand::flush`]: all that is noted between two of them is one
+    /// batch. Never waits. False where there is no room for it at all: then nothing of it is kept, and it is counted.
     pub fn state(&mut self, space: u16, key: &[u8], value: Option<&[u8]>) -> bool {
         let at = (space, key.to_vec());
         if self.held.len() >= self.held_most && !self.held.contains_key(&at) && !self.flush() {
@@ -104,7 +156,6 @@
         if self.held.insert(at, value.map(<[u8]>::to_vec)).is_some() {
             self.counts.merged.fetch_add(1, Relaxed);
         }
-        self.flush();
         true
     }
 
@@ -152,9 +203,9 @@
             self.counts.refused.fetch_add(1, Relaxed);
             return Err(batch);
         }
-        let (told, ticket) = bounded(1);
-        match self.letters.try_send(Letter::Batch(batch, Some(told))) {
-            Ok(()) => Ok(Ticket(ticket)),
+        let (owed, ticket) = Ticket::new(&self.bell);
+        match self.letters.try_send(Letter::Batch(batch, Some(owed))) {
+            Ok(()) => Ok(ticket),
             Err(TrySendError::Full(letter) | TrySendError::Disconnected(letter)) => {
                 self.counts.refused.fetch_add(1, Relaxed);
                 match letter {
@@ -167,16 +218,16 @@
 
     /// Hands over a batch, waiting for a place in the queue.
     pub fn append(&self, batch: Batch, durability: Durability) -> Result<Option<Ticket>, String> {
-        let (told, ticket) = bounded(1);
-        let told = (durability == Durability::Durable).then_some(told);
-        let durable = told.is_some();
-        self.letters.send(Letter::Batch(batch, told)).map_err(|_| "the keeper has ended".to_owned())?;
-        Ok(durable.then_some(Ticket(ticket)))
+        let pair = (durability == Durability::Durable).then(|| Ticket::new(&self.bell));
+        let (owed, ticket) = pair.unzip();
+        self.letters.send(Letter::Batch(batch, owed)).map_err(|_| "the keeper has ended".to_owned())?;
+        Ok(ticket)
     }
 }
 
 pub struct Keeper {
     letters: Sender<Letter>,
+    bell: Arc<Bell>,
     counts: Arc<KeeperCounts>,
     published: Arc<ArcSwap<View>>,
     held_most: usize,
@@ -189,15 +240,17 @@
         let (letters, inbox) = bounded(orders.queue);
         let counts = Arc::new(KeeperCounts::default());
         let published = store.published();
-        let kept = counts.clone();
+        let (kept, bell) = (counts.clone(), Arc::new(Bell::default()));
+        let rung = bell.clone();
         let thread = std::thread::Builder::new().name("logbook".to_owned());
-        let thread = thread.spawn(move || Bench { store, orders, inbox, counts: kept }.serve())?;
-        Ok(Keeper { letters, counts, published, held_most: orders.held, thread: Some(thread) })
+        let thread =
+            thread.spawn(move || Bench { store, orders, inbox, bell: rung, counts: kept }.serve())?;
+        Ok(Keeper { letters, bell, counts, published, held_most: orders.held, thread: Some(thread) })
     }
 
     pub fn hand(&self) -> Hand {
-        let (letters, counts) = (self.letters.clone(), self.counts.clone());
-        Hand { letters, counts, held_most: self.held_most, held: BTreeMap::new() }
+        let (letters, bell, counts) = (self.letters.clone(), self.bell.clone(), self.counts.clone());
+        Hand { letters, bell, counts, held_most: self.held_most, held: BTreeMap::new() }
     }
 
     pub fn counts(&self) -> &KeeperCounts {
@@ -211,9 +264,9 @@
 
     /// Merges all that is worth it, whatever the budget; gives the bytes of the store afterwards.
     pub fn compact(&self) -> Result<u64, String> {
-        let (told, ticket) = bounded(1);
-        self.letters.send(Letter::Compact(told)).map_err(|_| "the keeper has ended".to_owned())?;
-        Ticket(ticket).wait()
+        let (owed, ticket) = Ticket::new(&self.bell);
+        self.letters.send(Letter::Compact(owed)).map_err(|_| "the keeper has ended".to_owned())?;
+        ticket.wait()
     }
 
     /// Writes and syncs what was handed over, and ends.
@@ -235,6 +288,7 @@
     store: Store,
     orders: KeeperOrders,
     inbox: Receiver<Letter>,
+    bell: Arc<Bell>,
     counts: Arc<KeeperCounts>,
 }
 
@@ -243,64 +297,68 @@
         let began = Instant::now();
         // When what is written has to be synced, and its bytes.
         let (mut due, mut bytes): (Option<Instant>, u64) = (None, 0);
+        // Those who shared the last sync, and what it took.
+        let (mut expected, mut last_sync) = (0, Duration::ZERO);
         // How soon compaction goes on where nothing else is to do.
-        let mut next_step = Duration::ZERO;
+        let (mut next_step, mut look_at) = (Duration::ZERO, Instant::now());
         loop {
             let wait =
                 due.map_or(next_step, |due| due.saturating_duration_since(Instant::now()).min(next_step));
             let first = self.inbox.recv_timeout(wait);
             self.store.tick(i64::try_from(began.elapsed().as_nanos()).unwrap_or(i64::MAX));
             let (mut tickets, mut stop) = (Vec::new(), false);
-            let letters = match first {
+            let letters: Vec<Letter> = match first {
                 Ok(first) => {
-                    std::iter::once(first).chain(self.inbox.try_iter().take(self.orders.group - 1)).collect()
+                    self.gather(expected, last_sync);
+                    let rest = self.inbox.try_iter().take(self.orders.group - 1);
+                    std::iter::once(first).chain(rest).collect()
                 }
                 Err(RecvTimeoutError::Timeout) => Vec::new(),
                 Err(RecvTimeoutError::Disconnected) => vec![Letter::Stop],
             };
             let idle = letters.is_empty();
+            let (mut batches, mut owners) = (Vec::new(), Vec::new());
             for letter in letters {
                 match letter {
                     Letter::Batch(batch, told) => {
-                        let size = batch.size();
-                        self.counts.batches.fetch_add(1, Relaxed);
-                        match self.store.append(&batch) {
-                            Ok(sequence) => {
-                                bytes += size;
-                                due.get_or_insert_with(|| Instant::now() + self.orders.soon_within);
-                                tickets.extend(told.map(|told| (told, sequence)));
-                            }
-                            Err(fault) => {
-                                self.counts.faults.fetch_add(1, Relaxed);
-                                told.into_iter().for_each(|told| drop(told.send(Err(fault.to_string()))));
-                            }
-                        }
+                        bytes += batch.size();
+                        batches.push(batch);
+                        owners.push(told);
+                    }
+                    Letter::Compact(told) => {
+                        self.append(&mut batches, &mut owners, &mut tickets);
+                        told.tell(self.compact_all());
+                        self.bell.ring();
                     }
-                    Letter::Compact(told) => drop(told.send(self.compact_all())),
                     Letter::Stop => stop = true,
                 }
             }
+            if self.append(&mut batches, &mut owners, &mut tickets) {
+                due.get_or_insert_with(|| Instant::now() + self.orders.soon_within);
+            }
             let late = due.is_some_and(|due| due <= Instant::now()) || bytes >= self.orders.soon_bytes;
             if !tickets.is_empty() || late || stop && due.is_some() {
                 self.counts.syncs.fetch_add(1, Relaxed);
+                expected = tickets.len();
+                let asked = Instant::now();
                 let synced = self.store.sync();
+                last_sync = asked.elapsed();
                 if let Err(fault) = &synced {
                     self.counts.faults.fetch_add(1, Relaxed);
-                    for (told, _) in tickets.drain(..) {
-                        drop(told.send(Err(fault.to_string())));
-                    }
+                    tickets.drain(..).for_each(|(told, _)| told.tell(Err(fault.to_string())));
                     // Tried again, and not at once: a disk that fails is not helped by haste.
                     due = Some(Instant::now() + self.orders.soon_within);
                 } else {
                     (due, bytes) = (None, 0);
-                    tickets.drain(..).for_each(|(told, sequence)| drop(told.send(Ok(sequence))));
+                    tickets.drain(..).for_each(|(told, sequence)| told.tell(Ok(sequence)));
                 }
+                self.bell.ring();
             }
             if stop {
                 return self.store;
             }
-            // A step where nothing else is to do, and one beside the work where the budget allows it.
-            if idle || self.inbox.is_empty() {
+            // A step where nothing else is to do, and one beside the work when its time has come.
+            if idle || Instant::now() >= look_at {
                 next_step = match self.store.compact() {
                     Ok(Compacted::Run(..)) => {
                         self.counts.compactions.fetch_add(1, Relaxed);
@@ -314,8 +372,46 @@
                         IDLE_WAIT
                     }
                 };
+                look_at = Instant::now() + next_step;
+            }
+        }
+    }
+
+    /// Those who were told together ask again together: a sync for the first of them alone would make the others wait
+    /// for two. They are waited for, no longer than a part of what a sync takes.
+    fn gather(&self, expected: usize, last_sync: Duration) {
+        let began = Instant::now();
+        while self.inbox.len() + 1 < expected.min(self.orders.group) && began.elapsed() * 4 < last_sync {
+            std::hint::spin_loop();
+        }
+    }
+
+    /// Whether anything was written.
+    fn append(
+        &mut self,
+        batches: &mut Vec<Batch>,
+        owners: &mut Vec<Option<Owed>>,
+        tickets: &mut Vec<(Owed, u64)>,
+    ) -> bool {
+        let mut written = false;
+        self.counts.batches.fetch_add(batches.len() as u64, Relaxed);
+        let told = self.store.append_many(std::mem::take(batches));
+        for (result, owner) in told.into_iter().zip(owners.drain(..)) {
+            match result {
+                Ok(sequence) => {
+                    written = true;
+                    tickets.extend(owner.map(|told| (told, sequence)));
+                }
+                Err(fault) => {
+                    self.counts.faults.fetch_add(1, Relaxed);
+                    if let Some(owed) = owner {
+                        owed.tell(Err(fault.to_string()));
+                        self.bell.ring();
+                    }
+                }
             }
         }
+        written
     }
 
     fn compact_all(&mut self) -> Result<u64, String> {
--- a/crates/logbook/src/store.rs
+++ b/crates/logbook/src/store.rs
@@ -276,50 +276,95 @@
 
     /// Takes a batch: it can be read at once, and is durable after the next [`Store::sync`]. Gives its last sequence.
     pub fn append(&mut self, batch: &Batch) -> Result<u64, AppendFault> {
-        let size = batch.size();
-        if batch.is_empty() {
-            return Ok(self.index.view.sequence);
+        let mut told = self.append_many(vec![batch.clone()]);
+        told.pop().unwrap_or(Ok(self.index.view.sequence))
+    }
+
+    /// Takes batches, each whole or not at all, with as few writes as may be. Tells of each in its place.
+    pub fn append_many(&mut self, batches: Vec<Batch>) -> Vec<Result<u64, AppendFault>> {
+        let mut told = Vec::with_capacity(batches.len());
+        let mut next = self.index.view.sequence + 1;
+        let (mut group, mut bytes): (Vec<(u64, Batch)>, u64) = (Vec::new(), 0);
+        for batch in batches {
+            let size = batch.size();
+            let long = size + HEAD as u64 > self.orders.segment_bytes.max(HEAD as u64 + 1);
+            if long || batch.records.iter().any(|r| r.key.len() + r.value.len() > LONGEST) {
+                told.push(Err(AppendFault::TooLong(size)));
+                continue;
+            }
+            if self.active.length + bytes > HEAD as u64
+                && self.active.length + bytes + size > self.orders.segment_bytes
+            {
+                self.take_group(&mut group, &mut told, &mut next);
+                bytes = 0;
+                if self.active.length > HEAD as u64
+                    && let Err(fault) = self.roll()
+                {
+                    told.push(Err(fault.into()));
+                    continue;
+                }
+            }
+            bytes += size;
+            let records = batch.records.len() as u64;
+            told.push(Ok(next + records - 1));
+            group.push((next, batch));
+            next += records;
         }
-        if size + HEAD as u64 > self.orders.segment_bytes.max(HEAD as u64 + 1)
-            || batch.records.iter().any(|r| r.key.len() + r.value.len() > LONGEST)
-        {
-            return Err(AppendFault::TooLong(size));
+        self.take_group(&mut group, &mut told, &mut next);
+        self.publish();
+        told
+    }
+
+    /// Writes what was gathered; where that fails, so it is told of each, and their sequences are free again.
+    fn take_group(
+        &mut self,
+        group: &mut Vec<(u64, Batch)>,
+        told: &mut [Result<u64, AppendFault>],
+        next: &mut u64,
+    ) {
+        if group.is_empty() {
+            return;
         }
-        if self.active.length > HEAD as u64 && self.active.length + size > self.orders.segment_bytes {
-            self.roll()?;
+        match self.write(group) {
+            Ok(()) => self.unsynced.append(group),
+            Err(fault) => {
+                let from = told.len() - group.len();
+                for one in told[from..].iter_mut().filter(|one| one.is_ok()) {
+                    *one = Err(AppendFault::Io(io::Error::new(fault.kind(), fault.to_string())));
+                }
+                *next = group[0].0;
+                group.clear();
+            }
         }
-        let first = self.index.view.sequence + 1;
-        let last = self.write(batch, first)?;
-        self.unsynced.push((first, batch.clone()));
-        self.publish();
-        Ok(last)
-    }
-
-    /// Writes a batch behind the active segment; nothing is changed where that fails.
-    fn write(&mut self, batch: &Batch, first: u64) -> io::Result<u64> {
-        let (mut bytes, mut chain, mut places) = (Vec::new(), self.active.chain, Vec::new());
-        for (n, r) in batch.records.iter().enumerate() {
-            let at = self.active.length + bytes.len() as u64;
-            let (sequence, left) = (first + n as u64, (batch.records.len() - 1 - n) as u32);
-            let record =
-                Record { kind: r.kind, space: r.space, sequence, left, key: &r.key, value: &r.value };
-            chain = record::write(&mut bytes, &record, chain);
-            places.push(Place { at, length: (self.active.length + bytes.len() as u64 - at) as u32 });
+    }
+
+    /// Writes batches behind the active segment; nothing is changed where that fails.
+    fn write(&mut self, batches: &[(u64, Batch)]) -> io::Result<()> {
+        let (mut bytes, mut chain, start) = (Vec::new(), self.active.chain, self.active.length);
+        let mut places = Vec::new();
+        for (first, batch) in batches {
+            for (n, r) in batch.records.iter().enumerate() {
+                let at = start + bytes.len() as u64;
+                let (sequence, left) = (first + n as u64, (batch.records.len() - 1 - n) as u32);
+                let (kind, space) = (r.kind, r.space);
+                let record = Record { kind, space, sequence, left, key: &r.key, value: &r.value };
+                chain = record::write(&mut bytes, &record, chain);
+                places.push(Place { at, length: (start + bytes.len() as u64 - at) as u32 });
+            }
         }
-        if let Err(fault) = self.active.segment.file.write_at(self.active.length, &bytes) {
+        if let Err(fault) = self.active.segment.file.write_at(start, &bytes) {
             // What went in of it would look like damage to the next start.
-            let _ = self.active.segment.file.truncate(self.active.length);
+            let _ = self.active.segment.file.truncate(start);
             return Err(fault);
         }
-        (self.active.chain, self.active.length) = (chain, self.active.length + bytes.len() as u64);
-        let mut sequence = first;
-        for (r, place) in batch.records.iter().zip(places) {
+        (self.active.chain, self.active.length) = (chain, start + bytes.len() as u64);
+        let records = batches.iter().flat_map(|(first, batch)| (*first..).zip(&batch.records));
+        for ((sequence, r), place) in records.zip(places) {
             self.index.note(r.kind, (r.space, &r.key), sequence, &self.active.segment, place);
             let (kind, space, key) = (r.kind, r.space, r.key.clone());
             self.active.noted.push(Noted { kind, space, sequence, place, key });
-            sequence += 1;
         }
-        Ok(sequence - 1)
+        Ok(())
     }
 
     fn publish(&self) {
@@ -359,19 +404,10 @@
         self.unsettled = true;
         // The index holds them as they were; the same records are put in again from where they are now.
         let batches = std::mem::take(&mut self.unsynced);
-        for (at, (first, batch)) in batches.iter().enumerate() {
-            if let Err(fault) = self.write(batch, *first) {
-                self.unsynced = batches;
-                self.publish();
-                return Err(io::Error::new(
-                    fault.kind(),
-                    format!("batch {at} of {}: {fault}", self.unsynced.len()),
-                ));
-            }
-        }
+        let written = self.write(&batches);
         self.unsynced = batches;
         self.publish();
-        Ok(())
+        written
     }
 
     fn begin(&mut self, first: u64) -> io::Result<(Segment, u32)> {
@@ -388,6 +424,11 @@
         self.sealed.push(Sealed { segment, length, next, sealed_at, damaged: false });
     }
 
+    /// Seals the active segment, so that it may be merged with others.
+    pub fn seal_active(&mut self) -> io::Result<()> {
+        if self.active.length > HEAD as u64 { self.roll() } else { Ok(()) }
+    }
+
     /// Seals the active segment and begins the next.
     fn roll(&mut self) -> io::Result<()> {
         self.sync()?;
--- a/crates/logbook/tests/crash.rs
+++ b/crates/logbook/tests/crash.rs
@@ -143,8 +143,10 @@
 
 #[test]
 fn a_crash_at_every_call_under_every_loss_keeps_a_prefix_with_all_that_was_durable() {
+    // More of them for a longer run outside CI.
+    let seeds = std::env::var("LOGBOOK_SEEDS").map_or(3, |seeds| seeds.parse().expect("a count of seeds"));
     let (mut states, mut again) = (0, 0);
-    for seed in 0..3 {
+    for seed in 0..seeds {
         let whole = SimDisk::new(1 << 20);
         work(&whole, seed, 70, On::Die);
         for call in 0..whole.calls() {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -13,6 +13,7 @@
 
 use crate::interface::{Effect, Nanos, PartIx, ReplicaIx, RetrievalIx, StandingOrders, Writer};
 use crate::ledger::{Ending, Launch, Ledger, Part, Replica, Retrieval, RingLengths, Sample};
+use crate::trace::{Held, Launched, Note, PassedOver, Refused, SetAside, What};
 
 const MEMORY: Nanos = 2;
 /// Samples: enough parts for a steady percentile, few enough to follow a change within seconds.
@@ -144,6 +145,15 @@
         &self.ledger
     }
 
+    /// From now on each decision's reason is kept, until it is taken.
+    pub fn switch_trace(&mut self, on: bool) {
+        self.ledger.switch_trace(on);
+    }
+
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        self.ledger.take_notes()
+    }
+
     /// None for a slot that no round has seen.
     pub fn standing(&self, ix: ReplicaIx) -> Option<Standing> {
         self.opinions.get(ix.0).map(|o| Standing { aside: o.aside, relapses: o.relapses })
@@ -159,6 +169,8 @@
         let usual = |share| (took.len() >= DELAY_SAMPLES).then(|| percentile(took.clone(), share));
         let (half, longest, delay) = (usual(0.5), usual(USUAL_LONGEST), usual(DELAY_PERCENTILE));
         self.usual = Usual { half, longest, delay, patience: self.patience(half), turn: self.turn() };
+        let Usual { patience, .. } = self.usual;
+        self.ledger.note(|| What::Usual(half.unwrap_or(0), longest.unwrap_or(0), patience));
         self.follow_roster(w);
         self.release_counts();
         self.judge_replicas(w);
@@ -332,6 +344,18 @@
         took.len() == LAGGARD_SAMPLES && usual.is_some_and(|u| percentile(took, 0.5) > scaled(u, LAGGARD))
     }
 
+    fn amiss(&self, ix: ReplicaIx, usual: Option<Nanos>) -> Option<SetAside> {
+        let (r, back, patience) =
+            (&self.ledger.replicas[ix.0], self.opinions[ix.0].back, self.usual.patience);
+        if self.silent(r, back, patience) {
+            Some(SetAside::Silent)
+        } else if Self::failing(r, back, self.on_trial(ix), patience) {
+            Some(SetAside::Failing)
+        } else {
+            Self::lagging(r, back, usual).then_some(SetAside::Lagging)
+        }
+    }
+
     /// Sets aside a replica that is silent, fails or lags, whatever the cause, probes it, and lets it back by
     /// degrees: a probe may prove no more than that a process runs, so the first parts come one at a time.
     fn judge_replicas(&mut self, w: &mut dyn Writer) {
@@ -356,15 +380,14 @@
                 if answered >= needed && wait <= most
                     || !self.orders.may_probe && now > since + pace * needed as Nanos
                 {
+                    self.ledger.note(|| What::Back(ReplicaIx(ix)));
                     self.opinions[ix].aside = None;
                     self.opinions[ix].back = now;
                 } else if now >= probe_due {
                     self.ask(ReplicaIx(ix), pace.max(wait / 2), w);
                 }
-            } else if self.silent(r, back, patience)
-                || Self::failing(r, back, self.on_trial(ReplicaIx(ix)), patience)
-                || Self::lagging(r, back, usual)
-            {
+            } else if let Some(why) = self.amiss(ReplicaIx(ix), usual) {
+                self.ledger.note(|| What::Aside(ReplicaIx(ix), why));
                 self.opinions[ix].aside = Some(now);
                 self.opinions[ix].relapses = relapses + 1;
             } else if relapses > 0 && self.answered_since(r, back) >= LAGGARD_SAMPLES {
@@ -497,15 +520,38 @@
         let tried = |ix: ReplicaIx| part.launches.iter().any(|l| l.replica == ix);
         all.retain(|&ix| part.out().all(|(_, l)| l.replica != ix));
         let grade = self.ledger.retrieval(part.retrieval).grade;
-        prefer(&mut all, |ix| seats[ix].sound && !self.errs(ix, grade));
+        self.prefer(id, &mut all, |ix| match (seats[ix].sound, self.opinions[ix.0].aside) {
+            (true, _) => self.errs(ix, grade).then_some(PassedOver::Errs),
+            (false, None) => Some(PassedOver::Trial),
+            (false, Some(_)) => Some(PassedOver::Aside),
+        });
         // Where all look bad a queue that a replica told of is the one thing sure.
         let most = scaled(self.shortest_soft_limit(), FULL_AFTER);
-        prefer(&mut all, |ix| self.reported_wait(&self.ledger.replicas[ix.0]) <= most);
-        prefer(&mut all, |ix| !tried(ix));
-        all.retain(|&ix| !tried(ix) || self.ledger.replicas[ix.0].held.iter().all(|h| h.part != id));
+        let queues = |ix: ReplicaIx| self.reported_wait(&self.ledger.replicas[ix.0]) > most;
+        self.prefer(id, &mut all, |ix| queues(ix).then_some(PassedOver::Queue));
+        self.prefer(id, &mut all, |ix| tried(ix).then_some(PassedOver::Tried));
+        let counts = |ix: ReplicaIx| self.ledger.replicas[ix.0].held.iter().any(|h| h.part == id);
+        all.retain(|&ix| self.passes(id, ix, (tried(ix) && counts(ix)).then_some(PassedOver::Counts)));
         all
     }
 
+    /// Keeps those against which nothing is said, where there are any.
+    fn prefer(
+        &self,
+        id: PartIx,
+        replicas: &mut Vec<ReplicaIx>,
+        against: impl Fn(ReplicaIx) -> Option<PassedOver>,
+    ) {
+        if replicas.iter().any(|&ix| against(ix).is_none()) {
+            replicas.retain(|&ix| self.passes(id, ix, against(ix)));
+        }
+    }
+
+    fn passes(&self, id: PartIx, ix: ReplicaIx, against: Option<PassedOver>) -> bool {
+        against.into_iter().for_each(|why| self.ledger.note(|| What::Over(id, ix, why)));
+        against.is_none()
+    }
+
     /// Whether the rules and the grade allow a launch beyond the part's first.
     fn may_repeat(&self, part: &Part) -> bool {
         let may_have_run = |l: &&Launch| !l.end.is_some_and(Ending::never_ran);
@@ -593,6 +639,11 @@
             if weight + ROUNDING >= grade.whole.min((grade.floor + 1.0) / 2.0) {
                 parts.truncate(if wary { 1 } else { parts.len() });
                 self.place_together(&parts, &mut seats, w);
+            } else {
+                let full = r.parts.iter().filter(|p| !parts.contains(p));
+                let least =
+                    full.flat_map(|&p| self.holders(self.ledger.part(p).shard)).map(|ix| seats[ix].backlog);
+                self.ledger.note(|| What::Waits(ix, parts.len(), least.min().unwrap_or(0)));
             }
         }
     }
@@ -638,8 +689,12 @@
     }
 
     fn finds_room(&self, part: PartIx, most: Nanos, seats: &Seats) -> bool {
-        let choices = self.choices(part, seats);
-        choices.iter().any(|&ix| seats[ix].open && seats[ix].backlog <= most)
+        let against = |ix: ReplicaIx| match (seats[ix].open, seats[ix].backlog <= most) {
+            (true, true) => None,
+            (false, _) => Some(PassedOver::Cold),
+            (_, false) => Some(PassedOver::Backlog),
+        };
+        self.choices(part, seats).iter().any(|&ix| self.passes(part, ix, against(ix)))
     }
 
     /// The ordinary path: each part goes to its shard's replica with fewest of our calls in flight. Ties
@@ -653,6 +708,8 @@
             let mut fewest = choices.clone();
             fewest.retain(|&ix| is_fewest(ix, &choices, seats));
             if fewest.is_empty() || self.begun(part) && !self.within_ration() {
+                let why = if fewest.is_empty() { Held::NoHolder } else { Held::Ration };
+                self.ledger.note(|| What::Held(part, why));
                 continue;
             }
             let gathers = |ix: ReplicaIx| {
@@ -663,7 +720,10 @@
             let tied: Vec<ReplicaIx> =
                 fewest.iter().copied().filter(|&ix| Some(gathers(ix)) == most).collect();
             if let Some(replica) = self.any_of(&tied) {
-                self.launch(part, replica, false, w);
+                let p = self.ledger.part(part);
+                let again = if p.out().next().is_some() { Launched::Stranded } else { Launched::Again };
+                let why = if p.launches.is_empty() { Launched::First } else { again };
+                self.launch(part, replica, why, w);
                 seats.0[replica.0] = Some(self.seat(replica));
             }
         }
@@ -673,10 +733,11 @@
         (!replicas.is_empty()).then(|| replicas[self.chance.random_range(0..replicas.len())])
     }
 
-    fn launch(&mut self, part: PartIx, replica: ReplicaIx, copy: bool, w: &mut dyn Writer) {
+    fn launch(&mut self, part: PartIx, replica: ReplicaIx, why: Launched, w: &mut dyn Writer) {
+        self.ledger.note(|| What::Launch(part, replica, why));
         let retrieval = self.ledger.retrieval(self.ledger.part(part).retrieval);
         let limit = (self.end_of_use(retrieval) - self.now()).max(self.orders.beat);
-        self.ledger.launched(part, replica, copy);
+        self.ledger.launched(part, replica, why == Launched::Copy);
         w.launch(part, replica, limit);
     }
 
@@ -706,7 +767,7 @@
             let mut idle = self.choices(part, &seats);
             idle.retain(|&ix| seats[ix].sound && seats[ix].open && seats[ix].calls == 0);
             if let Some(replica) = self.any_of(&idle) {
-                self.launch(part, replica, true, w);
+                self.launch(part, replica, Launched::Copy, w);
                 seats.0[replica.0] = Some(self.seat(replica));
             }
         }
@@ -782,8 +843,14 @@
             && (ended || soft_over && short_earns > grade.late_earnings || within_reach < whole)
         {
             self.answer(ix, false, w);
-        } else if ended || within_reach < floor.min(whole) || self.crowded_out(r, usual) || self.kills(r) {
-            self.end(ix, w);
+        } else if ended {
+            self.end(ix, Refused::TimeUp, w);
+        } else if within_reach < floor.min(whole) {
+            self.end(ix, Refused::Lost, w);
+        } else if self.crowded_out(r, usual) {
+            self.end(ix, Refused::CrowdedOut, w);
+        } else if self.kills(r) {
+            self.end(ix, Refused::Kills, w);
         }
     }
 
@@ -800,6 +867,7 @@
     }
 
     fn answer(&mut self, ix: RetrievalIx, whole: bool, w: &mut dyn Writer) {
+        self.ledger.note(|| What::Answered(ix, whole));
         let r = self.ledger.retrieval(ix);
         if self.orders.grades[r.grade].second_step > 0 && r.step == 0 {
             self.ledger.next_step(ix);
@@ -811,11 +879,12 @@
 
     /// A dismissal promises that trying again is harmless; where a part of more than a pure grade may have
     /// run, it is a give-up instead.
-    fn end(&mut self, ix: RetrievalIx, w: &mut dyn Writer) {
+    fn end(&mut self, ix: RetrievalIx, why: Refused, w: &mut dyn Writer) {
         let r = self.ledger.retrieval(ix);
         let launches = r.parts.iter().flat_map(|&p| &self.ledger.part(p).launches);
         let never_ran = launches.clone().all(|l| l.end.is_some_and(Ending::never_ran));
         let harmless = self.orders.grades[r.grade].effect == Effect::Pure || never_ran;
+        self.ledger.note(|| What::Ended(ix, why, harmless));
         self.ledger.close(ix);
         if harmless { w.dismiss(ix, self.orders.stay_away) } else { w.give_up(ix) }
     }
@@ -846,10 +915,3 @@
     let rivals = choices.iter().copied().filter(|&ix| seats[ix].open);
     seats[ix].open && rivals.map(|ix| seats[ix].after).all(|after| seats[ix].after <= after)
 }
-
-/// Keeps those that pass, where any does.
-fn prefer(replicas: &mut Vec<ReplicaIx>, pass: impl Fn(ReplicaIx) -> bool) {
-    if replicas.iter().any(|&ix| pass(ix)) {
-        replicas.retain(|&ix| pass(ix));
-    }
-}
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -1,9 +1,11 @@
 //! The facts of one aggregator: what was taken, what was launched, what came of it, what the roster says.
 //! Nothing here decides anything; the lengths of all sample rings come from the caller.
 
+use std::cell::RefCell;
 use std::collections::{BTreeSet, VecDeque};
 
 use crate::interface::{Nanos, PartIx, ReplicaIx, RetrievalIx};
+use crate::trace::{Note, Trace, What};
 
 /// How a launch ended, as far as the aggregator can know.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
@@ -184,6 +186,8 @@
     pub asked: VecDeque<(Nanos, usize)>,
     pub roster_lost: bool,
     pub roster_heard: Option<Nanos>,
+    /// Why decisions fell, where the host wants to know.
+    trace: RefCell<Trace>,
     calls: u64,
     roster_complete: bool,
 }
@@ -210,6 +214,7 @@
             asked: VecDeque::new(),
             roster_lost: false,
             roster_heard: None,
+            trace: RefCell::default(),
             calls: 0,
             roster_complete: false,
         }
@@ -220,6 +225,23 @@
         self.calls += 1;
     }
 
+    // ---- the trace ----
+
+    pub fn switch_trace(&mut self, on: bool) {
+        self.trace.get_mut().switch(on);
+    }
+
+    /// Made only while the trace is on.
+    pub fn note(&self, what: impl FnOnce() -> What) {
+        self.trace.borrow_mut().note(self.now, what);
+    }
+
+    /// What was noted since it was last taken.
+    pub fn take_notes(&mut self) -> Vec<Note> {
+        let first = (self.first_retrieval(), self.first_part());
+        self.trace.get_mut().take(first)
+    }
+
     // ---- what comes in ----
 
     pub fn retrieval_taken(
@@ -245,7 +267,9 @@
             step: 0,
             closed: false,
         });
-        RetrievalIx(self.first_retrieval + self.retrievals.len() - 1)
+        let ix = RetrievalIx(self.first_retrieval + self.retrievals.len() - 1);
+        self.note(|| What::Taken(ix, grade, again));
+        ix
     }
 
     /// A floor of its own, which the client asked for.
@@ -259,6 +283,7 @@
         self.taken.push_back(self.now);
         self.parts_taken.push_back(self.now);
         let ix = PartIx(self.first_part + self.parts.len());
+        self.note(|| What::Part(ix, retrieval, shard));
         let (step, closed) = match self.retrieval_mut(retrieval) {
             Some(r) => {
                 r.parts.push(ix);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -1,6 +1,7 @@
 //! Decisions of an aggregator that spreads the parts of retrievals over replicated shards.
 //!
-//! [`choice`] holds every decision, [`ledger`] the facts they rest on, [`interface`] what a host gives and gets.
+//! [`choice`] holds every decision, [`ledger`] the facts they rest on, [`interface`] what a host gives and gets,
+//! [`trace`] why each decision fell.
 //!
 //! ```
 //! use orchidvalve::Aggregator;
@@ -52,5 +53,6 @@
 pub mod choice;
 pub mod interface;
 pub mod ledger;
+pub mod trace;
 
 pub use choice::Aggregator;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -706,3 +706,56 @@
         assert_eq!(ends, [if answered { Told::Answer(ix, false) } else { Told::Dismiss(ix) }], "{floor}");
     }
 }
+
+/// The trace is taken where decisions fall: it has each of them, in order, and a reason for each.
+#[test]
+fn every_decision_has_its_reason_in_the_trace_and_a_trace_that_is_off_keeps_nothing() {
+    use orchidvalve::trace::What;
+    for on in [true, false] {
+        let mut host = Host::new(orders(2));
+        host.aggregator.switch_trace(on);
+        let (mut told, mut notes) = (host.traffic(40, &[]), Vec::new());
+        for n in 0..120 {
+            // One holder falls silent, the other is overrun now and then.
+            for _ in 0..if n % 10 == 0 { 12 } else { 1 } {
+                told.extend(host.take(0, &[n % 2]).1);
+            }
+            told.extend(host.wait(40 * MS));
+            told.extend(
+                host.end(|r| (r == B).then_some(if n % 7 == 0 { Ending::Faulty } else { Ending::Done })),
+            );
+            notes.extend(host.aggregator.take_notes());
+        }
+        for _ in 0..700 {
+            told.extend(host.wait(5 * MS));
+            notes.extend(host.aggregator.take_notes());
+        }
+        let of = |pick: &dyn Fn(What) -> Option<Told>| -> Vec<Told> {
+            notes.iter().filter_map(|n| pick(n.what)).collect()
+        };
+        let launched = of(&|what| match what {
+            What::Launch(part, replica, _) => Some(Told::Launch(part, replica)),
+            _ => None,
+        });
+        let ended = of(&|what| match what {
+            What::Answered(ix, whole) => Some(Told::Answer(ix, whole)),
+            What::Ended(ix, _, true) => Some(Told::Dismiss(ix)),
+            What::Ended(ix, _, false) => Some(Told::GiveUp(ix)),
+            _ => None,
+        });
+        let launches: Vec<Told> = told.iter().filter(|t| matches!(t, Told::Launch(..))).copied().collect();
+        let ends = |t: &&Told| matches!(t, Told::Answer(..) | Told::Dismiss(_) | Told::GiveUp(_));
+        let ends: Vec<Told> = told.iter().filter(ends).copied().collect();
+        if on {
+            assert_eq!((launched, ended), (launches.clone(), ends.clone()));
+            assert!(
+                ends.iter().any(|t| matches!(t, Told::Dismiss(_))) && launches.len() > 150,
+                "{}",
+                launches.len()
+            );
+            assert!(notes.iter().any(|n| matches!(n.what, What::Aside(A, _))));
+        } else {
+            assert!(notes.is_empty());
+        }
+    }
+}
