--- /dev/null
+++ b/crates/logbook/fuzz/fuzz_targets/recovery.rs
@@ -0,0 +1,44 @@
+//! Recovery of arbitrary bytes: `cargo fuzz run recovery` in `crates/logbook`. The input is cut into the files of a
+//! store; it must open, or refuse for a reason that is no damage, and take a record that is there the next time.
+#![no_main]
+
+use std::sync::Arc;
+
+use libfuzzer_sys::fuzz_target;
+use orchidvalve_logbook::disk::sim::SimDisk;
+use orchidvalve_logbook::store::{Batch, LogbookOrders, OpenFault, Store};
+
+const FILES: [&str; 5] = [
+    "MANIFEST",
+    "0000000000000001.seg",
+    "0000000000000002.seg",
+    "0000000000000001.idx",
+    "0000000000000003.seg",
+];
+
+fuzz_target!(|bytes: &[u8]| {
+    let disk = SimDisk::new(64 << 20);
+    let mut rest = bytes;
+    for name in FILES {
+        let Some((length, after)) = rest.split_first_chunk::<2>() else { break };
+        let length = usize::from(u16::from_le_bytes(*length)).min(after.len());
+        if length > 0 {
+            disk.set_bytes(name, after[..length].to_vec());
+        }
+        rest = &after[length..];
+    }
+    let open = || Store::open(Arc::new(disk.clone()), LogbookOrders::named("fuzz"));
+    let mut store = match open() {
+        Ok((store, _)) => store,
+        Err(OpenFault::Foreign | OpenFault::Newer(_)) => return,
+        Err(fault) => panic!("not opened: {fault}"),
+    };
+    for (space, key, _) in store.view().entries() {
+        let _ = store.view().get(space, key);
+    }
+    store.append(&Batch::new().put(1, b"after", b"x")).expect("it is taken");
+    store.sync().expect("it is synced");
+    drop(store);
+    let (store, _) = open().expect("it opens again");
+    assert_eq!(store.view().get(1, b"after").expect("it can be read").as_deref(), Some(&b"x"[..]));
+});
