crates/fleet: membership by foca, budgets as leases between peers, verdicts by age

The new crate, free of I/O and clocks, round(now, came_in, writer): SWIM membership from foca (identity = address and a count of starts, renewed when declared down); a budget of units a second split into base shares (total over the members counted, never fewer than expected, the down counted until forgotten) and leases lent from spare base to peers that ask; verdicts (cold, bad for a grade, draining) merged by the time seen, told with their age so no two clocks are compared. Datagrams have a head with version, a key number and tag length kept for authentication, and the sender.

The lease is counted by its lender from its grant to its length and a guard, by its borrower from its ask to its length less drift: the borrower's interval lies in the lender's whatever the delay, so the allowances sum to at most the bases.

--- /dev/null
+++ b/crates/fleet/tests/fleet.rs
@@ -0,0 +1,189 @@
+//! Stories of a fleet in virtual time: each is one trouble between front nodes, and what must hold through it.
+
+mod net;
+
+use net::{MS, Net, S};
+use orchidvalve_fleet::shares::BudgetKey;
+use orchidvalve_fleet::verdicts::{Topic, VerdictKey};
+
+const KEY: BudgetKey = BudgetKey { family: 1, subject: 42 };
+const TOTAL: f64 = 100.0;
+
+/// Node 0 would use 60 of 100 a second, all others 1 each.
+fn demand(net: &mut Net, step: i64) {
+    net.tick(step, |i, inbox| inbox.want(KEY, TOTAL, if i == 0 { 60.0 } else { 1.0 }));
+}
+
+fn sum(net: &Net) -> f64 {
+    net.alive().map(|f| f.allowance(KEY)).sum()
+}
+
+#[test]
+fn ten_nodes_find_each_other_from_three_seeds() {
+    let mut net = Net::new(10, 10, 1, |o| o);
+    net.run(10 * S, 10 * MS, |_| {});
+    for fleet in net.alive() {
+        assert_eq!(fleet.members().0, 9, "{:?}", fleet.me());
+    }
+}
+
+#[test]
+fn a_node_that_wants_more_borrows_and_the_fleet_stays_within_the_total() {
+    let mut net = Net::new(10, 10, 2, |o| o);
+    let mut most: f64 = 0.0;
+    while net.now < 20 * S {
+        demand(&mut net, 10 * MS);
+        most = most.max(sum(&net));
+    }
+    let heavy = net.nodes[0].fleet.as_ref().unwrap().allowance(KEY);
+    assert!(heavy > 40.0, "the heavy node got {heavy:.1} of the others' spare, its base is 10");
+    assert!(most <= TOTAL + 1e-6, "the fleet was allowed {most:.3} at once");
+}
+
+#[test]
+fn datagrams_lost_copied_and_reordered_never_count_a_lease_twice() {
+    let mut net = Net::new(12, 12, 3, |o| o);
+    net.faults = net::Faults { loss: 0.3, copies: 0.3, delay: 2 * MS, jitter: 40 * MS };
+    let (mut most, mut heavy): (f64, f64) = (0.0, 0.0);
+    while net.now < 30 * S {
+        demand(&mut net, 10 * MS);
+        most = most.max(sum(&net));
+        if net.now > 20 * S {
+            heavy += net.nodes[0].fleet.as_ref().unwrap().allowance(KEY) / 1000.0;
+        }
+    }
+    assert!(most <= TOTAL + 1e-6, "the fleet was allowed {most:.3} at once");
+    assert!(heavy > 20.0, "with 30% lost the heavy node still borrows: {heavy:.1} on average, its base 8.3");
+}
+
+#[test]
+fn a_partition_shorter_than_forgetting_keeps_the_total_and_a_longer_one_at_most_doubles_it() {
+    let mut net = Net::new(10, 10, 4, |o| o);
+    let mut most: f64 = 0.0;
+    while net.now < 10 * S {
+        demand(&mut net, 10 * MS);
+    }
+    net.side = (0..10).map(|i| u8::from(i >= 5)).collect();
+    while net.now < 30 * S {
+        demand(&mut net, 10 * MS);
+        most = most.max(sum(&net));
+    }
+    assert!(most <= TOTAL + 1e-6, "within 20 s, shorter than the 30 s of forgetting: {most:.3}");
+    while net.now < 70 * S {
+        demand(&mut net, 10 * MS);
+        most = most.max(sum(&net));
+    }
+    // The bound: each side counts at least `expected` members, so each takes at most the total.
+    assert!(most <= 2.0 * TOTAL + 1e-6, "two sides, each at most the whole: {most:.3}");
+}
+
+#[test]
+fn a_borrower_that_dies_gives_back_its_leases_when_they_end() {
+    let mut net = Net::new(6, 6, 5, |o| o);
+    while net.now < 10 * S {
+        demand(&mut net, 10 * MS);
+    }
+    let lent_before: f64 = net.alive().skip(1).map(|f| f.leases().0).sum();
+    assert!(lent_before > 10.0, "others lent to node 0: {lent_before:.1}");
+    net.nodes[0].fleet = None;
+    while net.now < 14 * S {
+        net.tick(10 * MS, |_, inbox| inbox.want(KEY, TOTAL, 1.0));
+    }
+    let lent_after: f64 = net.alive().map(|f| f.leases().0).sum();
+    assert!(lent_after < 1e-9, "lent 4 s after the borrower died: {lent_after:.2}");
+}
+
+#[test]
+fn a_lender_whose_clock_steps_forward_lets_the_fleet_over_by_what_it_lent_at_most() {
+    let mut net = Net::new(6, 6, 6, |o| o);
+    while net.now < 10 * S {
+        demand(&mut net, 10 * MS);
+    }
+    let lent: f64 = net.nodes[1].fleet.as_ref().unwrap().leases().0;
+    net.nodes[1].skew = 5 * S;
+    let mut most: f64 = 0.0;
+    for _ in 0..100 {
+        demand(&mut net, 10 * MS);
+        most = most.max(sum(&net));
+    }
+    assert!(most <= TOTAL + lent + 1e-6, "over by {:.2}, it had lent {lent:.2}", most - TOTAL);
+}
+
+#[test]
+fn a_verdict_reaches_all_and_an_older_one_from_a_peer_that_comes_back_loses() {
+    let mut net = Net::new(20, 20, 7, |o| o);
+    net.run(8 * S, 10 * MS, |_| {});
+    let key = VerdictKey { subject: 9, grade: 0, topic: Topic::Bad };
+    // Node 3 is cut off and comes to "bad"; then node 5 comes to "good", which is newer.
+    net.side[3] = 1;
+    net.tick(10 * MS, |i, inbox| {
+        if i == 3 {
+            inbox.verdict(key, true, 60 * S)
+        }
+    });
+    net.run(net.now + 2 * S, 10 * MS, |_| {});
+    net.tick(10 * MS, |i, inbox| {
+        if i == 5 {
+            inbox.verdict(key, false, 60 * S)
+        }
+    });
+    let began = net.now;
+    let mut reached = None;
+    while net.now < began + 5 * S {
+        net.tick(10 * MS, |_, _| {});
+        if reached.is_none()
+            && net.alive().enumerate().all(|(i, f)| i == 3 || f.verdicts().any(|(k, _)| *k == key))
+        {
+            reached = Some(net.now - began);
+        }
+    }
+    let reached = reached.expect("the verdict reached all that are connected");
+    assert!(reached < 3 * S, "it took {} ms", reached / MS);
+    net.side[3] = 0;
+    net.run(net.now + 5 * S, 10 * MS, |_| {});
+    for (i, fleet) in net.alive().enumerate() {
+        assert!(!fleet.holds(key), "node {i} believes the older verdict");
+    }
+}
+
+#[test]
+fn a_peer_that_floods_is_cut_down_to_its_share_and_the_others_go_on() {
+    let mut net = Net::new(5, 5, 8, |o| o);
+    net.run(5 * S, 10 * MS, |_| {});
+    // Node 4 sends a thousand asks a round to node 0; node 1 still borrows from node 0.
+    let flood = {
+        let mut out = Vec::new();
+        let from = net.nodes[4].fleet.as_ref().unwrap().me();
+        let ask = orchidvalve_fleet::shares::Ask { key: KEY, total: TOTAL, want: 1000.0, ask: 7 };
+        orchidvalve_fleet::wire::write(from, &orchidvalve_fleet::wire::Letter::Ask(ask), &mut out);
+        out
+    };
+    while net.now < 15 * S {
+        net.tick(10 * MS, |i, inbox| {
+            if i == 0 {
+                (0..1000).for_each(|_| inbox.datagram(&flood));
+            }
+            inbox.want(KEY, TOTAL, if i == 1 { 40.0 } else { 1.0 });
+        });
+    }
+    let counts = net.nodes[0].fleet.as_ref().unwrap().counts();
+    assert!(counts.flooded > 100_000, "{counts:?}");
+    let lent_to_flooder = net.nodes[4].fleet.as_ref().unwrap().allowance(KEY);
+    assert!(lent_to_flooder < 30.0, "one ask of the flood lends once: {lent_to_flooder:.1}");
+    assert!(net.nodes[1].fleet.as_ref().unwrap().allowance(KEY) > 20.0);
+}
+
+#[test]
+fn three_hundred_nodes_started_at_once_stay_within_the_total() {
+    let mut net = Net::new(300, 300, 9, |o| o);
+    let mut most: f64 = 0.0;
+    while net.now < 20 * S {
+        net.tick(20 * MS, |i, inbox| inbox.want(KEY, TOTAL, if i % 50 == 0 { 5.0 } else { 0.1 }));
+        most = most.max(sum(&net));
+    }
+    assert!(most <= TOTAL + 1e-6, "{most:.3}");
+    let heavy = net.nodes[0].fleet.as_ref().unwrap().allowance(KEY);
+    assert!(heavy > 1.0, "base 0.33, wants 5: {heavy:.2}");
+    let known = net.alive().map(|f| f.members().0).min().unwrap();
+    assert!(known >= 290, "each knows {known} at least");
+}
--- /dev/null
+++ b/crates/fleet/tests/net/mod.rs
@@ -0,0 +1,140 @@
+//! Many fleets in one process on a network of virtual time that loses, delays, copies and cuts datagrams as told.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+use orchidvalve_fleet::{Fleet, FleetOrders, Inbox, Nanos, Writer};
+
+pub const MS: Nanos = 1_000_000;
+pub const S: Nanos = 1_000_000_000;
+
+/// Faults between nodes, decided by a counter that the seed starts, so that a story plays the same each time.
+#[derive(Clone, Copy, Default)]
+pub struct Faults {
+    /// Share of datagrams lost.
+    pub loss: f64,
+    /// Share copied once more.
+    pub copies: f64,
+    /// Delay, and a random part beside it, which reorders.
+    pub delay: Nanos,
+    pub jitter: Nanos,
+}
+
+pub struct Node {
+    pub fleet: Option<Fleet>,
+    pub address: SocketAddrV4,
+    /// Added to the time this node is given: a clock that stepped.
+    pub skew: Nanos,
+}
+
+pub struct Net {
+    pub nodes: Vec<Node>,
+    pub faults: Faults,
+    /// Sides of a cut: datagrams between nodes of different sides are lost.
+    pub side: Vec<u8>,
+    pub now: Nanos,
+    queue: BTreeMap<(Nanos, u64), (usize, Vec<u8>)>,
+    sequence: u64,
+    chance: u64,
+    pub delivered: u64,
+}
+
+struct Sent<'a> {
+    from: usize,
+    net: &'a mut Vec<(usize, SocketAddrV4, Vec<u8>)>,
+}
+
+impl Writer for Sent<'_> {
+    fn send(&mut self, to: SocketAddrV4, datagram: &[u8]) {
+        self.net.push((self.from, to, datagram.to_vec()));
+    }
+}
+
+pub fn address(n: usize) -> SocketAddrV4 {
+    SocketAddrV4::new([10, 0, (n / 250) as u8, (n % 250) as u8 + 1].into(), 7000)
+}
+
+impl Net {
+    /// `n` nodes, each told of the first three as peers, all expecting `expected`.
+    pub fn new(n: usize, expected: usize, seed: u64, orders: impl Fn(FleetOrders) -> FleetOrders) -> Net {
+        let seeds: Vec<SocketAddrV4> = (0..n.min(3)).map(address).collect();
+        let nodes = (0..n)
+            .map(|i| {
+                let o = orders(FleetOrders::new(address(i), seeds.clone(), expected));
+                Node {
+                    fleet: Some(Fleet::new(o, seed.wrapping_mul(1000).wrapping_add(i as u64), 0)),
+                    address: address(i),
+                    skew: 0,
+                }
+            })
+            .collect();
+        Net {
+            nodes,
+            faults: Faults::default(),
+            side: vec![0; n],
+            now: 0,
+            queue: BTreeMap::new(),
+            sequence: 0,
+            chance: seed | 1,
+            delivered: 0,
+        }
+    }
+
+    fn draw(&mut self) -> f64 {
+        self.chance ^= self.chance << 13;
+        self.chance ^= self.chance >> 7;
+        self.chance ^= self.chance << 17;
+        (self.chance >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Moves time on by `step`, every node taking a round, with `before` called on each node's inbox.
+    pub fn tick(&mut self, step: Nanos, mut before: impl FnMut(usize, &mut Inbox)) {
+        self.now += step;
+        let mut inboxes: Vec<Vec<Vec<u8>>> = vec![Vec::new(); self.nodes.len()];
+        while let Some(entry) = self.queue.first_entry() {
+            if entry.key().0 > self.now {
+                break;
+            }
+            let (to, bytes) = entry.remove();
+            inboxes[to].push(bytes);
+        }
+        let mut out = Vec::new();
+        for (i, node) in self.nodes.iter_mut().enumerate() {
+            let Some(fleet) = node.fleet.as_mut() else { continue };
+            let mine = std::mem::take(&mut inboxes[i]);
+            self.delivered += mine.len() as u64;
+            let mut sent = Sent { from: i, net: &mut out };
+            fleet.round(
+                self.now + node.skew,
+                |inbox| {
+                    mine.iter().for_each(|d| inbox.datagram(d));
+                    before(i, inbox);
+                },
+                &mut sent,
+            );
+        }
+        for (from, to, bytes) in out {
+            let Some(to) = self.nodes.iter().position(|n| n.address == to) else { continue };
+            if self.side[from] != self.side[to] || self.draw() < self.faults.loss {
+                continue;
+            }
+            let copies = if self.draw() < self.faults.copies { 2 } else { 1 };
+            for _ in 0..copies {
+                let late = self.faults.delay + (self.draw() * self.faults.jitter as f64) as Nanos;
+                self.sequence += 1;
+                self.queue.insert((self.now + late.max(1), self.sequence), (to, bytes.clone()));
+            }
+        }
+    }
+
+    pub fn run(&mut self, until: Nanos, step: Nanos, mut each: impl FnMut(&mut Net)) {
+        while self.now < until {
+            self.tick(step, |_, _| {});
+            each(self);
+        }
+    }
+
+    pub fn alive(&self) -> impl Iterator<Item = &Fleet> {
+        self.nodes.iter().filter_map(|n| n.fleet.as_ref())
+    }
+}
