--- a/crates/fleet/src/verdicts.rs
+++ b/crates/fleet/src/verdicts.rs
@@ -62,8 +62,11 @@
 }
 
 impl Known {
+    /// An order over all that a verdict carries, so that of two the same one wins wherever they meet, even two that
+    /// only a spoilt or replayed letter could make differ.
     fn beats(&self, other: &Known) -> bool {
-        (self.seen, self.origin, self.sequence) > (other.seen, other.origin, other.sequence)
+        let rank = |k: &Known| (k.seen, k.origin, k.sequence, k.holds, k.until);
+        rank(self) > rank(other)
     }
 }
 
--- /dev/null
+++ b/crates/fleet/tests/model.rs
@@ -0,0 +1,175 @@
+//! The lease exchange of `shares`, the code itself, under every order of its letters: any may be lost, copied, or
+//! late by any number of ticks, and demand may change between them. Checked by `stateright` to a stated depth.
+
+use std::hash::{Hash, Hasher};
+
+use orchidvalve_fleet::shares::{Ask, BudgetKey, Grant, LeaseOrders, Post, Shares};
+use orchidvalve_fleet::{Nanos, Peer};
+use stateright::{Checker, Model, Property};
+
+const KEY: BudgetKey = BudgetKey { family: 0, subject: 1 };
+const TOTAL: f64 = 8.0;
+/// Long against the lender's guard of a millisecond, so that a lease counted from the wrong moment shows.
+const LASTS: Nanos = 10_000_000_000;
+const TICK: Nanos = LASTS / 2;
+const HORIZON: Nanos = 4 * LASTS;
+
+fn peer(n: u8) -> Peer {
+    Peer { ip: [10, 0, 0, n], port: 1, bump: 0 }
+}
+
+fn orders() -> LeaseOrders {
+    LeaseOrders {
+        lasts: LASTS,
+        drift: 0.0,
+        lend_share: 0.5,
+        renew_at: 0.5,
+        asks: 2,
+        answer_within: 2 * TICK,
+        budgets: 4,
+        lent_most: 8,
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Letter {
+    Ask(Ask),
+    Grant(Grant),
+}
+
+/// Three nodes: 0 borrows, 1 and 2 lend. Letters in flight: to, from, what.
+#[derive(Clone, Debug)]
+struct State {
+    now: Nanos,
+    nodes: Vec<Shares>,
+    flying: Vec<(u8, u8, Letter)>,
+}
+
+impl Hash for State {
+    fn hash<H: Hasher>(&self, state: &mut H) {
+        format!("{self:?}").hash(state);
+    }
+}
+
+impl PartialEq for State {
+    fn eq(&self, other: &State) -> bool {
+        format!("{self:?}") == format!("{other:?}")
+    }
+}
+
+struct Letters(u8, Vec<(u8, u8, Letter)>);
+
+impl Post for Letters {
+    fn ask(&mut self, to: Peer, ask: Ask) {
+        self.1.push((to.ip[3], self.0, Letter::Ask(ask)));
+    }
+    fn grant(&mut self, to: Peer, grant: Grant) {
+        self.1.push((to.ip[3], self.0, Letter::Grant(grant)));
+    }
+}
+
+#[derive(Clone, Debug, PartialEq)]
+enum Action {
+    Tick,
+    /// The borrower looks at its shares, wanting so much.
+    Step(u8),
+    Deliver(usize),
+    /// Delivered, and a copy stays in flight.
+    Copy(usize),
+    Lose(usize),
+}
+
+struct Exchange;
+
+const MEMBERS: usize = 3;
+
+impl Model for Exchange {
+    type State = State;
+    type Action = Action;
+
+    fn init_states(&self) -> Vec<State> {
+        let mut nodes: Vec<Shares> = (0..3).map(|_| Shares::new(orders())).collect();
+        for (n, node) in nodes.iter_mut().enumerate() {
+            node.want(KEY, TOTAL, if n == 0 { 0.0 } else { 1.0 }, 0);
+        }
+        vec![State { now: 0, nodes, flying: Vec::new() }]
+    }
+
+    fn actions(&self, state: &State, actions: &mut Vec<Action>) {
+        if state.now < HORIZON {
+            actions.push(Action::Tick);
+        }
+        actions.extend([Action::Step(2), Action::Step(6)]);
+        for at in 0..state.flying.len() {
+            actions.extend([Action::Deliver(at), Action::Copy(at), Action::Lose(at)]);
+        }
+    }
+
+    fn next_state(&self, last: &State, action: Action) -> Option<State> {
+        let mut next = last.clone();
+        let now = next.now;
+        let mut out = Letters(0, Vec::new());
+        match action {
+            Action::Tick => next.now += TICK,
+            Action::Step(want) => {
+                next.nodes[0].want(KEY, TOTAL, f64::from(want), now);
+                next.nodes[0].step(MEMBERS, &[peer(1), peer(2)], now, &mut out);
+            }
+            Action::Deliver(at) | Action::Copy(at) | Action::Lose(at) => {
+                let (to, from, letter) = if matches!(action, Action::Copy(_)) {
+                    next.flying[at].clone()
+                } else {
+                    next.flying.remove(at)
+                };
+                if matches!(action, Action::Lose(_)) {
+                    return Some(next);
+                }
+                out.0 = to;
+                let node = &mut next.nodes[usize::from(to)];
+                match letter {
+                    Letter::Ask(ask) => node.asked(peer(from), ask, MEMBERS, now, &mut out),
+                    Letter::Grant(grant) => drop(node.granted(peer(from), grant, now)),
+                }
+            }
+        }
+        next.flying.extend(out.1);
+        // Letters are a multiset: their order in flight says nothing.
+        next.flying.sort_by_key(|(to, from, l)| (*to, *from, format!("{l:?}")));
+        (next.flying.len() <= 4).then_some(next)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always("the fleet is never allowed more than the total", |_, s: &State| {
+                let sum: f64 = s.nodes.iter().map(|n| n.allowance(KEY, MEMBERS, s.now)).sum();
+                sum <= TOTAL + 1e-9
+            }),
+            Property::always("no lease is counted twice", |_, s: &State| {
+                let held = s.nodes[0].budgets.get(&KEY).map_or(Vec::new(), |b| b.borrowed.clone());
+                held.iter()
+                    .enumerate()
+                    .all(|(i, a)| held[..i].iter().all(|b| (a.from, a.ask) != (b.from, b.ask)))
+            }),
+            Property::always("what a borrower counts, its lender counts too", |_, s: &State| {
+                let held = s.nodes[0].budgets.get(&KEY).map_or(Vec::new(), |b| b.borrowed.clone());
+                held.iter().filter(|b| b.until > s.now).all(|b| {
+                    let lender = &s.nodes[usize::from(b.from.ip[3])].budgets[&KEY];
+                    lender.lent.iter().any(|l| l.ask == b.ask && l.until > s.now && l.amount == b.amount)
+                })
+            }),
+            Property::sometimes("the borrower borrows", |_, s: &State| {
+                s.nodes[0].allowance(KEY, MEMBERS, s.now) > TOTAL / MEMBERS as f64 + 1e-9
+            }),
+        ]
+    }
+}
+
+/// Depth 9 in CI; `FLEET_MODEL_DEPTH=11` outside it (540,396 unique states, half a minute in release).
+#[test]
+fn leases_hold_under_every_order_of_loss_copies_and_delay() {
+    let depth = std::env::var("FLEET_MODEL_DEPTH").ok().and_then(|d| d.parse().ok()).unwrap_or(9);
+    let checker = Exchange.checker().target_max_depth(depth).spawn_bfs().join();
+    println!("states: {} ({} unique) to depth {depth}", checker.state_count(), checker.unique_state_count());
+    checker.assert_properties();
+    assert!(checker.unique_state_count() > 1_000, "the depth reached little");
+}
