The node takes part in a fleet: UDP, floors of cold servers and failing grades shared

The node tells a verdict when a grade fails at a replica, and clears it when it is served there. Alone, a node announces itself to its peers again at growing waits: a peer not up yet left it alone for good.

--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -8,7 +8,9 @@
 use std::process::ExitCode;
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
-use orchidvalve_frontnode::config::{LOGBOOK_VARIABLE, ROUTES_VARIABLE, Source, TRACE_VARIABLE, VARIABLE};
+use orchidvalve_frontnode::config::{
+    FLEET_VARIABLE, LOGBOOK_VARIABLE, ROUTES_VARIABLE, Source, TRACE_VARIABLE, VARIABLE,
+};
 use orchidvalve_frontnode::{log, node};
 
 /// What cannot be used: a file, a key or a query. Told as `FILE: PATH: reason`.
@@ -48,6 +50,9 @@
     /// The file of the logbook, where the configuration does not name it
     #[arg(long, env = LOGBOOK_VARIABLE, value_name = "FILE")]
     logbook: Option<String>,
+    /// The file of the fleet of front nodes, where the configuration does not name it
+    #[arg(long, env = FLEET_VARIABLE, value_name = "FILE")]
+    fleet: Option<String>,
     /// Write the reason of each decision to this file, - for standard error; `orchidvalve why` reads it
     #[arg(long, env = TRACE_VARIABLE, value_name = "FILE")]
     trace: Option<String>,
@@ -73,6 +78,7 @@
                 config: args.config,
                 search: args.search,
                 logbook: args.logbook,
+                fleet: args.fleet,
                 trace: args.trace,
             })
             .map_err(|fault| (1, fault))
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -226,7 +226,9 @@
     down: BTreeMap<Peer, Nanos>,
     rng: Pcg64Mcg,
     now: Nanos,
-    started: bool,
+    next_announce: Nanos,
+    /// Announcements in a row while alone.
+    announced: u32,
     next_step: Nanos,
     next_gossip: Nanos,
     intake: BTreeMap<Peer, usize>,
@@ -277,7 +279,8 @@
             down: BTreeMap::new(),
             rng,
             now,
-            started: false,
+            next_announce: now,
+            announced: 0,
             next_step: now,
             next_gossip: now,
             intake: BTreeMap::new(),
@@ -299,14 +302,19 @@
         let mut inbox = Inbox::default();
         came_in(&mut inbox);
         let mut asked = Asked::default();
-        if !self.started {
-            self.started = true;
+        // Alone, it announces itself to the peers it was given, at first and again, each time later: a peer that
+        // was not up yet, or an announcement lost, would leave it alone for good, as members only gossip to members.
+        if self.members.num_members() == 0 && now >= self.next_announce {
+            self.announced = (self.announced + 1).min(6);
+            self.next_announce = now + self.orders.probe_every * (1 << self.announced);
             for &peer in &self.orders.peers.clone() {
                 if peer != self.orders.me {
                     let result = self.members.announce(Peer::at(peer, 0), &mut asked);
                     self.fault(result);
                 }
             }
+        } else if self.members.num_members() > 0 {
+            self.announced = 0;
         }
         let members = self.counted();
         for (key, total, want) in inbox.wants {
@@ -437,7 +445,8 @@
     /// When the next round is due at the latest.
     pub fn next_due(&self) -> Nanos {
         let timer = self.timers.first_key_value().map_or(Nanos::MAX, |((at, _), _)| *at);
-        timer.min(self.next_step).min(self.next_gossip)
+        let alone = if self.members.num_members() == 0 { self.next_announce } else { Nanos::MAX };
+        timer.min(self.next_step).min(self.next_gossip).min(alone)
     }
 
     /// Units a second of a budget that this node may use now.
--- a/crates/fleet/src/shares.rs
+++ b/crates/fleet/src/shares.rs
@@ -83,6 +83,11 @@
     pub borrowed: Vec<Borrowed>,
     /// The last ask: its number, when it went, and to whom.
     pub asked: Option<(u32, Nanos, Vec<Peer>)>,
+    /// Asks in a row that brought nothing: the next waits twice as long for each, up to a lease's length. Against a
+    /// fleet in which all want more than their share, where every ask is in vain and all of them ask.
+    pub in_vain: u32,
+    /// Whether the last ask brought anything yet.
+    pub brought: bool,
 }
 
 /// What a node asks of a peer.
@@ -202,6 +207,7 @@
             return Err(Unused::NotAsked);
         }
         to.swap_remove(place.unwrap_or(0));
+        budget.brought |= grant.amount > 0.0;
         let lasts = (grant.lasts.min(orders.lasts) as f64 * (1.0 - orders.drift)) as Nanos;
         let until = *sent + lasts;
         if until <= now {
--- a/crates/frontnode/src/config.rs
+++ b/crates/frontnode/src/config.rs
@@ -10,6 +10,7 @@
 use serde_json::Value;
 
 use crate::archive::ArchiveOrders;
+use crate::fleet::FleetPlan;
 use crate::pool::PoolTerms;
 use crate::roster::{self, Roster};
 use crate::wires::WireOrders;
@@ -20,6 +21,8 @@
 pub const ROUTES_VARIABLE: &str = "NODE_SEARCH";
 /// Variable that may hold the path of the logbook's file, beside the key `logbook`.
 pub const LOGBOOK_VARIABLE: &str = "NODE_LOGBOOK";
+/// Variable that may hold the path of the fleet's file, beside the key `fleet`.
+pub const FLEET_VARIABLE: &str = "NODE_FLEET";
 /// Variable that may name the file that the reasons of decisions are written to.
 pub const TRACE_VARIABLE: &str = "NODE_TRACE";
 
@@ -42,6 +45,8 @@
     pub tenants: Vec<String>,
     /// What is remembered over a restart, and where; none where nothing is.
     pub archive: Option<ArchiveOrders>,
+    /// How the node takes part in a fleet of front nodes; none where it stands alone.
+    pub fleet: Option<FleetPlan>,
     /// When each grade's retrievals are abandoned, counted from their beginning.
     pub abandon: Vec<Nanos>,
     /// Where queries of the search door go; none where it is closed.
@@ -81,6 +86,8 @@
     pub search: Option<String>,
     /// The operator's file of the logbook, in the same way beside the key `logbook`.
     pub logbook: Option<String>,
+    /// The operator's file of the fleet, in the same way beside the key `fleet`.
+    pub fleet: Option<String>,
     /// Where the reasons of decisions are written, `-` for standard error; none where they are not kept.
     pub trace: Option<String>,
 }
@@ -94,6 +101,7 @@
             config,
             search: path(ROUTES_VARIABLE),
             logbook: path(LOGBOOK_VARIABLE),
+            fleet: path(FLEET_VARIABLE),
             trace: path(TRACE_VARIABLE),
         })
     }
@@ -102,20 +110,31 @@
         let path = &self.config;
         let text =
             std::fs::read_to_string(path).map_err(|e| format!("${VARIABLE}: cannot read {path}: {e}"))?;
-        read(&text, self.search.as_deref(), self.logbook.as_deref())
+        let told = Told {
+            search: self.search.as_deref(),
+            logbook: self.logbook.as_deref(),
+            fleet: self.fleet.as_deref(),
+        };
+        read(&text, told)
     }
 }
 
+/// Files that the program was told of besides the configuration, which its keys of the same names go before.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Told<'a> {
+    pub search: Option<&'a str>,
+    pub logbook: Option<&'a str>,
+    pub fleet: Option<&'a str>,
+}
+
 /// ```
-/// let fault = orchidvalve_frontnode::config::read(r#"{"name": "n1", "listen": "here"}"#, None, None).unwrap_err();
+/// use orchidvalve_frontnode::config::{read, Told};
+///
+/// let fault = read(r#"{"name": "n1", "listen": "here"}"#, Told::default()).unwrap_err();
 /// assert_eq!(fault, "configuration.listen: should be an address and a port, not 'here'");
 /// ```
-/// `search`, `logbook`: files that the keys of those names go before.
-pub fn read(
-    text: &str,
-    search: Option<&str>,
-    logbook: Option<&str>,
-) -> Result<(Plan, StandingOrders), String> {
+pub fn read(text: &str, told: Told) -> Result<(Plan, StandingOrders), String> {
+    let Told { search, logbook, fleet } = told;
     let whole: Value = serde_json::from_str(text).map_err(|e| format!("configuration: no JSON: {e}"))?;
     let whole = Section::of("configuration", &whole)?;
     let name = whole.text("name")?.to_owned();
@@ -160,6 +179,7 @@
         tenants: tenants.iter().map(|t| t.text("name").map(str::to_owned)).collect::<Result<_, _>>()?,
         shards,
         archive: archive(&whole, logbook)?,
+        fleet: fleet_plan(&whole, fleet)?,
         abandon: orders.grades.iter().map(|g| g.abandon).collect(),
         routes,
         wires: WireOrders {
@@ -177,7 +197,7 @@
         requests_most: (memory << 20) / 4,
         request_within: REQUEST_WITHIN,
         beat: orders.beat,
-        fixed: ["name", "listen", "limits", "settings", "search", "logbook"]
+        fixed: ["name", "listen", "limits", "settings", "search", "logbook", "fleet"]
             .map(|key| (key, print(whole.get(key))))
             .to_vec(),
     };
@@ -206,6 +226,17 @@
     ArchiveOrders::read(&text).map(Some).map_err(|e| format!("{path}: {e}"))
 }
 
+/// The file of the fleet, by the key `fleet` or else by what the program was told.
+fn fleet_plan(whole: &Section, told: Option<&str>) -> Result<Option<FleetPlan>, String> {
+    let path = whole.or("fleet", told.unwrap_or_default(), Section::text)?;
+    if path.is_empty() {
+        return Ok(None);
+    }
+    let text = std::fs::read_to_string(path)
+        .map_err(|e| whole.fault("fleet", &format!("cannot read {path}: {e}")))?;
+    FleetPlan::read(&text).map(Some).map_err(|e| format!("{path}: {e}"))
+}
+
 fn pool_terms(orders: PoolOrders) -> PoolTerms {
     let second = 1_000_000_000;
     let close_every = second / Nanos::from(orders.closes_a_second.max(1));
--- a/crates/frontnode/src/kit.rs
+++ b/crates/frontnode/src/kit.rs
@@ -25,6 +25,8 @@
     Client(ClientKey),
     Link(LinkKey),
     Agent,
+    /// Datagrams of other front nodes.
+    Fleet,
     Stop,
     Reload,
 }
@@ -42,6 +44,8 @@
     Client(ClientKey),
     Door,
     Agent,
+    /// The fleet's next timer.
+    Fleet,
     Wake,
     Stop,
 }
@@ -76,6 +80,8 @@
     pub again: Vec<Who>,
     /// What is remembered over a restart, where that is switched on.
     pub archive: Option<Archive>,
+    /// Gauges of the fleet, where it is switched on: name, help, value.
+    pub fleet: Vec<(&'static str, &'static str, usize)>,
 }
 
 impl Kit {
--- a/crates/frontnode/src/lib.rs
+++ b/crates/frontnode/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod deadlines;
 pub mod desk;
 pub mod doors;
+pub mod fleet;
 pub mod forms;
 pub mod http;
 pub mod kit;
--- a/crates/frontnode/src/node.rs
+++ b/crates/frontnode/src/node.rs
@@ -17,6 +17,7 @@
 use crate::deadlines::{Clock, Deadlines, Mark};
 use crate::desk::Desk;
 use crate::doors;
+use crate::fleet::Peers;
 use crate::forms::{Outcome, Reply};
 use crate::kit::{ClientKey, Due, Kit, Noted, Who};
 use crate::log;
@@ -37,6 +38,8 @@
     clients: Clients,
     servers: Servers,
     members: Members,
+    /// Other front nodes, where the operator switched that on.
+    peers: Option<Peers>,
     tracer: Option<Tracer>,
     wake: Option<Mark>,
     follow: bool,
@@ -73,6 +76,7 @@
         let (plan, orders) = source.read()?;
         let events = EventLoop::try_new().map_err(|e| format!("no event loop: {e}"))?;
         let noted = Noted { clock: Clock::start(), ready: Vec::new() };
+        let thaw = orders.thaw;
         let (mut aggregator, beat) = (Aggregator::new(orders, plan.seed), plan.beat);
         aggregator.switch_trace(source.trace.is_some());
         let clients = Clients::listen(&plan, doors::all(&plan), &events.handle())
@@ -85,7 +89,9 @@
             rounds: Ring::new(ROUNDS_KEPT),
             again: Vec::new(),
             archive: None,
+            fleet: Vec::new(),
         };
+        let peers = plan.fleet.as_ref().map(|fleet| Peers::open(fleet, thaw, plan.seed, &kit)).transpose()?;
         let archive = plan.archive.as_ref().map(|orders| Archive::open(orders, kit.now)).transpose()?;
         let tracer = source.trace.as_deref().map(|path| {
             Tracer::open(path).map_err(|e| format!("${}: cannot write {path}: {e}", config::TRACE_VARIABLE))
@@ -99,6 +105,7 @@
             clients,
             servers,
             members,
+            peers,
             tracer,
             wake: None,
             follow: false,
@@ -133,6 +140,11 @@
         self.works.borrow().clients.address().map_err(|e| format!("no address: {e}"))
     }
 
+    /// Where datagrams of other front nodes come in, where the fleet is switched on.
+    pub fn fleet_address(&self) -> Option<SocketAddr> {
+        self.works.borrow().peers.as_ref().and_then(Peers::address)
+    }
+
     /// Serves until it was told to stop and all that was taken is answered.
     pub fn run(&mut self) -> Result<(), String> {
         while !self.works.borrow().stopped {
@@ -163,7 +175,8 @@
     fn has_work(&self) -> bool {
         let works = self.works.borrow();
         let ended = !works.desk.ended.is_empty() || works.servers.has_work();
-        ended || works.follow || !self.noted.ready.is_empty() || !works.kit.again.is_empty()
+        let fleet = works.peers.as_ref().is_some_and(Peers::has_work);
+        ended || fleet || works.follow || !self.noted.ready.is_empty() || !works.kit.again.is_empty()
     }
 
     fn round(&mut self, hear: impl FnOnce(&mut Works, &mut Ledger)) {
@@ -176,6 +189,7 @@
             let mut works = works.borrow_mut();
             hear(&mut works, ledger);
             works.report(ledger);
+            works.fleet(ledger);
         };
         self.aggregator.round(now, came_in, &mut Hand(works));
         let works = self.works.get_mut();
@@ -215,6 +229,11 @@
                 }
                 Who::Link(key) => servers.ready(key, desk, kit),
                 Who::Agent => members.ready(servers, desk, ledger, kit),
+                Who::Fleet => {
+                    if let Some(peers) = &mut self.peers {
+                        peers.ready(kit);
+                    }
+                }
                 Who::Stop => self.stop(),
                 Who::Reload => self.reload(ledger),
             }
@@ -235,6 +254,8 @@
                 }
                 Due::Door => clients.accept(kit),
                 Due::Agent => members.due(ledger, kit),
+                // Its round follows.
+                Due::Fleet => {}
                 Due::Wake => self.wake = None,
                 Due::Stop => self.stop(),
             }
@@ -255,6 +276,15 @@
         }
     }
 
+    /// A round of the fleet, after all that ended was told: the ledger learns what the fleet allows and knows.
+    fn fleet(&mut self, ledger: &mut Ledger) {
+        let Some(peers) = &mut self.peers else { return };
+        let mut named: Vec<(String, ReplicaIx)> =
+            self.members.named().map(|(id, ix)| (id.to_owned(), ix)).collect();
+        named.sort();
+        peers.round(&named, ledger, &mut self.kit);
+    }
+
     /// Takes up what may change while the node runs, which is where discovery is; all else goes on as it was.
     fn reload(&mut self, ledger: &mut Ledger) {
         match self.source.read() {
@@ -313,10 +343,13 @@
 
 impl Writer for Hand<'_> {
     fn launch(&mut self, part: PartIx, replica: ReplicaIx, limit: Nanos) {
-        let Works { desk, servers, kit, .. } = &mut *self.0.borrow_mut();
+        let Works { desk, servers, kit, peers, .. } = &mut *self.0.borrow_mut();
         if let Some(launch) = desk.launched(part, replica, limit, kit) {
             servers.gather(part, launch, replica);
         }
+        if let Some(peers) = peers {
+            peers.launched(replica);
+        }
     }
 
     fn retract(&mut self, part: PartIx, launch: usize) {
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -333,8 +333,11 @@
     fn errs(&self, ix: ReplicaIx, grade: usize) -> bool {
         let since = self.now() - scaled(self.shortest_soft_limit(), PACE_SPAN);
         let told = |s: &Sample| s.grade == grade && matches!(s.ending, Ending::Done | Ending::Faulty);
-        let last = self.ledger.replicas[ix.0].samples.iter().rev().find(told);
-        last.is_some_and(|s| s.ending == Ending::Faulty && s.at > since)
+        let (r, last) =
+            (&self.ledger.replicas[ix.0], self.ledger.replicas[ix.0].samples.iter().rev().find(told));
+        // What other fronts found counts where this one has no word of its own lately.
+        let shunned = r.shunned >> grade.min(63) & 1 == 1 && last.is_none_or(|s| s.at <= since);
+        last.is_some_and(|s| s.ending == Ending::Faulty && s.at > since) || shunned
     }
 
     fn lagging(r: &Replica, back: Nanos, usual: Option<Nanos>) -> bool {
@@ -438,7 +441,9 @@
     /// Against pushing a cold server over: within the rule's window we send it no more than the rule's
     /// multiple of what warm replicas have done for us in that time, scaled by its warmth. As all fronts'
     /// done parts are within a server's capacity, fronts that all do this keep the rule without talking. What
-    /// it has itself done counts as well, or a fleet restarted at once would stay at one part a window.
+    /// it has itself done counts as well, or a fleet restarted at once would stay at one part a window. The floor
+    /// is one part a window for a front alone, or what a budget shared by the fleet leaves it: one from each of
+    /// hundreds buries a cold server.
     fn has_room(&self, ix: ReplicaIx) -> bool {
         let r = &self.ledger.replicas[ix.0];
         let warmth = self.warmth(r);
@@ -452,7 +457,7 @@
         let borne = warmth * done.iter().sum::<usize>() as f64 / done.len().max(1) as f64;
         let own = self.answered_since(r, (now - span).max(r.started.unwrap_or(now))) as f64;
         let a_window = borne.max(own) * thaw.window as f64 / span.max(1) as f64;
-        let room = (thaw.multiple * a_window * COLD_CAUTION).max(1.0);
+        let room = (thaw.multiple * a_window * COLD_CAUTION).max(r.floor);
         let since = (now - thaw.window).max(r.started.unwrap_or(now));
         let sent = r.launched_at.iter().rev().take_while(|&at| at >= since).count();
         ((sent + 1) as f64) <= room
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -146,6 +146,11 @@
     pub probes_answered: Ring<Nanos>,
     /// Its last report: when it came, parts waiting, and parts done a second.
     pub report: Option<(Nanos, f64, f64)>,
+    /// Parts a window that it may get from here while cold, whatever others have done for us: 1 of a front alone,
+    /// or what the fleet's budget leaves this one.
+    pub floor: f64,
+    /// Grades, a bit each, that other front nodes found it failing lately.
+    pub shunned: u64,
 }
 
 /// Lengths of the sample rings.
@@ -343,6 +348,13 @@
         }
     }
 
+    /// What the fleet of front nodes allows and knows of a replica: parts a window on the floor while it is cold, and
+    /// the grades, a bit each, that others found it failing.
+    pub fn fleet_told(&mut self, replica: ReplicaIx, floor: f64, shunned: u64) {
+        let r = &mut self.replicas[replica.0];
+        (r.floor, r.shunned) = (floor.max(0.0), shunned);
+    }
+
     /// The client has gone, or its time is up.
     pub fn retrieval_lapsed(&mut self, retrieval: RetrievalIx) {
         self.close(retrieval);
@@ -375,6 +387,8 @@
             probe_sent: None,
             probes_answered: Ring::new(self.lengths.probes),
             report: None,
+            floor: 1.0,
+            shunned: 0,
         };
         match (0..self.replicas.len()).find(|&ix| self.free(ReplicaIx(ix))) {
             Some(ix) => {
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -261,6 +261,36 @@
     assert!(first <= 4 && later >= 16, "{first} in the first second, {later} in the fifth");
 }
 
+#[test]
+fn a_front_that_its_fleet_leaves_no_floor_sends_cold_servers_nothing_of_its_own_accord() {
+    // Hundreds of fronts with one part a window each would bury a cold server; the fleet's budget left this one none.
+    let mut host = Host::new(orders(2));
+    let now = host.now;
+    host.round(|l| {
+        l.roster_opens(false);
+        l.roster_names(A, 0, true, Some(now));
+        l.roster_names(B, 1, true, Some(now));
+        l.roster_closes();
+        l.fleet_told(A, 0.0, 0);
+        l.fleet_told(B, 0.0, 0);
+    });
+    assert_eq!(launches(&host.traffic(20, &[])).len(), 0);
+    let mut told = host.round(|l| l.fleet_told(A, 1.0, 0));
+    told.extend(host.traffic(20, &[]));
+    let sent = launches(&told);
+    assert!(!sent.is_empty() && sent.iter().all(|l| l.1 == A), "a floor of one part a window: {sent:?}");
+}
+
+#[test]
+fn a_grade_that_other_fronts_found_failing_at_a_replica_goes_to_its_other_holder() {
+    // This front has no word of its own on A lately, so the others' word counts.
+    let mut host = Host::new(orders(2));
+    host.round(|l| l.fleet_told(A, 1.0, 1 << 0));
+    assert!(launches(&host.traffic(20, &[])).iter().all(|l| l.1 == B));
+    host.round(|l| l.fleet_told(A, 1.0, 0));
+    assert!(launches(&host.traffic(20, &[])).iter().any(|l| l.1 == A), "told no longer, it is used again");
+}
+
 #[test]
 fn parts_wait_here_while_all_holders_are_full_and_a_hopeless_retrieval_is_dismissed_in_time() {
     let mut host = Host::new(orders(2));
