--- a/crates/fleet/tests/net/mod.rs
+++ b/crates/fleet/tests/net/mod.rs
@@ -1,3 +1,4 @@
+#![allow(dead_code)]
 //! Many fleets in one process on a network of virtual time that loses, delays, copies and cuts datagrams as told.
 
 use std::collections::BTreeMap;
