--- a/crates/fleet/examples/measure.rs
+++ b/crates/fleet/examples/measure.rs
@@ -32,7 +32,7 @@
     net.faults = Faults { loss, copies: loss / 3.0, delay: 2 * MS, jitter: 20 * MS };
     // A tenth of the nodes want five times their base; the others a tenth of it.
     let base = TOTAL / nodes as f64;
-    let want = |i: usize| if i % 10 == 0 { 5.0 * base } else { 0.1 * base };
+    let want = |i: usize| if i.is_multiple_of(10) { 5.0 * base } else { 0.1 * base };
     let step = if nodes > 100 { 20 * MS } else { 10 * MS };
     while net.now < 15 * S {
         net.tick(step, |i, inbox| inbox.want(KEY, TOTAL, want(i)));
@@ -56,7 +56,7 @@
             net.tick(step, |i, inbox| inbox.want(KEY, TOTAL, want(i)));
             let sum: f64 = net.alive().map(|f| f.allowance(KEY)).sum();
             over = over.max(sum - TOTAL);
-            let heavy = net.alive().enumerate().filter(|(i, _)| i % 10 == 0);
+            let heavy = net.alive().enumerate().filter(|(i, _)| i.is_multiple_of(10));
             served += heavy.map(|(i, f)| f.allowance(KEY).min(want(i)) / want(i)).sum::<f64>();
             samples += nodes.div_ceil(10);
             if known.is_none() && net.alive().all(|f| f.holds(key)) {
