Cold floors from a fleet measured with processes; each node starts with a drawn share of a token

Need: the issue's measure of the launches a cold store gets from all front nodes together, with the fleet and without. The first play showed the fleet's floor right in total but given out in step: every node's tokens filled at the same rate from the same moment, so the cold store got nothing for six seconds from 8, 16 and 24 nodes (all would have reached their first token together). Each node now begins with a share of a token drawn from its seed and the server's number.

The rig of the process test is shared with the bench.

--- /dev/null
+++ b/crates/frontnode/benches/fleet.rs
@@ -0,0 +1,77 @@
+//! What a store that has just started gets from many front nodes of little traffic each, with the fleet and without:
+//! the floor of the cold rule is one part a window from every node alone, and `cold_floor` from all of them together
+//! in a fleet. `cargo bench -p orchidvalve-frontnode --bench fleet`: processes on loopback, a table to standard output.
+
+#[path = "../tests/herd/mod.rs"]
+mod herd;
+
+use std::time::{Duration, Instant};
+
+use herd::{Fleet, Opening};
+
+const SECONDS: u64 = 6;
+
+/// Parts at the cold store in each second, parts at all stores, and retrievals answered with 200 of all.
+fn play(nodes: usize, fleet: bool) -> (Vec<usize>, usize, (usize, usize)) {
+    let mut opening = Opening::of(nodes);
+    (opening.fleet, opening.started_ms, opening.cold_ms) = (fleet, vec![(0, 0)], 20_000);
+    let f = Fleet::open(&format!("cold-{nodes}-{fleet}"), &opening);
+    if fleet {
+        f.until("all know each other", |f| {
+            (0..nodes).all(|n| f.gauge(n, "fleet_peers") as usize == nodes - 1)
+        });
+    }
+    let began = Instant::now();
+    let mut at_cold = vec![0; SECONDS as usize];
+    let answered = std::sync::Mutex::new((0, 0));
+    std::thread::scope(|scope| {
+        for node in 0..nodes {
+            let (f, answered) = (&f, &answered);
+            scope.spawn(move || {
+                // One retrieval each two seconds from each node, begun at different moments.
+                let offset = Duration::from_millis(2000 * node as u64 / nodes as u64);
+                let mut n = 0;
+                while began.elapsed() < Duration::from_secs(SECONDS) {
+                    let next = offset + Duration::from_secs(2 * n);
+                    if let Some(wait) = next.checked_sub(began.elapsed()) {
+                        std::thread::sleep(wait);
+                    }
+                    let status = f.ask(node, &format!("n{node}-{n}"), &format!("c{node}x{n}y"));
+                    let mut answered = answered.lock().unwrap();
+                    *answered = (answered.0 + usize::from(status == 200), answered.1 + 1);
+                    n += 1;
+                }
+            });
+        }
+        let mut second = 0;
+        while second < SECONDS as usize {
+            if began.elapsed() >= Duration::from_secs(second as u64 + 1) {
+                at_cold[second] = f.stores[0].seen().parts.len();
+                second += 1;
+            }
+            std::thread::yield_now();
+        }
+    });
+    let all = f.stores.iter().map(|s| s.seen().parts.len()).sum();
+    let mut each = Vec::new();
+    let mut before = 0;
+    for total in at_cold {
+        each.push(total - before);
+        before = total;
+    }
+    let answered = *answered.lock().unwrap();
+    (each, all, answered)
+}
+
+fn main() {
+    println!("| front nodes | fleet | parts at the cold store in each second | all parts | answered whole |");
+    println!("| --- | --- | --- | --- | --- |");
+    for nodes in [4, 8, 16, 24] {
+        for fleet in [false, true] {
+            let (each, all, (whole, asked)) = play(nodes, fleet);
+            let each: Vec<String> = each.iter().map(usize::to_string).collect();
+            let on = if fleet { "on" } else { "off" };
+            println!("| {nodes} | {on} | {} | {all} | {whole} of {asked} |", each.join(", "));
+        }
+    }
+}
--- a/crates/frontnode/src/fleet.rs
+++ b/crates/frontnode/src/fleet.rs
@@ -194,6 +194,7 @@
     verdicts: Vec<(VerdictKey, bool)>,
     mark: Option<Mark>,
     unsent: u64,
+    seed: u64,
 }
 
 impl Peers {
@@ -235,6 +236,7 @@
             verdicts: Vec::new(),
             mark: None,
             unsent: 0,
+            seed,
         })
     }
 
@@ -332,7 +334,11 @@
             let mut floor = 1.0;
             if cold(*ix) {
                 let allowance = self.fleet.allowance(BudgetKey { family: COLD_FLOOR, subject: subject(id) });
-                let f = self.floors.entry(*ix).or_insert(Floor { tokens: 0.0, at: now });
+                // A share of a token to begin with, drawn from the seed: fronts that learn of a cold server together
+                // would otherwise all reach their first token at once, and send it a burst.
+                let first = (subject(id) ^ self.seed).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 11;
+                let tokens = first as f64 / (1u64 << 53) as f64;
+                let f = self.floors.entry(*ix).or_insert(Floor { tokens, at: now });
                 // Tokens fill at the allowance, a window's worth at most.
                 let most = (allowance * window as f64 / 1e9).max(1.0);
                 f.tokens = (f.tokens + allowance * (now - f.at).max(0) as f64 / 1e9).min(most);
--- /dev/null
+++ b/crates/frontnode/tests/herd/mod.rs
@@ -0,0 +1,292 @@
+//! Several front nodes as processes, their datagrams through a relay that loses, copies, delays and cuts them as a
+//! story or a measurement says. Stores are stand-ins; nothing sleeps to wait: each waits for what must come.
+#![allow(dead_code)]
+
+use std::collections::BTreeSet;
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::sync::{Arc, Mutex};
+use std::time::{Duration, Instant};
+
+use orchidvalve_search::routes::{Routes, Settled};
+use orchidvalve_standin::{Shelf, Store};
+use serde_json::{Value, json};
+
+const TOO_LONG: Duration = Duration::from_secs(30);
+const SLICES: usize = 3;
+const ROUTES: &str =
+    "[index.jobs]\ngrade = \"look\"\nslices = \"all\"\n[index.jobs.fields]\ncustomer = \"keyword\"\n";
+
+/// What the relay does to datagrams, as a story changes it.
+#[derive(Default)]
+pub struct Faults {
+    /// Where each node's datagrams really go, once it said.
+    pub real: Vec<Option<SocketAddr>>,
+    /// Pairs of nodes, in order, between which nothing passes.
+    pub cut: BTreeSet<(usize, usize)>,
+    pub loss: f64,
+    pub copies: f64,
+    pub delay: Duration,
+    pub chance: u64,
+    pub passed: u64,
+    pub lost: u64,
+}
+
+impl Faults {
+    fn draw(&mut self) -> f64 {
+        self.chance ^= self.chance << 13;
+        self.chance ^= self.chance >> 7;
+        self.chance ^= self.chance << 17;
+        (self.chance >> 11) as f64 / (1u64 << 53) as f64
+    }
+}
+
+/// One socket for each node, where the others send to it.
+pub struct Relay {
+    pub faults: Arc<Mutex<Faults>>,
+    pub fronts: Vec<SocketAddr>,
+    over: Arc<AtomicBool>,
+}
+
+impl Relay {
+    pub fn start(nodes: usize) -> Relay {
+        let faults = Arc::new(Mutex::new(Faults {
+            real: vec![None; nodes],
+            chance: 0x9e37_79b9,
+            ..Faults::default()
+        }));
+        let over = Arc::new(AtomicBool::new(false));
+        let mut fronts = Vec::new();
+        for to in 0..nodes {
+            let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
+            socket.set_read_timeout(Some(Duration::from_millis(5))).unwrap();
+            fronts.push(socket.local_addr().unwrap());
+            let (faults, over) = (faults.clone(), over.clone());
+            std::thread::spawn(move || {
+                let mut late: Vec<(Instant, Vec<u8>)> = Vec::new();
+                let mut buffer = [0u8; 2048];
+                while !over.load(Relaxed) {
+                    let now = Instant::now();
+                    let real = faults.lock().unwrap().real[to];
+                    if let Some(real) = real {
+                        let (due, waiting): (Vec<_>, Vec<_>) = late.drain(..).partition(|(at, _)| *at <= now);
+                        late = waiting;
+                        for (_, bytes) in due {
+                            // One that the system does not take is lost, as on a network.
+                            let _ = socket.send_to(&bytes, real);
+                        }
+                    }
+                    let Ok((length, from)) = socket.recv_from(&mut buffer) else { continue };
+                    let mut f = faults.lock().unwrap();
+                    let Some(sender) = f.real.iter().position(|r| *r == Some(from)) else { continue };
+                    if f.cut.contains(&(sender, to)) || f.draw() < f.loss {
+                        f.lost += 1;
+                        continue;
+                    }
+                    f.passed += 1;
+                    let copies = if f.draw() < f.copies { 2 } else { 1 };
+                    for _ in 0..copies {
+                        late.push((Instant::now() + f.delay, buffer[..length].to_vec()));
+                    }
+                }
+            });
+        }
+        Relay { faults, fronts, over }
+    }
+
+    /// Nothing passes between `side` and all others, both ways.
+    pub fn cut_off(&self, side: &[usize], nodes: usize) {
+        let mut f = self.faults.lock().unwrap();
+        for &a in side {
+            for b in (0..nodes).filter(|b| !side.contains(b)) {
+                f.cut.insert((a, b));
+                f.cut.insert((b, a));
+            }
+        }
+    }
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        self.over.store(true, Relaxed);
+    }
+}
+
+pub struct Front {
+    pub child: Child,
+    pub address: SocketAddr,
+}
+
+impl Drop for Front {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub struct Fleet {
+    pub fronts: Vec<Front>,
+    pub stores: Vec<Store>,
+    pub relay: Relay,
+    _agent: TcpListener,
+}
+
+/// What a fleet is opened with.
+pub struct Opening {
+    pub nodes: usize,
+    /// Whether the nodes take part in a fleet; else each stands alone.
+    pub fleet: bool,
+    /// Lines added to each node's fleet file.
+    pub more: String,
+    /// Stores started so many milliseconds ago, by number; the others long ago.
+    pub started_ms: Vec<(usize, u64)>,
+    /// The cold rule: how long a server is cold, and the window of its multiple.
+    pub cold_ms: u64,
+    pub window_ms: u64,
+}
+
+impl Opening {
+    pub fn of(nodes: usize) -> Opening {
+        Opening {
+            nodes,
+            fleet: true,
+            more: String::new(),
+            started_ms: Vec::new(),
+            cold_ms: 1000,
+            window_ms: 1000,
+        }
+    }
+}
+
+fn settings(cold_ms: u64, window_ms: u64) -> Value {
+    let class =
+        json!({"name": "look", "effect": "pure", "objectiveNs": 400_000_000, "deadlineNs": 3_000_000_000u64});
+    json!({
+        "classes": [class],
+        "extra": {"positions": SLICES, "reach": 2, "slices": SLICES, "bundleMax": 4},
+        "limits": {"attemptsCap": 4, "cancel": true, "secondCopies": true, "probes": true, "multiplex": 8,
+                   "connIdleNs": 15_000_000_000u64, "connectTimeoutNs": 100_000_000},
+        "rules": {"coldShare": 0.25, "coldNs": cold_ms * 1_000_000, "fallMultiple": 4.0, "fallNs": window_ms * 1_000_000},
+        "resolutionNs": 1_000_000
+    })
+}
+
+impl Fleet {
+    /// Front nodes, each told of the first as its peer.
+    pub fn open(story: &str, opening: &Opening) -> Fleet {
+        let nodes = opening.nodes;
+        let unix_ms =
+            std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis() as u64;
+        let settled = Settled { grades: vec![("look".to_owned(), false)], slices: SLICES };
+        let routes = Arc::new(Routes::read(ROUTES, &settled).unwrap());
+        let shelf = Arc::new(Mutex::new(Shelf::new(routes)));
+        let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
+        let stores: Vec<Store> = (0..SLICES).map(|_| Store::start(any, shelf.clone()).unwrap()).collect();
+        let agent = TcpListener::bind(any).unwrap();
+        let members: Value = stores
+            .iter()
+            .enumerate()
+            .map(|(n, s)| {
+                let ago = opening.started_ms.iter().find(|(store, _)| *store == n).map(|(_, ago)| *ago);
+                let since = ago.map_or(0, |ago| unix_ms.saturating_sub(ago));
+                json!({"id": format!("s-{n}"), "host_port": s.address.to_string(), "cell": n, "phase": "up",
+                       "up_since_ms": since})
+            })
+            .collect();
+        let relay = Relay::start(nodes);
+        let mut fronts = Vec::new();
+        for n in 0..nodes {
+            let path = |kind: &str| format!("{}/fleet-{story}-{n}.{kind}", env!("CARGO_TARGET_TMPDIR"));
+            let peers: Vec<String> = relay.fronts.iter().take(1).map(|a| format!("\"{a}\"")).collect();
+            let file = format!(
+                "[fleet]\nlisten = \"127.0.0.1:0\"\nadvertise = \"{}\"\npeers = [{}]\nexpected = {nodes}\n\
+                 probe_ms = 200\nsuspect_ms = 1000\ngossip_ms = 50\nbad_for_ms = 20000\n{}",
+                relay.fronts[n],
+                peers.join(", "),
+                opening.more
+            );
+            std::fs::write(path("toml"), file).unwrap();
+            let mut config = json!({
+                "name": format!("n{n}"), "listen": "127.0.0.1:0", "discovery": agent.local_addr().unwrap().to_string(),
+                "seed": format!("{:x}", 0x8c1f_30d2_7a5b_e964u64 + n as u64),
+                "limits": {"memory_mb": 192, "sockets": 128},
+                "known": {"revision": 1, "complete": true, "members": members.clone()},
+                "settings": settings(opening.cold_ms, opening.window_ms)
+            });
+            if opening.fleet {
+                config["fleet"] = json!(path("toml"));
+            }
+            std::fs::write(path("json"), config.to_string()).unwrap();
+            let (front, real) = spawn(&path("json"));
+            relay.faults.lock().unwrap().real[n] = real;
+            fronts.push(front);
+        }
+        Fleet { fronts, stores, relay, _agent: agent }
+    }
+
+    pub fn gauge(&self, node: usize, name: &str) -> u64 {
+        let mut stream = TcpStream::connect(self.fronts[node].address).unwrap();
+        stream.set_read_timeout(Some(TOO_LONG)).unwrap();
+        stream.write_all(b"GET /metrics HTTP/1.1\r\nContent-Length: 0\r\nConnection: close\r\n\r\n").unwrap();
+        let mut text = String::new();
+        let _ = stream.read_to_string(&mut text);
+        let line = text.lines().find(|l| l.starts_with(&format!("orchidvalve_{name} ")));
+        line.and_then(|l| l.rsplit(' ').next()).and_then(|v| v.parse().ok()).unwrap_or(0)
+    }
+
+    pub fn until(&self, what: &str, mut holds: impl FnMut(&Fleet) -> bool) {
+        let end = Instant::now() + TOO_LONG;
+        while !holds(self) {
+            assert!(Instant::now() < end, "{what}");
+            std::thread::yield_now();
+        }
+    }
+
+    /// A retrieval of all slices at a node, whose text names `customer`; its status.
+    pub fn ask(&self, node: usize, id: &str, customer: &str) -> u16 {
+        let slices: Vec<Value> =
+            (0..SLICES).map(|s| json!({"slice": s, "mass": 1.0 / SLICES as f64})).collect();
+        let filter =
+            json!({"search": {"index": "jobs", "body": {"query": {"term": {"customer": customer}}}}});
+        let body = json!({"slices": slices, "filter": filter.to_string()}).to_string();
+        let mut stream = TcpStream::connect(self.fronts[node].address).unwrap();
+        stream.set_read_timeout(Some(TOO_LONG)).unwrap();
+        let head = format!(
+            "POST /api HTTP/1.1\r\nRequest-Id: {id}\r\nRequest-Class: look\r\nRequest-Timeout: 2000m\r\n\
+             Connection: close\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        stream.write_all(format!("{head}{body}").as_bytes()).unwrap();
+        let mut answer = String::new();
+        let _ = stream.read_to_string(&mut answer);
+        answer.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0)
+    }
+
+    /// Parts that store `n` saw whose text names `customer`.
+    pub fn seen(&self, n: usize, customer: &str) -> usize {
+        self.stores[n].seen().parts.iter().filter(|t| t.contains(customer)).count()
+    }
+}
+
+/// Runs a node until it listens: the address for clients, and where its datagrams come in, where it is in a fleet.
+fn spawn(config: &str) -> (Front, Option<SocketAddr>) {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_orchidvalved"));
+    let mut child = command.env("NODE_CONFIG", config).stderr(Stdio::piped()).spawn().unwrap();
+    let mut log = BufReader::new(child.stderr.take().unwrap());
+    let (mut real, mut lines) = (None, Vec::new());
+    let address = loop {
+        let mut line = String::new();
+        assert!(log.read_line(&mut line).unwrap() > 0, "it ended: {lines:?}");
+        if let Some(rest) = line.split("fleet: datagrams at ").nth(1) {
+            real = rest.split(',').next().and_then(|a| a.parse::<SocketAddr>().ok());
+        }
+        if line.contains("listening on") {
+            break line.trim().rsplit(' ').next().unwrap().parse().expect(&line);
+        }
+        lines.push(line);
+    };
+    std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+    (Front { child, address }, real)
+}
