Tenants' shares held over the whole fleet: a front gets what leases leave it

Need: each front let a tenant have the whole of its share of all fronts before its retrievals earned little, so that 300 fronts together let it have 300 times its share.

Change: each tenant's share is a budget of the fleet; a node wants the rate at which it took that tenant's retrievals over 2 s, and Ledger::fleet_shares hands what the leases leave it to choice.rs (earns_little), which decides as before. Without a fleet nothing differs.

Measured: the story fails without the change in choice.rs; the whole test command is green.

--- a/crates/frontnode/src/fleet.rs
+++ b/crates/frontnode/src/fleet.rs
@@ -21,8 +21,11 @@
 use crate::kit::{Due, Kit, Noted, Who};
 use crate::log;
 
-/// Budgets of the floor of cold replicas.
+/// Budgets of the floor of cold replicas, and of the tenants' shares.
 const COLD_FLOOR: u8 = 1;
+const TENANT: u8 = 2;
+/// Over so long a tenant's retrievals here are counted for what this node wants of its share.
+const TENANT_SPAN: Nanos = 2_000_000_000;
 /// Datagrams read in one round at most; the rest wait for the next.
 const READ_MOST: usize = 256;
 
@@ -183,6 +186,8 @@
 pub struct Peers {
     plan: FleetPlan,
     thaw: Thaw,
+    /// Retrievals a second of each tenant, over all fronts.
+    shares: Vec<f64>,
     socket: Rc<UdpSocket>,
     fleet: Fleet,
     datagrams: Vec<Vec<u8>>,
@@ -198,7 +203,13 @@
 }
 
 impl Peers {
-    pub fn open(plan: &FleetPlan, thaw: Thaw, seed: u64, kit: &Kit) -> Result<Peers, String> {
+    pub fn open(
+        plan: &FleetPlan,
+        thaw: Thaw,
+        shares: Vec<f64>,
+        seed: u64,
+        kit: &Kit,
+    ) -> Result<Peers, String> {
         let socket = UdpSocket::bind(plan.listen)
             .and_then(|s| s.set_nonblocking(true).map(|()| s))
             .map_err(|e| format!("fleet.listen: cannot listen on {}: {e}", plan.listen))?;
@@ -227,6 +238,7 @@
         Ok(Peers {
             plan: plan.clone(),
             thaw,
+            shares,
             socket,
             fleet,
             datagrams: Vec::new(),
@@ -311,7 +323,16 @@
         let verdicts = std::mem::take(&mut self.verdicts);
         let (total, per_second) = (self.plan.cold_floor * 1e9 / window as f64, 1e9 / window as f64);
         let bad_for = self.plan.bad_for;
+        let since = now - TENANT_SPAN;
+        let wanted: Vec<f64> = (0..self.shares.len())
+            .map(|t| ledger.asked.iter().filter(|&&(at, of)| of == t && at > since).count() as f64)
+            .map(|count| count * 1e9 / TENANT_SPAN as f64)
+            .collect();
+        let shares = &self.shares;
         let came_in = |inbox: &mut Inbox| {
+            for (t, (&total, &want)) in shares.iter().zip(&wanted).enumerate() {
+                inbox.want(BudgetKey { family: TENANT, subject: t as u64 }, total, want);
+            }
             datagrams.iter().for_each(|d| inbox.datagram(d));
             for (id, ix) in named {
                 if cold(*ix) {
@@ -347,6 +368,9 @@
             }
             ledger.fleet_told(*ix, floor, shunned);
         }
+        ledger.fleet_shares = (0..self.shares.len())
+            .map(|t| self.fleet.allowance(BudgetKey { family: TENANT, subject: t as u64 }))
+            .collect();
         if let Some(mark) = self.mark.take() {
             kit.deadlines.clear(mark);
         }
--- a/crates/frontnode/src/node.rs
+++ b/crates/frontnode/src/node.rs
@@ -76,7 +76,7 @@
         let (plan, orders) = source.read()?;
         let events = EventLoop::try_new().map_err(|e| format!("no event loop: {e}"))?;
         let noted = Noted { clock: Clock::start(), ready: Vec::new() };
-        let thaw = orders.thaw;
+        let (thaw, shares) = (orders.thaw, orders.shares.clone());
         let (mut aggregator, beat) = (Aggregator::new(orders, plan.seed), plan.beat);
         aggregator.switch_trace(source.trace.is_some());
         let clients = Clients::listen(&plan, doors::all(&plan), &events.handle())
@@ -91,7 +91,8 @@
             archive: None,
             fleet: Vec::new(),
         };
-        let peers = plan.fleet.as_ref().map(|fleet| Peers::open(fleet, thaw, plan.seed, &kit)).transpose()?;
+        let peers =
+            plan.fleet.as_ref().map(|fleet| Peers::open(fleet, thaw, shares, plan.seed, &kit)).transpose()?;
         let archive = plan.archive.as_ref().map(|orders| Archive::open(orders, kit.now)).transpose()?;
         let tracer = source.trace.as_deref().map(|path| {
             Tracer::open(path).map_err(|e| format!("${}: cannot write {path}: {e}", config::TRACE_VARIABLE))
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -677,7 +677,7 @@
     }
 
     /// One asked again, as its time began with an earlier try, or one of a tenant that takes here alone more
-    /// than its share of all fronts: what other fronts carry is not seen.
+    /// than its share of all fronts, or than the fleet leaves this one where fronts share it.
     fn earns_little(&self, r: &Retrieval) -> bool {
         let window = self.copy_window();
         let beyond = |share: &f64| {
@@ -686,7 +686,8 @@
                 self.ledger.asked.iter().filter(|&&(at, tenant)| tenant == r.tenant && at > since);
             of_tenant.count() as f64 > share * window as f64 / 1e9
         };
-        r.again || self.orders.shares.get(r.tenant).is_some_and(beyond)
+        let shared = self.ledger.fleet_shares.get(r.tenant);
+        r.again || shared.or(self.orders.shares.get(r.tenant)).is_some_and(beyond)
     }
 
     fn begun(&self, part: PartIx) -> bool {
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -189,6 +189,9 @@
     pub copies: VecDeque<Nanos>,
     /// When retrievals were taken, and of which tenant.
     pub asked: VecDeque<(Nanos, usize)>,
+    /// Retrievals a second of each tenant that the fleet leaves this front, where front nodes share the tenants'
+    /// shares; empty where this one stands alone.
+    pub fleet_shares: Vec<f64>,
     pub roster_lost: bool,
     pub roster_heard: Option<Nanos>,
     /// Why decisions fell, where the host wants to know.
@@ -217,6 +220,7 @@
             further: VecDeque::new(),
             copies: VecDeque::new(),
             asked: VecDeque::new(),
+            fleet_shares: Vec::new(),
             roster_lost: false,
             roster_heard: None,
             trace: RefCell::default(),
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -475,6 +475,29 @@
     assert!(place(parts[0]) < place(parts[1]), "{order:?}");
 }
 
+#[test]
+fn a_tenant_beyond_what_the_fleet_leaves_this_front_comes_after_the_others() {
+    // Within its share of all fronts by this front's own count; the fleet leaves this one a second of it.
+    let mut orders = orders(2);
+    orders.shares = vec![100.0, 100.0];
+    let mut host = Host::new(orders);
+    host.round(|l| l.fleet_shares = vec![1.0, 100.0]);
+    host.traffic(40, &[]);
+    while !launches(&host.take(0, &[0]).1).is_empty() {}
+    let (until, mut parts, mut told) = (host.now + 3_000 * MS, Vec::new(), Vec::new());
+    for tenant in [1, 0] {
+        told.extend(host.round(|l| {
+            let retrieval = l.retrieval_taken(0, tenant, until, 0, false);
+            parts.push(l.part_taken(retrieval, 0, 1.0));
+        }));
+    }
+    host.now += 10 * MS;
+    told.extend(host.end(|_| Some(Ending::Done)));
+    let order = launches(&told);
+    let place = |part: PartIx| order.iter().position(|l| l.0 == part).unwrap_or(usize::MAX);
+    assert!(place(parts[0]) < place(parts[1]), "{order:?}");
+}
+
 #[test]
 fn where_parts_are_rare_a_late_answer_is_remembered_until_the_replicas_next_turn() {
     let mut host = Host::new(orders(40));
