Further launches are a budget of the whole fleet, shared by leases

Need: launches beyond a part's first were rationed by each node alone, so that n nodes asked a failing server again n times as often as one.

Change: retries_a_second in [fleet] is a budget shared by leases; each node's allowance fills a bucket (crates/fleet tokens.rs, which cold floors use too), and Ledger::fleet_further tells choice.rs how many are left (within_ration). Off unless the key is set.

Story and process test fail without the change.

--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -16,6 +16,7 @@
 //! ```
 
 pub mod shares;
+pub mod tokens;
 pub mod verdicts;
 pub mod wire;
 
--- /dev/null
+++ b/crates/fleet/src/tokens.rs
@@ -0,0 +1,73 @@
+//! What a node may use now of a budget that is given in units a second: tokens that the allowance fills and each use
+//! takes. The bucket is what turns leases into a bound on counts: over any time `t` a node uses at most
+//! `most + ∫ allowance dt`, so a fleet of `n` nodes at most `n · most + total · t`.
+
+use crate::Nanos;
+
+const SECOND: f64 = 1e9;
+
+/// ```
+/// use orchidvalve_fleet::tokens::Bucket;
+///
+/// let mut bucket = Bucket::begun(0.0, 0);
+/// bucket.fill(2.0, 1_000_000_000, 500_000_000);
+/// assert_eq!(bucket.whole(), 1);
+/// bucket.take();
+/// assert_eq!(bucket.whole(), 0);
+/// ```
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub struct Bucket {
+    tokens: f64,
+    at: Nanos,
+    /// Uses since the last look at the demand, and when that was.
+    used: f64,
+    since: Nanos,
+    want: f64,
+}
+
+impl Bucket {
+    pub fn begun(tokens: f64, now: Nanos) -> Bucket {
+        Bucket { tokens: tokens.max(0.0), at: now, used: 0.0, since: now, want: 0.0 }
+    }
+
+    /// A bucket begun with a share of a token that the seed draws: nodes that learn of a budget together would
+    /// otherwise all reach their first token at once, and use it in one burst.
+    pub fn drawn(seed: u64, subject: u64, now: Nanos) -> Bucket {
+        let mixed = (subject ^ seed).wrapping_mul(0x9e37_79b9_7f4a_7c15);
+        let mixed = (mixed ^ (mixed >> 29)).wrapping_mul(0xbf58_476d_1ce4_e5b9) >> 11;
+        Bucket::begun(mixed as f64 / (1u64 << 53) as f64, now)
+    }
+
+    /// Tokens come at `allowance` a second, up to what it brings within `burst` and one at least.
+    pub fn fill(&mut self, allowance: f64, burst: Nanos, now: Nanos) {
+        let most = (allowance * burst as f64 / SECOND).max(1.0);
+        self.tokens = (self.tokens + allowance * (now - self.at).max(0) as f64 / SECOND).min(most);
+        self.at = self.at.max(now);
+    }
+
+    pub fn whole(&self) -> usize {
+        self.tokens.max(0.0) as usize
+    }
+
+    /// One unit is used, whether or not there was a token for it: a use that was decided while there was one is never
+    /// counted twice, nor carried over as a debt.
+    pub fn take(&mut self) {
+        self.tokens = (self.tokens - 1.0).max(0.0);
+        self.used += 1.0;
+    }
+
+    /// What the node wants of the budget, units a second: what it used over the last `span`; where it ran out, twice
+    /// what it is allowed, as what it would have used is not seen.
+    pub fn demand(&mut self, allowance: f64, span: Nanos, now: Nanos) -> f64 {
+        let ran_out = self.used > 0.0 && self.tokens < 1.0;
+        if ran_out {
+            self.want = self.want.max(2.0 * allowance).max(SECOND / span.max(1) as f64);
+        }
+        if now - self.since >= span {
+            let rate = self.used * SECOND / (now - self.since).max(1) as f64;
+            self.want = if ran_out { self.want.max(rate) } else { rate };
+            (self.used, self.since) = (0.0, now);
+        }
+        self.want
+    }
+}
--- a/crates/frontnode/src/fleet.rs
+++ b/crates/frontnode/src/fleet.rs
@@ -13,6 +13,7 @@
 use orchidvalve::interface::{Nanos, ReplicaIx, Thaw};
 use orchidvalve::ledger::{Ending, Ledger};
 use orchidvalve_fleet::shares::BudgetKey;
+use orchidvalve_fleet::tokens::Bucket;
 use orchidvalve_fleet::verdicts::{Topic, VerdictKey};
 use orchidvalve_fleet::{Fleet, FleetOrders, Inbox, Writer};
 use serde::Deserialize;
@@ -21,11 +22,14 @@
 use crate::kit::{Due, Kit, Noted, Who};
 use crate::log;
 
-/// Budgets of the floor of cold replicas, and of the tenants' shares.
+/// Budgets of the floor of cold replicas, of the tenants' shares, and of launches beyond the parts' first.
 const COLD_FLOOR: u8 = 1;
 const TENANT: u8 = 2;
-/// Over so long a tenant's retrievals here are counted for what this node wants of its share.
-const TENANT_SPAN: Nanos = 2_000_000_000;
+const RETRIES: BudgetKey = BudgetKey { family: 3, subject: 0 };
+/// Over so long a tenant's retrievals here, and further launches, are counted for what this node wants.
+const DEMAND_SPAN: Nanos = 2_000_000_000;
+/// Further launches that a node may save up, as so long a time of its allowance; one at least.
+const RETRY_BURST: Nanos = 1_000_000_000;
 /// Datagrams read in one round at most; the rest wait for the next.
 const READ_MOST: usize = 256;
 
@@ -60,6 +64,8 @@
     cold_floor: f64,
     #[serde(default = "Told::bad_for_ms")]
     bad_for_ms: u64,
+    #[serde(default)]
+    retries_a_second: Option<f64>,
 }
 
 impl Told {
@@ -98,6 +104,9 @@
     pub cold_floor: f64,
     /// How long a verdict that a replica fails a grade holds unless another one comes.
     pub bad_for: Nanos,
+    /// Launches a second beyond the parts' first, of all front nodes together; none where each is bound by the rules'
+    /// ration alone.
+    pub retries: Option<f64>,
 }
 
 impl FleetPlan {
@@ -133,6 +142,11 @@
                 told.cold_floor
             ));
         }
+        if let Some(rate) = told.retries_a_second.filter(|r| !(r.is_finite() && *r > 0.0)) {
+            return Err(format!(
+                "fleet.retries_a_second: should be a number of launches above 0, not {rate}"
+            ));
+        }
         let listen = address("listen", &told.listen)?;
         let me = match &told.advertise {
             Some(text) => address("advertise", text)?,
@@ -155,7 +169,8 @@
         orders.gossip_to = told.gossip_to;
         orders.leases.lasts = ms(told.lease_ms);
         orders.leases.answer_within = ms(told.gossip_ms).min(ms(told.lease_ms) / 4).max(1);
-        Ok(FleetPlan { listen, orders, cold_floor: told.cold_floor, bad_for: ms(told.bad_for_ms) })
+        let (cold_floor, retries) = (told.cold_floor, told.retries_a_second);
+        Ok(FleetPlan { listen, orders, cold_floor, bad_for: ms(told.bad_for_ms), retries })
     }
 }
 
@@ -176,13 +191,6 @@
     }
 }
 
-/// The floor of a cold replica as tokens: the fleet's allowance fills them, launches there take them.
-#[derive(Clone, Copy, Debug, Default)]
-struct Floor {
-    tokens: f64,
-    at: Nanos,
-}
-
 pub struct Peers {
     plan: FleetPlan,
     thaw: Thaw,
@@ -192,7 +200,9 @@
     fleet: Fleet,
     datagrams: Vec<Vec<u8>>,
     more: bool,
-    floors: BTreeMap<ReplicaIx, Floor>,
+    /// Parts that cold replicas may get on the floor from here, and further launches that are left.
+    floors: BTreeMap<ReplicaIx, Bucket>,
+    retries: Option<Bucket>,
     /// What this node said of a replica, by its number, and a grade last: whether it fails it.
     said: BTreeMap<(u64, usize), bool>,
     /// Verdicts of this node to tell in the next round.
@@ -244,6 +254,7 @@
             datagrams: Vec::new(),
             more: false,
             floors: BTreeMap::new(),
+            retries: plan.retries.map(|_| Bucket::drawn(seed, RETRIES.subject, kit.now)),
             said: BTreeMap::new(),
             verdicts: Vec::new(),
             mark: None,
@@ -298,11 +309,11 @@
         }
     }
 
-    /// A launch went to a replica: one token of its floor is used, where it has one.
-    pub fn launched(&mut self, replica: ReplicaIx) {
-        if let Some(floor) = self.floors.get_mut(&replica) {
-            floor.tokens = (floor.tokens - 1.0).max(0.0);
-        }
+    /// A launch went to a replica: one token of its floor is used, where it has one, and one of the fleet's further
+    /// launches, where it is not the part's first.
+    pub fn launched(&mut self, replica: ReplicaIx, further: bool) {
+        self.floors.get_mut(&replica).into_iter().for_each(Bucket::take);
+        self.retries.iter_mut().filter(|_| further).for_each(Bucket::take);
     }
 
     /// One round of the fleet, and what it tells the ledger. `named`: replicas by their ids, in order.
@@ -323,16 +334,20 @@
         let verdicts = std::mem::take(&mut self.verdicts);
         let (total, per_second) = (self.plan.cold_floor * 1e9 / window as f64, 1e9 / window as f64);
         let bad_for = self.plan.bad_for;
-        let since = now - TENANT_SPAN;
+        let since = now - DEMAND_SPAN;
         let wanted: Vec<f64> = (0..self.shares.len())
             .map(|t| ledger.asked.iter().filter(|&&(at, of)| of == t && at > since).count() as f64)
-            .map(|count| count * 1e9 / TENANT_SPAN as f64)
+            .map(|count| count * 1e9 / DEMAND_SPAN as f64)
             .collect();
         let shares = &self.shares;
+        let allowed = self.fleet.allowance(RETRIES);
+        let further = self.retries.as_mut().map(|b| b.demand(allowed, DEMAND_SPAN, now));
+        let further = self.plan.retries.zip(further);
         let came_in = |inbox: &mut Inbox| {
             for (t, (&total, &want)) in shares.iter().zip(&wanted).enumerate() {
                 inbox.want(BudgetKey { family: TENANT, subject: t as u64 }, total, want);
             }
+            further.into_iter().for_each(|(total, want)| inbox.want(RETRIES, total, want));
             datagrams.iter().for_each(|d| inbox.datagram(d));
             for (id, ix) in named {
                 if cold(*ix) {
@@ -355,19 +370,18 @@
             let mut floor = 1.0;
             if cold(*ix) {
                 let allowance = self.fleet.allowance(BudgetKey { family: COLD_FLOOR, subject: subject(id) });
-                // A share of a token to begin with, drawn from the seed: fronts that learn of a cold server together
-                // would otherwise all reach their first token at once, and send it a burst.
-                let first = (subject(id) ^ self.seed).wrapping_mul(0x9e37_79b9_7f4a_7c15) >> 11;
-                let tokens = first as f64 / (1u64 << 53) as f64;
-                let f = self.floors.entry(*ix).or_insert(Floor { tokens, at: now });
-                // Tokens fill at the allowance, a window's worth at most.
-                let most = (allowance * window as f64 / 1e9).max(1.0);
-                f.tokens = (f.tokens + allowance * (now - f.at).max(0) as f64 / 1e9).min(most);
-                f.at = now;
-                floor = f.tokens.floor();
+                let number = subject(id);
+                let f = self.floors.entry(*ix).or_insert_with(|| Bucket::drawn(self.seed, number, now));
+                f.fill(allowance, window, now);
+                floor = f.whole() as f64;
             }
             ledger.fleet_told(*ix, floor, shunned);
         }
+        let allowed = self.fleet.allowance(RETRIES);
+        ledger.fleet_further = self.retries.as_mut().map(|b| {
+            b.fill(allowed, RETRY_BURST, now);
+            b.whole()
+        });
         ledger.fleet_shares = (0..self.shares.len())
             .map(|t| self.fleet.allowance(BudgetKey { family: TENANT, subject: t as u64 }))
             .collect();
--- a/crates/frontnode/src/node.rs
+++ b/crates/frontnode/src/node.rs
@@ -345,11 +345,13 @@
 impl Writer for Hand<'_> {
     fn launch(&mut self, part: PartIx, replica: ReplicaIx, limit: Nanos) {
         let Works { desk, servers, kit, peers, .. } = &mut *self.0.borrow_mut();
+        let mut further = false;
         if let Some(launch) = desk.launched(part, replica, limit, kit) {
             servers.gather(part, launch, replica);
+            further = launch > 0;
         }
         if let Some(peers) = peers {
-            peers.launched(replica);
+            peers.launched(replica, further);
         }
     }
 
--- a/crates/frontnode/tests/fleet.rs
+++ b/crates/frontnode/tests/fleet.rs
@@ -2,9 +2,9 @@
 
 mod herd;
 
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
-use herd::{Fleet, Opening};
+use herd::{Fleet, Opening, SLICES};
 use orchidvalve_standin::{Script, Trouble};
 
 /// Node 0 meets a store that fails the grade; the others learn of it and keep that grade's parts away from it
@@ -44,3 +44,50 @@
         faults.passed
     );
 }
+
+/// Stores that fail every part of a customer tempt each node to ask again, up to the attempts' cap. What all nodes
+/// together may ask again is a budget of the fleet; alone, each has its own.
+#[test]
+fn launches_beyond_the_first_stay_within_the_fleets_budget_whatever_the_links_do() {
+    const NODES: usize = 4;
+    const ROUNDS: usize = 12;
+    let play = |story: &str, fleet: bool| {
+        let mut opening = Opening::of(NODES);
+        opening.fleet = fleet;
+        opening.more = "retries_a_second = 4.0\n".to_owned();
+        let f = Fleet::open(story, &opening);
+        if fleet {
+            f.until("all know each other", |f| (0..NODES).all(|n| f.gauge(n, "fleet_peers") == 3));
+            let mut faults = f.relay.faults.lock().unwrap();
+            (faults.loss, faults.copies, faults.delay) = (0.3, 0.3, Duration::from_millis(3));
+        }
+        for store in &f.stores {
+            store.script(Script { rules: vec![("marker".to_owned(), Trouble::Error)], ..Script::default() });
+        }
+        let began = Instant::now();
+        std::thread::scope(|scope| {
+            for node in 0..NODES {
+                let f = &f;
+                scope.spawn(move || {
+                    for n in 0..ROUNDS {
+                        if fleet && node == 0 && n == ROUNDS / 2 {
+                            f.relay.cut_off(&[2, 3], NODES);
+                        }
+                        f.ask(node, &format!("n{node}-{n}"), &format!("marker-{node}x{n}y"));
+                    }
+                });
+            }
+        });
+        let sent: usize = (0..SLICES).map(|s| f.seen(s, "marker")).sum();
+        // Nothing holds up a part's first launch here.
+        let first = NODES * ROUNDS * SLICES;
+        (sent.saturating_sub(first), began.elapsed().as_secs_f64())
+    };
+    let (alone, _) = play("retries-alone", false);
+    let (shared, took) = play("retries-shared", true);
+    // Each node may save up one launch, and begins with a share of one; leases never add to the total. What was
+    // decided before the first round of the fleet is none.
+    let bound = (4.0 * took).floor() as usize + 2 * NODES;
+    assert!(shared <= bound, "{shared} further launches in {took:.1} s, {bound} at most");
+    assert!(alone > bound, "alone they send {alone}: the story would show nothing");
+}
--- a/crates/frontnode/tests/herd/mod.rs
+++ b/crates/frontnode/tests/herd/mod.rs
@@ -15,7 +15,7 @@
 use serde_json::{Value, json};
 
 const TOO_LONG: Duration = Duration::from_secs(30);
-const SLICES: usize = 3;
+pub const SLICES: usize = 3;
 const ROUTES: &str =
     "[index.jobs]\ngrade = \"look\"\nslices = \"all\"\n[index.jobs.fields]\ncustomer = \"keyword\"\n";
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -569,8 +569,11 @@
         allowed && part.launches.len() < self.orders.launches_cap
     }
 
+    /// The rules' ration of this front alone, and what the fleet leaves it where front nodes share one: each within
+    /// its own, hundreds ask a failing server again hundreds of times as often as one does.
     fn within_ration(&self) -> bool {
-        self.orders.ration.is_none_or(|ration| {
+        let left = self.ledger.fleet_further != Some(0);
+        left && self.orders.ration.is_none_or(|ration| {
             let within = |at: &&Nanos| **at > self.now() - ration.span;
             let further = self.ledger.further.iter().rev().take_while(within).count() + 1;
             let taken = self.ledger.taken.iter().rev().take_while(within).count();
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -192,6 +192,8 @@
     /// Retrievals a second of each tenant that the fleet leaves this front, where front nodes share the tenants'
     /// shares; empty where this one stands alone.
     pub fleet_shares: Vec<f64>,
+    /// Launches beyond the parts' first that the fleet leaves this front now, where front nodes share those.
+    pub fleet_further: Option<usize>,
     pub roster_lost: bool,
     pub roster_heard: Option<Nanos>,
     /// Why decisions fell, where the host wants to know.
@@ -221,6 +223,7 @@
             copies: VecDeque::new(),
             asked: VecDeque::new(),
             fleet_shares: Vec::new(),
+            fleet_further: None,
             roster_lost: false,
             roster_heard: None,
             trace: RefCell::default(),
@@ -465,6 +468,7 @@
         p.launches.push(Launch { replica, sent: now, end: None, withdrawn: false });
         if launch > 0 {
             self.further.push_back(now);
+            self.fleet_further = self.fleet_further.map(|left| left.saturating_sub(1));
         }
         if copy {
             self.copies.push_back(now);
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -812,3 +812,16 @@
         }
     }
 }
+
+#[test]
+fn where_the_fleet_leaves_no_further_launches_a_failed_part_waits_until_it_does() {
+    let mut host = Host::new(orders(4));
+    host.round(|l| l.fleet_further = Some(1));
+    let first = launches(&host.take(0, &[0, 1, 2]).1);
+    assert_eq!(first.len(), 3, "first launches are not rationed");
+    host.now += 5 * MS;
+    let again = launches(&host.end(|_| Some(Ending::Faulty)));
+    assert_eq!(again.len(), 1, "one of three parts goes again: {again:?}");
+    let again = launches(&host.round(|l| l.fleet_further = Some(2)));
+    assert_eq!(again.len(), 2, "{again:?}");
+}
