--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -9,7 +9,7 @@
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use orchidvalve_frontnode::config::{
-    FLEET_VARIABLE, LOGBOOK_VARIABLE, ROUTES_VARIABLE, Source, TRACE_VARIABLE, VARIABLE,
+    COLDSTART_VARIABLE, FLEET_VARIABLE, LOGBOOK_VARIABLE, ROUTES_VARIABLE, Source, TRACE_VARIABLE, VARIABLE,
 };
 use orchidvalve_frontnode::{log, node};
 
@@ -53,6 +53,9 @@
     /// The file of the fleet of front nodes, where the configuration does not name it
     #[arg(long, env = FLEET_VARIABLE, value_name = "FILE")]
     fleet: Option<String>,
+    /// The file of the cold start, where the configuration does not name it
+    #[arg(long, env = COLDSTART_VARIABLE, value_name = "FILE")]
+    coldstart: Option<String>,
     /// Write the reason of each decision to this file, - for standard error; `orchidvalve why` reads it
     #[arg(long, env = TRACE_VARIABLE, value_name = "FILE")]
     trace: Option<String>,
@@ -79,6 +82,7 @@
                 search: args.search,
                 logbook: args.logbook,
                 fleet: args.fleet,
+                coldstart: args.coldstart,
                 trace: args.trace,
             })
             .map_err(|fault| (1, fault))
--- a/crates/cli/src/why.rs
+++ b/crates/cli/src/why.rs
@@ -120,7 +120,7 @@
             | What::Answered(r, _)
             | What::Ended(r, ..) => Some(r.0),
             What::Launch(p, ..) | What::Over(p, ..) | What::Held(p, _) => self.parts.get(&p.0).map(|p| p.0),
-            What::Aside(..) | What::Back(_) | What::Usual(..) => None,
+            What::Aside(..) | What::Back(_) | What::Usual(..) | What::List(..) => None,
         }
     }
 
@@ -152,6 +152,13 @@
             What::Ended(_, why, dismissed) => {
                 format!("{}: {}", if dismissed { "dismissed" } else { "given up" }, why.help())
             }
+            What::List(from, age, members, doubt) => {
+                let age = age as f64 / 1e9;
+                format!(
+                    "goes by {}, {age:.1} s old, {members} replicas, doubted by {doubt} steps",
+                    from.help()
+                )
+            }
             What::Usual(half, longest, patience) => {
                 format!("usual part {}, longest {}, patience {}", ms(half), ms(longest), ms(patience))
             }
@@ -179,7 +186,11 @@
     for note in &trace.notes {
         let mine = trace.retrieval(note.what) == Some(number);
         let beside = (began..=over).contains(&note.at)
-            && matches!(note.what, What::Aside(s, _) | What::Back(s) if concerned.contains(&s.0));
+            && match note.what {
+                What::Aside(s, _) | What::Back(s) => concerned.contains(&s.0),
+                What::List(..) => true,
+                _ => false,
+            };
         if mine || beside {
             let mark = if mine { ' ' } else { '*' };
             println!("{:>10.1} ms {mark} {}", (note.at - began) as f64 / 1e6, trace.words(note.what));
@@ -212,6 +223,7 @@
         What::Held(_, why) => Some((6, why.word(), why.help())),
         What::Aside(_, why) => Some((7, why.word(), why.help())),
         What::Back(_) => Some((7, "back", "let back")),
+        What::List(from, ..) => Some((8, from.word(), from.help())),
         What::Part(..) | What::Usual(..) => None,
     }
 }
@@ -220,8 +232,17 @@
     if !(args.every > 0.0 && args.every.is_finite()) {
         return Err(format!("--every: should be above 0, not {}", args.every));
     }
-    const SHOWN: [&str; 8] =
-        ["", "launched", "answered", "ended", "", "passed over", "not launched", "replicas set aside"];
+    const SHOWN: [&str; 9] = [
+        "",
+        "launched",
+        "answered",
+        "ended",
+        "",
+        "passed over",
+        "not launched",
+        "replicas set aside",
+        "lists gone by",
+    ];
     let (mut all, mut lines) = (BTreeMap::new(), BTreeMap::<u64, BTreeMap<(u8, &str), u64>>::new());
     for (at, note) in trace.within(args) {
         let Some((group, word, help)) = column(note.what) else { continue };
--- /dev/null
+++ b/crates/coldstart/src/lib.rs
@@ -0,0 +1,84 @@
+//! The start of a front node among hundreds that start with it: which list of index servers it goes by until discovery
+//! answers, how far that list is trusted, when discovery may be asked, and when each server may be probed. Free of I/O
+//! and of clocks: the host hands over the time, the lists it found and what became of its asks, and carries out what
+//! [`Start::round`] writes.
+//!
+//! Each module answers one question: [`trust`] what a list's age is worth, [`pace`] when discovery is asked so that it
+//! sees a bounded rate whatever the number of nodes, [`spread`] when each server is probed so that no server sees all
+//! nodes at once, and [`start`] which list is gone by.
+//!
+//! ```
+//! use orchidvalve_coldstart::start::{Offer, Source, Start, Writer};
+//! use orchidvalve_coldstart::{ColdOrders, Nanos};
+//!
+//! #[derive(Default)]
+//! struct Notes(Vec<(Source, u32)>);
+//! impl Writer for Notes {
+//!     fn adopt(&mut self, offer: &Offer, doubt: u32) { self.0.push((offer.source, doubt)) }
+//!     fn want_from_peers(&mut self, _: Option<Option<(i64, Nanos)>>) {}
+//!     fn fetch(&mut self, _whole: bool) {}
+//!     fn unheard(&mut self) {}
+//! }
+//!
+//! let (hour, mut notes) = (3_600_000_000_000, Notes::default());
+//! let mut start = Start::new(ColdOrders::default(), 7, 0, 10 * hour);
+//! let list = |source, seen| Offer { source, revision: 4, seen, members: 12, comparable: true };
+//! start.round(10 * hour, |inbox| {
+//!     inbox.offer(list(Source::Disk, 9 * hour));
+//!     inbox.offer(list(Source::Known, 2 * hour));
+//! }, &mut notes);
+//! assert_eq!(notes.0, [(Source::Disk, 4)], "the younger one, and it is not trusted far");
+//! ```
+
+pub mod pace;
+pub mod spread;
+pub mod start;
+pub mod trust;
+
+/// A moment or a length of time, in whole nanoseconds.
+pub type Nanos = i64;
+
+const SECOND: f64 = 1e9;
+
+/// What the operator sets.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub struct ColdOrders {
+    /// Front nodes of the fleet, where the host does not count more.
+    pub expected: usize,
+    /// First asks, and asks after a miss, that discovery is to see a second from all nodes together.
+    pub fetches_a_second: f64,
+    /// Wait after a first miss, doubled with each further one up to the most; never less than the fleet's spread.
+    pub first_wait: Nanos,
+    pub most_wait: Nanos,
+    /// A list not older than this is trusted as discovery's own answer.
+    pub fresh_for: Nanos,
+    /// From then on each time this has passed, doubled, makes it trusted less by one step.
+    pub half_life: Nanos,
+    /// A list older than this is gone by only when nothing better came within `patience`.
+    pub oldest: Nanos,
+    pub patience: Nanos,
+    /// Probes of doubted servers that one server is to see a second from all nodes together.
+    pub probes_a_second: f64,
+}
+
+impl Default for ColdOrders {
+    fn default() -> ColdOrders {
+        let second = SECOND as Nanos;
+        ColdOrders {
+            expected: 1,
+            fetches_a_second: 50.0,
+            first_wait: second / 4,
+            most_wait: 30 * second,
+            fresh_for: 30 * second,
+            half_life: 300 * second,
+            oldest: 86_400 * second,
+            patience: 2 * second,
+            probes_a_second: 100.0,
+        }
+    }
+}
+
+/// How long `nodes` things at `rate` a second take.
+fn over(nodes: usize, rate: f64) -> Nanos {
+    (nodes.max(1) as f64 * SECOND / rate.max(1e-6)).min(3.6e12) as Nanos
+}
--- /dev/null
+++ b/crates/coldstart/src/spread.rs
@@ -0,0 +1,18 @@
+//! When each server that an old list names is probed. Hundreds of nodes that start together would connect to every
+//! server in the same instant: each node draws a moment for each server, from its seed and the server's number, in a
+//! span of `nodes / rate`, so that a server sees `rate` new connections a second. Nothing is drawn for the node as a
+//! whole: its own probes are spread by the same draw.
+
+use crate::{ColdOrders, Nanos, over};
+
+/// The moment from `now` on at which this node may first probe a server. `subject`: a number that stands for the server.
+pub fn probe_from(orders: &ColdOrders, nodes: usize, seed: u64, subject: u64, now: Nanos) -> Nanos {
+    let span = over(nodes.max(orders.expected), orders.probes_a_second);
+    // A mixer whose every output bit hangs on every input bit (splitmix64): ids that differ in their last letter, and
+    // seeds that differ by one, must not be probed in step.
+    let mut x = seed ^ subject.wrapping_mul(0x9e37_79b9_7f4a_7c15);
+    x = (x ^ (x >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
+    x = (x ^ (x >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
+    x ^= x >> 31;
+    now + (span as f64 * ((x >> 11) as f64 / (1u64 << 53) as f64)) as Nanos
+}
--- a/crates/fleet/src/lib.rs
+++ b/crates/fleet/src/lib.rs
@@ -1,7 +1,8 @@
 //! The fleet of front nodes as each of them sees it: who else is there, budgets that hold for all of them together,
 //! and verdicts that one comes to and all should know. Free of I/O and of clocks: the host hands over the time and the
 //! datagrams that came, and sends what [`Fleet::round`] writes. Membership is SWIM, by the crate `foca`; budgets are
-//! leases between peers ([`shares`]); verdicts go round by gossip with their age ([`verdicts`]).
+//! leases between peers ([`shares`]); verdicts go round by gossip with their age ([`verdicts`]); discovery's list
+//! is had from peers that know it ([`lists`]).
 //!
 //! ```
 //! use std::net::SocketAddrV4;
@@ -15,6 +16,7 @@
 //! assert!(out.sent.iter().any(|(to, _)| *to == other), "it announces itself to the peers it was given");
 //! ```
 
+pub mod lists;
 pub mod shares;
 pub mod tokens;
 pub mod verdicts;
@@ -30,6 +32,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde::{Deserialize, Serialize};
 
+use crate::lists::{Edition, ListCounts, ListLetter, ListOrders, Lists};
 use crate::shares::{Ask, BudgetKey, Grant, LeaseOrders, Post, Shares, Unused};
 use crate::verdicts::{Told, VerdictKey, Verdicts};
 use crate::wire::{Letter, Unread};
@@ -94,6 +97,7 @@
     pub gossip_every: Nanos,
     pub gossip_to: usize,
     pub leases: LeaseOrders,
+    pub lists: ListOrders,
     /// How often shares are looked at: leases that ended, asks where demand is over the allowance.
     pub step_every: Nanos,
     pub verdicts_most: usize,
@@ -125,6 +129,7 @@
                 budgets: 4096,
                 lent_most: 16_384,
             },
+            lists: ListOrders::default(),
             step_every: 100_000_000,
             verdicts_most: 4096,
             from_a_peer: 64,
@@ -155,8 +160,13 @@
     datagrams: Vec<Vec<u8>>,
     wants: Vec<(BudgetKey, f64, f64)>,
     verdicts: Vec<(VerdictKey, bool, Nanos)>,
+    edition: Option<Edition>,
+    list_wanted: Option<ListWanted>,
 }
 
+/// The topic of a list that is wanted, and the revision and time seen that it must beat; none where any will do.
+pub type ListWanted = Option<(u64, Option<(i64, Nanos)>)>;
+
 impl Inbox {
     /// A datagram, as it came; where from is in its head.
     pub fn datagram(&mut self, bytes: &[u8]) {
@@ -168,6 +178,16 @@
         self.wants.push((key, total, want));
     }
 
+    /// A list that this node has to offer to its peers.
+    pub fn edition(&mut self, edition: Edition) {
+        self.edition = Some(edition);
+    }
+
+    /// A list of that topic is wanted from peers, one that beats that revision and time seen; or none any more.
+    pub fn list_wanted(&mut self, wanted: ListWanted) {
+        self.list_wanted = Some(wanted);
+    }
+
     /// This node came to a verdict, which holds for `lasts` unless another one comes.
     pub fn verdict(&mut self, key: VerdictKey, holds: bool, lasts: Nanos) {
         self.verdicts.push((key, holds, lasts));
@@ -223,6 +243,7 @@
     timer_count: u64,
     shares: Shares,
     verdicts: Verdicts,
+    lists: Lists,
     /// Peers down, and since when: counted in the base shares until `forget_after`.
     down: BTreeMap<Peer, Nanos>,
     rng: Pcg64Mcg,
@@ -272,6 +293,7 @@
         Fleet {
             shares: Shares::new(orders.leases),
             verdicts: Verdicts::new(orders.verdicts_most),
+            lists: Lists::new(orders.lists),
             orders,
             me,
             members,
@@ -324,6 +346,12 @@
         for (key, holds, lasts) in inbox.verdicts {
             self.verdicts.come_to(self.me, key, holds, lasts, now);
         }
+        inbox.edition.into_iter().for_each(|edition| self.lists.publish(edition));
+        match inbox.list_wanted {
+            Some(Some((topic, beats))) => self.lists.want(topic, beats, now),
+            Some(None) => self.lists.no_more(),
+            None => {}
+        }
         let mut post = Letters::default();
         for bytes in &inbox.datagrams {
             self.receive(bytes, members, &mut asked, &mut post);
@@ -341,10 +369,12 @@
             self.down.retain(|_, since| now - *since < self.orders.forget_after);
             let peers = self.shuffled();
             self.shares.step(self.counted(), &peers, now, &mut post);
+            self.lists.step(&peers, now, &mut post.lists);
         }
         if now >= self.next_gossip {
             self.next_gossip = now + self.orders.gossip_every;
             self.intake.clear();
+            self.lists.period();
             self.verdicts.expire(now);
             let told = self.verdicts.to_tell(wire::VERDICTS_MOST, now);
             if !told.is_empty() {
@@ -390,6 +420,10 @@
                     self.verdicts.take(told, now);
                 }
             }
+            Letter::List(letter) if self.is_member(from) => {
+                self.lists.take(from, letter, now, &mut post.lists);
+            }
+            Letter::List(_) => {}
         }
     }
 
@@ -412,7 +446,8 @@
             self.shares.gone(peer);
         }
         let sends = asked.sends.into_iter().map(|(to, bytes)| (to, Letter::Swim(bytes)));
-        for (to, letter) in sends.chain(post.letters) {
+        let lists = post.lists.into_iter().map(|(to, letter)| (to, Letter::List(letter)));
+        for (to, letter) in sends.chain(post.letters).chain(lists) {
             wire::write(self.me, &letter, &mut self.buffer);
             self.counts.sent += 1;
             w.send(to.address(), &self.buffer);
@@ -466,6 +501,15 @@
         self.verdicts.known.iter().filter(move |(_, k)| k.until > now)
     }
 
+    /// A list that came whole from a peer since the last look.
+    pub fn list_heard(&mut self) -> Option<Edition> {
+        self.lists.take_heard()
+    }
+
+    pub fn list_counts(&self) -> ListCounts {
+        self.lists.counts()
+    }
+
     /// Peers alive as far as this node knows, and those counted in the shares.
     pub fn members(&self) -> (usize, usize) {
         (self.members.num_members(), self.counted())
@@ -489,6 +533,7 @@
 #[derive(Default)]
 struct Letters {
     letters: Vec<(Peer, Letter)>,
+    lists: Vec<(Peer, ListLetter)>,
 }
 
 impl Post for Letters {
--- a/crates/fleet/src/wire.rs
+++ b/crates/fleet/src/wire.rs
@@ -3,6 +3,7 @@
 //! drops the datagram), and the sender. Numbers are little-endian. A datagram is at most [`LONGEST`] bytes.
 
 use crate::Peer;
+use crate::lists::{ListLetter, Notice, PAGE, Page, Pull};
 use crate::shares::{Ask, BudgetKey, Grant};
 use crate::verdicts::{Told, Topic, VerdictKey};
 
@@ -22,6 +23,7 @@
     Ask(Ask),
     Grant(Grant),
     Verdicts(Vec<Told>),
+    List(ListLetter),
 }
 
 /// Why a datagram was not read.
@@ -42,6 +44,10 @@
         Letter::Ask(_) => 2,
         Letter::Grant(_) => 3,
         Letter::Verdicts(_) => 4,
+        Letter::List(ListLetter::Wanted(_)) => 5,
+        Letter::List(ListLetter::Notice(_)) => 6,
+        Letter::List(ListLetter::Pull(_)) => 7,
+        Letter::List(ListLetter::Page(_)) => 8,
     };
     out.extend_from_slice(&[b'O', b'V', VERSION, kind, 0, 0]);
     peer(from, out);
@@ -71,6 +77,26 @@
                 out.extend_from_slice(&told.lasts.to_le_bytes());
             }
         }
+        Letter::List(ListLetter::Wanted(topic)) => out.extend_from_slice(&topic.to_le_bytes()),
+        Letter::List(ListLetter::Notice(n)) => {
+            out.extend_from_slice(&n.topic.to_le_bytes());
+            out.extend_from_slice(&n.revision.to_le_bytes());
+            out.extend_from_slice(&n.age.to_le_bytes());
+            out.extend_from_slice(&n.print.to_le_bytes());
+            out.extend_from_slice(&n.length.to_le_bytes());
+        }
+        Letter::List(ListLetter::Pull(p)) => {
+            out.extend_from_slice(&p.print.to_le_bytes());
+            out.extend_from_slice(&p.from.to_le_bytes());
+            out.extend_from_slice(&p.pages.to_le_bytes());
+        }
+        Letter::List(ListLetter::Page(p)) => {
+            let bytes = &p.bytes[..p.bytes.len().min(PAGE)];
+            out.extend_from_slice(&p.print.to_le_bytes());
+            out.extend_from_slice(&p.page.to_le_bytes());
+            out.extend_from_slice(&(bytes.len() as u16).to_le_bytes());
+            out.extend_from_slice(bytes);
+        }
     }
 }
 
@@ -150,6 +176,21 @@
             }
             Some(Letter::Verdicts(all))
         })(),
+        5 => b.u64().map(|topic| Letter::List(ListLetter::Wanted(topic))),
+        6 => (|| {
+            let (topic, revision, age) = (b.u64()?, b.i64()?, b.i64()?);
+            let notice = Notice { topic, revision, age, print: b.u64()?, length: b.u32()? };
+            Some(Letter::List(ListLetter::Notice(notice)))
+        })(),
+        7 => (|| {
+            Some(Letter::List(ListLetter::Pull(Pull { print: b.u64()?, from: b.u16()?, pages: b.u16()? })))
+        })(),
+        8 => (|| {
+            let (print, page, length) = (b.u64()?, b.u16()?, usize::from(b.u16()?));
+            let (bytes, rest) = b.0.split_at_checked(length)?;
+            b.0 = rest;
+            Some(Letter::List(ListLetter::Page(Page { print, page, bytes: bytes.to_vec() })))
+        })(),
         _ => None,
     };
     let letter = letter.ok_or(Unread::Garbled)?;
--- /dev/null
+++ b/crates/frontnode/benches/coldstart.rs
@@ -0,0 +1,127 @@
+//! What discovery, and a store that has just started, see of many front nodes that start at once, with the start that
+//! waits its turn and without. `cargo bench -p orchidvalve-frontnode --bench coldstart -- DIR`: processes on loopback,
+//! a table to standard output and a chart of it in DIR.
+
+#[path = "../tests/herd/mod.rs"]
+mod herd;
+
+use std::sync::Mutex;
+use std::time::{Duration, Instant};
+
+use herd::{Fleet, Opening};
+use orchidvalve_standin::agent::Mood;
+use plotters::prelude::*;
+
+const SECONDS: u64 = 6;
+/// Asks a second at discovery that the start is told of.
+const RATE: f64 = 2.0;
+
+struct Played {
+    /// Whole lists asked for: in all, and most within a second.
+    asks: (usize, usize),
+    /// Until every node had a list.
+    all_serve: Duration,
+    /// Parts and probes at the cold store in each second.
+    at_cold: Vec<usize>,
+    answered: (usize, usize),
+}
+
+fn play(nodes: usize, on: bool) -> Played {
+    let mut opening = Opening::of(nodes);
+    (opening.fleet, opening.known, opening.mood) = (on, false, Mood::Up);
+    (opening.started_ms, opening.cold_ms) = (vec![(0, 0)], 20_000);
+    opening.coldstart = on.then(|| format!("fetches_a_second = {RATE}\n"));
+    let began = Instant::now();
+    let f = Fleet::open(&format!("coldbench-{nodes}-{on}"), &opening);
+    let (answered, all_serve) = (Mutex::new((0, 0)), Mutex::new(None));
+    let mut at_cold = vec![0; SECONDS as usize];
+    std::thread::scope(|scope| {
+        scope.spawn(|| {
+            f.until("all have a list", |f| (0..nodes).all(|n| f.serves(n)));
+            *all_serve.lock().unwrap() = Some(began.elapsed());
+        });
+        for node in 0..nodes {
+            let (f, answered) = (&f, &answered);
+            scope.spawn(move || {
+                // One retrieval each two seconds from each node, begun at different moments.
+                let offset = Duration::from_millis(2000 * node as u64 / nodes as u64);
+                let mut n = 0;
+                while began.elapsed() < Duration::from_secs(SECONDS) {
+                    let next = offset + Duration::from_secs(2 * n);
+                    if let Some(wait) = next.checked_sub(began.elapsed()) {
+                        std::thread::sleep(wait);
+                    }
+                    let status = f.ask(node, &format!("n{node}-{n}"), &format!("c{node}x{n}y"));
+                    let mut answered = answered.lock().unwrap();
+                    *answered = (answered.0 + usize::from(status == 200), answered.1 + 1);
+                    n += 1;
+                }
+            });
+        }
+        let (mut second, mut before) = (0, 0);
+        while second < SECONDS as usize {
+            if began.elapsed() >= Duration::from_secs(second as u64 + 1) {
+                let seen = f.stores[0].seen();
+                let total = seen.parts.len() + seen.probes;
+                (at_cold[second], before) = (total - before, total);
+                second += 1;
+            }
+            std::thread::sleep(Duration::from_millis(2));
+        }
+    });
+    let asks = f.agent.asks().iter().filter(|a| a.from.unwrap_or(0) == 0).count();
+    let (most, answered) = (f.agent.most_within(Duration::from_secs(1)), *answered.lock().unwrap());
+    let all_serve = all_serve.lock().unwrap().unwrap_or_default();
+    Played { asks: (asks, most), all_serve, at_cold, answered }
+}
+
+fn main() {
+    let dir = std::env::args().skip(1).find(|a| !a.starts_with("--"));
+    let mut lines: [Vec<(f64, f64)>; 2] = Default::default();
+    println!(
+        "| front nodes | cold start | asks at discovery | most in a second | all serve after s | \
+         at the cold store in each second | answered whole |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    for nodes in [8, 16, 32, 48] {
+        for on in [false, true] {
+            let p = play(nodes, on);
+            let each: Vec<String> = p.at_cold.iter().map(usize::to_string).collect();
+            println!(
+                "| {nodes} | {} | {} | {} | {:.2} | {} | {} of {} |",
+                if on { "on" } else { "off" },
+                p.asks.0,
+                p.asks.1,
+                p.all_serve.as_secs_f64(),
+                each.join(", "),
+                p.answered.0,
+                p.answered.1
+            );
+            lines[usize::from(on)].push((nodes as f64, p.asks.1 as f64));
+        }
+    }
+    if let Some(dir) = dir {
+        chart(&format!("{dir}/coldstart-processes.svg"), &lines).expect("the chart is written");
+    }
+}
+
+fn chart(path: &str, lines: &[Vec<(f64, f64)>; 2]) -> Result<(), Box<dyn std::error::Error>> {
+    let root = SVGBackend::new(path, (640, 360)).into_drawing_area();
+    root.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&root)
+        .caption("most asks for the whole list in a second", ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(44)
+        .build_cartesian_2d(0f64..50f64, 0f64..50f64)?;
+    chart.configure_mesh().x_desc("front nodes that start at once").draw()?;
+    for (line, name, colour) in [(&lines[0], "each at once", RED), (&lines[1], "waiting its turn", BLUE)] {
+        chart
+            .draw_series(LineSeries::new(line.iter().copied(), colour))?
+            .label(name)
+            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], colour));
+    }
+    chart.configure_series_labels().border_style(BLACK).position(SeriesLabelPosition::UpperLeft).draw()?;
+    root.present()?;
+    Ok(())
+}
--- a/crates/frontnode/src/archive.rs
+++ b/crates/frontnode/src/archive.rs
@@ -1,7 +1,7 @@
 //! What the node remembers over a restart: the last roster with its age, and what was thought of each replica. Written
 //! through the keeper's queue, so that no round waits for a disk; off unless a file names a directory.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 use std::path::Path;
 use std::sync::Arc;
 use std::sync::atomic::Ordering::Relaxed;
@@ -26,6 +26,9 @@
 pub const ROSTER: u16 = 1;
 pub const MEMBERS: u16 = 2;
 pub const OPINIONS: u16 = 3;
+pub const STARTS: u16 = 4;
+/// Starts of the node kept.
+const STARTS_KEPT: usize = 16;
 
 /// The operator's file.
 #[derive(Deserialize)]
@@ -146,6 +149,8 @@
     pub heard: Option<Heard>,
     pub members: BTreeMap<String, Member>,
     pub thoughts: BTreeMap<String, Thought>,
+    /// When the node started, the last few times.
+    pub starts: Vec<Nanos>,
     /// Records that could not be read.
     pub unread: usize,
 }
@@ -158,6 +163,11 @@
             Ok(Some(Ok(heard))) => found.heard = Some(heard),
             _ => found.unread += 1,
         }
+        match view.get(STARTS, b"lately").map(|value| value.map(|v| serde_json::from_slice(&v))) {
+            Ok(None) => {}
+            Ok(Some(Ok(starts))) => found.starts = starts,
+            _ => found.unread += 1,
+        }
         found.members = each(view, MEMBERS, &mut found.unread);
         found.thoughts = each(view, OPINIONS, &mut found.unread);
         found
@@ -183,6 +193,10 @@
     hand: Hand,
     /// What was last written of each replica in place, so that only changes are.
     standings: Vec<Option<Standing>>,
+    /// What an earlier run left, until the start takes it.
+    left: Option<Remembered>,
+    /// Replicas that the logbook has and that discovery's whole list has not confirmed or cleared yet.
+    unconfirmed: BTreeSet<String>,
 }
 
 impl Archive {
@@ -215,7 +229,29 @@
         log!("logbook: {age}, {members} replicas, {aside} of them set aside, {unread} records unread");
         let keeper = Keeper::start(store, orders.keeper).map_err(|e| wrong(e.to_string()))?;
         let hand = keeper.hand();
-        Ok(Archive { keeper, hand, standings: Vec::new() })
+        let unconfirmed = remembered.members.keys().cloned().collect();
+        let mut starts = remembered.starts.clone();
+        starts.push(now);
+        starts.drain(..starts.len().saturating_sub(STARTS_KEPT));
+        let left = Some(remembered);
+        let mut archive = Archive { keeper, hand, standings: Vec::new(), left, unconfirmed };
+        archive.write(STARTS, "lately", Some(&starts));
+        Ok(archive)
+    }
+
+    /// What an earlier run left; once.
+    pub fn take_left(&mut self) -> Option<Remembered> {
+        self.left.take()
+    }
+
+    /// Discovery told its whole list: what the logbook has beside it is gone. A list on disk that was never gone by would
+    /// otherwise keep what left while the node was down.
+    pub fn only(&mut self, named: impl Fn(&str) -> bool) {
+        for id in std::mem::take(&mut self.unconfirmed) {
+            if !named(&id) {
+                self.gone(&id);
+            }
+        }
     }
 
     fn write<T: Serialize>(&mut self, space: u16, key: &str, value: Option<&T>) {
--- a/crates/frontnode/src/clients.rs
+++ b/crates/frontnode/src/clients.rs
@@ -446,7 +446,7 @@
                 ),
             ];
             now.extend(kit.archive.iter().flat_map(Archive::gauges));
-            now.extend(kit.fleet.iter().copied());
+            now.extend(kit.fleet.iter().chain(&kit.cold).copied());
             Reply::text(200, kit.counters.text(&now))
         }
         (_, "/_health" | "/metrics") => Reply::text(405, "no such method here\n"),
--- a/crates/frontnode/src/config.rs
+++ b/crates/frontnode/src/config.rs
@@ -3,6 +3,7 @@
 use std::hash::{DefaultHasher, Hash, Hasher};
 use std::net::SocketAddr;
 use std::rc::Rc;
+use std::time::UNIX_EPOCH;
 
 use orchidvalve::interface::{Effect, Nanos, StandingOrders};
 use orchidvalve_orders::Section;
@@ -10,6 +11,7 @@
 use serde_json::Value;
 
 use crate::archive::ArchiveOrders;
+use crate::coldstart::ColdPlan;
 use crate::fleet::FleetPlan;
 use crate::pool::PoolTerms;
 use crate::roster::{self, Roster};
@@ -23,6 +25,8 @@
 pub const LOGBOOK_VARIABLE: &str = "NODE_LOGBOOK";
 /// Variable that may hold the path of the fleet's file, beside the key `fleet`.
 pub const FLEET_VARIABLE: &str = "NODE_FLEET";
+/// Variable that may hold the path of the cold start's file, beside the key `coldstart`.
+pub const COLDSTART_VARIABLE: &str = "NODE_COLDSTART";
 /// Variable that may name the file that the reasons of decisions are written to.
 pub const TRACE_VARIABLE: &str = "NODE_TRACE";
 
@@ -40,6 +44,8 @@
     pub discovery: SocketAddr,
     pub seed: u64,
     pub known: Roster,
+    /// When the configuration was written, as far as the file system tells.
+    pub written: Option<Nanos>,
     /// Names of the service grades, and whether their retrievals carry a receipt.
     pub grades: Vec<(String, bool)>,
     pub tenants: Vec<String>,
@@ -47,6 +53,8 @@
     pub archive: Option<ArchiveOrders>,
     /// How the node takes part in a fleet of front nodes; none where it stands alone.
     pub fleet: Option<FleetPlan>,
+    /// How the node starts among others; none where it asks discovery at once and trusts any list.
+    pub cold: Option<ColdPlan>,
     /// When each grade's retrievals are abandoned, counted from their beginning.
     pub abandon: Vec<Nanos>,
     /// Where queries of the search door go; none where it is closed.
@@ -88,6 +96,8 @@
     pub logbook: Option<String>,
     /// The operator's file of the fleet, in the same way beside the key `fleet`.
     pub fleet: Option<String>,
+    /// The operator's file of the cold start, in the same way beside the key `coldstart`.
+    pub coldstart: Option<String>,
     /// Where the reasons of decisions are written, `-` for standard error; none where they are not kept.
     pub trace: Option<String>,
 }
@@ -102,6 +112,7 @@
             search: path(ROUTES_VARIABLE),
             logbook: path(LOGBOOK_VARIABLE),
             fleet: path(FLEET_VARIABLE),
+            coldstart: path(COLDSTART_VARIABLE),
             trace: path(TRACE_VARIABLE),
         })
     }
@@ -114,8 +125,13 @@
             search: self.search.as_deref(),
             logbook: self.logbook.as_deref(),
             fleet: self.fleet.as_deref(),
+            coldstart: self.coldstart.as_deref(),
         };
-        read(&text, told)
+        let (mut plan, orders) = read(&text, told)?;
+        let written = std::fs::metadata(path).and_then(|m| m.modified()).ok();
+        let written = written.and_then(|at| at.duration_since(UNIX_EPOCH).ok());
+        plan.written = written.and_then(|at| Nanos::try_from(at.as_nanos()).ok());
+        Ok((plan, orders))
     }
 }
 
@@ -125,6 +141,7 @@
     pub search: Option<&'a str>,
     pub logbook: Option<&'a str>,
     pub fleet: Option<&'a str>,
+    pub coldstart: Option<&'a str>,
 }
 
 /// ```
@@ -134,7 +151,7 @@
 /// assert_eq!(fault, "configuration.listen: should be an address and a port, not 'here'");
 /// ```
 pub fn read(text: &str, told: Told) -> Result<(Plan, StandingOrders), String> {
-    let Told { search, logbook, fleet } = told;
+    let Told { search, logbook, fleet, coldstart } = told;
     let whole: Value = serde_json::from_str(text).map_err(|e| format!("configuration: no JSON: {e}"))?;
     let whole = Section::of("configuration", &whole)?;
     let name = whole.text("name")?.to_owned();
@@ -175,11 +192,13 @@
         discovery,
         seed,
         known,
+        written: None,
         grades,
         tenants: tenants.iter().map(|t| t.text("name").map(str::to_owned)).collect::<Result<_, _>>()?,
         shards,
-        archive: archive(&whole, logbook)?,
-        fleet: fleet_plan(&whole, fleet)?,
+        archive: by_file(&whole, "logbook", logbook, ArchiveOrders::read)?,
+        fleet: by_file(&whole, "fleet", fleet, FleetPlan::read)?,
+        cold: by_file(&whole, "coldstart", coldstart, ColdPlan::read)?,
         abandon: orders.grades.iter().map(|g| g.abandon).collect(),
         routes,
         wires: WireOrders {
@@ -197,7 +216,7 @@
         requests_most: (memory << 20) / 4,
         request_within: REQUEST_WITHIN,
         beat: orders.beat,
-        fixed: ["name", "listen", "limits", "settings", "search", "logbook", "fleet"]
+        fixed: ["name", "listen", "limits", "settings", "search", "logbook", "fleet", "coldstart"]
             .map(|key| (key, print(whole.get(key))))
             .to_vec(),
     };
@@ -215,26 +234,20 @@
     Routes::read(&text, &settled).map(|routes| Some(Rc::new(routes))).map_err(|e| format!("{path}: {e}"))
 }
 
-/// The file of the logbook, by the key `logbook` or else by what the program was told.
-fn archive(whole: &Section, told: Option<&str>) -> Result<Option<ArchiveOrders>, String> {
-    let path = whole.or("logbook", told.unwrap_or_default(), Section::text)?;
+/// A file of the operator's, by the configuration's key of that name or else by what the program was told.
+fn by_file<T>(
+    whole: &Section,
+    key: &str,
+    told: Option<&str>,
+    read: impl Fn(&str) -> Result<T, String>,
+) -> Result<Option<T>, String> {
+    let path = whole.or(key, told.unwrap_or_default(), Section::text)?;
     if path.is_empty() {
         return Ok(None);
     }
-    let text = std::fs::read_to_string(path)
-        .map_err(|e| whole.fault("logbook", &format!("cannot read {path}: {e}")))?;
-    ArchiveOrders::read(&text).map(Some).map_err(|e| format!("{path}: {e}"))
-}
-
-/// The file of the fleet, by the key `fleet` or else by what the program was told.
-fn fleet_plan(whole: &Section, told: Option<&str>) -> Result<Option<FleetPlan>, String> {
-    let path = whole.or("fleet", told.unwrap_or_default(), Section::text)?;
-    if path.is_empty() {
-        return Ok(None);
-    }
-    let text = std::fs::read_to_string(path)
-        .map_err(|e| whole.fault("fleet", &format!("cannot read {path}: {e}")))?;
-    FleetPlan::read(&text).map(Some).map_err(|e| format!("{path}: {e}"))
+    let text =
+        std::fs::read_to_string(path).map_err(|e| whole.fault(key, &format!("cannot read {path}: {e}")))?;
+    read(&text).map(Some).map_err(|e| format!("{path}: {e}"))
 }
 
 fn pool_terms(orders: PoolOrders) -> PoolTerms {
--- a/crates/frontnode/src/fleet.rs
+++ b/crates/frontnode/src/fleet.rs
@@ -12,10 +12,11 @@
 use calloop::{Interest, Mode, PostAction};
 use orchidvalve::interface::{Nanos, ReplicaIx, Thaw};
 use orchidvalve::ledger::{Ending, Ledger};
+use orchidvalve_fleet::lists::Edition;
 use orchidvalve_fleet::shares::BudgetKey;
 use orchidvalve_fleet::tokens::Bucket;
 use orchidvalve_fleet::verdicts::{Topic, VerdictKey};
-use orchidvalve_fleet::{Fleet, FleetOrders, Inbox, Writer};
+use orchidvalve_fleet::{Fleet, FleetOrders, Inbox, ListWanted, Writer};
 use serde::Deserialize;
 
 use crate::deadlines::Mark;
@@ -207,6 +208,9 @@
     said: BTreeMap<(u64, usize), bool>,
     /// Verdicts of this node to tell in the next round.
     verdicts: Vec<(VerdictKey, bool)>,
+    /// A list to offer to peers, and what is wanted of theirs, where that changed.
+    edition: Option<Edition>,
+    list_wanted: Option<ListWanted>,
     mark: Option<Mark>,
     unsent: u64,
     seed: u64,
@@ -257,6 +261,8 @@
             retries: plan.retries.map(|_| Bucket::drawn(seed, RETRIES.subject, kit.now)),
             said: BTreeMap::new(),
             verdicts: Vec::new(),
+            edition: None,
+            list_wanted: None,
             mark: None,
             unsent: 0,
             seed,
@@ -316,6 +322,26 @@
         self.retries.iter_mut().filter(|_| further).for_each(Bucket::take);
     }
 
+    /// This node's list, for peers that start.
+    pub fn offer_list(&mut self, edition: Edition) {
+        self.edition = Some(edition);
+    }
+
+    /// What is wanted of peers' lists from now on.
+    pub fn want_list(&mut self, wanted: ListWanted) {
+        self.list_wanted = Some(wanted);
+    }
+
+    pub fn list_heard(&mut self) -> Option<Edition> {
+        self.fleet.list_heard()
+    }
+
+    /// Front nodes counted, and peers alive.
+    pub fn size(&self) -> (usize, usize) {
+        let (alive, counted) = self.fleet.members();
+        (counted, alive)
+    }
+
     /// One round of the fleet, and what it tells the ledger. `named`: replicas by their ids, in order.
     pub fn round(&mut self, named: &[(String, ReplicaIx)], ledger: &mut Ledger, kit: &mut Kit) {
         let now = kit.now;
@@ -343,7 +369,10 @@
         let allowed = self.fleet.allowance(RETRIES);
         let further = self.retries.as_mut().map(|b| b.demand(allowed, DEMAND_SPAN, now));
         let further = self.plan.retries.zip(further);
+        let (edition, list_wanted) = (self.edition.take(), self.list_wanted.take());
         let came_in = |inbox: &mut Inbox| {
+            edition.into_iter().for_each(|edition| inbox.edition(edition));
+            list_wanted.into_iter().for_each(|wanted| inbox.list_wanted(wanted));
             for (t, (&total, &want)) in shares.iter().zip(&wanted).enumerate() {
                 inbox.want(BudgetKey { family: TENANT, subject: t as u64 }, total, want);
             }
--- a/crates/frontnode/src/kit.rs
+++ b/crates/frontnode/src/kit.rs
@@ -46,6 +46,8 @@
     Agent,
     /// The fleet's next timer.
     Fleet,
+    /// The start's next slot, or the end of its patience.
+    Cold,
     Wake,
     Stop,
 }
@@ -82,6 +84,8 @@
     pub archive: Option<Archive>,
     /// Gauges of the fleet, where it is switched on: name, help, value.
     pub fleet: Vec<(&'static str, &'static str, usize)>,
+    /// Gauges of the start among others, in the same form.
+    pub cold: Vec<(&'static str, &'static str, usize)>,
 }
 
 impl Kit {
--- a/crates/frontnode/src/lib.rs
+++ b/crates/frontnode/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod archive;
 pub mod clients;
+pub mod coldstart;
 pub mod config;
 pub mod counters;
 pub mod deadlines;
--- a/crates/frontnode/src/members.rs
+++ b/crates/frontnode/src/members.rs
@@ -1,6 +1,6 @@
 //! Discovery: one watch after another at the agent, and the roster that they tell.
 
-use std::collections::HashMap;
+use std::collections::{BTreeMap, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -8,6 +8,7 @@
 use orchidvalve::ledger::Ledger;
 use orchidvalve_search::routes::{Routes, WireName};
 
+use crate::coldstart::News;
 use crate::config::Plan;
 use crate::deadlines::Mark;
 use crate::desk::Desk;
@@ -22,6 +23,9 @@
 /// How long a watch may wait for something new, and how much later its answer is missed.
 const HOLD_MS: i64 = 20_000;
 const SLACK_MS: i64 = 2_000;
+/// Where the start is paced, an answer is waited for longer after each miss, up to so many doublings: a discovery that
+/// answers hundreds slowly would otherwise be given up by all of them, over and over.
+const SLACK_DOUBLINGS: u32 = 3;
 /// Waits after misses grow to this many times the first.
 const MOST_DOUBLINGS: u32 = 4;
 
@@ -40,6 +44,20 @@
     mark: Option<Mark>,
     misses: u32,
     first_wait: Nanos,
+    /// Whether the start decides when discovery is asked; what it is to know of the watch, and the list as it is.
+    paced: bool,
+    news: Vec<News>,
+    list: BTreeMap<String, Member>,
+}
+
+/// How far a list is to be trusted.
+pub enum Origin {
+    /// Told by discovery.
+    Discovery,
+    /// The configuration's, which is trusted like discovery's where the start is not paced.
+    Configuration,
+    /// An older one: steps of doubt for each replica, and from when on it may be probed.
+    Doubted(Vec<(u32, Nanos)>),
 }
 
 impl Members {
@@ -56,6 +74,10 @@
             mark: None,
             misses: 0,
             first_wait: plan.connect_within,
+            // Where discovery is asked on request, the aggregator says when.
+            paced: plan.cold.is_some() && !plan.roster_on_request,
+            news: Vec::new(),
+            list: BTreeMap::new(),
         }
     }
 
@@ -75,20 +97,31 @@
     pub fn learn(
         &mut self,
         told: Roster,
+        origin: Origin,
         servers: &mut Servers,
         desk: &mut Desk,
         ledger: &mut Ledger,
         kit: &mut Kit,
     ) {
+        let discovery = matches!(origin, Origin::Discovery);
         ledger.roster_opens(told.complete);
+        if told.complete {
+            self.list.clear();
+        }
         let mut named = vec![false; self.replicas.len()];
-        for member in told.members {
-            if let Some(archive) = &mut kit.archive {
+        for (place, member) in told.members.into_iter().enumerate() {
+            if let Some(archive) = kit.archive.as_mut().filter(|_| discovery) {
                 archive.member(&member);
             }
+            if self.paced && member.removed {
+                self.list.remove(&member.id);
+            } else if self.paced {
+                self.list.insert(member.id.clone(), member.clone());
+            }
             let Member { id, address, flavor, locality, cell, serving, removed, started } = member;
             let speech = self.speech(&id, &flavor, &locality);
             let known = self.replicas.get(&id).copied();
+            let was_known = known.is_some();
             let ix = known.unwrap_or_else(|| {
                 let ix = ledger.replica_met(cell);
                 // Where it takes the slot of one that is gone, nothing of that one stays.
@@ -105,6 +138,16 @@
             named[ix.0] = true;
             servers.named(ix, (address, speech), serving, started, desk, kit);
             ledger.roster_names(ix, cell, serving, started);
+            match &origin {
+                Origin::Discovery => ledger.replica_vouched(ix),
+                Origin::Doubted(of) => match of.get(place) {
+                    Some(&(0, _)) => ledger.replica_vouched(ix),
+                    // One that an older list named has its doubt already, or has answered since.
+                    Some(&(steps, from)) if !was_known => ledger.replica_doubted(ix, steps, from),
+                    _ => {}
+                },
+                Origin::Configuration => {}
+            }
             if removed {
                 ledger.replica_retired(ix);
             }
@@ -116,17 +159,38 @@
                 servers.serves(ix, false, desk, kit);
                 ledger.replica_retired(ix);
                 let id = self.replicas.iter().find(|(_, other)| **other == ix).map(|(id, _)| id);
-                if let (Some(archive), Some(id)) = (&mut kit.archive, id) {
+                if let (Some(archive), Some(id)) = (kit.archive.as_mut().filter(|_| discovery), id) {
                     archive.gone(id);
                 }
             }
         }
         self.revision = Some(told.revision);
-        if let Some(archive) = &mut kit.archive {
+        if let Some(archive) = kit.archive.as_mut().filter(|_| discovery) {
             archive.heard(told.revision, kit.now);
+            if told.complete {
+                archive.only(|id| self.replicas.get(id).is_some_and(|ix| named.get(ix.0) == Some(&true)));
+            }
         }
     }
 
+    /// What the watch met since the last look, where the start is paced.
+    pub fn take_news(&mut self) -> Vec<News> {
+        std::mem::take(&mut self.news)
+    }
+
+    /// The list as it is, where the start is paced, and its revision.
+    pub fn list(&self) -> (&BTreeMap<String, Member>, i64) {
+        (&self.list, self.revision.unwrap_or(0))
+    }
+
+    /// The start lets discovery be asked: for the whole list, or for what changed since the one gone by.
+    pub fn fetch(&mut self, whole: bool, ledger: &mut Ledger, kit: &mut Kit) {
+        if whole {
+            self.revision = None;
+        }
+        self.ask(ledger, kit);
+    }
+
     /// Replicas met since the last round.
     pub fn fresh(&self) -> impl Iterator<Item = (&str, ReplicaIx)> {
         self.named().filter(|(_, ix)| self.fresh.contains(ix))
@@ -149,12 +213,18 @@
         }
         (self.agent, self.revision, self.misses) = (agent, None, 0);
         (self.call, self.asked) = (None, false);
+        if self.paced {
+            // A new configuration reaches hundreds of nodes at once.
+            self.mark.take().into_iter().for_each(|mark| kit.deadlines.clear(mark));
+            self.news.push(News::Moved(agent));
+            return;
+        }
         self.ask(ledger, kit);
     }
 
     /// Starts the watch where changes come unasked for; elsewhere the aggregator asks.
     pub fn start(&mut self, ledger: &mut Ledger, kit: &mut Kit) {
-        if !self.on_request {
+        if !self.on_request && !self.paced {
             self.ask(ledger, kit);
         }
     }
@@ -197,7 +267,8 @@
         match flushed {
             Ok(()) if waits => {
                 let hold = self.revision.map_or(0, |_| HOLD_MS);
-                self.remind(kit.now + (hold + SLACK_MS) * 1_000_000, kit);
+                let longer = if self.paced { self.misses.min(SLACK_DOUBLINGS) } else { 0 };
+                self.remind(kit.now + (hold + (SLACK_MS << longer)) * 1_000_000, kit);
             }
             Ok(()) => {}
             Err(fault) => self.missed(&fault.to_string(), ledger, kit),
@@ -231,7 +302,11 @@
                 }
                 (self.asked, self.misses) = (false, 0);
                 kit.counters.roster_news += 1;
-                self.learn(told, servers, desk, ledger, kit);
+                let revision = told.revision;
+                self.learn(told, Origin::Discovery, servers, desk, ledger, kit);
+                if self.paced {
+                    self.news.push(News::Heard(revision));
+                }
                 self.ask(ledger, kit);
             }
             Some(Ok(_)) => self.missed("an answer that was not asked for", ledger, kit),
@@ -254,7 +329,11 @@
         (self.call, self.asked) = (None, false);
         kit.counters.roster_misses += 1;
         log!("roster not heard from {}: {}", self.agent, fault.escape_default());
-        if self.on_request {
+        if self.paced {
+            self.mark.take().into_iter().for_each(|mark| kit.deadlines.clear(mark));
+            self.misses += 1;
+            self.news.push(News::Missed);
+        } else if self.on_request {
             self.mark.take().into_iter().for_each(|mark| kit.deadlines.clear(mark));
             ledger.roster_lost();
         } else {
--- a/crates/frontnode/src/node.rs
+++ b/crates/frontnode/src/node.rs
@@ -9,9 +9,11 @@
 use orchidvalve::Aggregator;
 use orchidvalve::interface::{Nanos, PartIx, ReplicaIx, RetrievalIx, Writer};
 use orchidvalve::ledger::{Ledger, Ring};
+use orchidvalve::trace::{ListFrom, What};
 
 use crate::archive::Archive;
 use crate::clients::Clients;
+use crate::coldstart::{Act, Cold, list_from};
 use crate::config::{self, Plan, Source};
 use crate::counters::Counters;
 use crate::deadlines::{Clock, Deadlines, Mark};
@@ -21,7 +23,8 @@
 use crate::forms::{Outcome, Reply};
 use crate::kit::{ClientKey, Due, Kit, Noted, Who};
 use crate::log;
-use crate::members::Members;
+use crate::members::{Members, Origin};
+use crate::roster::Roster;
 use crate::servers::Servers;
 use crate::tracer::Tracer;
 
@@ -40,6 +43,8 @@
     members: Members,
     /// Other front nodes, where the operator switched that on.
     peers: Option<Peers>,
+    /// The start among others, where the operator switched that on.
+    cold: Option<Cold>,
     tracer: Option<Tracer>,
     wake: Option<Mark>,
     follow: bool,
@@ -90,10 +95,18 @@
             again: Vec::new(),
             archive: None,
             fleet: Vec::new(),
+            cold: Vec::new(),
         };
         let peers =
             plan.fleet.as_ref().map(|fleet| Peers::open(fleet, thaw, shares, plan.seed, &kit)).transpose()?;
-        let archive = plan.archive.as_ref().map(|orders| Archive::open(orders, kit.now)).transpose()?;
+        let mut archive = plan.archive.as_ref().map(|orders| Archive::open(orders, kit.now)).transpose()?;
+        let cold = plan.cold.as_ref().map(|cold| {
+            let left = archive.as_mut().and_then(Archive::take_left);
+            let since = kit.now - cold.restarts;
+            let starts = left.iter().flat_map(|l| &l.starts).filter(|at| **at >= since).count();
+            let known = (&plan.known, plan.written.unwrap_or(kit.now));
+            Cold::open(cold, plan.discovery, known, (left, starts as u32), plan.seed, kit.now)
+        });
         let tracer = source.trace.as_deref().map(|path| {
             Tracer::open(path).map_err(|e| format!("${}: cannot write {path}: {e}", config::TRACE_VARIABLE))
         });
@@ -107,6 +120,7 @@
             servers,
             members,
             peers,
+            cold,
             tracer,
             wake: None,
             follow: false,
@@ -118,8 +132,11 @@
         let mut node = Node { events, noted, aggregator, works, beat, last: Nanos::MIN / 2 };
         let known = node.works.borrow().plan.known.clone();
         node.round(|works, ledger| {
-            let Works { members, servers, desk, kit, .. } = works;
-            members.learn(known, servers, desk, ledger, kit);
+            let Works { members, servers, desk, kit, cold, .. } = works;
+            // Where the start is paced, it says which list is gone by.
+            if cold.is_none() {
+                members.learn(known, Origin::Configuration, servers, desk, ledger, kit);
+            }
             members.start(ledger, kit);
         });
         // From here on: the roster that the configuration knows was not heard.
@@ -191,6 +208,7 @@
             hear(&mut works, ledger);
             works.report(ledger);
             works.fleet(ledger);
+            works.cold(ledger);
         };
         self.aggregator.round(now, came_in, &mut Hand(works));
         let works = self.works.get_mut();
@@ -255,8 +273,8 @@
                 }
                 Due::Door => clients.accept(kit),
                 Due::Agent => members.due(ledger, kit),
-                // Its round follows.
-                Due::Fleet => {}
+                // Their rounds follow.
+                Due::Fleet | Due::Cold => {}
                 Due::Wake => self.wake = None,
                 Due::Stop => self.stop(),
             }
@@ -286,6 +304,60 @@
         peers.round(&named, ledger, &mut self.kit);
     }
 
+    /// A round of the start among others: which list is gone by, and whether discovery is asked now.
+    fn cold(&mut self, ledger: &mut Ledger) {
+        let Works { kit, desk, servers, members, peers, cold, .. } = self;
+        let Some(cold) = cold else { return };
+        if let Some(edition) = peers.as_mut().and_then(Peers::list_heard) {
+            cold.heard(edition);
+        }
+        let news = members.take_news();
+        let mut changed = !news.is_empty();
+        let (acts, wanted) = cold.round(news, peers.as_ref().map(Peers::size), kit);
+        for act in acts {
+            match act {
+                Act::Adopt(offer, doubt) => {
+                    let (mut told, mut of) = (Vec::new(), Vec::new());
+                    for (member, steps, from) in cold.list(&offer, doubt, kit.now) {
+                        told.push(member);
+                        of.push((steps, from));
+                    }
+                    let age = kit.now - offer.seen;
+                    let from = list_from(offer.source);
+                    log!(
+                        "goes by {}, {} ms old, {} replicas, doubted by {doubt} steps",
+                        from.help(),
+                        age / 1_000_000,
+                        told.len()
+                    );
+                    ledger.note(|| What::List(from, age, told.len(), doubt));
+                    let roster = Roster { revision: offer.revision, complete: true, members: told };
+                    members.learn(roster, Origin::Doubted(of), servers, desk, ledger, kit);
+                    changed = true;
+                }
+                Act::Fetch { whole } => members.fetch(whole, ledger, kit),
+                Act::Unheard => {
+                    let age = cold.age(kit.now);
+                    ledger.note(|| What::List(ListFrom::Nothing, age, members.list().0.len(), 0));
+                    log!(
+                        "nothing has answered for {} ms: it serves from what it has, {} replicas",
+                        age / 1_000_000,
+                        members.list().0.len()
+                    );
+                }
+            }
+        }
+        if let Some(peers) = peers {
+            if let Some(wanted) = wanted {
+                peers.want_list(cold.wanted(wanted));
+            }
+            if changed {
+                let (list, revision) = members.list();
+                cold.edition(list, revision).into_iter().for_each(|edition| peers.offer_list(edition));
+            }
+        }
+    }
+
     /// Takes up what may change while the node runs, which is where discovery is; all else goes on as it was.
     fn reload(&mut self, ledger: &mut Ledger) {
         match self.source.read() {
--- /dev/null
+++ b/crates/frontnode/tests/coldstart.rs
@@ -0,0 +1,114 @@
+//! Tens of front nodes as processes that start at once, with discovery and the links between them failing as told.
+
+mod herd;
+
+use std::time::Duration;
+
+use herd::{Fleet, Opening, SLICES};
+use orchidvalve_standin::agent::Mood;
+
+const HOUR: Duration = Duration::from_secs(3600);
+
+/// Nothing is known at the start. The few that discovery told serve the others, whose own slots come within a
+/// minute, over links that lose a third; each alone, all ask at once.
+#[test]
+fn few_of_many_that_start_at_once_ask_discovery_and_the_others_have_the_list_from_them() {
+    const NODES: usize = 24;
+    let mut opening = Opening::of(NODES);
+    (opening.known, opening.mood) = (false, Mood::Up);
+    opening.coldstart = Some("fetches_a_second = 0.4\n".to_owned());
+    let fleet = Fleet::open("cold-herd", &opening);
+    {
+        let mut faults = fleet.relay.faults.lock().unwrap();
+        (faults.loss, faults.copies, faults.delay) = (0.3, 0.1, Duration::from_millis(2));
+    }
+    fleet.until("all have a list", |f| (0..NODES).all(|n| f.serves(n)));
+    let asked = fleet.agent.asks().iter().filter(|a| a.from.unwrap_or(0) == 0).count();
+    let by_peers = (0..NODES).filter(|&n| fleet.gauge(n, "coldstart_adopted") > 0).count();
+    assert!(asked <= NODES / 2 && by_peers >= NODES / 2, "{asked} asked discovery, {by_peers} their peers");
+    assert_eq!(fleet.ask(NODES - 1, "r", "c1"), 200);
+    drop(fleet);
+    opening.coldstart = None;
+    let fleet = Fleet::open("warm-herd", &opening);
+    fleet.until("all have a list", |f| (0..NODES).all(|n| f.serves(n)));
+    let asked = fleet.agent.asks().iter().filter(|a| a.from.unwrap_or(0) == 0).count();
+    assert_eq!(asked, NODES, "without a start that waits its turn");
+}
+
+/// Discovery is silent. Nodes serve from the lists of their configurations: at once from a new one, and from one
+/// written an hour ago only after each store answered probes. Once it speaks, a store that it drains gets nothing new.
+#[test]
+fn with_discovery_down_an_older_list_is_gone_by_more_cautiously_until_it_speaks() {
+    let mut opening = Opening::of(2);
+    opening.fleet = false;
+    opening.coldstart = Some("patience_ms = 100\nfetches_a_second = 100.0\nmost_wait_ms = 400\n".to_owned());
+    let new = Fleet::open("cold-new", &opening);
+    assert_eq!(new.ask(0, "r", "c1"), 200);
+    let probes: usize = new.stores.iter().map(|s| s.seen().probes).sum();
+    assert_eq!(probes, 0, "a new list is trusted as discovery's answer");
+    drop(new);
+    opening.written_ago = vec![(0, HOUR), (1, HOUR)];
+    let old = Fleet::open("cold-old", &opening);
+    // A retrieval lasts 2 s at most: those of the first second may come too early.
+    old.until("it serves within seconds, all the same", |f| f.ask(0, "r", "c1") == 200);
+    // An hour beyond half a minute is twelve times five minutes: four steps of doubt, eight probes a store.
+    for (n, store) in old.stores.iter().enumerate() {
+        let seen = store.seen();
+        assert!(seen.parts.is_empty() || seen.probes >= 8, "store {n}: parts after {} probes", seen.probes);
+    }
+    old.agent.tell(old.members(&[(0, "draining")]));
+    old.agent.mood(Mood::Up);
+    old.until("both are told", |f| (0..2).all(|n| f.gauge(n, "coldstart_told") == 1));
+    let before = old.seen(0, "c");
+    for n in 0..20 {
+        assert_eq!(old.ask(n % 2, &format!("d{n}"), "c2"), 200);
+    }
+    assert_eq!(old.seen(0, "c"), before, "a store that drains gets no fresh work once the node learned so");
+    assert!(old.seen(1, "c2") > 0);
+}
+
+/// Two lists of different age, and discovery silent: the younger one goes over to the node with the older one, and not
+/// the other way round; a node cut off goes by its own.
+#[test]
+fn a_peers_older_list_undoes_nothing_and_a_younger_one_is_taken() {
+    let mut opening = Opening::of(3);
+    opening.coldstart = Some("fresh_s = 600\nhalf_life_s = 600\n".to_owned());
+    opening.written_ago = vec![(0, 2 * HOUR), (1, HOUR / 2), (2, 3 * HOUR)];
+    let fleet = Fleet::open("cold-ages", &opening);
+    fleet.relay.cut_off(&[2], 3);
+    fleet.until("node 0 goes by node 1's list", |f| f.gauge(0, "coldstart_adopted") == 2);
+    let age = |n: usize| fleet.gauge(n, "coldstart_list_age_ms");
+    let near = |age: u64, of: Duration| age.abs_diff(of.as_millis() as u64) < 60_000;
+    assert!(near(age(0), HOUR / 2), "{} ms", age(0));
+    // Node 1 asks on, as its list is old too, and what it hears is no news.
+    assert_eq!(fleet.gauge(1, "coldstart_adopted"), 1);
+    assert!(near(age(1), HOUR / 2), "{} ms", age(1));
+    assert!(near(age(2), 3 * HOUR) && fleet.gauge(2, "coldstart_adopted") == 1, "node 2 is cut off");
+    for n in 0..3 {
+        fleet.until("each serves by what it has", |f| f.ask(n, &format!("r{n}"), "c") == 200);
+    }
+}
+
+/// A node that crashes at its start, over and over, finds its list on disk each time, and asks discovery ever more rarely.
+#[test]
+fn a_node_killed_over_and_over_starts_from_its_disk_and_spares_discovery() {
+    let mut opening = Opening::of(1);
+    (opening.known, opening.mood, opening.logbook, opening.fleet) = (false, Mood::Up, true, false);
+    opening.coldstart = Some("fetches_a_second = 1.0\n".to_owned());
+    let mut fleet = Fleet::open("cold-loop", &opening);
+    fleet.until("it was told", |f| f.gauge(0, "coldstart_told") == 1);
+    fleet.until("the disk has it", |f| f.gauge(0, "logbook_syncs") > 0 && f.gauge(0, "logbook_waiting") == 0);
+    fleet.ask(0, "r", "c");
+    let before = fleet.agent.asks().len();
+    for n in 1..=8 {
+        let lines = fleet.restart(0);
+        let said = lines.iter().find(|l| l.contains("starts lately")).unwrap();
+        assert!(said.contains(&format!(" {n} starts lately")), "{said}");
+        assert!(lines.iter().any(|l| l.contains("remembered on disk")), "{lines:?}");
+        assert_eq!(fleet.ask(0, &format!("r{n}"), "c"), 200, "by the list on disk");
+    }
+    let asked = fleet.agent.asks().len() - before;
+    // The watch of the first run ended with it; a node that was killed before its slot asked nothing.
+    assert!(asked <= 3, "{asked} asks in 8 starts");
+    assert!((0..SLICES).map(|n| fleet.seen(n, "c")).sum::<usize>() >= 8 * SLICES);
+}
--- a/crates/frontnode/tests/herd/mod.rs
+++ b/crates/frontnode/tests/herd/mod.rs
@@ -4,13 +4,14 @@
 
 use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpListener, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpStream, UdpSocket};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
-use std::time::{Duration, Instant};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use orchidvalve_search::routes::{Routes, Settled};
+use orchidvalve_standin::agent::{Agent, Mood};
 use orchidvalve_standin::{Shelf, Store};
 use serde_json::{Value, json};
 
@@ -117,6 +118,8 @@
 pub struct Front {
     pub child: Child,
     pub address: SocketAddr,
+    /// What it wrote before it listened.
+    pub lines: Vec<String>,
 }
 
 impl Drop for Front {
@@ -130,7 +133,8 @@
     pub fronts: Vec<Front>,
     pub stores: Vec<Store>,
     pub relay: Relay,
-    _agent: TcpListener,
+    pub agent: Agent,
+    configs: Vec<String>,
 }
 
 /// What a fleet is opened with.
@@ -145,6 +149,15 @@
     /// The cold rule: how long a server is cold, and the window of its multiple.
     pub cold_ms: u64,
     pub window_ms: u64,
+    /// Whether each node's configuration names the stores, and how old it is, by node; the others' are new.
+    pub known: bool,
+    pub written_ago: Vec<(usize, Duration)>,
+    /// Lines of each node's file of the cold start; none where that is off.
+    pub coldstart: Option<String>,
+    /// Whether each node remembers in a logbook.
+    pub logbook: bool,
+    /// How discovery answers at first.
+    pub mood: Mood,
 }
 
 impl Opening {
@@ -156,6 +169,11 @@
             started_ms: Vec::new(),
             cold_ms: 1000,
             window_ms: 1000,
+            known: true,
+            written_ago: Vec::new(),
+            coldstart: None,
+            logbook: false,
+            mood: Mood::Silent,
         }
     }
 }
@@ -177,14 +195,12 @@
     /// Front nodes, each told of the first as its peer.
     pub fn open(story: &str, opening: &Opening) -> Fleet {
         let nodes = opening.nodes;
-        let unix_ms =
-            std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis() as u64;
+        let unix_ms = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
         let settled = Settled { grades: vec![("look".to_owned(), false)], slices: SLICES };
         let routes = Arc::new(Routes::read(ROUTES, &settled).unwrap());
         let shelf = Arc::new(Mutex::new(Shelf::new(routes)));
         let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
         let stores: Vec<Store> = (0..SLICES).map(|_| Store::start(any, shelf.clone()).unwrap()).collect();
-        let agent = TcpListener::bind(any).unwrap();
         let members: Value = stores
             .iter()
             .enumerate()
@@ -195,8 +211,10 @@
                        "up_since_ms": since})
             })
             .collect();
+        let agent = Agent::start(any, members.clone()).unwrap();
+        agent.mood(opening.mood);
         let relay = Relay::start(nodes);
-        let mut fronts = Vec::new();
+        let mut configs = Vec::new();
         for n in 0..nodes {
             let path = |kind: &str| format!("{}/fleet-{story}-{n}.{kind}", env!("CARGO_TARGET_TMPDIR"));
             let peers: Vec<String> = relay.fronts.iter().take(1).map(|a| format!("\"{a}\"")).collect();
@@ -209,21 +227,72 @@
             );
             std::fs::write(path("toml"), file).unwrap();
             let mut config = json!({
-                "name": format!("n{n}"), "listen": "127.0.0.1:0", "discovery": agent.local_addr().unwrap().to_string(),
+                "name": format!("n{n}"), "listen": "127.0.0.1:0", "discovery": agent.address.to_string(),
                 "seed": format!("{:x}", 0x8c1f_30d2_7a5b_e964u64 + n as u64),
                 "limits": {"memory_mb": 192, "sockets": 128},
-                "known": {"revision": 1, "complete": true, "members": members.clone()},
+                "known": {"revision": u8::from(opening.known), "complete": true,
+                          "members": if opening.known { members.clone() } else { json!([]) }},
                 "settings": settings(opening.cold_ms, opening.window_ms)
             });
             if opening.fleet {
                 config["fleet"] = json!(path("toml"));
             }
+            if let Some(lines) = &opening.coldstart {
+                std::fs::write(path("cold"), format!("[coldstart]\nexpected = {nodes}\n{lines}")).unwrap();
+                config["coldstart"] = json!(path("cold"));
+            }
+            if opening.logbook {
+                let _ = std::fs::remove_dir_all(path("book"));
+                std::fs::write(path("logbook"), format!("[logbook]\ndir = \"{}\"\n", path("book"))).unwrap();
+                config["logbook"] = json!(path("logbook"));
+            }
             std::fs::write(path("json"), config.to_string()).unwrap();
-            let (front, real) = spawn(&path("json"));
+            if let Some((_, ago)) = opening.written_ago.iter().find(|(node, _)| *node == n) {
+                let file = std::fs::File::options().append(true).open(path("json")).unwrap();
+                file.set_modified(SystemTime::now() - *ago).unwrap();
+            }
+            configs.push(path("json"));
+        }
+        // All at once, as after a release: each is waited for only once all run.
+        let children: Vec<Child> = configs.iter().map(|config| run(config)).collect();
+        let mut fronts = Vec::new();
+        for (n, child) in children.into_iter().enumerate() {
+            let (front, real) = listening(child);
             relay.faults.lock().unwrap().real[n] = real;
             fronts.push(front);
         }
-        Fleet { fronts, stores, relay, _agent: agent }
+        Fleet { fronts, stores, relay, agent, configs }
+    }
+
+    /// Kills a node at once, and starts it again; the lines that it wrote before it listened.
+    pub fn restart(&mut self, node: usize) -> Vec<String> {
+        let front = &mut self.fronts[node];
+        front.child.kill().unwrap();
+        front.child.wait().unwrap();
+        let (front, real) = listening(run(&self.configs[node]));
+        self.relay.faults.lock().unwrap().real[node] = real;
+        self.fronts[node] = front;
+        self.fronts[node].lines.clone()
+    }
+
+    /// Whether a node has a list to serve by.
+    pub fn serves(&self, node: usize) -> bool {
+        let mut stream = TcpStream::connect(self.fronts[node].address).unwrap();
+        stream.set_read_timeout(Some(TOO_LONG)).unwrap();
+        stream.write_all(b"GET /_health HTTP/1.1\r\nConnection: close\r\n\r\n").unwrap();
+        let mut text = String::new();
+        let _ = stream.read_to_string(&mut text);
+        text.contains(" 200 ")
+    }
+
+    /// The stores as discovery names them, some of them in another phase.
+    pub fn members(&self, phases: &[(usize, &str)]) -> Value {
+        let member = |(n, s): (usize, &Store)| {
+            let phase = phases.iter().find(|(store, _)| *store == n).map_or("up", |(_, phase)| *phase);
+            json!({"id": format!("s-{n}"), "host_port": s.address.to_string(), "cell": n, "phase": phase,
+                   "up_since_ms": 0})
+        };
+        self.stores.iter().enumerate().map(member).collect()
     }
 
     pub fn gauge(&self, node: usize, name: &str) -> u64 {
@@ -270,10 +339,13 @@
     }
 }
 
-/// Runs a node until it listens: the address for clients, and where its datagrams come in, where it is in a fleet.
-fn spawn(config: &str) -> (Front, Option<SocketAddr>) {
+fn run(config: &str) -> Child {
     let mut command = Command::new(env!("CARGO_BIN_EXE_orchidvalved"));
-    let mut child = command.env("NODE_CONFIG", config).stderr(Stdio::piped()).spawn().unwrap();
+    command.env("NODE_CONFIG", config).stderr(Stdio::piped()).spawn().unwrap()
+}
+
+/// Waits until a node listens: the address for clients, and where its datagrams come in, where it is in a fleet.
+fn listening(mut child: Child) -> (Front, Option<SocketAddr>) {
     let mut log = BufReader::new(child.stderr.take().unwrap());
     let (mut real, mut lines) = (None, Vec::new());
     let address = loop {
@@ -288,5 +360,5 @@
         lines.push(line);
     };
     std::thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
-    (Front { child, address }, real)
+    (Front { child, address, lines }, real)
 }
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -2,6 +2,7 @@
 //! script. It speaks frames and the search protocol on one address, by the first byte of a connection. For tests,
 //! rehearsals and a try by hand, on loopback; it is no server.
 
+pub mod agent;
 mod frames;
 mod rest;
 
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -165,6 +165,10 @@
         let fresh = Opinion { aside: None, back: Nanos::MIN, relapses: 0, probe_due: 0 };
         self.opinions.resize(self.ledger.replicas.len(), fresh);
         self.ledger.retired.drain(..).for_each(|ix| self.opinions[ix.0] = fresh);
+        for (ix, steps, from) in self.ledger.doubted.drain(..) {
+            let aside = (steps > 0).then_some(now);
+            self.opinions[ix.0] = Opinion { aside, relapses: steps, probe_due: from, ..fresh };
+        }
         let took: Vec<Nanos> = self.ledger.latencies.iter().collect();
         let usual = |share| (took.len() >= DELAY_SAMPLES).then(|| percentile(took.clone(), share));
         let (half, longest, delay) = (usual(0.5), usual(USUAL_LONGEST), usual(DELAY_PERCENTILE));
@@ -386,6 +390,7 @@
                     self.ledger.note(|| What::Back(ReplicaIx(ix)));
                     self.opinions[ix].aside = None;
                     self.opinions[ix].back = now;
+                    self.ledger.replicas[ix].doubted = false;
                 } else if now >= probe_due {
                     self.ask(ReplicaIx(ix), pace.max(wait / 2), w);
                 }
@@ -524,6 +529,9 @@
         let mut all: Vec<ReplicaIx> = self.holders(part.shard).collect();
         let tried = |ix: ReplicaIx| part.launches.iter().any(|l| l.replica == ix);
         all.retain(|&ix| part.out().all(|(_, l)| l.replica != ix));
+        // Where all look bad one is tried none the less, but not one that only an old list says is there.
+        let doubted = |ix: ReplicaIx| self.ledger.replicas[ix.0].doubted;
+        all.retain(|&ix| self.passes(id, ix, doubted(ix).then_some(PassedOver::Doubted)));
         let grade = self.ledger.retrieval(part.retrieval).grade;
         self.prefer(id, &mut all, |ix| match (seats[ix].sound, self.opinions[ix.0].aside) {
             (true, _) => self.errs(ix, grade).then_some(PassedOver::Errs),
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -134,6 +134,8 @@
     named: bool,
     /// Removed for good, as far as the roster tells: its slot is free once nothing refers to it.
     retired: bool,
+    /// Named by a list too old to go by, and not heard of otherwise: no part goes there before it answered probes.
+    pub doubted: bool,
     pub held: Vec<Held>,
     /// Ended launches, those called off here too.
     pub samples: Ring<Sample>,
@@ -174,6 +176,8 @@
     pub replicas: Vec<Replica>,
     /// Those that retired since the last round.
     pub retired: Vec<ReplicaIx>,
+    /// Those doubted since the last round, by how many steps, and when each may first be probed; 0 for one vouched for.
+    pub doubted: Vec<(ReplicaIx, u32, Nanos)>,
     /// Replicas that held something of ours at any moment of this round.
     pub busy: BTreeSet<ReplicaIx>,
     /// Replicas that serve, by cell.
@@ -213,6 +217,7 @@
             parts: VecDeque::new(),
             replicas: Vec::new(),
             retired: Vec::new(),
+            doubted: Vec::new(),
             busy: BTreeSet::new(),
             cells: Vec::new(),
             latencies: Ring::new(lengths.overall),
@@ -386,6 +391,7 @@
             started: None,
             named: false,
             retired: false,
+            doubted: false,
             held: Vec::new(),
             samples: Ring::new(self.lengths.per_replica),
             last_done_sent: Nanos::MIN,
@@ -425,6 +431,20 @@
         }
     }
 
+    /// The list that names it is old: it may have drained, gone, or come back cold. It gets no part before it answered
+    /// `2^(steps - 1)` probes, the first of them not before `from`, as hundreds of fronts may start with that list.
+    pub fn replica_doubted(&mut self, replica: ReplicaIx, steps: u32, from: Nanos) {
+        self.replicas[replica.0].doubted = steps > 0;
+        self.doubted.push((replica, steps, from));
+    }
+
+    /// Discovery names it: what an old list left open is settled.
+    pub fn replica_vouched(&mut self, replica: ReplicaIx) {
+        if std::mem::take(&mut self.replicas[replica.0].doubted) {
+            self.doubted.push((replica, 0, 0));
+        }
+    }
+
     /// Roster news: `complete` where every replica that exists is about to be named.
     pub fn roster_opens(&mut self, complete: bool) {
         self.roster_complete = complete;
--- a/src/trace.rs
+++ b/src/trace.rs
@@ -56,6 +56,7 @@
     /// Why a holder of a part was not considered, or did not get it.
     PassedOver {
         Aside = "aside": "set aside",
+        Doubted = "doubted": "named by an old list only, and has not answered its probes yet",
         Trial = "trial": "on trial, and has its one part",
         Errs = "errs": "answered that grade with an error lately",
         Queue = "queue": "told of a long queue",
@@ -75,6 +76,17 @@
     }
 }
 
+reasons! {
+    /// Where a list of replicas is from that the front goes by.
+    ListFrom {
+        Known = "known": "the list of its configuration",
+        Disk = "disk": "the list it remembered on disk",
+        Peer = "peer": "a list that another front told",
+        Discovery = "discovery": "discovery's own list",
+        Nothing = "nothing": "nothing answered: it serves from what it has",
+    }
+}
+
 reasons! {
     /// Why a part that wants a launch got none.
     Held {
@@ -100,6 +112,8 @@
     Answered(RetrievalIx, bool),
     /// Ended without an answer, and whether as a dismissal.
     Ended(RetrievalIx, Refused, bool),
+    /// A list gone by from now on: its age (ns), the replicas it names, and by how many steps they are doubted.
+    List(ListFrom, Nanos, usize, u32),
     /// What the round went by, where it changed much: the median part time, the usual longest, patience.
     Usual(Nanos, Nanos, Nanos),
 }
@@ -126,6 +140,9 @@
             What::Ended(r, why, dismissed) => {
                 format!("{at} ended {} {} {}", r.0, why.word(), u8::from(dismissed))
             }
+            What::List(from, age, members, doubt) => {
+                format!("{at} list {} {age} {members} {doubt}", from.word())
+            }
             What::Usual(half, longest, patience) => format!("{at} usual {half} {longest} {patience}"),
         }
     }
@@ -148,6 +165,9 @@
             "back" => What::Back(ReplicaIx(number(0)?)),
             "answered" => What::Answered(RetrievalIx(number(0)?), number(1)? == 1),
             "ended" => What::Ended(RetrievalIx(number(0)?), Refused::read(word(1)?)?, number(2)? == 1),
+            "list" => {
+                What::List(ListFrom::read(word(0)?)?, time(1)?, number(2)?, u32::try_from(number(3)?).ok()?)
+            }
             "usual" => What::Usual(time(0)?, time(1)?, time(2)?),
             _ => return None,
         };
@@ -239,6 +259,7 @@
             What::Answered(r, false),
             What::Ended(r, Refused::CrowdedOut, true),
             What::Usual(1, 2, 3),
+            What::List(ListFrom::Peer, 4, 5, 6),
         ] {
             let note = Note { at: -5, what };
             assert_eq!(Note::read(&note.line()), Some(note), "{}", note.line());
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -825,3 +825,34 @@
     let again = launches(&host.round(|l| l.fleet_further = Some(2)));
     assert_eq!(again.len(), 2, "{again:?}");
 }
+
+#[test]
+fn what_an_old_list_names_gets_no_part_before_it_answered_its_probes() {
+    let mut host = Host::new(orders(1));
+    let from = host.now + 300 * MS;
+    host.round(|l| l.replica_doubted(ReplicaIx(0), 2, from));
+    let (mut probes, mut launched) = (0, Vec::new());
+    while probes < 2 {
+        // Its one holder is doubted: hundreds of fronts may share that list, and each waits for its moment.
+        assert!(launches(&host.take(0, &[0]).1).is_empty());
+        host.now += 5 * MS;
+        if host.round(|_| {}).contains(&Told::Probe(ReplicaIx(0))) {
+            assert!(host.now >= from);
+            probes += 1;
+            launched = launches(&host.round(|l| l.probe_ended(ReplicaIx(0), true, None)));
+        }
+        assert!(host.now < from + 2_000 * MS, "{probes} probes");
+    }
+    assert!(!launched.is_empty(), "two steps of doubt are two probes, and then it serves");
+}
+
+#[test]
+fn a_replica_that_discovery_vouches_for_is_doubted_no_more() {
+    let mut host = Host::new(orders(1));
+    let until = host.now + 60_000 * MS;
+    host.round(|l| l.replica_doubted(ReplicaIx(0), 4, until));
+    assert!(launches(&host.take(0, &[0]).1).is_empty());
+    host.now += 5 * MS;
+    let told = host.round(|l| l.replica_vouched(ReplicaIx(0)));
+    assert_eq!(launches(&told).len(), 1, "{told:?}");
+}
