Floors of cold servers told to the ledger after lists are learned, not before

Cause: the fleet told floors before the lists of the same round were learned, so a replica just met had the floor of a front alone (1.0, ledger.rs replica_met) for its first round. Ruled out: buckets (they begin below one token) and probes (that list is fresh, none are doubted).

Change: Peers::round takes what came, Peers::tell follows after the lists.

--- a/crates/frontnode/src/fleet.rs
+++ b/crates/frontnode/src/fleet.rs
@@ -342,8 +342,8 @@
         (counted, alive)
     }
 
-    /// One round of the fleet, and what it tells the ledger. `named`: replicas by their ids, in order.
-    pub fn round(&mut self, named: &[(String, ReplicaIx)], ledger: &mut Ledger, kit: &mut Kit) {
+    /// One round of the fleet. `named`: replicas by their ids, in order.
+    pub fn round(&mut self, named: &[(String, ReplicaIx)], ledger: &Ledger, kit: &mut Kit) {
         let now = kit.now;
         for (id, ix) in named {
             self.heard_of(id, *ix, ledger, now);
@@ -389,6 +389,13 @@
         let mut socket = Socket(&self.socket, &mut self.unsent);
         self.fleet.round(now, came_in, &mut socket);
         self.floors.retain(|ix, _| cold(*ix));
+        self.gauges(kit);
+    }
+
+    /// What the fleet allows and knows, told to the ledger: after all that this round brought, lists of peers among it,
+    /// so that no replica is met without it. One that a list has just named would have the floor of a front alone.
+    pub fn tell(&mut self, named: &[(String, ReplicaIx)], ledger: &mut Ledger, now: Nanos) {
+        let (window, lasts) = (self.thaw.window.max(1), self.thaw.lasts);
         for (id, ix) in named {
             let mut shunned = 0u64;
             for grade in 0..64u8 {
@@ -397,7 +404,8 @@
                 }
             }
             let mut floor = 1.0;
-            if cold(*ix) {
+            let started = ledger.replicas.get(ix.0).and_then(|r| r.started);
+            if started.is_some_and(|at| now - at < lasts) {
                 let allowance = self.fleet.allowance(BudgetKey { family: COLD_FLOOR, subject: subject(id) });
                 let number = subject(id);
                 let f = self.floors.entry(*ix).or_insert_with(|| Bucket::drawn(self.seed, number, now));
@@ -414,6 +422,10 @@
         ledger.fleet_shares = (0..self.shares.len())
             .map(|t| self.fleet.allowance(BudgetKey { family: TENANT, subject: t as u64 }))
             .collect();
+    }
+
+    fn gauges(&mut self, kit: &mut Kit) {
+        let now = kit.now;
         if let Some(mark) = self.mark.take() {
             kit.deadlines.clear(mark);
         }
--- a/crates/frontnode/src/node.rs
+++ b/crates/frontnode/src/node.rs
@@ -209,6 +209,7 @@
             works.report(ledger);
             works.fleet(ledger);
             works.cold(ledger);
+            works.fleet_tells(ledger);
         };
         self.aggregator.round(now, came_in, &mut Hand(works));
         let works = self.works.get_mut();
@@ -295,13 +296,28 @@
         }
     }
 
-    /// A round of the fleet, after all that ended was told: the ledger learns what the fleet allows and knows.
-    fn fleet(&mut self, ledger: &mut Ledger) {
-        let Some(peers) = &mut self.peers else { return };
-        let mut named: Vec<(String, ReplicaIx)> =
-            self.members.named().map(|(id, ix)| (id.to_owned(), ix)).collect();
+    /// A round of the fleet, after all that ended was told.
+    fn fleet(&mut self, ledger: &Ledger) {
+        let named = self.named();
+        if let Some(peers) = &mut self.peers {
+            peers.round(&named, ledger, &mut self.kit);
+        }
+    }
+
+    /// The ledger learns what the fleet allows and knows, of all replicas that are known by now.
+    fn fleet_tells(&mut self, ledger: &mut Ledger) {
+        let named = self.named();
+        if let Some(peers) = &mut self.peers {
+            peers.tell(&named, ledger, self.kit.now);
+        }
+    }
+
+    /// Replicas by their ids, in order, where there is a fleet to tell of them.
+    fn named(&self) -> Vec<(String, ReplicaIx)> {
+        let all = self.peers.iter().flat_map(|_| self.members.named());
+        let mut named: Vec<(String, ReplicaIx)> = all.map(|(id, ix)| (id.to_owned(), ix)).collect();
         named.sort();
-        peers.round(&named, ledger, &mut self.kit);
+        named
     }
 
     /// A round of the start among others: which list is gone by, and whether discovery is asked now.
