--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,6 +1,7 @@
-//! The command line for operators: `orchidvalve node`, `logbook`, `search`, `standin`.
+//! The command line for operators: `orchidvalve node`, `logbook`, `maintenance`, `search`, `standin`, `why`.
 
 mod logbook;
+mod maintenance;
 mod search;
 mod standin;
 mod why;
@@ -9,7 +10,8 @@
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use orchidvalve_frontnode::config::{
-    COLDSTART_VARIABLE, FLEET_VARIABLE, LOGBOOK_VARIABLE, ROUTES_VARIABLE, Source, TRACE_VARIABLE, VARIABLE,
+    COLDSTART_VARIABLE, FLEET_VARIABLE, LOGBOOK_VARIABLE, MAINTENANCE_VARIABLE, ROUTES_VARIABLE, Source,
+    TRACE_VARIABLE, VARIABLE,
 };
 use orchidvalve_frontnode::{log, node};
 
@@ -33,6 +35,8 @@
     /// Look at, compact or salvage the directory of a logbook
     #[command(subcommand)]
     Logbook(logbook::Command),
+    /// Take machines out for work in the order that the front nodes agree on
+    Maintenance(maintenance::Asked),
     /// Tell from a trace why retrievals fared as they did
     Why(why::WhyArgs),
     /// Run a stand-in for a store on loopback, with documents in memory
@@ -56,6 +60,9 @@
     /// The file of the cold start, where the configuration does not name it
     #[arg(long, env = COLDSTART_VARIABLE, value_name = "FILE")]
     coldstart: Option<String>,
+    /// The file on machines taken out for work, where the configuration does not name it
+    #[arg(long, env = MAINTENANCE_VARIABLE, value_name = "FILE")]
+    maintenance: Option<String>,
     /// Write the reason of each decision to this file, - for standard error; `orchidvalve why` reads it
     #[arg(long, env = TRACE_VARIABLE, value_name = "FILE")]
     trace: Option<String>,
@@ -83,12 +90,14 @@
                 logbook: args.logbook,
                 fleet: args.fleet,
                 coldstart: args.coldstart,
+                maintenance: args.maintenance,
                 trace: args.trace,
             })
             .map_err(|fault| (1, fault))
         }
         Command::Search(command) => search::run(command).map_err(|fault| (UNUSABLE, fault)),
         Command::Logbook(command) => logbook::run(command).map_err(|fault| (UNUSABLE, fault)),
+        Command::Maintenance(asked) => maintenance::run(&asked).map_err(|fault| (UNUSABLE, fault)),
         Command::Why(args) => why::run(&args).map_err(|fault| (UNUSABLE, fault)),
         Command::Standin(args) => standin::run(args).map_err(|fault| (UNUSABLE, fault)),
     };
--- /dev/null
+++ b/crates/cli/src/maintenance.rs
@@ -0,0 +1,190 @@
+//! `orchidvalve maintenance`: machines taken out for work, asked of and read from any front node.
+
+use std::io::{Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::time::{Duration, Instant};
+
+use clap::{Args, Subcommand};
+use serde_json::{Value, json};
+
+const ANSWER_WITHIN: Duration = Duration::from_secs(5);
+const LOOK_EVERY: Duration = Duration::from_millis(100);
+
+#[derive(Args)]
+pub struct Asked {
+    #[command(subcommand)]
+    command: Command,
+    /// A front node, any of them
+    #[arg(long, global = true, value_name = "ADDRESS", default_value = "127.0.0.1:8000")]
+    node: SocketAddr,
+    /// Print the node's answer as JSON
+    #[arg(long, global = true)]
+    json: bool,
+}
+
+#[derive(Subcommand)]
+enum Command {
+    /// Ask that a machine may go out; it goes when the order says so (see `list`)
+    Ask {
+        machine: String,
+        /// Who asks
+        #[arg(long, default_value = "")]
+        by: String,
+        /// What for
+        #[arg(long, default_value = "")]
+        why: String,
+        /// Minutes for which it is out
+        #[arg(long, value_name = "MINUTES", default_value_t = 60)]
+        lasts: u64,
+        /// Minutes after which the ask lapses if it is not repeated
+        #[arg(long, value_name = "MINUTES", default_value_t = 1440)]
+        waits: u64,
+        #[command(flatten)]
+        wait: Wait,
+    },
+    /// Take an ask back, or say that a machine that is out will not be waited for
+    Cancel {
+        machine: String,
+        #[arg(long, default_value = "")]
+        by: String,
+        #[command(flatten)]
+        wait: Wait,
+    },
+    /// The order as that node knows it
+    List {
+        /// What happened lately, too
+        #[arg(long)]
+        events: bool,
+    },
+    /// Why a machine is where it is
+    Explain { machine: String },
+}
+
+#[derive(Args)]
+struct Wait {
+    /// Seconds to wait until the order shows that it was carried out
+    #[arg(long = "within", value_name = "SECONDS", default_value_t = 15)]
+    within: u64,
+}
+
+pub fn run(asked: &Asked) -> Result<(), String> {
+    match &asked.command {
+        Command::Ask { machine, by, why, lasts, waits, wait } => {
+            let body = json!({"machine": machine, "by": by, "why": why,
+                              "lasts_ms": lasts.saturating_mul(60_000), "waits_ms": waits.saturating_mul(60_000)});
+            wish(asked, "ask", &body, machine, wait.within)
+        }
+        Command::Cancel { machine, by, wait } => {
+            wish(asked, "cancel", &json!({"machine": machine, "by": by}), machine, wait.within)
+        }
+        Command::List { events } => {
+            let view = view(asked.node)?;
+            if asked.json {
+                println!("{view}");
+            } else {
+                list(&view, *events);
+            }
+            Ok(())
+        }
+        Command::Explain { machine } => {
+            let view = view(asked.node)?;
+            let entry = entry(&view, machine);
+            match (entry, asked.json) {
+                (Some(entry), true) => println!("{entry}"),
+                (Some(entry), false) => println!("{machine}: {}", word(entry, "explained")),
+                (None, true) => println!("null"),
+                (None, false) => println!("{machine}: not in the order, and in use as discovery says"),
+            }
+            Ok(())
+        }
+    }
+}
+
+/// Sends a wish and waits until the order shows that it was carried out.
+fn wish(asked: &Asked, what: &str, body: &Value, machine: &str, within: u64) -> Result<(), String> {
+    let (status, told) = call(asked.node, "POST", &format!("/_maintenance/{what}"), &body.to_string())?;
+    if status != 202 {
+        return Err(format!("{}: {status}: {}", asked.node, told.trim()));
+    }
+    let told: Value = serde_json::from_str(&told).map_err(|e| format!("{}: {e}", asked.node))?;
+    let nonce = word(&told, "nonce").to_owned();
+    let end = Instant::now() + Duration::from_secs(within);
+    loop {
+        let view = view(asked.node)?;
+        if view["done"].as_array().is_some_and(|done| done.iter().any(|n| n.as_str() == Some(&nonce))) {
+            match (asked.json, entry(&view, machine)) {
+                (true, entry) => println!("{}", entry.unwrap_or(&Value::Null)),
+                (false, Some(entry)) => println!("{machine}: {}", word(entry, "explained")),
+                (false, None) => println!("{machine}: no longer in the order"),
+            }
+            return Ok(());
+        }
+        if Instant::now() >= end {
+            return Err(format!(
+                "{}: the order did not show it within {within} s; it may still be carried out: look with `list`",
+                asked.node
+            ));
+        }
+        std::thread::sleep(LOOK_EVERY);
+    }
+}
+
+fn view(node: SocketAddr) -> Result<Value, String> {
+    let (status, text) = call(node, "GET", "/_maintenance", "")?;
+    if status != 200 {
+        return Err(format!("{node}: {status}: machines taken out for work are not switched on there"));
+    }
+    serde_json::from_str(&text).map_err(|e| format!("{node}: {e}"))
+}
+
+fn entry<'a>(view: &'a Value, machine: &str) -> Option<&'a Value> {
+    view["entries"].as_array()?.iter().find(|e| e["machine"] == machine)
+}
+
+fn word<'a>(of: &'a Value, key: &str) -> &'a str {
+    of[key].as_str().unwrap_or_default()
+}
+
+fn list(view: &Value, events: bool) {
+    let heard = view["heard_ms_ago"].as_i64().map_or("never".to_owned(), |ms| format!("{ms} ms ago"));
+    println!("order {}, heard of {heard}", view["version"]);
+    let entries = view["entries"].as_array().map_or(&[][..], Vec::as_slice);
+    let width = entries.iter().map(|e| word(e, "machine").len()).max().unwrap_or(0).max(7);
+    if entries.is_empty() {
+        println!("no machine is asked for");
+    } else {
+        println!("{:width$}  {:9}  {:16}  explained", "machine", "stage", "by");
+    }
+    for e in entries {
+        println!(
+            "{:width$}  {:9}  {:16}  {}",
+            word(e, "machine"),
+            word(e, "stage"),
+            word(e, "by"),
+            word(e, "explained")
+        );
+    }
+    if events {
+        println!();
+        for e in view["events"].as_array().into_iter().flatten() {
+            println!("{:>8}  {:width$}  {}", e["version"].to_string(), word(e, "machine"), word(e, "event"));
+        }
+    }
+}
+
+fn call(node: SocketAddr, method: &str, path: &str, body: &str) -> Result<(u16, String), String> {
+    let wrong = |e: std::io::Error| format!("{node}: {e}");
+    let mut stream = TcpStream::connect_timeout(&node, ANSWER_WITHIN).map_err(wrong)?;
+    stream.set_read_timeout(Some(ANSWER_WITHIN)).map_err(wrong)?;
+    let head = format!(
+        "{method} {path} HTTP/1.1\r\nHost: {node}\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
+        body.len()
+    );
+    stream.write_all(format!("{head}{body}").as_bytes()).map_err(wrong)?;
+    let mut answer = String::new();
+    stream.read_to_string(&mut answer).map_err(wrong)?;
+    let (head, body) =
+        answer.split_once("\r\n\r\n").ok_or_else(|| format!("{node}: an answer that cannot be read"))?;
+    let status = head.split(' ').nth(1).and_then(|s| s.parse().ok());
+    Ok((status.ok_or_else(|| format!("{node}: an answer that cannot be read"))?, body.to_owned()))
+}
--- a/crates/frontnode/src/archive.rs
+++ b/crates/frontnode/src/archive.rs
@@ -11,9 +11,10 @@
 use orchidvalve::interface::{Nanos, ReplicaIx};
 use orchidvalve_logbook::disk::real::RealDisk;
 use orchidvalve_logbook::index::View;
-use orchidvalve_logbook::keeper::{Hand, Keeper, KeeperOrders};
+use orchidvalve_logbook::keeper::{Hand, Keeper, KeeperOrders, Ticket};
 use orchidvalve_logbook::policy::CompactionOrders;
-use orchidvalve_logbook::store::{LogbookOrders, Store};
+use orchidvalve_logbook::store::{Batch, LogbookOrders, Store};
+use orchidvalve_maintenance::group::Left;
 use serde::{Deserialize, Serialize};
 
 use crate::log;
@@ -27,6 +28,9 @@
 pub const MEMBERS: u16 = 2;
 pub const OPINIONS: u16 = 3;
 pub const STARTS: u16 = 4;
+/// The log of the order of work: its state and its snapshot, and its entries.
+pub const ORDER_STATE: u16 = 5;
+pub const ORDER_LOG: u16 = 6;
 /// Starts of the node kept.
 const STARTS_KEPT: usize = 16;
 
@@ -151,6 +155,8 @@
     pub thoughts: BTreeMap<String, Thought>,
     /// When the node started, the last few times.
     pub starts: Vec<Nanos>,
+    /// The log of the order of work, where this node is a member of its group.
+    pub order: Left,
     /// Records that could not be read.
     pub unread: usize,
 }
@@ -168,12 +174,31 @@
             Ok(Some(Ok(starts))) => found.starts = starts,
             _ => found.unread += 1,
         }
+        found.order = order_left(view, &mut found.unread);
         found.members = each(view, MEMBERS, &mut found.unread);
         found.thoughts = each(view, OPINIONS, &mut found.unread);
         found
     }
 }
 
+fn order_left(view: &View, unread: &mut usize) -> Left {
+    let mut state = |key: &[u8]| match view.get(ORDER_STATE, key) {
+        Ok(value) => value,
+        Err(_) => {
+            *unread += 1;
+            None
+        }
+    };
+    let mut left = Left { hard: state(b"hard"), snapshot: state(b"snapshot"), ..Left::default() };
+    for (key, value) in view.each(ORDER_LOG) {
+        match (<[u8; 8]>::try_from(key), value) {
+            (Ok(index), Ok(value)) => drop(left.entries.insert(u64::from_be_bytes(index), value)),
+            _ => *unread += 1,
+        }
+    }
+    left
+}
+
 fn each<T: for<'a> Deserialize<'a>>(view: &View, space: u16, unread: &mut usize) -> BTreeMap<String, T> {
     let mut found = BTreeMap::new();
     for (key, value) in view.each(space) {
@@ -239,6 +264,11 @@
         Ok(archive)
     }
 
+    /// A batch that must be durable before anything is said of it; given back where the queue has no room.
+    pub fn receipt(&mut self, batch: Batch) -> Result<Ticket, Batch> {
+        self.hand.receipt(batch)
+    }
+
     /// What an earlier run left; once.
     pub fn take_left(&mut self) -> Option<Remembered> {
         self.left.take()
--- a/crates/frontnode/src/clients.rs
+++ b/crates/frontnode/src/clients.rs
@@ -446,9 +446,20 @@
                 ),
             ];
             now.extend(kit.archive.iter().flat_map(Archive::gauges));
-            now.extend(kit.fleet.iter().chain(&kit.cold).copied());
+            now.extend(kit.fleet.iter().chain(&kit.cold).chain(&kit.maintenance).copied());
             Reply::text(200, kit.counters.text(&now))
         }
+        ("GET", "/_maintenance") if kit.board.is_some() => {
+            Reply::json(200, kit.board.as_ref().map_or(String::new(), |b| b.view().to_owned()))
+        }
+        ("POST", "/_maintenance/ask" | "/_maintenance/cancel") if kit.board.is_some() => {
+            let wish = path.rsplit('/').next().unwrap_or_default();
+            match kit.board.as_ref().map(|b| b.wish(wish, &message.body)) {
+                Some(Ok(told)) => Reply::json(202, told),
+                Some(Err(fault)) => Reply::text(400, format!("{fault}\n")),
+                None => return None,
+            }
+        }
         (_, "/_health" | "/metrics") => Reply::text(405, "no such method here\n"),
         _ => return None,
     };
--- a/crates/frontnode/src/config.rs
+++ b/crates/frontnode/src/config.rs
@@ -13,6 +13,7 @@
 use crate::archive::ArchiveOrders;
 use crate::coldstart::ColdPlan;
 use crate::fleet::FleetPlan;
+use crate::maintenance::MaintenancePlan;
 use crate::pool::PoolTerms;
 use crate::roster::{self, Roster};
 use crate::wires::WireOrders;
@@ -27,6 +28,8 @@
 pub const FLEET_VARIABLE: &str = "NODE_FLEET";
 /// Variable that may hold the path of the cold start's file, beside the key `coldstart`.
 pub const COLDSTART_VARIABLE: &str = "NODE_COLDSTART";
+/// Variable that may hold the path of the file on machines taken out for work, beside the key `maintenance`.
+pub const MAINTENANCE_VARIABLE: &str = "NODE_MAINTENANCE";
 /// Variable that may name the file that the reasons of decisions are written to.
 pub const TRACE_VARIABLE: &str = "NODE_TRACE";
 
@@ -55,6 +58,10 @@
     pub fleet: Option<FleetPlan>,
     /// How the node starts among others; none where it asks discovery at once and trusts any list.
     pub cold: Option<ColdPlan>,
+    /// How the node takes part in the order of work on machines; none where it goes by discovery alone.
+    pub maintenance: Option<MaintenancePlan>,
+    /// Cells of the ring, and those that hold a shard.
+    pub ring: (usize, usize),
     /// When each grade's retrievals are abandoned, counted from their beginning.
     pub abandon: Vec<Nanos>,
     /// Where queries of the search door go; none where it is closed.
@@ -98,6 +105,8 @@
     pub fleet: Option<String>,
     /// The operator's file of the cold start, in the same way beside the key `coldstart`.
     pub coldstart: Option<String>,
+    /// The operator's file on machines taken out for work, in the same way beside the key `maintenance`.
+    pub maintenance: Option<String>,
     /// Where the reasons of decisions are written, `-` for standard error; none where they are not kept.
     pub trace: Option<String>,
 }
@@ -113,6 +122,7 @@
             logbook: path(LOGBOOK_VARIABLE),
             fleet: path(FLEET_VARIABLE),
             coldstart: path(COLDSTART_VARIABLE),
+            maintenance: path(MAINTENANCE_VARIABLE),
             trace: path(TRACE_VARIABLE),
         })
     }
@@ -126,6 +136,7 @@
             logbook: self.logbook.as_deref(),
             fleet: self.fleet.as_deref(),
             coldstart: self.coldstart.as_deref(),
+            maintenance: self.maintenance.as_deref(),
         };
         let (mut plan, orders) = read(&text, told)?;
         let written = std::fs::metadata(path).and_then(|m| m.modified()).ok();
@@ -142,6 +153,7 @@
     pub logbook: Option<&'a str>,
     pub fleet: Option<&'a str>,
     pub coldstart: Option<&'a str>,
+    pub maintenance: Option<&'a str>,
 }
 
 /// ```
@@ -151,7 +163,7 @@
 /// assert_eq!(fault, "configuration.listen: should be an address and a port, not 'here'");
 /// ```
 pub fn read(text: &str, told: Told) -> Result<(Plan, StandingOrders), String> {
-    let Told { search, logbook, fleet, coldstart } = told;
+    let Told { search, logbook, fleet, coldstart, maintenance } = told;
     let whole: Value = serde_json::from_str(text).map_err(|e| format!("configuration: no JSON: {e}"))?;
     let whole = Section::of("configuration", &whole)?;
     let name = whole.text("name")?.to_owned();
@@ -198,6 +210,8 @@
         shards,
         archive: by_file(&whole, "logbook", logbook, ArchiveOrders::read)?,
         fleet: by_file(&whole, "fleet", fleet, FleetPlan::read)?,
+        maintenance: by_file(&whole, "maintenance", maintenance, MaintenancePlan::read)?,
+        ring: (orders.cells, orders.reach),
         cold: by_file(&whole, "coldstart", coldstart, ColdPlan::read)?,
         abandon: orders.grades.iter().map(|g| g.abandon).collect(),
         routes,
@@ -216,9 +230,19 @@
         requests_most: (memory << 20) / 4,
         request_within: REQUEST_WITHIN,
         beat: orders.beat,
-        fixed: ["name", "listen", "limits", "settings", "search", "logbook", "fleet", "coldstart"]
-            .map(|key| (key, print(whole.get(key))))
-            .to_vec(),
+        fixed: [
+            "name",
+            "listen",
+            "limits",
+            "settings",
+            "search",
+            "logbook",
+            "fleet",
+            "coldstart",
+            "maintenance",
+        ]
+        .map(|key| (key, print(whole.get(key))))
+        .to_vec(),
     };
     Ok((plan, orders))
 }
--- a/crates/frontnode/src/kit.rs
+++ b/crates/frontnode/src/kit.rs
@@ -10,6 +10,7 @@
 use crate::archive::Archive;
 use crate::counters::Counters;
 use crate::deadlines::{Clock, Deadlines};
+use crate::maintenance::Board;
 
 new_key_type! {
     /// A client's connection.
@@ -27,6 +28,8 @@
     Agent,
     /// Datagrams of other front nodes.
     Fleet,
+    /// Datagrams about machines taken out for work.
+    Maintenance,
     Stop,
     Reload,
 }
@@ -48,6 +51,8 @@
     Fleet,
     /// The start's next slot, or the end of its patience.
     Cold,
+    /// The order of work: its next tick, or a look at what the disk has finished.
+    Maintenance,
     Wake,
     Stop,
 }
@@ -86,6 +91,9 @@
     pub fleet: Vec<(&'static str, &'static str, usize)>,
     /// Gauges of the start among others, in the same form.
     pub cold: Vec<(&'static str, &'static str, usize)>,
+    /// Gauges of the order of work, and the board that operators read and write.
+    pub maintenance: Vec<(&'static str, &'static str, usize)>,
+    pub board: Option<Board>,
 }
 
 impl Kit {
--- a/crates/frontnode/src/lib.rs
+++ b/crates/frontnode/src/lib.rs
@@ -15,6 +15,7 @@
 pub mod http;
 pub mod kit;
 pub mod log;
+pub mod maintenance;
 pub mod members;
 pub mod node;
 pub mod pool;
--- a/crates/frontnode/src/members.rs
+++ b/crates/frontnode/src/members.rs
@@ -1,6 +1,6 @@
 //! Discovery: one watch after another at the agent, and the roster that they tell.
 
-use std::collections::{BTreeMap, HashMap};
+use std::collections::{BTreeMap, BTreeSet, HashMap};
 use std::net::SocketAddr;
 use std::rc::Rc;
 
@@ -47,6 +47,10 @@
     /// Whether the start decides when discovery is asked; what it is to know of the watch, and the list as it is.
     paced: bool,
     news: Vec<News>,
+    /// Whether the list is kept, for peers and for the order of work.
+    keeps: bool,
+    /// Machines that get nothing new from here, whatever discovery says.
+    closed: BTreeSet<String>,
     list: BTreeMap<String, Member>,
 }
 
@@ -77,6 +81,8 @@
             // Where discovery is asked on request, the aggregator says when.
             paced: plan.cold.is_some() && !plan.roster_on_request,
             news: Vec::new(),
+            keeps: plan.cold.is_some() || plan.maintenance.is_some(),
+            closed: BTreeSet::new(),
             list: BTreeMap::new(),
         }
     }
@@ -113,12 +119,13 @@
             if let Some(archive) = kit.archive.as_mut().filter(|_| discovery) {
                 archive.member(&member);
             }
-            if self.paced && member.removed {
+            if self.keeps && member.removed {
                 self.list.remove(&member.id);
-            } else if self.paced {
+            } else if self.keeps {
                 self.list.insert(member.id.clone(), member.clone());
             }
             let Member { id, address, flavor, locality, cell, serving, removed, started } = member;
+            let serving = serving && !self.closed.contains(&id);
             let speech = self.speech(&id, &flavor, &locality);
             let known = self.replicas.get(&id).copied();
             let was_known = known.is_some();
@@ -173,6 +180,30 @@
         }
     }
 
+    /// The order of work: those machines get nothing new from here, and those that it has let go do again.
+    pub fn close(
+        &mut self,
+        closed: BTreeSet<String>,
+        servers: &mut Servers,
+        desk: &mut Desk,
+        ledger: &mut Ledger,
+        kit: &mut Kit,
+    ) {
+        let before = std::mem::replace(&mut self.closed, closed);
+        let changed: Vec<String> = before.symmetric_difference(&self.closed).cloned().collect();
+        // Nothing was heard of discovery by this.
+        let heard = (ledger.roster_lost, ledger.roster_heard);
+        ledger.roster_opens(false);
+        for id in changed {
+            let (Some(member), Some(&ix)) = (self.list.get(&id), self.replicas.get(&id)) else { continue };
+            let serving = member.serving && !self.closed.contains(&id);
+            servers.serves(ix, serving, desk, kit);
+            ledger.roster_names(ix, member.cell, serving, member.started);
+        }
+        ledger.roster_closes();
+        (ledger.roster_lost, ledger.roster_heard) = heard;
+    }
+
     /// What the watch met since the last look, where the start is paced.
     pub fn take_news(&mut self) -> Vec<News> {
         std::mem::take(&mut self.news)
--- a/crates/frontnode/src/node.rs
+++ b/crates/frontnode/src/node.rs
@@ -1,6 +1,7 @@
 //! The loop: wait for readiness or the next deadline, read all, one round of the aggregator, write.
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -23,6 +24,7 @@
 use crate::forms::{Outcome, Reply};
 use crate::kit::{ClientKey, Due, Kit, Noted, Who};
 use crate::log;
+use crate::maintenance::Foreman;
 use crate::members::{Members, Origin};
 use crate::roster::Roster;
 use crate::servers::Servers;
@@ -45,6 +47,9 @@
     peers: Option<Peers>,
     /// The start among others, where the operator switched that on.
     cold: Option<Cold>,
+    /// The order of work on machines, where the operator switched that on, and those set aside here.
+    foreman: Option<Foreman>,
+    ill: BTreeSet<String>,
     tracer: Option<Tracer>,
     wake: Option<Mark>,
     follow: bool,
@@ -86,7 +91,7 @@
         aggregator.switch_trace(source.trace.is_some());
         let clients = Clients::listen(&plan, doors::all(&plan), &events.handle())
             .map_err(|e| format!("configuration.listen: cannot listen on {}: {e}", plan.listen))?;
-        let kit = Kit {
+        let mut kit = Kit {
             now: noted.clock.now(),
             events: events.handle(),
             deadlines: Deadlines::default(),
@@ -96,12 +101,19 @@
             archive: None,
             fleet: Vec::new(),
             cold: Vec::new(),
+            maintenance: Vec::new(),
+            board: None,
         };
         let peers =
             plan.fleet.as_ref().map(|fleet| Peers::open(fleet, thaw, shares, plan.seed, &kit)).transpose()?;
         let mut archive = plan.archive.as_ref().map(|orders| Archive::open(orders, kit.now)).transpose()?;
+        let mut left = archive.as_mut().and_then(Archive::take_left);
+        let log = left.as_mut().map(|left| std::mem::take(&mut left.order));
+        let foreman = plan.maintenance.as_ref().map(|maintenance| {
+            Foreman::open(maintenance, plan.ring, thaw, (&plan.name, plan.seed), log, &mut kit)
+        });
+        let foreman = foreman.transpose()?;
         let cold = plan.cold.as_ref().map(|cold| {
-            let left = archive.as_mut().and_then(Archive::take_left);
             let since = kit.now - cold.restarts;
             let starts = left.iter().flat_map(|l| &l.starts).filter(|at| **at >= since).count();
             let known = (&plan.known, plan.written.unwrap_or(kit.now));
@@ -121,6 +133,8 @@
             members,
             peers,
             cold,
+            foreman,
+            ill: BTreeSet::new(),
             tracer,
             wake: None,
             follow: false,
@@ -193,7 +207,8 @@
     fn has_work(&self) -> bool {
         let works = self.works.borrow();
         let ended = !works.desk.ended.is_empty() || works.servers.has_work();
-        let fleet = works.peers.as_ref().is_some_and(Peers::has_work);
+        let fleet = works.peers.as_ref().is_some_and(Peers::has_work)
+            || works.foreman.as_ref().is_some_and(Foreman::has_work);
         ended || fleet || works.follow || !self.noted.ready.is_empty() || !works.kit.again.is_empty()
     }
 
@@ -209,6 +224,7 @@
             works.report(ledger);
             works.fleet(ledger);
             works.cold(ledger);
+            works.maintenance(ledger);
             works.fleet_tells(ledger);
         };
         self.aggregator.round(now, came_in, &mut Hand(works));
@@ -222,6 +238,14 @@
         }
         works.members.told();
         works.desk.tidy(self.aggregator.ledger());
+        if works.foreman.is_some() {
+            let told =
+                |ix: ReplicaIx| self.aggregator.ledger().replicas.get(ix.0).is_some_and(|r| r.shunned != 0);
+            let aside =
+                |ix: ReplicaIx| told(ix) || self.aggregator.standing(ix).is_some_and(|s| s.aside.is_some());
+            let ill = works.members.named().filter(|(_, ix)| aside(*ix));
+            works.ill = ill.map(|(id, _)| id.to_owned()).collect();
+        }
         if let Some(archive) = &mut works.kit.archive {
             for (id, ix) in works.members.named() {
                 if let Some(standing) = self.aggregator.standing(ix) {
@@ -254,6 +278,11 @@
                         peers.ready(kit);
                     }
                 }
+                Who::Maintenance => {
+                    if let Some(foreman) = &mut self.foreman {
+                        foreman.ready(kit);
+                    }
+                }
                 Who::Stop => self.stop(),
                 Who::Reload => self.reload(ledger),
             }
@@ -275,7 +304,7 @@
                 Due::Door => clients.accept(kit),
                 Due::Agent => members.due(ledger, kit),
                 // Their rounds follow.
-                Due::Fleet | Due::Cold => {}
+                Due::Fleet | Due::Cold | Due::Maintenance => {}
                 Due::Wake => self.wake = None,
                 Due::Stop => self.stop(),
             }
@@ -374,6 +403,23 @@
         }
     }
 
+    /// A round of the order of work: what it closes gets nothing new from here.
+    fn maintenance(&mut self, ledger: &mut Ledger) {
+        let Works { kit, desk, servers, members, foreman, ill, .. } = self;
+        let Some(foreman) = foreman else { return };
+        if let Some(closed) = foreman.round(members.list().0, ill, kit) {
+            log!(
+                "maintenance: nothing new to {}",
+                if closed.is_empty() {
+                    "none".into()
+                } else {
+                    closed.iter().cloned().collect::<Vec<_>>().join(", ")
+                }
+            );
+            members.close(closed, servers, desk, ledger, kit);
+        }
+    }
+
     /// Takes up what may change while the node runs, which is where discovery is; all else goes on as it was.
     fn reload(&mut self, ledger: &mut Ledger) {
         match self.source.read() {
--- a/crates/frontnode/tests/herd/mod.rs
+++ b/crates/frontnode/tests/herd/mod.rs
@@ -133,6 +133,8 @@
     pub fronts: Vec<Front>,
     pub stores: Vec<Store>,
     pub relay: Relay,
+    /// The same for datagrams about machines taken out for work.
+    pub work: Relay,
     pub agent: Agent,
     configs: Vec<String>,
 }
@@ -158,6 +160,8 @@
     pub logbook: bool,
     /// How discovery answers at first.
     pub mood: Mood,
+    /// Members of the group that keeps the order of work, and lines of that file; none where it is off.
+    pub maintenance: Option<(usize, String)>,
 }
 
 impl Opening {
@@ -174,6 +178,7 @@
             coldstart: None,
             logbook: false,
             mood: Mood::Silent,
+            maintenance: None,
         }
     }
 }
@@ -213,7 +218,7 @@
             .collect();
         let agent = Agent::start(any, members.clone()).unwrap();
         agent.mood(opening.mood);
-        let relay = Relay::start(nodes);
+        let (relay, work) = (Relay::start(nodes), Relay::start(nodes));
         let mut configs = Vec::new();
         for n in 0..nodes {
             let path = |kind: &str| format!("{}/fleet-{story}-{n}.{kind}", env!("CARGO_TARGET_TMPDIR"));
@@ -241,6 +246,17 @@
                 std::fs::write(path("cold"), format!("[coldstart]\nexpected = {nodes}\n{lines}")).unwrap();
                 config["coldstart"] = json!(path("cold"));
             }
+            if let Some((members, lines)) = &opening.maintenance {
+                let group: Vec<String> = work.fronts[..*members].iter().map(|a| format!("\"{a}\"")).collect();
+                let member = if n < *members { format!("member = {}\n", n + 1) } else { String::new() };
+                let file = format!(
+                    "[maintenance]\nlisten = \"127.0.0.1:0\"\nadvertise = \"{}\"\ngroup = [{}]\n{member}{lines}",
+                    work.fronts[n],
+                    group.join(", ")
+                );
+                std::fs::write(path("work"), file).unwrap();
+                config["maintenance"] = json!(path("work"));
+            }
             if opening.logbook {
                 let _ = std::fs::remove_dir_all(path("book"));
                 std::fs::write(path("logbook"), format!("[logbook]\ndir = \"{}\"\n", path("book"))).unwrap();
@@ -258,19 +274,42 @@
         let mut fronts = Vec::new();
         for (n, child) in children.into_iter().enumerate() {
             let (front, real) = listening(child);
-            relay.faults.lock().unwrap().real[n] = real;
+            relay.faults.lock().unwrap().real[n] = real.0;
+            work.faults.lock().unwrap().real[n] = real.1;
             fronts.push(front);
         }
-        Fleet { fronts, stores, relay, agent, configs }
+        Fleet { fronts, stores, relay, work, agent, configs }
     }
 
-    /// Kills a node at once, and starts it again; the lines that it wrote before it listened.
-    pub fn restart(&mut self, node: usize) -> Vec<String> {
+    pub fn kill(&mut self, node: usize) {
         let front = &mut self.fronts[node];
-        front.child.kill().unwrap();
+        let _ = front.child.kill();
         front.child.wait().unwrap();
+    }
+
+    /// What a node answers to an operator.
+    pub fn operator(&self, node: usize, method: &str, path: &str, body: &Value) -> (u16, Value) {
+        let Ok(mut stream) = TcpStream::connect(self.fronts[node].address) else { return (0, Value::Null) };
+        stream.set_read_timeout(Some(TOO_LONG)).unwrap();
+        let body = if body.is_null() { String::new() } else { body.to_string() };
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        let _ = stream.write_all(format!("{head}{body}").as_bytes());
+        let mut answer = String::new();
+        let _ = stream.read_to_string(&mut answer);
+        let status = answer.split(' ').nth(1).and_then(|s| s.parse().ok()).unwrap_or(0);
+        let body = answer.split_once("\r\n\r\n").map_or("", |(_, body)| body);
+        (status, serde_json::from_str(body).unwrap_or(Value::Null))
+    }
+
+    /// Kills a node at once, and starts it again; the lines that it wrote before it listened.
+    pub fn restart(&mut self, node: usize) -> Vec<String> {
+        self.kill(node);
         let (front, real) = listening(run(&self.configs[node]));
-        self.relay.faults.lock().unwrap().real[node] = real;
+        self.relay.faults.lock().unwrap().real[node] = real.0;
+        self.work.faults.lock().unwrap().real[node] = real.1;
         self.fronts[node] = front;
         self.fronts[node].lines.clone()
     }
@@ -344,16 +383,16 @@
     command.env("NODE_CONFIG", config).stderr(Stdio::piped()).spawn().unwrap()
 }
 
-/// Waits until a node listens: the address for clients, and where its datagrams come in, where it is in a fleet.
-fn listening(mut child: Child) -> (Front, Option<SocketAddr>) {
+/// Waits until a node listens: the address for clients, and where datagrams of its fleet and about work come in.
+fn listening(mut child: Child) -> (Front, (Option<SocketAddr>, Option<SocketAddr>)) {
     let mut log = BufReader::new(child.stderr.take().unwrap());
-    let (mut real, mut lines) = (None, Vec::new());
+    let (mut real, mut lines) = ((None, None), Vec::new());
     let address = loop {
         let mut line = String::new();
         assert!(log.read_line(&mut line).unwrap() > 0, "it ended: {lines:?}");
-        if let Some(rest) = line.split("fleet: datagrams at ").nth(1) {
-            real = rest.split(',').next().and_then(|a| a.parse::<SocketAddr>().ok());
-        }
+        let told = |of: &str| line.split(of).nth(1)?.split(',').next()?.parse::<SocketAddr>().ok();
+        real.0 = real.0.or(told("fleet: datagrams at "));
+        real.1 = real.1.or(told("maintenance: datagrams at "));
         if line.contains("listening on") {
             break line.trim().rsplit(' ').next().unwrap().parse().expect(&line);
         }
--- /dev/null
+++ b/crates/frontnode/tests/maintenance.rs
@@ -0,0 +1,159 @@
+//! Machines taken out for work by several front nodes as processes, with faults between them.
+
+mod herd;
+
+use std::collections::BTreeMap;
+use std::time::Duration;
+
+use herd::{Fleet, Opening};
+use orchidvalve_standin::agent::Mood;
+use serde_json::{Value, json};
+
+const LINES: &str = "tick_ms = 20\nfollow_ms = 50\ndrain_ms = 300\nlook_lasts_ms = 2000\nzone_share = 1.0\n";
+
+fn open(story: &str, members: usize, nodes: usize) -> Fleet {
+    let mut opening = Opening::of(nodes);
+    (opening.fleet, opening.logbook, opening.mood) = (false, true, Mood::Up);
+    opening.maintenance = Some((members, LINES.to_owned()));
+    let fleet = Fleet::open(story, &opening);
+    fleet.until("the group has a leader", |f| leader(f, members).is_some());
+    fleet
+}
+
+fn leader(f: &Fleet, members: usize) -> Option<usize> {
+    (0..members).find(|&n| f.operator(n, "GET", "/_maintenance", &Value::Null).1["leads"] == true)
+}
+
+fn ask(f: &Fleet, node: usize, machine: &str) {
+    let wish = json!({"machine": machine, "by": "story", "lasts_ms": 600_000});
+    assert_eq!(f.operator(node, "POST", "/_maintenance/ask", &wish).0, 202);
+}
+
+/// The stage of a machine as a node knows it; empty where it is not in the order.
+fn stage(f: &Fleet, node: usize, machine: &str) -> String {
+    let view = f.operator(node, "GET", "/_maintenance", &Value::Null).1;
+    let entries = view["entries"].as_array().cloned().unwrap_or_default();
+    let entry = entries.iter().find(|e| e["machine"] == machine);
+    entry.and_then(|e| e["stage"].as_str()).unwrap_or_default().to_owned()
+}
+
+/// Every event that the nodes know, by version: all of them tell the same, and no two machines are out at one time, as
+/// any two of three machines hold a shard together here.
+fn audited(f: &Fleet, nodes: &[usize]) -> Vec<(u64, String, String)> {
+    let mut all: BTreeMap<u64, Vec<(String, String)>> = BTreeMap::new();
+    for &node in nodes {
+        let view = f.operator(node, "GET", "/_maintenance", &Value::Null).1;
+        let mut mine: BTreeMap<u64, Vec<(String, String)>> = BTreeMap::new();
+        for e in view["events"].as_array().into_iter().flatten() {
+            let word = |key: &str| e[key].as_str().unwrap().to_owned();
+            mine.entry(e["version"].as_u64().unwrap()).or_default().push((word("machine"), word("event")));
+        }
+        for (version, events) in mine {
+            assert_eq!(
+                *all.entry(version).or_insert(events.clone()),
+                events,
+                "node {node}, version {version}"
+            );
+        }
+    }
+    let mut out: Vec<String> = Vec::new();
+    let mut flat = Vec::new();
+    for (version, events) in all {
+        for (machine, event) in events {
+            match event.as_str() {
+                "admitted" => out.push(machine.clone()),
+                "back" | "lapsed" | "recalled" | "cancelled" => out.retain(|m| *m != machine),
+                _ => {}
+            }
+            assert!(out.len() <= 1, "{out:?} are out at version {version}");
+            flat.push((version, machine, event));
+        }
+    }
+    flat
+}
+
+fn times(events: &[(u64, String, String)], machine: &str, event: &str) -> usize {
+    events.iter().filter(|(_, m, e)| m == machine && e == event).count()
+}
+
+/// Two holders of a shard are asked for at once at two followers, over links that lose a fifth; the leader is killed
+/// while it admits. One goes, drained by all first, and its twin only once it is warm again. Nothing is lost or doubled.
+#[test]
+fn two_holders_asked_for_at_once_go_in_turn_though_the_leader_is_killed() {
+    const NODES: usize = 5;
+    let mut f = open("work-turn", 3, NODES);
+    {
+        let mut faults = f.work.faults.lock().unwrap();
+        (faults.loss, faults.copies, faults.delay) = (0.2, 0.2, Duration::from_millis(3));
+    }
+    let killed = leader(&f, 3).unwrap();
+    ask(&f, 3, "s-0");
+    ask(&f, 4, "s-1");
+    f.until("an ask reached the leader", |f| ["s-0", "s-1"].iter().any(|m| !stage(f, killed, m).is_empty()));
+    f.kill(killed);
+    let alive: Vec<usize> = (0..NODES).filter(|&n| n != killed).collect();
+    let out = |f: &Fleet| {
+        let of = |m: &&str| alive.iter().all(|&n| stage(f, n, m) == "out");
+        ["s-0", "s-1"].into_iter().find(of).map(str::to_owned)
+    };
+    f.until("one of them is out at every node", |f| out(f).is_some());
+    let first = out(&f).unwrap();
+    let second = if first == "s-0" { "s-1" } else { "s-0" };
+    f.until("the other one waits", |f| alive.iter().all(|&n| stage(f, n, second) == "asked"));
+    let store: usize = first[2..].parse().unwrap();
+    let before = f.seen(store, "c");
+    for n in 0..20 {
+        assert_eq!(f.ask(alive[n % alive.len()], &format!("r{n}"), "c1"), 200);
+    }
+    assert_eq!(f.seen(store, "c"), before, "no node sends it anything new");
+    f.restart(killed);
+    // It is worked on: discovery says that it drains, and then that it has started again.
+    f.agent.tell(f.members(&[(store, "draining")]));
+    let mut members = f.members(&[]);
+    let now = std::time::SystemTime::now().duration_since(std::time::UNIX_EPOCH).unwrap().as_millis() as u64;
+    members[store]["up_since_ms"] = json!(now);
+    f.agent.tell(members);
+    f.until("the second one is out at every node", |f| (0..NODES).all(|n| stage(f, n, second) == "out"));
+    let events = audited(&f, &(0..NODES).collect::<Vec<_>>());
+    for (machine, back) in [(first.as_str(), 1), (second, 0)] {
+        let counts = ["asked", "admitted", "back"].map(|e| times(&events, machine, e));
+        assert_eq!(counts, [1, 1, back], "{machine}: {events:?}");
+    }
+    assert_eq!(f.ask(killed, "r", "c2"), 200, "the node that was killed serves, and knows the order");
+}
+
+/// A member and a follower are cut off from the others. Their side admits nobody; the other goes on; once the links are
+/// whole they have one order.
+#[test]
+fn of_two_sides_only_the_one_with_most_of_the_group_admits() {
+    const NODES: usize = 5;
+    let f = open("work-cut", 3, NODES);
+    let cut = leader(&f, 3).unwrap();
+    f.work.cut_off(&[cut, 4], NODES);
+    ask(&f, 4, "s-0");
+    ask(&f, 3, "s-2");
+    let rest: Vec<usize> = (0..4).filter(|&n| n != cut).collect();
+    f.until("the larger side goes on", |f| rest.iter().all(|&n| stage(f, n, "s-2") == "out"));
+    assert_eq!((stage(&f, cut, "s-0"), stage(&f, 4, "s-0")), (String::new(), String::new()));
+    assert_eq!(stage(&f, 4, "s-2"), "", "node 4 is cut off: it learns late, and says how late");
+    assert!(f.ask(4, "r", "c") == 200, "and serves on");
+    f.work.faults.lock().unwrap().cut.clear();
+    f.until("one order at all nodes", |f| (0..NODES).all(|n| stage(f, n, "s-2") == "out"));
+    ask(&f, 4, "s-0");
+    f.until("the ask is in it", |f| (0..NODES).all(|n| stage(f, n, "s-0") == "asked"));
+    let events = audited(&f, &(0..NODES).collect::<Vec<_>>());
+    assert_eq!((times(&events, "s-2", "admitted"), times(&events, "s-0", "admitted")), (1, 0));
+}
+
+/// All nodes die at once, as in a power loss: the order is on their disks.
+#[test]
+fn the_order_survives_the_death_of_all_nodes() {
+    let mut f = open("work-dark", 3, 4);
+    ask(&f, 3, "s-1");
+    f.until("it is out", |f| (0..4).all(|n| stage(f, n, "s-1") == "out"));
+    (0..4).for_each(|n| f.kill(n));
+    (0..4).for_each(|n| drop(f.restart(n)));
+    f.until("they know it again", |f| (0..4).all(|n| stage(f, n, "s-1") == "out"));
+    let events = audited(&f, &[0, 1, 2, 3]);
+    assert_eq!((times(&events, "s-1", "asked"), times(&events, "s-1", "admitted")), (1, 1));
+}
--- a/crates/logbook/src/keeper.rs
+++ b/crates/logbook/src/keeper.rs
@@ -126,6 +126,11 @@
         (owed, Ticket { slot, bell: bell.clone() })
     }
 
+    /// What became of the batch, once that is known; for callers that must not wait.
+    pub fn outcome(&self) -> Option<Result<u64, String>> {
+        self.slot.get().cloned()
+    }
+
     pub fn wait(self) -> Result<u64, String> {
         loop {
             // Read before the ticket: a ring between the two moves the count on, and the wait returns at once.
--- /dev/null
+++ b/crates/maintenance/src/group.rs
@@ -0,0 +1,405 @@
+//! The log that the order is built from: a few front nodes, one of them the leader, by the crate `raft`. Free of I/O: the host
+//! hands over messages, commands and what became durable, and carries out what is written. Nothing that says a record is kept
+//! is sent before the host says that it is.
+
+use std::collections::{BTreeMap, VecDeque};
+
+use protobuf::Message as _;
+use raft::eraftpb::{ConfState, Entry, HardState, Message, Snapshot};
+use raft::storage::{RaftState, Storage};
+use raft::{Config, GetEntriesContext, RawNode, StateRole, StorageError};
+
+use crate::Nanos;
+use crate::order::{Command, Logged, Order, Pace};
+use crate::rule::{Rule, Seen};
+
+/// Entries applied beyond a snapshot before the next one is made.
+const SNAPSHOT_EVERY: u64 = 256;
+const ELECTION_TICKS: usize = 10;
+const HEARTBEAT_TICKS: usize = 2;
+/// Ticks between the waits of two members: more than a vote takes to come and go.
+const ELECTION_APART: usize = 3;
+/// Ticks made up for at most where rounds come late: a node that stalled must not start elections for each it missed.
+const TICKS_MOST: usize = 2 * ELECTION_TICKS;
+
+/// What must be durable, as one: all of it or none.
+#[derive(Clone, Debug, Default, PartialEq, Eq)]
+pub struct Saved {
+    pub hard: Option<Vec<u8>>,
+    pub snapshot: Option<Vec<u8>>,
+    /// Entries by their index, and indices that are no more.
+    pub entries: Vec<(u64, Vec<u8>)>,
+    pub gone: Vec<u64>,
+}
+
+/// What an earlier run left, as it was saved.
+#[derive(Clone, Debug, Default)]
+pub struct Left {
+    pub hard: Option<Vec<u8>>,
+    pub snapshot: Option<Vec<u8>>,
+    pub entries: BTreeMap<u64, Vec<u8>>,
+}
+
+impl Left {
+    /// Takes in what was saved, as a disk does.
+    pub fn take(&mut self, saved: &Saved) {
+        if saved.hard.is_some() {
+            self.hard.clone_from(&saved.hard);
+        }
+        if saved.snapshot.is_some() {
+            self.snapshot.clone_from(&saved.snapshot);
+        }
+        saved.gone.iter().for_each(|index| drop(self.entries.remove(index)));
+        self.entries.extend(saved.entries.iter().cloned());
+    }
+}
+
+/// The log as `raft` reads it.
+#[derive(Default)]
+struct Kept {
+    hard: HardState,
+    conf: ConfState,
+    snapshot: Snapshot,
+    /// Entries after the snapshot, without a gap.
+    entries: VecDeque<Entry>,
+}
+
+impl Kept {
+    fn base(&self) -> u64 {
+        self.snapshot.get_metadata().index
+    }
+
+    fn last(&self) -> u64 {
+        self.base() + self.entries.len() as u64
+    }
+
+    /// Puts entries in, in the place of those from the first of them on; the indices that went.
+    fn append(&mut self, entries: &[Entry]) -> Vec<u64> {
+        let Some(first) = entries.first().map(|e| e.index) else { return Vec::new() };
+        let (keep, last) = (first.saturating_sub(self.base() + 1) as usize, self.last());
+        self.entries.truncate(keep);
+        self.entries.extend(entries.iter().cloned());
+        (self.last() + 1..=last).collect()
+    }
+}
+
+impl Storage for Kept {
+    fn initial_state(&self) -> raft::Result<RaftState> {
+        Ok(RaftState::new(self.hard.clone(), self.conf.clone()))
+    }
+
+    fn entries(
+        &self,
+        low: u64,
+        high: u64,
+        max_size: impl Into<Option<u64>>,
+        _: GetEntriesContext,
+    ) -> raft::Result<Vec<Entry>> {
+        if low <= self.base() {
+            return Err(raft::Error::Store(StorageError::Compacted));
+        }
+        let from = (low - self.base() - 1) as usize;
+        let count = high.saturating_sub(low) as usize;
+        let mut found: Vec<Entry> = self.entries.iter().skip(from).take(count).cloned().collect();
+        let most = max_size.into().unwrap_or(u64::MAX);
+        let mut size = 0;
+        let fits = found.iter().position(|e| {
+            size += u64::from(e.compute_size());
+            size > most
+        });
+        found.truncate(fits.unwrap_or(found.len()).max(1));
+        Ok(found)
+    }
+
+    fn term(&self, index: u64) -> raft::Result<u64> {
+        if index == self.base() {
+            return Ok(self.snapshot.get_metadata().term);
+        }
+        if index < self.base() {
+            return Err(raft::Error::Store(StorageError::Compacted));
+        }
+        let place = (index - self.base() - 1) as usize;
+        self.entries.get(place).map(|e| e.term).ok_or(raft::Error::Store(StorageError::Unavailable))
+    }
+
+    fn first_index(&self) -> raft::Result<u64> {
+        Ok(self.base() + 1)
+    }
+
+    fn last_index(&self) -> raft::Result<u64> {
+        Ok(self.last())
+    }
+
+    fn snapshot(&self, wanted: u64, _: u64) -> raft::Result<Snapshot> {
+        if self.base() < wanted {
+            return Err(raft::Error::Store(StorageError::SnapshotTemporarilyUnavailable));
+        }
+        Ok(self.snapshot.clone())
+    }
+}
+
+/// What came in since the last round.
+#[derive(Default)]
+pub struct Inbox {
+    messages: Vec<Vec<u8>>,
+    commands: Vec<Command>,
+    durable: Option<u64>,
+    look: Option<(BTreeMap<String, Seen>, Rule, Pace)>,
+}
+
+impl Inbox {
+    pub fn message(&mut self, bytes: Vec<u8>) {
+        self.messages.push(bytes);
+    }
+
+    pub fn command(&mut self, command: Command) {
+        self.commands.push(command);
+    }
+
+    /// All that was handed over to be saved up to that number is durable.
+    pub fn durable(&mut self, number: u64) {
+        self.durable = Some(self.durable.map_or(number, |n| n.max(number)));
+    }
+
+    /// What this node sees of the machines, and the rule and pace of its file: told where it leads.
+    pub fn look(&mut self, seen: BTreeMap<String, Seen>, rule: Rule, pace: Pace) {
+        self.look = Some((seen, rule, pace));
+    }
+}
+
+pub trait Writer {
+    /// To another member of the group, by its number.
+    fn send(&mut self, to: u64, message: Vec<u8>);
+    /// To be made durable; the host says so with the number once it is.
+    fn save(&mut self, number: u64, saved: Saved);
+}
+
+/// Why a group cannot be begun.
+pub type Fault = String;
+
+pub struct Group {
+    raw: RawNode<Kept>,
+    order: Order,
+    applied: u64,
+    tick: Nanos,
+    next_tick: Nanos,
+    /// Messages that say a record is kept, by the number it was handed over under.
+    held: VecDeque<(u64, Vec<Message>)>,
+    /// A snapshot taken over from the leader: it counts as applied once that number is durable.
+    gated: Option<u64>,
+    /// Up to where the log was when a look was last proposed: one at a time.
+    looked: u64,
+}
+
+impl Group {
+    /// `me` and `voters` are numbers that all members give each other; `left` is what an earlier run of this member saved. A
+    /// member that lost it must not come back under its number: it could vote twice.
+    pub fn new(me: u64, voters: &[u64], left: &Left, tick: Nanos, now: Nanos) -> Result<Group, Fault> {
+        let unread = |what: &str| format!("the log's {what} cannot be read");
+        let mut kept = Kept { conf: ConfState::from((voters.to_vec(), Vec::new())), ..Kept::default() };
+        if let Some(hard) = &left.hard {
+            kept.hard.merge_from_bytes(hard).map_err(|_| unread("state"))?;
+        }
+        let mut order = Order::default();
+        if let Some(snapshot) = &left.snapshot {
+            kept.snapshot.merge_from_bytes(snapshot).map_err(|_| unread("snapshot"))?;
+            order = postcard::from_bytes(kept.snapshot.get_data()).map_err(|_| unread("snapshot"))?;
+            kept.conf = kept.snapshot.get_metadata().get_conf_state().clone();
+        }
+        for (&index, bytes) in left.entries.range(kept.base() + 1..) {
+            let mut entry = Entry::default();
+            entry.merge_from_bytes(bytes).map_err(|_| unread("entries"))?;
+            if entry.index != index || index != kept.last() + 1 {
+                return Err(format!("the log lacks entry {}", kept.last() + 1));
+            }
+            kept.entries.push_back(entry);
+        }
+        if kept.hard.commit > kept.last() {
+            return Err(format!("the log ends at {} of {} agreed entries", kept.last(), kept.hard.commit));
+        }
+        // Each member waits for its own number of ticks, by its place. Drawn from seeds, as it was at first, two of them
+        // were alike at times and split every vote; drawn anew each time, as the crate does, no run is like another.
+        let place = voters.iter().position(|v| *v == me).unwrap_or(0);
+        let own = ELECTION_TICKS + ELECTION_APART * place;
+        let applied = kept.base();
+        let config = Config {
+            id: me,
+            election_tick: ELECTION_TICKS,
+            heartbeat_tick: HEARTBEAT_TICKS,
+            min_election_tick: own,
+            max_election_tick: own + 1,
+            applied,
+            max_size_per_msg: 32 << 10,
+            max_inflight_msgs: 64,
+            // A member that was cut off must not depose the leader when it is back, nor a leader lead on that is.
+            check_quorum: true,
+            pre_vote: true,
+            ..Config::default()
+        };
+        let logger = slog::Logger::root(slog::Discard, slog::o!());
+        let raw = RawNode::new(&config, kept, &logger).map_err(|e| format!("maintenance group: {e}"))?;
+        let held = VecDeque::new();
+        Ok(Group { raw, order, applied, tick, next_tick: now + tick, held, gated: None, looked: 0 })
+    }
+
+    pub fn round(&mut self, now: Nanos, came_in: impl FnOnce(&mut Inbox), w: &mut dyn Writer) {
+        let mut inbox = Inbox::default();
+        came_in(&mut inbox);
+        if let Some(number) = inbox.durable {
+            self.raw.on_persist_ready(number);
+            if self.gated.is_some_and(|gated| gated <= number) {
+                self.gated = None;
+                self.raw.advance_apply_to(self.applied);
+            }
+            while self.held.front().is_some_and(|(n, _)| *n <= number) {
+                let (_, messages) = self.held.pop_front().unwrap_or_default();
+                messages.into_iter().for_each(|m| send(m, w));
+            }
+        }
+        for bytes in inbox.messages {
+            let mut message = Message::default();
+            // One that cannot be read, or that the crate has no use for, is one that was lost.
+            if message.merge_from_bytes(&bytes).is_ok() {
+                let _ = self.raw.step(message);
+            }
+        }
+        for _ in 0..TICKS_MOST {
+            if now < self.next_tick {
+                break;
+            }
+            self.raw.tick();
+            self.next_tick += self.tick;
+        }
+        if now >= self.next_tick {
+            self.next_tick = now + self.tick;
+        }
+        if self.leads() {
+            for command in inbox.commands {
+                self.propose(command, now);
+            }
+            if let Some((seen, rule, pace)) = inbox.look
+                && self.looked <= self.applied
+                && self.order.wants_look(&seen, &rule, pace, now)
+            {
+                self.propose(Command::Look { seen, rule, pace }, now);
+                self.looked = self.raw.raft.raft_log.last_index();
+            }
+        }
+        while self.raw.has_ready() {
+            self.carry_out(w);
+        }
+        self.snapshot(w);
+    }
+
+    fn propose(&mut self, command: Command, now: Nanos) {
+        let logged = Logged { at: now.max(self.order.at), command };
+        if let Ok(bytes) = postcard::to_stdvec(&logged) {
+            // Refused where too much is under way: whoever sent the command sends it again.
+            let _ = self.raw.propose(Vec::new(), bytes);
+        }
+    }
+
+    fn carry_out(&mut self, w: &mut dyn Writer) {
+        let mut ready = self.raw.ready();
+        let mut saved = Saved::default();
+        ready.take_messages().into_iter().for_each(|m| send(m, w));
+        if !ready.snapshot().is_empty() {
+            let snapshot = ready.snapshot().clone();
+            if let Ok(order) = postcard::from_bytes(snapshot.get_data()) {
+                self.order = order;
+            }
+            self.applied = snapshot.get_metadata().index;
+            let kept = self.raw.mut_store();
+            saved.gone.extend(kept.entries.iter().map(|e| e.index));
+            kept.entries.clear();
+            kept.conf = snapshot.get_metadata().get_conf_state().clone();
+            saved.snapshot = snapshot.write_to_bytes().ok();
+            kept.snapshot = snapshot;
+            self.gated = Some(ready.number());
+        }
+        let committed = ready.take_committed_entries();
+        if !ready.entries().is_empty() {
+            let gone = self.raw.mut_store().append(ready.entries());
+            saved.gone.extend(gone);
+            let bytes = |e: &Entry| e.write_to_bytes().ok().map(|bytes| (e.index, bytes));
+            saved.entries.extend(ready.entries().iter().filter_map(bytes));
+        }
+        if let Some(hard) = ready.hs() {
+            self.raw.mut_store().hard = hard.clone();
+            saved.hard = hard.write_to_bytes().ok();
+        }
+        self.apply(committed);
+        let (number, after) = (ready.number(), ready.take_persisted_messages());
+        // A ready with nothing to save is numbered all the same, and its turn comes after those before it.
+        self.held.push_back((number, after));
+        w.save(number, saved);
+        self.raw.advance_append_async(ready);
+        if self.gated.is_none() {
+            self.raw.advance_apply_to(self.applied);
+        }
+    }
+
+    fn apply(&mut self, committed: Vec<Entry>) {
+        for entry in committed {
+            self.applied = entry.index;
+            // The leader's first entry of its term is empty.
+            if let Ok(logged) = postcard::from_bytes::<Logged>(entry.get_data()) {
+                self.order.apply(&logged);
+            }
+        }
+    }
+
+    /// Folds the log that was applied into a snapshot, now and then.
+    fn snapshot(&mut self, w: &mut dyn Writer) {
+        let base = self.raw.store().base();
+        if self.applied < base + SNAPSHOT_EVERY || self.held.iter().any(|(_, m)| !m.is_empty()) {
+            return;
+        }
+        let (Ok(term), Ok(data)) = (self.raw.store().term(self.applied), postcard::to_stdvec(&self.order))
+        else {
+            return;
+        };
+        let applied = self.applied;
+        let kept = self.raw.mut_store();
+        let mut snapshot = Snapshot::default();
+        snapshot.set_data(data.into());
+        let meta = snapshot.mut_metadata();
+        (meta.index, meta.term) = (applied, term);
+        meta.set_conf_state(kept.conf.clone());
+        let gone: Vec<u64> = (base + 1..=applied).collect();
+        kept.entries.drain(..(applied - base) as usize);
+        let saved = Saved { snapshot: snapshot.write_to_bytes().ok(), gone, ..Saved::default() };
+        kept.snapshot = snapshot;
+        // Under the number handed over last: nothing waits for it.
+        w.save(0, saved);
+    }
+
+    /// Whether this member leads, and knows all that was agreed before it did.
+    pub fn leads(&self) -> bool {
+        self.raw.raft.state == StateRole::Leader && self.raw.raft.commit_to_current_term()
+    }
+
+    /// The leader as far as this member knows.
+    pub fn leader(&self) -> Option<u64> {
+        Some(self.raw.raft.leader_id).filter(|id| *id != 0)
+    }
+
+    pub fn order(&self) -> &Order {
+        &self.order
+    }
+
+    pub fn next_due(&self) -> Nanos {
+        self.next_tick
+    }
+
+    /// Term and index applied, for those who watch.
+    pub fn progress(&self) -> (u64, u64) {
+        (self.raw.raft.term, self.applied)
+    }
+}
+
+fn send(message: Message, w: &mut dyn Writer) {
+    if let Ok(bytes) = message.write_to_bytes() {
+        w.send(message.to, bytes);
+    }
+}
--- /dev/null
+++ b/crates/maintenance/src/rule.rs
@@ -0,0 +1,155 @@
+//! When a machine may go out: a rule over what the leader last saw of all machines and over those already taken. It is part
+//! of the replicated state, so that every node that applies the same log admits the same machines at the same entry,
+//! whatever its own file says.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use serde::{Deserialize, Serialize};
+
+/// What a machine is good for, as the leader saw it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
+pub enum Health {
+    Sound,
+    /// It started lately and bears a share of its work only.
+    Cold,
+    /// It fails a grade, or is set aside.
+    Failing,
+    /// Discovery says that it takes nothing new.
+    Draining,
+}
+
+/// A machine as the leader saw it.
+#[derive(Clone, Debug, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Seen {
+    pub cell: u32,
+    pub zone: String,
+    pub health: Health,
+    /// When it last started, Unix milliseconds; 0 for long ago.
+    pub started_ms: i64,
+}
+
+/// Limits on what is out at once.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Rule {
+    /// Cells of the ring; a shard is held by the machines of its cell and of the `reach - 1` after it.
+    pub cells: u32,
+    pub reach: u32,
+    /// Share of a shard's holders that may be taken or unsound at once, one at least.
+    pub share: f64,
+    /// Sound holders that each shard keeps.
+    pub least_sound: u32,
+    /// Share of a zone's machines that may be taken at once, one at least.
+    pub zone_share: f64,
+    /// Machines taken at once in all.
+    pub most: u32,
+}
+
+impl Default for Rule {
+    fn default() -> Rule {
+        Rule { cells: 1, reach: 1, share: 0.5, least_sound: 1, zone_share: 0.25, most: 16 }
+    }
+}
+
+/// Why a machine may not go out now.
+#[derive(Clone, Debug, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Hindered {
+    /// Discovery does not name it.
+    Unknown,
+    /// Of that shard's holders so many may be missing at once, and these are or would be.
+    Shard {
+        shard: u32,
+        missing: Vec<String>,
+        most: u32,
+    },
+    /// That shard would keep fewer sound holders than it must.
+    Sound {
+        shard: u32,
+        left: u32,
+    },
+    Zone {
+        zone: String,
+        taken: u32,
+        most: u32,
+    },
+    Most {
+        taken: u32,
+    },
+    /// One that asked before it waits for a holder of the same shard, and would wait for good behind those after it.
+    Before {
+        machine: String,
+    },
+    /// Nothing was seen of the machines for too long to judge by.
+    Stale,
+}
+
+impl std::fmt::Display for Hindered {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        match self {
+            Hindered::Unknown => write!(f, "discovery does not name it"),
+            Hindered::Shard { shard, missing, most } => {
+                write!(f, "shard {shard}: {} would be missing, {most} may be", missing.join(", "))
+            }
+            Hindered::Sound { shard, left } => write!(f, "shard {shard} would keep {left} sound holders"),
+            Hindered::Zone { zone, taken, most } => write!(f, "zone {zone}: {taken} are out, {most} may be"),
+            Hindered::Most { taken } => write!(f, "{taken} machines are out, no more may be"),
+            Hindered::Before { machine } => write!(f, "{machine} asked before it for the same shard"),
+            Hindered::Stale => write!(f, "nothing was seen of the machines lately"),
+        }
+    }
+}
+
+impl Rule {
+    /// Shards that a machine of that cell holds.
+    pub fn shards(&self, cell: u32) -> impl Iterator<Item = u32> + use<> {
+        let (cells, reach) = (self.cells.max(1), self.reach.clamp(1, self.cells.max(1)));
+        (0..reach).map(move |back| (cell % cells + cells - back) % cells)
+    }
+
+    fn holders<'a>(
+        &self,
+        shard: u32,
+        seen: &'a BTreeMap<String, Seen>,
+    ) -> impl Iterator<Item = (&'a String, &'a Seen)> {
+        let (cells, reach) = (self.cells.max(1), self.reach.clamp(1, self.cells.max(1)));
+        seen.iter().filter(move |(_, s)| (s.cell % cells + cells - shard) % cells < reach)
+    }
+
+    /// What hinders a machine from being taken, beside those that are; none where it may be.
+    pub fn hinders(
+        &self,
+        machine: &str,
+        seen: &BTreeMap<String, Seen>,
+        taken: &BTreeSet<String>,
+    ) -> Option<Hindered> {
+        let Some(of) = seen.get(machine) else { return Some(Hindered::Unknown) };
+        for shard in self.shards(of.cell) {
+            let all = self.holders(shard, seen).count() as u32;
+            let most = ((self.share * f64::from(all)) as u32).max(1);
+            let gone = |m: &str, s: &Seen| m == machine || taken.contains(m) || s.health != Health::Sound;
+            let missing: Vec<String> =
+                self.holders(shard, seen).filter(|(m, s)| gone(m, s)).map(|(m, _)| m.clone()).collect();
+            // A machine that discovery no longer names while it is out still is a holder that is missing.
+            let left = all - missing.len() as u32;
+            if left < self.least_sound {
+                return Some(Hindered::Sound { shard, left });
+            }
+            if missing.len() as u32 > most {
+                return Some(Hindered::Shard { shard, missing, most });
+            }
+        }
+        let of_zone = seen.values().filter(|s| s.zone == of.zone).count();
+        let most = ((self.zone_share * of_zone as f64) as u32).max(1);
+        let in_zone = |m: &&String| *m != machine && seen.get(*m).is_some_and(|s| s.zone == of.zone);
+        let there = taken.iter().filter(in_zone).count() as u32;
+        if there + 1 > most {
+            return Some(Hindered::Zone { zone: of.zone.clone(), taken: there, most });
+        }
+        let others = taken.iter().filter(|m| *m != machine).count() as u32;
+        (others + 1 > self.most).then_some(Hindered::Most { taken: others })
+    }
+
+    /// Whether two machines hold a shard in common.
+    pub fn share_shard(&self, a: &Seen, b: &Seen) -> bool {
+        self.shards(a.cell).any(|shard| self.shards(b.cell).any(|other| other == shard))
+    }
+}
