--- /dev/null
+++ b/crates/frontnode/benches/maintenance.rs
@@ -0,0 +1,199 @@
+//! A maintenance weekend in seconds: half of six servers, both holders of one shard among them, are patched by three crews
+//! that start at one moment; once by an order that the front nodes agree on, once each crew on its own.
+//! `cargo bench -p orchidvalve-frontnode --bench maintenance -- DIR`: five nodes as processes, a table to standard output
+//! and a chart of the service in DIR.
+
+#[path = "../tests/herd/mod.rs"]
+mod herd;
+
+use std::sync::Mutex;
+use std::sync::atomic::{AtomicBool, AtomicUsize, Ordering::Relaxed};
+use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
+
+use herd::{Fleet, Opening, SLICES};
+use orchidvalve_standin::agent::Mood;
+use orchidvalve_standin::{Script, Trouble};
+use plotters::prelude::*;
+use serde_json::{Value, json};
+
+const NODES: usize = 5;
+const MEMBERS: usize = 3;
+/// What the crews patch: both holders of shard 0, and one of shard 1.
+const PATCHED: [usize; 3] = [0, SLICES, 1];
+/// From discovery's word that a server drains until it is switched off, and how long it is off.
+const DRAINS: Duration = Duration::from_millis(600);
+const OFF: Duration = Duration::from_millis(1500);
+const BIN: Duration = Duration::from_millis(500);
+const LINES: &str = "tick_ms = 20\nfollow_ms = 50\ndrain_ms = 600\nlook_lasts_ms = 3000\nzone_share = 1.0\n";
+
+struct Played {
+    /// Retrievals answered with 200, and all, in each half second.
+    bins: Vec<(usize, usize)>,
+    /// Servers off at one time at most, and whether both holders of one shard were.
+    most_off: usize,
+    both_off: bool,
+    /// Parts that came to servers while they were off.
+    parts_at_off: usize,
+    took: Duration,
+}
+
+fn stage(f: &Fleet, node: usize, machine: &str) -> String {
+    let view = f.operator(node, "GET", "/_maintenance", &Value::Null).1;
+    let entry =
+        view["entries"].as_array().and_then(|all| all.iter().find(|e| e["machine"] == machine).cloned());
+    entry.and_then(|e| e["stage"].as_str().map(str::to_owned)).unwrap_or_default()
+}
+
+fn play(agreed: bool) -> Played {
+    let mut opening = Opening::of(NODES);
+    (opening.per_cell, opening.reach, opening.fleet, opening.mood) = (2, 1, false, Mood::Up);
+    if agreed {
+        (opening.logbook, opening.maintenance) = (true, Some((MEMBERS, LINES.to_owned())));
+    }
+    let f = Fleet::open(&format!("weekend-{agreed}"), &opening);
+    if agreed {
+        f.until("a leader", |f| (0..MEMBERS).any(|n| f.gauge(n, "maintenance_leads") == 1));
+    }
+    // What discovery says of each server.
+    let members = Mutex::new(f.members(&[]));
+    let tell = |store: usize, key: &str, value: Value| {
+        let mut members = members.lock().unwrap();
+        members[store][key] = value;
+        f.agent.tell(members.clone());
+    };
+    let (off, most_off, both, over) = (
+        Mutex::new(Vec::<usize>::new()),
+        AtomicUsize::new(0),
+        AtomicBool::new(false),
+        AtomicBool::new(false),
+    );
+    let (bins, parts_at_off, began) = (Mutex::new(Vec::new()), AtomicUsize::new(0), Instant::now());
+    std::thread::scope(|scope| {
+        for node in 0..NODES {
+            let (f, bins, over) = (&f, &bins, &over);
+            scope.spawn(move || {
+                let mut n = 0;
+                while !over.load(Relaxed) {
+                    let at = (began.elapsed().as_millis() / BIN.as_millis()) as usize;
+                    let good = f.ask(node, &format!("n{node}-{n}"), &format!("c{node}x{n}y")) == 200;
+                    let mut bins = bins.lock().unwrap();
+                    if bins.len() <= at {
+                        bins.resize(at + 1, (0usize, 0usize));
+                    }
+                    bins[at] = (bins[at].0 + usize::from(good), bins[at].1 + 1);
+                    drop(bins);
+                    n += 1;
+                    std::thread::sleep(Duration::from_millis(20));
+                }
+            });
+        }
+        let crews: Vec<_> = PATCHED
+            .iter()
+            .enumerate()
+            .map(|(crew, &store)| {
+                let (f, tell, off, most_off, both, parts_at_off) =
+                    (&f, &tell, &off, &most_off, &both, &parts_at_off);
+                scope.spawn(move || {
+                    std::thread::sleep(Duration::from_millis(1000));
+                    let machine = format!("s-{store}");
+                    if agreed {
+                        let wish =
+                            json!({"machine": machine, "by": format!("crew {crew}"), "lasts_ms": 60_000});
+                        f.operator(crew + 2, "POST", "/_maintenance/ask", &wish);
+                        f.until("its turn comes", |f| stage(f, crew + 2, &machine) == "out");
+                        tell(store, "phase", json!("draining"));
+                    } else {
+                        tell(store, "phase", json!("draining"));
+                        std::thread::sleep(DRAINS);
+                    }
+                    {
+                        let mut off = off.lock().unwrap();
+                        off.push(store);
+                        most_off.fetch_max(off.len(), Relaxed);
+                        if off.iter().any(|other| *other != store && other % SLICES == store % SLICES) {
+                            both.store(true, Relaxed);
+                        }
+                    }
+                    let before = f.stores[store].seen().parts.len();
+                    let dead = vec![(String::new(), Trouble::Dead)];
+                    f.stores[store].script(Script {
+                        rules: dead,
+                        probes: Some(Trouble::Dead),
+                        ..Script::default()
+                    });
+                    f.stores[store].cut();
+                    std::thread::sleep(OFF);
+                    parts_at_off.fetch_add(f.stores[store].seen().parts.len() - before, Relaxed);
+                    f.stores[store].script(Script::default());
+                    off.lock().unwrap().retain(|other| *other != store);
+                    let now = SystemTime::now().duration_since(UNIX_EPOCH).unwrap().as_millis() as u64;
+                    tell(store, "up_since_ms", json!(now));
+                    tell(store, "phase", json!("up"));
+                })
+            })
+            .collect();
+        crews.into_iter().for_each(|crew| crew.join().unwrap());
+        std::thread::sleep(Duration::from_millis(1500));
+        over.store(true, Relaxed);
+    });
+    let took = began.elapsed();
+    Played {
+        bins: bins.into_inner().unwrap(),
+        most_off: most_off.load(Relaxed),
+        both_off: both.load(Relaxed),
+        parts_at_off: parts_at_off.load(Relaxed),
+        took,
+    }
+}
+
+fn main() {
+    let dir = std::env::args().skip(1).find(|a| !a.starts_with("--"));
+    println!(
+        "| weekend | answered | worst half second | servers off at once | both holders of a shard off | parts at servers that were off | took s |"
+    );
+    println!("| --- | --- | --- | --- | --- | --- | --- |");
+    let mut lines = Vec::new();
+    for agreed in [false, true] {
+        let p = play(agreed);
+        let (good, all) = p.bins.iter().fold((0, 0), |(g, a), b| (g + b.0, a + b.1));
+        let share = |b: &(usize, usize)| b.0 as f64 / b.1.max(1) as f64;
+        let worst = p.bins.iter().filter(|b| b.1 > 0).map(share).fold(1.0, f64::min);
+        println!(
+            "| {} | {good} of {all} | {worst:.2} | {} | {} | {} | {:.1} |",
+            if agreed { "by the agreed order" } else { "each crew on its own" },
+            p.most_off,
+            if p.both_off { "yes" } else { "no" },
+            p.parts_at_off,
+            p.took.as_secs_f64()
+        );
+        let points = p.bins.iter().enumerate().filter(|(_, b)| b.1 > 0);
+        lines.push(points.map(|(n, b)| (n as f64 * BIN.as_secs_f64(), share(b))).collect::<Vec<_>>());
+    }
+    if let Some(dir) = dir {
+        chart(&format!("{dir}/maintenance-weekend.svg"), &lines).expect("the chart is written");
+    }
+}
+
+fn chart(path: &str, lines: &[Vec<(f64, f64)>]) -> Result<(), Box<dyn std::error::Error>> {
+    let end = lines.iter().flatten().map(|p| p.0).fold(1.0, f64::max);
+    let root = SVGBackend::new(path, (680, 340)).into_drawing_area();
+    root.fill(&WHITE)?;
+    let mut chart = ChartBuilder::on(&root)
+        .caption("share of retrievals answered during the weekend", ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(36)
+        .y_label_area_size(44)
+        .build_cartesian_2d(0f64..end, 0f64..1.05f64)?;
+    chart.configure_mesh().x_desc("seconds").draw()?;
+    for ((line, name), colour) in
+        lines.iter().zip(["each crew on its own", "by the agreed order"]).zip([RED, BLUE])
+    {
+        chart
+            .draw_series(LineSeries::new(line.iter().copied(), colour))?
+            .label(name)
+            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], colour));
+    }
+    chart.configure_series_labels().border_style(BLACK).position(SeriesLabelPosition::LowerRight).draw()?;
+    root.present()?;
+    Ok(())
+}
--- a/crates/frontnode/src/archive.rs
+++ b/crates/frontnode/src/archive.rs
@@ -28,9 +28,8 @@
 pub const MEMBERS: u16 = 2;
 pub const OPINIONS: u16 = 3;
 pub const STARTS: u16 = 4;
-/// The log of the order of work: its state and its snapshot, and its entries.
-pub const ORDER_STATE: u16 = 5;
-pub const ORDER_LOG: u16 = 6;
+/// The log of the order of work, by the keys that `orchidvalve-maintenance` gives it.
+pub const ORDER: u16 = 5;
 /// Starts of the node kept.
 const STARTS_KEPT: usize = 16;
 
@@ -182,19 +181,10 @@
 }
 
 fn order_left(view: &View, unread: &mut usize) -> Left {
-    let mut state = |key: &[u8]| match view.get(ORDER_STATE, key) {
-        Ok(value) => value,
-        Err(_) => {
-            *unread += 1;
-            None
-        }
-    };
-    let mut left = Left { hard: state(b"hard"), snapshot: state(b"snapshot"), ..Left::default() };
-    for (key, value) in view.each(ORDER_LOG) {
-        match (<[u8; 8]>::try_from(key), value) {
-            (Ok(index), Ok(value)) => drop(left.entries.insert(u64::from_be_bytes(index), value)),
-            _ => *unread += 1,
-        }
+    let mut left = Left::default();
+    for (key, value) in view.each(ORDER) {
+        let read = value.is_ok_and(|value| left.read(&key, value));
+        *unread += usize::from(!read);
     }
     left
 }
--- a/crates/frontnode/src/maintenance.rs
+++ b/crates/frontnode/src/maintenance.rs
@@ -13,13 +13,13 @@
 use orchidvalve::interface::{Nanos, Thaw};
 use orchidvalve_logbook::keeper::Ticket;
 use orchidvalve_logbook::store::Batch;
-use orchidvalve_maintenance::group::{Group, Left, Saved};
+use orchidvalve_maintenance::group::{Group, GroupOrders, Left, Saved};
 use orchidvalve_maintenance::order::{Command, Order, Pace};
 use orchidvalve_maintenance::post::{Inbox, Writer, Yard, YardOrders};
 use orchidvalve_maintenance::rule::{Health, Rule, Seen};
 use serde::{Deserialize, Serialize};
 
-use crate::archive::{ORDER_LOG, ORDER_STATE};
+use crate::archive::ORDER;
 use crate::deadlines::Mark;
 use crate::fleet::subject;
 use crate::kit::{Due, Kit, Noted, Who};
@@ -320,7 +320,7 @@
         let voters: Vec<u64> = group.keys().copied().collect();
         let member = match (plan.member, left) {
             (Some(me), Some(left)) => Some(
-                Group::new(me, &voters, &left, plan.tick, kit.now)
+                Group::new(&GroupOrders::new(me, voters, plan.tick), &left, kit.now)
                     .map_err(|e| format!("maintenance.group: {e}"))?,
             ),
             (Some(_), None) => {
@@ -464,19 +464,10 @@
             return;
         };
         while let Some((number, saved)) = self.saves.pop_front() {
-            let mut batch = Batch::new();
-            if let Some(hard) = &saved.hard {
-                batch = batch.put(ORDER_STATE, b"hard", hard);
-            }
-            if let Some(snapshot) = &saved.snapshot {
-                batch = batch.put(ORDER_STATE, b"snapshot", snapshot);
-            }
-            for index in &saved.gone {
-                batch = batch.delete(ORDER_LOG, &index.to_be_bytes());
-            }
-            for (index, bytes) in &saved.entries {
-                batch = batch.put(ORDER_LOG, &index.to_be_bytes(), bytes);
-            }
+            let batch = saved.records().fold(Batch::new(), |batch, (key, value)| match value {
+                Some(value) => batch.put(ORDER, &key, value),
+                None => batch.delete(ORDER, &key),
+            });
             match archive.receipt(batch) {
                 Ok(ticket) => self.saving.push_back((number, ticket)),
                 Err(_) => {
--- a/crates/frontnode/tests/herd/mod.rs
+++ b/crates/frontnode/tests/herd/mod.rs
@@ -142,6 +142,9 @@
 /// What a fleet is opened with.
 pub struct Opening {
     pub nodes: usize,
+    /// Stores in each of the three cells, and cells that hold a shard.
+    pub per_cell: usize,
+    pub reach: usize,
     /// Whether the nodes take part in a fleet; else each stands alone.
     pub fleet: bool,
     /// Lines added to each node's fleet file.
@@ -168,6 +171,8 @@
     pub fn of(nodes: usize) -> Opening {
         Opening {
             nodes,
+            per_cell: 1,
+            reach: 2,
             fleet: true,
             more: String::new(),
             started_ms: Vec::new(),
@@ -183,12 +188,12 @@
     }
 }
 
-fn settings(cold_ms: u64, window_ms: u64) -> Value {
+fn settings(reach: usize, cold_ms: u64, window_ms: u64) -> Value {
     let class =
         json!({"name": "look", "effect": "pure", "objectiveNs": 400_000_000, "deadlineNs": 3_000_000_000u64});
     json!({
         "classes": [class],
-        "extra": {"positions": SLICES, "reach": 2, "slices": SLICES, "bundleMax": 4},
+        "extra": {"positions": SLICES, "reach": reach, "slices": SLICES, "bundleMax": 4},
         "limits": {"attemptsCap": 4, "cancel": true, "secondCopies": true, "probes": true, "multiplex": 8,
                    "connIdleNs": 15_000_000_000u64, "connectTimeoutNs": 100_000_000},
         "rules": {"coldShare": 0.25, "coldNs": cold_ms * 1_000_000, "fallMultiple": 4.0, "fallNs": window_ms * 1_000_000},
@@ -205,14 +210,15 @@
         let routes = Arc::new(Routes::read(ROUTES, &settled).unwrap());
         let shelf = Arc::new(Mutex::new(Shelf::new(routes)));
         let any: SocketAddr = "127.0.0.1:0".parse().unwrap();
-        let stores: Vec<Store> = (0..SLICES).map(|_| Store::start(any, shelf.clone()).unwrap()).collect();
+        let stores: Vec<Store> =
+            (0..SLICES * opening.per_cell).map(|_| Store::start(any, shelf.clone()).unwrap()).collect();
         let members: Value = stores
             .iter()
             .enumerate()
             .map(|(n, s)| {
                 let ago = opening.started_ms.iter().find(|(store, _)| *store == n).map(|(_, ago)| *ago);
                 let since = ago.map_or(0, |ago| unix_ms.saturating_sub(ago));
-                json!({"id": format!("s-{n}"), "host_port": s.address.to_string(), "cell": n, "phase": "up",
+                json!({"id": format!("s-{n}"), "host_port": s.address.to_string(), "cell": n % SLICES, "phase": "up",
                        "up_since_ms": since})
             })
             .collect();
@@ -237,7 +243,7 @@
                 "limits": {"memory_mb": 192, "sockets": 128},
                 "known": {"revision": u8::from(opening.known), "complete": true,
                           "members": if opening.known { members.clone() } else { json!([]) }},
-                "settings": settings(opening.cold_ms, opening.window_ms)
+                "settings": settings(opening.reach, opening.cold_ms, opening.window_ms)
             });
             if opening.fleet {
                 config["fleet"] = json!(path("toml"));
@@ -328,7 +334,7 @@
     pub fn members(&self, phases: &[(usize, &str)]) -> Value {
         let member = |(n, s): (usize, &Store)| {
             let phase = phases.iter().find(|(store, _)| *store == n).map_or("up", |(_, phase)| *phase);
-            json!({"id": format!("s-{n}"), "host_port": s.address.to_string(), "cell": n, "phase": phase,
+            json!({"id": format!("s-{n}"), "host_port": s.address.to_string(), "cell": n % SLICES, "phase": phase,
                    "up_since_ms": 0})
         };
         self.stores.iter().enumerate().map(member).collect()
--- a/crates/maintenance/src/group.rs
+++ b/crates/maintenance/src/group.rs
@@ -13,8 +13,6 @@
 use crate::order::{Command, Logged, Order, Pace};
 use crate::rule::{Rule, Seen};
 
-/// Entries applied beyond a snapshot before the next one is made.
-const SNAPSHOT_EVERY: u64 = 256;
 const ELECTION_TICKS: usize = 10;
 const HEARTBEAT_TICKS: usize = 2;
 /// Ticks between the waits of two members: more than a vote takes to come and go.
@@ -32,6 +30,26 @@
     pub gone: Vec<u64>,
 }
 
+impl Saved {
+    /// Keys and their values, none for one that is no more, in the order in which they are to be written. Hosts with a
+    /// store of keys keep them as they are; [`Left::read`] takes them back.
+    pub fn records(&self) -> impl Iterator<Item = (Vec<u8>, Option<&[u8]>)> {
+        let state = [(HARD, &self.hard), (SNAPSHOT, &self.snapshot)].into_iter();
+        let state = state.filter_map(|(key, value)| value.as_deref().map(|value| (vec![key], Some(value))));
+        let gone = self.gone.iter().map(|&index| (entry_key(index), None));
+        let entries = self.entries.iter().map(|(index, bytes)| (entry_key(*index), Some(bytes.as_slice())));
+        state.chain(gone).chain(entries)
+    }
+}
+
+const HARD: u8 = 0;
+const SNAPSHOT: u8 = 1;
+const ENTRY: u8 = 2;
+
+fn entry_key(index: u64) -> Vec<u8> {
+    [&[ENTRY][..], &index.to_be_bytes()].concat()
+}
+
 /// What an earlier run left, as it was saved.
 #[derive(Clone, Debug, Default)]
 pub struct Left {
@@ -41,6 +59,20 @@
 }
 
 impl Left {
+    /// A record that was kept; false for one that is none of the log's.
+    pub fn read(&mut self, key: &[u8], value: Vec<u8>) -> bool {
+        match key {
+            [HARD] => self.hard = Some(value),
+            [SNAPSHOT] => self.snapshot = Some(value),
+            [ENTRY, index @ ..] => match <[u8; 8]>::try_from(index) {
+                Ok(index) => drop(self.entries.insert(u64::from_be_bytes(index), value)),
+                Err(_) => return false,
+            },
+            _ => return false,
+        }
+        true
+    }
+
     /// Takes in what was saved, as a disk does.
     pub fn take(&mut self, saved: &Saved) {
         if saved.hard.is_some() {
@@ -174,6 +206,23 @@
     fn save(&mut self, number: u64, saved: Saved);
 }
 
+/// What a member of the group is told at its start.
+#[derive(Clone, Debug)]
+pub struct GroupOrders {
+    /// Its number, and those that all members give each other.
+    pub me: u64,
+    pub voters: Vec<u64>,
+    pub tick: Nanos,
+    /// Entries applied beyond a snapshot before the next one is made.
+    pub fold_every: u64,
+}
+
+impl GroupOrders {
+    pub fn new(me: u64, voters: Vec<u64>, tick: Nanos) -> GroupOrders {
+        GroupOrders { me, voters, tick, fold_every: 256 }
+    }
+}
+
 /// Why a group cannot be begun.
 pub type Fault = String;
 
@@ -182,6 +231,7 @@
     order: Order,
     applied: u64,
     tick: Nanos,
+    fold_every: u64,
     next_tick: Nanos,
     /// Messages that say a record is kept, by the number it was handed over under.
     held: VecDeque<(u64, Vec<Message>)>,
@@ -192,11 +242,12 @@
 }
 
 impl Group {
-    /// `me` and `voters` are numbers that all members give each other; `left` is what an earlier run of this member saved. A
-    /// member that lost it must not come back under its number: it could vote twice.
-    pub fn new(me: u64, voters: &[u64], left: &Left, tick: Nanos, now: Nanos) -> Result<Group, Fault> {
+    /// `left` is what an earlier run of this member saved. A member that lost it must not come back under its number: it
+    /// could vote twice.
+    pub fn new(orders: &GroupOrders, left: &Left, now: Nanos) -> Result<Group, Fault> {
+        let GroupOrders { me, ref voters, tick, fold_every } = *orders;
         let unread = |what: &str| format!("the log's {what} cannot be read");
-        let mut kept = Kept { conf: ConfState::from((voters.to_vec(), Vec::new())), ..Kept::default() };
+        let mut kept = Kept { conf: ConfState::from((voters.clone(), Vec::new())), ..Kept::default() };
         if let Some(hard) = &left.hard {
             kept.hard.merge_from_bytes(hard).map_err(|_| unread("state"))?;
         }
@@ -239,7 +290,8 @@
         let logger = slog::Logger::root(slog::Discard, slog::o!());
         let raw = RawNode::new(&config, kept, &logger).map_err(|e| format!("maintenance group: {e}"))?;
         let held = VecDeque::new();
-        Ok(Group { raw, order, applied, tick, next_tick: now + tick, held, gated: None, looked: 0 })
+        let next_tick = now + tick;
+        Ok(Group { raw, order, applied, tick, fold_every, next_tick, held, gated: None, looked: 0 })
     }
 
     pub fn round(&mut self, now: Nanos, came_in: impl FnOnce(&mut Inbox), w: &mut dyn Writer) {
@@ -352,7 +404,7 @@
     /// Folds the log that was applied into a snapshot, now and then.
     fn snapshot(&mut self, w: &mut dyn Writer) {
         let base = self.raw.store().base();
-        if self.applied < base + SNAPSHOT_EVERY || self.held.iter().any(|(_, m)| !m.is_empty()) {
+        if self.applied < base + self.fold_every || self.held.iter().any(|(_, m)| !m.is_empty()) {
             return;
         }
         let (Ok(term), Ok(data)) = (self.raw.store().term(self.applied), postcard::to_stdvec(&self.order))
--- /dev/null
+++ b/crates/maintenance/tests/recovery.rs
@@ -0,0 +1,136 @@
+//! The log on the logbook's simulated disk, dying at every call: what a member said of the order, and what it answered to
+//! others, it still holds when it is back.
+
+use std::collections::BTreeMap;
+use std::sync::Arc;
+
+use orchidvalve_logbook::disk::sim::{Kept, Loss, SimDisk};
+use orchidvalve_logbook::store::{Batch, LogbookOrders, Store};
+use orchidvalve_maintenance::Nanos;
+use orchidvalve_maintenance::group::{Group, GroupOrders, Left, Saved, Writer};
+use orchidvalve_maintenance::order::{Command, Happened, Pace};
+use orchidvalve_maintenance::rule::{Health, Rule, Seen};
+
+const TICK: Nanos = 1_000_000;
+const SPACE: u16 = 5;
+const COMMANDS: u64 = 14;
+
+fn book() -> LogbookOrders {
+    LogbookOrders { segment_bytes: 2000, ..LogbookOrders::named("order") }
+}
+
+fn left(store: &Store) -> Left {
+    let mut left = Left::default();
+    for (key, value) in store.view().each(SPACE) {
+        assert!(left.read(&key, value.expect("it can be read")));
+    }
+    left
+}
+
+/// Saves at once, and remembers what is durable; a write that fails is the end of this run.
+struct Disk<'a> {
+    store: &'a mut Store,
+    durable: Option<u64>,
+    dead: bool,
+}
+
+impl Writer for Disk<'_> {
+    fn send(&mut self, _: u64, _: Vec<u8>) {}
+    fn save(&mut self, number: u64, saved: Saved) {
+        let batch = saved.records().fold(Batch::new(), |batch, (key, value)| match value {
+            Some(value) => batch.put(SPACE, &key, value),
+            None => batch.delete(SPACE, &key),
+        });
+        let kept = batch.is_empty() || self.store.append(&batch).is_ok() && self.store.sync().is_ok();
+        self.dead |= !kept;
+        if !self.dead {
+            self.durable = Some(number).filter(|n| *n > 0).or(self.durable);
+        }
+    }
+}
+
+/// Runs a group of one on that disk until it has carried out its commands or the disk dies; the events that it told.
+fn run(disk: &SimDisk) -> (Vec<Happened>, bool) {
+    let Ok((mut store, _)) = Store::open(Arc::new(disk.clone()), book()) else { return (Vec::new(), false) };
+    let orders = GroupOrders { fold_every: 5, ..GroupOrders::new(1, vec![1], TICK) };
+    let mut group = Group::new(&orders, &left(&store), 0).expect("what is durable is whole");
+    let (mut told, mut now, mut next, mut durable) = (Vec::new(), 0, 0, None);
+    while next < COMMANDS || group.order().done().count() < COMMANDS as usize {
+        now += 12 * TICK;
+        assert!(now < 4_000 * TICK, "it stands still");
+        let mut w = Disk { store: &mut store, durable: None, dead: false };
+        group.round(
+            now,
+            |inbox| {
+                durable.take().into_iter().for_each(|number| inbox.durable(number));
+                let seen = |n: u32| Seen { cell: n, zone: "z".into(), health: Health::Sound, started_ms: 1 };
+                let seen: BTreeMap<_, _> = (0..4).map(|n| (format!("m{n}"), seen(n / 2))).collect();
+                let rule = Rule { cells: 2, reach: 1, zone_share: 1.0, ..Rule::default() };
+                inbox.look(seen, rule, Pace { drain: 30 * TICK, look_lasts: 1_000 * TICK });
+                if next < COMMANDS {
+                    let (machine, nonce) = (format!("m{}", next % 4), next + 1);
+                    inbox.command(match next % 5 {
+                        4 => Command::Cancel { machine, by: String::new(), nonce },
+                        _ => Command::Ask {
+                            machine,
+                            by: String::new(),
+                            why: String::new(),
+                            lasts: 1_000 * TICK,
+                            waits: 1_000 * TICK,
+                            nonce,
+                        },
+                    });
+                }
+            },
+            &mut w,
+        );
+        durable = w.durable;
+        if w.dead {
+            return (told, false);
+        }
+        if group.leads() {
+            next += 1;
+        }
+        // What it applied was agreed, which for a group of one means durable: it may have told anybody.
+        told = group.order().events.iter().cloned().collect();
+    }
+    (told, true)
+}
+
+#[test]
+fn what_was_told_of_the_order_survives_a_crash_at_every_call_of_the_disk() {
+    let disk = SimDisk::new(1 << 20);
+    let (whole, ended) = run(&disk);
+    assert!(ended && whole.len() > 10, "{whole:?}");
+    let calls = disk.calls();
+    let mut states = 0;
+    for call in 1..=calls {
+        let disk = SimDisk::new(1 << 20);
+        disk.die_at(call);
+        let (told, _) = run(&disk);
+        for kept in [Kept::Nothing, Kept::All, Kept::First(1), Kept::Without(0)] {
+            let disk = disk.after_crash(Loss { files: kept, names: kept });
+            let (mut store, _) = Store::open(Arc::new(disk.clone()), book()).expect("it opens");
+            let orders = GroupOrders { fold_every: 5, ..GroupOrders::new(1, vec![1], TICK) };
+            let mut group = Group::new(&orders, &left(&store), 0).expect("what is durable is whole");
+            // It leads again, and with that knows all that was agreed.
+            let mut durable = None;
+            for n in 1..40 {
+                let mut w = Disk { store: &mut store, durable: None, dead: false };
+                group.round(
+                    n * 12 * TICK,
+                    |inbox| durable.take().into_iter().for_each(|n| inbox.durable(n)),
+                    &mut w,
+                );
+                durable = w.durable;
+            }
+            let found: Vec<Happened> = group.order().events.iter().cloned().collect();
+            assert!(
+                found.len() >= told.len() && found[..told.len()] == told[..],
+                "call {call}, {kept:?}: {found:?} after {told:?}"
+            );
+            states += 1;
+        }
+    }
+    println!("{states} states after a crash at one of {calls} calls");
+}
--- a/crates/maintenance/tests/site/mod.rs
+++ b/crates/maintenance/tests/site/mod.rs
@@ -7,7 +7,7 @@
 use std::net::SocketAddrV4;
 
 use orchidvalve_maintenance::Nanos;
-use orchidvalve_maintenance::group::{Group, Left, Saved};
+use orchidvalve_maintenance::group::{Group, GroupOrders, Left, Saved};
 use orchidvalve_maintenance::order::{Command, Event, Happened, Pace, Stage};
 use orchidvalve_maintenance::post::{Writer, Yard, YardOrders};
 use orchidvalve_maintenance::rule::{Health, Rule, Seen};
@@ -117,7 +117,8 @@
         let voters: Vec<u64> = group.keys().copied().collect();
         let me = n as u64 + 1;
         let member = (n < self.members).then(|| {
-            Group::new(me, &voters, &self.nodes[n].disk, 50 * MS, self.now).expect("the log is whole")
+            Group::new(&GroupOrders::new(me, voters.clone(), 50 * MS), &self.nodes[n].disk, self.now)
+                .expect("the log is whole")
         });
         let (rule, pace) = (self.rule.clone(), self.pace);
         let orders = YardOrders { me, group, follow_every: 200 * MS, reached_at: None, rule, pace };
