--- a/crates/frontnode/src/maintenance.rs
+++ b/crates/frontnode/src/maintenance.rs
@@ -200,6 +200,8 @@
     }
 }
 
+/// Wishes taken between two rounds.
+const WISHES_MOST: usize = 64;
 /// Words that an operator gives are kept and shown by every node.
 const WORDS_MOST: usize = 200;
 
@@ -221,6 +223,9 @@
             }
         }
         let ms = |ms: u64| (ms.min(366 * 86_400 * SECOND) as Nanos) * 1_000_000;
+        if self.asked.borrow().len() >= WISHES_MOST {
+            return Err("too many wishes wait here: try again".to_owned());
+        }
         let mut nonces = self.nonces.borrow_mut();
         *nonces = nonces.wrapping_mul(6364136223846793005).wrapping_add(1442695040888963407) | 1;
         let nonce = *nonces;
@@ -269,10 +274,15 @@
     socket: &'a UdpSocket,
     saves: &'a mut VecDeque<(u64, Saved)>,
     unsent: &'a mut u64,
+    /// Its log cannot be kept.
+    silent: bool,
 }
 
 impl Writer for Out<'_> {
     fn send(&mut self, to: SocketAddrV4, datagram: Vec<u8>) {
+        if self.silent {
+            return;
+        }
         // A datagram that the system will not take now is lost, as one on the way would be.
         *self.unsent += u64::from(self.socket.send_to(&datagram, to).is_err());
     }
@@ -422,7 +432,8 @@
             durable.into_iter().for_each(|number| inbox.durable(number));
             inbox.seen(seen);
         };
-        let mut out = Out { socket: &self.socket, saves: &mut self.saves, unsent: &mut self.unsent };
+        let (unsent, silent) = (&mut self.unsent, self.broken);
+        let mut out = Out { socket: &self.socket, saves: &mut self.saves, unsent, silent };
         self.yard.round(now, came_in, &mut out);
         self.hand_over(kit);
         self.show(kit);
--- a/crates/maintenance/src/post.rs
+++ b/crates/maintenance/src/post.rs
@@ -21,6 +21,8 @@
 /// A command that no order shows for so long is given up.
 const COMMAND_WITHIN: Nanos = 10_000_000_000;
 const COMMAND_EVERY: Nanos = 250_000_000;
+/// Commands on their way from one node at once.
+const COMMANDS_MOST: usize = 1024;
 
 /// What one node tells another.
 #[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
@@ -241,7 +243,11 @@
             self.seen = seen;
         }
         for command in inbox.commands {
-            self.pending.push(Pending { command, until: now + COMMAND_WITHIN, next: now });
+            if self.pending.len() < COMMANDS_MOST {
+                self.pending.push(Pending { command, until: now + COMMAND_WITHIN, next: now });
+            } else {
+                self.given_up += 1;
+            }
         }
         let Yard { orders, group, letters, .. } = self;
         let mut post = Post { me: orders.me, letters, group: &orders.group, w };
