Cold start: processes with a slow discovery and with a store that has just started

Measured: a discovery that answers one list in 0.7 s is asked by half of the nodes at most, and all have a list; a store that has just started gets at most 2 parts and 2 a second, and more than that from nodes alone.

--- a/crates/frontnode/tests/coldstart.rs
+++ b/crates/frontnode/tests/coldstart.rs
@@ -112,3 +112,48 @@
     assert!(asked <= 3, "{asked} asks in 8 starts");
     assert!((0..SLICES).map(|n| fleet.seen(n, "c")).sum::<usize>() >= 8 * SLICES);
 }
+
+/// Discovery answers whole lists one at a time, each after a while: the few that it told serve the others.
+#[test]
+fn a_slow_discovery_is_not_asked_by_all_and_all_have_a_list_all_the_same() {
+    const NODES: usize = 16;
+    let mut opening = Opening::of(NODES);
+    (opening.known, opening.mood) = (false, Mood::Slow(Duration::from_millis(700)));
+    opening.coldstart = Some("fetches_a_second = 0.4\n".to_owned());
+    let fleet = Fleet::open("cold-slow", &opening);
+    fleet.until("all have a list", |f| (0..NODES).all(|n| f.serves(n)));
+    let asked = fleet.agent.asks().iter().filter(|a| a.from.unwrap_or(0) == 0).count();
+    assert!(asked <= NODES / 2, "{asked} asked discovery");
+}
+
+/// A store that has just started, and many nodes that start with one retrieval each: alone, each has a part a window for
+/// it; in a fleet all of them together have, from the round in which they learn that it is there.
+#[test]
+fn a_store_that_has_just_started_is_not_flooded_by_nodes_that_start_with_it() {
+    const NODES: usize = 24;
+    let play = |on: bool| {
+        let mut opening = Opening::of(NODES);
+        (opening.fleet, opening.known, opening.mood) = (on, true, Mood::Up);
+        (opening.started_ms, opening.cold_ms) = (vec![(0, 0)], 60_000);
+        opening.coldstart = on.then(|| "fetches_a_second = 10.0\n".to_owned());
+        let began = std::time::Instant::now();
+        let fleet = Fleet::open(&format!("cold-store-{on}"), &opening);
+        std::thread::scope(|scope| {
+            for node in 0..NODES {
+                let fleet = &fleet;
+                scope.spawn(move || {
+                    for n in 0..3 {
+                        fleet.ask(node, &format!("n{node}-{n}"), &format!("c{node}x{n}y"));
+                    }
+                });
+            }
+        });
+        (fleet.seen(0, "c"), began.elapsed().as_secs_f64())
+    };
+    let (alone, _) = play(false);
+    let (shared, took) = play(true);
+    // One part a second of all; a node whose drawn share of a token is nearly whole has one a little earlier.
+    let bound = 2.0 + 2.0 * took;
+    assert!(shared as f64 <= bound, "{shared} parts in {took:.1} s");
+    assert!(alone as f64 > bound, "alone they send {alone}: the story would show nothing");
+}
