--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,7 +1,8 @@
-//! The command line for operators: `orchidvalve node`, `logbook`, `maintenance`, `search`, `standin`, `why`.
+//! The command line for operators: `orchidvalve node`, `logbook`, `maintenance`, `rehearse`, `search`, `standin`, `why`.
 
 mod logbook;
 mod maintenance;
+mod rehearse;
 mod search;
 mod standin;
 mod why;
@@ -37,6 +38,8 @@
     Logbook(logbook::Command),
     /// Take machines out for work in the order that the front nodes agree on
     Maintenance(maintenance::Asked),
+    /// Rehearse a bad day on this machine: front nodes as processes, stand-in stores, load, and troubles by a scenario
+    Rehearse(rehearse::RehearseArgs),
     /// Tell from a trace why retrievals fared as they did
     Why(why::WhyArgs),
     /// Run a stand-in for a store on loopback, with documents in memory
@@ -98,6 +101,10 @@
         Command::Search(command) => search::run(command).map_err(|fault| (UNUSABLE, fault)),
         Command::Logbook(command) => logbook::run(command).map_err(|fault| (UNUSABLE, fault)),
         Command::Maintenance(asked) => maintenance::run(&asked).map_err(|fault| (UNUSABLE, fault)),
+        Command::Rehearse(args) => match rehearse::run(&args) {
+            Ok(status) => return ExitCode::from(status),
+            Err(fault) => Err(fault),
+        },
         Command::Why(args) => why::run(&args).map_err(|fault| (UNUSABLE, fault)),
         Command::Standin(args) => standin::run(args).map_err(|fault| (UNUSABLE, fault)),
     };
--- /dev/null
+++ b/crates/cli/src/rehearse.rs
@@ -0,0 +1,75 @@
+//! `orchidvalve rehearse`: a bad day on this machine, with real front nodes, and what it showed.
+
+use std::io::{IsTerminal, Write};
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+
+use clap::Args;
+use orchidvalve_rehearsal::report::Verdict;
+use orchidvalve_rehearsal::scenario::Scenario;
+use orchidvalve_rehearsal::{SECOND, real};
+
+#[derive(Args)]
+pub struct RehearseArgs {
+    /// The scenario, such as deploy/rehearsals/moving-weekend.toml
+    scenario: PathBuf,
+    /// Draws arrivals, and stores where the scenario draws them
+    #[arg(long, default_value_t = 1)]
+    seed: u64,
+    /// Where report.md, report.json and service.svg go, and the front nodes' files and logs
+    #[arg(long, value_name = "DIR", default_value = "rehearsal")]
+    out: PathBuf,
+    /// Print the report as JSON
+    #[arg(long)]
+    json: bool,
+    /// Only read and check the scenario, and draw its troubles
+    #[arg(long)]
+    check: bool,
+}
+
+/// The exit status: 0 service held, 1 it fell short of the aim, 2 a rule was broken, 3 it could not run.
+pub fn run(args: &RehearseArgs) -> Result<u8, (u8, String)> {
+    let could_not = |fault: String| (Verdict::CouldNotRun.exit(), fault);
+    let name = args.scenario.display();
+    let text = std::fs::read_to_string(&args.scenario).map_err(|e| could_not(format!("{name}: {e}")))?;
+    let scenario = Scenario::read(&text).map_err(|fault| could_not(format!("{name}: {fault}")))?;
+    if args.check {
+        let timeline = orchidvalve_rehearsal::timeline::Timeline::new(&scenario, args.seed);
+        let timeline = timeline.map_err(|fault| could_not(format!("{name}: {fault}")))?;
+        for act in timeline.acts() {
+            let (at, begins) = (act.at as f64 / SECOND as f64, if act.begins { "begins" } else { "ends" });
+            let whom =
+                act.store.map_or(String::new(), |s| format!(" at {}", orchidvalve_rehearsal::store_name(s)));
+            println!("{at:8.2} s  {:?} {begins}{whom}", act.kind);
+        }
+        return Ok(0);
+    }
+    let program = std::env::current_exe().map_err(|e| could_not(format!("this program's path: {e}")))?;
+    let stop = Arc::new(AtomicBool::new(false));
+    for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM] {
+        signal_hook::flag::register(signal, stop.clone()).map_err(|e| could_not(format!("signals: {e}")))?;
+    }
+    let shown = std::io::stderr().is_terminal();
+    let mut last = -1;
+    let mut progress = |now: i64, all: i64| {
+        if shown && now / SECOND != last {
+            last = now / SECOND;
+            let _ = write!(std::io::stderr(), "\r{} of {} s", last, all / SECOND);
+        }
+    };
+    let started = (program.as_path(), &["node", "--config"][..]);
+    let nodes = args.out.join("nodes");
+    let report =
+        real::play(&scenario, args.seed, started, &nodes, &stop, &mut progress).map_err(could_not)?;
+    if shown {
+        eprintln!();
+    }
+    report.write(&args.out).map_err(could_not)?;
+    if args.json {
+        println!("{}", serde_json::to_string(&report).map_err(|e| could_not(e.to_string()))?);
+    } else {
+        print!("{}", report.page());
+    }
+    Ok(report.verdict.exit())
+}
--- /dev/null
+++ b/crates/cli/tests/rehearse.rs
@@ -0,0 +1,65 @@
+//! A small rehearsal for real: front nodes as processes, stores that die, stall and slow down, and the rules audited.
+
+use std::path::{Path, PathBuf};
+use std::process::{Command, Stdio};
+
+use serde_json::Value;
+
+fn scenario(name: &str) -> PathBuf {
+    Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/rehearsals").join(format!("{name}.toml"))
+}
+
+fn rehearse(path: &Path, out: &str) -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_orchidvalve"));
+    command.arg("rehearse").arg(path).arg("--out").arg(Path::new(env!("CARGO_TARGET_TMPDIR")).join(out));
+    command
+}
+
+#[test]
+fn every_ready_scenario_can_be_read_and_its_troubles_drawn() {
+    let all = std::fs::read_dir(scenario("small").parent().unwrap()).unwrap();
+    let mut count = 0;
+    for file in all.map(|f| f.unwrap().path()) {
+        let done = rehearse(&file, "check").arg("--check").output().unwrap();
+        assert!(done.status.success(), "{}: {}", file.display(), String::from_utf8_lossy(&done.stderr));
+        count += 1;
+    }
+    assert!(count >= 7);
+}
+
+#[test]
+fn a_small_rehearsal_breaks_no_rule_and_reports_what_it_saw() {
+    let done = rehearse(&scenario("small"), "small").arg("--json").output().unwrap();
+    let report: Value = serde_json::from_slice(&done.stdout).unwrap();
+    assert_eq!((&report["breaches"], &report["crashed"]), (&Value::Array(vec![]), &Value::Array(vec![])));
+    // Whether the machine was quick enough for the aim is not this story's.
+    assert!(matches!(done.status.code(), Some(0 | 1 | 3)), "{report}");
+    assert!(report["all"]["answered"].as_u64().unwrap() > 100 && report["launches"].as_u64().unwrap() > 300);
+    assert_eq!(report["troubles"].as_array().unwrap().len(), 3);
+    let out = Path::new(env!("CARGO_TARGET_TMPDIR")).join("small");
+    for file in ["report.md", "report.json", "service.svg"] {
+        assert!(out.join(file).metadata().unwrap().len() > 500, "{file}");
+    }
+}
+
+#[test]
+fn a_rehearsal_that_is_stopped_says_so_and_leaves_no_process() {
+    let mut child = rehearse(&scenario("month-end"), "stopped").stdout(Stdio::null()).spawn().unwrap();
+    let nodes = Path::new(env!("CARGO_TARGET_TMPDIR")).join("stopped/nodes");
+    let ours = || {
+        let all = std::fs::read_dir("/proc").unwrap().flatten();
+        all.filter(|p| {
+            let line = std::fs::read(p.path().join("cmdline")).unwrap_or_default();
+            String::from_utf8_lossy(&line).contains(&*nodes.to_string_lossy())
+        })
+        .count()
+    };
+    while ours() < 4 {
+        assert!(child.try_wait().unwrap().is_none(), "it ended before its front nodes ran");
+        std::thread::yield_now();
+    }
+    let stopped = Command::new("kill").args(["-TERM", &child.id().to_string()]).status().unwrap();
+    assert!(stopped.success());
+    assert_eq!(child.wait().unwrap().code(), Some(3), "it could not run to its end");
+    assert_eq!(ours(), 0);
+}
--- a/crates/frontnode/tests/coldstart.rs
+++ b/crates/frontnode/tests/coldstart.rs
@@ -19,7 +19,7 @@
     opening.coldstart = Some("fetches_a_second = 0.4\n".to_owned());
     let fleet = Fleet::open("cold-herd", &opening);
     {
-        let mut faults = fleet.relay.faults.lock().unwrap();
+        let mut faults = fleet.relay.faults();
         (faults.loss, faults.copies, faults.delay) = (0.3, 0.1, Duration::from_millis(2));
     }
     fleet.until("all have a list", |f| (0..NODES).all(|n| f.serves(n)));
--- a/crates/frontnode/tests/fleet.rs
+++ b/crates/frontnode/tests/fleet.rs
@@ -14,7 +14,7 @@
     let fleet = Fleet::open("failing", &Opening::of(4));
     fleet.until("all know each other", |f| (0..4).all(|n| f.gauge(n, "fleet_peers") == 3));
     {
-        let mut faults = fleet.relay.faults.lock().unwrap();
+        let mut faults = fleet.relay.faults();
         (faults.loss, faults.copies, faults.delay) = (0.2, 0.2, Duration::from_millis(3));
     }
     fleet.relay.cut_off(&[3], 4);
@@ -36,7 +36,7 @@
     assert_eq!(fleet.seen(0, "marker-b") + fleet.seen(0, "marker-c"), 0, "nodes 1 and 2 sent there");
     assert!(fleet.seen(0, "marker-d") > 0, "node 3, which heard nothing, met store 0 itself");
     assert!(fleet.seen(1, "marker-b") + fleet.seen(2, "marker-b") >= 12, "node 1 served its parts elsewhere");
-    let faults = fleet.relay.faults.lock().unwrap();
+    let faults = fleet.relay.faults();
     assert!(
         faults.lost > 0 && faults.passed > 0,
         "the relay lost {} and passed {}",
@@ -58,7 +58,7 @@
         let f = Fleet::open(story, &opening);
         if fleet {
             f.until("all know each other", |f| (0..NODES).all(|n| f.gauge(n, "fleet_peers") == 3));
-            let mut faults = f.relay.faults.lock().unwrap();
+            let mut faults = f.relay.faults();
             (faults.loss, faults.copies, faults.delay) = (0.3, 0.3, Duration::from_millis(3));
         }
         for store in &f.stores {
--- a/crates/frontnode/tests/herd/faults.rs
+++ b/crates/frontnode/tests/herd/faults.rs
@@ -71,7 +71,7 @@
     let f = Fleet::open(&format!("faults-{story}"), &opening);
     f.until("all know each other", |f| (0..NODES).all(|n| f.gauge(n, "fleet_peers") as usize == NODES - 1));
     {
-        let mut faults = f.relay.faults.lock().unwrap();
+        let mut faults = f.relay.faults();
         (faults.loss, faults.copies) = (fault.loss, fault.copies);
         faults.delay = Duration::from_millis(fault.delay_ms);
         faults.jitter = Duration::from_millis(fault.jitter_ms);
@@ -86,7 +86,7 @@
 
 /// Datagrams at node 0 until it is over: some that nobody can read, some that claim to be a peer's and are cut short.
 fn flood(f: &Fleet, over: &AtomicBool) {
-    let to = f.relay.faults.lock().unwrap().real[0].expect("node 0 listens");
+    let to = f.relay.faults().real[0].expect("node 0 listens");
     let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
     let mut n = 0u64;
     while !over.load(Relaxed) {
--- a/crates/frontnode/tests/herd/mod.rs
+++ b/crates/frontnode/tests/herd/mod.rs
@@ -4,16 +4,15 @@
 
 pub mod faults;
 
-use std::collections::BTreeSet;
 use std::io::{BufRead, BufReader, Read, Write};
-use std::net::{SocketAddr, TcpStream, UdpSocket};
+use std::net::{SocketAddr, TcpStream};
 use std::process::{Child, Command, Stdio};
-use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Mutex};
 use std::time::{Duration, Instant, SystemTime, UNIX_EPOCH};
 
 use orchidvalve_search::routes::{Routes, Settled};
 use orchidvalve_standin::agent::{Agent, Mood};
+use orchidvalve_standin::relay::Relay;
 use orchidvalve_standin::{Shelf, Store};
 use serde_json::{Value, json};
 
@@ -22,104 +21,6 @@
 const ROUTES: &str =
     "[index.jobs]\ngrade = \"look\"\nslices = \"all\"\n[index.jobs.fields]\ncustomer = \"keyword\"\n";
 
-/// What the relay does to datagrams, as a story changes it.
-#[derive(Default)]
-pub struct Faults {
-    /// Where each node's datagrams really go, once it said.
-    pub real: Vec<Option<SocketAddr>>,
-    /// Pairs of nodes, in order, between which nothing passes.
-    pub cut: BTreeSet<(usize, usize)>,
-    pub loss: f64,
-    pub copies: f64,
-    pub delay: Duration,
-    /// On top of it, up to that much more, so that datagrams overtake each other.
-    pub jitter: Duration,
-    pub chance: u64,
-    pub passed: u64,
-    pub lost: u64,
-}
-
-impl Faults {
-    fn draw(&mut self) -> f64 {
-        self.chance ^= self.chance << 13;
-        self.chance ^= self.chance >> 7;
-        self.chance ^= self.chance << 17;
-        (self.chance >> 11) as f64 / (1u64 << 53) as f64
-    }
-}
-
-/// One socket for each node, where the others send to it.
-pub struct Relay {
-    pub faults: Arc<Mutex<Faults>>,
-    pub fronts: Vec<SocketAddr>,
-    over: Arc<AtomicBool>,
-}
-
-impl Relay {
-    pub fn start(nodes: usize) -> Relay {
-        let faults = Arc::new(Mutex::new(Faults {
-            real: vec![None; nodes],
-            chance: 0x9e37_79b9,
-            ..Faults::default()
-        }));
-        let over = Arc::new(AtomicBool::new(false));
-        let mut fronts = Vec::new();
-        for to in 0..nodes {
-            let socket = UdpSocket::bind("127.0.0.1:0").unwrap();
-            socket.set_read_timeout(Some(Duration::from_millis(5))).unwrap();
-            fronts.push(socket.local_addr().unwrap());
-            let (faults, over) = (faults.clone(), over.clone());
-            std::thread::spawn(move || {
-                let mut late: Vec<(Instant, Vec<u8>)> = Vec::new();
-                let mut buffer = [0u8; 2048];
-                while !over.load(Relaxed) {
-                    let now = Instant::now();
-                    let real = faults.lock().unwrap().real[to];
-                    if let Some(real) = real {
-                        let (due, waiting): (Vec<_>, Vec<_>) = late.drain(..).partition(|(at, _)| *at <= now);
-                        late = waiting;
-                        for (_, bytes) in due {
-                            // One that the system does not take is lost, as on a network.
-                            let _ = socket.send_to(&bytes, real);
-                        }
-                    }
-                    let Ok((length, from)) = socket.recv_from(&mut buffer) else { continue };
-                    let mut f = faults.lock().unwrap();
-                    let Some(sender) = f.real.iter().position(|r| *r == Some(from)) else { continue };
-                    if f.cut.contains(&(sender, to)) || f.draw() < f.loss {
-                        f.lost += 1;
-                        continue;
-                    }
-                    f.passed += 1;
-                    let copies = if f.draw() < f.copies { 2 } else { 1 };
-                    for _ in 0..copies {
-                        let more = f.jitter.mul_f64(f.draw());
-                        late.push((Instant::now() + f.delay + more, buffer[..length].to_vec()));
-                    }
-                }
-            });
-        }
-        Relay { faults, fronts, over }
-    }
-
-    /// Nothing passes between `side` and all others, both ways.
-    pub fn cut_off(&self, side: &[usize], nodes: usize) {
-        let mut f = self.faults.lock().unwrap();
-        for &a in side {
-            for b in (0..nodes).filter(|b| !side.contains(b)) {
-                f.cut.insert((a, b));
-                f.cut.insert((b, a));
-            }
-        }
-    }
-}
-
-impl Drop for Relay {
-    fn drop(&mut self) {
-        self.over.store(true, Relaxed);
-    }
-}
-
 pub struct Front {
     pub child: Child,
     pub address: SocketAddr,
@@ -244,7 +145,7 @@
             .collect();
         let agent = Agent::start(any, members.clone()).unwrap();
         agent.mood(opening.mood);
-        let (relay, work) = (Relay::start(nodes), Relay::start(nodes));
+        let (relay, work) = (Relay::start(nodes).unwrap(), Relay::start(nodes).unwrap());
         let (mut configs, mut books) = (Vec::new(), Vec::new());
         for n in 0..nodes {
             let path = |kind: &str| format!("{}/fleet-{story}-{n}.{kind}", env!("CARGO_TARGET_TMPDIR"));
@@ -301,8 +202,8 @@
         let mut fronts = Vec::new();
         for (n, child) in children.into_iter().enumerate() {
             let (front, real) = listening(child);
-            relay.faults.lock().unwrap().real[n] = real.0;
-            work.faults.lock().unwrap().real[n] = real.1;
+            relay.faults().real[n] = real.0;
+            work.faults().real[n] = real.1;
             fronts.push(front);
         }
         Fleet { fronts, stores, relay, work, agent, configs, books }
@@ -335,8 +236,8 @@
     pub fn restart(&mut self, node: usize) -> Vec<String> {
         self.kill(node);
         let (front, real) = listening(run(&self.configs[node]));
-        self.relay.faults.lock().unwrap().real[node] = real.0;
-        self.work.faults.lock().unwrap().real[node] = real.1;
+        self.relay.faults().real[node] = real.0;
+        self.work.faults().real[node] = real.1;
         self.fronts[node] = front;
         self.fronts[node].lines.clone()
     }
--- a/crates/frontnode/tests/maintenance.rs
+++ b/crates/frontnode/tests/maintenance.rs
@@ -83,7 +83,7 @@
     const NODES: usize = 5;
     let mut f = open("work-turn", 3, NODES);
     {
-        let mut faults = f.work.faults.lock().unwrap();
+        let mut faults = f.work.faults();
         (faults.loss, faults.copies, faults.delay) = (0.2, 0.2, Duration::from_millis(3));
     }
     let killed = leader(&f, 3).unwrap();
@@ -137,7 +137,7 @@
     assert_eq!((stage(&f, cut, "s-0"), stage(&f, 4, "s-0")), (String::new(), String::new()));
     assert_eq!(stage(&f, 4, "s-2"), "", "node 4 is cut off: it learns late, and says how late");
     assert!(f.ask(4, "r", "c") == 200, "and serves on");
-    f.work.faults.lock().unwrap().cut.clear();
+    f.work.faults().cut.clear();
     f.until("one order at all nodes", |f| (0..NODES).all(|n| stage(f, n, "s-2") == "out"));
     ask(&f, 4, "s-0");
     f.until("the ask is in it", |f| (0..NODES).all(|n| stage(f, n, "s-0") == "asked"));
--- /dev/null
+++ b/crates/rehearsal/src/lib.rs
@@ -0,0 +1,26 @@
+//! Rehearsals of bad days on one machine: a scenario says what the fleet is, who asks, and what goes wrong when; real
+//! front nodes run as processes among stand-in stores; auditors read one stream of events and name every broken rule.
+//!
+//! What decides or keeps state is free of I/O and clocks: [`scenario`], [`timeline`], [`service`], [`roster`], [`load`],
+//! [`audit`], [`tally`]. Only [`real`] touches sockets, processes and time.
+
+pub mod audit;
+pub mod load;
+pub mod real;
+pub mod report;
+pub mod roster;
+pub mod scenario;
+pub mod service;
+pub mod tally;
+pub mod timeline;
+
+/// Nanoseconds, of a time or since a rehearsal began.
+pub type Nanos = i64;
+
+pub const MS: Nanos = 1_000_000;
+pub const SECOND: Nanos = 1_000 * MS;
+
+/// Store `n` as its first process and discovery name it.
+pub fn store_name(n: usize) -> String {
+    format!("s-{n}")
+}
--- /dev/null
+++ b/crates/rehearsal/src/load.rs
@@ -0,0 +1,134 @@
+//! Who asks what, and when: arrivals drawn from the seed before the rehearsal begins, so that a slow node never slows the
+//! load down, and what a client does with each answer. Free of I/O and clocks.
+
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::scenario::{Clients, Effect, Scenario, ms, seconds};
+use crate::{Nanos, SECOND};
+
+/// Something that a client wants, for the first time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct Want {
+    pub at: Nanos,
+    pub grade: usize,
+    pub tenant: Option<usize>,
+    pub shards: Vec<usize>,
+    pub front: usize,
+}
+
+fn weighted(weights: impl Iterator<Item = f64> + Clone, drawn: f64) -> usize {
+    let all: f64 = weights.clone().sum();
+    let mut left = drawn * all;
+    let place = weights.clone().position(|w| {
+        left -= w;
+        left < 0.0
+    });
+    place.unwrap_or(weights.count().saturating_sub(1))
+}
+
+/// All that is asked, in the order of time.
+pub fn arrivals(scenario: &Scenario, seed: u64) -> Vec<Want> {
+    let mut chance = Pcg64Mcg::seed_from_u64(seed ^ 0x6f72_6368_6964);
+    let mut wants = Vec::new();
+    for load in &scenario.load {
+        let (from, to) = (seconds(load.from_s), seconds(load.to_s));
+        let (first, last) = (load.rate, load.rate_end.unwrap_or(load.rate));
+        let highest = first.max(last);
+        let tenant = load.tenant.as_ref().and_then(|t| scenario.tenants.iter().position(|x| x.name == *t));
+        let mut at = from;
+        if highest <= 0.0 {
+            continue;
+        }
+        loop {
+            // Thinned: gaps of the highest rate, each kept with the share that its moment has of it.
+            let gap = -(1.0 - chance.random::<f64>()).ln() / highest;
+            at += (gap * SECOND as f64) as Nanos + 1;
+            if at >= to {
+                break;
+            }
+            let rate = first + (last - first) * (at - from) as f64 / (to - from).max(1) as f64;
+            if chance.random::<f64>() * highest > rate {
+                continue;
+            }
+            let grade = weighted(scenario.grades.iter().map(|g| g.weight), chance.random());
+            let drawn = chance.random();
+            let any = (!scenario.tenants.is_empty())
+                .then(|| weighted(scenario.tenants.iter().map(|t| t.weight), drawn));
+            let cells = scenario.stores.cells;
+            let wanted = scenario.grades[grade].shards;
+            let mut shards: Vec<usize> = (0..cells).collect();
+            if wanted > 0 {
+                let begin = chance.random_range(0..cells);
+                shards = (0..wanted).map(|n| (begin + n) % cells).collect();
+                shards.sort_unstable();
+            }
+            let front = chance.random_range(0..scenario.fronts);
+            wants.push(Want { at, grade, tenant: tenant.or(any), shards, front });
+        }
+    }
+    wants.sort_by_key(|w| w.at);
+    wants
+}
+
+/// What a front node's answer means to a client.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Reply {
+    Answered,
+    /// Dismissed, with the time that it was told to stay away.
+    Dismissed(Option<Nanos>),
+    /// Given up, or an answer that no front node makes.
+    GivenUp,
+    /// The connection ended without an answer.
+    Lost,
+    /// Its time was up.
+    Late,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub enum Then {
+    Ends,
+    /// Asks again at that time, of another front node where this one was lost.
+    Again {
+        at: Nanos,
+        elsewhere: bool,
+    },
+}
+
+/// One client's patience with one want: tries, each wait twice the last, all within its abandon time.
+#[derive(Clone, Debug)]
+pub struct Patience {
+    tries: u32,
+    wait: Nanos,
+    most: Nanos,
+    until: Nanos,
+    effect: Effect,
+}
+
+impl Patience {
+    pub fn new(clients: &Clients, effect: Effect, began: Nanos, abandon: Nanos) -> Patience {
+        let (wait, most) = (ms(clients.wait_ms), ms(clients.most_ms));
+        Patience { tries: clients.tries, wait, most, until: began + abandon, effect }
+    }
+
+    pub fn until(&self) -> Nanos {
+        self.until
+    }
+
+    pub fn hear(&mut self, now: Nanos, reply: Reply) -> Then {
+        let harmless = match reply {
+            Reply::Answered | Reply::Late => false,
+            // Whoever was dismissed knows that nothing of it was done.
+            Reply::Dismissed(_) => true,
+            Reply::GivenUp | Reply::Lost => self.effect != Effect::Effectful,
+        };
+        if !harmless || self.tries == 0 {
+            return Then::Ends;
+        }
+        self.tries -= 1;
+        let told = if let Reply::Dismissed(Some(told)) = reply { told } else { 0 };
+        let at = now + self.wait.max(told);
+        self.wait = (self.wait * 2).min(self.most);
+        if at >= self.until { Then::Ends } else { Then::Again { at, elsewhere: reply == Reply::Lost } }
+    }
+}
--- /dev/null
+++ b/crates/rehearsal/src/real/fronts.rs
@@ -0,0 +1,319 @@
+//! Front nodes as processes: started with files of their own, killed, started again, cut off from each other, and ended with
+//! whoever holds them.
+
+use std::io::{BufRead, BufReader, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::path::{Path, PathBuf};
+use std::process::{Child, Command, Stdio};
+use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
+use std::time::{Duration, Instant};
+
+use orchidvalve_standin::relay::Relay;
+use rustix::process::{Pid, Signal, kill_process};
+use serde_json::{Value, json};
+
+use crate::scenario::{Effect, Scenario, ms, seconds};
+use crate::{MS, Nanos};
+
+const READY_WITHIN: Duration = Duration::from_secs(30);
+
+/// What front nodes are started with.
+pub struct Stage<'a> {
+    pub scenario: &'a Scenario,
+    pub seed: u64,
+    pub program: &'a Path,
+    pub args: &'a [&'a str],
+    pub dir: &'a Path,
+    pub discovery: SocketAddr,
+    pub members: Value,
+}
+
+struct Front {
+    child: Child,
+    address: SocketAddr,
+    /// Killed by the rehearsal, and not started again.
+    killed: bool,
+}
+
+impl Drop for Front {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+pub struct Fronts {
+    fronts: Vec<Front>,
+    configs: Vec<PathBuf>,
+    program: PathBuf,
+    args: Vec<String>,
+    fleet: Option<Relay>,
+    work: Option<Relay>,
+    members: usize,
+}
+
+impl Fronts {
+    pub fn start(stage: &Stage) -> Result<Fronts, String> {
+        let scenario = stage.scenario;
+        let count = scenario.fronts;
+        let relay = || Relay::start(count).map_err(|e| format!("relay: {e}"));
+        let fleet = scenario.fleet.as_ref().map(|_| relay()).transpose()?;
+        let work = scenario.order.as_ref().map(|_| relay()).transpose()?;
+        let configs: Result<Vec<PathBuf>, String> =
+            (0..count).map(|n| configure(stage, n, fleet.as_ref(), work.as_ref())).collect();
+        let members = scenario.order.as_ref().map_or(0, |o| o.members);
+        let args = stage.args.iter().map(|a| (*a).to_owned()).collect();
+        let program = stage.program.to_owned();
+        let mut all = Fronts { fronts: Vec::new(), configs: configs?, program, args, fleet, work, members };
+        // All at once, as after a release: each is waited for only once all run.
+        let children: Result<Vec<Child>, String> = (0..count).map(|n| all.run(n)).collect();
+        for (n, child) in children?.into_iter().enumerate() {
+            let front = all.listening(n, child)?;
+            all.fronts.push(front);
+        }
+        Ok(all)
+    }
+
+    fn run(&self, n: usize) -> Result<Child, String> {
+        let mut command = Command::new(&self.program);
+        command.args(&self.args).arg(&self.configs[n]).stdin(Stdio::null()).stdout(Stdio::null());
+        command.stderr(Stdio::piped()).spawn().map_err(|e| format!("{}: {e}", self.program.display()))
+    }
+
+    /// Waits until it listens; its log goes on to a file beside its configuration.
+    fn listening(&self, n: usize, mut child: Child) -> Result<Front, String> {
+        let Some(log) = child.stderr.take() else { return Err(format!("front node {n}: no log")) };
+        let (mut log, mut said) = (BufReader::new(log), String::new());
+        let address = loop {
+            let mut line = String::new();
+            if log.read_line(&mut line).unwrap_or(0) == 0 {
+                let _ = child.kill();
+                let _ = child.wait();
+                return Err(format!("front node {n} did not start: {}", said.trim()));
+            }
+            let told = |of: &str| line.split(of).nth(1)?.split(',').next()?.trim().parse::<SocketAddr>().ok();
+            for (relay, of) in
+                [(&self.fleet, "fleet: datagrams at "), (&self.work, "maintenance: datagrams at ")]
+            {
+                if let (Some(relay), Some(real)) = (relay, told(of)) {
+                    relay.faults().real[n] = Some(real);
+                }
+            }
+            if let Some(address) = told("listening on ") {
+                break address;
+            }
+            said += &line;
+        };
+        let path = self.configs[n].with_extension("log");
+        std::thread::spawn(move || {
+            let file = std::fs::OpenOptions::new().create(true).append(true).open(path);
+            if let Ok(mut file) = file {
+                let _ = std::io::copy(&mut log, &mut file);
+            }
+        });
+        Ok(Front { child, address, killed: false })
+    }
+
+    /// Waits until each has a list to serve by, and the group of the order a leader.
+    pub fn ready(&self, stop: &AtomicBool) -> Result<(), String> {
+        let end = Instant::now() + READY_WITHIN;
+        let serves =
+            |n: usize| self.exchange(n, "GET", "/_health", "").is_some_and(|(status, _)| status == 200);
+        let leads = || (0..self.members).any(|n| self.order_at(n).is_some_and(|v| v["leads"] == true));
+        let ready = || (0..self.fronts.len()).all(serves) && (self.members == 0 || leads());
+        while !ready() {
+            if stop.load(Relaxed) {
+                return Err("it was stopped".to_owned());
+            }
+            if Instant::now() > end {
+                return Err("the front nodes were not ready within 30 s".to_owned());
+            }
+            std::thread::sleep(Duration::from_millis(10));
+        }
+        Ok(())
+    }
+
+    pub fn addresses(&self) -> Vec<Option<SocketAddr>> {
+        self.fronts.iter().map(|f| (!f.killed).then_some(f.address)).collect()
+    }
+
+    pub fn kill(&mut self, n: usize) {
+        let front = &mut self.fronts[n];
+        front.killed = true;
+        let _ = front.child.kill();
+        let _ = front.child.wait();
+    }
+
+    pub fn restart(&mut self, n: usize) -> Result<(), String> {
+        if !self.fronts[n].killed {
+            return Ok(());
+        }
+        let child = self.run(n)?;
+        self.fronts[n] = self.listening(n, child)?;
+        Ok(())
+    }
+
+    pub fn reload(&self, n: usize) {
+        let pid = i32::try_from(self.fronts[n].child.id()).ok().and_then(Pid::from_raw);
+        if let Some(pid) = pid.filter(|_| !self.fronts[n].killed) {
+            let _ = kill_process(pid, Signal::HUP);
+        }
+    }
+
+    /// The first so many hear nothing of the others, nor they of them; none: all links are whole.
+    pub fn cut(&self, first: Option<usize>) {
+        for relay in [&self.fleet, &self.work].into_iter().flatten() {
+            relay.faults().cut.clear();
+            if let Some(first) = first {
+                relay.cut_off(&(0..first).collect::<Vec<_>>(), self.fronts.len());
+            }
+        }
+    }
+
+    /// Front nodes that ended without being told to.
+    pub fn crashed(&mut self) -> Vec<usize> {
+        let ended = |(n, f): (usize, &mut Front)| {
+            (!f.killed && f.child.try_wait().is_ok_and(|status| status.is_some())).then_some(n)
+        };
+        self.fronts.iter_mut().enumerate().filter_map(ended).collect()
+    }
+
+    pub fn end(&mut self) {
+        self.fronts.clear();
+    }
+
+    /// Asks the first front node that answers to let a machine go.
+    pub fn ask_out(&self, machine: &str, lasts: Nanos) -> bool {
+        let wish =
+            json!({"machine": machine, "by": "rehearsal", "lasts_ms": lasts / MS + 60_000}).to_string();
+        // From the last on: a follower takes it as well as a member.
+        let taken =
+            |n: usize| self.exchange(n, "POST", "/_maintenance/ask", &wish).is_some_and(|(s, _)| s == 202);
+        (0..self.fronts.len()).rev().any(taken)
+    }
+
+    fn order_at(&self, n: usize) -> Option<Value> {
+        serde_json::from_str(&self.exchange(n, "GET", "/_maintenance", "")?.1).ok()
+    }
+
+    /// Whether the first front node that answers knows a machine as out.
+    pub fn is_out(&self, machine: &str) -> bool {
+        let order = (0..self.fronts.len()).rev().find_map(|n| self.order_at(n));
+        let entries = order.as_ref().and_then(|o| o["entries"].as_array()).into_iter().flatten();
+        entries.into_iter().any(|e| e["machine"] == machine && e["stage"] == "out")
+    }
+
+    fn exchange(&self, n: usize, method: &str, path: &str, body: &str) -> Option<(u16, String)> {
+        let front = self.fronts.get(n).filter(|f| !f.killed)?;
+        let wait = Duration::from_millis(500);
+        let mut stream = TcpStream::connect_timeout(&front.address, wait).ok()?;
+        stream.set_read_timeout(Some(wait)).ok()?;
+        let head = format!(
+            "{method} {path} HTTP/1.1\r\nConnection: close\r\nContent-Length: {}\r\n\r\n",
+            body.len()
+        );
+        stream.write_all(format!("{head}{body}").as_bytes()).ok()?;
+        let mut answer = String::new();
+        stream.read_to_string(&mut answer).ok()?;
+        let status = answer.split(' ').nth(1)?.parse().ok()?;
+        Some((status, answer.split_once("\r\n\r\n")?.1.to_owned()))
+    }
+}
+
+fn settings(scenario: &Scenario) -> Value {
+    let effect = |e: Effect| match e {
+        Effect::Pure => "pure",
+        Effect::Receipted => "token",
+        Effect::Effectful => "side_effect",
+    };
+    let classes: Vec<Value> = scenario
+        .grades
+        .iter()
+        .map(|g| {
+            json!({"name": g.name, "effect": effect(g.effect), "objectiveNs": ms(g.soft_ms), "deadlineNs": ms(g.abandon_ms),
+                   "windowNs": ms(g.window_ms), "lateWorth": 0.3, "value": 1.0, "group": "all"})
+        })
+        .collect();
+    let floors: Vec<f64> = scenario.grades.iter().map(|g| g.floor).collect();
+    let (whole, short): (Vec<f64>, Vec<f64>) = floors.iter().map(|_| (1.0, 0.5)).unzip();
+    let projects: Vec<Value> = scenario
+        .tenants
+        .iter()
+        .map(|t| {
+            let mut project = json!({"name": t.name});
+            if let Some(share) = t.share {
+                project["allowancePerS"] = json!(share);
+            }
+            project
+        })
+        .collect();
+    let (s, r) = (&scenario.stores, &scenario.rules);
+    let mut rules = json!({"coldShare": r.cold_share, "coldNs": seconds(s.cold_s), "fallMultiple": 1.0,
+                           "fallNs": ms(r.cold_window_ms), "stopSendingWithinNs": ms(r.grace_ms)});
+    if let Some(free) = r.further_free {
+        rules["budgetFree"] = json!(free);
+        rules["repeatRatio"] = json!(r.further_share);
+        rules["ratioSpanNs"] = json!(ms(r.further_window_ms));
+    }
+    json!({
+        "classes": classes,
+        "projects": projects,
+        "extra": {"positions": s.cells, "reach": s.reach, "slices": s.cells, "bundleMax": 4, "classFloor": floors,
+                  "wholeAt": whole, "shortWorth": short},
+        "feedback": {"how": "on_probe", "names": ["waiting", "rps"]},
+        "limits": {"attemptsCap": r.attempts_cap, "cancel": true, "secondCopies": true, "probes": true, "multiplex": 16,
+                   "connIdleNs": 15_000_000_000u64, "connectTimeoutNs": 250_000_000, "retryAfter": true,
+                   "maxRetryAfterNs": 1_000_000_000},
+        "rules": rules,
+        "resolutionNs": 1_000_000
+    })
+}
+
+/// Writes a front node's configuration, and the files that it names; the path of the first.
+fn configure(
+    stage: &Stage,
+    n: usize,
+    fleet: Option<&Relay>,
+    work: Option<&Relay>,
+) -> Result<PathBuf, String> {
+    let Stage { scenario, seed, dir, .. } = stage;
+    let path = |kind: &str| dir.join(format!("front-{n}.{kind}"));
+    let write = |kind: &str, text: String| {
+        let path = path(kind);
+        std::fs::write(&path, text).map_err(|e| format!("{}: {e}", path.display())).map(|()| path)
+    };
+    let mut config = json!({
+        "name": format!("front-{n}"), "listen": "127.0.0.1:0", "discovery": stage.discovery.to_string(),
+        "seed": format!("{:016x}", seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(n as u64)),
+        "limits": {"memory_mb": 192, "sockets": 1024},
+        "known": {"revision": 1, "complete": true, "members": stage.members},
+        "settings": settings(scenario)
+    });
+    if let (Some(relay), Some(fleet)) = (fleet, &scenario.fleet) {
+        let retries =
+            fleet.retries_a_second.map_or(String::new(), |r| format!("retries_a_second = {r:.3}\n"));
+        let text = format!(
+            "[fleet]\nlisten = \"127.0.0.1:0\"\nadvertise = \"{}\"\npeers = [\"{}\"]\nexpected = {}\nprobe_ms = 200\n\
+             suspect_ms = 1000\ngossip_ms = 50\ncold_floor = {:.3}\n{retries}",
+            relay.fronts[n], relay.fronts[0], scenario.fronts, fleet.cold_floor
+        );
+        config["fleet"] = json!(write("fleet.toml", text)?);
+    }
+    if let (Some(relay), Some(order)) = (work, &scenario.order) {
+        let group: Vec<String> = relay.fronts[..order.members].iter().map(|a| format!("\"{a}\"")).collect();
+        let member = if n < order.members { format!("member = {}\n", n + 1) } else { String::new() };
+        let text = format!(
+            "[maintenance]\nlisten = \"127.0.0.1:0\"\nadvertise = \"{}\"\ngroup = [{}]\n{member}tick_ms = 20\nfollow_ms = 50\n\
+             drain_ms = {}\nlook_lasts_ms = 3000\nshare = {:.3}\nzone_share = 1.0\n",
+            relay.fronts[n],
+            group.join(", "),
+            order.drain_ms,
+            order.share
+        );
+        config["maintenance"] = json!(write("work.toml", text)?);
+        let book = dir.join(format!("front-{n}.book"));
+        let _ = std::fs::remove_dir_all(&book);
+        config["logbook"] = json!(write("logbook.toml", format!("[logbook]\ndir = {book:?}\n"))?);
+    }
+    write("json", config.to_string())
+}
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -4,6 +4,7 @@
 
 pub mod agent;
 mod frames;
+pub mod relay;
 mod rest;
 
 use std::collections::{BTreeMap, BTreeSet};
