Rehearsals in virtual time: the real decisions on the same scenarios and stores

Nodes told that effectful grades are pure, or a floor too low, break rules 2 and 5 by name and no other.

--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -6,9 +6,10 @@
 use std::sync::atomic::AtomicBool;
 
 use clap::Args;
-use orchidvalve_rehearsal::report::Verdict;
+use orchidvalve_rehearsal::minds::Policy;
+use orchidvalve_rehearsal::report::{Report, Verdict};
 use orchidvalve_rehearsal::scenario::Scenario;
-use orchidvalve_rehearsal::{SECOND, real};
+use orchidvalve_rehearsal::{SECOND, emulator, real};
 
 #[derive(Args)]
 pub struct RehearseArgs {
@@ -23,11 +24,22 @@
     /// Print the report as JSON
     #[arg(long)]
     json: bool,
+    /// In virtual time: the real decisions, no processes, no sockets and no clock
+    #[arg(long = "virtual")]
+    emulate: bool,
+    /// Who decides in virtual time: ours, random, round-robin, fewest, oracle
+    #[arg(long, default_value = "ours", requires = "emulate", value_parser = policy)]
+    policy: Policy,
     /// Only read and check the scenario, and draw its troubles
     #[arg(long)]
     check: bool,
 }
 
+fn policy(word: &str) -> Result<Policy, String> {
+    let found = Policy::ALL.into_iter().find(|p| p.name() == word);
+    found.ok_or_else(|| format!("should be one of {}", Policy::ALL.map(Policy::name).join(", ")))
+}
+
 /// The exit status: 0 service held, 1 it fell short of the aim, 2 a rule was broken, 3 it could not run.
 pub fn run(args: &RehearseArgs) -> Result<u8, (u8, String)> {
     let could_not = |fault: String| (Verdict::CouldNotRun.exit(), fault);
@@ -45,6 +57,21 @@
         }
         return Ok(0);
     }
+    if args.emulate {
+        let began = std::time::Instant::now();
+        let (report, effort) = emulator::play(&scenario, args.seed, args.policy)
+            .map_err(|fault| could_not(format!("{name}: {fault}")))?;
+        let took = began.elapsed().as_secs_f64();
+        eprintln!(
+            "{} retrievals, {} launches, {} events, {} rounds in {took:.2} s: {:.0} retrievals a second",
+            report.all.asked,
+            report.launches,
+            effort.events,
+            effort.rounds,
+            report.all.asked as f64 / took
+        );
+        return told(&report, args);
+    }
     let program = std::env::current_exe().map_err(|e| could_not(format!("this program's path: {e}")))?;
     let stop = Arc::new(AtomicBool::new(false));
     for signal in [signal_hook::consts::SIGINT, signal_hook::consts::SIGTERM] {
@@ -65,9 +92,14 @@
     if shown {
         eprintln!();
     }
+    told(&report, args)
+}
+
+fn told(report: &Report, args: &RehearseArgs) -> Result<u8, (u8, String)> {
+    let could_not = |fault: String| (Verdict::CouldNotRun.exit(), fault);
     report.write(&args.out).map_err(could_not)?;
     if args.json {
-        println!("{}", serde_json::to_string(&report).map_err(|e| could_not(e.to_string()))?);
+        println!("{}", serde_json::to_string(report).map_err(|e| could_not(e.to_string()))?);
     } else {
         print!("{}", report.page());
     }
--- /dev/null
+++ b/crates/rehearsal/src/emulator.rs
@@ -0,0 +1,798 @@
+//! A rehearsal in virtual time: the same scenario, the same stores, discovery and clients as on sockets, the real decisions, no
+//! sockets and no clock. The same seed gives the same rehearsal to the last event; a thousand stores run on one core.
+//!
+//! The network is a fixed delay. What it leaves out against the real one: connections and their handshakes, the processor time
+//! of front nodes, parts that share a call, and the talk among front nodes; the order of work is one order that all follow.
+
+use std::cmp::Reverse;
+use std::collections::{BTreeMap, BTreeSet, BinaryHeap, HashMap};
+
+use orchidvalve::interface::{PartIx, ReplicaIx, RetrievalIx, StandingOrders, Writer};
+use orchidvalve::ledger::{Ending, Ledger};
+use orchidvalve_maintenance::order::{Command, Logged, Order, Pace, Stage};
+use orchidvalve_maintenance::rule::{Health, Rule, Seen};
+use orchidvalve_orders::Section;
+
+use crate::audit::{Auditors, Event};
+use crate::load::{Patience, Reply, Then, Want, arrivals};
+use crate::minds::{Mind, Policy};
+use crate::report::{Report, Told, report};
+use crate::roster::{Listed, Phase};
+use crate::scenario::{Effect, Scenario, ms, seconds};
+use crate::service::{Service, Taken};
+use crate::settings::settings;
+use crate::show::{Hands, Show};
+use crate::tally::{Fate, Tally};
+use crate::timeline::{Condition, Timeline};
+use crate::{MS, Nanos, SECOND, store_name};
+
+/// One way between any two.
+const DELAY: Nanos = MS / 10;
+/// A connection that is not taken is known as such after this long where the machine is silent.
+const PROBE_WITHIN: Nanos = SECOND;
+/// The order of work is looked at, and learned by the front nodes, this often.
+const ORDER_EVERY: Nanos = 50 * MS;
+/// Time before the first want, in which front nodes learn the list.
+const BEGINS: Nanos = SECOND;
+
+/// What falls due at a moment.
+enum Due {
+    /// A client asks, for the first time or again.
+    Client(usize),
+    Front(usize),
+    /// A launch reaches its store.
+    Store(Launch),
+    /// A store's work on a launch is done.
+    Done(Launch, Ending),
+    /// Its limit has passed.
+    Limit(Launch),
+    Probe(usize, u32, ReplicaIx, usize),
+    Reply(usize, usize, Reply, Fate),
+    /// A client's time is up.
+    Gone(usize, usize),
+    Show,
+    Order,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash, PartialOrd, Ord)]
+struct Launch {
+    front: usize,
+    /// Which of the front node's processes it is of.
+    life: u32,
+    part: PartIx,
+    number: usize,
+    store: usize,
+    /// Which of the store's processes it went to.
+    process: u32,
+}
+
+/// What came to a front node since its last round.
+enum Input {
+    Ask(usize),
+    Ended(PartIx, usize, Ending, Nanos),
+    Probed(ReplicaIx, bool, Option<(f64, f64)>),
+    List,
+    Lapsed(RetrievalIx),
+}
+
+struct Retrieval {
+    client: usize,
+    id: String,
+    values: BTreeMap<usize, String>,
+}
+
+#[derive(Clone, Copy)]
+struct Out {
+    store: usize,
+    sent: Nanos,
+}
+
+struct Front {
+    /// Away only while it decides.
+    mind: Option<Mind>,
+    life: u32,
+    up: bool,
+    inbox: Vec<Input>,
+    /// When its next round is set for.
+    due: Option<Nanos>,
+    last: Nanos,
+    wake: Nanos,
+    retrievals: HashMap<RetrievalIx, Retrieval>,
+    parts: HashMap<PartIx, (RetrievalIx, usize)>,
+    counts: HashMap<PartIx, usize>,
+    out: HashMap<(PartIx, usize), Out>,
+    replicas: BTreeMap<String, ReplicaIx>,
+    stores: HashMap<ReplicaIx, usize>,
+}
+
+struct Store {
+    service: Service,
+    name: String,
+    off: bool,
+    process: u32,
+    /// Launches on it.
+    held: BTreeSet<Launch>,
+}
+
+struct Client {
+    want: Want,
+    patience: Patience,
+    front: usize,
+    tries: u32,
+    /// The try that is out, by its number, and its retrieval at the front node.
+    asked: Option<(usize, Option<RetrievalIx>)>,
+    ended: bool,
+}
+
+enum Decision {
+    Launch(PartIx, ReplicaIx, Nanos),
+    Retract(PartIx, usize),
+    Answer(RetrievalIx, bool),
+    Dismiss(RetrievalIx, Nanos),
+    GiveUp(RetrievalIx),
+    Probe(ReplicaIx),
+}
+
+#[derive(Default)]
+struct Sink {
+    told: Vec<Decision>,
+    wake: Option<Nanos>,
+}
+
+impl Writer for Sink {
+    fn launch(&mut self, part: PartIx, replica: ReplicaIx, limit: Nanos) {
+        self.told.push(Decision::Launch(part, replica, limit));
+    }
+    fn retract(&mut self, part: PartIx, launch: usize) {
+        self.told.push(Decision::Retract(part, launch));
+    }
+    fn answer(&mut self, retrieval: RetrievalIx, whole: bool) {
+        self.told.push(Decision::Answer(retrieval, whole));
+    }
+    fn dismiss(&mut self, retrieval: RetrievalIx, stay_away: Nanos) {
+        self.told.push(Decision::Dismiss(retrieval, stay_away));
+    }
+    fn give_up(&mut self, retrieval: RetrievalIx) {
+        self.told.push(Decision::GiveUp(retrieval));
+    }
+    fn probe(&mut self, replica: ReplicaIx) {
+        self.told.push(Decision::Probe(replica));
+    }
+    fn wake(&mut self, at: Nanos) {
+        self.wake = Some(at);
+    }
+    fn follow_roster(&mut self) {}
+}
+
+/// The world in virtual time.
+struct World<'a> {
+    scenario: &'a Scenario,
+    policy: Policy,
+    seed: u64,
+    orders: StandingOrders,
+    now: Nanos,
+    due: BinaryHeap<Reverse<(Nanos, u64)>>,
+    what: HashMap<u64, Due>,
+    count: u64,
+    fronts: Vec<Front>,
+    stores: Vec<Store>,
+    clients: Vec<Client>,
+    list: BTreeMap<String, Listed>,
+    order: Order,
+    nonce: u64,
+    /// Machines that the order closes, as the front nodes know it.
+    closed: BTreeSet<String>,
+    auditors: Auditors,
+    tally: Tally,
+    launches: u64,
+    tries: usize,
+}
+
+/// What a rehearsal in virtual time took: events, and front nodes' rounds.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Effort {
+    pub events: u64,
+    pub rounds: u64,
+}
+
+/// Plays a scenario in virtual time under a policy.
+pub fn play(scenario: &Scenario, seed: u64, policy: Policy) -> Result<(Report, Effort), String> {
+    play_told(scenario, seed, policy, |_| {})
+}
+
+/// The same with what the front nodes are told amended, while the auditors go by the scenario.
+pub fn play_told(
+    scenario: &Scenario,
+    seed: u64,
+    policy: Policy,
+    amend: impl FnOnce(&mut StandingOrders),
+) -> Result<(Report, Effort), String> {
+    let timeline = Timeline::new(scenario, seed)?;
+    let acts = timeline.acts().to_vec();
+    let mut show = Show::new(scenario, timeline, BEGINS);
+    let mut world = World::new(scenario, seed, policy, show.list().clone(), amend)?;
+    let mut effort = Effort::default();
+    let end = BEGINS + scenario.lasts() + scenario.longest() + 200 * MS;
+    world.at(BEGINS, Due::Show);
+    if scenario.order.is_some() {
+        world.at(BEGINS, Due::Order);
+    }
+    while let Some(Reverse((at, count))) = world.due.pop() {
+        let Some(due) = world.what.remove(&count) else { continue };
+        if at > end && (!show.busy() || at > end + 20 * SECOND) {
+            break;
+        }
+        world.now = at;
+        effort.events += 1;
+        effort.rounds += u64::from(matches!(due, Due::Front(_)));
+        if let Due::Show = due {
+            show.round(&mut world)?;
+            if let Some(next) = show.next_due() {
+                world.at(next.max(at + 1), Due::Show);
+            }
+            continue;
+        }
+        world.fall(due);
+    }
+    let told = Told {
+        seed,
+        launches: world.launches,
+        events: world.auditors.heard(),
+        crashed: Vec::new(),
+        breaches: Vec::new(),
+        broken_off: None,
+    };
+    let World { auditors, tally, now, .. } = world;
+    let mut breaches = auditors.end(now);
+    breaches.iter_mut().for_each(|b| b.at_ms -= BEGINS / MS);
+    Ok((report(scenario, &acts, &tally, Told { breaches, ..told }), effort))
+}
+
+impl<'a> World<'a> {
+    fn new(
+        scenario: &'a Scenario,
+        seed: u64,
+        policy: Policy,
+        list: BTreeMap<String, Listed>,
+        amend: impl FnOnce(&mut StandingOrders),
+    ) -> Result<World<'a>, String> {
+        let settings = settings(scenario);
+        let mut orders = orchidvalve_orders::read(&Section::of("settings", &settings)?)?;
+        amend(&mut orders);
+        let store = |n: usize| Store {
+            service: Service::new(&scenario.stores, &scenario.rules, seed.wrapping_add(n as u64)),
+            name: store_name(n),
+            off: false,
+            process: 0,
+            held: BTreeSet::new(),
+        };
+        let client = |want: Want| {
+            let grade = &scenario.grades[want.grade];
+            let patience =
+                Patience::new(&scenario.clients, grade.effect, BEGINS + want.at, ms(grade.abandon_ms));
+            let front = want.front;
+            Client { want, patience, front, tries: 0, asked: None, ended: false }
+        };
+        let mut world = World {
+            scenario,
+            policy,
+            seed,
+            now: 0,
+            due: BinaryHeap::new(),
+            what: HashMap::new(),
+            count: 0,
+            fronts: Vec::new(),
+            stores: (0..scenario.stores.count()).map(store).collect(),
+            clients: arrivals(scenario, seed).into_iter().map(client).collect(),
+            list,
+            order: Order::default(),
+            nonce: 0,
+            closed: BTreeSet::new(),
+            auditors: Auditors::new(scenario),
+            tally: Tally::new(scenario),
+            launches: 0,
+            tries: 0,
+            orders,
+        };
+        for n in 0..scenario.fronts {
+            let front = world.front(n, 0);
+            world.fronts.push(front);
+            world.hear(n, Input::List);
+        }
+        for n in 0..world.clients.len() {
+            world.at(BEGINS + world.clients[n].want.at, Due::Client(n));
+        }
+        Ok(world)
+    }
+
+    fn front(&self, n: usize, life: u32) -> Front {
+        let seed =
+            self.seed.wrapping_mul(0x9e37_79b9_7f4a_7c15).wrapping_add(n as u64 + (u64::from(life) << 32));
+        Front {
+            mind: Some(Mind::new(self.policy, self.orders.clone(), seed)),
+            life,
+            up: true,
+            inbox: Vec::new(),
+            due: None,
+            last: Nanos::MIN / 2,
+            wake: Nanos::MAX,
+            retrievals: HashMap::new(),
+            parts: HashMap::new(),
+            counts: HashMap::new(),
+            out: HashMap::new(),
+            replicas: BTreeMap::new(),
+            stores: HashMap::new(),
+        }
+    }
+
+    fn at(&mut self, at: Nanos, due: Due) {
+        self.count += 1;
+        self.due.push(Reverse((at, self.count)));
+        self.what.insert(self.count, due);
+    }
+
+    fn tell(&mut self, event: Event) {
+        self.auditors.hear(self.now, &event);
+    }
+
+    /// Something for a front node's next round, which is a beat after its last one at the earliest.
+    fn hear(&mut self, front: usize, input: Input) {
+        let f = &mut self.fronts[front];
+        if !f.up {
+            return;
+        }
+        f.inbox.push(input);
+        self.set(front, self.now);
+    }
+
+    fn set(&mut self, front: usize, at: Nanos) {
+        let beat = self.orders.beat;
+        let f = &mut self.fronts[front];
+        let at = at.max(f.last + beat);
+        if f.due.is_none_or(|due| at < due) {
+            f.due = Some(at);
+            self.at(at, Due::Front(front));
+        }
+    }
+
+    fn fall(&mut self, due: Due) {
+        match due {
+            Due::Client(n) => self.asks(n),
+            Due::Front(n) => self.round(n),
+            Due::Store(launch) => self.arrives(launch),
+            Due::Done(launch, ending) => self.done(launch, ending),
+            Due::Limit(launch) => self.ended(launch, Ending::Silent),
+            Due::Probe(front, life, replica, store) => self.probed(front, life, replica, store),
+            Due::Reply(client, number, reply, fate) => self.replied(client, number, reply, fate),
+            Due::Gone(client, number) => self.gone(client, number),
+            Due::Order => self.looked(),
+            Due::Show => {}
+        }
+    }
+
+    // ---- clients ----
+
+    fn asks(&mut self, n: usize) {
+        let count = self.fronts.len();
+        let up = (0..count).map(|k| (self.clients[n].front + k) % count).find(|f| self.fronts[*f].up);
+        self.tries += 1;
+        let (number, until) = (self.tries, self.clients[n].patience.until());
+        let client = &mut self.clients[n];
+        client.tries += 1;
+        client.asked = Some((number, None));
+        self.tally.late(1);
+        let Some(front) = up else {
+            return self.at(self.now + DELAY, Due::Reply(n, number, Reply::Lost, Fate::Lost));
+        };
+        let client = &mut self.clients[n];
+        client.front = front;
+        let (grade, tenant, shards) = (client.want.grade, client.want.tenant, client.want.shards.clone());
+        let key = self.key(n);
+        let id = id(front, number);
+        self.tell(Event::Asked { id, front, grade, tenant, shards, key, until });
+        self.hear(front, Input::Ask(n));
+        self.at(until + ms(self.scenario.rules.slack_ms) * 2, Due::Gone(n, number));
+    }
+
+    fn key(&self, n: usize) -> Option<String> {
+        let receipted = self.scenario.grades[self.clients[n].want.grade].effect == Effect::Receipted;
+        receipted.then(|| format!("{n:032x}"))
+    }
+
+    fn replied(&mut self, n: usize, number: usize, reply: Reply, fate: Fate) {
+        let client = &mut self.clients[n];
+        if client.ended || client.asked.is_none_or(|(asked, _)| asked != number) {
+            return;
+        }
+        client.asked = None;
+        match client.patience.hear(self.now, reply) {
+            Then::Ends => {
+                client.ended = true;
+                let (whom, wanted) = ((client.want.grade, client.want.tenant), client.want.at);
+                self.tally.take(whom, wanted, self.now - BEGINS, fate, client.tries);
+            }
+            Then::Again { at, elsewhere } => {
+                client.front = (client.front + usize::from(elsewhere)) % self.fronts.len();
+                self.at(at, Due::Client(n));
+            }
+        }
+    }
+
+    fn gone(&mut self, n: usize, number: usize) {
+        let asked = self.clients[n].asked;
+        if asked.is_some_and(|(asked, _)| asked == number) {
+            if let Some((_, Some(retrieval))) = asked {
+                self.hear(self.clients[n].front, Input::Lapsed(retrieval));
+            }
+            self.replied(n, number, Reply::Late, Fate::Late);
+        }
+    }
+
+    // ---- front nodes ----
+
+    fn round(&mut self, n: usize) {
+        let (now, beat) = (self.now, self.orders.beat);
+        if !self.fronts[n].up || self.fronts[n].due != Some(now) {
+            return;
+        }
+        let Some(mut mind) = self.fronts[n].mind.take() else { return };
+        let inbox = std::mem::take(&mut self.fronts[n].inbox);
+        let (f, clients, list, closed) = (&mut self.fronts[n], &mut self.clients, &self.list, &self.closed);
+        (f.due, f.last, f.wake) = (None, now, Nanos::MAX);
+        let mut sink = Sink::default();
+        let scenario = self.scenario;
+        let stores = &self.stores;
+        let by_replica: HashMap<ReplicaIx, usize> = match self.policy {
+            Policy::Oracle => f.stores.clone(),
+            _ => HashMap::new(),
+        };
+        let sees = |replica: ReplicaIx| {
+            let store = &stores[*by_replica.get(&replica)?];
+            let c = store.service.condition;
+            let up = !store.off && store.service.up(now) && !c.silent && !c.stalled && !c.draining;
+            up.then(|| store.service.would_take(now))
+        };
+        let came_in = |ledger: &mut Ledger| {
+            for input in inbox {
+                match input {
+                    Input::Ask(client) => take(f, &mut clients[client], (n, client), ledger),
+                    Input::Ended(part, launch, ending, took) => {
+                        ledger.launch_ended(part, launch, ending, took, false);
+                    }
+                    Input::Probed(replica, answered, told) => ledger.probe_ended(replica, answered, told),
+                    Input::List => learn(f, list, closed, scenario, ledger),
+                    Input::Lapsed(retrieval) => {
+                        ledger.retrieval_lapsed(retrieval);
+                        f.retrievals.remove(&retrieval);
+                    }
+                }
+            }
+        };
+        mind.round(now, came_in, &sees, &mut sink);
+        self.fronts[n].mind = Some(mind);
+        for decision in sink.told {
+            self.carry_out(n, decision);
+        }
+        if let Some(wake) = sink.wake {
+            self.fronts[n].wake = wake;
+            self.set(n, wake.max(now + beat));
+        }
+        // What is over and will not be asked for any more is let go now and then.
+        if self.fronts[n].counts.len() > 100_000 {
+            let f = &mut self.fronts[n];
+            let kept: BTreeSet<RetrievalIx> = f.retrievals.keys().copied().collect();
+            f.parts.retain(|_, (r, _)| kept.contains(r));
+            f.counts.retain(|p, _| f.parts.contains_key(p));
+        }
+    }
+
+    fn carry_out(&mut self, n: usize, decision: Decision) {
+        let now = self.now;
+        let life = self.fronts[n].life;
+        match decision {
+            Decision::Launch(part, replica, limit) => {
+                let f = &mut self.fronts[n];
+                let Some(&store) = f.stores.get(&replica) else { return };
+                let count = f.counts.entry(part).or_default();
+                let number = *count;
+                *count += 1;
+                f.out.insert((part, number), Out { store, sent: now });
+                let process = self.stores[store].process;
+                let launch = Launch { front: n, life, part, number, store, process };
+                self.at(now + DELAY, Due::Store(launch));
+                self.at(now + limit, Due::Limit(launch));
+            }
+            Decision::Retract(part, number) => {
+                let Some(out) = self.fronts[n].out.remove(&(part, number)) else { return };
+                self.fronts[n].inbox.push(Input::Ended(part, number, Ending::CalledOff, now - out.sent));
+                self.set(n, now);
+                if let Some((retrieval, shard)) = self.fronts[n].parts.get(&part).copied()
+                    && let Some(id) = self.fronts[n].retrievals.get(&retrieval).map(|r| r.id.clone())
+                {
+                    let store = self.stores[out.store].name.clone();
+                    self.tell(Event::CalledOff { id, shard, store });
+                }
+            }
+            Decision::Answer(ix, whole) => {
+                self.answered(
+                    n,
+                    ix,
+                    200,
+                    whole,
+                    Reply::Answered,
+                    if whole { Fate::Whole } else { Fate::Short },
+                );
+            }
+            Decision::Dismiss(ix, stay_away) => {
+                let reply = Reply::Dismissed((stay_away > 0).then_some(stay_away));
+                self.answered(n, ix, 503, false, reply, Fate::Dismissed);
+            }
+            Decision::GiveUp(ix) => self.answered(n, ix, 504, false, Reply::GivenUp, Fate::GivenUp),
+            Decision::Probe(replica) => {
+                let Some(&store) = self.fronts[n].stores.get(&replica) else { return };
+                let s = &self.stores[store];
+                let c = s.service.condition;
+                let refused = s.off || !s.service.up(now);
+                let wait = if !refused && (c.silent || c.stalled) { PROBE_WITHIN } else { 2 * DELAY };
+                self.at(now + wait, Due::Probe(n, life, replica, store));
+            }
+        }
+    }
+
+    fn answered(&mut self, n: usize, ix: RetrievalIx, status: u16, whole: bool, reply: Reply, fate: Fate) {
+        let Some(r) = self.fronts[n].retrievals.remove(&ix) else { return };
+        let Some((number, _)) = self.clients[r.client].asked else { return };
+        let parts = if status == 200 { r.values.into_iter().collect() } else { Vec::new() };
+        self.tell(Event::Answered { id: r.id, status, whole, parts });
+        self.at(self.now + DELAY, Due::Reply(r.client, number, reply, fate));
+    }
+
+    fn probed(&mut self, front: usize, life: u32, replica: ReplicaIx, store: usize) {
+        if self.fronts[front].life != life {
+            return;
+        }
+        let now = self.now;
+        let s = &mut self.stores[store];
+        let c = s.service.condition;
+        let answered = !s.off && s.service.up(now) && !c.silent && !c.stalled;
+        let told = answered.then(|| (s.service.waiting(now) as f64, s.service.rate() as f64));
+        self.hear(front, Input::Probed(replica, answered, told));
+    }
+
+    // ---- stores ----
+
+    /// The ids of a launch's part, while its retrieval is open.
+    fn whose(&self, launch: &Launch) -> Option<(String, usize, usize)> {
+        let f = self.fronts.get(launch.front).filter(|f| f.life == launch.life)?;
+        let (retrieval, shard) = *f.parts.get(&launch.part)?;
+        let r = f.retrievals.get(&retrieval)?;
+        Some((r.id.clone(), shard, r.client))
+    }
+
+    fn arrives(&mut self, launch: Launch) {
+        let now = self.now;
+        let s = &self.stores[launch.store];
+        if s.off || !s.service.up(now) {
+            return self.ended(launch, Ending::Unreached);
+        }
+        if s.process != launch.process || self.fronts[launch.front].life != launch.life {
+            return self.ended(launch, Ending::Broken);
+        }
+        // One whose retrieval is over was called off on its way.
+        let Some((id, shard, client)) = self.whose(&launch) else { return };
+        let (store, key) = (s.name.clone(), self.key(client));
+        self.launches += 1;
+        self.tell(Event::Launched { id: id.clone(), shard, store: store.clone(), key });
+        let (taken, fall) = self.stores[launch.store].service.take(now, 1.0, launch.front);
+        self.stores[launch.store].held.insert(launch);
+        if let Some(fall) = fall {
+            self.tell(Event::Fell { store, fall });
+            return self.breaks(launch.store);
+        }
+        match taken {
+            Taken::Unheard => {}
+            Taken::Refused => {
+                self.tell(Event::TurnedAway { id, shard, store });
+                self.at(now + DELAY, Due::Done(launch, Ending::Full));
+            }
+            Taken::Spoilt(at) => self.at(at + DELAY, Due::Done(launch, Ending::Faulty)),
+            Taken::Served(at) => self.at(at + DELAY, Due::Done(launch, Ending::Done)),
+        }
+    }
+
+    fn done(&mut self, launch: Launch, ending: Ending) {
+        if !self.stores[launch.store].held.remove(&launch) {
+            return;
+        }
+        if let Some((id, shard, _)) = self.whose(&launch) {
+            let store = self.stores[launch.store].name.clone();
+            match ending {
+                Ending::Done => {
+                    let value = format!("{id}.{shard}@{store}");
+                    let f = &mut self.fronts[launch.front];
+                    let retrieval = f.parts.get(&launch.part).map(|(r, _)| *r);
+                    if f.out.contains_key(&(launch.part, launch.number))
+                        && let Some(r) = retrieval.and_then(|r| f.retrievals.get_mut(&r))
+                    {
+                        r.values.entry(shard).or_insert_with(|| value.clone());
+                    }
+                    self.tell(Event::Served { id, shard, store, value });
+                }
+                Ending::Faulty => self.tell(Event::Spoilt { id, shard, store }),
+                _ => {}
+            }
+        }
+        self.ended(launch, ending);
+    }
+
+    fn ended(&mut self, launch: Launch, ending: Ending) {
+        let now = self.now;
+        let Some(f) = self.fronts.get_mut(launch.front).filter(|f| f.life == launch.life) else { return };
+        if let Some(out) = f.out.remove(&(launch.part, launch.number)) {
+            self.hear(launch.front, Input::Ended(launch.part, launch.number, ending, now - out.sent));
+        }
+    }
+
+    /// Every connection of a store breaks.
+    fn breaks(&mut self, store: usize) {
+        let s = &mut self.stores[store];
+        let (held, name) = (std::mem::take(&mut s.held), s.name.clone());
+        s.process += 1;
+        self.tell(Event::Broke { store: name });
+        held.into_iter().for_each(|launch| self.ended(launch, Ending::Broken));
+    }
+
+    // ---- the order of work ----
+
+    fn looked(&mut self) {
+        let Some(told) = &self.scenario.order else { return };
+        let s = &self.scenario.stores;
+        let rule = Rule {
+            cells: s.cells as u32,
+            reach: s.reach as u32,
+            share: told.share,
+            zone_share: 1.0,
+            ..Rule::default()
+        };
+        let pace = Pace { drain: ms(told.drain_ms), look_lasts: 3 * SECOND };
+        let now = self.now;
+        let seen = |(name, l): (&String, &Listed)| {
+            let cold = l.started.is_some_and(|at| now - at < seconds(s.cold_s));
+            let health = match () {
+                () if l.phase != Phase::Up => Health::Draining,
+                () if cold => Health::Cold,
+                () => Health::Sound,
+            };
+            let started_ms = l.started.map_or(0, |at| at / MS);
+            (
+                name.clone(),
+                Seen { cell: s.cell(l.store) as u32, zone: s.zone(l.store).to_owned(), health, started_ms },
+            )
+        };
+        let seen: BTreeMap<String, Seen> = self.list.iter().map(seen).collect();
+        if self.order.wants_look(&seen, &rule, pace, now) {
+            self.order.apply(&Logged { at: now, command: Command::Look { seen, rule, pace } });
+        }
+        let closed: BTreeSet<String> = self.order.closed().map(str::to_owned).collect();
+        if closed != self.closed {
+            self.closed = closed;
+            (0..self.fronts.len()).for_each(|n| self.hear(n, Input::List));
+        }
+        self.at(now + ORDER_EVERY, Due::Order);
+    }
+}
+
+fn id(front: usize, number: usize) -> String {
+    format!("{front:04x}{number:012x}")
+}
+
+/// A front node takes what a client asks.
+fn take(f: &mut Front, client: &mut Client, (front, n): (usize, usize), ledger: &mut Ledger) {
+    let Some((number, _)) = client.asked else { return };
+    let want = &client.want;
+    let again = client.tries > 1;
+    let retrieval =
+        ledger.retrieval_taken(want.grade, want.tenant.unwrap_or(0), client.patience.until(), 0, again);
+    for &shard in &want.shards {
+        let part = ledger.part_taken(retrieval, shard, 1.0 / want.shards.len() as f64);
+        f.parts.insert(part, (retrieval, shard));
+    }
+    client.asked = Some((number, Some(retrieval)));
+    let id = id(front, number);
+    f.retrievals.insert(retrieval, Retrieval { client: n, id, values: BTreeMap::new() });
+}
+
+/// A front node learns the list as discovery tells it, and what the order of work closes.
+fn learn(
+    f: &mut Front,
+    list: &BTreeMap<String, Listed>,
+    closed: &BTreeSet<String>,
+    scenario: &Scenario,
+    ledger: &mut Ledger,
+) {
+    ledger.roster_opens(true);
+    for (name, listed) in list {
+        let cell = scenario.stores.cell(listed.store);
+        let ix = match f.replicas.get(name) {
+            Some(ix) => *ix,
+            None => {
+                let ix = ledger.replica_met(cell);
+                f.replicas.retain(|_, other| *other != ix);
+                f.replicas.insert(name.clone(), ix);
+                ix
+            }
+        };
+        f.stores.insert(ix, listed.store);
+        let serving = listed.phase == Phase::Up && !closed.contains(name);
+        ledger.roster_names(ix, cell, serving, listed.started);
+    }
+    ledger.roster_closes();
+    let absent: Vec<ReplicaIx> =
+        f.replicas.iter().filter(|(name, _)| !list.contains_key(*name)).map(|(_, ix)| *ix).collect();
+    absent.into_iter().for_each(|ix| ledger.replica_retired(ix));
+}
+
+impl Hands for World<'_> {
+    fn now(&self) -> Nanos {
+        self.now
+    }
+    fn note(&mut self, event: Event) {
+        self.tell(event);
+    }
+    fn condition(&mut self, store: usize, condition: Condition) {
+        self.stores[store].service.condition = condition;
+    }
+    fn off(&mut self, store: usize) {
+        self.stores[store].off = true;
+        self.breaks(store);
+    }
+    fn on(&mut self, store: usize, name: String) -> Nanos {
+        let now = self.now;
+        let s = &mut self.stores[store];
+        (s.name, s.off) = (name, false);
+        s.process += 1;
+        s.service.start(now);
+        now
+    }
+    fn list(&mut self, list: &BTreeMap<String, Listed>) {
+        self.list.clone_from(list);
+        (0..self.fronts.len()).for_each(|n| self.hear(n, Input::List));
+    }
+    fn discovery_silent(&mut self, _: bool) {}
+    fn kill(&mut self, front: usize) {
+        let lost: Vec<usize> = {
+            let f = &mut self.fronts[front];
+            f.up = false;
+            f.life += 1;
+            f.inbox.clear();
+            f.out.clear();
+            f.retrievals.drain().map(|(_, r)| r.client).collect()
+        };
+        let asked: Vec<(usize, usize)> = (0..self.clients.len())
+            .filter(|n| self.clients[*n].front == front && !self.clients[*n].ended)
+            .filter_map(|n| Some((n, self.clients[n].asked?.0)))
+            .collect();
+        debug_assert!(lost.iter().all(|n| asked.iter().any(|(m, _)| m == n)));
+        let at = self.now + DELAY;
+        asked.into_iter().for_each(|(n, number)| self.at(at, Due::Reply(n, number, Reply::Lost, Fate::Lost)));
+    }
+    fn restart(&mut self, front: usize) -> Result<(), String> {
+        let life = self.fronts[front].life + 1;
+        self.fronts[front] = self.front(front, life);
+        self.hear(front, Input::List);
+        Ok(())
+    }
+    fn reload(&mut self, _: usize) {}
+    fn cut(&mut self, _: Option<usize>) {}
+    fn ask_out(&mut self, machine: &str, lasts: Nanos) -> bool {
+        self.nonce += 1;
+        let (machine, by, why) = (machine.to_owned(), "rehearsal".to_owned(), String::new());
+        let (lasts, waits, nonce) = (lasts + 60 * SECOND, 3600 * SECOND, self.nonce);
+        self.order
+            .apply(&Logged { at: self.now, command: Command::Ask { machine, by, why, lasts, waits, nonce } });
+        true
+    }
+    fn is_out(&mut self, machine: &str) -> bool {
+        self.order.entries.iter().any(|e| e.machine == machine && e.stage == Stage::Out)
+    }
+}
--- a/crates/rehearsal/src/real/store.rs
+++ b/crates/rehearsal/src/real/store.rs
@@ -77,11 +77,9 @@
     }
 
     /// Its process ends: every connection breaks, and none is taken.
-    pub fn off(&self, off: bool) {
-        self.off.store(off, Relaxed);
-        if off {
-            self.cut();
-        }
+    pub fn off(&self) {
+        self.off.store(true, Relaxed);
+        self.cut();
     }
 
     /// Another process, cold, under that name; when it began.
--- a/crates/rehearsal/src/service.rs
+++ b/crates/rehearsal/src/service.rs
@@ -156,6 +156,14 @@
         fall
     }
 
+    /// From now until a part of mean work that came now would be done.
+    pub fn would_take(&self, now: Nanos) -> Nanos {
+        let begins = self.free_at.iter().min().copied().unwrap_or(now).max(now);
+        let warm = if self.cold(now) { self.cold_factor } else { 1.0 };
+        begins - now
+            + (self.work as f64 * warm * self.condition.slower / self.condition.cores_left.max(0.01)) as Nanos
+    }
+
     /// Parts a second that it serves when warm.
     pub fn rate(&self) -> u64 {
         (self.free_at.len() as Nanos * SECOND / self.work) as u64
--- /dev/null
+++ b/crates/rehearsal/tests/emulator.rs
@@ -0,0 +1,90 @@
+//! Rehearsals in virtual time: every ready scenario, the same verdict each time; and front nodes that were told wrong, whose
+//! broken rules are named.
+
+use std::path::Path;
+
+use orchidvalve::interface::{Effect, StandingOrders};
+use orchidvalve_rehearsal::emulator::{play, play_told};
+use orchidvalve_rehearsal::minds::Policy;
+use orchidvalve_rehearsal::report::{Report, Verdict};
+use orchidvalve_rehearsal::scenario::Scenario;
+
+fn ready(name: &str) -> Scenario {
+    let path = Path::new(env!("CARGO_MANIFEST_DIR")).join("../../deploy/rehearsals").join(name);
+    Scenario::read(&std::fs::read_to_string(path.with_extension("toml")).unwrap()).unwrap()
+}
+
+fn played(scenario: &Scenario, seed: u64) -> Report {
+    play(scenario, seed, Policy::Ours).unwrap().0
+}
+
+#[test]
+fn the_ready_scenarios_break_no_rule_and_come_out_alike_each_time() {
+    let names = [
+        "small",
+        "month-end",
+        "store-release",
+        "zone-lost",
+        "retry-storm",
+        "roster-outage",
+        "moving-weekend",
+    ];
+    std::thread::scope(|scope| {
+        for name in names {
+            scope.spawn(move || {
+                let scenario = ready(name);
+                let report = played(&scenario, 1);
+                assert_eq!((report.verdict, &report.breaches), (Verdict::Held, &Vec::new()), "{name}");
+                assert!(report.all.asked > 100, "{name}");
+                if name == "small" {
+                    let text = |r: &Report| serde_json::to_string(r).unwrap();
+                    assert_eq!(
+                        text(&report),
+                        text(&played(&scenario, 1)),
+                        "the same seed, the same rehearsal"
+                    );
+                    assert_ne!(text(&report), text(&played(&scenario, 2)));
+                }
+            });
+        }
+    });
+}
+
+/// Both holders of a shard go at once where each crew goes on its own, and never by the agreed order.
+#[test]
+fn the_agreed_order_keeps_a_weekend_whole_that_crews_on_their_own_do_not() {
+    let alone = played(&ready("moving-weekend-alone"), 1);
+    assert_eq!(alone.verdict, Verdict::FellShort, "{}", alone.why);
+    let agreed = played(&ready("moving-weekend"), 1);
+    assert!(agreed.service > alone.service + 0.03, "{} and {}", agreed.service, alone.service);
+}
+
+/// One launch more than the cap, an effect told as harmless, a floor told too low: the rule that each breaks, and no other.
+#[test]
+fn a_front_node_that_was_told_wrong_breaks_the_rule_that_is_named() {
+    let scenario = {
+        let mut s = ready("small");
+        for load in &mut s.load {
+            load.rate = 150.0;
+        }
+        s
+    };
+    let broken = |amend: fn(&mut StandingOrders)| {
+        let (report, _) = play_told(&scenario, 3, Policy::Ours, amend).unwrap();
+        assert_eq!(report.verdict, Verdict::RuleBroken, "{}", report.why);
+        let mut rules: Vec<u8> = report.breaches.iter().map(|b| b.rule).collect();
+        rules.dedup();
+        rules
+    };
+    assert_eq!(broken(|o| o.grades.iter_mut().for_each(|g| g.effect = Effect::Pure)), [2]);
+    assert_eq!(broken(|o| o.grades.iter_mut().for_each(|g| (g.floor, g.short_earnings) = (0.1, 0.9))), [5]);
+}
+
+/// A zone falls silent: whoever sees all serves more in time than chance, and so do we.
+#[test]
+fn chance_ranks_below_the_oracle_and_below_ours() {
+    let scenario = ready("zone-lost");
+    let service = |policy| play(&scenario, 2, policy).unwrap().0.all.in_soft_limit;
+    let (ours, oracle, random) = (service(Policy::Ours), service(Policy::Oracle), service(Policy::Random));
+    assert!(oracle > random && ours > random, "ours {ours}, oracle {oracle}, random {random}");
+}
