--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -1,5 +1,6 @@
-//! The command line for operators: `orchidvalve node`, `logbook`, `maintenance`, `rehearse`, `search`, `standin`, `why`.
+//! The command line for operators: `orchidvalve node`, `experiment`, `logbook`, `maintenance`, `rehearse`, `search`, `standin`, `why`.
 
+mod experiment;
 mod logbook;
 mod maintenance;
 mod rehearse;
@@ -40,6 +41,8 @@
     Maintenance(maintenance::Asked),
     /// Rehearse a bad day on this machine: front nodes as processes, stand-in stores, load, and troubles by a scenario
     Rehearse(rehearse::RehearseArgs),
+    /// Play many rehearsals in virtual time: a grid of scenario keys, seeds and policies
+    Experiment(experiment::ExperimentArgs),
     /// Tell from a trace why retrievals fared as they did
     Why(why::WhyArgs),
     /// Run a stand-in for a store on loopback, with documents in memory
@@ -105,6 +108,7 @@
             Ok(status) => return ExitCode::from(status),
             Err(fault) => Err(fault),
         },
+        Command::Experiment(args) => experiment::run(&args).map_err(|fault| (UNUSABLE, fault)),
         Command::Why(args) => why::run(&args).map_err(|fault| (UNUSABLE, fault)),
         Command::Standin(args) => standin::run(args).map_err(|fault| (UNUSABLE, fault)),
     };
--- a/crates/rehearsal/src/emulator.rs
+++ b/crates/rehearsal/src/emulator.rs
@@ -185,6 +185,7 @@
     auditors: Auditors,
     tally: Tally,
     launches: u64,
+    parts: u64,
     tries: usize,
 }
 
@@ -237,6 +238,7 @@
     let told = Told {
         seed,
         launches: world.launches,
+        parts: world.parts,
         events: world.auditors.heard(),
         crashed: Vec::new(),
         breaches: Vec::new(),
@@ -291,6 +293,7 @@
             auditors: Auditors::new(scenario),
             tally: Tally::new(scenario),
             launches: 0,
+            parts: 0,
             tries: 0,
             orders,
         };
@@ -389,6 +392,7 @@
         let (grade, tenant, shards) = (client.want.grade, client.want.tenant, client.want.shards.clone());
         let key = self.key(n);
         let id = id(front, number);
+        self.parts += shards.len() as u64;
         self.tell(Event::Asked { id, front, grade, tenant, shards, key, until });
         self.hear(front, Input::Ask(n));
         self.at(until + ms(self.scenario.rules.slack_ms) * 2, Due::Gone(n, number));
--- /dev/null
+++ b/crates/rehearsal/src/experiment.rs
@@ -0,0 +1,350 @@
+//! Many rehearsals in virtual time: a grid of scenario keys, seeds and policies, each cell with a name of its own so that a plan
+//! broken off goes on where it was, and what came of them, paired by seed.
+//!
+//! ```
+//! use orchidvalve_rehearsal::experiment::Plan;
+//!
+//! let plan = "scenario = 'x.toml'\nseeds = 3\npolicies = ['ours', 'random']\n[[grid]]\nkey = 'stores.work_ms'\nvalues = [4.0, 8.0]\n";
+//! assert_eq!(Plan::read(plan).unwrap().cells().len(), 12);
+//! let fault = Plan::read(&plan.replace("'random'", "'chance'")).unwrap_err();
+//! assert!(fault.contains("unknown variant `chance`"), "{fault}");
+//! ```
+
+use std::collections::BTreeMap;
+use std::fmt::Write as _;
+use std::path::Path;
+
+use plotters::prelude::*;
+use serde::{Deserialize, Serialize};
+
+use crate::emulator::play;
+use crate::minds::Policy;
+use crate::scenario::Scenario;
+
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Plan {
+    /// The scenario's file, from the plan's own place.
+    pub scenario: String,
+    /// How many seeds, from 1.
+    pub seeds: u64,
+    #[serde(default = "Plan::policies")]
+    pub policies: Vec<Policy>,
+    #[serde(default)]
+    pub grid: Vec<Axis>,
+}
+
+/// A key of the scenario and what it is to be.
+#[derive(Clone, Debug, Deserialize)]
+#[serde(deny_unknown_fields)]
+pub struct Axis {
+    /// Such as `stores.work_ms`, or `load.0.rate` for the first stretch of load; `load.*.rate` for all of them.
+    pub key: String,
+    pub values: Vec<toml::Value>,
+}
+
+/// One rehearsal of a plan.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Cell {
+    pub policy: Policy,
+    pub seed: u64,
+    /// Keys and their values, in the plan's order.
+    pub set: Vec<(String, toml::Value)>,
+}
+
+impl Cell {
+    /// Where it stands in the grid, in words: all but policy and seed.
+    pub fn point(&self) -> String {
+        let words: Vec<String> = self.set.iter().map(|(key, value)| format!("{key}={value}")).collect();
+        words.join(" ")
+    }
+
+    /// Its name among all of its plan's scenario: what a record of it is kept under.
+    pub fn name(&self) -> String {
+        format!("{}|{}|{}", self.policy.name(), self.seed, self.point())
+    }
+}
+
+/// What came of a cell.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+pub struct Outcome {
+    pub policy: Policy,
+    pub seed: u64,
+    pub point: String,
+    pub service: f64,
+    /// Share of what was asked that was answered whole within its soft limit.
+    pub soft: f64,
+    pub latency_ms: [f64; 4],
+    pub launches_a_part: f64,
+    pub breaches: u64,
+    /// Rules that were broken.
+    pub rules: Vec<u8>,
+}
+
+impl Plan {
+    fn policies() -> Vec<Policy> {
+        vec![Policy::Ours]
+    }
+
+    pub fn read(text: &str) -> Result<Plan, String> {
+        let plan: Plan = toml::from_str(text).map_err(|e| e.to_string())?;
+        if !(1..=10_000).contains(&plan.seeds) {
+            return Err(format!("seeds: should be 1 to 10000, not {}", plan.seeds));
+        }
+        for (n, axis) in plan.grid.iter().enumerate() {
+            if axis.values.is_empty() {
+                return Err(format!("grid[{n}].values: should be one at least"));
+            }
+        }
+        if plan.policies.is_empty() {
+            return Err("policies: should be one at least".to_owned());
+        }
+        Ok(plan)
+    }
+
+    /// All rehearsals, in an order in which early ones already tell something of every point.
+    pub fn cells(&self) -> Vec<Cell> {
+        let mut points: Vec<Vec<(String, toml::Value)>> = vec![Vec::new()];
+        for axis in &self.grid {
+            let longer = |point: &Vec<(String, toml::Value)>| {
+                let with = |value: &toml::Value| {
+                    let mut point = point.clone();
+                    point.push((axis.key.clone(), value.clone()));
+                    point
+                };
+                axis.values.iter().map(with).collect::<Vec<_>>()
+            };
+            points = points.iter().flat_map(longer).collect();
+        }
+        let mut cells = Vec::new();
+        for seed in 1..=self.seeds {
+            for set in &points {
+                let of = |policy: &Policy| Cell { policy: *policy, seed, set: set.clone() };
+                cells.extend(self.policies.iter().map(of));
+            }
+        }
+        cells
+    }
+}
+
+/// The scenario with a cell's keys set. `text`: as its file has it.
+pub fn amended(text: &str, cell: &Cell) -> Result<Scenario, String> {
+    let mut table: toml::Value =
+        toml::from_str::<toml::Table>(text).map(toml::Value::Table).map_err(|e| e.to_string())?;
+    for (key, value) in &cell.set {
+        let steps: Vec<&str> = key.split('.').collect();
+        set(&mut table, &steps, value).map_err(|()| format!("grid: the scenario has no key '{key}'"))?;
+    }
+    Scenario::read(&toml::to_string(&table).map_err(|e| e.to_string())?)
+}
+
+/// Only keys that are there, or could be beside others of their table, are set: a word misspelt is told by the scenario's
+/// own check.
+fn set(at: &mut toml::Value, steps: &[&str], value: &toml::Value) -> Result<(), ()> {
+    let Some((first, rest)) = steps.split_first() else {
+        *at = value.clone();
+        return Ok(());
+    };
+    match at {
+        toml::Value::Array(items) if *first == "*" => {
+            items.iter_mut().try_for_each(|item| set(item, rest, value))
+        }
+        toml::Value::Array(items) => {
+            let place: usize = first.parse().map_err(|_| ())?;
+            set(items.get_mut(place).ok_or(())?, rest, value)
+        }
+        toml::Value::Table(table) if rest.is_empty() => {
+            table.insert((*first).to_owned(), value.clone());
+            Ok(())
+        }
+        toml::Value::Table(table) => set(table.get_mut(*first).ok_or(())?, rest, value),
+        _ => Err(()),
+    }
+}
+
+/// Plays a cell.
+pub fn run(text: &str, cell: &Cell) -> Result<Outcome, String> {
+    let scenario = amended(text, cell)?;
+    let (report, _) = play(&scenario, cell.seed, cell.policy)?;
+    let mut rules: Vec<u8> = report.breaches.iter().map(|b| b.rule).collect();
+    rules.sort_unstable();
+    rules.dedup();
+    Ok(Outcome {
+        policy: cell.policy,
+        seed: cell.seed,
+        point: cell.point(),
+        service: report.service,
+        soft: report.all.in_soft_limit as f64 / report.all.asked.max(1) as f64,
+        latency_ms: report.latency_ms,
+        launches_a_part: report.launches as f64 / report.parts.max(1) as f64,
+        breaches: report.breaches.len() as u64,
+        rules,
+    })
+}
+
+/// A mean over seeds, and how far the true one may be from it in 95 of 100 plans.
+#[derive(Clone, Copy, Debug, PartialEq, Serialize)]
+pub struct Mean {
+    pub mean: f64,
+    pub within: f64,
+    pub n: usize,
+}
+
+/// Student's factor for 95 in 100 at so many degrees of freedom.
+fn student(freedom: usize) -> f64 {
+    const TABLE: [f64; 15] =
+        [12.71, 4.30, 3.18, 2.78, 2.57, 2.45, 2.36, 2.31, 2.26, 2.23, 2.20, 2.18, 2.16, 2.14, 2.13];
+    match freedom {
+        0 => f64::NAN,
+        f if f <= TABLE.len() => TABLE[f - 1],
+        f if f <= 30 => 2.06,
+        _ => 1.98,
+    }
+}
+
+pub fn mean(of: &[f64]) -> Mean {
+    let n = of.len();
+    let mean = of.iter().sum::<f64>() / n.max(1) as f64;
+    if n < 2 {
+        return Mean { mean, within: f64::NAN, n };
+    }
+    let spread = of.iter().map(|x| (x - mean).powi(2)).sum::<f64>() / (n - 1) as f64;
+    Mean { mean, within: student(n - 1) * (spread / n as f64).sqrt(), n }
+}
+
+/// A point of the grid under one policy.
+#[derive(Clone, Debug, Serialize)]
+pub struct Row {
+    pub point: String,
+    pub policy: Policy,
+    pub service: Mean,
+    pub soft: Mean,
+    /// Against the first policy of the plan, seed by seed.
+    pub against: Option<Mean>,
+    pub p99_ms: Mean,
+    pub launches_a_part: Mean,
+    pub breaches: u64,
+    pub rules: Vec<u8>,
+}
+
+pub fn rows(plan: &Plan, outcomes: &[Outcome]) -> Vec<Row> {
+    let mut points: Vec<String> = Vec::new();
+    for cell in plan.cells() {
+        if !points.contains(&cell.point()) {
+            points.push(cell.point());
+        }
+    }
+    let mut by: BTreeMap<(&str, Policy), BTreeMap<u64, &Outcome>> = BTreeMap::new();
+    for o in outcomes {
+        by.entry((&o.point, o.policy)).or_default().insert(o.seed, o);
+    }
+    let mut rows = Vec::new();
+    for point in &points {
+        let first = by.get(&(point.as_str(), plan.policies[0]));
+        for &policy in &plan.policies {
+            let Some(of) = by.get(&(point.as_str(), policy)) else { continue };
+            let over = |pick: fn(&Outcome) -> f64| mean(&of.values().map(|o| pick(o)).collect::<Vec<_>>());
+            let pairs = first.map(|first| {
+                let pair = |(seed, o): (&u64, &&Outcome)| Some(o.soft - first.get(seed)?.soft);
+                mean(&of.iter().filter_map(pair).collect::<Vec<_>>())
+            });
+            let mut rules: Vec<u8> = of.values().flat_map(|o| o.rules.clone()).collect();
+            rules.sort_unstable();
+            rules.dedup();
+            rows.push(Row {
+                point: point.clone(),
+                policy,
+                service: over(|o| o.service),
+                soft: over(|o| o.soft),
+                against: pairs.filter(|_| policy != plan.policies[0]),
+                p99_ms: over(|o| o.latency_ms[2]),
+                launches_a_part: over(|o| o.launches_a_part),
+                breaches: of.values().map(|o| o.breaches).sum(),
+                rules,
+            });
+        }
+    }
+    rows
+}
+
+/// The rows as a table.
+pub fn page(plan: &Plan, rows: &[Row]) -> String {
+    let mut page = format!("# Experiment on {}\n\n", plan.scenario);
+    let first = plan.policies[0].name();
+    let _ = writeln!(
+        page,
+        "| point | policy | service | within soft limit | against {first} | p99 ms | launches a part | rules broken |"
+    );
+    let _ = writeln!(page, "| --- | --- | --- | --- | --- | --- | --- | --- |");
+    let told = |m: &Mean, digits: usize| {
+        if m.within.is_nan() {
+            format!("{:.digits$}", m.mean)
+        } else {
+            format!("{:.digits$} ± {:.digits$}", m.mean, m.within)
+        }
+    };
+    for r in rows {
+        let rules = if r.rules.is_empty() {
+            "none".to_owned()
+        } else {
+            format!("{:?}, {} times", r.rules, r.breaches)
+        };
+        let against = r.against.as_ref().map_or("-".to_owned(), |m| told(m, 3));
+        let _ = writeln!(
+            page,
+            "| {} | {} | {} | {} | {against} | {} | {} | {rules} |",
+            r.point,
+            r.policy.name(),
+            told(&r.service, 3),
+            told(&r.soft, 3),
+            told(&r.p99_ms, 0),
+            told(&r.launches_a_part, 2)
+        );
+    }
+    page
+}
+
+/// Share answered within the soft limit over the grid's points, a line a policy, with what the true means may be.
+pub fn chart(plan: &Plan, rows: &[Row], path: &Path) -> Result<(), Box<dyn std::error::Error>> {
+    let mut points: Vec<&str> = Vec::new();
+    for r in rows {
+        if !points.contains(&r.point.as_str()) {
+            points.push(&r.point);
+        }
+    }
+    let root = SVGBackend::new(path, (820, 380)).into_drawing_area();
+    root.fill(&WHITE)?;
+    let low = rows.iter().map(|r| r.soft.mean - if r.soft.within.is_nan() { 0.0 } else { r.soft.within });
+    let low = (low.fold(1.0, f64::min) - 0.05).max(0.0);
+    let end = points.len().max(2) as f64 - 0.5;
+    let mut chart = ChartBuilder::on(&root)
+        .caption("share answered whole within its soft limit", ("sans-serif", 18))
+        .margin(12)
+        .x_label_area_size(40)
+        .y_label_area_size(48)
+        .build_cartesian_2d(-0.5f64..end, low..1.02f64)?;
+    let name = |x: &f64| {
+        let near = x.round();
+        let place = if (x - near).abs() < 0.01 && near >= 0.0 { near as usize } else { usize::MAX };
+        points.get(place).map_or(String::new(), |p| (*p).to_owned())
+    };
+    chart.configure_mesh().x_labels(points.len().max(2) * 2).x_label_formatter(&name).draw()?;
+    for (n, policy) in plan.policies.iter().enumerate() {
+        let colour = Palette99::pick(n).to_rgba();
+        let at = |point: &str| points.iter().position(|p| *p == point).unwrap_or(0) as f64;
+        let mine: Vec<&Row> = rows.iter().filter(|r| r.policy == *policy).collect();
+        let line: Vec<(f64, f64)> = mine.iter().map(|r| (at(&r.point), r.soft.mean)).collect();
+        chart
+            .draw_series(LineSeries::new(line, colour.stroke_width(2)))?
+            .label(policy.name())
+            .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], colour));
+        let bars = mine.iter().filter(|r| !r.soft.within.is_nan()).map(|r| {
+            let (x, m) = (at(&r.point) + 0.02 * n as f64, r.soft);
+            PathElement::new(vec![(x, m.mean - m.within), (x, (m.mean + m.within).min(1.02))], colour)
+        });
+        chart.draw_series(bars)?;
+    }
+    chart.configure_series_labels().border_style(BLACK).position(SeriesLabelPosition::LowerLeft).draw()?;
+    root.present()?;
+    Ok(())
+}
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -6,6 +6,7 @@
 
 pub mod audit;
 pub mod emulator;
+pub mod experiment;
 pub mod load;
 pub mod minds;
 pub mod real;
--- a/crates/rehearsal/src/real/mod.rs
+++ b/crates/rehearsal/src/real/mod.rs
@@ -62,6 +62,9 @@
 /// After the last client has asked, patches under way are waited for no longer than this.
 const PATCHES_MOST: Nanos = 20 * SECOND;
 
+/// Front nodes that one machine is asked to run.
+const FRONTS_MOST: usize = 64;
+
 /// The world as it is on this machine.
 struct World<'a> {
     scenario: &'a Scenario,
@@ -81,6 +84,9 @@
     stop: &AtomicBool,
     progress: Progress,
 ) -> Result<Report, String> {
+    if scenario.fronts > FRONTS_MOST {
+        return Err(format!("fronts: {FRONTS_MOST} at most as processes; more in virtual time only"));
+    }
     let timeline = Timeline::new(scenario, seed)?;
     let acts = timeline.acts().to_vec();
     let wants = arrivals(scenario, seed);
@@ -128,11 +134,14 @@
     let events = std::mem::take(&mut *locked(&log.events));
     let mut auditors = Auditors::new(scenario);
     let launches = events.iter().filter(|(_, e)| matches!(e, Event::Launched { .. })).count() as u64;
+    let asked =
+        events.iter().map(|(_, e)| if let Event::Asked { shards, .. } = e { shards.len() as u64 } else { 0 });
+    let parts = asked.sum();
     events.iter().for_each(|(at, event)| auditors.hear(*at, event));
     let heard = auditors.heard();
     let mut breaches = auditors.end(log.now());
     breaches.iter_mut().for_each(|b| b.at_ms -= begins / MS);
-    let told = Told { seed, launches, events: heard, crashed, breaches, broken_off };
+    let told = Told { seed, launches, parts, events: heard, crashed, breaches, broken_off };
     Ok(report(scenario, &acts, &tally, told))
 }
 
--- a/crates/rehearsal/src/report.rs
+++ b/crates/rehearsal/src/report.rs
@@ -50,6 +50,8 @@
     /// How late the load itself was at 0.99, milliseconds.
     pub load_late_ms: f64,
     pub launches: u64,
+    /// Parts asked for, all tries together.
+    pub parts: u64,
     pub events: u64,
     /// Front nodes that ended by themselves.
     pub crashed: Vec<usize>,
@@ -72,6 +74,7 @@
 pub struct Told {
     pub seed: u64,
     pub launches: u64,
+    pub parts: u64,
     pub events: u64,
     pub crashed: Vec<usize>,
     pub breaches: Vec<Breach>,
@@ -80,7 +83,7 @@
 }
 
 pub fn report(scenario: &Scenario, acts: &[Act], tally: &Tally, told: Told) -> Report {
-    let Told { seed, launches, events, crashed, breaches, broken_off } = told;
+    let Told { seed, launches, parts, events, crashed, breaches, broken_off } = told;
     let late = tally.lateness(0.99) as f64 / MS as f64;
     let service = tally.all.service();
     let (verdict, why) = match () {
@@ -118,6 +121,7 @@
         latency_ms: [0.5, 0.9, 0.99, 0.999].map(|q| tally.latency(q)),
         load_late_ms: late,
         launches,
+        parts,
         events,
         crashed,
         troubles: struck(scenario, acts),
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -385,7 +385,7 @@
         };
         within("lasts_s", self.lasts_s, 0.1, 600.0)?;
         within("aim", self.aim, 0.0, 1.0)?;
-        within("fronts", self.fronts as f64, 1.0, 64.0)?;
+        within("fronts", self.fronts as f64, 1.0, 1000.0)?;
         let s = &self.stores;
         within("stores.cells", s.cells as f64, 1.0, 1000.0)?;
         within("stores.reach", s.reach as f64, 1.0, s.cells as f64)?;
