--- a/crates/coldstart/src/lib.rs
+++ b/crates/coldstart/src/lib.rs
@@ -59,6 +59,9 @@
     pub patience: Nanos,
     /// Probes of doubted servers that one server is to see a second from all nodes together.
     pub probes_a_second: f64,
+    /// New connections that one server is to see a second from all nodes together while they start, whatever the age of
+    /// their lists; none: connections open as parts need them.
+    pub connects_a_second: Option<f64>,
 }
 
 impl Default for ColdOrders {
@@ -74,6 +77,7 @@
             oldest: 86_400 * second,
             patience: 2 * second,
             probes_a_second: 100.0,
+            connects_a_second: None,
         }
     }
 }
--- a/crates/frontnode/src/coldstart.rs
+++ b/crates/frontnode/src/coldstart.rs
@@ -42,6 +42,7 @@
     oldest_s: u64,
     patience_ms: u64,
     probes_a_second: f64,
+    connects_a_second: Option<f64>,
     share_lists: bool,
     source: Option<String>,
     restarts_s: u64,
@@ -61,6 +62,7 @@
             oldest_s: ms(orders.oldest) / 1000,
             patience_ms: ms(orders.patience),
             probes_a_second: orders.probes_a_second,
+            connects_a_second: None,
             share_lists: true,
             source: None,
             restarts_s: 600,
@@ -102,6 +104,7 @@
         within("expected", told.expected as u64, 1, 100_000)?;
         rate("fetches_a_second", told.fetches_a_second)?;
         rate("probes_a_second", told.probes_a_second)?;
+        told.connects_a_second.map_or(Ok(()), |found| rate("connects_a_second", found))?;
         within("first_wait_ms", told.first_wait_ms, 1, 60_000)?;
         within("most_wait_ms", told.most_wait_ms, told.first_wait_ms, 3_600_000)?;
         within("fresh_s", told.fresh_s, 0, 86_400)?;
@@ -123,6 +126,7 @@
             oldest: ms(told.oldest_s * 1000),
             patience: ms(told.patience_ms),
             probes_a_second: told.probes_a_second,
+            connects_a_second: told.connects_a_second,
         };
         let (share_lists, source, restarts) = (told.share_lists, told.source, ms(told.restarts_s * 1000));
         Ok(ColdPlan { orders, share_lists, source, restarts })
@@ -321,7 +325,8 @@
         let doubted = |member: Member| {
             let steps = doubt.max(self.aside.get(&member.id).copied().unwrap_or(0));
             let number = subject(&member.id);
-            let from = spread::probe_from(&self.plan.orders, self.start.nodes(), self.seed, number, now);
+            let whom = (self.seed, number);
+            let (steps, from) = spread::begin_with(&self.plan.orders, self.start.nodes(), whom, steps, now);
             (member, steps, from)
         };
         members.into_iter().map(doubted).collect()
--- a/crates/frontnode/tests/coldstart.rs
+++ b/crates/frontnode/tests/coldstart.rs
@@ -35,6 +35,37 @@
     assert_eq!(asked, NODES, "without a start that waits its turn");
 }
 
+/// All nodes have a new list and a retrieval at once, and discovery is silent. Each alone, they connect to every store in the
+/// same moment; in a spread, a store sees them over the span, and each node serves once its moments have come.
+#[test]
+fn connections_of_nodes_that_start_together_are_spread_over_their_span() {
+    const NODES: usize = 20;
+    let play = |story: &str, lines: &str| {
+        let mut opening = Opening::of(NODES);
+        opening.fleet = false;
+        opening.coldstart = Some(format!("patience_ms = 100\n{lines}"));
+        let f = Fleet::open(story, &opening);
+        std::thread::scope(|scope| {
+            for node in 0..NODES {
+                let f = &f;
+                scope.spawn(move || f.until("it serves", |f| f.ask(node, "r", "c1") == 200));
+            }
+        });
+        f.until("every node has connected to every store", |f| {
+            f.stores.iter().all(|store| store.seen().connections >= NODES)
+        });
+        let spans = f.stores.iter().map(|store| {
+            let opened = store.seen().opened;
+            let (first, last) = (opened.iter().min().unwrap(), opened.iter().max().unwrap());
+            last.duration_since(*first)
+        });
+        spans.min().unwrap()
+    };
+    // Twenty draws over four seconds: that all of them fall within two is one case in fifty thousand, and the seeds are fixed.
+    let spread = play("cold-spread", "connects_a_second = 5.0\n");
+    assert!(spread > Duration::from_secs(2), "{spread:?}");
+}
+
 /// Discovery is silent. Nodes serve from the lists of their configurations: at once from a new one, and from one
 /// written an hour ago only after each store answered probes. Once it speaks, a store that it drains gets nothing new.
 #[test]
--- a/crates/standin/src/lib.rs
+++ b/crates/standin/src/lib.rs
@@ -13,7 +13,7 @@
 use std::sync::atomic::{AtomicBool, Ordering::Relaxed};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread;
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
 use orchidvalve_search::answer::created;
 use orchidvalve_search::evaluate::{Document, search};
@@ -114,6 +114,8 @@
 #[derive(Clone, Debug, Default)]
 pub struct Seen {
     pub connections: usize,
+    /// When each of them came.
+    pub opened: Vec<Instant>,
     /// Connections open now.
     pub open: usize,
     /// Texts of parts, in order.
@@ -227,6 +229,7 @@
     {
         let mut seen = locked(&inner.seen);
         seen.connections += 1;
+        seen.opened.push(Instant::now());
         seen.open += 1;
     }
     let mut first = [0];
