--- a/crates/cli/src/main.rs
+++ b/crates/cli/src/main.rs
@@ -12,8 +12,8 @@
 
 use clap::{Args, Parser, Subcommand, ValueEnum};
 use orchidvalve_frontnode::config::{
-    COLDSTART_VARIABLE, FLEET_VARIABLE, LOGBOOK_VARIABLE, MAINTENANCE_VARIABLE, ROUTES_VARIABLE, Source,
-    TRACE_VARIABLE, VARIABLE,
+    COLDSTART_VARIABLE, FLEET_VARIABLE, LOGBOOK_VARIABLE, MAINTENANCE_VARIABLE, RECORD_VARIABLE,
+    ROUTES_VARIABLE, Source, TRACE_VARIABLE, VARIABLE,
 };
 use orchidvalve_frontnode::{log, node};
 
@@ -69,6 +69,9 @@
     /// The file on machines taken out for work, where the configuration does not name it
     #[arg(long, env = MAINTENANCE_VARIABLE, value_name = "FILE")]
     maintenance: Option<String>,
+    /// The file on recording what is asked, where the configuration does not name it
+    #[arg(long, env = RECORD_VARIABLE, value_name = "FILE")]
+    record: Option<String>,
     /// Write the reason of each decision to this file, - for standard error; `orchidvalve why` reads it
     #[arg(long, env = TRACE_VARIABLE, value_name = "FILE")]
     trace: Option<String>,
@@ -97,6 +100,7 @@
                 fleet: args.fleet,
                 coldstart: args.coldstart,
                 maintenance: args.maintenance,
+                record: args.record,
                 trace: args.trace,
             })
             .map_err(|fault| (1, fault))
--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -6,7 +6,9 @@
 use std::sync::atomic::AtomicBool;
 
 use clap::Args;
+use orchidvalve_rehearsal::load::{Want, arrivals};
 use orchidvalve_rehearsal::minds::Policy;
+use orchidvalve_rehearsal::replay::{Laid, wants};
 use orchidvalve_rehearsal::report::{Report, Verdict};
 use orchidvalve_rehearsal::scenario::Scenario;
 use orchidvalve_rehearsal::{SECOND, emulator, real};
@@ -21,6 +23,15 @@
     /// Where report.md, report.json and service.svg go, and the front nodes' files and logs
     #[arg(long, value_name = "DIR", default_value = "rehearsal")]
     out: PathBuf,
+    /// The load is what these files recorded, one of each front node, instead of the scenario's
+    #[arg(long, value_name = "FILE", num_args = 1..)]
+    replay: Vec<PathBuf>,
+    /// Times as fast as it was recorded
+    #[arg(long, default_value_t = 1.0, requires = "replay")]
+    speed: f64,
+    /// A recorded grade or tenant, and what the scenario calls it
+    #[arg(long, value_name = "FROM=TO", requires = "replay", value_parser = renamed)]
+    rename: Vec<(String, String)>,
     /// Print the report as JSON
     #[arg(long)]
     json: bool,
@@ -40,6 +51,35 @@
     found.ok_or_else(|| format!("should be one of {}", Policy::ALL.map(Policy::name).join(", ")))
 }
 
+fn renamed(word: &str) -> Result<(String, String), String> {
+    let (from, to) = word.split_once('=').ok_or("should be FROM=TO")?;
+    Ok((from.to_owned(), to.to_owned()))
+}
+
+/// The scenario's own load, or what was recorded.
+fn load(scenario: &Scenario, args: &RehearseArgs) -> Result<Vec<Want>, String> {
+    if args.replay.is_empty() {
+        return Ok(arrivals(scenario, args.seed));
+    }
+    let mut recordings = Vec::new();
+    for path in &args.replay {
+        let name = path.display().to_string();
+        let bytes = std::fs::read(path).map_err(|e| format!("{name}: {e}"))?;
+        let recording = orchidvalve_recording::read(&bytes).map_err(|e| format!("{name}: {e}"))?;
+        if recording.cut > 0 {
+            eprintln!("{name}: its last {} bytes are no whole record", recording.cut);
+        }
+        recordings.push((name, recording));
+    }
+    let at_most = Some((scenario.lasts() as f64 * args.speed) as i64);
+    let renamed = args.rename.iter().cloned().collect();
+    let wants = wants(scenario, &recordings, &Laid { speed: args.speed, renamed, at_most }, args.seed)?;
+    if wants.is_empty() {
+        return Err("nothing was recorded".to_owned());
+    }
+    Ok(wants)
+}
+
 /// The exit status: 0 service held, 1 it fell short of the aim, 2 a rule was broken, 3 it could not run.
 pub fn run(args: &RehearseArgs) -> Result<u8, (u8, String)> {
     let could_not = |fault: String| (Verdict::CouldNotRun.exit(), fault);
@@ -57,9 +97,10 @@
         }
         return Ok(0);
     }
+    let wants = load(&scenario, args).map_err(could_not)?;
     if args.emulate {
         let began = std::time::Instant::now();
-        let (report, effort) = emulator::play(&scenario, args.seed, args.policy)
+        let (report, effort) = emulator::play_told(&scenario, args.seed, args.policy, wants, |_| {})
             .map_err(|fault| could_not(format!("{name}: {fault}")))?;
         let took = began.elapsed().as_secs_f64();
         eprintln!(
@@ -87,8 +128,8 @@
     };
     let started = (program.as_path(), &["node", "--config"][..]);
     let nodes = args.out.join("nodes");
-    let report =
-        real::play(&scenario, args.seed, started, &nodes, &stop, &mut progress).map_err(could_not)?;
+    let report = real::play(&scenario, (args.seed, wants), started, &nodes, &stop, &mut progress)
+        .map_err(could_not)?;
     if shown {
         eprintln!();
     }
--- a/crates/cli/tests/rehearse.rs
+++ b/crates/cli/tests/rehearse.rs
@@ -42,6 +42,30 @@
     }
 }
 
+/// What the nodes recorded, asked again in virtual time, twice as fast: every want once, none of the clients' repetitions.
+#[test]
+fn what_front_nodes_recorded_is_asked_again() {
+    let done = rehearse(&scenario("small"), "recorded").arg("--json").output().unwrap();
+    let first: Value = serde_json::from_slice(&done.stdout).unwrap();
+    let nodes = Path::new(env!("CARGO_TARGET_TMPDIR")).join("recorded/nodes");
+    let again = rehearse(&scenario("small"), "replayed")
+        .args(["--json", "--virtual", "--speed", "2", "--replay"])
+        .args([nodes.join("front-0.arrivals"), nodes.join("front-1.arrivals")])
+        .output()
+        .unwrap();
+    let second: Value = serde_json::from_slice(&again.stdout).unwrap();
+    assert_eq!(second["all"]["asked"], first["all"]["asked"], "{}", String::from_utf8_lossy(&again.stderr));
+    let late = |r: &Value| r["seconds"].as_array().unwrap().iter().rposition(|s| s["asked"] != 0).unwrap();
+    assert!(late(&second) < late(&first), "twice as fast");
+    let mut wrong = rehearse(&scenario("month-end"), "wrong");
+    let wrong = wrong.args(["--virtual", "--replay"]).arg(nodes.join("front-0.arrivals")).output().unwrap();
+    let told = String::from_utf8_lossy(&wrong.stderr).into_owned();
+    assert!(
+        wrong.status.code() == Some(3) && told.contains("is none of the scenario's: rename it"),
+        "{told}"
+    );
+}
+
 #[test]
 fn a_rehearsal_that_is_stopped_says_so_and_leaves_no_process() {
     let mut child = rehearse(&scenario("month-end"), "stopped").stdout(Stdio::null()).spawn().unwrap();
--- a/crates/frontnode/src/config.rs
+++ b/crates/frontnode/src/config.rs
@@ -7,6 +7,7 @@
 
 use orchidvalve::interface::{Effect, Nanos, StandingOrders};
 use orchidvalve_orders::Section;
+use orchidvalve_recording::Head;
 use orchidvalve_search::routes::{PoolOrders, Routes, Settled};
 use serde_json::Value;
 
@@ -15,6 +16,7 @@
 use crate::fleet::FleetPlan;
 use crate::maintenance::MaintenancePlan;
 use crate::pool::PoolTerms;
+use crate::recorder::RecordPlan;
 use crate::roster::{self, Roster};
 use crate::wires::WireOrders;
 
@@ -30,6 +32,8 @@
 pub const COLDSTART_VARIABLE: &str = "NODE_COLDSTART";
 /// Variable that may hold the path of the file on machines taken out for work, beside the key `maintenance`.
 pub const MAINTENANCE_VARIABLE: &str = "NODE_MAINTENANCE";
+/// Variable that may hold the path of the file on recording arrivals, beside the key `record`.
+pub const RECORD_VARIABLE: &str = "NODE_RECORD";
 /// Variable that may name the file that the reasons of decisions are written to.
 pub const TRACE_VARIABLE: &str = "NODE_TRACE";
 
@@ -60,6 +64,8 @@
     pub cold: Option<ColdPlan>,
     /// How the node takes part in the order of work on machines; none where it goes by discovery alone.
     pub maintenance: Option<MaintenancePlan>,
+    /// Where what is asked is recorded; none where it is not.
+    pub record: Option<RecordPlan>,
     /// Cells of the ring, and those that hold a shard.
     pub ring: (usize, usize),
     /// When each grade's retrievals are abandoned, counted from their beginning.
@@ -86,6 +92,12 @@
 }
 
 impl Plan {
+    /// The head of what is recorded from `now` on, Unix time.
+    pub fn recording(&self, now: Nanos) -> Head {
+        let grades = self.grades.iter().map(|(name, _)| name.clone()).collect();
+        Head { node: self.name.clone(), unix_ms: now / 1_000_000, grades, tenants: self.tenants.clone() }
+    }
+
     /// What a later configuration would change that stays as it is until the next start.
     pub fn fixed_otherwise(&self, later: &Plan) -> Vec<&'static str> {
         let pairs = self.fixed.iter().zip(&later.fixed);
@@ -107,6 +119,8 @@
     pub coldstart: Option<String>,
     /// The operator's file on machines taken out for work, in the same way beside the key `maintenance`.
     pub maintenance: Option<String>,
+    /// The operator's file on recording arrivals, in the same way beside the key `record`.
+    pub record: Option<String>,
     /// Where the reasons of decisions are written, `-` for standard error; none where they are not kept.
     pub trace: Option<String>,
 }
@@ -123,6 +137,7 @@
             fleet: path(FLEET_VARIABLE),
             coldstart: path(COLDSTART_VARIABLE),
             maintenance: path(MAINTENANCE_VARIABLE),
+            record: path(RECORD_VARIABLE),
             trace: path(TRACE_VARIABLE),
         })
     }
@@ -137,6 +152,7 @@
             fleet: self.fleet.as_deref(),
             coldstart: self.coldstart.as_deref(),
             maintenance: self.maintenance.as_deref(),
+            record: self.record.as_deref(),
         };
         let (mut plan, orders) = read(&text, told)?;
         let written = std::fs::metadata(path).and_then(|m| m.modified()).ok();
@@ -154,6 +170,7 @@
     pub fleet: Option<&'a str>,
     pub coldstart: Option<&'a str>,
     pub maintenance: Option<&'a str>,
+    pub record: Option<&'a str>,
 }
 
 /// ```
@@ -163,7 +180,7 @@
 /// assert_eq!(fault, "configuration.listen: should be an address and a port, not 'here'");
 /// ```
 pub fn read(text: &str, told: Told) -> Result<(Plan, StandingOrders), String> {
-    let Told { search, logbook, fleet, coldstart, maintenance } = told;
+    let Told { search, logbook, fleet, coldstart, maintenance, record } = told;
     let whole: Value = serde_json::from_str(text).map_err(|e| format!("configuration: no JSON: {e}"))?;
     let whole = Section::of("configuration", &whole)?;
     let name = whole.text("name")?.to_owned();
@@ -211,6 +228,7 @@
         archive: by_file(&whole, "logbook", logbook, ArchiveOrders::read)?,
         fleet: by_file(&whole, "fleet", fleet, FleetPlan::read)?,
         maintenance: by_file(&whole, "maintenance", maintenance, MaintenancePlan::read)?,
+        record: by_file(&whole, "record", record, RecordPlan::read)?,
         ring: (orders.cells, orders.reach),
         cold: by_file(&whole, "coldstart", coldstart, ColdPlan::read)?,
         abandon: orders.grades.iter().map(|g| g.abandon).collect(),
@@ -240,6 +258,7 @@
             "fleet",
             "coldstart",
             "maintenance",
+            "record",
         ]
         .map(|key| (key, print(whole.get(key))))
         .to_vec(),
--- a/crates/frontnode/src/desk.rs
+++ b/crates/frontnode/src/desk.rs
@@ -116,6 +116,9 @@
         kit: &mut Kit,
     ) -> RetrievalIx {
         let Asked { grade, tenant, valid_until, work, again, floor, .. } = asked;
+        if let Some(recorder) = &mut kit.recorder {
+            recorder.note(kit.now, (grade, Some(tenant)), again, work, &asked.parts);
+        }
         let ix = ledger.retrieval_taken(grade, tenant, valid_until, work, again);
         ledger.retrieval_needs(ix, floor);
         let mut parts = Vec::with_capacity(asked.parts.len());
--- a/crates/frontnode/src/kit.rs
+++ b/crates/frontnode/src/kit.rs
@@ -11,6 +11,7 @@
 use crate::counters::Counters;
 use crate::deadlines::{Clock, Deadlines};
 use crate::maintenance::Board;
+use crate::recorder::Recorder;
 
 new_key_type! {
     /// A client's connection.
@@ -94,6 +95,8 @@
     /// Gauges of the order of work, and the board that operators read and write.
     pub maintenance: Vec<(&'static str, &'static str, usize)>,
     pub board: Option<Board>,
+    /// What is asked is written down, where that is switched on.
+    pub recorder: Option<Recorder>,
 }
 
 impl Kit {
--- a/crates/frontnode/src/lib.rs
+++ b/crates/frontnode/src/lib.rs
@@ -19,6 +19,7 @@
 pub mod members;
 pub mod node;
 pub mod pool;
+pub mod recorder;
 pub mod roster;
 pub mod servers;
 pub mod streams;
--- a/crates/frontnode/src/node.rs
+++ b/crates/frontnode/src/node.rs
@@ -26,6 +26,7 @@
 use crate::log;
 use crate::maintenance::Foreman;
 use crate::members::{Members, Origin};
+use crate::recorder::Recorder;
 use crate::roster::Roster;
 use crate::servers::Servers;
 use crate::tracer::Tracer;
@@ -103,7 +104,13 @@
             cold: Vec::new(),
             maintenance: Vec::new(),
             board: None,
+            recorder: None,
         };
+        kit.recorder = plan
+            .record
+            .as_ref()
+            .map(|record| Recorder::open(record, &plan.recording(kit.now), kit.now))
+            .transpose()?;
         let peers =
             plan.fleet.as_ref().map(|fleet| Peers::open(fleet, thaw, shares, plan.seed, &kit)).transpose()?;
         let mut archive = plan.archive.as_ref().map(|orders| Archive::open(orders, kit.now)).transpose()?;
@@ -199,6 +206,7 @@
         if let Some(archive) = self.works.get_mut().kit.archive.take() {
             archive.stop();
         }
+        self.works.get_mut().kit.recorder = None;
         let works = self.works.borrow();
         log!("stopped; {}", works.kit.counters.line());
         Ok(())
@@ -254,6 +262,9 @@
             }
             archive.flush();
         }
+        if let Some(recorder) = &mut works.kit.recorder {
+            recorder.round(now);
+        }
         works.kit.rounds.push(self.noted.clock.now() - now);
     }
 }
--- a/crates/rehearsal/src/emulator.rs
+++ b/crates/rehearsal/src/emulator.rs
@@ -198,20 +198,21 @@
 
 /// Plays a scenario in virtual time under a policy.
 pub fn play(scenario: &Scenario, seed: u64, policy: Policy) -> Result<(Report, Effort), String> {
-    play_told(scenario, seed, policy, |_| {})
+    play_told(scenario, seed, policy, arrivals(scenario, seed), |_| {})
 }
 
-/// The same with what the front nodes are told amended, while the auditors go by the scenario.
+/// The same under that load, with what the front nodes are told amended, while the auditors go by the scenario.
 pub fn play_told(
     scenario: &Scenario,
     seed: u64,
     policy: Policy,
+    wants: Vec<Want>,
     amend: impl FnOnce(&mut StandingOrders),
 ) -> Result<(Report, Effort), String> {
     let timeline = Timeline::new(scenario, seed)?;
     let acts = timeline.acts().to_vec();
     let mut show = Show::new(scenario, timeline, BEGINS);
-    let mut world = World::new(scenario, seed, policy, show.list().clone(), amend)?;
+    let mut world = World::new(scenario, seed, (policy, wants), show.list().clone(), amend)?;
     let mut effort = Effort::default();
     let end = BEGINS + scenario.lasts() + scenario.longest() + 200 * MS;
     world.at(BEGINS, Due::Show);
@@ -254,7 +255,7 @@
     fn new(
         scenario: &'a Scenario,
         seed: u64,
-        policy: Policy,
+        (policy, wants): (Policy, Vec<Want>),
         list: BTreeMap<String, Listed>,
         amend: impl FnOnce(&mut StandingOrders),
     ) -> Result<World<'a>, String> {
@@ -285,7 +286,7 @@
             count: 0,
             fronts: Vec::new(),
             stores: (0..scenario.stores.count()).map(store).collect(),
-            clients: arrivals(scenario, seed).into_iter().map(client).collect(),
+            clients: wants.into_iter().map(client).collect(),
             list,
             order: Order::default(),
             nonce: 0,
--- a/crates/rehearsal/src/lib.rs
+++ b/crates/rehearsal/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod load;
 pub mod minds;
 pub mod real;
+pub mod replay;
 pub mod report;
 pub mod roster;
 pub mod scenario;
--- a/crates/rehearsal/src/real/fronts.rs
+++ b/crates/rehearsal/src/real/fronts.rs
@@ -17,6 +17,8 @@
 use crate::{MS, Nanos};
 
 const READY_WITHIN: Duration = Duration::from_secs(30);
+/// A node waits a second for more connections after it was told to stop.
+const STOP_WITHIN: Duration = Duration::from_secs(3);
 
 /// What front nodes are started with.
 pub struct Stage<'a> {
@@ -155,10 +157,7 @@
     }
 
     pub fn reload(&self, n: usize) {
-        let pid = i32::try_from(self.fronts[n].child.id()).ok().and_then(Pid::from_raw);
-        if let Some(pid) = pid.filter(|_| !self.fronts[n].killed) {
-            let _ = kill_process(pid, Signal::HUP);
-        }
+        self.signal(n, Signal::HUP);
     }
 
     /// The first so many hear nothing of the others, nor they of them; none: all links are whole.
@@ -179,10 +178,25 @@
         self.fronts.iter_mut().enumerate().filter_map(ended).collect()
     }
 
+    /// Ends all: told to, so that what they record is whole, and killed where they take too long.
     pub fn end(&mut self) {
+        let end = Instant::now() + STOP_WITHIN;
+        (0..self.fronts.len()).for_each(|n| self.signal(n, Signal::TERM));
+        while Instant::now() < end
+            && self.fronts.iter_mut().any(|f| f.child.try_wait().is_ok_and(|s| s.is_none()))
+        {
+            std::thread::sleep(Duration::from_millis(10));
+        }
         self.fronts.clear();
     }
 
+    fn signal(&self, n: usize, signal: Signal) {
+        let pid = i32::try_from(self.fronts[n].child.id()).ok().and_then(Pid::from_raw);
+        if let Some(pid) = pid.filter(|_| !self.fronts[n].killed) {
+            let _ = kill_process(pid, signal);
+        }
+    }
+
     /// Asks the first front node that answers to let a machine go.
     pub fn ask_out(&self, machine: &str, lasts: Nanos) -> bool {
         let wish =
@@ -267,5 +281,9 @@
         let _ = std::fs::remove_dir_all(&book);
         config["logbook"] = json!(write("logbook.toml", format!("[logbook]\ndir = {book:?}\n"))?);
     }
+    if scenario.record {
+        let file = path("arrivals");
+        config["record"] = json!(write("record.toml", format!("[record]\nfile = {file:?}\n"))?);
+    }
     write("json", config.to_string())
 }
--- a/crates/rehearsal/src/real/mod.rs
+++ b/crates/rehearsal/src/real/mod.rs
@@ -15,7 +15,7 @@
 use serde_json::{Value, json};
 
 use crate::audit::{Auditors, Event};
-use crate::load::arrivals;
+use crate::load::Want;
 use crate::report::{Report, Told, report};
 use crate::roster::{Listed, Phase};
 use crate::scenario::Scenario;
@@ -74,11 +74,11 @@
     fronts: Fronts,
 }
 
-/// Plays a scenario. `program` and `args` start a front node, the path of its configuration after them; `dir` holds what the
+/// Plays a scenario under that load. `program` and `args` start a front node, the path of its configuration after them; `dir` holds what the
 /// nodes need. `stop` ends it early.
 pub fn play(
     scenario: &Scenario,
-    seed: u64,
+    (seed, wants): (u64, Vec<Want>),
     (program, args): (&Path, &[&str]),
     dir: &Path,
     stop: &AtomicBool,
@@ -89,7 +89,6 @@
     }
     let timeline = Timeline::new(scenario, seed)?;
     let acts = timeline.acts().to_vec();
-    let wants = arrivals(scenario, seed);
     std::fs::create_dir_all(dir).map_err(|e| format!("{}: {e}", dir.display()))?;
     let log = Arc::new(Log::start());
     let count = scenario.stores.count();
--- /dev/null
+++ b/crates/rehearsal/src/replay.rs
@@ -0,0 +1,104 @@
+//! Recorded load: what front nodes were asked, as it came, faster or slower, laid over a scenario's fleet. Times are the
+//! recording's, so a slow node never slows it down. Free of I/O.
+
+use std::collections::BTreeMap;
+
+use orchidvalve_recording::Recording;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+use crate::load::Want;
+use crate::scenario::Scenario;
+use crate::{MS, Nanos};
+
+/// How recordings are laid over a scenario.
+#[derive(Clone, Debug)]
+pub struct Laid {
+    /// Times as fast as recorded.
+    pub speed: f64,
+    /// Names of the recording's grades and tenants, and what the scenario calls them; the others keep theirs.
+    pub renamed: BTreeMap<String, String>,
+    /// Only so much of it, from its beginning, in the recording's own time.
+    pub at_most: Option<Nanos>,
+}
+
+impl Default for Laid {
+    fn default() -> Laid {
+        Laid { speed: 1.0, renamed: BTreeMap::new(), at_most: None }
+    }
+}
+
+/// What is asked, in the order of time, from the first arrival of all recordings on. Recordings of one fleet share a clock:
+/// each keeps its distance to the others. A recording is one front node's: its arrivals go to one of the scenario's, in turn.
+/// Clients' own repetitions are left out, as the scenario's clients repeat by themselves.
+pub fn wants(
+    scenario: &Scenario,
+    recordings: &[(String, Recording)],
+    laid: &Laid,
+    seed: u64,
+) -> Result<Vec<Want>, String> {
+    if !(laid.speed.is_finite() && laid.speed > 0.0) {
+        return Err(format!("speed: should be above 0, not {}", laid.speed));
+    }
+    let mut chance = Pcg64Mcg::seed_from_u64(seed ^ 0x7265_706c_6179);
+    let mut all: Vec<(Nanos, Want)> = Vec::new();
+    let cells = scenario.stores.cells;
+    for (n, (name, recording)) in recordings.iter().enumerate() {
+        let called = |word: &str| laid.renamed.get(word).map_or(word, String::as_str).to_owned();
+        let grades: Vec<Option<usize>> = recording
+            .head
+            .grades
+            .iter()
+            .map(|g| scenario.grades.iter().position(|x| x.name == called(g)))
+            .collect();
+        let tenants: Vec<Option<usize>> = recording
+            .head
+            .tenants
+            .iter()
+            .map(|t| scenario.tenants.iter().position(|x| x.name == called(t)))
+            .collect();
+        let mut at = recording.head.unix_ms * MS;
+        for arrival in &recording.arrivals {
+            at += arrival.after_us as Nanos * 1000;
+            if arrival.again {
+                continue;
+            }
+            let word = |of: &[String], place: u32| {
+                of.get(place as usize).cloned().unwrap_or_else(|| format!("number {place}"))
+            };
+            let grade = grades.get(arrival.grade as usize).copied().flatten().ok_or_else(|| {
+                let found = word(&recording.head.grades, arrival.grade);
+                format!("{name}: grade '{found}' is none of the scenario's: rename it")
+            })?;
+            // Without tenants in the scenario nobody is told apart; with some, a stranger would be counted as another.
+            let tenant = match arrival.tenant.filter(|_| !scenario.tenants.is_empty()) {
+                None => None,
+                Some(t) => Some(tenants.get(t as usize).copied().flatten().ok_or_else(|| {
+                    let found = word(&recording.head.tenants, t);
+                    format!("{name}: tenant '{found}' is none of the scenario's: rename it")
+                })?),
+            };
+            // Laid over a ring of another size, shards keep their distances as far as it goes.
+            let mut shards: Vec<usize> = arrival.shards.iter().map(|s| *s as usize % cells).collect();
+            shards.sort_unstable();
+            shards.dedup();
+            if shards.is_empty() {
+                continue;
+            }
+            let front = if recordings.len() == 1 {
+                chance.random_range(0..scenario.fronts)
+            } else {
+                n % scenario.fronts
+            };
+            all.push((at, Want { at: 0, grade, tenant, shards, front }));
+        }
+    }
+    all.sort_by_key(|(at, _)| *at);
+    let Some(first) = all.first().map(|(at, _)| *at) else { return Ok(Vec::new()) };
+    let within = |at: Nanos| laid.at_most.is_none_or(|most| at - first <= most);
+    let timed = |(at, mut want): (Nanos, Want)| {
+        want.at = ((at - first) as f64 / laid.speed) as Nanos;
+        want
+    };
+    Ok(all.into_iter().filter(|(at, _)| within(*at)).map(timed).collect())
+}
--- a/crates/rehearsal/src/scenario.rs
+++ b/crates/rehearsal/src/scenario.rs
@@ -30,6 +30,8 @@
     pub grades: Vec<Grade>,
     #[serde(default, rename = "tenant")]
     pub tenants: Vec<Tenant>,
+    /// Left out where the load is a recording's.
+    #[serde(default)]
     pub load: Vec<Load>,
     #[serde(default)]
     pub clients: Clients,
@@ -41,6 +43,9 @@
     /// Limits and verdicts shared among the front nodes; left out: each decides alone.
     #[serde(default)]
     pub fleet: Option<Fleet>,
+    /// Whether each front node, where it is a process, records what it is asked, beside its configuration.
+    #[serde(default)]
+    pub record: bool,
     #[serde(default, rename = "trouble")]
     pub troubles: Vec<Trouble>,
 }
--- a/crates/rehearsal/tests/emulator.rs
+++ b/crates/rehearsal/tests/emulator.rs
@@ -5,6 +5,7 @@
 
 use orchidvalve::interface::{Effect, StandingOrders};
 use orchidvalve_rehearsal::emulator::{play, play_told};
+use orchidvalve_rehearsal::load::arrivals;
 use orchidvalve_rehearsal::minds::Policy;
 use orchidvalve_rehearsal::report::{Report, Verdict};
 use orchidvalve_rehearsal::scenario::Scenario;
@@ -70,7 +71,7 @@
         s
     };
     let broken = |amend: fn(&mut StandingOrders)| {
-        let (report, _) = play_told(&scenario, 3, Policy::Ours, amend).unwrap();
+        let (report, _) = play_told(&scenario, 3, Policy::Ours, arrivals(&scenario, 3), amend).unwrap();
         assert_eq!(report.verdict, Verdict::RuleBroken, "{}", report.why);
         let mut rules: Vec<u8> = report.breaches.iter().map(|b| b.rule).collect();
         rules.dedup();
