--- a/crates/cli/src/rehearse.rs
+++ b/crates/cli/src/rehearse.rs
@@ -162,9 +162,10 @@
     fn write(&self, dir: &std::path::Path) -> Result<(), String> {
         let wrong = |e: std::io::Error| format!("{}: {e}", dir.display());
         std::fs::create_dir_all(dir).map_err(wrong)?;
-        let all = self.of.iter();
-        all.map(|(n, text)| std::fs::write(dir.join(format!("front-{n}.trace")), text).map_err(wrong))
-            .collect()
+        for (n, text) in &self.of {
+            std::fs::write(dir.join(format!("front-{n}.trace")), text).map_err(wrong)?;
+        }
+        Ok(())
     }
 }
 
