--- a/crates/rehearsal/tests/emulator.rs
+++ b/crates/rehearsal/tests/emulator.rs
@@ -92,6 +92,22 @@
     assert_eq!(broken(|o| o.grades.iter_mut().for_each(|g| (g.floor, g.short_earnings) = (0.1, 0.9))), [5]);
 }
 
+/// Told of no cap, while every part of three stores ends in an error for two seconds.
+#[test]
+fn a_front_node_that_knows_no_cap_breaks_the_rule_on_launches() {
+    let mut scenario = ready("small");
+    scenario
+        .troubles
+        .iter_mut()
+        .for_each(|t| (t.kind, t.at_s, t.for_s) = (Kind::Spoil { part: 1.0 }, 0.5, Some(2.0)));
+    let report = |amend: fn(&mut StandingOrders)| {
+        play_told(&scenario, 1, Policy::Ours, arrivals(&scenario, 1), amend).unwrap().0
+    };
+    assert_eq!(report(|_| {}).breaches, Vec::new(), "told right, they break none");
+    let rules: Vec<u8> = report(|o| o.launches_cap += 8).breaches.iter().map(|b| b.rule).collect();
+    assert!(!rules.is_empty() && rules.iter().all(|r| *r == 6), "{rules:?}");
+}
+
 /// A zone falls silent: whoever sees all serves more in time than chance, and so do we.
 #[test]
 fn chance_ranks_below_the_oracle_and_below_ours() {
