--- a/crates/rehearsal/src/replay.rs
+++ b/crates/rehearsal/src/replay.rs
@@ -70,8 +70,10 @@
                 let found = word(&recording.head.grades, arrival.grade);
                 format!("{name}: grade '{found}' is none of the scenario's: rename it")
             })?;
-            // Without tenants in the scenario nobody is told apart; with some, a stranger would be counted as another.
-            let tenant = match arrival.tenant.filter(|_| !scenario.tenants.is_empty()) {
+            // Without tenants in the scenario, or at the node, nobody is told apart; with some, a stranger would be counted as
+            // another.
+            let told_apart = !scenario.tenants.is_empty() && !recording.head.tenants.is_empty();
+            let tenant = match arrival.tenant.filter(|_| told_apart) {
                 None => None,
                 Some(t) => Some(tenants.get(t as usize).copied().flatten().ok_or_else(|| {
                     let found = word(&recording.head.tenants, t);
