Five endings with one owner each: stop, leave, window, eviction, silent watches on request

Each SIGTERM also began another chain of timers; there is one. - Over 144 KiB behind an open request stopped the reading, and nobody saw the client go: its parts were sent on. What is beyond is now read and dropped, and the connection ends with the answer. - A repeat of a receipted part was decided within its window but could wait for a connection past it (connectTimeoutNs, or a server that reads nothing). choice.rs now says until when a launch may leave, and neither it nor an earlier one that still waits is written after that; the part is given up then, not at its client's end. - A crowd could evict an idle connection whose request had come and was not read yet: it is read first. - Where discovery is asked, waits grew over watches that fell silent one after another; one that lasted longer than askWithinNs begins them anew. Ruled out and left: a frame half written when its part is given up is finished, as the parts that share the connection may run and cutting it would end them as broken (docs/endings.md).

--- a/crates/benchlink/src/door.rs
+++ b/crates/benchlink/src/door.rs
@@ -242,7 +242,7 @@
 }
 
 impl Writer for Reply<'_> {
-    fn launch(&mut self, part: PartIx, replica: ReplicaIx, limit: Nanos) {
+    fn launch(&mut self, part: PartIx, replica: ReplicaIx, limit: Nanos, _: Nanos) {
         let (xid, server) = (self.part(part), self.server(replica));
         let action =
             json!({"verb": "submitTo", "who": self.who, "xid": xid, "server": server, "limitNs": limit});
--- a/crates/frontnode/src/clients.rs
+++ b/crates/frontnode/src/clients.rs
@@ -84,6 +84,8 @@
     queue: bool,
     pub serving: bool,
     pub draining: bool,
+    /// When all that comes while it drains has its answer.
+    pub last_call: Nanos,
     /// When the last connection came in.
     pub accepted: Nanos,
 }
@@ -114,6 +116,7 @@
             queue: false,
             serving: false,
             draining: false,
+            last_call: Nanos::MAX,
             accepted: 0,
         })
     }
@@ -188,14 +191,27 @@
     /// in this round are spared: their requests may be there, not read yet.
     fn evict(&mut self, kit: &mut Kit) -> bool {
         let (now, soon) = (kit.now, self.linger / 10);
-        let free = self.table.iter().filter(|(_, c)| c.asked.is_none() && c.stream.flushed() && c.used < now);
         let mute = |c: &Client| c.idle() && !c.asks && c.used + soon <= now;
-        let Some(key) = free.min_by_key(|(_, c)| (!mute(c), !c.idle(), c.used)).map(|(key, _)| key) else {
-            return false;
-        };
-        kit.counters.clients_evicted += 1;
-        self.remove(key, kit);
-        true
+        loop {
+            let free =
+                self.table.iter().filter(|(_, c)| c.asked.is_none() && c.stream.flushed() && c.used < now);
+            let Some(key) = free.min_by_key(|(_, c)| (!mute(c), !c.idle(), c.used)).map(|(key, _)| key)
+            else {
+                return false;
+            };
+            let client = &mut self.table[key];
+            let was_idle = client.idle();
+            let sound = matches!(client.stream.fill(http::MESSAGE), Ok(true));
+            if was_idle && sound && !client.stream.inbox().is_empty() {
+                // Its request came while the newcomers did, and would be lost with it.
+                client.used = now;
+                kit.again.push(Who::Client(key));
+                continue;
+            }
+            kit.counters.clients_evicted += 1;
+            self.remove(key, kit);
+            return true;
+        }
     }
 
     /// The one place where a connection is given back.
@@ -297,6 +313,13 @@
             }
             return Vec::new();
         }
+        if client.stream.more && client.asked.is_some() {
+            // So much behind an open request is not kept, but read on, or nobody would see its client go. The
+            // connection ends with the answer, as what was dropped cannot be told apart into requests.
+            client.stays = false;
+            client.stream.take(client.stream.inbox().len());
+            kit.again.push(Who::Client(key));
+        }
         if client.stream.held() > http::HEAD && client.asked.is_none() && client.stream.flushed() {
             let held: usize = self.table.values().map(|c| c.stream.held()).sum();
             if held > self.requests_most {
@@ -336,8 +359,11 @@
                     {
                         Heard::Said(reply) => Err(reply),
                         Heard::Asked(asked, bind) => {
+                            let last = self.last_call;
                             let take = |(item, asked)| match asked {
-                                Ok(asked) => take((key, item), asked, plan, desk, ledger, kit),
+                                Ok(asked) => {
+                                    take((key, item), ending_by(asked, last), plan, desk, ledger, kit)
+                                }
                                 Err(reply) => Item::Said(reply),
                             };
                             Ok(Batch {
@@ -466,6 +492,12 @@
     Some(Heard::Said(reply))
 }
 
+/// Nobody is there to answer it later.
+fn ending_by(mut asked: Asked, last: Nanos) -> Asked {
+    asked.valid_until = asked.valid_until.min(last);
+    asked
+}
+
 /// Hands over one thing that a message asked, where there is room for it.
 fn take(
     from: (ClientKey, usize),
--- a/crates/frontnode/src/desk.rs
+++ b/crates/frontnode/src/desk.rs
@@ -53,6 +53,8 @@
     pub shard: usize,
     pub value: Option<Box<str>>,
     launches: Vec<Launch>,
+    /// When nothing more of it may be sent.
+    leave_by: Nanos,
 }
 
 pub struct Launch {
@@ -124,7 +126,13 @@
         let mut parts = Vec::with_capacity(asked.parts.len());
         for &(shard, weight) in &asked.parts {
             parts.push(ledger.part_taken(ix, shard, weight));
-            self.parts.kept.push_back(Part { retrieval: ix, shard, value: None, launches: Vec::new() });
+            self.parts.kept.push_back(Part {
+                retrieval: ix,
+                shard,
+                value: None,
+                launches: Vec::new(),
+                leave_by: Nanos::MAX,
+            });
         }
         kit.counters.retrievals_taken += 1;
         kit.counters.parts_taken += parts.len() as u64;
@@ -186,17 +194,32 @@
         &mut self,
         part: PartIx,
         replica: ReplicaIx,
-        limit: Nanos,
+        (limit, leave): (Nanos, Nanos),
         kit: &mut Kit,
     ) -> Option<usize> {
         let p = self.parts.get_mut(part.0)?;
         let (sent, until, number) = (kit.now, kit.now + limit, p.launches.len());
-        let limit = kit.deadlines.set(until, Due::Launch(part, number));
+        p.leave_by = p.leave_by.min(kit.now + leave);
+        let limit = kit.deadlines.set(until.min(p.leave_by), Due::Launch(part, number));
         p.launches.push(Launch { replica, sent, until, limit, link: None, written: false, ended: false });
         kit.counters.launches += 1;
         Some(number)
     }
 
+    /// Whether a launch still has time: one that left in its time is waited for longer than one that has not left.
+    pub fn waits(&mut self, part: PartIx, launch: usize, kit: &mut Kit) -> bool {
+        let Some(l) = self.launch(part, launch).filter(|l| l.written && kit.now < l.until) else {
+            return false;
+        };
+        l.limit = kit.deadlines.set(l.until, Due::Launch(part, launch));
+        true
+    }
+
+    /// Whether the part may still be sent.
+    pub fn may_leave(&self, part: PartIx, now: Nanos) -> bool {
+        self.part(part).is_some_and(|p| now <= p.leave_by)
+    }
+
     /// The one place where a launch is given back.
     pub fn end(&mut self, part: PartIx, launch: usize, ending: Ending, kit: &mut Kit) {
         let Some(l) = self.launch(part, launch) else { return };
--- a/crates/frontnode/src/node.rs
+++ b/crates/frontnode/src/node.rs
@@ -33,6 +33,11 @@
 
 /// After the last connection came in, a node told to stop waits so long for more.
 const QUIET: Nanos = 1_000_000_000;
+/// No sooner than so long after the word to stop, and the longest abandon time, counted as this at most, may the node be
+/// killed: what comes after the word has its answer by then, with a margin.
+const KILLED_AFTER: Nanos = 700_000_000;
+const LONGEST_COUNTED: Nanos = 3_000_000_000;
+const KILL_MARGIN: Nanos = 100_000_000;
 /// Rounds whose times are kept: some seconds of a busy node.
 const ROUNDS_KEPT: usize = 1024;
 
@@ -54,7 +59,8 @@
     tracer: Option<Tracer>,
     wake: Option<Mark>,
     follow: bool,
-    stopping: bool,
+    /// Since it was told to stop: when to look again.
+    stopping: Option<Mark>,
     stopped: bool,
 }
 
@@ -145,7 +151,7 @@
             tracer,
             wake: None,
             follow: false,
-            stopping: false,
+            stopping: None,
             stopped: false,
             plan,
         };
@@ -456,23 +462,26 @@
     /// New connections go on coming for a while after the word to stop, and are served.
     fn stop(&mut self) {
         let kit = &mut self.kit;
-        if !self.stopping {
-            self.stopping = true;
+        if let Some(mark) = self.stopping.take() {
+            kit.deadlines.clear(mark);
+        } else {
             log!(
                 "told to stop: {} retrievals open, {} clients",
                 self.desk.unanswered(),
                 self.clients.connected()
             );
             self.clients.accepted = kit.now;
+            let longest = self.plan.abandon.iter().copied().max().unwrap_or(0);
+            self.clients.last_call = kit.now + longest.min(LONGEST_COUNTED) + KILLED_AFTER - KILL_MARGIN;
             self.clients.drain(kit);
         }
         self.clients.accept(kit);
-        let quiet_at = self.clients.accepted + QUIET;
+        let quiet_at = (self.clients.accepted + QUIET).min(self.clients.last_call);
         if kit.now >= quiet_at {
             self.clients.drain(kit);
         }
         self.stopped = kit.now >= quiet_at && self.clients.connected() == 0;
-        kit.deadlines.set(quiet_at.max(kit.now + self.plan.beat), Due::Stop);
+        self.stopping = Some(kit.deadlines.set(quiet_at.max(kit.now + self.plan.beat), Due::Stop));
     }
 }
 
@@ -488,10 +497,10 @@
 struct Hand<'a>(&'a RefCell<Works>);
 
 impl Writer for Hand<'_> {
-    fn launch(&mut self, part: PartIx, replica: ReplicaIx, limit: Nanos) {
+    fn launch(&mut self, part: PartIx, replica: ReplicaIx, limit: Nanos, leave: Nanos) {
         let Works { desk, servers, kit, peers, .. } = &mut *self.0.borrow_mut();
         let mut further = false;
-        if let Some(launch) = desk.launched(part, replica, limit, kit) {
+        if let Some(launch) = desk.launched(part, replica, (limit, leave), kit) {
             servers.gather(part, launch, replica);
             further = launch > 0;
         }
--- a/crates/frontnode/src/servers.rs
+++ b/crates/frontnode/src/servers.rs
@@ -505,7 +505,17 @@
         let before = link.stream.written;
         let mut flushed = if link.up.is_some() { link.stream.flush() } else { return };
         while flushed.is_ok() && link.stream.flushed() {
-            let Some(call) = link.waiting.pop_front() else { break };
+            let Some(mut call) = link.waiting.pop_front() else { break };
+            call.retain(|&(part, n)| {
+                let leaves = desk.may_leave(part, kit.now);
+                if !leaves {
+                    desk.end(part, n, Ending::Unsent, kit);
+                }
+                leaves
+            });
+            if call.is_empty() {
+                continue;
+            }
             let mut waits = Vec::with_capacity(call.len());
             for &(part, n) in &call {
                 let Some(l) = desk.launch(part, n) else { continue };
@@ -538,9 +548,14 @@
         self.give_back(part, launch, Ending::CalledOff, Ending::Unsent, desk, kit);
     }
 
-    /// Its time is up.
+    /// Its time is up, to be answered or to be sent.
     pub fn overdue(&mut self, part: PartIx, launch: usize, desk: &mut Desk, kit: &mut Kit) {
-        self.give_back(part, launch, Ending::Silent, Ending::Unreached, desk, kit);
+        if desk.waits(part, launch, kit) {
+            return;
+        }
+        let in_time = desk.launch(part, launch).is_none_or(|l| kit.now >= l.until);
+        let unwritten = if in_time { Ending::Unreached } else { Ending::Unsent };
+        self.give_back(part, launch, Ending::Silent, unwritten, desk, kit);
     }
 
     /// A retrieval that is over sends nothing more.
--- a/crates/frontnode/tests/sockets.rs
+++ b/crates/frontnode/tests/sockets.rs
@@ -914,3 +914,167 @@
         assert!(!run.status.success() && log.contains(&format!("{named}: ")), "{key}: {log}");
     }
 }
+
+// ---- endings: docs/endings.md has the table ----
+
+/// Settings under which all that waits for a connection waits for longer than any story.
+fn patient() -> Value {
+    let mut settings = settings(1);
+    settings["limits"]["connectTimeoutNs"] = json!(60_000_000_000u64);
+    settings["rules"]["stopSendingWithinNs"] = json!(100_000_000);
+    settings
+}
+
+#[test]
+fn a_watch_that_is_closed_in_any_way_is_opened_anew_at_once() {
+    let stage = Stage::open_with("watch-closed", 1, patient());
+    // What a lost watch would have told counts from that moment on, so no other limit is waited for.
+    for (n, told) in
+        [&b""[..], b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"revision\"", b"nonsense\r\n\r\n"]
+            .iter()
+            .enumerate()
+    {
+        let mut agent = Peer::new(stage.agent.accept().unwrap().0);
+        let mut asked = String::new();
+        while !asked.ends_with("\r\n\r\n") {
+            asked.push(agent.take(1)[0] as char);
+        }
+        assert!(asked.contains("?from=1&hold_ms="), "{n}: {asked}");
+        agent.send(told);
+    }
+    let mut agent = Peer::new(stage.agent.accept().unwrap().0);
+    let address = stage.replicas[0].local_addr().unwrap();
+    stage.move_replica(&mut agent, 1, address, "draining");
+    let mut client = stage.client();
+    client.ask("r1", "look", &[0], "300m");
+    assert_eq!((client.response().0, stage.counter("launches")), (503, 0));
+}
+
+#[test]
+fn a_new_agent_that_says_nothing_or_trickles_is_asked_again_and_again() {
+    let mut stage = Stage::open_with("agent-silent", 1, patient());
+    let _old = stage.agent.accept().unwrap();
+    let agent = listener();
+    stage.config["discovery"] = json!(agent.local_addr().unwrap().to_string());
+    std::fs::write(&stage.path, stage.config.to_string()).unwrap();
+    stage.signal("HUP");
+    let _silent = agent.accept().unwrap();
+    let mut trickles = Peer::new(agent.accept().unwrap().0);
+    trickles.send(b"HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{");
+    let mut last = Peer::new(agent.accept().unwrap().0);
+    tell_at(&mut last, " HTTP", &json!({"revision": 7, "complete": true, "members": []}));
+    assert!(last.more());
+    assert_eq!(stage.health(), 200);
+    assert_eq!(stage.counter("roster_misses"), 2);
+}
+
+#[test]
+fn much_behind_an_open_request_does_not_hide_that_its_client_left() {
+    let stage = Stage::open("left-behind", 1);
+    let mut client = stage.client();
+    client.ask("r1", "look", &[0], "60000m");
+    let mut replica = stage.replica(0);
+    replica.call();
+    // More than one message may take, so that the node would not read as far as the end.
+    let behind = request("r2", "look", &[0], "60000m").repeat(2_000);
+    client.send(behind.as_bytes());
+    drop(client);
+    let cancelled = std::iter::repeat_with(|| replica.frame()).find(|(letter, _)| *letter == '2').unwrap();
+    assert_eq!(cancelled.1, "r1.0");
+    assert_eq!((stage.counter("lapsed"), stage.counter("retrievals_taken")), (1, 1));
+}
+
+#[test]
+fn much_behind_an_open_request_is_dropped_and_that_one_is_answered() {
+    let stage = Stage::open("much-behind", 1);
+    let mut client = stage.client();
+    client.ask("r1", "look", &[0], "60000m");
+    let mut replica = stage.replica(0);
+    let call = replica.call();
+    client.send(request("r2", "look", &[0], "60000m").repeat(2_000).as_bytes());
+    replica.answer(&call[0], "S", "v");
+    let (status, head, _) = client.response();
+    assert!(status == 200 && (head.contains("Connection: close") || stage.counter("retrievals_taken") > 1));
+}
+
+#[test]
+fn what_comes_after_the_word_to_stop_has_its_answer_before_the_kill() {
+    let stage = Stage::open("stop-late", 1);
+    let mut idle = stage.client();
+    assert_eq!(stage.health(), 200);
+    let gauge = || {
+        let mut client = stage.client();
+        client.send(b"GET /metrics HTTP/1.1\r\n\r\n");
+        let text = client.response().2;
+        let line = text.lines().find(|l| l.starts_with("orchidvalve_deadlines_set ")).unwrap().to_owned();
+        line.rsplit(' ').next().unwrap().parse::<u64>().unwrap()
+    };
+    stage.signal("TERM");
+    let begun = Instant::now();
+    assert!(!idle.more());
+    let before = gauge();
+    // The word is heard once, however often it comes; and a new configuration changes nothing.
+    for _ in 0..5 {
+        stage.signal("TERM");
+        stage.signal("HUP");
+        assert_eq!(stage.health(), 503);
+    }
+    assert!(gauge() <= before + 1, "{} deadlines, {before} before", gauge());
+    let (mut pure, mut paid) = (stage.client(), stage.client());
+    pure.ask("r1", "look", &[0], "60000m");
+    paid.ask("r2", "pay", &[0], "60000m");
+    let mut replica = stage.replica(0);
+    replica.frame();
+    assert_eq!((pure.response().0, paid.response().0), (503, 504));
+    // Three seconds, the longest abandon time, and 0.7.
+    assert!(begun.elapsed() < Duration::from_millis(3_700));
+    let (log, code) = stage.end();
+    assert_eq!(code, Some(0), "{log}");
+}
+
+#[test]
+fn a_receipted_part_that_waits_for_a_connection_past_its_window_is_not_sent() {
+    let mut settings = settings(2);
+    settings["extra"]["reach"] = json!(2);
+    settings["classes"][1]["windowNs"] = json!(800_000_000);
+    settings["limits"]["probes"] = json!(false);
+    settings["limits"]["connectTimeoutNs"] = json!(60_000_000_000u64);
+    let at = |address: SocketAddr| -> Value { (0..2).map(|n| member(n, address, "up")).collect() };
+    let replicas = vec![listener()];
+    let known = at(replicas[0].local_addr().unwrap());
+    let stage = Stage::begin("", "window", replicas, known, settings);
+    let mut agent = Peer::new(stage.agent.accept().unwrap().0);
+    let (mut client, begun) = (stage.client(), Instant::now());
+    client.ask("r1", "hold", &[0], "9000m");
+    let mut replica = stage.replica(0);
+    replica.call();
+    // Both holders move to where no connection comes up, and the one to the old place breaks.
+    let (full, address, waits) = full();
+    tell(&mut agent, 1, &json!({"revision": 2, "complete": false, "members": at(address)}));
+    assert!(agent.more());
+    drop(replica);
+    assert_eq!(client.response().0, 504);
+    assert!(begun.elapsed() < Duration::from_secs(5), "it is known as soon as the window is over");
+    assert_eq!((stage.counter("launches_broken"), stage.counter("launches_unsent")), (1, 1));
+    drop((full.accept().unwrap(), waits));
+    client.ask("r2", "look", &[0], "9000m");
+    let mut moved = Peer::new(full.accept().unwrap().0.into());
+    let call = moved.call();
+    assert!(call[0].starts_with("r2.0 "), "{call:?}");
+}
+
+#[test]
+fn a_crowd_does_not_close_on_a_request_that_came_while_the_node_was_away() {
+    let stage = Stage::open_limited("crowd-request", json!({"memory_mb": 64, "sockets": 64}));
+    let mut usual = stage.client();
+    usual.send(b"GET /_health HTTP/1.1\r\n\r\n");
+    assert_eq!(usual.response().0, 200);
+    // Held here, the node finds the crowd at the door first, and then the request of its only idle client.
+    stage.signal("STOP");
+    let crowd: Vec<Peer> = (0..60).map(|_| stage.client()).collect();
+    usual.send(b"GET /_health HTTP/1.1\r\n\r\n");
+    stage.signal("CONT");
+    assert_eq!(usual.response().0, 200);
+    assert!((0..10_000).any(|_| stage.counter("clients_evicted") > 0));
+    drop(crowd);
+}
--- a/crates/rehearsal/src/emulator.rs
+++ b/crates/rehearsal/src/emulator.rs
@@ -143,7 +143,7 @@
 }
 
 impl Writer for Sink {
-    fn launch(&mut self, part: PartIx, replica: ReplicaIx, limit: Nanos) {
+    fn launch(&mut self, part: PartIx, replica: ReplicaIx, limit: Nanos, _: Nanos) {
         self.told.push(Decision::Launch(part, replica, limit));
     }
     fn retract(&mut self, part: PartIx, launch: usize) {
--- a/crates/rehearsal/src/minds.rs
+++ b/crates/rehearsal/src/minds.rs
@@ -99,7 +99,8 @@
                 let until = self.ledger.retrieval(self.ledger.part(part).retrieval).valid_until;
                 self.ledger.launched(part, replica, false);
                 // Half of what is left: a silent holder leaves time for another one.
-                w.launch(part, replica, ((until - now) / 2).max(1));
+                let limit = ((until - now) / 2).max(1);
+                w.launch(part, replica, limit, limit);
             }
         }
         let open: Vec<RetrievalIx> = self.ledger.open().map(|(ix, _)| ix).collect();
--- a/src/choice.rs
+++ b/src/choice.rs
@@ -116,6 +116,7 @@
     chance: Pcg64,
     opinions: Vec<Opinion>,
     roster_ask: Option<Nanos>,
+    roster_asked: Nanos,
     roster_misses: u32,
     wake: Nanos,
     usual: Usual,
@@ -138,7 +139,8 @@
         let ledger = Ledger::new(RINGS);
         let (chance, opinions) = (Pcg64::seed_from_u64(seed), Vec::new());
         let (roster_misses, wake, usual) = (0, Nanos::MIN, Usual::default());
-        Aggregator { orders, ledger, chance, opinions, roster_ask, roster_misses, wake, usual }
+        let roster_asked = Nanos::MIN / 2;
+        Aggregator { orders, ledger, chance, opinions, roster_ask, roster_asked, roster_misses, wake, usual }
     }
 
     pub fn ledger(&self) -> &Ledger {
@@ -232,6 +234,12 @@
         let now = self.now();
         if self.ledger.roster_lost {
             self.ledger.roster_lost = false;
+            // A watch that fell silent after it had lasted is no miss after a miss: what it held back soon
+            // counts as told, so the waits begin anew.
+            let last = self.roster_asked.max(self.ledger.roster_heard.unwrap_or(self.roster_asked));
+            if now - last > self.orders.roster_within {
+                self.roster_misses = 0;
+            }
             self.roster_misses = (self.roster_misses + 1).min(4);
             let most = scaled(self.orders.roster_within, 0.05) << self.roster_misses;
             self.roster_ask = Some(now + self.chance.random_range(most / 4..=most));
@@ -239,7 +247,7 @@
             self.roster_misses = 0;
         }
         if self.roster_ask.is_some_and(|due| due <= now) {
-            self.roster_ask = None;
+            (self.roster_ask, self.roster_asked) = (None, now);
             w.follow_roster();
         }
     }
@@ -565,16 +573,20 @@
         against.is_none()
     }
 
-    /// Whether the rules and the grade allow a launch beyond the part's first.
-    fn may_repeat(&self, part: &Part) -> bool {
+    /// Until when the grade lets the part be sent once more: for good where no launch of it may have run.
+    fn sent_until(&self, part: &Part) -> Nanos {
         let may_have_run = |l: &&Launch| !l.end.is_some_and(Ending::never_ran);
         let first = part.launches.iter().find(may_have_run).map(|l| l.sent);
-        let allowed = match (self.orders.grades[self.ledger.retrieval(part.retrieval).grade].effect, first) {
-            (_, None) | (Effect::Pure, _) => true,
-            (Effect::Receipted(window), Some(sent)) => self.now() < sent + window - self.orders.beat,
-            (Effect::Effectful, Some(_)) => false,
-        };
-        allowed && part.launches.len() < self.orders.launches_cap
+        match (self.orders.grades[self.ledger.retrieval(part.retrieval).grade].effect, first) {
+            (_, None) | (Effect::Pure, _) => Nanos::MAX,
+            (Effect::Receipted(window), Some(sent)) => sent + window - self.orders.beat,
+            (Effect::Effectful, Some(_)) => Nanos::MIN,
+        }
+    }
+
+    /// Whether the rules and the grade allow a launch beyond the part's first.
+    fn may_repeat(&self, part: &Part) -> bool {
+        self.now() < self.sent_until(part) && part.launches.len() < self.orders.launches_cap
     }
 
     /// The rules' ration of this front alone, and what the fleet leaves it where front nodes share one: each within
@@ -754,8 +766,10 @@
         self.ledger.note(|| What::Launch(part, replica, why));
         let retrieval = self.ledger.retrieval(self.ledger.part(part).retrieval);
         let limit = (self.end_of_use(retrieval) - self.now()).max(self.orders.beat);
+        // It may wait for a connection past the window in which it may follow another.
+        let leave = self.sent_until(self.ledger.part(part)).saturating_sub(self.now()).min(limit);
         self.ledger.launched(part, replica, why == Launched::Copy);
-        w.launch(part, replica, limit);
+        w.launch(part, replica, limit, leave);
     }
 
     /// Near a retrieval's end idle replicas get a copy of a pending part, oldest first, after the delay.
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -88,8 +88,9 @@
 
 /// Takes the decisions of a round, in order.
 pub trait Writer {
-    /// Sends the part to a replica; launches of a part are numbered from 0. `limit` is how long it may take.
-    fn launch(&mut self, part: PartIx, replica: ReplicaIx, limit: Nanos);
+    /// Sends the part to a replica; launches of a part are numbered from 0. `limit` is how long it may take. A host
+    /// where launches wait to be sent sends neither this one nor an earlier one of the part once `leave` is over.
+    fn launch(&mut self, part: PartIx, replica: ReplicaIx, limit: Nanos, leave: Nanos);
     fn retract(&mut self, part: PartIx, launch: usize);
     fn answer(&mut self, retrieval: RetrievalIx, whole: bool);
     fn dismiss(&mut self, retrieval: RetrievalIx, stay_away: Nanos);
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,7 +11,7 @@
 //! struct Sent(Vec<(PartIx, ReplicaIx)>);
 //!
 //! impl Writer for Sent {
-//!     fn launch(&mut self, part: PartIx, replica: ReplicaIx, _limit: Nanos) { self.0.push((part, replica)) }
+//!     fn launch(&mut self, part: PartIx, replica: ReplicaIx, _limit: Nanos, _leave: Nanos) { self.0.push((part, replica)) }
 //!     fn retract(&mut self, _: PartIx, _: usize) {}
 //!     fn answer(&mut self, _: RetrievalIx, _: bool) {}
 //!     fn dismiss(&mut self, _: RetrievalIx, _: Nanos) {}
--- a/tests/host/mod.rs
+++ b/tests/host/mod.rs
@@ -21,10 +21,13 @@
 #[derive(Default)]
 pub struct Notes {
     pub told: Vec<Told>,
+    /// How long the last launch may wait to be sent.
+    pub leave: Nanos,
 }
 
 impl Writer for Notes {
-    fn launch(&mut self, part: PartIx, replica: ReplicaIx, _: Nanos) {
+    fn launch(&mut self, part: PartIx, replica: ReplicaIx, _: Nanos, leave: Nanos) {
+        self.leave = leave;
         self.told.push(Told::Launch(part, replica));
     }
     fn retract(&mut self, part: PartIx, launch: usize) {
@@ -53,6 +56,8 @@
     pub now: Nanos,
     /// Launches out: part, its launch number, replica, when sent.
     pub out: Vec<(PartIx, usize, ReplicaIx, Nanos)>,
+    /// How long the last launch may wait to be sent.
+    pub leave: Nanos,
 }
 
 /// Two replicas hold each shard, one part travels in a call, and a pure grade wants its answer within a second.
@@ -92,7 +97,8 @@
     /// One replica in each cell, all long warm.
     pub fn new(orders: StandingOrders) -> Host {
         let cells = orders.cells;
-        let mut host = Host { aggregator: Aggregator::new(orders, 7), now: 1_000_000 * MS, out: Vec::new() };
+        let mut host =
+            Host { aggregator: Aggregator::new(orders, 7), now: 1_000_000 * MS, out: Vec::new(), leave: 0 };
         host.round(|l| {
             l.roster_opens(true);
             for cell in 0..cells {
@@ -107,6 +113,7 @@
     pub fn round(&mut self, came_in: impl FnOnce(&mut Ledger)) -> Vec<Told> {
         let mut notes = Notes::default();
         self.aggregator.round(self.now, came_in, &mut notes);
+        self.leave = if notes.leave > 0 { notes.leave } else { self.leave };
         for told in &notes.told {
             if let Told::Launch(part, replica) = *told {
                 let launch = self.aggregator.ledger().part(part).launches.len() - 1;
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -349,6 +349,18 @@
     assert!(told.contains(&Told::GiveUp(ix)));
 }
 
+#[test]
+fn a_repeat_of_a_receipted_part_may_not_wait_to_be_sent_past_its_window() {
+    let mut orders = orders(2);
+    orders.grades[0].effect = Effect::Receipted(300 * MS);
+    let mut host = Host::new(orders);
+    host.take(0, &[0]);
+    assert!(host.leave > 300 * MS, "the first one may wait for as long as it may take");
+    host.now += 200 * MS;
+    assert_eq!(launches(&host.end(|_| Some(Ending::Faulty))).len(), 1);
+    assert_eq!(host.leave, 95 * MS);
+}
+
 #[test]
 fn further_launches_stay_within_a_stated_ration() {
     let mut orders = orders(24);
@@ -416,6 +428,19 @@
     assert_eq!(told.iter().filter(|t| **t == Told::Roster).count(), 1);
 }
 
+#[test]
+fn watches_that_fall_silent_one_after_another_are_each_asked_anew_within_a_second() {
+    let mut orders = orders(2);
+    orders.roster_on_request = true;
+    let mut host = Host::new(orders);
+    for _ in 0..4 {
+        host.wait(20_800 * MS);
+        host.round(|l| l.roster_lost());
+        let asked = (0..=100).any(|_| host.wait(10 * MS).contains(&Told::Roster));
+        assert!(asked, "what a silent watch held back counts as told 2 s after its wait");
+    }
+}
+
 #[test]
 fn parts_of_a_round_share_calls_where_a_call_takes_several() {
     let mut orders = orders(3);
