--- a/crates/frontnode/tests/sockets.rs
+++ b/crates/frontnode/tests/sockets.rs
@@ -674,6 +674,7 @@
         (400, "Request-Class", with("look", "loot")),
         (400, "Tenant", with("acme", "nobody")),
         (400, "Request-Timeout", with("500m", "500")),
+        (400, "Request-Timeout", with("500m", "0m")),
         (400, "Request-Timeout", with("500m", "99999999999999999999m")),
         (400, "Idempotency-Key", with("look", "hold").replace("Idempotency-Key", "Other")),
         (400, "length", with("Content-Length: ", "Transfer-Encoding: chunked\r\nContent-Length: ")),
@@ -1078,3 +1079,50 @@
     assert!((0..10_000).any(|_| stage.counter("clients_evicted") > 0));
     drop(crowd);
 }
+
+#[test]
+fn a_connection_that_ends_in_the_midst_of_an_answer_leaves_what_may_have_run() {
+    let stage = Stage::open("half-answer", 1);
+    for n in 0..2 {
+        let mut client = stage.client();
+        client.ask(&format!("r{n}"), "pay", &[0], "60000m");
+        let mut replica = stage.replica(0);
+        let call = replica.probed_until_called();
+        let answer = format!("5{} S 7 -\nvalue", call.split(' ').next().unwrap());
+        let whole = [&(answer.len() as u32).to_be_bytes(), answer.as_bytes()].concat();
+        replica.send(&whole[..whole.len() - 2]);
+        if n == 1 {
+            // Closing with this unsaid makes it a reset.
+            SockRef::from(&replica.stream).set_linger(Some(Duration::ZERO)).unwrap();
+        }
+        drop(replica);
+        assert_eq!(client.response().0, 504);
+    }
+    assert_eq!(stage.counter("launches_broken"), 2);
+}
+
+#[test]
+fn a_client_that_says_it_sends_nothing_more_has_gone() {
+    let stage = Stage::open("half-close", 1);
+    let mut client = stage.client();
+    client.ask("r1", "look", &[0], "60000m");
+    let mut replica = stage.replica(0);
+    replica.call();
+    client.stream.shutdown(std::net::Shutdown::Write).unwrap();
+    let cancelled = std::iter::repeat_with(|| replica.frame()).find(|(letter, _)| *letter == '2').unwrap();
+    assert_eq!(cancelled.1, "r1.0");
+    assert!(!client.more());
+}
+
+#[test]
+fn a_node_told_to_stop_before_its_first_list_turns_away_what_it_took() {
+    let stage = Stage::begin("", "stop-unlisted", vec![listener()], json!([]), settings(1));
+    let (mut client, mut idle) = (stage.client(), stage.client());
+    client.ask("r1", "look", &[0], "60000m");
+    assert!((0..10_000).any(|_| stage.counter("retrievals_taken") == 1));
+    stage.signal("TERM");
+    assert!(!idle.more());
+    assert_eq!(client.response().0, 503);
+    let (log, code) = stage.end();
+    assert_eq!(code, Some(0), "{log}");
+}
