Cold servers: what comes at the usual pace is let in by share, not by a turn of its own

A turn under one part a window opens at a phase of the front's own, for most fronts of 300 later than the warm-up ends; so what comes at the usual pace, which is not a rush, was kept off too. Change: where no part waits here for the server, what comes is let in by share: the multiple, the warmth and the caution of the budget, as such arrivals come at about the pace that warm servers bear, and one part a window at most as before. Parts that wait take their turn.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -63,6 +63,8 @@
 const TRIAL_PARTS: usize = 2;
 /// Share of a cold server's budget that we use: clocks, chance and fronts of unlike traffic need the rest.
 const COLD_CAUTION: f64 = 0.7;
+/// The golden section spreads draws evenly, however few there are.
+const SPREAD: f64 = 0.618_033_988_75;
 /// Weights of a step sum to 1 but for this.
 const ROUNDING: f64 = 1e-6;
 /// Rounds kept free before a client's time is up.
@@ -471,8 +473,9 @@
     /// budget shared by the fleet leaves this front, else one part a window at most: one from each of hundreds buries a
     /// cold server, so no more than a server that does one part at a time could take from each of them. Where that
     /// is under one, parts keep as far apart as it asks, and the first of each front comes at a phase of its
-    /// own, lest all that waited for the server rush it in its first window. Harm: where fronts are many and few
-    /// of them have parts for it, it warms up half idle.
+    /// own, lest all that waited for the server rush it in its first window. While nothing waits for it here, what
+    /// comes does so at about the pace that the budget is a multiple of, and that share of it is let in. Harm:
+    /// where fronts are many, and parts wait for it in a few of them, it warms up half idle.
     fn has_room(&self, ix: ReplicaIx) -> bool {
         let r = &self.ledger.replicas[ix.0];
         let warmth = self.warmth(r);
@@ -495,11 +498,20 @@
         if room < 1.0 {
             let apart = scaled(thaw.window, 1.0 / room.max(ROUNDING));
             let turn = now - started >= scaled(apart, self.phase) && sent((now - apart).max(started)) == 0;
-            return r.floor.is_none() && turn;
+            let drawn = self.phase + ix.0 as f64 * SPREAD + self.ledger.call() as f64 * SPREAD * SPREAD;
+            let usual = drawn.fract() < thaw.multiple * warmth * COLD_CAUTION && !self.rushed(ix);
+            return r.floor.is_none() && (turn || usual && sent((now - thaw.window).max(started)) == 0);
         }
         ((sent((now - thaw.window).max(started)) + 1) as f64) <= room
     }
 
+    /// Whether a part that waits here, and did not just come, could go to the replica.
+    fn rushed(&self, ix: ReplicaIx) -> bool {
+        let waits =
+            |p: &Part| p.out().next().is_none() && self.ledger.retrieval(p.retrieval).taken < self.now();
+        self.ledger.wanted().any(|(_, p)| waits(p) && self.holders(p.shard).any(|h| h == ix))
+    }
+
     /// How long what waits at a replica will take, as it said when last probed. Against servers whose queues
     /// are all overdue: fed as before they never catch up, while fronts hold little there and see no pace.
     fn reported_wait(&self, r: &Replica) -> Nanos {
