--- a/src/choice.rs
+++ b/src/choice.rs
@@ -458,9 +458,10 @@
         o.aside.is_none() && !(self.on_trial(ix) && tried())
     }
 
-    /// Since when a server is taken to run. Against servers that die and return cold before the list tells, or without
-    /// a word: one that could not be reached has not run before that, until it has answered so much that it may be the
-    /// connection that was slow. Harm: where a connection failed for another reason, it gets a cold server's share.
+    /// Since when a server is taken to run. Against servers that die and return cold before the list tells,
+    /// or without a word: one that could not be reached has not run before that, until it has answered so
+    /// much that it may be the connection that was slow. Harm: where a connection failed for another
+    /// reason, it gets a cold server's share.
     fn started(&self, r: &Replica) -> Option<Nanos> {
         r.started.max(r.unreached.filter(|&at| self.answered_since(r, at) < TRIAL_PARTS))
     }
@@ -475,14 +476,15 @@
 
     /// Against pushing a cold server over: within the rule's window we send it no more than the rule's
     /// multiple of what warm replicas have done for us in that time, scaled by its warmth. As all fronts'
-    /// done parts are within a server's capacity, fronts that all do this keep the rule without talking. What
-    /// it has itself done counts as well, or a fleet restarted at once would stay at its floor. That is what a
-    /// budget shared by the fleet leaves this front, else one part a window at most: one from each of hundreds buries a
-    /// cold server, so no more than a server that does one part at a time could take from each of them. Where that
-    /// is under one, parts keep as far apart as it asks, and the first of each front comes at a phase of its
-    /// own, lest all that waited for the server rush it in its first window. While nothing waits for it here, what
-    /// comes does so at about the pace that the budget is a multiple of, and that share of it is let in. Harm:
-    /// where fronts are many, and parts wait for it in a few of them, it warms up half idle.
+    /// done parts are within a server's capacity, fronts that all do this keep the rule without talking.
+    /// What it has itself done counts as well, or a fleet restarted at once would stay at its floor. That
+    /// is what a budget shared by the fleet leaves this front, else one part a window at most: one from
+    /// each of hundreds buries a cold server, so no more than a server that does one part at a time could
+    /// take from each of them. Where that is under one, parts keep as far apart as it asks, and the first
+    /// of each front comes at a phase of its own, lest all that waited for the server rush it in its first
+    /// window. While nothing waits for it here, what comes does so at about the pace that the budget is a
+    /// multiple of, and that share of it is let in. Harm: where fronts are many, and parts wait for it in a
+    /// few of them, it warms up half idle.
     fn has_room(&self, ix: ReplicaIx) -> bool {
         let r = &self.ledger.replicas[ix.0];
         let warmth = self.warmth(r);
@@ -632,8 +634,8 @@
         self.now() < self.sent_until(part) && part.launches.len() < self.orders.launches_cap
     }
 
-    /// The rules' ration of this front alone, and what the fleet leaves it where front nodes share one: each within
-    /// its own, hundreds ask a failing server again hundreds of times as often as one does.
+    /// The rules' ration of this front alone, and what the fleet leaves it where front nodes share one:
+    /// each within its own, hundreds ask a failing server again hundreds of times as often as one does.
     fn within_ration(&self) -> bool {
         let left = self.ledger.fleet_further != Some(0);
         left && self.orders.ration.is_none_or(|ration| {
