--- a/crates/orders/src/section.rs
+++ b/crates/orders/src/section.rs
@@ -53,6 +53,17 @@
         self.field(name, "a whole number", Value::as_i64)
     }
 
+    /// A length of time.
+    pub fn length(&self, name: &str) -> Result<i64, String> {
+        let form = "a whole number, 0 or more";
+        self.field(name, form, |v| v.as_i64().filter(|&n| n >= 0))
+    }
+
+    /// A share, a multiple or a rate.
+    pub fn amount(&self, name: &str) -> Result<f64, String> {
+        self.field(name, "a number, 0 or more", |v| v.as_f64().filter(|&n| n >= 0.0))
+    }
+
     pub fn index(&self, name: &str) -> Result<usize, String> {
         self.field(name, "an index", |v| v.as_u64().and_then(|n| usize::try_from(n).ok()))
     }
--- a/tests/stories.rs
+++ b/tests/stories.rs
@@ -422,6 +422,31 @@
     assert!(sent > 0, "it is tried");
 }
 
+#[test]
+fn what_is_given_up_is_answered_in_the_round_that_gives_it_up() {
+    // Held back to its client's end it would keep that client from asking again, and from help elsewhere.
+    let last = [
+        (Effect::Effectful, Ending::Broken, Told::GiveUp as fn(RetrievalIx) -> Told),
+        (Effect::Receipted(8 * MS), Ending::Silent, Told::GiveUp),
+        (Effect::Pure, Ending::Broken, Told::Dismiss),
+        (Effect::Pure, Ending::Faulty, Told::Dismiss),
+        (Effect::Effectful, Ending::Unreached, Told::Dismiss),
+    ];
+    for (effect, ending, told_as) in last {
+        let mut orders = orders(2);
+        (orders.grades[0].effect, orders.launches_cap) = (effect, 1);
+        let mut host = Host::new(orders);
+        let (ix, mut told) = host.take(0, &[0]);
+        while host.aggregator.ledger().open().next().is_some() {
+            assert!(!told.contains(&told_as(ix)), "{effect:?} {ending:?}: told, and still open");
+            host.now += 5 * MS;
+            told = if host.out.is_empty() { host.wait(0) } else { host.end(|_| Some(ending)) };
+        }
+        assert!(told.contains(&told_as(ix)), "{effect:?} {ending:?}: {told:?}");
+        assert!(host.now < 1_000_000 * MS + 1_000 * MS, "{effect:?} {ending:?}: held to its end");
+    }
+}
+
 #[test]
 fn further_launches_stay_within_a_stated_ration() {
     let mut orders = orders(24);
