Stories for endings that went by order alone; a kill waits for the disk

Need: three paths of docs/endings.md had no story with real connections: a request read in one round with its client's end, a drain told in one round with a request, discovery that is down and comes back at its address. The node is held by SIGSTOP, so that both are there when it reads; all three pass, nothing in the node changed. The story killed the node without waiting for what it had just written to reach the disk, which it does wait for before its first kill; it now does so each time. All else in it stands, and it passes.

--- a/crates/frontnode/tests/coldstart.rs
+++ b/crates/frontnode/tests/coldstart.rs
@@ -137,6 +137,9 @@
         assert!(said.contains(&format!(" {n} starts lately")), "{said}");
         assert!(lines.iter().any(|l| l.contains("remembered on disk")), "{lines:?}");
         assert_eq!(fleet.ask(0, &format!("r{n}"), "c"), 200, "by the list on disk");
+        fleet.until("the disk has it", |f| {
+            f.gauge(0, "logbook_syncs") > 0 && f.gauge(0, "logbook_waiting") == 0
+        });
     }
     let asked = fleet.agent.asks().len() - before;
     // The watch of the first run ended with it; a node that was killed before its slot asked nothing.
--- a/crates/frontnode/tests/sockets.rs
+++ b/crates/frontnode/tests/sockets.rs
@@ -1265,3 +1265,61 @@
     stage.signal("CONT");
     assert_eq!(client.response().0, 200);
 }
+
+#[test]
+fn a_client_that_left_before_its_request_was_read_has_nothing_sent() {
+    let stage = Stage::open("left-unread", 1);
+    // Held here, the node finds the request and its client's end in one round.
+    for id in ["r1", "r2"] {
+        let mut client = stage.client();
+        client.send(b"GET /_health HTTP/1.1\r\n\r\n");
+        assert_eq!(client.response().0, 200);
+        stage.signal("STOP");
+        client.ask(id, "look", &[0], "60000m");
+        drop(client);
+        stage.signal("CONT");
+    }
+    let mut client = stage.client();
+    client.ask("r3", "look", &[0], "60000m");
+    let call = stage.replica(0).call();
+    assert!(call[0].starts_with("r3.0 "), "{call:?}");
+    assert_eq!(stage.counter("launches"), 1);
+}
+
+#[test]
+fn a_request_that_came_with_the_word_that_its_replica_drains_is_not_sent_there() {
+    let stage = Stage::open("drain-at-once", 1);
+    let mut agent = Peer::new(stage.agent.accept().unwrap().0);
+    let address = stage.replicas[0].local_addr().unwrap();
+    let mut client = stage.client();
+    client.send(b"GET /_health HTTP/1.1\r\n\r\n");
+    assert_eq!(client.response().0, 200);
+    stage.signal("STOP");
+    client.ask("r1", "look", &[0], "300m");
+    tell(
+        &mut agent,
+        1,
+        &json!({"revision": 2, "complete": false, "members": [member(0, address, "draining")]}),
+    );
+    stage.signal("CONT");
+    assert_eq!((client.response().0, stage.counter("launches")), (503, 0));
+}
+
+#[test]
+fn discovery_that_was_down_is_asked_again_once_it_is_back() {
+    let mut stage = Stage::open_with("agent-down", 1, patient());
+    let address = stage.agent.local_addr().unwrap();
+    let agent = Peer::new(stage.agent.accept().unwrap().0);
+    // Nobody listens there any more: the watch breaks, and what is asked next is refused.
+    stage.agent = listener();
+    drop(agent);
+    assert!((0..10_000).any(|_| stage.counter("roster_misses") >= 3));
+    let back = TcpListener::bind(address).unwrap();
+    SockRef::from(&back).set_read_timeout(Some(TOO_LONG)).unwrap();
+    let mut agent = Peer::new(back.accept().unwrap().0);
+    let replica = stage.replicas[0].local_addr().unwrap();
+    stage.move_replica(&mut agent, 1, replica, "draining");
+    let mut client = stage.client();
+    client.ask("r1", "look", &[0], "300m");
+    assert_eq!((client.response().0, stage.counter("launches")), (503, 0));
+}
