Only a connection refused at once tells of a restart; slow ones cost too much

At fault: started() in choice.rs took each launch without connection for a restart. Change: only one that failed within a quarter of a part's usual time.

--- a/src/choice.rs
+++ b/src/choice.rs
@@ -63,6 +63,8 @@
 const TRIAL_PARTS: usize = 2;
 /// Share of a cold server's budget that we use: clocks, chance and fronts of unlike traffic need the rest.
 const COLD_CAUTION: f64 = 0.7;
+/// Share of a part's usual time within which a refused connection tells of itself.
+const AT_ONCE: f64 = 0.25;
 /// The golden section spreads draws evenly, however few there are.
 const SPREAD: f64 = 0.618_033_988_75;
 /// Weights of a step sum to 1 but for this.
@@ -458,12 +460,20 @@
         o.aside.is_none() && !(self.on_trial(ix) && tried())
     }
 
+    /// How long a part alone takes at the usual pace, at most.
+    fn alone(&self) -> Nanos {
+        self.usual.half.unwrap_or(scaled(self.shortest_soft_limit(), FIRST_DELAY)).max(1)
+    }
+
     /// Since when a server is taken to run. Against servers that die and return cold before the list tells,
-    /// or without a word: one that could not be reached has not run before that, until it has answered so
-    /// much that it may be the connection that was slow. Harm: where a connection failed for another
-    /// reason, it gets a cold server's share.
+    /// or without a word: one that refused a connection has not run before that, until it has answered some
+    /// parts. A refusal comes at once; what took longer may be a slow connection. Harm: a server that refuses
+    /// for another reason gets a cold one's share.
     fn started(&self, r: &Replica) -> Option<Nanos> {
-        r.started.max(r.unreached.filter(|&at| self.answered_since(r, at) < TRIAL_PARTS))
+        let refused = |&(at, took): &(Nanos, Nanos)| {
+            took < scaled(self.alone(), AT_ONCE) && self.answered_since(r, at) < TRIAL_PARTS
+        };
+        r.started.max(r.unreached.filter(refused).map(|(at, _)| at))
     }
 
     /// Share of its capacity that a server can be counted on for, by the time since its start.
@@ -498,8 +508,7 @@
         let borne = warmth * done.iter().sum::<usize>() as f64 / done.len().max(1) as f64;
         let own = self.answered_since(r, (now - span).max(self.started(r).unwrap_or(now))) as f64;
         let a_window = borne.max(own) * thaw.window as f64 / span.max(1) as f64;
-        let alone = self.usual.half.unwrap_or(scaled(self.shortest_soft_limit(), FIRST_DELAY));
-        let able = warmth * thaw.window as f64 / (alone.max(1) * self.orders.fronts as Nanos) as f64;
+        let able = warmth * thaw.window as f64 / (self.alone() * self.orders.fronts as Nanos) as f64;
         let floor = r.floor.unwrap_or((thaw.multiple * able * COLD_CAUTION).min(1.0));
         let room = (thaw.multiple * a_window * COLD_CAUTION).max(floor);
         let started = self.started(r).unwrap_or(now);
--- a/src/ledger.rs
+++ b/src/ledger.rs
@@ -143,8 +143,8 @@
     pub last_done_sent: Nanos,
     pub last_done_at: Nanos,
     pub launched_at: Ring<Nanos>,
-    /// When a launch last got no connection there.
-    pub unreached: Option<Nanos>,
+    /// When a launch last got no connection there, and how long that took.
+    pub unreached: Option<(Nanos, Nanos)>,
     pub probe_sent: Option<Nanos>,
     /// When the answered probes had been sent.
     pub probes_answered: Ring<Nanos>,
@@ -356,7 +356,7 @@
             r.last_done_at = now;
         }
         if ending == Ending::Unreached {
-            r.unreached = Some(now);
+            r.unreached = Some((now, took));
         }
         // What was out on one connection with a spoilt answer is one piece of news: the others were sound.
         let again = |s: Sample| ending == Ending::Spoilt && (s.ending, s.at) == (ending, now);
