Control: a term for every start of a head, as its lists and orders are numbered

Cause: the table of servers was numbered by (epoch of the view, number), and the number isn't kept across a restart. Where all control machines went down at once and came back in the same view, the head began again at 1; doors that had not been restarted held a higher number and ignored every table until it had caught up, so they sent work to servers that were leaving: DRAIN.

Change: a settled head enters a change that begins its duties, and the number of that change is the term of its lists and the fence token of its orders. It rises with every start of a head, also within one view, and is on the disks of the whole chain before anything is told under it. Nothing is told or ordered without a committed term.

The audit of changes passes BeginDuty, the one change that leaves the state as it was, and holds all others to the check as before.

--- a/crates/lineside/tests/feed_copy.rs
+++ b/crates/lineside/tests/feed_copy.rs
@@ -168,7 +168,7 @@
         draining: false,
         models: Vec::new(),
     };
-    let version = |number| TableVersion { epoch: 1, number };
+    let version = |number| TableVersion { term: 1, number };
     let difference = |from, to| ServersUpdate::Difference {
         from: version(from),
         version: version(to),
--- a/crates/signalbox/src/core/journaling.rs
+++ b/crates/signalbox/src/core/journaling.rs
@@ -109,6 +109,13 @@
         }
     }
 
+    /// A settled head enters the change that begins its duties, once in each view and each start of the process.
+    pub(super) fn begin_duty_if_due(&mut self) {
+        if self.duty_entry.is_none() && self.is_settled_head() {
+            self.duty_entry = self.enter(&Change::BeginDuty);
+        }
+    }
+
     pub(super) fn checkpoint_if_due(&mut self) {
         let entries = self.journal.end() + 1 - self.journal.first();
         let large = self.journal.payload_bytes() > CHECKPOINT_BYTES || entries > CHECKPOINT_ENTRIES;
--- a/crates/signalbox/src/core/mod.rs
+++ b/crates/signalbox/src/core/mod.rs
@@ -114,6 +114,8 @@
     view_learned_at: Option<u64>,
     /// When a majority was last seen in the view in force or an earlier one.
     last_confirmed_at: Option<u64>,
+    /// Number of the change that begins this machine's duties as the head of the view in force.
+    duty_entry: Option<u64>,
     /// Newest epoch in which this machine gave orders, by its disk.
     held_duty: Option<u64>,
     now: u64,
@@ -152,6 +154,7 @@
             checkpoint_entered: 0,
             view_learned_at: None,
             last_confirmed_at: None,
+            duty_entry: None,
             held_duty,
             now,
             events: Vec::new(),
@@ -201,6 +204,13 @@
         self.replica.is_member() && confirmed.is_some_and(|at| self.now < at + TOUCH_TIMEOUT_MS)
     }
 
+    /// The term of this machine's duties, while it is the settled head: the number of the committed change that
+    /// began them. It rises with every start of a head, also within one view, so whatever is numbered under it is
+    /// never numbered a second time after a restart.
+    pub fn duty_term(&self) -> Option<u64> {
+        self.duty_entry.filter(|entry| *entry <= self.applied && self.is_settled_head())
+    }
+
     /// Newest epoch in which this machine gave orders, as noted on its disk.
     pub fn held_duty(&self) -> Option<u64> {
         self.held_duty
@@ -255,6 +265,7 @@
         self.run_chain(outputs);
         self.expire_calls();
         self.report_ready();
+        self.begin_duty_if_due();
         self.checkpoint_if_due();
     }
 
@@ -366,6 +377,7 @@
         log::info!("control: view {} has voters {:?}, chain {:?}", view.epoch, view.voters, view.chain);
         self.tentative = None;
         self.checkpoint_entered = 0;
+        self.duty_entry = None;
         let mut outputs = Vec::new();
         self.replica.view_changed(chain_view, &self.journal, &mut outputs);
         self.run_chain(outputs);
--- a/crates/signalbox/src/duties.rs
+++ b/crates/signalbox/src/duties.rs
@@ -1,5 +1,6 @@
 //! The duties of the head of the control chain: reading the platform's list, placing partitions, ordering
-//! new weights. Another machine has them as soon as it is the head, under a higher epoch.
+//! new weights. Another machine has them as soon as it is the head, and every start of a head has a term of its
+//! own, higher than all before ([`crate::core::Core::duty_term`]): lists and orders bear it.
 
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::SocketAddrV4;
@@ -64,6 +65,8 @@
     options: DutyOptions,
     client: HttpClient<Purpose>,
     head_since: Option<u64>,
+    /// Term of the duties, once it is committed; nothing is told or ordered without one.
+    term: Option<u64>,
     next_poll: u64,
     reading: Option<Reading>,
     planner: WeightsPlanner,
@@ -82,6 +85,7 @@
             options,
             client: HttpClient::default(),
             head_since: None,
+            term: None,
             next_poll: 0,
             reading: None,
             planner: WeightsPlanner::default(),
@@ -95,6 +99,7 @@
 
     /// A view has begun; `same_head` says that its head was that of the view just before, too.
     pub fn view_changed(&mut self, now: u64, epoch: u64, is_head: bool, same_head: bool) {
+        self.term = None;
         if !is_head {
             self.head_since = None;
             self.holder.end();
@@ -111,6 +116,11 @@
         }
     }
 
+    /// The duties are done under this term from now on, or not at all.
+    pub fn set_term(&mut self, term: Option<u64>) {
+        self.term = term;
+    }
+
     pub fn learner_ready(&mut self, partition: u16, epoch: u64, member: MemberId) {
         self.ready_learners.insert((partition, epoch, member));
         self.next_placement = 0;
@@ -170,7 +180,6 @@
         network: &mut Network,
         finished: Finished<Purpose>,
         table: &mut ServerTable,
-        epoch: u64,
         now: u64,
     ) -> Option<ServersUpdate> {
         match finished.purpose {
@@ -180,7 +189,7 @@
                     log::info!("weights: order {order:?} ended as {outcome:?}");
                 }
                 self.planner.answered(now, &order, outcome);
-                self.publish(table, epoch, now)
+                self.publish(table, now)
             }
             Purpose::Report { instance } => {
                 let page = finished.answer.filter(|(head, _)| head.status == 200);
@@ -191,7 +200,7 @@
             }
             Purpose::ListPage => {
                 let page = finished.answer.filter(|(head, _)| head.status == 200);
-                self.page_read(network, page.map(|(_, body)| body), table, epoch, now)
+                self.page_read(network, page.map(|(_, body)| body), table, now)
             }
         }
     }
@@ -201,7 +210,6 @@
         network: &mut Network,
         body: Option<Vec<u8>>,
         table: &mut ServerTable,
-        epoch: u64,
         now: u64,
     ) -> Option<ServersUpdate> {
         let progress = match (self.reading.as_mut(), body) {
@@ -220,7 +228,7 @@
                 self.reading = None;
                 self.next_poll = now + POLL_INTERVAL_MS;
                 self.listed = servers;
-                self.publish(table, epoch, now)
+                self.publish(table, now)
             }
             Err(error) => {
                 log::warn!("discovery: {error}");
@@ -231,8 +239,9 @@
     }
 
     /// Puts the list, with the versions known from orders, into the table.
-    fn publish(&mut self, table: &mut ServerTable, epoch: u64, now: u64) -> Option<ServersUpdate> {
-        if self.head_since.is_none() || self.listed.is_empty() {
+    fn publish(&mut self, table: &mut ServerTable, now: u64) -> Option<ServersUpdate> {
+        let term = self.term?;
+        if self.listed.is_empty() {
             return None;
         }
         let mut servers = self.listed.clone();
@@ -243,7 +252,7 @@
             let held = ready.map(|(m, listed)| (m.clone(), planner.held(now, server, m, *listed)));
             server.models = held.collect();
         }
-        table.replace(epoch, servers)
+        table.replace(term, servers)
     }
 
     /// Whether this machine may give orders now.
@@ -258,7 +267,6 @@
         state: &ControlState,
         confirmed_at: Option<u64>,
         table: &mut ServerTable,
-        epoch: u64,
         now: u64,
     ) -> Option<ServersUpdate> {
         self.ask_reports(network, now);
@@ -274,11 +282,11 @@
                 .map(|(m, u)| (m.clone(), u.lag.unwrap_or(UNKNOWN_LAG).min(MOST_LAG)))
                 .collect(),
         );
-        let fence = self.holder.fence(now, confirmed_at, ORDER_VALIDITY_MS);
-        if let Some(fence) = fence {
+        let may_order = self.holds_orders(now, confirmed_at);
+        if let Some(fence) = self.term.filter(|_| may_order) {
             changed |= self.give_orders(network, state, fence, now);
         }
-        if changed { self.publish(table, epoch, now) } else { None }
+        if changed { self.publish(table, now) } else { None }
     }
 
     /// Sends the orders that are due; true if there were any.
--- a/crates/signalbox/src/process/mod.rs
+++ b/crates/signalbox/src/process/mod.rs
@@ -261,8 +261,8 @@
 
     fn duty_call_finished(&mut self, finished: Option<crate::client::Finished<duties::Purpose>>) {
         let Some(finished) = finished else { return };
-        let epoch = self.core.epoch();
-        let update = self.duties.finished(&mut self.network, finished, &mut self.servers, epoch, self.now);
+        self.duties.set_term(self.core.duty_term());
+        let update = self.duties.finished(&mut self.network, finished, &mut self.servers, self.now);
         self.tell_servers(update);
     }
 
@@ -329,17 +329,19 @@
         for finished in self.duties.client().expire(&mut self.network, self.now) {
             self.duty_call_finished(Some(finished));
         }
-        if !self.core.is_settled_head() {
+        let term = self.core.duty_term();
+        self.duties.set_term(term);
+        if term.is_none() {
             return;
         }
         self.duties.poll_list(&mut self.network, self.now);
-        let (epoch, confirmed_at) = (self.core.epoch(), self.core.quorum_confirmed_at());
+        let confirmed_at = self.core.quorum_confirmed_at();
         let state = self.core.newest_state();
         let registrations = duties::registrations(state, &self.sessions);
         let placement = self.duties.place(self.now, state, &self.sessions);
         let (state, _) = self.core.state();
         let (network, table) = (&mut self.network, &mut self.servers);
-        let update = self.duties.order_weights(network, state, confirmed_at, table, epoch, self.now);
+        let update = self.duties.order_weights(network, state, confirmed_at, table, self.now);
         if self.duties.holds_orders(self.now, confirmed_at) {
             self.core.note_duty();
         }
--- /dev/null
+++ b/crates/signalbox/tests/core_terms.rs
@@ -0,0 +1,116 @@
+//! Terms of the head's duties: new for every start, also within one view.
+
+use std::cell::RefCell;
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+
+use orchidvalve_interlocking::{DurableState, View};
+use orchidvalve_signalbox::core::{Core, Disk, Identity};
+use orchidvalve_signalbox::journal::{DiskRecord, Recovered};
+use orchidvalve_track::frames::encode;
+use orchidvalve_track::identity::{MemberId, NodeAddress};
+use orchidvalve_track::messages::{ServerEntry, ServersUpdate};
+use orchidvalve_track::server_table::ServerTable;
+
+const START_MS: u64 = 100_000;
+
+/// A disk that outlives the process; all records are durable at once.
+#[derive(Clone, Default)]
+struct KeptDisk(Rc<RefCell<Vec<Vec<u8>>>>);
+
+impl Disk for KeptDisk {
+    fn append(&mut self, payload: Vec<u8>) -> u64 {
+        self.0.borrow_mut().push(payload);
+        self.0.borrow().len() as u64
+    }
+
+    fn release_before(&mut self, _: u64) {}
+}
+
+fn member(number: u8) -> MemberId {
+    MemberId { address: NodeAddress::new(Ipv4Addr::new(10, 0, 0, number), 7000), disk: u64::from(number) }
+}
+
+fn server(number: u8) -> ServerEntry {
+    ServerEntry {
+        instance: format!("i-{number}"),
+        service: "movemind".to_owned(),
+        address: NodeAddress::new(Ipv4Addr::new(10, 0, 1, number), 8080),
+        zone: "north".to_owned(),
+        slots: 8,
+        draining: false,
+        models: Vec::new(),
+    }
+}
+
+/// A disk that holds the first view: this machine alone, since nothing may be lost.
+fn disk_with_view() -> KeptDisk {
+    let mut disk = KeptDisk::default();
+    let view = View { epoch: 1, voters: vec![member(1)], chain: vec![member(1)] };
+    disk.append(encode(&DiskRecord::Agreement(DurableState { view: Some(view), ..DurableState::default() })));
+    disk
+}
+
+/// A start of the process over what the disk holds.
+fn start(disk: &KeptDisk, nonce: u64) -> Core<KeptDisk> {
+    let identity = Identity { me: member(1), bootstrap: false, seeds: Vec::new(), tolerance: 0, nonce };
+    let mut recovered = Recovered::default();
+    for (index, record) in disk.0.borrow().iter().enumerate() {
+        recovered.take(index as u64 + 1, record);
+    }
+    Core::new(identity, recovered, disk.clone(), START_MS)
+}
+
+/// Lets the machine come to its term.
+fn term(core: &mut Core<KeptDisk>, disk: &KeptDisk) -> u64 {
+    for step in 0..20 {
+        core.tick(START_MS + 50 * step);
+        let written = disk.0.borrow().len() as u64;
+        core.durable(written);
+        core.take_events();
+    }
+    core.duty_term().expect("the only machine of the view has the duties")
+}
+
+#[test]
+fn a_term_begins_once_its_entry_is_committed() {
+    let disk = disk_with_view();
+    let mut core = start(&disk, 1);
+    core.tick(START_MS);
+    assert_eq!(core.duty_term(), None);
+    assert_eq!(term(&mut core, &disk), 1);
+}
+
+#[test]
+fn a_head_that_starts_again_in_its_view_has_a_higher_term() {
+    let disk = disk_with_view();
+    let first = term(&mut start(&disk, 1), &disk);
+    let mut again = start(&disk, 2);
+    let second = term(&mut again, &disk);
+    assert_eq!(again.epoch(), 1);
+    assert!(second > first, "{second} after {first}");
+}
+
+/// All control machines went down at once and came back in the same view. A door that wasn't restarted holds a
+/// table with a higher number than the new ones have, and has to go by the new ones all the same.
+#[test]
+fn followers_take_the_table_of_a_head_that_started_again_in_its_view() {
+    let disk = disk_with_view();
+    let first = term(&mut start(&disk, 1), &disk);
+    let mut before = ServerTable::default();
+    let mut door = ServerTable::default();
+    for count in 1..=5 {
+        let update = before.replace(first, (1..=count).map(server).collect()).expect("a server came");
+        assert!(door.apply(&update));
+    }
+    let second = term(&mut start(&disk, 2), &disk);
+    let mut after = ServerTable::default();
+    let leaving = ServerEntry { draining: true, ..server(1) };
+    let update = after.replace(second, vec![leaving]).expect("a term begins");
+    assert!(matches!(update, ServersUpdate::Whole { .. }));
+    assert!(door.apply(&update));
+    assert_eq!(
+        door.servers().map(|s| (s.instance.as_str(), s.draining)).collect::<Vec<_>>(),
+        [("i-1", true)]
+    );
+}
--- a/crates/signalbox/tests/messages.rs
+++ b/crates/signalbox/tests/messages.rs
@@ -55,11 +55,11 @@
         draining: true,
         models: vec![("large".to_owned(), 3), ("small".to_owned(), 1)],
     };
-    let version = TableVersion { epoch: 2, number: 9 };
+    let version = TableVersion { term: 2, number: 9 };
     vec![
         ServersUpdate::Whole { version, servers: vec![entry.clone(), entry.clone()] },
         ServersUpdate::Difference {
-            from: TableVersion { epoch: 1, number: 300 },
+            from: TableVersion { term: 1, number: 300 },
             version,
             changed: vec![entry],
             removed: vec!["i-2".to_owned()],
@@ -195,7 +195,7 @@
 }
 
 fn to_control_samples() -> Vec<ToControl> {
-    let position = FeedPosition { state: 500, servers: TableVersion { epoch: 2, number: 3 } };
+    let position = FeedPosition { state: 500, servers: TableVersion { term: 2, number: 3 } };
     let model = || "large".to_owned();
     vec![
         ToControl::Introduce { introduction: introduction(Role::Door), position },
--- a/crates/signalbox/tests/support/auditor.rs
+++ b/crates/signalbox/tests/support/auditor.rs
@@ -37,6 +37,8 @@
     pub changes: Vec<SentChange>,
     /// The change acknowledged on top of each version.
     winners: BTreeMap<u64, ChangeNumber>,
+    /// Who held which term of the duties, in which view.
+    terms: BTreeMap<u64, (u64, Teller)>,
     /// A read that begins now has to see at least this change.
     floor: u64,
     pub violation: Option<String>,
@@ -52,6 +54,24 @@
         self.violation.get_or_insert(violation);
     }
 
+    /// A machine has its duties under this term. Nobody else ever has it, and terms rise with the views and, within
+    /// one view, with the starts of its head. A former head may see the commit of its term late: after that of its
+    /// successor, whose term is higher all the same.
+    pub fn holds_term(&mut self, teller: Teller, epoch: u64, term: u64) {
+        let holder = (epoch, teller);
+        match self.terms.get(&term) {
+            Some(known) if *known == holder => return,
+            Some(known) => self.fail(format!("{holder:?} holds term {term}, which {known:?} had")),
+            None => {}
+        }
+        let below = self.terms.range(..term).next_back().filter(|(_, lower)| !rises(lower, &holder));
+        let above = self.terms.range(term + 1..).next().filter(|(_, higher)| !rises(&holder, higher));
+        if let Some((other, known)) = below.or(above) {
+            self.fail(format!("{holder:?} holds term {term} beside term {other} of {known:?}"));
+        }
+        self.terms.insert(term, holder);
+    }
+
     pub fn end(&self) -> u64 {
         self.truth.len() as u64
     }
@@ -93,6 +113,8 @@
         let number = self.end() + 1;
         match self.state.apply(&change) {
             Ok(Applied::Changed) => {}
+            // Its number is what counts.
+            Ok(Applied::Already) if change == Change::BeginDuty => {}
             Ok(Applied::Already) => self.fail(format!("change {number} was committed but changes nothing")),
             Err(error) => self.fail(format!("change {number} was committed but doesn't fit: {error}")),
         }
@@ -186,3 +208,11 @@
         self.floor = self.floor.max(applied);
     }
 }
+
+/// Whether the second holder of a term comes after the first: in a later view, or as a later start of the head.
+fn rises(
+    (epoch, (machine, start)): &(u64, Teller),
+    (next_epoch, (next_machine, next_start)): &(u64, Teller),
+) -> bool {
+    epoch < next_epoch || (epoch == next_epoch && machine == next_machine && start < next_start)
+}
--- a/crates/signalbox/tests/support/world.rs
+++ b/crates/signalbox/tests/support/world.rs
@@ -338,6 +338,7 @@
             self.open_link(machine, address);
         }
         self.drain(machine);
+        self.check_term(machine);
         self.check_calls(machine);
         self.begin_sync(machine);
         let node = &mut self.machines[machine];
@@ -407,6 +408,14 @@
         }
     }
 
+    fn check_term(&mut self, machine: usize) {
+        let node = &self.machines[machine];
+        let held = node.core.as_ref().and_then(|core| Some((core.epoch(), core.duty_term()?)));
+        if let Some((epoch, term)) = held {
+            self.auditor.holds_term((machine, node.start), epoch, term);
+        }
+    }
+
     pub fn check_state(&mut self, machine: usize) {
         let node = &self.machines[machine];
         if let Some(core) = &node.core {
--- a/crates/track/src/messages.rs
+++ b/crates/track/src/messages.rs
@@ -65,14 +65,15 @@
 pub struct FeedPosition {
     /// Last change of the control state that was applied.
     pub state: u64,
-    /// Epoch and number of the table of servers.
+    /// Term and number of the table of servers.
     pub servers: TableVersion,
 }
 
-/// Version of a table that one holder of a duty writes: first by the epoch of the duty, then by number.
+/// Version of a table that one holder of a duty writes: first by the term of the duty, then by number. A term is
+/// new for every start of a holder, so a number is never used twice under one term.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default, Debug, Encode, Decode)]
 pub struct TableVersion {
-    pub epoch: u64,
+    pub term: u64,
     pub number: u64,
 }
 
--- a/crates/track/src/server_table.rs
+++ b/crates/track/src/server_table.rs
@@ -28,30 +28,30 @@
         self.servers.get(instance)
     }
 
-    /// Takes over a whole list read under duty epoch `epoch`; the update if anything changed. The first one of
-    /// an epoch is whole: the former holder of the duty may have told other machines more than this one. A list
-    /// read under an earlier epoch than the table's is ignored.
-    pub fn replace(&mut self, epoch: u64, servers: Vec<ServerEntry>) -> Option<ServersUpdate> {
+    /// Takes over a whole list read under the duty's term `term`; the update if anything changed. The first one of
+    /// a term is whole: the former holder of the duty may have told other machines more than this one. A list
+    /// read under an earlier term than the table's is ignored.
+    pub fn replace(&mut self, term: u64, servers: Vec<ServerEntry>) -> Option<ServersUpdate> {
         let from = self.version;
-        if epoch < from.epoch {
+        if term < from.term {
             return None;
         }
-        let begins_epoch = epoch > from.epoch || from.number == 0;
+        let begins_term = term > from.term || from.number == 0;
         let listed: BTreeMap<String, ServerEntry> =
             servers.into_iter().map(|s| (s.instance.clone(), s)).collect();
         let changed: Vec<ServerEntry> =
             listed.values().filter(|s| self.servers.get(&s.instance) != Some(s)).cloned().collect();
         let removed: Vec<String> =
             self.servers.keys().filter(|i| !listed.contains_key(*i)).cloned().collect();
-        if changed.is_empty() && removed.is_empty() && !begins_epoch {
+        if changed.is_empty() && removed.is_empty() && !begins_term {
             return None;
         }
-        let number = if begins_epoch { 1 } else { from.number + 1 };
-        self.version = TableVersion { epoch, number };
+        let number = if begins_term { 1 } else { from.number + 1 };
+        self.version = TableVersion { term, number };
         self.servers = listed;
         let update = ServersUpdate::Difference { from, version: self.version, changed, removed };
         self.keep(update.clone());
-        Some(if begins_epoch { self.whole() } else { update })
+        Some(if begins_term { self.whole() } else { update })
     }
 
     fn keep(&mut self, update: ServersUpdate) {
--- a/crates/track/tests/server_table.rs
+++ b/crates/track/tests/server_table.rs
@@ -1,4 +1,4 @@
-//! The table of servers: replacing, differences, gaps and older epochs.
+//! The table of servers: replacing, differences, gaps and older terms.
 
 use std::net::Ipv4Addr;
 
@@ -22,8 +22,8 @@
     }
 }
 
-fn version(epoch: u64, number: u64) -> TableVersion {
-    TableVersion { epoch, number }
+fn version(term: u64, number: u64) -> TableVersion {
+    TableVersion { term, number }
 }
 
 fn entries(table: &ServerTable) -> Vec<ServerEntry> {
@@ -91,7 +91,7 @@
 }
 
 #[test]
-fn a_later_epoch_outranks_higher_numbers_of_an_earlier_one() {
+fn a_later_term_outranks_higher_numbers_of_an_earlier_one() {
     let mut former = ServerTable::default();
     for slots in 1..=20 {
         former.replace(4, vec![entry(1, slots)]);
@@ -118,7 +118,7 @@
 #[rstest]
 #[case::list_unchanged_for_the_writer(vec![entry(1, 4)])]
 #[case::list_changed_for_the_writer(vec![entry(1, 4), entry(3, 4)])]
-fn the_first_update_of_a_new_epoch_fits_every_machine(#[case] list: Vec<ServerEntry>) {
+fn the_first_update_of_a_new_term_fits_every_machine(#[case] list: Vec<ServerEntry>) {
     let mut former = ServerTable::default();
     former.replace(1, vec![entry(1, 4)]);
     let mut next = ServerTable::default();
@@ -144,7 +144,7 @@
     for from in versions.into_iter().chain([version(0, 0), version(1, 17), version(0, 9)]) {
         let updates = table.since(from);
         let mut follower = ServerTable::default();
-        if from.number > 0 && from.epoch == 1 {
+        if from.number > 0 && from.term == 1 {
             let servers = vec![entry(1, from.number as u32)];
             assert!(follower.apply(&ServersUpdate::Whole { version: from, servers }));
         }
@@ -174,17 +174,17 @@
     let mut random = Pcg64Mcg::seed_from_u64(seed);
     let mut tables: Vec<ServerTable> = (0..4).map(|_| ServerTable::default()).collect();
     let mut sent: Vec<ServersUpdate> = Vec::new();
-    let mut epoch = 1;
+    let mut term = 1;
     for _ in 0..5_000 {
-        let writer = epoch as usize % tables.len();
+        let writer = term as usize % tables.len();
         let versions: Vec<TableVersion> = tables.iter().map(ServerTable::version).collect();
         match random.random_range(0..10) {
-            0 => epoch += 1,
+            0 => term += 1,
             1..4 => {
                 let list = (1..6).filter(|_| random.random_bool(0.5));
                 let list = list.collect::<Vec<u8>>().into_iter().map(|n| entry(n, random.random_range(1..3)));
                 let list = list.collect();
-                sent.extend(tables[writer].replace(epoch, list));
+                sent.extend(tables[writer].replace(term, list));
             }
             _ => {
                 let index = random.random_range(0..tables.len());
@@ -197,8 +197,8 @@
             assert!(table.version() >= before);
         }
     }
-    epoch += 1;
-    tables[0].replace(epoch, vec![entry(1, 1)]);
+    term += 1;
+    tables[0].replace(term, vec![entry(1, 1)]);
     let whole = tables[0].whole();
     for table in &mut tables {
         assert!(table.apply(&whole));
--- a/crates/turnstile/tests/requests_support/mod.rs
+++ b/crates/turnstile/tests/requests_support/mod.rs
@@ -68,7 +68,7 @@
 impl Servers {
     pub fn list(&mut self, servers: Vec<ServerEntry>) -> FleetChange {
         self.number += 1;
-        let version = TableVersion { epoch: 1, number: self.number };
+        let version = TableVersion { term: 1, number: self.number };
         assert!(self.table.apply(&ServersUpdate::Whole { version, servers }));
         self.fleet.update(&self.table)
     }
--- a/crates/waybill/src/state.rs
+++ b/crates/waybill/src/state.rs
@@ -40,8 +40,9 @@
     Place(Vec<(u16, Placement)>),
     /// A storage machine is to be emptied.
     Retire { name: String },
-    /// A view of the control chain has begun.
-    Nothing,
+    /// The head of the control chain begins its duties. The number of this change in the journal is the duty's term:
+    /// new for every start of a head, also within one view, and higher than that of every head before.
+    BeginDuty,
     /// Batch jobs were seen that use a model so.
     UseModel { model: String, usage: ModelUse },
 }
@@ -194,7 +195,7 @@
                 Ok(Applied::Changed)
             }
             Change::Retire { name } => self.retire(name),
-            Change::Nothing => Ok(Applied::Already),
+            Change::BeginDuty => Ok(Applied::Already),
             Change::UseModel { model, usage } => Ok(self.use_model(model, *usage)),
         }
     }
--- a/crates/waybill/tests/state.rs
+++ b/crates/waybill/tests/state.rs
@@ -90,7 +90,7 @@
 #[case::retire_again(retire("store-2"), "already")]
 #[case::retire_nobody(retire("store-9"), "unknown store")]
 #[case::place(place(1, 5, 2), "changed")]
-#[case::nothing(Change::Nothing, "already")]
+#[case::begin_duty(Change::BeginDuty, "already")]
 #[case::checkpoint(Change::Checkpoint(ControlState::default().image()), "changed")]
 fn changes_have_their_verdict(#[case] change: Change, #[case] expected: &str) {
     let mut state = state();
@@ -186,7 +186,7 @@
 #[case(register("store-1", 1))]
 #[case(place(3, 4, 5))]
 #[case(retire("store-1"))]
-#[case(Change::Nothing)]
+#[case(Change::BeginDuty)]
 #[case(Change::Checkpoint(state().image()))]
 fn changes_come_back_from_their_encoding(#[case] change: Change) {
     let bytes = encode(&change);
