--- a/crates/locomotive/src/roles.rs
+++ b/crates/locomotive/src/roles.rs
@@ -38,6 +38,7 @@
 pub fn run(role: Role) -> Result<(), RunError> {
     let settings = Settings::load_from_environment()?;
     match role {
+        Role::Control if settings.data_directory.is_none() => redirect_callers(&settings),
         Role::Control => Ok(orchidvalve_signalbox::process::run(control_options(&settings)?)?),
         Role::Door => Ok(orchidvalve_turnstile::process::run(door_options(&settings)?)?),
         Role::Store => Ok(orchidvalve_goodsyard::process::run(store_options(&settings)?)?),
@@ -77,6 +78,14 @@
     })
 }
 
+/// Runs the control role on a machine that can't keep anything.
+fn redirect_callers(settings: &Settings) -> Result<(), RunError> {
+    let missing = RunError::Missing { key: "listen-addresses.control", role: "control" };
+    let address = settings.control.ok_or(missing)?;
+    orchidvalve_signalbox::redirector::run(address, &settings.seed_nodes).map_err(ControlError::from)?;
+    Ok(())
+}
+
 fn door_options(settings: &Settings) -> Result<DoorOptions, RunError> {
     let missing = |key| RunError::Missing { key, role: "door" };
     Ok(DoorOptions {
--- a/crates/signalbox/src/lib.rs
+++ b/crates/signalbox/src/lib.rs
@@ -16,5 +16,6 @@
 pub mod peer;
 pub mod placement;
 pub mod process;
+pub mod redirector;
 pub mod sessions;
 pub mod weights;
--- a/crates/signalbox/src/operator.rs
+++ b/crates/signalbox/src/operator.rs
@@ -1,11 +1,14 @@
 //! Calls of operators and trainers: pairs of a call and its answer behind one reader and one writer.
 
-use orchidvalve_track::http::Request;
+use orchidvalve_track::http::{MessageLimits, Request};
 use orchidvalve_waybill::state::Change;
 use serde_json::{Value, json};
 
 use crate::peer::CallOutcome;
 
+/// Bounds of an operator's call.
+pub const OPERATOR_LIMITS: MessageLimits = MessageLimits { header_bytes: 64 << 10, body_bytes: 64 << 20 };
+
 /// A call, as the control plane understands it.
 #[derive(Clone, PartialEq, Debug)]
 pub enum OperatorCall {
--- a/crates/signalbox/src/process/operators.rs
+++ b/crates/signalbox/src/process/operators.rs
@@ -1,19 +1,16 @@
 //! Operators and trainers: their connections, calls and answers, the status, and the retirement of machines.
 
 use orchidvalve_track::frames::encode;
-use orchidvalve_track::http::{MessageLimits, RequestReader, write_response};
+use orchidvalve_track::http::{RequestReader, write_response};
 use orchidvalve_track::network::ConnectionId;
 use orchidvalve_waybill::state::Change;
 use serde_json::json;
 
 use super::Process;
 use crate::duties;
-use crate::operator::{OperatorAnswer, OperatorCall, change_answer, read_call};
+use crate::operator::{OPERATOR_LIMITS, OperatorAnswer, OperatorCall, change_answer, read_call};
 use crate::peer::{CallOutcome, ForwardedCall};
 
-/// Bounds of an operator's call.
-const OPERATOR_LIMITS: MessageLimits = MessageLimits { header_bytes: 64 << 10, body_bytes: 64 << 20 };
-
 /// What an operator's connection waits for.
 #[derive(Debug)]
 pub(super) struct OperatorConnection {
--- /dev/null
+++ b/crates/signalbox/tests/redirector.rs
@@ -0,0 +1,47 @@
+//! Where a control machine without a disk sends its callers.
+
+use std::net::{Ipv4Addr, SocketAddrV4};
+
+use orchidvalve_signalbox::redirector::{Redirection, Redirector};
+use orchidvalve_track::http::{Headers, Request};
+
+fn address(number: u8) -> SocketAddrV4 {
+    SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 8080)
+}
+
+fn request(target: &str) -> Request {
+    Request {
+        method: "POST".to_owned(),
+        target: target.to_owned(),
+        headers: Headers::default(),
+        body: Vec::new(),
+        keep_alive: true,
+    }
+}
+
+fn to(location: &str) -> Redirection {
+    Redirection::To(location.to_owned())
+}
+
+#[test]
+fn callers_are_sent_to_each_seed_in_turn() {
+    let mut redirector = Redirector::new(address(9), &[address(1), address(2)]);
+    let call = request("/v1/retire/storage-1?x=1");
+    let answers: Vec<Redirection> = (0..3).map(|_| redirector.redirect(&call)).collect();
+    let expected = ["10.0.0.1", "10.0.0.2", "10.0.0.1"];
+    assert_eq!(answers, expected.map(|ip| to(&format!("http://{ip}:8080/v1/retire/storage-1?x=1"))));
+}
+
+#[test]
+fn callers_are_never_sent_back_to_the_same_machine() {
+    let mut redirector = Redirector::new(address(1), &[address(1), address(2)]);
+    let call = request("/v1/configuration");
+    assert_eq!(redirector.redirect(&call), to("http://10.0.0.2:8080/v1/configuration"));
+    assert_eq!(redirector.redirect(&call), to("http://10.0.0.2:8080/v1/configuration"));
+}
+
+#[test]
+fn without_another_machine_callers_are_asked_to_come_again() {
+    let mut redirector = Redirector::new(address(1), &[address(1)]);
+    assert_eq!(redirector.redirect(&request("/v1/status")), Redirection::Unavailable);
+}
