Ballast: tell since when the oldest record is not durable, so that a hanging disk shows

A write or sync that hangs gives no error, so Usage::trouble stays empty and the host could not tell that its disk stands still. Usage gains oldest_unwritten_since (steady time of the oldest record that is not durable) and Usage::unwritten_for(now). The clock is read once per batch.

--- a/crates/ballast/src/lib.rs
+++ b/crates/ballast/src/lib.rs
@@ -17,6 +17,7 @@
 //! - Every use of a file has its own random salt in the checksums, so bytes of older uses never count.
 //! - After a failed sync nothing is known of the file; its unsynced records are written again to another file.
 
+mod backlog;
 mod error;
 pub mod format;
 pub mod identity;
--- a/crates/ballast/src/ring.rs
+++ b/crates/ballast/src/ring.rs
@@ -4,8 +4,9 @@
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::{Arc, Condvar, Mutex, MutexGuard, PoisonError};
 use std::thread::{Builder, JoinHandle};
-use std::time::Duration;
+use std::time::{Duration, Instant};
 
+use crate::backlog::Backlog;
 use crate::recovery::{Record, Recovery};
 use crate::storage::{FolderStorage, Storage};
 use crate::writer::Writer;
@@ -21,8 +22,20 @@
     pub capacity: u64,
     /// Bytes of files that hold needed records.
     pub used_bytes: u64,
-    /// What keeps records from becoming durable at the moment.
+    /// What keeps records from becoming durable at the moment. A disk that hangs gives no answer and thus no
+    /// trouble; [`Self::unwritten_for`] tells of it.
     pub trouble: Option<DiskTrouble>,
+    /// Steady time when the oldest record that is not durable yet was appended, or the first of those that
+    /// went to the disk together with it; `None` if all are durable. It stays while the disk hangs or refuses.
+    pub oldest_unwritten_since: Option<Instant>,
+}
+
+impl Usage {
+    /// How long the oldest record that is not durable has waited by `now`. It counts the time in which the whole
+    /// process stood still, too.
+    pub fn unwritten_for(&self, now: Instant) -> Option<Duration> {
+        self.oldest_unwritten_since.map(|since| now.saturating_duration_since(since))
+    }
 }
 
 /// What the ring's thread waits for.
@@ -36,6 +49,7 @@
 /// State under the lock.
 struct Queue {
     records: Vec<Record>,
+    backlog: Backlog,
     next_position: u64,
     released_before: u64,
     release_is_new: bool,
@@ -91,6 +105,7 @@
         let (writer, recovery, next_position) = Writer::open(storage, &options)?;
         let queue = Queue {
             records: Vec::new(),
+            backlog: Backlog::default(),
             next_position,
             released_before: 0,
             release_is_new: false,
@@ -120,6 +135,9 @@
         let mut queue = self.shared.lock();
         let position = queue.next_position;
         queue.next_position += 1;
+        if queue.records.is_empty() {
+            queue.backlog.begin(position, Instant::now());
+        }
         queue.records.push(Record { position, payload });
         if queue.waiting == Waiting::ForWork {
             queue.waiting = Waiting::No;
@@ -156,7 +174,12 @@
     /// How full the ring is and whether the disk works. A release shows once the thread has seen it.
     pub fn usage(&self) -> Usage {
         let queue = self.shared.lock();
-        Usage { capacity: self.capacity, used_bytes: queue.used_bytes, trouble: queue.trouble }
+        Usage {
+            capacity: self.capacity,
+            used_bytes: queue.used_bytes,
+            trouble: queue.trouble,
+            oldest_unwritten_since: queue.backlog.oldest(),
+        }
     }
 }
 
@@ -240,6 +263,8 @@
         let mut queue = self.shared.lock();
         queue.trouble = trouble;
         queue.used_bytes = self.writer.used_bytes();
+        let next_position = queue.next_position;
+        queue.backlog.forget_durable(self.writer.durable_through(), next_position);
     }
 
     /// Gets the next file ready after the sync, when nobody waits for it.
--- a/crates/ballast/tests/ring.rs
+++ b/crates/ballast/tests/ring.rs
@@ -4,6 +4,7 @@
 
 use std::path::PathBuf;
 use std::sync::mpsc::{Receiver, channel};
+use std::time::{Duration, Instant};
 
 use orchidvalve_ballast::{DiskTrouble, OnProgress, Options, Ring};
 use support::{Disk, Faults, small_options};
@@ -81,6 +82,85 @@
     assert_eq!(ring.usage().trouble, None);
 }
 
+/// Waits until no record is left that is not durable.
+fn wait_written(ring: &Ring, receiver: &Receiver<()>) {
+    while ring.usage().oldest_unwritten_since.is_some() {
+        receiver.recv().unwrap();
+    }
+}
+
+#[test]
+fn a_hanging_disk_shows_in_the_age_of_the_oldest_record() {
+    let disk = Disk::new(1);
+    let (on_progress, receiver) = progress();
+    let (ring, _) = Ring::open_with(disk.clone(), small_options(4, 8000), on_progress).unwrap();
+    assert_eq!(ring.usage().oldest_unwritten_since, None);
+    assert_eq!(ring.usage().unwritten_for(Instant::now()), None);
+    let (sync_begins, begun) = channel();
+    disk.watch_syncs(sync_begins);
+    disk.set_faults(Faults { syncs_hang: true, ..Faults::default() });
+    let before = Instant::now();
+    ring.append(vec![1; 10]);
+    let after = Instant::now();
+    begun.recv().unwrap();
+    // Records that queue up behind the sync that hangs leave the age of the first as it is.
+    ring.append(vec![2; 10]);
+    ring.append(vec![3; 10]);
+    let usage = ring.usage();
+    assert_eq!(usage.trouble, None);
+    let since = usage.oldest_unwritten_since.unwrap();
+    assert!(before <= since && since <= after);
+    let hung = Duration::from_secs(3);
+    assert_eq!(usage.unwritten_for(since + hung), Some(hung));
+    assert_eq!(usage.unwritten_for(since - hung), Some(Duration::ZERO));
+    disk.set_faults(Faults::default());
+    wait_durable(&ring, &receiver, 3);
+    wait_written(&ring, &receiver);
+}
+
+#[test]
+fn the_age_moves_on_to_the_next_batch_once_the_first_is_durable() {
+    let disk = Disk::new(1);
+    let (on_progress, receiver) = progress();
+    let (ring, _) = Ring::open_with(disk.clone(), small_options(4, 8000), on_progress).unwrap();
+    ring.append(vec![1; 10]);
+    wait_written(&ring, &receiver);
+    let (sync_begins, begun) = channel();
+    disk.watch_syncs(sync_begins);
+    disk.set_faults(Faults { syncs_hang: true, ..Faults::default() });
+    ring.append(vec![2; 10]);
+    begun.recv().unwrap();
+    let between = Instant::now();
+    ring.append(vec![3; 10]);
+    assert!(ring.usage().oldest_unwritten_since.unwrap() <= between);
+    // The sync that hangs ends; the next one hangs.
+    disk.set_faults(Faults { syncs_before_hang: Some(0), ..Faults::default() });
+    begun.recv().unwrap();
+    assert_eq!(ring.durable_through(), 2);
+    assert!(ring.usage().oldest_unwritten_since.unwrap() >= between);
+    disk.set_faults(Faults::default());
+    wait_durable(&ring, &receiver, 3);
+    wait_written(&ring, &receiver);
+}
+
+#[test]
+fn a_refusing_disk_keeps_the_age_over_its_retries() {
+    let disk = Disk::new(1);
+    let (on_progress, receiver) = progress();
+    let (ring, _) = Ring::open_with(disk.clone(), small_options(4, 8000), on_progress).unwrap();
+    disk.set_faults(Faults { full: true, ..Faults::default() });
+    ring.append(vec![1; 10]);
+    let after = Instant::now();
+    while ring.usage().trouble != Some(DiskTrouble::NoSpace) {
+        receiver.recv().unwrap();
+    }
+    ring.append(vec![2; 10]);
+    assert!(ring.usage().oldest_unwritten_since.unwrap() <= after);
+    disk.set_faults(Faults::default());
+    wait_durable(&ring, &receiver, 2);
+    wait_written(&ring, &receiver);
+}
+
 #[test]
 fn a_release_makes_room_in_a_full_ring() {
     let disk = Disk::new(1);
--- a/crates/ballast/tests/support/mod.rs
+++ b/crates/ballast/tests/support/mod.rs
@@ -74,6 +74,8 @@
     pub operations_left: Option<u32>,
     /// Syncs wait until this is false again.
     pub syncs_hang: bool,
+    /// After that many more syncs they hang.
+    pub syncs_before_hang: Option<u32>,
 }
 
 #[derive(Debug)]
@@ -295,6 +297,11 @@
         if let Some(sender) = &guard.sync_begins {
             let _ = sender.send(());
         }
+        match &mut guard.faults.syncs_before_hang {
+            Some(0) => guard.faults.syncs_hang = true,
+            Some(left) => *left -= 1,
+            None => {}
+        }
         while guard.faults.syncs_hang {
             guard = self.state.1.wait(guard).unwrap_or_else(PoisonError::into_inner);
         }
