Ballast: a ring opens only with records that are durable

Where the disk refused writes or syncs at a start, Ring::open returned records that a loss of power could still take away (a process killed between write and sync, then a disk in trouble). The owners treat everything read back as durable: signalbox's Core::new sets its durable position to the last recovered entry, and promises of the agreement are taken as kept. Ring::open now fails with OpenError::NotDurable in that case; the process ends and is started again, as for any other trouble of its disk at a start.

New test a_ring_opens_only_with_what_lasts (2 cases); with the check taken out both fail. cargo test -p orchidvalve-ballast: 58 passed.

--- a/crates/ballast/src/error.rs
+++ b/crates/ballast/src/error.rs
@@ -29,6 +29,9 @@
         /// The system's answer.
         source: io::Error,
     },
+    /// Records were read back that a loss of power could still take away.
+    #[display("what was read back does not last yet: {_0}; then start again")]
+    NotDurable(#[error(not(source))] DiskTrouble),
     /// Records that had been durable are gone.
     #[display(
         "file {file} lacks records from position {position} on that had been synced; empty the data directory, \
--- a/crates/ballast/src/ring.rs
+++ b/crates/ballast/src/ring.rs
@@ -83,7 +83,8 @@
     /// Opens the ring in this folder and starts its thread.
     ///
     /// # Errors
-    /// Fails if the options are too small, the disk refuses to be read or durable records are gone.
+    /// Fails if the options are too small, the disk refuses to be read, what was read back cannot be made durable
+    /// or durable records are gone.
     pub fn open(
         directory: &Path,
         options: Options,
@@ -102,7 +103,9 @@
         options: Options,
         on_progress: OnProgress,
     ) -> Result<(Self, Recovery), OpenError> {
-        let (writer, recovery, next_position) = Writer::open(storage, &options)?;
+        let (mut writer, recovery, next_position) = Writer::open(storage, &options)?;
+        // The owner acts on what it reads back, so a loss of power must not take that away again.
+        writer.confirm().map_err(OpenError::NotDurable)?;
         let queue = Queue {
             records: Vec::new(),
             backlog: Backlog::default(),
--- a/crates/ballast/src/writer.rs
+++ b/crates/ballast/src/writer.rs
@@ -107,7 +107,7 @@
 
     /// Makes what was read back last: first the names of the files, then their contents. Its pages may count as written although a sync of the process before
     /// failed, so the same bytes are written once more.
-    fn confirm(&mut self) -> Result<(), DiskTrouble> {
+    pub(crate) fn confirm(&mut self) -> Result<(), DiskTrouble> {
         if self.names_unconfirmed {
             self.storage.sync_folder().map_err(|error| DiskTrouble::of_sync(&error))?;
             self.names_unconfirmed = false;
--- a/crates/ballast/tests/ring.rs
+++ b/crates/ballast/tests/ring.rs
@@ -2,11 +2,14 @@
 
 mod support;
 
+use std::io::ErrorKind;
 use std::path::PathBuf;
 use std::sync::mpsc::{Receiver, channel};
 use std::time::{Duration, Instant};
 
-use orchidvalve_ballast::{DiskTrouble, OnProgress, Options, Ring};
+use orchidvalve_ballast::writer::Writer;
+use orchidvalve_ballast::{DiskTrouble, OnProgress, OpenError, Options, Record, Ring};
+use rstest::rstest;
 use support::{Disk, Faults, small_options};
 
 fn progress() -> (OnProgress, Receiver<()>) {
@@ -190,6 +193,34 @@
     assert_eq!(ring.usage().trouble, None);
 }
 
+/// A process was killed between a write and its sync, and the disk of the next one refuses to sync.
+#[rstest]
+#[case::syncs(Faults { syncs_fail: true, ..Faults::default() }, false)]
+#[case::full(Faults { full: true, ..Faults::default() }, true)]
+fn a_ring_opens_only_with_what_lasts(#[case] faults: Faults, #[case] writes: bool) {
+    let disk = Disk::new(1);
+    let options = small_options(4, 8000);
+    let (mut writer, _, next) = Writer::open(disk.clone(), &options).unwrap();
+    writer.enqueue(Record { position: next, payload: vec![1; 10] });
+    writer.commit().unwrap();
+    writer.enqueue(Record { position: next + 1, payload: vec![2; 10] });
+    disk.set_faults(Faults { syncs_fail: true, ..Faults::default() });
+    writer.commit().unwrap_err();
+    drop(writer);
+    disk.set_faults(faults);
+    let refused = Ring::open_with(disk.clone(), options.clone(), progress().0).err().unwrap();
+    let trouble = if writes { DiskTrouble::NoSpace } else { DiskTrouble::SyncFailed(ErrorKind::Other) };
+    assert!(matches!(refused, OpenError::NotDurable(found) if found == trouble), "{refused}");
+    assert!(refused.to_string().contains("start again"), "{refused}");
+    disk.set_faults(Faults::default());
+    let (ring, recovery) = Ring::open_with(disk.clone(), options.clone(), progress().0).unwrap();
+    assert_eq!((recovery.records.len(), ring.durable_through()), (2, 2));
+    drop(ring);
+    disk.lose_all_unsynced();
+    let (_, recovery) = Ring::open_with(disk, options, progress().0).unwrap();
+    assert_eq!(recovery.records.len(), 2);
+}
+
 #[test]
 fn a_real_folder_works() {
     let parent: PathBuf = std::env::temp_dir().join(format!("ring-test-{}", std::process::id()));
