--- a/crates/conductor/src/call.rs
+++ b/crates/conductor/src/call.rs
@@ -66,6 +66,16 @@
         let reason = reason_of(&self.body).unwrap_or_else(|| unexplained.to_owned());
         Err(ConductorError::Refused { address: self.address, status: self.status, reason })
     }
+
+    /// The JSON document in the body of a success.
+    ///
+    /// # Errors
+    ///
+    /// As [`Self::success`], or the body is no JSON.
+    pub fn document(self, unexplained: &str) -> Result<Value, ConductorError> {
+        let body = self.success(unexplained)?;
+        serde_json::from_slice(&body).map_err(|error| ConductorError::Answer { reason: error.to_string() })
+    }
 }
 
 fn reason_of(body: &[u8]) -> Option<String> {
--- a/crates/conductor/src/jobs.rs
+++ b/crates/conductor/src/jobs.rs
@@ -7,7 +7,6 @@
 use serde_json::Value;
 
 use crate::call::{Timing, call};
-use crate::commands::parse;
 use crate::error::ConductorError;
 use crate::exchange::Message;
 
@@ -33,7 +32,7 @@
     loop {
         let target = format!("{JOBS_PREFIX}{id}?after-seq={after}");
         let message = Message { method: "GET", target, headers: Vec::new(), body: Vec::new() };
-        let document = parse(&call(doors, &message, timing)?.success(NOT_FOUND)?)?;
+        let document = call(doors, &message, timing)?.document(NOT_FOUND)?;
         let page = read_page(&document)?;
         for (result, position) in page.results.iter().zip(after..) {
             if json {
--- a/crates/conductor/src/lib.rs
+++ b/crates/conductor/src/lib.rs
@@ -7,9 +7,11 @@
 pub mod call;
 pub mod check;
 mod commands;
+mod control;
 pub mod error;
 mod exchange;
 mod jobs;
+mod path_name;
 mod status;
 
 pub use arguments::{Arguments, Command, arguments};
