Ballast: options, confirmation and identity in files of their own, no circle of slots and writer

slots took new_salt from writer and writer used slots; files took Options from the crate's root, which uses them.

--- /dev/null
+++ b/crates/ballast/src/confirmation.rs
@@ -0,0 +1,81 @@
+//! Makes what was read back at a start last, before anything builds on it.
+
+use std::io;
+use std::ops::Range;
+
+use crate::error::DiskTrouble;
+use crate::format::FILE_HEADER_BYTES;
+use crate::recovery::FoundFile;
+use crate::slots::Slots;
+use crate::storage::Storage;
+
+/// Bytes that are read and written again at once.
+const BUFFER_BYTES: usize = 64 << 10;
+
+/// What was found on the disk and may not outlast a loss of power yet.
+pub(crate) struct Confirmation {
+    /// Whether the names of the files may not last: a process before may have ended between making a file and
+    /// syncing the folder.
+    names: bool,
+    /// Parts of files, each with its slot.
+    parts: Vec<(usize, Range<u64>)>,
+}
+
+impl Confirmation {
+    /// All that these files leave open; records through `durable_through` are known to last.
+    pub(crate) fn new<F>(files: &[FoundFile<F>], durable_through: u64) -> Self {
+        Self { names: !files.is_empty(), parts: unconfirmed_parts(files, durable_through) }
+    }
+
+    /// Whether all of it lasts.
+    pub(crate) fn is_done(&self) -> bool {
+        !self.names && self.parts.is_empty()
+    }
+
+    /// Makes it last: the names, then the contents. Their pages may count as written although a sync of the
+    /// process before failed, so the same bytes are written once more.
+    pub(crate) fn confirm<S: Storage>(
+        &mut self,
+        storage: &mut S,
+        slots: &Slots<S::File>,
+    ) -> Result<(), DiskTrouble> {
+        if self.names {
+            storage.sync_folder().map_err(|error| DiskTrouble::of_sync(&error))?;
+            self.names = false;
+        }
+        while let Some((slot, range)) = self.parts.last() {
+            let file = slots.file(*slot).map_err(|error| DiskTrouble::of_write(&error))?;
+            rewrite(storage, file, range.clone()).map_err(|error| DiskTrouble::of_write(&error))?;
+            storage.sync(file).map_err(|error| DiskTrouble::of_sync(&error))?;
+            self.parts.pop();
+        }
+        Ok(())
+    }
+}
+
+/// Parts of the files whose state on the disk may differ from what was read. A file without records counts too:
+/// its header may be gone after a loss of power and an older one, of records written elsewhere since, be back.
+fn unconfirmed_parts<F>(files: &[FoundFile<F>], durable_through: u64) -> Vec<(usize, Range<u64>)> {
+    let parts = files.iter().enumerate().filter_map(|(slot, found)| match found.last_position {
+        0 => Some((slot, 0..found.bytes.min(FILE_HEADER_BYTES))),
+        last if last > durable_through => Some((slot, found.synced..found.end)),
+        _ => None,
+    });
+    parts.collect()
+}
+
+/// Writes a part of a file over itself.
+fn rewrite<S: Storage>(storage: &mut S, file: &S::File, range: Range<u64>) -> io::Result<()> {
+    let mut buffer = vec![0; BUFFER_BYTES];
+    let mut offset = range.start;
+    while offset < range.end {
+        let wanted = buffer.len().min(usize::try_from(range.end - offset).unwrap_or(usize::MAX));
+        let count = storage.read_at(file, &mut buffer[..wanted], offset)?;
+        if count == 0 {
+            return Err(io::ErrorKind::UnexpectedEof.into());
+        }
+        storage.write_at(file, &buffer[..count], offset)?;
+        offset += count as u64;
+    }
+    Ok(())
+}
--- a/crates/ballast/src/identity.rs
+++ b/crates/ballast/src/identity.rs
@@ -1,12 +1,36 @@
 //! The identity of a disk: a random number made at first use. A disk that comes back empty gets another one.
 
-use crate::OpenError;
+use crate::error::OpenError;
+use crate::recovery;
 use crate::storage::Storage;
 
 const NAME: &str = "identity";
 const TEMPORARY_NAME: &str = "identity.new";
 const ENCODED_BYTES: usize = 12;
 
+/// The disk's identity and whether it is new. Ring files without an identity are of no known disk and removed.
+pub(crate) fn load_or_create<S: Storage>(
+    storage: &mut S,
+    names: &[String],
+) -> Result<(u64, bool), OpenError> {
+    let mut ring_files = names.iter().filter(|name| recovery::file_index(name).is_some()).peekable();
+    if let Some(identity) = load(storage, names)? {
+        if ring_files.peek().is_none() {
+            // The process may have ended between the rename and the folder's sync.
+            storage.sync_folder().map_err(OpenError::disk("sync the folder"))?;
+        }
+        return Ok((identity, false));
+    }
+    if ring_files.peek().is_some() {
+        for name in ring_files {
+            storage.remove(name).map_err(OpenError::disk("remove a stray file"))?;
+        }
+        // Else a loss of power could bring a stray file back beside the new identity.
+        storage.sync_folder().map_err(OpenError::disk("sync the folder"))?;
+    }
+    Ok((create(storage)?, true))
+}
+
 /// Reads the disk's identity; `None` if it has none yet.
 ///
 /// # Errors
--- a/crates/ballast/src/lib.rs
+++ b/crates/ballast/src/lib.rs
@@ -18,9 +18,11 @@
 //! - After a failed sync nothing is known of the file; its unsynced records are written again to another file.
 
 mod backlog;
+mod confirmation;
 mod error;
 pub mod format;
 pub mod identity;
+mod options;
 pub mod recovery;
 mod ring;
 mod slots;
@@ -28,31 +30,7 @@
 pub mod writer;
 
 pub use error::{DiskTrouble, OpenError};
+pub use options::{DEFAULT_FILE_BYTES, DEFAULT_RETRY_INTERVAL, Options};
 pub use recovery::{Record, Recovery};
 pub use ring::{OnProgress, Ring, Usage};
 pub use storage::{FolderStorage, Storage};
-
-use std::time::Duration;
-
-/// Size of a ring's files when nothing else is asked for: 4 MB.
-pub const DEFAULT_FILE_BYTES: u64 = 4 << 20;
-/// Time between two attempts while the disk is in trouble.
-pub const DEFAULT_RETRY_INTERVAL: Duration = Duration::from_millis(100);
-
-/// Sizes and times of a ring.
-#[derive(Debug, Clone, PartialEq, Eq)]
-pub struct Options {
-    /// Bytes all files together may take; at least three files' worth.
-    pub capacity_bytes: u64,
-    /// Bytes of one file, header included.
-    pub file_bytes: u64,
-    /// Time between two attempts while the disk is in trouble.
-    pub retry_interval: Duration,
-}
-
-impl Options {
-    /// Options for a ring of `capacity_bytes` with everything else at its default.
-    pub fn with_capacity(capacity_bytes: u64) -> Self {
-        Self { capacity_bytes, file_bytes: DEFAULT_FILE_BYTES, retry_interval: DEFAULT_RETRY_INTERVAL }
-    }
-}
--- a/crates/ballast/src/recovery.rs
+++ b/crates/ballast/src/recovery.rs
@@ -6,7 +6,7 @@
 
 use std::io;
 
-use crate::OpenError;
+use crate::error::OpenError;
 use crate::format::{
     FILE_HEADER_BYTES, FRAGMENT_HEADER_BYTES, FileHeader, FragmentHeader, MARK_POSITION, Mark,
 };
--- a/crates/ballast/src/ring.rs
+++ b/crates/ballast/src/ring.rs
@@ -7,10 +7,11 @@
 use std::time::{Duration, Instant};
 
 use crate::backlog::Backlog;
+use crate::error::{DiskTrouble, OpenError};
+use crate::options::Options;
 use crate::recovery::{Record, Recovery};
 use crate::storage::{FolderStorage, Storage};
 use crate::writer::Writer;
-use crate::{DiskTrouble, OpenError, Options};
 
 /// Called by the ring's thread after each sync and when a trouble begins or ends. It must return soon.
 pub type OnProgress = Box<dyn Fn() + Send>;
--- a/crates/ballast/src/slots.rs
+++ b/crates/ballast/src/slots.rs
@@ -2,11 +2,11 @@
 
 use std::io;
 
+use crate::error::DiskTrouble;
 use crate::format::{FILE_HEADER_BYTES, FileHeader};
+use crate::options::Options;
 use crate::recovery::{FoundFile, file_name};
-use crate::storage::Storage;
-use crate::writer::new_salt;
-use crate::{DiskTrouble, Options};
+use crate::storage::{Storage, new_salt};
 
 struct Slot<F> {
     /// Index in the file's name.
--- a/crates/ballast/src/storage.rs
+++ b/crates/ballast/src/storage.rs
@@ -129,3 +129,9 @@
         RandomState::new().hash_one(0_u64)
     }
 }
+
+/// A random salt that differs from the one before.
+pub(crate) fn new_salt<S: Storage>(storage: &mut S, old: u32) -> u32 {
+    let salt = storage.random() as u32;
+    if salt == old { !salt } else { salt }
+}
--- a/crates/ballast/src/writer.rs
+++ b/crates/ballast/src/writer.rs
@@ -2,15 +2,17 @@
 
 use std::collections::VecDeque;
 use std::io;
-use std::ops::Range;
 
+use crate::confirmation::Confirmation;
+use crate::error::{DiskTrouble, OpenError};
 use crate::format::{
     FILE_HEADER_BYTES, FRAGMENT_HEADER_BYTES, FragmentHeader, Mark, SMALLEST_FILE_BYTES, SMALLEST_ROOM,
 };
-use crate::recovery::{self, Contents, FoundFile, Record, Recovery, Tail};
+use crate::identity;
+use crate::options::Options;
+use crate::recovery::{self, Contents, Record, Recovery, Tail};
 use crate::slots::Slots;
-use crate::storage::Storage;
-use crate::{DiskTrouble, OpenError, Options, identity};
+use crate::storage::{Storage, new_salt};
 
 /// Small fragments are gathered up to this size before a write.
 const BUFFER_BYTES: usize = 64 << 10;
@@ -42,12 +44,9 @@
     synced_offset: usize,
     /// Highest position of a record, or a part of one, in the active file.
     last_written: u64,
-    /// Whether the names of the files that were found may not last yet: a process before may have ended
-    /// between making a file and syncing the folder.
-    names_unconfirmed: bool,
-    /// Parts of files that were read back and may not last yet.
-    unconfirmed: Vec<(usize, Range<u64>)>,
-    /// What is durable once those parts are synced.
+    /// What was read back and may not last yet.
+    unconfirmed: Confirmation,
+    /// What is durable once that is confirmed.
     confirmed_through: u64,
     durable_through: u64,
     released_before: u64,
@@ -67,12 +66,11 @@
             return Err(OpenError::TooSmall { capacity_bytes, file_bytes });
         }
         let names = storage.list().map_err(OpenError::disk("list the files"))?;
-        let (disk_identity, fresh) = open_identity(&mut storage, &names)?;
+        let (disk_identity, fresh) = identity::load_or_create(&mut storage, &names)?;
         let names = if fresh { Vec::new() } else { names };
         let contents = recovery::read_files(&mut storage, &names)?;
         let next_position = contents.next_position;
         let (mut writer, records) = Self::from_contents(storage, contents, options);
-        writer.names_unconfirmed = !fresh;
         if let Err(trouble) = writer.confirm() {
             log::warn!("ring: what was read back does not last yet: {trouble}");
         }
@@ -81,7 +79,7 @@
 
     fn from_contents(storage: S, contents: Contents<S::File>, options: &Options) -> (Self, Vec<Record>) {
         let Contents { files, tail, records, next_position, durable_through, released_before } = contents;
-        let unconfirmed = unconfirmed_parts(&files, durable_through);
+        let unconfirmed = Confirmation::new(&files, durable_through);
         let slots = Slots::new(files, options);
         let mut writer = Self {
             storage,
@@ -91,7 +89,6 @@
             next: (0, 0),
             synced_offset: 0,
             last_written: 0,
-            names_unconfirmed: true,
             unconfirmed,
             confirmed_through: next_position - 1,
             durable_through,
@@ -105,19 +102,9 @@
         (writer, records)
     }
 
-    /// Makes what was read back last: first the names of the files, then their contents. Its pages may count as written although a sync of the process before
-    /// failed, so the same bytes are written once more.
+    /// Makes what was read back last.
     pub(crate) fn confirm(&mut self) -> Result<(), DiskTrouble> {
-        if self.names_unconfirmed {
-            self.storage.sync_folder().map_err(|error| DiskTrouble::of_sync(&error))?;
-            self.names_unconfirmed = false;
-        }
-        while let Some((slot, range)) = self.unconfirmed.last() {
-            let file = self.slots.file(*slot).map_err(|error| DiskTrouble::of_write(&error))?;
-            rewrite(&mut self.storage, file, range.clone()).map_err(|error| DiskTrouble::of_write(&error))?;
-            self.storage.sync(file).map_err(|error| DiskTrouble::of_sync(&error))?;
-            self.unconfirmed.pop();
-        }
+        self.unconfirmed.confirm(&mut self.storage, &self.slots)?;
         self.durable_through = self.durable_through.max(self.confirmed_through);
         Ok(())
     }
@@ -151,7 +138,7 @@
 
     /// Whether records wait to be written, or what was read back to be synced.
     pub fn has_pending(&self) -> bool {
-        !self.pending.is_empty() || self.names_unconfirmed || !self.unconfirmed.is_empty()
+        !self.pending.is_empty() || !self.unconfirmed.is_done()
     }
 
     /// Bytes of the files that hold needed records; of the newest file only what is written.
@@ -295,33 +282,6 @@
     }
 }
 
-/// Parts of the files whose state on the disk may differ from what was read. A file without records counts too:
-/// its header may be gone after a loss of power and an older one, of records written elsewhere since, be back.
-fn unconfirmed_parts<F>(files: &[FoundFile<F>], durable_through: u64) -> Vec<(usize, Range<u64>)> {
-    let parts = files.iter().enumerate().filter_map(|(slot, found)| match found.last_position {
-        0 => Some((slot, 0..found.bytes.min(FILE_HEADER_BYTES))),
-        last if last > durable_through => Some((slot, found.synced..found.end)),
-        _ => None,
-    });
-    parts.collect()
-}
-
-/// Writes a part of a file over itself.
-fn rewrite<S: Storage>(storage: &mut S, file: &S::File, range: Range<u64>) -> io::Result<()> {
-    let mut buffer = vec![0; BUFFER_BYTES];
-    let mut offset = range.start;
-    while offset < range.end {
-        let wanted = buffer.len().min(usize::try_from(range.end - offset).unwrap_or(usize::MAX));
-        let count = storage.read_at(file, &mut buffer[..wanted], offset)?;
-        if count == 0 {
-            return Err(io::ErrorKind::UnexpectedEof.into());
-        }
-        storage.write_at(file, &buffer[..count], offset)?;
-        offset += count as u64;
-    }
-    Ok(())
-}
-
 fn write_buffer<S: Storage>(
     storage: &mut S,
     slots: &Slots<S::File>,
@@ -331,29 +291,3 @@
 ) -> io::Result<()> {
     if buffer.is_empty() { Ok(()) } else { storage.write_at(slots.file(slot)?, buffer, offset) }
 }
-
-/// A random salt that differs from the one before.
-pub(crate) fn new_salt<S: Storage>(storage: &mut S, old: u32) -> u32 {
-    let salt = storage.random() as u32;
-    if salt == old { !salt } else { salt }
-}
-
-/// The disk's identity and whether it is new. Ring files without an identity are of no known disk and removed.
-fn open_identity<S: Storage>(storage: &mut S, names: &[String]) -> Result<(u64, bool), OpenError> {
-    let mut ring_files = names.iter().filter(|name| recovery::file_index(name).is_some()).peekable();
-    if let Some(identity) = identity::load(storage, names)? {
-        if ring_files.peek().is_none() {
-            // The process may have ended between the rename and the folder's sync.
-            storage.sync_folder().map_err(OpenError::disk("sync the folder"))?;
-        }
-        return Ok((identity, false));
-    }
-    if ring_files.peek().is_some() {
-        for name in ring_files {
-            storage.remove(name).map_err(OpenError::disk("remove a stray file"))?;
-        }
-        // Else a loss of power could bring a stray file back beside the new identity.
-        storage.sync_folder().map_err(OpenError::disk("sync the folder"))?;
-    }
-    Ok((identity::create(storage)?, true))
-}
