Agreement: planned ends, impaired disks, effective views, timing per deployment

Change, in the agreement's API: `with_timing(Timing::new(catch_up_ms, minimum_copies))`, `set_leaving`, `may_leave`, `set_impaired`, `is_effective`. `Pong` carries a `MemberStatus` (ready, unsettled, reaches_chain, leaving, impaired) and the epoch on the sender's disk. - A view is decided by a majority of the voters before and after it. `Accept` leaves after the proposer's own acceptance is durable and each acceptor tells all voters, so each of them sees the decision by itself. - A leaving voter is replaced in two ordered steps: the candidate joins, then, complete, the leaving one goes. - Impaired members are treated as dead for the chain, stay voters, don't propose, confirm nothing to themselves. - Candidates and returning voters join only if they reach the whole chain; damping lasts a third of catch-up at most and doesn't apply to a chain that is too short. - Voters grow to what the tolerance needs (2 * copies - 1); the first view is cut to that, too.

Tests changed: `Pong` literals (here and in signalbox's tests) carry the status. The old damping test expected a chain that flaps 4 to 16 epochs a minute under a cut between two members; now there is no flapping at all, so it became two: such a cut makes exactly one change until it ends, and a member that leaves again and again is held back from the second time on, for the limit and not longer. The model counts phase 2 with `Acceptances`.

`Agreement::new` without `with_timing` behaves as before but for the damping limit (2 s).

--- a/crates/interlocking/src/agreement.rs
+++ b/crates/interlocking/src/agreement.rs
@@ -2,41 +2,36 @@
 
 use orchidvalve_track::identity::{MemberId, NodeAddress};
 
+use crate::attempt::Attempt;
 use crate::damping::Damping;
-use crate::decide::Attempt;
 use crate::durable::DurableState;
 use crate::genesis::Genesis;
 use crate::journal::Journal;
 use crate::liveness::Liveness;
 use crate::message::Message;
-use crate::policy::{self, Health};
-use crate::timing::{FAILURE_TIMEOUT, FREEZE_THRESHOLD};
+use crate::output::Output;
+use crate::policy::{self, Situation};
+use crate::status::{Health, MemberStatus};
+use crate::timing::{FAILURE_TIMEOUT, FREEZE_THRESHOLD, Timing};
 use crate::view::{View, majority};
 
-/// What the host has to do.
-#[derive(Clone, Debug, PartialEq, Eq)]
-pub enum Output {
-    /// Send `message` to `to`; it may be lost, doubled or overtaken by others.
-    Send { to: MemberId, message: Message },
-    /// Write `state` in place of the one before and call [`Agreement::durable`] with `ticket` when it will survive
-    /// a loss of power. Writes become durable in the order of their tickets; a ticket stands for all before it.
-    Persist { ticket: u64, state: DurableState },
-    /// `View` is decided and durable here. Views may be skipped, and each epoch comes at most once per run.
-    ViewChanged(View),
-}
-
 /// Agreement on one view per epoch. All times are milliseconds of one steady clock.
 #[derive(Clone, Debug)]
 pub struct Agreement {
     pub(crate) me: MemberId,
-    bootstrap: bool,
+    pub(crate) bootstrap: bool,
     pub(crate) state: DurableState,
     pub(crate) journal: Journal,
     pub(crate) liveness: Liveness,
     pub(crate) genesis: Genesis,
-    candidates: Vec<MemberId>,
+    pub(crate) candidates: Vec<MemberId>,
     /// As a member outside the chain: everything acknowledged was copied in the current epoch.
-    learner_ready: bool,
+    pub(crate) learner_ready: bool,
+    /// This process is about to end as planned.
+    pub(crate) leaving: bool,
+    /// The writes of this process hang or fail.
+    pub(crate) impaired: bool,
+    pub(crate) timing: Timing,
     damping: Damping,
     pub(crate) attempt: Attempt,
     pub(crate) now: u64,
@@ -45,7 +40,7 @@
     /// Before this time too little is known of the peers for a proposal.
     quiet_until: u64,
     /// Something has changed that the next `tick` should look at, the sooner the better.
-    reconsider: bool,
+    pub(crate) reconsider: bool,
 }
 
 impl Agreement {
@@ -59,15 +54,19 @@
     ) -> Agreement {
         let mut genesis = Genesis::new(seeds);
         genesis.learn(me, bootstrap);
+        let state = recovered.unwrap_or_default();
         Agreement {
             me,
             bootstrap,
-            state: recovered.unwrap_or_default(),
-            journal: Journal::default(),
+            journal: Journal::new(state.epoch()),
+            state,
             liveness: Liveness::default(),
             genesis,
             candidates: Vec::new(),
             learner_ready: false,
+            leaving: false,
+            impaired: false,
+            timing: Timing::default(),
             damping: Damping::default(),
             attempt: Attempt::default(),
             now: 0,
@@ -77,6 +76,13 @@
         }
     }
 
+    /// Replaces [`Timing::default`].
+    #[must_use]
+    pub fn with_timing(mut self, timing: Timing) -> Agreement {
+        self.timing = timing;
+        self
+    }
+
     /// The greeting to send first on every new connection.
     pub fn hello(&self) -> Message {
         Message::Hello { member: self.me, bootstrap: self.bootstrap, epoch: self.epoch() }
@@ -98,7 +104,7 @@
             return self.now;
         }
         let mut next = self.liveness.next_ping_at();
-        for time in [self.liveness.next_expiry(), self.attempt.next_try_at()].into_iter().flatten() {
+        for time in [self.liveness.next_expiry(), self.attempt.next_try_at].into_iter().flatten() {
             if time > self.now {
                 next = next.min(time);
             }
@@ -125,8 +131,12 @@
     }
 
     /// Latest time T such that a majority of the voters of the current view has answered, for its epoch, pings sent
-    /// at or after T while none of them had accepted a later view. So no later view was decided before T.
+    /// at or after T while none of them had accepted a later view. So no later view was decided before T. `None` while
+    /// the writes of this process hang or fail: it may be behind what it told others.
     pub fn quorum_confirmed_at(&self) -> Option<u64> {
+        if self.impaired {
+            return None;
+        }
         let view = self.state.view.as_ref()?;
         let confirmed = |voter: &MemberId| {
             if *voter != self.me {
@@ -184,50 +194,22 @@
         }
     }
 
-    pub(crate) fn receive(&mut self, from: MemberId, message: Message, outputs: &mut Vec<Output>) {
-        match message {
-            Message::Hello { member, bootstrap, epoch } if member == from => {
-                self.hello_received(from, bootstrap, epoch, outputs);
-            }
-            Message::Hello { .. } => {}
-            Message::Ping { number, epoch } => self.ping_received(from, number, epoch, outputs),
-            Message::Pong { number, epoch, ready, unsettled } => {
-                let current = epoch == self.epoch();
-                let changed =
-                    self.liveness.answer(self.now, from, number, current && ready, current && !unsettled);
-                self.reconsider |= changed;
-                self.compare_epochs(from, epoch, outputs);
-            }
-            Message::Prepare { epoch, ballot } => self.prepare_received(from, epoch, ballot, outputs),
-            Message::Promise { epoch, ballot, accepted } => {
-                self.promise_received(from, epoch, ballot, accepted, outputs);
-            }
-            Message::Accept { ballot, view } => self.accept_received(from, ballot, view, outputs),
-            Message::Accepted { epoch, ballot } => self.accepted_received(from, epoch, ballot, outputs),
-            Message::Nack { epoch, ballot, promised } => {
-                if epoch == self.epoch() + 1 {
-                    self.attempt.refused(ballot, promised);
-                }
-            }
-            Message::Decided { view } => self.adopt(view, outputs),
-        }
-    }
-
     /// What is known of `member`, this one included.
     pub(crate) fn health(&self, member: MemberId) -> Health {
-        if member == self.me {
-            Health::Alive { ready: self.is_ready() }
-        } else {
-            self.liveness.health(self.now, member)
-        }
+        if member == self.me { Health::Alive(self.status()) } else { self.liveness.health(self.now, member) }
     }
 
-    /// As `health`, but a member that is to stay out of the chain for a while isn't ready.
+    /// As `health`, but a member that is to stay out of the chain for a while isn't ready. Nobody is kept out of a
+    /// chain that is too short to bear a loss.
     fn health_for_chain(&self, view: &View, member: MemberId) -> Health {
+        let enough = self.timing.minimum_copies.max(majority(view.voters.len()));
+        let is_held_back = || {
+            !view.in_chain(member)
+                && view.chain.len() >= enough
+                && self.damping.holds_back(self.now, member, self.timing.damping_limit)
+        };
         match self.health(member) {
-            Health::Alive { .. } if !view.in_chain(member) && self.damping.holds_back(self.now, member) => {
-                Health::Alive { ready: false }
-            }
+            Health::Alive(status) if is_held_back() => Health::Alive(MemberStatus { ready: false, ..status }),
             health => health,
         }
     }
@@ -235,10 +217,16 @@
     /// The next view that the policy wants, by what is known now.
     pub(crate) fn wanted_view(&self) -> Option<View> {
         match &self.state.view {
-            None => self.genesis.wanted_view(self.now),
+            None => self.genesis.wanted_view(self.now, self.timing.voter_limit),
             Some(view) => {
-                let health = |member| self.health_for_chain(view, member);
-                policy::wanted_view(view, self.me, &self.candidates, &health)
+                let situation = Situation {
+                    view,
+                    me: self.me,
+                    candidates: &self.candidates,
+                    timing: &self.timing,
+                    health: |member| self.health_for_chain(view, member),
+                };
+                situation.wanted_view()
             }
         }
     }
@@ -246,8 +234,8 @@
     /// Always true before there is a view, as only known seeds are asked then.
     pub(crate) fn is_majority_alive(&self) -> bool {
         self.view().is_none_or(|view| {
-            let alive = |voter: &&MemberId| matches!(self.health(**voter), Health::Alive { .. });
-            view.voters.iter().filter(alive).count() >= majority(view.voters.len())
+            let can_vote = |voter: &&MemberId| self.health(**voter).can_vote();
+            view.voters.iter().filter(can_vote).count() >= majority(view.voters.len())
         })
     }
 
@@ -296,7 +284,8 @@
         self.attempt = Attempt::default();
         self.liveness.enter_epoch();
         self.watch_members();
-        self.persist(outputs);
+        let ticket = self.journal.issue_view(view.epoch);
+        outputs.push(Output::Persist { ticket, state: self.state.clone() });
         self.journal.hold(Output::ViewChanged(view));
         self.send_pings(outputs);
         self.reconsider = true;
@@ -311,53 +300,6 @@
         was_complete && next.in_chain(self.me)
     }
 
-    fn hello_received(&mut self, from: MemberId, bootstrap: bool, epoch: u64, outputs: &mut Vec<Output>) {
-        let newcomer = self.genesis.learn(from, bootstrap);
-        if newcomer && self.state.view.is_none() {
-            self.watch_members();
-            self.reconsider = true;
-        }
-        self.compare_epochs(from, epoch, outputs);
-        if epoch > self.epoch() || (newcomer && epoch == self.epoch()) {
-            outputs.push(Output::Send { to: from, message: self.hello() });
-        }
-    }
-
-    fn ping_received(&mut self, from: MemberId, number: u64, epoch: u64, outputs: &mut Vec<Output>) {
-        let message = Message::Pong {
-            number,
-            epoch: self.epoch(),
-            ready: self.is_ready(),
-            unsettled: self.is_unsettled(),
-        };
-        outputs.push(Output::Send { to: from, message });
-        self.compare_epochs(from, epoch, outputs);
-    }
-
-    /// Tells the current view to a member that knows an older one.
-    fn compare_epochs(&mut self, from: MemberId, epoch: u64, outputs: &mut Vec<Output>) {
-        self.genesis.system_exists |= epoch > 0;
-        if epoch < self.epoch() {
-            self.answer_decided(from, outputs);
-        }
-    }
-
-    pub(crate) fn answer_decided(&self, to: MemberId, outputs: &mut Vec<Output>) {
-        if let Some(view) = &self.state.view {
-            outputs.push(Output::Send { to, message: Message::Decided { view: view.clone() } });
-        }
-    }
-
-    fn is_ready(&self) -> bool {
-        let in_chain = self.view().is_some_and(|view| view.in_chain(self.me));
-        if in_chain { self.state.complete } else { self.learner_ready }
-    }
-
-    /// True if the next view may be decided without this process knowing it.
-    fn is_unsettled(&self) -> bool {
-        self.state.acceptor.accepted.is_some()
-    }
-
     /// Hands out what was held back for writes that are durable now.
     fn release(&mut self, outputs: &mut Vec<Output>) {
         while let Some(output) = self.journal.release() {
@@ -383,24 +325,4 @@
         self.genesis.start(self.now);
         self.watch_members();
     }
-
-    /// Pings go to the voters and the candidates; before there is a view, to the seeds.
-    fn watch_members(&mut self) {
-        let me = self.me;
-        let others = move |member: &MemberId| *member != me;
-        match &self.state.view {
-            None => self.liveness.watch(self.now, self.genesis.known().filter(others)),
-            Some(view) => {
-                let members = view.voters.iter().chain(&self.candidates).copied();
-                self.liveness.watch(self.now, members.filter(others));
-            }
-        }
-    }
-
-    fn send_pings(&mut self, outputs: &mut Vec<Output>) {
-        let number = self.liveness.start_round(self.now);
-        let epoch = self.epoch();
-        let message = if epoch == 0 { self.hello() } else { Message::Ping { number, epoch } };
-        outputs.extend(self.liveness.members().map(|to| Output::Send { to, message: message.clone() }));
-    }
 }
--- /dev/null
+++ b/crates/interlocking/src/attempt.rs
@@ -0,0 +1,43 @@
+//! The proposer's and the learner's state within one instance.
+
+use crate::acceptances::Acceptances;
+use crate::message::Ballot;
+use crate::proposer::Proposal;
+
+/// What a process does about the instance after its view. Nothing of it survives a restart.
+#[derive(Clone, Debug, Default)]
+pub struct Attempt {
+    pub proposal: Option<Proposal>,
+    /// Who has accepted the view that was accepted here last.
+    pub acceptances: Option<Acceptances>,
+    /// Highest round seen in the instance.
+    pub highest_round: u32,
+    /// Since when a view is wanted.
+    pub wanted_since: Option<u64>,
+    /// Time of the latest step that this process or another proposer has made.
+    pub progress_at: Option<u64>,
+    /// When a proposal is due, by what was known at the last tick.
+    pub next_try_at: Option<u64>,
+}
+
+impl Attempt {
+    /// Gives up the proposal. Its ballot is never used again.
+    pub fn abandon(&mut self) {
+        self.proposal = None;
+        self.wanted_since = None;
+        self.next_try_at = None;
+    }
+
+    /// Notes a higher ballot; the next try exceeds it.
+    pub fn refused(&mut self, ballot: Ballot, promised: Ballot) {
+        if self.proposal.as_ref().is_some_and(|proposal| proposal.ballot() == ballot) {
+            self.highest_round = self.highest_round.max(promised.round);
+        }
+    }
+
+    /// Notes that the proposer of `ballot` is at work.
+    pub fn ballot_seen(&mut self, now: u64, ballot: Ballot) {
+        self.highest_round = self.highest_round.max(ballot.round);
+        self.progress_at = Some(now);
+    }
+}
--- a/crates/interlocking/src/damping.rs
+++ b/crates/interlocking/src/damping.rs
@@ -2,7 +2,7 @@
 
 use orchidvalve_track::identity::MemberId;
 
-use crate::timing::{DAMPING_LIMIT, DAMPING_STEP, DAMPING_WINDOW};
+use crate::timing::{DAMPING_STEP, DAMPING_WINDOW};
 use crate::view::View;
 
 #[derive(Clone, Debug)]
@@ -33,14 +33,15 @@
 
     /// True while `member` is not to be taken into the chain again: no time at all as long as nobody has left it
     /// twice, then a time that doubles with each further repetition. Repetitions of all members count together, as
-    /// a cut between two of them may make them leave in turns.
-    pub fn holds_back(&self, now: u64, member: MemberId) -> bool {
+    /// a cut between two of them may make them leave in turns. The time ends `limit` after the removal at the
+    /// latest.
+    pub fn holds_back(&self, now: u64, member: MemberId, limit: u64) -> bool {
         let repetitions: u32 = self.removals.iter().map(|removal| removal.count - 1).sum();
         let removal = self.removals.iter().find(|removal| removal.member == member);
-        removal.is_some_and(|removal| repetitions > 0 && now < removal.at + hold_time(repetitions))
+        removal.is_some_and(|removal| repetitions > 0 && now < removal.at + hold_time(repetitions).min(limit))
     }
 }
 
 fn hold_time(repetitions: u32) -> u64 {
-    (DAMPING_STEP << (repetitions - 1).min(16)).min(DAMPING_LIMIT)
+    DAMPING_STEP << (repetitions - 1).min(16)
 }
--- a/crates/interlocking/src/decide.rs
+++ b/crates/interlocking/src/decide.rs
@@ -3,57 +3,20 @@
 
 use orchidvalve_track::identity::MemberId;
 
-use crate::agreement::{Agreement, Output};
+use crate::acceptances::Acceptances;
+use crate::agreement::Agreement;
 use crate::electorate::Electorate;
 use crate::message::{Ballot, Message};
+use crate::output::Output;
 use crate::proposer::Proposal;
 use crate::timing::{PROPOSER_STAGGER, RETRY_STAGGER, RETRY_TIMEOUT};
 use crate::view::View;
 
-/// The proposer's state within one instance.
-#[derive(Clone, Debug, Default)]
-pub struct Attempt {
-    proposal: Option<Proposal>,
-    /// Highest round seen in the instance.
-    highest_round: u32,
-    /// Since when a view is wanted.
-    wanted_since: Option<u64>,
-    /// Time of the latest step that this process or another proposer has made.
-    progress_at: Option<u64>,
-    /// When a proposal is due, by what was known at the last tick.
-    next_try_at: Option<u64>,
-}
-
-impl Attempt {
-    pub fn next_try_at(&self) -> Option<u64> {
-        self.next_try_at
-    }
-
-    /// Gives up the proposal. Its ballot is never used again.
-    pub fn abandon(&mut self) {
-        self.proposal = None;
-        self.wanted_since = None;
-        self.next_try_at = None;
-    }
-
-    /// Notes a higher ballot; the next try exceeds it.
-    pub fn refused(&mut self, ballot: Ballot, promised: Ballot) {
-        if self.proposal.as_ref().is_some_and(|proposal| proposal.ballot() == ballot) {
-            self.highest_round = self.highest_round.max(promised.round);
-        }
-    }
-
-    fn ballot_seen(&mut self, now: u64, ballot: Ballot) {
-        self.highest_round = self.highest_round.max(ballot.round);
-        self.progress_at = Some(now);
-    }
-}
-
 impl Agreement {
     /// Starts or retries a proposal if one is wanted and it is this voter's turn.
     pub(crate) fn propose_if_due(&mut self, outputs: &mut Vec<Output>) {
         self.attempt.next_try_at = None;
-        if !self.may_vote() {
+        if !self.may_vote() || self.impaired {
             return;
         }
         let Some(view) = self.wanted_view().or_else(|| self.pending_view()) else {
@@ -108,7 +71,7 @@
         ballot: Ballot,
         outputs: &mut Vec<Output>,
     ) {
-        if !self.is_current_instance(from, epoch, ballot, outputs) {
+        if !self.is_current_instance(from, epoch, ballot, outputs) || !self.may_vote() {
             return;
         }
         let before = self.state.acceptor.promised;
@@ -127,6 +90,8 @@
         }
     }
 
+    /// Accepts a view and tells all that have to know: the voters before and after it, so that each of them sees
+    /// by itself that it is decided, also when the proposer is lost.
     pub(crate) fn accept_received(
         &mut self,
         from: MemberId,
@@ -135,7 +100,7 @@
         outputs: &mut Vec<Output>,
     ) {
         let epoch = view.epoch;
-        if !self.is_current_instance(from, epoch, ballot, outputs) || !self.may_follow(&view) {
+        if !self.is_current_instance(from, epoch, ballot, outputs) || !self.may_accept(&view) {
             return;
         }
         let before = self.state.acceptor.accepted.as_ref().map(|(accepted, _)| *accepted);
@@ -145,7 +110,11 @@
                 if before != Some(ballot) {
                     self.persist(outputs);
                 }
-                self.send_when_durable(from, Message::Accepted { epoch, ballot });
+                self.send_when_durable(self.me, Message::Accepted { epoch, ballot });
+                for voter in self.others_concerned(&view) {
+                    self.send_when_durable(voter, Message::Accepted { epoch, ballot });
+                }
+                self.count_proposer(ballot, view, outputs);
             }
             Err(promised) => {
                 outputs.push(Output::Send { to: from, message: Message::Nack { epoch, ballot, promised } });
@@ -153,6 +122,17 @@
         }
     }
 
+    /// Begins to count the acceptances of a view, with the proposer's own: it is durable before `Accept` leaves.
+    fn count_proposer(&mut self, ballot: Ballot, view: View, outputs: &mut Vec<Output>) {
+        let epoch = view.epoch;
+        if self.attempt.acceptances.as_ref().is_none_or(|acceptances| acceptances.ballot() != ballot) {
+            self.attempt.acceptances = Some(Acceptances::new(ballot, view, self.electorate()));
+        }
+        if ballot.proposer != self.me {
+            self.accepted_received(ballot.proposer, epoch, ballot, outputs);
+        }
+    }
+
     pub(crate) fn promise_received(
         &mut self,
         from: MemberId,
@@ -169,11 +149,14 @@
             return;
         };
         self.attempt.progress_at = Some(self.now);
-        for voter in self.other_voters() {
-            let message = Message::Accept { ballot, view: view.clone() };
-            outputs.push(Output::Send { to: voter, message });
+        self.accept_received(self.me, ballot, view.clone(), outputs);
+        let accepted = self.state.acceptor.accepted.as_ref().map(|(accepted, _)| *accepted);
+        if accepted != Some(ballot) {
+            return;
+        }
+        for voter in self.others_concerned(&view) {
+            self.send_when_durable(voter, Message::Accept { ballot, view: view.clone() });
         }
-        self.accept_received(self.me, ballot, view, outputs);
     }
 
     pub(crate) fn accepted_received(
@@ -183,26 +166,21 @@
         ballot: Ballot,
         outputs: &mut Vec<Output>,
     ) {
-        let Some(proposal) = self.attempt.proposal.as_mut().filter(|proposal| proposal.epoch() == epoch)
-        else {
+        let Some(acceptances) = &mut self.attempt.acceptances else { return };
+        if acceptances.epoch() != epoch || acceptances.ballot() != ballot {
             return;
-        };
-        let Some(view) = proposal.accepted(from, ballot).cloned() else {
+        }
+        let Some(view) = acceptances.accepted(from).cloned() else {
             return;
         };
-        let mut informed = self.other_voters();
+        let informed = self.others_concerned(&view);
         self.adopt(view, outputs);
-        for voter in self.other_voters() {
-            if !informed.contains(&voter) {
-                informed.push(voter);
-            }
-        }
-        for voter in informed {
-            self.answer_decided(voter, outputs);
+        for member in informed {
+            self.answer_decided(member, outputs);
         }
     }
 
-    /// True if `ballot` is for the instance that this process votes in. Tells a laggard the current view, and asks
+    /// True if `ballot` is one of a voter for the instance after the view in force here. Tells a laggard the current view, and asks
     /// for it where this process is the laggard.
     fn is_current_instance(
         &self,
@@ -218,13 +196,14 @@
             outputs.push(Output::Send { to: from, message: self.hello() });
         }
         let from_voter = ballot.proposer == from && self.electorate().position(from).is_some();
-        epoch == next && from_voter && self.may_vote()
+        epoch == next && from_voter
     }
 
-    fn may_follow(&self, view: &View) -> bool {
+    /// A voter of the view in force accepts what may follow it; so does one that becomes a voter by it.
+    fn may_accept(&self, view: &View) -> bool {
         match &self.state.view {
-            None => view.epoch == 1 && view.is_well_formed(),
-            Some(current) => view.follows(current),
+            None => view.epoch == 1 && view.is_well_formed() && self.may_vote(),
+            Some(current) => view.follows(current) && (self.may_vote() || view.is_voter(self.me)),
         }
     }
 
@@ -243,4 +222,15 @@
             Some(view) => view.voters.iter().copied().filter(|voter| *voter != me).collect(),
         }
     }
+
+    /// The voters before and after a decision for `view`, without this one.
+    fn others_concerned(&self, view: &View) -> Vec<MemberId> {
+        let mut members = self.other_voters();
+        for voter in &view.voters {
+            if *voter != self.me && !members.contains(voter) {
+                members.push(*voter);
+            }
+        }
+        members
+    }
 }
--- a/crates/interlocking/src/electorate.rs
+++ b/crates/interlocking/src/electorate.rs
@@ -27,10 +27,12 @@
         }
     }
 
-    pub fn majority(&self) -> usize {
-        match self {
-            Electorate::Seeds(seeds) => majority(seeds.len()),
-            Electorate::Members(members) => majority(members.len()),
-        }
+    /// True if the positions whose bits are set in `votes` are a majority.
+    pub fn is_majority(&self, votes: u64) -> bool {
+        let size = match self {
+            Electorate::Seeds(seeds) => seeds.len(),
+            Electorate::Members(members) => members.len(),
+        };
+        votes.count_ones() as usize >= majority(size)
     }
 }
--- /dev/null
+++ b/crates/interlocking/src/exchange.rs
@@ -0,0 +1,88 @@
+//! Messages between the members: who is told what, and who is asked whether it lives.
+
+use orchidvalve_track::identity::MemberId;
+
+use crate::agreement::Agreement;
+use crate::message::Message;
+use crate::output::Output;
+
+impl Agreement {
+    pub(crate) fn receive(&mut self, from: MemberId, message: Message, outputs: &mut Vec<Output>) {
+        match message {
+            Message::Hello { member, bootstrap, epoch } if member == from => {
+                self.hello_received(from, bootstrap, epoch, outputs);
+            }
+            Message::Hello { .. } => {}
+            Message::Ping { number, epoch } => self.ping_received(from, number, epoch, outputs),
+            Message::Pong { number, epoch, status } => {
+                let current = epoch == self.epoch();
+                self.reconsider |= self.liveness.answer(self.now, from, number, current, status);
+                self.compare_epochs(from, epoch, outputs);
+            }
+            Message::Prepare { epoch, ballot } => self.prepare_received(from, epoch, ballot, outputs),
+            Message::Promise { epoch, ballot, accepted } => {
+                self.promise_received(from, epoch, ballot, accepted, outputs);
+            }
+            Message::Accept { ballot, view } => self.accept_received(from, ballot, view, outputs),
+            Message::Accepted { epoch, ballot } => self.accepted_received(from, epoch, ballot, outputs),
+            Message::Nack { epoch, ballot, promised } => {
+                if epoch == self.epoch() + 1 {
+                    self.attempt.refused(ballot, promised);
+                }
+            }
+            Message::Decided { view } => self.adopt(view, outputs),
+        }
+    }
+
+    fn hello_received(&mut self, from: MemberId, bootstrap: bool, epoch: u64, outputs: &mut Vec<Output>) {
+        let newcomer = self.genesis.learn(from, bootstrap);
+        if newcomer && self.state.view.is_none() {
+            self.watch_members();
+            self.reconsider = true;
+        }
+        self.compare_epochs(from, epoch, outputs);
+        if epoch > self.epoch() || (newcomer && epoch == self.epoch()) {
+            outputs.push(Output::Send { to: from, message: self.hello() });
+        }
+    }
+
+    fn ping_received(&mut self, from: MemberId, number: u64, epoch: u64, outputs: &mut Vec<Output>) {
+        let message = Message::Pong { number, epoch: self.journal.durable_epoch(), status: self.status() };
+        outputs.push(Output::Send { to: from, message });
+        self.compare_epochs(from, epoch, outputs);
+    }
+
+    /// Tells the current view to a member that knows an older one.
+    fn compare_epochs(&mut self, from: MemberId, epoch: u64, outputs: &mut Vec<Output>) {
+        self.genesis.system_exists |= epoch > 0;
+        if epoch < self.epoch() {
+            self.answer_decided(from, outputs);
+        }
+    }
+
+    pub(crate) fn answer_decided(&self, to: MemberId, outputs: &mut Vec<Output>) {
+        if let Some(view) = &self.state.view {
+            outputs.push(Output::Send { to, message: Message::Decided { view: view.clone() } });
+        }
+    }
+
+    /// Pings go to the voters and the candidates; before there is a view, to the seeds.
+    pub(crate) fn watch_members(&mut self) {
+        let me = self.me;
+        let others = move |member: &MemberId| *member != me;
+        match &self.state.view {
+            None => self.liveness.watch(self.now, self.genesis.known().filter(others)),
+            Some(view) => {
+                let members = view.voters.iter().chain(&self.candidates).copied();
+                self.liveness.watch(self.now, members.filter(others));
+            }
+        }
+    }
+
+    pub(crate) fn send_pings(&mut self, outputs: &mut Vec<Output>) {
+        let number = self.liveness.start_round(self.now);
+        let epoch = self.epoch();
+        let message = if epoch == 0 { self.hello() } else { Message::Ping { number, epoch } };
+        outputs.extend(self.liveness.members().map(|to| Output::Send { to, message: message.clone() }));
+    }
+}
--- a/crates/interlocking/src/genesis.rs
+++ b/crates/interlocking/src/genesis.rs
@@ -54,8 +54,9 @@
             as u64
     }
 
-    /// The first view, once all seeds are known or a majority of them is and the wait is over.
-    pub fn wanted_view(&self, now: u64) -> Option<View> {
+    /// The first view, once all seeds are known or a majority of them is and the wait is over. Seeds above
+    /// `voter_limit` are left out and stand by as candidates.
+    pub fn wanted_view(&self, now: u64, voter_limit: usize) -> Option<View> {
         let mut voters: Vec<MemberId> =
             self.known.iter().filter(|(_, bootstrap)| *bootstrap).map(|(member, _)| *member).collect();
         let waited = self.started_at.is_some_and(|started_at| now >= started_at + SEED_WAIT);
@@ -64,6 +65,7 @@
             return None;
         }
         voters.sort_unstable();
+        voters.truncate(voter_limit);
         Some(View { epoch: 1, chain: voters.clone(), voters })
     }
 }
--- a/crates/interlocking/src/liveness.rs
+++ b/crates/interlocking/src/liveness.rs
@@ -4,7 +4,7 @@
 
 use orchidvalve_track::identity::MemberId;
 
-use crate::policy::Health;
+use crate::status::{Health, MemberStatus};
 use crate::timing::{FAILURE_TIMEOUT, PING_INTERVAL};
 
 /// Bound of the list of ready members; far more than ever stand for the chain.
@@ -18,6 +18,11 @@
     answered_at: Option<u64>,
     /// Latest send time of a ping that it answered for the current epoch with no accepted view pending.
     confirmed_at: Option<u64>,
+    /// Number of the latest ping that it answered, and what the answer said.
+    answered_number: u64,
+    status: MemberStatus,
+    /// Has told that the view of the current epoch is on its disk.
+    holds_view: bool,
 }
 
 /// Peers that are pinged: the other voters and the candidates.
@@ -64,6 +69,8 @@
     pub fn enter_epoch(&mut self) {
         for peer in &mut self.peers {
             peer.confirmed_at = None;
+            peer.holds_view = false;
+            peer.status.reaches_chain = false;
         }
         self.ready.clear();
     }
@@ -94,9 +101,16 @@
         self.last_number
     }
 
-    /// Takes an answer; `confirms` if it is for the current epoch, with no accepted view pending. Returns whether
-    /// the peer turned ready or alive by it.
-    pub fn answer(&mut self, now: u64, from: MemberId, number: u64, ready: bool, confirms: bool) -> bool {
+    /// Takes an answer; `current` if it is for the current epoch. Returns whether it changes what is known of the
+    /// peer.
+    pub fn answer(
+        &mut self,
+        now: u64,
+        from: MemberId,
+        number: u64,
+        current: bool,
+        status: MemberStatus,
+    ) -> bool {
         let Ok(index) = self.sent.binary_search_by_key(&number, |(sent_number, _)| *sent_number) else {
             return false;
         };
@@ -107,13 +121,12 @@
         if sent_at + FAILURE_TIMEOUT <= now {
             return false;
         }
-        let revived = peer.answered_at.is_none();
-        peer.answered_at = Some(now);
-        if confirms {
+        let changed = peer.answered(now, number, current, status);
+        if current && !status.unsettled {
             peer.confirmed_at = peer.confirmed_at.max(Some(sent_at));
         }
-        let turned_ready = ready && self.mark_ready(from);
-        revived || turned_ready
+        let turned_ready = current && status.ready && self.mark_ready(from);
+        changed || turned_ready
     }
 
     /// Marks `member` as ready, which holds until the epoch ends; true if it wasn't.
@@ -133,11 +146,38 @@
     pub fn confirmed_at(&self, member: MemberId) -> Option<u64> {
         self.peers.iter().find(|peer| peer.member == member)?.confirmed_at
     }
+
+    /// True if `member` has told that the view of the current epoch is on its disk.
+    pub fn holds_view(&self, member: MemberId) -> bool {
+        self.peers.iter().any(|peer| peer.member == member && peer.holds_view)
+    }
 }
 
 impl Peer {
     fn new(member: MemberId, now: u64) -> Peer {
-        Peer { member, watched_since: now, answered_at: None, confirmed_at: None }
+        Peer {
+            member,
+            watched_since: now,
+            answered_at: None,
+            confirmed_at: None,
+            answered_number: 0,
+            status: MemberStatus::default(),
+            holds_view: false,
+        }
+    }
+
+    /// Notes an answer; true if it changes what is known. An answer that a later one has overtaken shows only that
+    /// the peer lives.
+    fn answered(&mut self, now: u64, number: u64, current: bool, status: MemberStatus) -> bool {
+        let revived = self.answered_at.is_none();
+        let before = (self.status, self.holds_view);
+        self.answered_at = Some(now);
+        self.holds_view |= current;
+        if number >= self.answered_number {
+            self.answered_number = number;
+            self.status = MemberStatus { reaches_chain: current && status.reaches_chain, ..status };
+        }
+        revived || before != (self.status, self.holds_view)
     }
 
     fn health(&self, now: u64, ready: bool) -> Health {
@@ -145,7 +185,7 @@
             self.answered_at.unwrap_or(self.watched_since).max(self.watched_since) + FAILURE_TIMEOUT;
         match now.checked_sub(dead_at) {
             Some(duration) => Health::Dead { duration },
-            None if self.answered_at.is_some() => Health::Alive { ready },
+            None if self.answered_at.is_some() => Health::Alive(MemberStatus { ready, ..self.status }),
             None => Health::Unknown,
         }
     }
--- a/crates/interlocking/src/message.rs
+++ b/crates/interlocking/src/message.rs
@@ -4,6 +4,7 @@
 use musli::{Decode, Encode};
 use orchidvalve_track::identity::MemberId;
 
+use crate::status::MemberStatus;
 use crate::view::View;
 
 /// Largest encoded message in bytes; a longer one is refused before it is decoded.
@@ -24,9 +25,8 @@
     Hello { member: MemberId, bootstrap: bool, epoch: u64 },
     /// Asks for a `Pong` with the same number.
     Ping { number: u64, epoch: u64 },
-    /// Answer to a `Ping`. `ready`: the sender holds everything acknowledged up to `epoch`. `unsettled`: the sender
-    /// has accepted a view for the next epoch, which may thus be decided already.
-    Pong { number: u64, epoch: u64, ready: bool, unsettled: bool },
+    /// Answer to a `Ping`. `epoch` is the one of the latest view on the sender's disk.
+    Pong { number: u64, epoch: u64, status: MemberStatus },
     /// Phase 1 of the instance.
     Prepare { epoch: u64, ballot: Ballot },
     /// The sender will ignore ballots below `ballot`; `accepted` is what it has accepted so far.
--- a/crates/interlocking/src/policy.rs
+++ b/crates/interlocking/src/policy.rs
@@ -2,127 +2,176 @@
 
 use orchidvalve_track::identity::MemberId;
 
-use crate::timing::REPLACEMENT_DELAY;
+use crate::status::Health;
+use crate::timing::Timing;
 use crate::view::{MAX_VOTERS, View, majority};
 
-/// What is known of a member.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Health {
-    /// Answers in time. `ready`: it holds everything acknowledged, so it may join the chain or carry it on.
-    Alive { ready: bool },
-    /// Not asked for long enough to tell.
-    Unknown,
-    /// Without an answer, for this many milliseconds after the timeout.
-    Dead { duration: u64 },
+/// What the next view is derived from.
+pub struct Situation<'a, H> {
+    pub view: &'a View,
+    /// The process that would propose.
+    pub me: MemberId,
+    /// Control members outside the chain.
+    pub candidates: &'a [MemberId],
+    pub timing: &'a Timing,
+    /// What is known of each member, `me` included.
+    pub health: H,
 }
 
-impl Health {
-    fn is_alive(self) -> bool {
-        matches!(self, Health::Alive { .. })
+impl<H: Fn(MemberId) -> Health> Situation<'_, H> {
+    /// The view that `me` should propose, if any. In this order: without the lost members of the chain; with one more
+    /// voter in the chain; without a dead voter that is
+    /// one too many; without a leaving member; with candidates as
+    /// new voters. Nothing is wanted unless a majority of the voters before and after it can vote. Only members of
+    /// the chain remove lost ones from it: one outside may be the only one that is cut off from them, and a removal
+    /// by it would take away copies without need.
+    pub fn wanted_view(&self) -> Option<View> {
+        if !self.has_majority(&self.view.voters) {
+            return None;
+        }
+        if self.view.chain.iter().any(|member| (self.health)(*member).is_lost()) {
+            return if self.view.in_chain(self.me) { self.without_lost() } else { None };
+        }
+        self.with_voter_appended()
+            .or_else(|| self.without_surplus_voter())
+            .or_else(|| self.without_leaving())
+            .or_else(|| self.with_candidates())
+            .filter(|next| self.has_majority(&next.voters))
     }
 
-    fn is_ready(self) -> bool {
-        self == Health::Alive { ready: true }
+    fn has_majority(&self, voters: &[MemberId]) -> bool {
+        let able = voters.iter().filter(|voter| (self.health)(**voter).can_vote()).count();
+        able >= majority(voters.len())
     }
 
-    fn is_dead(self) -> bool {
-        matches!(self, Health::Dead { .. })
+    /// The chain without its dead and impaired members. One that stays must be ready, as an appended member that
+    /// hasn't caught up yet may lack entries that the lost ones have acknowledged.
+    fn without_lost(&self) -> Option<View> {
+        let mut next = successor(self.view);
+        next.chain.retain(|member| !(self.health)(*member).is_lost());
+        next.chain.iter().any(|member| (self.health)(*member).is_ready()).then_some(next)
     }
-}
 
-/// The view that `me` should propose after `view`, if any: without the dead members of the chain; else with one more
-/// voter in the chain; else with candidates as new voters. Nothing is wanted while no majority of the voters is
-/// alive. Only members of the chain remove others from it: one outside may be the only one that is cut off from
-/// them, and a removal by it would take away copies without need.
-pub fn wanted_view(
-    view: &View,
-    me: MemberId,
-    candidates: &[MemberId],
-    health: &impl Fn(MemberId) -> Health,
-) -> Option<View> {
-    let alive = view.voters.iter().filter(|voter| health(**voter).is_alive()).count();
-    if alive < majority(view.voters.len()) {
-        return None;
+    fn with_voter_appended(&self) -> Option<View> {
+        let returning = |voter: &&MemberId| !self.view.in_chain(**voter) && (self.health)(**voter).may_join();
+        let member = *self.view.voters.iter().find(returning)?;
+        let mut next = successor(self.view);
+        next.chain.push(member);
+        Some(next)
     }
-    if view.chain.iter().any(|member| health(*member).is_dead()) {
-        return if view.in_chain(me) { without_dead(view, health) } else { None };
+
+    /// Without a dead voter where there are more voters than wanted, as between the two steps of a handover. The
+    /// majority of the rest is no larger, so no loss that could be borne before can't be borne after. The voter comes
+    /// back as a candidate.
+    fn without_surplus_voter(&self) -> Option<View> {
+        if self.view.voters.len() <= self.timing.voter_limit {
+            return None;
+        }
+        let dead = |voter: &&MemberId| !self.view.in_chain(**voter) && (self.health)(**voter).is_dead();
+        let removed = *self.view.voters.iter().find(dead)?;
+        Some(without_member(self.view, removed))
     }
-    with_voter_appended(view, health).or_else(|| with_candidates(view, candidates, health))
-}
 
-/// Number of live voters that propose before `me`: the chain in its order, then the other voters by identity.
-pub fn rank(view: &View, me: MemberId, health: &impl Fn(MemberId) -> Health) -> u64 {
-    let place = |member: MemberId| {
-        let position = view.chain.iter().position(|entry| *entry == member);
-        (position.unwrap_or(view.chain.len()), member)
-    };
-    let earlier = |voter: &&MemberId| place(**voter) < place(me) && health(**voter).is_alive();
-    view.voters.iter().filter(earlier).count() as u64
-}
+    /// As many losses could be borne without any one of the voters.
+    fn has_spare_voter(&self) -> bool {
+        let voters = self.view.voters.len();
+        voters > self.timing.voter_limit || (voters > 2 && voters.is_multiple_of(2))
+    }
 
-/// The chain without its dead members. One that stays must be ready, as an appended member that hasn't caught up
-/// yet may lack entries that the dead ones have acknowledged.
-fn without_dead(view: &View, health: &impl Fn(MemberId) -> Health) -> Option<View> {
-    let chain: Vec<MemberId> =
-        view.chain.iter().copied().filter(|member| !health(*member).is_dead()).collect();
-    if !chain.iter().any(|member| health(*member).is_ready()) {
-        return None;
+    fn without_leaving(&self) -> Option<View> {
+        let leaving = |voter: &MemberId| (self.health)(*voter).is_leaving();
+        self.view.voters.iter().copied().filter(leaving).find_map(|leaving| self.with_handover(leaving))
     }
-    Some(View { epoch: view.epoch + 1, voters: view.voters.clone(), chain })
-}
 
-fn with_voter_appended(view: &View, health: &impl Fn(MemberId) -> Health) -> Option<View> {
-    let returning = |voter: &&MemberId| !view.in_chain(**voter) && health(**voter).is_ready();
-    let member = *view.voters.iter().find(returning)?;
-    let mut next = successor(view);
-    next.chain.push(member);
-    Some(next)
-}
+    /// The next step towards a view without a leaving voter. A ready candidate becomes a voter and a member of the
+    /// chain first; once it is complete, the leaving one goes. Without a candidate the leaving one stays a voter and
+    /// goes out of the chain, if enough complete copies stay there.
+    fn with_handover(&self, leaving: MemberId) -> Option<View> {
+        let in_chain = self.view.in_chain(leaving);
+        if self.has_spare_voter() {
+            return self.can_spare(leaving).then(|| without_member(self.view, leaving));
+        }
+        if let Some(candidate) = self.ready_candidates().next() {
+            if !in_chain {
+                return Some(with_replacement(self.view, leaving, candidate));
+            }
+            if self.view.voters.len() < MAX_VOTERS {
+                return Some(with_additions(self.view, &[candidate]));
+            }
+            return self.can_spare(leaving).then(|| with_replacement(self.view, leaving, candidate));
+        }
+        if !in_chain || self.candidates.iter().any(|candidate| self.is_eligible(*candidate)) {
+            return None;
+        }
+        let mut next = successor(self.view);
+        next.chain.retain(|member| *member != leaving);
+        self.can_spare(leaving).then_some(next)
+    }
 
-fn with_candidates(
-    view: &View,
-    candidates: &[MemberId],
-    health: &impl Fn(MemberId) -> Health,
-) -> Option<View> {
-    let eligible = |member: &MemberId| {
-        let shares_address = view.chain.iter().any(|entry| entry.address == member.address);
-        !shares_address && !view.is_voter(*member) && health(*member).is_ready()
-    };
-    let ready: Vec<MemberId> = candidates.iter().copied().filter(eligible).collect();
-    let replacement = |candidate: &MemberId| Some((replaceable_voter(view, *candidate, health)?, *candidate));
-    if let Some((replaced, candidate)) = ready.iter().find_map(replacement) {
-        return Some(with_replacement(view, replaced, candidate));
+    /// True if the chain without `member` is complete and long enough for acknowledgements.
+    fn can_spare(&self, member: MemberId) -> bool {
+        if !self.view.in_chain(member) {
+            return true;
+        }
+        let mut rest = self.view.chain.iter().filter(|entry| **entry != member);
+        self.view.chain.len() > self.timing.minimum_copies
+            && rest.all(|entry| (self.health)(*entry).is_ready())
     }
-    let first = *ready.first()?;
-    if view.voters.iter().any(|voter| health(*voter).is_dead()) {
-        return None;
+
+    fn with_candidates(&self) -> Option<View> {
+        let ready: Vec<MemberId> = self.ready_candidates().collect();
+        let replacement = |candidate: &MemberId| Some((self.replaceable_voter(*candidate)?, *candidate));
+        if let Some((replaced, candidate)) = ready.iter().find_map(replacement) {
+            return Some(with_replacement(self.view, replaced, candidate));
+        }
+        let first = *ready.first()?;
+        if self.view.voters.iter().any(|voter| (self.health)(*voter).is_dead()) {
+            return None;
+        }
+        let room = self.timing.voter_limit.saturating_sub(self.view.voters.len());
+        if self.view.voters.len().is_multiple_of(2) {
+            return (room >= 1).then(|| with_additions(self.view, &[first]));
+        }
+        let second = ready.into_iter().find(|member| member.address != first.address)?;
+        (room >= 2).then(|| with_additions(self.view, &[first, second]))
     }
-    if view.voters.len().is_multiple_of(2) {
-        return Some(with_additions(view, &[first]));
+
+    /// The dead voter that `candidate` takes the place of: one at the same address, whose disk is lost, at once; any
+    /// other only after a while.
+    fn replaceable_voter(&self, candidate: MemberId) -> Option<MemberId> {
+        let outside = || self.view.voters.iter().copied().filter(|voter| !self.view.in_chain(*voter));
+        let lost_disk = outside().find(|voter| voter.address == candidate.address);
+        let delay = self.timing.replacement_delay;
+        let is_due = |voter: &MemberId| matches!((self.health)(*voter), Health::Dead { duration } if duration >= delay);
+        lost_disk.or_else(|| outside().find(is_due))
+    }
+
+    fn ready_candidates(&self) -> impl Iterator<Item = MemberId> {
+        let is_ready =
+            |candidate: &MemberId| self.is_eligible(*candidate) && (self.health)(*candidate).may_join();
+        self.candidates.iter().copied().filter(is_ready)
+    }
+
+    /// It may become a voter now or once it is ready. The member of the chain at its address, if any, has to go first.
+    fn is_eligible(&self, candidate: MemberId) -> bool {
+        let shares_address = self.view.chain.iter().any(|entry| entry.address == candidate.address);
+        !shares_address && !self.view.is_voter(candidate) && (self.health)(candidate).may_serve()
     }
-    let second = ready.into_iter().find(|member| member.address != first.address)?;
-    (view.voters.len() + 2 <= MAX_VOTERS).then(|| with_additions(view, &[first, second]))
 }
 
-/// The dead voter that `candidate` takes the place of: one at the same address, whose disk is lost, at once; any
-/// other only after a while.
-fn replaceable_voter(
-    view: &View,
-    candidate: MemberId,
-    health: &impl Fn(MemberId) -> Health,
-) -> Option<MemberId> {
-    let outside = || view.voters.iter().copied().filter(|voter| !view.in_chain(*voter));
-    let lost_disk = outside().find(|voter| voter.address == candidate.address);
-    lost_disk.or_else(|| {
-        outside().find(
-            |voter| matches!(health(*voter), Health::Dead { duration } if duration >= REPLACEMENT_DELAY),
-        )
-    })
+/// Number of voters able to propose that do so before `me`: the chain in its order, then the other voters by
+/// identity.
+pub fn rank(view: &View, me: MemberId, health: &impl Fn(MemberId) -> Health) -> u64 {
+    let place = |member: MemberId| {
+        let position = view.chain.iter().position(|entry| *entry == member);
+        (position.unwrap_or(view.chain.len()), member)
+    };
+    let earlier = |voter: &&MemberId| place(**voter) < place(me) && health(**voter).can_vote();
+    view.voters.iter().filter(earlier).count() as u64
 }
 
 fn with_replacement(view: &View, replaced: MemberId, candidate: MemberId) -> View {
-    let mut next = successor(view);
-    next.voters.retain(|voter| *voter != replaced);
+    let mut next = without_member(view, replaced);
     next.voters.push(candidate);
     next.chain.push(candidate);
     next
@@ -135,6 +184,13 @@
     next
 }
 
+fn without_member(view: &View, removed: MemberId) -> View {
+    let mut next = successor(view);
+    next.voters.retain(|voter| *voter != removed);
+    next.chain.retain(|member| *member != removed);
+    next
+}
+
 fn successor(view: &View) -> View {
     View { epoch: view.epoch + 1, ..view.clone() }
 }
--- a/crates/interlocking/src/proposer.rs
+++ b/crates/interlocking/src/proposer.rs
@@ -1,4 +1,4 @@
-//! The proposer of one single-decree Paxos instance with one ballot.
+//! Phase 1 of one single-decree Paxos instance with one ballot; [`crate::acceptances`] counts phase 2.
 
 use orchidvalve_track::identity::MemberId;
 
@@ -6,30 +6,23 @@
 use crate::message::Ballot;
 use crate::view::View;
 
-#[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
-enum Phase {
-    Preparing,
-    Accepting,
-    Decided,
-}
-
 /// One attempt to decide an instance. A retry is another `Proposal` with a higher ballot.
 #[derive(Clone, Debug, PartialEq, Eq, Hash)]
 pub struct Proposal {
     ballot: Ballot,
     electorate: Electorate,
-    phase: Phase,
-    /// Voters that have answered in this phase, one bit per position in the electorate.
-    votes: u64,
+    /// Voters that have promised, one bit per position in the electorate.
+    promises: u64,
     /// Highest ballot among the accepted views that the promises reported.
     reported: Option<Ballot>,
     /// The proposer's own wish until a promise reports an accepted view, then that one.
     view: View,
+    is_prepared: bool,
 }
 
 impl Proposal {
     pub fn new(ballot: Ballot, electorate: Electorate, view: View) -> Proposal {
-        Proposal { ballot, electorate, phase: Phase::Preparing, votes: 0, reported: None, view }
+        Proposal { ballot, electorate, promises: 0, reported: None, view, is_prepared: false }
     }
 
     pub fn ballot(&self) -> Ballot {
@@ -48,7 +41,7 @@
         ballot: Ballot,
         accepted: Option<(Ballot, View)>,
     ) -> Option<&View> {
-        if ballot != self.ballot || self.phase != Phase::Preparing {
+        if ballot != self.ballot || self.is_prepared {
             return None;
         }
         let position = self.electorate.position(from)?;
@@ -58,30 +51,11 @@
             self.reported = Some(accepted_ballot);
             self.view = view;
         }
-        if !self.count(position) {
-            return None;
-        }
-        self.phase = Phase::Accepting;
-        self.votes = 0;
-        Some(&self.view)
-    }
-
-    /// Takes an acceptance. Returns the decided view when a majority has accepted it, once.
-    pub fn accepted(&mut self, from: MemberId, ballot: Ballot) -> Option<&View> {
-        if ballot != self.ballot || self.phase != Phase::Accepting {
-            return None;
-        }
-        let position = self.electorate.position(from)?;
-        if !self.count(position) {
+        self.promises |= 1 << position;
+        if !self.electorate.is_majority(self.promises) {
             return None;
         }
-        self.phase = Phase::Decided;
+        self.is_prepared = true;
         Some(&self.view)
     }
-
-    /// Adds a vote; true if there is a majority.
-    fn count(&mut self, position: usize) -> bool {
-        self.votes |= 1 << position;
-        self.votes.count_ones() as usize >= self.electorate.majority()
-    }
 }
--- /dev/null
+++ b/crates/interlocking/src/standing.rs
@@ -0,0 +1,102 @@
+//! What this process says of itself, and whether it may end.
+
+use orchidvalve_track::identity::MemberId;
+
+use crate::agreement::Agreement;
+use crate::status::MemberStatus;
+use crate::view::{View, majority};
+
+impl Agreement {
+    /// This process is about to end as planned. The others replace it, as far as they can; when it may end,
+    /// [`Agreement::may_leave`] says. There is no way back but a new start.
+    pub fn set_leaving(&mut self) {
+        self.leaving = true;
+        self.reconsider = true;
+    }
+
+    /// The host says whether its own writes hang or fail. An impaired member is treated as dead for the chain but
+    /// stays a voter; it proposes nothing and confirms nothing to itself.
+    pub fn set_impaired(&mut self, impaired: bool) {
+        if self.impaired == impaired {
+            return;
+        }
+        self.impaired = impaired;
+        self.attempt.abandon();
+        self.reconsider = true;
+    }
+
+    /// True if a majority of the voters of the latest view has that view on disk, as far as known here. From then on
+    /// the view survives the loss of any minority of its voters: one that is left knows it and tells the rest. No
+    /// repair or removal is complete before.
+    pub fn is_effective(&self) -> bool {
+        let Some(view) = self.view() else { return false };
+        let holds = |voter: &&MemberId| {
+            if **voter == self.me { self.is_view_durable() } else { self.liveness.holds_view(**voter) }
+        };
+        view.voters.iter().filter(holds).count() >= majority(view.voters.len())
+    }
+
+    /// True if this process may end after [`Agreement::set_leaving`]: it is no longer needed, or waiting is of no use.
+    ///
+    /// It is no longer needed if it never knew a view, or if the latest view is effective and has this process
+    /// neither in its chain nor among its voters, or keeps it as a voter only and there is no live candidate that
+    /// could take the place.
+    ///
+    /// Waiting is of no use if every other voter and candidate is alive and leaving, too. It is of use while one of
+    /// them is dead: it may come back and copy what only this process holds. The host ends the wait when its time is
+    /// up.
+    pub fn may_leave(&self) -> bool {
+        if !self.leaving {
+            return false;
+        }
+        let Some(view) = self.view() else { return true };
+        if self.others(view).all(|member| self.health(member).is_leaving()) {
+            return true;
+        }
+        let is_voter_needed = view.is_voter(self.me) && self.has_successor(view);
+        self.is_effective() && !view.in_chain(self.me) && !is_voter_needed
+    }
+
+    pub(crate) fn status(&self) -> MemberStatus {
+        MemberStatus {
+            ready: self.is_ready(),
+            unsettled: self.is_unsettled(),
+            reaches_chain: self.reaches_chain(),
+            leaving: self.leaving,
+            impaired: self.impaired,
+        }
+    }
+
+    /// True if the next view may be decided without this process knowing it, or if it would forget the latest one
+    /// in a loss of power.
+    pub(crate) fn is_unsettled(&self) -> bool {
+        self.state.acceptor.accepted.is_some() || !self.is_view_durable()
+    }
+
+    fn is_view_durable(&self) -> bool {
+        self.journal.durable_epoch() == self.epoch()
+    }
+
+    fn is_ready(&self) -> bool {
+        let in_chain = self.view().is_some_and(|view| view.in_chain(self.me));
+        let holds_all = if in_chain { self.state.complete } else { self.learner_ready };
+        holds_all && !self.impaired && self.is_view_durable()
+    }
+
+    fn reaches_chain(&self) -> bool {
+        let reaches =
+            |member: &MemberId| *member == self.me || self.liveness.health(self.now, *member).is_alive();
+        self.view().is_some_and(|view| view.chain.iter().all(reaches))
+    }
+
+    /// A live candidate that may take this voter's place, now or when it is ready.
+    fn has_successor(&self, view: &View) -> bool {
+        let may_follow = |member: &&MemberId| !view.is_voter(**member) && self.health(**member).may_serve();
+        self.candidates.iter().any(|member| may_follow(&member))
+    }
+
+    fn others<'a>(&'a self, view: &'a View) -> impl Iterator<Item = MemberId> + 'a {
+        let members = view.voters.iter().chain(&self.candidates).copied();
+        members.filter(|member| *member != self.me)
+    }
+}
--- a/crates/interlocking/tests/support/mod.rs
+++ b/crates/interlocking/tests/support/mod.rs
@@ -3,7 +3,7 @@
 
 use std::net::Ipv4Addr;
 
-use orchidvalve_interlocking::{Agreement, Ballot, DurableState, Message, Output, View};
+use orchidvalve_interlocking::{Agreement, Ballot, DurableState, MemberStatus, Message, Output, View};
 use orchidvalve_track::identity::{MemberId, NodeAddress};
 
 pub mod network;
@@ -41,6 +41,11 @@
     Agreement::new(me, false, addresses(3), Some(state))
 }
 
+/// The status of a complete member of the chain.
+pub fn ready() -> MemberStatus {
+    MemberStatus { ready: true, reaches_chain: true, ..MemberStatus::default() }
+}
+
 /// Makes all writes in `outputs` durable, and those that follow from them; returns what was sent or changed.
 pub fn settle(agreement: &mut Agreement, outputs: Vec<Output>) -> Vec<Output> {
     let mut rest = Vec::new();
