Control: calls to servers have connections of their own; a reset answer is none

A server's second answer that came late met the next order or report on the kept connection; one that had arrived but wasn't looked at yet was taken for the next call's answer; an answer without a length counted as whole also where its connection was reset; a connection whose request was answered early was used again; an order could wait 1.5 s for its connection, longer than the margin that a new holder waits beyond the lease, and be sent then; closed idle connections were never let go. Change: a call says which connection carries it: those to servers take a new one and close it, only the platform's list shares one, and only if nothing waits on it in either direction. `Network::ended_in_order` tells an orderly end from a reset. A connection that isn't up in 300 ms is given up, and nothing was sent on it.

--- a/crates/signalbox/src/client.rs
+++ b/crates/signalbox/src/client.rs
@@ -1,4 +1,8 @@
 //! Calls of this machine to the platform and to servers over HTTP.
+//!
+//! An answer belongs to a call by the connection alone: these calls carry no id that comes back. Servers may send a
+//! second answer, late, so a call to one has a connection of its own. Only readings of the platform's list share
+//! kept connections, and only such that owe nothing in either direction.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -8,15 +12,46 @@
 use orchidvalve_track::network::{ConnectionId, Network};
 
 const HEADER_LIMIT: usize = 64 << 10;
+/// Sent bytes may stay unacknowledged by the peer's machine for this time.
+const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+
+/// A connection that isn't up within this time, in milliseconds, has failed: an order that waited longer for it would
+/// reach its server after its sender's lease.
+pub const CONNECT_TIMEOUT_MS: u64 = 300;
+
+/// Which connection carries a call.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Carrier {
+    /// A new one that is closed after the answer: whatever comes on it belongs to this call.
+    OwnConnection,
+    /// One that is kept between calls. For calls that may be repeated, to peers that answer each call once.
+    KeptConnection,
+}
+
+/// Where a call goes, and until when an answer counts. Times are steady, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct Destination {
+    pub address: SocketAddrV4,
+    pub carrier: Carrier,
+    pub begun_at: u64,
+    pub deadline: u64,
+}
 
 /// A call under way; `P` says what it is for.
 #[derive(Debug)]
 struct Call<P> {
     purpose: P,
-    address: SocketAddrV4,
+    destination: Destination,
     reader: ResponseReader,
     body: Vec<u8>,
-    deadline: u64,
+    /// Until when the connection has to be up; none once it is.
+    connect_by: Option<u64>,
+}
+
+impl<P> Call<P> {
+    fn next_deadline(&self) -> u64 {
+        self.destination.deadline.min(self.connect_by.unwrap_or(u64::MAX))
+    }
 }
 
 /// A call that is over; without an answer where the connection failed or the time was up.
@@ -40,30 +75,47 @@
 }
 
 impl<P> HttpClient<P> {
-    /// Sends `request`, a whole message. Gives the purpose back where no connection can be begun.
+    /// Sends `request`, a whole message.
+    ///
+    /// # Errors
+    ///
+    /// No connection can be begun, and nothing was sent: the purpose is given back.
     pub fn start(
         &mut self,
         network: &mut Network,
-        address: SocketAddrV4,
+        destination: Destination,
         method: &str,
         request: &[u8],
         purpose: P,
-        deadline: u64,
     ) -> Result<(), P> {
-        let idle = self.idle.remove(&address).filter(|c| network.is_open(*c));
-        let connection = match idle {
+        let kept = match destination.carrier {
+            Carrier::KeptConnection => self.take_idle(network, destination.address),
+            Carrier::OwnConnection => None,
+        };
+        let connection = match kept {
             Some(connection) => connection,
-            None => match network.connect(address, Duration::from_millis(1_500)) {
+            None => match network.connect(destination.address, USER_TIMEOUT) {
                 Ok(connection) => connection,
                 Err(_) => return Err(purpose),
             },
         };
         network.send(connection, request);
         let reader = ResponseReader::new(method);
-        self.calls.insert(connection, Call { purpose, address, reader, body: Vec::new(), deadline });
+        let connect_by = kept.is_none().then_some(destination.begun_at + CONNECT_TIMEOUT_MS);
+        self.calls.insert(connection, Call { purpose, destination, reader, body: Vec::new(), connect_by });
         Ok(())
     }
 
+    /// The kept connection to `address`, unless it has ended or bytes have come on it that nobody asked for.
+    fn take_idle(&mut self, network: &mut Network, address: SocketAddrV4) -> Option<ConnectionId> {
+        let connection = self.idle.remove(&address)?;
+        if owes_nothing(network, connection) {
+            return Some(connection);
+        }
+        network.forget(connection);
+        None
+    }
+
     pub fn owns(&self, connection: ConnectionId) -> bool {
         self.calls.contains_key(&connection) || self.idle.values().any(|c| *c == connection)
     }
@@ -83,23 +135,27 @@
             return None;
         }
         let call = self.calls.remove(&connection)?;
-        if call.reader.reusable() && network.inbox(connection).is_empty() {
-            self.idle.insert(call.address, connection);
+        let keeps = call.destination.carrier == Carrier::KeptConnection && call.reader.reusable();
+        if keeps && owes_nothing(network, connection) {
+            if let Some(older) = self.idle.insert(call.destination.address, connection) {
+                network.forget(older);
+            }
         } else {
             network.forget(connection);
         }
         Some(finished(call))
     }
 
-    /// The connection has ended.
+    /// The connection has ended. An answer without a length is whole only if its peer ended it in order.
     pub fn closed(&mut self, network: &mut Network, connection: ConnectionId) -> Option<Finished<P>> {
         self.idle.retain(|_, c| *c != connection);
-        let call = self.calls.get(&connection)?;
-        if call.reader.whole_at_close() {
-            network.forget(connection);
-            return self.calls.remove(&connection).map(finished);
+        let whole = network.ended_in_order(connection)
+            && self.calls.get(&connection).is_some_and(|call| call.reader.whole_at_close());
+        if !whole {
+            return self.fail(network, connection);
         }
-        self.fail(network, connection)
+        network.forget(connection);
+        self.calls.remove(&connection).map(finished)
     }
 
     fn fail(&mut self, network: &mut Network, connection: ConnectionId) -> Option<Finished<P>> {
@@ -107,18 +163,33 @@
         self.calls.remove(&connection).map(|call| Finished { purpose: call.purpose, answer: None })
     }
 
-    /// Calls whose time is up.
+    /// Calls whose time is up, or whose connections didn't come up in theirs.
     pub fn expire(&mut self, network: &mut Network, now: u64) -> Vec<Finished<P>> {
-        let late: Vec<ConnectionId> =
-            self.calls.iter().filter(|(_, c)| c.deadline <= now).map(|(connection, _)| *connection).collect();
+        let mut late = Vec::new();
+        for (connection, call) in &mut self.calls {
+            let unconnected =
+                call.connect_by.take_if(|by| *by <= now).is_some_and(|_| !network.is_open(*connection));
+            if unconnected || call.destination.deadline <= now {
+                late.push(*connection);
+            }
+        }
         late.into_iter().filter_map(|connection| self.fail(network, connection)).collect()
     }
 
+    /// When [`HttpClient::expire`] has to be called next.
     pub fn next_deadline(&self) -> Option<u64> {
-        self.calls.values().map(|c| c.deadline).min()
+        self.calls.values().map(Call::next_deadline).min()
     }
 }
 
+/// Whether nothing waits on the connection in either direction: neither bytes of the peer that belong to no call, nor
+/// the rest of a request that was answered before it was wholly sent.
+fn owes_nothing(network: &Network, connection: ConnectionId) -> bool {
+    network.is_open(connection)
+        && network.inbox(connection).is_empty()
+        && network.queued_bytes(connection) == 0
+}
+
 fn finished<P>(call: Call<P>) -> Finished<P> {
     let head = call.reader.head().cloned();
     Finished { purpose: call.purpose, answer: head.map(|head| (head, call.body)) }
--- a/crates/signalbox/src/duties.rs
+++ b/crates/signalbox/src/duties.rs
@@ -6,13 +6,13 @@
 use std::net::SocketAddrV4;
 
 use orchidvalve_track::http::{end_head, write_header, write_number_header, write_request_line};
-use orchidvalve_track::identity::MemberId;
+use orchidvalve_track::identity::{MemberId, NodeAddress};
 use orchidvalve_track::messages::{Role, ServerEntry, ServersUpdate};
 use orchidvalve_track::network::Network;
 use orchidvalve_waybill::state::{Change, ControlState, ModelUse};
 use serde_json::json;
 
-use crate::client::{Finished, HttpClient};
+use crate::client::{Carrier, Destination, Finished, HttpClient};
 use crate::discovery::{CALL_TIMEOUT_MS, POLL_INTERVAL_MS, Progress, RETRY_INTERVAL_MS, Reading};
 use crate::placement::{self, LiveStore, Situation};
 use crate::sessions::SessionTable;
@@ -163,8 +163,13 @@
         write_request_line(&mut request, "GET", &target);
         write_header(&mut request, "Host", &platform.to_string());
         end_head(&mut request);
-        let deadline = now + CALL_TIMEOUT_MS;
-        if self.client.start(network, platform, "GET", &request, Purpose::ListPage, deadline).is_err() {
+        let destination = Destination {
+            address: platform,
+            carrier: Carrier::KeptConnection,
+            begun_at: now,
+            deadline: now + CALL_TIMEOUT_MS,
+        };
+        if self.client.start(network, destination, "GET", &request, Purpose::ListPage).is_err() {
             self.reading_failed(now);
         }
     }
@@ -300,9 +305,9 @@
             let single = state.models().get(&order.model).is_none_or(|m| m.single_version);
             log::info!("weights: {} is to load version {} of {}", order.instance, order.version, order.model);
             let request = self.order_request(&order, fence, if single { "wait" } else { "retain" });
-            let deadline = now + ORDER_TIMEOUT_MS;
+            let destination = to_server(address, now, ORDER_TIMEOUT_MS);
             let purpose = Purpose::Order(order);
-            let started = self.client.start(network, address.socket(), "POST", &request, purpose, deadline);
+            let started = self.client.start(network, destination, "POST", &request, purpose);
             if let Err(Purpose::Order(order)) = started {
                 self.planner.answered(now, &order, OrderOutcome::Unclear);
             }
@@ -320,9 +325,9 @@
             write_header(&mut request, "Expected-Instance", &instance);
             end_head(&mut request);
             let purpose = Purpose::Report { instance: instance.clone() };
-            let deadline = now + REPORT_TIMEOUT_MS;
+            let destination = to_server(server.address, now, REPORT_TIMEOUT_MS);
             // Without an answer the load counts as done when its time is over.
-            let _ = self.client.start(network, server.address.socket(), "GET", &request, purpose, deadline);
+            let _ = self.client.start(network, destination, "GET", &request, purpose);
         }
     }
 
@@ -378,6 +383,12 @@
     }
 }
 
+/// A call to a server: it may send a second answer, which must not meet the next call.
+fn to_server(address: NodeAddress, now: u64, timeout_ms: u64) -> Destination {
+    let (address, carrier) = (address.socket(), Carrier::OwnConnection);
+    Destination { address, carrier, begun_at: now, deadline: now + timeout_ms }
+}
+
 fn live_stores(state: &ControlState, sessions: &SessionTable) -> Vec<LiveStore> {
     let stores = sessions.sessions().filter(|s| s.role == Role::Store);
     let live = stores.map(|session| LiveStore {
--- /dev/null
+++ b/crates/signalbox/tests/http_client.rs
@@ -0,0 +1,257 @@
+//! Calls to the platform and to servers over loopback: no answer reaches another call, and only whole ones count.
+
+#[path = "../../turnstile/tests/sockets_support/mod.rs"]
+mod sockets_support;
+
+use std::net::{SocketAddrV4, TcpListener};
+
+use orchidvalve_signalbox::client::{CONNECT_TIMEOUT_MS, Carrier, Destination, Finished, HttpClient};
+use orchidvalve_track::network::{Event, Network};
+use rstest::rstest;
+use sockets_support::*;
+
+const REQUEST: &str = "GET /instances HTTP/1.1\r\n\r\n";
+const TIMEOUT_MS: u64 = 1_000;
+/// More than the buffers of two sockets hold.
+const LONG_BODY: usize = 64 << 20;
+
+/// Purpose of a call: its number.
+type Number = u32;
+
+struct Caller {
+    network: Network,
+    client: HttpClient<Number>,
+    listener: TcpListener,
+    server: SocketAddrV4,
+    finished: Vec<Finished<Number>>,
+    now: u64,
+}
+
+impl Caller {
+    fn new() -> Caller {
+        let (listener, server) = listen();
+        let network = Network::new().unwrap();
+        Caller { network, client: HttpClient::default(), listener, server, finished: Vec::new(), now: 1_000 }
+    }
+
+    fn start(&mut self, number: Number, carrier: Carrier) {
+        self.start_with(number, carrier, REQUEST.as_bytes());
+    }
+
+    fn start_with(&mut self, number: Number, carrier: Carrier, request: &[u8]) {
+        let deadline = self.now + TIMEOUT_MS;
+        let destination = Destination { address: self.server, carrier, begun_at: self.now, deadline };
+        self.client.start(&mut self.network, destination, "GET", request, number).unwrap();
+    }
+
+    fn turn(&mut self) {
+        for event in self.network.poll(TURN).unwrap() {
+            let finished = match event {
+                Event::Data(id) if self.client.owns(id) => self.client.data(&mut self.network, id),
+                Event::Closed { connection, .. } if self.client.owns(connection) => {
+                    self.client.closed(&mut self.network, connection)
+                }
+                _ => None,
+            };
+            self.finished.extend(finished);
+        }
+    }
+
+    fn until<T>(&mut self, mut found: impl FnMut(&mut Caller) -> Option<T>) -> T {
+        for _ in 0..MOST_TURNS {
+            if let Some(result) = found(self) {
+                return result;
+            }
+            self.turn();
+        }
+        panic!("it doesn't come");
+    }
+
+    /// The server's end of the next connection.
+    fn accept(&mut self) -> Peer {
+        self.until(|caller| caller.listener.accept().ok().map(|(stream, _)| Peer::new(stream)))
+    }
+
+    fn request(&mut self, peer: &mut Peer) {
+        self.until(|_| {
+            peer.look();
+            peer.text().ends_with("\r\n\r\n").then_some(())
+        });
+        peer.got.clear();
+    }
+
+    /// Number of the call that is over, and the body of its answer.
+    fn ended(&mut self) -> (Number, Option<String>) {
+        let finished = self.until(|caller| caller.finished.pop());
+        (finished.purpose, finished.answer.map(|(_, body)| String::from_utf8(body).unwrap()))
+    }
+
+    /// A call that is answered on a new connection.
+    fn answered(&mut self, number: Number, carrier: Carrier, answer: &str) -> Peer {
+        self.start(number, carrier);
+        let mut peer = self.accept();
+        self.request(&mut peer);
+        peer.send(answer);
+        assert_eq!(self.ended().0, number);
+        peer
+    }
+
+    /// Whether the next call comes on the connection of `peer`.
+    fn reuses(&mut self, peer: &mut Peer, carrier: Carrier) -> bool {
+        self.start(99, carrier);
+        self.until(|caller| {
+            peer.look();
+            if peer.text().ends_with("\r\n\r\n") {
+                return Some(true);
+            }
+            caller.listener.accept().is_ok().then_some(false)
+        })
+    }
+}
+
+fn answer(body: &str) -> String {
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+#[test]
+fn the_list_is_read_on_a_kept_connection() {
+    let mut caller = Caller::new();
+    let mut peer = caller.answered(1, Carrier::KeptConnection, &answer("one"));
+    assert!(caller.reuses(&mut peer, Carrier::KeptConnection));
+    peer.send(&answer("two"));
+    assert_eq!(caller.ended(), (99, Some("two".to_owned())));
+}
+
+/// A server's second answer must not meet the next call, nor one to the same address on a kept connection.
+#[rstest]
+fn a_call_to_a_server_has_a_connection_of_its_own(
+    #[values(Carrier::OwnConnection, Carrier::KeptConnection)] next: Carrier,
+) {
+    let mut caller = Caller::new();
+    let mut peer = caller.answered(1, Carrier::OwnConnection, &answer("one"));
+    assert!(!caller.reuses(&mut peer, next));
+}
+
+#[test]
+fn a_call_to_a_server_takes_no_kept_connection() {
+    let mut caller = Caller::new();
+    let mut peer = caller.answered(1, Carrier::KeptConnection, &answer("one"));
+    assert!(!caller.reuses(&mut peer, Carrier::OwnConnection));
+}
+
+/// The second answer has arrived, and nobody has looked at it when the next call starts.
+#[test]
+fn an_answer_that_nobody_asked_for_is_not_taken_for_the_next_one() {
+    let mut caller = Caller::new();
+    let mut peer = caller.answered(1, Carrier::KeptConnection, &answer("one"));
+    peer.send(&answer("extra"));
+    caller.until(|caller| {
+        let events = caller.network.poll(TURN).unwrap();
+        events.iter().any(|e| matches!(e, Event::Data(_))).then_some(())
+    });
+    assert!(!caller.reuses(&mut peer, Carrier::KeptConnection));
+}
+
+#[rstest]
+#[case::more_after_it("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\r\nbmore")]
+#[case::leaving("HTTP/1.1 200 OK\r\nConnection: close\r\nContent-Length: 1\r\n\r\nb")]
+#[case::old_protocol("HTTP/1.0 200 OK\r\nContent-Length: 1\r\n\r\nb")]
+fn a_connection_is_not_kept(#[case] answer: &str) {
+    let mut caller = Caller::new();
+    let mut peer = caller.answered(1, Carrier::KeptConnection, answer);
+    assert!(!caller.reuses(&mut peer, Carrier::KeptConnection));
+}
+
+#[test]
+fn a_kept_connection_that_ended_is_let_go() {
+    let mut caller = Caller::new();
+    let peer = caller.answered(1, Carrier::KeptConnection, &answer("one"));
+    drop(peer);
+    caller.until(|caller| (caller.network.connections() == 0).then_some(()));
+    caller.start(2, Carrier::KeptConnection);
+    let mut peer = caller.accept();
+    caller.request(&mut peer);
+    peer.send(&answer("two"));
+    assert_eq!(caller.ended(), (2, Some("two".to_owned())));
+}
+
+/// The server answers before it has read the request: no other bytes may come where the rest of that is due.
+#[test]
+fn an_early_answer_ends_its_connection() {
+    let mut caller = Caller::new();
+    let request = format!("GET / HTTP/1.1\r\nContent-Length: {LONG_BODY}\r\n\r\n{}", "x".repeat(LONG_BODY));
+    caller.start_with(1, Carrier::KeptConnection, request.as_bytes());
+    let mut early = caller.accept();
+    early.send(&answer("early"));
+    assert_eq!(caller.ended(), (1, Some("early".to_owned())));
+    caller.start(2, Carrier::KeptConnection);
+    let mut next = caller.accept();
+    caller.request(&mut next);
+    caller.until(|_| {
+        early.look();
+        early.ended.then_some(())
+    });
+    assert!(early.text().find(REQUEST).is_none());
+}
+
+const WITHOUT_LENGTH: &str = "HTTP/1.1 200 OK\r\n\r\nbytes";
+
+#[test]
+fn an_answer_without_a_length_is_whole_when_its_connection_ends_in_order() {
+    let mut caller = Caller::new();
+    caller.start(1, Carrier::OwnConnection);
+    let mut peer = caller.accept();
+    caller.request(&mut peer);
+    peer.send(WITHOUT_LENGTH);
+    drop(peer);
+    assert_eq!(caller.ended(), (1, Some("bytes".to_owned())));
+}
+
+#[rstest]
+#[case::without_a_length(WITHOUT_LENGTH)]
+#[case::with_a_length("HTTP/1.1 200 OK\r\nContent-Length: 9\r\n\r\nbytes")]
+fn an_answer_that_is_reset_on_the_way_is_none(#[case] bytes: &str) {
+    let mut caller = Caller::new();
+    caller.start(1, Carrier::OwnConnection);
+    let mut peer = caller.accept();
+    caller.request(&mut peer);
+    peer.send(bytes);
+    caller.turn();
+    peer.reset();
+    assert_eq!(caller.ended(), (1, None));
+}
+
+#[test]
+fn an_order_that_waits_too_long_for_its_connection_is_never_sent() {
+    let mut caller = Caller::new();
+    caller.start(1, Carrier::OwnConnection);
+    assert_eq!(caller.client.next_deadline(), Some(caller.now + CONNECT_TIMEOUT_MS));
+    caller.now += CONNECT_TIMEOUT_MS;
+    let late = caller.client.expire(&mut caller.network, caller.now);
+    assert_eq!(late.iter().map(|f| (f.purpose, f.answer.is_some())).collect::<Vec<_>>(), [(1, false)]);
+    let mut peer = caller.accept();
+    caller.until(|_| {
+        peer.look();
+        peer.ended.then_some(())
+    });
+    assert!(peer.got.is_empty());
+}
+
+#[test]
+fn an_answer_after_the_deadline_reaches_nobody() {
+    let mut caller = Caller::new();
+    caller.start(1, Carrier::KeptConnection);
+    let mut peer = caller.accept();
+    caller.request(&mut peer);
+    caller.now += CONNECT_TIMEOUT_MS;
+    assert!(caller.client.expire(&mut caller.network, caller.now).is_empty(), "its connection is up");
+    assert_eq!(caller.client.next_deadline(), Some(caller.now - CONNECT_TIMEOUT_MS + TIMEOUT_MS));
+    caller.now += TIMEOUT_MS - CONNECT_TIMEOUT_MS;
+    let late = caller.client.expire(&mut caller.network, caller.now);
+    assert_eq!(late.iter().map(|f| (f.purpose, f.answer.is_some())).collect::<Vec<_>>(), [(1, false)]);
+    caller.until(|_| {
+        peer.look();
+        peer.ended.then_some(())
+    });
+    assert!(!caller.reuses(&mut peer, Carrier::KeptConnection));
+}
--- a/crates/track/src/network.rs
+++ b/crates/track/src/network.rs
@@ -82,7 +82,9 @@
     Open,
     /// Everything is written; the peer's end is awaited.
     Finishing,
-    Closed,
+    Closed {
+        reset: bool,
+    },
 }
 
 struct Connection {
@@ -280,7 +282,7 @@
 
     fn attend(&mut self, id: ConnectionId, events: &mut Vec<Event>) {
         let Some(connection) = self.connections.get_mut(id.slot as usize) else { return };
-        if connection.serial != id.serial || connection.state == State::Closed {
+        if connection.serial != id.serial || matches!(connection.state, State::Closed { .. }) {
             return;
         }
         if connection.state == State::Connecting {
@@ -315,7 +317,7 @@
     fn mark_closed(&mut self, id: ConnectionId, reset: bool, events: &mut Vec<Event>) {
         let connection = &mut self.connections[id.slot as usize];
         let finishing = connection.state == State::Finishing;
-        connection.state = State::Closed;
+        connection.state = State::Closed { reset };
         if let Some(registration) = connection.registration.take() {
             self.handle.remove(registration);
         }
@@ -349,7 +351,9 @@
     /// Bytes to be written to the connection; they leave at the end of the turn.
     pub fn outbox(&mut self, id: ConnectionId) -> Option<&mut Vec<u8>> {
         self.touch(id);
-        self.get_mut(id).filter(|c| c.state != State::Closed && !c.finish).map(|c| &mut c.outbox)
+        self.get_mut(id)
+            .filter(|c| !matches!(c.state, State::Closed { .. }) && !c.finish)
+            .map(|c| &mut c.outbox)
     }
 
     /// Appends bytes to the outbox.
@@ -369,6 +373,12 @@
         self.get(id).is_some_and(|c| c.state == State::Open && !c.finish)
     }
 
+    /// Whether the connection is over and its peer closed its end in order, after everything it had sent. Only then
+    /// can a message without a length be whole.
+    pub fn ended_in_order(&self, id: ConnectionId) -> bool {
+        self.get(id).is_some_and(|c| c.state == State::Closed { reset: false })
+    }
+
     pub fn peer(&self, id: ConnectionId) -> Option<SocketAddr> {
         self.get(id).map(|c| c.peer)
     }
@@ -411,7 +421,7 @@
         for id in std::mem::take(&mut self.dirty) {
             let Some(connection) = self.get_mut(id) else { continue };
             connection.dirty = false;
-            if matches!(connection.state, State::Connecting | State::Closed) {
+            if matches!(connection.state, State::Connecting | State::Closed { .. }) {
                 continue;
             }
             let written = connection.write();
--- a/crates/turnstile/tests/sockets_support/mod.rs
+++ b/crates/turnstile/tests/sockets_support/mod.rs
@@ -69,6 +69,11 @@
         }
     }
 
+    /// Ends the connection with a reset, after what was sent.
+    pub fn reset(self) {
+        socket2::SockRef::from(&self.stream).set_linger(Some(Duration::ZERO)).unwrap();
+    }
+
     pub fn text(&self) -> &str {
         std::str::from_utf8(&self.got).unwrap()
     }
