Door: a kept connection's answers bear the id, and no id is sent twice on it

Change: on a kept connection an answer without the id is none; a connection remembers the ids it carried lately and takes none of them again; one with unsent bytes isn't kept; any byte of an answer counts. Answers without the id still count on new connections, where no other request can have brought them. The existing tests of reuse sent one id over and over, which servers' clients never do; they now use an id each.

--- a/crates/turnstile/src/upstream.rs
+++ b/crates/turnstile/src/upstream.rs
@@ -2,14 +2,20 @@
 //!
 //! An exchange is one request on one connection. Its answer comes as [`UpstreamEvent`]s: the head, pieces of the
 //! body, and its end. Dropping an exchange closes its connection, by which most servers drop the request.
+//!
+//! Which request an answer belongs to is told by its connection and by the `Attempt-Id` that servers echo: they may
+//! send a second answer, late, where the next one is due. So on a kept connection every answer has to bear the id,
+//! and no id is sent twice on one connection. A connection whose request was answered before it was wholly sent
+//! isn't kept, so no other bytes come where the rest of a body is due.
 
-use std::collections::HashMap;
+use std::collections::{HashMap, VecDeque};
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use orchidvalve_track::http::{ResponseHead, ResponseReader};
 use orchidvalve_track::network::{ConnectionId, Network};
+use orchidvalve_waybill::configuration::fingerprint;
 
 const HEADER_LIMIT: usize = 64 << 10;
 /// An idle connection is kept so long where the server doesn't say.
@@ -25,6 +31,9 @@
 /// Pause between two searches for idle connections that are too old.
 const SEARCH_MS: u64 = 100;
 const USER_TIMEOUT: Duration = Duration::from_millis(3_000);
+/// Ids of the last requests on a connection that are remembered. An extra answer that passes more answers than
+/// this has met one of another id before.
+const REMEMBERED_IDS: usize = 16;
 
 /// One request on its way.
 #[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
@@ -74,16 +83,36 @@
     },
 }
 
+/// Fingerprints of the ids that were sent last on a connection.
+#[derive(Default, Debug)]
+struct SentIds(VecDeque<u64>);
+
+impl SentIds {
+    fn contains(&self, id: Option<&str>) -> bool {
+        id.is_some_and(|id| self.0.contains(&fingerprint(id.as_bytes())))
+    }
+
+    fn push(&mut self, id: Option<&str>) {
+        if self.0.len() == REMEMBERED_IDS {
+            self.0.pop_front();
+        }
+        self.0.extend(id.map(|id| fingerprint(id.as_bytes())));
+    }
+}
+
 #[derive(Debug)]
 struct Exchange {
     id: ExchangeId,
     server: SocketAddrV4,
     reader: ResponseReader,
     attempt_id: Option<CompactString>,
+    /// Some bytes of the server have come.
+    heard: bool,
     head_told: bool,
     /// The connection was kept from an earlier exchange.
     reused: bool,
     connect_by: Option<u64>,
+    sent_ids: SentIds,
 }
 
 #[derive(Debug)]
@@ -92,6 +121,7 @@
     /// Up to then the server surely keeps it.
     trusted_until: u64,
     until: u64,
+    sent_ids: SentIds,
 }
 
 /// All exchanges and idle connections of a door.
@@ -121,17 +151,19 @@
         outbound: &Outbound<'_>,
         now: u64,
     ) -> Option<ExchangeId> {
-        let kept = self.take_idle(network, &server, now, outbound.runs_once);
-        let (connection, connect_by) = match kept {
-            Some(connection) => (connection, None),
+        let kept = self.take_idle(network, &server, now, outbound);
+        let reused = kept.is_some();
+        let (connection, mut sent_ids, connect_by) = match kept {
+            Some(idle) => (idle.connection, idle.sent_ids, None),
             None => {
                 let connection = network.connect(server, USER_TIMEOUT).ok()?;
                 let by = now + CONNECT_TIMEOUT_MS;
                 self.connecting.push((by, connection));
-                (connection, Some(by))
+                (connection, SentIds::default(), Some(by))
             }
         };
         network.send(connection, outbound.bytes);
+        sent_ids.push(outbound.attempt_id);
         self.next += 1;
         let id = ExchangeId(self.next);
         let exchange = Exchange {
@@ -139,34 +171,38 @@
             server,
             reader: ResponseReader::new(outbound.method),
             attempt_id: outbound.attempt_id.map(CompactString::from),
+            heard: false,
             head_told: false,
-            reused: kept.is_some(),
+            reused,
             connect_by,
+            sent_ids,
         };
         self.exchanges.insert(connection, exchange);
         self.connections.insert(id, connection);
         Some(id)
     }
 
-    /// The connection that was used last. One with bytes in it can't be trusted: they belong to no request.
+    /// The connection that was used last, of those that haven't carried the id of this request yet: a second answer
+    /// to its first send couldn't be told from the answer. One with bytes in it can't be trusted: they belong to no
+    /// request.
     fn take_idle(
         &mut self,
         network: &mut Network,
         server: &SocketAddrV4,
         now: u64,
-        trusted: bool,
-    ) -> Option<ConnectionId> {
+        outbound: &Outbound<'_>,
+    ) -> Option<Idle> {
         let kept = self.idle.get_mut(server)?;
-        while let Some(idle) = kept.pop() {
-            let until = if trusted { idle.trusted_until } else { idle.until };
+        while let Some(place) = kept.iter().rposition(|idle| !idle.sent_ids.contains(outbound.attempt_id)) {
+            let idle = &kept[place];
+            let until = if outbound.runs_once { idle.trusted_until } else { idle.until };
             if now < idle.until && now >= until {
-                kept.push(idle);
                 return None;
             }
+            let idle = kept.remove(place);
             self.idle_addresses.remove(&idle.connection);
-            let clean = network.is_open(idle.connection) && network.inbox(idle.connection).is_empty();
-            if now < until && clean {
-                return Some(idle.connection);
+            if now < until && owes_nothing(network, idle.connection) {
+                return Some(idle);
             }
             network.forget(idle.connection);
         }
@@ -214,10 +250,11 @@
             }
         };
         network.consume(connection, progress.consumed);
+        exchange.heard |= progress.consumed > 0;
         if progress.head && !exchange.head_told {
             exchange.head_told = true;
             if let Some(head) = exchange.reader.head() {
-                if !belongs(head, exchange.attempt_id.as_deref()) {
+                if !belongs(head, exchange.attempt_id.as_deref(), exchange.reused) {
                     log::warn!("servers: {} sent an answer to another request", exchange.server);
                     self.fail(network, connection, Failure::Broken, events);
                     return;
@@ -242,10 +279,11 @@
         let kept_ms = stated_ms.unwrap_or(DEFAULT_IDLE_MS);
         let trusted_ms = stated_ms.unwrap_or(TRUSTED_IDLE_MS);
         // Bytes beyond the answer belong to no request: the connection can't be trusted.
-        let clean = network.inbox(connection).is_empty() && network.is_open(connection);
+        let keeps = exchange.reader.reusable() && owes_nothing(network, connection);
         let idle = self.idle.entry(exchange.server).or_default();
-        if exchange.reader.reusable() && clean && kept_ms > 0 && idle.len() < MOST_IDLE {
-            idle.push(Idle { connection, trusted_until: now + trusted_ms, until: now + kept_ms });
+        if keeps && kept_ms > 0 && idle.len() < MOST_IDLE {
+            let (trusted_until, until) = (now + trusted_ms, now + kept_ms);
+            idle.push(Idle { connection, trusted_until, until, sent_ids: exchange.sent_ids });
             self.idle_addresses.insert(connection, exchange.server);
         } else {
             network.forget(connection);
@@ -263,7 +301,7 @@
             self.drop_idle(network, connection);
             return;
         };
-        let untouched = !exchange.head_told && network.inbox(connection).is_empty();
+        let untouched = !exchange.heard && network.inbox(connection).is_empty();
         let failure = match exchange.connect_by {
             Some(_) => Failure::Connect,
             None if exchange.reused && untouched => Failure::Stale,
@@ -326,11 +364,20 @@
     }
 }
 
-/// Whether an answer can be that to the request with `attempt_id`. Servers echo the id; only refusals come without.
-fn belongs(head: &ResponseHead, attempt_id: Option<&str>) -> bool {
+/// Whether nothing waits on a connection in either direction: neither bytes that belong to no request, nor the rest
+/// of a request that was answered early.
+fn owes_nothing(network: &Network, connection: ConnectionId) -> bool {
+    network.is_open(connection)
+        && network.inbox(connection).is_empty()
+        && network.queued_bytes(connection) == 0
+}
+
+/// Whether an answer can be that to the request with `attempt_id`. Servers echo the id; only refusals come without,
+/// and those count where no earlier request of the connection can have brought them.
+fn belongs(head: &ResponseHead, attempt_id: Option<&str>, reused: bool) -> bool {
     match (head.headers.get("attempt-id"), attempt_id) {
         (Some(echoed), Some(id)) => echoed == id,
-        (None, Some(_)) => !(200..300).contains(&head.status),
+        (None, Some(_)) => !reused && !(200..300).contains(&head.status),
         (Some(_), None) => false,
         (None, None) => true,
     }
--- a/crates/turnstile/tests/upstream.rs
+++ b/crates/turnstile/tests/upstream.rs
@@ -22,6 +22,9 @@
     listener: TcpListener,
     server: SocketAddrV4,
     now: u64,
+    /// Id of the request that was sent last.
+    id: String,
+    sent: u64,
 }
 
 impl Door {
@@ -29,18 +32,33 @@
         let (listener, server) = listen();
         let network = Network::new().unwrap();
         let upstreams = Upstreams::default();
-        Door { network, upstreams, events: Vec::new(), listener, server, now: 1_000 }
+        let (events, id) = (Vec::new(), String::new());
+        Door { network, upstreams, events, listener, server, now: 1_000, id, sent: 0 }
     }
 
     fn send(&mut self) -> ExchangeId {
         self.send_as("POST", false)
     }
 
+    /// The first request has the id `ID`, and every further one an id of its own.
     fn send_as(&mut self, method: &str, runs_once: bool) -> ExchangeId {
-        let outbound = Outbound { method, attempt_id: Some(ID), bytes: REQUEST.as_bytes(), runs_once };
+        self.sent += 1;
+        let id = if self.sent == 1 { ID.to_owned() } else { format!("{:016x}", self.sent) };
+        self.send_with(&id, REQUEST, method, runs_once)
+    }
+
+    fn send_with(&mut self, id: &str, request: &str, method: &str, runs_once: bool) -> ExchangeId {
+        self.id = id.to_owned();
+        let bytes = request.replace(ID, id).into_bytes();
+        let outbound = Outbound { method, attempt_id: Some(id), bytes: &bytes, runs_once };
         self.upstreams.send(&mut self.network, self.server, &outbound, self.now).unwrap()
     }
 
+    /// `answer` with the id of the last request in place of `ID`.
+    fn echoing(&self, answer: &str) -> String {
+        answer.replace(ID, &self.id)
+    }
+
     fn turn(&mut self) {
         for event in self.network.poll(TURN).unwrap() {
             match event {
@@ -111,7 +129,7 @@
         self.send();
         let mut peer = self.accept();
         self.request(&mut peer);
-        peer.send(answer);
+        peer.send(&self.echoing(answer));
         assert!(matches!(self.ended().last(), Some(UpstreamEvent::Complete { .. })));
         peer
     }
@@ -119,11 +137,16 @@
     /// Whether the next request comes on the connection of `peer`; it is answered.
     fn reuses(&mut self, peer: &mut Peer, runs_once: bool) -> bool {
         self.send_as("POST", runs_once);
+        self.comes_on(peer)
+    }
+
+    /// Whether the request that was sent comes on the connection of `peer`; it is answered there.
+    fn comes_on(&mut self, peer: &mut Peer) -> bool {
         for _ in 0..MOST_TURNS {
             peer.look();
             if peer.text().ends_with("\r\n\r\n") {
                 peer.got.clear();
-                peer.send(ANSWER);
+                peer.send(&self.echoing(ANSWER));
                 self.ended();
                 return true;
             }
@@ -396,3 +419,108 @@
     assert!(door.events.is_empty());
     assert_eq!(door.upstreams.connections_to(&door.server), 0);
 }
+
+/// Ids in the first requests' order; whether the last one may use the connection of those before.
+#[rstest]
+#[case::another(&["1", "2"], true)]
+#[case::again_at_once(&["1", "1"], false)]
+#[case::again_later(&["1", "2", "3", "1"], false)]
+fn an_id_is_not_sent_twice_on_a_connection(#[case] ids: &[&str], #[case] reused: bool) {
+    let mut door = Door::new();
+    door.send_with(ids[0], REQUEST, "POST", false);
+    let mut peer = door.accept();
+    assert!(door.comes_on(&mut peer));
+    let (last, others) = ids[1..].split_last().unwrap();
+    for id in others {
+        door.send_with(id, REQUEST, "POST", false);
+        assert!(door.comes_on(&mut peer));
+    }
+    door.send_with(last, REQUEST, "POST", false);
+    assert_eq!(door.comes_on(&mut peer), reused);
+}
+
+/// What a server says to another request must not be taken for a word on this one, least of all "it didn't run".
+#[rstest]
+#[case::refusal("HTTP/1.1 503 Full\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n")]
+#[case::other_instance("HTTP/1.1 421 Misdirected\r\nContent-Length: 0\r\n\r\n")]
+#[case::error("HTTP/1.1 500 Error\r\nContent-Length: 0\r\n\r\n")]
+#[case::success("HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")]
+fn an_answer_without_the_id_on_a_kept_connection_is_broken(#[case] answer: &str) {
+    let mut door = Door::new();
+    let mut peer = door.exchange(ANSWER);
+    door.send();
+    door.request(&mut peer);
+    peer.send(answer);
+    let events = door.ended();
+    assert_eq!((status(&events), failure(&events)), (None, Some(Failure::Broken)));
+    door.dropped(&mut peer);
+}
+
+/// The second answer to the first request is still on its way when the next one is sent.
+#[test]
+fn a_late_extra_answer_in_the_slot_of_the_next_one_is_broken() {
+    let mut door = Door::new();
+    let mut peer = door.exchange(ANSWER);
+    door.send();
+    door.request(&mut peer);
+    peer.send(ANSWER);
+    peer.send(&door.echoing(ANSWER));
+    let events = door.ended();
+    assert_eq!((status(&events), failure(&events)), (None, Some(Failure::Broken)));
+    door.dropped(&mut peer);
+}
+
+/// More than the buffers of two sockets hold.
+const LONG_BODY: usize = 64 << 20;
+
+/// The server answers before it has read the body and reads on later: nothing else may come where that is due.
+#[test]
+fn after_an_early_answer_no_other_bytes_follow_the_body() {
+    let mut door = Door::new();
+    let long = REQUEST.replace("\r\n\r\n", &format!("\r\nContent-Length: {LONG_BODY}\r\n\r\n"));
+    let head_length = long.len();
+    door.send_with(ID, &(long + &"x".repeat(LONG_BODY)), "POST", false);
+    let mut early = door.accept();
+    while early.got.len() < head_length {
+        door.turn();
+        early.look();
+    }
+    early.send(ANSWER);
+    assert!(matches!(door.ended().last(), Some(UpstreamEvent::Complete { .. })));
+    door.send();
+    let mut next = door.accept();
+    door.request(&mut next);
+    door.dropped(&mut early);
+    assert!(early.got.len() < head_length + LONG_BODY, "the rest of the body was not awaited");
+    assert!(early.got[head_length..].iter().all(|byte| *byte == b'x'));
+}
+
+#[test]
+fn a_kept_connection_that_ends_after_an_informational_answer_is_broken() {
+    let mut door = Door::new();
+    let mut peer = door.exchange(ANSWER);
+    door.send();
+    door.request(&mut peer);
+    peer.send("HTTP/1.1 100 Continue\r\n\r\n");
+    for _ in 0..20 {
+        door.turn();
+    }
+    drop(peer);
+    assert_eq!(failure(&door.ended()), Some(Failure::Broken));
+}
+
+/// The answer comes byte by byte, each in a turn of its own.
+#[test]
+fn an_answer_may_come_in_any_pieces() {
+    let mut door = Door::new();
+    let exchange = door.send();
+    let mut peer = door.accept();
+    door.request(&mut peer);
+    for byte in ANSWER.as_bytes() {
+        peer.send_bytes(&[*byte]);
+        door.turn();
+    }
+    let events = door.ended();
+    assert_eq!(events.last(), Some(&UpstreamEvent::Complete { exchange }));
+    assert_eq!((status(&events), body(&events).as_str()), (Some(200), "bytes"));
+}
