Door: an answer without a length is whole when its server ends it in order

Cause: answers that end with their connection were never taken for whole, so a request that may run once at a server that answers so was always lost (502), and others ran again. Change: the end of the connection completes such an answer if the server closed its end in order (`Network::ended_in_order`); a reset, a time-out and a failed write leave it broken.

--- a/crates/turnstile/src/upstream.rs
+++ b/crates/turnstile/src/upstream.rs
@@ -290,7 +290,7 @@
         }
     }
 
-    /// The connection has ended. An answer that only ends with its connection is never known to be whole.
+    /// The connection has ended. An answer without a length is whole by that, if its server ended it in order.
     pub fn closed(
         &mut self,
         network: &mut Network,
@@ -301,6 +301,11 @@
             self.drop_idle(network, connection);
             return;
         };
+        if exchange.head_told && exchange.reader.whole_at_close() && network.ended_in_order(connection) {
+            events.push(UpstreamEvent::Complete { exchange: exchange.id });
+            self.drop_exchange(network, connection);
+            return;
+        }
         let untouched = !exchange.heard && network.inbox(connection).is_empty();
         let failure = match exchange.connect_by {
             Some(_) => Failure::Connect,
@@ -317,13 +322,18 @@
         failure: Failure,
         events: &mut Vec<UpstreamEvent>,
     ) {
-        network.forget(connection);
-        if let Some(exchange) = self.exchanges.remove(&connection) {
-            self.connections.remove(&exchange.id);
-            events.push(UpstreamEvent::Failed { exchange: exchange.id, failure });
+        if let Some(exchange) = self.drop_exchange(network, connection) {
+            events.push(UpstreamEvent::Failed { exchange, failure });
         }
     }
 
+    fn drop_exchange(&mut self, network: &mut Network, connection: ConnectionId) -> Option<ExchangeId> {
+        network.forget(connection);
+        let exchange = self.exchanges.remove(&connection)?;
+        self.connections.remove(&exchange.id);
+        Some(exchange.id)
+    }
+
     fn drop_idle(&mut self, network: &mut Network, connection: ConnectionId) {
         if let Some(address) = self.idle_addresses.remove(&connection) {
             if let Some(idle) = self.idle.get_mut(&address) {
