Door: a send takes a permit, a promise takes a proof that nothing ran

Cause: whether a call may be sent again, and whether its client may be promised (503) that it hasn't run, were two flags read at six places. Found on the way: an end of a batch job that was sent and not answered was told 503, a promise, though it may have been done; a server's own 503 or 429 without Not-Executed was kept for a repeatable request and passed on in the end, a promise that nobody gave; a store's answer of another kind than the call's was told to the client. Change: `runs` keeps what is known of a call's sends. Only it makes a `SendPermit`, which `RequestCommand::Send` takes, and a `NeverRan`, which the answers 503 to a request and to a submission take; the grounds are `SurelyNotRun` values made from a connection that never came up, a server's refusal, or a store's. An unclear end is told 504; promises of servers without ground become 502; a store's answer has to fit the call.

--- a/crates/turnstile/src/jobs.rs
+++ b/crates/turnstile/src/jobs.rs
@@ -1,8 +1,8 @@
 //! Calls of batch jobs: from a client's request to the stores and back.
 //!
 //! A call goes to a member of the job's partition. Where a store can't be sure, or the link to it breaks, the
-//! call is tried again within its time. A submission whose outcome isn't known is never answered with a status
-//! that promises that nothing runs.
+//! call is tried again within its time: stores take a job once and end it once. A submission or an end whose outcome
+//! isn't known is never answered with a status that promises that it hasn't been done.
 
 use std::collections::HashMap;
 
@@ -11,6 +11,8 @@
 use orchidvalve_waybill::configuration::fingerprint;
 use orchidvalve_waybill::state::ControlState;
 
+use crate::runs::{NeverRan, Repetition, Runs, SurelyNotRun};
+
 /// A call under way.
 pub type CallId = u64;
 
@@ -24,6 +26,8 @@
 const READ_TIMEOUT_MS: u64 = 1_200;
 /// Pause before a call is tried again.
 const RETRY_MS: u64 = 60;
+/// When a client may submit a job again that no store could be asked about.
+const UNSENT_RETRY_AFTER_MS: u32 = 300;
 /// A store that doesn't answer within this time is passed over for another member.
 const TRY_TIMEOUT_MS: u64 = 600;
 
@@ -42,6 +46,7 @@
     Accepted,
     /// Nothing of the job runs or will run.
     Refused {
+        proof: NeverRan,
         retry_after_ms: u32,
     },
     /// The outcome isn't known; the status promises nothing.
@@ -67,8 +72,8 @@
     asked: Option<(NodeAddress, u64)>,
     retry_at: u64,
     tries: usize,
-    /// A submission that was sent may have been taken.
-    may_be_taken: bool,
+    /// What is known of the messages that were sent. A store may get any of them more than once.
+    runs: Runs,
 }
 
 /// A message for a store.
@@ -110,7 +115,7 @@
             asked: None,
             retry_at: now,
             tries: 0,
-            may_be_taken: false,
+            runs: Runs::new(Repetition::Repeatable),
         };
         self.pending.insert(self.next, pending);
         self.next
@@ -140,7 +145,7 @@
                 if now < until {
                     continue;
                 }
-                pending.asked = None;
+                pending.end_try(None);
             }
             if now < pending.retry_at {
                 continue;
@@ -151,9 +156,11 @@
             let Some(placement) = partitions.get(usize::from(partition)) else { continue };
             let members: Vec<NodeAddress> = placement.members.iter().map(|m| m.address).collect();
             let Some(store) = pending.choose(&members, is_up, near) else { continue };
+            if pending.runs.begin().is_none() {
+                continue;
+            }
             pending.tries += 1;
             pending.asked = Some((store, now + pending.try_timeout()));
-            pending.may_be_taken |= matches!(pending.call, JobCall::Submit { .. });
             outgoing.push(Outgoing { store, message: pending.message(*number, partition) });
         }
         for (number, _) in answers.iter() {
@@ -161,18 +168,25 @@
         }
     }
 
-    /// A store answered.
+    /// A store answered. An answer of a kind that the call doesn't ask for belongs to no call, and is ignored.
     pub fn answered(&mut self, now: u64, call: CallId, answer: StoreAnswer) -> Option<JobAnswer> {
         let pending = self.pending.get_mut(&call)?;
-        pending.asked = None;
+        if !pending.call.allows(&answer) {
+            log::warn!("jobs: a store gave call {call} the answer to another one; check its version");
+            return None;
+        }
+        let refused = matches!(answer, StoreAnswer::Refused { .. });
+        pending.end_try(refused.then(SurelyNotRun::by_store));
         let answer = match answer {
             StoreAnswer::Accepted => JobAnswer::Accepted,
-            // The store surely didn't take it, but an earlier try may have been taken elsewhere.
-            StoreAnswer::Refused { .. } if pending.tries > 1 => {
-                pending.retry_at = now + RETRY_MS;
-                return None;
-            }
-            StoreAnswer::Refused { retry_after_ms } => JobAnswer::Refused { retry_after_ms },
+            StoreAnswer::Refused { retry_after_ms } => match pending.runs.never_ran() {
+                Some(proof) => JobAnswer::Refused { proof, retry_after_ms },
+                // This store surely didn't take it, but an earlier try may have been taken elsewhere.
+                None => {
+                    pending.retry_at = now + RETRY_MS;
+                    return None;
+                }
+            },
             StoreAnswer::NotFound => JobAnswer::NotFound,
             StoreAnswer::Unclear | StoreAnswer::NotSure => {
                 pending.retry_at = now + RETRY_MS;
@@ -193,7 +207,7 @@
     pub fn store_lost(&mut self, now: u64, store: NodeAddress) {
         for pending in self.pending.values_mut() {
             if pending.asked.is_some_and(|(asked, _)| asked == store) {
-                pending.asked = None;
+                pending.end_try(None);
                 pending.retry_at = now;
             }
         }
@@ -205,7 +219,29 @@
     }
 }
 
+impl JobCall {
+    /// Whether a store may answer the call so.
+    fn allows(&self, answer: &StoreAnswer) -> bool {
+        match answer {
+            StoreAnswer::Accepted | StoreAnswer::Refused { .. } | StoreAnswer::Unclear => {
+                matches!(self, JobCall::Submit { .. })
+            }
+            StoreAnswer::NotFound => !matches!(self, JobCall::Submit { .. }),
+            StoreAnswer::NotSure => true,
+            StoreAnswer::Results { .. } => matches!(self, JobCall::Read { .. }),
+            StoreAnswer::Body(_) => matches!(self, JobCall::ItemBody { .. }),
+            StoreAnswer::Ended => matches!(self, JobCall::End),
+        }
+    }
+}
+
 impl Pending {
+    /// The store that was asked has answered, or isn't waited for any more.
+    fn end_try(&mut self, proof: Option<SurelyNotRun>) {
+        self.asked = None;
+        self.runs.end(proof);
+    }
+
     /// Submissions and ends enter at the head; readings go to a member of this zone where there is one, and to
     /// the next one with every further try.
     fn choose(
@@ -245,10 +281,13 @@
         }
     }
 
+    /// A submission or an end that was sent may have been done.
     fn time_is_up(&self) -> JobAnswer {
-        match self.call {
-            JobCall::Submit { .. } if self.may_be_taken => JobAnswer::Unclear,
-            JobCall::Submit { .. } => JobAnswer::Refused { retry_after_ms: 300 },
+        match (&self.call, self.runs.never_ran()) {
+            (JobCall::Submit { .. }, Some(proof)) => {
+                JobAnswer::Refused { proof, retry_after_ms: UNSENT_RETRY_AFTER_MS }
+            }
+            (JobCall::Submit { .. } | JobCall::End, None) => JobAnswer::Unclear,
             _ => JobAnswer::NotSure,
         }
     }
--- a/crates/turnstile/src/lib.rs
+++ b/crates/turnstile/src/lib.rs
@@ -7,6 +7,7 @@
 pub mod jobs;
 pub mod process;
 pub mod requests;
+pub mod runs;
 pub mod store_links;
 pub mod text_coding;
 pub mod upstream;
--- a/crates/turnstile/src/process/jobs.rs
+++ b/crates/turnstile/src/process/jobs.rs
@@ -109,7 +109,7 @@
         let Some(connection) = self.clients.connection_of(Busy::Job(call)) else { return };
         match answer {
             JobAnswer::Accepted => self.own_answer(connection, 202, &[], b""),
-            JobAnswer::Refused { retry_after_ms } => {
+            JobAnswer::Refused { retry_after_ms, .. } => {
                 let seconds = format!("{}.{:03}", retry_after_ms / 1_000, retry_after_ms % 1_000);
                 self.own_answer(connection, 503, &[("Retry-After", &seconds)], b"");
             }
--- a/crates/turnstile/src/process/requests.rs
+++ b/crates/turnstile/src/process/requests.rs
@@ -88,13 +88,14 @@
 
     fn run_request_command(&mut self, command: RequestCommand, next: &mut Vec<RequestCommand>) {
         match command {
-            RequestCommand::Send { send, request, server, deadline_ms, last_event_id, runs_once } => {
+            RequestCommand::Send { send, request, server, deadline_ms, last_event_id, permit } => {
                 let target = self.fleet.get(server).map(|s| (s.address, s.entry.instance.clone()));
                 let facts = self.requests.request(request).cloned();
                 let exchange = target.zip(facts).and_then(|((address, instance), request)| {
                     let bytes = request_bytes(&request, &instance, deadline_ms, last_event_id);
                     let attempt_id = request.headers.get("attempt-id");
-                    let outbound = Outbound { method: &request.method, attempt_id, bytes: &bytes, runs_once };
+                    let (method, repetition) = (request.method.as_str(), permit.repetition());
+                    let outbound = Outbound { method, attempt_id, bytes: &bytes, repetition };
                     self.upstreams.send(&mut self.network, address, &outbound, self.now)
                 });
                 match exchange {
@@ -143,10 +144,8 @@
             Answer::Server { head, body } => {
                 self.clients.pass_on(&mut self.network, connection, head, body, self.now);
             }
-            Answer::Own { status: 503 } => {
-                self.own_answer(connection, 503, &[("Retry-After", RETRY_AFTER)], b"")
-            }
-            Answer::Own { status } => self.own_answer(connection, *status, &[], b""),
+            Answer::NeverRan(_) => self.own_answer(connection, 503, &[("Retry-After", RETRY_AFTER)], b""),
+            Answer::Unclear { status } => self.own_answer(connection, *status, &[], b""),
         }
         self.answered.push(connection);
     }
--- a/crates/turnstile/src/process/work.rs
+++ b/crates/turnstile/src/process/work.rs
@@ -7,6 +7,7 @@
 use crate::exchanges::{Purpose, Stream, generation_bytes, reward_bytes};
 use crate::fleet::{Server, ServerKey, whole_share};
 use crate::generations::{Command, Outcome, RewardOutcome, ServerInfo};
+use crate::runs::Repetition;
 use crate::upstream::Outbound;
 
 /// Groups that are queued here beyond what can be in flight, as a share of that.
@@ -110,7 +111,7 @@
                         method: "POST",
                         attempt_id: Some(&item.id),
                         bytes: &bytes,
-                        runs_once: false,
+                        repetition: Repetition::Repeatable,
                     };
                     self.upstreams.send(&mut self.network, address, &outbound, self.now)
                 });
@@ -133,7 +134,12 @@
                 let exchange = target.and_then(|(address, instance)| {
                     let bytes = reward_bytes(&item, &instance, deadline_ms);
                     let attempt_id = item.scorer.as_ref().map(|s| s.id.as_str());
-                    let outbound = Outbound { method: "POST", attempt_id, bytes: &bytes, runs_once: false };
+                    let outbound = Outbound {
+                        method: "POST",
+                        attempt_id,
+                        bytes: &bytes,
+                        repetition: Repetition::Repeatable,
+                    };
                     self.upstreams.send(&mut self.network, address, &outbound, self.now)
                 });
                 match exchange {
--- a/crates/turnstile/src/requests/pending.rs
+++ b/crates/turnstile/src/requests/pending.rs
@@ -9,6 +9,7 @@
 use super::SendId;
 use super::passing::Passing;
 use crate::fleet::ServerKey;
+use crate::runs::{NeverRan, Repetition, Runs, SendPermit, SurelyNotRun};
 
 /// A request at one server.
 #[derive(Debug)]
@@ -19,22 +20,39 @@
     pub body: Vec<u8>,
 }
 
+/// Where a request goes.
 #[derive(Debug)]
-pub(super) struct Pending {
-    pub request: Arc<Request>,
+pub(super) struct Destination {
     pub routes: Arc<RouteTable>,
+    /// Index of the route.
     pub route: usize,
+    /// Index of the service that was picked.
     pub service: usize,
+}
+
+impl Destination {
+    pub fn route(&self) -> &Route {
+        &self.routes.routes()[self.route]
+    }
+
+    pub fn service(&self) -> &str {
+        self.routes.services()[self.service].name.as_str()
+    }
+}
+
+#[derive(Debug)]
+pub(super) struct Pending {
+    pub request: Arc<Request>,
+    pub destination: Destination,
     pub arrived_at: u64,
     pub deadline: u64,
-    pub sends: HashMap<SendId, Send>,
+    sends: HashMap<SendId, Send>,
+    runs: Runs,
     pub tried: Vec<ServerKey>,
     /// Sends that count as attempts.
     pub sent: u32,
     /// It was sent again because a kept connection had ended.
     pub sent_anew: bool,
-    /// Some send may have run.
-    pub may_have_run: bool,
     /// The answer that is being passed on as a stream.
     pub passing: Option<Passing>,
     pub retry_at: Option<u64>,
@@ -44,17 +62,82 @@
 }
 
 impl Pending {
+    pub fn new(request: Request, destination: Destination, arrived_at: u64, deadline: u64) -> Pending {
+        let repeatable = destination.route().is_repeatable();
+        let repetition = if repeatable { Repetition::Repeatable } else { Repetition::AtMostOnce };
+        Pending {
+            request: Arc::new(request),
+            destination,
+            arrived_at,
+            deadline,
+            sends: HashMap::new(),
+            runs: Runs::new(repetition),
+            tried: Vec::new(),
+            sent: 0,
+            sent_anew: false,
+            passing: None,
+            retry_at: None,
+            copy_at: None,
+            failure: None,
+        }
+    }
+
     pub fn route(&self) -> &Route {
-        &self.routes.routes()[self.route]
+        self.destination.route()
     }
 
     pub fn service(&self) -> &str {
-        self.routes.services()[self.service].name.as_str()
+        self.destination.service()
+    }
+
+    /// Begins a send to `server`; None where the request may run only once and may already have.
+    pub fn begin_send(&mut self, send: SendId, server: ServerKey, now: u64) -> Option<SendPermit> {
+        let permit = self.runs.begin()?;
+        if !self.tried.contains(&server) {
+            self.tried.push(server);
+        }
+        self.sends.insert(send, Send { server, sent_at: now, head: None, body: Vec::new() });
+        Some(permit)
+    }
+
+    /// A send is over.
+    pub fn end_send(&mut self, send: SendId, proof: Option<SurelyNotRun>) -> Option<Send> {
+        let ended = self.sends.remove(&send)?;
+        self.runs.end(proof);
+        Some(ended)
+    }
+
+    pub fn send(&self, send: SendId) -> Option<&Send> {
+        self.sends.get(&send)
+    }
+
+    pub fn send_mut(&mut self, send: SendId) -> Option<&mut Send> {
+        self.sends.get_mut(&send)
+    }
+
+    /// Sends that are out.
+    pub fn open_sends(&self) -> usize {
+        self.sends.len()
+    }
+
+    /// Servers at which sends are out.
+    pub fn busy_servers(&self) -> Vec<ServerKey> {
+        self.sends.values().map(|s| s.server).collect()
+    }
+
+    /// The request is over: sends that are to be dropped.
+    pub fn into_open_sends(self) -> impl Iterator<Item = SendId> {
+        self.sends.into_keys()
+    }
+
+    /// Proof that it has not run and never will.
+    pub fn never_ran(&self) -> Option<NeverRan> {
+        self.runs.never_ran()
     }
 
     /// Whether it may be sent again after it may have run.
-    pub fn repeatable(&self) -> bool {
-        self.route().is_repeatable()
+    pub fn is_repeatable(&self) -> bool {
+        self.runs.is_repeatable()
     }
 
     /// Whether a second server may be asked at the same time. A second run of a stream reads the whole prompt
--- a/crates/turnstile/src/upstream.rs
+++ b/crates/turnstile/src/upstream.rs
@@ -17,6 +17,8 @@
 use orchidvalve_track::network::{ConnectionId, Network};
 use orchidvalve_waybill::configuration::fingerprint;
 
+use crate::runs::Repetition;
+
 const HEADER_LIMIT: usize = 64 << 10;
 /// An idle connection is kept so long where the server doesn't say.
 const DEFAULT_IDLE_MS: u64 = 4_000;
@@ -58,8 +60,8 @@
     /// Answers that carry another id belong to other requests.
     pub attempt_id: Option<&'a str>,
     pub bytes: &'a [u8],
-    /// No connection is to be used that the server may be about to close.
-    pub runs_once: bool,
+    /// For a request that runs at most once, no connection is used that the server may be about to close.
+    pub repetition: Repetition,
 }
 
 /// What happened to an exchange.
@@ -195,7 +197,10 @@
         let kept = self.idle.get_mut(server)?;
         while let Some(place) = kept.iter().rposition(|idle| !idle.sent_ids.contains(outbound.attempt_id)) {
             let idle = &kept[place];
-            let until = if outbound.runs_once { idle.trusted_until } else { idle.until };
+            let until = match outbound.repetition {
+                Repetition::AtMostOnce => idle.trusted_until,
+                Repetition::Repeatable => idle.until,
+            };
             if now < idle.until && now >= until {
                 return None;
             }
--- a/crates/turnstile/tests/jobs.rs
+++ b/crates/turnstile/tests/jobs.rs
@@ -136,7 +136,7 @@
 
 #[rstest]
 #[case::taken(submission(), StoreAnswer::Accepted, |a: &JobAnswer| matches!(a, JobAnswer::Accepted))]
-#[case::full(submission(), refused(), |a: &JobAnswer| matches!(a, JobAnswer::Refused { retry_after_ms: 250 }))]
+#[case::full(submission(), refused(), |a: &JobAnswer| matches!(a, JobAnswer::Refused { retry_after_ms: 250, .. }))]
 #[case::unknown(reading(), StoreAnswer::NotFound, |a: &JobAnswer| matches!(a, JobAnswer::NotFound))]
 #[case::unknown_item(item_body(), StoreAnswer::NotFound, |a: &JobAnswer| matches!(a, JobAnswer::NotFound))]
 #[case::body(item_body(), StoreAnswer::Body(b"b".to_vec()), |a: &JobAnswer| matches!(a, JobAnswer::Body(b) if b == b"b"))]
@@ -161,7 +161,57 @@
     assert_eq!((door.answers.len(), door.sent.len()), (1, 1));
 }
 
-/// What befalls the first try of a submission.
+#[rstest]
+fn the_answer_to_another_kind_of_call_is_none(
+    #[values(submission(), reading(), item_body(), JobCall::End)] call: JobCall,
+) {
+    let answers = [
+        StoreAnswer::Accepted,
+        refused(),
+        StoreAnswer::Unclear,
+        StoreAnswer::NotFound,
+        StoreAnswer::Results { total: 1, next: 1, outcomes: vec![outcome()] },
+        StoreAnswer::Body(b"b".to_vec()),
+        StoreAnswer::Ended,
+    ];
+    let mut ignored = 0;
+    for answer in answers {
+        let fits = match answer {
+            StoreAnswer::Accepted | StoreAnswer::Refused { .. } | StoreAnswer::Unclear => {
+                matches!(call, JobCall::Submit { .. })
+            }
+            StoreAnswer::NotFound | StoreAnswer::NotSure => !matches!(call, JobCall::Submit { .. }),
+            StoreAnswer::Results { .. } => matches!(call, JobCall::Read { .. }),
+            StoreAnswer::Body(_) => matches!(call, JobCall::ItemBody { .. }),
+            StoreAnswer::Ended => matches!(call, JobCall::End),
+        };
+        if fits {
+            continue;
+        }
+        let mut door = Door::new();
+        let number = door.begin(call.clone());
+        door.answer(number, answer);
+        assert!(door.told().is_none(), "{:?}", door.answers);
+        door.pass(100);
+        assert_eq!((door.calls.open(), door.sent.len()), (1, 1), "it still waits for its answer");
+        ignored += 1;
+    }
+    assert!(ignored >= 4);
+}
+
+#[test]
+fn an_answer_to_another_call_reaches_neither() {
+    let mut door = Door::new();
+    let (first, second) = (door.begin(reading()), door.begin(item_body()));
+    door.answer(second + 1, StoreAnswer::NotFound);
+    assert!(door.told().is_none());
+    door.answer(second, StoreAnswer::NotFound);
+    assert_eq!(door.answers.iter().map(|(call, _)| *call).collect::<Vec<_>>(), [second]);
+    assert_eq!(door.calls.open(), 1);
+    assert_ne!(first, second);
+}
+
+/// What befalls the first try of a submission or an end.
 #[derive(Clone, Copy, Debug)]
 enum First {
     Unclear,
@@ -169,6 +219,30 @@
     Silence,
 }
 
+fn befall(door: &mut Door, call: CallId, first: First, unclear: StoreAnswer) {
+    match first {
+        First::Unclear => door.answer(call, unclear),
+        First::LinkLost => door.calls.store_lost(door.now, store(1)),
+        First::Silence => door.pass(650),
+    }
+}
+
+/// An end that was sent may have been done: no status says that it never will be.
+#[rstest]
+fn an_unclear_end_is_never_promised_not_to_run(
+    #[values(First::Unclear, First::LinkLost, First::Silence)] first: First,
+) {
+    let mut door = Door::new();
+    let call = door.begin(JobCall::End);
+    befall(&mut door, call, first, StoreAnswer::NotSure);
+    door.up.clear();
+    while door.told().is_none() {
+        door.pass(100);
+        assert!(door.now < 8_000, "the client is told in time");
+    }
+    assert!(matches!(door.told(), Some(JobAnswer::Unclear)), "{:?}", door.answers);
+}
+
 /// A submission that may have been taken is never answered with a promise, whatever later tries say.
 #[rstest]
 fn an_unclear_submission_is_never_promised_not_to_run(
@@ -177,11 +251,7 @@
 ) {
     let mut door = Door::new();
     let call = door.begin(submission());
-    match first {
-        First::Unclear => door.answer(call, StoreAnswer::Unclear),
-        First::LinkLost => door.calls.store_lost(door.now, store(1)),
-        First::Silence => door.pass(650),
-    }
+    befall(&mut door, call, first, StoreAnswer::Unclear);
     door.pass(100);
     assert!(door.sent.len() > 1, "it is tried again");
     while door.told().is_none() {
--- a/crates/turnstile/tests/requests.rs
+++ b/crates/turnstile/tests/requests.rs
@@ -149,6 +149,7 @@
 #[rstest]
 #[case::errors("repeat", Trouble::Status(500), 500)]
 #[case::breaks("repeat", Trouble::Failure(Failure::Broken), 502)]
+#[case::promises_without_ground("repeat", Trouble::Status(503), 502)]
 #[case::refusals("repeat", Trouble::Refused(503), 503)]
 #[case::refusals_once("once", Trouble::Refused(429), 503)]
 #[case::refusals_stream("stream", Trouble::Refused(503), 503)]
@@ -175,6 +176,26 @@
     assert_eq!(table.sends.len() as u32, MAX_ATTEMPTS);
 }
 
+/// No server is given more time than the client has left, whichever send it is and whatever the cause.
+#[rstest]
+#[case::refused("once", Trouble::Refused(503))]
+#[case::broken("repeat", Trouble::Failure(Failure::Broken))]
+#[case::unreachable("once", Trouble::Failure(Failure::Connect))]
+#[case::closed_while_idle("repeat", Trouble::Failure(Failure::Stale))]
+#[case::taken_up("resume", Trouble::Failure(Failure::Broken))]
+fn a_further_send_is_given_what_is_left(#[case] kind: &str, #[case] trouble: Trouble) {
+    let mut table = Table::new(4);
+    let began_at = table.now;
+    table.begin(kind);
+    for sends in 1..=3 {
+        let sent = table.last();
+        assert_eq!(table.sends.len(), sends);
+        assert!(table.now + sent.deadline_ms <= began_at + 1_500, "{sent:?}");
+        table.pass(150);
+        cause(&mut table, sent, trouble);
+    }
+}
+
 #[test]
 fn connections_that_fail_are_no_attempts_and_are_tried_again_with_a_pause() {
     let mut table = Table::new(2);
--- a/crates/turnstile/tests/requests_support/mod.rs
+++ b/crates/turnstile/tests/requests_support/mod.rs
@@ -10,7 +10,8 @@
 use orchidvalve_track::messages::{ServerEntry, ServersUpdate, TableVersion};
 use orchidvalve_track::server_table::ServerTable;
 use orchidvalve_turnstile::fleet::{Fleet, FleetChange, ServerKey};
-use orchidvalve_turnstile::requests::{Answer, RequestCommand, RequestId, Requests, SendId};
+use orchidvalve_turnstile::requests::{Answer, RequestCommand, RequestId, Requests, SendId, is_promise};
+use orchidvalve_turnstile::runs::Repetition;
 use orchidvalve_turnstile::upstream::Failure;
 use orchidvalve_waybill::{Configuration, RouteTable};
 use rand_pcg::Pcg64Mcg;
@@ -214,7 +215,8 @@
                 !self.client.whole && !self.client.broken || matches!(command, RequestCommand::Cancel { .. })
             );
             match command {
-                RequestCommand::Send { send, server, deadline_ms, last_event_id, runs_once, .. } => {
+                RequestCommand::Send { send, server, deadline_ms, last_event_id, permit, .. } => {
+                    let runs_once = permit.repetition() == Repetition::AtMostOnce;
                     self.sends.push(Sent { send, server, deadline_ms, last_event_id, runs_once });
                 }
                 RequestCommand::Cancel { send } => self.cancelled.push(send),
@@ -240,6 +242,11 @@
         self.signature = head.headers.get("server-signature").unwrap_or_default().to_owned();
     }
 
+    fn answered_ourselves(&mut self, status: u16) {
+        self.status = Some(status);
+        self.own = true;
+    }
+
     fn answered(&mut self, answer: Answer) {
         assert_eq!(self.status, None);
         self.whole = true;
@@ -248,9 +255,10 @@
                 self.begin(&head);
                 self.body = String::from_utf8(body).unwrap();
             }
-            Answer::Own { status } => {
-                self.status = Some(status);
-                self.own = true;
+            Answer::NeverRan(_) => self.answered_ourselves(503),
+            Answer::Unclear { status } => {
+                assert!(!is_promise(status));
+                self.answered_ourselves(status);
             }
         }
     }
--- a/crates/turnstile/tests/upstream.rs
+++ b/crates/turnstile/tests/upstream.rs
@@ -5,6 +5,7 @@
 use std::net::{SocketAddrV4, TcpListener};
 
 use orchidvalve_track::network::{Event, Network};
+use orchidvalve_turnstile::runs::Repetition;
 use orchidvalve_turnstile::upstream::{
     CONNECT_TIMEOUT_MS, ExchangeId, Failure, Outbound, UpstreamEvent, Upstreams,
 };
@@ -50,7 +51,8 @@
     fn send_with(&mut self, id: &str, request: &str, method: &str, runs_once: bool) -> ExchangeId {
         self.id = id.to_owned();
         let bytes = request.replace(ID, id).into_bytes();
-        let outbound = Outbound { method, attempt_id: Some(id), bytes: &bytes, runs_once };
+        let repetition = if runs_once { Repetition::AtMostOnce } else { Repetition::Repeatable };
+        let outbound = Outbound { method, attempt_id: Some(id), bytes: &bytes, repetition };
         self.upstreams.send(&mut self.network, self.server, &outbound, self.now).unwrap()
     }
 
