Simulation: the auditor compares states, not hashes of their encoding

Cause: at every commit each simulated machine's state was encoded and hashed byte by byte, which took most of the time of a debug run and left no room for longer runs.

Change: the auditor keeps the image of the state after each committed change and compares images. Nothing is compared less often; hashes that collide can't hide a difference any more.

--- a/crates/signalbox/tests/support/auditor.rs
+++ b/crates/signalbox/tests/support/auditor.rs
@@ -7,7 +7,7 @@
 use orchidvalve_signalbox::peer::CallOutcome;
 use orchidvalve_track::frames::{decode, encode};
 use orchidvalve_waybill::configuration::fingerprint;
-use orchidvalve_waybill::state::{Applied, Change, ControlState};
+use orchidvalve_waybill::state::{Applied, Change, ControlState, StateImage};
 
 /// Number of a change as a client thinks of it; it may be sent several times.
 pub type ChangeNumber = usize;
@@ -25,8 +25,8 @@
 
 #[derive(Default)]
 pub struct Auditor {
-    /// Every committed change by its number, from 1, and the fingerprint of the state after it.
-    truth: Vec<(Rc<[u8]>, u64)>,
+    /// Every committed change by its number, from 1, and the state after it.
+    truth: Vec<(Rc<[u8]>, StateImage)>,
     state: ControlState,
     /// Changes of the configuration in force, now or earlier, by fingerprint of their encoding.
     in_force: BTreeSet<u64>,
@@ -129,20 +129,20 @@
             }
             _ => {}
         }
-        let state = fingerprint(&encode(&self.state.image()));
-        self.truth.push((payload.clone(), state));
+        self.truth.push((payload.clone(), self.state.image()));
     }
 
     /// A machine's state as of change `applied`, all of which it has told, has to be that of everyone.
     pub fn check_state(&mut self, teller: Teller, state: &ControlState, applied: u64) {
-        let expected = match applied.checked_sub(1) {
-            None => fingerprint(&encode(&ControlState::default().image())),
+        let image = state.image();
+        let is_expected = match applied.checked_sub(1) {
+            None => image == StateImage::default(),
             Some(index) => match self.truth.get(index as usize) {
-                Some((_, print)) => *print,
+                Some((_, expected)) => image == *expected,
                 None => return self.fail(format!("{teller:?} is at {applied}, {} are known", self.end())),
             },
         };
-        if fingerprint(&encode(&state.image())) != expected {
+        if !is_expected {
             self.fail(format!("{teller:?} has another state as of change {applied}"));
         }
     }
