Simulation: a check that the operators' history is linearizable

Cause: the auditor compared answers with the committed changes, but nothing judged the history as the operators see it: unclear outcomes, resends of one call, refusals and reads by their real time.

Change: support/history.rs checks a history against a compare-and-set register of versions by a search along the chain of versions that tries every pair of change and point once; why that is exact stands in its doc comment.

--- a/crates/signalbox/tests/support/mod.rs
+++ b/crates/signalbox/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod clients;
 pub mod disk;
 pub mod faults;
+pub mod history;
 pub mod links;
 pub mod plan;
 pub mod world;
