Chain: a learner commits what was told before the entry was on its disk

Cause: a member outside the chain learns of commits by what the tail tells. Where the entry wasn't durable yet when the commit was told, it was forgotten, and nothing was told again until the next change: a standby's state stayed one change behind.

Change: what the predecessor told is kept and applied as entries become durable.

--- a/crates/coupling/src/replica.rs
+++ b/crates/coupling/src/replica.rs
@@ -229,7 +229,7 @@
                     }
                     self.take_entries(from, (previous_sequence, previous_epoch), entries, outputs);
                     self.drop_stale_suffix(outputs);
-                    self.commit_through(committed, outputs);
+                    self.upstream.committed = self.upstream.committed.max(committed);
                     self.advance(journal, outputs);
                 }
             }
@@ -296,6 +296,7 @@
                 outputs.push(Output::Synchronized { epoch: self.view.epoch });
             }
         }
+        self.commit_through(self.upstream.committed, outputs);
         for index in 0..self.downstreams.len() {
             self.pump(index, journal, outputs);
         }
--- a/crates/coupling/src/upstream.rs
+++ b/crates/coupling/src/upstream.rs
@@ -19,6 +19,9 @@
     pub awaiting: bool,
     /// Highest sequence acknowledged in this view.
     pub acknowledged: Option<u64>,
+    /// Highest sequence that the predecessor told to be committed. It may be committed here only later, once the
+    /// entries are durable.
+    pub committed: u64,
 }
 
 impl Upstream {
--- a/crates/coupling/tests/steps.rs
+++ b/crates/coupling/tests/steps.rs
@@ -291,3 +291,25 @@
     change(&mut hosts, &[member(3)]);
     assert_eq!(payloads(&hosts[2]), [&b"a"[..], b"b"]);
 }
+
+/// The commit is told while the entry is still on its way to the learner's disk, and nothing comes after it.
+#[test]
+fn a_learner_commits_what_was_told_before_it_was_durable() {
+    let mut hosts = chain(1);
+    hosts.push(Host::new(member(2), 0));
+    let grown = view(2, &[member(1)], &[member(2)], 1);
+    hosts.iter_mut().for_each(|host| host.adopt(&grown));
+    settle(&mut hosts);
+    hosts[0].propose(b"a");
+    hosts[0].sync(1);
+    for message in std::mem::take(&mut hosts[0].sent) {
+        hosts[1].receive(member(1), message.1);
+    }
+    hosts[0].tick(100);
+    for message in std::mem::take(&mut hosts[0].sent) {
+        hosts[1].receive(member(1), message.1);
+    }
+    assert_eq!(hosts[1].replica.committed(), 0);
+    hosts[1].sync(1);
+    assert_eq!(hosts[1].replica.committed(), 1);
+}
