Agreement: pings of each start of a process have numbers of their own

Cause: pings were numbered by the process's clock, which begins at the same value at each start. A pong to a ping of an earlier start that was still in a peer's buffers could confirm a majority to the next start.

Change: numbering begins at a random number for each start (with_first_ping).

--- a/crates/interlocking/src/agreement.rs
+++ b/crates/interlocking/src/agreement.rs
@@ -83,6 +83,14 @@
         self
     }
 
+    /// Pings are numbered from `number` on. A random one for each start of a process keeps answers to the pings of an
+    /// earlier start from being taken for answers to this one's.
+    #[must_use]
+    pub fn with_first_ping(mut self, number: u64) -> Agreement {
+        self.liveness.number_from(number);
+        self
+    }
+
     /// The greeting to send first on every new connection.
     pub fn hello(&self) -> Message {
         Message::Hello { member: self.me, bootstrap: self.bootstrap, epoch: self.epoch() }
--- a/crates/interlocking/src/liveness.rs
+++ b/crates/interlocking/src/liveness.rs
@@ -84,8 +84,12 @@
         self.peers.iter().filter_map(|peer| peer.answered_at).map(|at| at + FAILURE_TIMEOUT).min()
     }
 
-    /// Number for a round of pings sent now. It exceeds `now` and every earlier number, so that an answer to an
-    /// earlier run of this process can't be mistaken for one to this run.
+    /// Pings are numbered from `number` on, lowered to leave room for all that follow.
+    pub fn number_from(&mut self, number: u64) {
+        self.last_number = number >> 1;
+    }
+
+    /// Number for a round of pings sent now, above every earlier one of this run.
     pub fn start_round(&mut self, now: u64) -> u64 {
         self.next_ping_at = now + PING_INTERVAL;
         if let Some((number, sent_at)) = self.sent.back()
--- a/crates/interlocking/tests/liveness.rs
+++ b/crates/interlocking/tests/liveness.rs
@@ -165,3 +165,22 @@
     restarted.tick(1_500, &mut outputs);
     assert!(ping_number(&outputs, member(2, 1)) > first);
 }
+
+/// The peer still had a ping of an earlier start in its buffers. Its answer comes to the next start, which counts
+/// its time from the same moment on.
+#[test]
+fn an_answer_to_a_ping_of_an_earlier_start_is_none_to_this_one() {
+    let start = |first_ping: u64| {
+        let voters = members(3);
+        let mut agreement = started(member(1, 1), &view(1, &voters, &voters)).with_first_ping(first_ping);
+        let mut outputs = Vec::new();
+        agreement.tick(1_000, &mut outputs);
+        (agreement, ping_number(&outputs, member(2, 1)))
+    };
+    let (_, former) = start(0x51a3_0f62_9c4e_7b21);
+    let (mut agreement, number) = start(0x2f90_c811_4d63_aa07);
+    agreement.message(1_050, member(2, 1), pong(former), &mut Vec::new());
+    assert_eq!(agreement.quorum_confirmed_at(), None);
+    agreement.message(1_060, member(2, 1), pong(number), &mut Vec::new());
+    assert_eq!(agreement.quorum_confirmed_at(), Some(1_000));
+}
