Control: planned ends hand over, a hanging disk takes a member out of the chain

Cause: a control machine ended at once on SIGTERM, also as the head or with one of too few copies, and one whose disk hung stayed in the chain, so that nothing was acknowledged for as long as the disk hung.

Change: the process goes on after SIGTERM until the agreement says that it is no longer needed, or until grace-s less 1.5 s; it tells that it leaves, is replaced by a standby or taken out of the chain first. Records that wait over 600 ms for the disk make the member impaired: the others take it out of the chain, and it confirms nothing. Timing of repairs follows bounds.catch-up-s and the tolerance. Messages have version 2.

--- a/crates/locomotive/src/roles.rs
+++ b/crates/locomotive/src/roles.rs
@@ -86,6 +86,8 @@
         tolerance: settings.fault_tolerance.machines as usize,
         platform: settings.cloud_api.address,
         lease_ms: settings.bounds.lease_ms,
+        catch_up_ms: (settings.bounds.catch_up_s * 1_000.0) as u64,
+        grace_ms: (settings.bounds.grace_s * 1_000.0) as u64,
     })
 }
 
--- a/crates/signalbox/src/core/mod.rs
+++ b/crates/signalbox/src/core/mod.rs
@@ -9,7 +9,7 @@
 use std::rc::Rc;
 
 use orchidvalve_coupling::{ChainView, Replica};
-use orchidvalve_interlocking::{Agreement, DurableState, Output as AgreementOutput, View};
+use orchidvalve_interlocking::{Agreement, DurableState, Output as AgreementOutput, Timing, View};
 use orchidvalve_track::frames::encode;
 use orchidvalve_track::identity::{MemberId, NodeAddress};
 use orchidvalve_waybill::state::ControlState;
@@ -76,6 +76,8 @@
     pub seeds: Vec<NodeAddress>,
     /// Disks that may be lost at once.
     pub tolerance: usize,
+    /// Time from the return of a machine until the next one may be lost, in milliseconds.
+    pub catch_up_ms: u64,
     /// Random; tells this start of the process from others.
     pub nonce: u64,
 }
@@ -130,7 +132,10 @@
         let replica = Replica::new(identity.me, journal.state(), identity.nonce);
         let view = agreement.as_ref().and_then(|a| a.view.clone());
         let agreement_record = agreement.clone();
-        let agreement = Agreement::new(identity.me, identity.bootstrap, identity.seeds.clone(), agreement);
+        let timing = Timing::new(identity.catch_up_ms, identity.tolerance + 1);
+        let agreement = Agreement::new(identity.me, identity.bootstrap, identity.seeds.clone(), agreement)
+            .with_timing(timing)
+            .with_first_ping(identity.nonce);
         let mut core = Core {
             identity,
             disk,
@@ -211,6 +216,21 @@
         self.duty_entry.filter(|entry| *entry <= self.applied && self.is_settled_head())
     }
 
+    /// This process is to end as planned; [`Core::may_leave`] says when it may.
+    pub fn set_leaving(&mut self) {
+        self.agreement.set_leaving();
+    }
+
+    /// Whether nothing is lost if a process that is to end does so now.
+    pub fn may_leave(&self) -> bool {
+        self.agreement.may_leave()
+    }
+
+    /// Whether the disk hangs or refuses writes.
+    pub fn set_impaired(&mut self, impaired: bool) {
+        self.agreement.set_impaired(impaired);
+    }
+
     /// Newest epoch in which this machine gave orders, as noted on its disk.
     pub fn held_duty(&self) -> Option<u64> {
         self.held_duty
--- a/crates/signalbox/src/lib.rs
+++ b/crates/signalbox/src/lib.rs
@@ -8,6 +8,7 @@
 pub mod client;
 pub mod core;
 pub mod discovery;
+pub mod disk_watch;
 pub mod duties;
 pub mod followers;
 pub mod journal;
--- a/crates/signalbox/src/process/mod.rs
+++ b/crates/signalbox/src/process/mod.rs
@@ -1,5 +1,6 @@
 //! The control process: sockets, disk and timers around the state machine.
 
+mod ending;
 mod links;
 mod operators;
 
@@ -21,6 +22,7 @@
 use self::links::Incoming;
 use self::operators::{OpenCall, OperatorConnection};
 use crate::core::{Core, Disk, Event, Identity};
+use crate::disk_watch::DiskWatch;
 use crate::duties::{self, Duties, DutyOptions};
 use crate::followers::Followers;
 use crate::journal::Recovered;
@@ -60,6 +62,10 @@
     pub tolerance: usize,
     pub platform: Option<SocketAddrV4>,
     pub lease_ms: u64,
+    /// Time from the return of a machine until the next one may be lost.
+    pub catch_up_ms: u64,
+    /// Time that a process has to end after it was told to.
+    pub grace_ms: u64,
 }
 
 /// Why a control process ends.
@@ -104,6 +110,9 @@
     calls: BTreeMap<u64, OpenCall>,
     next_call: u64,
     head: Option<(u64, MemberId)>,
+    disk_watch: DiskWatch,
+    /// When this process ends at the latest, once it was told to.
+    ending_deadline: Option<u64>,
     now: u64,
 }
 
@@ -119,13 +128,12 @@
         let events = process.network.poll(wait)?;
         process.now = process.clock.now();
         for event in events {
-            if matches!(event, NetworkEvent::Terminate) {
-                log::info!("control: stopping");
-                return Ok(());
-            }
             process.handle(event);
         }
         process.turn();
+        if process.has_ended() {
+            return Ok(());
+        }
     }
 }
 
@@ -160,6 +168,7 @@
             bootstrap: options.bootstrap,
             seeds: seeds.clone(),
             tolerance: options.tolerance,
+            catch_up_ms: options.catch_up_ms,
             nonce,
         };
         let now = clock.now();
@@ -203,6 +212,8 @@
             calls: BTreeMap::new(),
             next_call: 1,
             head: None,
+            disk_watch: DiskWatch::default(),
+            ending_deadline: None,
             now,
         })
     }
@@ -228,7 +239,8 @@
             NetworkEvent::Connected(connection) => self.link_opened(connection),
             NetworkEvent::Data(connection) => self.data(connection),
             NetworkEvent::Closed { connection, .. } => self.closed(connection),
-            NetworkEvent::Terminate | NetworkEvent::Reload | NetworkEvent::Woken => {}
+            NetworkEvent::Terminate => self.begin_ending(),
+            NetworkEvent::Reload | NetworkEvent::Woken => {}
         }
     }
 
@@ -276,7 +288,7 @@
 
     /// Everything that follows from what has arrived and from time passing.
     fn turn(&mut self) {
-        self.core.durable(self.ring.durable_through());
+        self.watch_disk();
         let candidates = self.links.heard_members(self.now);
         self.core.set_candidates(&candidates);
         self.core.tick(self.now);
@@ -290,6 +302,14 @@
         self.advance_followers();
     }
 
+    fn watch_disk(&mut self) {
+        let durable = self.ring.durable_through();
+        let waiting = self.ring.next_position() > durable + 1;
+        let impaired = self.disk_watch.observe(self.now, durable, waiting);
+        self.core.set_impaired(impaired);
+        self.core.durable(durable);
+    }
+
     fn process_events(&mut self) {
         loop {
             let events = self.core.take_events();
--- a/crates/signalbox/tests/support/world.rs
+++ b/crates/signalbox/tests/support/world.rs
@@ -17,6 +17,9 @@
 use super::links::Links;
 use super::plan::{MutationKind, Plan, Sabotage, Summary, kind_of};
 
+/// Time from the return of a machine until the next one may be lost, as in the small deployments.
+const CATCH_UP_MS: u64 = 4_400;
+
 #[derive(Clone, Debug)]
 pub enum Packet {
     Introduce(MemberId),
@@ -243,6 +246,7 @@
             bootstrap: node.bootstrap,
             seeds: self.seeds.clone(),
             tolerance: self.plan.tolerance,
+            catch_up_ms: CATCH_UP_MS,
             nonce,
         };
         node.start += 1;
--- a/crates/track/src/messages.rs
+++ b/crates/track/src/messages.rs
@@ -9,7 +9,7 @@
 use crate::identity::{MemberId, NodeAddress};
 
 /// Version of the messages between processes; a peer that speaks another one is refused.
-pub const PROTOCOL_VERSION: u16 = 1;
+pub const PROTOCOL_VERSION: u16 = 2;
 
 /// The first byte on every connection between two processes: which messages follow.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
