Control: retirements are decided at the head under proof; memory of changes without false refusals

Cause: any control machine answered 409 to an order to empty a store by the sessions it knew itself: one that was cut off or had just started knew none and refused, for good, what the chain would have taken. A retired store that lost its disk was forgotten to be emptied, so the operator waited for ever. And a change was remembered among the last 256 only: an accepted one that was sent again after more was refused with 412.

Change: the order goes to the head like a change; its host judges by the sessions once it has had the duty for long enough to know them (503 before), and a refusal waits for a barrier. A store at the same address stays to be emptied with another disk. 1,024 changes are remembered, and one on top of a version older than these is answered as unclear (503), never 412. A forwarded call that can't be decoded is unclear, too.

--- a/crates/signalbox/src/core/calls.rs
+++ b/crates/signalbox/src/core/calls.rs
@@ -4,7 +4,7 @@
 use orchidvalve_track::identity::MemberId;
 use orchidvalve_waybill::state::{Applied, Change, ChangeError};
 
-use super::{CALL_TIMEOUT_MS, Core, Disk, Event, Origin};
+use super::{CALL_TIMEOUT_MS, Core, Disk, Event, Origin, RetirementVerdict};
 use crate::peer::{CallOutcome, ForwardedCall, PeerMessage};
 
 /// A call at the head that waits for a commit or a confirmation.
@@ -74,24 +74,56 @@
     }
 
     fn decide(&mut self, origin: Origin, call: ForwardedCall) {
-        let ForwardedCall::Change { change: bytes } = call;
-        let Some(change) = decode::<Change>(&bytes) else {
-            let reason = "the call can't be decoded; run the same version on all machines".to_owned();
-            self.answer(origin, CallOutcome::Invalid { reason });
+        if !self.is_settled_head() {
+            self.answer(origin, CallOutcome::Unclear);
             return;
-        };
+        }
+        match call {
+            ForwardedCall::Retire { name } => self.events.push(Event::RetirementAsked { origin, name }),
+            ForwardedCall::Change { change } => match decode::<Change>(&change) {
+                Some(change) => self.decide_change(origin, &change),
+                None => {
+                    log::error!("control: a call can't be decoded; run the same version on all machines");
+                    self.answer(origin, CallOutcome::Unclear);
+                }
+            },
+        }
+    }
+
+    /// The host's answer to [`Event::RetirementAsked`]. A refusal is told only once it is proven that this machine is
+    /// still the head.
+    pub fn decide_retirement(&mut self, origin: Origin, name: &str, verdict: RetirementVerdict) {
         if !self.is_settled_head() {
             self.answer(origin, CallOutcome::Unclear);
             return;
         }
-        let (outcome, changed) = match self.tentative().apply(&change) {
+        match verdict {
+            RetirementVerdict::Allowed => {
+                self.decide_change(origin, &Change::Retire { name: name.to_owned() })
+            }
+            RetirementVerdict::TooFewStay => {
+                let reason = "too few storage machines would be left: add one first".to_owned();
+                self.wait_for(origin, CallOutcome::Conflict { reason });
+            }
+            RetirementVerdict::Unsure => self.answer(origin, CallOutcome::Unclear),
+        }
+    }
+
+    fn decide_change(&mut self, origin: Origin, change: &Change) {
+        let (outcome, changed) = match self.tentative().apply(change) {
             Ok(applied) => (CallOutcome::Done, applied == Applied::Changed),
             Err(error) => (rejection(&error), false),
         };
-        if changed && self.enter(&change).is_none() {
+        if changed && self.enter(change).is_none() {
             self.answer(origin, CallOutcome::Unclear);
             return;
         }
+        self.wait_for(origin, outcome);
+    }
+
+    /// Answers with `outcome` once everything that it rests on is committed; a refusal also needs the proof that the
+    /// view was still in force after the call came.
+    fn wait_for(&mut self, origin: Origin, outcome: CallOutcome) {
         let rejected = outcome != CallOutcome::Done;
         let barrier = rejected.then(|| self.begin_barrier());
         let deadline = self.now + CALL_TIMEOUT_MS;
@@ -193,6 +225,7 @@
 fn rejection(error: &ChangeError) -> CallOutcome {
     let reason = error.to_string();
     match error {
+        ChangeError::Forgotten { .. } => CallOutcome::Unclear,
         ChangeError::OtherVersion { .. } => CallOutcome::OtherVersion { reason },
         ChangeError::Invalid(_) => CallOutcome::Invalid { reason },
         ChangeError::UnknownStore { .. } => CallOutcome::NotFound { reason },
--- a/crates/signalbox/src/core/mod.rs
+++ b/crates/signalbox/src/core/mod.rs
@@ -40,6 +40,16 @@
     Peer(MemberId, u64),
 }
 
+/// What the head's host says to emptying a storage machine.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum RetirementVerdict {
+    /// Enough machines stay, or it was ordered before.
+    Allowed,
+    TooFewStay,
+    /// Sessions may be missing: this machine hasn't been the head for long enough to know.
+    Unsure,
+}
+
 /// What the host has to do or to know.
 #[derive(Debug)]
 pub enum Event {
@@ -53,6 +63,11 @@
         changes: Vec<Rc<[u8]>>,
     },
     ViewChanged(View),
+    /// As the head, this machine is asked to have a storage machine emptied; [`Core::decide_retirement`] follows.
+    RetirementAsked {
+        origin: Origin,
+        name: String,
+    },
     /// A call entered here is decided.
     Outcome {
         call: u64,
--- a/crates/signalbox/src/duties.rs
+++ b/crates/signalbox/src/duties.rs
@@ -13,6 +13,7 @@
 use serde_json::json;
 
 use crate::client::{Carrier, Destination, Finished, HttpClient};
+use crate::core::RetirementVerdict;
 use crate::discovery::{CALL_TIMEOUT_MS, POLL_INTERVAL_MS, Progress, RETRY_INTERVAL_MS, Reading};
 use crate::placement::{self, LiveStore, Situation};
 use crate::sessions::SessionTable;
@@ -352,6 +353,27 @@
         request
     }
 
+    /// Whether a storage machine may be emptied, by the sessions known here.
+    pub fn retirement(
+        &self,
+        now: u64,
+        state: &ControlState,
+        sessions: &SessionTable,
+        name: &str,
+    ) -> RetirementVerdict {
+        let knows_sessions = self.head_since.is_some_and(|since| now >= since + STORE_GRACE_MS);
+        match state.stores().get(name) {
+            Some(store) if store.retiring => RetirementVerdict::Allowed,
+            Some(_) if may_retire(state, sessions, name, self.options.tolerance) => {
+                RetirementVerdict::Allowed
+            }
+            _ if !knows_sessions => RetirementVerdict::Unsure,
+            Some(_) => RetirementVerdict::TooFewStay,
+            // Refused by the state itself, since nobody of this name has registered.
+            None => RetirementVerdict::Allowed,
+        }
+    }
+
     /// Changes of the placement of partitions that are due.
     pub fn place(&mut self, now: u64, state: &ControlState, sessions: &SessionTable) -> Option<Change> {
         let since = self.head_since?;
--- a/crates/signalbox/src/peer.rs
+++ b/crates/signalbox/src/peer.rs
@@ -46,6 +46,8 @@
         #[musli(bytes)]
         change: Vec<u8>,
     },
+    /// A storage machine is to be emptied, if enough others stay.
+    Retire { name: String },
 }
 
 /// How a call ended.
--- a/crates/signalbox/src/process/mod.rs
+++ b/crates/signalbox/src/process/mod.rs
@@ -341,6 +341,7 @@
                 let seeds = seeds.map(|s| NodeAddress::new(*s.ip(), port));
                 self.links.set_lasting(view.voters.iter().map(|m| m.address).chain(seeds));
             }
+            Event::RetirementAsked { origin, name } => self.retirement_asked(origin, &name),
             Event::Outcome { call, outcome } => self.call_decided(call, &outcome),
             Event::ReadReady { call } => self.read_ready(call),
             Event::ReadUnclear { call } => self.finish_call(call, &OperatorAnswer::unclear()),
--- a/crates/signalbox/src/process/operators.rs
+++ b/crates/signalbox/src/process/operators.rs
@@ -7,7 +7,7 @@
 use serde_json::json;
 
 use super::Process;
-use crate::duties;
+use crate::core::Origin;
 use crate::operator::{OPERATOR_LIMITS, OperatorAnswer, OperatorCall, change_answer, read_call};
 use crate::peer::{CallOutcome, ForwardedCall};
 
@@ -90,16 +90,17 @@
         self.process_events();
     }
 
-    fn retire(&mut self, connection: ConnectionId, node: String) {
-        let (state, _) = self.core.state();
-        let known = state.stores().contains_key(&node);
-        let already = state.stores().get(&node).is_some_and(|s| s.retiring);
-        if known && !already && !duties::may_retire(state, &self.sessions, &node, self.options.tolerance) {
-            let reason = "too few storage machines would be left: add one first";
-            self.answer(connection, &OperatorAnswer::error(409, reason));
-            return;
-        }
-        self.enter_change(OpenCall::Retire(connection), connection, &Change::Retire { name: node });
+    fn retire(&mut self, connection: ConnectionId, name: String) {
+        let number = self.open_call(connection, OpenCall::Retire(connection));
+        self.core.call(number, ForwardedCall::Retire { name });
+        self.process_events();
+    }
+
+    /// The core asks, as the head, whether a storage machine may be emptied.
+    pub(super) fn retirement_asked(&mut self, origin: Origin, name: &str) {
+        let state = self.core.newest_state();
+        let verdict = self.duties.retirement(self.now, state, &self.sessions, name);
+        self.core.decide_retirement(origin, name, verdict);
     }
 
     pub(super) fn call_decided(&mut self, call: u64, outcome: &CallOutcome) {
--- /dev/null
+++ b/crates/signalbox/tests/core_retirement.rs
@@ -0,0 +1,123 @@
+//! Orders to empty a storage machine: decided at the head, refused only under proof.
+
+use std::net::Ipv4Addr;
+
+use orchidvalve_coupling::Message as ChainMessage;
+use orchidvalve_interlocking::{DurableState, MemberStatus, Message, View};
+use orchidvalve_signalbox::core::{CALL_TIMEOUT_MS, Core, Disk, Event, Identity, Origin, RetirementVerdict};
+use orchidvalve_signalbox::journal::Recovered;
+use orchidvalve_signalbox::peer::{CallOutcome, ForwardedCall, PeerMessage};
+use orchidvalve_track::identity::{MemberId, NodeAddress};
+
+const CALL: u64 = 41;
+
+#[derive(Default)]
+struct SlowDisk {
+    position: u64,
+}
+
+impl Disk for SlowDisk {
+    fn append(&mut self, _: Vec<u8>) -> u64 {
+        self.position += 1;
+        self.position
+    }
+
+    fn release_before(&mut self, _: u64) {}
+}
+
+fn member(number: u8) -> MemberId {
+    MemberId { address: NodeAddress::new(Ipv4Addr::new(10, 0, 0, number), 7000), disk: u64::from(number) }
+}
+
+/// The head of a chain of three that a majority has just confirmed.
+fn settled_head() -> Core<SlowDisk> {
+    let members = [1, 2, 3].map(member).to_vec();
+    let view = View { epoch: 1, voters: members.clone(), chain: members };
+    let identity = Identity {
+        me: member(1),
+        bootstrap: false,
+        seeds: Vec::new(),
+        tolerance: 1,
+        catch_up_ms: 4_400,
+        nonce: 7,
+    };
+    let agreement = DurableState { view: Some(view), ..DurableState::default() };
+    let recovered = Recovered { agreement: Some(agreement), ..Recovered::default() };
+    let mut core = Core::new(identity, recovered, SlowDisk::default(), 1_000);
+    core.tick(1_000);
+    let status = MemberStatus { ready: true, ..MemberStatus::default() };
+    for event in core.take_events() {
+        if let Event::Send { to, message: PeerMessage::Agreement(Message::Ping { number, .. }) } = event {
+            core.agreement_message(to, Message::Pong { number, epoch: 1, status });
+        }
+    }
+    assert!(core.is_settled_head());
+    core
+}
+
+fn ask(core: &mut Core<SlowDisk>) -> Origin {
+    core.call(CALL, ForwardedCall::Retire { name: "store-1".to_owned() });
+    let asked = core.take_events().into_iter().find_map(|event| match event {
+        Event::RetirementAsked { origin, name } if name == "store-1" => Some(origin),
+        _ => None,
+    });
+    asked.expect("the head is asked")
+}
+
+/// The outcomes told, after all others confirmed the view if they can be reached.
+fn outcomes(core: &mut Core<SlowDisk>, others_confirm: bool) -> Vec<CallOutcome> {
+    let mut outcomes = Vec::new();
+    for event in core.take_events() {
+        match event {
+            Event::Send { to, message: PeerMessage::Chain(ChainMessage::Confirm { epoch, round }) }
+                if others_confirm =>
+            {
+                core.chain_message(to, ChainMessage::Confirmed { epoch, round, committed: 0 });
+            }
+            Event::Outcome { call: CALL, outcome } => outcomes.push(outcome),
+            _ => {}
+        }
+    }
+    outcomes.extend(core.take_events().into_iter().filter_map(|event| match event {
+        Event::Outcome { call: CALL, outcome } => Some(outcome),
+        _ => None,
+    }));
+    outcomes
+}
+
+#[test]
+fn a_refusal_is_told_once_the_others_have_confirmed_the_view() {
+    let mut core = settled_head();
+    let origin = ask(&mut core);
+    core.decide_retirement(origin, "store-1", RetirementVerdict::TooFewStay);
+    let told = outcomes(&mut core, true);
+    assert!(matches!(told[..], [CallOutcome::Conflict { .. }]), "{told:?}");
+}
+
+/// A machine that was cut off knows too few sessions and would refuse everything.
+#[test]
+fn a_head_that_is_cut_off_refuses_nothing() {
+    let mut core = settled_head();
+    let origin = ask(&mut core);
+    core.decide_retirement(origin, "store-1", RetirementVerdict::TooFewStay);
+    assert_eq!(outcomes(&mut core, false), []);
+    core.tick(1_000 + CALL_TIMEOUT_MS);
+    assert_eq!(outcomes(&mut core, false), [CallOutcome::Unclear]);
+}
+
+#[test]
+fn without_knowledge_there_is_no_verdict() {
+    let mut core = settled_head();
+    let origin = ask(&mut core);
+    core.decide_retirement(origin, "store-1", RetirementVerdict::Unsure);
+    assert_eq!(outcomes(&mut core, true), [CallOutcome::Unclear]);
+}
+
+#[test]
+fn a_machine_that_was_the_head_when_asked_refuses_nothing_later() {
+    let mut core = settled_head();
+    let origin = ask(&mut core);
+    core.tick(10_000);
+    core.decide_retirement(origin, "store-1", RetirementVerdict::TooFewStay);
+    assert_eq!(outcomes(&mut core, true), [CallOutcome::Unclear]);
+}
--- a/crates/signalbox/tests/support/world.rs
+++ b/crates/signalbox/tests/support/world.rs
@@ -406,6 +406,8 @@
                 let addresses = view.voters.iter().map(|m| m.address).chain(self.seeds.iter().copied());
                 node.links.set_lasting(node.address, addresses);
             }
+            // No client of the simulation retires storage machines.
+            CoreEvent::RetirementAsked { .. } => {}
             CoreEvent::Outcome { call, outcome } => self.outcome(machine, call, outcome),
             CoreEvent::ReadReady { call } => self.read_ready(machine, call),
             CoreEvent::ReadUnclear { call } => self.read_unclear(machine, call),
--- a/crates/waybill/src/state.rs
+++ b/crates/waybill/src/state.rs
@@ -12,8 +12,9 @@
 
 use crate::configuration::{Configuration, ConfigurationError, fingerprint};
 
-/// Accepted configuration changes that are remembered, so that the same change sent again is recognised.
-const REMEMBERED_CHANGES: usize = 256;
+/// Accepted configuration changes that are remembered, so that the same change sent again is recognised. Operators send
+/// a call again for some seconds, `ack-ms` at most; with a change each 0.2 s this covers three minutes and a half.
+pub const REMEMBERED_CHANGES: usize = 1_024;
 
 /// A change of the control state.
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
@@ -100,6 +101,11 @@
 pub enum ChangeError {
     #[display("version {current} is current, not {base}: read the configuration and build on it")]
     OtherVersion { base: u64, current: u64 },
+    /// A change on top of a version so old that it isn't known whether this one was accepted.
+    #[display(
+        "changes on top of version {base} are no longer remembered: read the configuration and build on it"
+    )]
+    Forgotten { base: u64 },
     #[display("{_0}")]
     Invalid(#[error(not(source))] ConfigurationError),
     #[display("no storage machine is called {name}: see the members")]
@@ -120,6 +126,7 @@
     /// The document and the fingerprint of the body that brought it.
     configuration: Option<(Vec<u8>, u64)>,
     accepted: Vec<AcceptedChange>,
+    forgotten_below: u64,
     versions: BTreeMap<String, u64>,
     stores: BTreeMap<String, StoreRecord>,
     partitions: Vec<Placement>,
@@ -130,7 +137,10 @@
 #[derive(Clone, Default, Debug)]
 pub struct ControlState {
     configuration: Option<Arc<Configuration>>,
+    /// Accepted changes of the configuration, oldest first; each builds on a higher version than the one before.
     accepted: Vec<AcceptedChange>,
+    /// Accepted changes on top of versions below this one aren't remembered any more.
+    forgotten_below: u64,
     versions: BTreeMap<String, u64>,
     stores: BTreeMap<String, StoreRecord>,
     partitions: Vec<Placement>,
@@ -185,9 +195,7 @@
             }
             Change::NameVersion { model, version } => Ok(self.name_version(model, *version)),
             Change::RegisterStore { name, zone, member } => {
-                let retiring = self.stores.get(name).is_some_and(|s| s.retiring && s.member == *member);
-                let record = StoreRecord { zone: zone.clone(), member: *member, retiring };
-                self.stores.insert(name.clone(), record);
+                self.register_store(name, zone, *member);
                 Ok(Applied::Changed)
             }
             Change::Place(placements) => {
@@ -211,6 +219,9 @@
             return Ok(Applied::Already);
         }
         let current = self.configuration_version();
+        if base < self.forgotten_below {
+            return Err(ChangeError::Forgotten { base });
+        }
         if base != current {
             return Err(ChangeError::OtherVersion { base, current });
         }
@@ -218,6 +229,7 @@
         self.accepted.push(AcceptedChange { version: configuration.version(), base, fingerprint });
         if self.accepted.len() > REMEMBERED_CHANGES {
             self.accepted.remove(0);
+            self.forgotten_below = self.accepted[0].base;
         }
         self.configuration = Some(Arc::new(configuration));
         Ok(Applied::Changed)
@@ -254,6 +266,14 @@
         }
     }
 
+    /// A machine that is to be emptied still is when it comes back with another disk; one at another address is
+    /// another machine.
+    fn register_store(&mut self, name: &str, zone: &str, member: MemberId) {
+        let is_same_machine = |known: &StoreRecord| known.member.address == member.address;
+        let retiring = self.stores.get(name).is_some_and(|known| known.retiring && is_same_machine(known));
+        self.stores.insert(name.to_owned(), StoreRecord { zone: zone.to_owned(), member, retiring });
+    }
+
     fn retire(&mut self, name: &str) -> Result<Applied, ChangeError> {
         match self.stores.get_mut(name) {
             None => Err(ChangeError::UnknownStore { name: name.to_owned() }),
@@ -269,6 +289,7 @@
         StateImage {
             configuration: self.configuration.as_ref().map(|c| (c.to_json(), c.fingerprint())),
             accepted: self.accepted.clone(),
+            forgotten_below: self.forgotten_below,
             versions: self.versions.clone(),
             stores: self.stores.clone(),
             partitions: self.partitions.clone(),
@@ -289,6 +310,7 @@
         Ok(ControlState {
             configuration,
             accepted: image.accepted.clone(),
+            forgotten_below: image.forgotten_below,
             versions: image.versions.clone(),
             stores: image.stores.clone(),
             partitions: image.partitions.clone(),
