Batch store: a chain too short to commit proves nothing by its own word

Cause: a barrier asks all members of the view.

Change: a confirmation counts only in a view that is long enough to commit; calls that wait for one are asked again when the next view comes, and answered NotSure after a second as before. Placements tell how many copies a commit needs (copies) and, for the planner, who holds everything (holders); a store takes the larger of this number and its own setting, so control and stores agree on which views are too short. Placements of earlier versions are read with neither.

--- a/crates/goodsyard/src/calls.rs
+++ b/crates/goodsyard/src/calls.rs
@@ -110,6 +110,12 @@
         self.next_barrier
     }
 
+    /// Barriers that calls about a partition wait for.
+    pub fn barriers_of(&self, partition: u16) -> Vec<u64> {
+        let calls = self.unproven.iter().filter(|(_, call)| call.partition == partition);
+        calls.map(|(&barrier, _)| barrier).collect()
+    }
+
     pub fn proven(&mut self, barrier: u64) -> Option<Unproven> {
         self.unproven.remove(&barrier)
     }
--- a/crates/goodsyard/src/partition.rs
+++ b/crates/goodsyard/src/partition.rs
@@ -222,6 +222,8 @@
                 self.ready_learners.push((epoch, member));
                 self.report_learners(sinks.outputs);
             }
+            // A chain that is too short may be carried on by former members, who aren't asked: no proof.
+            ChainOutput::Confirmed { .. } if !self.replica.view().can_commit() => {}
             ChainOutput::Confirmed { barrier, .. } => {
                 sinks.effects.push((partition, Effect::Confirmed { barrier }));
             }
--- a/crates/goodsyard/src/store.rs
+++ b/crates/goodsyard/src/store.rs
@@ -50,7 +50,7 @@
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct StoreSettings {
     pub me: MemberId,
-    /// Durable copies that an acknowledgement needs.
+    /// Durable copies that an acknowledgement needs at least, whatever the placement says.
     pub minimum_copies: usize,
     /// Time after a job was accepted until which its results are kept, once it is ended, in milliseconds.
     pub retention_ms: u64,
@@ -164,7 +164,7 @@
             epoch: placement.epoch,
             members: placement.members.clone(),
             learners: placement.learners.clone(),
-            minimum: self.settings.minimum_copies,
+            minimum: self.settings.minimum_copies.max(placement.copies as usize),
         };
         self.with_partition(number, moment, outputs, |partition, sinks| partition.view_changed(view, sinks));
         if self.partitions[&number].replica.view().epoch != before {
--- a/crates/goodsyard/src/store/answers.rs
+++ b/crates/goodsyard/src/store/answers.rs
@@ -171,6 +171,16 @@
         });
     }
 
+    /// A view came: what couldn't be proven in a chain that was too short may be now.
+    pub(super) fn prove_again(&mut self, number: u16, moment: Moment, outputs: &mut Vec<Output>) {
+        let barriers = self.calls.barriers_of(number);
+        self.with_partition(number, moment, outputs, |partition, sinks| {
+            partition.drive(sinks, |replica, _, outputs| {
+                barriers.into_iter().for_each(|barrier| replica.barrier(barrier, outputs));
+            });
+        });
+    }
+
     pub(super) fn answer_proven(&mut self, barrier: u64, moment: Moment, outputs: &mut Vec<Output>) {
         let Some(Unproven { caller, partition: number, job: id, question, .. }) = self.calls.proven(barrier)
         else {
--- a/crates/goodsyard/src/store/upkeep.rs
+++ b/crates/goodsyard/src/store/upkeep.rs
@@ -122,6 +122,7 @@
         outputs: &mut Vec<Output>,
     ) {
         self.answer_view_change(number, outputs);
+        self.prove_again(number, moment, outputs);
         let Some(partition) = self.partitions.get_mut(&number) else { return };
         match (was_head, partition.replica.is_head()) {
             (true, true) => handout::send_again(partition, &self.doors, None, moment, outputs),
--- a/crates/goodsyard/tests/jobs.rs
+++ b/crates/goodsyard/tests/jobs.rs
@@ -58,7 +58,7 @@
     let mut world = World::placed(2, 2);
     world.door_up(1, 1);
     let call = world.submit(1, 0, "j", job("j", 1, 2, 1));
-    let next = Placement { epoch: 2, members: vec![member(2)], learners: vec![] };
+    let next = Placement { epoch: 2, members: vec![member(2)], learners: vec![], ..Placement::default() };
     world.place_at(0, &next);
     assert_eq!(world.answer(1, call), Some(&StoreAnswer::Unclear));
 }
@@ -272,7 +272,10 @@
     let mut world = with_job(1, 2, 1);
     world.place(5, &[member(1), member(2), member(3)], &[]);
     world.restart(0);
-    world.place_at(0, &Placement { epoch: 4, members: vec![member(1)], learners: vec![] });
+    world.place_at(
+        0,
+        &Placement { epoch: 4, members: vec![member(1)], learners: vec![], ..Placement::default() },
+    );
     world.door_up(1, 1);
     let call = world.read(1, 0, "j", 0, 0);
     assert_eq!(world.answer(1, call), Some(&StoreAnswer::NotSure));
@@ -329,3 +332,53 @@
     // Its items expired long ago, so that no body is asked for any more.
     assert_eq!(world.answer(1, kept), Some(&StoreAnswer::NotFound));
 }
+
+/// The last member of a chain that is too short, cut off while former members go on without it, must not say that
+/// a job is unknown: its own word is no proof that its view is in force.
+#[test]
+fn a_member_of_a_chain_that_is_too_short_proves_nothing() {
+    let mut world = World::placed(3, 2);
+    world.door_up(1, 1);
+    let alone = Placement { epoch: 2, members: vec![member(3)], ..Placement::default() };
+    world.place_at(2, &alone);
+    let others = Placement { epoch: 3, members: vec![member(1), member(2)], ..Placement::default() };
+    world.place_at(0, &others);
+    world.place_at(1, &others);
+    let submitted = world.submit(1, 0, "j", job("j", 1, 2, 1));
+    world.run();
+    assert_eq!(world.answer(1, submitted), Some(&StoreAnswer::Accepted));
+    let read = world.read(1, 2, "j", 0, 0);
+    let body = world.item_body(1, 2, "j", "j-0-0");
+    let end = world.end(1, 2, "j");
+    world.run();
+    assert_eq!([read, body, end].map(|call| world.answer(1, call)), [None; 3]);
+    world.advance(1_200);
+    assert_eq!([read, body, end].map(|call| world.answer(1, call)), [Some(&StoreAnswer::NotSure); 3]);
+}
+
+#[test]
+fn what_waited_in_a_chain_that_is_too_short_is_answered_once_it_is_long_enough() {
+    let mut world = with_job(1, 2, 1);
+    world.place(2, &[member(1)], &[member(2)]);
+    let (read, unknown) = (world.read(1, 0, "j", 0, 0), world.read(1, 0, "k", 0, 0));
+    world.run();
+    assert_eq!([read, unknown].map(|call| world.answer(1, call)), [None; 2]);
+    world.place(3, &[member(1), member(2)], &[]);
+    assert_eq!(listed(world.answer(1, read)), Vec::<&str>::new());
+    assert_eq!(world.answer(1, unknown), Some(&StoreAnswer::NotFound));
+}
+
+/// Stores and control machines may have been started with different tolerances: what control counts as too short
+/// for a commit must be too short for the stores, too.
+#[test]
+fn a_chain_shorter_than_its_placement_asks_for_commits_nothing() {
+    let mut world = World::placed(3, 2);
+    world.door_up(1, 1);
+    let placement =
+        Placement { epoch: 2, members: vec![member(1), member(2)], copies: 3, ..Placement::default() };
+    world.place_at(0, &placement);
+    world.place_at(1, &placement);
+    world.run();
+    let call = world.submit(1, 0, "j", job("j", 1, 2, 1));
+    assert!(matches!(world.answer(1, call), Some(StoreAnswer::Refused { .. })));
+}
--- a/crates/goodsyard/tests/simulation.rs
+++ b/crates/goodsyard/tests/simulation.rs
@@ -69,7 +69,7 @@
             random: Pcg64Mcg::seed_from_u64(seed),
             world,
             complete: members.iter().copied().collect(),
-            placement: Placement { epoch: 1, members, learners: Vec::new() },
+            placement: Placement { epoch: 1, members, learners: Vec::new(), ..Placement::default() },
             disks: 1,
             asked: BTreeMap::new(),
             jobs: Vec::new(),
@@ -240,7 +240,7 @@
             return;
         }
         let learners = here.iter().filter(|member| !members.contains(member)).copied().collect();
-        self.placement = Placement { epoch: epoch + 1, members, learners };
+        self.placement = Placement { epoch: epoch + 1, members, learners, ..Placement::default() };
     }
 
     fn learn(&mut self, index: usize) {
--- a/crates/goodsyard/tests/support/mod.rs
+++ b/crates/goodsyard/tests/support/mod.rs
@@ -178,7 +178,12 @@
     }
 
     pub fn place(&mut self, epoch: u64, members: &[MemberId], learners: &[MemberId]) {
-        let placement = Placement { epoch, members: members.to_vec(), learners: learners.to_vec() };
+        let placement = Placement {
+            epoch,
+            members: members.to_vec(),
+            learners: learners.to_vec(),
+            ..Placement::default()
+        };
         for index in 0..self.stores.len() {
             self.place_at(index, &placement);
         }
--- a/crates/signalbox/src/placement.rs
+++ b/crates/signalbox/src/placement.rs
@@ -62,7 +62,8 @@
         for member in &members {
             *load.entry(*member).or_default() += 1;
         }
-        (partition, Placement { epoch: 1, members, learners: Vec::new() })
+        let copies = situation.copies as u32;
+        (partition, Placement { epoch: 1, members, copies, ..Placement::default() })
     };
     (0..PARTITIONS).map(&mut place).collect()
 }
@@ -132,7 +133,7 @@
     if staying < situation.copies && learners.is_empty() {
         learners.extend(successor(&members, situation, load));
     }
-    let next = Placement { epoch: placement.epoch, members, learners };
+    let next = Placement { members, learners, ..placement.clone() };
     (next != *placement).then_some(next)
 }
 
--- a/crates/signalbox/tests/placement.rs
+++ b/crates/signalbox/tests/placement.rs
@@ -29,6 +29,7 @@
         epoch,
         members: members.iter().map(|m| member(*m)).collect(),
         learners: learners.iter().map(|m| member(*m)).collect(),
+        ..Placement::default()
     }
 }
 
--- a/crates/turnstile/tests/jobs.rs
+++ b/crates/turnstile/tests/jobs.rs
@@ -19,7 +19,8 @@
 /// Partitions whose chains are stores 1, 2 and 3.
 fn state() -> ControlState {
     let members = [1, 2, 3].map(|n| MemberId { address: store(n), disk: u64::from(n) });
-    let placement = Placement { epoch: 1, members: members.to_vec(), learners: Vec::new() };
+    let placement =
+        Placement { epoch: 1, members: members.to_vec(), learners: Vec::new(), ..Placement::default() };
     let placements = (0..PARTITIONS).map(|p| (p, placement.clone())).collect();
     let mut state = ControlState::default();
     state.apply(&Change::Place(placements)).unwrap();
@@ -327,7 +328,7 @@
     let mut door = Door::new();
     let call = door.begin(submission());
     let members = vec![MemberId { address: store(3), disk: 3 }];
-    let placement = Placement { epoch: 2, members, learners: Vec::new() };
+    let placement = Placement { epoch: 2, members, learners: Vec::new(), ..Placement::default() };
     let partition = partition_of(ID, usize::from(PARTITIONS));
     door.state.apply(&Change::Place(vec![(partition, placement)])).unwrap();
     door.answer(call, StoreAnswer::Unclear);
--- a/crates/turnstile/tests/work.rs
+++ b/crates/turnstile/tests/work.rs
@@ -24,7 +24,7 @@
 
 fn place(state: &mut ControlState, epoch: u64, head: u8) {
     let members = vec![MemberId { address: store(head), disk: 1 }];
-    let placement = Placement { epoch, members, learners: Vec::new() };
+    let placement = Placement { epoch, members, learners: Vec::new(), ..Placement::default() };
     state.apply(&Change::Place(vec![(PARTITION, placement)])).unwrap();
 }
 
--- a/crates/waybill/src/state.rs
+++ b/crates/waybill/src/state.rs
@@ -78,6 +78,20 @@
     pub members: Vec<MemberId>,
     /// Members that copy the partition and aren't waited for.
     pub learners: Vec<MemberId>,
+    /// Machines known to hold everything that was committed before this view, as of its decision. Beside members,
+    /// these are former ones as long as the chain is too short to commit anything.
+    #[musli(default)]
+    pub holders: Vec<MemberId>,
+    /// Copies that an acknowledgement needs in this view; 0 in placements of earlier versions, which didn't say.
+    #[musli(default)]
+    pub copies: u32,
+}
+
+impl Placement {
+    /// Whether the chain has too few members to commit anything.
+    pub fn is_short(&self) -> bool {
+        self.members.len() < self.copies as usize
+    }
 }
 
 /// A storage machine.
--- a/crates/waybill/tests/state.rs
+++ b/crates/waybill/tests/state.rs
@@ -45,7 +45,8 @@
 }
 
 fn place(partition: u16, epoch: u64, disk: u64) -> Change {
-    let placement = Placement { epoch, members: vec![member(disk)], learners: Vec::new() };
+    let placement =
+        Placement { epoch, members: vec![member(disk)], learners: Vec::new(), ..Placement::default() };
     Change::Place(vec![(partition, placement)])
 }
 
@@ -254,3 +255,22 @@
         assert_eq!(one.image(), other.image());
     }
 }
+
+/// A placement as versions before the holders wrote it.
+#[derive(musli::Encode)]
+struct EarlierPlacement {
+    epoch: u64,
+    members: Vec<MemberId>,
+    learners: Vec<MemberId>,
+}
+
+#[test]
+fn a_placement_of_an_earlier_version_names_no_holders() {
+    let earlier = EarlierPlacement { epoch: 3, members: vec![member(1)], learners: vec![member(2)] };
+    let read: Placement =
+        orchidvalve_track::frames::decode(&orchidvalve_track::frames::encode(&earlier)).unwrap();
+    let expected =
+        Placement { epoch: 3, members: vec![member(1)], learners: vec![member(2)], ..Placement::default() };
+    assert_eq!(read, expected);
+    assert!(!read.is_short(), "nothing may be concluded where the number of copies isn't known");
+}
