Placement: a chain goes on only under a store known to hold everything

Cause: next_step took all members that were sound, whatever they held. And a partition cut down to one member waited for that one for ever, though the others held everything, too, as nothing can be committed meanwhile.

Change: every placement notes who was known to hold everything when it was decided (holders), so a change of the control head forgets nobody; reports of the epoch in force count beside it. Where members are lost, one that holds everything leads. While a chain is too short to commit, its former members stay holders: one that is back joins at once without copying, and goes on if no member can; a learner that has copied all of a short chain is a holder from the moment it joins, so a second loss right after a repair costs nothing. Learners are let go once enough members stay. Machines that aren't the head no longer keep reports of earlier epochs.

--- a/crates/signalbox/src/duties.rs
+++ b/crates/signalbox/src/duties.rs
@@ -123,6 +123,8 @@
     }
 
     pub fn learner_ready(&mut self, partition: u16, epoch: u64, member: MemberId) {
+        // Machines that aren't the head hear all reports, too, and never get to place anything.
+        self.ready_learners.retain(|(of, since, _)| *of != partition || *since >= epoch);
         self.ready_learners.insert((partition, epoch, member));
         self.next_placement = 0;
     }
--- a/crates/signalbox/src/placement.rs
+++ b/crates/signalbox/src/placement.rs
@@ -1,14 +1,19 @@
 //! Which storage machines hold which partition: a duty of the head of the control chain.
 //!
 //! A partition has as many copies as must survive plus one, in distinct zones where that can be. A member that
-//! is lost is taken out at once; a learner then copies the partition from the tail and becomes a member when
-//! it has everything. A machine that is to be emptied stays a member until its successor has everything.
+//! is lost is taken out at once, as long as one that stays is known to hold everything; a learner then copies the
+//! partition from the tail and becomes a member when it has everything. A machine that is to be emptied stays a
+//! member until its successor has everything.
+
+mod holders;
 
 use std::collections::{BTreeMap, BTreeSet};
 
 use orchidvalve_track::identity::MemberId;
 use orchidvalve_waybill::state::Placement;
 
+use crate::placement::holders::{complete_machines, next_holders, put_complete_first, returning_holders};
+
 /// Number of partitions of the batch store; a job belongs to one of them by its id.
 pub const PARTITIONS: u16 = 8;
 
@@ -42,6 +47,10 @@
         self.find(member).is_some_and(|s| !s.disk_trouble)
     }
 
+    fn is_ready(&self, partition: u16, epoch: u64, member: &MemberId) -> bool {
+        self.ready.contains(&(partition, epoch, *member))
+    }
+
     fn staying(&self, member: &MemberId) -> bool {
         self.find(member).is_some_and(|s| !s.disk_trouble && !s.retiring)
     }
@@ -63,7 +72,7 @@
             *load.entry(*member).or_default() += 1;
         }
         let copies = situation.copies as u32;
-        (partition, Placement { epoch: 1, members, copies, ..Placement::default() })
+        (partition, Placement { epoch: 1, holders: members.clone(), members, copies, ..Placement::default() })
     };
     (0..PARTITIONS).map(&mut place).collect()
 }
@@ -112,40 +121,41 @@
     situation: &Situation,
     load: &BTreeMap<MemberId, usize>,
 ) -> Option<Placement> {
-    let sound: Vec<MemberId> = placement.members.iter().filter(|m| situation.sound(m)).copied().collect();
-    if sound.is_empty() {
-        // Only machines that hold the partition can go on with it: wait for one of them.
+    let complete = complete_machines(partition, placement, situation);
+    let mut members: Vec<MemberId> =
+        placement.members.iter().filter(|m| situation.sound(m)).copied().collect();
+    members.extend(returning_holders(placement, &members, &complete, situation));
+    if members.first() != placement.members.first() && !put_complete_first(&mut members, &complete) {
+        // Only a machine that holds everything can lead next: wait for one, or for its report.
         return None;
     }
-    let is_ready = |m: &MemberId| situation.ready.contains(&(partition, placement.epoch, *m));
-    let ready: Vec<MemberId> =
-        placement.learners.iter().filter(|m| situation.staying(m) && is_ready(m)).copied().collect();
-    let joins = !ready.is_empty();
-    let mut members = sound;
-    let mut learners: Vec<MemberId> =
-        placement.learners.iter().filter(|m| situation.staying(m) && !ready.contains(m)).copied().collect();
+    let is_ready = |m: &MemberId| situation.is_ready(partition, placement.epoch, m);
+    let staying = placement.learners.iter().filter(|m| situation.staying(m)).copied();
+    let (ready, mut learners): (Vec<MemberId>, Vec<MemberId>) = staying.partition(is_ready);
     members.extend(ready);
-    // What was committed since a learner was ready reaches it in the view in which it joins: until it says that
-    // it has that, too, nothing is taken from the machines that do.
-    let complete = |m: &MemberId| !joins && is_ready(m);
-    release_retiring(&mut members, situation, &complete);
-    let staying = members.iter().filter(|m| situation.staying(m)).count();
-    if staying < situation.copies && learners.is_empty() {
-        learners.extend(successor(&members, situation, load));
+    let mut next = Placement { members, copies: situation.copies as u32, ..placement.clone() };
+    let holders = next_holders(&next, &complete);
+    release_retiring(&mut next.members, situation, &holders);
+    if next.members.iter().filter(|m| situation.staying(m)).count() >= situation.copies {
+        learners.clear();
+    } else if learners.is_empty() {
+        learners.extend(successor(&next.members, situation, load));
     }
-    let next = Placement { members, learners, ..placement.clone() };
-    (next != *placement).then_some(next)
+    next.learners = learners;
+    if next == *placement {
+        return None;
+    }
+    next.holders = next_holders(&next, &complete);
+    Some(next)
 }
 
-/// Takes out machines that are to be emptied where enough others are members and hold everything.
-fn release_retiring(
-    members: &mut Vec<MemberId>,
-    situation: &Situation,
-    complete: &dyn Fn(&MemberId) -> bool,
-) {
+/// Takes out machines that are to be emptied where enough others are members and hold everything. What was
+/// committed since a learner was ready reaches it in the view in which it joins: until it says that it has that,
+/// too, nothing is taken from the machines that do.
+fn release_retiring(members: &mut Vec<MemberId>, situation: &Situation, holders: &[MemberId]) {
     let mut staying = members.iter().filter(|m| situation.staying(m));
     let enough = staying.clone().count() >= situation.copies;
-    if enough && staying.all(complete) {
+    if enough && staying.all(|m| holders.contains(m)) {
         members.retain(|m| situation.staying(m));
         // One more than needed is left where a retirement was given up in between.
         members.truncate(situation.copies);
--- /dev/null
+++ b/crates/signalbox/src/placement/holders.rs
@@ -0,0 +1,58 @@
+//! Which machines are known to hold everything that a partition has committed.
+//!
+//! In a view that is long enough to commit, an entry is committed when all members have it on their disks. So a
+//! member that holds everything committed before the view also holds what is committed in it, and nobody else is
+//! known to. In a view that is too short nothing is committed: whoever held everything when it began, still does.
+
+use orchidvalve_track::identity::MemberId;
+use orchidvalve_waybill::state::Placement;
+
+use crate::placement::Situation;
+
+/// Machines that hold everything that was committed before the view of `placement`, and what is committed in it
+/// as far as they are members: those of which it was known when the view was decided, and those that were
+/// reported since.
+pub(super) fn complete_machines(
+    partition: u16,
+    placement: &Placement,
+    situation: &Situation,
+) -> Vec<MemberId> {
+    let mut complete = placement.holders.clone();
+    let reporting: &[MemberId] = if placement.is_short() { &placement.learners } else { &[] };
+    for member in placement.members.iter().chain(reporting) {
+        if !complete.contains(member) && situation.is_ready(partition, placement.epoch, member) {
+            complete.push(*member);
+        }
+    }
+    complete
+}
+
+/// Machines that hold everything when the view of `next` begins, of those that are `complete` in the one before.
+pub(super) fn next_holders(next: &Placement, complete: &[MemberId]) -> Vec<MemberId> {
+    // A former member falls behind as soon as the others commit something.
+    let keeps_all = |m: &&MemberId| next.is_short() || next.members.contains(m);
+    complete.iter().filter(keeps_all).copied().collect()
+}
+
+/// Machines outside the chain that become members at once, since they hold everything: former members that are
+/// back, as far as copies are missing. One that is to be emptied is taken only if no member holds everything.
+pub(super) fn returning_holders(
+    placement: &Placement,
+    members: &[MemberId],
+    complete: &[MemberId],
+    situation: &Situation,
+) -> Vec<MemberId> {
+    let outside = complete.iter().filter(|m| !members.contains(m) && !placement.learners.contains(m));
+    let staying = members.iter().filter(|m| situation.staying(m)).count();
+    let missing = situation.copies.saturating_sub(staying);
+    let back: Vec<MemberId> =
+        outside.clone().filter(|m| situation.staying(m)).take(missing).copied().collect();
+    let has_complete = members.iter().chain(&back).any(|m| complete.contains(m));
+    if has_complete { back } else { outside.filter(|m| situation.sound(m)).take(1).copied().collect() }
+}
+
+/// Puts those that hold everything first: what the head's journal lacks is lost. False if no member does.
+pub(super) fn put_complete_first(members: &mut [MemberId], complete: &[MemberId]) -> bool {
+    members.sort_by_key(|m| !complete.contains(m));
+    members.first().is_some_and(|m| complete.contains(m))
+}
--- /dev/null
+++ b/crates/signalbox/tests/placement_random.rs
@@ -0,0 +1,284 @@
+//! Random losses, wiped disks, retirements and changes of the control head over a model of what stores hold.
+//!
+//! The model knows what the planner can only be told: how much every disk holds of every partition. No view may
+//! begin under a head that lacks something committed, whatever is lost at once; and once the machines are back
+//! and stay, every partition is whole again.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+
+use orchidvalve_signalbox::placement::{LiveStore, PARTITIONS, Situation, first_placement, is_empty, plan};
+use orchidvalve_track::identity::{MemberId, NodeAddress};
+use orchidvalve_waybill::state::Placement;
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
+
+const ZONES: [&str; 6] = ["a", "a", "b", "b", "c", "c"];
+const STEPS: usize = 1_500;
+/// Steps of which no report reaches the control head, after it has changed.
+const SILENT_STEPS: usize = 12;
+
+fn member(number: usize, disk: u64) -> MemberId {
+    MemberId { address: NodeAddress::new(Ipv4Addr::new(10, 0, 2, number as u8 + 1), 7000), disk }
+}
+
+/// A storage machine.
+#[derive(Clone, Debug)]
+struct Machine {
+    member: MemberId,
+    up: bool,
+    retiring: bool,
+    disk_trouble: bool,
+}
+
+/// What the disks hold of one partition.
+#[derive(Clone, Default, Debug)]
+struct Journals {
+    /// Entries that were committed.
+    committed: u64,
+    /// Entries on each disk.
+    held: BTreeMap<MemberId, u64>,
+    /// Members that hold everything committed before the view in force.
+    synchronized: BTreeSet<MemberId>,
+}
+
+struct Model {
+    random: Pcg64Mcg,
+    copies: usize,
+    machines: Vec<Machine>,
+    partitions: Vec<Placement>,
+    journals: Vec<Journals>,
+    ready: BTreeSet<(u16, u64, MemberId)>,
+    disks: u64,
+    silent_until: usize,
+    step: usize,
+    losses_at_once: usize,
+    /// How often a chain that was too short went on with a former member.
+    went_on_with_former: usize,
+    /// How often nothing could be done for want of a machine that is known to hold everything.
+    waited: usize,
+}
+
+impl Model {
+    fn new(seed: u64, copies: usize, losses_at_once: usize) -> Model {
+        let machine =
+            |number| Machine { member: member(number, 1), up: true, retiring: false, disk_trouble: false };
+        let mut model = Model {
+            random: Pcg64Mcg::seed_from_u64(seed),
+            copies,
+            machines: (0..ZONES.len()).map(machine).collect(),
+            partitions: Vec::new(),
+            journals: vec![Journals::default(); usize::from(PARTITIONS)],
+            ready: BTreeSet::new(),
+            disks: 1,
+            silent_until: 0,
+            step: 0,
+            losses_at_once,
+            went_on_with_former: 0,
+            waited: 0,
+        };
+        let live = model.live();
+        let first = first_placement(&Situation { live: &live, ready: &model.ready, copies });
+        for (partition, placement) in first {
+            model.partitions.push(placement);
+            model.take_up(usize::from(partition));
+        }
+        model
+    }
+
+    fn live(&self) -> Vec<LiveStore> {
+        let up = self.machines.iter().zip(ZONES).filter(|(machine, _)| machine.up);
+        let store = |(machine, zone): (&Machine, &str)| LiveStore {
+            member: machine.member,
+            zone: zone.to_owned(),
+            retiring: machine.retiring,
+            disk_trouble: machine.disk_trouble,
+        };
+        up.map(store).collect()
+    }
+
+    fn is_up(&self, member: &MemberId) -> bool {
+        self.machines.iter().any(|machine| machine.up && machine.member == *member)
+    }
+
+    /// A view is in force: its head's journal is the truth.
+    fn take_up(&mut self, partition: usize) {
+        let placement = &self.partitions[partition];
+        let journals = &mut self.journals[partition];
+        let head = placement.members[0];
+        let held = journals.held.entry(head).or_default();
+        assert!(
+            *held >= journals.committed,
+            "the head of {placement:?} holds {held} of {}",
+            journals.committed
+        );
+        journals.synchronized = BTreeSet::from([head]);
+    }
+
+    /// The members of one partition pass entries on; all of them together commit one.
+    fn run_chain(&mut self, partition: usize) {
+        let placement = self.partitions[partition].clone();
+        let chain: Vec<MemberId> = placement.members.iter().chain(&placement.learners).copied().collect();
+        for pair in chain.windows(2) {
+            let (from, to) = (pair[0], pair[1]);
+            let passes = self.is_up(&from) && self.is_up(&to) && self.random.random_bool(0.3);
+            let journals = &mut self.journals[partition];
+            if !passes || !journals.synchronized.contains(&from) {
+                continue;
+            }
+            journals.held.insert(to, journals.held[&from]);
+            if placement.members.contains(&to) {
+                journals.synchronized.insert(to);
+            } else {
+                self.report(partition, placement.epoch, to);
+            }
+        }
+        let all_up = placement.members.iter().all(|m| self.is_up(m));
+        let journals = &mut self.journals[partition];
+        let complete = placement.members.iter().all(|m| journals.synchronized.contains(m));
+        if all_up && complete && placement.members.len() >= self.copies {
+            journals.committed += 1;
+            journals.held.extend(placement.members.iter().map(|m| (*m, journals.committed)));
+        }
+        for member in journals.synchronized.clone() {
+            if self.is_up(&member) {
+                self.report(partition, placement.epoch, member);
+            }
+        }
+    }
+
+    /// A report that may be lost.
+    fn report(&mut self, partition: usize, epoch: u64, member: MemberId) {
+        if self.step >= self.silent_until && self.random.random_bool(0.4) {
+            self.ready.insert((partition as u16, epoch, member));
+        }
+    }
+
+    fn trouble(&mut self) {
+        let index = self.random.random_range(0..self.machines.len());
+        match self.random.random_range(0..100) {
+            0..8 => {
+                self.machines.iter_mut().for_each(|machine| machine.up = true);
+                for _ in 0..self.random.random_range(0..=self.losses_at_once) {
+                    let lost = self.random.random_range(0..self.machines.len());
+                    self.machines[lost].up = false;
+                }
+            }
+            8..12 => self.machines[index].up = true,
+            12..14 => {
+                let retiring = self.machines.iter().filter(|machine| machine.retiring).count();
+                self.machines[index].retiring = retiring == 0;
+            }
+            14..16 => self.machines[index].disk_trouble = !self.machines[index].disk_trouble,
+            16..18 => {
+                // Another control machine is the head and hasn't heard any store yet.
+                self.ready.clear();
+                self.silent_until = self.step + SILENT_STEPS;
+            }
+            18..21 => self.wipe(index),
+            _ => {}
+        }
+    }
+
+    /// A disk is lost unless it is the last that is known to hold everything.
+    fn wipe(&mut self, index: usize) {
+        let lost = self.machines[index].member;
+        let exists = |member: &MemberId| self.machines.iter().any(|machine| machine.member == *member);
+        let spared =
+            |placement: &Placement| placement.holders.iter().any(|holder| *holder != lost && exists(holder));
+        if self.partitions.iter().all(spared) {
+            self.disks += 1;
+            self.machines[index].member = member(index, self.disks);
+            for journals in &mut self.journals {
+                journals.held.remove(&lost);
+            }
+        }
+    }
+
+    fn place(&mut self) {
+        let live = self.live();
+        let situation = Situation { live: &live, ready: &self.ready, copies: self.copies };
+        let changes = plan(&self.partitions, &situation);
+        for (index, placement) in self.partitions.iter().enumerate() {
+            let has_lost = placement.members.iter().any(|m| !self.is_up(m));
+            if has_lost && !changes.iter().any(|(partition, _)| usize::from(*partition) == index) {
+                self.waited += 1;
+            }
+        }
+        for (partition, next) in changes {
+            self.check(partition, &next);
+            self.partitions[usize::from(partition)] = next;
+            self.take_up(usize::from(partition));
+        }
+    }
+
+    fn check(&mut self, partition: u16, next: &Placement) {
+        let before = &self.partitions[usize::from(partition)];
+        assert_eq!(next.epoch, before.epoch + 1);
+        let listed: BTreeSet<_> = next.members.iter().chain(&next.learners).collect();
+        assert_eq!(listed.len(), next.members.len() + next.learners.len(), "{before:?} -> {next:?}");
+        for member in next.members.iter().filter(|m| !before.members.contains(m)) {
+            let is_ready = self.ready.contains(&(partition, before.epoch, *member));
+            let is_former = before.is_short() && before.holders.contains(member);
+            assert!(is_ready || is_former, "{before:?} -> {next:?}");
+        }
+        if !next.members.iter().any(|m| before.members.contains(m)) {
+            self.went_on_with_former += 1;
+        }
+        let journals = &self.journals[usize::from(partition)];
+        for holder in next.holders.iter().filter(|holder| journals.held.contains_key(holder)) {
+            assert!(journals.held[holder] >= journals.committed, "{holder} is no holder: {next:?}");
+        }
+    }
+
+    fn run(&mut self) {
+        for step in 0..STEPS {
+            self.step = step;
+            self.trouble();
+            self.place();
+            for partition in 0..self.partitions.len() {
+                self.run_chain(partition);
+            }
+        }
+    }
+
+    /// All machines are back, one is to be emptied.
+    fn calm(&mut self) {
+        for machine in &mut self.machines {
+            *machine = Machine { up: true, retiring: false, disk_trouble: false, ..machine.clone() };
+        }
+        self.machines[0].retiring = true;
+        for _ in 0..100 {
+            self.step += 1;
+            self.place();
+            for partition in 0..self.partitions.len() {
+                self.run_chain(partition);
+            }
+        }
+    }
+}
+
+#[rstest]
+fn no_partition_is_led_by_a_store_that_lacks_something(
+    #[values(2, 3)] copies: usize,
+    #[values(1, 2, 4)] losses_at_once: usize,
+) {
+    let (mut waited, mut went_on_with_former) = (0, 0);
+    for seed in 0..25 {
+        let mut model = Model::new(seed, copies, losses_at_once);
+        model.run();
+        model.calm();
+        for (index, placement) in model.partitions.iter().enumerate() {
+            assert_eq!((placement.members.len(), placement.learners.len()), (copies, 0), "{placement:?}");
+            assert!(model.journals[index].committed > 50, "seed {seed}: partition {index} stood still");
+        }
+        assert!(is_empty(&model.machines[0].member, &model.partitions));
+        waited += model.waited;
+        went_on_with_former += model.went_on_with_former;
+    }
+    if losses_at_once >= copies {
+        assert!(waited > 100, "{waited} steps without a known holder aren't enough");
+        assert!(went_on_with_former > 10, "former members went on only {went_on_with_former} times");
+    }
+}
