Placement: a partition whose holders are all wiped begins anew instead of waiting for ever

Cause: when every machine that held a partition has come back with another disk, nobody is left who could go on with it; it waited for members that can't come any more, and its eighth of all jobs was refused until the end.

Former jobs are then unknown (404), which is the truth: going on from a member that lacks something would let positions of results that were read change. The loss is beyond what fault-tolerance bears, and logged as an error.

Tests: signalbox placement.rs (is_lost, begin_anew), placement_random.rs (disks lost whatever they hold), duty_of_placement.rs (10 s, started over when a member shows up or the duty moves), goodsyard jobs.rs (five).

--- a/crates/goodsyard/src/partition.rs
+++ b/crates/goodsyard/src/partition.rs
@@ -4,7 +4,7 @@
 use std::rc::Rc;
 
 use compact_str::CompactString;
-use orchidvalve_coupling::{ChainView, Message, Output as ChainOutput, Replica};
+use orchidvalve_coupling::{ChainView, JournalState, Message, Output as ChainOutput, Replica};
 use orchidvalve_track::identity::MemberId;
 use orchidvalve_track::messages::ToControl;
 
@@ -47,6 +47,7 @@
 pub(crate) struct Partition {
     number: u16,
     me: MemberId,
+    nonce: u64,
     pub replica: Replica,
     pub journal: MemoryJournal,
     pub jobs: JobTable,
@@ -77,6 +78,7 @@
         Partition {
             number,
             me,
+            nonce,
             replica,
             journal: recovered.journal,
             jobs: JobTable::default(),
@@ -114,10 +116,14 @@
         result
     }
 
-    pub fn view_changed(&mut self, view: ChainView, sinks: &mut Sinks<'_>) {
+    /// Takes up a view whose journal began anew in the epoch `anew_since`, or 0.
+    pub fn view_changed(&mut self, view: ChainView, anew_since: u64, sinks: &mut Sinks<'_>) {
         if view.epoch < self.view_epoch || view.epoch <= self.replica.view().epoch {
             return;
         }
+        if self.is_before(anew_since) {
+            self.begin_anew(sinks);
+        }
         if view.epoch > self.view_epoch {
             self.view_epoch = view.epoch;
             self.write_base(sinks);
@@ -126,6 +132,30 @@
         self.left_at = if self.is_here() { None } else { self.left_at.or(Some(sinks.now)) };
     }
 
+    /// Whether what is here stems from before the journal began anew in this epoch.
+    pub fn is_before(&self, anew_since: u64) -> bool {
+        self.view_epoch < anew_since
+    }
+
+    /// Forgets everything: all machines that held the partition's journal were lost, and another one begins.
+    fn begin_anew(&mut self, sinks: &mut Sinks<'_>) {
+        let partition = self.number;
+        log::warn!("store: partition {partition} begins anew");
+        self.replica = Replica::new(self.me, JournalState::default(), self.nonce);
+        self.forget_journal();
+        self.ready_learners.clear();
+        let reset = DiskRecord::Reset { partition, start: 1, previous_epoch: 0 };
+        sinks.disk.write(&reset, sinks.outputs);
+        sinks.effects.push((partition, Effect::Replaced));
+    }
+
+    fn forget_journal(&mut self) {
+        self.journal.clear();
+        self.undecided = Undecided::default();
+        self.writes.clear();
+        self.jobs.clear();
+    }
+
     /// Whether the view in force has a copy here.
     fn is_here(&self) -> bool {
         self.replica.view().predecessor(self.me).is_some() || self.replica.is_head()
@@ -201,10 +231,7 @@
                 sinks.disk.write(&DiskRecord::Truncate { partition, after }, sinks.outputs);
             }
             ChainOutput::Reset { start, previous_epoch } => {
-                self.journal.clear();
-                self.undecided = Undecided::default();
-                self.writes.clear();
-                self.jobs.clear();
+                self.forget_journal();
                 sinks.disk.write(&DiskRecord::Reset { partition, start, previous_epoch }, sinks.outputs);
                 self.write_base(sinks);
                 sinks.effects.push((partition, Effect::Replaced));
--- a/crates/goodsyard/src/store.rs
+++ b/crates/goodsyard/src/store.rs
@@ -158,6 +158,9 @@
         let nonce = self.nonce;
         let create = || Partition::new(number, me, RecoveredPartition::default(), nonce);
         let partition = self.partitions.entry(number).or_insert_with(create);
+        if partition.is_before(placement.anew_since) {
+            upkeep::take_back_all(partition, &mut self.doors);
+        }
         let before = partition.replica.view().epoch;
         let was_head = partition.replica.is_head();
         let view = ChainView {
@@ -166,7 +169,10 @@
             learners: placement.learners.clone(),
             minimum: self.settings.minimum_copies.max(placement.copies as usize),
         };
-        self.with_partition(number, moment, outputs, |partition, sinks| partition.view_changed(view, sinks));
+        let anew_since = placement.anew_since;
+        self.with_partition(number, moment, outputs, |partition, sinks| {
+            partition.view_changed(view, anew_since, sinks);
+        });
         if self.partitions[&number].replica.view().epoch != before {
             self.view_changed(number, was_head, moment, outputs);
         }
--- a/crates/goodsyard/src/store/upkeep.rs
+++ b/crates/goodsyard/src/store/upkeep.rs
@@ -3,8 +3,10 @@
 use orchidvalve_track::messages::FromStore;
 
 use crate::HEARTBEAT_MS;
+use crate::doors::Doors;
 use crate::entry::EntryRef;
 use crate::handout;
+use crate::partition::Partition;
 use crate::peer::Output;
 use crate::store::{Moment, Store};
 
@@ -127,13 +129,7 @@
         match (was_head, partition.replica.is_head()) {
             (true, true) => handout::send_again(partition, &self.doors, None, moment, outputs),
             (true, false) => {
-                partition.jobs.for_each_open(|open| {
-                    for index in 0..open.groups.len() {
-                        if let Some(door) = open.groups[index].door {
-                            self.doors.relieve(door, open.take_back(index, 0));
-                        }
-                    }
-                });
+                take_back_all(partition, &mut self.doors);
                 self.recorded_by.retain(|(partition, _, _), _| *partition != number);
             }
             (false, true) => self.cancel_ended(None, moment.steady, outputs),
@@ -154,3 +150,14 @@
         }
     }
 }
+
+/// Takes all groups of a partition back from their doors.
+pub(super) fn take_back_all(partition: &mut Partition, doors: &mut Doors) {
+    partition.jobs.for_each_open(|open| {
+        for index in 0..open.groups.len() {
+            if let Some(door) = open.groups[index].door {
+                doors.relieve(door, open.take_back(index, 0));
+            }
+        }
+    });
+}
--- a/crates/goodsyard/tests/jobs.rs
+++ b/crates/goodsyard/tests/jobs.rs
@@ -382,3 +382,105 @@
     let call = world.submit(1, 0, "j", job("j", 1, 2, 1));
     assert!(matches!(world.answer(1, call), Some(StoreAnswer::Refused { .. })));
 }
+
+/// All machines that held the partition came back with other disks: its journal begins anew on others, of which one
+/// still has something of the former one.
+fn begun_anew() -> World {
+    let mut world = with_job(1, 8, 1);
+    world.report(1, 0, "j", &["j-0-1"]);
+    world.run();
+    let anew = Placement {
+        epoch: 2,
+        members: vec![member(2), member(1)],
+        learners: vec![member(3)],
+        anew_since: 2,
+        ..Placement::default()
+    };
+    for index in 0..3 {
+        world.place_at(index, &anew);
+    }
+    world.run();
+    world
+}
+
+#[test]
+fn jobs_of_a_partition_that_began_anew_are_unknown() {
+    let mut world = begun_anew();
+    for index in 0..2 {
+        let (read, end) = (world.read(1, index, "j", 0, 0), world.end(1, index, "j"));
+        world.run();
+        assert_eq!([read, end].map(|call| world.answer(1, call)), [Some(&StoreAnswer::NotFound); 2]);
+    }
+    world.doors.get_mut(&1).unwrap().assigned.clear();
+    world.advance(2_000);
+    assert_eq!(world.doors[&1].assigned.len(), 0, "nothing of the former jobs runs any more");
+}
+
+#[test]
+fn a_restart_brings_nothing_of_the_former_journal_back() {
+    let mut world = begun_anew();
+    world.restart(0);
+    world.restart(1);
+    world.place(3, &[member(1), member(2)], &[]);
+    world.door_up(1, 1);
+    let call = world.read(1, 0, "j", 0, 0);
+    world.run();
+    assert_eq!(world.answer(1, call), Some(&StoreAnswer::NotFound));
+}
+
+#[test]
+fn the_head_of_a_partition_that_began_anew_hands_out_again() {
+    let mut world = with_job(1, 8, 1);
+    let anew =
+        Placement { epoch: 2, members: vec![member(1), member(2)], anew_since: 2, ..Placement::default() };
+    world.place_at(0, &anew);
+    world.place_at(1, &anew);
+    world.run();
+    world.doors.get_mut(&1).unwrap().assigned.clear();
+    world.submit(1, 0, "k", job("k", 1, 8, 1));
+    world.run();
+    assert_eq!(world.doors[&1].assigned.len(), 1);
+}
+
+#[test]
+fn a_partition_that_began_anew_takes_jobs_and_keeps_them() {
+    let mut world = begun_anew();
+    let call = world.submit(1, 1, "j", job("j", 1, 8, 1));
+    world.run();
+    assert_eq!(world.answer(1, call), Some(&StoreAnswer::Accepted));
+    assert!(world.doors[&1].assigned.iter().any(|(terms, _)| terms.epoch == 2), "the door has room for it");
+    world.report(1, 1, "j", &["j-0-0"]);
+    world.run();
+    world.restart(0);
+    world.restart(1);
+    world.place(3, &[member(1), member(2)], &[]);
+    world.door_up(1, 1);
+    let call = world.read(1, 0, "j", 0, 0);
+    world.run();
+    assert_eq!(listed(world.answer(1, call)), ["j-0-0"]);
+}
+
+#[test]
+fn a_store_that_comes_back_with_the_former_journal_drops_it() {
+    let mut world = with_job(1, 2, 1);
+    world.report(1, 0, "j", &["j-0-1"]);
+    world.run();
+    let anew =
+        Placement { epoch: 2, members: vec![member(1), member(2)], anew_since: 2, ..Placement::default() };
+    world.place_at(0, &anew);
+    world.place_at(1, &anew);
+    world.submit(1, 0, "j", job("j", 1, 2, 1));
+    world.run();
+    world.restart(2);
+    let grown = Placement { epoch: 3, members: vec![member(1), member(2), member(3)], ..anew };
+    for index in 0..3 {
+        world.place_at(index, &grown);
+    }
+    world.run();
+    world.report(1, 0, "j", &["j-0-0"]);
+    world.run();
+    world.door_up(1, 1);
+    let call = world.read(1, 2, "j", 0, 0);
+    world.run();
+    assert_eq!(listed(world.answer(1, call)), ["j-0-0"]);
+}
--- a/crates/signalbox/src/duties.rs
+++ b/crates/signalbox/src/duties.rs
@@ -39,6 +39,10 @@
 /// A storage machine that isn't there for the first placement is waited for so long.
 const FIRST_PLACEMENT_WAIT_MS: u64 = 1_000;
 
+/// A partition whose holders are all lost for certain begins anew after this time: a member that holds everything
+/// after all reports so every second.
+const LOSS_CONFIRMATION_MS: u64 = 10_000;
+
 /// What a call of a duty is for.
 #[derive(Debug)]
 pub enum Purpose {
@@ -76,6 +80,8 @@
     listed: Vec<ServerEntry>,
     ready_learners: BTreeSet<(u16, u64, MemberId)>,
     next_placement: u64,
+    /// Partitions whose holders are all lost, and since when that is seen.
+    lost_since: BTreeMap<u16, u64>,
     /// Use of models as it was logged last.
     told_models: BTreeMap<String, ModelUse>,
 }
@@ -94,6 +100,7 @@
             listed: Vec::new(),
             ready_learners: BTreeSet::new(),
             next_placement: 0,
+            lost_since: BTreeMap::new(),
             told_models: BTreeMap::new(),
         }
     }
@@ -106,6 +113,7 @@
             self.holder.end();
             self.planner.reset();
             self.reading = None;
+            self.lost_since.clear();
             return;
         }
         let wait = self.options.lease_ms + ORDER_VALIDITY_MS + ORDER_MARGIN_MS;
@@ -388,7 +396,8 @@
             presume_members(state, &mut live);
         }
         let copies = self.options.tolerance + 1;
-        let situation = Situation { live: &live, ready: &self.ready_learners, copies };
+        let lost = self.lost_partitions(now, state, &live);
+        let situation = Situation { live: &live, ready: &self.ready_learners, copies, lost: &lost };
         let changes = if state.partitions().is_empty() {
             if now < since + FIRST_PLACEMENT_WAIT_MS && live.len() <= copies {
                 return None;
@@ -413,6 +422,34 @@
     Destination { address, carrier, begun_at: now, deadline: now + timeout_ms }
 }
 
+impl Duties {
+    /// Partitions that nobody holds any more, seen to be so for long enough.
+    fn lost_partitions(&mut self, now: u64, state: &ControlState, live: &[LiveStore]) -> BTreeSet<u16> {
+        let copies = self.options.tolerance + 1;
+        let none = BTreeSet::new();
+        let situation = Situation { live, ready: &self.ready_learners, copies, lost: &none };
+        let partitions = (0u16..).zip(state.partitions());
+        let seen: BTreeSet<u16> = partitions
+            .filter(|(p, placement)| placement::is_lost(*p, placement, &situation))
+            .map(|(p, _)| p)
+            .collect();
+        self.lost_since.retain(|partition, _| seen.contains(partition));
+        for partition in seen {
+            self.lost_since.entry(partition).or_insert(now);
+        }
+        let is_sure = |since: &u64| now >= since + LOSS_CONFIRMATION_MS;
+        let lost: BTreeSet<u16> =
+            self.lost_since.iter().filter(|(_, since)| is_sure(since)).map(|(p, _)| *p).collect();
+        if !lost.is_empty() {
+            log::error!(
+                "placement: all machines that held partitions {lost:?} came back with other disks, more than \
+                 fault-tolerance bears: they begin anew, their jobs are gone"
+            );
+        }
+        lost
+    }
+}
+
 fn live_stores(state: &ControlState, sessions: &SessionTable) -> Vec<LiveStore> {
     let stores = sessions.sessions().filter(|s| s.role == Role::Store);
     let live = stores.map(|session| LiveStore {
--- a/crates/signalbox/src/placement.rs
+++ b/crates/signalbox/src/placement.rs
@@ -14,6 +14,8 @@
 
 use crate::placement::holders::{complete_machines, next_holders, put_complete_first, returning_holders};
 
+pub use crate::placement::holders::is_lost;
+
 /// Number of partitions of the batch store; a job belongs to one of them by its id.
 pub const PARTITIONS: u16 = 8;
 
@@ -36,6 +38,8 @@
     pub ready: &'a BTreeSet<(u16, u64, MemberId)>,
     /// Copies that an acknowledgement needs.
     pub copies: usize,
+    /// Partitions that begin anew, since [`is_lost`] has held for long enough.
+    pub lost: &'a BTreeSet<u16>,
 }
 
 impl Situation<'_> {
@@ -43,6 +47,12 @@
         self.live.iter().find(|s| s.member == *member)
     }
 
+    /// Whether the machine's address has come back with another disk: what it held is gone.
+    fn is_wiped(&self, member: &MemberId) -> bool {
+        let is_at_address = |s: &&LiveStore| s.member.address == member.address;
+        self.live.iter().find(is_at_address).is_some_and(|s| s.member != *member)
+    }
+
     fn sound(&self, member: &MemberId) -> bool {
         self.find(member).is_some_and(|s| !s.disk_trouble)
     }
@@ -64,19 +74,31 @@
     }
     let mut load: BTreeMap<MemberId, usize> = BTreeMap::new();
     let mut place = |partition: u16| {
-        let mut members = vec![stores[usize::from(partition) % stores.len()]];
-        while members.len() < situation.copies {
-            members.extend(successor(&members, situation, &load));
-        }
-        for member in &members {
+        let first = stores[usize::from(partition) % stores.len()];
+        let placement = fresh_placement(1, first, situation, &load);
+        for member in &placement.members {
             *load.entry(*member).or_default() += 1;
         }
-        let copies = situation.copies as u32;
-        (partition, Placement { epoch: 1, holders: members.clone(), members, copies, ..Placement::default() })
+        (partition, placement)
     };
     (0..PARTITIONS).map(&mut place).collect()
 }
 
+/// A placement of a partition that holds nothing yet. There have to be enough machines.
+fn fresh_placement(
+    epoch: u64,
+    first: MemberId,
+    situation: &Situation,
+    load: &BTreeMap<MemberId, usize>,
+) -> Placement {
+    let mut members = vec![first];
+    while members.len() < situation.copies {
+        members.extend(successor(&members, situation, load));
+    }
+    let copies = situation.copies as u32;
+    Placement { epoch, holders: members.clone(), members, copies, ..Placement::default() }
+}
+
 /// Machines that may hold copies, in an order in which neighbours are in other zones where that can be.
 fn by_alternating_zone(situation: &Situation) -> Vec<MemberId> {
     let mut zones: BTreeMap<&str, Vec<MemberId>> = BTreeMap::new();
@@ -97,9 +119,16 @@
     let mut changes = Vec::new();
     for (index, placement) in partitions.iter().enumerate() {
         let partition = index as u16;
-        if let Some(next) = next_step(partition, placement, situation, &load) {
-            for learner in next.learners.iter().filter(|l| !placement.learners.contains(l)) {
-                *load.entry(*learner).or_default() += 1;
+        let next = if situation.lost.contains(&partition) {
+            begin_anew(placement, situation, &load)
+        } else {
+            next_step(partition, placement, situation, &load)
+        };
+        if let Some(next) = next {
+            let copying = next.learners.iter().filter(|l| !placement.learners.contains(l));
+            let beginning = next.members.iter().filter(|_| next.anew_since != placement.anew_since);
+            for added in copying.chain(beginning) {
+                *load.entry(*added).or_default() += 1;
             }
             changes.push((partition, Placement { epoch: placement.epoch + 1, ..next }));
         }
@@ -149,6 +178,21 @@
     Some(next)
 }
 
+/// The placement of a partition that begins anew; None until enough machines are there.
+fn begin_anew(
+    placement: &Placement,
+    situation: &Situation,
+    load: &BTreeMap<MemberId, usize>,
+) -> Option<Placement> {
+    let staying = situation.live.iter().filter(|s| situation.staying(&s.member)).count();
+    if staying < situation.copies {
+        return None;
+    }
+    let first = successor(&[], situation, load)?;
+    let fresh = fresh_placement(placement.epoch, first, situation, load);
+    Some(Placement { anew_since: placement.epoch + 1, ..fresh })
+}
+
 /// Takes out machines that are to be emptied where enough others are members and hold everything. What was
 /// committed since a learner was ready reaches it in the view in which it joins: until it says that it has that,
 /// too, nothing is taken from the machines that do.
--- a/crates/signalbox/src/placement/holders.rs
+++ b/crates/signalbox/src/placement/holders.rs
@@ -56,3 +56,12 @@
     members.sort_by_key(|m| !complete.contains(m));
     members.first().is_some_and(|m| complete.contains(m))
 }
+
+/// Whether everything that could hold all of a partition is gone: the disks of all machines known to hold it, and
+/// no member is left that might and hasn't said so yet. As long as it might, its report comes within a second.
+pub fn is_lost(partition: u16, placement: &Placement, situation: &Situation) -> bool {
+    let complete = complete_machines(partition, placement, situation);
+    let is_gone = |m: &MemberId| situation.is_wiped(m);
+    let is_behind = |m: &MemberId| !complete.contains(m) && situation.sound(m);
+    complete.iter().all(is_gone) && placement.members.iter().all(|m| is_gone(m) || is_behind(m))
+}
--- /dev/null
+++ b/crates/signalbox/tests/duty_of_placement.rs
@@ -0,0 +1,130 @@
+//! The duty of placing partitions: which stores count as live, and when a lost partition is given up.
+
+use std::net::Ipv4Addr;
+
+use orchidvalve_signalbox::duties::{Duties, DutyOptions};
+use orchidvalve_signalbox::sessions::{Session, SessionTable};
+use orchidvalve_track::identity::{MemberId, NodeAddress};
+use orchidvalve_track::messages::{Introduction, Role};
+use orchidvalve_waybill::state::{Change, ControlState, Placement};
+
+/// When this machine became the head.
+const SINCE: u64 = 1_000;
+
+fn member(number: u8, disk: u64) -> MemberId {
+    MemberId { address: NodeAddress::new(Ipv4Addr::new(10, 0, 2, number), 7000), disk }
+}
+
+fn session(member: MemberId) -> Session {
+    let introduction = Introduction {
+        version: 1,
+        role: Role::Store,
+        name: format!("store-{}", member.address),
+        zone: format!("zone-{}", member.address),
+        member,
+        incarnation: member.disk,
+        share: 1.0,
+    };
+    Session::new(&introduction)
+}
+
+fn sessions(members: &[MemberId]) -> SessionTable {
+    let mut table = SessionTable::default();
+    members.iter().for_each(|member| table.opened(session(*member)));
+    table
+}
+
+fn placed(members: &[MemberId]) -> ControlState {
+    let placement = Placement {
+        epoch: 1,
+        members: members.to_vec(),
+        holders: members.to_vec(),
+        copies: 2,
+        ..Placement::default()
+    };
+    let mut state = ControlState::default();
+    state.apply(&Change::Place(vec![(0, placement)])).unwrap();
+    state
+}
+
+fn duties() -> Duties {
+    let options = DutyOptions { name: "control".to_owned(), platform: None, lease_ms: 1_000, tolerance: 1 };
+    let mut duties = Duties::new(options);
+    duties.view_changed(SINCE, 1, true, false);
+    duties
+}
+
+/// The next placement of the first partition.
+fn next(change: Option<Change>) -> Option<Placement> {
+    let Some(Change::Place(mut placements)) = change else { return None };
+    Some(placements.remove(0).1)
+}
+
+/// The time at which the duty first wants another placement, looking every 50 ms for `longest`, and what it wants.
+fn first_change(
+    duties: &mut Duties,
+    state: &ControlState,
+    sessions: &SessionTable,
+    longest: u64,
+) -> Option<(u64, Placement)> {
+    let mut times = (SINCE..SINCE + longest).step_by(50);
+    times.find_map(|now| next(duties.place(now, state, sessions)).map(|placement| (now - SINCE, placement)))
+}
+
+#[test]
+fn a_new_head_waits_for_the_sessions_of_members_before_it_takes_them_for_lost() {
+    let state = placed(&[member(1, 1), member(2, 1)]);
+    let here = sessions(&[member(1, 1), member(3, 1)]);
+    let (after, placement) = first_change(&mut duties(), &state, &here, 5_000).unwrap();
+    assert_eq!(after, 1_500);
+    assert_eq!(placement.members, [member(1, 1)]);
+}
+
+#[test]
+fn a_wiped_member_is_taken_out_at_once() {
+    let state = placed(&[member(1, 1), member(2, 1)]);
+    let here = sessions(&[member(1, 1), member(2, 2)]);
+    let (after, placement) = first_change(&mut duties(), &state, &here, 5_000).unwrap();
+    assert_eq!(after, 0);
+    assert_eq!((placement.members, placement.learners), (vec![member(1, 1)], vec![member(2, 2)]));
+}
+
+#[test]
+fn a_partition_begins_anew_only_after_its_loss_was_seen_for_a_while() {
+    let state = placed(&[member(1, 1), member(2, 1)]);
+    let wiped = sessions(&[member(1, 2), member(2, 2), member(3, 1)]);
+    let (after, placement) = first_change(&mut duties(), &state, &wiped, 20_000).unwrap();
+    assert_eq!(after, 10_000);
+    assert_eq!(placement.anew_since, 2);
+}
+
+#[test]
+fn a_loss_that_turns_out_to_be_none_starts_the_wait_over() {
+    let state = placed(&[member(1, 1), member(2, 1)]);
+    let wiped = sessions(&[member(1, 2), member(2, 2), member(3, 1)]);
+    let one_back = sessions(&[member(1, 2), member(3, 1)]);
+    let mut duties = duties();
+    assert_eq!(next(duties.place(SINCE, &state, &wiped)), None);
+    assert_eq!(next(duties.place(SINCE + 9_000, &state, &one_back)), None);
+    assert_eq!(next(duties.place(SINCE + 11_000, &state, &wiped)), None);
+    assert_eq!(next(duties.place(SINCE + 20_900, &state, &wiped)), None);
+    assert!(next(duties.place(SINCE + 21_000, &state, &wiped)).is_some());
+}
+
+#[test]
+fn a_machine_that_loses_the_duty_begins_the_wait_anew() {
+    let state = placed(&[member(1, 1), member(2, 1)]);
+    let wiped = sessions(&[member(1, 2), member(2, 2), member(3, 1)]);
+    let mut duties = duties();
+    assert_eq!(next(duties.place(SINCE, &state, &wiped)), None);
+    duties.view_changed(SINCE + 1_000, 2, false, false);
+    duties.view_changed(SINCE + 9_000, 3, true, false);
+    assert_eq!(next(duties.place(SINCE + 18_900, &state, &wiped)), None);
+}
+
+#[test]
+fn a_partition_whose_members_are_only_away_waits_for_them() {
+    let state = placed(&[member(1, 1), member(2, 1)]);
+    let away = sessions(&[member(3, 1), member(4, 1)]);
+    assert_eq!(first_change(&mut duties(), &state, &away, 60_000), None);
+}
--- a/crates/signalbox/tests/placement.rs
+++ b/crates/signalbox/tests/placement.rs
@@ -3,11 +3,14 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
-use orchidvalve_signalbox::placement::{LiveStore, PARTITIONS, Situation, first_placement, is_empty, plan};
+use orchidvalve_signalbox::placement::{
+    LiveStore, PARTITIONS, Situation, first_placement, is_empty, is_lost, plan,
+};
 use orchidvalve_track::identity::{MemberId, NodeAddress};
 use orchidvalve_waybill::state::Placement;
 use rstest::rstest;
 
+type Lost = BTreeSet<u16>;
 type Ready = BTreeSet<(u16, u64, MemberId)>;
 
 fn member(number: u8) -> MemberId {
@@ -33,6 +36,7 @@
         learners: members(learners),
         holders: members(in_chain),
         copies: 2,
+        anew_since: 0,
     }
 }
 
@@ -40,18 +44,24 @@
     text.bytes().map(|b| b - b'0').collect()
 }
 
-/// Stores by number and zone; a mark behind the zone: `r`etiring, `d`isk trouble.
+/// Stores by number and zone; a mark behind the zone: `r`etiring, `d`isk trouble, `w`iped: it has another disk.
 fn stores(text: &str) -> Vec<LiveStore> {
     let read = |word: &str| {
         let (number, rest) = word.split_at(1);
         let (number, zone) = (number.parse().unwrap(), &rest[..1]);
-        LiveStore { retiring: rest.contains('r'), disk_trouble: rest.contains('d'), ..store(number, zone) }
+        let disk = if rest.contains('w') { 1 } else { member(number).disk };
+        LiveStore {
+            member: MemberId { disk, ..member(number) },
+            retiring: rest.contains('r'),
+            disk_trouble: rest.contains('d'),
+            ..store(number, zone)
+        }
     };
     text.split_whitespace().map(read).collect()
 }
 
 fn first(live: &[LiveStore], copies: usize) -> Vec<(u16, Placement)> {
-    first_placement(&Situation { live, ready: &Ready::new(), copies })
+    first_placement(&Situation { live, ready: &Ready::new(), copies, lost: &Lost::new() })
 }
 
 #[rstest]
@@ -164,7 +174,7 @@
     };
     let ready: Ready = numbers(ready).into_iter().map(|m| (0, 7, member(m))).collect();
     let live = stores(live);
-    let changes = plan(&[before], &Situation { live: &live, ready: &ready, copies: 2 });
+    let changes = plan(&[before], &Situation { live: &live, ready: &ready, copies: 2, lost: &Lost::new() });
     let after = changes.iter().map(|(_, next)| (next.epoch, next.members.clone(), next.learners.clone()));
     let expected = expected.map(|(m, l)| (8, members(&numbers(m)), members(&numbers(l))));
     assert_eq!(after.collect::<Vec<_>>(), Vec::from_iter(expected));
@@ -194,7 +204,7 @@
     };
     let ready: Ready = numbers(ready).into_iter().map(|m| (0, 7, member(m))).collect();
     let live = stores(live);
-    let changes = plan(&[before], &Situation { live: &live, ready: &ready, copies: 2 });
+    let changes = plan(&[before], &Situation { live: &live, ready: &ready, copies: 2, lost: &Lost::new() });
     assert_eq!(changes[0].1.holders, members(&numbers(expected)));
 }
 
@@ -205,7 +215,10 @@
 fn readiness_counts_for_its_partition_and_epoch(#[case] partition: u16, #[case] epoch: u64) {
     let live = stores("1a 3b");
     let ready = Ready::from([(partition, epoch, member(3))]);
-    let changes = plan(&[placement(7, &[1], &[3])], &Situation { live: &live, ready: &ready, copies: 2 });
+    let changes = plan(
+        &[placement(7, &[1], &[3])],
+        &Situation { live: &live, ready: &ready, copies: 2, lost: &Lost::new() },
+    );
     assert_eq!(changes, []);
 }
 
@@ -216,7 +229,7 @@
 fn a_successor_is_in_a_zone_without_a_copy(#[case] members: &str, #[case] live: &str, #[case] expected: u8) {
     let numbers: Vec<u8> = members.bytes().map(|b| b - b'0').collect();
     let live = stores(live);
-    let situation = Situation { live: &live, ready: &Ready::new(), copies: 2 };
+    let situation = Situation { live: &live, ready: &Ready::new(), copies: 2, lost: &Lost::new() };
     let changes = plan(&[placement(1, &numbers, &[])], &situation);
     assert_eq!(changes[0].1.learners, [member(expected)]);
 }
@@ -225,7 +238,7 @@
 fn a_machine_that_comes_back_with_another_disk_is_another_member() {
     let wiped = LiveStore { member: MemberId { disk: 999, ..member(2) }, ..store(2, "b") };
     let live = [store(1, "a"), wiped.clone()];
-    let situation = Situation { live: &live, ready: &Ready::new(), copies: 2 };
+    let situation = Situation { live: &live, ready: &Ready::new(), copies: 2, lost: &Lost::new() };
     let changes = plan(&[placement(1, &[1, 2], &[])], &situation);
     assert_eq!(changes[0].1.members, [member(1)]);
     assert_eq!(changes[0].1.learners, [wiped.member]);
@@ -236,7 +249,8 @@
     let live = stores("1a 2a 3b 4b 5b");
     let partitions: Vec<Placement> = first(&live, 2).into_iter().map(|(_, p)| p).collect();
     let left: Vec<LiveStore> = live.iter().filter(|s| s.member != member(1)).cloned().collect();
-    let changes = plan(&partitions, &Situation { live: &left, ready: &Ready::new(), copies: 2 });
+    let changes =
+        plan(&partitions, &Situation { live: &left, ready: &Ready::new(), copies: 2, lost: &Lost::new() });
     assert!(changes.iter().all(|(_, p)| p.learners.len() == 1));
     let mut load = BTreeMap::new();
     for (index, before) in partitions.iter().enumerate() {
@@ -256,3 +270,52 @@
     let partitions = [placement(1, &[1, 2], &[3])];
     assert_eq!([1, 2, 3, 4].map(|m| is_empty(&member(m), &partitions)), [false, false, false, true]);
 }
+
+/// Members, those known to hold everything; live stores, where `w` marks one with another disk; who has reported.
+#[rstest]
+#[case::the_only_holder_is_wiped("1", "1", "1aw 2b", "", true)]
+#[case::the_holder_is_away("1", "1", "2b", "", false)]
+#[case::the_holder_is_here("1", "1", "1a 2b", "", false)]
+#[case::one_of_two_holders_is_away("12", "12", "1aw", "", false)]
+#[case::both_are_wiped("12", "12", "1aw 2bw", "", true)]
+#[case::a_former_member_holds_everything("1", "12", "1aw", "", false)]
+#[case::a_former_member_is_wiped_too("1", "12", "1aw 2bw", "", true)]
+#[case::the_other_may_yet_report("12", "1", "1aw", "", false)]
+#[case::the_other_is_here_and_has_not_reported("12", "1", "1aw 2b", "", true)]
+#[case::the_other_has_reported("12", "1", "1aw 2b", "2", false)]
+#[case::the_other_cannot_write("12", "1", "1aw 2bd", "", false)]
+fn a_partition_is_lost_when_all_that_may_hold_everything_are_gone(
+    #[case] in_chain: &str,
+    #[case] holders: &str,
+    #[case] live: &str,
+    #[case] ready: &str,
+    #[case] expected: bool,
+) {
+    let before = Placement { holders: members(&numbers(holders)), ..placement(7, &numbers(in_chain), &[]) };
+    let ready: Ready = numbers(ready).into_iter().map(|m| (0, 7, member(m))).collect();
+    let live = stores(live);
+    let situation = Situation { live: &live, ready: &ready, copies: 2, lost: &Lost::new() };
+    assert_eq!(is_lost(0, &before, &situation), expected);
+}
+
+#[rstest]
+#[case::enough_machines("2b 3a", Some(vec![2, 3]))]
+#[case::one_retires("2b 3ar 4a", Some(vec![2, 4]))]
+#[case::too_few("2b", None)]
+fn a_lost_partition_begins_anew_on_machines_that_stay(#[case] live: &str, #[case] expected: Option<Vec<u8>>) {
+    let live = stores(live);
+    let lost = Lost::from([0]);
+    let situation = Situation { live: &live, ready: &Ready::new(), copies: 2, lost: &lost };
+    let changes = plan(&[placement(7, &[1], &[])], &situation);
+    let expected = expected.map(|fresh| (0, Placement { anew_since: 8, ..placement(8, &fresh, &[]) }));
+    assert_eq!(changes, Vec::from_iter(expected));
+}
+
+#[test]
+fn a_partition_that_began_anew_says_so_from_then_on() {
+    let live = stores("1a 2b 3a");
+    let before = Placement { anew_since: 5, ..placement(7, &[1, 4], &[]) };
+    let situation = Situation { live: &live, ready: &Ready::new(), copies: 2, lost: &Lost::new() };
+    let changes = plan(&[before], &situation);
+    assert_eq!((changes[0].1.epoch, changes[0].1.anew_since), (8, 5));
+}
--- a/crates/signalbox/tests/placement_random.rs
+++ b/crates/signalbox/tests/placement_random.rs
@@ -7,7 +7,9 @@
 use std::collections::{BTreeMap, BTreeSet};
 use std::net::Ipv4Addr;
 
-use orchidvalve_signalbox::placement::{LiveStore, PARTITIONS, Situation, first_placement, is_empty, plan};
+use orchidvalve_signalbox::placement::{
+    LiveStore, PARTITIONS, Situation, first_placement, is_empty, is_lost, plan,
+};
 use orchidvalve_track::identity::{MemberId, NodeAddress};
 use orchidvalve_waybill::state::Placement;
 use rand::{Rng, SeedableRng};
@@ -18,6 +20,8 @@
 const STEPS: usize = 1_500;
 /// Steps of which no report reaches the control head, after it has changed.
 const SILENT_STEPS: usize = 12;
+/// Steps for which a partition is seen to be lost before it begins anew: longer than reports may be silent.
+const LOSS_STEPS: usize = 40;
 
 fn member(number: usize, disk: u64) -> MemberId {
     MemberId { address: NodeAddress::new(Ipv4Addr::new(10, 0, 2, number as u8 + 1), 7000), disk }
@@ -54,6 +58,13 @@
     silent_until: usize,
     step: usize,
     losses_at_once: usize,
+    /// Partitions that begin anew.
+    lost: BTreeSet<u16>,
+    /// Steps since which each partition is seen to be lost.
+    lost_steps: BTreeMap<u16, usize>,
+    began_anew: usize,
+    /// Whether a disk may be lost that is the last to hold something.
+    wipes_last: bool,
     /// How often a chain that was too short went on with a former member.
     went_on_with_former: usize,
     /// How often nothing could be done for want of a machine that is known to hold everything.
@@ -75,11 +86,16 @@
             silent_until: 0,
             step: 0,
             losses_at_once,
+            lost: BTreeSet::new(),
+            lost_steps: BTreeMap::new(),
+            began_anew: 0,
+            wipes_last: false,
             went_on_with_former: 0,
             waited: 0,
         };
         let live = model.live();
-        let first = first_placement(&Situation { live: &live, ready: &model.ready, copies });
+        let first =
+            first_placement(&Situation { live: &live, ready: &model.ready, copies, lost: &BTreeSet::new() });
         for (partition, placement) in first {
             model.partitions.push(placement);
             model.take_up(usize::from(partition));
@@ -187,7 +203,7 @@
         let exists = |member: &MemberId| self.machines.iter().any(|machine| machine.member == *member);
         let spared =
             |placement: &Placement| placement.holders.iter().any(|holder| *holder != lost && exists(holder));
-        if self.partitions.iter().all(spared) {
+        if self.wipes_last || self.partitions.iter().all(spared) {
             self.disks += 1;
             self.machines[index].member = member(index, self.disks);
             for journals in &mut self.journals {
@@ -196,9 +212,39 @@
         }
     }
 
+    /// Looks for partitions that are lost for certain, as the control head does.
+    fn look_for_losses(&mut self) {
+        let live = self.live();
+        let none = BTreeSet::new();
+        let situation = Situation { live: &live, ready: &self.ready, copies: self.copies, lost: &none };
+        let mut steps = BTreeMap::new();
+        for (partition, placement) in (0u16..).zip(&self.partitions) {
+            if is_lost(partition, placement, &situation) {
+                let known = self.lost_steps.get(&partition).copied().unwrap_or(0);
+                steps.insert(partition, known + 1);
+            }
+        }
+        let sure = steps.iter().filter(|(_, steps)| **steps >= LOSS_STEPS);
+        self.lost = sure.map(|(partition, _)| *partition).collect();
+        self.lost_steps = steps;
+    }
+
+    /// The partition begins anew: that is right only if the disks of all holders and of all members that hold
+    /// everything are lost.
+    fn begin_anew(&mut self, partition: usize) {
+        let placement = &self.partitions[partition];
+        let journals = &mut self.journals[partition];
+        let mut holders = placement.holders.iter().chain(&journals.synchronized);
+        let whole = holders.find(|m| self.machines.iter().any(|machine| machine.member == **m));
+        assert!(whole.is_none(), "partition {partition} began anew, though {whole:?} holds everything");
+        *journals = Journals::default();
+        self.began_anew += 1;
+    }
+
     fn place(&mut self) {
+        self.look_for_losses();
         let live = self.live();
-        let situation = Situation { live: &live, ready: &self.ready, copies: self.copies };
+        let situation = Situation { live: &live, ready: &self.ready, copies: self.copies, lost: &self.lost };
         let changes = plan(&self.partitions, &situation);
         for (index, placement) in self.partitions.iter().enumerate() {
             let has_lost = placement.members.iter().any(|m| !self.is_up(m));
@@ -207,7 +253,11 @@
             }
         }
         for (partition, next) in changes {
-            self.check(partition, &next);
+            if next.anew_since == next.epoch {
+                self.begin_anew(usize::from(partition));
+            } else {
+                self.check(partition, &next);
+            }
             self.partitions[usize::from(partition)] = next;
             self.take_up(usize::from(partition));
         }
@@ -282,3 +332,21 @@
         assert!(went_on_with_former > 10, "former members went on only {went_on_with_former} times");
     }
 }
+
+/// Disks are lost whatever they hold: a partition begins anew only if all that held everything are lost, and in the
+/// end all are whole again.
+#[rstest]
+fn a_partition_whose_holders_are_all_wiped_begins_anew(#[values(2, 3)] copies: usize) {
+    let mut began_anew = 0;
+    for seed in 0..25 {
+        let mut model = Model::new(seed, copies, 2);
+        model.wipes_last = true;
+        model.run();
+        model.calm();
+        for placement in &model.partitions {
+            assert_eq!((placement.members.len(), placement.learners.len()), (copies, 0), "{placement:?}");
+        }
+        began_anew += model.began_anew;
+    }
+    assert!(began_anew > 20, "only {began_anew} partitions began anew");
+}
--- a/crates/waybill/src/state.rs
+++ b/crates/waybill/src/state.rs
@@ -85,6 +85,9 @@
     /// Copies that an acknowledgement needs in this view; 0 in placements of earlier versions, which didn't say.
     #[musli(default)]
     pub copies: u32,
+    /// Epoch in which the journal began anew, since every machine that held everything was lost; 0 if it never did.
+    #[musli(default)]
+    pub anew_since: u64,
 }
 
 impl Placement {
