Stores: a planned end hands the copies over first

Cause: a store that got SIGTERM ended at once, so every partition that it held was too short to commit until control had missed it and a learner had copied it, and a member that held the only copy took it along.

Change: StoreHealth gets the flag leaving, told with a heartbeat at once and with each one after it; control treats such a store like one that is to be emptied. The process ends when it is a member of no partition any more, when nothing is gained by waiting (nobody could take the copy, or control has named no learner within 1.5 s of a standing session), or 1.5 s before grace-s is over (new option grace_ms). Retiring members are released one by one as soon as enough members that hold everything are left, so of two that leave with one successor one may go; if the head goes, one that holds everything leads. A learner of a short chain that has copied all of it goes on if the member is lost. Stores whose disks are over 75 % full take copies only from lost machines.

--- a/crates/goodsyard/src/lib.rs
+++ b/crates/goodsyard/src/lib.rs
@@ -6,6 +6,7 @@
 //! results and hands groups of generations to doors; every member answers reads.
 
 mod calls;
+pub mod departure;
 mod disk;
 mod doors;
 pub mod entry;
--- a/crates/goodsyard/src/process.rs
+++ b/crates/goodsyard/src/process.rs
@@ -1,5 +1,7 @@
 //! The store process: sockets, disk and timers around the store.
 
+mod incoming;
+
 use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddrV4;
@@ -12,14 +14,16 @@
 use orchidvalve_ballast::{OpenError, Options as RingOptions, Ring};
 use orchidvalve_lineside::FeedClient;
 use orchidvalve_track::clock::{Clock, wall_clock_ms};
-use orchidvalve_track::frames::{read_frame, write_frame};
+use orchidvalve_track::frames::write_frame;
 use orchidvalve_track::identity::{MemberId, NodeAddress};
-use orchidvalve_track::messages::{Introduction, LinkKind, PROTOCOL_VERSION, Role, StoreHealth, ToStore};
+use orchidvalve_track::messages::{Introduction, PROTOCOL_VERSION, Role, StoreHealth, ToControl};
 use orchidvalve_track::network::{ConnectionId, Event, Network};
 use orchidvalve_waybill::RouteTable;
 
-use crate::peer::{Output, PeerMessage};
+use crate::departure::Departure;
+use crate::peer::Output;
 use crate::peer_links::PeerLinks;
+use crate::process::incoming::Incoming;
 use crate::store::{JobLimits, LimitSource, Moment, Store, StoreSettings};
 
 const INTERNAL_LISTENER: u32 = 1;
@@ -53,6 +57,8 @@
     pub memory_bytes: u64,
     /// Storage machines that may be lost at once.
     pub tolerance: usize,
+    /// Time that the process has to end after it was told to, in milliseconds.
+    pub grace_ms: u64,
     /// Time after its submission for which results of a job are kept.
     pub status_interval_ms: u64,
 }
@@ -79,15 +85,8 @@
     }
 }
 
-/// A connection that came in.
-#[derive(Clone, Copy, Debug)]
-enum Incoming {
-    Unknown,
-    Door { link: u64 },
-    Peer { member: Option<MemberId> },
-}
-
 struct Process {
+    me: MemberId,
     clock: Clock,
     network: Network,
     ring: Ring,
@@ -101,10 +100,13 @@
     /// Durable position and when it last rose while writes were waiting.
     durable: u64,
     durable_since: u64,
+    grace_ms: u64,
+    /// Set once the process was told to stop.
+    departure: Option<Departure>,
     now: u64,
 }
 
-/// Runs a store process until it is told to stop.
+/// Runs a store process until it is told to stop, and then until others have its copies or its time is up.
 ///
 /// # Errors
 ///
@@ -115,16 +117,13 @@
         let wait = process.wait();
         let events = process.network.poll(wait)?;
         process.now = process.clock.now();
-        for event in events {
-            if matches!(event, Event::Terminate) {
-                log::info!("store: stopping");
-                process.feed.stop(&mut process.network);
-                process.network.flush();
-                return Ok(());
-            }
-            process.handle(event);
-        }
+        events.into_iter().for_each(|event| process.handle(event));
         process.turn();
+        if process.may_end() {
+            process.feed.stop(&mut process.network);
+            process.network.flush();
+            return Ok(());
+        }
     }
 }
 
@@ -161,6 +160,7 @@
         let feed = FeedClient::new(introduction, options.seeds.clone(), nonce);
         let now = clock.now();
         Ok(Process {
+            me,
             clock,
             network,
             ring,
@@ -173,6 +173,8 @@
             configuration: 0,
             durable: 0,
             durable_since: now,
+            grace_ms: options.grace_ms,
+            departure: None,
             now,
         })
     }
@@ -209,7 +211,8 @@
             }
             Event::Data(connection) => self.internal_data(connection),
             Event::Closed { connection, .. } => self.closed(connection),
-            Event::Terminate | Event::Reload | Event::Woken => {}
+            Event::Terminate => self.begin_departure(),
+            Event::Reload | Event::Woken => {}
         }
     }
 
@@ -226,13 +229,6 @@
         self.network.forget(connection);
     }
 
-    fn drop_incoming(&mut self, connection: ConnectionId) {
-        if let Some(Incoming::Door { link }) = self.incoming.remove(&connection) {
-            self.doors.remove(&link);
-            self.store.door_down(link);
-        }
-    }
-
     fn state_changed(&mut self) {
         let state = self.feed.copy().state();
         let version = state.configuration_version();
@@ -248,95 +244,6 @@
         self.peers.set_peers(&mut self.network, &self.store.peers());
     }
 
-    fn internal_data(&mut self, connection: ConnectionId) {
-        loop {
-            let Some(incoming) = self.incoming.get(&connection).copied() else { return };
-            let inbox = self.network.inbox(connection);
-            let consumed = match incoming {
-                Incoming::Unknown => match inbox.first() {
-                    Some(byte) => self.begin_link(connection, LinkKind::from_byte(*byte)).then_some(1),
-                    None => return,
-                },
-                Incoming::Door { link } => match read_frame::<ToStore>(inbox) {
-                    Ok(Some((message, length))) => {
-                        self.door_message(link, message);
-                        Some(length)
-                    }
-                    Ok(None) => return,
-                    Err(error) => refuse(&error),
-                },
-                Incoming::Peer { member } => match read_frame::<PeerMessage>(inbox) {
-                    Ok(Some((message, length))) => {
-                        self.peer_message(connection, member, message).then_some(length)
-                    }
-                    Ok(None) => return,
-                    Err(error) => refuse(&error),
-                },
-            };
-            match consumed {
-                Some(length) => self.network.consume(connection, length),
-                None => {
-                    self.drop_incoming(connection);
-                    self.network.forget(connection);
-                    return;
-                }
-            }
-        }
-    }
-
-    fn begin_link(&mut self, connection: ConnectionId, kind: Option<LinkKind>) -> bool {
-        match kind {
-            Some(LinkKind::StoreClient) => {
-                let link = self.next_link;
-                self.next_link += 1;
-                self.doors.insert(link, connection);
-                self.incoming.insert(connection, Incoming::Door { link });
-                true
-            }
-            Some(LinkKind::StorePeer) => {
-                self.incoming.insert(connection, Incoming::Peer { member: None });
-                true
-            }
-            _ => {
-                log::warn!("store: a caller speaks no protocol of stores; check its addresses");
-                false
-            }
-        }
-    }
-
-    fn door_message(&mut self, link: u64, message: ToStore) {
-        let mut outputs = Vec::new();
-        self.store.door_message(link, message, self.moment(), &mut outputs);
-        self.run(outputs);
-    }
-
-    fn peer_message(
-        &mut self,
-        connection: ConnectionId,
-        member: Option<MemberId>,
-        message: PeerMessage,
-    ) -> bool {
-        match (message, member) {
-            (PeerMessage::Introduce { version, member }, None) => {
-                self.incoming.insert(connection, Incoming::Peer { member: Some(member) });
-                self.peers.heard(member, self.now);
-                version == PROTOCOL_VERSION
-            }
-            (PeerMessage::Introduce { .. }, Some(_)) | (_, None) => false,
-            (PeerMessage::Heartbeat, Some(member)) => {
-                self.peers.heard(member, self.now);
-                true
-            }
-            (message, Some(member)) => {
-                self.peers.heard(member, self.now);
-                let mut outputs = Vec::new();
-                self.store.peer_message(member, message, self.moment(), &mut outputs);
-                self.run(outputs);
-                true
-            }
-        }
-    }
-
     /// Carries out what the store asks for.
     fn run(&mut self, outputs: Vec<Output>) {
         for output in outputs {
@@ -380,22 +287,41 @@
             self.store.durable(durable, self.moment(), &mut outputs);
             self.run(outputs);
         }
+        let health = self.health();
+        self.feed.set_health(health);
+        self.store.set_health(health);
+    }
+
+    fn health(&self) -> StoreHealth {
         let usage = self.ring.usage();
         let waiting = self.ring.next_position() > self.durable + 1;
         let hanging = waiting && self.now > self.durable_since + SLOW_WRITE_MS;
-        let health = StoreHealth {
+        StoreHealth {
             disk_trouble: usage.trouble.is_some() || hanging,
             used_bytes: usage.used_bytes,
             capacity_bytes: usage.capacity,
-        };
-        self.feed.set_health(health);
-        self.store.set_health(health);
+            leaving: self.departure.is_some(),
+        }
     }
-}
 
-fn refuse(error: &orchidvalve_track::frames::FrameError) -> Option<usize> {
-    log::warn!("store: {error}");
-    None
+    /// Tells control at once that this store leaves, and again with every heartbeat.
+    fn begin_departure(&mut self) {
+        if self.departure.is_some() {
+            return;
+        }
+        log::info!("store: stopping");
+        self.departure = Some(Departure::new(self.now, self.grace_ms));
+        if self.feed.is_standing() {
+            let position = self.feed.copy().position();
+            let heartbeat = ToControl::Heartbeat { position, health: Some(self.health()) };
+            self.feed.send(&mut self.network, &heartbeat);
+        }
+    }
+
+    fn may_end(&self) -> bool {
+        let (copy, in_touch) = (self.feed.copy(), self.feed.is_standing());
+        self.departure.is_some_and(|departure| departure.is_over(self.now, self.me, copy.state(), in_touch))
+    }
 }
 
 /// Tells this start of the process from others: drawn from the keys of the standard library's hash maps.
--- /dev/null
+++ b/crates/goodsyard/src/process/incoming.rs
@@ -0,0 +1,120 @@
+//! Connections that come in: links of doors and of other stores.
+
+use orchidvalve_track::frames::read_frame;
+use orchidvalve_track::identity::MemberId;
+use orchidvalve_track::messages::{LinkKind, PROTOCOL_VERSION, ToStore};
+use orchidvalve_track::network::ConnectionId;
+
+use crate::peer::PeerMessage;
+use crate::process::Process;
+
+/// A connection that came in.
+#[derive(Clone, Copy, Debug)]
+pub(super) enum Incoming {
+    Unknown,
+    Door { link: u64 },
+    Peer { member: Option<MemberId> },
+}
+
+impl Process {
+    pub(super) fn drop_incoming(&mut self, connection: ConnectionId) {
+        if let Some(Incoming::Door { link }) = self.incoming.remove(&connection) {
+            self.doors.remove(&link);
+            self.store.door_down(link);
+        }
+    }
+
+    pub(super) fn internal_data(&mut self, connection: ConnectionId) {
+        loop {
+            let Some(incoming) = self.incoming.get(&connection).copied() else { return };
+            let inbox = self.network.inbox(connection);
+            let consumed = match incoming {
+                Incoming::Unknown => match inbox.first() {
+                    Some(byte) => self.begin_link(connection, LinkKind::from_byte(*byte)).then_some(1),
+                    None => return,
+                },
+                Incoming::Door { link } => match read_frame::<ToStore>(inbox) {
+                    Ok(Some((message, length))) => {
+                        self.door_message(link, message);
+                        Some(length)
+                    }
+                    Ok(None) => return,
+                    Err(error) => refuse(&error),
+                },
+                Incoming::Peer { member } => match read_frame::<PeerMessage>(inbox) {
+                    Ok(Some((message, length))) => {
+                        self.peer_message(connection, member, message).then_some(length)
+                    }
+                    Ok(None) => return,
+                    Err(error) => refuse(&error),
+                },
+            };
+            match consumed {
+                Some(length) => self.network.consume(connection, length),
+                None => {
+                    self.drop_incoming(connection);
+                    self.network.forget(connection);
+                    return;
+                }
+            }
+        }
+    }
+
+    fn begin_link(&mut self, connection: ConnectionId, kind: Option<LinkKind>) -> bool {
+        match kind {
+            Some(LinkKind::StoreClient) => {
+                let link = self.next_link;
+                self.next_link += 1;
+                self.doors.insert(link, connection);
+                self.incoming.insert(connection, Incoming::Door { link });
+                true
+            }
+            Some(LinkKind::StorePeer) => {
+                self.incoming.insert(connection, Incoming::Peer { member: None });
+                true
+            }
+            _ => {
+                log::warn!("store: a caller speaks no protocol of stores; check its addresses");
+                false
+            }
+        }
+    }
+
+    fn door_message(&mut self, link: u64, message: ToStore) {
+        let mut outputs = Vec::new();
+        self.store.door_message(link, message, self.moment(), &mut outputs);
+        self.run(outputs);
+    }
+
+    fn peer_message(
+        &mut self,
+        connection: ConnectionId,
+        member: Option<MemberId>,
+        message: PeerMessage,
+    ) -> bool {
+        match (message, member) {
+            (PeerMessage::Introduce { version, member }, None) => {
+                self.incoming.insert(connection, Incoming::Peer { member: Some(member) });
+                self.peers.heard(member, self.now);
+                version == PROTOCOL_VERSION
+            }
+            (PeerMessage::Introduce { .. }, Some(_)) | (_, None) => false,
+            (PeerMessage::Heartbeat, Some(member)) => {
+                self.peers.heard(member, self.now);
+                true
+            }
+            (message, Some(member)) => {
+                self.peers.heard(member, self.now);
+                let mut outputs = Vec::new();
+                self.store.peer_message(member, message, self.moment(), &mut outputs);
+                self.run(outputs);
+                true
+            }
+        }
+    }
+}
+
+fn refuse(error: &orchidvalve_track::frames::FrameError) -> Option<usize> {
+    log::warn!("store: {error}");
+    None
+}
--- /dev/null
+++ b/crates/goodsyard/tests/departure.rs
@@ -0,0 +1,83 @@
+//! How long a store that was told to stop waits for others to take its copies.
+
+use std::net::Ipv4Addr;
+
+use orchidvalve_goodsyard::departure::Departure;
+use orchidvalve_track::identity::{MemberId, NodeAddress};
+use orchidvalve_waybill::state::{Change, ControlState, Placement};
+use rstest::rstest;
+
+const BEGUN_AT: u64 = 10_000;
+const GRACE_MS: u64 = 8_000;
+const LATEST: u64 = 6_499;
+
+fn member(number: u8) -> MemberId {
+    MemberId { address: NodeAddress::new(Ipv4Addr::new(10, 0, 0, number), 7000), disk: 1 }
+}
+
+fn members(numbers: &str) -> Vec<MemberId> {
+    numbers.bytes().map(|byte| member(byte - b'0')).collect()
+}
+
+fn name(number: u8) -> String {
+    format!("store-{number}")
+}
+
+/// Partitions as `MEMBERS/LEARNERS`, registered stores, and those among them that are to be emptied.
+fn state(partitions: &str, stores: &str, retiring: &str) -> ControlState {
+    let mut state = ControlState::default();
+    for number in stores.bytes().map(|byte| byte - b'0') {
+        let (name, zone) = (name(number), "zone".to_owned());
+        state.apply(&Change::RegisterStore { name, zone, member: member(number) }).unwrap();
+    }
+    for number in retiring.bytes().map(|byte| byte - b'0') {
+        state.apply(&Change::Retire { name: name(number) }).unwrap();
+    }
+    let placement = |text: &str| {
+        let (in_chain, learners) = text.split_once('/').unwrap();
+        let (members, learners) = (members(in_chain), members(learners));
+        Placement { epoch: 1, members, learners, copies: 2, ..Placement::default() }
+    };
+    let placements = (0u16..).zip(partitions.split_whitespace().map(placement)).collect();
+    state.apply(&Change::Place(placements)).unwrap();
+    state
+}
+
+/// Store 1 leaves: partitions, stores, those to be emptied, time since it was told, in touch; whether it may end.
+#[rstest]
+#[case::no_partition("23/ 34/", "1234", "", 0, true, true)]
+#[case::no_partition_and_out_of_touch("23/", "1234", "", 0, false, true)]
+#[case::only_a_learner("23/1", "1234", "", 0, true, true)]
+#[case::no_answer_yet("12/", "123", "", 1_499, true, false)]
+#[case::no_answer("12/", "123", "", 1_500, true, true)]
+#[case::no_answer_as_it_is_out_of_touch("12/", "123", "", 4_000, false, false)]
+#[case::a_learner_copies("12/3", "123", "", 1_500, true, false)]
+#[case::a_learner_copies_for_long("12/3", "123", "", LATEST, true, false)]
+#[case::time_is_up("12/3", "123", "", LATEST + 1, true, true)]
+#[case::a_learner_has_joined("123/", "123", "", 3_000, true, false)]
+#[case::released_from_one_of_two("23/ 12/3", "123", "", 3_000, true, false)]
+#[case::released_from_both("23/ 32/", "123", "", 100, true, true)]
+#[case::nobody_could_take_it("12/", "12", "", 0, true, true)]
+#[case::nobody_could_take_the_only_copy("1/", "1", "", 0, true, true)]
+#[case::only_one_to_be_emptied_could("12/", "123", "3", 0, true, true)]
+#[case::the_only_copy_is_taken("1/2", "12", "", 3_000, true, false)]
+#[case::the_other_has_it_now("12/", "12", "", 3_000, true, true)]
+#[case::one_of_two_partitions_moves("12/ 12/3", "123", "", 3_000, true, false)]
+fn a_leaving_store_waits_as_long_as_something_is_gained(
+    #[case] partitions: &str,
+    #[case] stores: &str,
+    #[case] retiring: &str,
+    #[case] elapsed: u64,
+    #[case] in_touch: bool,
+    #[case] expected: bool,
+) {
+    let departure = Departure::new(BEGUN_AT, GRACE_MS);
+    let state = state(partitions, stores, retiring);
+    assert_eq!(departure.is_over(BEGUN_AT + elapsed, member(1), &state, in_touch), expected);
+}
+
+#[test]
+fn a_store_with_hardly_any_time_ends_at_once() {
+    let departure = Departure::new(BEGUN_AT, 1_000);
+    assert!(departure.is_over(BEGUN_AT, member(1), &state("12/3", "123", ""), true));
+}
--- a/crates/locomotive/src/roles.rs
+++ b/crates/locomotive/src/roles.rs
@@ -124,6 +124,7 @@
         disk_bytes: disk_bytes(settings),
         memory_bytes: settings.limits.memory_mb << 20,
         tolerance: settings.fault_tolerance.machines as usize,
+        grace_ms: (settings.bounds.grace_s * 1_000.0) as u64,
         status_interval_ms: (settings.bounds.status_interval_s * 1_000.0) as u64,
     })
 }
--- a/crates/signalbox/src/duties.rs
+++ b/crates/signalbox/src/duties.rs
@@ -39,6 +39,9 @@
 /// A storage machine that isn't there for the first placement is waited for so long.
 const FIRST_PLACEMENT_WAIT_MS: u64 = 1_000;
 
+/// A store whose disk is fuller than this takes copies only from machines that are lost, in percent: beyond it,
+/// stores refuse new jobs.
+const FULL_PERCENT: u64 = 75;
 /// A partition whose holders are all lost for certain begins anew after this time: a member that holds everything
 /// after all reports so every second.
 const LOSS_CONFIRMATION_MS: u64 = 10_000;
@@ -455,7 +458,9 @@
     let live = stores.map(|session| LiveStore {
         member: session.member,
         zone: session.zone.clone(),
-        retiring: state.stores().get(&session.name).is_some_and(|r| r.retiring),
+        retiring: state.stores().get(&session.name).is_some_and(|r| r.retiring)
+            || session.health.is_some_and(|h| h.leaving),
+        is_full: session.health.is_some_and(|h| h.used_bytes * 100 > h.capacity_bytes * FULL_PERCENT),
         disk_trouble: session.health.is_some_and(|h| h.disk_trouble),
     });
     live.collect()
@@ -474,6 +479,7 @@
             member: *member,
             zone: record.map_or(String::new(), |r| r.zone.clone()),
             retiring: record.is_some_and(|r| r.retiring),
+            is_full: false,
             disk_trouble: false,
         });
     }
--- a/crates/signalbox/src/placement.rs
+++ b/crates/signalbox/src/placement.rs
@@ -24,8 +24,10 @@
 pub struct LiveStore {
     pub member: MemberId,
     pub zone: String,
-    /// It is to be emptied.
+    /// It is to be emptied, or was told to stop.
     pub retiring: bool,
+    /// Its disk is so full that it takes copies only from machines that are lost.
+    pub is_full: bool,
     /// Its disk takes no writes.
     pub disk_trouble: bool,
 }
@@ -153,18 +155,21 @@
     let complete = complete_machines(partition, placement, situation);
     let mut members: Vec<MemberId> =
         placement.members.iter().filter(|m| situation.sound(m)).copied().collect();
-    members.extend(returning_holders(placement, &members, &complete, situation));
+    members.extend(returning_holders(&members, &complete, situation));
     if members.first() != placement.members.first() && !put_complete_first(&mut members, &complete) {
         // Only a machine that holds everything can lead next: wait for one, or for its report.
         return None;
     }
     let is_ready = |m: &MemberId| situation.is_ready(partition, placement.epoch, m);
-    let staying = placement.learners.iter().filter(|m| situation.staying(m)).copied();
+    let staying = placement.learners.iter().filter(|m| situation.staying(m) && !members.contains(m)).copied();
     let (ready, mut learners): (Vec<MemberId>, Vec<MemberId>) = staying.partition(is_ready);
     members.extend(ready);
     let mut next = Placement { members, copies: situation.copies as u32, ..placement.clone() };
     let holders = next_holders(&next, &complete);
     release_retiring(&mut next.members, situation, &holders);
+    if next.members.first() != placement.members.first() {
+        put_complete_first(&mut next.members, &complete);
+    }
     if next.members.iter().filter(|m| situation.staying(m)).count() >= situation.copies {
         learners.clear();
     } else if learners.is_empty() {
@@ -193,20 +198,27 @@
     Some(Placement { anew_since: placement.epoch + 1, ..fresh })
 }
 
-/// Takes out machines that are to be emptied where enough others are members and hold everything. What was
-/// committed since a learner was ready reaches it in the view in which it joins: until it says that it has that,
-/// too, nothing is taken from the machines that do.
+/// Takes out machines that are to be emptied, one by one, as long as enough members that hold everything are left;
+/// these may be about to go, too, and then wait for their own successors. What was committed since a learner was
+/// ready reaches it in the view in which it joins: until it says that it has that, too, it doesn't count.
 fn release_retiring(members: &mut Vec<MemberId>, situation: &Situation, holders: &[MemberId]) {
-    let mut staying = members.iter().filter(|m| situation.staying(m));
-    let enough = staying.clone().count() >= situation.copies;
-    if enough && staying.all(|m| holders.contains(m)) {
-        members.retain(|m| situation.staying(m));
+    let mut complete = members.iter().filter(|m| holders.contains(m)).count();
+    members.retain(|member| {
+        let left = complete - usize::from(holders.contains(member));
+        let is_released = !situation.staying(member) && left >= situation.copies;
+        if is_released {
+            complete = left;
+        }
+        !is_released
+    });
+    if members.iter().all(|m| situation.staying(m) && holders.contains(m)) {
         // One more than needed is left where a retirement was given up in between.
         members.truncate(situation.copies);
     }
 }
 
-/// The machine that is to copy the partition: in a zone without a copy, then with the least load.
+/// The machine that is to copy the partition: with room on its disk, in a zone without a copy, then with the least
+/// load. Without room it is taken only if copies are missing.
 fn successor(
     members: &[MemberId],
     situation: &Situation,
@@ -215,11 +227,13 @@
     // Machines that are to be emptied leave their zones free.
     let staying = members.iter().filter(|m| situation.staying(m));
     let zones: Vec<&str> = staying.filter_map(|m| situation.find(m)).map(|s| s.zone.as_str()).collect();
+    let is_missing = members.len() < situation.copies;
     let free = situation.live.iter().filter(|s| situation.staying(&s.member) && !members.contains(&s.member));
     let cost = |s: &&LiveStore| {
-        (zones.contains(&s.zone.as_str()), load.get(&s.member).copied().unwrap_or(0), s.member)
+        let load = load.get(&s.member).copied().unwrap_or(0);
+        (s.is_full, zones.contains(&s.zone.as_str()), load, s.member)
     };
-    free.min_by_key(cost).map(|s| s.member)
+    free.filter(|s| is_missing || !s.is_full).min_by_key(cost).map(|s| s.member)
 }
 
 /// Whether a machine holds no copy any more.
--- a/crates/signalbox/src/placement/holders.rs
+++ b/crates/signalbox/src/placement/holders.rs
@@ -35,14 +35,13 @@
 }
 
 /// Machines outside the chain that become members at once, since they hold everything: former members that are
-/// back, as far as copies are missing. One that is to be emptied is taken only if no member holds everything.
+/// back and learners that have copied all, as far as copies are missing. One that is to be emptied is taken only if no member holds everything.
 pub(super) fn returning_holders(
-    placement: &Placement,
     members: &[MemberId],
     complete: &[MemberId],
     situation: &Situation,
 ) -> Vec<MemberId> {
-    let outside = complete.iter().filter(|m| !members.contains(m) && !placement.learners.contains(m));
+    let outside = complete.iter().filter(|m| !members.contains(m));
     let staying = members.iter().filter(|m| situation.staying(m)).count();
     let missing = situation.copies.saturating_sub(staying);
     let back: Vec<MemberId> =
--- a/crates/signalbox/tests/duty_of_placement.rs
+++ b/crates/signalbox/tests/duty_of_placement.rs
@@ -5,7 +5,7 @@
 use orchidvalve_signalbox::duties::{Duties, DutyOptions};
 use orchidvalve_signalbox::sessions::{Session, SessionTable};
 use orchidvalve_track::identity::{MemberId, NodeAddress};
-use orchidvalve_track::messages::{Introduction, Role};
+use orchidvalve_track::messages::{Introduction, Role, StoreHealth};
 use orchidvalve_waybill::state::{Change, ControlState, Placement};
 
 /// When this machine became the head.
@@ -89,6 +89,58 @@
     assert_eq!((placement.members, placement.learners), (vec![member(1, 1)], vec![member(2, 2)]));
 }
 
+/// Store 1 has been told to stop.
+fn one_is_leaving(members: &[MemberId]) -> SessionTable {
+    let mut table = sessions(members);
+    let health = StoreHealth { leaving: true, ..StoreHealth::default() };
+    table.opened(Session { health: Some(health), ..session(members[0]) });
+    table
+}
+
+#[test]
+fn the_copies_of_a_store_that_leaves_go_to_others_first() {
+    let state = placed(&[member(1, 1), member(2, 1)]);
+    let here = one_is_leaving(&[member(1, 1), member(2, 1), member(3, 1)]);
+    let (after, placement) = first_change(&mut duties(), &state, &here, 5_000).unwrap();
+    assert_eq!(after, 0);
+    assert_eq!(placement.members, [member(1, 1), member(2, 1)]);
+    assert_eq!(placement.learners, [member(3, 1)]);
+}
+
+#[test]
+fn nothing_changes_where_nobody_could_take_the_copies_of_a_store_that_leaves() {
+    let state = placed(&[member(1, 1), member(2, 1)]);
+    let here = one_is_leaving(&[member(1, 1), member(2, 1)]);
+    assert_eq!(first_change(&mut duties(), &state, &here, 5_000), None);
+}
+
+#[test]
+fn a_store_that_left_and_came_back_is_an_ordinary_one() {
+    let state = placed(&[member(2, 1), member(3, 1)]);
+    let mut here = one_is_leaving(&[member(1, 1), member(2, 1)]);
+    here.opened(Session { incarnation: 9, ..session(member(1, 1)) });
+    let (_, placement) = first_change(&mut duties(), &state, &here, 5_000).unwrap();
+    assert_eq!((placement.members, placement.learners), (vec![member(2, 1)], vec![member(1, 1)]));
+}
+
+#[test]
+fn a_store_with_a_full_disk_takes_copies_only_from_those_that_are_lost() {
+    let full = |used_bytes| {
+        let health = StoreHealth { used_bytes, capacity_bytes: 100, ..StoreHealth::default() };
+        Session { health: Some(health), ..session(member(3, 1)) }
+    };
+    let state = placed(&[member(1, 1), member(2, 1)]);
+    let mut leaving = one_is_leaving(&[member(1, 1), member(2, 1)]);
+    leaving.opened(full(76));
+    assert_eq!(first_change(&mut duties(), &state, &leaving, 5_000), None);
+    leaving.opened(full(75));
+    assert!(first_change(&mut duties(), &state, &leaving, 5_000).is_some());
+    let mut lost = sessions(&[member(1, 1)]);
+    lost.opened(full(76));
+    let (_, placement) = first_change(&mut duties(), &state, &lost, 5_000).unwrap();
+    assert_eq!((placement.members, placement.learners), (vec![member(1, 1)], vec![member(3, 1)]));
+}
+
 #[test]
 fn a_partition_begins_anew_only_after_its_loss_was_seen_for_a_while() {
     let state = placed(&[member(1, 1), member(2, 1)]);
--- a/crates/track/src/messages.rs
+++ b/crates/track/src/messages.rs
@@ -77,13 +77,15 @@
     pub number: u64,
 }
 
-/// Condition of a store's disk.
+/// Condition of a store.
 #[derive(Clone, Copy, PartialEq, Eq, Default, Debug, Encode, Decode)]
 pub struct StoreHealth {
     /// Writes are failing or have been hanging for over a second.
     pub disk_trouble: bool,
     pub used_bytes: u64,
     pub capacity_bytes: u64,
+    /// It was told to stop and ends as soon as others have its copies, or when its time is up.
+    pub leaving: bool,
 }
 
 /// From a door or a store to its control machine. The crate `orchidvalve-lineside` keeps such sessions.
