Stand-ins: host, launcher and model server are split by job

Change: moved without a change of what they do: calls and served connections of the host, signals and usage of the launcher, faults and loading of the model server have files of their own.

Measured: all tests of sidings pass.

--- a/crates/sidings/src/host.rs
+++ b/crates/sidings/src/host/mod.rs
@@ -1,5 +1,8 @@
 //! Puts stand-ins on sockets: one thread, one event loop.
 
+mod calls;
+mod served;
+
 use std::collections::{BTreeMap, HashMap};
 use std::io;
 use std::net::SocketAddrV4;
@@ -10,8 +13,7 @@
 
 use crate::application::ApplicationServer;
 use crate::directory::Directory;
-use crate::effects::{Call, Caller, ConnectionKey, Effects, Notice, Outcome, Output, Service};
-use crate::http;
+use crate::effects::{Call, Caller, ConnectionKey, Effects, Notice, Outcome, Service};
 use crate::model::ModelServer;
 use crate::observation::Observation;
 use crate::platform::Platform;
@@ -21,9 +23,6 @@
 const MAX_WAIT_MS: u64 = 100;
 /// Tag of the relay's first listener; stations' listeners have their place as their tag.
 const RELAY_TAG: u32 = 1 << 16;
-/// How long bytes of ours may stay unacknowledged.
-const USER_TIMEOUT: Duration = Duration::from_secs(5);
-
 /// A stand-in that serves.
 #[derive(Debug)]
 pub enum Station {
@@ -42,12 +41,6 @@
     }
 }
 
-/// Whether another request may follow on the connection of an answer.
-fn may_be_kept(outcome: &Outcome) -> bool {
-    let Outcome::Answered(answer) = outcome else { return false };
-    !answer.headers.get("Connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
-}
-
 /// Place of a station in the host.
 pub type StationIndex = usize;
 
@@ -281,82 +274,6 @@
         }
     }
 
-    fn accept(&mut self, now: u64, station: StationIndex, id: ConnectionId) {
-        let key = self.next_key;
-        self.next_key += 1;
-        self.roles.insert(id, Role::Served { station, key, begun: None });
-        self.served.insert(key, id);
-        let mut out = Effects::default();
-        self.stations[station].service().connected(now, key, &mut out);
-        self.carry_out(now, None, out);
-    }
-
-    fn send_call(&mut self, id: ConnectionId) {
-        if let Some(Role::Calling { call, up, .. }) = self.roles.get_mut(&id) {
-            *up = true;
-            let bytes = std::mem::take(&mut call.bytes);
-            self.network.send(id, &bytes);
-        }
-    }
-
-    fn read_requests(&mut self, now: u64, id: ConnectionId) {
-        while let Some(&Role::Served { station, key, begun }) = self.roles.get(&id) {
-            match http::parse_request(self.network.inbox(id)) {
-                Ok(Some((request, length))) => {
-                    self.network.consume(id, length);
-                    self.roles.insert(id, Role::Served { station, key, begun: None });
-                    let mut out = Effects::default();
-                    let service = self.stations[station].service();
-                    match begun {
-                        Some(true) => service.read_late(&request, &mut out),
-                        _ => service.request(now, key, request, &mut out),
-                    }
-                    self.carry_out(now, None, out);
-                }
-                Ok(None) => return self.begin_request(now, id, station, key, begun),
-                Err(error) => {
-                    log::warn!("host: a request to a stand-in can't be read: {error}");
-                    let mut out = Effects::default();
-                    out.seen.push(Observation::ServerGarbled { reason: error.to_string() });
-                    out.reset(key);
-                    self.stations[station].service().closed(now, key, &mut out);
-                    self.carry_out(now, None, out);
-                    return;
-                }
-            }
-        }
-    }
-
-    /// Shows a request whose head is in and whose body isn't to its station, once.
-    fn begin_request(
-        &mut self,
-        now: u64,
-        id: ConnectionId,
-        station: StationIndex,
-        key: ConnectionKey,
-        begun: Option<bool>,
-    ) {
-        let Ok(Some(head)) = http::parse_request_head(self.network.inbox(id)) else { return };
-        if begun.is_none() {
-            let mut out = Effects::default();
-            let begun = Some(self.stations[station].service().begun(key, &head, &mut out));
-            self.roles.insert(id, Role::Served { station, key, begun });
-            self.carry_out(now, None, out);
-        }
-    }
-
-    fn read_answer(&mut self, now: u64, id: ConnectionId, ended: bool) {
-        let bytes = self.network.inbox(id);
-        let outcome = match http::parse_response(bytes, ended) {
-            Ok(Some((answer, length))) if length < bytes.len() => Outcome::Trailing(answer),
-            Ok(Some((answer, _))) => Outcome::Answered(answer),
-            Ok(None) if ended => Outcome::Cut { started: !bytes.is_empty() },
-            Ok(None) => return,
-            Err(_) => Outcome::Garbled,
-        };
-        self.end_call(now, id, outcome, ended);
-    }
-
     fn close(&mut self, now: u64, id: ConnectionId) {
         match self.roles.get(&id) {
             Some(&Role::Served { station, key, .. }) => {
@@ -373,45 +290,6 @@
         }
     }
 
-    fn end_call(&mut self, now: u64, id: ConnectionId, outcome: Outcome, ended: bool) {
-        let Some(Role::Calling { caller, call, .. }) = self.roles.remove(&id) else { return };
-        if call.keep_alive && !ended && may_be_kept(&outcome) {
-            self.network.consume(id, usize::MAX);
-            self.roles.insert(id, Role::Idle { address: call.address });
-            self.idle.entry(call.address).or_default().push(id);
-        } else {
-            self.network.forget(id);
-        }
-        self.call_ended(now, caller, call.tag, outcome);
-    }
-
-    fn drop_idle(&mut self, id: ConnectionId) {
-        self.network.forget(id);
-        if let Some(Role::Idle { address }) = self.roles.remove(&id)
-            && let Some(idle) = self.idle.get_mut(&address)
-        {
-            idle.retain(|kept| *kept != id);
-        }
-    }
-
-    fn call_ended(&mut self, now: u64, caller: usize, tag: u64, outcome: Outcome) {
-        let mut out = Effects::default();
-        self.callers[caller].ended(now, tag, outcome, &mut self.directory, &mut out);
-        self.carry_out(now, Some(caller), out);
-    }
-
-    fn expire_calls(&mut self) {
-        let now = self.now();
-        let late = |(id, role): (&ConnectionId, &Role)| match role {
-            Role::Calling { deadline, .. } if *deadline <= now => Some(*id),
-            _ => None,
-        };
-        let expired: Vec<ConnectionId> = self.roles.iter().filter_map(late).collect();
-        for id in expired {
-            self.end_call(now, id, Outcome::Silent, true);
-        }
-    }
-
     fn carry_out(&mut self, now: u64, caller: Option<usize>, out: Effects) {
         self.seen.extend(out.seen.into_iter().map(|observation| (now, observation)));
         for output in out.outputs {
@@ -427,44 +305,6 @@
         }
     }
 
-    fn write(&mut self, output: Output) {
-        match output {
-            Output::Send { connection, bytes } => {
-                if let Some(&id) = self.served.get(&connection) {
-                    self.network.send(id, &bytes);
-                }
-            }
-            Output::Finish { connection } => {
-                if let Some(id) = self.served.remove(&connection) {
-                    self.roles.remove(&id);
-                    self.network.finish(id);
-                }
-            }
-            Output::Reset { connection } => {
-                if let Some(id) = self.served.remove(&connection) {
-                    self.roles.remove(&id);
-                    self.network.flush();
-                    self.network.forget(id);
-                }
-            }
-        }
-    }
-
-    fn call(&mut self, now: u64, caller: usize, call: Call) {
-        let deadline = now + call.timeout_ms;
-        let idle = self.idle.get_mut(&call.address).filter(|_| call.keep_alive).and_then(Vec::pop);
-        if let Some(id) = idle {
-            self.roles.insert(id, Role::Calling { caller, call, deadline, up: true });
-            return self.send_call(id);
-        }
-        match self.network.connect(call.address, USER_TIMEOUT) {
-            Ok(id) => {
-                self.roles.insert(id, Role::Calling { caller, call, deadline, up: false });
-            }
-            Err(_) => self.call_ended(now, caller, call.tag, Outcome::Refused),
-        }
-    }
-
     fn spread(&mut self, now: u64, notice: Notice) {
         match notice {
             Notice::VersionNamed { model, version } => {
--- a/crates/sidings/src/launch/launcher.rs
+++ b/crates/sidings/src/launch/launcher.rs
@@ -4,12 +4,11 @@
 use std::io;
 use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
-use std::process::{Child, Command, ExitStatus, Stdio};
+use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
 use std::sync::mpsc::{Receiver, Sender, channel};
 
 use derive_more::{Display, Error, From};
-use rustix::process::{Pid, Signal, kill_process};
 
 use super::plan::{Machine, Plan, Role, settings_text};
 use super::sockets;
@@ -17,11 +16,6 @@
 /// Variables of the caller that the programs get.
 const KEPT_VARIABLES: [&str; 3] = ["PATH", "HOME", "LANG"];
 const SETTINGS_VARIABLE: &str = "ORCHIDVALVE_BOOT";
-/// Fields between the name and the processor times in the kernel's account of a process.
-const STAT_TIMES: usize = 11;
-/// Bytes of a log that are shown.
-const LOG_TAIL_BYTES: usize = 4 << 10;
-
 static NEXT_DIRECTORY: AtomicU64 = AtomicU64::new(0);
 
 /// Why a process can't be started or reached.
@@ -47,19 +41,10 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct ProcessId(pub usize);
 
-/// What a process has used since its start.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Usage {
-    /// Processor time in milliseconds.
-    pub cpu_ms: u64,
-    /// Largest resident memory in kilobytes.
-    pub peak_kb: u64,
-}
-
-struct Process {
+pub(super) struct Process {
     machine: usize,
     role: Role,
-    child: Option<Child>,
+    pub(super) child: Option<Child>,
     starts: u32,
 }
 
@@ -69,7 +54,7 @@
     program: PathBuf,
     directory: PathBuf,
     keep_directory: bool,
-    processes: Vec<Process>,
+    pub(super) processes: Vec<Process>,
     commands: Sender<Command>,
     children: Receiver<io::Result<Child>>,
 }
@@ -181,7 +166,7 @@
         self.processes[id.0].child.is_some()
     }
 
-    fn path(&self, id: ProcessId, what: &str) -> PathBuf {
+    pub(super) fn path(&self, id: ProcessId, what: &str) -> PathBuf {
         self.directory.join(format!("{}-{}.{what}", self.machine(id).name, self.role(id)))
     }
 
@@ -233,61 +218,6 @@
         Ok(command)
     }
 
-    fn signal(&mut self, id: ProcessId, signal: Signal) -> Result<(), LaunchError> {
-        let name = self.name(id);
-        let child = self.processes[id.0].child.as_ref().ok_or(LaunchError::NotRunning(name))?;
-        kill_process(Pid::from_child(child), signal)?;
-        Ok(())
-    }
-
-    /// Asks a process to stop (SIGTERM); [`Launcher::reap`] tells of its end.
-    ///
-    /// # Errors
-    ///
-    /// It isn't running.
-    pub fn terminate(&mut self, id: ProcessId) -> Result<(), LaunchError> {
-        self.signal(id, Signal::TERM)
-    }
-
-    /// Tells a process that its settings file has changed (SIGHUP).
-    ///
-    /// # Errors
-    ///
-    /// It isn't running.
-    pub fn reload(&mut self, id: ProcessId) -> Result<(), LaunchError> {
-        self.signal(id, Signal::HUP)
-    }
-
-    /// Freezes a process.
-    ///
-    /// # Errors
-    ///
-    /// It isn't running.
-    pub fn freeze(&mut self, id: ProcessId) -> Result<(), LaunchError> {
-        self.signal(id, Signal::STOP)
-    }
-
-    /// Lets a frozen process run again.
-    ///
-    /// # Errors
-    ///
-    /// It isn't running.
-    pub fn thaw(&mut self, id: ProcessId) -> Result<(), LaunchError> {
-        self.signal(id, Signal::CONT)
-    }
-
-    /// Kills a process and waits for its end.
-    ///
-    /// # Errors
-    ///
-    /// It can't be waited for.
-    pub fn kill(&mut self, id: ProcessId) -> io::Result<()> {
-        let Some(mut child) = self.processes[id.0].child.take() else { return Ok(()) };
-        child.kill()?;
-        child.wait()?;
-        Ok(())
-    }
-
     /// Empties the disk of a process that isn't running.
     ///
     /// # Errors
@@ -330,47 +260,6 @@
         self.add_processes(machine);
         self.ids().into_iter().filter(|id| self.processes[id.0].machine == machine).collect()
     }
-
-    /// Processes that have ended by themselves or after SIGTERM since the last call.
-    pub fn reap(&mut self) -> Vec<(ProcessId, ExitStatus)> {
-        let mut ended = Vec::new();
-        for (index, process) in self.processes.iter_mut().enumerate() {
-            let status = process.child.as_mut().and_then(|child| child.try_wait().ok().flatten());
-            if let Some(status) = status {
-                process.child = None;
-                ended.push((ProcessId(index), status));
-            }
-        }
-        ended
-    }
-
-    /// What a running process has used since its start.
-    pub fn usage(&self, id: ProcessId) -> Option<Usage> {
-        let process = self.processes[id.0].child.as_ref()?.id();
-        let stat = fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
-        let status = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
-        // Behind the name in brackets: the processor times are the 12th and 13th of the fields.
-        let fields: Vec<u64> = stat
-            .rsplit_once(')')?
-            .1
-            .split_whitespace()
-            .skip(STAT_TIMES)
-            .take(2)
-            .filter_map(|field| field.parse().ok())
-            .collect();
-        let ticks: u64 = fields.iter().sum();
-        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
-        Some(Usage {
-            cpu_ms: ticks * 1_000 / rustix::param::clock_ticks_per_second(),
-            peak_kb: peak.trim().trim_end_matches(" kB").parse().ok()?,
-        })
-    }
-
-    /// The last lines that a process logged.
-    pub fn log_tail(&self, id: ProcessId) -> String {
-        let bytes = fs::read(self.path(id, "log")).unwrap_or_default();
-        String::from_utf8_lossy(&bytes[bytes.len().saturating_sub(LOG_TAIL_BYTES)..]).into_owned()
-    }
 }
 
 /// A thread without blocked signals that starts processes.
--- a/crates/sidings/src/launch/mod.rs
+++ b/crates/sidings/src/launch/mod.rs
@@ -2,7 +2,10 @@
 
 mod launcher;
 mod plan;
+mod signals;
 mod sockets;
+mod usage;
 
-pub use launcher::{LaunchError, Launcher, ProcessId, Usage};
+pub use launcher::{LaunchError, Launcher, ProcessId};
 pub use plan::{Machine, Plan, Ports, Role, ZONES, settings_text};
+pub use usage::Usage;
--- /dev/null
+++ b/crates/sidings/src/launch/usage.rs
@@ -0,0 +1,49 @@
+//! What processes use and log.
+
+use std::fs;
+
+use super::launcher::{Launcher, ProcessId};
+
+/// Fields between the name and the processor times in the kernel's account of a process.
+const STAT_TIMES: usize = 11;
+/// Bytes of a log that are shown.
+const LOG_TAIL_BYTES: usize = 4 << 10;
+
+/// What a process has used since its start.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct Usage {
+    /// Processor time in milliseconds.
+    pub cpu_ms: u64,
+    /// Largest resident memory in kilobytes.
+    pub peak_kb: u64,
+}
+
+impl Launcher {
+    /// What a running process has used since its start.
+    pub fn usage(&self, id: ProcessId) -> Option<Usage> {
+        let process = self.processes[id.0].child.as_ref()?.id();
+        let stat = fs::read_to_string(format!("/proc/{process}/stat")).ok()?;
+        let status = fs::read_to_string(format!("/proc/{process}/status")).ok()?;
+        // Behind the name in brackets: the processor times are the 12th and 13th of the fields.
+        let fields: Vec<u64> = stat
+            .rsplit_once(')')?
+            .1
+            .split_whitespace()
+            .skip(STAT_TIMES)
+            .take(2)
+            .filter_map(|field| field.parse().ok())
+            .collect();
+        let ticks: u64 = fields.iter().sum();
+        let peak = status.lines().find_map(|line| line.strip_prefix("VmHWM:"))?;
+        Some(Usage {
+            cpu_ms: ticks * 1_000 / rustix::param::clock_ticks_per_second(),
+            peak_kb: peak.trim().trim_end_matches(" kB").parse().ok()?,
+        })
+    }
+
+    /// The last lines that a process logged.
+    pub fn log_tail(&self, id: ProcessId) -> String {
+        let bytes = fs::read(self.path(id, "log")).unwrap_or_default();
+        String::from_utf8_lossy(&bytes[bytes.len().saturating_sub(LOG_TAIL_BYTES)..]).into_owned()
+    }
+}
--- a/crates/sidings/src/model/mod.rs
+++ b/crates/sidings/src/model/mod.rs
@@ -1,7 +1,10 @@
 //! A model server: token streams, reports and orders.
 
+mod faults;
+mod loading;
 mod orders;
 mod runs;
 mod server;
 
-pub use server::{Fault, ModelServer, ModelServerSettings};
+pub use faults::Fault;
+pub use server::{ModelServer, ModelServerSettings};
--- a/crates/sidings/src/model/server.rs
+++ b/crates/sidings/src/model/server.rs
@@ -5,9 +5,10 @@
 
 use serde_json::json;
 
-use super::orders::{Loading, Method, Order, Weights};
+use super::faults::Troubles;
+use super::orders::{Method, Weights};
 use super::runs::{Run, Waiting, Work};
-use crate::effects::{ConnectionKey, Effects, Notice, Service};
+use crate::effects::{ConnectionKey, Effects, Service};
 use crate::http::{self, Request};
 use crate::observation::Observation;
 use crate::text;
@@ -35,47 +36,18 @@
     pub fencing_enforced: bool,
 }
 
-/// Troubles of a server.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub enum Fault {
-    /// It ends and resets every connection until it is started again.
-    Crash,
-    /// It takes connections and says nothing more.
-    Dark,
-    /// It works this many times slower.
-    Slow(u64),
-    /// The next stream is reset after this many events.
-    BreakStream { after_events: u64 },
-    /// The next answer is bytes that are no answer.
-    WrongBytes,
-    /// Every answer is followed by a second one.
-    AnswerTwice,
-    /// Requests are answered before their whole bodies are in, where those are long; the rest is read later.
-    AnswerEarly,
-}
-
-#[derive(Clone, Copy, Debug, Default)]
-struct Troubles {
-    crashed: bool,
-    dark: bool,
-    slow: u64,
-    break_after: Option<u64>,
-    wrong_bytes: bool,
-    answer_twice: bool,
-}
-
 /// A model server. It runs no more than one request of a connection at a time.
 #[derive(Debug)]
 pub struct ModelServer {
-    settings: ModelServerSettings,
+    pub(super) settings: ModelServerSettings,
     /// Number of the server among all; makes the numbers of its runs unique.
     index: u64,
-    incarnation: u64,
+    pub(super) incarnation: u64,
     runs: u64,
-    weights: Weights,
-    work: Work,
-    open: BTreeSet<ConnectionKey>,
-    troubles: Troubles,
+    pub(super) weights: Weights,
+    pub(super) work: Work,
+    pub(super) open: BTreeSet<ConnectionKey>,
+    pub(super) troubles: Troubles,
     draining: bool,
 }
 
@@ -127,41 +99,6 @@
         self.draining = true;
     }
 
-    pub fn fail(&mut self, fault: Fault, out: &mut Effects) {
-        match fault {
-            Fault::Crash => {
-                self.troubles.crashed = true;
-                for &connection in &self.open {
-                    out.reset(connection);
-                }
-                self.open.clear();
-                self.work = Work::default();
-            }
-            Fault::Dark => self.troubles.dark = true,
-            Fault::Slow(factor) => self.troubles.slow = factor,
-            Fault::BreakStream { after_events } => self.troubles.break_after = Some(after_events),
-            Fault::WrongBytes => self.troubles.wrong_bytes = true,
-            Fault::AnswerTwice => self.troubles.answer_twice = true,
-            // Requests to model servers are short.
-            Fault::AnswerEarly => {}
-        }
-    }
-
-    /// Starts the server again as a new incarnation that has the weights it had.
-    pub fn restart(&mut self, out: &mut Effects) {
-        self.fail(Fault::Crash, out);
-        self.troubles = Troubles::default();
-        self.incarnation += 1;
-        self.weights.sequence = 0;
-        self.weights.highest_fence = 0;
-        self.weights.loading = None;
-    }
-
-    /// Ends all troubles but a crash.
-    pub fn heal(&mut self) {
-        self.troubles = Troubles { crashed: self.troubles.crashed, ..Troubles::default() };
-    }
-
     fn load(&self) -> String {
         format!("{},{},{}", self.work.running.len(), self.work.queue.len(), self.settings.slots)
     }
@@ -170,7 +107,7 @@
         self.settings.event_ms * self.troubles.slow.max(1)
     }
 
-    fn answer(
+    pub(super) fn answer(
         &self,
         connection: ConnectionKey,
         status: u16,
@@ -192,7 +129,7 @@
     }
 
     /// Turns a request away with the promise that it has not run.
-    fn turn_away(&self, connection: ConnectionKey, status: u16, id: &str, out: &mut Effects) {
+    pub(super) fn turn_away(&self, connection: ConnectionKey, status: u16, id: &str, out: &mut Effects) {
         let fields = [("Not-Executed", Cow::from("1")), ("Attempt-Id", Cow::from(id))];
         self.answer(connection, status, &fields, out);
     }
@@ -229,56 +166,6 @@
         self.send_answer(connection, http::response(200, &fields, body.to_string().as_bytes()), out);
     }
 
-    fn order(&mut self, now: u64, connection: ConnectionKey, body: &[u8], out: &mut Effects) {
-        let Some(order) = Order::read(body) else { return self.answer(connection, 400, &[], out) };
-        out.seen.push(Observation::OrderReceived {
-            server: self.instance(),
-            holder: order.holder.clone(),
-            token: order.token,
-        });
-        let status = self.weights.take(&order);
-        if status == 202 {
-            self.begin_loading(now, &order, out);
-        }
-        self.answer(connection, status, &[], out);
-    }
-
-    /// Requests that haven't begun are turned away, and runs end as the order says.
-    fn begin_loading(&mut self, now: u64, order: &Order, out: &mut Effects) {
-        let waiting = std::mem::take(&mut self.work.queue);
-        for waiting in waiting {
-            if waiting.model == order.model {
-                self.turn_away(waiting.connection, 503, &waiting.id, out);
-            } else {
-                self.work.queue.push_back(waiting);
-            }
-        }
-        if order.method == Method::Truncate {
-            for run in self.work.running.iter().filter(|run| run.model == order.model) {
-                out.reset(run.connection);
-                self.open.remove(&run.connection);
-            }
-            self.work.running.retain(|run| run.model != order.model);
-        }
-        self.advance_loading(now, out);
-    }
-
-    fn advance_loading(&mut self, now: u64, out: &mut Effects) {
-        let Some(Loading { model, version, method, done_at }) = &mut self.weights.loading else { return };
-        match done_at {
-            None if *method == Method::Wait && self.work.runs_of(model) => {}
-            None => *done_at = Some(now + self.settings.load_ms),
-            Some(at) if *at <= now => {
-                let (model, version) = (std::mem::take(model), *version);
-                self.weights.versions.insert(model.clone(), version);
-                self.weights.loading = None;
-                let instance = self.instance();
-                out.notices.push(Notice::WeightsLoaded { instance, model, version });
-            }
-            Some(_) => {}
-        }
-    }
-
     fn enqueue(&mut self, now: u64, connection: ConnectionKey, request: Request, out: &mut Effects) {
         let headers = &request.headers;
         let Some(id) = headers.get("Attempt-Id").map(str::to_owned) else {
