Demo: machines behind the relay are told apart by the address that their connections leave from

Cause: the relay found the machine of a caller in the kernel's table of sockets.

Change: where `listen-addresses.internal` is set, connections of the process leave from its address, too (Network::set_source; without the setting the kernel chooses as before). The relay knows each machine by its address; reading the kernel's tables is gone.

--- a/crates/goodsyard/src/process.rs
+++ b/crates/goodsyard/src/process.rs
@@ -4,7 +4,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -50,6 +50,8 @@
     pub internal_address: SocketAddrV4,
     /// Where their calls arrive: another address only behind a relay.
     pub internal_listener: SocketAddrV4,
+    /// Address that connections to others leave from; the kernel chooses one where there is none.
+    pub source: Option<Ipv4Addr>,
     /// Control machines at which a session may be asked for.
     pub seeds: Vec<NodeAddress>,
     pub data_directory: PathBuf,
@@ -131,6 +133,7 @@
     fn start(options: StoreOptions) -> Result<Process, StoreError> {
         let clock = Clock::start();
         let mut network = Network::new()?;
+        network.set_source(options.source);
         let waker = network.waker();
         let ring_options = RingOptions::with_capacity((options.disk_bytes as f64 * RING_SHARE) as u64);
         let on_progress = Box::new(move || waker.wake());
--- a/crates/locomotive/src/roles.rs
+++ b/crates/locomotive/src/roles.rs
@@ -1,6 +1,6 @@
 //! From the settings of a machine to the options of each process.
 
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
 
 use derive_more::{Display, Error, From};
@@ -64,6 +64,11 @@
     settings.internal.unwrap_or(internal_address(settings))
 }
 
+/// Address that connections to others leave from: chosen here only where a relay has to tell the machines apart.
+fn source(settings: &Settings) -> Option<Ipv4Addr> {
+    settings.internal.map(|internal| *internal.ip())
+}
+
 fn seeds(settings: &Settings) -> Vec<NodeAddress> {
     let port = internal_port(settings);
     settings.seed_nodes.iter().map(|seed| NodeAddress::new(*seed.ip(), port)).collect()
@@ -79,6 +84,7 @@
         control_address: settings.control.ok_or(missing("listen-addresses.control"))?,
         internal_address: internal_address(settings),
         internal_listener: internal_listener(settings),
+        source: source(settings),
         seeds: settings.seed_nodes.clone(),
         bootstrap: settings.bootstrap,
         data_directory: data_directory(settings, role)?,
@@ -107,6 +113,7 @@
         share: settings.limits.cpu_share as f32,
         frontend: settings.frontend.ok_or(missing("listen-addresses.frontend"))?,
         readiness: settings.readiness.ok_or(missing("listen-addresses.readiness"))?,
+        source: source(settings),
         seeds: seeds(settings),
         grace_ms: (settings.bounds.grace_s * 1_000.0) as u64,
     })
@@ -119,6 +126,7 @@
         share: settings.limits.cpu_share as f32,
         internal_address: internal_address(settings),
         internal_listener: internal_listener(settings),
+        source: source(settings),
         seeds: seeds(settings),
         data_directory: data_directory(settings, "store")?,
         disk_bytes: disk_bytes(settings),
--- a/crates/sidings/src/demo/day.rs
+++ b/crates/sidings/src/demo/day.rs
@@ -20,7 +20,6 @@
 use crate::launch::{LaunchError, Launcher, Machine, Plan, Ports, ProcessId, Role, Usage, ZONES};
 use crate::observation::Observation;
 use crate::operator::{Action, Operator, OperatorTally, Script};
-use crate::relay::Unidentified;
 use crate::rivals::{RivalSettings, RivalTally, Rivals};
 use crate::trainer::{SharedTally, Trainer};
 
@@ -116,7 +115,7 @@
         host.add_caller(Box::new(ReadinessChecks::default()));
         if plan.relayed {
             for (index, machine) in plan.machines.iter().enumerate() {
-                host.relay_to(index, plan.internal_address(machine), plan.internal_listener(machine))?;
+                add_to_relay(&mut host, &plan, index, machine)?;
             }
         }
         let script = Script::default();
@@ -228,9 +227,6 @@
 
     fn turn(&mut self, until: u64) -> Result<(), DemoError> {
         self.host.turn(until)?;
-        for Unidentified { connection, caller, called } in self.host.take_unidentified() {
-            self.host.identify(connection, self.launcher.machine_of_caller(caller, called));
-        }
         for (at, observation) in self.host.take_seen() {
             self.auditor.observe(at, &observation);
         }
@@ -283,6 +279,14 @@
     }
 }
 
+/// Lets a machine reach others, and be reached, through the relay.
+pub(super) fn add_to_relay(host: &mut Host, plan: &Plan, index: usize, machine: &Machine) -> io::Result<()> {
+    let listener = plan.internal_listener(machine);
+    host.relay_from(index, *listener.ip());
+    host.relay_to(index, plan.internal_address(machine), listener)?;
+    Ok(())
+}
+
 /// Clients may go to the door of a machine once that is ready.
 pub(super) fn add_door(host: &mut Host, ports: Ports, machine: &Machine) {
     let address = |port| SocketAddrV4::new(machine.ip, port);
--- a/crates/sidings/src/demo/performing.rs
+++ b/crates/sidings/src/demo/performing.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddrV4;
 
 use super::acts::Act;
-use super::day::{Day, DemoError, GRACE_MS, add_door};
+use super::day::{Day, DemoError, GRACE_MS, add_door, add_to_relay};
 use crate::effects::Effects;
 use crate::host::{Station, StationIndex};
 use crate::launch::{ProcessId, Role};
@@ -110,9 +110,8 @@
     fn start_added(&mut self, ids: &[ProcessId]) -> Result<(), DemoError> {
         let plan = self.launcher.plan();
         if let Some(id) = ids.first().filter(|_| plan.relayed) {
-            let machine = self.launcher.machine(*id);
-            let (announced, real) = (plan.internal_address(machine), plan.internal_listener(machine));
-            self.host.relay_to(self.launcher.machine_index(*id), announced, real)?;
+            let (index, machine) = (self.launcher.machine_index(*id), self.launcher.machine(*id));
+            add_to_relay(&mut self.host, plan, index, machine)?;
         }
         for id in ids {
             self.launcher.start(*id)?;
--- a/crates/sidings/src/host/mod.rs
+++ b/crates/sidings/src/host/mod.rs
@@ -5,7 +5,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 use std::io;
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::time::Duration;
 
 use orchidvalve_track::clock::Clock;
@@ -17,7 +17,7 @@
 use crate::model::ModelServer;
 use crate::observation::Observation;
 use crate::platform::Platform;
-use crate::relay::{LinkFault, MachineIndex, Relay, Unidentified};
+use crate::relay::{LinkFault, MachineIndex, Relay};
 
 /// Longest wait of one turn.
 const MAX_WAIT_MS: u64 = 100;
@@ -148,6 +148,11 @@
         self.relay.listen(&mut self.network, RELAY_TAG, machine, announced, real)
     }
 
+    /// Relayed connections from this address are those of a machine.
+    pub fn relay_from(&mut self, machine: MachineIndex, address: Ipv4Addr) {
+        self.relay.add_source(address, machine);
+    }
+
     /// Puts a fault on the way from one machine to another, or takes it away.
     pub fn set_link(&mut self, from: MachineIndex, to: MachineIndex, fault: Option<LinkFault>) {
         self.relay.set_fault(&mut self.network, from, to, fault);
@@ -155,17 +160,6 @@
         self.relay.advance_all(&mut self.network, now);
     }
 
-    /// Relayed connections since the last call; each waits until [`Host::identify`] names its caller.
-    pub fn take_unidentified(&mut self) -> Vec<Unidentified> {
-        self.relay.take_unidentified()
-    }
-
-    /// Names the machine that a relayed connection comes from; `None` ends the connection.
-    pub fn identify(&mut self, connection: ConnectionId, machine: Option<MachineIndex>) {
-        let now = self.now();
-        self.relay.identify(&mut self.network, now, connection, machine);
-    }
-
     /// Adds a stand-in that calls.
     pub fn add_caller(&mut self, caller: Box<dyn Caller>) {
         self.callers.push(caller);
@@ -254,7 +248,7 @@
         let now = self.now();
         match event {
             Event::Accepted { listener, connection } if listener >= RELAY_TAG => {
-                self.relay.accepted(&mut self.network, (listener - RELAY_TAG) as usize, connection);
+                self.relay.accepted(&mut self.network, now, (listener - RELAY_TAG) as usize, connection);
             }
             Event::Data(id) if self.relay.owns(id) => self.relay.data(&mut self.network, now, id),
             Event::Closed { connection, .. } if self.relay.owns(connection) => {
--- a/crates/sidings/src/launch/launcher.rs
+++ b/crates/sidings/src/launch/launcher.rs
@@ -2,7 +2,6 @@
 
 use std::fs::{self, File};
 use std::io;
-use std::net::SocketAddrV4;
 use std::path::{Path, PathBuf};
 use std::process::{Child, Command, Stdio};
 use std::sync::atomic::{AtomicU64, Ordering};
@@ -11,7 +10,6 @@
 use derive_more::{Display, Error, From};
 
 use super::plan::{Machine, Plan, Role, settings_text};
-use super::sockets;
 
 /// Variables of the caller that the programs get.
 const KEPT_VARIABLES: [&str; 3] = ["PATH", "HOME", "LANG"];
@@ -141,16 +139,6 @@
         self.processes[id.0].machine
     }
 
-    /// The machine with the process that called `called` from `caller`; `None` if that process or its connection
-    /// has ended.
-    pub fn machine_of_caller(&self, caller: SocketAddrV4, called: SocketAddrV4) -> Option<usize> {
-        let inode = sockets::inode_of(caller, called)?;
-        let holds = |process: &&Process| {
-            process.child.as_ref().is_some_and(|child| sockets::holds(child.id(), inode))
-        };
-        self.processes.iter().find(holds).map(|process| process.machine)
-    }
-
     /// All processes of the machine of a process.
     pub fn of_same_machine(&self, id: ProcessId) -> Vec<ProcessId> {
         let machine = self.processes[id.0].machine;
--- a/crates/sidings/src/launch/mod.rs
+++ b/crates/sidings/src/launch/mod.rs
@@ -3,7 +3,6 @@
 mod launcher;
 mod plan;
 mod signals;
-mod sockets;
 mod usage;
 
 pub use launcher::{LaunchError, Launcher, ProcessId};
--- a/crates/sidings/src/launch/plan.rs
+++ b/crates/sidings/src/launch/plan.rs
@@ -159,7 +159,7 @@
         SocketAddrV4::new(machine.ip, self.ports.internal_first)
     }
 
-    /// Where a machine listens for others behind the relay.
+    /// Where a machine listens for others behind the relay, and the address that its connections leave from.
     pub fn internal_listener(&self, machine: &Machine) -> SocketAddrV4 {
         SocketAddrV4::new(behind_relay(machine.ip), self.ports.internal_first)
     }
@@ -229,7 +229,7 @@
         }
         Role::Store => {}
     }
-    if plan.relayed && role != Role::Door {
+    if plan.relayed {
         line("listen-addresses.internal", &plan.internal_listener(machine));
     }
     line("internal-port-range", &format_args!("{},{}", ports.internal_first, ports.internal_last));
--- a/crates/sidings/src/relay.rs
+++ b/crates/sidings/src/relay.rs
@@ -1,15 +1,15 @@
 //! A relay for the connections between the system's own processes, so that links between two machines can be cut.
 //!
-//! Every machine announces an address at which the relay listens, and listens itself at another one. The relay
-//! learns from outside which machine a connection comes from ([`Relay::identify`]); from then on each direction of
-//! the connection follows the [`LinkFault`] of the ordered pair of machines.
+//! Every machine announces an address at which the relay listens, and listens itself at another one, from which its
+//! own connections leave, too. So the relay knows which machine a connection comes from, and each direction of the
+//! connection follows the [`LinkFault`] of the ordered pair of machines.
 //!
 //! A cut holds bytes and ends of connections back until it is healed, as a path does whose packets are sent again;
 //! a connection that is begun meanwhile is accepted and carries nothing until then.
 
 use std::collections::{BTreeMap, HashMap, VecDeque};
 use std::io;
-use std::net::{SocketAddr, SocketAddrV4};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4};
 use std::time::Duration;
 
 use orchidvalve_track::network::{ConnectionId, Network};
@@ -31,15 +31,6 @@
     Slow { delay_ms: u64, bytes_per_s: u64 },
 }
 
-/// A connection that is to be identified.
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-pub struct Unidentified {
-    pub connection: ConnectionId,
-    /// The caller's end, and the end of the relay that it called.
-    pub caller: SocketAddrV4,
-    pub called: SocketAddrV4,
-}
-
 /// One end of a relayed connection, with what came from it and has not been passed on.
 #[derive(Debug, Default)]
 struct End {
@@ -54,7 +45,7 @@
 /// A connection from a caller through the relay to a target.
 #[derive(Debug)]
 struct Circuit {
-    caller: Option<MachineIndex>,
+    caller: MachineIndex,
     target: MachineIndex,
     caller_end: End,
     target_end: End,
@@ -69,7 +60,6 @@
 #[derive(Clone, Copy, Debug)]
 struct Listener {
     target: MachineIndex,
-    announced: SocketAddrV4,
     real: SocketAddrV4,
 }
 
@@ -77,11 +67,12 @@
 #[derive(Debug, Default)]
 pub struct Relay {
     listeners: Vec<Listener>,
+    /// Addresses that connections of the machines leave from.
+    sources: BTreeMap<Ipv4Addr, MachineIndex>,
     faults: BTreeMap<(MachineIndex, MachineIndex), LinkFault>,
     circuits: BTreeMap<u64, Circuit>,
     sides: HashMap<ConnectionId, (u64, Side)>,
     next_circuit: u64,
-    unidentified: Vec<Unidentified>,
 }
 
 impl Relay {
@@ -101,10 +92,15 @@
     ) -> io::Result<SocketAddrV4> {
         let local = network.listen(announced, first_tag + self.listeners.len() as u32)?;
         let SocketAddr::V4(announced) = local else { return Err(io::ErrorKind::AddrNotAvailable.into()) };
-        self.listeners.push(Listener { target, announced, real });
+        self.listeners.push(Listener { target, real });
         Ok(announced)
     }
 
+    /// Connections from this address are those of a machine.
+    pub fn add_source(&mut self, address: Ipv4Addr, machine: MachineIndex) {
+        self.sources.insert(address, machine);
+    }
+
     /// Puts a fault on the way from one machine to another, or takes it away.
     pub fn set_fault(
         &mut self,
@@ -120,7 +116,7 @@
         if fault == Some(LinkFault::Reset) {
             let concerned = |circuit: &Circuit| {
                 let pair = (circuit.caller, circuit.target);
-                pair == (Some(from), to) || pair == (Some(to), from)
+                pair == (from, to) || pair == (to, from)
             };
             let of_pair: Vec<u64> =
                 self.circuits.iter().filter(|(_, circuit)| concerned(circuit)).map(|(id, _)| *id).collect();
@@ -134,38 +130,19 @@
         self.sides.contains_key(&connection)
     }
 
-    /// Connections since the last call whose callers aren't known.
-    pub fn take_unidentified(&mut self) -> Vec<Unidentified> {
-        std::mem::take(&mut self.unidentified)
-    }
-
-    /// A connection has come in at a listener.
-    pub fn accepted(&mut self, network: &mut Network, listener: usize, connection: ConnectionId) {
-        let Listener { target, announced, .. } = self.listeners[listener];
-        let Some(SocketAddr::V4(caller)) = network.peer(connection) else {
-            return network.forget(connection);
-        };
+    /// A connection has come in at a listener; it is ended if it's of no machine.
+    pub fn accepted(&mut self, network: &mut Network, now: u64, listener: usize, connection: ConnectionId) {
+        let source = network.peer(connection).and_then(|peer| match peer {
+            SocketAddr::V4(peer) => self.sources.get(peer.ip()).copied(),
+            SocketAddr::V6(_) => None,
+        });
+        let Some(caller) = source else { return network.forget(connection) };
+        let target = self.listeners[listener].target;
         let id = self.next_circuit;
         self.next_circuit += 1;
         let caller_end = End { connection: Some(connection), ..End::default() };
-        self.circuits.insert(id, Circuit { caller: None, target, caller_end, target_end: End::default() });
+        self.circuits.insert(id, Circuit { caller, target, caller_end, target_end: End::default() });
         self.sides.insert(connection, (id, Side::Caller));
-        self.unidentified.push(Unidentified { connection, caller, called: announced });
-    }
-
-    /// Names the machine that a connection comes from; `None` ends the connection.
-    pub fn identify(
-        &mut self,
-        network: &mut Network,
-        now: u64,
-        connection: ConnectionId,
-        machine: Option<MachineIndex>,
-    ) {
-        let Some((id, _)) = self.sides.get(&connection).copied() else { return };
-        match (machine, self.circuits.get_mut(&id)) {
-            (Some(machine), Some(circuit)) => circuit.caller = Some(machine),
-            _ => return self.drop_circuit(network, id),
-        }
         self.advance(network, now, id);
     }
 
@@ -213,10 +190,9 @@
     }
 
     fn fault(&self, circuit: &Circuit, from: Side) -> Option<LinkFault> {
-        let caller = circuit.caller?;
         let pair = match from {
-            Side::Caller => (caller, circuit.target),
-            Side::Target => (circuit.target, caller),
+            Side::Caller => (circuit.caller, circuit.target),
+            Side::Target => (circuit.target, circuit.caller),
         };
         self.faults.get(&pair).copied()
     }
@@ -241,7 +217,6 @@
         if circuit.caller_end.ended && circuit.target_end.ended {
             return self.drop_circuit(network, id);
         }
-        let Some(_) = circuit.caller else { return };
         let forth = self.fault(circuit, Side::Caller);
         let back = self.fault(circuit, Side::Target);
         if [forth, back].contains(&Some(LinkFault::Reset)) {
--- a/crates/sidings/tests/launch.rs
+++ b/crates/sidings/tests/launch.rs
@@ -2,7 +2,6 @@
 //! script that is named like the role.
 
 use std::fs;
-use std::net::{Ipv4Addr, SocketAddr, TcpListener};
 use std::path::Path;
 use std::process::ExitStatus;
 use std::time::{Duration, Instant};
@@ -185,35 +184,12 @@
 fn behind_a_relay_machines_listen_elsewhere_than_they_announce() {
     let mut plan = Plan::new(1, 1, 1).unwrap();
     plan.relayed = true;
-    for (machine, role) in [(&plan.machines[0], Role::Control), (&plan.machines[1], Role::Store)] {
+    let [edge, storage] = &plan.machines[..] else { panic!("two machines") };
+    for (machine, role) in [(edge, Role::Control), (edge, Role::Door), (storage, Role::Store)] {
         let text = settings_text(&plan, machine, role, Path::new("/data"), true);
         assert!(text.contains(&format!("ip-address={}\n", machine.ip)));
         let listener = plan.internal_listener(machine);
         assert!(text.contains(&format!("listen-addresses.internal={listener}\n")));
         assert_ne!(listener, plan.internal_address(machine));
     }
-    let door = settings_text(&plan, &plan.machines[0], Role::Door, Path::new("/data"), true);
-    assert!(!door.contains("listen-addresses.internal"));
-}
-
-#[test]
-fn the_machine_of_a_caller_is_found_by_its_connection() {
-    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
-    let SocketAddr::V4(called) = listener.local_addr().unwrap() else { panic!("an IPv4 address") };
-    let launcher = Launcher::new(Plan::new(1, 1, 1).unwrap(), Path::new("/bin/bash")).unwrap();
-    let idle = "exec 0<>fifo.$$\nwhile :; do read line; done\n";
-    let call = format!("exec 3<>/dev/tcp/{}/{}\n", called.ip(), called.port());
-    for (role, begin) in [("control", ""), ("door", ""), ("store", call.as_str())] {
-        let script = format!("mkfifo fifo.$$\n{begin}{idle}");
-        fs::write(launcher.directory().join(role), script).unwrap();
-    }
-    let mut launcher = launcher;
-    launcher.start_all().unwrap();
-    let (_connection, caller) = listener.accept().unwrap();
-    let SocketAddr::V4(caller) = caller else { panic!("an IPv4 address") };
-    let store = launcher.with_role(Role::Store)[0];
-    assert_eq!(launcher.machine_of_caller(caller, called), Some(launcher.machine_index(store)));
-    assert_eq!(launcher.machine_of_caller(called, caller), None, "the end of this process");
-    launcher.kill(store).unwrap();
-    assert_eq!(launcher.machine_of_caller(caller, called), None);
 }
--- a/crates/sidings/tests/relay.rs
+++ b/crates/sidings/tests/relay.rs
@@ -43,32 +43,34 @@
     }
 }
 
+fn application() -> Station {
+    let settings = ApplicationServerSettings {
+        instance: "a1".to_owned(),
+        slots: 4,
+        queue: 100,
+        max_connections: 200,
+        health_path: "/health".to_owned(),
+        work_ms: 1..=3,
+        answer_bytes: BODY_BYTES,
+        failing_share: 0,
+        seed: 1,
+    };
+    Station::Application(ApplicationServer::new(1, settings))
+}
+
 /// A server behind the relay.
 struct Yard {
     host: Host,
     announced: SocketAddrV4,
-    /// The machine that connections are said to come from.
-    caller: Option<usize>,
 }
 
 impl Yard {
     fn new() -> Yard {
         let mut host = Host::new().unwrap();
-        let settings = ApplicationServerSettings {
-            instance: "a1".to_owned(),
-            slots: 4,
-            queue: 100,
-            max_connections: 200,
-            health_path: "/health".to_owned(),
-            work_ms: 1..=3,
-            answer_bytes: BODY_BYTES,
-            failing_share: 0,
-            seed: 1,
-        };
-        let server = Station::Application(ApplicationServer::new(1, settings));
-        let (_, real) = host.open(server, LOOPBACK).unwrap();
+        let (_, real) = host.open(application(), LOOPBACK).unwrap();
         let announced = host.relay_to(TARGET, LOOPBACK, real).unwrap();
-        Yard { host, announced, caller: Some(CALLER) }
+        host.relay_from(CALLER, Ipv4Addr::LOCALHOST);
+        Yard { host, announced }
     }
 
     fn link(&mut self, from: usize, to: usize, fault: Option<LinkFault>) {
@@ -88,10 +90,6 @@
 
     fn turn(&mut self, until: u64) {
         self.host.turn(until).unwrap();
-        for unknown in self.host.take_unidentified() {
-            assert_eq!(unknown.called, self.announced);
-            self.host.identify(unknown.connection, self.caller);
-        }
     }
 
     /// Lets things happen for a while.
@@ -199,7 +197,12 @@
 #[test]
 fn a_connection_of_an_unknown_machine_is_ended() {
     let mut yard = Yard::new();
-    yard.caller = None;
+    let other = Ipv4Addr::new(127, 0, 0, 9);
+    let mut host = Host::new().unwrap();
+    let (_, real) = host.open(application(), LOOPBACK).unwrap();
+    yard.announced = host.relay_to(TARGET, LOOPBACK, real).unwrap();
+    host.relay_from(CALLER, other);
+    yard.host = host;
     let ended = yard.call();
     assert!(matches!(yard.wait(&ended), Outcome::Cut { started: false } | Outcome::Refused));
     assert!(!yard.ran());
--- a/crates/signalbox/src/process/mod.rs
+++ b/crates/signalbox/src/process/mod.rs
@@ -6,7 +6,7 @@
 
 use std::collections::BTreeMap;
 use std::io;
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::path::PathBuf;
 use std::rc::Rc;
 use std::time::Duration;
@@ -53,6 +53,8 @@
     pub internal_address: SocketAddrV4,
     /// Where their calls arrive: another address only behind a relay.
     pub internal_listener: SocketAddrV4,
+    /// Address that connections to others leave from; the kernel chooses one where there is none.
+    pub source: Option<Ipv4Addr>,
     /// Control addresses of the first control machines.
     pub seeds: Vec<SocketAddrV4>,
     pub bootstrap: bool,
@@ -141,6 +143,7 @@
     fn start(options: ControlOptions) -> Result<Process, ControlError> {
         let clock = Clock::start();
         let mut network = Network::new()?;
+        network.set_source(options.source);
         let waker = network.waker();
         let ring_options = RingOptions::with_capacity((options.disk_bytes as f64 * RING_SHARE) as u64);
         let on_progress = Box::new(move || waker.wake());
--- a/crates/track/src/network.rs
+++ b/crates/track/src/network.rs
@@ -5,7 +5,7 @@
 
 use std::collections::VecDeque;
 use std::io::{self, ErrorKind, Read, Write};
-use std::net::{Shutdown, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
@@ -133,6 +133,8 @@
     scratch: Vec<u8>,
     /// Connections whose peer has to close, oldest first.
     finishing: VecDeque<(Instant, ConnectionId)>,
+    /// Address that connections begun here leave from; the kernel chooses one where there is none.
+    source: Option<Ipv4Addr>,
 }
 
 fn other(error: impl std::fmt::Display) -> io::Error {
@@ -164,9 +166,15 @@
             waker: Waker(ping),
             scratch: vec![0; READ_BYTES],
             finishing: VecDeque::new(),
+            source: None,
         })
     }
 
+    /// Connections that are begun from now on leave from `source`; `None` lets the kernel choose.
+    pub fn set_source(&mut self, source: Option<Ipv4Addr>) {
+        self.source = source;
+    }
+
     /// A handle by which other threads wake the loop: it then returns [`Event::Woken`].
     pub fn waker(&self) -> Waker {
         self.waker.clone()
@@ -199,6 +207,9 @@
         let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
         socket.set_nonblocking(true)?;
         let _ = socket.set_tcp_user_timeout(Some(user_timeout));
+        if let Some(source) = self.source {
+            socket.bind(&SocketAddr::V4(SocketAddrV4::new(source, 0)).into())?;
+        }
         match socket.connect(&address.into()) {
             Err(error) if error.raw_os_error() != Some(Errno::INPROGRESS.raw_os_error()) => {
                 return Err(error);
--- a/crates/track/src/settings.rs
+++ b/crates/track/src/settings.rs
@@ -100,7 +100,7 @@
     pub readiness: Option<SocketAddrV4>,
     pub control: Option<SocketAddrV4>,
     /// Where the system's own processes are listened for, if they reach this one through a relay at `ip` and the
-    /// first internal port.
+    /// first internal port. Connections to others then leave from this address, too.
     pub internal: Option<SocketAddrV4>,
     /// First and last port for traffic between the system's own processes.
     pub internal_ports: (u16, u16),
--- /dev/null
+++ b/crates/track/tests/network.rs
@@ -0,0 +1,35 @@
+//! The event loop's connections against sockets of the standard library.
+
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
+use std::time::{Duration, Instant};
+
+use orchidvalve_track::network::{Event, Network};
+
+const LIMIT: Duration = Duration::from_secs(20);
+
+/// Address that a connection leaves from, by what the listener sees.
+fn source_of(network: &mut Network) -> Ipv4Addr {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let port = listener.local_addr().unwrap().port();
+    let id = network.connect(SocketAddrV4::new(Ipv4Addr::LOCALHOST, port), LIMIT).unwrap();
+    let begin = Instant::now();
+    let mut up = false;
+    while !up {
+        assert!(begin.elapsed() < LIMIT, "the connection comes up");
+        let events = network.poll(Duration::from_millis(10)).unwrap();
+        up = events.iter().any(|event| matches!(event, Event::Connected(connected) if *connected == id));
+    }
+    let (_, SocketAddr::V4(peer)) = listener.accept().unwrap() else { panic!("an IPv4 address") };
+    *peer.ip()
+}
+
+#[test]
+fn connections_leave_from_the_source_that_is_set() {
+    let mut network = Network::new().unwrap();
+    assert_eq!(source_of(&mut network), Ipv4Addr::LOCALHOST);
+    let source = Ipv4Addr::new(127, 3, 2, 1);
+    network.set_source(Some(source));
+    assert_eq!(source_of(&mut network), source);
+    network.set_source(None);
+    assert_eq!(source_of(&mut network), Ipv4Addr::LOCALHOST);
+}
--- a/crates/turnstile/src/process/mod.rs
+++ b/crates/turnstile/src/process/mod.rs
@@ -7,7 +7,7 @@
 
 use std::collections::BTreeSet;
 use std::io;
-use std::net::SocketAddrV4;
+use std::net::{Ipv4Addr, SocketAddrV4};
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -49,6 +49,8 @@
     pub share: f32,
     pub frontend: SocketAddrV4,
     pub readiness: SocketAddrV4,
+    /// Address that connections to others leave from; the kernel chooses one where there is none.
+    pub source: Option<Ipv4Addr>,
     /// Control machines at which a session may be asked for.
     pub seeds: Vec<NodeAddress>,
     pub grace_ms: u64,
@@ -112,6 +114,7 @@
     fn start(options: DoorOptions) -> Result<Process, DoorError> {
         let clock = Clock::start();
         let mut network = Network::new()?;
+        network.set_source(options.source);
         network.listen(options.frontend, FRONTEND_LISTENER)?;
         network.listen(options.readiness, READINESS_LISTENER)?;
         let seed = random_seed();
