--- /dev/null
+++ b/crates/coupling/tests/messages/main.rs
@@ -0,0 +1,24 @@
+//! Every message of the chain, each variant with each field: what comes back, what is refused.
+
+#[path = "../../../track/tests/messages/checks.rs"]
+mod checks;
+#[path = "../../../track/tests/messages/generate.rs"]
+mod generate;
+mod strategies;
+#[path = "../../../track/tests/messages/strategies.rs"]
+mod track_strategies;
+
+use checks::{check_encoding, check_frames};
+use orchidvalve_coupling::{ChainView, Entry, Message};
+
+#[test]
+fn messages() {
+    check_encoding::<Message>();
+    check_frames::<Message>();
+}
+
+#[test]
+fn entries_and_views() {
+    check_encoding::<Entry>();
+    check_encoding::<ChainView>();
+}
--- /dev/null
+++ b/crates/coupling/tests/messages/strategies.rs
@@ -0,0 +1,17 @@
+//! All messages of the chain and their parts.
+
+use orchidvalve_coupling::{ChainView, Entry, EpochRun, Message};
+
+use crate::{generate_enum, generate_struct};
+
+generate_struct!(Entry { sequence, epoch, payload });
+generate_struct!(EpochRun { epoch, first });
+generate_struct!(ChainView { epoch, members, learners, minimum });
+generate_enum!(Message {
+    Position { epoch, ticket, first, runs, end },
+    Entries { epoch, previous_sequence, previous_epoch, entries, committed, floor },
+    Acknowledge { epoch, sequence },
+    Reset { epoch, ticket, start, previous_epoch },
+    Confirm { epoch, round },
+    Confirmed { epoch, round, committed },
+});
--- /dev/null
+++ b/crates/waybill/tests/messages/main.rs
@@ -0,0 +1,77 @@
+//! Every change of the control state and every record of jobs, each variant with each field: what comes back, what
+//! is refused, and what a damaged one does.
+
+#[path = "../../../track/tests/messages/checks.rs"]
+mod checks;
+mod fields;
+#[path = "../../../track/tests/messages/generate.rs"]
+mod generate;
+mod strategies;
+#[path = "../../../track/tests/messages/strategies.rs"]
+mod track_strategies;
+
+use std::cell::RefCell;
+
+use checks::{check_encoding, for_each, for_each_flip, for_each_variant};
+use fields::SeenFields;
+use generate::Generate;
+use orchidvalve_track::frames::{decode, encode};
+use orchidvalve_waybill::state::{Change, ControlState, StateImage};
+use orchidvalve_waybill::{ItemResult, Job};
+
+#[test]
+fn changes() {
+    check_encoding::<Change>();
+}
+
+#[test]
+fn images_and_results() {
+    check_encoding::<StateImage>();
+    check_encoding::<ItemResult>();
+}
+
+#[test]
+fn jobs() {
+    check_encoding::<Job>();
+}
+
+#[test]
+fn all_fields_are_drawn() {
+    let (images, jobs) = (RefCell::new(SeenFields::default()), RefCell::new(SeenFields::default()));
+    for_each(&StateImage::generate(), |image| images.borrow_mut().see(image));
+    for_each(&Job::generate(), |job| jobs.borrow_mut().see(job));
+    images.borrow().assert_all_varied();
+    jobs.borrow().assert_all_varied();
+}
+
+/// Every machine that applies the same bytes comes to the same verdict and the same state, also where a bit is
+/// flipped; a change that is refused leaves the state as it was.
+#[test]
+fn a_damaged_change_is_refused_or_applied_alike() {
+    for_each_variant(|change: &Change| {
+        for_each_flip(&encode(change), |flipped| {
+            let Some(damaged) = decode::<Change>(flipped).filter(is_small) else { return };
+            let (mut one, mut other) = (ControlState::default(), ControlState::default());
+            let verdicts = (one.apply(&damaged), other.apply(&damaged));
+            assert_eq!(verdicts.0, verdicts.1);
+            assert_eq!(one.image(), other.image());
+            if verdicts.0.is_err() {
+                assert_eq!(one.image(), StateImage::default());
+            }
+        });
+    });
+}
+
+/// Whether it places low partitions only; others take memory and time for all partitions before them.
+fn is_small(change: &Change) -> bool {
+    !matches!(change, Change::Place(placements) if placements.iter().any(|(partition, _)| *partition > 99))
+}
+
+/// The image of a state makes that state again.
+#[test]
+fn an_image_makes_the_state_that_it_was_taken_of() {
+    for_each_variant(|image: &StateImage| {
+        let state = ControlState::from_image(image).expect("a state");
+        assert_eq!(&state.image(), image);
+    });
+}
--- /dev/null
+++ b/crates/waybill/tests/messages/strategies.rs
@@ -0,0 +1,119 @@
+//! All changes and records of this crate and their parts.
+
+use compact_str::CompactString;
+use orchidvalve_waybill::state::{Change, ControlState, ModelUse, Placement, StateImage, StoreRecord};
+use orchidvalve_waybill::{ItemResult, ItemState, Job, JobOrigin};
+use proptest::collection::vec;
+use proptest::strategy::{BoxedStrategy, Just, Strategy};
+use serde_json::{Value, json};
+
+use crate::generate::Generate;
+use crate::{generate_enum, generate_struct};
+
+/// Partitions of a drawn image; a place takes memory for all before it.
+const PARTITIONS: u16 = 4;
+
+generate_enum!(Change {
+    Checkpoint(image),
+    Replace { base, body },
+    Patch { base, body },
+    NameVersion { model, version },
+    RegisterStore { name, zone, member },
+    Place(placements),
+    Retire { name },
+    BeginDuty,
+    UseModel { model, usage },
+});
+generate_struct!(ModelUse { single_version, lag });
+generate_struct!(Placement { epoch, members, learners });
+generate_struct!(StoreRecord { zone, member, retiring });
+generate_enum!(ItemState { Completed, Expired });
+generate_struct!(ItemResult { id, state, message, weight_versions, score });
+
+impl Generate for CompactString {
+    fn variants() -> Vec<BoxedStrategy<Self>> {
+        vec![String::generate().prop_map(CompactString::from).boxed()]
+    }
+}
+
+/// An image has private fields: it is taken of a state to which changes were applied.
+impl Generate for StateImage {
+    fn variants() -> Vec<BoxedStrategy<Self>> {
+        let stores = Vec::<(String, StoreRecord)>::generate();
+        let placements = vec((0_u16..PARTITIONS, Placement::generate()), 0..3);
+        let models = (Vec::<(String, u64)>::generate(), Vec::<(String, ModelUse)>::generate());
+        let parts = (0_u64..4, stores, placements, models);
+        let image = parts.prop_map(|(versions, stores, placements, (named, used))| {
+            let mut changes: Vec<Change> = (1..=versions).map(replace).collect();
+            for (name, StoreRecord { zone, member, retiring }) in stores {
+                changes.push(Change::RegisterStore { name: name.clone(), zone, member });
+                changes.extend(retiring.then_some(Change::Retire { name }));
+            }
+            changes.push(Change::Place(placements));
+            changes.extend(named.into_iter().map(|(model, version)| Change::NameVersion { model, version }));
+            changes.extend(used.into_iter().map(|(model, usage)| Change::UseModel { model, usage }));
+            let mut state = ControlState::default();
+            for change in &changes {
+                state.apply(change).expect("a change that fits");
+            }
+            state.image()
+        });
+        vec![Just(StateImage::default()).boxed(), image.boxed()]
+    }
+}
+
+fn replace(version: u64) -> Change {
+    let document = json!({"config-version": version, "routes": [], "services": [{"name": "blue"}]});
+    Change::Replace { base: version - 1, body: document.to_string().into_bytes() }
+}
+
+/// A job has private fields: it is read from a document.
+impl Generate for Job {
+    fn variants() -> Vec<BoxedStrategy<Self>> {
+        let head = (Option::<u64>::generate(), Option::<u8>::generate(), 0_u32..9, u32::generate());
+        let items = vec(item(), 1..4);
+        let names = (0_u8..9, 0_u8..9, 0_u8..9);
+        let job = (head, items, names).prop_map(|((step, model, oldest, desired), items, names)| {
+            let model = model.map(|model| format!("model-{model}"));
+            let requests: Vec<Value> = items.into_iter().zip(0..).map(with_id).collect();
+            let document = json!({
+                "step": step, "model": model, "min-weights-version": oldest, "desired-count": desired,
+                "requests": requests,
+            });
+            let (id, host, prefix) = names;
+            let (id, hostname) = (format!("job-{id}"), format!("host-{host}.example"));
+            let origin =
+                JobOrigin { id: &id, hostname: &hostname, route_prefix: &format!("/prefix-{prefix}/") };
+            Job::parse(document.to_string().as_bytes(), &origin).expect("a job")
+        });
+        vec![job.boxed()]
+    }
+}
+
+fn with_id((mut item, number): (Value, u32)) -> Value {
+    item["instance-id"] = json!(format!("item-{number}"));
+    item
+}
+
+/// An item without its id.
+fn item() -> BoxedStrategy<Value> {
+    let scorer = Option::<u8>::generate();
+    let parts = (0_u8..9, Option::<u8>::generate(), 0_u32..5_000, Option::<u8>::generate(), scorer);
+    let item = parts.prop_map(|(path, header, token_usage, group, scorer)| {
+        let headers = header.map_or(json!({}), |value| json!({"Model": format!("model-{value}")}));
+        let mut item = json!({
+            "path": format!("/prefix/{path}"), "headers": headers, "body": "YWJj", "token-usage": token_usage,
+        });
+        if let Some(group) = group {
+            item["group"] = json!(format!("group-{}", group % 3));
+        }
+        if let Some(scorer) = scorer {
+            item["scorer-url"] = json!({
+                "instance-id": format!("scorer-{scorer}"), "hostname": "scorer.example", "path": "/score",
+                "body": "ZGVm",
+            });
+        }
+        item
+    });
+    item.boxed()
+}
