--- /dev/null
+++ b/crates/goodsyard/tests/records/main.rs
@@ -0,0 +1,47 @@
+//! Every message between stores, every record of their disks and every entry of a journal, each variant with each
+//! field: what comes back, and what is refused.
+
+#[path = "../../../track/tests/messages/checks.rs"]
+mod checks;
+#[path = "../../../coupling/tests/messages/strategies.rs"]
+mod coupling_strategies;
+mod entries;
+#[path = "../../../track/tests/messages/generate.rs"]
+mod generate;
+mod strategies;
+#[path = "../../../track/tests/messages/strategies.rs"]
+mod track_strategies;
+
+use checks::{check_encoding, check_frames, for_each_flip, for_each_variant};
+use entries::{EntryParts, parts_of};
+use orchidvalve_goodsyard::entry::EntryRef;
+use orchidvalve_goodsyard::{DiskRecord, PeerMessage};
+
+#[test]
+fn messages_of_peers() {
+    check_encoding::<PeerMessage>();
+    check_frames::<PeerMessage>();
+}
+
+#[test]
+fn records() {
+    check_encoding::<DiskRecord>();
+}
+
+#[test]
+fn entries() {
+    for_each_variant(|parts: &EntryParts| {
+        let entry = parts.as_entry();
+        let bytes = entry.encode();
+        assert_eq!(EntryRef::decode(&bytes).as_ref(), Some(&entry));
+        assert_eq!(parts_of(&entry).as_entry(), entry);
+        for length in 0..bytes.len() {
+            assert!(EntryRef::decode(&bytes[..length]).is_none(), "taken with {length} bytes");
+        }
+        for_each_flip(&bytes, |flipped| {
+            let Some(entry) = EntryRef::decode(flipped) else { return };
+            let again = entry.encode();
+            assert_eq!(EntryRef::decode(&again).as_ref(), Some(&entry));
+        });
+    });
+}
--- /dev/null
+++ b/crates/goodsyard/tests/records/strategies.rs
@@ -0,0 +1,17 @@
+//! All messages between stores, all records on their disks, and the parts of both.
+
+use orchidvalve_goodsyard::{DiskRecord, PeerMessage};
+
+use crate::generate_enum;
+
+generate_enum!(PeerMessage {
+    Introduce { version, member },
+    Heartbeat,
+    Chain { partition, message },
+});
+generate_enum!(DiskRecord {
+    Append { partition, entry },
+    Truncate { partition, after },
+    Reset { partition, start, previous_epoch },
+    Base { partition, first, previous_epoch, view_epoch },
+});
--- /dev/null
+++ b/crates/signalbox/tests/records/agreement.rs
@@ -0,0 +1,22 @@
+//! All messages and records of the agreement on views and their parts.
+
+use orchidvalve_interlocking::acceptor::Acceptor;
+use orchidvalve_interlocking::{Ballot, DurableState, Message, View};
+
+use crate::{generate_enum, generate_struct};
+
+generate_struct!(Ballot { round, proposer });
+generate_struct!(View { epoch, voters, chain });
+generate_struct!(Acceptor { promised, accepted });
+generate_struct!(DurableState { view, acceptor, complete });
+generate_enum!(Message {
+    Hello { member, bootstrap, epoch },
+    Ping { number, epoch },
+    Pong { number, epoch, ready, unsettled },
+    Prepare { epoch, ballot },
+    Promise { epoch, ballot, accepted },
+    Accept { ballot, view },
+    Accepted { epoch, ballot },
+    Nack { epoch, ballot, promised },
+    Decided { view },
+});
--- /dev/null
+++ b/crates/signalbox/tests/records/main.rs
@@ -0,0 +1,64 @@
+//! Every message between control machines and every record of their disks, each variant with each field: what
+//! comes back, and what is refused.
+
+mod agreement;
+#[path = "../../../track/tests/messages/checks.rs"]
+mod checks;
+#[path = "../../../coupling/tests/messages/strategies.rs"]
+mod coupling_strategies;
+#[path = "../../../track/tests/messages/generate.rs"]
+mod generate;
+mod strategies;
+#[path = "../../../track/tests/messages/strategies.rs"]
+mod track_strategies;
+
+use checks::{check_encoding, check_frames, for_each_flip, for_each_variant};
+use orchidvalve_interlocking::Message as AgreementMessage;
+use orchidvalve_signalbox::journal::{DiskRecord, Recovered};
+use orchidvalve_signalbox::peer::PeerMessage;
+use orchidvalve_track::frames::encode;
+
+#[test]
+fn messages_of_peers() {
+    check_encoding::<PeerMessage>();
+}
+
+#[test]
+fn frames_of_peers() {
+    check_frames::<PeerMessage>();
+}
+
+#[test]
+fn records() {
+    check_encoding::<DiskRecord>();
+}
+
+/// A message of the agreement bears a checksum of its own: no damaged one is taken.
+#[test]
+fn a_damaged_message_of_the_agreement_is_refused() {
+    for_each_variant(|message: &AgreementMessage| {
+        let mut bytes = Vec::new();
+        message.encode(&mut bytes).expect("encoded");
+        if message.is_well_formed() {
+            assert_eq!(AgreementMessage::decode(&bytes).ok().as_ref(), Some(message));
+        }
+        for length in 0..bytes.len() {
+            assert!(AgreementMessage::decode(&bytes[..length]).is_err(), "taken with {length} bytes");
+        }
+        for_each_flip(&bytes, |flipped| assert!(AgreementMessage::decode(flipped).is_err()));
+    });
+}
+
+/// A record that can't be read is counted and changes nothing.
+#[test]
+fn a_cut_record_is_counted_as_unreadable() {
+    for_each_variant(|record: &DiskRecord| {
+        let bytes = encode(record);
+        let mut recovered = Recovered::default();
+        for length in 0..bytes.len() {
+            recovered.take(length as u64 + 1, &bytes[..length]);
+        }
+        assert_eq!(recovered.unreadable, bytes.len());
+        assert_eq!((recovered.agreement, recovered.held_duty, recovered.journal.end()), (None, None, 0));
+    });
+}
