Ballast: tests of the age of the oldest record fail instead of hanging

With a planted fault two of these tests did not fail but waited for ever: a panic left the simulated disk hanging, and the wait for an empty backlog never ended. The disk is let go before the checks, and that the age is forgotten is checked after a further record is durable. As strict as before.

--- a/crates/ballast/tests/ring.rs
+++ b/crates/ballast/tests/ring.rs
@@ -85,11 +85,12 @@
     assert_eq!(ring.usage().trouble, None);
 }
 
-/// Waits until no record is left that is not durable.
-fn wait_written(ring: &Ring, receiver: &Receiver<()>) {
-    while ring.usage().oldest_unwritten_since.is_some() {
-        receiver.recv().unwrap();
-    }
+/// The age of what was appended so far is forgotten, once a further record is durable.
+fn assert_all_written(ring: &Ring, receiver: &Receiver<()>) {
+    let before = Instant::now();
+    let position = ring.append(vec![9; 10]);
+    wait_durable(ring, receiver, position);
+    assert!(ring.usage().oldest_unwritten_since.is_none_or(|since| since >= before));
 }
 
 #[test]
@@ -110,15 +111,16 @@
     ring.append(vec![2; 10]);
     ring.append(vec![3; 10]);
     let usage = ring.usage();
+    // Before any check that may fail: the end of the ring waits for the disk.
+    disk.set_faults(Faults::default());
     assert_eq!(usage.trouble, None);
     let since = usage.oldest_unwritten_since.unwrap();
     assert!(before <= since && since <= after);
     let hung = Duration::from_secs(3);
     assert_eq!(usage.unwritten_for(since + hung), Some(hung));
     assert_eq!(usage.unwritten_for(since - hung), Some(Duration::ZERO));
-    disk.set_faults(Faults::default());
     wait_durable(&ring, &receiver, 3);
-    wait_written(&ring, &receiver);
+    assert_all_written(&ring, &receiver);
 }
 
 #[test]
@@ -127,23 +129,26 @@
     let (on_progress, receiver) = progress();
     let (ring, _) = Ring::open_with(disk.clone(), small_options(4, 8000), on_progress).unwrap();
     ring.append(vec![1; 10]);
-    wait_written(&ring, &receiver);
+    assert_all_written(&ring, &receiver);
     let (sync_begins, begun) = channel();
     disk.watch_syncs(sync_begins);
     disk.set_faults(Faults { syncs_hang: true, ..Faults::default() });
-    ring.append(vec![2; 10]);
+    assert_eq!(ring.append(vec![2; 10]), 3);
     begun.recv().unwrap();
     let between = Instant::now();
-    ring.append(vec![3; 10]);
-    assert!(ring.usage().oldest_unwritten_since.unwrap() <= between);
+    assert_eq!(ring.append(vec![3; 10]), 4);
+    let first = ring.usage().oldest_unwritten_since;
     // The sync that hangs ends; the next one hangs.
     disk.set_faults(Faults { syncs_before_hang: Some(0), ..Faults::default() });
     begun.recv().unwrap();
-    assert_eq!(ring.durable_through(), 2);
-    assert!(ring.usage().oldest_unwritten_since.unwrap() >= between);
+    let (durable_through, second) = (ring.durable_through(), ring.usage().oldest_unwritten_since);
+    // Before any check that may fail: the end of the ring waits for the disk.
     disk.set_faults(Faults::default());
-    wait_durable(&ring, &receiver, 3);
-    wait_written(&ring, &receiver);
+    assert!(first.is_some_and(|since| since <= between));
+    assert_eq!(durable_through, 3);
+    assert!(second.is_some_and(|since| since >= between));
+    wait_durable(&ring, &receiver, 4);
+    assert_all_written(&ring, &receiver);
 }
 
 #[test]
@@ -161,7 +166,7 @@
     assert!(ring.usage().oldest_unwritten_since.unwrap() <= after);
     disk.set_faults(Faults::default());
     wait_durable(&ring, &receiver, 2);
-    wait_written(&ring, &receiver);
+    assert_all_written(&ring, &receiver);
 }
 
 #[test]
