Agreement: model of reconfiguration; a leaving voter may not take away the majority

Cause: no model covered changes of the voters with lost proposers, leaving members and losses of power.

`tests/reconfiguration.rs` checks six scenarios (replacement, two repairs at once, handover, its second step, a leaving holder of one of two copies, growth) with the crate's acceptor, proposer, count and policy. One machine may be lost at any step, another one once a view without the first is effective. Found by it: `may_leave` let a member go that stays a voter while the others were no majority any more; now they must be one.

It also shows that "decided" is not enough to call a repair done, whoever counts the acceptances: the first to know may be the next to be lost. A majority of the view's own voters has to have it on disk (`is_effective`).

Where there is one ballot per epoch, acceptors are heard by the proposer only and phase 1 has no delays: else the states don't end.

--- a/crates/interlocking/src/standing.rs
+++ b/crates/interlocking/src/standing.rs
@@ -39,8 +39,8 @@
     /// True if this process may end after [`Agreement::set_leaving`]: it is no longer needed, or waiting is of no use.
     ///
     /// It is no longer needed if it never knew a view, or if the latest view is effective and has this process
-    /// neither in its chain nor among its voters, or keeps it as a voter only and there is no live candidate that
-    /// could take the place.
+    /// neither in its chain nor among its voters. It may also stay a voter, outside the chain, if there is no live
+    /// candidate that could take the place and the other voters that live are a majority.
     ///
     /// Waiting is of no use if every other voter and candidate is alive and leaving, too. It is of use while one of
     /// them is dead: it may come back and copy what only this process holds. The host ends the wait when its time is
@@ -53,8 +53,9 @@
         if self.others(view).all(|member| self.health(member).is_leaving()) {
             return true;
         }
-        let is_voter_needed = view.is_voter(self.me) && self.has_successor(view);
-        self.is_effective() && !view.in_chain(self.me) && !is_voter_needed
+        let may_go =
+            !view.is_voter(self.me) || (!self.has_successor(view) && self.is_majority_without_me(view));
+        self.is_effective() && !view.in_chain(self.me) && may_go
     }
 
     pub(crate) fn status(&self) -> MemberStatus {
@@ -95,6 +96,11 @@
         self.candidates.iter().any(|member| may_follow(&member))
     }
 
+    fn is_majority_without_me(&self, view: &View) -> bool {
+        let votes = |voter: &&MemberId| **voter != self.me && self.health(**voter).can_vote();
+        view.voters.iter().filter(votes).count() >= majority(view.voters.len())
+    }
+
     fn others<'a>(&'a self, view: &'a View) -> impl Iterator<Item = MemberId> + 'a {
         let members = view.voters.iter().chain(&self.candidates).copied();
         members.filter(|member| *member != self.me)
--- /dev/null
+++ b/crates/interlocking/tests/reconfiguration.rs
@@ -0,0 +1,771 @@
+//! Model check of changes of the voters: candidates that join, leaving members, lost machines, losses of power,
+//! proposers lost at every step, two repairs at once. Messages arrive in any order or never; that they may arrive twice
+//! is in the model of a single decision (`model.rs`). Acceptor, proposer, the count of acceptances and the policy are those of the crate.
+//!
+//! One machine may be lost at any time, and another one once a view without the first is effective; also its proposer
+//! as soon as it knows that the view is decided, if two of three voters decided it. Whatever happens, the machines that are left must be able to decide
+//! a further view, and one of them must hold all that was acknowledged.
+
+use std::collections::{BTreeMap, BTreeSet};
+
+use orchidvalve_interlocking::acceptances::Acceptances;
+use orchidvalve_interlocking::acceptor::Acceptor;
+use orchidvalve_interlocking::electorate::Electorate;
+use orchidvalve_interlocking::policy::Situation;
+use orchidvalve_interlocking::proposer::Proposal;
+use orchidvalve_interlocking::status::Health;
+use orchidvalve_interlocking::view::majority;
+use orchidvalve_interlocking::{Ballot, MemberStatus, Message, Timing, View};
+use orchidvalve_track::identity::MemberId;
+use rstest::rstest;
+use stateright::{Checker, Model, Property};
+
+mod support;
+
+use support::{member, members, view};
+
+const THREADS: usize = 3;
+
+/// A check that needs more states than this fails, long before the memory is full.
+const STATE_LIMIT: usize = 4_000_000;
+
+const ONE_VIEW: &str = "one view per epoch";
+const ACCEPTED_BY_OWN: &str = "a decided view is on the disks of a majority of its voters";
+const SURVIVORS_DECIDE: &str = "those that are left can decide a further view";
+const COPY_SURVIVES: &str = "a complete copy is left";
+
+/// A fault planted into the model to see that the check finds it.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Planted {
+    Nothing,
+    /// A repair counts as done once anybody knows that the view is decided.
+    RepairedWhenDecided,
+    /// Only the proposer counts acceptances, and others know a decision by its word alone.
+    OnlyProposerLearns,
+    /// A view is decided by the voters before it alone.
+    PreviousVotersOnly,
+    /// A leaving member ends as soon as it knows a view without itself.
+    LeavesWhenDecided,
+    /// A leaving voter outside the chain ends although the others aren't a majority.
+    LeavesMinority,
+    /// Members tell the epoch of a view that isn't on their disk yet.
+    TellsMemory,
+    /// A member that was just appended says that it is complete.
+    ClaimsCopy,
+    /// Two proposers use the same ballot.
+    SharesBallot,
+}
+
+/// What the check starts from. Machines 1 to 3 are the voters of the first view.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+enum Scenario {
+    /// Machine 3 is lost, 1 and 2 are the chain and 4 stands by.
+    Replacement,
+    /// As before, with 4 and 5 standing by; the proposers prefer different ones.
+    TwoRepairs,
+    /// Machine 3 leaves and 4 stands by.
+    Handover,
+    /// The second step of a handover: 4 is a voter and has its copy, 3 goes.
+    HandoverEnd,
+    /// Machine 2 is lost, 1 and 3 are the chain, 3 leaves and 4 stands by.
+    LeavingWithCopy,
+    /// Machines 4 and 5 stand by where five voters are wanted.
+    Growth,
+}
+
+struct Reconfiguration {
+    scenario: Scenario,
+    planted: Planted,
+    /// Proposals per epoch, by as many members.
+    ballots: u8,
+    /// No view after this epoch is proposed.
+    last_epoch: u64,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+struct Envelope {
+    from: MemberId,
+    to: MemberId,
+    message: Message,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct Node {
+    me: MemberId,
+    /// On disk. An acceptor answers only after its state is there, so that is always the case in the model.
+    stored: View,
+    acceptor: Acceptor,
+    /// A later view that isn't on disk yet. Until it is, the node takes no part in the next instance.
+    adopted: Option<View>,
+    proposal: Option<Proposal>,
+    acceptances: Option<Acceptances>,
+    /// Members that told that they have the view of this node on disk; kept where it is asked for, by the leaving one.
+    heard: BTreeSet<MemberId>,
+    /// It has found out as the proposer that its view is decided, by three voters. The one other voter that is left
+    /// then knows it, too; with more voters, that takes until the view is effective.
+    has_decided: bool,
+}
+
+#[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
+enum Gone {
+    Lost,
+    Left,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+struct State {
+    nodes: BTreeMap<MemberId, Node>,
+    gone: BTreeMap<MemberId, Gone>,
+    network: BTreeSet<Envelope>,
+    decided: BTreeMap<u64, BTreeSet<View>>,
+    /// Members that hold everything acknowledged.
+    copies: BTreeSet<MemberId>,
+    /// Proposals that were started per epoch.
+    started: BTreeMap<u64, u8>,
+    may_lose: bool,
+}
+
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+enum Action {
+    Propose(MemberId),
+    Deliver(Envelope),
+    /// The adopted view gets to the disk.
+    Store(MemberId),
+    /// The first tells the second which view it has on disk, and the second learns a later one from that.
+    Tell(MemberId, MemberId),
+    /// A member of the chain catches up with the others.
+    Copy(MemberId),
+    /// A leaving member ends.
+    Leave(MemberId),
+    Lose(MemberId),
+    /// All lose power and one its disk, too.
+    Blackout(MemberId),
+}
+
+impl Scenario {
+    fn timing(self) -> Timing {
+        let copies = if self == Scenario::Growth { 3 } else { 2 };
+        Timing::new(6_000, copies)
+    }
+
+    fn leaving(self) -> Option<MemberId> {
+        let leaves = [Scenario::Handover, Scenario::HandoverEnd, Scenario::LeavingWithCopy].contains(&self);
+        leaves.then(|| member(3, 1))
+    }
+
+    fn first_view(self) -> View {
+        let (three, four) = (members(3), members(4));
+        match self {
+            Scenario::Replacement | Scenario::TwoRepairs => view(1, &three, &three[..2]),
+            Scenario::LeavingWithCopy => view(1, &three, &[three[0], three[2]]),
+            Scenario::HandoverEnd => view(1, &four, &four),
+            _ => view(1, &three, &three),
+        }
+    }
+
+    fn standing_by(self) -> Vec<MemberId> {
+        match self {
+            Scenario::TwoRepairs | Scenario::Growth => vec![member(4, 1), member(5, 1)],
+            Scenario::HandoverEnd => vec![],
+            _ => vec![member(4, 1)],
+        }
+    }
+
+    fn lost(self) -> Option<MemberId> {
+        match self {
+            Scenario::Replacement | Scenario::TwoRepairs => Some(member(3, 1)),
+            Scenario::LeavingWithCopy => Some(member(2, 1)),
+            _ => None,
+        }
+    }
+
+    /// Who proposes. The others would propose the same.
+    fn proposers(self) -> [MemberId; 2] {
+        let second = if self.leaving().is_some() { 3 } else { 2 };
+        [member(1, 1), member(second, 1)]
+    }
+
+    /// The view that ends the scenario without further losses.
+    fn is_end(self, view: &View) -> bool {
+        match self {
+            Scenario::Growth => view.voters.len() == 5,
+            Scenario::LeavingWithCopy => view.in_chain(member(4, 1)) && !view.in_chain(member(3, 1)),
+            _ => !view.is_voter(member(3, 1)),
+        }
+    }
+}
+
+impl Model for Reconfiguration {
+    type State = State;
+    type Action = Action;
+
+    fn init_states(&self) -> Vec<State> {
+        let first = self.scenario.first_view();
+        let lost = self.scenario.lost();
+        let mut nodes = BTreeMap::new();
+        for me in first.voters.iter().copied().chain(self.scenario.standing_by()) {
+            if Some(me) != lost {
+                nodes.insert(me, Node::new(me, first.clone()));
+            }
+        }
+        vec![State {
+            copies: first.chain.iter().copied().filter(|member| Some(*member) != lost).collect(),
+            decided: BTreeMap::from([(1, BTreeSet::from([first]))]),
+            nodes,
+            gone: lost.into_iter().map(|member| (member, Gone::Lost)).collect(),
+            network: BTreeSet::new(),
+            started: BTreeMap::new(),
+            may_lose: true,
+        }]
+    }
+
+    fn actions(&self, state: &State, actions: &mut Vec<Action>) {
+        let leaving = state.nodes.values().filter(|node| self.may_leave(state, node));
+        actions.extend(leaving.map(|node| Action::Leave(node.me)));
+        if !state.may_lose {
+            return;
+        }
+        for (me, node) in &state.nodes {
+            if node.adopted.is_some() {
+                actions.push(Action::Store(*me));
+            } else if self.may_propose(state, node) {
+                actions.push(Action::Propose(*me));
+            }
+            if state.may_copy(*me) {
+                actions.push(Action::Copy(*me));
+            }
+            actions.extend(state.nodes.keys().filter(|to| *to != me).map(|to| Action::Tell(*me, *to)));
+        }
+        actions.extend(state.network.iter().cloned().map(Action::Deliver));
+        let is_repaired = self.is_repaired(state);
+        for (me, node) in &state.nodes {
+            if is_repaired {
+                actions.push(Action::Blackout(*me));
+            }
+            if is_repaired || node.has_replaced(state) {
+                actions.push(Action::Lose(*me));
+            }
+        }
+    }
+
+    fn next_state(&self, last: &State, action: Action) -> Option<State> {
+        let mut state = last.clone();
+        match action {
+            Action::Propose(me) => self.propose(&mut state, me),
+            Action::Deliver(envelope) => {
+                state.network.remove(&envelope);
+                self.deliver(&mut state, &envelope);
+            }
+            Action::Store(me) => state.node(me).store(),
+            Action::Tell(from, to) => self.tell(&mut state, from, to),
+            Action::Copy(me) => {
+                state.copies.insert(me);
+            }
+            Action::Leave(me) => state.remove(me, Gone::Left),
+            Action::Lose(me) => {
+                state.may_lose = false;
+                state.remove(me, Gone::Lost);
+            }
+            Action::Blackout(me) => {
+                state.may_lose = false;
+                state.remove(me, Gone::Lost);
+                for node in state.nodes.values_mut() {
+                    node.restart();
+                }
+            }
+        }
+        state.drop_useless_messages();
+        (state != *last).then_some(state)
+    }
+
+    fn properties(&self) -> Vec<Property<Self>> {
+        vec![
+            Property::always(ONE_VIEW, |_, state: &State| {
+                state.decided.values().all(|views| views.len() <= 1)
+            }),
+            Property::always(ACCEPTED_BY_OWN, |_, state: &State| state.is_accepted_by_own_voters()),
+            Property::always(SURVIVORS_DECIDE, |model: &Reconfiguration, state: &State| {
+                model.survivors_decide(state)
+            }),
+            Property::always(COPY_SURVIVES, |_, state: &State| !state.copies.is_empty()),
+            Property::sometimes(
+                "the change comes to its end and the leaving member goes",
+                |model: &Reconfiguration, state: &State| {
+                    let left =
+                        model.scenario.leaving().is_none_or(|me| state.gone.get(&me) == Some(&Gone::Left));
+                    left && state.effective().is_some_and(|view| model.scenario.is_end(view))
+                },
+            ),
+            Property::sometimes(
+                "a machine is lost after the change",
+                |model: &Reconfiguration, state: &State| {
+                    let is_end = state.latest().is_some_and(|view| model.scenario.is_end(view));
+                    is_end && !state.may_lose && state.latest().is_some_and(|view| !state.is_whole(view))
+                },
+            ),
+        ]
+    }
+}
+
+impl Reconfiguration {
+    fn may_propose(&self, state: &State, node: &Node) -> bool {
+        let epoch = node.stored.epoch + 1;
+        epoch <= self.last_epoch
+            && self.scenario.proposers().contains(&node.me)
+            && node.proposal.is_none()
+            && node.stored.is_voter(node.me)
+            && state.started.get(&epoch).is_none_or(|started| *started < self.ballots)
+            && self.wish(state, node).is_some()
+    }
+
+    /// What the policy wants, with all that is so known to the proposer.
+    fn wish(&self, state: &State, node: &Node) -> Option<View> {
+        let mut candidates = self.scenario.standing_by();
+        if node.me == member(2, 1) {
+            candidates.reverse();
+        }
+        let situation = Situation {
+            view: &node.stored,
+            me: node.me,
+            candidates: &candidates,
+            timing: &self.scenario.timing(),
+            health: |member| self.health(state, node, member),
+        };
+        situation.wanted_view()
+    }
+
+    fn health(&self, state: &State, node: &Node, member: MemberId) -> Health {
+        if state.gone.contains_key(&member) {
+            return Health::Dead { duration: 60_000 };
+        }
+        let is_learner = !node.stored.in_chain(member);
+        let claims = self.planted == Planted::ClaimsCopy;
+        Health::Alive(MemberStatus {
+            ready: is_learner || claims || state.copies.contains(&member),
+            reaches_chain: true,
+            leaving: self.scenario.leaving() == Some(member),
+            ..MemberStatus::default()
+        })
+    }
+
+    /// As `Agreement::may_leave`, for the part that lets a member go that is no longer needed.
+    fn may_leave(&self, state: &State, node: &Node) -> bool {
+        let view = node.adopted.as_ref().unwrap_or(&node.stored);
+        if self.scenario.leaving() != Some(node.me) || view.in_chain(node.me) {
+            return false;
+        }
+        let successors = self.scenario.standing_by();
+        let has_successor =
+            successors.iter().any(|member| !view.is_voter(*member) && state.nodes.contains_key(member));
+        let own = node.adopted.is_none() && view.is_voter(node.me);
+        let is_effective = node.heard.len() + usize::from(own) >= majority(view.voters.len());
+        let others = view.voters.iter().filter(|voter| **voter != node.me && state.nodes.contains_key(voter));
+        let may_stay_voter = self.planted == Planted::LeavesMinority
+            || (!has_successor && others.count() >= majority(view.voters.len()));
+        (is_effective || self.planted == Planted::LeavesWhenDecided)
+            && (!view.is_voter(node.me) || may_stay_voter)
+    }
+
+    /// No voter is missing, so the next loss may come: the latest view that is effective has no lost voter, and none
+    /// that left is a voter still.
+    fn is_repaired(&self, state: &State) -> bool {
+        let repaired =
+            if self.planted == Planted::RepairedWhenDecided { state.latest() } else { state.effective() };
+        let is_gone = |voter: &MemberId, how: Gone| state.gone.get(voter) == Some(&how);
+        repaired.is_some_and(|view| !view.voters.iter().any(|voter| is_gone(voter, Gone::Lost)))
+            && state.latest().is_some_and(|view| !view.voters.iter().any(|voter| is_gone(voter, Gone::Left)))
+    }
+
+    fn propose(&self, state: &mut State, me: MemberId) {
+        let Some(wish) = self.wish(state, &state.nodes[&me]) else { return };
+        let node = state.node(me);
+        let round = node.acceptor.promised.map_or(0, |ballot| ballot.round) + 1;
+        let shared = self.planted == Planted::SharesBallot;
+        let ballot =
+            if shared { Ballot { round: 1, proposer: member(1, 1) } } else { Ballot { round, proposer: me } };
+        let epoch = wish.epoch;
+        let voters = node.stored.voters.clone();
+        node.proposal = Some(Proposal::new(ballot, Electorate::after(&node.stored), wish));
+        *state.started.entry(epoch).or_default() += 1;
+        self.send_all(state, me, &voters, &Message::Prepare { epoch, ballot });
+    }
+
+    fn tell(&self, state: &mut State, from: MemberId, to: MemberId) {
+        let teller = state.nodes[&from].clone();
+        let receiver = state.node(to);
+        let known = receiver.epoch();
+        let is_waiting = self.scenario.leaving() == Some(to);
+        let tells_memory = self.planted == Planted::TellsMemory;
+        let told = if tells_memory { teller.epoch() } else { teller.stored.epoch };
+        if is_waiting && told == known && receiver.view().is_voter(from) {
+            receiver.heard.insert(from);
+        }
+        if teller.epoch() > known {
+            receiver.adopt(teller.view().clone());
+        }
+    }
+
+    fn deliver(&self, state: &mut State, envelope: &Envelope) {
+        let Some(node) = state.nodes.get_mut(&envelope.to) else { return };
+        let mut answers = Vec::new();
+        let decided = node.receive(self.planted, envelope.from, &envelope.message, &mut answers);
+        for (to, message) in answers {
+            self.send_all(state, envelope.to, &[to], &message);
+        }
+        if let Some(view) = decided {
+            state.note_decided(&view);
+            if let Some(node) = state.nodes.get_mut(&envelope.to) {
+                let is_own = node.acceptances.as_ref().is_some_and(|own| own.ballot().proposer == node.me);
+                node.adopt(view);
+                node.has_decided = is_own && node.stored.voters.len() == 3;
+            }
+        }
+    }
+
+    /// Messages to oneself arrive at once. Where there is one ballot only, so do those of phase 1, as there is nothing
+    /// they could race with, and acceptors are heard by the proposer only, which is the worst for the others.
+    fn send_all(&self, state: &mut State, from: MemberId, receivers: &[MemberId], message: &Message) {
+        for to in receivers {
+            let envelope = Envelope { from, to: *to, message: message.clone() };
+            let is_first_phase = matches!(message, Message::Prepare { .. } | Message::Promise { .. });
+            if let Message::Accepted { ballot, .. } = message
+                && self.ballots == 1
+                && from != *to
+                && *to != ballot.proposer
+            {
+                continue;
+            }
+            if from == *to || (is_first_phase && self.ballots == 1) {
+                self.deliver(state, &envelope);
+            } else {
+                state.network.insert(envelope);
+            }
+        }
+    }
+
+    /// Lets those that are left talk to each other without further faults, and see whether they decide a view.
+    /// Messages under way are lost.
+    fn survivors_decide(&self, state: &State) -> bool {
+        let Some(latest) = state.nodes.values().map(|node| node.view().clone()).max() else { return false };
+        let mut nodes = state.nodes.clone();
+        for node in nodes.values_mut() {
+            if node.epoch() < latest.epoch {
+                node.adopt(latest.clone());
+            }
+            if node.adopted.is_some() {
+                node.store();
+            }
+        }
+        let Some(proposer) = latest.voters.iter().copied().find(|voter| nodes.contains_key(voter)) else {
+            return false;
+        };
+        let electorate = Electorate::after(&latest);
+        let ballot = Ballot { round: 1_000, proposer };
+        let wish = View { epoch: latest.epoch + 1, ..latest.clone() };
+        let mut proposal = Proposal::new(ballot, electorate.clone(), wish);
+        let mut chosen = None;
+        for node in nodes.values_mut().filter(|node| latest.is_voter(node.me)) {
+            node.acceptor.prepare(ballot).expect("highest ballot");
+            let prepared = proposal.promise(node.me, ballot, node.acceptor.accepted.clone()).cloned();
+            chosen = chosen.or(prepared);
+        }
+        let Some(chosen) = chosen else { return false };
+        let mut acceptances = Acceptances::new(ballot, chosen, electorate);
+        nodes.keys().any(|me| acceptances.accepted(*me).is_some())
+    }
+}
+
+impl State {
+    fn node(&mut self, me: MemberId) -> &mut Node {
+        self.nodes.get_mut(&me).expect("only nodes that run act")
+    }
+
+    fn remove(&mut self, me: MemberId, how: Gone) {
+        self.nodes.remove(&me);
+        self.copies.remove(&me);
+        self.gone.insert(me, how);
+    }
+
+    /// Those that join the chain may lack what was acknowledged since they were ready, and those outside miss what is
+    /// acknowledged from now on.
+    fn note_decided(&mut self, view: &View) {
+        let views = self.decided.entry(view.epoch).or_default();
+        if views.insert(view.clone()) && views.len() == 1 {
+            let previous = self.decided[&(view.epoch - 1)].first().expect("decided in order").clone();
+            self.copies.retain(|member| view.in_chain(*member) && previous.in_chain(*member));
+        }
+    }
+
+    fn latest(&self) -> Option<&View> {
+        self.decided.last_key_value()?.1.first()
+    }
+
+    /// The latest view that a majority of its voters has on disk.
+    fn effective(&self) -> Option<&View> {
+        let is_effective = |view: &&View| {
+            let stores = |voter: &&MemberId| {
+                self.nodes.get(*voter).is_some_and(|node| node.stored.epoch >= view.epoch)
+            };
+            view.voters.iter().filter(stores).count() >= majority(view.voters.len())
+        };
+        self.decided.values().rev().filter_map(BTreeSet::first).find(is_effective)
+    }
+
+    /// No voter of `view` is gone.
+    fn is_whole(&self, view: &View) -> bool {
+        !view.voters.iter().any(|voter| self.gone.contains_key(voter))
+    }
+
+    /// A member of the chain of the latest view copies from one that is complete.
+    fn may_copy(&self, me: MemberId) -> bool {
+        !self.copies.contains(&me)
+            && self.nodes[&me].view().in_chain(me)
+            && self.latest().is_some_and(|view| view.epoch == self.nodes[&me].epoch())
+    }
+
+    fn is_accepted_by_own_voters(&self) -> bool {
+        let Some(view) = self.latest().filter(|view| view.epoch > 1) else { return true };
+        let has = |voter: &&MemberId| {
+            // One that is gone may have had it.
+            self.nodes.get(*voter).is_none_or(|node| {
+                let accepted = node.acceptor.accepted.as_ref().is_some_and(|(_, accepted)| accepted == view);
+                accepted || node.epoch() >= view.epoch
+            })
+        };
+        view.voters.iter().filter(has).count() >= majority(view.voters.len())
+    }
+
+    /// Removes messages that can't have an effect any more, which keeps the number of states down; also those of a
+    /// phase that the proposer has left.
+    fn drop_useless_messages(&mut self) {
+        let nodes = &self.nodes;
+        self.network.retain(|envelope| {
+            let Some(node) = nodes.get(&envelope.to) else { return false };
+            let next = node.epoch() + 1;
+            let above = |ballot: &Ballot| node.acceptor.promised.is_none_or(|promised| *ballot >= promised);
+            let counts = |ballot: &Ballot| {
+                node.acceptances.as_ref().is_none_or(|acceptances| acceptances.ballot() <= *ballot)
+            };
+            let is_passed = |ballot: &Ballot| {
+                let proposer = nodes.get(&ballot.proposer);
+                let acceptances = proposer.and_then(|proposer| proposer.acceptances.as_ref());
+                acceptances.is_some_and(|acceptances| acceptances.ballot() >= *ballot)
+            };
+            match &envelope.message {
+                Message::Prepare { ballot, .. } if is_passed(ballot) => false,
+                Message::Prepare { epoch, ballot } => *epoch > next || (*epoch == next && above(ballot)),
+                Message::Accept { ballot, view } => {
+                    view.epoch > next || (view.epoch == next && above(ballot))
+                }
+                Message::Promise { epoch, ballot, .. } => {
+                    let own = node.proposal.as_ref().is_some_and(|own| own.ballot() == *ballot);
+                    *epoch == next && own && !is_passed(ballot)
+                }
+                Message::Accepted { epoch, ballot } => *epoch > next || (*epoch == next && counts(ballot)),
+                _ => false,
+            }
+        });
+    }
+}
+
+impl Node {
+    fn new(me: MemberId, stored: View) -> Node {
+        Node {
+            me,
+            stored,
+            acceptor: Acceptor::default(),
+            adopted: None,
+            proposal: None,
+            acceptances: None,
+            heard: BTreeSet::new(),
+            has_decided: false,
+        }
+    }
+
+    fn view(&self) -> &View {
+        self.adopted.as_ref().unwrap_or(&self.stored)
+    }
+
+    fn epoch(&self) -> u64 {
+        self.view().epoch
+    }
+
+    /// The proposer of a view that replaces all lost voters, and knows that it is decided.
+    fn has_replaced(&self, state: &State) -> bool {
+        self.has_decided && state.is_whole(self.view())
+    }
+
+    fn adopt(&mut self, view: View) {
+        self.has_decided = false;
+        self.adopted = Some(view);
+        self.proposal = None;
+        self.acceptances = None;
+        self.heard.clear();
+    }
+
+    fn store(&mut self) {
+        if let Some(view) = self.adopted.take() {
+            self.stored = view;
+            self.acceptor = Acceptor::default();
+        }
+    }
+
+    fn restart(&mut self) {
+        self.adopted = None;
+        self.proposal = None;
+        self.acceptances = None;
+        self.heard.clear();
+    }
+
+    /// Takes a message; returns a view that is decided by it. A node with a view on the way to its disk waits.
+    fn receive(
+        &mut self,
+        planted: Planted,
+        from: MemberId,
+        message: &Message,
+        answers: &mut Vec<(MemberId, Message)>,
+    ) -> Option<View> {
+        let next = self.stored.epoch + 1;
+        if self.adopted.is_some() {
+            return None;
+        }
+        match message {
+            Message::Prepare { epoch, ballot } if *epoch == next && self.stored.is_voter(self.me) => {
+                let (epoch, ballot) = (*epoch, *ballot);
+                if self.acceptor.prepare(ballot).is_ok() {
+                    let accepted = self.acceptor.accepted.clone();
+                    answers.push((from, Message::Promise { epoch, ballot, accepted }));
+                }
+                None
+            }
+            Message::Promise { epoch, ballot, accepted } => {
+                let proposal = self.proposal.as_mut().filter(|proposal| proposal.epoch() == *epoch)?;
+                let view = proposal.promise(from, *ballot, accepted.clone())?.clone();
+                self.accept(planted, *ballot, &view, answers)?;
+                let accept = Message::Accept { ballot: *ballot, view: view.clone() };
+                answers.extend(self.others_concerned(&view).map(|to| (to, accept.clone())));
+                None
+            }
+            Message::Accept { ballot, view } if view.epoch == next && view.follows(&self.stored) => {
+                let concerned = self.stored.is_voter(self.me) || view.is_voter(self.me);
+                concerned.then(|| self.accept(planted, *ballot, view, answers))??;
+                self.count(planted, ballot.proposer, *ballot)
+            }
+            Message::Accepted { epoch, ballot } if *epoch == next => self.count(planted, from, *ballot),
+            _ => None,
+        }
+    }
+
+    /// Accepts, and tells itself and the others; `None` if a higher ballot was promised.
+    fn accept(
+        &mut self,
+        planted: Planted,
+        ballot: Ballot,
+        view: &View,
+        answers: &mut Vec<(MemberId, Message)>,
+    ) -> Option<()> {
+        self.acceptor.accept(ballot, view).ok()?;
+        if self.acceptances.as_ref().is_none_or(|acceptances| acceptances.ballot() != ballot) {
+            self.acceptances = Some(Acceptances::new(ballot, view.clone(), Electorate::after(&self.stored)));
+        }
+        let accepted = Message::Accepted { epoch: view.epoch, ballot };
+        let told = self.others_concerned(view).chain([self.me]);
+        let only_proposer = planted == Planted::OnlyProposerLearns;
+        answers.extend(
+            told.filter(|to| !only_proposer || *to == ballot.proposer).map(|to| (to, accepted.clone())),
+        );
+        Some(())
+    }
+
+    /// Counts an acceptance; returns the view if it is decided by that.
+    fn count(&mut self, planted: Planted, from: MemberId, ballot: Ballot) -> Option<View> {
+        let acceptances = self.acceptances.as_mut().filter(|acceptances| acceptances.ballot() == ballot)?;
+        if planted == Planted::OnlyProposerLearns && ballot.proposer != self.me {
+            return None;
+        }
+        if let Some(view) = acceptances.accepted(from) {
+            return Some(view.clone());
+        }
+        if planted == Planted::PreviousVotersOnly && from != self.me {
+            let (_, view) = self.acceptor.accepted.as_ref()?;
+            let voters = [self.me, from];
+            let votes = voters.iter().filter(|voter| self.stored.is_voter(**voter)).count();
+            return (votes >= majority(self.stored.voters.len())).then(|| view.clone());
+        }
+        None
+    }
+
+    /// The voters before and after a decision for `view`, without this one.
+    fn others_concerned(&self, view: &View) -> impl Iterator<Item = MemberId> + use<> {
+        let members: BTreeSet<MemberId> = self.stored.voters.iter().chain(&view.voters).copied().collect();
+        let me = self.me;
+        members.into_iter().filter(move |member| *member != me)
+    }
+}
+
+#[rstest]
+#[case::replacement(Scenario::Replacement, 2, 2)]
+#[case::two_repairs(Scenario::TwoRepairs, 2, 2)]
+#[case::handover(Scenario::Handover, 1, 3)]
+#[case::handover_end(Scenario::HandoverEnd, 1, 2)]
+#[case::leaving_with_copy(Scenario::LeavingWithCopy, 1, 4)]
+#[case::growth(Scenario::Growth, 1, 2)]
+fn losses_at_any_step_leave_a_system_that_goes_on(
+    #[case] scenario: Scenario,
+    #[case] ballots: u8,
+    #[case] last_epoch: u64,
+) {
+    let model = Reconfiguration { scenario, planted: Planted::Nothing, ballots, last_epoch };
+    let checker = model.checker().threads(THREADS).target_state_count(STATE_LIMIT).spawn_bfs().join();
+    println!(
+        "{scenario:?}: {} states, {} of them different, depth {}",
+        checker.state_count(),
+        checker.unique_state_count(),
+        checker.max_depth()
+    );
+    for property in [ONE_VIEW, ACCEPTED_BY_OWN, SURVIVORS_DECIDE, COPY_SURVIVES] {
+        for action in checker.discovery(property).into_iter().flat_map(|path| path.into_actions()) {
+            println!("    {property}: {action:?}");
+        }
+    }
+    assert!(checker.state_count() < STATE_LIMIT, "not all states were seen");
+    checker.assert_properties();
+}
+
+#[rstest]
+#[case::repaired_when_decided(Planted::RepairedWhenDecided, Scenario::Replacement, 2, SURVIVORS_DECIDE)]
+#[case::only_proposer_learns(Planted::OnlyProposerLearns, Scenario::Replacement, 2, SURVIVORS_DECIDE)]
+#[case::previous_voters_only(Planted::PreviousVotersOnly, Scenario::Growth, 2, ACCEPTED_BY_OWN)]
+#[case::leaves_when_decided(Planted::LeavesWhenDecided, Scenario::HandoverEnd, 2, SURVIVORS_DECIDE)]
+#[case::leaves_minority(Planted::LeavesMinority, Scenario::LeavingWithCopy, 4, SURVIVORS_DECIDE)]
+#[case::tells_memory(Planted::TellsMemory, Scenario::HandoverEnd, 2, SURVIVORS_DECIDE)]
+#[case::claims_copy(Planted::ClaimsCopy, Scenario::LeavingWithCopy, 4, COPY_SURVIVES)]
+#[case::shares_ballot(Planted::SharesBallot, Scenario::TwoRepairs, 2, ONE_VIEW)]
+fn a_planted_fault_is_found(
+    #[case] planted: Planted,
+    #[case] scenario: Scenario,
+    #[case] last_epoch: u64,
+    #[case] property: &'static str,
+) {
+    let ballots = if planted == Planted::SharesBallot { 2 } else { 1 };
+    let model = Reconfiguration { scenario, planted, ballots, last_epoch };
+    let finish = stateright::HasDiscoveries::AnyOf([property].into());
+    let checker = model
+        .checker()
+        .threads(THREADS)
+        .finish_when(finish)
+        .target_state_count(STATE_LIMIT)
+        .spawn_bfs()
+        .join();
+    println!(
+        "{planted:?} in {scenario:?}: {} states, {} of them different, depth {}",
+        checker.state_count(),
+        checker.unique_state_count(),
+        checker.max_depth()
+    );
+    println!("{:?}", checker.discoveries().keys().collect::<Vec<_>>());
+    let path = checker.discovery(property).unwrap_or_else(|| panic!("{planted:?} wasn't found"));
+    for action in path.into_actions() {
+        println!("    {action:?}");
+    }
+}
