Stores: a newer connection of a door or store supersedes the older one

Cause: bytes of an old connection may be read after those of the newer one. Of a door, a late Returned took back a group that it had just been told again (two doors worked on it), a late heartbeat kept a lease, and a late introduction moved the door to the dead link, or put an earlier run of its process in the place of the later one. Of a store, messages of its chains came out of order.

Change: connections are numbered as they come in. A door is heard on its newest link only; an introduction on an older one is ignored. An introduction of a store on a newer connection drops the older one, one on an older connection is refused (arrivals.rs).

--- a/crates/goodsyard/src/doors.rs
+++ b/crates/goodsyard/src/doors.rs
@@ -17,6 +17,8 @@
     incarnation: u64,
     /// Its link, while one stands.
     pub link: Option<u64>,
+    /// The newest link that it has called on; links are numbered in the order in which they came in.
+    newest_link: u64,
     /// When it was last heard.
     heard: u64,
     /// Whether it was silent for so long that its groups were given to others.
@@ -61,6 +63,8 @@
     Again(DoorId),
     /// An earlier run of the process is over, and its groups are lost.
     Replaces(DoorId),
+    /// The door has called on a newer link: what comes on this one was sent before and counts for nothing.
+    Outdated,
 }
 
 /// All doors heard of lately.
@@ -72,14 +76,21 @@
 }
 
 impl Doors {
-    /// Takes up a link.
+    /// Takes up a link. It supersedes earlier ones of the door: nothing is heard on these any more.
     pub fn up(&mut self, link: u64, introduction: &Introduction, now: u64) -> Arrival {
         let address = introduction.member.address;
         let known = self.doors.iter_mut().find(|(_, door)| door.address == address);
+        if known.as_ref().is_some_and(|(_, door)| door.newest_link > link) {
+            return Arrival::Outdated;
+        }
+        if let Some((id, _)) = &known {
+            self.links.retain(|_, of| of != *id);
+        }
         let mut arrival = Arrival::New;
         match known {
             Some((&id, door)) if door.incarnation == introduction.incarnation => {
                 door.link = Some(link);
+                door.newest_link = link;
                 door.heard = now;
                 door.silent = false;
                 door.share = introduction.share;
@@ -93,6 +104,7 @@
             address,
             incarnation: introduction.incarnation,
             link: Some(link),
+            newest_link: link,
             heard: now,
             silent: false,
             share: introduction.share,
--- a/crates/goodsyard/src/lib.rs
+++ b/crates/goodsyard/src/lib.rs
@@ -5,6 +5,7 @@
 //! committed entries only, so they are the same at all members. The head of a partition accepts jobs, records
 //! results and hands groups of generations to doors; every member answers reads.
 
+pub mod arrivals;
 mod calls;
 pub mod departure;
 mod disk;
--- a/crates/goodsyard/src/process.rs
+++ b/crates/goodsyard/src/process.rs
@@ -20,6 +20,7 @@
 use orchidvalve_track::network::{ConnectionId, Event, Network};
 use orchidvalve_waybill::RouteTable;
 
+use crate::arrivals::Arrivals;
 use crate::departure::Departure;
 use crate::peer::Output;
 use crate::peer_links::PeerLinks;
@@ -96,7 +97,10 @@
     feed: FeedClient,
     peers: PeerLinks,
     incoming: BTreeMap<ConnectionId, Incoming>,
+    /// Newest connection of each other store.
+    arrivals: Arrivals<ConnectionId>,
     doors: BTreeMap<u64, ConnectionId>,
+    /// Number of the next connection that comes in; a door's link has the number of its connection.
     next_link: u64,
     configuration: u64,
     /// Durable position and when it last rose while writes were waiting.
@@ -171,6 +175,7 @@
             feed,
             peers: PeerLinks::new(me),
             incoming: BTreeMap::new(),
+            arrivals: Arrivals::default(),
             doors: BTreeMap::new(),
             next_link: 1,
             configuration: 0,
@@ -194,9 +199,7 @@
 
     fn handle(&mut self, event: Event) {
         match event {
-            Event::Accepted { connection, .. } => {
-                self.incoming.insert(connection, Incoming::Unknown);
-            }
+            Event::Accepted { connection, .. } => self.accepted(connection),
             Event::Connected(connection) => {
                 if self.feed.owns(connection) {
                     self.feed.connected(&mut self.network);
--- a/crates/goodsyard/src/process/incoming.rs
+++ b/crates/goodsyard/src/process/incoming.rs
@@ -5,19 +5,26 @@
 use orchidvalve_track::messages::{LinkKind, PROTOCOL_VERSION, ToStore};
 use orchidvalve_track::network::ConnectionId;
 
+use crate::arrivals::Introduced;
 use crate::peer::PeerMessage;
 use crate::process::Process;
 
 /// A connection that came in.
 #[derive(Clone, Copy, Debug)]
 pub(super) enum Incoming {
-    Unknown,
+    Unknown { number: u64 },
     Door { link: u64 },
-    Peer { member: Option<MemberId> },
+    Peer { number: u64, member: Option<MemberId> },
 }
 
 impl Process {
+    pub(super) fn accepted(&mut self, connection: ConnectionId) {
+        self.incoming.insert(connection, Incoming::Unknown { number: self.next_link });
+        self.next_link += 1;
+    }
+
     pub(super) fn drop_incoming(&mut self, connection: ConnectionId) {
+        self.arrivals.closed(connection);
         if let Some(Incoming::Door { link }) = self.incoming.remove(&connection) {
             self.doors.remove(&link);
             self.store.door_down(link);
@@ -29,8 +36,10 @@
             let Some(incoming) = self.incoming.get(&connection).copied() else { return };
             let inbox = self.network.inbox(connection);
             let consumed = match incoming {
-                Incoming::Unknown => match inbox.first() {
-                    Some(byte) => self.begin_link(connection, LinkKind::from_byte(*byte)).then_some(1),
+                Incoming::Unknown { number } => match inbox.first() {
+                    Some(byte) => {
+                        self.begin_link(connection, number, LinkKind::from_byte(*byte)).then_some(1)
+                    }
                     None => return,
                 },
                 Incoming::Door { link } => match read_frame::<ToStore>(inbox) {
@@ -41,9 +50,9 @@
                     Ok(None) => return,
                     Err(error) => refuse(&error),
                 },
-                Incoming::Peer { member } => match read_frame::<PeerMessage>(inbox) {
+                Incoming::Peer { number, member } => match read_frame::<PeerMessage>(inbox) {
                     Ok(Some((message, length))) => {
-                        self.peer_message(connection, member, message).then_some(length)
+                        self.peer_message((connection, number), member, message).then_some(length)
                     }
                     Ok(None) => return,
                     Err(error) => refuse(&error),
@@ -60,17 +69,15 @@
         }
     }
 
-    fn begin_link(&mut self, connection: ConnectionId, kind: Option<LinkKind>) -> bool {
+    fn begin_link(&mut self, connection: ConnectionId, number: u64, kind: Option<LinkKind>) -> bool {
         match kind {
             Some(LinkKind::StoreClient) => {
-                let link = self.next_link;
-                self.next_link += 1;
-                self.doors.insert(link, connection);
-                self.incoming.insert(connection, Incoming::Door { link });
+                self.doors.insert(number, connection);
+                self.incoming.insert(connection, Incoming::Door { link: number });
                 true
             }
             Some(LinkKind::StorePeer) => {
-                self.incoming.insert(connection, Incoming::Peer { member: None });
+                self.incoming.insert(connection, Incoming::Peer { number, member: None });
                 true
             }
             _ => {
@@ -86,17 +93,30 @@
         self.run(outputs);
     }
 
+    /// Takes up a connection of another store; false if the store has called on a newer one.
+    fn peer_introduced(&mut self, connection: ConnectionId, number: u64, member: MemberId) -> bool {
+        match self.arrivals.introduced(number, connection, member) {
+            Introduced::Outdated => return false,
+            Introduced::Newest { superseded: None } => {}
+            Introduced::Newest { superseded: Some(older) } => {
+                self.incoming.remove(&older);
+                self.network.forget(older);
+            }
+        }
+        self.incoming.insert(connection, Incoming::Peer { number, member: Some(member) });
+        self.peers.heard(member, self.now);
+        true
+    }
+
     fn peer_message(
         &mut self,
-        connection: ConnectionId,
+        (connection, number): (ConnectionId, u64),
         member: Option<MemberId>,
         message: PeerMessage,
     ) -> bool {
         match (message, member) {
             (PeerMessage::Introduce { version, member }, None) => {
-                self.incoming.insert(connection, Incoming::Peer { member: Some(member) });
-                self.peers.heard(member, self.now);
-                version == PROTOCOL_VERSION
+                version == PROTOCOL_VERSION && self.peer_introduced(connection, number, member)
             }
             (PeerMessage::Introduce { .. }, Some(_)) | (_, None) => false,
             (PeerMessage::Heartbeat, Some(member)) => {
--- a/crates/goodsyard/src/store.rs
+++ b/crates/goodsyard/src/store.rs
@@ -237,6 +237,7 @@
                 self.take_back_from(earlier);
                 self.doors.remove(earlier);
             }
+            Arrival::Outdated => return,
         }
         self.cancel_ended(Some(link), moment.steady, outputs);
         self.settle(moment, outputs);
