Stores: nothing is reported of a view before it is noted on the disk

Cause: a store told control of ready learners in a view whose record was still on its way to the disk. After a loss of power it could take up the view before again from a control machine that lagged, commit there with a member that was cut off, and the learner that counted as complete lacked that. (Found by argument over the counters that are compared across processes; never seen.)

Change: reports of a view wait for its record (view_record).

--- a/crates/goodsyard/src/partition.rs
+++ b/crates/goodsyard/src/partition.rs
@@ -58,6 +58,8 @@
     bases: VecDeque<(u64, u64)>,
     /// Newest view ever taken up, also before a restart.
     view_epoch: u64,
+    /// Position of the record that notes this view, until that is durable.
+    view_record: Option<u64>,
     /// Since when a view without this store is known, in milliseconds of the steady clock.
     left_at: Option<u64>,
     /// Epoch in which this store last came to hand out groups.
@@ -86,6 +88,7 @@
             writes: VecDeque::new(),
             bases: recovered.base.into_iter().collect(),
             view_epoch: recovered.view_epoch,
+            view_record: None,
             left_at: None,
             in_charge_since: 0,
             ready_learners: Vec::new(),
@@ -126,7 +129,7 @@
         }
         if view.epoch > self.view_epoch {
             self.view_epoch = view.epoch;
-            self.write_base(sinks);
+            self.view_record = Some(self.write_base(sinks));
         }
         self.drive(sinks, |replica, journal, outputs| replica.view_changed(view, journal, outputs));
         self.left_at = if self.is_here() { None } else { self.left_at.or(Some(sinks.now)) };
@@ -182,6 +185,9 @@
 
     /// The ring is durable up to and including `position`.
     pub fn durable(&mut self, position: u64, sinks: &mut Sinks<'_>) {
+        if self.view_record.take_if(|record| *record <= position).is_some() {
+            self.report_learners(sinks.outputs);
+        }
         while self.bases.len() > 1 && self.bases[1].0 <= position {
             self.bases.pop_front();
         }
@@ -198,8 +204,12 @@
     }
 
     /// Tells control which learners are ready in the view in force, and whether this member is complete in it; it
-    /// may have missed an earlier message.
+    /// may have missed an earlier message. Nothing is told before the view is noted on the disk: after a loss of power
+    /// this store could take up an earlier view again and commit in it what a learner of this one doesn't have.
     pub fn report_learners(&self, outputs: &mut Vec<Output>) {
+        if self.view_record.is_some() {
+            return;
+        }
         let in_force = self.replica.view().epoch;
         if self.complete_in == in_force && in_force > 0 {
             let ready = ToControl::LearnerReady { partition: self.number, epoch: in_force, member: self.me };
@@ -271,8 +281,8 @@
         }
     }
 
-    /// Writes down from where on the journal is needed, and the newest view.
-    fn write_base(&mut self, sinks: &mut Sinks<'_>) {
+    /// Writes down from where on the journal is needed, and the newest view. Returns the record's position.
+    fn write_base(&mut self, sinks: &mut Sinks<'_>) -> u64 {
         let first = self.replica.first();
         let record = DiskRecord::Base {
             partition: self.number,
@@ -283,6 +293,7 @@
         let position = sinks.disk.write(&record, sinks.outputs);
         let oldest = self.journal.oldest_position().unwrap_or(position);
         self.bases.push_back((position, oldest.min(position)));
+        position
     }
 
     /// Forgets what no job needs any more. Records below the returned position aren't needed on disk.
--- a/crates/goodsyard/tests/jobs.rs
+++ b/crates/goodsyard/tests/jobs.rs
@@ -484,3 +484,45 @@
     world.run();
     assert_eq!(listed(world.answer(1, call)), ["j-0-0"]);
 }
+
+/// A store that lost power just after it took up a view may take up the one before it again, where its former
+/// partners wait. What it says of the later view must hold even then.
+#[test]
+fn nothing_is_reported_of_a_view_before_it_is_on_the_disk() {
+    let mut world = with_job(1, 2, 1);
+    world.to_control.clear();
+    let alone = Placement {
+        epoch: 2,
+        members: vec![member(1)],
+        learners: vec![member(3)],
+        copies: 2,
+        ..Placement::default()
+    };
+    world.place_at(2, &alone);
+    world.sync(2);
+    world.place_at(0, &alone);
+    for _ in 0..3 {
+        for (from, to, message) in std::mem::take(&mut world.network) {
+            world.deliver(from, to, message);
+        }
+        world.sync(2);
+    }
+    world.now += 2_000;
+    world.input(0, |store, moment, outputs| store.tick(moment, outputs));
+    assert_eq!(world.to_control, []);
+    world.run();
+    let ready = |number| ToControl::LearnerReady { partition: 0, epoch: 2, member: member(number) };
+    assert!(world.to_control.contains(&ready(1)) && world.to_control.contains(&ready(3)));
+}
+
+#[test]
+fn an_answer_to_a_call_of_an_earlier_link_goes_nowhere() {
+    let mut world = with_job(1, 2, 1);
+    let call = world.read(1, 0, "j", 0, 2_000);
+    world.run();
+    world.input(0, |store, _, _| store.door_down(10));
+    world.door_up(1, 1);
+    world.report(1, 0, "j", &["j-0-1"]);
+    world.advance(2_500);
+    assert_eq!(world.answer(1, call), None);
+}
