--- a/crates/goodsyard/src/handout.rs
+++ b/crates/goodsyard/src/handout.rs
@@ -8,9 +8,9 @@
 
 use crate::doors::{Door, DoorId, Doors};
 use crate::jobs::OpenJob;
+use crate::moment::Moment;
 use crate::partition::Partition;
 use crate::peer::Output;
-use crate::store::Moment;
 
 /// Groups are begun beyond the number that the trainer waits for by one part in this many...
 const MARGIN_PART: u32 = 10;
--- a/crates/goodsyard/src/lib.rs
+++ b/crates/goodsyard/src/lib.rs
@@ -10,20 +10,24 @@
 pub mod departure;
 mod disk;
 mod doors;
+mod effect;
 pub mod entry;
 mod handout;
 mod jobs;
 mod journal;
+mod moment;
 mod partition;
 mod partition_entries;
 mod peer;
 mod peer_links;
 pub mod process;
 mod store;
+mod undecided;
 
 pub use disk::DiskRecord;
+pub use moment::Moment;
 pub use peer::{Output, PeerMessage};
-pub use store::{JobLimits, LimitSource, Moment, Store, StoreSettings};
+pub use store::{JobLimits, LimitSource, Store, StoreSettings};
 
 /// Time without a heartbeat after which a door loses its groups, in milliseconds.
 pub const DOOR_TIMEOUT_MS: u64 = 1_500;
--- a/crates/goodsyard/src/partition.rs
+++ b/crates/goodsyard/src/partition.rs
@@ -1,46 +1,21 @@
 //! One partition at this store: its replica, journal, and the jobs made of the committed entries.
 
+mod bases;
+
 use std::collections::VecDeque;
 use std::rc::Rc;
 
-use compact_str::CompactString;
 use orchidvalve_coupling::{ChainView, JournalState, Message, Output as ChainOutput, Replica};
 use orchidvalve_track::identity::MemberId;
 use orchidvalve_track::messages::ToControl;
 
-use crate::disk::{DiskQueue, DiskRecord, RecoveredPartition};
-use crate::doors::DoorId;
+use crate::disk::{DiskRecord, RecoveredPartition};
+use crate::effect::{Effect, Sinks};
 use crate::entry::{EntryRef, Parsed};
 use crate::jobs::JobTable;
 use crate::journal::MemoryJournal;
-use crate::partition_entries::Undecided;
 use crate::peer::{Output, PeerMessage};
-
-/// What became of the jobs of a partition.
-#[derive(Debug)]
-pub(crate) enum Effect {
-    /// The job is accepted.
-    Opened { job: CompactString },
-    /// The item has a result, or its job wants none. `held_by` is the door that had it.
-    Listed { job: CompactString, item: CompactString, held_by: Option<DoorId> },
-    /// The job is ended. Its groups were with these doors, with this many items each.
-    Ended { job: CompactString, held_by: Vec<(DoorId, u32)> },
-    /// The barrier is reached.
-    Confirmed { barrier: u64 },
-    /// This store now hands out the groups of the partition.
-    InCharge,
-    /// All jobs of the partition were replaced, since the journal began anew.
-    Replaced,
-}
-
-/// Where inputs put what follows from them.
-pub(crate) struct Sinks<'a> {
-    pub disk: &'a mut DiskQueue,
-    pub outputs: &'a mut Vec<Output>,
-    pub effects: &'a mut Vec<(u16, Effect)>,
-    /// Steady time in milliseconds.
-    pub now: u64,
-}
+use crate::undecided::Undecided;
 
 /// One partition.
 #[derive(Debug)]
@@ -280,43 +255,4 @@
             sinks.effects.push((self.number, Effect::InCharge));
         }
     }
-
-    /// Writes down from where on the journal is needed, and the newest view. Returns the record's position.
-    fn write_base(&mut self, sinks: &mut Sinks<'_>) -> u64 {
-        let first = self.replica.first();
-        let record = DiskRecord::Base {
-            partition: self.number,
-            first,
-            previous_epoch: self.replica.epoch_at(first - 1).unwrap_or(0),
-            view_epoch: self.view_epoch,
-        };
-        let position = sinks.disk.write(&record, sinks.outputs);
-        let oldest = self.journal.oldest_position().unwrap_or(position);
-        self.bases.push_back((position, oldest.min(position)));
-        position
-    }
-
-    /// Forgets what no job needs any more. Records below the returned position aren't needed on disk.
-    pub fn release(&mut self, wall: u64, retention_ms: u64, sinks: &mut Sinks<'_>) -> u64 {
-        self.jobs.release(wall, retention_ms);
-        let first = self.jobs.oldest_sequence().unwrap_or(u64::MAX).min(self.replica.committed() + 1);
-        let trims = first > self.replica.first();
-        if trims {
-            self.replica.trimmed(first);
-            self.journal.trim(first);
-        }
-        if trims || self.is_pinned_by_base(sinks.disk) {
-            self.write_base(sinks);
-        }
-        self.bases.front().map_or(u64::MAX, |&(_, needed)| needed)
-    }
-
-    /// Whether only an old base record keeps the ring from being used again.
-    fn is_pinned_by_base(&self, disk: &DiskQueue) -> bool {
-        const RECORDS: u64 = 1_000;
-        let oldest = self.journal.oldest_position().unwrap_or(u64::MAX);
-        self.bases
-            .back()
-            .is_some_and(|&(position, needed)| needed < oldest && position + RECORDS < disk.next_position())
-    }
 }
--- a/crates/goodsyard/src/process.rs
+++ b/crates/goodsyard/src/process.rs
@@ -22,10 +22,11 @@
 
 use crate::arrivals::Arrivals;
 use crate::departure::Departure;
+use crate::moment::Moment;
 use crate::peer::Output;
 use crate::peer_links::PeerLinks;
 use crate::process::incoming::Incoming;
-use crate::store::{JobLimits, LimitSource, Moment, Store, StoreSettings};
+use crate::store::{JobLimits, LimitSource, Store, StoreSettings};
 
 const INTERNAL_LISTENER: u32 = 1;
 /// Longest wait of the event loop.
--- a/crates/goodsyard/src/store.rs
+++ b/crates/goodsyard/src/store.rs
@@ -17,20 +17,13 @@
 use crate::calls::{Caller, Calls};
 use crate::disk::{DiskQueue, RecoveredPartition, replay};
 use crate::doors::{Arrival, DoorId, Doors};
+use crate::effect::{Effect, Sinks};
 use crate::handout;
-use crate::partition::{Effect, Partition, Sinks};
+use crate::moment::Moment;
+use crate::partition::Partition;
 use crate::peer::{Output, PeerMessage};
 use crate::store::answers::Submission;
 
-/// The time of an input.
-#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
-pub struct Moment {
-    /// Steady clock, in milliseconds.
-    pub steady: u64,
-    /// Time of day, in milliseconds since 1970.
-    pub wall: u64,
-}
-
 /// What the configuration says about the jobs of a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq)]
 pub struct JobLimits {
--- a/crates/goodsyard/src/store/answers.rs
+++ b/crates/goodsyard/src/store/answers.rs
@@ -7,8 +7,9 @@
 use crate::calls::{Caller, Question, Unproven, WaitingRead};
 use crate::entry::{EntryRef, decode_outcome};
 use crate::jobs::JobState;
+use crate::moment::Moment;
 use crate::peer::Output;
-use crate::store::{Moment, Store};
+use crate::store::Store;
 
 /// Time within which a commit or a proof has to come, in milliseconds; after that the outcome is unclear.
 const COMMIT_TIMEOUT_MS: u64 = 4_000;
--- a/crates/goodsyard/src/store/outcomes.rs
+++ b/crates/goodsyard/src/store/outcomes.rs
@@ -5,8 +5,9 @@
 
 use crate::doors::DoorId;
 use crate::entry::EntryRef;
+use crate::moment::Moment;
 use crate::peer::Output;
-use crate::store::{Moment, Store};
+use crate::store::Store;
 
 /// Time for which a returned group isn't handed out again, in milliseconds.
 const RETURNED_PAUSE_MS: u64 = 300;
--- a/crates/goodsyard/src/store/upkeep.rs
+++ b/crates/goodsyard/src/store/upkeep.rs
@@ -6,9 +6,10 @@
 use crate::doors::Doors;
 use crate::entry::EntryRef;
 use crate::handout;
+use crate::moment::Moment;
 use crate::partition::Partition;
 use crate::peer::Output;
-use crate::store::{Moment, Store};
+use crate::store::Store;
 
 /// Shortest time between two ticks that do anything, in milliseconds.
 const TICK_MS: u64 = 90;
