Followers: control machines are asked in overlap, and an old list hides no one

Cause (points 1 and 5 of the issue): a follower without a session asked one control machine after the other, 0.41 s for each that said nothing, through its list and the settings' seeds even where these are the same machines or have gone; a control machine that had lost touch replaced the follower's list by its own old one, which could hide every machine in touch; the list was told at a session's beginning only, so after the control machines were replaced one by one a follower whose session outlived that knew only machines that had gone; what came before a welcome was fed to the copy. Change: `candidates` orders the machines by when they were asked last, the last list of a machine in touch first, then two of it for each of the others (seeds, and hints of machines out of touch, which only add); none twice in 0.3 s. Up to four attempts overlap, 0.1 s apart; the first welcome takes the session and drops the rest. Only the standing session feeds the copy. A control machine tells its followers when the voters change.

--- a/crates/goodsyard/src/process.rs
+++ b/crates/goodsyard/src/process.rs
@@ -203,7 +203,7 @@
             Event::Accepted { connection, .. } => self.accepted(connection),
             Event::Connected(connection) => {
                 if self.feed.owns(connection) {
-                    self.feed.connected(&mut self.network);
+                    self.feed.connected(&mut self.network, connection);
                 } else if let Some(member) = self.peers.connected(&mut self.network, connection, self.now) {
                     let mut outputs = Vec::new();
                     self.store.peer_up(member, self.moment(), &mut outputs);
@@ -211,7 +211,7 @@
                 }
             }
             Event::Data(connection) if self.feed.owns(connection) => {
-                let news = self.feed.data(&mut self.network, self.now);
+                let news = self.feed.data(&mut self.network, connection, self.now);
                 if news.state {
                     self.state_changed();
                 }
@@ -225,7 +225,7 @@
 
     fn closed(&mut self, connection: ConnectionId) {
         if self.feed.owns(connection) {
-            self.feed.closed(&mut self.network, self.now);
+            self.feed.closed(&mut self.network, connection, self.now);
             return;
         }
         if let Some(member) = self.peers.closed(&mut self.network, connection, self.now) {
--- a/crates/lineside/src/session.rs
+++ b/crates/lineside/src/session.rs
@@ -1,5 +1,9 @@
 //! The session with one control machine: opened, kept alive, and moved to another machine when that one falls
 //! silent or isn't in touch with a majority.
+//!
+//! While no session stands, several control machines are asked in overlapping attempts, since one that is cut off or
+//! frozen doesn't say so. The first that welcomes this process keeps the session, and the other attempts are dropped.
+//! Only the session that stands feeds the copy.
 
 use std::time::Duration;
 
@@ -8,6 +12,7 @@
 use orchidvalve_track::messages::{FromControl, Introduction, LinkKind, StoreHealth, ToControl};
 use orchidvalve_track::network::{ConnectionId, Network};
 
+use crate::candidates::Candidates;
 use crate::copy::{FeedCopy, FeedNews};
 
 /// Pause between two heartbeats.
@@ -16,29 +21,42 @@
 const SILENCE_MS: u64 = 900;
 /// A control machine that doesn't welcome the caller within this time is left.
 const WELCOME_TIMEOUT_MS: u64 = 350;
-/// Pause before the next control machine is tried.
+/// Pause before the next control machine is asked where one has said no.
 const RETRY_MS: u64 = 60;
+/// Pause before the next control machine is asked where one has said nothing yet.
+const OVERLAP_MS: u64 = 100;
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
+/// A connection to a control machine that was asked for a session.
 #[derive(Debug)]
 struct Attempt {
     connection: ConnectionId,
-    welcomed: bool,
+    address: NodeAddress,
     begun_at: u64,
+}
+
+/// The session that stands.
+#[derive(Debug)]
+struct Standing {
+    connection: ConnectionId,
+    address: NodeAddress,
     heard_at: u64,
     heartbeat_at: u64,
 }
 
+/// A message ends the connection that it came on.
+#[derive(Debug)]
+struct Leave;
+
 /// The session and the copy that it feeds.
 #[derive(Debug)]
 pub struct FeedClient {
     introduction: Introduction,
-    seeds: Vec<NodeAddress>,
-    controls: Vec<NodeAddress>,
-    /// Index of the control machine that is tried next.
-    next: usize,
-    retry_at: u64,
-    attempt: Option<Attempt>,
+    candidates: Candidates,
+    standing: Option<Standing>,
+    attempts: Vec<Attempt>,
+    /// When the next control machine is asked while no session stands.
+    ask_at: u64,
     health: Option<StoreHealth>,
     copy: FeedCopy,
 }
@@ -48,11 +66,10 @@
     pub fn new(introduction: Introduction, seeds: Vec<NodeAddress>, spread: u64) -> FeedClient {
         FeedClient {
             introduction,
-            seeds,
-            controls: Vec::new(),
-            next: spread as usize % 64,
-            retry_at: 0,
-            attempt: None,
+            candidates: Candidates::new(seeds, spread),
+            standing: None,
+            attempts: Vec::new(),
+            ask_at: 0,
             health: None,
             copy: FeedCopy::default(),
         }
@@ -64,12 +81,12 @@
 
     /// Whether a control machine that is in touch with a majority keeps this session.
     pub fn is_standing(&self) -> bool {
-        self.attempt.as_ref().is_some_and(|a| a.welcomed)
+        self.standing.is_some()
     }
 
     /// When the control machine was last heard in this session.
     pub fn heard_at(&self) -> Option<u64> {
-        self.attempt.as_ref().filter(|a| a.welcomed).map(|a| a.heard_at)
+        self.standing.as_ref().map(|s| s.heard_at)
     }
 
     pub fn set_health(&mut self, health: StoreHealth) {
@@ -77,140 +94,162 @@
     }
 
     pub fn owns(&self, connection: ConnectionId) -> bool {
-        self.attempt.as_ref().is_some_and(|a| a.connection == connection)
+        self.is_session(connection) || self.attempts.iter().any(|a| a.connection == connection)
+    }
+
+    fn is_session(&self, connection: ConnectionId) -> bool {
+        self.standing.as_ref().is_some_and(|s| s.connection == connection)
     }
 
     /// When [`FeedClient::maintain`] has to be called next.
     pub fn next_wakeup(&self) -> u64 {
-        match &self.attempt {
-            None => self.retry_at,
-            Some(attempt) if attempt.welcomed => attempt.heartbeat_at.min(attempt.heard_at + SILENCE_MS),
-            Some(attempt) => attempt.begun_at + WELCOME_TIMEOUT_MS,
+        match &self.standing {
+            Some(standing) => standing.heartbeat_at.min(standing.heard_at + SILENCE_MS),
+            None => {
+                let timeouts = self.attempts.iter().map(|a| a.begun_at + WELCOME_TIMEOUT_MS);
+                timeouts.min().unwrap_or(u64::MAX).min(self.ask_at)
+            }
         }
     }
 
     /// Opens, keeps and leaves sessions as time passes.
     pub fn maintain(&mut self, network: &mut Network, now: u64) {
-        if let Some(attempt) = &mut self.attempt {
-            let silent = attempt.welcomed && now >= attempt.heard_at + SILENCE_MS;
-            let unwelcome = !attempt.welcomed && now >= attempt.begun_at + WELCOME_TIMEOUT_MS;
-            if silent || unwelcome {
-                self.leave(network, now);
-            } else if attempt.welcomed && now >= attempt.heartbeat_at {
-                attempt.heartbeat_at = now + HEARTBEAT_MS;
+        match &mut self.standing {
+            Some(standing) if now >= standing.heard_at + SILENCE_MS => {
+                let connection = standing.connection;
+                self.leave(network, connection, now);
+            }
+            Some(standing) if now >= standing.heartbeat_at => {
+                standing.heartbeat_at = now + HEARTBEAT_MS;
                 let heartbeat = ToControl::Heartbeat { position: self.copy.position(), health: self.health };
                 self.send(network, &heartbeat);
             }
+            _ => {}
         }
-        if self.attempt.is_none() && now >= self.retry_at {
-            self.open(network, now);
+        self.attempts.retain(|attempt| {
+            let waits = now < attempt.begun_at + WELCOME_TIMEOUT_MS;
+            if !waits {
+                network.forget(attempt.connection);
+            }
+            waits
+        });
+        while self.standing.is_none() && now >= self.ask_at {
+            self.ask_next(network, now);
         }
     }
 
-    fn open(&mut self, network: &mut Network, now: u64) {
-        self.retry_at = now + RETRY_MS;
-        let count = self.controls.len() + self.seeds.len();
-        if count == 0 {
+    fn ask_next(&mut self, network: &mut Network, now: u64) {
+        let Some(address) = self.candidates.next(now) else {
+            self.ask_at = self.candidates.next_at().unwrap_or(u64::MAX).max(now + 1);
             return;
-        }
-        let index = self.next % count;
-        self.next = (index + 1) % count;
-        let address =
-            self.controls.get(index).copied().unwrap_or_else(|| self.seeds[index - self.controls.len()]);
-        if let Ok(connection) = network.connect(address.socket(), USER_TIMEOUT) {
-            self.attempt = Some(Attempt {
-                connection,
-                welcomed: false,
-                begun_at: now,
-                heard_at: now,
-                heartbeat_at: now + HEARTBEAT_MS,
-            });
+        };
+        match network.connect(address.socket(), USER_TIMEOUT) {
+            Ok(connection) => {
+                self.attempts.push(Attempt { connection, address, begun_at: now });
+                self.ask_at = now + OVERLAP_MS;
+            }
+            Err(_) => self.ask_at = now + RETRY_MS,
         }
     }
 
-    fn leave(&mut self, network: &mut Network, now: u64) {
-        if let Some(attempt) = self.attempt.take() {
-            network.forget(attempt.connection);
-            self.retry_at = now + RETRY_MS;
+    /// Drops a connection; the next control machine is asked soon.
+    fn leave(&mut self, network: &mut Network, connection: ConnectionId, now: u64) {
+        network.forget(connection);
+        if let Some(standing) = self.standing.take_if(|s| s.connection == connection) {
+            self.candidates.session_ended(standing.address, now);
+            self.ask_at = now + RETRY_MS;
         }
+        self.attempts.retain(|a| a.connection != connection);
+        self.ask_at = self.ask_at.min(now + RETRY_MS);
     }
 
-    /// The connection is up: the session is asked for.
-    pub fn connected(&mut self, network: &mut Network) {
-        let Some(attempt) = &self.attempt else { return };
-        network.send(attempt.connection, &[LinkKind::Session.byte()]);
+    /// A connection is up: the session is asked for.
+    pub fn connected(&mut self, network: &mut Network, connection: ConnectionId) {
+        if !self.attempts.iter().any(|a| a.connection == connection) {
+            return;
+        }
         let position = self.copy.position();
         let introduce = ToControl::Introduce { introduction: self.introduction.clone(), position };
-        self.send(network, &introduce);
+        network.send(connection, &[LinkKind::Session.byte()]);
+        write(network, connection, &introduce);
     }
 
-    /// Sends a message if the session stands or is being opened.
+    /// Sends a message if the session stands.
     pub fn send(&self, network: &mut Network, message: &ToControl) {
-        if let Some(attempt) = &self.attempt
-            && let Some(outbox) = network.outbox(attempt.connection)
-        {
-            write_frame(outbox, message);
+        if let Some(standing) = &self.standing {
+            write(network, standing.connection, message);
         }
     }
 
     /// Bytes have arrived.
-    pub fn data(&mut self, network: &mut Network, now: u64) -> FeedNews {
+    pub fn data(&mut self, network: &mut Network, connection: ConnectionId, now: u64) -> FeedNews {
         let mut news = FeedNews::default();
         // Part of a message is a sign of life, too: a whole table takes long on a narrow link.
-        if let Some(attempt) = &mut self.attempt {
-            attempt.heard_at = now;
+        if let Some(standing) = self.standing.as_mut().filter(|s| s.connection == connection) {
+            standing.heard_at = now;
         }
-        while let Some(connection) = self.attempt.as_ref().map(|a| a.connection) {
+        while self.owns(connection) {
             match read_frame::<FromControl>(network.inbox(connection)) {
                 Ok(None) => break,
                 Ok(Some((message, length))) => {
                     network.consume(connection, length);
-                    match self.take(message, now) {
-                        Some(changed) => news |= changed,
-                        None => self.leave(network, now),
+                    match self.take(network, connection, message, now) {
+                        Ok(changed) => news |= changed,
+                        Err(Leave) => self.leave(network, connection, now),
                     }
                 }
                 Err(error) => {
                     log::warn!("feed: {error}");
-                    self.leave(network, now);
+                    self.leave(network, connection, now);
                 }
             }
         }
         news
     }
 
-    /// Takes a message; None ends the session.
-    fn take(&mut self, message: FromControl, now: u64) -> Option<FeedNews> {
+    fn take(
+        &mut self,
+        network: &mut Network,
+        connection: ConnectionId,
+        message: FromControl,
+        now: u64,
+    ) -> Result<FeedNews, Leave> {
         match message {
             FromControl::Welcome { controls } => {
-                self.learn_controls(controls);
-                if let Some(attempt) = &mut self.attempt {
-                    attempt.welcomed = true;
-                    attempt.heartbeat_at = now + HEARTBEAT_MS;
+                self.welcomed(network, connection, now);
+                if let Some(standing) = &self.standing {
+                    self.candidates.told(standing.address, controls);
                 }
-                Some(FeedNews::default())
+                Ok(FeedNews::default())
             }
             FromControl::Elsewhere { controls } => {
-                self.learn_controls(controls);
-                None
+                self.candidates.hinted(controls);
+                Err(Leave)
             }
-            FromControl::Heartbeat => Some(FeedNews::default()),
-            FromControl::Snapshot { sequence, state } => self.copy.snapshot(sequence, &state),
-            FromControl::Changes { first, changes } => self.copy.changes(first, &changes),
-            FromControl::Servers(update) => self.copy.servers_update(&update),
-            FromControl::Fleet { doors, share } => Some(self.copy.fleet(doors, share)),
+            // Only a control machine that is in touch, and has said so, may tell anything else.
+            _ if !self.is_session(connection) => Err(Leave),
+            FromControl::Heartbeat => Ok(FeedNews::default()),
+            FromControl::Snapshot { sequence, state } => self.copy.snapshot(sequence, &state).ok_or(Leave),
+            FromControl::Changes { first, changes } => self.copy.changes(first, &changes).ok_or(Leave),
+            FromControl::Servers(update) => self.copy.servers_update(&update).ok_or(Leave),
+            FromControl::Fleet { doors, share } => Ok(self.copy.fleet(doors, share)),
         }
     }
 
-    fn learn_controls(&mut self, controls: Vec<NodeAddress>) {
-        if !controls.is_empty() {
-            self.controls = controls;
+    /// The attempt becomes the session, and the others are dropped.
+    fn welcomed(&mut self, network: &mut Network, connection: ConnectionId, now: u64) {
+        let Some(place) = self.attempts.iter().position(|a| a.connection == connection) else { return };
+        let Attempt { address, .. } = self.attempts.remove(place);
+        let heartbeat_at = now + HEARTBEAT_MS;
+        self.standing = Some(Standing { connection, address, heard_at: now, heartbeat_at });
+        for attempt in self.attempts.drain(..) {
+            network.forget(attempt.connection);
         }
     }
 
-    /// The connection has ended.
-    pub fn closed(&mut self, network: &mut Network, now: u64) {
-        self.leave(network, now);
+    /// A connection has ended.
+    pub fn closed(&mut self, network: &mut Network, connection: ConnectionId, now: u64) {
+        self.leave(network, connection, now);
     }
 
     /// Says goodbye: the process stops.
@@ -218,3 +257,9 @@
         self.send(network, &ToControl::Goodbye);
     }
 }
+
+fn write(network: &mut Network, connection: ConnectionId, message: &ToControl) {
+    if let Some(outbox) = network.outbox(connection) {
+        write_frame(outbox, message);
+    }
+}
--- a/crates/lineside/tests/session.rs
+++ b/crates/lineside/tests/session.rs
@@ -55,7 +55,7 @@
         }
         control.zip(client_end)
     });
-    client.connected(&mut network);
+    client.connected(&mut network, ends.1);
     Pair { network, client, control: ends.0, client_end: ends.1 }
 }
 
@@ -67,7 +67,7 @@
         await_event(&mut self.network, |event| {
             matches!(event, Event::Data(c) if *c == client_end).then_some(())
         });
-        self.client.data(&mut self.network, now);
+        self.client.data(&mut self.network, client_end, now);
     }
 }
 
--- /dev/null
+++ b/crates/lineside/tests/session_moves.rs
@@ -0,0 +1,441 @@
+//! A follower whose control machine is killed, cut off or replaced: which one it goes to, how soon, and that its copy
+//! never goes back.
+
+use std::collections::BTreeMap;
+use std::net::{Ipv4Addr, SocketAddrV4};
+use std::time::Duration;
+
+use orchidvalve_lineside::FeedClient;
+use orchidvalve_track::frames::{encode, read_frame, write_frame};
+use orchidvalve_track::identity::{MemberId, NodeAddress};
+use orchidvalve_track::messages::{
+    FeedPosition, FromControl, Introduction, PROTOCOL_VERSION, Role, ServerEntry, ServersUpdate,
+    TableVersion, ToControl,
+};
+use orchidvalve_track::network::{ConnectionId, Event, Network};
+use orchidvalve_waybill::state::{Change, ControlState};
+use rstest::rstest;
+
+const TURN: Duration = Duration::from_millis(3);
+/// Turns without news after which nothing more comes at this moment.
+const QUIET_TURNS: usize = 3;
+const STEP_MS: u64 = 10;
+/// A follower that is cut off finds a control machine that is in touch within this time.
+const FOUND_WITHIN_MS: u64 = 1_000;
+const CUT_MS: u64 = 20_000;
+
+/// What a control machine does with its callers.
+#[derive(Clone, Debug)]
+enum Conduct {
+    /// In touch with a majority.
+    Welcomes { controls: Vec<NodeAddress> },
+    /// Cut off from the majority, and reached by this follower.
+    SendsElsewhere { controls: Vec<NodeAddress> },
+    /// Cut off from this follower, or frozen.
+    Silent,
+    /// Killed.
+    Refuses,
+}
+
+/// One caller of a control machine.
+#[derive(Debug)]
+struct Caller {
+    control: usize,
+    position: Option<FeedPosition>,
+}
+
+struct World {
+    network: Network,
+    client: FeedClient,
+    addresses: Vec<NodeAddress>,
+    conduct: Vec<Conduct>,
+    callers: BTreeMap<ConnectionId, Caller>,
+    /// Control machines in the order in which they were called, and when.
+    called: Vec<(usize, u64)>,
+    now: u64,
+}
+
+impl World {
+    /// `count` control machines that are silent; the first `seeds` of them stand in the settings.
+    fn new(count: usize, seeds: usize) -> World {
+        let mut network = Network::new().unwrap();
+        let mut listen = |tag: usize| {
+            let address = SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0);
+            let bound = network.listen(address, tag as u32).unwrap();
+            NodeAddress::new(Ipv4Addr::LOCALHOST, bound.port())
+        };
+        let addresses: Vec<NodeAddress> = (0..count).map(&mut listen).collect();
+        let introduction = Introduction {
+            version: PROTOCOL_VERSION,
+            role: Role::Door,
+            name: "door".to_owned(),
+            zone: "zone".to_owned(),
+            member: MemberId { address: addresses[0], disk: 0 },
+            incarnation: 1,
+            share: 1.0,
+        };
+        let client = FeedClient::new(introduction, addresses[..seeds].to_vec(), 0);
+        let conduct = vec![Conduct::Silent; count];
+        World {
+            network,
+            client,
+            addresses,
+            conduct,
+            callers: BTreeMap::new(),
+            called: Vec::new(),
+            now: 10_000,
+        }
+    }
+
+    fn list(&self, controls: &[usize]) -> Vec<NodeAddress> {
+        controls.iter().map(|control| self.addresses[*control]).collect()
+    }
+
+    fn welcomes(&mut self, control: usize, controls: &[usize]) {
+        self.conduct[control] = Conduct::Welcomes { controls: self.list(controls) };
+    }
+
+    fn sends_elsewhere(&mut self, control: usize, controls: &[usize]) {
+        self.conduct[control] = Conduct::SendsElsewhere { controls: self.list(controls) };
+    }
+
+    /// The machine of the session loses touch with the majority, and sends its followers elsewhere.
+    fn lose_touch(&mut self, controls: &[usize]) {
+        let (control, connection) = self.session().unwrap();
+        self.sends_elsewhere(control, controls);
+        let controls = self.list(controls);
+        self.tell(connection, &FromControl::Elsewhere { controls });
+        assert!(!self.client.is_standing());
+    }
+
+    /// All connections of a control machine end, and it takes no more.
+    fn kill(&mut self, control: usize) {
+        self.conduct[control] = Conduct::Refuses;
+        for connection in self.connections_of(control) {
+            self.callers.remove(&connection);
+            self.network.forget(connection);
+        }
+    }
+
+    fn connections_of(&self, control: usize) -> Vec<ConnectionId> {
+        self.callers.iter().filter(|(_, c)| c.control == control).map(|(id, _)| *id).collect()
+    }
+
+    /// The control machine whose session stands, as both ends see it.
+    fn session(&self) -> Option<(usize, ConnectionId)> {
+        let introduced = |c: &&Caller| c.position.is_some();
+        let welcoming = |c: &&Caller| matches!(self.conduct[c.control], Conduct::Welcomes { .. });
+        let mut all = self.callers.iter().filter(|(_, c)| introduced(c) && welcoming(c));
+        let session = all.next_back().map(|(id, caller)| (caller.control, *id));
+        session.filter(|_| self.client.is_standing())
+    }
+
+    fn tell(&mut self, connection: ConnectionId, message: &FromControl) {
+        write_frame(self.network.outbox(connection).unwrap(), message);
+        self.settle();
+    }
+
+    /// Lets everything happen that happens without time passing.
+    fn settle(&mut self) {
+        let mut quiet = 0;
+        while quiet < QUIET_TURNS {
+            let events = self.network.poll(TURN).unwrap();
+            quiet = if events.is_empty() { quiet + 1 } else { 0 };
+            for event in events {
+                self.handle(event);
+            }
+        }
+    }
+
+    fn handle(&mut self, event: Event) {
+        match event {
+            Event::Accepted { listener, connection } => self.accepted(listener as usize, connection),
+            Event::Connected(connection) => self.client.connected(&mut self.network, connection),
+            Event::Data(connection) if self.client.owns(connection) => {
+                self.client.data(&mut self.network, connection, self.now);
+            }
+            Event::Data(connection) => self.called(connection),
+            Event::Closed { connection, .. } if self.client.owns(connection) => {
+                self.client.closed(&mut self.network, connection, self.now);
+            }
+            Event::Closed { connection, .. } => {
+                self.callers.remove(&connection);
+                self.network.forget(connection);
+            }
+            other => unreachable!("{other:?}"),
+        }
+    }
+
+    fn accepted(&mut self, control: usize, connection: ConnectionId) {
+        self.called.push((control, self.now));
+        if matches!(self.conduct[control], Conduct::Refuses) {
+            self.network.forget(connection);
+            return;
+        }
+        self.callers.insert(connection, Caller { control, position: None });
+    }
+
+    /// A caller says something to a control machine.
+    fn called(&mut self, connection: ConnectionId) {
+        let Some(caller) = self.callers.get_mut(&connection) else { return };
+        if caller.position.is_none() {
+            let inbox = &self.network.inbox(connection)[1..];
+            let Some((message, length)) = read_frame::<ToControl>(inbox).unwrap() else { return };
+            let ToControl::Introduce { position, .. } = message else { panic!("{message:?}") };
+            self.network.consume(connection, length + 1);
+            caller.position = Some(position);
+            self.answer(connection);
+        }
+    }
+
+    fn answer(&mut self, connection: ConnectionId) {
+        let message = match self.conduct[self.callers[&connection].control].clone() {
+            Conduct::Welcomes { controls } => FromControl::Welcome { controls },
+            Conduct::SendsElsewhere { controls } => FromControl::Elsewhere { controls },
+            Conduct::Silent | Conduct::Refuses => return,
+        };
+        let ends = matches!(message, FromControl::Elsewhere { .. });
+        write_frame(self.network.outbox(connection).unwrap(), &message);
+        if ends {
+            self.callers.remove(&connection);
+            self.network.finish(connection);
+        }
+    }
+
+    /// Passes time from one moment to the next at which the follower wants to do something.
+    fn pass(&mut self, milliseconds: u64) {
+        let end = self.now + milliseconds;
+        while self.now < end {
+            let next = self.client.next_wakeup();
+            assert!(next > self.now || !self.client.is_standing(), "it doesn't wake all the time");
+            self.now = next.clamp(self.now + 1, end);
+            self.client.maintain(&mut self.network, self.now);
+            self.settle();
+        }
+    }
+
+    /// Passes time until a session stands; how long that took.
+    fn find(&mut self, within: u64) -> (usize, u64) {
+        let begun = self.now;
+        while self.session().is_none() {
+            assert!(self.now < begun + within, "no session in {within} ms; called: {:?}", self.called);
+            self.pass(STEP_MS);
+        }
+        (self.session().unwrap().0, self.now - begun)
+    }
+
+    fn sequence(&self) -> u64 {
+        self.client.copy().sequence()
+    }
+
+    fn tell_snapshot(&mut self, sequence: u64) {
+        let connection = self.session().unwrap().1;
+        self.tell(connection, &snapshot(sequence));
+    }
+}
+
+fn change(version: u64) -> Change {
+    Change::NameVersion { model: "large".to_owned(), version }
+}
+
+/// The state after `sequence` changes; change `n` names version `n + 1`.
+fn snapshot(sequence: u64) -> FromControl {
+    let mut state = ControlState::default();
+    state.apply(&change(sequence + 1)).unwrap();
+    FromControl::Snapshot { sequence, state: encode(&state.image()) }
+}
+
+fn changes(first: u64, last: u64) -> FromControl {
+    FromControl::Changes { first, changes: (first..=last).map(|n| encode(&change(n + 1))).collect() }
+}
+
+fn servers(epoch: u64, number: u64, instance: &str) -> FromControl {
+    let entry = ServerEntry {
+        instance: instance.to_owned(),
+        service: "service".to_owned(),
+        address: NodeAddress::new(Ipv4Addr::LOCALHOST, 1),
+        zone: "zone".to_owned(),
+        slots: 1,
+        draining: false,
+        models: Vec::new(),
+    };
+    let version = TableVersion { epoch, number };
+    FromControl::Servers(ServersUpdate::Whole { version, servers: vec![entry] })
+}
+
+/// A session stands with machine 0, which has told of `controls` and of five changes.
+fn standing(count: usize, seeds: usize, controls: &[usize]) -> World {
+    let mut world = World::new(count, seeds);
+    world.welcomes(0, controls);
+    world.find(FOUND_WITHIN_MS);
+    world.tell_snapshot(5);
+    assert_eq!(world.sequence(), 5);
+    world
+}
+
+#[test]
+fn after_the_kill_of_its_control_machine_another_one_keeps_the_session_and_nothing_goes_back() {
+    let mut world = standing(3, 3, &[0, 1, 2]);
+    let session = world.session().unwrap().1;
+    world.tell(session, &servers(3, 9, "i-new"));
+    world.kill(0);
+    world.welcomes(2, &[0, 1, 2]);
+    world.pass(STEP_MS);
+    assert!(!world.client.is_standing());
+    assert_eq!(world.find(FOUND_WITHIN_MS).0, 2);
+    let connection = world.session().unwrap().1;
+    let position = FeedPosition { state: 5, servers: TableVersion { epoch: 3, number: 9 } };
+    assert_eq!(world.callers[&connection].position, Some(position), "it says where it stands");
+    // What this machine has is older, as a whole and in part.
+    world.tell_snapshot(3);
+    world.tell(connection, &changes(2, 4));
+    world.tell(connection, &servers(3, 8, "i-old"));
+    world.tell(connection, &servers(2, 30, "i-older"));
+    assert_eq!(world.sequence(), 5);
+    assert!(world.client.copy().servers().get("i-new").is_some());
+    world.tell(connection, &changes(4, 7));
+    assert_eq!(world.sequence(), 7);
+    assert!(world.client.is_standing());
+}
+
+#[test]
+fn a_silent_control_machine_holds_the_search_up_for_a_moment_only() {
+    let mut world = World::new(3, 3);
+    world.welcomes(2, &[0, 1, 2]);
+    let (found, took) = world.find(FOUND_WITHIN_MS);
+    assert_eq!((found, world.called.len()), (2, 3));
+    assert!(took <= 320, "{took} ms");
+}
+
+/// All control machines are asked, and none more often than its pause allows.
+#[test]
+fn nobody_is_asked_again_and_again() {
+    let mut world = standing(4, 2, &[0, 1, 2]);
+    world.lose_touch(&[0, 1, 3]);
+    world.called.clear();
+    world.pass(CUT_MS);
+    for control in 0..4 {
+        assert!(world.connections_of(control).len() <= 2, "attempts at {control} are given up");
+        let times: Vec<u64> = world.called.iter().filter(|(c, _)| *c == control).map(|(_, at)| *at).collect();
+        assert!(times.len() > 10, "{control} is asked {} times", times.len());
+        assert!(times.windows(2).all(|pair| pair[1] - pair[0] >= 300), "{control} at {times:?}");
+    }
+}
+
+/// A machine that is cut off from the majority sends its followers elsewhere, and names old control machines.
+#[rstest]
+#[case::by_a_list_without_the_others(&[0])]
+#[case::by_a_list_of_former_ones(&[0, 3, 4])]
+#[case::without_a_list(&[])]
+fn a_follower_at_the_cut_off_side_goes_to_the_others(#[case] old_list: &[usize]) {
+    let mut world = standing(5, 1, &[0, 1, 2]);
+    world.lose_touch(old_list);
+    world.welcomes(1, &[0, 1, 2]);
+    assert_eq!(world.find(FOUND_WITHIN_MS).0, 1);
+    assert_eq!(world.sequence(), 5);
+}
+
+/// The follower is at the side of the cut-off machine, for twenty seconds; then any one of the others is reached.
+#[rstest]
+fn after_a_long_cut_a_machine_in_touch_is_found_soon(
+    #[values(1, 2, 3, 4)] healed: usize,
+    #[values(1, 3)] gone_seeds: usize,
+) {
+    let mut world = World::new(5 + gone_seeds, 5 + gone_seeds);
+    let all = [0, 1, 2, 3, 4];
+    world.welcomes(0, &all);
+    world.find(2 * FOUND_WITHIN_MS);
+    world.tell_snapshot(5);
+    world.lose_touch(&all);
+    world.pass(CUT_MS + 70 * healed as u64);
+    assert!(!world.client.is_standing());
+    assert_eq!(world.sequence(), 5, "what it knew is served on");
+    world.welcomes(healed, &all);
+    assert_eq!(world.find(FOUND_WITHIN_MS).0, healed);
+}
+
+/// Every machine of the settings has gone, and those that stood at the beginning of the session, too.
+#[test]
+fn with_all_seeds_gone_the_machines_of_the_last_list_are_asked() {
+    let mut world = standing(6, 3, &[0, 1, 2]);
+    let session = world.session().unwrap().1;
+    // The machines are replaced one after the other while the session stands.
+    let list = FromControl::Welcome { controls: world.list(&[0, 3, 4]) };
+    world.tell(session, &list);
+    assert!(world.client.is_standing());
+    world.kill(1);
+    world.kill(2);
+    world.kill(0);
+    world.welcomes(4, &[3, 4, 5]);
+    assert_eq!(world.find(FOUND_WITHIN_MS).0, 4);
+}
+
+/// Of the machines that know better, only one that isn't in touch is left: its list is taken up beside the others.
+#[test]
+fn a_list_of_a_machine_that_is_not_in_touch_is_tried_as_well() {
+    let mut world = standing(4, 1, &[0, 1]);
+    world.kill(0);
+    world.sends_elsewhere(1, &[1, 2, 3]);
+    world.welcomes(3, &[1, 2, 3]);
+    assert_eq!(world.find(FOUND_WITHIN_MS).0, 3);
+}
+
+/// The machines of the last list are asked before those of the settings.
+#[test]
+fn the_last_list_goes_first() {
+    let mut world = standing(6, 3, &[0, 3, 4, 5]);
+    world.kill(0);
+    world.called.clear();
+    world.settle();
+    world.pass(400);
+    assert!(world.called.len() >= 3);
+    let first: Vec<usize> = world.called.iter().take(3).map(|(control, _)| *control).collect();
+    assert!(first.iter().all(|control| [3, 4, 5].contains(control)), "{:?}", world.called);
+}
+
+/// The last list may be out of date as a whole: what the settings name is asked all the same.
+#[test]
+fn a_long_list_of_silent_machines_does_not_hide_the_seeds() {
+    let mut world = standing(8, 2, &[0, 2, 3, 4, 5, 6, 7]);
+    world.kill(0);
+    world.pass(CUT_MS);
+    assert!(!world.client.is_standing());
+    world.welcomes(1, &[0, 1]);
+    assert_eq!(world.find(FOUND_WITHIN_MS).0, 1);
+}
+
+/// Whatever a machine says that hasn't welcomed the follower is no part of the feed.
+#[rstest]
+#[case::snapshot(snapshot(9))]
+#[case::changes(changes(6, 9))]
+#[case::servers(servers(9, 9, "i-9"))]
+#[case::heartbeat(FromControl::Heartbeat)]
+fn only_a_machine_that_is_in_touch_feeds_the_copy(#[case] message: FromControl) {
+    let mut world = standing(2, 2, &[0, 1]);
+    let before = world.client.copy().position();
+    world.kill(0);
+    while world.connections_of(1).is_empty() {
+        world.pass(STEP_MS);
+    }
+    let caller = world.connections_of(1)[0];
+    world.tell(caller, &message);
+    assert!(!world.client.is_standing());
+    assert_eq!(world.client.copy().position(), before);
+    assert!(!world.callers.contains_key(&caller), "the connection is dropped");
+}
+
+/// The machine that was asked first welcomes when another one already keeps the session.
+#[test]
+fn a_late_welcome_changes_nothing() {
+    let mut world = World::new(2, 2);
+    while world.called.len() < 2 {
+        world.pass(STEP_MS);
+    }
+    let (first, second) = (world.connections_of(0)[0], world.connections_of(1)[0]);
+    write_frame(world.network.outbox(first).unwrap(), &FromControl::Welcome { controls: Vec::new() });
+    write_frame(world.network.outbox(first).unwrap(), &snapshot(5));
+    world.settle();
+    assert!(world.client.is_standing());
+    assert_eq!((world.sequence(), world.callers.len()), (5, 1), "the other attempt is dropped");
+    assert!(!world.callers.contains_key(&second));
+}
--- a/crates/signalbox/src/followers.rs
+++ b/crates/signalbox/src/followers.rs
@@ -39,6 +39,8 @@
 #[derive(Default, Debug)]
 pub struct Followers {
     followers: BTreeMap<ConnectionId, Follower>,
+    /// Control machines that all followers have been told of.
+    told_controls: Vec<NodeAddress>,
 }
 
 impl Followers {
@@ -103,6 +105,15 @@
         }
     }
 
+    /// Tells all followers which control machines there are, once it has changed: they need one to go to when this
+    /// machine falls silent, and those of their settings may all have gone.
+    pub fn tell_controls(&mut self, network: &mut Network, controls: Vec<NodeAddress>) {
+        if controls != self.told_controls {
+            self.told_controls = controls.clone();
+            self.broadcast(network, &FromControl::Welcome { controls });
+        }
+    }
+
     /// Sends every follower what it doesn't have yet.
     pub fn advance(
         &mut self,
--- a/crates/signalbox/src/process/links.rs
+++ b/crates/signalbox/src/process/links.rs
@@ -201,6 +201,8 @@
                 self.drop_connection(connection);
             }
         }
+        let controls = self.controls();
+        self.followers.tell_controls(&mut self.network, controls);
         self.sessions.expire(self.now);
         if self.sessions_changed || self.now >= self.told_sessions_at + SESSIONS_INTERVAL_MS {
             self.sessions_changed = false;
--- a/crates/turnstile/src/process/mod.rs
+++ b/crates/turnstile/src/process/mod.rs
@@ -187,7 +187,7 @@
         if self.upstreams.owns(connection) {
             self.upstreams.connected(connection);
         } else if self.feed.owns(connection) {
-            self.feed.connected(&mut self.network);
+            self.feed.connected(&mut self.network, connection);
         } else if self.stores.connected(&mut self.network, connection, self.now).is_some() {
             self.work.resend();
         }
@@ -203,7 +203,7 @@
         } else if self.stores.owns(connection) {
             self.store_data(connection);
         } else if self.feed.owns(connection) {
-            let news = self.feed.data(&mut self.network, self.now);
+            let news = self.feed.data(&mut self.network, connection, self.now);
             self.feed_news(news);
         } else if self.readiness.contains(connection) {
             self.readiness_data(connection);
@@ -222,7 +222,7 @@
                 self.calls.store_lost(self.now, store);
             }
         } else if self.feed.owns(connection) {
-            self.feed.closed(&mut self.network, self.now);
+            self.feed.closed(&mut self.network, connection, self.now);
         } else {
             self.readiness.closed(connection);
             self.network.forget(connection);
