Door: nothing is too long before a configuration is known; calls and answers under mutation

The mutation and model tests of the calls were missing. Change: without a configuration, too long is 503 and the connection ends.

--- a/crates/turnstile/src/clients.rs
+++ b/crates/turnstile/src/clients.rs
@@ -65,6 +65,14 @@
     Nothing,
 }
 
+/// Status of the answer to bytes that are no request. A door that knows no configuration can't know what is too long.
+pub fn unreadable_status(error: HttpError, knows_limits: bool) -> u16 {
+    match error {
+        HttpError::HeaderTooLong | HttpError::BodyTooLong if !knows_limits => 503,
+        _ => error.status(),
+    }
+}
+
 impl Clients {
     pub fn accepted(&mut self, connection: ConnectionId, now: u64) {
         let client = Client {
--- a/crates/turnstile/src/process/requests.rs
+++ b/crates/turnstile/src/process/requests.rs
@@ -5,7 +5,7 @@
 use orchidvalve_waybill::RouteType;
 
 use super::Process;
-use crate::clients::{Arrival, Busy};
+use crate::clients::{Arrival, Busy, unreadable_status};
 use crate::exchanges::{Purpose, request_bytes};
 use crate::jobs::{ITEMS_PREFIX, JOBS_PREFIX};
 use crate::requests::{Answer, RETRY_AFTER, RequestCommand};
@@ -31,8 +31,8 @@
                 Arrival::Nothing => return,
                 Arrival::Request(request) => self.begin_request(connection, request),
                 Arrival::Unreadable(error) => {
-                    let body = error.to_string();
-                    self.own_answer(connection, error.status(), &[], body.as_bytes());
+                    let (status, body) = (unreadable_status(error, self.table.is_some()), error.to_string());
+                    self.own_answer(connection, status, &[], body.as_bytes());
                     return;
                 }
             }
--- a/crates/turnstile/tests/clients.rs
+++ b/crates/turnstile/tests/clients.rs
@@ -6,7 +6,7 @@
 
 use orchidvalve_track::http::{Headers, HttpError, MessageLimits, Request, ResponseHead};
 use orchidvalve_track::network::{ConnectionId, Event, Network};
-use orchidvalve_turnstile::clients::{Arrival, Busy, Clients};
+use orchidvalve_turnstile::clients::{Arrival, Busy, Clients, unreadable_status};
 use rstest::rstest;
 use sockets_support::*;
 
@@ -417,3 +417,38 @@
     assert!(peer.text().ends_with("xend"));
     assert!(door.clients.is_flushed(&door.network));
 }
+
+#[rstest]
+#[case::header(HttpError::HeaderTooLong, 431)]
+#[case::body(HttpError::BodyTooLong, 413)]
+#[case::malformed(HttpError::Malformed, 400)]
+#[case::coding(HttpError::UnknownCoding, 501)]
+fn a_door_without_a_configuration_calls_nothing_too_long(#[case] error: HttpError, #[case] status: u16) {
+    assert_eq!(unreadable_status(error, true), status);
+    let unknown = if matches!(status, 413 | 431) { 503 } else { status };
+    assert_eq!(unreadable_status(error, false), unknown);
+}
+
+/// What a killed door leaves behind at its clients: an end, and nothing that reads as an answer or a promise.
+#[rstest]
+fn a_killed_process_ends_its_connections_without_a_promise(#[values(false, true)] streaming: bool) {
+    let mut door = Door::new();
+    let mut peer = door.connect();
+    peer.send(&(request("1", "") + &request("2", "")));
+    door.requests(1);
+    if streaming {
+        let connection = door.at();
+        door.clients.begin_stream(&mut door.network, connection, &server_head(200));
+        door.clients.stream_piece(&mut door.network, connection, b"id: 1\n\n");
+        door.got(&mut peer, "\r\n7\r\nid: 1\n\n\r\n");
+    }
+    drop(door);
+    while !peer.ended {
+        peer.look();
+    }
+    assert!(
+        !peer.text().contains("0\r\n\r\n")
+            && peer.text().matches("HTTP/1.1").count() <= usize::from(streaming)
+    );
+    assert!(streaming || peer.got.is_empty(), "{}", peer.text());
+}
--- /dev/null
+++ b/crates/turnstile/tests/jobs_random.rs
@@ -0,0 +1,168 @@
+//! Calls of batch jobs over links on which answers get lost, doubled and late, with stores that refuse and fall
+//! silent: every answer reaches its own call, once, and no promise is given for a job that was taken.
+
+use std::collections::{BTreeMap, BTreeSet};
+use std::net::Ipv4Addr;
+
+use orchidvalve_track::identity::{MemberId, NodeAddress};
+use orchidvalve_track::messages::{StoreAnswer, ToStore};
+use orchidvalve_turnstile::jobs::{CallId, JobAnswer, JobCall, JobCalls};
+use orchidvalve_waybill::state::{Change, ControlState, Placement};
+use rand::{Rng, SeedableRng};
+use rand_pcg::Pcg64Mcg;
+
+const STORES: u8 = 3;
+const CALLS: usize = 6;
+const STEP_MS: u64 = 20;
+/// Every call has been answered by then.
+const LONGEST_MS: u64 = 6_000;
+const SEEDS: u64 = 400;
+
+fn store(number: u8) -> NodeAddress {
+    NodeAddress::new(Ipv4Addr::new(10, 0, 0, number), 7_000)
+}
+
+fn state() -> ControlState {
+    let members = (1..=STORES).map(|n| MemberId { address: store(n), disk: u64::from(n) });
+    let placement = Placement { epoch: 1, members: members.collect(), learners: Vec::new() };
+    let mut state = ControlState::default();
+    state.apply(&Change::Place(vec![(0, placement)])).unwrap();
+    state
+}
+
+/// A message on its way, one direction or the other, until it arrives.
+#[derive(Clone)]
+enum Travelling {
+    Asked { message: ToStore },
+    Answered { call: CallId, answer: StoreAnswer },
+}
+
+struct World {
+    random: Pcg64Mcg,
+    calls: JobCalls,
+    state: ControlState,
+    travelling: Vec<(u64, Travelling)>,
+    /// Jobs that some store took.
+    taken: BTreeSet<String>,
+    told: BTreeMap<CallId, JobAnswer>,
+    now: u64,
+}
+
+impl World {
+    fn new(seed: u64) -> World {
+        let random = Pcg64Mcg::seed_from_u64(seed);
+        let (calls, travelling, taken, told) = Default::default();
+        World { random, calls, state: state(), travelling, taken, told, now: 5_000 }
+    }
+
+    /// A message leaves: it may be lost and take long. An answer may also come twice; a call doesn't, since a link
+    /// brings each message once, and every further try is a message of its own.
+    fn leave(&mut self, message: &Travelling) {
+        let most = if matches!(message, Travelling::Answered { .. }) { 5 } else { 4 };
+        let copies = [0, 1, 1, 1, 2][self.random.random_range(0..most)];
+        for _ in 0..copies {
+            let delay = self.random.random_range(0..5_u64) * self.random.random_range(0..300_u64);
+            self.travelling.push((self.now + delay, message.clone()));
+        }
+    }
+
+    fn arrive(&mut self) {
+        let due = self.travelling.extract_if(.., |(at, _)| *at <= self.now);
+        for (_, message) in due.collect::<Vec<_>>() {
+            match message {
+                Travelling::Asked { message } => self.store_asked(message),
+                Travelling::Answered { call, answer } => self.door_answered(call, answer),
+            }
+        }
+    }
+
+    fn store_asked(&mut self, message: ToStore) {
+        let (call, answer) = match message {
+            ToStore::Submit { call, id, .. } if self.random.random() => {
+                self.taken.insert(id);
+                let unclear = self.random.random();
+                (call, if unclear { StoreAnswer::Unclear } else { StoreAnswer::Accepted })
+            }
+            ToStore::Submit { call, .. } => (call, StoreAnswer::Refused { retry_after_ms: 250 }),
+            ToStore::ItemBody { call, item, .. } => (call, StoreAnswer::Body(item.into_bytes())),
+            ToStore::End { call, .. } => (call, StoreAnswer::Ended),
+            other => panic!("{other:?}"),
+        };
+        self.leave(&Travelling::Answered { call, answer });
+    }
+
+    fn door_answered(&mut self, call: CallId, answer: StoreAnswer) {
+        if let Some(answer) = self.calls.answered(self.now, call, answer) {
+            self.tell(call, answer);
+        }
+    }
+
+    fn tell(&mut self, call: CallId, answer: JobAnswer) {
+        let before = self.told.insert(call, answer);
+        assert!(before.is_none(), "call {call} is answered twice");
+    }
+
+    fn step(&mut self) {
+        self.now += STEP_MS;
+        self.arrive();
+        if self.random.random_ratio(1, 20) {
+            let lost = store(self.random.random_range(1..=STORES));
+            self.calls.store_lost(self.now, lost);
+        }
+        let (mut outgoing, mut answers) = (Vec::new(), Vec::new());
+        self.calls.tick(self.now, &self.state, &|_| true, &|_| false, &mut outgoing, &mut answers);
+        for out in outgoing {
+            self.leave(&Travelling::Asked { message: out.message });
+        }
+        for (call, answer) in answers {
+            self.tell(call, answer);
+        }
+    }
+
+    fn begin(&mut self, number: usize) -> (CallId, String) {
+        let id = format!("job-{number}");
+        let call = match number % 3 {
+            0 => JobCall::Submit { job: Vec::new(), received_at_ms: 0 },
+            1 => JobCall::ItemBody { item: id.clone() },
+            _ => JobCall::End,
+        };
+        (self.calls.begin(self.now, &id, call), id)
+    }
+
+    /// What was told, once nothing is on its way any more: a job may also be taken after its client was answered.
+    fn check(&self, call: CallId, id: &str) {
+        match &self.told[&call] {
+            JobAnswer::Refused { .. } => assert!(!self.taken.contains(id), "{id} was promised not to run"),
+            JobAnswer::Accepted => assert!(self.taken.contains(id)),
+            JobAnswer::Body(body) => assert_eq!(body, id.as_bytes(), "the body of another call"),
+            JobAnswer::Unclear | JobAnswer::NotSure | JobAnswer::Ended => {}
+            other => panic!("{other:?}"),
+        }
+    }
+}
+
+#[test]
+fn every_answer_reaches_its_own_call_and_promises_hold() {
+    let mut kinds: BTreeMap<String, usize> = BTreeMap::new();
+    for seed in 0..SEEDS {
+        let mut world = World::new(seed);
+        let mut calls = Vec::new();
+        for number in 0..CALLS {
+            calls.push(world.begin(number));
+            world.step();
+        }
+        let end = world.now + LONGEST_MS;
+        while world.now < end {
+            world.step();
+        }
+        assert!(world.travelling.is_empty());
+        for (call, id) in &calls {
+            world.check(*call, id);
+            let answer = format!("{:?}", world.told[call]);
+            *kinds.entry(answer.split([' ', '(']).next().unwrap().to_owned()).or_default() += 1;
+        }
+    }
+    for kind in ["Refused", "Accepted", "Unclear", "Body", "NotSure", "Ended"] {
+        assert!(kinds.get(kind).is_some_and(|count| *count > 20), "{kind}: {kinds:?}");
+    }
+}
--- a/crates/turnstile/tests/sockets_support/mod.rs
+++ b/crates/turnstile/tests/sockets_support/mod.rs
@@ -55,6 +55,11 @@
         self.stream.write_all(bytes).unwrap();
     }
 
+    /// Sends bytes on a connection that the other end may have closed.
+    pub fn try_send(&mut self, bytes: &[u8]) -> std::io::Result<()> {
+        self.stream.write_all(bytes)
+    }
+
     /// Takes in what has come.
     pub fn look(&mut self) {
         let mut bytes = [0; 4_096];
--- a/crates/turnstile/tests/upstream.rs
+++ b/crates/turnstile/tests/upstream.rs
@@ -561,3 +561,67 @@
     assert_eq!(events.last(), Some(&UpstreamEvent::Complete { exchange }));
     assert_eq!((status(&events), body(&events).as_str()), (Some(200), "bytes"));
 }
+
+const CHUNKED: &str = "HTTP/1.1 200 OK\r\nAttempt-Id: 9c41d07be2a35f68\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nby\r\n3\r\ntes\r\n0\r\n\r\n";
+/// A place in `ANSWER` and `CHUNKED` is put out of order by each of these.
+const OTHER_BYTES: &[u8] = b"\0 19Zz:\r\n";
+
+/// One byte of the answer is another one. Where the door takes the answer for whole all the same, it bears the
+/// request's id, and its body has the length that the answer states; nothing of it is left for the next request.
+#[rstest]
+fn an_answer_with_one_byte_changed_is_whole_only_by_its_framing(#[values(ANSWER, CHUNKED)] answer: &str) {
+    let mut whole = 0;
+    for place in 0..answer.len() {
+        let other = OTHER_BYTES[place % OTHER_BYTES.len()];
+        let mut bytes = answer.as_bytes().to_vec();
+        bytes[place] = other;
+        let mut door = Door::new();
+        door.send();
+        let mut peer = door.accept();
+        door.request(&mut peer);
+        peer.send_bytes(&bytes);
+        drop(peer);
+        let events = door.ended();
+        let head = events.iter().find_map(|event| match event {
+            UpstreamEvent::Head { head, .. } => Some(head),
+            _ => None,
+        });
+        if failure(&events).is_some() {
+            continue;
+        }
+        whole += 1;
+        let head = head.expect("a whole answer has a head");
+        let success = (200..300).contains(&head.status);
+        assert!(head.headers.get("attempt-id").map_or(!success, |id| id == ID), "{place}: {head:?}");
+        if let Some(length) = head.headers.number("content-length") {
+            assert_eq!(body(&events).len() as u64, length, "{place}");
+        }
+    }
+    assert!(whole > 0 && whole < answer.len());
+}
+
+/// The answer comes twice, in two parts with a pause at any place: the next request never gets what is left over.
+#[test]
+fn a_doubled_answer_never_reaches_the_next_request() {
+    let twice = ANSWER.repeat(2);
+    for place in (1..twice.len()).step_by(3) {
+        let mut door = Door::new();
+        door.send();
+        let mut peer = door.accept();
+        door.request(&mut peer);
+        peer.send(&twice[..place]);
+        (0..3).for_each(|_| door.turn());
+        if door.events.iter().any(|event| matches!(event, UpstreamEvent::Complete { .. })) {
+            door.ended();
+            let next = door.send();
+            let _ = peer.try_send(&twice.as_bytes()[place..]);
+            (0..3).for_each(|_| door.turn());
+            let others = |event: &UpstreamEvent| !matches!(event, UpstreamEvent::Failed { .. });
+            assert!(!door.events.iter().any(others), "{place}: {next:?} got {:?}", door.events);
+        } else {
+            peer.send(&twice[place..]);
+            assert_eq!(body(&door.ended()), "bytes", "{place}");
+            assert!(!door.reuses(&mut peer, false), "{place}");
+        }
+    }
+}
