--- a/crates/signalbox/tests/support/auditor.rs
+++ b/crates/signalbox/tests/support/auditor.rs
@@ -25,6 +25,8 @@
 
 #[derive(Default)]
 pub struct Auditor {
+    /// States aren't compared; only their numbers are.
+    pub takes_states_unseen: bool,
     /// Every committed change by its number, from 1, and the state after it.
     truth: Vec<(Rc<[u8]>, StateImage)>,
     state: ControlState,
@@ -129,21 +131,44 @@
             }
             _ => {}
         }
-        self.truth.push((payload.clone(), self.state.image()));
+        let image = if self.takes_states_unseen { StateImage::default() } else { self.state.image() };
+        self.truth.push((payload.clone(), image));
     }
 
     /// A machine's state as of change `applied`, all of which it has told, has to be that of everyone.
     pub fn check_state(&mut self, teller: Teller, state: &ControlState, applied: u64) {
+        if let Err(difference) = self.compare(state, applied) {
+            self.fail(format!("{teller:?} {difference}"));
+        }
+    }
+
+    /// The same for a follower of the feed.
+    pub fn check_follower(&mut self, follower: usize, state: &ControlState, sequence: u64) {
+        if let Err(difference) = self.compare(state, sequence) {
+            self.fail(format!("follower {follower} {difference}"));
+        }
+    }
+
+    fn compare(&self, state: &ControlState, applied: u64) -> Result<(), String> {
+        if applied > self.end() {
+            return Err(format!("is at {applied}, {} are known", self.end()));
+        }
+        if self.takes_states_unseen {
+            return Ok(());
+        }
         let image = state.image();
         let is_expected = match applied.checked_sub(1) {
             None => image == StateImage::default(),
-            Some(index) => match self.truth.get(index as usize) {
-                Some((_, expected)) => image == *expected,
-                None => return self.fail(format!("{teller:?} is at {applied}, {} are known", self.end())),
-            },
+            Some(index) => image == self.truth[index as usize].1,
         };
-        if !is_expected {
-            self.fail(format!("{teller:?} has another state as of change {applied}"));
+        if is_expected { Ok(()) } else { Err(format!("has another state as of change {applied}")) }
+    }
+
+    /// A change was refused since its base isn't current; another time it may be.
+    pub fn refused_for_now(&mut self, number: ChangeNumber) {
+        self.refused += 1;
+        if self.in_force.contains(&fingerprint(&encode(&self.changes[number].change))) {
+            self.fail(format!("change {number} was refused but is in force"));
         }
     }
 
--- a/crates/signalbox/tests/support/clients.rs
+++ b/crates/signalbox/tests/support/clients.rs
@@ -3,12 +3,13 @@
 use orchidvalve_signalbox::peer::{CallOutcome, ForwardedCall};
 use orchidvalve_track::frames::encode;
 use orchidvalve_track::identity::MemberId;
-use orchidvalve_waybill::state::Change;
+use orchidvalve_waybill::state::{Change, ChangeError};
 use rand::Rng;
 use rand::seq::IndexedRandom;
 use serde_json::json;
 
 use super::auditor::{Auditor, ChangeNumber};
+use super::operators::{Attempt, Reply};
 use super::plan::Sabotage;
 use super::world::{Event, World, address};
 
@@ -20,6 +21,11 @@
     Change(ChangeNumber),
     /// A read that has to see at least this change.
     Read(u64),
+    /// One send of a call of an operator, begun when this change had to be seen.
+    Attempt {
+        attempt: Attempt,
+        floor: u64,
+    },
 }
 
 /// A call that a machine hasn't answered.
@@ -185,7 +191,7 @@
         self.begin_sync(machine);
     }
 
-    fn open_call(&mut self, machine: usize, kind: CallKind) -> u64 {
+    pub fn open_call(&mut self, machine: usize, kind: CallKind) -> u64 {
         let begun_at = self.now;
         let node = &mut self.machines[machine];
         let call = node.next_call;
@@ -214,10 +220,12 @@
             return;
         }
         let Some(OpenCall { kind, .. }) = self.machines[machine].calls.remove(&call) else { return };
-        let CallKind::Change(number) = kind else {
-            return self.auditor.fail("a read was answered as a change".to_owned());
-        };
         let outcome = self.sabotaged(outcome);
+        let number = match kind {
+            CallKind::Change(number) => number,
+            CallKind::Attempt { attempt, .. } => return self.attempt_decided(machine, attempt, &outcome),
+            CallKind::Read(_) => return self.auditor.fail("a read was answered as a change".to_owned()),
+        };
         self.trace(|| format!("machine {machine}: change {number} is {outcome:?}"));
         self.auditor.answered(number, &outcome);
         if unclear {
@@ -230,6 +238,20 @@
         }
     }
 
+    /// What a machine that cheats answers to a change before the state machine does.
+    pub fn cheated_outcome(&self, machine: usize, number: ChangeNumber) -> Option<CallOutcome> {
+        match self.plan.sabotage {
+            Some(Sabotage::EarlyAnswers) => Some(CallOutcome::Done),
+            Some(Sabotage::LocalRefusals) => {
+                let mut state = self.machines[machine].core.as_ref()?.state().0.clone();
+                let error = state.apply(&self.auditor.changes[number].change).err()?;
+                let is_stale = matches!(error, ChangeError::OtherVersion { .. });
+                is_stale.then(|| CallOutcome::OtherVersion { reason: error.to_string() })
+            }
+            _ => None,
+        }
+    }
+
     fn sabotaged(&mut self, outcome: CallOutcome) -> CallOutcome {
         match (self.plan.sabotage, &outcome) {
             (Some(Sabotage::RefusalsAsDone), CallOutcome::OtherVersion { .. }) => CallOutcome::Done,
@@ -250,24 +272,37 @@
 
     /// The machine that a call was sent to has stopped.
     pub fn lost_call(&mut self, call: OpenCall) {
-        if let CallKind::Change(number) = call.kind {
-            self.auditor.answered(number, &CallOutcome::Unclear);
-            self.try_again(number);
+        match call.kind {
+            CallKind::Change(number) => {
+                self.auditor.answered(number, &CallOutcome::Unclear);
+                self.try_again(number);
+            }
+            CallKind::Attempt { attempt, .. } => self.connection_reset(attempt),
+            CallKind::Read(_) => {}
         }
     }
 
     pub fn read_ready(&mut self, machine: usize, call: u64) {
         let Some(OpenCall { kind, .. }) = self.machines[machine].calls.remove(&call) else { return };
-        let CallKind::Read(floor) = kind else {
-            return self.auditor.fail("a change was answered as a read".to_owned());
+        let floor = match kind {
+            CallKind::Read(floor) | CallKind::Attempt { floor, .. } => floor,
+            CallKind::Change(_) => return self.auditor.fail("a change was answered as a read".to_owned()),
         };
+        if let CallKind::Attempt { attempt, .. } = kind {
+            self.attempt_read(machine, attempt);
+        }
         let applied = self.machines[machine].core.as_ref().map_or(0, |core| core.state().1);
         self.auditor.read(floor, applied);
     }
 
     pub fn read_unclear(&mut self, machine: usize, call: u64) {
-        if self.plan.sabotage != Some(Sabotage::NoTimeouts) {
-            self.machines[machine].calls.remove(&call);
+        if self.plan.sabotage == Some(Sabotage::NoTimeouts) {
+            return;
+        }
+        if let Some(OpenCall { kind: CallKind::Attempt { attempt, .. }, .. }) =
+            self.machines[machine].calls.remove(&call)
+        {
+            self.reply(machine, attempt, Reply::Unclear);
         }
     }
 
--- a/crates/signalbox/tests/support/faults.rs
+++ b/crates/signalbox/tests/support/faults.rs
@@ -114,10 +114,16 @@
         node.core = None;
         node.frozen = false;
         node.inbox.clear();
+        node.session_inbox.clear();
+        node.sessions.clear();
+        let waiting = std::mem::take(&mut node.operator_inbox);
         node.syncing = false;
         node.hanging = false;
         node.disk.crash(&mut self.random);
         let calls = std::mem::take(&mut node.calls);
+        for attempt in waiting {
+            self.connection_reset(attempt);
+        }
         for call in calls.into_values() {
             self.lost_call(call);
         }
@@ -155,12 +161,12 @@
         node.bootstrap = false;
     }
 
-    fn wipe(&mut self, machine: usize, pause: u64) {
+    pub fn wipe(&mut self, machine: usize, pause: u64) {
         self.crash(machine, false, pause);
         self.empty_disk(machine);
     }
 
-    fn replace(&mut self, machine: usize, pause: u64) {
+    pub fn replace(&mut self, machine: usize, pause: u64) {
         self.stop_process(machine);
         self.machines[machine].gone = true;
         self.machines[machine].lost = None;
@@ -173,6 +179,7 @@
 
     pub fn end_cut(&mut self, machine: usize) {
         self.cuts.retain(|(from, to)| *from != machine && *to != machine);
+        self.end_sides(machine);
         if self.machines[machine].core.is_some() && !self.machines[machine].frozen {
             self.machines[machine].lost = Some(self.now);
         }
@@ -189,6 +196,9 @@
     pub fn end_storm(&mut self) {
         self.calm = true;
         self.cuts.clear();
+        for machine in 0..self.machines.len() {
+            self.end_sides(machine);
+        }
         for machine in 0..self.machines.len() {
             self.schedule(0, Event::Thaw { machine });
             self.schedule(0, Event::Start { machine });
@@ -200,7 +210,7 @@
 
     /// Whether every machine knows the newest view, and as many of them as the tolerance asks for are voters and in
     /// the chain. Further ones stand by.
-    fn is_whole(&self) -> bool {
+    pub fn is_whole(&self) -> bool {
         let Some(view) = self.newest_view() else { return false };
         let present: Vec<&super::world::Machine> = self.machines.iter().filter(|m| !m.gone).collect();
         let knows = |m: &&super::world::Machine| {
@@ -218,6 +228,7 @@
         }
         if self.is_whole() {
             self.clients.stop();
+            self.operators.stop();
             // Calls under way end in between, and the last machine hears of the last commit.
             return self.schedule(2_000, Event::End);
         }
@@ -241,6 +252,11 @@
                 self.auditor.fail(message);
             }
         }
+        if !self.followers_have(end) {
+            self.auditor.fail(format!("a follower hasn't all {end} changes at the end"));
+        }
+        self.check_history();
+        self.recovery.finish();
         self.stop();
     }
 }
--- a/crates/signalbox/tests/support/mod.rs
+++ b/crates/signalbox/tests/support/mod.rs
@@ -3,9 +3,14 @@
 
 pub mod auditor;
 pub mod clients;
+pub mod days;
 pub mod disk;
 pub mod faults;
+pub mod followers;
 pub mod history;
 pub mod links;
+pub mod operators;
 pub mod plan;
+pub mod recovery;
+pub mod script;
 pub mod world;
--- a/crates/signalbox/tests/support/plan.rs
+++ b/crates/signalbox/tests/support/plan.rs
@@ -3,6 +3,7 @@
 use orchidvalve_signalbox::peer::PeerMessage;
 
 use super::faults::Fault;
+use super::script::Step;
 
 /// Ways in which a run cheats, to prove that the auditor sees it.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -23,6 +24,24 @@
     NoTimeouts,
     /// Messages of the chain get lost for ever once it is calm.
     SilentChain,
+    /// Refusals are given by what the machine happens to hold.
+    LocalRefusals,
+    /// A start doesn't find the newest entries of its journal.
+    ForgottenEntries,
+    /// A start doesn't find what the agreement has promised and decided.
+    ForgottenVotes,
+    /// Machines that copy the journal say at once that they have it all.
+    HastyLearners,
+    /// Members acknowledge entries to their predecessors before these are on their disks.
+    EarlyAcknowledgements,
+    /// All starts of a process number their calls alike.
+    SameNonce,
+    /// A control machine goes by the position that it knows of an earlier session of a follower.
+    OldFeedPositions,
+    /// Followers take an older state for a newer one.
+    BackwardFeed,
+    /// A control machine that isn't in touch keeps its followers.
+    KeptFollowers,
 }
 
 /// What may happen in a run.
@@ -46,6 +65,16 @@
     pub filling: usize,
     /// Changes that the head enters by itself at each step of the clients.
     pub own_changes: u32,
+    /// Operators that work as the pages say, in place of the random clients; 0 for these.
+    pub operators: usize,
+    /// Pause between two calls of one operator.
+    pub operator_pause: u64,
+    pub followers: usize,
+    pub script: Vec<Step>,
+    /// Bytes per millisecond that a machine can send; None for any number.
+    pub bandwidth: Option<u64>,
+    /// Whether every state is compared with that of all others; bodies may be too large for that.
+    pub compares_states: bool,
     /// Share of the acknowledgements that a blackout follows.
     pub blackout_after_acknowledgement: f64,
     pub sabotage: Option<Sabotage>,
@@ -67,6 +96,12 @@
             client_interval: 40,
             filling: 0,
             own_changes: 0,
+            operators: 0,
+            operator_pause: 200,
+            followers: 0,
+            script: Vec::new(),
+            bandwidth: None,
+            compares_states: true,
             blackout_after_acknowledgement: 0.0,
             sabotage: None,
             mutation: None,
--- /dev/null
+++ b/crates/signalbox/tests/support/recovery.rs
@@ -0,0 +1,231 @@
+//! What has to hold again some time after a trouble: orders are acknowledged, the tolerance is whole, followers are
+//! fresh. Times are measured on the way.
+
+use std::collections::VecDeque;
+
+use orchidvalve_interlocking::View;
+
+use super::operators::Request;
+use super::world::{Event, World};
+
+/// Bounds of the deployments, in milliseconds.
+pub const ACK_MS: u64 = 4_000;
+pub const CATCH_UP_MS: u64 = 4_400;
+pub const CONTACT_MS: u64 = 3_000;
+/// Pause between two looks.
+const WATCH_MS: u64 = 20;
+/// A machine or follower that has what was committed so long ago is up to date.
+const LAG_MS: u64 = 300;
+/// A follower of a stable core shows what was committed so long ago.
+const FRESH_MS: u64 = 2_000;
+
+/// Times of one recovery in milliseconds; None for what another trouble cut short.
+#[derive(Clone, Copy, Default, Debug)]
+pub struct Recovered {
+    /// From the trouble to the answer to the first order that was sent after it.
+    pub first_acknowledgement: Option<u64>,
+    /// From the trouble until its last machine was back.
+    pub outage: Option<u64>,
+    /// From then until the full tolerance was there again.
+    pub tolerance: Option<u64>,
+    /// From then until the last follower was up to date.
+    pub followers: Option<u64>,
+    /// From then until every machine was in the chain, which is more than the tolerance needs.
+    pub chain: Option<u64>,
+}
+
+#[derive(Default)]
+pub struct Recovery {
+    struck_at: Option<u64>,
+    back_at: Option<u64>,
+    times: Recovered,
+    pub finished: Vec<Recovered>,
+    /// When something last happened that ends the stability of the core.
+    pub unstable_at: u64,
+    /// Committed changes as of some time ago.
+    ends: VecDeque<(u64, u64)>,
+    older_ends: VecDeque<(u64, u64)>,
+}
+
+impl Recovery {
+    /// A trouble begins.
+    pub fn struck(&mut self, now: u64) {
+        self.finish();
+        self.struck_at = Some(now);
+        self.unstable_at = now;
+    }
+
+    /// An order that was sent at `sent_at` is acknowledged.
+    pub fn acknowledged(&mut self, now: u64, sent_at: u64) {
+        if let Some(struck_at) = self.struck_at.filter(|at| sent_at > *at) {
+            self.times.first_acknowledgement.get_or_insert(now - struck_at);
+        }
+    }
+
+    /// Keeps the times of a recovery that is over, or cut short by the next trouble.
+    pub fn finish(&mut self) {
+        if self.struck_at.take().is_some() {
+            self.finished.push(std::mem::take(&mut self.times));
+        }
+        self.back_at = None;
+    }
+}
+
+/// Notes what is committed now; what was `lag` ago, or at the first note.
+fn committed_before(ends: &mut VecDeque<(u64, u64)>, lag: u64, now: u64, end: u64) -> u64 {
+    ends.push_back((now, end));
+    while ends.get(1).is_some_and(|(at, _)| at + lag <= now) {
+        ends.pop_front();
+    }
+    ends.front().map_or(0, |(_, end)| *end)
+}
+
+impl World {
+    pub fn watch(&mut self) {
+        self.schedule(WATCH_MS, Event::Watch);
+        let (now, newest) = (self.now, self.auditor.end());
+        let stable = self.core_is_stable();
+        let older_end = committed_before(&mut self.recovery.older_ends, FRESH_MS, now, newest);
+        if stable && !self.free_followers_have(older_end) {
+            let state = self.describe();
+            self.auditor.fail(format!("a follower lacks what was committed {FRESH_MS} ms ago; {state}"));
+        }
+        self.check_acknowledgements(stable);
+        let end = committed_before(&mut self.recovery.ends, LAG_MS, now, newest);
+        let Some(struck_at) = self.recovery.struck_at else { return };
+        if self.recovery.back_at.is_none() && self.all_are_back() {
+            self.recovery.back_at = Some(self.now);
+            self.recovery.unstable_at = self.now;
+            self.recovery.times.outage = Some(self.now - struck_at);
+        }
+        let Some(back_at) = self.recovery.back_at else { return };
+        let passed = self.now - back_at;
+        if self.recovery.times.tolerance.is_none() && self.tolerance_is_whole(end) {
+            self.trace(|| "the tolerance is whole again".to_owned());
+            self.recovery.times.tolerance = Some(passed);
+        }
+        if self.recovery.times.followers.is_none() && self.followers_have(end) {
+            self.recovery.times.followers = Some(passed);
+        }
+        if self.recovery.times.chain.is_none() && self.is_whole() {
+            self.recovery.times.chain = Some(passed);
+        }
+        let times = self.recovery.times;
+        if passed > CATCH_UP_MS && (times.tolerance.is_none() || times.followers.is_none()) {
+            let message = format!("not recovered {passed} ms after the last return: {times:?}");
+            let state = self.describe();
+            self.auditor.fail(format!("{message}; {state}"));
+        }
+    }
+
+    /// The greatest number of machines that run and all reach each other.
+    fn connected(&self) -> usize {
+        let running = self.living();
+        let linked = |left: usize, right: usize| {
+            !self.cuts.contains(&(left, right)) && !self.cuts.contains(&(right, left))
+        };
+        let groups = 0..1_u32 << running.len();
+        let members = |group: u32| -> Vec<usize> {
+            let chosen = running.iter().enumerate().filter(|(place, _)| group >> place & 1 == 1);
+            chosen.map(|(_, machine)| *machine).collect()
+        };
+        let all_linked = |group: &Vec<usize>| group.iter().all(|l| group.iter().all(|r| linked(*l, *r)));
+        groups.map(members).filter(all_linked).map(|group| group.len()).max().unwrap_or(0)
+    }
+
+    /// More than half of the core runs and is connected, and nothing has happened to it for a while.
+    fn core_is_stable(&self) -> bool {
+        let core = self.machines.iter().filter(|m| !m.gone).count();
+        let slowed = self.machines.iter().any(|m| m.sync_factor > 1);
+        let disturbed = slowed || self.answer_loss > 0.0 || self.plan.loss > 0.0;
+        !disturbed && self.now >= self.recovery.unstable_at + CONTACT_MS && 2 * self.connected() > core
+    }
+
+    fn check_acknowledgements(&mut self, stable: bool) {
+        let now = self.now;
+        let mut late = None;
+        for call in self.operators.open_calls() {
+            let since = *call.stable_since.get_or_insert(now);
+            if !stable {
+                call.stable_since = None;
+            } else if now > since + ACK_MS {
+                late.get_or_insert(call.request);
+            }
+        }
+        if let Some(request @ (Request::Configure { .. } | Request::NameVersion { .. } | Request::Read)) =
+            late
+        {
+            let state = self.describe();
+            let message = format!("{request:?} isn't answered after {ACK_MS} ms of a stable core; {state}");
+            self.auditor.fail(message);
+        }
+    }
+
+    fn all_are_back(&self) -> bool {
+        let back = |m: &super::world::Machine| m.gone || (m.runs() && !m.hanging && m.sync_factor == 1);
+        let links_sound = self.cuts.is_empty() && self.operator_cuts.is_empty() && self.plan.loss == 0.0;
+        self.machines.iter().all(back) && links_sound && self.answer_loss == 0.0
+    }
+
+    /// As many machines as the tolerance says may be lost, whichever they are: a majority of the voters is left
+    /// that knows the view, and a machine of the chain that has everything committed up to `end`.
+    pub fn tolerance_is_whole(&self, end: u64) -> bool {
+        let Some(view) = self.newest_view() else { return false };
+        let knows = |m: &&super::world::Machine| {
+            m.runs() && m.core.as_ref().is_some_and(|c| c.view() == Some(&view) && c.epoch() == view.epoch)
+        };
+        let knowing: Vec<_> = self.machines.iter().filter(knows).collect();
+        let voters = knowing.iter().filter(|m| view.is_voter(m.member())).count();
+        let has_all = |m: &&&super::world::Machine| {
+            view.in_chain(m.member()) && m.core.as_ref().is_some_and(|c| c.state().1 >= end)
+        };
+        let copies = knowing.iter().filter(has_all).count();
+        let majority = view.voters.len() / 2 + 1;
+        voters >= majority + self.plan.tolerance && copies > self.plan.tolerance
+    }
+
+    /// What every machine thinks, for the report of a violation.
+    pub fn describe(&self) -> String {
+        let view =
+            |view: Option<&View>| view.map_or("none".to_owned(), |v| format!("{}:{:?}", v.epoch, v.chain));
+        let machines: Vec<String> = (self.machines.iter().enumerate())
+            .filter(|(_, m)| !m.gone)
+            .map(|(index, m)| match &m.core {
+                None => format!("machine {index} is down"),
+                Some(core) => format!(
+                    "machine {index} {} at {} in view {}{}",
+                    m.member(),
+                    core.state().1,
+                    view(core.view()),
+                    if m.frozen { ", frozen" } else { "" }
+                ),
+            })
+            .collect();
+        format!("{} are committed; {}", self.auditor.end(), machines.join("; "))
+    }
+}
+
+/// Minimum, median, 99th percentile and maximum.
+#[derive(Default)]
+pub struct Distribution(Vec<u64>);
+
+impl Distribution {
+    pub fn add(&mut self, value: Option<u64>) {
+        self.0.extend(value);
+    }
+
+    pub fn extend(&mut self, other: Distribution) {
+        self.0.extend(other.0);
+    }
+
+    pub fn count(&self) -> usize {
+        self.0.len()
+    }
+
+    pub fn summary(&mut self) -> String {
+        self.0.sort_unstable();
+        let Some(last) = self.0.len().checked_sub(1) else { return "none".to_owned() };
+        let at = |share: usize| self.0[last * share / 100];
+        format!("{} / {} / {} / {}", at(0), at(50), at(99), at(100))
+    }
+}
--- /dev/null
+++ b/crates/signalbox/tests/support/script.rs
@@ -0,0 +1,313 @@
+//! Troubles at fixed times, with the meaning that the deployments' pages give them.
+
+use rand::Rng;
+
+use super::world::{Event, World, address};
+
+/// Whom a trouble strikes.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Target {
+    /// The head of the chain, which also reads the platform's list.
+    Head,
+    Tail,
+    /// The member of the chain whose disk has lasted longest.
+    Oldest,
+    /// Neither head nor tail, where there is such a machine.
+    Middle,
+    /// The machine that was struck last, or its successor.
+    Last,
+    Any,
+}
+
+/// Which ways a cut closes.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Ways {
+    Both,
+    Outwards,
+    Inwards,
+    /// To and from one other control machine only.
+    OneOther,
+}
+
+/// Who is on the side of a machine that is cut off.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Side {
+    /// Operators and followers reach it still; followers whose session is there reach nobody else.
+    Lure,
+    /// Nobody reaches it.
+    Alone,
+    /// Operators and followers reach it, and all other machines.
+    Open,
+}
+
+#[derive(Clone, Debug)]
+pub enum Trouble {
+    /// The process ends; its connections are reset.
+    Kill {
+        target: Target,
+        down: u64,
+    },
+    /// What wasn't synced may be lost; connections fall silent.
+    PowerLoss {
+        target: Target,
+        down: u64,
+    },
+    /// As a loss of power, and the machine comes back with an empty disk.
+    Wipe {
+        target: Target,
+        down: u64,
+    },
+    Freeze {
+        target: Target,
+        down: u64,
+    },
+    Cut {
+        target: Target,
+        ways: Ways,
+        side: Side,
+        down: u64,
+    },
+    /// The machine goes for good; an empty one starts at another address.
+    Replace {
+        target: Target,
+        after: u64,
+    },
+    /// All control machines at once, back one by one within this time.
+    KillAll {
+        back_within: u64,
+    },
+    PowerLossOfAll {
+        back_within: u64,
+    },
+    /// As many disks as may be lost go, too.
+    PowerLossOfAllAndWipes {
+        back_within: u64,
+    },
+    /// All links between control machines and all sessions are reset.
+    ResetLinks,
+    /// All followers start anew, with nothing.
+    RestartFollowers,
+    /// A disk that hangs, or one that is full: nothing more becomes durable.
+    DiskHang {
+        target: Target,
+        down: u64,
+    },
+    DiskSlow {
+        target: Target,
+        factor: u64,
+        down: u64,
+    },
+    /// Answers to operators get lost.
+    LoseAnswers {
+        share: f64,
+        down: u64,
+    },
+    /// Messages between control machines get lost and are doubled.
+    LoseMessages {
+        share: f64,
+        down: u64,
+    },
+    /// Right after the next acknowledgement that a machine gives.
+    AfterAcknowledgement(Box<Trouble>),
+}
+
+#[derive(Clone, Debug)]
+pub struct Step {
+    pub at: u64,
+    pub trouble: Trouble,
+}
+
+#[derive(Debug)]
+pub enum ScriptEvent {
+    Strike(Trouble),
+    EndLostAnswers,
+    EndLostMessages,
+    DiskFast { machine: usize },
+}
+
+impl World {
+    pub fn schedule_script(&mut self) {
+        for Step { at, trouble } in self.plan.script.clone() {
+            self.schedule(at, Event::Script(ScriptEvent::Strike(trouble)));
+        }
+    }
+
+    pub fn script_event(&mut self, event: ScriptEvent) {
+        match event {
+            ScriptEvent::Strike(trouble) => return self.strike_trouble(trouble),
+            ScriptEvent::EndLostAnswers => self.answer_loss = 0.0,
+            ScriptEvent::EndLostMessages => (self.plan.loss, self.plan.doubling) = (0.0, 0.0),
+            ScriptEvent::DiskFast { machine } => self.machines[machine].sync_factor = 1,
+        }
+        self.recovery.unstable_at = self.now;
+    }
+
+    /// A machine has acknowledged a change: what waits for that strikes within 2 ms.
+    pub fn acknowledged_by(&mut self, machine: usize) {
+        let waiting = std::mem::take(&mut self.after_acknowledgement);
+        for trouble in waiting {
+            let delay = self.random.random_range(0..=2);
+            self.trace(|| format!("machine {machine} has acknowledged: {trouble:?} follows"));
+            self.schedule(delay, Event::Script(ScriptEvent::Strike(trouble)));
+        }
+    }
+
+    fn target(&mut self, target: Target) -> Option<usize> {
+        let view = self.newest_view()?;
+        let sound = |m: &usize| !self.machines[*m].gone && self.machines[*m].core.is_some();
+        let known = |member: &orchidvalve_track::identity::MemberId| {
+            self.machines.iter().position(|m| m.member() == *member && !m.gone)
+        };
+        let chain: Vec<usize> = view.chain.iter().filter_map(known).filter(|m| sound(m)).collect();
+        let chosen = match target {
+            Target::Head => chain.first().copied(),
+            Target::Tail => chain.last().copied(),
+            Target::Oldest => chain.iter().copied().min_by_key(|m| self.machines[*m].disk_identity),
+            Target::Middle => chain.get(1).copied(),
+            Target::Last => self.struck_last.filter(sound),
+            Target::Any => None,
+        };
+        let all: Vec<usize> = (0..self.machines.len()).filter(sound).collect();
+        if all.is_empty() {
+            return None;
+        }
+        let any = all[self.random.random_range(0..all.len())];
+        Some(chosen.unwrap_or(any))
+    }
+
+    fn strike_trouble(&mut self, trouble: Trouble) {
+        if let Trouble::AfterAcknowledgement(trouble) = trouble {
+            self.after_acknowledgement.push(*trouble);
+            return;
+        }
+        self.trace(|| format!("trouble: {trouble:?}"));
+        let disk_only = matches!(trouble, Trouble::DiskHang { .. });
+        let unstable_at = self.recovery.unstable_at;
+        self.recovery.struck(self.now);
+        if disk_only {
+            // Disks don't count for the stability of the core.
+            self.recovery.unstable_at = unstable_at;
+        }
+        self.summary.faults += 1;
+        match trouble {
+            Trouble::Kill { target, down } => self.at(target, |world, m| world.crash(m, true, down)),
+            Trouble::PowerLoss { target, down } => self.at(target, |world, m| world.crash(m, false, down)),
+            Trouble::Wipe { target, down } => self.at(target, |world, m| world.wipe(m, down)),
+            Trouble::Freeze { target, down } => self.at(target, |world, m| {
+                world.machines[m].frozen = true;
+                world.schedule(down, Event::Thaw { machine: m });
+            }),
+            Trouble::Cut { target, ways, side, down } => {
+                self.at(target, |world, m| {
+                    world.cut_off(m, ways, side);
+                    world.schedule(down, Event::EndCut { machine: m });
+                });
+            }
+            Trouble::Replace { target, after } => self.at(target, |world, m| {
+                world.replace(m, after);
+                world.struck_last = Some(world.machines.len() - 1);
+            }),
+            Trouble::KillAll { back_within } => self.stop_all(true, back_within, 0),
+            Trouble::PowerLossOfAll { back_within } => self.stop_all(false, back_within, 0),
+            Trouble::PowerLossOfAllAndWipes { back_within } => {
+                self.stop_all(false, back_within, self.plan.tolerance);
+            }
+            Trouble::ResetLinks => self.reset_links(),
+            Trouble::RestartFollowers => self.restart_followers(),
+            Trouble::DiskHang { target, down } => self.at(target, |world, m| {
+                world.machines[m].hanging = true;
+                world.schedule(down, Event::DiskWorks { machine: m });
+            }),
+            Trouble::DiskSlow { target, factor, down } => self.at(target, |world, m| {
+                world.machines[m].sync_factor = factor;
+                world.schedule(down, Event::Script(ScriptEvent::DiskFast { machine: m }));
+            }),
+            Trouble::LoseAnswers { share, down } => {
+                self.answer_loss = share;
+                self.schedule(down, Event::Script(ScriptEvent::EndLostAnswers));
+            }
+            Trouble::LoseMessages { share, down } => {
+                (self.plan.loss, self.plan.doubling) = (share, share);
+                self.schedule(down, Event::Script(ScriptEvent::EndLostMessages));
+            }
+            Trouble::AfterAcknowledgement(_) => {}
+        }
+    }
+
+    fn at(&mut self, target: Target, strike: impl FnOnce(&mut World, usize)) {
+        if let Some(machine) = self.target(target) {
+            self.struck_last = Some(machine);
+            self.trace(|| format!("machine {machine} is struck"));
+            strike(self, machine);
+        }
+    }
+
+    fn cut_off(&mut self, machine: usize, ways: Ways, side: Side) {
+        let mut others: Vec<usize> =
+            (0..self.machines.len()).filter(|m| *m != machine && !self.machines[*m].gone).collect();
+        if ways == Ways::OneOther {
+            let chosen = self.random.random_range(0..others.len());
+            others = vec![others[chosen]];
+        }
+        for other in others {
+            if ways != Ways::Inwards {
+                self.cuts.push((machine, other));
+            }
+            if ways != Ways::Outwards {
+                self.cuts.push((other, machine));
+            }
+        }
+        if ways == Ways::OneOther {
+            return;
+        }
+        match side {
+            Side::Alone => {
+                self.operator_cuts.push(machine);
+                self.followers.iter_mut().for_each(|follower| follower.cut_from.push(machine));
+            }
+            Side::Open => {}
+            Side::Lure => {
+                let lured: Vec<usize> = self.followers_at(machine);
+                let others: Vec<usize> = (0..self.machines.len()).filter(|m| *m != machine).collect();
+                for follower in lured {
+                    self.followers[follower].cut_from.extend(&others);
+                }
+            }
+        }
+    }
+
+    fn stop_all(&mut self, tells: bool, back_within: u64, wipes: usize) {
+        self.summary.blackouts += 1;
+        let machines: Vec<usize> = (0..self.machines.len()).filter(|m| !self.machines[*m].gone).collect();
+        let first_wiped = self.random.random_range(0..machines.len());
+        for (index, machine) in machines.iter().copied().enumerate() {
+            let down = self.random.random_range(20..=back_within);
+            let wiped = (index + machines.len() - first_wiped) % machines.len() < wipes;
+            if wiped { self.wipe(machine, down) } else { self.crash(machine, tells, down) }
+        }
+    }
+
+    fn reset_links(&mut self) {
+        for machine in 0..self.machines.len() {
+            for other in 1..=self.machines.len() as u8 {
+                self.link_closed(machine, address(other));
+            }
+            self.machines[machine].sessions.clear();
+        }
+        self.leave_all_sessions();
+    }
+
+    /// The cut around a machine ends for operators and followers, too.
+    pub fn end_sides(&mut self, machine: usize) {
+        self.recovery.unstable_at = self.now;
+        self.operator_cuts.retain(|cut| *cut != machine);
+        for follower in &mut self.followers {
+            if self.cuts.is_empty() {
+                follower.cut_from.clear();
+            } else {
+                follower.cut_from.retain(|cut| *cut != machine);
+            }
+        }
+        self.release_held_calls(machine);
+    }
+}
--- a/crates/signalbox/tests/support/world.rs
+++ b/crates/signalbox/tests/support/world.rs
@@ -3,9 +3,11 @@
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
-use orchidvalve_interlocking::View;
+use orchidvalve_coupling::Message as ChainMessage;
+use orchidvalve_interlocking::{Message as AgreementMessage, View};
 use orchidvalve_signalbox::core::{CALL_TIMEOUT_MS, Core, Event as CoreEvent, Identity};
-use orchidvalve_signalbox::peer::PeerMessage;
+use orchidvalve_signalbox::journal::Recovered;
+use orchidvalve_signalbox::peer::{ForwardedCall, PeerMessage};
 use orchidvalve_track::identity::{MemberId, NodeAddress};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -14,8 +16,13 @@
 use super::clients::{Clients, OpenCall};
 use super::disk::SimulatedDisk;
 use super::faults::RECOVERY_MS;
+use super::followers::{FeedEvent, Follower, HostedSession, RememberedPositions, SessionNumber};
+use super::history::ChangeIndex;
 use super::links::Links;
+use super::operators::{Attempt, OperatorEvent, Operators};
 use super::plan::{MutationKind, Plan, Sabotage, Summary, kind_of};
+use super::recovery::Recovery;
+use super::script::{ScriptEvent, Trouble};
 
 /// Time from the return of a machine until the next one may be lost, as in the small deployments.
 const CATCH_UP_MS: u64 = 4_400;
@@ -43,6 +50,10 @@
     Probe,
     CheckChain,
     End,
+    Operator(OperatorEvent),
+    Feed(FeedEvent),
+    Script(ScriptEvent),
+    Watch,
 }
 
 pub struct Machine {
@@ -64,6 +75,15 @@
     pub calls: BTreeMap<u64, OpenCall>,
     /// While it is lost: when it came back, or the end of time.
     pub lost: Option<u64>,
+    /// Calls and messages of followers that arrived while the process was frozen.
+    pub operator_inbox: Vec<Attempt>,
+    pub session_inbox: Vec<FeedEvent>,
+    pub sessions: BTreeMap<SessionNumber, HostedSession>,
+    pub remembered_positions: RememberedPositions,
+    /// How many times slower than usual the disk is.
+    pub sync_factor: u64,
+    /// When everything handed to the line will have left.
+    line_free_at: u64,
 }
 
 impl Machine {
@@ -90,6 +110,18 @@
     pub cuts: Vec<(usize, usize)>,
     pub auditor: Auditor,
     pub clients: Clients,
+    pub operators: Operators,
+    /// Changes of the operators by the fingerprint of their bodies.
+    pub change_prints: BTreeMap<u64, ChangeIndex>,
+    /// Machines that operators don't reach.
+    pub operator_cuts: Vec<usize>,
+    /// Share of the answers to operators that get lost.
+    pub answer_loss: f64,
+    pub followers: Vec<Follower>,
+    pub sessions_opened: SessionNumber,
+    pub recovery: Recovery,
+    pub after_acknowledgement: Vec<Trouble>,
+    pub struck_last: Option<usize>,
     pub disks: u64,
     pub granularity: u64,
     pub summary: Summary,
@@ -100,6 +132,26 @@
     mutated: bool,
 }
 
+/// What a sabotaged member answers at once to the entries that it takes.
+fn early_acknowledgement(message: &ChainMessage) -> Option<ChainMessage> {
+    let ChainMessage::Entries { epoch, entries, .. } = message else { return None };
+    let last = entries.last()?;
+    Some(ChainMessage::Acknowledge { epoch: *epoch, sequence: last.sequence })
+}
+
+/// Bytes of a message, as far as they count on a narrow line.
+fn bytes_of(packet: &Packet) -> usize {
+    const HEADER: usize = 60;
+    let payload = match packet {
+        Packet::Message(PeerMessage::Chain(ChainMessage::Entries { entries, .. })) => {
+            entries.iter().map(|entry| entry.payload.len()).sum()
+        }
+        Packet::Message(PeerMessage::Forward { call: ForwardedCall::Change { change }, .. }) => change.len(),
+        _ => 0,
+    };
+    HEADER + payload
+}
+
 pub fn address(number: u8) -> NodeAddress {
     NodeAddress::new(Ipv4Addr::new(10, 0, 0, number), 7000)
 }
@@ -121,6 +173,15 @@
             cuts: Vec::new(),
             auditor: Auditor::default(),
             clients: Clients::default(),
+            operators: Operators::new(plan.operators),
+            change_prints: BTreeMap::new(),
+            operator_cuts: Vec::new(),
+            answer_loss: 0.0,
+            followers: Vec::new(),
+            sessions_opened: 0,
+            recovery: Recovery::default(),
+            after_acknowledgement: Vec::new(),
+            struck_last: None,
             disks: 0,
             granularity,
             summary: Summary::default(),
@@ -136,12 +197,26 @@
             world.schedule(at, Event::Start { machine: usize::from(number) - 1 });
         }
         let (first, last) = world.plan.storm;
-        world.schedule(600, Event::Client);
         world.schedule(first, Event::Fault);
         world.schedule(last, Event::EndStorm);
+        world.auditor.takes_states_unseen = !world.plan.compares_states;
+        world.begin_calls();
         world
     }
 
+    fn begin_calls(&mut self) {
+        if self.plan.operators == 0 {
+            return self.schedule(600, Event::Client);
+        }
+        for operator in 0..self.plan.operators {
+            let at = 600 + 37 * operator as u64;
+            self.schedule(at, Event::Operator(OperatorEvent::Step { operator }));
+        }
+        self.add_followers();
+        self.schedule_script();
+        self.schedule(1_000, Event::Watch);
+    }
+
     pub fn add_machine(&mut self, address: NodeAddress, bootstrap: bool) {
         self.disks += 1;
         let disk = self.new_disk();
@@ -162,6 +237,12 @@
             next_call: 1,
             calls: BTreeMap::new(),
             lost: None,
+            operator_inbox: Vec::new(),
+            session_inbox: Vec::new(),
+            sessions: BTreeMap::new(),
+            remembered_positions: BTreeMap::new(),
+            sync_factor: 1,
+            line_free_at: 0,
         });
     }
 
@@ -231,6 +312,10 @@
             Event::Probe => self.probe(),
             Event::CheckChain => self.check_chain(),
             Event::End => self.finish(),
+            Event::Operator(event) => self.operator_event(event),
+            Event::Feed(event) => self.feed_event(event),
+            Event::Script(event) => self.script_event(event),
+            Event::Watch => self.watch(),
         }
     }
 
@@ -239,7 +324,11 @@
         if self.machines[machine].core.is_some() || self.machines[machine].gone {
             return;
         }
-        let nonce = self.random.random::<u64>() | 1;
+        let mut nonce = self.random.random::<u64>() | 1;
+        if self.plan.sabotage == Some(Sabotage::SameNonce) {
+            nonce = 1;
+        }
+        let recovered = self.recover(machine);
         let node = &mut self.machines[machine];
         let identity = Identity {
             me: node.member(),
@@ -249,12 +338,13 @@
             catch_up_ms: CATCH_UP_MS,
             nonce,
         };
+        self.recovery.unstable_at = self.now;
         node.start += 1;
         node.next_call = 1;
         node.links = Links::default();
         let me = node.address;
         node.links.set_lasting(me, self.seeds.iter().copied());
-        node.core = Some(Core::new(identity, node.disk.recover(), node.disk.clone(), self.now));
+        node.core = Some(Core::new(identity, recovered, node.disk.clone(), self.now));
         if node.lost.is_some() {
             node.lost = Some(self.now);
         }
@@ -268,13 +358,36 @@
         }
         node.frozen = false;
         node.lost = Some(self.now);
+        self.recovery.unstable_at = self.now;
         let inbox = std::mem::take(&mut node.inbox);
         for (from, sender, packet) in inbox {
             self.take(machine, from, sender, packet);
         }
+        let node = &mut self.machines[machine];
+        let sessions = std::mem::take(&mut node.session_inbox);
+        for attempt in std::mem::take(&mut node.operator_inbox) {
+            self.enter_call(machine, attempt);
+        }
+        for event in sessions {
+            self.feed_event(event);
+        }
         self.turn(machine);
     }
 
+    /// What a start finds on the disk.
+    fn recover(&mut self, machine: usize) -> Recovered {
+        let mut recovered = self.machines[machine].disk.recover();
+        match self.plan.sabotage {
+            Some(Sabotage::ForgottenEntries) => {
+                let end = recovered.journal.end();
+                recovered.journal.truncate(end.saturating_sub(3).max(recovered.journal.first() - 1));
+            }
+            Some(Sabotage::ForgottenVotes) => recovered.agreement = None,
+            _ => {}
+        }
+        recovered
+    }
+
     fn is_cut(&self, from: usize, to: usize) -> bool {
         self.cuts.contains(&(from, to))
     }
@@ -306,6 +419,7 @@
 
     fn take(&mut self, machine: usize, from: usize, sender: MemberId, packet: Packet) {
         let (from_address, now) = (self.machines[from].address, self.now);
+        let mut early = None;
         let node = &mut self.machines[machine];
         let Some(core) = &mut node.core else { return };
         match packet {
@@ -317,13 +431,21 @@
                 node.links.heard(from_address, now);
                 match message {
                     PeerMessage::Agreement(message) => core.agreement_message(sender, message),
-                    PeerMessage::Chain(message) => core.chain_message(sender, message),
+                    PeerMessage::Chain(message) => {
+                        early = early_acknowledgement(&message);
+                        core.chain_message(sender, message);
+                    }
                     PeerMessage::Forward { request, call } => core.forwarded_call(sender, request, call),
                     PeerMessage::Forwarded { request, outcome } => core.forwarded_outcome(request, outcome),
                     _ => {}
                 }
             }
         }
+        if self.plan.sabotage == Some(Sabotage::EarlyAcknowledgements)
+            && let Some(message) = early
+        {
+            self.send(machine, sender, PeerMessage::Chain(message));
+        }
     }
 
     /// What the process does after each input.
@@ -344,6 +466,7 @@
         self.drain(machine);
         self.check_term(machine);
         self.check_calls(machine);
+        self.host_followers(machine);
         self.begin_sync(machine);
         let node = &mut self.machines[machine];
         let Some(core) = &node.core else { return };
@@ -473,7 +596,12 @@
         Some(mutation.how)
     }
 
-    fn transmit(&mut self, from: usize, to: usize, to_start: u32, packet: Packet) {
+    fn transmit(&mut self, from: usize, to: usize, to_start: u32, mut packet: Packet) {
+        if self.plan.sabotage == Some(Sabotage::HastyLearners)
+            && let Packet::Message(PeerMessage::Agreement(AgreementMessage::Pong { ready, .. })) = &mut packet
+        {
+            *ready = true;
+        }
         // A link begins with the introduction; without it there is no link.
         let stormy = !self.calm && self.now >= self.plan.storm.0;
         let may_be_lost = stormy && !matches!(packet, Packet::Introduce(_));
@@ -497,12 +625,26 @@
         }
         for _ in 0..copies {
             let longest = if self.calm { 3 } else { self.plan.delay };
-            let delay = self.random.random_range(1..=longest);
+            let delay = match self.plan.bandwidth {
+                None => self.random.random_range(1..=longest),
+                // Messages on a narrow line keep their order.
+                Some(_) => 1 + self.line_delay(from, bytes_of(&packet)),
+            };
             let packet = packet.clone();
             self.schedule(delay, Event::Deliver { from, sender, to, to_start, packet });
         }
     }
 
+    /// Time until so many bytes have left a machine, after everything else that waits there.
+    pub fn line_delay(&mut self, machine: usize, bytes: usize) -> u64 {
+        let Some(bytes_per_ms) = self.plan.bandwidth else { return 0 };
+        let node = &mut self.machines[machine];
+        let free_at = node.line_free_at.max(self.now * 1_000);
+        // In microseconds, for the sake of small messages.
+        node.line_free_at = free_at + bytes as u64 * 1_000 / bytes_per_ms;
+        node.line_free_at.div_ceil(1_000) - self.now
+    }
+
     pub fn begin_sync(&mut self, machine: usize) {
         let node = &mut self.machines[machine];
         if node.syncing || node.hanging || !node.disk.has_pending() {
@@ -511,7 +653,8 @@
         node.syncing = true;
         let (disk, through) = (node.disk_identity, node.disk.end());
         self.summary.records = self.summary.records.max(node.disk.usage().0);
-        let delay = if self.calm { self.random.random_range(1..4) } else { self.random.random_range(1..15) };
+        let usual = if self.calm { self.random.random_range(1..4) } else { self.random.random_range(1..15) };
+        let delay = usual * self.machines[machine].sync_factor;
         self.schedule(delay, Event::Synced { machine, disk, through });
     }
 
