--- /dev/null
+++ b/crates/signalbox/tests/core_planted.rs
@@ -0,0 +1,45 @@
+//! Planted faults of the host and of the state machine, seen from the operators and followers: each has to be found
+//! by some check of the days of troubles.
+
+use rstest::rstest;
+
+mod support;
+
+use support::days::{self, Day};
+use support::plan::Sabotage;
+use support::world::World;
+
+const SEEDS: u64 = 60;
+
+/// The first violation that a day shows with a planted fault, and how many runs it took.
+fn first_violation(sabotage: Sabotage, day: Day) -> Option<(u64, String)> {
+    let run = |seed| {
+        let plan = support::plan::Plan { sabotage: Some(sabotage), ..days::plan(day, seed, 3) };
+        World::new(seed, plan).run().err().map(|violation| (seed + 1, violation))
+    };
+    (0..SEEDS).find_map(run)
+}
+
+#[rstest]
+#[case::acknowledged_before_commit(Sabotage::EarlyAnswers, Day::Kill, &["isn't committed", "isn't noted"])]
+#[case::lying_disks(Sabotage::LyingDisks, Day::HerdPowerLoss, &["told another change", "are known", "no_order"])]
+#[case::reads_without_barrier(Sabotage::LocalReads, Day::LongCut, &["a read saw"])]
+#[case::refusals_without_barrier(Sabotage::LocalRefusals, Day::LongCut, &["NoOrder", "refused but is in force"])]
+#[case::refusals_confirmed(Sabotage::RefusalsAsDone, Day::Kill, &["isn't committed", "same base"])]
+#[case::resends_refused(Sabotage::DoneAsRefusals, Day::Kill, &["a proper call"])]
+#[case::entries_forgotten(Sabotage::ForgottenEntries, Day::HerdKill, &["a read saw", "told another change", "are known"])]
+#[case::votes_forgotten(Sabotage::ForgottenVotes, Day::EverythingInTurn, &["a follower lacks", "not recovered", "told", "isn't answered"])]
+#[case::acknowledged_before_the_disk(Sabotage::EarlyAcknowledgements, Day::HerdWipe, &["told", "a read saw"])]
+#[case::old_feed_positions(Sabotage::OldFeedPositions, Day::FollowerRestarts, &["followers: None", "follower"])]
+#[case::feed_goes_back(Sabotage::BackwardFeed, Day::CutAndReset, &["went back"])]
+#[case::followers_kept_out_of_touch(Sabotage::KeptFollowers, Day::LongCut, &["follower"])]
+#[case::calls_numbered_alike(Sabotage::SameNonce, Day::QuickRestarts, &["isn't noted", "isn't committed", "same base"])]
+fn a_planted_fault_is_found(#[case] sabotage: Sabotage, #[case] day: Day, #[case] expected: &[&str]) {
+    let Some((runs, violation)) = first_violation(sabotage, day) else {
+        panic!("{sabotage:?} wasn't found in {SEEDS} runs of {day:?}");
+    };
+    println!("{sabotage:?}, {day:?}: found by run {runs}: {violation}");
+    let sound = World::new(runs - 1, days::plan(day, runs - 1, 3)).run();
+    sound.expect("the same run is sound without the fault");
+    assert!(expected.iter().any(|part| violation.contains(part)), "{violation}");
+}
