Simulation: catching up on narrow lines under load; learners taken in early

Cause: no run had members or followers copy while large changes go on over lines that such changes fill, nor restarts in the middle of a copy or a checkpoint.

The auditor compares encoded changes as they are instead of hashes of them. A 14th planted fault: learners that say they have everything at once, while copies are slow.

--- a/crates/signalbox/tests/core_planted.rs
+++ b/crates/signalbox/tests/core_planted.rs
@@ -6,15 +6,27 @@
 mod support;
 
 use support::days::{self, Day};
-use support::plan::Sabotage;
+use support::plan::{Plan, Sabotage};
+use support::script::{Step, Target, Trouble};
 use support::world::World;
 
 const SEEDS: u64 = 60;
 
+/// The day, with what it takes to make the fault show.
+fn plan_of(sabotage: Sabotage, day: Day, seed: u64) -> Plan {
+    let plan = days::plan(day, seed, 3);
+    if sabotage != Sabotage::HastyLearners {
+        return plan;
+    }
+    // The member is away for long enough to be taken out, and its copy takes long, as on a narrow line.
+    let kill = Trouble::Kill { target: Target::Tail, down: 2_000 };
+    Plan { slow_copies: 9_000, script: vec![Step { at: 2_000, trouble: kill }], ..plan }
+}
+
 /// The first violation that a day shows with a planted fault, and how many runs it took.
 fn first_violation(sabotage: Sabotage, day: Day) -> Option<(u64, String)> {
     let run = |seed| {
-        let plan = support::plan::Plan { sabotage: Some(sabotage), ..days::plan(day, seed, 3) };
+        let plan = Plan { sabotage: Some(sabotage), ..plan_of(sabotage, day, seed) };
         World::new(seed, plan).run().err().map(|violation| (seed + 1, violation))
     };
     (0..SEEDS).find_map(run)
@@ -30,6 +42,7 @@
 #[case::entries_forgotten(Sabotage::ForgottenEntries, Day::HerdKill, &["a read saw", "told another change", "are known"])]
 #[case::votes_forgotten(Sabotage::ForgottenVotes, Day::EverythingInTurn, &["a follower lacks", "not recovered", "told", "isn't answered"])]
 #[case::acknowledged_before_the_disk(Sabotage::EarlyAcknowledgements, Day::HerdWipe, &["told", "a read saw"])]
+#[case::learners_taken_in_early(Sabotage::HastyLearners, Day::Kill, &["hasn't acknowledged", "isn't answered"])]
 #[case::old_feed_positions(Sabotage::OldFeedPositions, Day::FollowerRestarts, &["followers: None", "follower"])]
 #[case::feed_goes_back(Sabotage::BackwardFeed, Day::CutAndReset, &["went back"])]
 #[case::followers_kept_out_of_touch(Sabotage::KeptFollowers, Day::LongCut, &["follower"])]
@@ -39,7 +52,7 @@
         panic!("{sabotage:?} wasn't found in {SEEDS} runs of {day:?}");
     };
     println!("{sabotage:?}, {day:?}: found by run {runs}: {violation}");
-    let sound = World::new(runs - 1, days::plan(day, runs - 1, 3)).run();
+    let sound = World::new(runs - 1, plan_of(sabotage, day, runs - 1)).run();
     sound.expect("the same run is sound without the fault");
     assert!(expected.iter().any(|part| violation.contains(part)), "{violation}");
 }
--- a/crates/signalbox/tests/core_worst_days.rs
+++ b/crates/signalbox/tests/core_worst_days.rs
@@ -74,6 +74,7 @@
         Day::LongCut,
         Day::Kill,
         Day::PowerLoss,
+        Day::Wipe,
         Day::WipeAfterAcknowledgement,
         Day::Freeze,
         Day::HerdKill,
--- a/crates/signalbox/tests/support/auditor.rs
+++ b/crates/signalbox/tests/support/auditor.rs
@@ -6,7 +6,6 @@
 
 use orchidvalve_signalbox::peer::CallOutcome;
 use orchidvalve_track::frames::{decode, encode};
-use orchidvalve_waybill::configuration::fingerprint;
 use orchidvalve_waybill::state::{Applied, Change, ControlState, StateImage};
 
 /// Number of a change as a client thinks of it; it may be sent several times.
@@ -16,6 +15,8 @@
 #[derive(Debug)]
 pub struct SentChange {
     pub change: Change,
+    /// The change as it travels and is committed.
+    pub encoded: Rc<[u8]>,
     pub acknowledged: bool,
     pub refused: bool,
 }
@@ -30,10 +31,10 @@
     /// Every committed change by its number, from 1, and the state after it.
     truth: Vec<(Rc<[u8]>, StateImage)>,
     state: ControlState,
-    /// Changes of the configuration in force, now or earlier, by fingerprint of their encoding.
-    in_force: BTreeSet<u64>,
-    /// Changes that were refused, by fingerprint of their encoding.
-    refused_prints: BTreeSet<u64>,
+    /// Changes of the configuration in force, now or earlier, encoded.
+    in_force: BTreeSet<Rc<[u8]>>,
+    /// Changes that were refused, encoded.
+    refused_changes: BTreeSet<Rc<[u8]>>,
     /// What each process told last.
     told: BTreeMap<Teller, u64>,
     pub changes: Vec<SentChange>,
@@ -123,9 +124,8 @@
         match change {
             Change::Checkpoint(_) => self.checkpoints += 1,
             Change::Replace { .. } | Change::Patch { .. } => {
-                let print = fingerprint(payload);
-                self.in_force.insert(print);
-                if self.refused_prints.contains(&print) {
+                self.in_force.insert(payload.clone());
+                if self.refused_changes.contains(payload) {
                     self.fail(format!("change {number} had been refused and is in force"));
                 }
             }
@@ -167,13 +167,14 @@
     /// A change was refused since its base isn't current; another time it may be.
     pub fn refused_for_now(&mut self, number: ChangeNumber) {
         self.refused += 1;
-        if self.in_force.contains(&fingerprint(&encode(&self.changes[number].change))) {
+        if self.in_force.contains(&self.changes[number].encoded) {
             self.fail(format!("change {number} was refused but is in force"));
         }
     }
 
     pub fn send(&mut self, change: Change) -> ChangeNumber {
-        self.changes.push(SentChange { change, acknowledged: false, refused: false });
+        let encoded = Rc::from(encode(&change));
+        self.changes.push(SentChange { change, encoded, acknowledged: false, refused: false });
         self.changes.len() - 1
     }
 
@@ -197,7 +198,7 @@
         let change = &self.changes[number].change;
         match change {
             Change::Replace { base, .. } | Change::Patch { base, .. } => {
-                if !self.in_force.contains(&fingerprint(&encode(change))) {
+                if !self.in_force.contains(&self.changes[number].encoded) {
                     self.fail(format!("change {number} was acknowledged but isn't committed"));
                 } else if *self.winners.entry(*base).or_insert(number) != number {
                     let other = self.winners[base];
@@ -216,11 +217,11 @@
 
     fn refuse(&mut self, number: ChangeNumber) {
         self.refused += 1;
-        let print = fingerprint(&encode(&self.changes[number].change));
-        if self.in_force.contains(&print) {
+        let encoded = self.changes[number].encoded.clone();
+        if self.in_force.contains(&encoded) {
             self.fail(format!("change {number} was refused but is in force"));
         }
-        self.refused_prints.insert(print);
+        self.refused_changes.insert(encoded);
         self.changes[number].refused = true;
     }
 
--- a/crates/signalbox/tests/support/clients.rs
+++ b/crates/signalbox/tests/support/clients.rs
@@ -1,7 +1,6 @@
 //! Operators and trainers: changes that build on each other, races, repeats, invalid changes, reads.
 
 use orchidvalve_signalbox::peer::{CallOutcome, ForwardedCall};
-use orchidvalve_track::frames::encode;
 use orchidvalve_track::identity::MemberId;
 use orchidvalve_waybill::state::{Change, ChangeError};
 use rand::Rng;
@@ -176,7 +175,7 @@
     }
 
     fn send_to(&mut self, machine: usize, number: ChangeNumber) {
-        let change = encode(&self.auditor.changes[number].change);
+        let change = self.auditor.changes[number].encoded.to_vec();
         let call = self.open_call(machine, CallKind::Change(number));
         self.trace(|| {
             format!("machine {machine}: change {number} is sent, {:?}", self.auditor.changes[number].change)
--- a/crates/signalbox/tests/support/days.rs
+++ b/crates/signalbox/tests/support/days.rs
@@ -23,6 +23,7 @@
     LongCut,
     Kill,
     PowerLoss,
+    Wipe,
     /// A disk is lost right after an acknowledgement.
     WipeAfterAcknowledgement,
     Freeze,
@@ -57,10 +58,11 @@
     EverythingInTurn,
 }
 
-pub const DAYS: [Day; 22] = [
+pub const DAYS: [Day; 23] = [
     Day::LongCut,
     Day::Kill,
     Day::PowerLoss,
+    Day::Wipe,
     Day::WipeAfterAcknowledgement,
     Day::Freeze,
     Day::HerdKill,
@@ -154,6 +156,7 @@
             }
             Day::Kill => self.strike(Trouble::Kill { target, down }, down),
             Day::PowerLoss => self.strike(Trouble::PowerLoss { target, down }, down),
+            Day::Wipe => self.strike(Trouble::Wipe { target, down }, down),
             Day::WipeAfterAcknowledgement => {
                 self.after_acknowledgement(Trouble::Wipe { target, down }, down);
             }
--- a/crates/signalbox/tests/support/operators.rs
+++ b/crates/signalbox/tests/support/operators.rs
@@ -2,7 +2,6 @@
 //! that its sender saw last, sent again as it was to another machine after no clear answer, with growing pauses.
 
 use orchidvalve_signalbox::peer::{CallOutcome, ForwardedCall};
-use orchidvalve_track::frames::encode;
 use orchidvalve_waybill::configuration::fingerprint;
 use orchidvalve_waybill::state::Change;
 use rand::Rng;
@@ -167,7 +166,7 @@
         self.operators.operators[operator].newest = version;
         let note = format!("o{}", self.operators.history.changes.len());
         let change = if base == 0 || self.random.random_bool(0.5) {
-            let filling = "x".repeat(self.plan.filling);
+            let filling = "x".repeat(self.filling());
             let document = json!({
                 "config-version": version, "routes": [], "services": [{"name": note}], "filling": filling,
             });
@@ -180,6 +179,15 @@
         self.configure(operator, change, base, version, true);
     }
 
+    /// Bytes of filling of the next change.
+    fn filling(&self) -> usize {
+        let number = self.operators.history.changes.len();
+        match self.plan.huge {
+            Some((every, bytes)) if number % every == every - 1 => bytes,
+            _ => self.plan.filling,
+        }
+    }
+
     /// A change whose version isn't above its base.
     fn send_improper_change(&mut self, operator: usize) {
         let base = self.operators.operators[operator].seen;
@@ -275,7 +283,7 @@
             core.read(call);
             return self.drain(machine);
         };
-        let change = encode(&self.auditor.changes[number].change);
+        let change = self.auditor.changes[number].encoded.to_vec();
         core.call(call, ForwardedCall::Change { change });
         if let Some(outcome) = self.cheated_outcome(machine, number) {
             self.outcome(machine, call, outcome);
--- a/crates/signalbox/tests/support/plan.rs
+++ b/crates/signalbox/tests/support/plan.rs
@@ -69,6 +69,10 @@
     pub operators: usize,
     /// Pause between two calls of one operator.
     pub operator_pause: u64,
+    /// Entries of the chain that are sent to a process get lost for so long after a start in the storm.
+    pub slow_copies: u64,
+    /// Every so many changes of the operators, one has so many bytes of filling.
+    pub huge: Option<(usize, usize)>,
     pub followers: usize,
     pub script: Vec<Step>,
     /// Bytes per millisecond that a machine can send; None for any number.
@@ -98,6 +102,8 @@
             own_changes: 0,
             operators: 0,
             operator_pause: 200,
+            slow_copies: 0,
+            huge: None,
             followers: 0,
             script: Vec::new(),
             bandwidth: None,
--- a/crates/signalbox/tests/support/world.rs
+++ b/crates/signalbox/tests/support/world.rs
@@ -62,6 +62,7 @@
     pub disk: SimulatedDisk,
     pub core: Option<Core<SimulatedDisk>>,
     pub start: u32,
+    started_at: u64,
     pub bootstrap: bool,
     /// Taken away for good.
     pub gone: bool,
@@ -122,6 +123,8 @@
     pub recovery: Recovery,
     pub after_acknowledgement: Vec<Trouble>,
     pub struck_last: Option<usize>,
+    /// Most bytes that a disk held, as far as that counts.
+    pub most_disk_bytes: usize,
     pub disks: u64,
     pub granularity: u64,
     pub summary: Summary,
@@ -139,6 +142,13 @@
     Some(ChainMessage::Acknowledge { epoch: *epoch, sequence: last.sequence })
 }
 
+fn is_copy(packet: &Packet) -> bool {
+    let Packet::Message(PeerMessage::Chain(ChainMessage::Entries { entries, .. })) = packet else {
+        return false;
+    };
+    !entries.is_empty()
+}
+
 /// Bytes of a message, as far as they count on a narrow line.
 fn bytes_of(packet: &Packet) -> usize {
     const HEADER: usize = 60;
@@ -182,8 +192,10 @@
             recovery: Recovery::default(),
             after_acknowledgement: Vec::new(),
             struck_last: None,
+            most_disk_bytes: 0,
             disks: 0,
-            granularity,
+            // A body that is large fills a file of the ring by itself.
+            granularity: if plan.bandwidth.is_some() { 1 } else { granularity },
             summary: Summary::default(),
             ended: false,
             sent: BTreeMap::new(),
@@ -226,6 +238,7 @@
             disk,
             core: None,
             start: 0,
+            started_at: 0,
             bootstrap,
             gone: false,
             frozen: false,
@@ -340,6 +353,7 @@
         };
         self.recovery.unstable_at = self.now;
         node.start += 1;
+        node.started_at = self.now;
         node.next_call = 1;
         node.links = Links::default();
         let me = node.address;
@@ -575,6 +589,12 @@
         }
     }
 
+    /// Whether copies to a process get lost, since it was started in the storm a short time ago.
+    fn is_copying_slowly(&self, machine: usize) -> bool {
+        let started_at = self.machines[machine].started_at;
+        started_at >= self.plan.storm.0 && self.now < started_at + self.plan.slow_copies
+    }
+
     /// Whether the plan's mutation has happened.
     pub fn mutated(&self) -> bool {
         self.mutated
@@ -608,6 +628,9 @@
         if may_be_lost && self.random.random_bool(self.plan.loss) {
             return;
         }
+        if is_copy(&packet) && self.is_copying_slowly(to) {
+            return;
+        }
         let mut copies = if stormy && self.random.random_bool(self.plan.doubling) { 2 } else { 1 };
         let sender = self.machines[from].member();
         match self.mutation(&packet) {
@@ -652,7 +675,9 @@
         }
         node.syncing = true;
         let (disk, through) = (node.disk_identity, node.disk.end());
-        self.summary.records = self.summary.records.max(node.disk.usage().0);
+        let (records, bytes) = node.disk.usage();
+        self.summary.records = self.summary.records.max(records);
+        self.most_disk_bytes = self.most_disk_bytes.max(bytes);
         let usual = if self.calm { self.random.random_range(1..4) } else { self.random.random_range(1..15) };
         let delay = usual * self.machines[machine].sync_factor;
         self.schedule(delay, Event::Synced { machine, disk, through });
