--- a/crates/sidings/tests/auditor.rs
+++ b/crates/sidings/tests/auditor.rs
@@ -460,6 +460,8 @@
 }
 
 fn taken_then_refused(day: &mut Day) {
+    // Another order on the same base, so that a refusal alone could have its reason.
+    insert(day, 5_990, order_sent(9, 3, 1));
     insert(day, 6_000, configuration_sent(2, 1, true));
     insert(day, 6_010, answer_lost(2, 200));
     insert(day, 6_200, configuration_answered(2, 412));
@@ -496,6 +498,8 @@
 }
 
 fn proper_order_not_known(day: &mut Day) {
+    // Another order on the same base, so that a refusal alone could have its reason.
+    insert(day, 5_990, order_sent(9, 3, 1));
     insert(day, 6_000, configuration_sent(2, 1, true));
     insert(day, 6_010, configuration_answered(2, 404));
 }
--- a/crates/sidings/tests/launch.rs
+++ b/crates/sidings/tests/launch.rs
@@ -2,6 +2,7 @@
 //! script that is named like the role.
 
 use std::fs;
+use std::net::SocketAddrV4;
 use std::path::Path;
 use std::process::ExitStatus;
 use std::time::{Duration, Instant};
@@ -138,6 +139,33 @@
     assert!(!directory.exists());
 }
 
+#[test]
+fn a_machine_that_is_removed_is_replaced_at_another_address() {
+    let mut launcher = launcher(3, 3, 0);
+    launcher.start_all().unwrap();
+    let lost = launcher.with_role(Role::Control)[0];
+    let address = SocketAddrV4::new(launcher.machine(lost).ip, launcher.plan().ports.control);
+    wait_until_up(&launcher);
+    for id in launcher.of_same_machine(lost) {
+        launcher.remove(id).unwrap();
+        assert!(!launcher.is_running(id));
+    }
+    let added = launcher.add_control();
+    let roles: Vec<Role> = added.iter().map(|id| launcher.role(*id)).collect();
+    assert_eq!(roles, [Role::Control, Role::Door]);
+    let serving = launcher.plan().control_addresses();
+    assert_eq!(serving.len(), 3);
+    assert!(!serving.contains(&address));
+    for id in added {
+        launcher.start(id).unwrap();
+        wait_for_log(&launcher, id, "boot");
+    }
+    let name = &launcher.machine(launcher.with_role(Role::Control)[3]).name;
+    let settings = fs::read_to_string(launcher.directory().join(format!("{name}-control.conf"))).unwrap();
+    assert!(settings.contains("bootstrap=false\n"));
+    assert!(!settings.contains(&format!("{address}")), "not among the seeds");
+}
+
 #[test]
 fn a_missing_program_is_named() {
     let plan = Plan::new(1, 1, 0).unwrap();
--- a/crates/sidings/tests/relay.rs
+++ b/crates/sidings/tests/relay.rs
@@ -154,6 +154,17 @@
     assert!(is_whole(&yard.wait(&ended)));
 }
 
+#[test]
+fn a_connection_that_begins_while_one_way_is_cut_carries_nothing() {
+    let mut yard = Yard::new();
+    yard.link(TARGET, CALLER, Some(LinkFault::Held));
+    let ended = yard.call();
+    yard.pass(A_WHILE_MS);
+    assert!(!yard.ran() && ended.borrow().is_none());
+    yard.link(TARGET, CALLER, None);
+    assert!(is_whole(&yard.wait(&ended)));
+}
+
 #[test]
 fn a_fault_of_another_pair_does_nothing() {
     let mut yard = Yard::new();
--- a/crates/sidings/tests/rivals.rs
+++ b/crates/sidings/tests/rivals.rs
@@ -1,7 +1,7 @@
 //! Operators that race, against scripted answers.
 
 use std::cell::RefCell;
-use std::collections::VecDeque;
+use std::collections::{BTreeSet, VecDeque};
 use std::net::{Ipv4Addr, SocketAddrV4};
 use std::rc::Rc;
 
@@ -116,6 +116,22 @@
     assert!(!sent.iter().any(alike), "no two bodies are alike");
 }
 
+#[test]
+fn bodies_stay_different_over_hundreds_of_orders() {
+    const ORDERS: usize = 250;
+    let mut desk = Desk::new(1, 0);
+    let mut bodies = BTreeSet::new();
+    for number in 1..=ORDERS {
+        let (call, request) = desk.answer_readings().remove(0);
+        let body: Value = serde_json::from_slice(&request.body).unwrap();
+        let routes = if body["upsert"].is_null() { &body["routes"] } else { &body["upsert"]["routes"] };
+        bodies.insert(routes.to_string());
+        assert_eq!(bodies.len(), number);
+        desk.answer(&call, 412, &Value::Null);
+        desk.pass(100);
+    }
+}
+
 #[test]
 fn what_was_read_is_noted_with_the_time_of_the_send() {
     let mut desk = Desk::new(1, 0);
