--- a/crates/lineside/tests/session_moves.rs
+++ b/crates/lineside/tests/session_moves.rs
@@ -249,7 +249,7 @@
     FromControl::Changes { first, changes: (first..=last).map(|n| encode(&change(n + 1))).collect() }
 }
 
-fn servers(epoch: u64, number: u64, instance: &str) -> FromControl {
+fn servers(term: u64, number: u64, instance: &str) -> FromControl {
     let entry = ServerEntry {
         instance: instance.to_owned(),
         service: "service".to_owned(),
@@ -259,7 +259,7 @@
         draining: false,
         models: Vec::new(),
     };
-    let version = TableVersion { epoch, number };
+    let version = TableVersion { term, number };
     FromControl::Servers(ServersUpdate::Whole { version, servers: vec![entry] })
 }
 
@@ -284,7 +284,7 @@
     assert!(!world.client.is_standing());
     assert_eq!(world.find(FOUND_WITHIN_MS).0, 2);
     let connection = world.session().unwrap().1;
-    let position = FeedPosition { state: 5, servers: TableVersion { epoch: 3, number: 9 } };
+    let position = FeedPosition { state: 5, servers: TableVersion { term: 3, number: 9 } };
     assert_eq!(world.callers[&connection].position, Some(position), "it says where it stands");
     // What this machine has is older, as a whole and in part.
     world.tell_snapshot(3);
--- a/crates/signalbox/tests/records/agreement.rs
+++ b/crates/signalbox/tests/records/agreement.rs
@@ -1,18 +1,19 @@
 //! All messages and records of the agreement on views and their parts.
 
 use orchidvalve_interlocking::acceptor::Acceptor;
-use orchidvalve_interlocking::{Ballot, DurableState, Message, View};
+use orchidvalve_interlocking::{Ballot, DurableState, MemberStatus, Message, View};
 
 use crate::{generate_enum, generate_struct};
 
 generate_struct!(Ballot { round, proposer });
+generate_struct!(MemberStatus { ready, unsettled, reaches_chain, leaving, impaired });
 generate_struct!(View { epoch, voters, chain });
 generate_struct!(Acceptor { promised, accepted });
 generate_struct!(DurableState { view, acceptor, complete });
 generate_enum!(Message {
     Hello { member, bootstrap, epoch },
     Ping { number, epoch },
-    Pong { number, epoch, ready, unsettled },
+    Pong { number, epoch, status },
     Prepare { epoch, ballot },
     Promise { epoch, ballot, accepted },
     Accept { ballot, view },
--- a/crates/signalbox/tests/records/strategies.rs
+++ b/crates/signalbox/tests/records/strategies.rs
@@ -7,7 +7,7 @@
 use crate::{generate_enum, generate_struct};
 
 generate_struct!(Session { role, name, zone, member, incarnation, share, health });
-generate_enum!(ForwardedCall { Change { change } });
+generate_enum!(ForwardedCall { Change { change }, Retire { name } });
 generate_enum!(CallOutcome {
     Done,
     OtherVersion { reason },
--- a/crates/signalbox/tests/support/world.rs
+++ b/crates/signalbox/tests/support/world.rs
@@ -6,6 +6,7 @@
 use orchidvalve_coupling::Message as ChainMessage;
 use orchidvalve_interlocking::{Message as AgreementMessage, View};
 use orchidvalve_signalbox::core::{CALL_TIMEOUT_MS, Core, Event as CoreEvent, Identity};
+use orchidvalve_signalbox::disk_watch::DiskWatch;
 use orchidvalve_signalbox::journal::Recovered;
 use orchidvalve_signalbox::peer::{ForwardedCall, PeerMessage};
 use orchidvalve_track::identity::{MemberId, NodeAddress};
@@ -71,6 +72,7 @@
     pub links: Links,
     pub syncing: bool,
     pub hanging: bool,
+    pub disk_watch: DiskWatch,
     pub tick_at: u64,
     pub next_call: u64,
     pub calls: BTreeMap<u64, OpenCall>,
@@ -246,6 +248,7 @@
             links: Links::default(),
             syncing: false,
             hanging: false,
+            disk_watch: DiskWatch::default(),
             tick_at: 0,
             next_call: 1,
             calls: BTreeMap::new(),
@@ -467,7 +470,9 @@
         let now = self.now;
         let node = &mut self.machines[machine];
         let Some(core) = &mut node.core else { return };
-        core.durable(node.disk.reported_durable());
+        let durable = node.disk.reported_durable();
+        core.set_impaired(node.disk_watch.observe(now, durable, node.disk.has_pending()));
+        core.durable(durable);
         core.set_candidates(&node.links.heard_members(now));
         core.tick(now);
         let news = node.links.maintain(now);
@@ -618,9 +623,10 @@
 
     fn transmit(&mut self, from: usize, to: usize, to_start: u32, mut packet: Packet) {
         if self.plan.sabotage == Some(Sabotage::HastyLearners)
-            && let Packet::Message(PeerMessage::Agreement(AgreementMessage::Pong { ready, .. })) = &mut packet
+            && let Packet::Message(PeerMessage::Agreement(AgreementMessage::Pong { status, .. })) =
+                &mut packet
         {
-            *ready = true;
+            status.ready = true;
         }
         // A link begins with the introduction; without it there is no link.
         let stormy = !self.calm && self.now >= self.plan.storm.0;
--- a/crates/track/tests/messages/strategies.rs
+++ b/crates/track/tests/messages/strategies.rs
@@ -14,7 +14,7 @@
 generate_struct!(Introduction { version, role, name, zone, member, incarnation, share });
 generate_struct!(FeedPosition { state, servers });
 generate_struct!(TableVersion { term, number });
-generate_struct!(StoreHealth { disk_trouble, used_bytes, capacity_bytes });
+generate_struct!(StoreHealth { disk_trouble, used_bytes, capacity_bytes, leaving });
 generate_enum!(ToControl {
     Introduce { introduction, position },
     Heartbeat { position, health },
--- a/crates/turnstile/tests/jobs_random.rs
+++ b/crates/turnstile/tests/jobs_random.rs
@@ -24,7 +24,7 @@
 
 fn state() -> ControlState {
     let members = (1..=STORES).map(|n| MemberId { address: store(n), disk: u64::from(n) });
-    let placement = Placement { epoch: 1, members: members.collect(), learners: Vec::new() };
+    let placement = Placement { epoch: 1, members: members.collect(), ..Placement::default() };
     let mut state = ControlState::default();
     state.apply(&Change::Place(vec![(0, placement)])).unwrap();
     state
--- a/crates/waybill/tests/messages/strategies.rs
+++ b/crates/waybill/tests/messages/strategies.rs
@@ -25,7 +25,7 @@
     UseModel { model, usage },
 });
 generate_struct!(ModelUse { single_version, lag });
-generate_struct!(Placement { epoch, members, learners });
+generate_struct!(Placement { epoch, members, learners, holders, copies, anew_since });
 generate_struct!(StoreRecord { zone, member, retiring });
 generate_enum!(ItemState { Completed, Expired });
 generate_struct!(ItemResult { id, state, message, weight_versions, score });
