Agreement: repairs in virtual time, with planned ends, hanging disks and standbys

Cause: nothing showed how long a repair takes against catch-up-s, or what becomes of leaving and impaired members and of machines beyond the voters.

--- a/crates/interlocking/tests/support/mod.rs
+++ b/crates/interlocking/tests/support/mod.rs
@@ -8,6 +8,7 @@
 
 pub mod network;
 pub mod simulation;
+pub mod site;
 
 pub fn address(machine: u8) -> NodeAddress {
     NodeAddress::new(Ipv4Addr::new(10, 0, 0, machine), 7000)
--- /dev/null
+++ b/crates/interlocking/tests/support/site.rs
@@ -0,0 +1,119 @@
+//! Machines with a host each, in virtual time: every host knows all running machines, and its machine holds
+//! everything that was acknowledged a while after its start.
+
+use std::collections::BTreeMap;
+
+use orchidvalve_interlocking::{Agreement, Timing, View};
+use orchidvalve_track::identity::MemberId;
+
+use super::network::Network;
+use super::{addresses, member};
+
+/// Time between two looks of a host, in milliseconds.
+const HOST_INTERVAL: u64 = 50;
+
+pub struct Site {
+    pub network: Network,
+    pub timing: Timing,
+    seeds: u8,
+    /// How long a machine copies the journal after a start without its disk, in milliseconds.
+    copy_time: u64,
+    /// When each running machine has its copy.
+    copied_at: BTreeMap<MemberId, u64>,
+}
+
+impl Site {
+    /// Machines 1 to `machines` with empty disks, all of them seeds, run until the first view has settled.
+    pub fn start(machines: u8, timing: Timing) -> Site {
+        let network = Network::new();
+        let mut site = Site { network, timing, seeds: machines, copy_time: 0, copied_at: BTreeMap::new() };
+        for machine in 1..=machines {
+            site.add(member(machine, 1), true);
+        }
+        site.run(3_000);
+        site
+    }
+
+    pub fn set_copy_time(&mut self, copy_time: u64) {
+        self.copy_time = copy_time;
+    }
+
+    /// Starts a machine with an empty disk in a running system.
+    pub fn add_empty(&mut self, me: MemberId) {
+        self.add(me, false);
+    }
+
+    fn add(&mut self, me: MemberId, bootstrap: bool) {
+        let agreement = Agreement::new(me, bootstrap, addresses(self.seeds), None).with_timing(self.timing);
+        self.network.add(me, agreement);
+        self.copied_at.insert(me, self.network.now + self.copy_time);
+    }
+
+    pub fn lose(&mut self, me: MemberId) {
+        self.network.remove(me);
+        self.copied_at.remove(&me);
+    }
+
+    /// Cuts a machine off from all others, both ways.
+    pub fn isolate(&mut self, me: MemberId) {
+        let others: Vec<MemberId> = self.copied_at.keys().copied().filter(|other| *other != me).collect();
+        for other in others {
+            self.network.cut(me, other);
+            self.network.cut(other, me);
+        }
+    }
+
+    pub fn agreement(&mut self, me: MemberId) -> &mut Agreement {
+        self.network.nodes.get_mut(&me).expect("runs")
+    }
+
+    /// The latest view that a running machine knows.
+    pub fn view(&self) -> View {
+        self.network.nodes.values().filter_map(Agreement::view).max().expect("a view").clone()
+    }
+
+    /// Views in the order in which they became known.
+    pub fn views(&self) -> Vec<View> {
+        let views: BTreeMap<u64, &View> =
+            self.network.changes.iter().map(|(_, view)| (view.epoch, view)).collect();
+        views.into_values().cloned().collect()
+    }
+
+    pub fn run(&mut self, duration: u64) {
+        let end = self.network.now + duration;
+        while self.network.now < end {
+            self.look();
+            self.network.run(HOST_INTERVAL);
+        }
+    }
+
+    /// Runs until `done`; returns the time that took. Fails after `limit` milliseconds.
+    pub fn run_until(&mut self, limit: u64, done: impl Fn(&Site) -> bool) -> u64 {
+        let start = self.network.now;
+        while !done(self) {
+            let time = self.network.now - start;
+            assert!(time < limit, "not done after {time} ms: {:?}", self.view());
+            self.run(HOST_INTERVAL);
+        }
+        self.network.now - start
+    }
+
+    fn look(&mut self) {
+        let running: Vec<(MemberId, u64)> = self.copied_at.iter().map(|(me, at)| (*me, *at)).collect();
+        for (me, copied_at) in &running {
+            let is_copied = *copied_at <= self.network.now;
+            self.network.drive(*me, |agreement, _, outputs| {
+                let in_chain = |other: &MemberId| agreement.view().is_some_and(|view| view.in_chain(*other));
+                let candidates: Vec<MemberId> = running
+                    .iter()
+                    .map(|(other, _)| *other)
+                    .filter(|other| other != me && !in_chain(other))
+                    .collect();
+                agreement.set_candidates(&candidates);
+                if is_copied && agreement.epoch() > 0 {
+                    agreement.candidate_ready(*me, agreement.epoch(), outputs);
+                }
+            });
+        }
+    }
+}
