Control: a newer connection of a process or peer supersedes the older one

Cause: a follower that gave its session up and opened another one at the same control machine was ended by the late close of the first connection: the table marked the standing session as ended (same start of the process), so a door counted as gone for good and a store's copies were moved. And what was still unread on a peer's older link, such as a list of sessions, was taken after what had come on its newer link.

Change: opening a session or introducing a peer forgets older connections of the same process first.

Measured: the_end_of_a_superseded_connection_does_not_end_the_newer_session, a_newer_connection_of_a_machine_supersedes_the_older_one; sessions and followers green.

--- a/crates/signalbox/src/followers.rs
+++ b/crates/signalbox/src/followers.rs
@@ -83,6 +83,17 @@
         self.followers.contains_key(&connection)
     }
 
+    /// Connections of the same process that a newer session takes the place of. Their end must not end the newer
+    /// session, and what still arrives on them is older than what it told: they are forgotten here.
+    pub fn supersede(&mut self, introduction: &Introduction) -> Vec<ConnectionId> {
+        let same_process =
+            |session: &Session| session.role == introduction.role && session.name == introduction.name;
+        let older = self.followers.iter().filter(|(_, follower)| same_process(&follower.session));
+        let older: Vec<ConnectionId> = older.map(|(connection, _)| *connection).collect();
+        self.followers.retain(|connection, _| !older.contains(connection));
+        older
+    }
+
     /// The session of a connection that ended.
     pub fn close(&mut self, connection: ConnectionId) -> Option<Session> {
         self.followers.remove(&connection).map(|f| f.session)
--- a/crates/signalbox/src/links.rs
+++ b/crates/signalbox/src/links.rs
@@ -66,20 +66,27 @@
         heard.filter_map(|p| p.member).collect()
     }
 
-    /// A peer introduced itself on a connection that it opened.
-    pub fn introduced(&mut self, member: MemberId, connection: ConnectionId, now: u64) {
+    /// A peer introduced itself on a connection that it opened. Returns the older connection from the same address
+    /// that this one takes the place of.
+    pub fn introduced(
+        &mut self,
+        member: MemberId,
+        connection: ConnectionId,
+        now: u64,
+    ) -> Option<ConnectionId> {
         if member.address == self.me {
-            return;
+            return None;
         }
         let peer = self.peers.entry(member.address).or_default();
         peer.member = Some(member);
-        peer.incoming = Some(connection);
+        let older = peer.incoming.replace(connection).filter(|older| *older != connection);
         peer.heard_at = now;
         // Its machine is up: a link to it that hangs is begun anew at once.
         if !peer.up {
             peer.retry_at = now;
             peer.opened_at = peer.opened_at.min(now.saturating_sub(CONNECT_TIMEOUT_MS));
         }
+        older
     }
 
     /// Something arrived from a peer.
--- a/crates/signalbox/src/process/links.rs
+++ b/crates/signalbox/src/process/links.rs
@@ -105,7 +105,10 @@
             PeerMessage::Introduce { introduction } if introduction.version == PROTOCOL_VERSION => {
                 let member = introduction.member;
                 self.incoming.insert(connection, Incoming::Peer(member));
-                self.links.introduced(member, connection, self.now);
+                // What is still unread on an older link was sent before what comes on this one.
+                if let Some(older) = self.links.introduced(member, connection, self.now) {
+                    self.drop_connection(older);
+                }
                 self.core.link_up(member);
                 true
             }
@@ -151,6 +154,9 @@
                     send(&mut self.network, connection, &FromControl::Elsewhere { controls });
                     return false;
                 }
+                for older in self.followers.supersede(&introduction) {
+                    self.drop_connection(older);
+                }
                 log::info!("sessions: {} has come", introduction.name);
                 let (network, now) = (&mut self.network, self.now);
                 let session =
--- a/crates/signalbox/tests/followers.rs
+++ b/crates/signalbox/tests/followers.rs
@@ -6,10 +6,11 @@
 use std::net::Ipv4Addr;
 
 use orchidvalve_signalbox::followers::Followers;
+use orchidvalve_signalbox::sessions::SessionTable;
 use orchidvalve_track::frames::read_frame;
 use orchidvalve_track::identity::{MemberId, NodeAddress};
 use orchidvalve_track::messages::{FeedPosition, FromControl, Introduction, PROTOCOL_VERSION, Role};
-use orchidvalve_track::network::{Event, Network};
+use orchidvalve_track::network::{ConnectionId, Event, Network};
 use sockets_support::*;
 
 fn controls(numbers: &[u8]) -> Vec<NodeAddress> {
@@ -41,29 +42,56 @@
     panic!("no message comes");
 }
 
+/// A connection that a peer has opened, with the peer's end.
+fn accepted(network: &mut Network, address: std::net::SocketAddrV4) -> (ConnectionId, Peer) {
+    let peer = Peer::connect(address);
+    let accepted = |event| match event {
+        Event::Accepted { connection, .. } => Some(connection),
+        _ => None,
+    };
+    for _ in 0..MOST_TURNS {
+        if let Some(connection) = network.poll(TURN).unwrap().into_iter().find_map(accepted) {
+            return (connection, peer);
+        }
+    }
+    panic!("no connection comes");
+}
+
+/// A process gave its session up and opened another one at the same machine, which hears of the first one's end last.
+#[test]
+fn the_end_of_a_superseded_connection_does_not_end_the_newer_session() {
+    let mut network = Network::new().unwrap();
+    let address = v4(network.listen(loopback(), 1).unwrap());
+    let (first, _first_peer) = accepted(&mut network, address);
+    let (second, _second_peer) = accepted(&mut network, address);
+    let (mut followers, mut sessions) = (Followers::default(), SessionTable::default());
+    let (introduction, position) = (introduction(), FeedPosition::default());
+    assert_eq!(followers.supersede(&introduction), []);
+    sessions.opened(followers.open(&mut network, first, &introduction, position, controls(&[1]), 1_000));
+    assert_eq!(followers.supersede(&introduction), [first]);
+    sessions.opened(followers.open(&mut network, second, &introduction, position, controls(&[1]), 1_900));
+    assert_eq!(followers.close(first), None);
+    sessions.expire(60_000);
+    assert_eq!(sessions.own().len(), 1);
+    let another = Introduction { role: Role::Store, ..introduction };
+    assert_eq!(followers.supersede(&another), [], "another process of the same machine");
+}
+
 #[test]
 fn a_changed_list_of_control_machines_is_told_once_to_all() {
     let mut network = Network::new().unwrap();
     let address = v4(network.listen(loopback(), 1).unwrap());
-    let mut peer = Peer::connect(address);
-    let mut connection = None;
-    while connection.is_none() {
-        let accepted = |event| match event {
-            Event::Accepted { connection, .. } => Some(connection),
-            _ => None,
-        };
-        connection = network.poll(TURN).unwrap().into_iter().find_map(accepted);
-    }
+    let (connection, mut peer) = accepted(&mut network, address);
     let mut followers = Followers::default();
     let (first, later) = (controls(&[1, 2, 3]), controls(&[1, 2, 4]));
     followers.tell_controls(&mut network, first.clone());
     let position = FeedPosition::default();
-    followers.open(&mut network, connection.unwrap(), &introduction(), position, first.clone(), 1_000);
+    followers.open(&mut network, connection, &introduction(), position, first.clone(), 1_000);
     assert_eq!(next(&mut network, &mut peer), FromControl::Welcome { controls: first.clone() });
     followers.tell_controls(&mut network, first);
     followers.tell_controls(&mut network, later.clone());
     followers.tell_controls(&mut network, later.clone());
-    followers.heard(&mut network, connection.unwrap(), None, 1_100);
+    followers.heard(&mut network, connection, None, 1_100);
     assert_eq!(next(&mut network, &mut peer), FromControl::Welcome { controls: later });
     assert_eq!(next(&mut network, &mut peer), FromControl::Heartbeat, "once, and only if it changed");
 }
--- /dev/null
+++ b/crates/signalbox/tests/peer_links.rs
@@ -0,0 +1,45 @@
+//! Links between control machines: a newer connection takes the place of an older one.
+
+#[path = "../../turnstile/tests/sockets_support/mod.rs"]
+mod sockets_support;
+
+use std::net::Ipv4Addr;
+
+use orchidvalve_signalbox::links::PeerLinks;
+use orchidvalve_track::identity::{MemberId, NodeAddress};
+use orchidvalve_track::network::{ConnectionId, Event, Network};
+use sockets_support::*;
+
+fn member(number: u8, disk: u64) -> MemberId {
+    MemberId { address: NodeAddress::new(Ipv4Addr::new(10, 0, 0, number), 7000), disk }
+}
+
+/// So many connections that came in, with the other ends.
+fn connections(network: &mut Network, count: usize) -> (Vec<ConnectionId>, Vec<Peer>) {
+    let address = v4(network.listen(loopback(), 1).unwrap());
+    let peers: Vec<Peer> = (0..count).map(|_| Peer::connect(address)).collect();
+    let mut accepted = Vec::new();
+    for _ in 0..MOST_TURNS {
+        let events = network.poll(TURN).unwrap().into_iter();
+        accepted.extend(events.filter_map(|event| match event {
+            Event::Accepted { connection, .. } => Some(connection),
+            _ => None,
+        }));
+        if accepted.len() == count {
+            return (accepted, peers);
+        }
+    }
+    panic!("no connection comes");
+}
+
+#[test]
+fn a_newer_connection_of_a_machine_supersedes_the_older_one() {
+    let mut network = Network::new().unwrap();
+    let (accepted, _peers) = connections(&mut network, 3);
+    let mut links = PeerLinks::new(member(1, 1).address);
+    assert_eq!(links.introduced(member(2, 2), accepted[0], 1_000), None);
+    assert_eq!(links.introduced(member(3, 3), accepted[1], 1_000), None, "another machine");
+    // With another disk it is the same machine, whose former process is gone.
+    assert_eq!(links.introduced(member(2, 9), accepted[2], 1_500), Some(accepted[0]));
+    assert_eq!(links.introduced(member(2, 9), accepted[2], 1_600), None, "the same connection");
+}
