Chain: a member that enters a view asks its successor for its position

Change: a member that enters a view asks its successor and learners where they stand; questions for confirmation come again after 60 ms.

--- a/crates/coupling/src/barrier.rs
+++ b/crates/coupling/src/barrier.rs
@@ -3,7 +3,7 @@
 
 use orchidvalve_track::identity::MemberId;
 
-use crate::RESEND_MS;
+use crate::CONFIRM_RESEND_MS;
 
 /// A round of confirmations.
 #[derive(Debug)]
@@ -71,7 +71,8 @@
 
     /// Whom to ask again in which round.
     pub fn overdue(&mut self, now: u64) -> Option<(u64, Vec<MemberId>)> {
-        let round = self.round.as_mut().filter(|round| now.saturating_sub(round.asked) >= RESEND_MS)?;
+        let round =
+            self.round.as_mut().filter(|round| now.saturating_sub(round.asked) >= CONFIRM_RESEND_MS)?;
         round.asked = now;
         Some((self.number, round.missing.clone()))
     }
--- a/crates/coupling/src/lib.rs
+++ b/crates/coupling/src/lib.rs
@@ -35,7 +35,10 @@
 pub const WINDOW_BYTES: usize = 2 * 1024 * 1024;
 /// Most bytes of payload in one message, unless a single entry is larger.
 pub const BATCH_BYTES: usize = 256 * 1024;
-/// Time after which an unanswered position or confirmation is sent again, in milliseconds.
+/// Time after which an unanswered position is sent again, in milliseconds.
 pub const RESEND_MS: u64 = 300;
+/// Time after which an unanswered question for confirmation is sent again, in milliseconds. A member that hasn't
+/// entered the view yet drops the first one, and a caller waits for the answer.
+pub const CONFIRM_RESEND_MS: u64 = 60;
 /// Time without progress after which a successor is asked again where it stands, in milliseconds.
 pub const PROBE_MS: u64 = 1_500;
--- a/crates/coupling/src/message.rs
+++ b/crates/coupling/src/message.rs
@@ -17,6 +17,9 @@
         runs: Vec<EpochRun>,
         end: u64,
     },
+    /// To the successor or a learner: where does its journal stand? Sent by a member that enters a view, since it
+    /// dropped a position that came before.
+    Locate { epoch: u64 },
     /// To the successor or a learner: the entries after `previous_sequence`, all on the sender's disk.
     Entries {
         epoch: u64,
@@ -51,6 +54,7 @@
     pub fn epoch(&self) -> u64 {
         match self {
             Message::Position { epoch, .. }
+            | Message::Locate { epoch }
             | Message::Entries { epoch, .. }
             | Message::Acknowledge { epoch, .. }
             | Message::Reset { epoch, .. }
--- a/crates/coupling/src/replica.rs
+++ b/crates/coupling/src/replica.rs
@@ -107,6 +107,7 @@
         let floor = head.then_some(self.journal.end());
         self.upstream = Upstream::new(matched, floor, self.upstream.ticket);
         self.downstreams = self.receivers().into_iter().map(Downstream::new).collect();
+        self.locate(self.receivers(), outputs);
         self.barriers.restart();
         self.send_position(outputs);
         self.advance(journal, outputs);
@@ -127,6 +128,7 @@
         for receiver in receivers {
             if !self.downstreams.iter().any(|downstream| downstream.member == receiver) {
                 self.downstreams.push(Downstream::new(receiver));
+                self.locate(vec![receiver], outputs);
             }
         }
         if newly_learning && !self.is_member() {
@@ -222,6 +224,11 @@
                 let theirs = EpochRuns::new(first.max(1), end, runs);
                 self.take_position(from, ticket, theirs, journal, outputs);
             }
+            Message::Locate { .. } => {
+                if self.view.predecessor(self.me) == Some(from) && self.upstream.awaiting {
+                    self.send_position(outputs);
+                }
+            }
             Message::Entries { previous_sequence, previous_epoch, entries, committed, floor, .. } => {
                 if self.view.predecessor(self.me) == Some(from) {
                     if self.upstream.learn_floor(floor) {
@@ -270,6 +277,12 @@
         self.durable.min(self.upstream.matched)
     }
 
+    /// Asks members that take entries from here for their positions.
+    fn locate(&self, receivers: Vec<MemberId>, outputs: &mut Vec<Output>) {
+        let message = Message::Locate { epoch: self.view.epoch };
+        outputs.extend(receivers.into_iter().map(|to| Output::Send { to, message: message.clone() }));
+    }
+
     fn send_position(&mut self, outputs: &mut Vec<Output>) {
         let Some(to) = self.view.predecessor(self.me) else { return };
         self.upstream.ticket = self.upstream.ticket.wrapping_add(1);
--- a/crates/coupling/tests/mutations.rs
+++ b/crates/coupling/tests/mutations.rs
@@ -12,6 +12,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord)]
 enum Kind {
     Position,
+    Locate,
     Entries,
     Acknowledge,
     Reset,
@@ -20,12 +21,20 @@
 }
 
 /// Every kind of message; [`kind`] doesn't compile without a case for each.
-const KINDS: [Kind; 6] =
-    [Kind::Position, Kind::Entries, Kind::Acknowledge, Kind::Reset, Kind::Confirm, Kind::Confirmed];
+const KINDS: [Kind; 7] = [
+    Kind::Position,
+    Kind::Locate,
+    Kind::Entries,
+    Kind::Acknowledge,
+    Kind::Reset,
+    Kind::Confirm,
+    Kind::Confirmed,
+];
 
 fn kind(message: &Message) -> Kind {
     match message {
         Message::Position { .. } => Kind::Position,
+        Message::Locate { .. } => Kind::Locate,
         Message::Entries { .. } => Kind::Entries,
         Message::Acknowledge { .. } => Kind::Acknowledge,
         Message::Reset { .. } => Kind::Reset,
--- a/crates/coupling/tests/steps.rs
+++ b/crates/coupling/tests/steps.rs
@@ -313,3 +313,18 @@
     hosts[1].sync(1);
     assert_eq!(hosts[1].replica.committed(), 1);
 }
+
+/// A successor that knows a view first tells its position too early. The predecessor asks for it once it has entered
+/// the view, too, and nobody waits for the next repetition.
+#[test]
+fn a_position_told_too_early_is_asked_for() {
+    let ids = [member(1), member(2)];
+    let mut hosts: Vec<Host> = ids.iter().map(|&id| Host::new(id, 0)).collect();
+    let view = view(1, &ids, &[], 2);
+    hosts[1].adopt(&view);
+    settle(&mut hosts);
+    hosts[0].adopt(&view);
+    hosts[0].propose(b"a");
+    settle(&mut hosts);
+    assert_eq!((hosts[0].replica.committed(), hosts[1].replica.committed()), (1, 1));
+}
--- a/crates/signalbox/tests/core_mutations.rs
+++ b/crates/signalbox/tests/core_mutations.rs
@@ -12,7 +12,7 @@
 use MutationKind::{CutOff, Double, Drop, Replay};
 
 /// Kinds of messages that the state machine takes, by `kind_of`.
-const KINDS: usize = 17;
+const KINDS: usize = 18;
 
 fn plan(kind: usize, number: u32, how: MutationKind) -> Plan {
     Plan {
@@ -38,7 +38,7 @@
         seen += usize::from(world.mutated());
     }
     // Some kinds are rare: there is no thirtieth promise in a short run.
-    assert!(seen >= if number <= 1 { 12 } else { 5 }, "only {seen} kinds were changed");
+    assert!(seen >= if number <= 1 { 13 } else { 5 }, "only {seen} kinds were changed");
 }
 
 /// The numbers of the kinds are those of the messages that occur; a new message breaks the build of `kind_of`.
--- a/crates/signalbox/tests/messages.rs
+++ b/crates/signalbox/tests/messages.rs
@@ -107,13 +107,16 @@
         ChainMessage::Reset { .. } => 3,
         ChainMessage::Confirm { .. } => 4,
         ChainMessage::Confirmed { .. } => 5,
+        ChainMessage::Locate { .. } => 6,
     }
 }
 
 fn chain_samples() -> Vec<ChainMessage> {
+    let locate = ChainMessage::Locate { epoch: 2 };
     let entry = |sequence| Entry { sequence, epoch: 2, payload: Rc::from(&b"change"[..]) };
     let runs = vec![EpochRun { epoch: 1, first: 1 }, EpochRun { epoch: 2, first: 8 }];
     vec![
+        locate,
         ChainMessage::Position { epoch: 2, ticket: u64::MAX, first: 1, runs, end: 9 },
         ChainMessage::Entries {
             epoch: 2,
@@ -243,7 +246,7 @@
 #[test]
 fn every_variant_has_a_sample() {
     assert_complete(&agreement_samples(), agreement_place, 9);
-    assert_complete(&chain_samples(), chain_place, 6);
+    assert_complete(&chain_samples(), chain_place, 7);
     assert_complete(&outcome_samples(), outcome_place, 6);
     assert_complete(&peer_samples(), peer_place, 8);
     assert_complete(&to_control_samples(), to_control_place, 5);
--- a/crates/signalbox/tests/support/plan.rs
+++ b/crates/signalbox/tests/support/plan.rs
@@ -152,6 +152,7 @@
         },
         PeerMessage::Chain(message) => match message {
             Chain::Position { .. } => 9,
+            Chain::Locate { .. } => 17,
             Chain::Entries { .. } => 10,
             Chain::Acknowledge { .. } => 11,
             Chain::Reset { .. } => 12,
