--- a/crates/signalbox/tests/core_catch_up.rs
+++ b/crates/signalbox/tests/core_catch_up.rs
@@ -113,3 +113,16 @@
     let plan = plan(body_bytes(), script, FIRST + 20_000 + CATCH_UP_MS);
     run(seed, Plan { followers: 4, ..plan });
 }
+
+/// Bytes of the few largest bodies, from the environment for longer trials.
+fn huge_bytes() -> usize {
+    std::env::var("SIGNALBOX_HUGE").ok().and_then(|bytes| bytes.parse().ok()).unwrap_or(2_000_000)
+}
+
+/// Some bodies take a good part of a second on the line each.
+#[rstest]
+fn a_member_catches_up_while_a_few_bodies_are_huge(#[values(0, 1)] seed: u64) {
+    let plan = plan(body_bytes(), vec![down(Target::Middle, 8_000)], FIRST + 8_000);
+    let world = run(seed, Plan { huge: Some((10, huge_bytes())), ..plan });
+    assert!(world.summary.checkpoints > 0);
+}
