Simulation: planned ends, replacements with the new machine first

A process that ends by itself before its time may be in no chain, and the others must be a majority of the voters with a whole copy. A planted fault more: ends at once.

--- a/crates/signalbox/tests/core_simulation.rs
+++ b/crates/signalbox/tests/core_simulation.rs
@@ -41,6 +41,8 @@
         reads: left.reads + right.reads,
         checkpoints: left.checkpoints + right.checkpoints,
         records: left.records.max(right.records),
+        planned_ends: left.planned_ends + right.planned_ends,
+        handed_over: left.handed_over + right.handed_over,
     }
 }
 
--- /dev/null
+++ b/crates/signalbox/tests/support/ending.rs
@@ -0,0 +1,82 @@
+//! Planned ends: a process is told to stop, hands over as the control process does, and ends.
+
+use super::world::World;
+
+/// Time that a process has from the order to stop until it is killed.
+pub const GRACE_MS: u64 = 8_000;
+/// The control process ends by itself so long before that.
+const ENDING_MARGIN_MS: u64 = 1_500;
+
+/// What follows a planned end.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub enum Afterwards {
+    /// The machine is taken away.
+    Gone,
+    /// The process starts again after this time.
+    Restart(u64),
+}
+
+/// A planned end under way.
+#[derive(Clone, Copy, Debug)]
+pub struct Ending {
+    deadline: u64,
+    afterwards: Afterwards,
+}
+
+impl World {
+    /// The process of a machine is told to stop.
+    pub fn tell_to_stop(&mut self, machine: usize, afterwards: Afterwards) {
+        let deadline = self.now + GRACE_MS - ENDING_MARGIN_MS;
+        let node = &mut self.machines[machine];
+        if let Some(core) = &mut node.core {
+            core.set_leaving();
+            node.ending = Some(Ending { deadline, afterwards });
+        }
+    }
+
+    /// Whether the other machines are a majority of the voters and hold a whole copy in a chain without this one.
+    fn others_go_on_without(&self, machine: usize) -> bool {
+        let Some(view) = self.newest_view() else { return true };
+        let others: Vec<usize> = self.living().into_iter().filter(|m| *m != machine).collect();
+        let voters = others.iter().filter(|m| view.is_voter(self.machines[**m].member())).count();
+        let end = self.auditor.floor();
+        let has_all = |m: &&usize| {
+            let node = &self.machines[**m];
+            view.in_chain(node.member()) && node.core.as_ref().is_some_and(|core| core.state().1 >= end)
+        };
+        let leaves_chain = !view.in_chain(self.machines[machine].member());
+        leaves_chain && voters > view.voters.len() / 2 && others.iter().any(|m| has_all(&m))
+    }
+
+    /// Ends a process that was told to stop, once it may go or its time is up. True if it ended.
+    pub fn end_if_due(&mut self, machine: usize) -> bool {
+        let node = &self.machines[machine];
+        let (Some(ending), Some(core)) = (node.ending, &node.core) else { return false };
+        let may_leave = self.plan.sabotage == Some(super::plan::Sabotage::HastyEnds) || core.may_leave();
+        let handed_over = may_leave && node.calls.is_empty();
+        if !handed_over && self.now < ending.deadline {
+            return false;
+        }
+        if handed_over && !self.others_go_on_without(machine) {
+            let state = self.describe();
+            self.auditor.fail(format!("machine {machine} ends while the others need it; {state}"));
+        }
+        self.trace(|| format!("machine {machine}: ends, handed over: {handed_over}"));
+        self.summary.planned_ends += 1;
+        self.summary.handed_over += u64::from(handed_over);
+        self.recovery.unstable_at = self.now;
+        match ending.afterwards {
+            Afterwards::Restart(pause) => self.crash(machine, true, pause),
+            Afterwards::Gone => {
+                self.stop_process(machine);
+                self.machines[machine].gone = true;
+                self.machines[machine].lost = None;
+                let address = self.machines[machine].address;
+                for other in (0..self.machines.len()).filter(|m| *m != machine) {
+                    self.link_closed(other, address);
+                }
+            }
+        }
+        true
+    }
+}
--- a/crates/signalbox/tests/support/mod.rs
+++ b/crates/signalbox/tests/support/mod.rs
@@ -5,6 +5,7 @@
 pub mod clients;
 pub mod days;
 pub mod disk;
+pub mod ending;
 pub mod faults;
 pub mod followers;
 pub mod history;
--- a/crates/signalbox/tests/support/plan.rs
+++ b/crates/signalbox/tests/support/plan.rs
@@ -34,6 +34,8 @@
     HastyLearners,
     /// Members acknowledge entries to their predecessors before these are on their disks.
     EarlyAcknowledgements,
+    /// A process that is told to stop ends at once.
+    HastyEnds,
     /// All starts of a process number their calls alike.
     SameNonce,
     /// A control machine goes by the position that it knows of an earlier session of a follower.
@@ -183,4 +185,7 @@
     pub checkpoints: u64,
     /// Most records that a disk held.
     pub records: usize,
+    pub planned_ends: u64,
+    /// Planned ends that waited until the others could do without.
+    pub handed_over: u64,
 }
--- a/crates/signalbox/tests/support/script.rs
+++ b/crates/signalbox/tests/support/script.rs
@@ -2,6 +2,7 @@
 
 use rand::Rng;
 
+use super::ending::Afterwards;
 use super::world::{Event, World, address};
 
 /// Whom a trouble strikes.
@@ -67,6 +68,13 @@
         side: Side,
         down: u64,
     },
+    /// A planned end: the process is told to stop.
+    Stop {
+        target: Target,
+        afterwards: Afterwards,
+    },
+    /// An empty machine starts at another address, beside all others.
+    Add,
     /// The machine goes for good; an empty one starts at another address.
     Replace {
         target: Target,
@@ -207,6 +215,10 @@
                 world.replace(m, after);
                 world.struck_last = Some(world.machines.len() - 1);
             }),
+            Trouble::Stop { target, afterwards } => {
+                self.at(target, |world, m| world.tell_to_stop(m, afterwards));
+            }
+            Trouble::Add => self.add_empty_machine(),
             Trouble::KillAll { back_within } => self.stop_all(true, back_within, 0),
             Trouble::PowerLossOfAll { back_within } => self.stop_all(false, back_within, 0),
             Trouble::PowerLossOfAllAndWipes { back_within } => {
@@ -234,6 +246,14 @@
         }
     }
 
+    fn add_empty_machine(&mut self) {
+        let number = self.machines.len() as u8 + 1;
+        self.add_machine(address(number), false);
+        let machine = self.machines.len() - 1;
+        self.machines[machine].lost = Some(u64::MAX);
+        self.schedule(0, Event::Start { machine });
+    }
+
     fn at(&mut self, target: Target, strike: impl FnOnce(&mut World, usize)) {
         if let Some(machine) = self.target(target) {
             self.struck_last = Some(machine);
--- a/crates/signalbox/tests/support/world.rs
+++ b/crates/signalbox/tests/support/world.rs
@@ -16,6 +16,7 @@
 use super::auditor::Auditor;
 use super::clients::{Clients, OpenCall};
 use super::disk::SimulatedDisk;
+use super::ending::Ending;
 use super::faults::RECOVERY_MS;
 use super::followers::{FeedEvent, Follower, HostedSession, RememberedPositions, SessionNumber};
 use super::history::ChangeIndex;
@@ -73,6 +74,8 @@
     pub syncing: bool,
     pub hanging: bool,
     pub disk_watch: DiskWatch,
+    /// A planned end under way.
+    pub ending: Option<Ending>,
     pub tick_at: u64,
     pub next_call: u64,
     pub calls: BTreeMap<u64, OpenCall>,
@@ -249,6 +252,7 @@
             syncing: false,
             hanging: false,
             disk_watch: DiskWatch::default(),
+            ending: None,
             tick_at: 0,
             next_call: 1,
             calls: BTreeMap::new(),
@@ -486,6 +490,9 @@
         self.check_term(machine);
         self.check_calls(machine);
         self.host_followers(machine);
+        if self.end_if_due(machine) {
+            return;
+        }
         self.begin_sync(machine);
         let node = &mut self.machines[machine];
         let Some(core) = &node.core else { return };
