Feed: a follower that is behind gets the smaller of changes and state, and no queue of them

On a narrow line pings and the chain waited behind it: with bodies of 1 MB, five a second, and four followers, sound members were taken out of the chain.

Change: nothing more is queued while over 128 KiB wait for a follower; one that has missed more than the state is sent the state. The chain's window is 512 KiB instead of 2 MiB, 70 ms at 60 Mbit/s.

--- a/crates/coupling/src/lib.rs
+++ b/crates/coupling/src/lib.rs
@@ -31,8 +31,9 @@
 pub use runs::{EpochRun, EpochRuns};
 pub use view::ChainView;
 
-/// Most bytes of payload that are sent to a successor ahead of its acknowledgement.
-pub const WINDOW_BYTES: usize = 2 * 1024 * 1024;
+/// Most bytes of payload that are sent to a successor ahead of its acknowledgement, unless a single entry is larger. At
+/// 60 Mbit/s these take 70 ms, so that messages behind them still come well within the time of failure detection.
+pub const WINDOW_BYTES: usize = 512 * 1024;
 /// Most bytes of payload in one message, unless a single entry is larger.
 pub const BATCH_BYTES: usize = 256 * 1024;
 /// Time after which an unanswered position is sent again, in milliseconds.
--- a/crates/signalbox/src/followers.rs
+++ b/crates/signalbox/src/followers.rs
@@ -14,8 +14,11 @@
 
 /// A session whose process is silent for this time ends.
 pub const SILENCE_MS: u64 = 650;
-/// Most bytes that may wait for a follower before it is sent a snapshot anew.
-const MOST_QUEUED_BYTES: usize = 8 << 20;
+/// A follower with more bytes waiting for it is sent nothing more of the feed until they are out: other messages share
+/// the line, and by then a snapshot may be smaller than what it has missed.
+const MOST_QUEUED_BYTES: usize = 128 << 10;
+/// Changes of fewer bytes are always sent one by one.
+const FEW_BYTES: usize = 64 << 10;
 
 #[derive(Debug)]
 struct Follower {
@@ -35,6 +38,30 @@
     pub doors: (u32, f32),
 }
 
+impl Feed<'_> {
+    /// What brings a follower at change `position` up to date: the changes since, or the whole state where some of
+    /// them are no longer held or the state is smaller.
+    pub fn catch_up(&self, position: u64, changes_from: &dyn Fn(u64) -> Vec<Rc<[u8]>>) -> FromControl {
+        let next = position + 1;
+        if position == 0 || next < self.first_change {
+            return self.snapshot();
+        }
+        let changes = changes_from(next);
+        let bytes: usize = changes.iter().map(|change| change.len()).sum();
+        if bytes > FEW_BYTES {
+            let state = encode(&self.state.image());
+            if state.len() < bytes {
+                return FromControl::Snapshot { sequence: self.applied, state };
+            }
+        }
+        FromControl::Changes { first: next, changes: changes.iter().map(|change| change.to_vec()).collect() }
+    }
+
+    fn snapshot(&self) -> FromControl {
+        FromControl::Snapshot { sequence: self.applied, state: encode(&self.state.image()) }
+    }
+}
+
 /// The sessions of this machine.
 #[derive(Default, Debug)]
 pub struct Followers {
@@ -156,13 +183,7 @@
         if self.position.state >= feed.applied {
             return;
         }
-        let next = self.position.state + 1;
-        let message = if self.position.state == 0 || next < feed.first_change {
-            FromControl::Snapshot { sequence: feed.applied, state: encode(&feed.state.image()) }
-        } else {
-            let changes = changes_from(next).iter().map(|c| c.to_vec()).collect();
-            FromControl::Changes { first: next, changes }
-        };
+        let message = feed.catch_up(self.position.state, changes_from);
         send(network, connection, &message);
         self.position.state = feed.applied;
     }
--- a/crates/signalbox/tests/followers.rs
+++ b/crates/signalbox/tests/followers.rs
@@ -4,13 +4,18 @@
 mod sockets_support;
 
 use std::net::Ipv4Addr;
+use std::rc::Rc;
 
-use orchidvalve_signalbox::followers::Followers;
+use orchidvalve_lineside::FeedCopy;
+use orchidvalve_signalbox::followers::{Feed, Followers};
 use orchidvalve_signalbox::sessions::SessionTable;
-use orchidvalve_track::frames::read_frame;
+use orchidvalve_track::frames::{encode, read_frame};
 use orchidvalve_track::identity::{MemberId, NodeAddress};
 use orchidvalve_track::messages::{FeedPosition, FromControl, Introduction, PROTOCOL_VERSION, Role};
 use orchidvalve_track::network::{ConnectionId, Event, Network};
+use orchidvalve_track::server_table::ServerTable;
+use orchidvalve_waybill::state::{Change, ControlState};
+use rstest::rstest;
 use sockets_support::*;
 
 fn controls(numbers: &[u8]) -> Vec<NodeAddress> {
@@ -95,3 +100,58 @@
     assert_eq!(next(&mut network, &mut peer), FromControl::Welcome { controls: later });
     assert_eq!(next(&mut network, &mut peer), FromControl::Heartbeat, "once, and only if it changed");
 }
+
+/// Applies so many configurations with bodies of about so many bytes; the state and the changes.
+fn configured(count: u64, bytes: usize) -> (ControlState, Vec<Rc<[u8]>>) {
+    let mut state = ControlState::default();
+    let mut changes = Vec::new();
+    for version in 0..count {
+        let padding = "x".repeat(bytes);
+        let document = serde_json::json!({
+            "config-version": version + 1, "routes": [], "services": [{"name": "blue", "note": padding}],
+        });
+        let change = Change::Replace { base: version, body: document.to_string().into_bytes() };
+        state.apply(&change).unwrap();
+        changes.push(Rc::from(encode(&change)));
+    }
+    (state, changes)
+}
+
+#[rstest]
+#[case::nothing_known(0, 5, 100, 1, true)]
+#[case::a_little_behind(3, 5, 100, 1, false)]
+#[case::no_longer_held(3, 9, 100, 6, true)]
+#[case::small_changes(10, 200, 100, 1, false)]
+#[case::many_small_changes(10, 2_000, 100, 1, true)]
+#[case::one_large_change(39, 40, 200_000, 1, false)]
+#[case::many_large_changes(3, 40, 200_000, 1, true)]
+fn followers_get_the_state_where_it_is_smaller_than_the_changes(
+    #[case] position: u64,
+    #[case] count: u64,
+    #[case] bytes: usize,
+    #[case] first_change: u64,
+    #[case] whole: bool,
+) {
+    let (state, changes) = configured(count, bytes);
+    let servers = ServerTable::default();
+    let feed = Feed { state: &state, applied: count, first_change, servers: &servers, doors: (0, 0.0) };
+    let changes_from = |first: u64| changes[first as usize - 1..].to_vec();
+    let mut copy = FeedCopy::default();
+    if position > 0 {
+        let known: Vec<Vec<u8>> = changes[..position as usize].iter().map(|change| change.to_vec()).collect();
+        copy.changes(1, &known).unwrap();
+    }
+    match feed.catch_up(position, &changes_from) {
+        FromControl::Snapshot { sequence, state } => {
+            assert!(whole);
+            copy.snapshot(sequence, &state).unwrap();
+        }
+        FromControl::Changes { first, changes } => {
+            assert!(!whole);
+            copy.changes(first, &changes).unwrap();
+        }
+        other => panic!("{other:?} is no part of the state"),
+    }
+    assert_eq!(copy.sequence(), count);
+    assert_eq!(copy.state().image(), state.image());
+}
