Simulation: shrunk plan of a standby that is never fed again (red until mended)

After a quick restart of the tail both positions that the learner told were dropped (the tail hadn't listed it yet), and entries that the tail's former process had sent were taken for the answer, so it never asked again.

Change: the plan, shrunk to one kill of 1 ms, as a named test.

--- a/crates/signalbox/tests/core_shrunk.rs
+++ b/crates/signalbox/tests/core_shrunk.rs
@@ -39,3 +39,20 @@
     ];
     run(1, script, second + freeze);
 }
+
+/// A standby took entries of the tail's former process for the answer to the position that it had told the new one,
+/// which had dropped it: it was never fed again.
+#[test]
+fn a_standby_is_fed_after_a_quick_restart_of_the_tail() {
+    let kill = Trouble::Kill { target: Target::Tail, down: 1 };
+    let plan = Plan {
+        operators: 2,
+        operator_pause: 25,
+        storm: (FIRST, 4_000),
+        script: vec![Step { at: 2_500, trouble: kill }],
+        delay: 10,
+        back_within: 25_000,
+        ..Plan::calm(4)
+    };
+    World::new(9, plan).run().expect("no violation");
+}
