--- a/crates/signalbox/tests/core_planted.rs
+++ b/crates/signalbox/tests/core_planted.rs
@@ -10,7 +10,7 @@
 use support::script::{Step, Target, Trouble};
 use support::world::World;
 
-const SEEDS: u64 = 60;
+const SEEDS: u64 = 200;
 
 /// The day, with what it takes to make the fault show.
 fn plan_of(sabotage: Sabotage, day: Day, seed: u64) -> Plan {
--- a/crates/signalbox/tests/support/days.rs
+++ b/crates/signalbox/tests/support/days.rs
@@ -304,6 +304,7 @@
         operators,
         operator_pause,
         followers: 4,
+        placement_pause: 400,
         storm: (FIRST, script.now),
         script: script.steps,
         delay,
--- a/crates/signalbox/tests/support/mod.rs
+++ b/crates/signalbox/tests/support/mod.rs
@@ -11,6 +11,7 @@
 pub mod history;
 pub mod links;
 pub mod operators;
+pub mod placements;
 pub mod plan;
 pub mod recovery;
 pub mod script;
--- a/crates/signalbox/tests/support/operators.rs
+++ b/crates/signalbox/tests/support/operators.rs
@@ -108,6 +108,11 @@
         self.stopped = true;
     }
 
+    /// Whether no new changes are wanted.
+    pub fn has_stopped(&self) -> bool {
+        self.stopped
+    }
+
     pub fn open_calls(&mut self) -> impl Iterator<Item = &mut OperatorCall> {
         self.calls.iter_mut().filter(|call| !call.is_over)
     }
--- /dev/null
+++ b/crates/signalbox/tests/support/placements.rs
@@ -0,0 +1,58 @@
+//! Placements of partitions on stores and registrations of stores, as the head of the chain enters them. That they are
+//! right is for other tests; here they are control state that nobody resends, and that everyone has to hold alike.
+
+use orchidvalve_track::identity::MemberId;
+use orchidvalve_waybill::state::{Change, Placement};
+use rand::Rng;
+
+use super::world::{Event, World, address};
+
+/// Addresses of stores lie above those of control machines.
+const FIRST_STORE: u8 = 200;
+const STORES: u8 = 5;
+const PARTITIONS: u16 = 8;
+/// Share of the changes that register a store with another disk.
+const REGISTRATIONS: f64 = 0.2;
+
+impl World {
+    pub fn place(&mut self) {
+        if self.operators.has_stopped() {
+            return;
+        }
+        self.schedule(self.plan.placement_pause, Event::Place);
+        for machine in self.living() {
+            let Some(core) = &mut self.machines[machine].core else { continue };
+            if !core.is_settled_head() {
+                continue;
+            }
+            let epochs: Vec<u64> = core.newest_state().partitions().iter().map(|p| p.epoch).collect();
+            let change = self.placement_change(&epochs);
+            if let Some(core) = &mut self.machines[machine].core {
+                core.propose(change);
+            }
+            self.drain(machine);
+            self.begin_sync(machine);
+        }
+    }
+
+    fn store(&mut self) -> (u8, MemberId) {
+        let number = self.random.random_range(0..STORES);
+        let disk = self.random.random_range(1..1_000);
+        (number, MemberId { address: address(FIRST_STORE + number), disk })
+    }
+
+    fn placement_change(&mut self, epochs: &[u64]) -> Change {
+        if self.random.random_bool(REGISTRATIONS) {
+            let (number, member) = self.store();
+            return Change::RegisterStore {
+                name: format!("store-{number}"),
+                zone: "north".to_owned(),
+                member,
+            };
+        }
+        let partition = self.random.random_range(0..PARTITIONS);
+        let members: Vec<MemberId> = (0..3).map(|_| self.store().1).collect();
+        let epoch = epochs.get(usize::from(partition)).copied().unwrap_or(0) + 1;
+        Change::Place(vec![(partition, Placement { epoch, members, ..Placement::default() })])
+    }
+}
--- a/crates/signalbox/tests/support/plan.rs
+++ b/crates/signalbox/tests/support/plan.rs
@@ -76,6 +76,8 @@
     /// Every so many changes of the operators, one has so many bytes of filling.
     pub huge: Option<(usize, usize)>,
     pub followers: usize,
+    /// Pause between two changes of placements that the head enters; 0 for none.
+    pub placement_pause: u64,
     pub script: Vec<Step>,
     /// Bytes per millisecond that a machine can send; None for any number.
     pub bandwidth: Option<u64>,
@@ -107,6 +109,7 @@
             slow_copies: 0,
             huge: None,
             followers: 0,
+            placement_pause: 0,
             script: Vec::new(),
             bandwidth: None,
             compares_states: true,
--- a/crates/signalbox/tests/support/world.rs
+++ b/crates/signalbox/tests/support/world.rs
@@ -56,6 +56,7 @@
     Feed(FeedEvent),
     Script(ScriptEvent),
     Watch,
+    Place,
 }
 
 pub struct Machine {
@@ -232,6 +233,9 @@
         self.add_followers();
         self.schedule_script();
         self.schedule(1_000, Event::Watch);
+        if self.plan.placement_pause > 0 {
+            self.schedule(self.plan.placement_pause, Event::Place);
+        }
     }
 
     pub fn add_machine(&mut self, address: NodeAddress, bootstrap: bool) {
@@ -336,6 +340,7 @@
             Event::Feed(event) => self.feed_event(event),
             Event::Script(event) => self.script_event(event),
             Event::Watch => self.watch(),
+            Event::Place => self.place(),
         }
     }
 
