Control: a machine outside the chain sends readings to a member

Change: such a machine answers 307 with the tail of the chain it knows, which answers under proof as ever.

Measured: tests/operator.rs.

--- a/crates/signalbox/src/operator.rs
+++ b/crates/signalbox/src/operator.rs
@@ -1,5 +1,7 @@
 //! Calls of operators and trainers: pairs of a call and its answer behind one reader and one writer.
 
+use std::net::SocketAddrV4;
+
 use orchidvalve_track::http::{MessageLimits, Request};
 use orchidvalve_waybill::state::Change;
 use serde_json::{Value, json};
@@ -31,17 +33,32 @@
 pub struct OperatorAnswer {
     pub status: u16,
     pub body: Vec<u8>,
+    /// Where to call instead.
+    pub location: Option<String>,
+}
+
+impl OperatorCall {
+    /// Whether the call reads the control state, which only a member of the chain can prove to be the newest.
+    pub fn is_read(&self) -> bool {
+        matches!(self, OperatorCall::ReadConfiguration | OperatorCall::ReadRetirement { .. })
+    }
 }
 
 impl OperatorAnswer {
     pub fn new(status: u16, body: &Value) -> OperatorAnswer {
-        OperatorAnswer { status, body: body.to_string().into_bytes() }
+        OperatorAnswer { status, body: body.to_string().into_bytes(), location: None }
     }
 
     pub fn error(status: u16, reason: &str) -> OperatorAnswer {
         OperatorAnswer::new(status, &json!({ "error": reason }))
     }
 
+    /// The call is to be sent to the control machine at `address`.
+    pub fn elsewhere(address: SocketAddrV4, target: &str) -> OperatorAnswer {
+        let location = Some(format!("http://{address}{target}"));
+        OperatorAnswer { status: 307, body: Vec::new(), location }
+    }
+
     /// The caller may try again, here or elsewhere.
     pub fn unclear() -> OperatorAnswer {
         OperatorAnswer::error(503, "the control machines can't be sure now: send the call again")
--- a/crates/signalbox/src/process/operators.rs
+++ b/crates/signalbox/src/process/operators.rs
@@ -1,5 +1,7 @@
 //! Operators and trainers: their connections, calls and answers, the status, and the retirement of machines.
 
+use std::net::SocketAddrV4;
+
 use orchidvalve_track::frames::encode;
 use orchidvalve_track::http::{RequestReader, write_response};
 use orchidvalve_track::network::ConnectionId;
@@ -37,7 +39,7 @@
                     let Some(request) = read.message else { return };
                     operator.keep_alive = request.keep_alive;
                     match read_call(&request) {
-                        Ok(call) => self.operator_call(connection, call),
+                        Ok(call) => self.operator_call(connection, call, &request.target),
                         Err(answer) => self.answer(connection, &answer),
                     }
                 }
@@ -49,7 +51,13 @@
         }
     }
 
-    fn operator_call(&mut self, connection: ConnectionId, call: OperatorCall) {
+    fn operator_call(&mut self, connection: ConnectionId, call: OperatorCall, target: &str) {
+        if call.is_read()
+            && let Some(member) = self.reader_elsewhere()
+        {
+            self.answer(connection, &OperatorAnswer::elsewhere(member, target));
+            return;
+        }
         match call {
             OperatorCall::Change(change) => {
                 self.enter_change(OpenCall::Change(connection), connection, &change)
@@ -68,6 +76,17 @@
         }
     }
 
+    /// Control address of a member of the chain, where this machine is none and so can't be sure of what it reads.
+    fn reader_elsewhere(&self) -> Option<SocketAddrV4> {
+        let view = self.core.view()?;
+        if view.in_chain(self.me) {
+            return None;
+        }
+        // All machines listen for operators at the same port.
+        let tail = view.tail()?;
+        Some(SocketAddrV4::new(tail.address.ip(), self.options.control_address.port()))
+    }
+
     fn open_call(&mut self, connection: ConnectionId, call: OpenCall) -> u64 {
         let number = self.next_call;
         self.next_call += 1;
@@ -111,7 +130,9 @@
         let (state, _) = self.core.state();
         let answer = match self.calls.get(&call) {
             Some(OpenCall::ReadConfiguration(_)) => match state.configuration() {
-                Some(configuration) => OperatorAnswer { status: 200, body: configuration.to_json() },
+                Some(configuration) => {
+                    OperatorAnswer { status: 200, body: configuration.to_json(), location: None }
+                }
                 None => OperatorAnswer::error(404, "there is no configuration yet: send one with PUT"),
             },
             Some(OpenCall::ReadRetirement(_, node)) => retirement(state, node),
@@ -139,7 +160,8 @@
         operator.waiting = None;
         let close = !operator.keep_alive;
         if let Some(outbox) = self.network.outbox(connection) {
-            let headers = [("Content-Type", "application/json")];
+            let mut headers = vec![("Content-Type", "application/json")];
+            headers.extend(answer.location.as_deref().map(|location| ("Location", location)));
             write_response(outbox, answer.status, &headers, &answer.body, close);
         }
         if close {
--- a/crates/signalbox/tests/operator.rs
+++ b/crates/signalbox/tests/operator.rs
@@ -150,3 +150,20 @@
         _ => assert_eq!(document["error"], "why"),
     }
 }
+
+#[rstest]
+#[case::configuration(OperatorCall::ReadConfiguration, true)]
+#[case::retirement(OperatorCall::ReadRetirement { node: "storage-1".to_owned() }, true)]
+#[case::status(OperatorCall::ReadStatus, false)]
+#[case::retire(OperatorCall::Retire { node: "storage-1".to_owned() }, false)]
+#[case::change(replace(4), false)]
+fn only_readings_of_the_control_state_need_a_member(#[case] call: OperatorCall, #[case] reads: bool) {
+    assert_eq!(call.is_read(), reads);
+}
+
+#[test]
+fn a_call_for_another_machine_is_sent_there_with_its_whole_target() {
+    let answer = OperatorAnswer::elsewhere("10.0.0.4:8080".parse().unwrap(), "/v1/configuration?x=1");
+    assert_eq!(answer.status, 307);
+    assert_eq!(answer.location.as_deref(), Some("http://10.0.0.4:8080/v1/configuration?x=1"));
+}
