Simulation: a planned end needn't know of a loss that nobody can have noticed

Change: a machine counts until its loss can show (200 ms of pause between pings and 700 ms that an answer counts), and a whole copy is judged by the entries on the disk.

--- a/crates/signalbox/tests/support/ending.rs
+++ b/crates/signalbox/tests/support/ending.rs
@@ -6,6 +6,8 @@
 pub const GRACE_MS: u64 = 8_000;
 /// The control process ends by itself so long before that.
 const ENDING_MARGIN_MS: u64 = 1_500;
+/// Longest time until the loss of a machine shows: it is asked each 200 ms, and its last answer counts for 700 ms.
+const DETECTION_MS: u64 = 900;
 
 /// What follows a planned end.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -35,14 +37,20 @@
     }
 
     /// Whether the other machines are a majority of the voters and hold a whole copy in a chain without this one.
+    /// One that was lost a moment ago counts: nobody can know yet.
     fn others_go_on_without(&self, machine: usize) -> bool {
         let Some(view) = self.newest_view() else { return true };
-        let others: Vec<usize> = self.living().into_iter().filter(|m| *m != machine).collect();
+        let stands = |m: &usize| {
+            let node = &self.machines[*m];
+            node.runs() || (!node.gone && self.now < node.down_since + DETECTION_MS)
+        };
+        let others: Vec<usize> = (0..self.machines.len()).filter(|m| *m != machine && stands(m)).collect();
         let voters = others.iter().filter(|m| view.is_voter(self.machines[**m].member())).count();
+        // Entries may be there that aren't known to be committed yet.
         let end = self.auditor.floor();
         let has_all = |m: &&usize| {
             let node = &self.machines[**m];
-            view.in_chain(node.member()) && node.core.as_ref().is_some_and(|core| core.state().1 >= end)
+            view.in_chain(node.member()) && node.disk.recover().journal.end() >= end
         };
         let leaves_chain = !view.in_chain(self.machines[machine].member());
         leaves_chain && voters > view.voters.len() / 2 && others.iter().any(|m| has_all(&m))
--- a/crates/signalbox/tests/support/faults.rs
+++ b/crates/signalbox/tests/support/faults.rs
@@ -112,6 +112,7 @@
     pub fn stop_process(&mut self, machine: usize) {
         let node = &mut self.machines[machine];
         node.ending = None;
+        node.down_since = self.now;
         node.core = None;
         node.frozen = false;
         node.inbox.clear();
--- a/crates/signalbox/tests/support/script.rs
+++ b/crates/signalbox/tests/support/script.rs
@@ -203,6 +203,7 @@
             Trouble::Wipe { target, down } => self.at(target, |world, m| world.wipe(m, down)),
             Trouble::Freeze { target, down } => self.at(target, |world, m| {
                 world.machines[m].frozen = true;
+                world.machines[m].down_since = world.now;
                 world.schedule(down, Event::Thaw { machine: m });
             }),
             Trouble::Cut { target, ways, side, down } => {
--- a/crates/signalbox/tests/support/world.rs
+++ b/crates/signalbox/tests/support/world.rs
@@ -70,6 +70,8 @@
     /// Taken away for good.
     pub gone: bool,
     pub frozen: bool,
+    /// When the process last ended or froze.
+    pub down_since: u64,
     pub inbox: Vec<(usize, MemberId, Packet)>,
     pub links: Links,
     pub syncing: bool,
@@ -251,6 +253,7 @@
             bootstrap,
             gone: false,
             frozen: false,
+            down_since: 0,
             inbox: Vec::new(),
             links: Links::default(),
             syncing: false,
