Configurations over 8 MiB are refused instead of wedging the chain

Cause (review): bodies of up to 64 MB were taken, while a link between control machines is dropped with more than 16 MB waiting on it. An entry of 17 MB was sent, dropped with its link and sent again for ever, and nothing behind it was committed.

Change: a body over 8 MiB gets 413, a patch that makes the document longer 400; the message names the bound.

Measured: a_document_that_could_not_be_passed_on_is_refused; waybill and conductor green.

--- a/crates/conductor/src/check.rs
+++ b/crates/conductor/src/check.rs
@@ -60,7 +60,9 @@
         | ConfigurationError::ZeroTimeout { path } => Some(path.clone()),
         ConfigurationError::DuplicateRoute { path, .. } => Some(format!("{path}.path-prefix")),
         ConfigurationError::VersionNotAbove { .. } => Some("config-version".to_owned()),
-        ConfigurationError::NotJson { .. } | ConfigurationError::NothingToChange => None,
+        ConfigurationError::NotJson { .. }
+        | ConfigurationError::TooLong { .. }
+        | ConfigurationError::NothingToChange => None,
     }
 }
 
--- a/crates/signalbox/src/operator.rs
+++ b/crates/signalbox/src/operator.rs
@@ -3,13 +3,15 @@
 use std::net::SocketAddrV4;
 
 use orchidvalve_track::http::{MessageLimits, Request};
+use orchidvalve_waybill::configuration::MOST_DOCUMENT_BYTES;
 use orchidvalve_waybill::state::Change;
 use serde_json::{Value, json};
 
 use crate::peer::CallOutcome;
 
 /// Bounds of an operator's call.
-pub const OPERATOR_LIMITS: MessageLimits = MessageLimits { header_bytes: 64 << 10, body_bytes: 64 << 20 };
+pub const OPERATOR_LIMITS: MessageLimits =
+    MessageLimits { header_bytes: 64 << 10, body_bytes: MOST_DOCUMENT_BYTES };
 
 /// A call, as the control plane understands it.
 #[derive(Clone, PartialEq, Debug)]
--- a/crates/waybill/src/configuration/mod.rs
+++ b/crates/waybill/src/configuration/mod.rs
@@ -17,6 +17,10 @@
 
 pub(crate) const VERSION_FIELD: &str = "config-version";
 
+/// Longest document, in bytes of JSON. A checkpoint with it has to fit, with room to spare, into what may wait on a link
+/// between control machines (16 MiB) and, twice, on a disk of 64 MB.
+pub const MOST_DOCUMENT_BYTES: usize = 8 << 20;
+
 /// Why a configuration or a change of it is refused.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error, From)]
 pub enum ConfigurationError {
@@ -51,6 +55,12 @@
     #[display("config-version: {sent} is not above the current version {current}; send a higher one")]
     #[from(skip)]
     VersionNotAbove { sent: u64, current: u64 },
+    /// The document is too long to be kept and passed on.
+    #[display(
+        "the configuration has {bytes} bytes, {MOST_DOCUMENT_BYTES} at most; leave out what isn't needed"
+    )]
+    #[from(skip)]
+    TooLong { bytes: usize },
     /// Named items are to be changed, but there is no configuration yet.
     #[display("there is no configuration to change; send a whole one with PUT first")]
     #[from(skip)]
@@ -79,6 +89,7 @@
         body: &[u8],
         current: Option<&Configuration>,
     ) -> Result<Configuration, ConfigurationError> {
+        check_length(body.len())?;
         Configuration::above(parse(body)?, fingerprint(body), current)
     }
 
@@ -89,7 +100,9 @@
         let version = read_version(&change)?;
         check_version(version, current)?;
         let document = patch::apply(base.document.clone(), &change)?;
-        Configuration::build(document, fingerprint(body))
+        let configuration = Configuration::build(document, fingerprint(body))?;
+        check_length(configuration.to_json().len())?;
+        Ok(configuration)
     }
 
     /// Reads a configuration written with [`Configuration::to_json`]; `fingerprint` is that of the original.
@@ -166,6 +179,13 @@
     Ok(Reader::root(document).field(VERSION_FIELD)?.unsigned()?)
 }
 
+fn check_length(bytes: usize) -> Result<(), ConfigurationError> {
+    if bytes > MOST_DOCUMENT_BYTES {
+        return Err(ConfigurationError::TooLong { bytes });
+    }
+    Ok(())
+}
+
 fn check_version(sent: u64, current: Option<&Configuration>) -> Result<(), ConfigurationError> {
     let current = current.map_or(0, Configuration::version);
     if sent > current { Ok(()) } else { Err(ConfigurationError::VersionNotAbove { sent, current }) }
--- a/crates/waybill/tests/configuration.rs
+++ b/crates/waybill/tests/configuration.rs
@@ -1,5 +1,6 @@
 //! Reading, refusing and changing configurations.
 
+use orchidvalve_waybill::configuration::MOST_DOCUMENT_BYTES;
 use orchidvalve_waybill::{Configuration, ConfigurationError};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -419,3 +420,24 @@
         }
     }
 }
+
+fn padded(version: u64, bytes: usize) -> Vec<u8> {
+    let note = "x".repeat(bytes);
+    let services = serde_json::json!([{"name": "blue", "note": note}]);
+    serde_json::json!({"config-version": version, "routes": [], "services": services})
+        .to_string()
+        .into_bytes()
+}
+
+#[test]
+fn a_document_that_could_not_be_passed_on_is_refused() {
+    let fits = Configuration::replace(&padded(1, MOST_DOCUMENT_BYTES - 200), None).unwrap();
+    let too_long = Configuration::replace(&padded(1, MOST_DOCUMENT_BYTES), None);
+    assert!(matches!(too_long, Err(ConfigurationError::TooLong { .. })), "{too_long:?}");
+    // A small change may make it grow beyond.
+    let note = "y".repeat(400);
+    let change =
+        serde_json::json!({"config-version": 2, "upsert": {"services": [{"name": "red", "note": note}]}});
+    let grown = Configuration::patch(change.to_string().as_bytes(), Some(&fits));
+    assert!(matches!(grown, Err(ConfigurationError::TooLong { .. })), "{grown:?}");
+}
