Retirement: completed only when enough others are known to hold everything

Cause: GET /v1/retire answered 'completed' as soon as the machine was in no chain, also when it was only taken out because its session was lost and the chain was short, or when a member that had joined hadn't said that it has everything. The machine goes with its disk at once and counts as no loss: one wipe after that lost jobs.

Change: is_empty asks that of every partition enough members are noted to hold everything. Where a member reports only after the noted ones were lost, the planner takes a view to note it (once, in chains of just the right length).

--- a/crates/signalbox/src/placement.rs
+++ b/crates/signalbox/src/placement.rs
@@ -176,13 +176,22 @@
         learners.extend(successor(&next.members, situation, load));
     }
     next.learners = learners;
-    if next == *placement {
+    if next == *placement && !notes_copies(placement, &holders) {
         return None;
     }
     next.holders = next_holders(&next, &complete);
     Some(next)
 }
 
+/// Whether a view is needed only to note that members hold everything: one that joined has reported after those that
+/// were noted were lost. A machine that is to be emptied may go only then. A chain that is longer than needed gets
+/// another view anyway.
+fn notes_copies(placement: &Placement, holders: &[MemberId]) -> bool {
+    let would_note = Placement { holders: holders.to_vec(), ..placement.clone() };
+    let is_too_long = placement.members.len() > placement.copies as usize;
+    !is_too_long && !has_all_copies(placement) && has_all_copies(&would_note)
+}
+
 /// The placement of a partition that begins anew; None until enough machines are there.
 fn begin_anew(
     placement: &Placement,
@@ -236,7 +245,15 @@
     free.filter(|s| is_missing || !s.is_full).min_by_key(cost).map(|s| s.member)
 }
 
-/// Whether a machine holds no copy any more.
+/// Whether a machine can be removed with its disk: it has no part in any partition, and of each enough other machines
+/// are known to hold everything. One that was only taken out because it couldn't be reached may be the second to do so.
 pub fn is_empty(member: &MemberId, partitions: &[Placement]) -> bool {
-    !partitions.iter().any(|p| p.members.contains(member) || p.learners.contains(member))
+    let has_part = |p: &Placement| p.members.contains(member) || p.learners.contains(member);
+    partitions.iter().all(|p| !has_part(p) && has_all_copies(p))
+}
+
+/// Whether as many members as there are to be copies are noted to hold everything.
+fn has_all_copies(placement: &Placement) -> bool {
+    let complete = placement.members.iter().filter(|m| placement.holders.contains(m)).count();
+    complete >= placement.copies as usize
 }
--- a/crates/signalbox/tests/placement.rs
+++ b/crates/signalbox/tests/placement.rs
@@ -286,6 +286,45 @@
     assert_eq!([1, 2, 3, 4].map(|m| is_empty(&member(m), &partitions)), [false, false, false, true]);
 }
 
+/// At `completed` a machine is removed with its disk, and that counts as no loss: members and those known to hold
+/// everything, without the machine 1.
+#[rstest]
+#[case::others_hold_everything("23", "23", true)]
+#[case::it_was_only_taken_out_since_it_is_away("2", "21", false)]
+#[case::the_chain_is_short_without_it("2", "2", false)]
+#[case::a_member_may_lack_something("23", "2", false)]
+fn a_machine_is_empty_once_enough_others_hold_everything(
+    #[case] in_chain: &str,
+    #[case] holders: &str,
+    #[case] expected: bool,
+) {
+    let whole = placement(1, &[2, 3], &[]);
+    let other = Placement { holders: members(&numbers(holders)), ..placement(4, &numbers(in_chain), &[]) };
+    assert_eq!(is_empty(&member(1), &[whole, other]), expected);
+}
+
+/// A member joined a chain of which the former ones were lost or left before it could report: that it holds everything
+/// is noted as soon as it says so, since a machine may wait for that to be removed.
+#[rstest]
+#[case::reported("23", "2", "3", Some("23"))]
+#[case::not_reported("23", "2", "", None)]
+#[case::known("23", "23", "3", None)]
+fn copies_that_are_missing_among_the_holders_are_noted(
+    #[case] in_chain: &str,
+    #[case] holders: &str,
+    #[case] ready: &str,
+    #[case] expected: Option<&str>,
+) {
+    let live = stores("1a 2a 3b");
+    let before = Placement { holders: members(&numbers(holders)), ..placement(7, &numbers(in_chain), &[]) };
+    let ready: Ready = numbers(ready).into_iter().map(|m| (0, 7, member(m))).collect();
+    let situation = Situation { live: &live, ready: &ready, copies: 2, lost: &Lost::new() };
+    let changes = plan(&[before], &situation);
+    let noted = changes.first().map(|(_, next)| (next.epoch, next.members.clone(), next.holders.clone()));
+    let expected = expected.map(|holders| (8, members(&numbers(in_chain)), members(&numbers(holders))));
+    assert_eq!(noted, expected);
+}
+
 /// Members, those known to hold everything; live stores, where `w` marks one with another disk; who has reported.
 #[rstest]
 #[case::the_only_holder_is_wiped("1", "1", "1aw 2b", "", true)]
--- a/crates/signalbox/tests/placement_random.rs
+++ b/crates/signalbox/tests/placement_random.rs
@@ -278,6 +278,22 @@
             self.partitions[usize::from(partition)] = next;
             self.take_up(usize::from(partition));
         }
+        self.check_emptied();
+    }
+
+    /// A machine that is told to be emptied goes with its disk at once: enough others have to hold everything. Copies on
+    /// disks that were lost count, as those are other losses.
+    fn check_emptied(&self) {
+        for machine in self.machines.iter().filter(|m| m.retiring && is_empty(&m.member, &self.partitions)) {
+            for (partition, placement) in (0u16..).zip(&self.partitions) {
+                let is_lost = |m: &MemberId| !self.machines.iter().any(|machine| machine.member == *m);
+                let is_nothing_committed = self.journals[usize::from(partition)].committed == 0;
+                let holds =
+                    |m: &&MemberId| is_lost(m) || is_nothing_committed || self.holds_everything(partition, m);
+                let copies = placement.members.iter().filter(|m| **m != machine.member).filter(holds).count();
+                assert!(copies >= self.copies, "{} may not be removed: {placement:?}", machine.member);
+            }
+        }
     }
 
     fn check(&mut self, partition: u16, next: &Placement) {
