--- a/crates/turnstile/src/work.rs
+++ b/crates/turnstile/src/work.rs
@@ -18,8 +18,9 @@
 const RESEND_MS: u64 = 1_000;
 /// Deadline of a job whose route states no time, in milliseconds.
 const DEFAULT_RUN_MS: u64 = 30_000;
-/// Items are given up no earlier than this after the time that the route allows, since the clocks differ.
-const EXPIRY_MARGIN_MS: u64 = 500;
+/// Items are given up this much after the time that the route allows, in milliseconds: the age of a job that a store tells
+/// comes of the times of day of two processes, which differ by two seconds if one started while it was being set wrong.
+const EXPIRY_MARGIN_MS: u64 = 3_000;
 
 /// Routes of reward calls in the configuration in force.
 pub struct RewardRoutes(pub Option<Arc<RouteTable>>);
