Doors: groups of a job that has ended are not run when they come late

Cause: the former head of a partition whose news of the placement is late goes on handing groups out, while the new one has ended the job and told the doors so. The epoch helps only if the door got groups of the new head before.

--- a/crates/turnstile/src/lib.rs
+++ b/crates/turnstile/src/lib.rs
@@ -1,6 +1,7 @@
 //! Data plane: requests, streams, generations, reward calls.
 
 pub mod clients;
+mod ended_jobs;
 pub mod exchanges;
 pub mod fleet;
 pub mod generations;
--- a/crates/turnstile/src/work.rs
+++ b/crates/turnstile/src/work.rs
@@ -9,6 +9,7 @@
 use orchidvalve_waybill::state::ControlState;
 use orchidvalve_waybill::{Route, RouteTable};
 
+use crate::ended_jobs::EndedJobs;
 use crate::generations::{
     Assignment, Command, GroupId, Item, ItemResult, RewardRoute, RouteFacts, Routes, Runner, Scorer,
 };
@@ -67,12 +68,14 @@
     unconfirmed: BTreeMap<(u16, String), HashMap<String, Unconfirmed>>,
     /// Newest epoch seen of each partition.
     epochs: HashMap<u16, u64>,
+    ended: EndedJobs,
     packer: Packer,
 }
 
 impl Work {
-    /// Groups were handed out by `partition`'s head. Those of an older epoch than one seen are ignored; those
-    /// without a route wait for the next configuration.
+    /// Groups were handed out by `partition`'s head. Those of an older epoch than one seen or of a job that has ended
+    /// are ignored: a former head may not know yet that another one ended it. Those without a route wait for the next
+    /// configuration.
     pub fn assign(
         &mut self,
         now: u64,
@@ -83,7 +86,7 @@
         commands: &mut Vec<Command>,
     ) {
         let epoch = self.epochs.entry(terms.partition).or_default();
-        if terms.epoch < *epoch {
+        if terms.epoch < *epoch || self.ended.contains(terms.partition, &terms.job) {
             return;
         }
         *epoch = terms.epoch;
@@ -152,6 +155,7 @@
 
     /// A job has ended.
     pub fn cancel(&mut self, partition: u16, job: &str, runner: &mut Runner, commands: &mut Vec<Command>) {
+        self.ended.insert(partition, job);
         runner.cancel(job, commands);
         self.waiting.retain(|w| w.terms.partition != partition || w.terms.job != job);
         let key = (partition, job.to_owned());
--- a/crates/turnstile/tests/work.rs
+++ b/crates/turnstile/tests/work.rs
@@ -263,3 +263,18 @@
     door.work.cancel(PARTITION, "job", &mut door.runner, &mut door.commands);
     assert_eq!(door.due(), [(store(1), "b".into())]);
 }
+
+/// The former head of a partition may hand a job's groups out before it hears that another one has taken over and ended
+/// the job: what it sends may come after the news of the end.
+#[test]
+fn groups_of_a_job_that_has_ended_are_not_run_when_they_come_late() {
+    let mut door = Door::new();
+    let table = table("pule252");
+    door.work.cancel(PARTITION, "job", &mut door.runner, &mut door.commands);
+    door.assign(terms("job", 1), 0, Some(&table));
+    door.assign(terms("job", 1), 1, None);
+    door.configure(&table);
+    assert!(door.sent().is_empty());
+    door.assign(terms("other", 1), 2, Some(&table));
+    assert_eq!(door.sent().len(), 1);
+}
