Doors: items whose outcome is on its way are not run again for a new head

Cause: a new head of a partition hands out every item that isn't listed there, at times before the outcomes that doors have sent to the former one reach it. The door that had finished such an item ran it again: tokens for nothing, and for items that always fail, answers of 500 or 422 beyond what BUDGET allows when heads change often. A group that was half done was taken for another one and cut (its open items differed).

Change: items with an unconfirmed outcome are left out of what is handed over; the outcome is sent until it is recorded.

--- a/crates/turnstile/src/work.rs
+++ b/crates/turnstile/src/work.rs
@@ -110,8 +110,9 @@
         let Waiting { first_sent, terms, groups } = work;
         let facts = Arc::new(route_facts(table, route));
         let key = (terms.partition, terms.job.clone());
+        let told = self.unconfirmed.get(&key);
+        let is_done = |item: &WorkItem| told.is_some_and(|outcomes| outcomes.contains_key(&item.id));
         let open = OpenJob { hostname: terms.hostname.clone(), path: terms.path.clone() };
-        self.jobs.insert(key, open);
         let allowed = route.max_queue_s.map_or(u64::MAX / 4, |s| (s * 1_000.0) as u64 + EXPIRY_MARGIN_MS);
         for group in groups {
             let assignment = Assignment {
@@ -126,10 +127,12 @@
                 min_weights_version: terms.model.as_ref().map(|_| terms.min_weights_version),
                 due_at: first_sent + route.target_run_ms.unwrap_or(DEFAULT_RUN_MS),
                 expires_at: first_sent.saturating_add(allowed),
-                items: group.items.into_iter().map(item).collect(),
+                // A new head doesn't know what is on its way to it.
+                items: group.items.into_iter().filter(|item| !is_done(item)).map(item).collect(),
             };
             runner.assign(assignment, commands);
         }
+        self.jobs.insert(key, open);
     }
 
     /// The configuration has changed: open jobs go on by their routes in it.
--- a/crates/turnstile/tests/work.rs
+++ b/crates/turnstile/tests/work.rs
@@ -278,3 +278,18 @@
     door.assign(terms("other", 1), 2, Some(&table));
     assert_eq!(door.sent().len(), 1);
 }
+
+/// A new head hands out what it doesn't know to be done: outcomes of the items are on their way to it.
+#[test]
+fn items_with_an_outcome_are_not_run_again() {
+    let mut door = Door::new();
+    let table = table("pule252");
+    door.report("job", "item-0");
+    door.assign(terms("job", 2), 0, Some(&table));
+    assert_eq!((door.sent().len(), door.runner.open_groups()), (0, 0));
+    door.assign(terms("job", 2), 1, Some(&table));
+    assert_eq!(door.sent().len(), 1);
+    assert_eq!(door.due(), [(store(1), "item-0".into())]);
+    door.work.recorded(PARTITION, "job", &["item-0".into()]);
+    assert_eq!(door.work.unconfirmed(), 0);
+}
