Doors: a silent former head doesn't end the leases of a newer one

Cause: when a store is silent, a door drops the groups of all partitions whose head it is by the door's control state. Where that is older than the newest hand-over, the groups are of another head, which is heard and thinks that the door has them: they would have been at no server until they were given up. And the silence of that newer head ended nothing.

Change: the door notes which store handed a partition's groups out last, and under which epoch. If that is newer than the placement known here, its silence counts, else that of the known head (Work::store_silent).

--- a/crates/turnstile/src/process/mod.rs
+++ b/crates/turnstile/src/process/mod.rs
@@ -240,11 +240,7 @@
         let state = self.feed.copy().state();
         for store in &lost {
             log::warn!("work: store {store} is silent; what it handed out is dropped");
-            for (partition, placement) in state.partitions().iter().enumerate() {
-                if placement.members.first().is_some_and(|m| m.address == *store) {
-                    self.work.lease_lost(partition as u16, &mut self.runner, &mut commands);
-                }
-            }
+            self.work.store_silent(*store, state, &mut self.runner, &mut commands);
             self.calls.store_lost(self.now, *store);
         }
         self.run_work(commands);
--- a/crates/turnstile/src/process/work.rs
+++ b/crates/turnstile/src/process/work.rs
@@ -9,6 +9,7 @@
 use crate::generations::{Command, Outcome, RewardOutcome, ServerInfo};
 use crate::runs::Repetition;
 use crate::upstream::Outbound;
+use crate::work::HandedOut;
 
 /// Groups that are queued here beyond what can be in flight, as a share of that.
 const QUEUE_SHARE: f32 = 0.25;
@@ -59,7 +60,9 @@
     }
 
     pub(super) fn store_data(&mut self, connection: ConnectionId) {
-        let Some((_, messages)) = self.stores.read(&mut self.network, connection, self.now) else { return };
+        let Some((store, messages)) = self.stores.read(&mut self.network, connection, self.now) else {
+            return;
+        };
         let mut commands = Vec::new();
         for message in messages {
             match message {
@@ -71,7 +74,8 @@
                 }
                 FromStore::Assign { terms, groups } => {
                     let table = self.table.as_ref();
-                    self.work.assign(self.now, terms, groups, table, &mut self.runner, &mut commands);
+                    let handed_out = HandedOut { store, terms, groups };
+                    self.work.assign(self.now, handed_out, table, &mut self.runner, &mut commands);
                 }
                 FromStore::Cancel { partition, job } => {
                     self.work.cancel(partition, &job, &mut self.runner, &mut commands);
--- a/crates/turnstile/src/work.rs
+++ b/crates/turnstile/src/work.rs
@@ -53,6 +53,20 @@
     path: String,
 }
 
+/// Groups of a batch job as the head of its partition hands them out.
+pub struct HandedOut {
+    pub store: NodeAddress,
+    pub terms: WorkTerms,
+    pub groups: Vec<WorkGroup>,
+}
+
+/// The newest head that has handed groups of a partition out.
+#[derive(Clone, Copy, Debug)]
+struct Lessor {
+    epoch: u64,
+    store: NodeAddress,
+}
+
 /// Groups whose route isn't in the configuration that this door has.
 struct Waiting {
     first_sent: u64,
@@ -66,8 +80,8 @@
     jobs: HashMap<(u16, String), OpenJob>,
     waiting: Vec<Waiting>,
     unconfirmed: BTreeMap<(u16, String), HashMap<String, Unconfirmed>>,
-    /// Newest epoch seen of each partition.
-    epochs: HashMap<u16, u64>,
+    /// By partition.
+    lessors: HashMap<u16, Lessor>,
     ended: EndedJobs,
     packer: Packer,
 }
@@ -79,17 +93,17 @@
     pub fn assign(
         &mut self,
         now: u64,
-        terms: WorkTerms,
-        groups: Vec<WorkGroup>,
+        handed_out: HandedOut,
         table: Option<&Arc<RouteTable>>,
         runner: &mut Runner,
         commands: &mut Vec<Command>,
     ) {
-        let epoch = self.epochs.entry(terms.partition).or_default();
-        if terms.epoch < *epoch || self.ended.contains(terms.partition, &terms.job) {
+        let HandedOut { store, terms, groups } = handed_out;
+        let is_old = self.lessors.get(&terms.partition).is_some_and(|lessor| terms.epoch < lessor.epoch);
+        if is_old || self.ended.contains(terms.partition, &terms.job) {
             return;
         }
-        *epoch = terms.epoch;
+        self.lessors.insert(terms.partition, Lessor { epoch: terms.epoch, store });
         let first_sent = now.saturating_sub(terms.age_ms);
         self.hand_over(Waiting { first_sent, terms, groups }, table, runner, commands);
     }
@@ -166,6 +180,24 @@
         self.unconfirmed.remove(&key);
     }
 
+    /// The leases of a store are over: what it handed out is dropped. A head that is newer than the placement that this
+    /// door knows of keeps its leases whoever is silent, and loses them by its own silence.
+    pub fn store_silent(
+        &mut self,
+        store: NodeAddress,
+        state: &ControlState,
+        runner: &mut Runner,
+        commands: &mut Vec<Command>,
+    ) {
+        for (partition, placement) in (0u16..).zip(state.partitions()) {
+            let newer = self.lessors.get(&partition).filter(|lessor| lessor.epoch > placement.epoch);
+            let known = placement.members.first().map(|member| member.address);
+            if newer.map(|lessor| lessor.store).or(known) == Some(store) {
+                self.lease_lost(partition, runner, commands);
+            }
+        }
+    }
+
     /// The lease on what a partition's head handed out is over.
     pub fn lease_lost(&mut self, partition: u16, runner: &mut Runner, commands: &mut Vec<Command>) {
         self.waiting.retain(|w| w.terms.partition != partition);
--- a/crates/turnstile/tests/work.rs
+++ b/crates/turnstile/tests/work.rs
@@ -9,7 +9,7 @@
 use orchidvalve_track::messages::{ItemOutcome, ItemState, ToStore, WorkGroup, WorkItem, WorkTerms};
 use orchidvalve_turnstile::generations::{Command, GroupId, ItemResult, Runner, ServerInfo};
 use orchidvalve_turnstile::text_coding::unpack;
-use orchidvalve_turnstile::work::{RewardRoutes, Work};
+use orchidvalve_turnstile::work::{HandedOut, RewardRoutes, Work};
 use orchidvalve_waybill::state::{Change, ControlState, Placement};
 use orchidvalve_waybill::{Configuration, RouteTable};
 use rand_pcg::Pcg64Mcg;
@@ -95,7 +95,18 @@
     }
 
     fn assign(&mut self, terms: WorkTerms, index: u32, table: Option<&Arc<RouteTable>>) {
-        self.work.assign(self.now, terms, groups(index), table, &mut self.runner, &mut self.commands);
+        self.assign_from(store(1), terms, index, table);
+    }
+
+    fn assign_from(
+        &mut self,
+        store: NodeAddress,
+        terms: WorkTerms,
+        index: u32,
+        table: Option<&Arc<RouteTable>>,
+    ) {
+        let handed_out = HandedOut { store, terms, groups: groups(index) };
+        self.work.assign(self.now, handed_out, table, &mut self.runner, &mut self.commands);
         self.runner.tick(self.now, &mut self.commands);
     }
 
@@ -293,3 +304,28 @@
     door.work.recorded(PARTITION, "job", &["item-0".into()]);
     assert_eq!(door.work.unconfirmed(), 0);
 }
+
+/// The leases of a store end when it is silent: those of the head that the door knows, unless a newer one than that has
+/// handed the partition's groups out. That one thinks they are here, and wouldn't send them again.
+#[rstest]
+#[case::the_head_that_is_known(1, 1, 1, true)]
+#[case::another_store(1, 1, 2, false)]
+#[case::a_former_head_after_news_of_a_newer_one(2, 2, 1, false)]
+#[case::the_newer_head(2, 2, 2, true)]
+#[case::the_head_before_news_of_the_newer_one(1, 2, 1, false)]
+#[case::the_newer_head_before_news_of_it(1, 2, 2, true)]
+fn the_leases_of_the_newest_head_end_with_its_silence(
+    #[case] known: u8,
+    #[case] handed_out_by: u8,
+    #[case] silent: u8,
+    #[case] dropped: bool,
+) {
+    let mut door = Door::new();
+    if known > 1 {
+        place(&mut door.state, u64::from(known), known);
+    }
+    let table = table("pule252");
+    door.assign_from(store(handed_out_by), terms("job", u64::from(handed_out_by)), 0, Some(&table));
+    door.work.store_silent(store(silent), &door.state, &mut door.runner, &mut door.commands);
+    assert_eq!(door.runner.open_groups(), usize::from(!dropped));
+}
