--- a/crates/turnstile/src/process/mod.rs
+++ b/crates/turnstile/src/process/mod.rs
@@ -80,6 +80,8 @@
     calls: JobCalls,
     stores: StoreLinks,
     near_stores: BTreeSet<NodeAddress>,
+    /// Head of each partition, by its number.
+    heads: Vec<Option<NodeAddress>>,
     runner: Runner,
     work: Work,
     stopping_since: Option<u64>,
@@ -145,6 +147,7 @@
             calls: JobCalls::default(),
             stores: StoreLinks::new(introduction),
             near_stores: BTreeSet::new(),
+            heads: Vec::new(),
             runner,
             work: Work::default(),
             stopping_since: None,
@@ -264,7 +267,11 @@
             state.partitions().iter().flat_map(|p| p.members.iter()).map(|m| m.address).collect();
         let near = state.stores().values().filter(|s| s.zone == self.options.zone);
         self.near_stores = near.map(|s| s.member.address).collect();
+        let heads: Vec<Option<NodeAddress>> =
+            state.partitions().iter().map(|p| p.members.first().map(|m| m.address)).collect();
         self.stores.set_stores(&mut self.network, &stores);
+        self.heads_changed(heads);
+        let state = self.feed.copy().state();
         let Some(configuration) = state.configuration() else { return };
         if self.table.as_ref().is_none_or(|t| t.version() != configuration.version()) {
             let table = RouteTable::compile(configuration);
@@ -276,6 +283,17 @@
         }
     }
 
+    /// Groups that former heads of partitions handed out pass to the new ones.
+    fn heads_changed(&mut self, heads: Vec<Option<NodeAddress>>) {
+        for (partition, head) in heads.iter().enumerate() {
+            let known = self.heads.get(partition).copied().flatten();
+            if let Some(head) = head.filter(|head| Some(*head) != known) {
+                self.stores.expect_word(head, self.now);
+            }
+        }
+        self.heads = heads;
+    }
+
     fn servers_changed(&mut self) {
         let change = self.fleet.update(self.feed.copy().servers());
         for key in change.removed {
--- a/crates/turnstile/src/store_links.rs
+++ b/crates/turnstile/src/store_links.rs
@@ -26,7 +26,7 @@
     up: bool,
     begun_at: u64,
     heard_at: u64,
-    /// When something of this store's last came, unless its leases are over.
+    /// When something of this store's last came, or its leases began without a word; None when they are over.
     leased_at: Option<u64>,
     heartbeat_at: u64,
     retry_at: u64,
@@ -74,6 +74,14 @@
         }
     }
 
+    /// The store is the head of a partition from now on, and the groups that its former head handed out pass to it: its
+    /// leases begin, and end if nothing is heard of it.
+    pub fn expect_word(&mut self, store: NodeAddress, now: u64) {
+        if let Some(link) = self.links.get_mut(&store) {
+            link.leased_at.get_or_insert(now);
+        }
+    }
+
     /// Generations that this door can have in flight or queued; told to all stores.
     pub fn set_work_limit(&mut self, network: &mut Network, limit: u32) {
         if limit != self.work_limit {
--- a/crates/turnstile/tests/store_links.rs
+++ b/crates/turnstile/tests/store_links.rs
@@ -333,3 +333,52 @@
     assert!(!door.links.is_up(door.store));
     assert_eq!(door.links.next_wakeup(), u64::MAX);
 }
+
+/// Groups pass to a new head of their partition, which this door can't reach: the former one is heard on no link any
+/// more, and the new one may end jobs without this door knowing.
+#[rstest]
+#[case::never_heard(false)]
+#[case::lost_before(true)]
+fn a_new_head_that_cannot_be_reached_loses_its_leases(#[case] was_heard: bool) {
+    let mut door = Door::new();
+    if was_heard {
+        let mut peer = door.linked();
+        send(&mut peer, &FromStore::Heartbeat);
+        door.until(|door| !door.messages.is_empty());
+        drop(peer);
+        door.until(|door| !door.lost.is_empty());
+    }
+    door.listener = listen().0;
+    door.now += 10 * LOST_LEASE_MS;
+    (0..5).for_each(|_| door.turn());
+    door.silent.clear();
+    let head_since = door.now;
+    door.links.expect_word(door.store, head_since);
+    door.now = head_since + LOST_LEASE_MS - 1;
+    door.turn();
+    assert!(door.silent.is_empty());
+    assert!(door.links.next_wakeup() <= head_since + LOST_LEASE_MS);
+    door.now = head_since + LOST_LEASE_MS;
+    door.turn();
+    assert_eq!(door.silent, [door.store]);
+    door.now += 1;
+    door.turn();
+    assert_eq!(door.silent.len(), 1, "told once");
+}
+
+#[test]
+fn a_new_head_that_was_heard_lately_has_no_more_time() {
+    let mut door = Door::new();
+    let mut peer = door.linked();
+    send(&mut peer, &FromStore::Heartbeat);
+    door.until(|door| !door.messages.is_empty());
+    let heard_at = door.now;
+    drop(peer);
+    door.until(|door| !door.lost.is_empty());
+    door.listener = listen().0;
+    door.now = heard_at + 2_000;
+    door.links.expect_word(door.store, door.now);
+    door.now = heard_at + LOST_LEASE_MS;
+    door.turn();
+    assert_eq!(door.silent, [door.store]);
+}
