Track: the event loop split into connections, their table, events and sockets

Imports run one way: event_loop -> table, event -> connection; event_loop -> sockets. The paths network::{ConnectionId, Event, Network, Waker} stay. No behaviour changes: a connection that is looked up by its place is now also compared by serial number, which every caller had done already.

No test was changed.

--- /dev/null
+++ b/crates/track/src/network/connection.rs
@@ -0,0 +1,153 @@
+//! One connection: its state, and the bytes read from and to be written to its socket.
+
+use std::io::{self, ErrorKind, Read, Write};
+use std::net::{SocketAddr, TcpStream};
+use std::rc::Rc;
+
+use calloop::RegistrationToken;
+
+/// An empty buffer larger than this is given back.
+const KEPT_BYTES: usize = 32 << 10;
+/// Most bytes that are read from one connection in one turn, so that none starves the others.
+const TURN_BYTES: usize = 1 << 20;
+
+/// A connection. Numbers aren't used twice.
+#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
+pub struct ConnectionId {
+    /// Place in the table of connections; used again after the connection is gone.
+    pub(super) slot: u32,
+    /// Number that tells the connections of one place apart.
+    pub(super) serial: u32,
+}
+
+/// How far a connection is.
+#[derive(Clone, Copy, PartialEq, Eq)]
+pub(super) enum State {
+    Connecting,
+    Open,
+    /// Everything is written; the peer's end is awaited.
+    Finishing,
+    Closed {
+        reset: bool,
+    },
+}
+
+/// A connection with the bytes that wait in it.
+pub(super) struct Connection {
+    pub(super) socket: Rc<TcpStream>,
+    pub(super) registration: Option<RegistrationToken>,
+    pub(super) serial: u32,
+    pub(super) state: State,
+    pub(super) inbox: Vec<u8>,
+    read_start: usize,
+    pub(super) outbox: Vec<u8>,
+    write_start: usize,
+    /// To be closed once the outbox is empty.
+    pub(super) finish: bool,
+    pub(super) dirty: bool,
+    pub(super) peer: SocketAddr,
+}
+
+/// What a reading found.
+pub(super) enum Filled {
+    /// Everything that was there is read.
+    All,
+    /// There may be more.
+    More,
+    End,
+    Failed,
+}
+
+impl Connection {
+    pub(super) fn new(
+        socket: Rc<TcpStream>,
+        registration: RegistrationToken,
+        id: ConnectionId,
+        state: State,
+        peer: SocketAddr,
+    ) -> Connection {
+        Connection {
+            socket,
+            registration: Some(registration),
+            serial: id.serial,
+            state,
+            inbox: Vec::new(),
+            read_start: 0,
+            outbox: Vec::new(),
+            write_start: 0,
+            finish: false,
+            dirty: false,
+            peer,
+        }
+    }
+
+    /// Whether a connection that was begun here is up, or why it isn't; `None` while that is open.
+    pub(super) fn came_up(&self) -> Option<io::Result<()>> {
+        match self.socket.take_error() {
+            Ok(Some(fault)) | Err(fault) => Some(Err(fault)),
+            Ok(None) => self.socket.peer_addr().is_ok().then_some(Ok(())),
+        }
+    }
+
+    /// Bytes that have arrived and weren't consumed yet.
+    pub(super) fn unread(&self) -> &[u8] {
+        &self.inbox[self.read_start..]
+    }
+
+    /// Number of bytes that wait to be taken by the system.
+    pub(super) fn queued_bytes(&self) -> usize {
+        self.outbox.len() - self.write_start
+    }
+
+    /// Marks the first `bytes` of what is unread as read.
+    pub(super) fn consume(&mut self, bytes: usize) {
+        self.read_start = (self.read_start + bytes).min(self.inbox.len());
+        if self.read_start == self.inbox.len() {
+            self.inbox.clear();
+            self.inbox.shrink_to(KEPT_BYTES);
+            self.read_start = 0;
+        }
+    }
+
+    /// Reads what has arrived into the inbox, up to a bound for one turn.
+    pub(super) fn fill(&mut self, scratch: &mut [u8]) -> Filled {
+        if self.read_start > 0 {
+            self.inbox.drain(..self.read_start);
+            self.read_start = 0;
+        }
+        let mut taken = 0;
+        while taken < TURN_BYTES {
+            match (&*self.socket).read(scratch) {
+                Ok(0) => return Filled::End,
+                Ok(length) => {
+                    taken += length;
+                    // A connection that is being closed discards what still arrives.
+                    if self.state == State::Open {
+                        self.inbox.extend_from_slice(&scratch[..length]);
+                    }
+                }
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Filled::All,
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(_) => return Filled::Failed,
+            }
+        }
+        Filled::More
+    }
+
+    /// Writes as much of the outbox as the system takes.
+    pub(super) fn write(&mut self) -> io::Result<()> {
+        while self.write_start < self.outbox.len() {
+            match (&*self.socket).write(&self.outbox[self.write_start..]) {
+                Ok(0) => return Err(ErrorKind::WriteZero.into()),
+                Ok(length) => self.write_start += length,
+                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == ErrorKind::Interrupted => {}
+                Err(error) => return Err(error),
+            }
+        }
+        self.outbox.clear();
+        self.outbox.shrink_to(KEPT_BYTES);
+        self.write_start = 0;
+        Ok(())
+    }
+}
--- a/crates/track/src/network.rs
+++ b/crates/track/src/network/event_loop.rs
@@ -1,130 +1,38 @@
-//! The event loop of a process: listeners, connections, timers and signals in one thread.
-//!
-//! [`Network::poll`] waits for readiness and returns what happened; everything that is to be sent is collected
-//! in the outboxes of the connections and written at the end of the turn by [`Network::flush`].
+//! The event loop with its listeners and connections.
 
 use std::collections::VecDeque;
-use std::io::{self, ErrorKind, Read, Write};
+use std::io::{self, ErrorKind};
 use std::net::{Ipv4Addr, Shutdown, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::rc::Rc;
 use std::time::{Duration, Instant};
 
 use calloop::generic::Generic;
-use calloop::ping::{Ping, make_ping};
+use calloop::ping::make_ping;
 use calloop::signals::{Signal, Signals};
-use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction, RegistrationToken};
-use rustix::io::Errno;
-use slab::Slab;
-use socket2::{Domain, Protocol, Socket, Type};
+use calloop::{EventLoop, Interest, LoopHandle, Mode, PostAction};
+
+use super::connection::{Connection, ConnectionId, Filled, State};
+use super::event::{Event, Ready, Source, Waker};
+use super::sockets;
+use super::table::ConnectionTable;
 
 /// Least and most room that a reading asks for.
 const READ_BYTES: usize = 16 << 10;
-/// An empty buffer larger than this is given back.
-const KEPT_BYTES: usize = 32 << 10;
-/// Connections that a listener keeps waiting.
-const BACKLOG: i32 = 1024;
-/// Most bytes that are read from one connection in one turn, so that none starves the others.
-const TURN_BYTES: usize = 1 << 20;
 /// How long a peer may take to close its end after this one is closed.
 const FINISH_TIMEOUT: Duration = Duration::from_secs(2);
 
-/// A connection. Numbers aren't used twice.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
-pub struct ConnectionId {
-    slot: u32,
-    serial: u32,
-}
-
-/// What happened.
-#[derive(Debug)]
-pub enum Event {
-    /// A peer connected to the listener with this tag.
-    Accepted { listener: u32, connection: ConnectionId },
-    /// A connection that was begun here is up.
-    Connected(ConnectionId),
-    /// Bytes have arrived: see [`Network::inbox`].
-    Data(ConnectionId),
-    /// The connection is over. What arrived before can still be read until [`Network::forget`].
-    Closed { connection: ConnectionId, reset: bool },
-    /// The process is told to stop.
-    Terminate,
-    /// The settings may have changed.
-    Reload,
-    /// Another thread has news.
-    Woken,
-}
-
-#[derive(Clone, Copy, Debug, PartialEq, Eq)]
-enum Source {
-    Listener(usize),
-    Connection(ConnectionId),
-    Terminate,
-    Reload,
-    Wake,
-}
-
-#[derive(Default)]
-struct Ready {
-    sources: Vec<Source>,
-}
-
-impl Ready {
-    fn note(&mut self, source: Source) {
-        if !self.sources.contains(&source) {
-            self.sources.push(source);
-        }
-    }
-}
-
-#[derive(Clone, Copy, PartialEq, Eq)]
-enum State {
-    Connecting,
-    Open,
-    /// Everything is written; the peer's end is awaited.
-    Finishing,
-    Closed {
-        reset: bool,
-    },
-}
-
-struct Connection {
-    socket: Rc<TcpStream>,
-    registration: Option<RegistrationToken>,
-    serial: u32,
-    state: State,
-    inbox: Vec<u8>,
-    read_start: usize,
-    outbox: Vec<u8>,
-    write_start: usize,
-    /// To be closed once the outbox is empty.
-    finish: bool,
-    dirty: bool,
-    peer: SocketAddr,
-}
-
 struct Listener {
     socket: Rc<TcpListener>,
     tag: u32,
 }
 
-/// Wakes the event loop from another thread.
-#[derive(Clone)]
-pub struct Waker(Ping);
-
-impl Waker {
-    pub fn wake(&self) {
-        self.0.ping();
-    }
-}
-
 /// The event loop with its connections.
 pub struct Network {
     events: EventLoop<'static, Ready>,
     handle: LoopHandle<'static, Ready>,
     ready: Ready,
     listeners: Vec<Listener>,
-    connections: Slab<Connection>,
-    next_serial: u32,
+    connections: ConnectionTable,
     dirty: Vec<ConnectionId>,
     /// Connections with more to read than one turn takes, or events found outside of polling.
     pending: VecDeque<Event>,
@@ -158,8 +66,7 @@
             handle,
             ready: Ready::default(),
             listeners: Vec::new(),
-            connections: Slab::new(),
-            next_serial: 1,
+            connections: ConnectionTable::new(),
             dirty: Vec::new(),
             pending: VecDeque::new(),
             again: Vec::new(),
@@ -182,12 +89,7 @@
 
     /// Listens at `address`; connections come with `tag`.
     pub fn listen(&mut self, address: SocketAddrV4, tag: u32) -> io::Result<SocketAddr> {
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
-        socket.set_reuse_address(true)?;
-        socket.set_nonblocking(true)?;
-        socket.bind(&SocketAddr::V4(address).into())?;
-        socket.listen(BACKLOG)?;
-        let socket: Rc<TcpListener> = Rc::new(socket.into());
+        let socket = Rc::new(sockets::listen(address)?);
         let index = self.listeners.len();
         let source = Generic::new(socket.clone(), Interest::READ, Mode::Level);
         let note = move |_, _: &mut _, ready: &mut Ready| {
@@ -204,47 +106,22 @@
     /// sent bytes may stay unacknowledged by the peer's machine.
     pub fn connect(&mut self, address: SocketAddrV4, user_timeout: Duration) -> io::Result<ConnectionId> {
         let address = SocketAddr::V4(address);
-        let socket = Socket::new(Domain::IPV4, Type::STREAM, Some(Protocol::TCP))?;
-        socket.set_nonblocking(true)?;
-        let _ = socket.set_tcp_user_timeout(Some(user_timeout));
-        if let Some(source) = self.source {
-            socket.bind(&SocketAddr::V4(SocketAddrV4::new(source, 0)).into())?;
-        }
-        match socket.connect(&address.into()) {
-            Err(error) if error.raw_os_error() != Some(Errno::INPROGRESS.raw_os_error()) => {
-                return Err(error);
-            }
-            _ => {}
-        }
-        self.insert(socket.into(), address, State::Connecting)
+        let socket = sockets::begin_connect(address, self.source, user_timeout)?;
+        self.insert(socket, address, State::Connecting)
     }
 
     fn insert(&mut self, socket: TcpStream, peer: SocketAddr, state: State) -> io::Result<ConnectionId> {
         socket.set_nonblocking(true)?;
         let _ = socket.set_nodelay(true);
         let socket = Rc::new(socket);
-        let entry = self.connections.vacant_entry();
-        let id = ConnectionId { slot: entry.key() as u32, serial: self.next_serial };
-        self.next_serial = self.next_serial.wrapping_add(1);
+        let id = self.connections.next_id();
         let source = Generic::new(socket.clone(), Interest::BOTH, Mode::Edge);
         let note = move |_, _: &mut _, ready: &mut Ready| {
             ready.note(Source::Connection(id));
             Ok(PostAction::Continue)
         };
         let registration = self.handle.insert_source(source, note).map_err(other)?;
-        entry.insert(Connection {
-            socket,
-            registration: Some(registration),
-            serial: id.serial,
-            state,
-            inbox: Vec::new(),
-            read_start: 0,
-            outbox: Vec::new(),
-            write_start: 0,
-            finish: false,
-            dirty: false,
-            peer,
-        });
+        self.connections.insert(Connection::new(socket, registration, id, state, peer));
         Ok(id)
     }
 
@@ -292,8 +169,8 @@
     }
 
     fn attend(&mut self, id: ConnectionId, events: &mut Vec<Event>) {
-        let Some(connection) = self.connections.get_mut(id.slot as usize) else { return };
-        if connection.serial != id.serial || matches!(connection.state, State::Closed { .. }) {
+        let Some(connection) = self.connections.get_mut(id) else { return };
+        if matches!(connection.state, State::Closed { .. }) {
             return;
         }
         if connection.state == State::Connecting {
@@ -310,7 +187,7 @@
             }
         }
         let scratch = &mut self.scratch[..];
-        let connection = &mut self.connections[id.slot as usize];
+        let Some(connection) = self.connections.get_mut(id) else { return };
         let before = connection.inbox.len();
         let ending = connection.fill(scratch);
         if connection.inbox.len() > before && connection.state == State::Open {
@@ -326,35 +203,27 @@
     }
 
     fn mark_closed(&mut self, id: ConnectionId, reset: bool, events: &mut Vec<Event>) {
-        let connection = &mut self.connections[id.slot as usize];
+        let Some(connection) = self.connections.get_mut(id) else { return };
         let finishing = connection.state == State::Finishing;
         connection.state = State::Closed { reset };
         if let Some(registration) = connection.registration.take() {
             self.handle.remove(registration);
         }
         if finishing {
-            self.connections.remove(id.slot as usize);
+            self.connections.remove(id);
         } else {
             events.push(Event::Closed { connection: id, reset });
         }
     }
 
-    fn get(&self, id: ConnectionId) -> Option<&Connection> {
-        self.connections.get(id.slot as usize).filter(|c| c.serial == id.serial)
-    }
-
-    fn get_mut(&mut self, id: ConnectionId) -> Option<&mut Connection> {
-        self.connections.get_mut(id.slot as usize).filter(|c| c.serial == id.serial)
-    }
-
     /// Bytes that have arrived and weren't consumed yet.
     pub fn inbox(&self, id: ConnectionId) -> &[u8] {
-        self.get(id).map_or(&[], |c| &c.inbox[c.read_start..])
+        self.connections.get(id).map_or(&[], Connection::unread)
     }
 
     /// Marks the first `bytes` of the inbox as read.
     pub fn consume(&mut self, id: ConnectionId, bytes: usize) {
-        if let Some(connection) = self.get_mut(id) {
+        if let Some(connection) = self.connections.get_mut(id) {
             connection.consume(bytes);
         }
     }
@@ -362,7 +231,8 @@
     /// Bytes to be written to the connection; they leave at the end of the turn.
     pub fn outbox(&mut self, id: ConnectionId) -> Option<&mut Vec<u8>> {
         self.touch(id);
-        self.get_mut(id)
+        self.connections
+            .get_mut(id)
             .filter(|c| !matches!(c.state, State::Closed { .. }) && !c.finish)
             .map(|c| &mut c.outbox)
     }
@@ -376,22 +246,22 @@
 
     /// Bytes that wait to be taken by the system.
     pub fn queued_bytes(&self, id: ConnectionId) -> usize {
-        self.get(id).map_or(0, |c| c.outbox.len() - c.write_start)
+        self.connections.get(id).map_or(0, Connection::queued_bytes)
     }
 
     /// Whether the connection is up and may be written to.
     pub fn is_open(&self, id: ConnectionId) -> bool {
-        self.get(id).is_some_and(|c| c.state == State::Open && !c.finish)
+        self.connections.get(id).is_some_and(|c| c.state == State::Open && !c.finish)
     }
 
     /// Whether the connection is over and its peer closed its end in order, after everything it had sent. Only then
     /// can a message without a length be whole.
     pub fn ended_in_order(&self, id: ConnectionId) -> bool {
-        self.get(id).is_some_and(|c| c.state == State::Closed { reset: false })
+        self.connections.get(id).is_some_and(|c| c.state == State::Closed { reset: false })
     }
 
     pub fn peer(&self, id: ConnectionId) -> Option<SocketAddr> {
-        self.get(id).map(|c| c.peer)
+        self.connections.get(id).map(|c| c.peer)
     }
 
     /// Number of connections that are held.
@@ -402,24 +272,21 @@
     /// Closes the connection once everything in its outbox is written. No event follows.
     pub fn finish(&mut self, id: ConnectionId) {
         self.touch(id);
-        if let Some(connection) = self.get_mut(id) {
+        if let Some(connection) = self.connections.get_mut(id) {
             connection.finish = true;
         }
     }
 
     /// Drops the connection at once with all that waits in it. No event follows.
     pub fn forget(&mut self, id: ConnectionId) {
-        if self.get(id).is_none() {
-            return;
-        }
-        let connection = self.connections.remove(id.slot as usize);
+        let Some(connection) = self.connections.remove(id) else { return };
         if let Some(registration) = connection.registration {
             self.handle.remove(registration);
         }
     }
 
     fn touch(&mut self, id: ConnectionId) {
-        if let Some(connection) = self.get_mut(id)
+        if let Some(connection) = self.connections.get_mut(id)
             && !connection.dirty
         {
             connection.dirty = true;
@@ -430,7 +297,7 @@
     /// Writes what waits in the outboxes.
     pub fn flush(&mut self) {
         for id in std::mem::take(&mut self.dirty) {
-            let Some(connection) = self.get_mut(id) else { continue };
+            let Some(connection) = self.connections.get_mut(id) else { continue };
             connection.dirty = false;
             if matches!(connection.state, State::Connecting | State::Closed { .. }) {
                 continue;
@@ -452,7 +319,7 @@
     /// Peers that don't close their end in time are not waited for.
     fn drop_finished(&mut self) {
         while let Some(&(since, id)) = self.finishing.front() {
-            if self.get(id).is_some() && since.elapsed() < FINISH_TIMEOUT {
+            if self.connections.get(id).is_some() && since.elapsed() < FINISH_TIMEOUT {
                 return;
             }
             self.finishing.pop_front();
@@ -463,7 +330,7 @@
     /// After a failed write, what the peer had sent before is read first.
     fn mark_closed_by_write(&mut self, id: ConnectionId, events: &mut Vec<Event>) {
         let scratch = &mut self.scratch[..];
-        let connection = &mut self.connections[id.slot as usize];
+        let Some(connection) = self.connections.get_mut(id) else { return };
         if connection.finish {
             connection.state = State::Finishing;
         }
@@ -475,70 +342,3 @@
         self.mark_closed(id, true, events);
     }
 }
-
-enum Filled {
-    /// Everything that was there is read.
-    All,
-    /// There may be more.
-    More,
-    End,
-    Failed,
-}
-
-impl Connection {
-    fn came_up(&self) -> Option<io::Result<()>> {
-        match self.socket.take_error() {
-            Ok(Some(fault)) | Err(fault) => Some(Err(fault)),
-            Ok(None) => self.socket.peer_addr().is_ok().then_some(Ok(())),
-        }
-    }
-
-    fn consume(&mut self, bytes: usize) {
-        self.read_start = (self.read_start + bytes).min(self.inbox.len());
-        if self.read_start == self.inbox.len() {
-            self.inbox.clear();
-            self.inbox.shrink_to(KEPT_BYTES);
-            self.read_start = 0;
-        }
-    }
-
-    fn fill(&mut self, scratch: &mut [u8]) -> Filled {
-        if self.read_start > 0 {
-            self.inbox.drain(..self.read_start);
-            self.read_start = 0;
-        }
-        let mut taken = 0;
-        while taken < TURN_BYTES {
-            match (&*self.socket).read(scratch) {
-                Ok(0) => return Filled::End,
-                Ok(length) => {
-                    taken += length;
-                    // A connection that is being closed discards what still arrives.
-                    if self.state == State::Open {
-                        self.inbox.extend_from_slice(&scratch[..length]);
-                    }
-                }
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Filled::All,
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(_) => return Filled::Failed,
-            }
-        }
-        Filled::More
-    }
-
-    fn write(&mut self) -> io::Result<()> {
-        while self.write_start < self.outbox.len() {
-            match (&*self.socket).write(&self.outbox[self.write_start..]) {
-                Ok(0) => return Err(ErrorKind::WriteZero.into()),
-                Ok(length) => self.write_start += length,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
-                Err(error) if error.kind() == ErrorKind::Interrupted => {}
-                Err(error) => return Err(error),
-            }
-        }
-        self.outbox.clear();
-        self.outbox.shrink_to(KEPT_BYTES);
-        self.write_start = 0;
-        Ok(())
-    }
-}
--- /dev/null
+++ b/crates/track/src/network/mod.rs
@@ -0,0 +1,14 @@
+//! The event loop of a process: listeners, connections, timers and signals in one thread.
+//!
+//! [`Network::poll`] waits for readiness and returns what happened; everything that is to be sent is collected
+//! in the outboxes of the connections and written at the end of the turn by [`Network::flush`].
+
+mod connection;
+mod event;
+mod event_loop;
+mod sockets;
+mod table;
+
+pub use connection::ConnectionId;
+pub use event::{Event, Waker};
+pub use event_loop::Network;
--- /dev/null
+++ b/crates/track/src/network/table.rs
@@ -0,0 +1,47 @@
+//! The table of connections: each is found by its place, and told from earlier ones there by its serial number.
+
+use slab::Slab;
+
+use super::connection::{Connection, ConnectionId};
+
+/// All connections that are held.
+pub(super) struct ConnectionTable {
+    slots: Slab<Connection>,
+    next_serial: u32,
+}
+
+impl ConnectionTable {
+    pub(super) fn new() -> ConnectionTable {
+        ConnectionTable { slots: Slab::new(), next_serial: 1 }
+    }
+
+    /// The id of the connection that is inserted next.
+    pub(super) fn next_id(&mut self) -> ConnectionId {
+        let id = ConnectionId { slot: self.slots.vacant_key() as u32, serial: self.next_serial };
+        self.next_serial = self.next_serial.wrapping_add(1);
+        id
+    }
+
+    /// Inserts the connection that the last [`ConnectionTable::next_id`] was for.
+    pub(super) fn insert(&mut self, connection: Connection) {
+        self.slots.insert(connection);
+    }
+
+    pub(super) fn get(&self, id: ConnectionId) -> Option<&Connection> {
+        self.slots.get(id.slot as usize).filter(|c| c.serial == id.serial)
+    }
+
+    pub(super) fn get_mut(&mut self, id: ConnectionId) -> Option<&mut Connection> {
+        self.slots.get_mut(id.slot as usize).filter(|c| c.serial == id.serial)
+    }
+
+    pub(super) fn remove(&mut self, id: ConnectionId) -> Option<Connection> {
+        self.get(id)?;
+        self.slots.try_remove(id.slot as usize)
+    }
+
+    /// Number of connections that are held.
+    pub(super) fn len(&self) -> usize {
+        self.slots.len()
+    }
+}
