Turnstile: the idle pool in a file of its own, upstream split by job

Repetition moves into messages.rs, and runs re-exports it, so that runs imports upstream and not the other way too. Public paths upstream::... and runs::Repetition stay. No behaviour changes: the conditions for keeping a connection are the same, asked in two places (whether the answer allows it by the exchange, whether the connection can be trusted and has room by the pool).

No test was changed.

--- a/crates/turnstile/src/runs.rs
+++ b/crates/turnstile/src/runs.rs
@@ -9,13 +9,7 @@
 
 use crate::requests::is_refusal;
 use crate::upstream::Failure;
-
-/// How often a call may run.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Repetition {
-    Repeatable,
-    AtMostOnce,
-}
+pub use crate::upstream::Repetition;
 
 /// Proof that one send didn't run and never will.
 #[derive(Debug)]
--- /dev/null
+++ b/crates/turnstile/src/upstream/sent_ids.rs
@@ -0,0 +1,28 @@
+//! The ids of the requests that a connection has carried.
+
+use std::collections::VecDeque;
+
+use orchidvalve_waybill::configuration::fingerprint;
+
+/// Ids of the last requests on a connection that are remembered. An extra answer that passes more answers than
+/// this has met one of another id before.
+const REMEMBERED_IDS: usize = 16;
+
+/// Fingerprints of the ids that were sent last on a connection.
+#[derive(Default, Debug)]
+pub(super) struct SentIds(VecDeque<u64>);
+
+impl SentIds {
+    /// Whether the request `id` was sent; one without an id never was.
+    pub(super) fn contains(&self, id: Option<&str>) -> bool {
+        id.is_some_and(|id| self.0.contains(&fingerprint(id.as_bytes())))
+    }
+
+    /// Notes that the request `id` is sent, and forgets the oldest one beyond the bound.
+    pub(super) fn push(&mut self, id: Option<&str>) {
+        if self.0.len() == REMEMBERED_IDS {
+            self.0.pop_front();
+        }
+        self.0.extend(id.map(|id| fingerprint(id.as_bytes())));
+    }
+}
--- a/crates/turnstile/src/upstream.rs
+++ b/crates/turnstile/src/upstream/upstreams.rs
@@ -1,107 +1,25 @@
-//! Requests to servers: connections that are kept and reused, and the answers that come on them.
-//!
-//! An exchange is one request on one connection. Its answer comes as [`UpstreamEvent`]s: the head, pieces of the
-//! body, and its end. Dropping an exchange closes its connection, by which most servers drop the request.
-//!
-//! Which request an answer belongs to is told by its connection and by the `Attempt-Id` that servers echo: they may
-//! send a second answer, late, where the next one is due. So on a kept connection every answer has to bear the id,
-//! and no id is sent twice on one connection. A connection whose request was answered before it was wholly sent
-//! isn't kept, so no other bytes come where the rest of a body is due.
+//! The exchanges of a door with its servers, each on a connection of its own.
 
-use std::collections::{HashMap, VecDeque};
+use std::collections::HashMap;
 use std::net::SocketAddrV4;
 use std::time::Duration;
 
 use compact_str::CompactString;
 use orchidvalve_track::http::{ResponseHead, ResponseReader};
 use orchidvalve_track::network::{ConnectionId, Network};
-use orchidvalve_waybill::configuration::fingerprint;
 
-use crate::runs::Repetition;
+use super::idle::{IdlePool, ReturnedConnection, stated_idle_ms};
+use super::messages::{ExchangeId, Failure, Outbound, UpstreamEvent};
+use super::sent_ids::SentIds;
 
+/// Longest head of an answer, in bytes.
 const HEADER_LIMIT: usize = 64 << 10;
-/// An idle connection is kept so long where the server doesn't say.
-const DEFAULT_IDLE_MS: u64 = 4_000;
-/// A connection is trusted to be kept so long where the server doesn't say.
-const TRUSTED_IDLE_MS: u64 = 400;
-/// An idle connection is given up so long before the server would close it.
-const IDLE_MARGIN_MS: u64 = 500;
-/// Idle connections to one server that are kept at most.
-const MOST_IDLE: usize = 8;
 /// A connection that isn't up within this time has failed.
 pub const CONNECT_TIMEOUT_MS: u64 = 400;
-/// Pause between two searches for idle connections that are too old.
-const SEARCH_MS: u64 = 100;
+/// How long sent bytes may stay unacknowledged by the server's machine.
 const USER_TIMEOUT: Duration = Duration::from_millis(3_000);
-/// Ids of the last requests on a connection that are remembered. An extra answer that passes more answers than
-/// this has met one of another id before.
-const REMEMBERED_IDS: usize = 16;
-
-/// One request on its way.
-#[derive(Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
-pub struct ExchangeId(pub u64);
-
-/// Why an exchange ended without a whole answer.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
-pub enum Failure {
-    /// No connection came up: the request was surely not sent.
-    Connect,
-    /// A kept connection ended before any byte of an answer: most likely the server closed it as it was idle. The
-    /// request may have run.
-    Stale,
-    /// The connection ended, or what came is no answer to this request. The request may have run.
-    Broken,
-}
-
-/// A whole request to a server.
-#[derive(Clone, Copy, Debug)]
-pub struct Outbound<'a> {
-    pub method: &'a str,
-    /// Answers that carry another id belong to other requests.
-    pub attempt_id: Option<&'a str>,
-    pub bytes: &'a [u8],
-    /// For a request that runs at most once, no connection is used that the server may be about to close.
-    pub repetition: Repetition,
-}
-
-/// What happened to an exchange.
-#[derive(PartialEq, Debug)]
-pub enum UpstreamEvent {
-    Head {
-        exchange: ExchangeId,
-        head: ResponseHead,
-    },
-    Body {
-        exchange: ExchangeId,
-        bytes: Vec<u8>,
-    },
-    /// The answer is whole.
-    Complete {
-        exchange: ExchangeId,
-    },
-    Failed {
-        exchange: ExchangeId,
-        failure: Failure,
-    },
-}
-
-/// Fingerprints of the ids that were sent last on a connection.
-#[derive(Default, Debug)]
-struct SentIds(VecDeque<u64>);
-
-impl SentIds {
-    fn contains(&self, id: Option<&str>) -> bool {
-        id.is_some_and(|id| self.0.contains(&fingerprint(id.as_bytes())))
-    }
-
-    fn push(&mut self, id: Option<&str>) {
-        if self.0.len() == REMEMBERED_IDS {
-            self.0.pop_front();
-        }
-        self.0.extend(id.map(|id| fingerprint(id.as_bytes())));
-    }
-}
 
+/// A request that was sent and whose answer isn't whole.
 #[derive(Debug)]
 struct Exchange {
     id: ExchangeId,
@@ -117,32 +35,21 @@
     sent_ids: SentIds,
 }
 
-#[derive(Debug)]
-struct Idle {
-    connection: ConnectionId,
-    /// Up to then the server surely keeps it.
-    trusted_until: u64,
-    until: u64,
-    sent_ids: SentIds,
-}
-
 /// All exchanges and idle connections of a door.
 #[derive(Default, Debug)]
 pub struct Upstreams {
     exchanges: HashMap<ConnectionId, Exchange>,
     connections: HashMap<ExchangeId, ConnectionId>,
-    idle: HashMap<SocketAddrV4, Vec<Idle>>,
-    idle_addresses: HashMap<ConnectionId, SocketAddrV4>,
+    idle: IdlePool,
     next: u64,
     connecting: Vec<(u64, ConnectionId)>,
-    next_search: u64,
 }
 
 impl Upstreams {
     /// Number of connections to `server`, idle or not.
     pub fn connections_to(&self, server: &SocketAddrV4) -> usize {
         let busy = self.exchanges.values().filter(|e| e.server == *server).count();
-        busy + self.idle.get(server).map_or(0, Vec::len)
+        busy + self.idle.count(server)
     }
 
     /// Sends a request. None where no connection can be begun.
@@ -153,7 +60,7 @@
         outbound: &Outbound<'_>,
         now: u64,
     ) -> Option<ExchangeId> {
-        let kept = self.take_idle(network, &server, now, outbound);
+        let kept = self.idle.take(network, &server, now, outbound);
         let reused = kept.is_some();
         let (connection, mut sent_ids, connect_by) = match kept {
             Some(idle) => (idle.connection, idle.sent_ids, None),
@@ -184,38 +91,8 @@
         Some(id)
     }
 
-    /// The connection that was used last, of those that haven't carried the id of this request yet: a second answer
-    /// to its first send couldn't be told from the answer. One with bytes in it can't be trusted: they belong to no
-    /// request.
-    fn take_idle(
-        &mut self,
-        network: &mut Network,
-        server: &SocketAddrV4,
-        now: u64,
-        outbound: &Outbound<'_>,
-    ) -> Option<Idle> {
-        let kept = self.idle.get_mut(server)?;
-        while let Some(place) = kept.iter().rposition(|idle| !idle.sent_ids.contains(outbound.attempt_id)) {
-            let idle = &kept[place];
-            let until = match outbound.repetition {
-                Repetition::AtMostOnce => idle.trusted_until,
-                Repetition::Repeatable => idle.until,
-            };
-            if now < idle.until && now >= until {
-                return None;
-            }
-            let idle = kept.remove(place);
-            self.idle_addresses.remove(&idle.connection);
-            if now < until && owes_nothing(network, idle.connection) {
-                return Some(idle);
-            }
-            network.forget(idle.connection);
-        }
-        None
-    }
-
     pub fn owns(&self, connection: ConnectionId) -> bool {
-        self.exchanges.contains_key(&connection) || self.idle_addresses.contains_key(&connection)
+        self.exchanges.contains_key(&connection) || self.idle.contains(connection)
     }
 
     /// A connection that was begun is up.
@@ -242,7 +119,7 @@
         events: &mut Vec<UpstreamEvent>,
     ) {
         let Some(exchange) = self.exchanges.get_mut(&connection) else {
-            self.drop_idle(network, connection);
+            self.idle.close(network, connection);
             return;
         };
         let id = exchange.id;
@@ -280,19 +157,14 @@
     fn retire(&mut self, network: &mut Network, connection: ConnectionId, now: u64) {
         let Some(exchange) = self.exchanges.remove(&connection) else { return };
         self.connections.remove(&exchange.id);
-        let stated_ms = exchange.reader.head().and_then(idle_time);
-        let kept_ms = stated_ms.unwrap_or(DEFAULT_IDLE_MS);
-        let trusted_ms = stated_ms.unwrap_or(TRUSTED_IDLE_MS);
-        // Bytes beyond the answer belong to no request: the connection can't be trusted.
-        let keeps = exchange.reader.reusable() && owes_nothing(network, connection);
-        let idle = self.idle.entry(exchange.server).or_default();
-        if keeps && kept_ms > 0 && idle.len() < MOST_IDLE {
-            let (trusted_until, until) = (now + trusted_ms, now + kept_ms);
-            idle.push(Idle { connection, trusted_until, until, sent_ids: exchange.sent_ids });
-            self.idle_addresses.insert(connection, exchange.server);
-        } else {
+        if !exchange.reader.reusable() {
             network.forget(connection);
+            return;
         }
+        let stated_ms = exchange.reader.head().and_then(stated_idle_ms);
+        let (server, sent_ids) = (exchange.server, exchange.sent_ids);
+        let returned = ReturnedConnection { connection, server, sent_ids, stated_ms };
+        self.idle.put(network, returned, now);
     }
 
     /// The connection has ended. An answer without a length is whole by that, if its server ended it in order.
@@ -303,7 +175,7 @@
         events: &mut Vec<UpstreamEvent>,
     ) {
         let Some(exchange) = self.exchanges.get(&connection) else {
-            self.drop_idle(network, connection);
+            self.idle.close(network, connection);
             return;
         };
         if exchange.head_told && exchange.reader.whole_at_close() && network.ended_in_order(connection) {
@@ -339,15 +211,6 @@
         Some(exchange.id)
     }
 
-    fn drop_idle(&mut self, network: &mut Network, connection: ConnectionId) {
-        if let Some(address) = self.idle_addresses.remove(&connection) {
-            if let Some(idle) = self.idle.get_mut(&address) {
-                idle.retain(|i| i.connection != connection);
-            }
-            network.forget(connection);
-        }
-    }
-
     /// Connections that didn't come up in time fail; idle ones that are old are closed.
     pub fn expire(&mut self, network: &mut Network, now: u64, events: &mut Vec<UpstreamEvent>) {
         let (late, waiting): (Vec<_>, Vec<_>) = self.connecting.drain(..).partition(|(by, _)| *by <= now);
@@ -357,20 +220,7 @@
                 self.fail(network, connection, Failure::Connect, events);
             }
         }
-        if now < self.next_search {
-            return;
-        }
-        self.next_search = now + SEARCH_MS;
-        let mut old = Vec::new();
-        for idle in self.idle.values_mut() {
-            let is_old = |i: &Idle| i.until <= now;
-            old.extend(idle.iter().filter(|i| is_old(i)).map(|i| i.connection));
-            idle.retain(|i| !is_old(i));
-        }
-        for connection in old {
-            self.idle_addresses.remove(&connection);
-            network.forget(connection);
-        }
+        self.idle.close_old(network, now);
     }
 
     /// Earliest time at which a connection has to be up.
@@ -379,14 +229,6 @@
     }
 }
 
-/// Whether nothing waits on a connection in either direction: neither bytes that belong to no request, nor the rest
-/// of a request that was answered early.
-fn owes_nothing(network: &Network, connection: ConnectionId) -> bool {
-    network.is_open(connection)
-        && network.inbox(connection).is_empty()
-        && network.queued_bytes(connection) == 0
-}
-
 /// Whether an answer can be that to the request with `attempt_id`. Servers echo the id; only refusals come without,
 /// and those count where no earlier request of the connection can have brought them.
 fn belongs(head: &ResponseHead, attempt_id: Option<&str>, reused: bool) -> bool {
@@ -397,11 +239,3 @@
         (None, None) => true,
     }
 }
-
-/// How long a connection may be kept idle after this answer, in milliseconds, where the server says so.
-fn idle_time(head: &ResponseHead) -> Option<u64> {
-    let parts = head.headers.get("keep-alive")?.split(',');
-    let seconds = parts.filter_map(|p| p.trim().strip_prefix("timeout=")).next()?;
-    let seconds: u64 = seconds.trim().parse().ok()?;
-    Some(seconds.saturating_mul(1_000).saturating_sub(IDLE_MARGIN_MS))
-}
