Sidings: the trainer split into calls, answers, naming of versions, readings, settings and tally

Cause: trainer/run.rs had 437 lines and held the steps, the bytes of every call, what follows from every outcome, and the naming of versions; and trainer/mod.rs was imported by the files that it imports.

Change: calls.rs (purposes of calls, their bytes and time, those under way), answers.rs (what follows for a batch job from an outcome), naming.rs (VersionNaming; a struct in place of a tuple of three numbers and a call), reading.rs (taken out of job.rs), settings.rs and tally.rs (taken out of mod.rs); run.rs keeps the steps (222 lines). Imports run one way: run -> answers, naming -> calls, reading -> job -> settings. The paths trainer::{Trainer, TrainerSettings, TrainerTally, SharedTally} stay. No behaviour changes: the random draws come in the same order.

No test was changed.

--- /dev/null
+++ b/crates/sidings/src/trainer/calls.rs
@@ -0,0 +1,115 @@
+//! The calls that a trainer makes for its batch jobs: their bytes, their time, and which of them are under way.
+
+use std::collections::BTreeMap;
+use std::net::SocketAddrV4;
+
+use super::job::Job;
+use super::settings::TrainerSettings;
+use crate::effects::{Call, Effects};
+use crate::http;
+
+/// How long a reading may be held, and what the reader waits beyond.
+const HOLD_MS: u64 = 1_000;
+const READ_SLACK_MS: u64 = 1_500;
+const SUBMIT_TIMEOUT_MS: u64 = 2_500;
+const END_TIMEOUT_MS: u64 = 1_500;
+/// Pause before a call without a clear answer is made again.
+pub(super) const RETRY_PAUSE_MS: u64 = 150;
+
+/// What a call is for.
+#[derive(Clone, Debug)]
+pub(super) enum Purpose {
+    Submit,
+    /// Reads the results behind a position, and waits for some.
+    Read {
+        after: u64,
+    },
+    /// Reads them again at the day's end.
+    Review {
+        after: u64,
+    },
+    /// Asks for the body of an item.
+    Body {
+        item: String,
+    },
+    End,
+}
+
+impl Purpose {
+    /// Bytes of the call for `job`.
+    pub(super) fn request(&self, settings: &TrainerSettings, job: &Job) -> Vec<u8> {
+        let host = &settings.host;
+        let id = job.id();
+        match self {
+            Purpose::Submit => {
+                let target = format!("{}{}", settings.path_prefix, &id[..6]);
+                let fields = [("Attempt-Id", id), ("Content-Type", "application/json")];
+                http::request("POST", &target, host, &fields, &job.document)
+            }
+            Purpose::Read { after } => {
+                let target = format!("/v1/lots/{id}?after-seq={after}");
+                let hold = HOLD_MS.to_string();
+                http::request("GET", &target, host, &[("Wait-Ms", &hold)], &[])
+            }
+            Purpose::Review { after } => {
+                let target = format!("/v1/lots/{id}?after-seq={after}");
+                http::request("GET", &target, host, &[], &[])
+            }
+            Purpose::Body { item } => {
+                let target = format!("/v1/items/{id}?instance-id={item}");
+                http::request("GET", &target, host, &[], &[])
+            }
+            Purpose::End => http::request("DELETE", &format!("/v1/lots/{id}"), host, &[], &[]),
+        }
+    }
+
+    /// Time for the whole answer, in milliseconds.
+    fn timeout_ms(&self) -> u64 {
+        match self {
+            Purpose::Submit => SUBMIT_TIMEOUT_MS,
+            Purpose::Read { .. } | Purpose::Review { .. } => HOLD_MS + READ_SLACK_MS,
+            Purpose::Body { .. } | Purpose::End => END_TIMEOUT_MS,
+        }
+    }
+}
+
+/// The calls under way, and the tags by which their outcomes come back.
+#[derive(Debug)]
+pub(super) struct Calls {
+    /// Number of the batch job and purpose of each call.
+    under_way: BTreeMap<u64, (usize, Purpose)>,
+    next_tag: u64,
+}
+
+impl Calls {
+    pub(super) fn new() -> Calls {
+        Calls { under_way: BTreeMap::new(), next_tag: 1 }
+    }
+
+    /// A tag that no other call of the trainer has.
+    pub(super) fn new_tag(&mut self) -> u64 {
+        let tag = self.next_tag;
+        self.next_tag += 1;
+        tag
+    }
+
+    /// Makes a call for the batch job with the number `index`.
+    pub(super) fn make(
+        &mut self,
+        index: usize,
+        purpose: Purpose,
+        address: SocketAddrV4,
+        bytes: Vec<u8>,
+        out: &mut Effects,
+    ) {
+        let tag = self.new_tag();
+        let timeout_ms = purpose.timeout_ms();
+        self.under_way.insert(tag, (index, purpose));
+        out.calls.push(Call { tag, address, bytes, timeout_ms, keep_alive: false });
+    }
+
+    /// A call is over: the number of its batch job, and its purpose.
+    pub(super) fn end(&mut self, tag: u64) -> Option<(usize, Purpose)> {
+        self.under_way.remove(&tag)
+    }
+}
--- a/crates/sidings/src/trainer/job.rs
+++ b/crates/sidings/src/trainer/job.rs
@@ -8,7 +8,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
 
-use super::TrainerSettings;
+use super::settings::TrainerSettings;
 use crate::client::draw_id;
 use crate::observation::{ItemSent, JobSent, ResultRead, RewardSent};
 use crate::text;
@@ -211,29 +211,3 @@
     let events = text::event_count(&id, most_out, settings.stride);
     (ItemSent { id, path, body: text::digest(&body), events, reward }, request)
 }
-
-/// The answer to a reading of a batch job.
-pub(super) struct Reading {
-    pub total: u64,
-    pub next: u64,
-    pub results: Vec<ResultRead>,
-}
-
-/// Reads such an answer; `None` if its body isn't as agreed.
-pub(super) fn parse_reading(body: &[u8]) -> Option<Reading> {
-    let value: Value = serde_json::from_slice(body).ok()?;
-    let results =
-        value["results"].as_array()?.iter().map(parse_result).collect::<Option<Vec<ResultRead>>>()?;
-    Some(Reading { total: value["total"].as_u64()?, next: value["next-token"].as_u64()?, results })
-}
-
-fn parse_result(value: &Value) -> Option<ResultRead> {
-    let versions = value["weight-versions"].as_array();
-    Some(ResultRead {
-        item: value["instance-id"].as_str()?.to_owned(),
-        state: value["state"].as_str()?.to_owned(),
-        message: value["message"].as_str().unwrap_or_default().to_owned(),
-        versions: versions.into_iter().flatten().filter_map(Value::as_u64).collect(),
-        score: value["score"].as_str().map(str::to_owned),
-    })
-}
--- /dev/null
+++ b/crates/sidings/src/trainer/naming.rs
@@ -0,0 +1,111 @@
+//! Naming of versions: each once the training of a step is over, and again until it is acknowledged.
+
+use std::collections::VecDeque;
+
+use rand_pcg::Pcg64Mcg;
+use serde_json::json;
+
+use super::calls::{Calls, RETRY_PAUSE_MS};
+use super::settings::TrainerSettings;
+use crate::control_call::{ControlCall, Verdict};
+use crate::directory::Directory;
+use crate::effects::{Effects, Notice, Outcome};
+use crate::observation::Observation;
+
+/// A version that is being named.
+#[derive(Debug)]
+struct Naming {
+    version: u64,
+    tag: u64,
+    call: ControlCall,
+}
+
+/// The versions that a trainer names.
+#[derive(Debug)]
+pub(super) struct VersionNaming {
+    /// When the training of ended steps is over, in their order.
+    training: VecDeque<u64>,
+    current: Option<Naming>,
+    /// Newest version that is noted by the system.
+    version: u64,
+}
+
+impl VersionNaming {
+    /// The first version is there from the start.
+    pub(super) fn new() -> VersionNaming {
+        VersionNaming { training: VecDeque::new(), current: None, version: 1 }
+    }
+
+    /// Newest version that is noted by the system.
+    pub(super) fn version(&self) -> u64 {
+        self.version
+    }
+
+    /// The training of one more step is over at `at`.
+    pub(super) fn train_until(&mut self, at: u64) {
+        self.training.push_back(at);
+    }
+
+    /// Names the next version once the training of a step is over.
+    pub(super) fn advance(
+        &mut self,
+        now: u64,
+        settings: &TrainerSettings,
+        calls: &mut Calls,
+        directory: &Directory,
+        random: &mut Pcg64Mcg,
+        out: &mut Effects,
+    ) {
+        if self.current.is_none() && self.training.front().is_some_and(|at| *at <= now) {
+            self.training.pop_front();
+            self.begin(now, settings, calls, out);
+        }
+        if let Some(Naming { tag, call, .. }) = &mut self.current {
+            out.calls.extend(call.send(now, *tag, directory, random));
+        }
+    }
+
+    fn begin(&mut self, now: u64, settings: &TrainerSettings, calls: &mut Calls, out: &mut Effects) {
+        if now >= settings.until {
+            return;
+        }
+        let version = self.version + 1;
+        let model = settings.model.clone();
+        let body = json!({"model": model, "config-version": version}).to_string().into_bytes();
+        let fields = [("Content-Type", "application/json".to_owned())];
+        let call = ControlCall::new("POST", "/v1/version-put", &fields, body, now, settings.until);
+        out.seen.push(Observation::VersionNamed { model: model.clone(), version });
+        out.notices.push(Notice::VersionNamed { model, version });
+        self.current = Some(Naming { version, tag: calls.new_tag(), call });
+    }
+
+    /// Whether the call with this tag names a version.
+    pub(super) fn owns(&self, tag: u64) -> bool {
+        self.current.as_ref().is_some_and(|naming| naming.tag == tag)
+    }
+
+    /// Takes the outcome of a call that names a version.
+    pub(super) fn ended(&mut self, now: u64, outcome: Outcome, model: &str, out: &mut Effects) {
+        let Some(Naming { version, call, .. }) = &mut self.current else { return };
+        match call.ended(now, outcome) {
+            Verdict::Answer(answer) if answer.is_success() => {
+                self.version = *version;
+                let model = model.to_owned();
+                out.seen.push(Observation::VersionAcknowledged { model, version: *version });
+                self.current = None;
+            }
+            // Anything but a 2xx is sent again.
+            Verdict::Answer(_) if now < call.give_up_at => call.next_at = Some(now + RETRY_PAUSE_MS),
+            Verdict::Answer(_) | Verdict::GivenUp => self.current = None,
+            Verdict::Again | Verdict::Lost(_) => {}
+        }
+    }
+
+    /// When there is something to do next.
+    pub(super) fn next_at(&self) -> Option<u64> {
+        match &self.current {
+            Some(naming) => naming.call.next_at,
+            None => self.training.front().copied(),
+        }
+    }
+}
--- /dev/null
+++ b/crates/sidings/src/trainer/tally.rs
@@ -0,0 +1,28 @@
+//! Counts of what a trainer has done.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+
+/// How far a trainer is.
+#[derive(Clone, Debug, Default)]
+pub struct TrainerTally {
+    pub steps_asked: u64,
+    pub steps_done: u64,
+    pub steps_in_time: u64,
+    /// Times from the first send to the 202, in milliseconds.
+    pub accept_ms: Vec<u64>,
+    /// Times from the first send to the last group that was waited for.
+    pub step_ms: Vec<u64>,
+    pub refusals: u64,
+    pub completed: u64,
+    pub expired: u64,
+    pub version: u64,
+    /// Batch jobs that were read again from the start, and those that couldn't be.
+    pub reviewed: u64,
+    pub unreadable: u64,
+    /// Nothing is left to do.
+    pub is_done: bool,
+}
+
+/// A tally shared with whoever reports.
+pub type SharedTally = Rc<RefCell<TrainerTally>>;
