Agreement: a leaving voter counts only others that have answered since it leaves

Of the other voters only those count now that have confirmed the view in force in answer to a ping sent after set_leaving; pings go out at once then. Costs one round trip at a planned end.

--- a/crates/interlocking/src/agreement.rs
+++ b/crates/interlocking/src/agreement.rs
@@ -27,8 +27,8 @@
     pub(crate) candidates: Vec<MemberId>,
     /// As a member outside the chain: everything acknowledged was copied in the current epoch.
     pub(crate) learner_ready: bool,
-    /// This process is about to end as planned.
-    pub(crate) leaving: bool,
+    /// Since when this process is about to end as planned.
+    pub(crate) leaving_since: Option<u64>,
     /// The writes of this process hang or fail.
     pub(crate) impaired: bool,
     pub(crate) timing: Timing,
@@ -64,7 +64,7 @@
             genesis,
             candidates: Vec::new(),
             learner_ready: false,
-            leaving: false,
+            leaving_since: None,
             impaired: false,
             timing: Timing::default(),
             damping: Damping::default(),
--- a/crates/interlocking/src/liveness.rs
+++ b/crates/interlocking/src/liveness.rs
@@ -79,6 +79,11 @@
         self.next_ping_at
     }
 
+    /// The next round of pings is due at `time`, if it wasn't due earlier.
+    pub fn ping_at(&mut self, time: u64) {
+        self.next_ping_at = self.next_ping_at.min(time);
+    }
+
     /// Earliest time at which a live peer would turn dead.
     pub fn next_expiry(&self) -> Option<u64> {
         self.peers.iter().filter_map(|peer| peer.answered_at).map(|at| at + FAILURE_TIMEOUT).min()
--- a/crates/interlocking/src/standing.rs
+++ b/crates/interlocking/src/standing.rs
@@ -10,7 +10,8 @@
     /// This process is about to end as planned. The others replace it, as far as they can; when it may end,
     /// [`Agreement::may_leave`] says. There is no way back but a new start.
     pub fn set_leaving(&mut self) {
-        self.leaving = true;
+        self.leaving_since.get_or_insert(self.now);
+        self.liveness.ping_at(self.now);
         self.reconsider = true;
     }
 
@@ -40,21 +41,20 @@
     ///
     /// It is no longer needed if it never knew a view, or if the latest view is effective and has this process
     /// neither in its chain nor among its voters. It may also stay a voter, outside the chain, if there is no live
-    /// candidate that could take the place and the other voters that live are a majority.
+    /// candidate that could take the place and a majority of the voters are others that have shown since
+    /// [`Agreement::set_leaving`] that they live: one that has just been lost still counts as alive.
     ///
     /// Waiting is of no use if every other voter and candidate is alive and leaving, too. It is of use while one of
     /// them is dead: it may come back and copy what only this process holds. The host ends the wait when its time is
     /// up.
     pub fn may_leave(&self) -> bool {
-        if !self.leaving {
-            return false;
-        }
+        let Some(leaving_since) = self.leaving_since else { return false };
         let Some(view) = self.view() else { return true };
         if self.others(view).all(|member| self.health(member).is_leaving()) {
             return true;
         }
-        let may_go =
-            !view.is_voter(self.me) || (!self.has_successor(view) && self.is_majority_without_me(view));
+        let may_go = !view.is_voter(self.me)
+            || (!self.has_successor(view) && self.is_majority_without_me(view, leaving_since));
         self.is_effective() && !view.in_chain(self.me) && may_go
     }
 
@@ -63,7 +63,7 @@
             ready: self.is_ready(),
             unsettled: self.is_unsettled(),
             reaches_chain: self.reaches_chain(),
-            leaving: self.leaving,
+            leaving: self.leaving_since.is_some(),
             impaired: self.impaired,
         }
     }
@@ -96,8 +96,12 @@
         self.candidates.iter().any(|member| may_follow(&member))
     }
 
-    fn is_majority_without_me(&self, view: &View) -> bool {
-        let votes = |voter: &&MemberId| **voter != self.me && self.health(**voter).can_vote();
+    /// True if a majority of the voters are others that can vote and have confirmed the view after `since`.
+    fn is_majority_without_me(&self, view: &View, since: u64) -> bool {
+        let has_confirmed = |voter: MemberId| self.liveness.confirmed_at(voter).is_some_and(|at| at > since);
+        let votes = |voter: &&MemberId| {
+            **voter != self.me && self.health(**voter).can_vote() && has_confirmed(**voter)
+        };
         view.voters.iter().filter(votes).count() >= majority(view.voters.len())
     }
 
--- a/crates/interlocking/tests/repair.rs
+++ b/crates/interlocking/tests/repair.rs
@@ -106,6 +106,19 @@
     assert!(!site.agreement(member(1, 1)).may_leave());
 }
 
+/// Nobody knows yet that the third machine is gone: it counts as alive for 700 ms after its last answer.
+#[rstest]
+fn a_leaving_voter_does_not_count_on_one_that_has_just_been_lost(#[values(0, 100, 300, 600)] before: u64) {
+    let mut site = Site::start(3, tolerate(1));
+    site.lose(member(3, 1));
+    site.run(before);
+    site.agreement(member(1, 1)).set_leaving();
+    for _ in 0..100 {
+        site.run(50);
+        assert!(!site.agreement(member(1, 1)).may_leave(), "{:?}", site.views());
+    }
+}
+
 #[test]
 fn without_a_candidate_the_chain_goes_on_without_the_leaving_head_and_it_stays_a_voter() {
     let mut site = Site::start(3, tolerate(1));
