Agreement: a leaving member is taken back while the chain is too short to commit

A voter that is about to end is appended where the chain is shorter than an acknowledgement needs and nobody else can be; it goes again when the chain can spare it.

repair.rs: a_leaving_member_is_taken_back_while_the_chain_is_too_short fails without the change (3 of 4 cases seen to fail). All tests of the crate pass.

--- a/crates/interlocking/src/policy.rs
+++ b/crates/interlocking/src/policy.rs
@@ -52,9 +52,14 @@
         next.chain.iter().any(|member| (self.health)(*member).is_ready()).then_some(next)
     }
 
+    /// With one more voter in the chain. One that is about to end is taken back only where nothing can be
+    /// acknowledged without it, as when another member is lost right after it has left the chain.
     fn with_voter_appended(&self) -> Option<View> {
-        let returning = |voter: &&MemberId| !self.view.in_chain(**voter) && (self.health)(**voter).may_join();
-        let member = *self.view.voters.iter().find(returning)?;
+        let outside = || self.view.voters.iter().copied().filter(|voter| !self.view.in_chain(*voter));
+        let is_short = self.view.chain.len() < self.timing.minimum_copies;
+        let staying = outside().find(|voter| (self.health)(*voter).may_join());
+        let member =
+            staying.or_else(|| outside().find(|voter| is_short && (self.health)(*voter).can_join()))?;
         let mut next = successor(self.view);
         next.chain.push(member);
         Some(next)
--- a/crates/interlocking/src/status.rs
+++ b/crates/interlocking/src/status.rs
@@ -68,6 +68,11 @@
 
     /// It may join the chain now.
     pub fn may_join(self) -> bool {
-        self.may_serve() && matches!(self, Health::Alive(status) if status.ready && status.reaches_chain)
+        self.may_serve() && self.can_join()
+    }
+
+    /// It could join the chain now, though it may be about to end.
+    pub fn can_join(self) -> bool {
+        self.is_ready() && matches!(self, Health::Alive(status) if status.reaches_chain)
     }
 }
--- a/crates/interlocking/tests/repair.rs
+++ b/crates/interlocking/tests/repair.rs
@@ -119,6 +119,22 @@
     }
 }
 
+/// It has left the chain when another member is lost: without it nothing could be acknowledged until that one is back.
+#[rstest]
+fn a_leaving_member_is_taken_back_while_the_chain_is_too_short(#[values(0, 100, 300, 600)] before: u64) {
+    let mut site = Site::start(3, tolerate(1));
+    site.lose(member(3, 1));
+    site.run(before);
+    site.agreement(member(1, 1)).set_leaving();
+    let is_long_again = |site: &Site| site.view().epoch > 1 && site.view().chain.len() == 2;
+    site.run(1_500);
+    assert!(is_long_again(&site) && !site.view().in_chain(member(3, 1)), "{:?}", site.views());
+    site.add_empty(member(3, 2));
+    let time = site.run_until(2_000, |site| site.network.nodes[&member(1, 1)].may_leave());
+    println!("may leave {time} ms after the return: {:?}", site.views());
+    assert!(!site.view().in_chain(member(1, 1)) && is_long_again(&site));
+}
+
 #[test]
 fn without_a_candidate_the_chain_goes_on_without_the_leaving_head_and_it_stays_a_voter() {
     let mut site = Site::start(3, tolerate(1));
