--- /dev/null
+++ b/crates/interlocking/tests/first_view.rs
@@ -0,0 +1,75 @@
+//! The first view where only three of the machines are seeds, and some of these come late or never.
+
+use orchidvalve_interlocking::{Agreement, Timing};
+use rstest::rstest;
+
+mod support;
+
+use support::site::Site;
+use support::{address, member};
+
+const SEEDS: u8 = 3;
+const CATCH_UP: u64 = 4_400;
+
+fn start(machines: &[u8], tolerance: usize) -> Site {
+    let mut site = Site::empty(SEEDS, Timing::new(CATCH_UP, tolerance + 1));
+    for machine in machines {
+        site.add_first(member(*machine, 1));
+    }
+    site
+}
+
+fn has_view(site: &Site) -> bool {
+    site.network.nodes.values().any(|agreement| agreement.view().is_some())
+}
+
+/// As many voters as the tolerance asks for, all of them in the chain.
+fn is_grown(site: &Site, voters: usize) -> bool {
+    let newest = site.network.nodes.values().filter_map(Agreement::view).max();
+    newest.is_some_and(|view| view.voters.len() == voters && view.chain.len() == voters)
+}
+
+#[rstest]
+#[case::all_of_six(&[1, 2, 3, 4, 5, 6])]
+#[case::one_seed_never_starts(&[1, 3, 4, 5, 6])]
+#[case::the_first_seed_never_starts(&[2, 3, 4, 5, 6, 7, 8])]
+#[case::seeds_last(&[8, 7, 6, 5, 4, 3, 2])]
+fn a_system_grows_beyond_its_seeds(#[case] machines: &[u8], #[values(1, 2)] tolerance: usize) {
+    let mut site = start(machines, tolerance);
+    let voters = 2 * tolerance + 1;
+    site.run_until(CATCH_UP, |site| is_grown(site, voters));
+    site.run(10_000);
+    assert!(is_grown(&site, voters), "{:?}", site.views());
+    assert!(site.network.nodes.values().all(|agreement| agreement.view() == Some(&site.view())));
+}
+
+#[rstest]
+#[case::one_of_three(&[3, 4, 5, 6, 7, 8])]
+#[case::none(&[4, 5, 6, 7, 8])]
+fn without_a_majority_of_the_seeds_there_is_no_first_view(#[case] machines: &[u8]) {
+    let mut site = start(machines, 2);
+    site.run(20_000);
+    assert!(!has_view(&site), "{:?}", site.views());
+    for seed in (1..=SEEDS).filter(|seed| !machines.contains(seed)) {
+        site.add_first(member(seed, 1));
+    }
+    site.run_until(CATCH_UP, |site| is_grown(site, 5));
+}
+
+/// The system has grown without it; it stands by and is taken in when others are lost.
+#[test]
+fn a_seed_that_comes_late_decides_no_view_of_its_own() {
+    let mut site = start(&[1, 2, 4, 5], 1);
+    site.run(10_000);
+    let before = site.view();
+    site.add_first(member(3, 1));
+    site.run(5_000);
+    assert_eq!(site.view(), before);
+    for lost in [2, 4] {
+        site.lose(member(lost, 1));
+        site.run(CATCH_UP);
+    }
+    let after = site.view();
+    assert!(after.voters.iter().any(|voter| voter.address == address(3)), "{after:?}");
+    assert_eq!(after.epoch, site.network.nodes[&member(3, 1)].epoch());
+}
--- a/crates/interlocking/tests/support/site.rs
+++ b/crates/interlocking/tests/support/site.rs
@@ -25,15 +25,24 @@
 impl Site {
     /// Machines 1 to `machines` with empty disks, all of them seeds, run until the first view has settled.
     pub fn start(machines: u8, timing: Timing) -> Site {
-        let network = Network::new();
-        let mut site = Site { network, timing, seeds: machines, copy_time: 0, copied_at: BTreeMap::new() };
+        let mut site = Site::empty(machines, timing);
         for machine in 1..=machines {
-            site.add(member(machine, 1), true);
+            site.add_first(member(machine, 1));
         }
         site.run(3_000);
         site
     }
 
+    /// No machine runs yet; machines 1 to `seeds` are the seeds.
+    pub fn empty(seeds: u8, timing: Timing) -> Site {
+        Site { network: Network::new(), timing, seeds, copy_time: 0, copied_at: BTreeMap::new() }
+    }
+
+    /// Starts a machine with an empty disk as one of those that a new system begins with.
+    pub fn add_first(&mut self, me: MemberId) {
+        self.add(me, true);
+    }
+
     pub fn set_copy_time(&mut self, copy_time: u64) {
         self.copy_time = copy_time;
     }
