Control: checkpoints go by bytes behind the newest one, not by sixteen entries

Sixteen bodies of 4 MB are more than the ring of a disk of 64 MB takes (54 MB): the ring is full on all members at once, so the checkpoint that would release it never becomes durable, and the control side stands still for good, also after restarts. With a state over 2 MB, on the other hand, every sixteenth change, however small, wrote the whole state again.

A checkpoint is due now when more lies behind the newest one than 2 MB and than that one has.

A state whose checkpoint doesn't fit four times into the ring can still fill it; nothing refuses such a configuration yet.

--- a/crates/signalbox/src/core/journaling.rs
+++ b/crates/signalbox/src/core/journaling.rs
@@ -10,7 +10,9 @@
 use crate::journal::DiskRecord;
 use crate::peer::PeerMessage;
 
-/// Payload bytes of the journal above which the head writes a checkpoint, where they exceed the state many times.
+/// Payload bytes behind the newest checkpoint above which the head writes the next one, unless that checkpoint is
+/// larger: then as many as it has. So at most half of what is written are checkpoints, and the journal takes no more
+/// than four times the state beside what is under way.
 const CHECKPOINT_BYTES: usize = 2 << 20;
 /// Entries of the journal above which the head writes a checkpoint.
 const CHECKPOINT_ENTRIES: u64 = 4_096;
@@ -118,10 +120,10 @@
 
     pub(super) fn checkpoint_if_due(&mut self) {
         let entries = self.journal.end() + 1 - self.journal.first();
-        let large = self.journal.payload_bytes() > CHECKPOINT_BYTES || entries > CHECKPOINT_ENTRIES;
-        let first_is_enough = entries < 16;
+        let limit = CHECKPOINT_BYTES.max(self.journal.checkpoint_bytes());
+        let is_long = self.journal.bytes_behind_checkpoint() > limit || entries > CHECKPOINT_ENTRIES;
         let under_way = self.applied < self.checkpoint_entered;
-        if large && !first_is_enough && !under_way && self.is_settled_head() {
+        if is_long && !under_way && self.is_settled_head() {
             // With everything under way: under load there is always something.
             let image = self.tentative().image();
             if self.propose(Change::Checkpoint(image)) {
--- a/crates/signalbox/src/journal.rs
+++ b/crates/signalbox/src/journal.rs
@@ -114,6 +114,17 @@
         self.payload_bytes
     }
 
+    /// Payload bytes of the checkpoint that the journal begins with, 0 before the first one.
+    pub fn checkpoint_bytes(&self) -> usize {
+        let first = self.entries.front().filter(|_| self.first > 1);
+        first.map_or(0, |(entry, _)| entry.payload.len())
+    }
+
+    /// Payload bytes of all entries but that checkpoint.
+    pub fn bytes_behind_checkpoint(&self) -> usize {
+        self.payload_bytes - self.checkpoint_bytes()
+    }
+
     pub fn previous_epoch(&self) -> u64 {
         self.previous_epoch
     }
