--- a/crates/signalbox/tests/support/script.rs
+++ b/crates/signalbox/tests/support/script.rs
@@ -18,6 +18,8 @@
     /// The machine that was struck last, or its successor.
     Last,
     Any,
+    /// The machine with this index, if its process runs.
+    Machine(usize),
 }
 
 /// Which ways a cut closes.
@@ -174,6 +176,7 @@
             Target::Middle => chain.get(1).copied(),
             Target::Last => self.struck_last.filter(sound),
             Target::Any => None,
+            Target::Machine(machine) => return Some(machine).filter(sound),
         };
         let all: Vec<usize> = (0..self.machines.len()).filter(sound).collect();
         if all.is_empty() {
