Control: a process that ends answers the calls that have come to it

A control process that may leave ended in the very turn in which its last call was decided: the answer stood in the outbox, which only the next poll writes. Operators saw a reset.

--- a/crates/signalbox/src/process/mod.rs
+++ b/crates/signalbox/src/process/mod.rs
@@ -134,6 +134,8 @@
         }
         process.turn();
         if process.has_ended() {
+            // The answer to the last call may have come in this very turn.
+            process.network.flush();
             return Ok(());
         }
     }
