Control: calls go to the head of the newest view known, also where it can't be entered yet

A machine whose disk hangs learns a newer view but can't enter it, since that has to be on its disk first. It went on deciding calls as a former head, or sent them to one whose disk hangs, too: all it could answer was 503. With two hanging disks of five an operator met these two often enough for an order to wait over 4 s, though the other three went on.

A call is forwarded now to the head of the newest view that the machine knows, unless that is itself.

--- a/crates/signalbox/src/core/calls.rs
+++ b/crates/signalbox/src/core/calls.rs
@@ -35,14 +35,21 @@
 
     /// A call that the head decides: here or at another machine.
     pub fn call(&mut self, call: u64, forwarded: ForwardedCall) {
-        if self.replica.is_head() {
-            self.decide(Origin::Local(call), forwarded);
-            return;
+        match self.newer_head().or(self.replica.view().head()) {
+            Some(head) if head == self.identity.me => self.decide(Origin::Local(call), forwarded),
+            Some(head) => self.forward(head, call, forwarded),
+            None => self.events.push(Event::Outcome { call, outcome: CallOutcome::Unclear }),
         }
-        let Some(head) = self.replica.view().head() else {
-            self.events.push(Event::Outcome { call, outcome: CallOutcome::Unclear });
-            return;
-        };
+    }
+
+    /// Another machine that is the head of a view which is known here but not entered yet. Where the disk hangs, that
+    /// may last.
+    fn newer_head(&self) -> Option<MemberId> {
+        let view = self.agreement.view().filter(|view| view.epoch > self.epoch())?;
+        view.head().filter(|head| *head != self.identity.me)
+    }
+
+    fn forward(&mut self, head: MemberId, call: u64, forwarded: ForwardedCall) {
         self.pending.push(Pending::Forwarded { call, deadline: self.now + CALL_TIMEOUT_MS });
         let message = PeerMessage::Forward { request: self.request_of(call), call: forwarded };
         self.events.push(Event::Send { to: head, message });
