Door: a time to keep a connection beyond the clock's end is borne

Cause (seen while splitting): Keep-Alive with a time of centuries overflowed the sum with the present time: a panic in debug builds, a connection taken for old in release ones. Change: the sum saturates. Measured: a_connection_that_is_kept_for_ages_is_reused panics without the change.

--- a/crates/turnstile/src/upstream/idle.rs
+++ b/crates/turnstile/src/upstream/idle.rs
@@ -98,7 +98,7 @@
         let idle = self.by_server.entry(server).or_default();
         // Bytes beyond the answer belong to no request: the connection can't be trusted.
         if owes_nothing(network, connection) && kept_ms > 0 && idle.len() < MOST_IDLE {
-            let (trusted_until, until) = (now + trusted_ms, now + kept_ms);
+            let (trusted_until, until) = (now.saturating_add(trusted_ms), now.saturating_add(kept_ms));
             idle.push(IdleConnection { connection, trusted_until, until, sent_ids });
             self.servers.insert(connection, server);
         } else {
--- a/crates/turnstile/tests/upstream.rs
+++ b/crates/turnstile/tests/upstream.rs
@@ -625,3 +625,12 @@
         }
     }
 }
+
+/// A server may state any time; one that lies beyond the clock's end is no reason to stop.
+#[test]
+fn a_connection_that_is_kept_for_ages_is_reused() {
+    let mut door = Door::new();
+    let answer = ANSWER.replace("\r\n\r\n", "\r\nKeep-Alive: timeout=18446744073709552\r\n\r\n");
+    let mut peer = door.exchange(&answer);
+    assert!(door.reuses(&mut peer, false));
+}
