Placement: a lost holder counts on until enough others hold everything

Cause: in planned work a chain may have a member that has just joined and lacks something. If a whole member was lost then, the chain went on as a long one, and a long view forgets holders that aren't members: if the other whole one came back with another disk (both lost power, their sessions ended 0.1 to 0.9 s apart, one disk was lost), nobody was known to hold everything, and the partition began anew although the first one's disk held it all.

Change: if a whole member is lost and fewer whole ones than copies are left, members that lack something become learners again. The view is short, commits nothing and keeps the lost one as a holder; the learner joins as soon as it is ready.

--- a/crates/locomotive/tests/placed_stores.rs
+++ b/crates/locomotive/tests/placed_stores.rs
@@ -17,6 +17,7 @@
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
 use support::{Process, World, disk, job};
 
 const STEP_MS: u64 = 50;
@@ -512,6 +513,35 @@
     }
 }
 
+/// Stores are told to stop a second apart, whether or not the one before is back, and one of them loses its disk
+/// beside that, which is one loss.
+#[rstest]
+#[case::without_a_wipe(false)]
+#[case::beside_a_wipe(true)]
+fn stores_that_are_told_to_stop_a_second_apart_lose_nothing(#[case] wipes: bool) {
+    let mut accepted = 0;
+    for seed in 0..50 {
+        let mut simulation = Simulation::new(seed);
+        simulation.run_for(1_000);
+        let wiped = simulation.random.random_range(0..STORES);
+        let wiped_at = simulation.world.now + simulation.random.random_range(0..60) * STEP_MS;
+        for index in 0..STORES {
+            simulation.terminate(index);
+            for _ in 0..(1_000 / STEP_MS) {
+                if wipes && simulation.world.now == wiped_at {
+                    simulation.lose(wiped, Some(500));
+                    simulation.machines[wiped].wiped = true;
+                }
+                simulation.run_for(STEP_MS);
+            }
+        }
+        simulation.time_to_acceptance(15_000);
+        simulation.check_end();
+        accepted += simulation.accepted.len();
+    }
+    assert!(accepted > 200, "only {accepted} jobs were accepted");
+}
+
 /// All that held the partition come back with other disks: more than the tolerance. It is usable again.
 #[test]
 fn a_partition_whose_holders_are_all_wiped_is_usable_again() {
@@ -559,6 +589,26 @@
     }
 }
 
+/// A member has just joined, both others lose power, and the one that is seen to be gone last loses its disk as well: the
+/// one that was seen to be gone first comes back with everything.
+#[test]
+fn a_lost_member_still_counts_before_its_successor_is_complete() {
+    for seed in 0..50 {
+        let mut simulation = Simulation::new(seed);
+        simulation.run_for(1_000);
+        let whole = [simulation.member(0), simulation.member(1)];
+        simulation.terminate(whole[0]);
+        simulation.run_until(5_000, |simulation| simulation.placement().members.len() > COPIES);
+        simulation.lose(whole[1], Some(3_000));
+        let delay = simulation.random.random_range(1..19);
+        simulation.run_for(delay * STEP_MS);
+        simulation.lose(whole[0], Some(1_500));
+        simulation.machines[whole[0]].wiped = true;
+        simulation.check_end();
+        assert_eq!(simulation.placement().anew_since, 0, "seed {seed}");
+    }
+}
+
 /// The last member is lost while the former one, who holds everything as well, is on its way back.
 #[test]
 fn a_former_member_goes_on_when_the_last_one_is_lost() {
--- a/crates/signalbox/src/placement.rs
+++ b/crates/signalbox/src/placement.rs
@@ -160,9 +160,11 @@
         // Only a machine that holds everything can lead next: wait for one, or for its report.
         return None;
     }
+    let incomplete = take_incomplete(&mut members, placement, &complete, situation);
     let is_ready = |m: &MemberId| situation.is_ready(partition, placement.epoch, m);
     let staying = placement.learners.iter().filter(|m| situation.staying(m) && !members.contains(m)).copied();
     let (ready, mut learners): (Vec<MemberId>, Vec<MemberId>) = staying.partition(is_ready);
+    learners.extend(incomplete.into_iter().filter(|m| situation.staying(m)));
     members.extend(ready);
     let mut next = Placement { members, copies: situation.copies as u32, ..placement.clone() };
     let holders = next_holders(&next, &complete);
@@ -183,6 +185,23 @@
     Some(next)
 }
 
+/// Takes the members out that aren't known to hold everything, if one that does is lost and fewer than the copies are
+/// left: they copy the partition again. The chain is short then, so the lost one goes on holding everything, which may
+/// be needed if the others lose their disks in the same trouble.
+fn take_incomplete(
+    members: &mut Vec<MemberId>,
+    before: &Placement,
+    complete: &[MemberId],
+    situation: &Situation,
+) -> Vec<MemberId> {
+    let is_lost = |m: &&MemberId| complete.contains(m) && !situation.sound(m);
+    let left = members.iter().filter(|m| complete.contains(m)).count();
+    if left == 0 || left >= situation.copies || !before.members.iter().any(|m| is_lost(&m)) {
+        return Vec::new();
+    }
+    members.extract_if(.., |m| !complete.contains(m)).collect()
+}
+
 /// Whether a view is needed only to note that members hold everything: one that joined has reported after those that
 /// were noted were lost. A machine that is to be emptied may go only then. A chain that is longer than needed gets
 /// another view anyway.
--- a/crates/signalbox/tests/placement.rs
+++ b/crates/signalbox/tests/placement.rs
@@ -145,6 +145,10 @@
 #[case::only_an_incomplete_member_stays("12", "1", "", "2b 3a", "", None)]
 #[case::the_member_that_stays_has_reported("12", "1", "", "2b 3a", "2", Some(("2", "3")))]
 #[case::the_complete_one_leads("123", "3", "", "2b 3a", "", Some(("32", "")))]
+#[case::lost_before_the_successor_is_complete("123", "12", "", "1ar 3b", "", Some(("1", "3")))]
+#[case::head_lost_before_the_successor_is_complete("123", "12", "", "2br 3a", "", Some(("2", "3")))]
+#[case::lost_before_a_leaving_one_is_complete("123", "12", "", "1a 3br 4b", "", Some(("1", "4")))]
+#[case::lost_when_the_successor_is_complete("123", "12", "", "1ar 3b", "3", Some(("13", "")))]
 #[case::one_copy_is_enough_to_go_on("12", "1", "", "1a 3b", "", Some(("1", "3")))]
 #[case::learner_of_a_full_chain_is_not_needed("12", "12", "3", "1a 2b 3a", "", Some(("12", "")))]
 #[case::former_member_is_back("1", "12", "", "1a 2b 3b", "", Some(("12", "")))]
@@ -205,6 +209,7 @@
 #[case::a_learner_of_a_short_chain_is_complete("1", "1", "3", "1a 3b", "3", "13")]
 #[case::a_learner_of_a_full_chain_is_not("12", "12", "3", "1a 2br 3b", "3", "12")]
 #[case::a_former_member_of_a_full_chain_does_not_count("123", "123", "", "1a 2b", "", "12")]
+#[case::one_that_is_lost_before_another_is_complete_counts("123", "12", "", "1ar 3b", "", "12")]
 fn those_known_to_hold_everything_are_noted(
     #[case] in_chain: &str,
     #[case] holders: &str,
