Placement model: a disk that was never written lacks nothing where nothing is committed

Cause: the model took former members of a partition without any entry for machines that lack something.

Change: what a disk holds is 0 where nothing is noted, and compared with what is committed as before; as strict as soon as one entry is committed. The exception for this in check_emptied goes.

--- a/crates/signalbox/tests/placement_random.rs
+++ b/crates/signalbox/tests/placement_random.rs
@@ -131,7 +131,8 @@
 
     fn holds_everything(&self, partition: u16, member: &MemberId) -> bool {
         let journals = &self.journals[usize::from(partition)];
-        journals.held.get(member).is_some_and(|held| *held >= journals.committed)
+        // A disk that was never written holds everything as long as nothing is committed.
+        journals.held.get(member).copied().unwrap_or(0) >= journals.committed
     }
 
     /// A view is in force: its head's journal is the truth.
@@ -287,9 +288,7 @@
         for machine in self.machines.iter().filter(|m| m.retiring && is_empty(&m.member, &self.partitions)) {
             for (partition, placement) in (0u16..).zip(&self.partitions) {
                 let is_lost = |m: &MemberId| !self.machines.iter().any(|machine| machine.member == *m);
-                let is_nothing_committed = self.journals[usize::from(partition)].committed == 0;
-                let holds =
-                    |m: &&MemberId| is_lost(m) || is_nothing_committed || self.holds_everything(partition, m);
+                let holds = |m: &&MemberId| is_lost(m) || self.holds_everything(partition, m);
                 let copies = placement.members.iter().filter(|m| **m != machine.member).filter(holds).count();
                 assert!(copies >= self.copies, "{} may not be removed: {placement:?}", machine.member);
             }
