--- a/crates/signalbox/tests/planned_end.rs
+++ b/crates/signalbox/tests/planned_end.rs
@@ -1,7 +1,8 @@
 //! A control process that is told to stop while a call is open answers it before it ends.
 //!
 //! A test with a `main` of its own: the signal must reach no thread but the one of the process's event loop, so it is
-//! blocked before any other thread begins.
+//! blocked before any other thread begins. It prints its outcome as the standard harness does, since `.ci/verdict.py`
+//! counts each test by name and each test program by its closing line.
 
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
@@ -15,6 +16,8 @@
 /// Large enough that the call is still open when the signal comes.
 const FILLING_BYTES: usize = 4 << 20;
 
+const NAME: &str = "a_process_that_is_told_to_stop_answers_its_open_call";
+
 fn free_address() -> SocketAddrV4 {
     let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
     SocketAddrV4::new(Ipv4Addr::LOCALHOST, listener.local_addr().expect("bound").port())
@@ -94,6 +97,19 @@
     let ended = run(options);
     let answer = operator.join().expect("the operator ends");
     let _ = std::fs::remove_dir_all(data_directory);
-    println!("ended: {ended:?}, answer: {answer:?}");
-    if ended.is_ok() && answer.starts_with("HTTP/1.1 200") { ExitCode::SUCCESS } else { ExitCode::FAILURE }
+    report(
+        ended.is_ok() && answer.starts_with("HTTP/1.1 200"),
+        &format!("ended: {ended:?}, answer: {answer:?}"),
+    )
+}
+
+/// Prints the outcome of the only test in the words of the standard harness.
+fn report(passed: bool, details: &str) -> ExitCode {
+    println!("\nrunning 1 test");
+    if passed {
+        println!("test {NAME} ... ok\n\ntest result: ok. 1 passed; 0 failed");
+        return ExitCode::SUCCESS;
+    }
+    println!("test {NAME} ... FAILED\n\n{details}\n\ntest result: FAILED. 0 passed; 1 failed");
+    ExitCode::FAILURE
 }
