Control machines without a disk follow the feed and name the members to all who ask

Cause: the deploy file names control machines by a share of the edge machines, so in a zone with fewer disks the role runs without one. Such a process knew no more than its seeds and did not listen for the system's own processes. Change: signalbox::observer holds a session like a door, answers sessions and links with the list of members, and sends operators to the member that keeps its session. Members go on calling it after its restart. A seed without a disk says so and the first view is decided without it. Links that are given up no longer leave their connection open.

--- a/crates/interlocking/src/agreement.rs
+++ b/crates/interlocking/src/agreement.rs
@@ -91,6 +91,12 @@
         self
     }
 
+    /// The control machine at the address of this seed has no disk: it is no member, and the first view is decided
+    /// without it.
+    pub fn exclude_seed(&mut self, seed: NodeAddress) {
+        self.reconsider |= self.genesis.exclude(seed);
+    }
+
     /// The greeting to send first on every new connection.
     pub fn hello(&self) -> Message {
         Message::Hello { member: self.me, bootstrap: self.bootstrap, epoch: self.epoch() }
--- a/crates/interlocking/src/decide.rs
+++ b/crates/interlocking/src/decide.rs
@@ -209,7 +209,7 @@
 
     fn electorate(&self) -> Electorate {
         match &self.state.view {
-            None => Electorate::Seeds(self.genesis.seeds().to_vec()),
+            None => Electorate::Seeds(self.genesis.voting_seeds()),
             Some(view) => Electorate::after(view),
         }
     }
--- a/crates/interlocking/src/genesis.rs
+++ b/crates/interlocking/src/genesis.rs
@@ -9,6 +9,8 @@
 #[derive(Clone, Debug)]
 pub struct Genesis {
     seeds: Vec<NodeAddress>,
+    /// Seeds without a disk: they are no members and don't vote.
+    excluded: Vec<NodeAddress>,
     /// Members at the seed addresses with whether they bootstrap, the latest one of each address.
     known: Vec<(MemberId, bool)>,
     /// Some peer knows a view: the system exists, so no first view may be decided.
@@ -18,15 +20,28 @@
 
 impl Genesis {
     pub fn new(seeds: Vec<NodeAddress>) -> Genesis {
-        Genesis { seeds, known: Vec::new(), system_exists: false, started_at: None }
+        Genesis { seeds, excluded: Vec::new(), known: Vec::new(), system_exists: false, started_at: None }
     }
 
-    pub fn seeds(&self) -> &[NodeAddress] {
-        &self.seeds
+    /// Addresses of the seeds that vote on the first view.
+    pub fn voting_seeds(&self) -> Vec<NodeAddress> {
+        self.seeds.iter().copied().filter(|seed| !self.excluded.contains(seed)).collect()
+    }
+
+    /// A seed has no disk, so it takes no part; true if that is news.
+    ///
+    /// All machines are told so by the seed itself and agree sooner or later. Until then the sets of voters of two of
+    /// them differ in seeds that never vote, so a majority of the one and of the other have a voter in common.
+    pub fn exclude(&mut self, seed: NodeAddress) -> bool {
+        if !self.seeds.contains(&seed) || self.excluded.contains(&seed) {
+            return false;
+        }
+        self.excluded.push(seed);
+        true
     }
 
     pub fn is_seed(&self, member: MemberId) -> bool {
-        self.seeds.contains(&member.address)
+        self.seeds.contains(&member.address) && !self.excluded.contains(&member.address)
     }
 
     /// Notes a member at a seed address; true if it wasn't known.
@@ -60,7 +75,8 @@
         let mut voters: Vec<MemberId> =
             self.known.iter().filter(|(_, bootstrap)| *bootstrap).map(|(member, _)| *member).collect();
         let waited = self.started_at.is_some_and(|started_at| now >= started_at + SEED_WAIT);
-        let enough = if waited { majority(self.seeds.len()) } else { self.seeds.len() };
+        let expected = self.voting_seeds().len();
+        let enough = if waited { majority(expected) } else { expected };
         if self.system_exists || voters.is_empty() || voters.len() < enough {
             return None;
         }
--- a/crates/interlocking/tests/first_view.rs
+++ b/crates/interlocking/tests/first_view.rs
@@ -73,3 +73,25 @@
     assert!(after.voters.iter().any(|voter| voter.address == address(3)), "{after:?}");
     assert_eq!(after.epoch, site.network.nodes[&member(3, 1)].epoch());
 }
+
+/// The seeds named here have no disk. They say so to each machine at another moment, and don't run.
+#[rstest]
+#[case::one_of_three(&[2])]
+#[case::two_of_three(&[1, 3])]
+fn seeds_without_a_disk_take_no_part(#[case] without_disk: &[u8], #[values(1, 2)] tolerance: usize) {
+    let machines: Vec<u8> = (1..=8).filter(|machine| !without_disk.contains(machine)).collect();
+    let mut site = start(&machines, tolerance);
+    for machine in machines.iter().rev() {
+        site.run(100);
+        for seed in without_disk {
+            site.agreement(member(*machine, 1)).exclude_seed(address(*seed));
+        }
+    }
+    let voters = 2 * tolerance + 1;
+    site.run_until(CATCH_UP, |site| has_view(site) && is_grown(site, voters));
+    site.run(10_000);
+    let newest = site.view();
+    assert!(site.network.nodes.values().all(|agreement| agreement.view() == Some(&newest)));
+    let first = site.views().into_iter().find(|view| view.epoch == 1).expect("a first view");
+    assert!(first.voters.iter().all(|voter| voter.address <= address(SEEDS)), "{first:?}");
+}
--- a/crates/lineside/src/candidates.rs
+++ b/crates/lineside/src/candidates.rs
@@ -73,6 +73,11 @@
         self.hints.drain(..surplus);
     }
 
+    /// Those of the last list of a machine in touch, or of the others where there is none.
+    pub fn known(&self) -> Vec<NodeAddress> {
+        if self.told.is_empty() { self.hints.clone() } else { self.told.clone() }
+    }
+
     /// A session with `address` ended: the search for another one begins elsewhere.
     pub fn session_ended(&mut self, address: NodeAddress, now: u64) {
         self.search_began = now;
--- a/crates/lineside/src/session.rs
+++ b/crates/lineside/src/session.rs
@@ -84,6 +84,23 @@
         self.standing.is_some()
     }
 
+    /// Control machines that this process has been told of: those of the last session, or what machines out of touch
+    /// have named where no session stood yet.
+    pub fn controls(&self) -> Vec<NodeAddress> {
+        self.candidates.known()
+    }
+
+    /// Another process has named control machines: they are asked soon where no session stands.
+    pub fn hint(&mut self, controls: Vec<NodeAddress>, now: u64) {
+        self.candidates.hinted(controls);
+        self.ask_at = self.ask_at.min(now + RETRY_MS);
+    }
+
+    /// The control machine that keeps the session that stands: it is in touch with a majority.
+    pub fn control(&self) -> Option<NodeAddress> {
+        self.standing.as_ref().map(|standing| standing.address)
+    }
+
     /// When the control machine was last heard in this session.
     pub fn heard_at(&self) -> Option<u64> {
         self.standing.as_ref().map(|s| s.heard_at)
--- a/crates/locomotive/src/roles.rs
+++ b/crates/locomotive/src/roles.rs
@@ -5,7 +5,8 @@
 
 use derive_more::{Display, Error, From};
 use orchidvalve_goodsyard::process::{StoreError, StoreOptions};
-use orchidvalve_signalbox::process::{ControlError, ControlOptions};
+use orchidvalve_signalbox::observer::ObserverOptions;
+use orchidvalve_signalbox::process::{ControlError, ControlOptions, random_nonce};
 use orchidvalve_track::identity::NodeAddress;
 use orchidvalve_track::settings::{Settings, SettingsError};
 use orchidvalve_turnstile::process::{DoorError, DoorOptions};
@@ -38,7 +39,7 @@
 pub fn run(role: Role) -> Result<(), RunError> {
     let settings = Settings::load_from_environment()?;
     match role {
-        Role::Control if settings.data_directory.is_none() => redirect_callers(&settings),
+        Role::Control if settings.data_directory.is_none() => observe(&settings),
         Role::Control => Ok(orchidvalve_signalbox::process::run(control_options(&settings)?)?),
         Role::Door => Ok(orchidvalve_turnstile::process::run(door_options(&settings)?)?),
         Role::Store => Ok(orchidvalve_goodsyard::process::run(store_options(&settings)?)?),
@@ -98,10 +99,19 @@
 }
 
 /// Runs the control role on a machine that can't keep anything.
-fn redirect_callers(settings: &Settings) -> Result<(), RunError> {
+fn observe(settings: &Settings) -> Result<(), RunError> {
     let missing = RunError::Missing { key: "listen-addresses.control", role: "control" };
-    let address = settings.control.ok_or(missing)?;
-    orchidvalve_signalbox::redirector::run(address, &settings.seed_nodes).map_err(ControlError::from)?;
+    let options = ObserverOptions {
+        name: settings.node_name.clone(),
+        zone: settings.zone.clone(),
+        share: settings.limits.cpu_share as f32,
+        control_address: settings.control.ok_or(missing)?,
+        internal_address: internal_address(settings),
+        internal_listener: internal_listener(settings),
+        source: source(settings),
+        seeds: settings.seed_nodes.clone(),
+    };
+    orchidvalve_signalbox::observer::run(&options, random_nonce()).map_err(ControlError::from)?;
     Ok(())
 }
 
--- a/crates/signalbox/src/core/mod.rs
+++ b/crates/signalbox/src/core/mod.rs
@@ -186,6 +186,11 @@
         core
     }
 
+    /// The control machine at the address of this seed has no disk and takes no part in agreement.
+    pub fn exclude_seed(&mut self, seed: NodeAddress) {
+        self.agreement.exclude_seed(seed);
+    }
+
     pub fn take_events(&mut self) -> Vec<Event> {
         std::mem::take(&mut self.events)
     }
--- a/crates/signalbox/src/lib.rs
+++ b/crates/signalbox/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod followers;
 pub mod journal;
 pub mod links;
+pub mod observer;
 pub mod operator;
 pub mod peer;
 pub mod placement;
--- a/crates/signalbox/src/links.rs
+++ b/crates/signalbox/src/links.rs
@@ -20,6 +20,8 @@
 const CONNECT_TIMEOUT_MS: u64 = 250;
 /// A peer outside the view that wasn't heard for this time is forgotten.
 const FORGET_MS: u64 = 10_000;
+/// An observer that had no session for this time is forgotten.
+const FORGET_OBSERVER_MS: u64 = 600_000;
 /// Most bytes that may wait on a link.
 const MOST_QUEUED_BYTES: usize = 16 << 20;
 /// How long the peer's machine may leave bytes unacknowledged.
@@ -34,6 +36,10 @@
     member: Option<MemberId>,
     incoming: Option<ConnectionId>,
     heard_at: u64,
+    /// When somebody else named this peer.
+    named_at: u64,
+    /// It is a control machine without a disk, which is no member.
+    is_observer: bool,
     /// In the view or a seed: kept though it is silent.
     lasting: bool,
 }
@@ -43,11 +49,47 @@
 pub struct PeerLinks {
     me: NodeAddress,
     peers: BTreeMap<NodeAddress, Peer>,
+    /// Control machines without a disk, and when each was last seen to have a session.
+    observers: BTreeMap<NodeAddress, u64>,
 }
 
 impl PeerLinks {
     pub fn new(me: NodeAddress) -> PeerLinks {
-        PeerLinks { me, peers: BTreeMap::new() }
+        PeerLinks { me, peers: BTreeMap::new(), observers: BTreeMap::new() }
+    }
+
+    /// Other control machines were named by a machine that is no member. They are called, and forgotten if nothing is
+    /// heard of them.
+    pub fn named(&mut self, addresses: Vec<NodeAddress>, now: u64) {
+        for address in addresses.into_iter().filter(|address| *address != self.me) {
+            self.peers.entry(address).or_default().named_at = now;
+        }
+    }
+
+    /// The control machine at `address` has no disk. It is called as long as it has a session and for a while after:
+    /// it keeps nothing, so after a restart only its own seeds and its callers tell it who the members are.
+    pub fn observer_seen(&mut self, address: NodeAddress, now: u64) {
+        if address != self.me {
+            self.observers.insert(address, now);
+            self.peers.entry(address).or_default().is_observer = true;
+        }
+    }
+
+    /// The machine at the other end of this link has said that it is no member.
+    pub fn is_observer(&self, address: NodeAddress) -> bool {
+        self.peers.get(&address).is_some_and(|peer| peer.is_observer)
+    }
+
+    /// Notes that the machine at the other end of a link is no member.
+    pub fn mark_observer(&mut self, address: NodeAddress) {
+        if let Some(peer) = self.peers.get_mut(&address) {
+            peer.is_observer = true;
+        }
+    }
+
+    /// The machine that a link which this machine opened leads to.
+    pub fn address_of(&self, connection: ConnectionId) -> Option<NodeAddress> {
+        self.peers.iter().find(|(_, peer)| peer.connection == Some(connection)).map(|(address, _)| *address)
     }
 
     /// Machines that have to be linked as long as they are in this list.
@@ -79,6 +121,8 @@
         }
         let peer = self.peers.entry(member.address).or_default();
         peer.member = Some(member);
+        peer.is_observer = false;
+        self.observers.remove(&member.address);
         let older = peer.incoming.replace(connection).filter(|older| *older != connection);
         peer.heard_at = now;
         // Its machine is up: a link to it that hangs is begun anew at once.
@@ -99,7 +143,16 @@
     /// Opens missing links and drops silent ones. Returns members whose link was dropped.
     pub fn maintain(&mut self, network: &mut Network, now: u64) -> Vec<MemberId> {
         let mut dropped = Vec::new();
-        self.peers.retain(|_, p| p.lasting || p.heard_at == 0 || now < p.heard_at + FORGET_MS);
+        self.observers.retain(|_, seen_at| now < *seen_at + FORGET_OBSERVER_MS);
+        let observers = &self.observers;
+        self.peers.retain(|address, peer| {
+            let recently = now < peer.heard_at.max(peer.named_at) + FORGET_MS;
+            let stays = peer.lasting || recently || observers.contains_key(address);
+            if let Some(connection) = peer.connection.filter(|_| !stays) {
+                network.forget(connection);
+            }
+            stays
+        });
         for (address, peer) in &mut self.peers {
             if let Some(connection) = peer.connection {
                 let quiet_since = peer.heard_at.max(peer.opened_at);
@@ -159,9 +212,9 @@
         }
     }
 
-    /// Sends a message on every link that is up.
+    /// Sends a message to every member whose link is up.
     pub fn broadcast(&self, network: &mut Network, message: &PeerMessage) {
-        for address in self.peers.keys() {
+        for address in self.peers.iter().filter(|(_, peer)| !peer.is_observer).map(|(address, _)| address) {
             self.send(network, *address, message);
         }
     }
--- /dev/null
+++ b/crates/signalbox/src/observer/directory.rs
@@ -0,0 +1,57 @@
+//! Which control machines a machine without a disk names to those that ask it.
+
+use std::collections::BTreeMap;
+
+use orchidvalve_track::identity::NodeAddress;
+use orchidvalve_track::network::ConnectionId;
+
+/// Members open their links to this machine anew each second; one that hasn't for this time, in milliseconds, is no
+/// longer named.
+const FRESH_MS: u64 = 5_000;
+
+/// The link that a member has opened to this machine.
+#[derive(Clone, Copy, Debug)]
+struct Link {
+    connection: ConnectionId,
+    opened_at: u64,
+}
+
+/// Members of the control plane, as far as they are known here.
+#[derive(Default, Debug)]
+pub struct Directory {
+    links: BTreeMap<NodeAddress, Link>,
+}
+
+impl Directory {
+    /// A member has introduced itself on a link that it opened. Returns the older link that this one replaces.
+    pub fn linked(
+        &mut self,
+        connection: ConnectionId,
+        member: NodeAddress,
+        now: u64,
+    ) -> Option<ConnectionId> {
+        let older = self.links.insert(member, Link { connection, opened_at: now });
+        older.map(|link| link.connection).filter(|older| *older != connection)
+    }
+
+    /// Forgets members that haven't opened a link for a while. Returns their last ones.
+    pub fn expire(&mut self, now: u64) -> Vec<ConnectionId> {
+        let is_fresh = |link: &Link| now < link.opened_at + FRESH_MS;
+        let expired =
+            self.links.values().filter(|link| !is_fresh(link)).map(|link| link.connection).collect();
+        self.links.retain(|_, link| is_fresh(link));
+        expired
+    }
+
+    /// All known members: those of the feed's last list first, then others that have a link to this machine, such as
+    /// one that isn't in the view yet.
+    pub fn members(&self, of_feed: Vec<NodeAddress>) -> Vec<NodeAddress> {
+        let mut members = of_feed;
+        for member in self.links.keys() {
+            if !members.contains(member) {
+                members.push(*member);
+            }
+        }
+        members
+    }
+}
--- a/crates/signalbox/src/process/links.rs
+++ b/crates/signalbox/src/process/links.rs
@@ -2,7 +2,7 @@
 
 use orchidvalve_track::frames::{encode, read_frame};
 use orchidvalve_track::identity::{MemberId, NodeAddress};
-use orchidvalve_track::messages::{FromControl, LinkKind, PROTOCOL_VERSION, ToControl};
+use orchidvalve_track::messages::{FromControl, LinkKind, PROTOCOL_VERSION, Role, ToControl};
 use orchidvalve_track::network::ConnectionId;
 use orchidvalve_waybill::state::{Change, ModelUse};
 
@@ -29,6 +29,9 @@
         self.network.send(connection, &[LinkKind::ControlPeer.byte()]);
         let introduce = PeerMessage::Introduce { introduction: self.introduction.clone() };
         self.links.send(&mut self.network, address, &introduce);
+        if self.links.is_observer(address) {
+            return;
+        }
         self.links.send(&mut self.network, address, &self.core.hello());
         self.links.send(&mut self.network, address, &PeerMessage::Servers(self.servers.whole()));
         self.sessions_changed = true;
@@ -37,6 +40,36 @@
         }
     }
 
+    /// Something came back on a link that this machine opened. Members answer on links of their own, so this is a
+    /// machine without a disk, which names the members that it knows.
+    pub(super) fn link_data(&mut self, connection: ConnectionId, address: NodeAddress) {
+        loop {
+            let (message, length) = match read_frame::<FromControl>(self.network.inbox(connection)) {
+                Ok(Some(read)) => read,
+                Ok(None) => return,
+                Err(error) => {
+                    log::warn!("control: {error}");
+                    self.closed(connection);
+                    return;
+                }
+            };
+            self.network.consume(connection, length);
+            if let FromControl::Elsewhere { controls } = message {
+                self.links.mark_observer(address);
+                self.links.named(controls, self.now);
+                self.core.exclude_seed(address);
+            }
+        }
+    }
+
+    /// Links are kept to all control machines without a disk that have a session with any member.
+    fn watch_observers(&mut self) {
+        let observers = self.sessions.sessions().filter(|session| session.role == Role::Control);
+        for address in observers.map(|session| session.member.address) {
+            self.links.observer_seen(address, self.now);
+        }
+    }
+
     pub(super) fn end_session(&mut self, connection: ConnectionId) {
         if let Some(session) = self.followers.close(connection) {
             log::info!("sessions: {} has left", session.name);
@@ -210,6 +243,7 @@
         let controls = self.controls();
         self.followers.tell_controls(&mut self.network, controls);
         self.sessions.expire(self.now);
+        self.watch_observers();
         if self.sessions_changed || self.now >= self.told_sessions_at + SESSIONS_INTERVAL_MS {
             self.sessions_changed = false;
             self.told_sessions_at = self.now;
--- a/crates/signalbox/src/process/mod.rs
+++ b/crates/signalbox/src/process/mod.rs
@@ -257,6 +257,8 @@
         } else if self.duties.owns(connection) {
             let finished = self.duties.client().data(&mut self.network, connection);
             self.duty_call_finished(finished);
+        } else if let Some(address) = self.links.address_of(connection) {
+            self.link_data(connection, address);
         }
     }
 
@@ -381,7 +383,7 @@
 }
 
 /// Tells this start of the process from others: drawn from the seed of the standard library's hash maps.
-fn random_nonce() -> u64 {
+pub fn random_nonce() -> u64 {
     use std::hash::{BuildHasher, Hasher};
     std::collections::hash_map::RandomState::new().build_hasher().finish() | 1
 }
--- /dev/null
+++ b/crates/signalbox/tests/observer.rs
@@ -0,0 +1,215 @@
+//! A control machine without a disk, over loopback: it names the members to whoever asks, also where its own settings
+//! name no machine that has a disk.
+
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
+use std::thread;
+use std::time::Duration;
+
+use musli::Decode;
+use musli::alloc::Global;
+use musli::mode::Binary;
+use orchidvalve_signalbox::observer::{self, Directory, ObserverOptions};
+use orchidvalve_signalbox::peer::PeerMessage;
+use orchidvalve_track::frames::{read_frame, write_frame};
+use orchidvalve_track::identity::{MemberId, NodeAddress};
+use orchidvalve_track::messages::{
+    FeedPosition, FromControl, Introduction, LinkKind, PROTOCOL_VERSION, Role, ToControl,
+};
+use orchidvalve_track::network::{Event, Network};
+
+/// A peer that says nothing for this time has failed.
+const SILENCE: Duration = Duration::from_secs(20);
+
+fn free_address() -> SocketAddrV4 {
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    SocketAddrV4::new(Ipv4Addr::LOCALHOST, listener.local_addr().expect("bound").port())
+}
+
+fn node(address: SocketAddrV4) -> NodeAddress {
+    NodeAddress::new(*address.ip(), address.port())
+}
+
+fn introduction(role: Role, address: NodeAddress) -> Introduction {
+    Introduction {
+        version: PROTOCOL_VERSION,
+        role,
+        name: format!("machine-{address}"),
+        zone: "north".to_owned(),
+        member: MemberId { address, disk: 7 },
+        incarnation: 1,
+        share: 1.0,
+    }
+}
+
+/// A control machine without a disk whose only seed is itself.
+fn start_observer() -> ObserverOptions {
+    let internal_address = free_address();
+    let control_address = free_address();
+    let options = ObserverOptions {
+        name: "edge-north-2".to_owned(),
+        zone: "north".to_owned(),
+        share: 1.0,
+        control_address,
+        internal_address,
+        internal_listener: internal_address,
+        source: None,
+        seeds: vec![control_address],
+    };
+    let running = options.clone();
+    thread::spawn(move || observer::run(&running, 5));
+    options
+}
+
+fn connect(address: SocketAddrV4) -> TcpStream {
+    loop {
+        if let Ok(stream) = TcpStream::connect(address) {
+            stream.set_read_timeout(Some(SILENCE)).expect("a socket");
+            return stream;
+        }
+        thread::yield_now();
+    }
+}
+
+fn call(address: SocketAddrV4, kind: LinkKind, message: &[u8]) -> TcpStream {
+    let mut stream = connect(address);
+    stream.write_all(&[kind.byte()]).expect("sent");
+    stream.write_all(message).expect("sent");
+    stream
+}
+
+fn frame_of<M: musli::Encode<Binary>>(message: &M) -> Vec<u8> {
+    let mut bytes = Vec::new();
+    write_frame(&mut bytes, message);
+    bytes
+}
+
+/// The next message on a connection, with the bytes before it left out.
+fn receive<M: for<'de> Decode<'de, Binary, Global>>(stream: &mut TcpStream, skipped: usize) -> M {
+    let mut inbox = vec![0; skipped];
+    stream.read_exact(&mut inbox).expect("the kind of the link");
+    inbox.clear();
+    loop {
+        if let Some((message, _)) = read_frame(&inbox).expect("a message") {
+            return message;
+        }
+        let mut byte = [0];
+        stream.read_exact(&mut byte).expect("a message comes");
+        inbox.push(byte[0]);
+    }
+}
+
+/// Opens a link as a member does, and returns it with the answer.
+fn link_as_member(observer: &ObserverOptions, member: NodeAddress) -> (TcpStream, FromControl) {
+    let introduce = PeerMessage::Introduce { introduction: introduction(Role::Control, member) };
+    let mut link = call(observer.internal_address, LinkKind::ControlPeer, &frame_of(&introduce));
+    let answer = receive(&mut link, 0);
+    (link, answer)
+}
+
+/// What a door is told that asks for a session.
+fn ask_for_session(observer: &ObserverOptions) -> FromControl {
+    let door = introduction(Role::Door, NodeAddress::new(Ipv4Addr::LOCALHOST, 0));
+    let ask = ToControl::Introduce { introduction: door, position: FeedPosition::default() };
+    receive(&mut call(observer.internal_address, LinkKind::Session, &frame_of(&ask)), 0)
+}
+
+fn controls(message: FromControl) -> Vec<NodeAddress> {
+    match message {
+        FromControl::Elsewhere { controls } => controls,
+        other => panic!("{other:?}"),
+    }
+}
+
+/// Keeps a session with the observer, as a member that is in touch with a majority, until the test ends.
+fn welcome(listener: TcpListener, members: Vec<NodeAddress>) -> thread::JoinHandle<Introduction> {
+    thread::spawn(move || {
+        let (mut session, _) = listener.accept().expect("the observer calls");
+        session.set_read_timeout(Some(SILENCE)).expect("a socket");
+        let ToControl::Introduce { introduction, .. } = receive(&mut session, 1) else {
+            panic!("no introduction")
+        };
+        session.write_all(&frame_of(&FromControl::Welcome { controls: members })).expect("sent");
+        // Its heartbeats are answered for as long as the test runs.
+        thread::spawn(move || {
+            let mut byte = [0];
+            while session.read_exact(&mut byte).is_ok() {
+                if session.write_all(&frame_of(&FromControl::Heartbeat)).is_err() {
+                    return;
+                }
+            }
+        });
+        introduction
+    })
+}
+
+#[test]
+fn members_that_call_are_named_to_all_others() {
+    let observer = start_observer();
+    let first = free_address();
+    let (_first_link, answer) = link_as_member(&observer, node(first));
+    assert_eq!(controls(answer), vec![], "nobody is known yet");
+    let (_second_link, answer) = link_as_member(&observer, node(free_address()));
+    assert!(controls(answer).contains(&node(first)));
+    assert!(controls(ask_for_session(&observer)).contains(&node(first)));
+}
+
+#[test]
+fn the_list_of_a_member_is_named_once_it_keeps_a_session() {
+    let observer = start_observer();
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).expect("a free port");
+    let port = listener.local_addr().expect("bound").port();
+    let member = NodeAddress::new(Ipv4Addr::LOCALHOST, port);
+    let never_called = NodeAddress::new(Ipv4Addr::new(127, 0, 0, 9), port);
+    let session = welcome(listener, vec![member, never_called]);
+    let (_link, _) = link_as_member(&observer, member);
+    let introduced = session.join().expect("the observer asks for a session");
+    assert_eq!(
+        (introduced.role, introduced.member.address),
+        (Role::Control, node(observer.internal_address))
+    );
+    while !controls(ask_for_session(&observer)).contains(&never_called) {
+        thread::yield_now();
+    }
+    let port = observer.control_address.port();
+    assert_eq!(operator_is_sent_to(&observer), format!("http://127.0.0.1:{port}/v1/configuration"));
+}
+
+fn operator_is_sent_to(observer: &ObserverOptions) -> String {
+    let mut operator = connect(observer.control_address);
+    operator
+        .write_all(b"GET /v1/configuration HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\r\n")
+        .expect("sent");
+    let mut answer = String::new();
+    operator.read_to_string(&mut answer).expect("an answer");
+    assert!(answer.starts_with("HTTP/1.1 307"), "{answer}");
+    let location = answer.lines().find_map(|line| line.strip_prefix("Location: ")).expect("a location");
+    location.to_owned()
+}
+
+#[test]
+fn a_member_that_calls_no_more_is_forgotten() {
+    let mut network = Network::new().expect("an event loop");
+    let address = network.listen(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0), 1).expect("a free port");
+    let _peers: Vec<TcpStream> = (0..3).map(|_| TcpStream::connect(address).expect("connected")).collect();
+    let mut accepted = Vec::new();
+    while accepted.len() < 3 {
+        let events = network.poll(Duration::from_millis(5)).expect("events");
+        accepted.extend(events.into_iter().filter_map(|event| match event {
+            Event::Accepted { connection, .. } => Some(connection),
+            _ => None,
+        }));
+    }
+    let (one, two) = (node(free_address()), NodeAddress::new(Ipv4Addr::new(10, 0, 0, 2), 7_000));
+    let mut directory = Directory::default();
+    assert_eq!(directory.linked(accepted[0], one, 1_000), None);
+    assert_eq!(directory.linked(accepted[1], two, 1_000), None);
+    assert_eq!(
+        directory.linked(accepted[2], one, 4_000),
+        Some(accepted[0]),
+        "a newer link of the same machine"
+    );
+    assert_eq!(directory.expire(5_999), vec![]);
+    assert_eq!(directory.expire(6_000), vec![accepted[1]]);
+    assert_eq!(directory.members(vec![two]), vec![two, one], "the feed's list comes first");
+}
--- a/crates/signalbox/tests/peer_links.rs
+++ b/crates/signalbox/tests/peer_links.rs
@@ -43,3 +43,44 @@
     assert_eq!(links.introduced(member(2, 9), accepted[2], 1_500), Some(accepted[0]));
     assert_eq!(links.introduced(member(2, 9), accepted[2], 1_600), None, "the same connection");
 }
+
+fn open_links(links: &mut PeerLinks, network: &mut Network, now: u64) -> usize {
+    links.maintain(network, now);
+    network.connections()
+}
+
+#[test]
+fn machines_that_were_named_are_called_and_forgotten_in_time() {
+    let mut network = Network::new().unwrap();
+    let (_listener, address) = listen();
+    let named = NodeAddress::new(*address.ip(), address.port());
+    let mut links = PeerLinks::new(member(1, 1).address);
+    links.named(vec![named, member(1, 1).address], 200_000);
+    assert_eq!(open_links(&mut links, &mut network, 200_000), 1, "not this machine itself");
+    assert_eq!(open_links(&mut links, &mut network, 209_999), 1);
+    assert_eq!(open_links(&mut links, &mut network, 210_000), 0, "nothing was heard of it");
+}
+
+/// After a restart a machine without a disk knows no member, if its seeds have none either: members call it.
+#[test]
+fn machines_without_a_disk_are_called_long_after_their_session() {
+    let mut network = Network::new().unwrap();
+    let (_listener, address) = listen();
+    let observer = NodeAddress::new(*address.ip(), address.port());
+    let mut links = PeerLinks::new(member(1, 1).address);
+    links.observer_seen(observer, 200_000);
+    assert_eq!(open_links(&mut links, &mut network, 500_000), 1);
+    assert!(links.is_observer(observer));
+    assert_eq!(open_links(&mut links, &mut network, 800_000), 0, "it has gone for good");
+}
+
+#[test]
+fn a_machine_that_introduces_itself_as_a_member_is_no_observer() {
+    let mut network = Network::new().unwrap();
+    let (accepted, _peers) = connections(&mut network, 1);
+    let mut links = PeerLinks::new(member(1, 1).address);
+    links.observer_seen(member(2, 2).address, 200_000);
+    links.introduced(member(2, 2), accepted[0], 200_100);
+    assert!(!links.is_observer(member(2, 2).address));
+    assert_eq!(links.heard_members(200_200), vec![member(2, 2)]);
+}
--- a/crates/signalbox/tests/redirector.rs
+++ b/crates/signalbox/tests/redirector.rs
@@ -4,6 +4,7 @@
 
 use orchidvalve_signalbox::redirector::{Redirection, Redirector};
 use orchidvalve_track::http::{Headers, Request};
+use orchidvalve_track::identity::NodeAddress;
 
 fn address(number: u8) -> SocketAddrV4 {
     SocketAddrV4::new(Ipv4Addr::new(10, 0, 0, number), 8080)
@@ -45,3 +46,22 @@
     let mut redirector = Redirector::new(address(1), &[address(1)]);
     assert_eq!(redirector.redirect(&request("/v1/status")), Redirection::Unavailable);
 }
+
+/// The seeds of its settings may all have gone, or may have no disk either.
+#[test]
+fn callers_are_sent_to_the_members_once_these_are_known() {
+    let mut redirector = Redirector::new(address(9), &[address(1), address(2)]);
+    let member = |number| NodeAddress::new(Ipv4Addr::new(10, 0, 0, number), 7_660);
+    redirector.set_members(None, &[member(5)]);
+    let call = request("/v1/status");
+    assert_eq!(redirector.redirect(&call), to("http://10.0.0.5:8080/v1/status"), "at the control port");
+    redirector.set_members(None, &[]);
+    assert_eq!(redirector.redirect(&call), to("http://10.0.0.5:8080/v1/status"), "the last ones known");
+    redirector.set_members(Some(member(4)), &[member(5), member(4), member(6)]);
+    let answers: Vec<Redirection> = (0..3).map(|_| redirector.redirect(&call)).collect();
+    assert_eq!(
+        answers,
+        ["10.0.0.4"; 3].map(|ip| to(&format!("http://{ip}:8080/v1/status"))),
+        "it is in touch"
+    );
+}
