Control: an order that wasn't written in its time is never sent

Cause: an order has 0.3 s for its connection to come up. Whether it had was judged by the connection alone. The kernel brings connections up while a process stands still, so a head that froze between beginning an order and writing it found the connection open at its thaw and wrote the order, with the former fence, up to 1.5 s after it had been begun (and after any time where the process stood still in mid-turn behind that check).

Change: calls expire that aren't wholly handed to the system when the time is over, and the event loop looks at the time once more right before writing (Network::write_within, counted from the beginning of the turn).

Result: an_order_whose_connection_came_up_while_the_process_stood_still_is_ never_sent failed before and passes; bytes_whose_time_is_over_are_never_ written fails with the look before writing taken out. Tests of track and signalbox pass (debug, 4 min). Not played with real frozen processes.

--- a/crates/signalbox/src/client.rs
+++ b/crates/signalbox/src/client.rs
@@ -15,8 +15,8 @@
 /// Sent bytes may stay unacknowledged by the peer's machine for this time.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-/// A connection that isn't up within this time, in milliseconds, has failed: an order that waited longer for it would
-/// reach its server after its sender's lease.
+/// A request that isn't handed to the system within this time, in milliseconds, since its connection wasn't up or this
+/// process stood still, is never sent: a later order would reach its server after its sender's lease.
 pub const CONNECT_TIMEOUT_MS: u64 = 300;
 
 /// Which connection carries a call.
@@ -44,13 +44,13 @@
     destination: Destination,
     reader: ResponseReader,
     body: Vec<u8>,
-    /// Until when the connection has to be up; none once it is.
-    connect_by: Option<u64>,
+    /// Until when the request has to be handed to the system on a new connection; none once that was looked at.
+    send_by: Option<u64>,
 }
 
 impl<P> Call<P> {
     fn next_deadline(&self) -> u64 {
-        self.destination.deadline.min(self.connect_by.unwrap_or(u64::MAX))
+        self.destination.deadline.min(self.send_by.unwrap_or(u64::MAX))
     }
 }
 
@@ -99,10 +99,13 @@
                 Err(_) => return Err(purpose),
             },
         };
+        if kept.is_none() {
+            network.write_within(connection, Duration::from_millis(CONNECT_TIMEOUT_MS));
+        }
         network.send(connection, request);
         let reader = ResponseReader::new(method);
-        let connect_by = kept.is_none().then_some(destination.begun_at + CONNECT_TIMEOUT_MS);
-        self.calls.insert(connection, Call { purpose, destination, reader, body: Vec::new(), connect_by });
+        let send_by = kept.is_none().then_some(destination.begun_at + CONNECT_TIMEOUT_MS);
+        self.calls.insert(connection, Call { purpose, destination, reader, body: Vec::new(), send_by });
         Ok(())
     }
 
@@ -163,13 +166,14 @@
         self.calls.remove(&connection).map(|call| Finished { purpose: call.purpose, answer: None })
     }
 
-    /// Calls whose time is up, or whose connections didn't come up in theirs.
+    /// Calls whose time is up, or whose requests weren't handed to the system in theirs.
     pub fn expire(&mut self, network: &mut Network, now: u64) -> Vec<Finished<P>> {
         let mut late = Vec::new();
         for (connection, call) in &mut self.calls {
-            let unconnected =
-                call.connect_by.take_if(|by| *by <= now).is_some_and(|_| !network.is_open(*connection));
-            if unconnected || call.destination.deadline <= now {
+            // A connection that came up while this process stood still has its request in the outbox yet.
+            let is_unsent = || !network.is_open(*connection) || network.queued_bytes(*connection) > 0;
+            let unsent = call.send_by.take_if(|by| *by <= now).is_some_and(|_| is_unsent());
+            if unsent || call.destination.deadline <= now {
                 late.push(*connection);
             }
         }
--- a/crates/signalbox/tests/http_client.rs
+++ b/crates/signalbox/tests/http_client.rs
@@ -237,6 +237,26 @@
     assert!(peer.got.is_empty());
 }
 
+/// The peer's machine takes the connection while this process stands still, and the request still waits in the outbox.
+#[test]
+fn an_order_whose_connection_came_up_while_the_process_stood_still_is_never_sent() {
+    let mut caller = Caller::new();
+    caller.start(1, Carrier::OwnConnection);
+    caller.until(|caller| {
+        let events = caller.network.poll(TURN).unwrap();
+        events.iter().any(|e| matches!(e, Event::Connected(_))).then_some(())
+    });
+    caller.now += CONNECT_TIMEOUT_MS;
+    let late = caller.client.expire(&mut caller.network, caller.now);
+    assert_eq!(late.iter().map(|f| (f.purpose, f.answer.is_some())).collect::<Vec<_>>(), [(1, false)]);
+    let mut peer = caller.accept();
+    caller.until(|_| {
+        peer.look();
+        peer.ended.then_some(())
+    });
+    assert!(peer.got.is_empty());
+}
+
 #[test]
 fn an_answer_after_the_deadline_reaches_nobody() {
     let mut caller = Caller::new();
--- a/crates/track/src/network/connection.rs
+++ b/crates/track/src/network/connection.rs
@@ -3,6 +3,7 @@
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
+use std::time::Instant;
 
 use calloop::RegistrationToken;
 
@@ -42,6 +43,8 @@
     read_start: usize,
     pub(super) outbox: Vec<u8>,
     write_start: usize,
+    /// When the time is over in which the outbox has to be written.
+    pub(super) write_by: Option<Instant>,
     /// To be closed once the outbox is empty.
     pub(super) finish: bool,
     pub(super) dirty: bool,
@@ -75,6 +78,7 @@
             read_start: 0,
             outbox: Vec::new(),
             write_start: 0,
+            write_by: None,
             finish: false,
             dirty: false,
             peer,
@@ -99,6 +103,11 @@
         self.outbox.len() - self.write_start
     }
 
+    /// Whether the time is over in which what waits had to be written.
+    pub(super) fn is_late(&self) -> bool {
+        self.write_by.is_some_and(|by| self.queued_bytes() > 0 && Instant::now() >= by)
+    }
+
     /// Marks the first `bytes` of what is unread as read.
     pub(super) fn consume(&mut self, bytes: usize) {
         self.read_start = (self.read_start + bytes).min(self.inbox.len());
@@ -148,6 +157,7 @@
         self.outbox.clear();
         self.outbox.shrink_to(KEPT_BYTES);
         self.write_start = 0;
+        self.write_by = None;
         Ok(())
     }
 }
--- a/crates/track/src/network/event_loop.rs
+++ b/crates/track/src/network/event_loop.rs
@@ -39,6 +39,8 @@
     again: Vec<ConnectionId>,
     waker: Waker,
     scratch: Vec<u8>,
+    /// When the latest turn began: when polling returned what had happened.
+    turn_began: Instant,
     /// Connections whose peer has to close, oldest first.
     finishing: VecDeque<(Instant, ConnectionId)>,
     /// Address that connections begun here leave from; the kernel chooses one where there is none.
@@ -72,6 +74,7 @@
             again: Vec::new(),
             waker: Waker(ping),
             scratch: vec![0; READ_BYTES],
+            turn_began: Instant::now(),
             finishing: VecDeque::new(),
             source: None,
         })
@@ -131,6 +134,7 @@
         self.drop_finished();
         let wait = if self.pending.is_empty() && self.again.is_empty() { wait } else { Duration::ZERO };
         self.events.dispatch(wait, &mut self.ready).map_err(other)?;
+        self.turn_began = Instant::now();
         let mut sources = std::mem::take(&mut self.ready.sources);
         for id in std::mem::take(&mut self.again) {
             if !sources.contains(&Source::Connection(id)) {
@@ -244,6 +248,16 @@
         }
     }
 
+    /// What is sent on the connection until its outbox is empty is written within `limit` of the beginning of this turn
+    /// or not at all: later the connection is closed instead, with [`Event::Closed`]. The time is looked at right
+    /// before the bytes are written, so that also a process that stood still in mid-turn writes nothing late.
+    pub fn write_within(&mut self, id: ConnectionId, limit: Duration) {
+        let write_by = self.turn_began + limit;
+        if let Some(connection) = self.connections.get_mut(id) {
+            connection.write_by = Some(write_by);
+        }
+    }
+
     /// Bytes that wait to be taken by the system.
     pub fn queued_bytes(&self, id: ConnectionId) -> usize {
         self.connections.get(id).map_or(0, Connection::queued_bytes)
@@ -302,7 +316,8 @@
             if matches!(connection.state, State::Connecting | State::Closed { .. }) {
                 continue;
             }
-            let written = connection.write();
+            let written =
+                if connection.is_late() { Err(ErrorKind::TimedOut.into()) } else { connection.write() };
             let done = connection.outbox.is_empty() && connection.finish;
             if written.is_err() {
                 let mut events = Vec::new();
--- a/crates/track/tests/network.rs
+++ b/crates/track/tests/network.rs
@@ -1,5 +1,6 @@
 //! The event loop's connections against sockets of the standard library.
 
+use std::io::Read;
 use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
 use std::time::{Duration, Instant};
 
@@ -33,3 +34,46 @@
     network.set_source(None);
     assert_eq!(source_of(&mut network), Ipv4Addr::LOCALHOST);
 }
+
+/// As for a process that stands still between sending and writing: its time is over when it goes on.
+#[test]
+fn bytes_whose_time_is_over_are_never_written() {
+    let mut network = Network::new().unwrap();
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let port = listener.local_addr().unwrap().port();
+    let id = network.connect(SocketAddrV4::new(Ipv4Addr::LOCALHOST, port), LIMIT).unwrap();
+    network.write_within(id, Duration::ZERO);
+    network.send(id, b"late");
+    let begin = Instant::now();
+    let mut closed = false;
+    while !closed {
+        assert!(begin.elapsed() < LIMIT, "the connection is closed");
+        let events = network.poll(Duration::from_millis(10)).unwrap();
+        closed =
+            events.iter().any(|event| matches!(event, Event::Closed { connection, .. } if *connection == id));
+    }
+    network.forget(id);
+    let (mut peer, _) = listener.accept().unwrap();
+    let mut got = Vec::new();
+    peer.read_to_end(&mut got).unwrap();
+    assert!(got.is_empty());
+}
+
+#[test]
+fn bytes_that_are_written_in_time_leave_the_connection_as_it_is() {
+    let mut network = Network::new().unwrap();
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let port = listener.local_addr().unwrap().port();
+    let id = network.connect(SocketAddrV4::new(Ipv4Addr::LOCALHOST, port), LIMIT).unwrap();
+    network.write_within(id, LIMIT);
+    network.send(id, b"in time");
+    let begin = Instant::now();
+    while !network.is_open(id) || network.queued_bytes(id) > 0 {
+        assert!(begin.elapsed() < LIMIT, "the bytes are written");
+        network.poll(Duration::from_millis(10)).unwrap();
+    }
+    let (mut peer, _) = listener.accept().unwrap();
+    let mut got = [0; 7];
+    peer.read_exact(&mut got).unwrap();
+    assert_eq!(&got, b"in time");
+}
