Control: answers are written before a planned end, also to slow readers

Cause: a process that was told to stop ended as soon as no call was without an answer. What of the answers the system hadn't taken yet went with it: an operator that read a configuration of 7 MB got the beginning of it only.

Change: a process that may end waits until the answers on all connections of operators are written, also on those that end with their answers. The limit stays grace-s less 1.5 s.

--- a/crates/signalbox/src/process/ending.rs
+++ b/crates/signalbox/src/process/ending.rs
@@ -16,8 +16,7 @@
         self.core.set_leaving();
     }
 
-    /// Whether the process may end now: nothing depends on it and no call has begun to come in or waits for its answer,
-    /// or its time is up.
+    /// Whether the process may end now: nothing depends on it and no call is open, or its time is up.
     pub(super) fn has_ended(&self) -> bool {
         let Some(deadline) = self.ending_deadline else { return false };
         let handed_over = self.core.may_leave() && !self.is_called();
@@ -27,8 +26,4 @@
         }
         false
     }
-
-    fn is_called(&self) -> bool {
-        !self.calls.is_empty() || self.operators.values().any(|operator| operator.reader.in_request())
-    }
 }
--- a/crates/signalbox/src/process/mod.rs
+++ b/crates/signalbox/src/process/mod.rs
@@ -109,6 +109,8 @@
     duties: Duties,
     told_fleet: (u32, f32),
     operators: BTreeMap<ConnectionId, OperatorConnection>,
+    /// Connections of operators that end once their last answers are written.
+    finishing: Vec<ConnectionId>,
     calls: BTreeMap<u64, OpenCall>,
     next_call: u64,
     head: Option<(u64, MemberId)>,
@@ -214,6 +216,7 @@
             duties,
             told_fleet: (0, 0.0),
             operators: BTreeMap::new(),
+            finishing: Vec::new(),
             calls: BTreeMap::new(),
             next_call: 1,
             head: None,
--- a/crates/signalbox/src/process/operators.rs
+++ b/crates/signalbox/src/process/operators.rs
@@ -167,9 +167,19 @@
         if close {
             self.operators.remove(&connection);
             self.network.finish(connection);
+            self.finishing.retain(|finishing| self.network.queued_bytes(*finishing) > 0);
+            self.finishing.push(connection);
         }
     }
 
+    /// Whether an operator's call has begun to come in or waits for its answer, or an answer to be written.
+    pub(super) fn is_called(&self) -> bool {
+        let is_unwritten = |connection: &ConnectionId| self.network.queued_bytes(*connection) > 0;
+        !self.calls.is_empty()
+            || self.operators.values().any(|operator| operator.reader.in_request())
+            || self.operators.keys().chain(&self.finishing).any(is_unwritten)
+    }
+
     /// Members, chain, duties and partitions, for operators.
     fn status(&self) -> OperatorAnswer {
         let (state, applied) = self.core.state();
