Network: bytes that come behind an unconsumed rest are reported

Cause: whether bytes had arrived was judged by the length of the inbox before and after a reading. The reading first drops what was consumed, so where a message had been read and the beginning of the next one waited behind it, a rest that was no longer than what was dropped counted as nothing: no Data event. The message stood still until more bytes came: on links of control machines until the next ping (200 ms), on sessions until a heartbeat, on the connection of a client or server that sends nothing more for good. A message that the system delivers in two pieces, behind another one, is enough. Found when the test of pipelined calls hung.

Change: the unread bytes before and after are compared, in both places.

--- a/crates/track/src/network/event_loop.rs
+++ b/crates/track/src/network/event_loop.rs
@@ -192,9 +192,9 @@
         }
         let scratch = &mut self.scratch[..];
         let Some(connection) = self.connections.get_mut(id) else { return };
-        let before = connection.inbox.len();
+        let before = connection.unread().len();
         let ending = connection.fill(scratch);
-        if connection.inbox.len() > before && connection.state == State::Open {
+        if connection.unread().len() > before && connection.state == State::Open {
             events.push(Event::Data(id));
         }
         match ending {
@@ -349,9 +349,9 @@
         if connection.finish {
             connection.state = State::Finishing;
         }
-        let before = connection.inbox.len();
+        let before = connection.unread().len();
         let _ = connection.fill(scratch);
-        if connection.inbox.len() > before && connection.state == State::Open {
+        if connection.unread().len() > before && connection.state == State::Open {
             events.push(Event::Data(id));
         }
         self.mark_closed(id, true, events);
--- a/crates/track/tests/network.rs
+++ b/crates/track/tests/network.rs
@@ -1,10 +1,10 @@
 //! The event loop's connections against sockets of the standard library.
 
-use std::io::Read;
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-use orchidvalve_track::network::{Event, Network};
+use orchidvalve_track::network::{ConnectionId, Event, Network};
 
 const LIMIT: Duration = Duration::from_secs(20);
 
@@ -77,3 +77,36 @@
     peer.read_exact(&mut got).unwrap();
     assert_eq!(&got, b"in time");
 }
+
+/// The rest of a message comes, and is shorter than what was consumed before its beginning.
+#[test]
+fn bytes_that_follow_an_unconsumed_rest_are_reported() {
+    let mut network = Network::new().unwrap();
+    let SocketAddr::V4(address) = network.listen(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0), 1).unwrap()
+    else {
+        panic!("an IPv4 address")
+    };
+    let mut peer = TcpStream::connect(address).unwrap();
+    peer.write_all(b"whole message, begin").unwrap();
+    let id = data(&mut network);
+    network.consume(id, b"whole message, ".len());
+    peer.write_all(b"ning").unwrap();
+    assert_eq!(data(&mut network), id);
+    assert_eq!(network.inbox(id), b"beginning");
+}
+
+/// The connection on which data comes next.
+fn data(network: &mut Network) -> ConnectionId {
+    let begin = Instant::now();
+    loop {
+        assert!(begin.elapsed() < LIMIT, "data is reported");
+        let events = network.poll(Duration::from_millis(10)).unwrap();
+        let connection = |event: &Event| match event {
+            Event::Data(connection) => Some(*connection),
+            _ => None,
+        };
+        if let Some(connection) = events.iter().find_map(connection) {
+            return connection;
+        }
+    }
+}
