Network: an outbox that is never empty gives back what is written

Cause: written bytes were dropped only when the whole outbox was written. On a connection that always has something to send (a peer that copies over a narrow line, a client that reads a stream slowly) the outbox kept everything that was ever sent on it; the bounds go by what waits and didn't see it.

Change: when the system takes no more, written bytes are dropped if they are more than those that wait, so each byte is moved once on average.

--- a/crates/track/src/network/connection.rs
+++ b/crates/track/src/network/connection.rs
@@ -149,7 +149,10 @@
             match (&*self.socket).write(&self.outbox[self.write_start..]) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(length) => self.write_start += length,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    self.drop_written();
+                    return Ok(());
+                }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) => return Err(error),
             }
@@ -160,4 +163,13 @@
         self.write_by = None;
         Ok(())
     }
+
+    /// Gives back what is written of an outbox that isn't empty: on a line that is always busy it never is. Only once
+    /// that is more than what waits, so that each byte is moved once on average.
+    fn drop_written(&mut self) {
+        if self.write_start > self.queued_bytes() {
+            self.outbox.drain(..self.write_start);
+            self.write_start = 0;
+        }
+    }
 }
--- a/crates/track/tests/network.rs
+++ b/crates/track/tests/network.rs
@@ -110,3 +110,34 @@
         }
     }
 }
+
+/// The peer takes as much as is sent, and the line is never idle.
+#[test]
+fn an_outbox_that_is_never_empty_does_not_grow() {
+    const CHUNK_BYTES: usize = 1 << 20;
+    /// More than the system takes of what the peer hasn't read.
+    const WAITING_CHUNKS: usize = 24;
+    const CHUNKS: usize = 150;
+    let mut network = Network::new().unwrap();
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let port = listener.local_addr().unwrap().port();
+    let id = network.connect(SocketAddrV4::new(Ipv4Addr::LOCALHOST, port), LIMIT).unwrap();
+    let (mut peer, _) = listener.accept().unwrap();
+    peer.set_nonblocking(true).unwrap();
+    let mut chunk = vec![0; CHUNK_BYTES];
+    network.send(id, &vec![0; WAITING_CHUNKS * CHUNK_BYTES]);
+    while !network.is_open(id) {
+        network.poll(Duration::from_millis(10)).unwrap();
+    }
+    for _ in 0..CHUNKS {
+        network.send(id, &chunk);
+        let mut taken = 0;
+        while taken < CHUNK_BYTES {
+            network.poll(Duration::ZERO).unwrap();
+            taken += peer.read(&mut chunk[taken..]).unwrap_or(0);
+        }
+        assert!(network.queued_bytes(id) > 0, "the line is busy");
+    }
+    let held = network.outbox(id).unwrap().len();
+    assert!(held <= 3 * network.queued_bytes(id), "{held} bytes are held");
+}
