Control: the time is told before what has come is taken up

Cause: the state machine learned the time in its tick, after the events of a turn. In the same turn it took all of that back, and nothing was confirmed or ordered by it. A call that came after a quiet moment had up to 0.1 s less than its time.

Change: Core::pass_time, right after polling; in the simulation, too, before each message.

Tests of signalbox pass (debug).

--- a/crates/signalbox/src/core/mod.rs
+++ b/crates/signalbox/src/core/mod.rs
@@ -289,8 +289,14 @@
         self.agreement.next_tick_at().min(self.now + 100)
     }
 
+    /// It is `now`: given before anything that has come is taken up, so that it isn't judged by an earlier time. A
+    /// process that stood still would take itself for in touch, and what waits for it for fresh.
+    pub fn pass_time(&mut self, now: u64) {
+        self.now = self.now.max(now);
+    }
+
     pub fn tick(&mut self, now: u64) {
-        self.now = now;
+        self.pass_time(now);
         let mut outputs = Vec::new();
         self.agreement.tick(now, &mut outputs);
         self.last_confirmed_at = self.last_confirmed_at.max(self.agreement.quorum_confirmed_at());
--- a/crates/signalbox/src/process/mod.rs
+++ b/crates/signalbox/src/process/mod.rs
@@ -131,6 +131,7 @@
         let wait = process.wait();
         let events = process.network.poll(wait)?;
         process.now = process.clock.now();
+        process.core.pass_time(process.now);
         for event in events {
             process.handle(event);
         }
--- a/crates/signalbox/tests/support/world.rs
+++ b/crates/signalbox/tests/support/world.rs
@@ -451,6 +451,7 @@
         let mut early = None;
         let node = &mut self.machines[machine];
         let Some(core) = &mut node.core else { return };
+        core.pass_time(now);
         match packet {
             Packet::Introduce(member) => {
                 node.links.introduced(member, now);
