Control: calls that are answered at once don't call one another

Cause: a call entered the core and looked at what the core said within one function; an answer that came at once took up the next call of the connection within that. A client that sent some thousands of calls on one connection without waiting (each that can be answered at once, such as a version that is named again) overflowed the stack, and the process was gone; sent again elsewhere, they would end the next machine.

Change: what the core says is looked at later in the turn, after all that has come was taken up.

--- a/crates/signalbox/src/process/operators.rs
+++ b/crates/signalbox/src/process/operators.rs
@@ -31,6 +31,8 @@
 }
 
 impl Process {
+    /// Takes up the calls that have come, one after the other. What the core says to them is looked at later in the
+    /// turn: calls that are answered at once don't call one another.
     pub(super) fn operator_data(&mut self, connection: ConnectionId) {
         while let Some(operator) = self.operators.get_mut(&connection).filter(|o| o.waiting.is_none()) {
             match operator.reader.read(self.network.inbox(connection), &OPERATOR_LIMITS) {
@@ -100,19 +102,16 @@
     fn enter_change(&mut self, open: OpenCall, connection: ConnectionId, change: &Change) {
         let number = self.open_call(connection, open);
         self.core.call(number, ForwardedCall::Change { change: encode(change) });
-        self.process_events();
     }
 
     fn enter_read(&mut self, open: OpenCall, connection: ConnectionId) {
         let number = self.open_call(connection, open);
         self.core.read(number);
-        self.process_events();
     }
 
     fn retire(&mut self, connection: ConnectionId, name: String) {
         let number = self.open_call(connection, OpenCall::Retire(connection));
         self.core.call(number, ForwardedCall::Retire { name });
-        self.process_events();
     }
 
     /// The core asks, as the head, whether a storage machine may be emptied.
