Control: a head that was out of touch waits for sessions again

Cause: a machine that isn't in touch ends all its sessions, and those that others told of expire. Where the view stays as it is, as when a majority of the control machines stands still together, its head is the head again without a word, and only a new head waited 1.5 s for sessions: until they were back it took all stores for lost, cut chains of partitions down to the first store that came, and refused retirements with 409 though enough machines stay. A break also counted as seeing a lost partition without a break.

Change: the wait begins anew whenever the head is in touch again. A view that changes without a break of touch doesn't begin it, so a store that is lost together with a control machine is still noticed as soon.

--- a/crates/signalbox/src/duties/mod.rs
+++ b/crates/signalbox/src/duties/mod.rs
@@ -54,6 +54,8 @@
     options: DutyOptions,
     client: HttpClient<Purpose>,
     head_since: Option<u64>,
+    /// Since when this machine has been the head and in touch: processes are given time to open their sessions.
+    sessions_since: Option<u64>,
     /// Term of the duties, once it is committed; nothing is told or ordered without one.
     term: Option<u64>,
     next_poll: u64,
@@ -76,6 +78,7 @@
             options,
             client: HttpClient::default(),
             head_since: None,
+            sessions_since: None,
             term: None,
             next_poll: 0,
             reading: None,
@@ -94,6 +97,7 @@
         self.term = None;
         if !is_head {
             self.head_since = None;
+            self.sessions_since = None;
             self.holder.end();
             self.planner.reset();
             self.reading = None;
@@ -104,11 +108,23 @@
         self.holder.begin(now, epoch, same_head, wait);
         if self.head_since.is_none() {
             self.head_since = Some(now);
+            self.sessions_since = Some(now);
             self.next_poll = now;
             self.listed.clear();
         }
     }
 
+    /// Whether this machine is in touch. All sessions end while it isn't, so it knows none when it is again: it has to
+    /// wait for them as at the beginning of its duties, also where it is the head of the same view.
+    pub fn set_in_touch(&mut self, now: u64, is_in_touch: bool) {
+        if !is_in_touch {
+            self.sessions_since = None;
+            self.lost_since.clear();
+        } else if self.head_since.is_some() {
+            self.sessions_since.get_or_insert(now);
+        }
+    }
+
     /// The duties are done under this term from now on, or not at all.
     pub fn set_term(&mut self, term: Option<u64>) {
         self.term = term;
--- a/crates/signalbox/src/duties/placing.rs
+++ b/crates/signalbox/src/duties/placing.rs
@@ -10,7 +10,8 @@
 use crate::placement::{self, LiveStore, Situation};
 use crate::sessions::{Session, SessionTable};
 
-/// Time after the beginning of a view in which no store is taken for lost: all have to open their sessions.
+/// Time after the beginning of a duty, or of being in touch again, in which no store is taken for lost: all have to open
+/// their sessions.
 const STORE_GRACE_MS: u64 = 1_500;
 /// Pause between two looks at the placement.
 const PLACEMENT_INTERVAL_MS: u64 = 50;
@@ -32,7 +33,7 @@
         sessions: &SessionTable,
         name: &str,
     ) -> RetirementVerdict {
-        let knows_sessions = self.head_since.is_some_and(|since| now >= since + STORE_GRACE_MS);
+        let knows_sessions = self.sessions_since.is_some_and(|since| now >= since + STORE_GRACE_MS);
         match state.stores().get(name) {
             Some(store) if store.retiring => RetirementVerdict::Allowed,
             Some(_) if may_retire(state, sessions, name, self.options.tolerance) => {
@@ -47,7 +48,7 @@
 
     /// Changes of the placement of partitions that are due.
     pub fn place(&mut self, now: u64, state: &ControlState, sessions: &SessionTable) -> Option<Change> {
-        let since = self.head_since?;
+        let since = self.sessions_since?;
         if now < self.next_placement {
             return None;
         }
@@ -116,7 +117,7 @@
     live.collect()
 }
 
-/// At the beginning of a duty, members without a session count as live: they have yet to open one. A member whose
+/// As long as sessions are waited for, members without a session count as live: they have yet to open one. A member whose
 /// address has another disk by now is lost for certain.
 fn presume_members(state: &ControlState, live: &mut Vec<LiveStore>) {
     let members = state.partitions().iter().flat_map(|p| p.members.iter().chain(&p.learners));
--- a/crates/signalbox/src/process/mod.rs
+++ b/crates/signalbox/src/process/mod.rs
@@ -361,6 +361,7 @@
         for finished in self.duties.client().expire(&mut self.network, self.now) {
             self.duty_call_finished(Some(finished));
         }
+        self.duties.set_in_touch(self.now, self.core.in_touch());
         let term = self.core.duty_term();
         self.duties.set_term(term);
         if term.is_none() {
--- a/crates/signalbox/tests/duty_of_placement.rs
+++ b/crates/signalbox/tests/duty_of_placement.rs
@@ -2,6 +2,7 @@
 
 use std::net::Ipv4Addr;
 
+use orchidvalve_signalbox::core::RetirementVerdict;
 use orchidvalve_signalbox::duties::{Duties, DutyOptions};
 use orchidvalve_signalbox::sessions::{Session, SessionTable};
 use orchidvalve_track::identity::{MemberId, NodeAddress};
@@ -180,3 +181,54 @@
     let away = sessions(&[member(3, 1), member(4, 1)]);
     assert_eq!(first_change(&mut duties(), &state, &away, 60_000), None);
 }
+
+/// All control machines stood still: the view is the same, and no session is left.
+#[test]
+fn no_store_is_taken_for_lost_right_after_the_head_was_out_of_touch() {
+    let state = placed(&[member(1, 1), member(2, 1)]);
+    let all = sessions(&[member(1, 1), member(2, 1), member(3, 1)]);
+    let first_back = sessions(&[member(2, 1)]);
+    let mut duties = duties();
+    assert_eq!(next(duties.place(SINCE + 10_000, &state, &all)), None);
+    duties.set_in_touch(SINCE + 20_000, false);
+    duties.set_in_touch(SINCE + 20_200, true);
+    assert_eq!(next(duties.place(SINCE + 20_200, &state, &first_back)), None);
+    duties.set_in_touch(SINCE + 21_650, true);
+    assert_eq!(next(duties.place(SINCE + 21_650, &state, &first_back)), None);
+    let placement = next(duties.place(SINCE + 21_700, &state, &first_back)).expect("a store is lost");
+    assert_eq!(placement.members, [member(2, 1)]);
+}
+
+#[test]
+fn no_retirement_is_refused_right_after_the_head_was_out_of_touch() {
+    let mut state = ControlState::default();
+    let stores = [member(1, 1), member(2, 1), member(3, 1)];
+    for store in stores {
+        let Session { name, zone, member, .. } = session(store);
+        state.apply(&Change::RegisterStore { name, zone, member }).unwrap();
+    }
+    let name = session(stores[0]).name;
+    let first_back = sessions(&stores[..1]);
+    let mut duties = duties();
+    duties.set_in_touch(SINCE + 20_000, false);
+    assert_eq!(duties.retirement(SINCE + 20_100, &state, &first_back, &name), RetirementVerdict::Unsure);
+    duties.set_in_touch(SINCE + 20_200, true);
+    assert_eq!(duties.retirement(SINCE + 21_650, &state, &first_back, &name), RetirementVerdict::Unsure);
+    assert_eq!(duties.retirement(SINCE + 21_700, &state, &first_back, &name), RetirementVerdict::TooFewStay);
+    assert_eq!(
+        duties.retirement(SINCE + 21_700, &state, &sessions(&stores), &name),
+        RetirementVerdict::Allowed
+    );
+}
+
+/// Sessions that end because the head isn't in touch say nothing of whether a partition is lost.
+#[test]
+fn a_loss_is_not_seen_without_a_break_by_a_head_that_was_out_of_touch() {
+    let state = placed(&[member(1, 1), member(2, 1)]);
+    let wiped = sessions(&[member(1, 2), member(2, 2), member(3, 1)]);
+    let mut duties = duties();
+    assert_eq!(next(duties.place(SINCE, &state, &wiped)), None);
+    duties.set_in_touch(SINCE + 1_000, false);
+    duties.set_in_touch(SINCE + 9_000, true);
+    assert_eq!(next(duties.place(SINCE + 18_900, &state, &wiped)), None);
+}
