Control: a page of a former reading is no part of the next one

Cause: a page of the platform's list was taken for a page of whatever reading was under way. A head that lost its duty and had it again within the 1.5 s of a call could end its new reading with a late page of the old one and publish a part of the servers, or old ones, under its new term. Beside that, a list that came while a view changed and the head had no term wasn't published, and the next reading waited a second.

Change: readings are numbered, and pages of former ones are dropped. What can't be published is read again as soon as the term has begun.

--- a/crates/signalbox/src/duties/mod.rs
+++ b/crates/signalbox/src/duties/mod.rs
@@ -30,7 +30,10 @@
 /// What a call of a duty is for.
 #[derive(Debug)]
 pub enum Purpose {
-    ListPage,
+    /// A page for the reading of this number.
+    ListPage {
+        reading: u64,
+    },
     Order(Order),
     /// Whether a load at this server is done.
     Report {
@@ -60,6 +63,8 @@
     term: Option<u64>,
     next_poll: u64,
     reading: Option<Reading>,
+    /// Number of the latest reading: a late page of an earlier one is no part of it.
+    reading_number: u64,
     planner: WeightsPlanner,
     holder: Holder,
     /// Newest reading of the list, before versions known from orders are added.
@@ -82,6 +87,7 @@
             term: None,
             next_poll: 0,
             reading: None,
+            reading_number: 0,
             planner: WeightsPlanner::default(),
             holder: Holder::default(),
             listed: Vec::new(),
@@ -160,6 +166,7 @@
     pub fn poll_list(&mut self, network: &mut Network, now: u64) {
         if self.head_since.is_some() && self.reading.is_none() && now >= self.next_poll {
             self.reading = Some(Reading::default());
+            self.reading_number += 1;
             self.ask_page(network, now, None);
         }
     }
@@ -180,7 +187,8 @@
             begun_at: now,
             deadline: now + CALL_TIMEOUT_MS,
         };
-        if self.client.start(network, destination, "GET", &request, Purpose::ListPage).is_err() {
+        let purpose = Purpose::ListPage { reading: self.reading_number };
+        if self.client.start(network, destination, "GET", &request, purpose).is_err() {
             self.reading_failed(now);
         }
     }
@@ -214,7 +222,8 @@
                 }
                 None
             }
-            Purpose::ListPage => {
+            Purpose::ListPage { reading } if reading != self.reading_number => None,
+            Purpose::ListPage { .. } => {
                 let page = finished.answer.filter(|(head, _)| head.status == 200);
                 self.page_read(network, page.map(|(_, body)| body), table, now)
             }
@@ -242,7 +251,8 @@
             }
             Ok(Progress::Complete(servers)) => {
                 self.reading = None;
-                self.next_poll = now + POLL_INTERVAL_MS;
+                // What can't be published, since the next term hasn't begun yet, is read again as soon as it has.
+                self.next_poll = if self.term.is_some() { now + POLL_INTERVAL_MS } else { now };
                 self.listed = servers;
                 self.publish(table, now)
             }
--- /dev/null
+++ b/crates/signalbox/tests/duty_of_lists.rs
@@ -0,0 +1,153 @@
+//! The duty of reading the platform's list, against a platform over loopback whose answers come late.
+
+#[path = "../../turnstile/tests/sockets_support/mod.rs"]
+mod sockets_support;
+
+use std::net::TcpListener;
+
+use orchidvalve_signalbox::duties::{Duties, DutyOptions};
+use orchidvalve_track::messages::ServersUpdate;
+use orchidvalve_track::network::{Event, Network};
+use orchidvalve_track::server_table::ServerTable;
+use serde_json::json;
+use sockets_support::*;
+
+/// When this machine became the head.
+const SINCE: u64 = 1_000;
+const TERM: u64 = 5;
+
+struct Head {
+    network: Network,
+    duties: Duties,
+    table: ServerTable,
+    platform: TcpListener,
+    /// Number of calls that are over.
+    finished: usize,
+    now: u64,
+}
+
+impl Head {
+    /// A head whose term has begun.
+    fn new() -> Head {
+        let (platform, address) = listen();
+        let options = DutyOptions {
+            name: "control".to_owned(),
+            platform: Some(address),
+            lease_ms: 1_000,
+            tolerance: 1,
+        };
+        let mut duties = Duties::new(options);
+        duties.view_changed(SINCE, 1, true, false);
+        duties.set_term(Some(TERM));
+        let network = Network::new().unwrap();
+        Head { network, duties, table: ServerTable::default(), platform, finished: 0, now: SINCE }
+    }
+
+    /// Takes up what has come; the updates of the table that follow.
+    fn turn(&mut self) -> Vec<ServersUpdate> {
+        let mut updates = Vec::new();
+        for event in self.network.poll(TURN).unwrap() {
+            if let Event::Data(id) = event
+                && let Some(finished) = self.duties.client().data(&mut self.network, id)
+            {
+                self.finished += 1;
+                updates.extend(self.duties.finished(&mut self.network, finished, &mut self.table, self.now));
+            }
+        }
+        updates
+    }
+
+    /// The platform's end of the next reading.
+    fn asked(&mut self) -> Peer {
+        self.duties.poll_list(&mut self.network, self.now);
+        for _ in 0..MOST_TURNS {
+            if let Ok((stream, _)) = self.platform.accept() {
+                let mut peer = Peer::new(stream);
+                self.request(&mut peer);
+                return peer;
+            }
+            assert!(self.turn().is_empty());
+        }
+        panic!("the list isn't asked for");
+    }
+
+    fn request(&mut self, peer: &mut Peer) {
+        for _ in 0..MOST_TURNS {
+            peer.look();
+            if peer.text().ends_with("\r\n\r\n") {
+                return;
+            }
+            assert!(self.turn().is_empty());
+        }
+        panic!("the list isn't asked for");
+    }
+
+    /// The platform answers, and the answer is taken up.
+    fn answered(&mut self, peer: &mut Peer, instances: &[&str]) -> Vec<ServersUpdate> {
+        peer.send(&page(instances));
+        let finished = self.finished;
+        for _ in 0..MOST_TURNS {
+            let updates = self.turn();
+            if self.finished > finished {
+                return updates;
+            }
+        }
+        panic!("the answer isn't taken up");
+    }
+
+    fn servers(&self) -> Vec<&str> {
+        self.table.servers().map(|server| server.instance.as_str()).collect()
+    }
+}
+
+/// The only page of a list.
+fn page(instances: &[&str]) -> String {
+    let entry = |id: &&str| {
+        json!({
+            "instance-id": id, "service": "text", "address": "10.0.0.1:80", "zone": "north", "slots": 4,
+            "state": "available", "models": [],
+        })
+    };
+    let body = json!({ "instances": instances.iter().map(entry).collect::<Vec<_>>() }).to_string();
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+#[test]
+fn the_list_is_read_and_published() {
+    let mut head = Head::new();
+    let mut peer = head.asked();
+    assert_eq!(head.answered(&mut peer, &["one", "two"]).len(), 1);
+    assert_eq!(head.servers(), ["one", "two"]);
+}
+
+/// The duty went to another machine and came back while the platform was slow.
+#[test]
+fn a_late_page_of_a_former_reading_is_no_part_of_the_next_one() {
+    let mut head = Head::new();
+    let mut former = head.asked();
+    head.duties.view_changed(SINCE + 500, 2, false, false);
+    head.duties.view_changed(SINCE + 1_000, 4, true, false);
+    head.duties.set_term(Some(TERM + 1));
+    head.now = SINCE + 1_000;
+    let mut next = head.asked();
+    assert!(head.answered(&mut former, &["long gone"]).is_empty());
+    assert!(head.servers().is_empty());
+    assert_eq!(head.answered(&mut next, &["one", "two"]).len(), 1);
+    assert_eq!(head.servers(), ["one", "two"]);
+}
+
+/// While a view changes, the head has no term for a moment.
+#[test]
+fn a_list_that_comes_between_two_terms_is_read_again_at_once() {
+    let mut head = Head::new();
+    let mut peer = head.asked();
+    head.duties.set_term(None);
+    assert!(head.answered(&mut peer, &["one"]).is_empty());
+    head.duties.set_term(Some(TERM + 1));
+    assert!(head.duties.next_wakeup() <= head.now);
+    head.duties.poll_list(&mut head.network, head.now);
+    peer.got.clear();
+    head.request(&mut peer);
+    assert_eq!(head.answered(&mut peer, &["one"]).len(), 1);
+    assert_eq!(head.servers(), ["one"]);
+}
