Control: the note of the duty outlasts a checkpoint

Cause: a head notes on its disk that it gives orders in its view, so that a start in the same view goes on without waiting out the lease. The record was written once and released with those before the next checkpoint: after 2 MB of changes, or 4,096, a start of all control machines in one view gave no orders to servers for lease-ms and 1 s.

Change: the note of the view in force is written again where its record is released. Until that is durable a loss of power costs the wait, as before.

--- a/crates/signalbox/src/core/journaling.rs
+++ b/crates/signalbox/src/core/journaling.rs
@@ -107,10 +107,20 @@
         let released = oldest.min(self.agreement_position);
         if released > self.released {
             self.released = released;
+            self.keep_held_duty();
             self.disk.release_before(released);
         }
     }
 
+    /// Writes the note of the duty in the view in force again where its record is released.
+    fn keep_held_duty(&mut self) {
+        if let Some(epoch) = self.held_duty.filter(|epoch| *epoch == self.epoch())
+            && self.held_duty_position < self.released
+        {
+            self.write_held_duty(epoch);
+        }
+    }
+
     /// A settled head enters the change that begins its duties, once in each view and each start of the process.
     pub(super) fn begin_duty_if_due(&mut self) {
         if self.duty_entry.is_none() && self.is_settled_head() {
--- a/crates/signalbox/src/core/mod.rs
+++ b/crates/signalbox/src/core/mod.rs
@@ -135,6 +135,8 @@
     duty_entry: Option<u64>,
     /// Newest epoch in which this machine gave orders, by its disk.
     held_duty: Option<u64>,
+    /// Position of its newest record in this run of the process; 0 before.
+    held_duty_position: u64,
     now: u64,
     events: Vec<Event>,
 }
@@ -176,6 +178,7 @@
             last_confirmed_at: None,
             duty_entry: None,
             held_duty,
+            held_duty_position: 0,
             now,
             events: Vec::new(),
         };
@@ -257,10 +260,14 @@
         let epoch = self.epoch();
         if self.held_duty != Some(epoch) {
             self.held_duty = Some(epoch);
-            self.disk.append(encode(&DiskRecord::HeldDuty { epoch }));
+            self.write_held_duty(epoch);
         }
     }
 
+    fn write_held_duty(&mut self, epoch: u64) {
+        self.held_duty_position = self.disk.append(encode(&DiskRecord::HeldDuty { epoch }));
+    }
+
     /// Latest time at which a majority was surely in the view that this machine acts in. None while a newer
     /// view is known here but not entered yet, since confirmations are of that one then.
     pub fn quorum_confirmed_at(&self) -> Option<u64> {
--- /dev/null
+++ b/crates/signalbox/tests/core_duty_note.rs
@@ -0,0 +1,117 @@
+//! The note that this machine gives orders to servers is on its disk as long as it does.
+
+use std::cell::RefCell;
+use std::collections::VecDeque;
+use std::net::Ipv4Addr;
+use std::rc::Rc;
+
+use orchidvalve_interlocking::{DurableState, View};
+use orchidvalve_signalbox::core::{Core, Disk, Identity};
+use orchidvalve_signalbox::journal::Recovered;
+use orchidvalve_track::identity::{MemberId, NodeAddress};
+use orchidvalve_waybill::state::Change;
+
+const START_MS: u64 = 1_000;
+/// Enough for two checkpoints by their number.
+const CHANGES: u64 = 10_000;
+
+#[derive(Default)]
+struct Records {
+    held: VecDeque<(u64, Vec<u8>)>,
+    last: u64,
+    released_before: u64,
+}
+
+/// A disk on which records are as soon as they are written; released ones are gone.
+#[derive(Clone, Default)]
+struct ReleasingDisk(Rc<RefCell<Records>>);
+
+impl Disk for ReleasingDisk {
+    fn append(&mut self, payload: Vec<u8>) -> u64 {
+        let mut records = self.0.borrow_mut();
+        records.last += 1;
+        let position = records.last;
+        records.held.push_back((position, payload));
+        position
+    }
+
+    fn release_before(&mut self, position: u64) {
+        let mut records = self.0.borrow_mut();
+        records.released_before = position;
+        while records.held.pop_front_if(|(at, _)| *at < position).is_some() {}
+    }
+}
+
+impl ReleasingDisk {
+    fn recover(&self) -> Recovered {
+        let mut recovered = Recovered::default();
+        for (position, payload) in &self.0.borrow().held {
+            recovered.take(*position, payload);
+        }
+        recovered
+    }
+
+    fn last(&self) -> u64 {
+        self.0.borrow().last
+    }
+
+    fn released_before(&self) -> u64 {
+        self.0.borrow().released_before
+    }
+}
+
+/// The only machine of a control plane of which nothing may be lost.
+fn start(recovered: Recovered, disk: ReleasingDisk) -> Core<ReleasingDisk> {
+    let me = MemberId { address: NodeAddress::new(Ipv4Addr::new(10, 0, 0, 1), 7000), disk: 1 };
+    let view = View { epoch: 1, voters: vec![me], chain: vec![me] };
+    let first = DurableState { view: Some(view), ..DurableState::default() };
+    let recovered = Recovered { agreement: Some(recovered.agreement.clone().unwrap_or(first)), ..recovered };
+    let identity =
+        Identity { me, bootstrap: false, seeds: Vec::new(), tolerance: 0, catch_up_ms: 4_400, nonce: 7 };
+    let mut core = Core::new(identity, recovered, disk.clone(), START_MS);
+    turn(&mut core, &disk);
+    core
+}
+
+fn turn(core: &mut Core<ReleasingDisk>, disk: &ReleasingDisk) {
+    for _ in 0..3 {
+        core.tick(START_MS);
+        core.durable(disk.last());
+        let _ = core.take_events();
+    }
+}
+
+/// Puts many small changes through.
+fn change_often(core: &mut Core<ReleasingDisk>, disk: &ReleasingDisk) {
+    let first = core.state().0.versions().get("model").copied().unwrap_or(1) + 1;
+    for version in first..first + CHANGES {
+        assert!(core.propose(Change::NameVersion { model: "model".to_owned(), version }));
+        turn(core, disk);
+    }
+}
+
+#[test]
+fn the_note_outlasts_the_records_that_are_released() {
+    let disk = ReleasingDisk::default();
+    let mut core = start(Recovered::default(), disk.clone());
+    core.note_duty();
+    let noted = disk.last();
+    change_often(&mut core, &disk);
+    assert!(disk.released_before() > noted);
+    assert_eq!(disk.recover().held_duty, Some(1));
+}
+
+#[test]
+fn a_note_that_was_found_at_the_start_is_kept_too() {
+    let disk = ReleasingDisk::default();
+    let mut core = start(Recovered::default(), disk.clone());
+    core.note_duty();
+    turn(&mut core, &disk);
+    drop(core);
+    let noted = disk.last();
+    let mut core = start(disk.recover(), disk.clone());
+    core.note_duty();
+    change_often(&mut core, &disk);
+    assert!(disk.released_before() > noted);
+    assert_eq!(disk.recover().held_duty, Some(1));
+}
