--- a/crates/signalbox/src/core/mod.rs
+++ b/crates/signalbox/src/core/mod.rs
@@ -135,6 +135,8 @@
     duty_entry: Option<u64>,
     /// Newest epoch in which this machine gave orders, by its disk.
     held_duty: Option<u64>,
+    /// Position of its newest record in this run of the process; 0 before.
+    held_duty_position: u64,
     now: u64,
     events: Vec<Event>,
 }
@@ -176,6 +178,7 @@
             last_confirmed_at: None,
             duty_entry: None,
             held_duty,
+            held_duty_position: 0,
             now,
             events: Vec::new(),
         };
@@ -262,10 +265,14 @@
         let epoch = self.epoch();
         if self.held_duty != Some(epoch) {
             self.held_duty = Some(epoch);
-            self.disk.append(encode(&DiskRecord::HeldDuty { epoch }));
+            self.write_held_duty(epoch);
         }
     }
 
+    fn write_held_duty(&mut self, epoch: u64) {
+        self.held_duty_position = self.disk.append(encode(&DiskRecord::HeldDuty { epoch }));
+    }
+
     /// Latest time at which a majority was surely in the view that this machine acts in. None while a newer
     /// view is known here but not entered yet, since confirmations are of that one then.
     pub fn quorum_confirmed_at(&self) -> Option<u64> {
@@ -294,8 +301,14 @@
         self.agreement.next_tick_at().min(self.now + 100)
     }
 
+    /// It is `now`: given before anything that has come is taken up, so that it isn't judged by an earlier time. A
+    /// process that stood still would take itself for in touch, and what waits for it for fresh.
+    pub fn pass_time(&mut self, now: u64) {
+        self.now = self.now.max(now);
+    }
+
     pub fn tick(&mut self, now: u64) {
-        self.now = now;
+        self.pass_time(now);
         let mut outputs = Vec::new();
         self.agreement.tick(now, &mut outputs);
         self.last_confirmed_at = self.last_confirmed_at.max(self.agreement.quorum_confirmed_at());
--- a/crates/signalbox/src/duties/mod.rs
+++ b/crates/signalbox/src/duties/mod.rs
@@ -30,7 +30,10 @@
 /// What a call of a duty is for.
 #[derive(Debug)]
 pub enum Purpose {
-    ListPage,
+    /// A page for the reading of this number.
+    ListPage {
+        reading: u64,
+    },
     Order(Order),
     /// Whether a load at this server is done.
     Report {
@@ -54,10 +57,14 @@
     options: DutyOptions,
     client: HttpClient<Purpose>,
     head_since: Option<u64>,
+    /// Since when this machine has been the head and in touch: processes are given time to open their sessions.
+    sessions_since: Option<u64>,
     /// Term of the duties, once it is committed; nothing is told or ordered without one.
     term: Option<u64>,
     next_poll: u64,
     reading: Option<Reading>,
+    /// Number of the latest reading: a late page of an earlier one is no part of it.
+    reading_number: u64,
     planner: WeightsPlanner,
     holder: Holder,
     /// Newest reading of the list, before versions known from orders are added.
@@ -76,9 +83,11 @@
             options,
             client: HttpClient::default(),
             head_since: None,
+            sessions_since: None,
             term: None,
             next_poll: 0,
             reading: None,
+            reading_number: 0,
             planner: WeightsPlanner::default(),
             holder: Holder::default(),
             listed: Vec::new(),
@@ -94,6 +103,7 @@
         self.term = None;
         if !is_head {
             self.head_since = None;
+            self.sessions_since = None;
             self.holder.end();
             self.planner.reset();
             self.reading = None;
@@ -104,11 +114,23 @@
         self.holder.begin(now, epoch, same_head, wait);
         if self.head_since.is_none() {
             self.head_since = Some(now);
+            self.sessions_since = Some(now);
             self.next_poll = now;
             self.listed.clear();
         }
     }
 
+    /// Whether this machine is in touch. All sessions end while it isn't, so it knows none when it is again: it has to
+    /// wait for them as at the beginning of its duties, also where it is the head of the same view.
+    pub fn set_in_touch(&mut self, now: u64, is_in_touch: bool) {
+        if !is_in_touch {
+            self.sessions_since = None;
+            self.lost_since.clear();
+        } else if self.head_since.is_some() {
+            self.sessions_since.get_or_insert(now);
+        }
+    }
+
     /// The duties are done under this term from now on, or not at all.
     pub fn set_term(&mut self, term: Option<u64>) {
         self.term = term;
@@ -144,6 +166,7 @@
     pub fn poll_list(&mut self, network: &mut Network, now: u64) {
         if self.head_since.is_some() && self.reading.is_none() && now >= self.next_poll {
             self.reading = Some(Reading::default());
+            self.reading_number += 1;
             self.ask_page(network, now, None);
         }
     }
@@ -164,7 +187,8 @@
             begun_at: now,
             deadline: now + CALL_TIMEOUT_MS,
         };
-        if self.client.start(network, destination, "GET", &request, Purpose::ListPage).is_err() {
+        let purpose = Purpose::ListPage { reading: self.reading_number };
+        if self.client.start(network, destination, "GET", &request, purpose).is_err() {
             self.reading_failed(now);
         }
     }
@@ -198,7 +222,8 @@
                 }
                 None
             }
-            Purpose::ListPage => {
+            Purpose::ListPage { reading } if reading != self.reading_number => None,
+            Purpose::ListPage { .. } => {
                 let page = finished.answer.filter(|(head, _)| head.status == 200);
                 self.page_read(network, page.map(|(_, body)| body), table, now)
             }
@@ -226,7 +251,8 @@
             }
             Ok(Progress::Complete(servers)) => {
                 self.reading = None;
-                self.next_poll = now + POLL_INTERVAL_MS;
+                // What can't be published, since the next term hasn't begun yet, is read again as soon as it has.
+                self.next_poll = if self.term.is_some() { now + POLL_INTERVAL_MS } else { now };
                 self.listed = servers;
                 self.publish(table, now)
             }
--- a/crates/signalbox/src/process/mod.rs
+++ b/crates/signalbox/src/process/mod.rs
@@ -109,6 +109,8 @@
     duties: Duties,
     told_fleet: (u32, f32),
     operators: BTreeMap<ConnectionId, OperatorConnection>,
+    /// Connections of operators that end once their last answers are written.
+    finishing: Vec<ConnectionId>,
     calls: BTreeMap<u64, OpenCall>,
     next_call: u64,
     head: Option<(u64, MemberId)>,
@@ -129,6 +131,7 @@
         let wait = process.wait();
         let events = process.network.poll(wait)?;
         process.now = process.clock.now();
+        process.core.pass_time(process.now);
         for event in events {
             process.handle(event);
         }
@@ -214,6 +217,7 @@
             duties,
             told_fleet: (0, 0.0),
             operators: BTreeMap::new(),
+            finishing: Vec::new(),
             calls: BTreeMap::new(),
             next_call: 1,
             head: None,
@@ -359,6 +363,7 @@
         for finished in self.duties.client().expire(&mut self.network, self.now) {
             self.duty_call_finished(Some(finished));
         }
+        self.duties.set_in_touch(self.now, self.core.in_touch());
         let term = self.core.duty_term();
         self.duties.set_term(term);
         if term.is_none() {
--- a/crates/track/src/network/connection.rs
+++ b/crates/track/src/network/connection.rs
@@ -3,6 +3,7 @@
 use std::io::{self, ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::rc::Rc;
+use std::time::Instant;
 
 use calloop::RegistrationToken;
 
@@ -42,6 +43,8 @@
     read_start: usize,
     pub(super) outbox: Vec<u8>,
     write_start: usize,
+    /// When the time is over in which the outbox has to be written.
+    pub(super) write_by: Option<Instant>,
     /// To be closed once the outbox is empty.
     pub(super) finish: bool,
     pub(super) dirty: bool,
@@ -75,6 +78,7 @@
             read_start: 0,
             outbox: Vec::new(),
             write_start: 0,
+            write_by: None,
             finish: false,
             dirty: false,
             peer,
@@ -99,6 +103,11 @@
         self.outbox.len() - self.write_start
     }
 
+    /// Whether the time is over in which what waits had to be written.
+    pub(super) fn is_late(&self) -> bool {
+        self.write_by.is_some_and(|by| self.queued_bytes() > 0 && Instant::now() >= by)
+    }
+
     /// Marks the first `bytes` of what is unread as read.
     pub(super) fn consume(&mut self, bytes: usize) {
         self.read_start = (self.read_start + bytes).min(self.inbox.len());
@@ -140,7 +149,10 @@
             match (&*self.socket).write(&self.outbox[self.write_start..]) {
                 Ok(0) => return Err(ErrorKind::WriteZero.into()),
                 Ok(length) => self.write_start += length,
-                Err(error) if error.kind() == ErrorKind::WouldBlock => return Ok(()),
+                Err(error) if error.kind() == ErrorKind::WouldBlock => {
+                    self.drop_written();
+                    return Ok(());
+                }
                 Err(error) if error.kind() == ErrorKind::Interrupted => {}
                 Err(error) => return Err(error),
             }
@@ -148,6 +160,16 @@
         self.outbox.clear();
         self.outbox.shrink_to(KEPT_BYTES);
         self.write_start = 0;
+        self.write_by = None;
         Ok(())
     }
+
+    /// Gives back what is written of an outbox that isn't empty: on a line that is always busy it never is. Only once
+    /// that is more than what waits, so that each byte is moved once on average.
+    fn drop_written(&mut self) {
+        if self.write_start > self.queued_bytes() {
+            self.outbox.drain(..self.write_start);
+            self.write_start = 0;
+        }
+    }
 }
--- a/crates/track/tests/network.rs
+++ b/crates/track/tests/network.rs
@@ -1,9 +1,10 @@
 //! The event loop's connections against sockets of the standard library.
 
-use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener};
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddr, SocketAddrV4, TcpListener, TcpStream};
 use std::time::{Duration, Instant};
 
-use orchidvalve_track::network::{Event, Network};
+use orchidvalve_track::network::{ConnectionId, Event, Network};
 
 const LIMIT: Duration = Duration::from_secs(20);
 
@@ -33,3 +34,110 @@
     network.set_source(None);
     assert_eq!(source_of(&mut network), Ipv4Addr::LOCALHOST);
 }
+
+/// As for a process that stands still between sending and writing: its time is over when it goes on.
+#[test]
+fn bytes_whose_time_is_over_are_never_written() {
+    let mut network = Network::new().unwrap();
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let port = listener.local_addr().unwrap().port();
+    let id = network.connect(SocketAddrV4::new(Ipv4Addr::LOCALHOST, port), LIMIT).unwrap();
+    network.write_within(id, Duration::ZERO);
+    network.send(id, b"late");
+    let begin = Instant::now();
+    let mut closed = false;
+    while !closed {
+        assert!(begin.elapsed() < LIMIT, "the connection is closed");
+        let events = network.poll(Duration::from_millis(10)).unwrap();
+        closed =
+            events.iter().any(|event| matches!(event, Event::Closed { connection, .. } if *connection == id));
+    }
+    network.forget(id);
+    let (mut peer, _) = listener.accept().unwrap();
+    let mut got = Vec::new();
+    peer.read_to_end(&mut got).unwrap();
+    assert!(got.is_empty());
+}
+
+#[test]
+fn bytes_that_are_written_in_time_leave_the_connection_as_it_is() {
+    let mut network = Network::new().unwrap();
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let port = listener.local_addr().unwrap().port();
+    let id = network.connect(SocketAddrV4::new(Ipv4Addr::LOCALHOST, port), LIMIT).unwrap();
+    network.write_within(id, LIMIT);
+    network.send(id, b"in time");
+    let begin = Instant::now();
+    while !network.is_open(id) || network.queued_bytes(id) > 0 {
+        assert!(begin.elapsed() < LIMIT, "the bytes are written");
+        network.poll(Duration::from_millis(10)).unwrap();
+    }
+    let (mut peer, _) = listener.accept().unwrap();
+    let mut got = [0; 7];
+    peer.read_exact(&mut got).unwrap();
+    assert_eq!(&got, b"in time");
+}
+
+/// The rest of a message comes, and is shorter than what was consumed before its beginning.
+#[test]
+fn bytes_that_follow_an_unconsumed_rest_are_reported() {
+    let mut network = Network::new().unwrap();
+    let SocketAddr::V4(address) = network.listen(SocketAddrV4::new(Ipv4Addr::LOCALHOST, 0), 1).unwrap()
+    else {
+        panic!("an IPv4 address")
+    };
+    let mut peer = TcpStream::connect(address).unwrap();
+    peer.write_all(b"whole message, begin").unwrap();
+    let id = data(&mut network);
+    network.consume(id, b"whole message, ".len());
+    peer.write_all(b"ning").unwrap();
+    assert_eq!(data(&mut network), id);
+    assert_eq!(network.inbox(id), b"beginning");
+}
+
+/// The connection on which data comes next.
+fn data(network: &mut Network) -> ConnectionId {
+    let begin = Instant::now();
+    loop {
+        assert!(begin.elapsed() < LIMIT, "data is reported");
+        let events = network.poll(Duration::from_millis(10)).unwrap();
+        let connection = |event: &Event| match event {
+            Event::Data(connection) => Some(*connection),
+            _ => None,
+        };
+        if let Some(connection) = events.iter().find_map(connection) {
+            return connection;
+        }
+    }
+}
+
+/// The peer takes as much as is sent, and the line is never idle.
+#[test]
+fn an_outbox_that_is_never_empty_does_not_grow() {
+    const CHUNK_BYTES: usize = 1 << 20;
+    /// More than the system takes of what the peer hasn't read.
+    const WAITING_CHUNKS: usize = 24;
+    const CHUNKS: usize = 150;
+    let mut network = Network::new().unwrap();
+    let listener = TcpListener::bind((Ipv4Addr::LOCALHOST, 0)).unwrap();
+    let port = listener.local_addr().unwrap().port();
+    let id = network.connect(SocketAddrV4::new(Ipv4Addr::LOCALHOST, port), LIMIT).unwrap();
+    let (mut peer, _) = listener.accept().unwrap();
+    peer.set_nonblocking(true).unwrap();
+    let mut chunk = vec![0; CHUNK_BYTES];
+    network.send(id, &vec![0; WAITING_CHUNKS * CHUNK_BYTES]);
+    while !network.is_open(id) {
+        network.poll(Duration::from_millis(10)).unwrap();
+    }
+    for _ in 0..CHUNKS {
+        network.send(id, &chunk);
+        let mut taken = 0;
+        while taken < CHUNK_BYTES {
+            network.poll(Duration::ZERO).unwrap();
+            taken += peer.read(&mut chunk[taken..]).unwrap_or(0);
+        }
+        assert!(network.queued_bytes(id) > 0, "the line is busy");
+    }
+    let held = network.outbox(id).unwrap().len();
+    assert!(held <= 3 * network.queued_bytes(id), "{held} bytes are held");
+}
