Control and store: one start of the event loop, the ring and the identity

Cause: both processes wrote the same start: clock, event loop, ring, identity, introduction and the options of the machine. What changes there had to change twice.

Change: crates/roundhouse holds it (MachineOptions, start, ProcessError); control and store keep what is theirs. No behaviour changes; the messages are the same to the letter.

--- a/crates/goodsyard/src/process.rs
+++ b/crates/goodsyard/src/process.rs
@@ -3,20 +3,17 @@
 mod incoming;
 
 use std::collections::BTreeMap;
-use std::io;
-use std::net::{Ipv4Addr, SocketAddrV4};
-use std::path::PathBuf;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
-use derive_more::{Display, Error, From};
-use orchidvalve_ballast::{OpenError, Options as RingOptions, Ring};
+use orchidvalve_ballast::Ring;
 use orchidvalve_lineside::FeedClient;
+use orchidvalve_roundhouse::{MachineOptions, ProcessError, StartedProcess};
 use orchidvalve_track::clock::Clock;
 use orchidvalve_track::frames::write_frame;
 use orchidvalve_track::identity::{MemberId, NodeAddress};
-use orchidvalve_track::messages::{Introduction, PROTOCOL_VERSION, Role, StoreHealth, ToControl};
+use orchidvalve_track::messages::{Role, StoreHealth, ToControl};
 use orchidvalve_track::network::{ConnectionId, Event, Network};
 use orchidvalve_waybill::RouteTable;
 
@@ -45,37 +42,17 @@
 /// What a store process is started with.
 #[derive(Clone, Debug)]
 pub struct StoreOptions {
-    pub name: String,
-    pub zone: String,
-    pub share: f32,
-    /// Where doors and other stores call.
-    pub internal_address: SocketAddrV4,
-    /// Where their calls arrive: another address only behind a relay.
-    pub internal_listener: SocketAddrV4,
-    /// Address that connections to others leave from; the kernel chooses one where there is none.
-    pub source: Option<Ipv4Addr>,
+    /// The machine, its addresses and its disk.
+    pub machine: MachineOptions,
     /// Control machines at which a session may be asked for.
     pub seeds: Vec<NodeAddress>,
-    pub data_directory: PathBuf,
-    pub disk_bytes: u64,
     pub memory_bytes: u64,
     /// Storage machines that may be lost at once.
     pub tolerance: usize,
-    /// Time that the process has to end after it was told to, in milliseconds.
-    pub grace_ms: u64,
     /// Time after its submission for which results of a job are kept.
     pub status_interval_ms: u64,
 }
 
-/// Why a store process ends.
-#[derive(Debug, Display, Error, From)]
-pub enum StoreError {
-    #[display("store: the disk can't be used: {_0}")]
-    Disk(OpenError),
-    #[display("store: the network failed: {_0}; check that the addresses are this machine's and free")]
-    Network(io::Error),
-}
-
 /// Limits of jobs by the configuration in force.
 struct RouteLimits(Option<Arc<RouteTable>>);
 
@@ -118,7 +95,7 @@
 /// # Errors
 ///
 /// The disk or the network can't be used.
-pub fn run(options: StoreOptions) -> Result<(), StoreError> {
+pub fn run(options: StoreOptions) -> Result<(), ProcessError> {
     let mut process = Process::start(options)?;
     loop {
         let wait = process.wait();
@@ -135,36 +112,19 @@
 }
 
 impl Process {
-    fn start(options: StoreOptions) -> Result<Process, StoreError> {
-        let clock = Clock::start();
-        let mut network = Network::new()?;
-        network.set_source(options.source);
-        let waker = network.waker();
-        let ring_options = RingOptions::with_capacity((options.disk_bytes as f64 * RING_SHARE) as u64);
-        let on_progress = Box::new(move || waker.wake());
-        let (ring, recovery) = Ring::open(&options.data_directory, ring_options, on_progress)?;
-        network.listen(options.internal_listener, INTERNAL_LISTENER)?;
-        let address = NodeAddress::new(*options.internal_address.ip(), options.internal_address.port());
-        let me = MemberId { address, disk: recovery.disk_identity };
-        let nonce = random_nonce();
-        log::info!("store: {me} starts with {} records on disk", recovery.records.len());
+    fn start(options: StoreOptions) -> Result<Process, ProcessError> {
+        let StartedProcess { clock, mut network, ring, records, introduction } =
+            orchidvalve_roundhouse::start(&options.machine, Role::Store, RING_SHARE)?;
+        network.listen(options.machine.internal_listener, INTERNAL_LISTENER)?;
+        let (me, nonce) = (introduction.member, introduction.incarnation);
         let settings = StoreSettings {
             me,
             minimum_copies: options.tolerance + 1,
             retention_ms: options.status_interval_ms + RETENTION_MARGIN_MS,
             memory_limit_bytes: (options.memory_bytes as f64 * MEMORY_SHARE) as usize,
         };
-        let records = recovery.records.into_iter().map(|r| (r.position, r.payload));
+        let records = records.into_iter().map(|r| (r.position, r.payload));
         let store = Store::new(settings, Rc::new(RouteLimits(None)), records, ring.next_position(), nonce);
-        let introduction = Introduction {
-            version: PROTOCOL_VERSION,
-            role: Role::Store,
-            name: options.name.clone(),
-            zone: options.zone.clone(),
-            member: me,
-            incarnation: nonce,
-            share: options.share,
-        };
         let feed = FeedClient::new(introduction, options.seeds.clone(), nonce);
         let now = clock.now();
         Ok(Process {
@@ -182,7 +142,7 @@
             configuration: 0,
             durable: 0,
             durable_since: now,
-            grace_ms: options.grace_ms,
+            grace_ms: options.machine.grace_ms,
             departure: None,
             now,
         })
@@ -330,9 +290,3 @@
         self.departure.is_some_and(|departure| departure.is_over(self.now, self.me, copy.state(), in_touch))
     }
 }
-
-/// Tells this start of the process from others: drawn from the keys of the standard library's hash maps.
-fn random_nonce() -> u64 {
-    use std::hash::{BuildHasher, Hasher};
-    std::collections::hash_map::RandomState::new().build_hasher().finish() | 1
-}
--- a/crates/locomotive/src/roles.rs
+++ b/crates/locomotive/src/roles.rs
@@ -4,8 +4,9 @@
 use std::path::PathBuf;
 
 use derive_more::{Display, Error, From};
-use orchidvalve_goodsyard::process::{StoreError, StoreOptions};
-use orchidvalve_signalbox::process::{ControlError, ControlOptions};
+use orchidvalve_goodsyard::process::StoreOptions;
+use orchidvalve_roundhouse::{MachineOptions, ProcessError};
+use orchidvalve_signalbox::process::ControlOptions;
 use orchidvalve_track::identity::NodeAddress;
 use orchidvalve_track::settings::{Settings, SettingsError};
 use orchidvalve_turnstile::process::{DoorError, DoorOptions};
@@ -19,9 +20,13 @@
 #[derive(Debug, Display, Error, From)]
 pub enum RunError {
     Settings(SettingsError),
-    Control(ControlError),
+    #[display("control: {_0}")]
+    #[from(ignore)]
+    Control(ProcessError),
     Door(DoorError),
-    Store(StoreError),
+    #[display("store: {_0}")]
+    #[from(ignore)]
+    Store(ProcessError),
     #[display("settings: {key} is missing for the role {role}: add it to the file")]
     #[from(ignore)]
     Missing {
@@ -39,9 +44,13 @@
     let settings = Settings::load_from_environment()?;
     match role {
         Role::Control if settings.data_directory.is_none() => redirect_callers(&settings),
-        Role::Control => Ok(orchidvalve_signalbox::process::run(control_options(&settings)?)?),
+        Role::Control => {
+            orchidvalve_signalbox::process::run(control_options(&settings)?).map_err(RunError::Control)
+        }
         Role::Door => Ok(orchidvalve_turnstile::process::run(door_options(&settings)?)?),
-        Role::Store => Ok(orchidvalve_goodsyard::process::run(store_options(&settings)?)?),
+        Role::Store => {
+            orchidvalve_goodsyard::process::run(store_options(&settings)?).map_err(RunError::Store)
+        }
         Role::Check => {
             println!("the settings of {} can be used", settings.node_name);
             Ok(())
@@ -78,22 +87,14 @@
     let role = "control";
     let missing = |key| RunError::Missing { key, role };
     Ok(ControlOptions {
-        name: settings.node_name.clone(),
-        zone: settings.zone.clone(),
-        share: settings.limits.cpu_share as f32,
+        machine: machine_options(settings, role)?,
         control_address: settings.control.ok_or(missing("listen-addresses.control"))?,
-        internal_address: internal_address(settings),
-        internal_listener: internal_listener(settings),
-        source: source(settings),
         seeds: settings.seed_nodes.clone(),
         bootstrap: settings.bootstrap,
-        data_directory: data_directory(settings, role)?,
-        disk_bytes: disk_bytes(settings),
         tolerance: settings.fault_tolerance.machines as usize,
         platform: settings.cloud_api.address,
         lease_ms: settings.bounds.lease_ms,
         catch_up_ms: (settings.bounds.catch_up_s * 1_000.0) as u64,
-        grace_ms: (settings.bounds.grace_s * 1_000.0) as u64,
     })
 }
 
@@ -101,8 +102,8 @@
 fn redirect_callers(settings: &Settings) -> Result<(), RunError> {
     let missing = RunError::Missing { key: "listen-addresses.control", role: "control" };
     let address = settings.control.ok_or(missing)?;
-    orchidvalve_signalbox::redirector::run(address, &settings.seed_nodes).map_err(ControlError::from)?;
-    Ok(())
+    let ended = orchidvalve_signalbox::redirector::run(address, &settings.seed_nodes);
+    ended.map_err(|error| RunError::Control(error.into()))
 }
 
 fn door_options(settings: &Settings) -> Result<DoorOptions, RunError> {
@@ -115,28 +116,39 @@
         readiness: settings.readiness.ok_or(missing("listen-addresses.readiness"))?,
         source: source(settings),
         seeds: seeds(settings),
-        grace_ms: (settings.bounds.grace_s * 1_000.0) as u64,
+        grace_ms: grace_ms(settings),
     })
 }
 
 fn store_options(settings: &Settings) -> Result<StoreOptions, RunError> {
     Ok(StoreOptions {
+        machine: machine_options(settings, "store")?,
+        seeds: seeds(settings),
+        memory_bytes: settings.limits.memory_mb << 20,
+        tolerance: settings.fault_tolerance.machines as usize,
+        status_interval_ms: (settings.bounds.status_interval_s * 1_000.0) as u64,
+    })
+}
+
+/// What a process that keeps a disk is started with, whatever its role.
+fn machine_options(settings: &Settings, role: &'static str) -> Result<MachineOptions, RunError> {
+    Ok(MachineOptions {
         name: settings.node_name.clone(),
         zone: settings.zone.clone(),
         share: settings.limits.cpu_share as f32,
         internal_address: internal_address(settings),
         internal_listener: internal_listener(settings),
         source: source(settings),
-        seeds: seeds(settings),
-        data_directory: data_directory(settings, "store")?,
+        data_directory: data_directory(settings, role)?,
         disk_bytes: disk_bytes(settings),
-        memory_bytes: settings.limits.memory_mb << 20,
-        tolerance: settings.fault_tolerance.machines as usize,
-        grace_ms: (settings.bounds.grace_s * 1_000.0) as u64,
-        status_interval_ms: (settings.bounds.status_interval_s * 1_000.0) as u64,
+        grace_ms: grace_ms(settings),
     })
 }
 
+fn grace_ms(settings: &Settings) -> u64 {
+    (settings.bounds.grace_s * 1_000.0) as u64
+}
+
 fn data_directory(settings: &Settings, role: &'static str) -> Result<PathBuf, RunError> {
     settings.data_directory.clone().ok_or(RunError::Missing { key: "data-directory", role })
 }
--- a/crates/signalbox/src/process/ending.rs
+++ b/crates/signalbox/src/process/ending.rs
@@ -12,7 +12,8 @@
             return;
         }
         log::info!("control: told to stop: handing over");
-        self.ending_deadline = Some(self.now + self.options.grace_ms.saturating_sub(ENDING_MARGIN_MS));
+        self.ending_deadline =
+            Some(self.now + self.options.machine.grace_ms.saturating_sub(ENDING_MARGIN_MS));
         self.core.set_leaving();
     }
 
--- a/crates/signalbox/src/process/mod.rs
+++ b/crates/signalbox/src/process/mod.rs
@@ -5,18 +5,16 @@
 mod operators;
 
 use std::collections::BTreeMap;
-use std::io;
-use std::net::{Ipv4Addr, SocketAddrV4};
-use std::path::PathBuf;
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 use std::time::Duration;
 
-use derive_more::{Display, Error, From};
-use orchidvalve_ballast::{OpenError, Options as RingOptions, Ring};
+use orchidvalve_ballast::{Record, Ring};
+use orchidvalve_roundhouse::{MachineOptions, ProcessError, StartedProcess};
 use orchidvalve_track::clock::Clock;
 use orchidvalve_track::http::RequestReader;
 use orchidvalve_track::identity::{MemberId, NodeAddress};
-use orchidvalve_track::messages::{Introduction, PROTOCOL_VERSION, Role, ServersUpdate};
+use orchidvalve_track::messages::{Introduction, Role, ServersUpdate};
 use orchidvalve_track::network::{ConnectionId, Event as NetworkEvent, Network};
 
 use self::links::Incoming;
@@ -44,39 +42,27 @@
 /// What a control process is started with.
 #[derive(Clone, Debug)]
 pub struct ControlOptions {
-    pub name: String,
-    pub zone: String,
-    pub share: f32,
+    /// The machine, its addresses and its disk.
+    pub machine: MachineOptions,
     /// Where operators and trainers call.
     pub control_address: SocketAddrV4,
-    /// Where the system's own processes call.
-    pub internal_address: SocketAddrV4,
-    /// Where their calls arrive: another address only behind a relay.
-    pub internal_listener: SocketAddrV4,
-    /// Address that connections to others leave from; the kernel chooses one where there is none.
-    pub source: Option<Ipv4Addr>,
     /// Control addresses of the first control machines.
     pub seeds: Vec<SocketAddrV4>,
     pub bootstrap: bool,
-    pub data_directory: PathBuf,
-    pub disk_bytes: u64,
     /// Disks that may be lost at once.
     pub tolerance: usize,
     pub platform: Option<SocketAddrV4>,
     pub lease_ms: u64,
     /// Time from the return of a machine until the next one may be lost.
     pub catch_up_ms: u64,
-    /// Time that a process has to end after it was told to.
-    pub grace_ms: u64,
 }
 
-/// Why a control process ends.
-#[derive(Debug, Display, Error, From)]
-pub enum ControlError {
-    #[display("control: the disk can't be used: {_0}")]
-    Disk(OpenError),
-    #[display("control: the network failed: {_0}; check that the addresses are this machine's and free")]
-    Network(io::Error),
+impl ControlOptions {
+    /// Internal addresses of the first control machines: all listen there at the same port.
+    fn seed_nodes(&self) -> impl Iterator<Item = NodeAddress> {
+        let port = self.machine.internal_address.port();
+        self.seeds.iter().map(move |seed| NodeAddress::new(*seed.ip(), port))
+    }
 }
 
 struct RingDisk(Rc<Ring>);
@@ -123,7 +109,7 @@
 /// # Errors
 ///
 /// The disk or the network can't be used.
-pub fn run(options: ControlOptions) -> Result<(), ControlError> {
+pub fn run(options: ControlOptions) -> Result<(), ProcessError> {
     let mut process = Process::start(options)?;
     loop {
         let wait = process.wait();
@@ -142,60 +128,31 @@
 }
 
 impl Process {
-    fn start(options: ControlOptions) -> Result<Process, ControlError> {
-        let clock = Clock::start();
-        let mut network = Network::new()?;
-        network.set_source(options.source);
-        let waker = network.waker();
-        let ring_options = RingOptions::with_capacity((options.disk_bytes as f64 * RING_SHARE) as u64);
-        let on_progress = Box::new(move || waker.wake());
-        let (ring, recovery) = Ring::open(&options.data_directory, ring_options, on_progress)?;
+    fn start(options: ControlOptions) -> Result<Process, ProcessError> {
+        let StartedProcess { clock, mut network, ring, records, introduction } =
+            orchidvalve_roundhouse::start(&options.machine, Role::Control, RING_SHARE)?;
         let ring = Rc::new(ring);
-        let mut recovered = Recovered::default();
-        for record in &recovery.records {
-            recovered.take(record.position, &record.payload);
-        }
-        if recovered.unreadable > 0 {
-            log::error!(
-                "control: {} records can't be read; run the version that wrote them",
-                recovered.unreadable
-            );
-        }
+        let me = introduction.member;
         network.listen(options.control_address, OPERATOR_LISTENER)?;
-        network.listen(options.internal_listener, INTERNAL_LISTENER)?;
-        let internal = |a: &SocketAddrV4| NodeAddress::new(*a.ip(), options.internal_address.port());
-        let address = internal(&options.internal_address);
-        let me = MemberId { address, disk: recovery.disk_identity };
-        let nonce = random_nonce();
-        let seeds: Vec<NodeAddress> = options.seeds.iter().map(internal).collect();
+        network.listen(options.machine.internal_listener, INTERNAL_LISTENER)?;
         let identity = Identity {
             me,
             bootstrap: options.bootstrap,
-            seeds: seeds.clone(),
+            seeds: options.seed_nodes().collect(),
             tolerance: options.tolerance,
             catch_up_ms: options.catch_up_ms,
-            nonce,
+            nonce: introduction.incarnation,
         };
         let now = clock.now();
-        log::info!("control: {me} starts with {} records on disk", recovery.records.len());
-        let core = Core::new(identity, recovered, RingDisk(ring.clone()), now);
-        let introduction = Introduction {
-            version: PROTOCOL_VERSION,
-            role: Role::Control,
-            name: options.name.clone(),
-            zone: options.zone.clone(),
-            member: me,
-            incarnation: nonce,
-            share: options.share,
-        };
+        let core = Core::new(identity, recover(&records), RingDisk(ring.clone()), now);
         let duties = Duties::new(DutyOptions {
-            name: options.name.clone(),
+            name: options.machine.name.clone(),
             platform: options.platform,
             lease_ms: options.lease_ms,
             tolerance: options.tolerance,
         });
-        let mut links = PeerLinks::new(address);
-        links.set_lasting(seeds.into_iter());
+        let mut links = PeerLinks::new(me.address);
+        links.set_lasting(options.seed_nodes());
         Ok(Process {
             options,
             clock,
@@ -341,10 +298,8 @@
                 };
                 self.duties.view_changed(self.now, view.epoch, is_head, same_head);
                 self.head = head.map(|h| (view.epoch, h));
-                let seeds = self.options.seeds.iter();
-                let port = self.options.internal_address.port();
-                let seeds = seeds.map(|s| NodeAddress::new(*s.ip(), port));
-                self.links.set_lasting(view.voters.iter().map(|m| m.address).chain(seeds));
+                let voters = view.voters.iter().map(|m| m.address);
+                self.links.set_lasting(voters.chain(self.options.seed_nodes()));
             }
             Event::RetirementAsked { origin, name } => self.retirement_asked(origin, &name),
             Event::Outcome { call, outcome } => self.call_decided(call, &outcome),
@@ -380,8 +335,17 @@
     }
 }
 
-/// Tells this start of the process from others: drawn from the seed of the standard library's hash maps.
-fn random_nonce() -> u64 {
-    use std::hash::{BuildHasher, Hasher};
-    std::collections::hash_map::RandomState::new().build_hasher().finish() | 1
+/// What the ring's records add up to.
+fn recover(records: &[Record]) -> Recovered {
+    let mut recovered = Recovered::default();
+    for record in records {
+        recovered.take(record.position, &record.payload);
+    }
+    if recovered.unreadable > 0 {
+        log::error!(
+            "control: {} records can't be read; run the version that wrote them",
+            recovered.unreadable
+        );
+    }
+    recovered
 }
--- a/crates/signalbox/src/process/operators.rs
+++ b/crates/signalbox/src/process/operators.rs
@@ -180,7 +180,7 @@
         let members: Vec<_> = self
             .sessions
             .sessions()
-            .map(|s| json!({"name": s.name, "zone": s.zone, "role": format!("{:?}", s.role).to_lowercase()}))
+            .map(|s| json!({"name": s.name, "zone": s.zone, "role": s.role.to_string()}))
             .collect();
         let partitions: Vec<_> = state
             .partitions()
@@ -192,7 +192,7 @@
             })
             .collect();
         let status = json!({
-            "name": self.options.name,
+            "name": self.options.machine.name,
             "in-touch": self.core.in_touch(),
             "epoch": view.map_or(0, |v| v.epoch),
             "chain": chain,
--- a/crates/signalbox/tests/planned_end.rs
+++ b/crates/signalbox/tests/planned_end.rs
@@ -8,6 +8,7 @@
 use std::process::{Command, ExitCode};
 use std::thread;
 
+use orchidvalve_roundhouse::MachineOptions;
 use orchidvalve_signalbox::process::{ControlOptions, run};
 use orchidvalve_track::network::Network;
 use serde_json::json;
@@ -25,22 +26,24 @@
     let internal_address = free_address();
     let data_directory = std::env::temp_dir().join(format!("orchidvalve-planned-end-{}", std::process::id()));
     ControlOptions {
-        name: "control-north-1".to_owned(),
-        zone: "north".to_owned(),
-        share: 1.0,
+        machine: MachineOptions {
+            name: "control-north-1".to_owned(),
+            zone: "north".to_owned(),
+            share: 1.0,
+            internal_address,
+            internal_listener: internal_address,
+            source: None,
+            data_directory,
+            disk_bytes: 64 << 20,
+            grace_ms: 8_000,
+        },
         control_address,
-        internal_address,
-        internal_listener: internal_address,
-        source: None,
         seeds: vec![SocketAddrV4::new(Ipv4Addr::LOCALHOST, control_address.port())],
         bootstrap: true,
-        data_directory,
-        disk_bytes: 64 << 20,
         tolerance: 0,
         platform: None,
         lease_ms: 1_000,
         catch_up_ms: 4_400,
-        grace_ms: 8_000,
     }
 }
 
@@ -89,7 +92,7 @@
     let _blocks_signals = Network::new().expect("an event loop");
     let control_address = free_address();
     let options = options(control_address);
-    let data_directory = options.data_directory.clone();
+    let data_directory = options.machine.data_directory.clone();
     let operator = thread::spawn(move || operate(control_address));
     let ended = run(options);
     let answer = operator.join().expect("the operator ends");
--- a/crates/track/src/identity.rs
+++ b/crates/track/src/identity.rs
@@ -1,6 +1,7 @@
 //! Identities of machines and disks.
 
 use std::fmt;
+use std::hash::{BuildHasher, RandomState};
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use musli::{Decode, Encode};
@@ -62,3 +63,8 @@
         fmt::Display::fmt(self, formatter)
     }
 }
+
+/// Tells this start of the process from others: drawn from the seed of the standard library's hash maps, never zero.
+pub fn random_incarnation() -> u64 {
+    RandomState::new().hash_one(0_u64) | 1
+}
--- a/crates/track/src/messages.rs
+++ b/crates/track/src/messages.rs
@@ -4,6 +4,7 @@
 //! link to each store ([`ToStore`], [`FromStore`]). Messages among control machines and among stores belong to
 //! the crates of those planes.
 
+use derive_more::Display;
 use musli::{Decode, Encode};
 
 use crate::identity::{MemberId, NodeAddress};
@@ -36,11 +37,14 @@
     }
 }
 
-/// What a process does.
-#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Encode, Decode)]
+/// What a process does. Displayed by the word that starts it.
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug, Display, Encode, Decode)]
 pub enum Role {
+    #[display("control")]
     Control,
+    #[display("door")]
     Door,
+    #[display("store")]
     Store,
 }
 
--- a/crates/turnstile/src/process/mod.rs
+++ b/crates/turnstile/src/process/mod.rs
@@ -14,7 +14,7 @@
 use derive_more::{Display, Error, From};
 use orchidvalve_lineside::{FeedClient, FeedNews};
 use orchidvalve_track::clock::Clock;
-use orchidvalve_track::identity::{MemberId, NodeAddress};
+use orchidvalve_track::identity::{MemberId, NodeAddress, random_incarnation};
 use orchidvalve_track::messages::{Introduction, PROTOCOL_VERSION, Role};
 use orchidvalve_track::network::{ConnectionId, Event, Network};
 use orchidvalve_waybill::RouteTable;
@@ -119,7 +119,7 @@
         network.set_source(options.source);
         network.listen(options.frontend, FRONTEND_LISTENER)?;
         network.listen(options.readiness, READINESS_LISTENER)?;
-        let seed = random_seed();
+        let seed = random_incarnation();
         let introduction = Introduction {
             version: PROTOCOL_VERSION,
             role: Role::Door,
@@ -353,9 +353,3 @@
         true
     }
 }
-
-/// A seed that differs between starts: drawn from the keys of the standard library's hash maps.
-fn random_seed() -> u64 {
-    use std::hash::{BuildHasher, Hasher};
-    std::collections::hash_map::RandomState::new().build_hasher().finish() | 1
-}
