Start: a process on a full, refusing or hanging disk waits for it instead of ending

Cause: a ring that can't confirm what it reads back refuses to open (OpenError::NotDurable, or Disk where a first use can't write), and control and store ended on any refusal. A disk that hung held up the event loop, SIGTERM included.

Change: ballast::Opening, free of I/O, says when an attempt is due (0.25 s after the last, steady clock, one at a time), which errors pass by themselves, and when to give up; roundhouse::disk runs the attempts on a thread beside the event loop. A trouble is told once, and once more when the ring is open. Until then nothing listens, the process has no identity, is no member and confirms nothing. SIGTERM ends it with code 0; an attempt under way is waited for half of the grace, and a ring that it opens is handed over in the rest. The ring refuses as before; it confirms once an attempt instead of twice. Damaged files, wrong options and answers that tell of wrong rights or paths still end the process.

--- a/crates/ballast/src/error.rs
+++ b/crates/ballast/src/error.rs
@@ -51,13 +51,56 @@
     DamagedIdentity,
 }
 
+/// What keeps a ring from opening for now. It may pass without anyone touching the data directory.
+#[derive(Debug, Display)]
+pub enum PassingTrouble<'e> {
+    /// Records were read back that a loss of power could still take away.
+    #[display("what was read back does not last yet: {_0}")]
+    NotDurable(DiskTrouble),
+    /// The disk refused an operation.
+    #[display("cannot {action} in the data directory: {source}")]
+    Disk {
+        /// What was tried.
+        action: &'static str,
+        /// The system's answer.
+        source: &'e io::Error,
+    },
+}
+
 impl OpenError {
+    /// The trouble behind this error, if another attempt may succeed: a disk that is full or refuses may work again.
+    /// Damaged files, wrong options, and answers of the system that tell of wrong rights or paths stay as they are.
+    pub fn passing(&self) -> Option<PassingTrouble<'_>> {
+        match self {
+            Self::NotDurable(trouble) => Some(PassingTrouble::NotDurable(*trouble)),
+            Self::Disk { action, source } if !tells_of_mistake(source.kind()) => {
+                Some(PassingTrouble::Disk { action, source })
+            }
+            Self::TooSmall { .. } | Self::Disk { .. } | Self::Damaged { .. } | Self::DamagedIdentity => None,
+        }
+    }
+
     /// Wraps an answer of the disk with what was tried.
     pub(crate) fn disk(action: &'static str) -> impl FnOnce(io::Error) -> Self {
         move |source| Self::Disk { action, source }
     }
 }
 
+/// Whether this answer of the system tells of a mistake in the settings or rights, not of a disk in trouble.
+fn tells_of_mistake(kind: io::ErrorKind) -> bool {
+    use io::ErrorKind;
+    matches!(
+        kind,
+        ErrorKind::PermissionDenied
+            | ErrorKind::NotADirectory
+            | ErrorKind::IsADirectory
+            | ErrorKind::AlreadyExists
+            | ErrorKind::InvalidInput
+            | ErrorKind::InvalidFilename
+            | ErrorKind::Unsupported
+    )
+}
+
 /// Why queued records do not become durable at the moment. The ring goes on trying.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum DiskTrouble {
--- a/crates/ballast/src/lib.rs
+++ b/crates/ballast/src/lib.rs
@@ -22,6 +22,7 @@
 mod error;
 pub mod format;
 pub mod identity;
+mod opening;
 mod options;
 pub mod recovery;
 mod ring;
@@ -29,7 +30,8 @@
 pub mod storage;
 pub mod writer;
 
-pub use error::{DiskTrouble, OpenError};
+pub use error::{DiskTrouble, OpenError, PassingTrouble};
+pub use opening::{ATTEMPT_PAUSE_MS, AfterFailure, Opening, OpeningStep, SLOW_ATTEMPT_MS};
 pub use options::{DEFAULT_FILE_BYTES, DEFAULT_RETRY_INTERVAL, Options};
 pub use recovery::{Record, Recovery};
 pub use ring::{OnProgress, Ring, Usage};
--- a/crates/ballast/src/ring.rs
+++ b/crates/ballast/src/ring.rs
@@ -104,7 +104,7 @@
         options: Options,
         on_progress: OnProgress,
     ) -> Result<(Self, Recovery), OpenError> {
-        let (mut writer, recovery, next_position) = Writer::open(storage, &options)?;
+        let (mut writer, recovery, next_position) = Writer::read_back(storage, &options)?;
         // The owner acts on what it reads back, so a loss of power must not take that away again.
         writer.confirm().map_err(OpenError::NotDurable)?;
         let queue = Queue {
--- a/crates/ballast/src/writer.rs
+++ b/crates/ballast/src/writer.rs
@@ -60,7 +60,16 @@
     ///
     /// # Errors
     /// Fails if the options are too small, the disk refuses to be read or durable records are gone.
-    pub fn open(mut storage: S, options: &Options) -> Result<(Self, Recovery, u64), OpenError> {
+    pub fn open(storage: S, options: &Options) -> Result<(Self, Recovery, u64), OpenError> {
+        let (mut writer, recovery, next_position) = Self::read_back(storage, options)?;
+        if let Err(trouble) = writer.confirm() {
+            log::warn!("ring: what was read back does not last yet: {trouble}");
+        }
+        Ok((writer, recovery, next_position))
+    }
+
+    /// Like [`Self::open`], but leaves it to the caller to make what was read back last.
+    pub(crate) fn read_back(mut storage: S, options: &Options) -> Result<(Self, Recovery, u64), OpenError> {
         let Options { capacity_bytes, file_bytes, .. } = *options;
         if file_bytes < SMALLEST_FILE_BYTES || capacity_bytes / file_bytes < SMALLEST_FILE_COUNT {
             return Err(OpenError::TooSmall { capacity_bytes, file_bytes });
@@ -70,10 +79,7 @@
         let names = if fresh { Vec::new() } else { names };
         let contents = recovery::read_files(&mut storage, &names)?;
         let next_position = contents.next_position;
-        let (mut writer, records) = Self::from_contents(storage, contents, options);
-        if let Err(trouble) = writer.confirm() {
-            log::warn!("ring: what was read back does not last yet: {trouble}");
-        }
+        let (writer, records) = Self::from_contents(storage, contents, options);
         Ok((writer, Recovery { disk_identity, fresh, records }, next_position))
     }
 
--- a/crates/goodsyard/src/process.rs
+++ b/crates/goodsyard/src/process.rs
@@ -96,7 +96,10 @@
 ///
 /// The disk or the network can't be used.
 pub fn run(options: StoreOptions) -> Result<(), ProcessError> {
-    let mut process = Process::start(options)?;
+    let Some(started) = orchidvalve_roundhouse::start(&options.machine, Role::Store, RING_SHARE)? else {
+        return Ok(());
+    };
+    let mut process = Process::new(options, started)?;
     loop {
         let wait = process.wait();
         let events = process.network.poll(wait)?;
@@ -112,9 +115,8 @@
 }
 
 impl Process {
-    fn start(options: StoreOptions) -> Result<Process, ProcessError> {
-        let StartedProcess { clock, mut network, ring, records, introduction } =
-            orchidvalve_roundhouse::start(&options.machine, Role::Store, RING_SHARE)?;
+    fn new(options: StoreOptions, started: StartedProcess) -> Result<Process, ProcessError> {
+        let StartedProcess { clock, mut network, ring, records, introduction, told_to_stop_at } = started;
         network.listen(options.machine.internal_listener, INTERNAL_LISTENER)?;
         let (me, nonce) = (introduction.member, introduction.incarnation);
         let settings = StoreSettings {
@@ -127,7 +129,7 @@
         let store = Store::new(settings, Rc::new(RouteLimits(None)), records, ring.next_position(), nonce);
         let feed = FeedClient::new(introduction, options.seeds.clone(), nonce);
         let now = clock.now();
-        Ok(Process {
+        let mut process = Process {
             me,
             clock,
             network,
@@ -145,7 +147,11 @@
             grace_ms: options.machine.grace_ms,
             departure: None,
             now,
-        })
+        };
+        if let Some(told_at) = told_to_stop_at {
+            process.begin_departure(told_at);
+        }
+        Ok(process)
     }
 
     fn moment(&self) -> Moment {
@@ -178,7 +184,7 @@
             }
             Event::Data(connection) => self.internal_data(connection),
             Event::Closed { connection, .. } => self.closed(connection),
-            Event::Terminate => self.begin_departure(),
+            Event::Terminate => self.begin_departure(self.now),
             Event::Reload | Event::Woken => {}
         }
     }
@@ -271,13 +277,14 @@
         }
     }
 
-    /// Tells control at once that this store leaves, and again with every heartbeat.
-    fn begin_departure(&mut self) {
+    /// The process was told to stop at `told_at`. Tells control at once that this store leaves, and again with every
+    /// heartbeat.
+    fn begin_departure(&mut self, told_at: u64) {
         if self.departure.is_some() {
             return;
         }
         log::info!("store: stopping");
-        self.departure = Some(Departure::new(self.now, self.grace_ms));
+        self.departure = Some(Departure::new(self.now, (told_at + self.grace_ms).saturating_sub(self.now)));
         if self.feed.is_standing() {
             let position = self.feed.copy().position();
             let heartbeat = ToControl::Heartbeat { position, health: Some(self.health()) };
--- a/crates/roundhouse/src/lib.rs
+++ b/crates/roundhouse/src/lib.rs
@@ -1,8 +1,11 @@
 //! Start of the processes that keep a disk, which are control and store: event loop, ring of records, identity.
 //!
 //! [`MachineOptions`] are what both are started with. [`start`] reads back the ring and says under which identity the
-//! process takes part; nothing listens by then, so a caller finds the process only once it knows its own records.
+//! process takes part. While the disk is full, refuses or hangs, the process stays and tries again; only what doesn't pass
+//! by itself ends it. Nothing listens by then: the process is no member, confirms nothing, and its callers are refused
+//! by the kernel at once and turn to others.
 
+mod disk;
 mod error;
 mod options;
 mod start;
--- a/crates/roundhouse/src/start.rs
+++ b/crates/roundhouse/src/start.rs
@@ -6,6 +6,7 @@
 use orchidvalve_track::messages::{Introduction, PROTOCOL_VERSION, Role};
 use orchidvalve_track::network::Network;
 
+use crate::disk::{OpenedRing, open_ring};
 use crate::error::ProcessError;
 use crate::options::MachineOptions;
 
@@ -21,25 +22,32 @@
     pub records: Vec<Record>,
     /// How the process introduces itself. It holds its identity and the number of this start.
     pub introduction: Introduction,
+    /// When the process was told to stop, if it was while the ring was being opened.
+    pub told_to_stop_at: Option<u64>,
 }
 
-/// Opens the event loop and the ring; `ring_share` is the share of the disk that the ring may take.
+/// Opens the event loop and the ring; `ring_share` is the share of the disk that the ring may take. Waits while the disk
+/// is in trouble. `None` if the process was told to stop before the ring was open.
 ///
 /// # Errors
 ///
-/// The disk or the event loop can't be used.
-pub fn start(machine: &MachineOptions, role: Role, ring_share: f64) -> Result<StartedProcess, ProcessError> {
+/// The event loop can't be used, or the disk for a reason that doesn't pass by itself.
+pub fn start(
+    machine: &MachineOptions,
+    role: Role,
+    ring_share: f64,
+) -> Result<Option<StartedProcess>, ProcessError> {
     let clock = Clock::start();
     let mut network = Network::new()?;
     network.set_source(machine.source);
-    let waker = network.waker();
-    let on_progress = Box::new(move || waker.wake());
     let ring_options = RingOptions::with_capacity((machine.disk_bytes as f64 * ring_share) as u64);
-    let (ring, recovery) = Ring::open(&machine.data_directory, ring_options, on_progress)?;
+    let opened = open_ring(machine, role, ring_options, &clock, &mut network)?;
+    let Some(OpenedRing { ring, recovery, told_to_stop_at }) = opened else { return Ok(None) };
     let me = MemberId { address: machine.node_address(), disk: recovery.disk_identity };
     let records = recovery.records;
     log::info!("{role}: {me} starts with {} records on disk", records.len());
-    Ok(StartedProcess { clock, network, ring, records, introduction: introduction(machine, role, me) })
+    let introduction = introduction(machine, role, me);
+    Ok(Some(StartedProcess { clock, network, ring, records, introduction, told_to_stop_at }))
 }
 
 fn introduction(machine: &MachineOptions, role: Role, member: MemberId) -> Introduction {
--- a/crates/signalbox/src/process/ending.rs
+++ b/crates/signalbox/src/process/ending.rs
@@ -6,14 +6,13 @@
 const ENDING_MARGIN_MS: u64 = 1_500;
 
 impl Process {
-    /// The process was told to stop. It goes on as a member until its part is handed over.
-    pub(super) fn begin_ending(&mut self) {
+    /// The process was told to stop at `told_at`. It goes on as a member until its part is handed over.
+    pub(super) fn begin_ending(&mut self, told_at: u64) {
         if self.ending_deadline.is_some() {
             return;
         }
         log::info!("control: told to stop: handing over");
-        self.ending_deadline =
-            Some(self.now + self.options.machine.grace_ms.saturating_sub(ENDING_MARGIN_MS));
+        self.ending_deadline = Some(told_at + self.options.machine.grace_ms.saturating_sub(ENDING_MARGIN_MS));
         self.core.set_leaving();
     }
 
--- a/crates/signalbox/src/process/mod.rs
+++ b/crates/signalbox/src/process/mod.rs
@@ -110,7 +110,10 @@
 ///
 /// The disk or the network can't be used.
 pub fn run(options: ControlOptions) -> Result<(), ProcessError> {
-    let mut process = Process::start(options)?;
+    let Some(started) = orchidvalve_roundhouse::start(&options.machine, Role::Control, RING_SHARE)? else {
+        return Ok(());
+    };
+    let mut process = Process::new(options, started)?;
     loop {
         let wait = process.wait();
         let events = process.network.poll(wait)?;
@@ -128,9 +131,8 @@
 }
 
 impl Process {
-    fn start(options: ControlOptions) -> Result<Process, ProcessError> {
-        let StartedProcess { clock, mut network, ring, records, introduction } =
-            orchidvalve_roundhouse::start(&options.machine, Role::Control, RING_SHARE)?;
+    fn new(options: ControlOptions, started: StartedProcess) -> Result<Process, ProcessError> {
+        let StartedProcess { clock, mut network, ring, records, introduction, told_to_stop_at } = started;
         let ring = Rc::new(ring);
         let me = introduction.member;
         network.listen(options.control_address, OPERATOR_LISTENER)?;
@@ -153,7 +155,7 @@
         });
         let mut links = PeerLinks::new(me.address);
         links.set_lasting(options.seed_nodes());
-        Ok(Process {
+        let mut process = Process {
             options,
             clock,
             network,
@@ -177,7 +179,11 @@
             disk_watch: DiskWatch::default(),
             ending_deadline: None,
             now,
-        })
+        };
+        if let Some(told_at) = told_to_stop_at {
+            process.begin_ending(told_at);
+        }
+        Ok(process)
     }
 
     fn wait(&self) -> Duration {
@@ -201,7 +207,7 @@
             NetworkEvent::Connected(connection) => self.link_opened(connection),
             NetworkEvent::Data(connection) => self.data(connection),
             NetworkEvent::Closed { connection, .. } => self.closed(connection),
-            NetworkEvent::Terminate => self.begin_ending(),
+            NetworkEvent::Terminate => self.begin_ending(self.now),
             NetworkEvent::Reload | NetworkEvent::Woken => {}
         }
     }
