Links between processes: opening, hanging, giving up and trying again stand once

Cause: the links of doors to stores, of stores to each other and of control machines to each other each had their own copy of the connection, its state and the times of a retry.

Change: track::outgoing_link holds them (OutgoingLink, LinkPace); the three keep their heartbeats, leases, silence and members. Times are as before: 300 and 250 ms between control machines, 150 and 300 ms elsewhere. The session of lineside asks several machines in overlapping attempts: other logic, left as it is.

--- a/crates/goodsyard/src/peer_links.rs
+++ b/crates/goodsyard/src/peer_links.rs
@@ -1,12 +1,11 @@
 //! Links between stores that share a partition. Every store opens a link to each of the others and sends on it.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 
-use orchidvalve_track::frames::write_frame;
 use orchidvalve_track::identity::MemberId;
 use orchidvalve_track::messages::{LinkKind, PROTOCOL_VERSION};
 use orchidvalve_track::network::{ConnectionId, Network};
+use orchidvalve_track::outgoing_link::{LinkPace, OutgoingLink};
 
 use crate::peer::PeerMessage;
 
@@ -14,26 +13,23 @@
 const HEARTBEAT_MS: u64 = 300;
 /// A link is opened anew if the peer wasn't heard for this time.
 const SILENCE_MS: u64 = 1_000;
-/// A link that isn't up within this time is begun anew: the peer may have been without power at first.
-const CONNECT_TIMEOUT_MS: u64 = 300;
-/// Pause between two tries to open a link.
-const RETRY_MS: u64 = 150;
-const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Times of a link.
+const PACE: LinkPace = LinkPace { retry_ms: 150, connect_timeout_ms: 300 };
 
-#[derive(Default, Debug)]
+#[derive(Debug)]
 struct Link {
-    connection: Option<ConnectionId>,
-    up: bool,
-    opened_at: u64,
-    retry_at: u64,
+    outgoing: OutgoingLink,
     heartbeat_at: u64,
     heard_at: u64,
 }
 
 impl Link {
+    fn new() -> Link {
+        Link { outgoing: OutgoingLink::new(PACE), heartbeat_at: 0, heard_at: 0 }
+    }
+
     fn is_lost(&self, now: u64) -> bool {
-        let hangs = !self.up && now >= self.opened_at + CONNECT_TIMEOUT_MS;
-        hangs || now > self.heard_at.max(self.opened_at) + SILENCE_MS
+        self.outgoing.hangs(now) || now > self.heard_at.max(self.outgoing.opened_at()) + SILENCE_MS
     }
 }
 
@@ -56,13 +52,13 @@
         }
         self.links.retain(|member, link| {
             let keep = peers.contains(member);
-            if let Some(connection) = link.connection.filter(|_| !keep) {
-                network.forget(connection);
+            if !keep {
+                link.outgoing.give_up(network);
             }
             keep
         });
         for peer in peers {
-            self.links.entry(*peer).or_default();
+            self.links.entry(*peer).or_insert_with(Link::new);
         }
     }
 
@@ -77,23 +73,13 @@
     pub fn maintain(&mut self, network: &mut Network, now: u64) -> Vec<MemberId> {
         let mut dropped = Vec::new();
         for (member, link) in &mut self.links {
-            if let Some(connection) = link.connection
-                && link.is_lost(now)
-            {
-                network.forget(connection);
-                link.connection = None;
-                link.up = false;
-                link.retry_at = now;
+            if link.is_lost(now) && link.outgoing.abandon(network, now) {
                 dropped.push(*member);
             }
-            if link.connection.is_none() && now >= link.retry_at {
-                link.retry_at = now + RETRY_MS;
-                link.opened_at = now;
-                link.connection = network.connect(member.address.socket(), USER_TIMEOUT).ok();
-            }
-            if link.up && now >= link.heartbeat_at {
+            link.outgoing.open_if_due(network, member.address, now);
+            if link.outgoing.is_up() && now >= link.heartbeat_at {
                 link.heartbeat_at = now + HEARTBEAT_MS;
-                send(network, link, &PeerMessage::Heartbeat);
+                link.outgoing.send(network, &PeerMessage::Heartbeat);
             }
         }
         dropped
@@ -101,12 +87,8 @@
 
     /// When [`PeerLinks::maintain`] has to be called next.
     pub fn next_wakeup(&self) -> u64 {
-        let due = |link: &Link| match link.connection {
-            None => link.retry_at,
-            Some(_) if link.up => link.heartbeat_at,
-            Some(_) => link.opened_at + CONNECT_TIMEOUT_MS,
-        };
-        self.links.values().map(due).min().unwrap_or(u64::MAX)
+        let due = self.links.values().map(|link| link.outgoing.next_wakeup(link.heartbeat_at));
+        due.min().unwrap_or(u64::MAX)
     }
 
     /// A connection is up; the member if it is one of these links.
@@ -117,34 +99,25 @@
         now: u64,
     ) -> Option<MemberId> {
         let me = self.me;
-        let (member, link) = self.links.iter_mut().find(|(_, l)| l.connection == Some(connection))?;
-        link.up = true;
+        let (member, link) = self.links.iter_mut().find(|(_, l)| l.outgoing.owns(connection))?;
+        link.outgoing.came_up();
         link.heartbeat_at = now + HEARTBEAT_MS;
         network.send(connection, &[LinkKind::StorePeer.byte()]);
-        send(network, link, &PeerMessage::Introduce { version: PROTOCOL_VERSION, member: me });
+        link.outgoing.send(network, &PeerMessage::Introduce { version: PROTOCOL_VERSION, member: me });
         Some(*member)
     }
 
     /// A connection ended; the member if it was one of these links.
     pub fn closed(&mut self, network: &mut Network, connection: ConnectionId, now: u64) -> Option<MemberId> {
-        let (member, link) = self.links.iter_mut().find(|(_, l)| l.connection == Some(connection))?;
-        network.forget(connection);
-        link.connection = None;
-        link.up = false;
-        link.retry_at = now + RETRY_MS;
+        let (member, link) = self.links.iter_mut().find(|(_, l)| l.outgoing.owns(connection))?;
+        link.outgoing.ended(network, now);
         Some(*member)
     }
 
     /// Sends a message if the link is up; it is lost otherwise.
     pub fn send(&self, network: &mut Network, to: MemberId, message: &PeerMessage) {
-        if let Some(link) = self.links.get(&to).filter(|l| l.up) {
-            send(network, link, message);
+        if let Some(link) = self.links.get(&to) {
+            link.outgoing.send(network, message);
         }
     }
 }
-
-fn send(network: &mut Network, link: &Link, message: &PeerMessage) {
-    if let Some(outbox) = link.connection.and_then(|c| network.outbox(c)) {
-        write_frame(outbox, message);
-    }
-}
--- a/crates/signalbox/src/links.rs
+++ b/crates/signalbox/src/links.rs
@@ -4,33 +4,25 @@
 //! that the others opened. A link on which nothing is heard from the other side is opened anew.
 
 use std::collections::BTreeMap;
-use std::time::Duration;
 
-use orchidvalve_track::frames::write_frame;
 use orchidvalve_track::identity::{MemberId, NodeAddress};
 use orchidvalve_track::network::{ConnectionId, Network};
+use orchidvalve_track::outgoing_link::{LinkPace, OutgoingLink};
 
 use crate::peer::PeerMessage;
 
-/// Pause between two tries to open a link.
-const RETRY_MS: u64 = 300;
+/// Times of a link.
+const PACE: LinkPace = LinkPace { retry_ms: 300, connect_timeout_ms: 250 };
 /// A link is opened anew if the peer wasn't heard for this time.
 const SILENCE_MS: u64 = 1_000;
-/// A link that isn't up within this time is begun anew: the peer may have been without power at first.
-const CONNECT_TIMEOUT_MS: u64 = 250;
 /// A peer outside the view that wasn't heard for this time is forgotten.
 const FORGET_MS: u64 = 10_000;
 /// Most bytes that may wait on a link.
 const MOST_QUEUED_BYTES: usize = 16 << 20;
-/// How long the peer's machine may leave bytes unacknowledged.
-const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
 
-#[derive(Default, Debug)]
+#[derive(Debug)]
 struct Peer {
-    connection: Option<ConnectionId>,
-    opened_at: u64,
-    up: bool,
-    retry_at: u64,
+    outgoing: OutgoingLink,
     member: Option<MemberId>,
     incoming: Option<ConnectionId>,
     heard_at: u64,
@@ -38,6 +30,18 @@
     lasting: bool,
 }
 
+impl Peer {
+    fn new() -> Peer {
+        Peer { outgoing: OutgoingLink::new(PACE), member: None, incoming: None, heard_at: 0, lasting: false }
+    }
+
+    fn is_lost(&self, network: &Network, now: u64) -> bool {
+        let queued = self.outgoing.connection().map_or(0, |connection| network.queued_bytes(connection));
+        let quiet_since = self.heard_at.max(self.outgoing.opened_at());
+        queued > MOST_QUEUED_BYTES || self.outgoing.hangs(now) || now > quiet_since + SILENCE_MS
+    }
+}
+
 /// All links of this machine to other control machines.
 #[derive(Debug)]
 pub struct PeerLinks {
@@ -56,7 +60,7 @@
             peer.lasting = false;
         }
         for address in addresses.filter(|a| *a != self.me) {
-            self.peers.entry(address).or_default().lasting = true;
+            self.peers.entry(address).or_insert_with(Peer::new).lasting = true;
         }
     }
 
@@ -77,15 +81,12 @@
         if member.address == self.me {
             return None;
         }
-        let peer = self.peers.entry(member.address).or_default();
+        let peer = self.peers.entry(member.address).or_insert_with(Peer::new);
         peer.member = Some(member);
         let older = peer.incoming.replace(connection).filter(|older| *older != connection);
         peer.heard_at = now;
         // Its machine is up: a link to it that hangs is begun anew at once.
-        if !peer.up {
-            peer.retry_at = now;
-            peer.opened_at = peer.opened_at.min(now.saturating_sub(CONNECT_TIMEOUT_MS));
-        }
+        peer.outgoing.hurry(now);
         older
     }
 
@@ -101,31 +102,18 @@
         let mut dropped = Vec::new();
         self.peers.retain(|_, p| p.lasting || p.heard_at == 0 || now < p.heard_at + FORGET_MS);
         for (address, peer) in &mut self.peers {
-            if let Some(connection) = peer.connection {
-                let quiet_since = peer.heard_at.max(peer.opened_at);
-                let clogged = network.queued_bytes(connection) > MOST_QUEUED_BYTES;
-                let hangs = !peer.up && now >= peer.opened_at + CONNECT_TIMEOUT_MS;
-                if clogged || hangs || now > quiet_since + SILENCE_MS {
-                    network.forget(connection);
-                    peer.connection = None;
-                    peer.up = false;
-                    peer.retry_at = now;
-                    dropped.extend(peer.member);
-                }
-            }
-            if peer.connection.is_none() && now >= peer.retry_at {
-                peer.retry_at = now + RETRY_MS;
-                peer.opened_at = now;
-                peer.connection = network.connect(address.socket(), USER_TIMEOUT).ok();
+            if peer.is_lost(network, now) && peer.outgoing.abandon(network, now) {
+                dropped.extend(peer.member);
             }
+            peer.outgoing.open_if_due(network, *address, now);
         }
         dropped
     }
 
     /// A connection that this machine began is up; the address of its peer if it is one of these links.
     pub fn connected(&mut self, connection: ConnectionId) -> Option<NodeAddress> {
-        let (address, peer) = self.peers.iter_mut().find(|(_, p)| p.connection == Some(connection))?;
-        peer.up = true;
+        let (address, peer) = self.peers.iter_mut().find(|(_, p)| p.outgoing.owns(connection))?;
+        peer.outgoing.came_up();
         Some(*address)
     }
 
@@ -135,12 +123,10 @@
     }
 
     /// A connection ended; the member if it was the link to it.
-    pub fn closed(&mut self, connection: ConnectionId, now: u64) -> Option<MemberId> {
+    pub fn closed(&mut self, network: &mut Network, connection: ConnectionId, now: u64) -> Option<MemberId> {
         for peer in self.peers.values_mut() {
-            if peer.connection == Some(connection) {
-                peer.connection = None;
-                peer.up = false;
-                peer.retry_at = now + RETRY_MS;
+            if peer.outgoing.owns(connection) {
+                peer.outgoing.ended(network, now);
                 return peer.member;
             }
             if peer.incoming == Some(connection) {
@@ -152,10 +138,8 @@
 
     /// Sends a message if the link is up; it is lost otherwise.
     pub fn send(&self, network: &mut Network, to: NodeAddress, message: &PeerMessage) {
-        if let Some(connection) = self.peers.get(&to).filter(|p| p.up).and_then(|p| p.connection)
-            && let Some(outbox) = network.outbox(connection)
-        {
-            write_frame(outbox, message);
+        if let Some(peer) = self.peers.get(&to) {
+            peer.outgoing.send(network, message);
         }
     }
 
--- a/crates/signalbox/src/process/mod.rs
+++ b/crates/signalbox/src/process/mod.rs
@@ -233,7 +233,7 @@
             self.network.forget(connection);
             return;
         }
-        if let Some(member) = self.links.closed(connection, self.now) {
+        if let Some(member) = self.links.closed(&mut self.network, connection, self.now) {
             self.core.link_down(member);
         }
         self.incoming.remove(&connection);
--- a/crates/track/src/lib.rs
+++ b/crates/track/src/lib.rs
@@ -8,5 +8,6 @@
 pub mod logging;
 pub mod messages;
 pub mod network;
+pub mod outgoing_link;
 pub mod server_table;
 pub mod settings;
--- a/crates/turnstile/src/store_links.rs
+++ b/crates/turnstile/src/store_links.rs
@@ -1,12 +1,12 @@
 //! Links of this door to the stores, and the calls on them.
 
 use std::collections::{BTreeMap, BTreeSet};
-use std::time::Duration;
 
-use orchidvalve_track::frames::{read_frame, write_frame};
+use orchidvalve_track::frames::read_frame;
 use orchidvalve_track::identity::NodeAddress;
 use orchidvalve_track::messages::{FromStore, Introduction, LinkKind, ToStore};
 use orchidvalve_track::network::{ConnectionId, Network};
+use orchidvalve_track::outgoing_link::{LinkPace, OutgoingLink};
 
 /// Pause between two heartbeats.
 const HEARTBEAT_MS: u64 = 400;
@@ -15,24 +15,28 @@
 /// A store whose link is lost has lost its leases here after this time; up to then the next head of its partitions
 /// may take them over. Jobs that it ends without this door knowing stop no later.
 pub const LOST_LEASE_MS: u64 = 2_300;
-/// A link that isn't up within this time is opened anew.
-const CONNECT_TIMEOUT_MS: u64 = 300;
-const RETRY_MS: u64 = 150;
-const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// Times of a link.
+const PACE: LinkPace = LinkPace { retry_ms: 150, connect_timeout_ms: 300 };
 
 #[derive(Debug)]
 struct Link {
-    connection: Option<ConnectionId>,
-    up: bool,
-    begun_at: u64,
+    outgoing: OutgoingLink,
     heard_at: u64,
     /// When something of this store's last came, or its leases began without a word; None when they are over.
     leased_at: Option<u64>,
     heartbeat_at: u64,
-    retry_at: u64,
 }
 
 impl Link {
+    fn new() -> Link {
+        Link { outgoing: OutgoingLink::new(PACE), heard_at: 0, leased_at: None, heartbeat_at: 0 }
+    }
+
+    /// Whether a store that could speak hasn't for too long.
+    fn is_silent(&self, now: u64) -> bool {
+        self.outgoing.is_up() && now >= self.heard_at + LEASE_MS
+    }
+
     /// When the store's leases are over, whether or not the link comes up again without a word from the store.
     fn lease_ends(&self) -> Option<u64> {
         self.leased_at.map(|at| at + LOST_LEASE_MS)
@@ -56,21 +60,13 @@
     pub fn set_stores(&mut self, network: &mut Network, stores: &BTreeSet<NodeAddress>) {
         self.links.retain(|address, link| {
             let keep = stores.contains(address);
-            if let Some(connection) = link.connection.filter(|_| !keep) {
-                network.forget(connection);
+            if !keep {
+                link.outgoing.give_up(network);
             }
             keep
         });
         for address in stores {
-            self.links.entry(*address).or_insert(Link {
-                connection: None,
-                up: false,
-                begun_at: 0,
-                heard_at: 0,
-                leased_at: None,
-                heartbeat_at: 0,
-                retry_at: 0,
-            });
+            self.links.entry(*address).or_insert_with(Link::new);
         }
     }
 
@@ -86,29 +82,23 @@
     pub fn set_work_limit(&mut self, network: &mut Network, limit: u32) {
         if limit != self.work_limit {
             self.work_limit = limit;
-            for link in self.links.values().filter(|l| l.up) {
-                send(network, link, &ToStore::Heartbeat { work_limit: limit });
+            for link in self.links.values() {
+                link.outgoing.send(network, &ToStore::Heartbeat { work_limit: limit });
             }
         }
     }
 
     pub fn is_up(&self, store: NodeAddress) -> bool {
-        self.links.get(&store).is_some_and(|l| l.up)
+        self.links.get(&store).is_some_and(|l| l.outgoing.is_up())
     }
 
     /// Sends a message; false if the link isn't up.
     pub fn send(&self, network: &mut Network, store: NodeAddress, message: &ToStore) -> bool {
-        match self.links.get(&store).filter(|l| l.up) {
-            Some(link) => {
-                send(network, link, message);
-                true
-            }
-            None => false,
-        }
+        self.links.get(&store).is_some_and(|l| l.outgoing.send(network, message))
     }
 
     pub fn owns(&self, connection: ConnectionId) -> bool {
-        self.links.values().any(|l| l.connection == Some(connection))
+        self.links.values().any(|l| l.outgoing.owns(connection))
     }
 
     /// Drops links whose stores were silent for too long, before anything that waits on them is read. Returns
@@ -116,12 +106,9 @@
     pub fn drop_silent(&mut self, network: &mut Network, now: u64) -> Vec<NodeAddress> {
         let mut dropped = Vec::new();
         for (address, link) in &mut self.links {
-            let silent = link.up && now >= link.heard_at + LEASE_MS;
-            let stuck = !link.up && now >= link.begun_at + CONNECT_TIMEOUT_MS;
-            if let Some(connection) = link.connection.take_if(|_| silent || stuck) {
-                network.forget(connection);
-                link.up = false;
-                link.retry_at = now;
+            let silent = link.is_silent(now);
+            if silent || link.outgoing.hangs(now) {
+                link.outgoing.abandon(network, now);
             }
             if silent || link.lease_ends().is_some_and(|at| now >= at) {
                 link.leased_at = None;
@@ -134,14 +121,10 @@
     /// Opens missing links and sends heartbeats.
     pub fn maintain(&mut self, network: &mut Network, now: u64) {
         for (address, link) in &mut self.links {
-            if link.connection.is_none() && now >= link.retry_at {
-                link.retry_at = now + RETRY_MS;
-                link.begun_at = now;
-                link.connection = network.connect(address.socket(), USER_TIMEOUT).ok();
-            }
-            if link.up && now >= link.heartbeat_at {
+            link.outgoing.open_if_due(network, *address, now);
+            if link.outgoing.is_up() && now >= link.heartbeat_at {
                 link.heartbeat_at = now + HEARTBEAT_MS;
-                send(network, link, &ToStore::Heartbeat { work_limit: self.work_limit });
+                link.outgoing.send(network, &ToStore::Heartbeat { work_limit: self.work_limit });
             }
         }
     }
@@ -149,11 +132,7 @@
     /// When [`StoreLinks::maintain`] or [`StoreLinks::drop_silent`] have to be called next.
     pub fn next_wakeup(&self) -> u64 {
         let due = |link: &Link| {
-            let due = match (link.connection, link.up) {
-                (None, _) => link.retry_at,
-                (Some(_), true) => link.heartbeat_at.min(link.heard_at + LEASE_MS),
-                (Some(_), false) => link.begun_at + CONNECT_TIMEOUT_MS,
-            };
+            let due = link.outgoing.next_wakeup(link.heartbeat_at.min(link.heard_at + LEASE_MS));
             due.min(link.lease_ends().unwrap_or(u64::MAX))
         };
         self.links.values().map(due).min().unwrap_or(u64::MAX)
@@ -167,13 +146,13 @@
         now: u64,
     ) -> Option<NodeAddress> {
         let limit = self.work_limit;
-        let (address, link) = self.links.iter_mut().find(|(_, l)| l.connection == Some(connection))?;
-        link.up = true;
+        let (address, link) = self.links.iter_mut().find(|(_, l)| l.outgoing.owns(connection))?;
+        link.outgoing.came_up();
         link.heard_at = now;
         link.heartbeat_at = now + HEARTBEAT_MS;
         network.send(connection, &[LinkKind::StoreClient.byte()]);
-        send(network, link, &ToStore::Introduce(self.introduction.clone()));
-        send(network, link, &ToStore::Heartbeat { work_limit: limit });
+        link.outgoing.send(network, &ToStore::Introduce(self.introduction.clone()));
+        link.outgoing.send(network, &ToStore::Heartbeat { work_limit: limit });
         Some(*address)
     }
 
@@ -184,11 +163,8 @@
         connection: ConnectionId,
         now: u64,
     ) -> Option<NodeAddress> {
-        let (address, link) = self.links.iter_mut().find(|(_, l)| l.connection == Some(connection))?;
-        network.forget(connection);
-        link.connection = None;
-        link.up = false;
-        link.retry_at = now + RETRY_MS;
+        let (address, link) = self.links.iter_mut().find(|(_, l)| l.outgoing.owns(connection))?;
+        link.outgoing.ended(network, now);
         Some(*address)
     }
 
@@ -199,7 +175,7 @@
         connection: ConnectionId,
         now: u64,
     ) -> Option<(NodeAddress, Vec<FromStore>)> {
-        let (address, link) = self.links.iter_mut().find(|(_, l)| l.connection == Some(connection))?;
+        let (address, link) = self.links.iter_mut().find(|(_, l)| l.outgoing.owns(connection))?;
         link.heard_at = now;
         link.leased_at = Some(now);
         let mut messages = Vec::new();
@@ -212,10 +188,7 @@
                 Ok(None) => break,
                 Err(error) => {
                     log::warn!("stores: {error}");
-                    network.forget(connection);
-                    link.connection = None;
-                    link.up = false;
-                    link.retry_at = now + RETRY_MS;
+                    link.outgoing.ended(network, now);
                     break;
                 }
             }
@@ -223,9 +196,3 @@
         Some((*address, messages))
     }
 }
-
-fn send(network: &mut Network, link: &Link, message: &ToStore) {
-    if let Some(outbox) = link.connection.and_then(|c| network.outbox(c)) {
-        write_frame(outbox, message);
-    }
-}
