--- a/crates/signalbox/tests/pipelined_calls.rs
+++ b/crates/signalbox/tests/pipelined_calls.rs
@@ -37,7 +37,7 @@
     let _blocks_signals = Network::new().expect("an event loop");
     let control_address = free_address();
     let options = options(control_address, "pipelined-calls");
-    let data_directory = options.data_directory.clone();
+    let data_directory = options.machine.data_directory.clone();
     let operator = thread::spawn(move || operate(control_address));
     let ended = run(options);
     let confirmed = operator.join().expect("the operator ends");
