Doors: a kept text whose version is gone is never waited with

Cause: on a single-version route an item that goes on from a kept text needs a server that holds the text's version. Whether there is one was looked at when a run broke off and when the last holder of a version went, but not when a text came back from the archive (a later job that brings a group back, a lease that was lost) nor when a route was made single-version. If the servers had gone on to the next version in between, no server was eligible, and nothing looked again until that next version went, too: the item was at no server, and its step ran out of time (LOST).

Change: can_go_on is asked wherever a text is taken up; a part that can't go on is dropped and the item starts anew. A whole text that only waits for its score is kept as before.

Measured: the new tests fail without the change (2 cases: nothing sent; route made single-version: goes on under version 7 at a server that holds 8) and pass with it; all tests of turnstile pass.

--- a/crates/turnstile/src/generations/assignments.rs
+++ b/crates/turnstile/src/generations/assignments.rs
@@ -10,7 +10,7 @@
 use super::calls::{Assignment, Command, Item, ItemResult, RouteFacts};
 use super::group::{Group, ItemState, Needs, Phase, Scoring};
 use super::runner::Runner;
-use super::servers::ModelKey;
+use super::streams::can_go_on;
 use super::text::{Text, VersionRule};
 use super::timers::Timer;
 
@@ -37,11 +37,8 @@
             minimum: assignment.min_weights_version,
         };
         let rule = VersionRule { minimum: needs.minimum, single: assignment.route.single_version };
-        let items = assignment
-            .items
-            .into_iter()
-            .map(|item| self.restore(item, needs.model, rule))
-            .collect::<Vec<_>>();
+        let items =
+            assignment.items.into_iter().map(|item| self.restore(item, needs, rule)).collect::<Vec<_>>();
         let group = Group {
             id: assignment.id,
             route: assignment.route,
@@ -129,7 +126,8 @@
         group.class = self.class(group.needs);
         let rule = group.rule();
         for item in &mut group.items {
-            if moved || !item.kept.fits(rule) {
+            let usable = item.kept.fits(rule) && can_go_on(&self.servers, group.needs, rule, &item.kept);
+            if moved || !usable {
                 item.kept = Text::default();
             }
         }
@@ -154,17 +152,20 @@
         self.changed = true;
     }
 
-    /// The state of an item, with the text that this door has kept of it, if it keeps the rule.
-    fn restore(&mut self, item: Item, model: Option<ModelKey>, rule: VersionRule) -> ItemState {
-        let kept = self.archive.take(&item.id, &item.body, model).filter(|kept| kept.text.fits(rule));
+    /// The state of an item, with the text that this door has kept of it, if it keeps the rule and can be used: a part
+    /// of a text whose version is held nowhere would wait for ever.
+    fn restore(&mut self, item: Item, needs: Needs, rule: VersionRule) -> ItemState {
+        let kept = self.archive.take(&item.id, &item.body, needs.model).filter(|kept| kept.text.fits(rule));
         match kept {
             Some(kept) if kept.whole && item.scorer.is_some() => {
                 let mut state = ItemState::new(item, Text::default());
                 state.phase = Phase::Scoring(Box::new(Scoring::new(kept.text)));
                 state
             }
-            Some(kept) => ItemState::new(item, kept.text),
-            None => ItemState::new(item, Text::default()),
+            Some(kept) if can_go_on(&self.servers, needs, rule, &kept.text) => {
+                ItemState::new(item, kept.text)
+            }
+            _ => ItemState::new(item, Text::default()),
         }
     }
 
--- a/crates/turnstile/src/generations/streams.rs
+++ b/crates/turnstile/src/generations/streams.rs
@@ -3,9 +3,9 @@
 use orchidvalve_points::Generation;
 
 use super::calls::{AttemptId, Command, ItemResult, Outcome, ServerKey};
-use super::group::{Phase, Scoring};
+use super::group::{Needs, Phase, Scoring};
 use super::runner::Runner;
-use super::servers::{ModelKey, average};
+use super::servers::{ModelKey, Servers, average};
 use super::text::{EventFault, Text, VersionRule};
 use super::timers::Timer;
 
@@ -302,11 +302,8 @@
         self.scheduler.failed(run.generation, run.server);
         let Some(group) = self.groups.get_mut(&run.generation.group) else { return };
         let max_attempts = group.route.max_attempts;
-        let matched = text.single_version().is_none_or(|version| {
-            let held = |model| self.servers.any_holds(group.needs.pool, model, version);
-            !run.rule.single || run.model.is_none_or(held)
-        });
-        let text = if matched { text } else { Text::default() };
+        let text =
+            if can_go_on(&self.servers, group.needs, run.rule, &text) { text } else { Text::default() };
         let item = &mut group.items[run.generation.index as usize];
         item.keep(text);
         if item.attempts.is_empty() && max_attempts > 0 && item.failures >= max_attempts {
@@ -360,6 +357,12 @@
     }
 }
 
+/// Whether some server may go on with the text: one that must have a single version needs a server that holds it.
+pub(super) fn can_go_on(servers: &Servers, needs: Needs, rule: VersionRule, text: &Text) -> bool {
+    let bound_to = text.single_version().filter(|_| rule.single).zip(needs.model);
+    bound_to.is_none_or(|(version, model)| servers.any_holds(needs.pool, model, version))
+}
+
 impl Attempt {
     /// The usual time between events of this run.
     fn gap_ms(&self) -> Option<f64> {
--- a/crates/turnstile/tests/generations_versions.rs
+++ b/crates/turnstile/tests/generations_versions.rs
@@ -137,6 +137,72 @@
     assert_eq!((second.last_event_id, second.expect_version), (None, Some(8)));
 }
 
+#[rstest]
+#[case::job_ended(|door: &mut Door| door.direct(|runner, out| runner.cancel("job", out)))]
+#[case::lease_lost(|door: &mut Door| door.direct(|runner, out| runner.lease_lost(3, u64::MAX, out)))]
+fn a_single_version_text_brought_back_starts_anew_if_its_version_went_meanwhile(
+    #[case] taken_away: fn(&mut Door),
+) {
+    let mut door = Door::new(&[7]);
+    door.assign(single_version(group("job", 0, &["a"])));
+    let first = door.last();
+    door.started(&first, 7);
+    door.events(&first, 1..=2);
+    taken_away(&mut door);
+    door.runner.set_server(&server(0, 8));
+    door.tick();
+    door.assign(single_version(group("later", 0, &["a"])));
+    assert_eq!(door.sends.len(), 2, "no server holds the version of the kept text, and none ever will");
+    let second = door.last();
+    assert_eq!((second.last_event_id, second.expect_version), (None, Some(8)));
+}
+
+#[test]
+fn a_text_starts_anew_if_its_route_is_made_single_version_when_its_version_is_gone() {
+    let mut door = Door::new(&[7]);
+    door.assign(group("job", 0, &["a"]));
+    let first = door.last();
+    door.started(&first, 7);
+    door.events(&first, 1..=2);
+    door.ended(&first, Outcome::Broken);
+    door.runner.set_server(&server(0, 8));
+    door.tick();
+    door.direct(|runner, out| runner.set_route("route", Some(facts(true)), out));
+    door.pass(100);
+    let second = door.last();
+    assert_eq!((second.last_event_id, second.expect_version), (None, Some(8)));
+}
+
+#[test]
+fn a_single_version_text_brought_back_goes_on_where_its_version_is_held() {
+    let mut door = Door::new(&[7]);
+    door.assign(single_version(group("job", 0, &["a"])));
+    let first = door.last();
+    door.started(&first, 7);
+    door.events(&first, 1..=2);
+    door.direct(|runner, out| runner.cancel("job", out));
+    door.assign(single_version(group("later", 0, &["a"])));
+    let second = door.last();
+    assert_eq!((second.last_event_id, second.expect_version), (Some(2), Some(7)));
+}
+
+#[test]
+fn a_whole_text_brought_back_needs_no_server_with_its_version() {
+    let mut door = Door::new(&[7]);
+    door.assign(single_version(scored(group("job", 0, &["a"]))));
+    let first = door.last();
+    door.started(&first, 7);
+    door.events(&first, 1..=2);
+    door.ended(&first, Outcome::Complete);
+    door.direct(|runner, out| runner.cancel("job", out));
+    door.runner.set_server(&server(0, 8));
+    door.tick();
+    door.assign(single_version(scored(group("later", 0, &["a"]))));
+    assert_eq!((door.sends.len(), door.rewards.len()), (1, 2));
+    door.reward_status(&door.last_reward(), 200);
+    assert_eq!(door.result(), &completed("e1\ne2", &[7], Some("stamp-200")));
+}
+
 #[rstest]
 #[case::under_the_minimum(false, MINIMUM - 1)]
 #[case::another_than_the_text(true, 8)]
