Doors: a door that ends answers what is open, and refuses late what it might not answer

Cause: STOP_MARGIN_MS before SIGKILL a stopping door just ended, with every open request and call: their connections closed without an answer.

Change: at that moment every open request and call gets its final answer: a server's failure, a promise under proof, else 504; only a stream that has begun is cut. From LINGER_MS after SIGTERM on a request whose own time ends later than that is refused at once (503, nothing was sent).

--- a/crates/turnstile/src/jobs.rs
+++ b/crates/turnstile/src/jobs.rs
@@ -168,6 +168,11 @@
         }
     }
 
+    /// The process ends now: every open call is given its final answer.
+    pub fn end_all(&mut self) -> Vec<(CallId, JobAnswer)> {
+        self.pending.drain().map(|(call, pending)| (call, pending.time_is_up())).collect()
+    }
+
     /// A store answered. An answer of a kind that the call doesn't ask for belongs to no call, and is ignored.
     pub fn answered(&mut self, now: u64, call: CallId, answer: StoreAnswer) -> Option<JobAnswer> {
         let pending = self.pending.get_mut(&call)?;
--- a/crates/turnstile/src/process/mod.rs
+++ b/crates/turnstile/src/process/mod.rs
@@ -63,6 +63,13 @@
     Network(io::Error),
 }
 
+/// The last moments of a process that was told to stop, in milliseconds of its clock.
+#[derive(Clone, Copy)]
+struct LastMoments {
+    last_answer_at: u64,
+    lingered_at: u64,
+}
+
 struct Process {
     options: DoorOptions,
     clock: Clock,
@@ -306,6 +313,7 @@
 
     /// Everything that follows from time passing.
     fn turn(&mut self) {
+        self.refuse_late_requests();
         self.feed.maintain(&mut self.network, self.now);
         self.stores.maintain(&mut self.network, self.now);
         let mut events = Vec::new();
@@ -336,22 +344,53 @@
         self.clients.begin_closing(&mut self.network);
     }
 
-    /// Whether a stopping process has answered everything, or has no time left.
+    /// When a process that was told to stop gives its last answers, and when the platform has surely heard that it isn't
+    /// ready.
+    fn last_moments(&self) -> Option<LastMoments> {
+        self.stopping_since.map(|since| LastMoments {
+            last_answer_at: (since + self.options.grace_ms).saturating_sub(STOP_MARGIN_MS),
+            lingered_at: since + LINGER_MS,
+        })
+    }
+
+    /// Where the platform goes on sending clients to a process that stops, since too few others are ready, those are
+    /// refused that it may not be able to answer any more.
+    fn refuse_late_requests(&mut self) {
+        if let Some(moments) = self.last_moments().filter(|moments| self.now >= moments.lingered_at) {
+            self.requests.refuse_beyond(moments.last_answer_at);
+        }
+    }
+
+    /// Whether a stopping process has answered everything, or has no time left; what is open then is answered.
     fn may_end(&mut self) -> bool {
-        let Some(since) = self.stopping_since else { return false };
-        let time_is_up = self.now + STOP_MARGIN_MS >= since + self.options.grace_ms;
-        let lingered = self.now >= since + LINGER_MS;
-        let idle = self.requests.open() == 0
-            && self.calls.open() == 0
-            && self.runner.open_groups() == 0
-            && self.work.unconfirmed() == 0
-            && self.clients.is_flushed(&self.network);
-        if !(time_is_up || (lingered && idle)) {
+        let Some(moments) = self.last_moments() else { return false };
+        let time_is_up = self.now >= moments.last_answer_at;
+        if !(time_is_up || (self.now >= moments.lingered_at && self.is_idle())) {
             return false;
         }
+        self.end_open_calls();
         self.feed.stop(&mut self.network);
         true
     }
+
+    /// Whether nothing is open and every answer is on its way.
+    fn is_idle(&mut self) -> bool {
+        self.requests.open() == 0
+            && self.calls.open() == 0
+            && self.runner.open_groups() == 0
+            && self.work.unconfirmed() == 0
+            && self.clients.is_flushed(&self.network)
+    }
+
+    /// Gives everybody who waits a final answer.
+    fn end_open_calls(&mut self) {
+        let mut commands = Vec::new();
+        self.requests.end_all(&mut commands);
+        self.run_requests(commands);
+        for (call, answer) in self.calls.end_all() {
+            self.answer_job(call, &answer);
+        }
+    }
 }
 
 /// A seed that differs between starts: drawn from the keys of the standard library's hash maps.
--- a/crates/turnstile/src/requests/mod.rs
+++ b/crates/turnstile/src/requests/mod.rs
@@ -99,6 +99,8 @@
     random: Pcg64Mcg,
     next_request: RequestId,
     next_send: SendId,
+    /// The process ends then: what begins from now on and may take longer is refused.
+    last_answer_at: u64,
 }
 
 impl Requests {
@@ -112,6 +114,7 @@
             random,
             next_request: 0,
             next_send: 0,
+            last_answer_at: u64::MAX,
         }
     }
 
@@ -148,10 +151,28 @@
         let pending = Pending::new(request, destination, now, deadline);
         self.copies.count_generation(now);
         self.pending.insert(id, pending);
-        self.try_send(now, id, fleet, out);
+        if deadline > self.last_answer_at {
+            self.end(id, 504, out);
+        } else {
+            self.try_send(now, id, fleet, out);
+        }
         id
     }
 
+    /// The process has to end soon and gives its last answers at `last_answer_at`: a request that begins from now on and
+    /// might have none by then is refused at once, so that its client asks another door in time.
+    pub fn refuse_beyond(&mut self, last_answer_at: u64) {
+        self.last_answer_at = last_answer_at;
+    }
+
+    /// The process ends now: every open request is given its final answer, and a stream that has begun is cut.
+    pub fn end_all(&mut self, out: &mut Vec<RequestCommand>) {
+        let open: Vec<RequestId> = self.pending.keys().copied().collect();
+        for id in open {
+            self.end(id, 504, out);
+        }
+    }
+
     /// The client has gone.
     pub fn client_left(&mut self, id: RequestId, out: &mut Vec<RequestCommand>) {
         if let Some(pending) = self.pending.remove(&id) {
--- a/crates/turnstile/tests/jobs.rs
+++ b/crates/turnstile/tests/jobs.rs
@@ -353,3 +353,30 @@
     assert_eq!(used.len(), 16);
     assert_eq!(partition_of(ID, 0), 0);
 }
+
+#[rstest]
+#[case::submission(submission())]
+#[case::reading(reading())]
+#[case::body(item_body())]
+#[case::end(JobCall::End)]
+fn a_process_that_ends_gives_open_calls_a_final_answer(
+    #[case] call: JobCall,
+    #[values(false, true)] sent: bool,
+) {
+    let mut door = Door::new();
+    if !sent {
+        door.up.clear();
+    }
+    let changes = matches!(call, JobCall::Submit { .. } | JobCall::End);
+    let submits = matches!(call, JobCall::Submit { .. });
+    let number = door.begin(call);
+    let answers = door.calls.end_all();
+    let [(told, answer)] = &answers[..] else { panic!("one answer: {answers:?}") };
+    assert_eq!((*told, door.calls.open()), (number, 0));
+    match answer {
+        JobAnswer::Unclear => assert!(changes && sent),
+        JobAnswer::Refused { .. } => assert!(submits && !sent),
+        JobAnswer::NotSure => assert!(!(submits || changes && sent)),
+        other => panic!("{other:?}"),
+    }
+}
--- a/crates/turnstile/tests/requests.rs
+++ b/crates/turnstile/tests/requests.rs
@@ -361,3 +361,71 @@
     }
     assert!((1..=6).contains(&copies), "{copies}");
 }
+
+#[rstest]
+#[case::repeatable("repeat", Some(504))]
+#[case::once("once", Some(504))]
+#[case::resumable("resume", Some(504))]
+fn a_process_that_ends_gives_open_requests_a_final_answer(#[case] kind: &str, #[case] told: Option<u16>) {
+    let mut table = Table::new(2);
+    table.begin(kind);
+    let sent = table.last();
+    table.end_all();
+    assert_eq!((table.client.status, table.client.own, table.client.whole), (told, true, true));
+    assert_eq!((table.requests.open(), table.cancelled.as_slice()), (0, [sent.send].as_slice()));
+}
+
+#[test]
+fn a_process_that_ends_passes_on_the_failure_that_it_has() {
+    let mut table = Table::new(1);
+    table.begin("repeat");
+    table.answer(table.last(), head(500, &[]), "trouble");
+    table.end_all();
+    assert_eq!((table.client.status, table.client.own), (Some(500), false));
+}
+
+#[test]
+fn a_process_that_ends_promises_only_what_surely_has_not_run() {
+    let mut table = Table::new(1);
+    table.begin("once");
+    table.answer(table.last(), refusal(503), "");
+    table.end_all();
+    assert_eq!((table.client.status, table.client.own), (Some(503), true));
+}
+
+#[test]
+fn a_process_that_ends_cuts_a_stream_that_has_begun() {
+    let mut table = Table::new(1);
+    table.begin("stream");
+    table.head(table.last(), success());
+    table.end_all();
+    assert_eq!((table.client.broken, table.client.whole), (true, false));
+}
+
+/// The client states 1,500 ms.
+#[rstest]
+#[case::in_time(1_500, true)]
+#[case::too_late(1_400, false)]
+fn what_a_stopping_process_might_not_answer_is_refused(
+    #[values("repeat", "once", "stream", "resume")] kind: &str,
+    #[case] left_ms: u64,
+    #[case] taken: bool,
+) {
+    let mut table = Table::new(2);
+    table.requests.refuse_beyond(table.now + left_ms);
+    table.begin(kind);
+    assert_eq!(table.sends.len(), usize::from(taken));
+    let refused = (Some(503), true, true);
+    let client = (table.client.status, table.client.own, table.client.whole);
+    assert_eq!(client == refused, !taken, "{client:?}");
+}
+
+#[test]
+fn what_a_stopping_process_took_before_keeps_its_time() {
+    let mut table = Table::new(2);
+    table.begin("repeat");
+    table.requests.refuse_beyond(table.now + 1_000);
+    table.fail(table.last(), Failure::Broken);
+    table.answer(table.last(), success(), BODY);
+    assert_eq!((table.client.status, table.sends.len()), (Some(200), 2));
+}
--- a/crates/turnstile/tests/requests_support/mod.rs
+++ b/crates/turnstile/tests/requests_support/mod.rs
@@ -205,6 +205,12 @@
         self.settle();
     }
 
+    /// The process ends.
+    pub fn end_all(&mut self) {
+        self.requests.end_all(&mut self.out);
+        self.settle();
+    }
+
     pub fn is_open(&self, sent: Sent) -> bool {
         !self.cancelled.contains(&sent.send)
     }
