Doors: a stream that its server breaks off in the middle of an event is cut, too, where it can't be taken up

Cause: an answer without a length is whole where its server ends the connection in order, which is also what a server's system does when its process dies. Streams that may be taken up and generations look at the event they end in; those that are passed on piece by piece didn't, and got their last chunk: a stream that ends as complete before its last piece.

Change: where the answer is a text/event-stream, track::http::EventBoundary follows the pieces (two flags, one look at each byte, nothing kept), and an end inside an event cuts the client's answer. Other bodies are whole by their framing as before.

Measured: 4 of the 8 endings looked complete before, none does; at every split into two pieces the boundary is where EventReader's is. All tests of turnstile and track pass. Streams that end with an event without its empty line would now be cut on every route; those of resumable routes have been all along.

--- a/crates/track/src/http/events.rs
+++ b/crates/track/src/http/events.rs
@@ -40,6 +40,36 @@
     }
 }
 
+/// Follows a `text/event-stream` that is passed on as it comes, and knows whether it stands between two events.
+#[derive(Default, Debug)]
+pub struct EventBoundary {
+    /// The line that is being read has bytes other than those that end it.
+    in_line: bool,
+    /// An event has begun that no empty line has ended.
+    in_event: bool,
+}
+
+impl EventBoundary {
+    /// Takes in a piece of the body.
+    pub fn read(&mut self, piece: &[u8]) {
+        for byte in piece {
+            match byte {
+                b'\n' => {
+                    self.in_event &= self.in_line;
+                    self.in_line = false;
+                }
+                b'\r' => {}
+                _ => (self.in_line, self.in_event) = (true, true),
+            }
+        }
+    }
+
+    /// Whether part of an event has come.
+    pub fn is_in_event(&self) -> bool {
+        self.in_event
+    }
+}
+
 /// Bytes up to and including the empty line that ends an event.
 fn event_length(bytes: &[u8]) -> Option<usize> {
     let mut line_start = 0;
--- a/crates/track/src/http/mod.rs
+++ b/crates/track/src/http/mod.rs
@@ -13,7 +13,7 @@
 mod write;
 
 pub use error::HttpError;
-pub use events::{EventReader, StreamEvent};
+pub use events::{EventBoundary, EventReader, StreamEvent};
 pub use headers::Headers;
 pub use request::{MessageLimits, Read, Request, RequestReader};
 pub use response::{ResponseHead, ResponseProgress, ResponseReader};
--- a/crates/track/tests/http_events.rs
+++ b/crates/track/tests/http_events.rs
@@ -1,6 +1,6 @@
 //! Reading of event streams: tables of streams, at every split into two pieces.
 
-use orchidvalve_track::http::{EventReader, StreamEvent};
+use orchidvalve_track::http::{EventBoundary, EventReader, StreamEvent};
 use rstest::rstest;
 
 fn events(pieces: &[&[u8]]) -> (Vec<StreamEvent>, Vec<u8>, bool) {
@@ -66,3 +66,25 @@
     let (events, _, _) = events(&[text.as_bytes()]);
     assert_eq!((events[0].id, events[0].data.as_slice()), (None, b"a".as_slice()));
 }
+
+/// What passes a stream on without reading its events stands in one exactly where a reader of events does.
+#[rstest]
+fn boundaries_are_where_events_are_whole(
+    #[values(
+        "id: 1\ndata: a\n\nid: 2\ndata: b\n\n",
+        "id: 1\r\ndata: a\r\n\r\nid: 2\r\ndata: b\r\n\r\n",
+        "id: 1\r\ndata: a\n\r\nid: 2\ndata: b\r\n\n",
+        "\n\nid: 1\ndata: a\n\n\r\n\n"
+    )]
+    text: &str,
+) {
+    for end in 0..=text.len() {
+        let part = &text.as_bytes()[..end];
+        for split in 0..=end {
+            let mut boundary = EventBoundary::default();
+            boundary.read(&part[..split]);
+            boundary.read(&part[split..]);
+            assert_eq!(boundary.is_in_event(), events(&[part]).2, "{end} {split}");
+        }
+    }
+}
--- a/crates/turnstile/src/requests/mod.rs
+++ b/crates/turnstile/src/requests/mod.rs
@@ -199,7 +199,7 @@
                     *passing = Some(Passing::resumable(id, send, head.clone(), asked_from));
                 }
                 passing => {
-                    *passing = Some(Passing::unbroken(id, send));
+                    *passing = Some(Passing::unbroken(id, send, &head));
                     out.push(RequestCommand::BeginStream { request: id, head: head.clone() });
                 }
             }
--- a/crates/turnstile/src/requests/passing.rs
+++ b/crates/turnstile/src/requests/passing.rs
@@ -1,9 +1,12 @@
 //! Streamed answers on their way to a client.
 
-use orchidvalve_track::http::{EventReader, ResponseHead};
+use orchidvalve_track::http::{EventBoundary, EventReader, ResponseHead};
 
 use super::{RequestCommand, RequestId, SendId};
 
+/// Media type of answers that are series of events.
+const EVENT_STREAM: &str = "text/event-stream";
+
 /// An event that doesn't follow the last one: the run can't be passed on.
 #[derive(PartialEq, Eq, Debug)]
 pub(super) struct OutOfOrder;
@@ -18,6 +21,8 @@
     held_head: Option<ResponseHead>,
     /// Events of a stream that may be taken up at another server.
     events: Option<Events>,
+    /// Where a stream of events that is passed on piece by piece stands.
+    boundary: Option<EventBoundary>,
 }
 
 /// The events that have been passed on whole.
@@ -30,8 +35,9 @@
 
 impl Passing {
     /// A stream that can't be taken up is passed on piece by piece; its head is to be passed on at once.
-    pub fn unbroken(request: RequestId, send: SendId) -> Passing {
-        Passing { request, send, held_head: None, events: None }
+    pub fn unbroken(request: RequestId, send: SendId, head: &ResponseHead) -> Passing {
+        let boundary = is_event_stream(head).then(EventBoundary::default);
+        Passing { request, send, held_head: None, events: None, boundary }
     }
 
     /// A stream that may be taken up is passed on event by event. The head is held until the first of them, since
@@ -43,7 +49,7 @@
         asked_from: Option<u64>,
     ) -> Passing {
         let events = Events { reader: EventReader::default(), last: asked_from };
-        Passing { request, send, held_head: Some(head), events: Some(events) }
+        Passing { request, send, held_head: Some(head), events: Some(events), boundary: None }
     }
 
     /// Whether the client has got a part of the answer.
@@ -68,6 +74,9 @@
     pub fn piece(&mut self, bytes: Vec<u8>, out: &mut Vec<RequestCommand>) -> Result<(), OutOfOrder> {
         let request = self.request;
         let Some(events) = &mut self.events else {
+            if let Some(boundary) = &mut self.boundary {
+                boundary.read(&bytes);
+            }
             out.push(RequestCommand::StreamPiece { request, bytes });
             return Ok(());
         };
@@ -94,9 +103,15 @@
         result
     }
 
-    /// Whether the run ended between two events.
+    /// Whether the run ended between two events. A server that dies in the middle of one may end its connection in
+    /// order, which is the end of an answer without a length.
     pub fn ends_whole(&self) -> bool {
-        self.events.as_ref().is_none_or(|e| !e.reader.has_partial())
+        let in_event = match (&self.events, &self.boundary) {
+            (Some(events), _) => events.reader.has_partial(),
+            (None, Some(boundary)) => boundary.is_in_event(),
+            (None, None) => false,
+        };
+        !in_event
     }
 
     fn begin(&mut self, out: &mut Vec<RequestCommand>) {
@@ -111,3 +126,8 @@
         out.push(RequestCommand::EndStream { request: self.request });
     }
 }
+
+fn is_event_stream(head: &ResponseHead) -> bool {
+    let media_type = head.headers.get("content-type").and_then(|value| value.split(';').next());
+    media_type.is_some_and(|media_type| media_type.trim().eq_ignore_ascii_case(EVENT_STREAM))
+}
--- a/crates/turnstile/tests/requests_streams.rs
+++ b/crates/turnstile/tests/requests_streams.rs
@@ -243,3 +243,45 @@
     }
     assert_eq!((table.client.status, table.client.own), (Some(503), true));
 }
+
+/// The head of a stream of events, as its server sends it.
+fn event_stream() -> ResponseHead {
+    head(200, &[("Content-Type", "text/event-stream"), ("Server-Signature", SIGNATURE)])
+}
+
+#[rstest]
+#[case::field("id: 3\ndata: e", false)]
+#[case::line("id: 3\ndata: e3\n", false)]
+#[case::line_with_return("id: 3\r\ndata: e3\r\n", false)]
+#[case::first_byte("i", false)]
+#[case::whole_event("id: 3\ndata: e3\n\n", true)]
+#[case::whole_event_with_returns("id: 3\r\ndata: e3\r\n\r\n", true)]
+#[case::more_empty_lines("\n\r\n", true)]
+#[case::nothing("", true)]
+fn a_stream_that_ends_in_an_event_never_looks_complete(
+    #[values("stream", "resume")] kind: &str,
+    #[case] rest: &str,
+    #[case] whole: bool,
+) {
+    for split in 0..=rest.len() {
+        let mut table = Table::new(1);
+        table.begin(kind);
+        let sent = table.last();
+        table.head(sent, event_stream());
+        table.body(sent, &events(1..=2));
+        table.body(sent, &rest[..split]);
+        table.body(sent, &rest[split..]);
+        // A server without a length that dies ends its connection as one that is done does.
+        table.complete(sent);
+        assert_eq!(table.client.whole, whole, "{split}");
+        assert_eq!(table.client.status, Some(200));
+    }
+}
+
+#[test]
+fn what_is_no_stream_of_events_is_whole_by_its_framing() {
+    let mut table = Table::new(1);
+    table.begin("stream");
+    table.answer(table.last(), success(), "bytes");
+    assert_eq!((table.client.body.as_str(), table.client.whole), ("bytes", true));
+}
