Doors: nothing more is read on an idle connection that is ended

Cause: at SIGTERM and after idle-timeout-ms idle connections were shut down and then read to their end for up to 2 s, and what came was thrown away. A request that a client sent at that moment was so read by the door and never answered; one that may run only once is sent again by its client only if the door closed the connection without having read it. Connections that had just been accepted and hadn't carried anything fared the same.

Change: such a connection is closed at once. Where its last answer was written less than 200 ms ago, or isn't taken by the system yet, it ends as before, since a reset would take back what the client hasn't got.

Measured: 4 cases fail without the change (the connection is still held and read). With the 200 ms taken out, an answer of 400 KiB that has left for the system is lost to a client that sent more meanwhile (1 case fails). All of turnstile pass.

--- a/crates/turnstile/src/clients.rs
+++ b/crates/turnstile/src/clients.rs
@@ -29,6 +29,15 @@
     arriving: bool,
     /// Since when nothing has been asked, or since when a request has been arriving.
     waiting_since: u64,
+    /// When the last answer was written.
+    answered_at: Option<u64>,
+}
+
+impl Client {
+    /// Whether its last answer, if there was one, has surely arrived.
+    fn has_its_answer(&self, now: u64) -> bool {
+        self.answered_at.is_none_or(|at| now >= at + ANSWER_ARRIVES_MS)
+    }
 }
 
 /// All connections of clients.
@@ -43,6 +52,8 @@
     next_search: u64,
 }
 
+/// Time after which an answer that was written has arrived at its client.
+const ANSWER_ARRIVES_MS: u64 = 200;
 /// Pause between two searches for connections that are late, in milliseconds.
 const SEARCH_MS: u64 = 100;
 
@@ -83,6 +94,7 @@
             attempt: None,
             arriving: false,
             waiting_since: now,
+            answered_at: None,
         };
         self.clients.insert(connection, client);
     }
@@ -100,19 +112,30 @@
     }
 
     /// From now on connections end with their next answer; idle ones end now.
-    pub fn begin_closing(&mut self, network: &mut Network) {
+    pub fn begin_closing(&mut self, network: &mut Network, now: u64) {
         self.closing = true;
         let idle: Vec<ConnectionId> =
             self.clients.iter().filter(|(_, c)| c.busy.is_none()).map(|(id, _)| *id).collect();
         for connection in idle {
             let client = &self.clients[&connection];
             if !client.reader.in_request() && network.inbox(connection).is_empty() {
-                self.clients.remove(&connection);
-                network.finish(connection);
+                self.end_idle(network, connection, now);
             }
         }
     }
 
+    /// Ends a connection on which nothing is asked. The next request may be on its way: it must not be read any more,
+    /// since its client may send one that can't be repeated again only if this process hasn't read it. An end at once
+    /// takes back what the client hasn't got yet, so an answer that was just written is waited for.
+    fn end_idle(&mut self, network: &mut Network, connection: ConnectionId, now: u64) {
+        let Some(client) = self.clients.remove(&connection) else { return };
+        if client.has_its_answer(now) && network.queued_bytes(connection) == 0 {
+            network.forget(connection);
+        } else {
+            network.finish(connection);
+        }
+    }
+
     /// Whether the system has taken all that was written since [`Clients::begin_closing`].
     pub fn is_flushed(&mut self, network: &Network) -> bool {
         self.closed.retain(|connection| network.queued_bytes(*connection) > 0);
@@ -178,6 +201,7 @@
     fn free(&mut self, connection: ConnectionId, now: u64) {
         if let Some(client) = self.clients.get_mut(&connection) {
             client.waiting_since = now;
+            client.answered_at = Some(now);
             if let Some(busy) = client.busy.take() {
                 self.by_use.remove(&key(busy));
             }
@@ -320,8 +344,12 @@
             }
         }
         for connection in &late {
-            self.clients.remove(connection);
-            network.finish(*connection);
+            if self.clients.get(connection).is_some_and(|client| client.arriving) {
+                self.clients.remove(connection);
+                network.finish(*connection);
+            } else {
+                self.end_idle(network, *connection, now);
+            }
         }
         late
     }
--- a/crates/turnstile/src/process/mod.rs
+++ b/crates/turnstile/src/process/mod.rs
@@ -341,7 +341,7 @@
         log::info!("door: stopping; {} requests are open", self.requests.open());
         self.stopping_since = Some(self.now);
         self.stores.set_work_limit(&mut self.network, 0);
-        self.clients.begin_closing(&mut self.network);
+        self.clients.begin_closing(&mut self.network, self.now);
     }
 
     /// When a process that was told to stop gives its last answers, and when the platform has surely heard that it isn't
--- a/crates/turnstile/tests/clients.rs
+++ b/crates/turnstile/tests/clients.rs
@@ -381,7 +381,7 @@
     let mut arriving = door.connect();
     arriving.send("POST /a/2 HTTP/1.1\r\nAttempt-Id: 2\r\nContent-Length: 2\r\n\r\n");
     (0..20).for_each(|_| door.turn());
-    door.clients.begin_closing(&mut door.network);
+    door.clients.begin_closing(&mut door.network, door.now);
     door.ended(&mut idle);
     assert_eq!(door.clients.len(), 2);
     door.answer("whole");
@@ -402,13 +402,65 @@
     door.ended(&mut late);
 }
 
+/// How a door comes to end a connection on which nothing is asked.
+#[derive(Clone, Copy, Debug)]
+enum Ending {
+    Stop,
+    IdleTimeout,
+}
+
+/// A client may send its next request at the very moment: it may send it again elsewhere only if it wasn't read.
+#[rstest]
+fn nothing_more_is_read_on_an_idle_connection_that_is_ended(
+    #[values(Ending::Stop, Ending::IdleTimeout)] ending: Ending,
+    #[values(false, true)] used: bool,
+) {
+    let mut door = Door::new();
+    let mut peer = door.connect();
+    if used {
+        peer.send(&request("1", ""));
+        door.requests(1);
+        door.answer("whole");
+        door.got(&mut peer, "whole");
+    }
+    door.now += ANSWER_ARRIVES_MS;
+    match ending {
+        Ending::Stop => door.clients.begin_closing(&mut door.network, door.now),
+        Ending::IdleTimeout => assert_eq!(door.expire(IDLE_MS), 1),
+    }
+    assert_eq!(door.network.connections(), 0, "who still holds it would read the request and drop it");
+    door.ended(&mut peer);
+}
+
+/// Time after which an answer has surely reached its client.
+const ANSWER_ARRIVES_MS: u64 = 200;
+
+/// A reset would take back what has not been read yet: an answer that is just under way is let through.
+#[rstest]
+#[case::taken_by_the_system(400 << 10)]
+#[case::still_queued(8 << 20)]
+fn an_answer_that_was_just_written_is_not_endangered_by_the_end_of_its_connection(#[case] length: usize) {
+    let mut door = Door::new();
+    let mut peer = door.connect();
+    peer.send(&request("1", ""));
+    door.requests(1);
+    let body = "x".repeat(length) + "end";
+    door.answer(&body);
+    door.network.flush();
+    // The client has sent more before it has read the answer.
+    peer.send(&request("2", ""));
+    door.clients.begin_closing(&mut door.network, door.now);
+    door.ended(&mut peer);
+    assert!(peer.text().ends_with("xend"));
+}
+
 #[test]
 fn a_stopping_process_knows_of_answers_that_are_still_being_taken() {
     let mut door = Door::new();
     let mut peer = door.connect();
     peer.send(&request("1", ""));
     door.requests(1);
-    door.clients.begin_closing(&mut door.network);
+    door.clients.begin_closing(&mut door.network, door.now);
     let body = "x".repeat(64 << 20) + "end";
     door.answer(&body);
     door.turn();
