Doors: a client's time runs from the first byte of its request

Cause: Deadline-Ms and timeout-ms were counted from the moment when a request was whole. With a body that takes a second to arrive servers were handed a second more than the client had left and worked on after it had gone, copies and further sends likewise, and the door held it a second beyond timeout-ms (BUDGET, CONFIG, and the price of holding a request). Besides, an empty line that a client sends behind a body counted as a request that arrives: its connection was closed after header-timeout-ms though it was only idle.

Change: Clients notes when a request's first byte came; deadlines run from then. What arrives after its time is sent to no server and gets 503, since it surely hasn't run. Line ends before a request begin none.

Measured: 11 cases of requests fail without the change, the case of the empty line as well; all of turnstile pass. Cost: requests with slow bodies get their 504 earlier, by as long as they took to arrive; those that arrive in one piece as before.

--- a/crates/turnstile/src/clients.rs
+++ b/crates/turnstile/src/clients.rs
@@ -29,6 +29,8 @@
     arriving: bool,
     /// Since when nothing has been asked, or since when a request has been arriving.
     waiting_since: u64,
+    /// When the first byte of the last whole request came.
+    begun_at: u64,
     /// When the last answer was written.
     answered_at: Option<u64>,
 }
@@ -76,6 +78,11 @@
     Nothing,
 }
 
+/// Whether part of a request is there; empty lines before one are none.
+fn begins_request(bytes: &[u8]) -> bool {
+    !bytes.iter().all(|byte| matches!(byte, b'\r' | b'\n'))
+}
+
 /// Status of the answer to bytes that are no request. A door that knows no configuration can't know what is too long.
 pub fn unreadable_status(error: HttpError, knows_limits: bool) -> u16 {
     match error {
@@ -94,6 +101,7 @@
             attempt: None,
             arriving: false,
             waiting_since: now,
+            begun_at: now,
             answered_at: None,
         };
         self.clients.insert(connection, client);
@@ -157,13 +165,14 @@
             Ok(read) => {
                 network.consume(connection, read.consumed);
                 let Some(request) = read.message else {
-                    let arriving = client.reader.in_request() || !network.inbox(connection).is_empty();
+                    let arriving = client.reader.in_request() || begins_request(network.inbox(connection));
                     if arriving && !client.arriving {
                         client.arriving = true;
                         client.waiting_since = now;
                     }
                     return Arrival::Nothing;
                 };
+                client.begun_at = if client.arriving { client.waiting_since } else { now };
                 client.arriving = false;
                 client.keep_alive = request.keep_alive;
                 client.head_request = request.method == "HEAD";
@@ -179,6 +188,11 @@
         }
     }
 
+    /// When the first byte of the request that was read last came, or this process saw it first.
+    pub fn begun_at(&self, connection: ConnectionId) -> Option<u64> {
+        self.clients.get(&connection).map(|client| client.begun_at)
+    }
+
     /// The connection is busy until it is answered.
     pub fn occupy(&mut self, connection: ConnectionId, busy: Busy) {
         if let Some(client) = self.clients.get_mut(&connection) {
--- a/crates/turnstile/src/process/requests.rs
+++ b/crates/turnstile/src/process/requests.rs
@@ -8,7 +8,7 @@
 use crate::clients::{Arrival, Busy, unreadable_status};
 use crate::exchanges::{Purpose, request_bytes};
 use crate::jobs::{ITEMS_PREFIX, JOBS_PREFIX};
-use crate::requests::{Answer, RETRY_AFTER, RequestCommand};
+use crate::requests::{Answer, Arrived, RETRY_AFTER, RequestCommand};
 use crate::upstream::{Failure, Outbound};
 
 const READINESS_LIMITS: MessageLimits = MessageLimits { header_bytes: 8 << 10, body_bytes: 1 << 10 };
@@ -70,7 +70,9 @@
         }
         let index = route.index;
         let mut commands = Vec::new();
-        let id = self.requests.begin(self.now, request, &table, index, &self.fleet, &mut commands);
+        let begun_at = self.clients.begun_at(connection).unwrap_or(self.now);
+        let arrived = Arrived { request, begun_at };
+        let id = self.requests.begin(self.now, arrived, &table, index, &self.fleet, &mut commands);
         self.clients.occupy(connection, Busy::Request(id));
         self.run_requests(commands);
     }
--- a/crates/turnstile/src/requests/mod.rs
+++ b/crates/turnstile/src/requests/mod.rs
@@ -40,6 +40,14 @@
 /// Answer `Retry-After` of a request that hasn't run.
 pub const RETRY_AFTER: &str = "0.1";
 
+/// A client's request that is whole.
+#[derive(Debug)]
+pub struct Arrived {
+    pub request: Request,
+    /// When its first byte came, in milliseconds of the steady clock. The client's time runs since then at least.
+    pub begun_at: u64,
+}
+
 /// What the host has to do.
 #[derive(Debug)]
 pub enum RequestCommand {
@@ -134,24 +142,25 @@
     pub fn begin(
         &mut self,
         now: u64,
-        request: Request,
+        arrived: Arrived,
         routes: &Arc<RouteTable>,
         route: usize,
         fleet: &Fleet,
         out: &mut Vec<RequestCommand>,
     ) -> RequestId {
+        let Arrived { request, begun_at } = arrived;
         self.next_request += 1;
         let id = self.next_request;
         let facts = &routes.routes()[route];
         let stated = request.headers.number("deadline-ms").unwrap_or(DEFAULT_DEADLINE_MS);
         let allowed = stated.min(facts.timeout_ms.unwrap_or(u64::MAX));
         let service = routes.pick(facts, self.random.next_u64());
-        let deadline = now.saturating_add(allowed.saturating_sub(DEADLINE_MARGIN_MS).max(1));
+        let deadline = begun_at.saturating_add(allowed.saturating_sub(DEADLINE_MARGIN_MS).max(1));
         let destination = Destination { routes: routes.clone(), route, service };
         let pending = Pending::new(request, destination, now, deadline);
         self.copies.count_generation(now);
         self.pending.insert(id, pending);
-        if deadline > self.last_answer_at {
+        if deadline <= now || deadline > self.last_answer_at {
             self.end(id, 504, out);
         } else {
             self.try_send(now, id, fleet, out);
--- a/crates/turnstile/tests/clients.rs
+++ b/crates/turnstile/tests/clients.rs
@@ -167,6 +167,48 @@
     }
 }
 
+#[test]
+fn a_request_is_known_since_its_first_byte() {
+    let mut door = Door::new();
+    let mut peer = door.connect();
+    let connection = door.connection.unwrap();
+    let first_byte_at = door.now + 400;
+    door.now = first_byte_at;
+    peer.send("POST /a/1 HTTP/1.1\r\nContent-Length: 2\r\n");
+    door.until(|door| !door.network.inbox(connection).is_empty());
+    door.now += 300;
+    peer.send("\r\no");
+    (0..20).for_each(|_| door.turn());
+    door.now += 300;
+    peer.send("k");
+    door.requests(1);
+    assert_eq!(door.clients.begun_at(connection), Some(first_byte_at));
+    // The time of the answer isn't the next request's.
+    door.now += 500;
+    door.answer("whole");
+    door.now += 500;
+    peer.send(&request("2", ""));
+    door.requests(2);
+    assert_eq!(door.clients.begun_at(connection), Some(door.now));
+}
+
+/// Some clients send an empty line behind a body; it begins nothing.
+#[test]
+fn an_empty_line_between_two_requests_begins_none() {
+    let mut door = Door::new();
+    let mut peer = door.connect();
+    let connection = door.connection.unwrap();
+    peer.send(&request("1", ""));
+    door.requests(1);
+    door.answer("whole");
+    peer.send("\r\n");
+    door.until(|door| !door.network.inbox(connection).is_empty());
+    assert_eq!(door.expire(HEADER_MS + 1), 0);
+    peer.send(&request("2", ""));
+    door.requests(2);
+    assert_eq!(door.clients.begun_at(connection), Some(door.now));
+}
+
 #[test]
 fn a_request_may_come_byte_by_byte() {
     let mut door = Door::new();
--- a/crates/turnstile/tests/requests.rs
+++ b/crates/turnstile/tests/requests.rs
@@ -429,3 +429,28 @@
     table.answer(table.last(), success(), BODY);
     assert_eq!((table.client.status, table.sends.len()), (Some(200), 2));
 }
+
+/// The client's time runs from its first byte; it states 1,500 ms, and the route allows 2,000.
+#[rstest]
+#[case::stated("Deadline-Ms: 1500\r\n", 1_500)]
+#[case::by_the_route("", TIMEOUT_MS)]
+fn the_time_that_a_request_took_to_arrive_is_gone(
+    #[values("repeat", "once", "stream", "resume")] kind: &str,
+    #[case] lines: &str,
+    #[case] allowed_ms: u64,
+) {
+    let mut table = Table::new(1);
+    table.begin_slowly(kind, lines, 900);
+    let left_ms = allowed_ms - 900;
+    let given_ms = table.last().deadline_ms;
+    assert!((left_ms - 50..=left_ms).contains(&given_ms), "{given_ms}");
+    table.pass(left_ms);
+    assert_eq!((table.client.status, table.client.own), (Some(504), true));
+}
+
+#[rstest]
+fn what_arrives_after_its_time_is_sent_to_no_server(#[values("repeat", "once", "resume")] kind: &str) {
+    let mut table = Table::new(1);
+    table.begin_slowly(kind, "Deadline-Ms: 1500\r\n", 1_500);
+    assert_eq!((table.sends.len(), table.client.status, table.client.own), (0, Some(503), true));
+}
--- a/crates/turnstile/tests/requests_support/mod.rs
+++ b/crates/turnstile/tests/requests_support/mod.rs
@@ -10,7 +10,9 @@
 use orchidvalve_track::messages::{ServerEntry, ServersUpdate, TableVersion};
 use orchidvalve_track::server_table::ServerTable;
 use orchidvalve_turnstile::fleet::{Fleet, FleetChange, ServerKey};
-use orchidvalve_turnstile::requests::{Answer, RequestCommand, RequestId, Requests, SendId, is_promise};
+use orchidvalve_turnstile::requests::{
+    Answer, Arrived, RequestCommand, RequestId, Requests, SendId, is_promise,
+};
 use orchidvalve_turnstile::runs::Repetition;
 use orchidvalve_turnstile::upstream::Failure;
 use orchidvalve_waybill::{Configuration, RouteTable};
@@ -151,13 +153,19 @@
     }
 
     pub fn begin_with(&mut self, kind: &str, lines: &str) -> RequestId {
+        self.begin_slowly(kind, lines, 0)
+    }
+
+    /// A request that took so long from its first byte to its last.
+    pub fn begin_slowly(&mut self, kind: &str, lines: &str, took_ms: u64) -> RequestId {
         let text = format!(
             "POST /{kind}/2f HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: 9c41d07be2a35f68\r\n{lines}\r\n"
         );
         let request = request(&text);
         let route = self.routes.lookup("ficu95.example", &request.target).unwrap().index;
         let routes = self.routes.clone();
-        let id = self.requests.begin(self.now, request, &routes, route, &self.servers.fleet, &mut self.out);
+        let arrived = Arrived { request, begun_at: self.now - took_ms };
+        let id = self.requests.begin(self.now, arrived, &routes, route, &self.servers.fleet, &mut self.out);
         self.settle();
         id
     }
