Doors: a reading that is asked anew is held for what is left of its caller's wait

Cause: where the store that held a reading (Wait-Ms) fell silent or was lost, the next one was asked to hold it for the whole wait once more. The door's own time is the wait and 1.2 s, so unless a result came in between it gave up first and told 503, although the second store stood ready to answer.

Change: each try is held for what is left of the caller's wait, a late one not at all; a try is waited for 0.6 s beyond.

Measured: both cases (link lost after 1.4 s, silence) fail without the change and pass with it; all of turnstile pass. A first try is asked as before.

--- a/crates/turnstile/src/jobs.rs
+++ b/crates/turnstile/src/jobs.rs
@@ -160,8 +160,8 @@
                 continue;
             }
             pending.tries += 1;
-            pending.asked = Some((store, now + pending.try_timeout()));
-            outgoing.push(Outgoing { store, message: pending.message(*number, partition) });
+            pending.asked = Some((store, now + pending.held_ms(now) + TRY_TIMEOUT_MS));
+            outgoing.push(Outgoing { store, message: pending.message(now, *number, partition) });
         }
         for (number, _) in answers.iter() {
             self.pending.remove(number);
@@ -265,21 +265,23 @@
         }
     }
 
-    fn try_timeout(&self) -> u64 {
+    /// How long a store may hold the call until there is something to tell: what is left of the time that the caller
+    /// allows. A reading that is asked anew after that is answered at once, before this door has to give it up.
+    fn held_ms(&self, now: u64) -> u64 {
         match self.call {
-            JobCall::Read { wait_ms, .. } => u64::from(wait_ms) + TRY_TIMEOUT_MS,
-            _ => TRY_TIMEOUT_MS,
+            JobCall::Read { .. } => self.deadline.saturating_sub(READ_TIMEOUT_MS + now),
+            _ => 0,
         }
     }
 
-    fn message(&self, call: CallId, partition: u16) -> ToStore {
+    fn message(&self, now: u64, call: CallId, partition: u16) -> ToStore {
         let id = self.id.clone();
         match &self.call {
             JobCall::Submit { job, received_at_ms } => {
                 ToStore::Submit { call, partition, id, job: job.clone(), received_at_ms: *received_at_ms }
             }
-            JobCall::Read { after, wait_ms } => {
-                ToStore::Read { call, partition, id, after: *after, wait_ms: *wait_ms }
+            JobCall::Read { after, .. } => {
+                ToStore::Read { call, partition, id, after: *after, wait_ms: self.held_ms(now) as u32 }
             }
             JobCall::ItemBody { item } => ToStore::ItemBody { call, partition, id, item: item.clone() },
             JobCall::End => ToStore::End { call, partition, id },
--- a/crates/turnstile/tests/jobs.rs
+++ b/crates/turnstile/tests/jobs.rs
@@ -380,3 +380,34 @@
         other => panic!("{other:?}"),
     }
 }
+
+/// A reading that is asked anew may be held only as long as its client still waits: else the door has to give up before
+/// the store answers.
+#[rstest]
+#[case::link_lost(First::LinkLost, 1_400)]
+#[case::silence(First::Silence, 1_600)]
+fn a_reading_that_is_asked_anew_is_held_for_what_is_left(#[case] first: First, #[case] after_ms: u64) {
+    const ALLOWED_MS: u64 = 1_000;
+    let mut door = Door::new();
+    let began_at = door.now;
+    let call = door.begin(reading());
+    let held = |door: &Door| match door.sent.last().map(|out| &out.message) {
+        Some(ToStore::Read { wait_ms, .. }) => u64::from(*wait_ms),
+        other => panic!("{other:?}"),
+    };
+    assert_eq!(held(&door), ALLOWED_MS);
+    if matches!(first, First::LinkLost) {
+        door.pass(after_ms);
+        let asked = door.asked()[0];
+        door.calls.store_lost(door.now, asked);
+    }
+    while door.sent.len() < 2 {
+        door.pass(20);
+    }
+    assert!(door.now >= began_at + after_ms);
+    let answered_at = door.now + held(&door);
+    assert!(answered_at <= began_at + ALLOWED_MS + 700, "{answered_at}");
+    door.pass(answered_at - door.now);
+    door.answer(call, StoreAnswer::Results { total: 40, next: 12, outcomes: Vec::new() });
+    assert!(matches!(door.told(), Some(JobAnswer::Results { .. })), "{:?}", door.answers);
+}
