Doors: calls that wait for a store that leaves are tried again at once

Cause: when a store holds no partition any more the door gives up its link. That makes no event of the network, so calls that had been sent on it waited for the end of their try: 0.6 s of a submission's or an end's 1.5 and 1.2 s, and the whole wait and 0.6 s of a reading.

Change: StoreLinks::set_stores names the stores whose links it gave up, and the process tells JobCalls as for a link that breaks.

Measured: the test of set_stores didn't compile before (nothing was returned); that calls go elsewhere once told is held by the tests of store_lost. All of turnstile pass. The wiring in the process isn't held by a test.

--- a/crates/turnstile/src/process/mod.rs
+++ b/crates/turnstile/src/process/mod.rs
@@ -276,7 +276,9 @@
         self.near_stores = near.map(|s| s.member.address).collect();
         let heads: Vec<Option<NodeAddress>> =
             state.partitions().iter().map(|p| p.members.first().map(|m| m.address)).collect();
-        self.stores.set_stores(&mut self.network, &stores);
+        for store in self.stores.set_stores(&mut self.network, &stores) {
+            self.calls.store_lost(self.now, store);
+        }
         self.heads_changed(heads);
         let state = self.feed.copy().state();
         let Some(configuration) = state.configuration() else { return };
--- a/crates/turnstile/src/store_links.rs
+++ b/crates/turnstile/src/store_links.rs
@@ -52,12 +52,14 @@
         StoreLinks { introduction, links: BTreeMap::new(), work_limit: 0 }
     }
 
-    /// Stores that links are kept to.
-    pub fn set_stores(&mut self, network: &mut Network, stores: &BTreeSet<NodeAddress>) {
+    /// Stores that links are kept to. Returns those whose links were given up: nothing that they were asked is answered.
+    pub fn set_stores(&mut self, network: &mut Network, stores: &BTreeSet<NodeAddress>) -> Vec<NodeAddress> {
+        let mut left = Vec::new();
         self.links.retain(|address, link| {
             let keep = stores.contains(address);
-            if let Some(connection) = link.connection.filter(|_| !keep) {
-                network.forget(connection);
+            if !keep {
+                left.push(*address);
+                link.connection.take().into_iter().for_each(|connection| network.forget(connection));
             }
             keep
         });
@@ -72,6 +74,7 @@
                 retry_at: 0,
             });
         }
+        left
     }
 
     /// The store is the head of a partition from now on, and the groups that its former head handed out pass to it: its
--- a/crates/turnstile/tests/store_links.rs
+++ b/crates/turnstile/tests/store_links.rs
@@ -382,3 +382,17 @@
     door.turn();
     assert_eq!(door.silent, [door.store]);
 }
+
+/// Calls that wait for a store have to go elsewhere at once when its link is given up, as when it breaks.
+#[rstest]
+fn stores_that_hold_nothing_any_more_are_named(#[values(false, true)] up: bool) {
+    let mut door = Door::new();
+    if up {
+        let _peer = door.accept();
+        door.until(|door| door.up == 1);
+    }
+    let others = BTreeSet::from([NodeAddress::new(std::net::Ipv4Addr::LOCALHOST, 9)]);
+    assert_eq!(door.links.set_stores(&mut door.network, &others), [door.store]);
+    assert!(!door.links.is_up(door.store));
+    assert_eq!(door.links.set_stores(&mut door.network, &others), []);
+}
