Doors: a send anew that reaches nobody gives no attempt back

Cause: a repeatable request whose kept connection had ended is sent anew to the same server without being counted.

Change: each send knows whether it counts (Counting); only one that does is given back.

--- a/crates/turnstile/src/requests/pending.rs
+++ b/crates/turnstile/src/requests/pending.rs
@@ -11,10 +11,20 @@
 use crate::fleet::ServerKey;
 use crate::runs::{NeverRan, Repetition, Runs, SendPermit, SurelyNotRun};
 
+/// How a send counts against the route's `max-attempts`.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+pub(super) enum Counting {
+    /// As an attempt, unless it reaches nobody.
+    Attempt,
+    /// Not at all: it takes the place of an attempt at the same server.
+    SentAnew,
+}
+
 /// A request at one server.
 #[derive(Debug)]
 pub(super) struct Send {
     pub server: ServerKey,
+    pub counting: Counting,
     pub sent_at: u64,
     pub head: Option<ResponseHead>,
     pub body: Vec<u8>,
@@ -91,12 +101,19 @@
     }
 
     /// Begins a send to `server`; None where the request may run only once and may already have.
-    pub fn begin_send(&mut self, send: SendId, server: ServerKey, now: u64) -> Option<SendPermit> {
+    pub fn begin_send(
+        &mut self,
+        send: SendId,
+        server: ServerKey,
+        counting: Counting,
+        now: u64,
+    ) -> Option<SendPermit> {
         let permit = self.runs.begin()?;
         if !self.tried.contains(&server) {
             self.tried.push(server);
         }
-        self.sends.insert(send, Send { server, sent_at: now, head: None, body: Vec::new() });
+        self.sent += u32::from(counting == Counting::Attempt);
+        self.sends.insert(send, Send { server, counting, sent_at: now, head: None, body: Vec::new() });
         Some(permit)
     }
 
@@ -107,6 +124,11 @@
         Some(ended)
     }
 
+    /// A send that has ended reached nobody: its attempt is still to be made.
+    pub fn give_back(&mut self, ended: &Send) {
+        self.sent -= u32::from(ended.counting == Counting::Attempt);
+    }
+
     pub fn send(&self, send: SendId) -> Option<&Send> {
         self.sends.get(&send)
     }
--- a/crates/turnstile/src/requests/sending.rs
+++ b/crates/turnstile/src/requests/sending.rs
@@ -3,6 +3,7 @@
 use orchidvalve_points::Latencies;
 
 use super::passing::Passing;
+use super::pending::Counting;
 use super::{DEFAULT_DEADLINE_MS, RequestCommand, RequestId, Requests, SendId};
 use crate::fleet::{Fleet, ServerKey};
 use crate::runs::SurelyNotRun;
@@ -23,20 +24,26 @@
         let untried = fleet.choose(service, &self.zone, &pending.tried, now, &mut self.random);
         let server = untried.or_else(|| fleet.choose(service, &self.zone, &busy, now, &mut self.random));
         match server.filter(|_| pending.sends_left()) {
-            Some(server) => {
-                pending.sent += 1;
-                self.send_to(now, id, server, out);
-            }
+            Some(server) => self.send_to(now, id, server, Counting::Attempt, out),
             None if busy.is_empty() => self.give_up(id, out),
             None => {}
         }
     }
 
     /// Sends the request to `server`, or answers it where it may run only once and may already have.
-    fn send_to(&mut self, now: u64, id: RequestId, server: ServerKey, out: &mut Vec<RequestCommand>) {
+    fn send_to(
+        &mut self,
+        now: u64,
+        id: RequestId,
+        server: ServerKey,
+        counting: Counting,
+        out: &mut Vec<RequestCommand>,
+    ) {
         let Some(pending) = self.pending.get_mut(&id) else { return };
         let send = self.next_send + 1;
-        let Some(permit) = pending.begin_send(send, server, now) else { return self.give_up(id, out) };
+        let Some(permit) = pending.begin_send(send, server, counting, now) else {
+            return self.give_up(id, out);
+        };
         self.next_send = send;
         self.sends.insert(send, id);
         out.push(RequestCommand::Send {
@@ -106,7 +113,7 @@
         let surely_not_run = proof.is_some();
         let Some(ended) = pending.end_send(send, proof) else { return };
         if failure == Failure::Connect {
-            pending.sent -= 1;
+            pending.give_back(&ended);
         }
         let alone = pending.open_sends() == 0;
         let stale = failure == Failure::Stale;
@@ -120,7 +127,7 @@
             return;
         }
         if anew && fleet.get(ended.server).is_some_and(|s| !s.entry.draining) {
-            self.send_to(now, id, ended.server, out);
+            self.send_to(now, id, ended.server, Counting::SentAnew, out);
         } else if surely_not_run {
             self.refused(now, id, fleet, out);
         } else {
--- a/crates/turnstile/tests/requests.rs
+++ b/crates/turnstile/tests/requests.rs
@@ -454,3 +454,20 @@
     table.begin_slowly(kind, "Deadline-Ms: 1500\r\n", 1_500);
     assert_eq!((table.sends.len(), table.client.status, table.client.own), (0, Some(503), true));
 }
+
+/// The send that replaces one on a connection that had ended isn't counted, so neither is its failure given back.
+#[rstest]
+fn a_send_anew_that_reaches_nobody_leaves_no_attempt_over(#[values("repeat", "resume")] kind: &str) {
+    let mut table = Table::new(MAX_ATTEMPTS as usize + 2);
+    table.begin(kind);
+    let first = table.last();
+    table.fail(first, Failure::Stale);
+    let anew = table.last();
+    assert_eq!(anew.server, first.server);
+    table.fail(anew, Failure::Connect);
+    while table.client.status.is_none() {
+        table.fail(table.last(), Failure::Broken);
+    }
+    let asked: std::collections::BTreeSet<_> = table.sends.iter().map(|sent| sent.server).collect();
+    assert_eq!(asked.len(), MAX_ATTEMPTS as usize, "{:?}", table.sends);
+}
