Doors: a stopping door waits for requests that are arriving

Cause: 2.6 s after SIGTERM a door with no open request ended at once, also while the body of one was coming in: its client saw a connection cut in the middle of its request, though the door had seconds of its grace left to serve it.

Change: the door counts as idle only while no part of a request has come. Time-outs of arriving requests and the end of the grace bound this as before.

--- a/crates/turnstile/src/clients.rs
+++ b/crates/turnstile/src/clients.rs
@@ -144,6 +144,11 @@
         }
     }
 
+    /// Whether part of a request has come on some connection.
+    pub fn is_any_arriving(&self) -> bool {
+        self.clients.values().any(|client| client.arriving)
+    }
+
     /// Whether the system has taken all that was written since [`Clients::begin_closing`].
     pub fn is_flushed(&mut self, network: &Network) -> bool {
         self.closed.retain(|connection| network.queued_bytes(*connection) > 0);
--- a/crates/turnstile/src/process/mod.rs
+++ b/crates/turnstile/src/process/mod.rs
@@ -375,9 +375,10 @@
         true
     }
 
-    /// Whether nothing is open and every answer is on its way.
+    /// Whether nothing is open or arriving, and every answer is on its way.
     fn is_idle(&mut self) -> bool {
         self.requests.open() == 0
+            && !self.clients.is_any_arriving()
             && self.calls.open() == 0
             && self.runner.open_groups() == 0
             && self.work.unconfirmed() == 0
--- a/crates/turnstile/tests/clients.rs
+++ b/crates/turnstile/tests/clients.rs
@@ -496,6 +496,28 @@
     assert!(peer.text().ends_with("xend"));
 }
 
+#[test]
+fn a_stopping_process_knows_of_requests_that_are_arriving() {
+    let mut door = Door::new();
+    let mut peer = door.connect();
+    assert!(!door.clients.is_any_arriving(), "nothing is asked on a new connection");
+    let text = request("1", "");
+    for byte in 0..text.len() {
+        peer.send(&text[byte..byte + 1]);
+        let before = door.requests.len();
+        door.until(|door| door.clients.is_any_arriving() || door.requests.len() > before);
+    }
+    door.requests(1);
+    assert!(!door.clients.is_any_arriving(), "it has arrived");
+    door.answer("whole");
+    assert!(!door.clients.is_any_arriving());
+    peer.send("POST /a/2 HTTP/1.1\r\nContent-Length: 2\r\n\r\n");
+    door.until(|door| door.clients.is_any_arriving());
+    drop(peer);
+    door.until(|door| door.clients.is_empty());
+    assert!(!door.clients.is_any_arriving());
+}
+
 #[test]
 fn a_stopping_process_knows_of_answers_that_are_still_being_taken() {
     let mut door = Door::new();
