Stores: one that leaves stays while a chain that is too short may need it

Cause: a member that control took for lost, and that is back, is still noted as a holder while the chain is too short: it holds everything, and the chain goes on with it if its last member is lost. Told to stop at that moment it counted as holding nothing, as it was no member any more, and ended at once with its disk: one copy was left while the successor was still copying, though nothing but a planned end and one short loss had happened.

--- a/crates/goodsyard/tests/departure.rs
+++ b/crates/goodsyard/tests/departure.rs
@@ -76,6 +76,31 @@
     assert_eq!(departure.is_over(BEGUN_AT + elapsed, member(1), &state, in_touch), expected);
 }
 
+/// Store 1 was lost for a moment: the chain is too short without it and commits nothing, so it still holds everything, and
+/// the chain would go on with it if the last member were lost.
+#[rstest]
+#[case::a_learner_copies("2/3", "12", "123", 0, false)]
+#[case::a_learner_copies_for_long("2/3", "12", "123", LATEST, false)]
+#[case::no_answer_yet("2/", "12", "123", 1_499, false)]
+#[case::no_answer("2/", "12", "123", 1_500, true)]
+#[case::nobody_could_take_it("2/", "12", "12", 0, true)]
+#[case::time_is_up("2/3", "12", "123", LATEST + 1, true)]
+#[case::it_holds_nothing("2/3", "2", "123", 0, true)]
+#[case::a_whole_chain_forgets_it("23/", "123", "123", 0, true)]
+fn a_leaving_store_that_a_short_chain_may_need_waits(
+    #[case] partitions: &str,
+    #[case] holders: &str,
+    #[case] stores: &str,
+    #[case] elapsed: u64,
+    #[case] expected: bool,
+) {
+    let departure = Departure::new(BEGUN_AT, GRACE_MS);
+    let mut state = state(partitions, stores, "");
+    let noted = Placement { epoch: 2, holders: members(holders), ..state.partitions()[0].clone() };
+    state.apply(&Change::Place(vec![(0, noted)])).unwrap();
+    assert_eq!(departure.is_over(BEGUN_AT + elapsed, member(1), &state, true), expected);
+}
+
 #[test]
 fn a_store_with_hardly_any_time_ends_at_once() {
     let departure = Departure::new(BEGUN_AT, 1_000);
--- a/crates/locomotive/tests/placed_stores.rs
+++ b/crates/locomotive/tests/placed_stores.rs
@@ -361,7 +361,7 @@
     }
 
     /// Runs until the condition holds; how long that took.
-    fn run_until(&mut self, limit: u64, condition: impl Fn(&Simulation) -> bool) -> u64 {
+    fn run_until(&mut self, limit: u64, mut condition: impl FnMut(&Simulation) -> bool) -> u64 {
         let begun = self.world.now;
         while !condition(self) {
             assert!(self.world.now < begun + limit, "not within {limit} ms: {:?}", self.placement());
@@ -491,6 +491,28 @@
     }
 }
 
+/// A member that control took for lost is back, with everything that the short chain of the other one holds, and gets
+/// SIGTERM before a successor has copied it: it doesn't go with one of two copies.
+#[test]
+fn a_former_member_that_is_told_to_stop_stays_while_its_chain_is_short() {
+    let mut waited = 0;
+    for seed in 0..50 {
+        let mut simulation = Simulation::new(seed);
+        simulation.run_for(1_000);
+        let former = simulation.member(0);
+        simulation.cut(former, DETECTION_MS + 2 * STEP_MS);
+        simulation.run_until(2_000, |simulation| simulation.placement().is_short());
+        simulation.terminate(former);
+        simulation.run_until(GRACE_MS, |simulation| {
+            waited += u32::from(simulation.placement().is_short());
+            !simulation.world.stores[former].running
+        });
+        assert!(!simulation.placement().is_short(), "seed {seed}: {:?}", simulation.placement());
+        simulation.check_end();
+    }
+    assert!(waited > 50, "{waited} steps");
+}
+
 /// Both members leave at once: neither waits for the other.
 #[test]
 fn two_leaving_stores_end_in_time() {
