--- a/crates/turnstile/src/requests/mod.rs
+++ b/crates/turnstile/src/requests/mod.rs
@@ -40,6 +40,14 @@
 /// Answer `Retry-After` of a request that hasn't run.
 pub const RETRY_AFTER: &str = "0.1";
 
+/// A client's request that is whole.
+#[derive(Debug)]
+pub struct Arrived {
+    pub request: Request,
+    /// When its first byte came, in milliseconds of the steady clock. The client's time runs since then at least.
+    pub begun_at: u64,
+}
+
 /// What the host has to do.
 #[derive(Debug)]
 pub enum RequestCommand {
@@ -99,6 +107,8 @@
     random: Pcg64Mcg,
     next_request: RequestId,
     next_send: SendId,
+    /// The process ends then: what begins from now on and may take longer is refused.
+    last_answer_at: u64,
 }
 
 impl Requests {
@@ -112,6 +122,7 @@
             random,
             next_request: 0,
             next_send: 0,
+            last_answer_at: u64::MAX,
         }
     }
 
@@ -131,27 +142,46 @@
     pub fn begin(
         &mut self,
         now: u64,
-        request: Request,
+        arrived: Arrived,
         routes: &Arc<RouteTable>,
         route: usize,
         fleet: &Fleet,
         out: &mut Vec<RequestCommand>,
     ) -> RequestId {
+        let Arrived { request, begun_at } = arrived;
         self.next_request += 1;
         let id = self.next_request;
         let facts = &routes.routes()[route];
         let stated = request.headers.number("deadline-ms").unwrap_or(DEFAULT_DEADLINE_MS);
         let allowed = stated.min(facts.timeout_ms.unwrap_or(u64::MAX));
         let service = routes.pick(facts, self.random.next_u64());
-        let deadline = now.saturating_add(allowed.saturating_sub(DEADLINE_MARGIN_MS).max(1));
+        let deadline = begun_at.saturating_add(allowed.saturating_sub(DEADLINE_MARGIN_MS).max(1));
         let destination = Destination { routes: routes.clone(), route, service };
         let pending = Pending::new(request, destination, now, deadline);
         self.copies.count_generation(now);
         self.pending.insert(id, pending);
-        self.try_send(now, id, fleet, out);
+        if deadline <= now || deadline > self.last_answer_at {
+            self.end(id, 504, out);
+        } else {
+            self.try_send(now, id, fleet, out);
+        }
         id
     }
 
+    /// The process has to end soon and gives its last answers at `last_answer_at`: a request that begins from now on and
+    /// might have none by then is refused at once, so that its client asks another door in time.
+    pub fn refuse_beyond(&mut self, last_answer_at: u64) {
+        self.last_answer_at = last_answer_at;
+    }
+
+    /// The process ends now: every open request is given its final answer, and a stream that has begun is cut.
+    pub fn end_all(&mut self, out: &mut Vec<RequestCommand>) {
+        let open: Vec<RequestId> = self.pending.keys().copied().collect();
+        for id in open {
+            self.end(id, 504, out);
+        }
+    }
+
     /// The client has gone.
     pub fn client_left(&mut self, id: RequestId, out: &mut Vec<RequestCommand>) {
         if let Some(pending) = self.pending.remove(&id) {
@@ -178,7 +208,7 @@
                     *passing = Some(Passing::resumable(id, send, head.clone(), asked_from));
                 }
                 passing => {
-                    *passing = Some(Passing::unbroken(id, send));
+                    *passing = Some(Passing::unbroken(id, send, &head));
                     out.push(RequestCommand::BeginStream { request: id, head: head.clone() });
                 }
             }
--- a/crates/turnstile/src/store_links.rs
+++ b/crates/turnstile/src/store_links.rs
@@ -56,11 +56,13 @@
         StoreLinks { introduction, links: BTreeMap::new(), work_limit: 0 }
     }
 
-    /// Stores that links are kept to.
-    pub fn set_stores(&mut self, network: &mut Network, stores: &BTreeSet<NodeAddress>) {
+    /// Stores that links are kept to. Returns those whose links were given up: nothing that they were asked is answered.
+    pub fn set_stores(&mut self, network: &mut Network, stores: &BTreeSet<NodeAddress>) -> Vec<NodeAddress> {
+        let mut left = Vec::new();
         self.links.retain(|address, link| {
             let keep = stores.contains(address);
             if !keep {
+                left.push(*address);
                 link.outgoing.give_up(network);
             }
             keep
@@ -68,6 +70,7 @@
         for address in stores {
             self.links.entry(*address).or_insert_with(Link::new);
         }
+        left
     }
 
     /// The store is the head of a partition from now on, and the groups that its former head handed out pass to it: its
--- a/crates/turnstile/tests/requests.rs
+++ b/crates/turnstile/tests/requests.rs
@@ -361,3 +361,113 @@
     }
     assert!((1..=6).contains(&copies), "{copies}");
 }
+
+#[rstest]
+#[case::repeatable("repeat", Some(504))]
+#[case::once("once", Some(504))]
+#[case::resumable("resume", Some(504))]
+fn a_process_that_ends_gives_open_requests_a_final_answer(#[case] kind: &str, #[case] told: Option<u16>) {
+    let mut table = Table::new(2);
+    table.begin(kind);
+    let sent = table.last();
+    table.end_all();
+    assert_eq!((table.client.status, table.client.own, table.client.whole), (told, true, true));
+    assert_eq!((table.requests.open(), table.cancelled.as_slice()), (0, [sent.send].as_slice()));
+}
+
+#[test]
+fn a_process_that_ends_passes_on_the_failure_that_it_has() {
+    let mut table = Table::new(1);
+    table.begin("repeat");
+    table.answer(table.last(), head(500, &[]), "trouble");
+    table.end_all();
+    assert_eq!((table.client.status, table.client.own), (Some(500), false));
+}
+
+#[test]
+fn a_process_that_ends_promises_only_what_surely_has_not_run() {
+    let mut table = Table::new(1);
+    table.begin("once");
+    table.answer(table.last(), refusal(503), "");
+    table.end_all();
+    assert_eq!((table.client.status, table.client.own), (Some(503), true));
+}
+
+#[test]
+fn a_process_that_ends_cuts_a_stream_that_has_begun() {
+    let mut table = Table::new(1);
+    table.begin("stream");
+    table.head(table.last(), success());
+    table.end_all();
+    assert_eq!((table.client.broken, table.client.whole), (true, false));
+}
+
+/// The client states 1,500 ms.
+#[rstest]
+#[case::in_time(1_500, true)]
+#[case::too_late(1_400, false)]
+fn what_a_stopping_process_might_not_answer_is_refused(
+    #[values("repeat", "once", "stream", "resume")] kind: &str,
+    #[case] left_ms: u64,
+    #[case] taken: bool,
+) {
+    let mut table = Table::new(2);
+    table.requests.refuse_beyond(table.now + left_ms);
+    table.begin(kind);
+    assert_eq!(table.sends.len(), usize::from(taken));
+    let refused = (Some(503), true, true);
+    let client = (table.client.status, table.client.own, table.client.whole);
+    assert_eq!(client == refused, !taken, "{client:?}");
+}
+
+#[test]
+fn what_a_stopping_process_took_before_keeps_its_time() {
+    let mut table = Table::new(2);
+    table.begin("repeat");
+    table.requests.refuse_beyond(table.now + 1_000);
+    table.fail(table.last(), Failure::Broken);
+    table.answer(table.last(), success(), BODY);
+    assert_eq!((table.client.status, table.sends.len()), (Some(200), 2));
+}
+
+/// The client's time runs from its first byte; it states 1,500 ms, and the route allows 2,000.
+#[rstest]
+#[case::stated("Deadline-Ms: 1500\r\n", 1_500)]
+#[case::by_the_route("", TIMEOUT_MS)]
+fn the_time_that_a_request_took_to_arrive_is_gone(
+    #[values("repeat", "once", "stream", "resume")] kind: &str,
+    #[case] lines: &str,
+    #[case] allowed_ms: u64,
+) {
+    let mut table = Table::new(1);
+    table.begin_slowly(kind, lines, 900);
+    let left_ms = allowed_ms - 900;
+    let given_ms = table.last().deadline_ms;
+    assert!((left_ms - 50..=left_ms).contains(&given_ms), "{given_ms}");
+    table.pass(left_ms);
+    assert_eq!((table.client.status, table.client.own), (Some(504), true));
+}
+
+#[rstest]
+fn what_arrives_after_its_time_is_sent_to_no_server(#[values("repeat", "once", "resume")] kind: &str) {
+    let mut table = Table::new(1);
+    table.begin_slowly(kind, "Deadline-Ms: 1500\r\n", 1_500);
+    assert_eq!((table.sends.len(), table.client.status, table.client.own), (0, Some(503), true));
+}
+
+/// The send that replaces one on a connection that had ended isn't counted, so neither is its failure given back.
+#[rstest]
+fn a_send_anew_that_reaches_nobody_leaves_no_attempt_over(#[values("repeat", "resume")] kind: &str) {
+    let mut table = Table::new(MAX_ATTEMPTS as usize + 2);
+    table.begin(kind);
+    let first = table.last();
+    table.fail(first, Failure::Stale);
+    let anew = table.last();
+    assert_eq!(anew.server, first.server);
+    table.fail(anew, Failure::Connect);
+    while table.client.status.is_none() {
+        table.fail(table.last(), Failure::Broken);
+    }
+    let asked: std::collections::BTreeSet<_> = table.sends.iter().map(|sent| sent.server).collect();
+    assert_eq!(asked.len(), MAX_ATTEMPTS as usize, "{:?}", table.sends);
+}
