--- a/crates/signalbox/tests/core_planted.rs
+++ b/crates/signalbox/tests/core_planted.rs
@@ -14,7 +14,8 @@
 
 /// The day, with what it takes to make the fault show.
 fn plan_of(sabotage: Sabotage, day: Day, seed: u64) -> Plan {
-    let plan = days::plan(day, seed, 3);
+    let platform = matches!(sabotage, Sabotage::TermsOfViews | Sabotage::NoLease | Sabotage::LocalNotFound);
+    let plan = Plan { platform, ..days::plan(day, seed, 3) };
     if sabotage != Sabotage::HastyLearners {
         return plan;
     }
@@ -48,6 +49,9 @@
 #[case::old_feed_positions(Sabotage::OldFeedPositions, Day::FollowerRestarts, &["followers: None", "follower"])]
 #[case::feed_goes_back(Sabotage::BackwardFeed, Day::CutAndReset, &["went back"])]
 #[case::followers_kept_out_of_touch(Sabotage::KeptFollowers, Day::LongCut, &["follower"])]
+#[case::tables_numbered_by_view(Sabotage::TermsOfViews, Day::HerdKill, &["older ones"])]
+#[case::orders_without_lease(Sabotage::NoLease, Day::Kill, &["gives orders"])]
+#[case::not_found_without_proof(Sabotage::LocalNotFound, Day::LongCut, &["wasn't found"])]
 #[case::calls_numbered_alike(Sabotage::SameNonce, Day::QuickRestarts, &["isn't noted", "isn't committed", "same base", "NoOrder"])]
 fn a_planted_fault_is_found(#[case] sabotage: Sabotage, #[case] day: Day, #[case] expected: &[&str]) {
     let Some((runs, violation)) = first_violation(sabotage, day) else {
--- a/crates/signalbox/tests/core_worst_days.rs
+++ b/crates/signalbox/tests/core_worst_days.rs
@@ -96,7 +96,8 @@
         Day::QuickRestarts,
         Day::CutAndReset,
         Day::FollowerRestarts,
-        Day::EverythingInTurn
+        Day::EverythingInTurn,
+        Day::Mixed
     )]
     day: Day,
 ) {
--- a/crates/signalbox/tests/support/clients.rs
+++ b/crates/signalbox/tests/support/clients.rs
@@ -27,6 +27,11 @@
         floor: u64,
         in_force: bool,
     },
+    /// A store is to be emptied, whose registration had been committed when the call came or not.
+    Retirement {
+        store: u8,
+        is_known: bool,
+    },
 }
 
 /// A call that a machine hasn't answered.
@@ -228,6 +233,9 @@
                 return self.attempt_decided(machine, attempt, in_force, &outcome);
             }
             CallKind::Read(_) => return self.auditor.fail("a read was answered as a change".to_owned()),
+            CallKind::Retirement { store, is_known } => {
+                return self.retirement_decided(store, is_known, &outcome);
+            }
         };
         self.trace(|| format!("machine {machine}: change {number} is {outcome:?}"));
         self.auditor.answered(number, &outcome);
@@ -281,7 +289,7 @@
                 self.try_again(number);
             }
             CallKind::Attempt { attempt, .. } => self.connection_reset(attempt),
-            CallKind::Read(_) => {}
+            CallKind::Read(_) | CallKind::Retirement { .. } => {}
         }
     }
 
@@ -289,7 +297,9 @@
         let Some(OpenCall { kind, .. }) = self.machines[machine].calls.remove(&call) else { return };
         let floor = match kind {
             CallKind::Read(floor) | CallKind::Attempt { floor, .. } => floor,
-            CallKind::Change(_) => return self.auditor.fail("a change was answered as a read".to_owned()),
+            CallKind::Change(_) | CallKind::Retirement { .. } => {
+                return self.auditor.fail("a change was answered as a read".to_owned());
+            }
         };
         if let CallKind::Attempt { attempt, .. } = kind {
             self.attempt_read(machine, attempt);
--- a/crates/signalbox/tests/support/days.rs
+++ b/crates/signalbox/tests/support/days.rs
@@ -63,9 +63,11 @@
     FollowerRestarts,
     /// A loss of all, a wipe after an acknowledgement, a replacement and a cut.
     EverythingInTurn,
+    /// Five to eight kinds of troubles of the deployments, several at the same time; see [`super::mix`].
+    Mixed,
 }
 
-pub const DAYS: [Day; 26] = [
+pub const DAYS: [Day; 27] = [
     Day::LongCut,
     Day::Kill,
     Day::PowerLoss,
@@ -92,6 +94,7 @@
     Day::CutAndReset,
     Day::FollowerRestarts,
     Day::EverythingInTurn,
+    Day::Mixed,
 ];
 
 /// Builds the script of a day step by step.
@@ -290,11 +293,15 @@
                 let cut = self.cut(8_000);
                 self.strike(cut, 8_000);
             }
+            Day::Mixed => unreachable!("its plan isn't written here"),
         }
     }
 }
 
 pub fn plan(day: Day, seed: u64, machines: u8) -> Plan {
+    if day == Day::Mixed {
+        return super::mix::plan(seed, machines);
+    }
     let mut script = Script::new(seed);
     script.write(day);
     let delay = script.random.random_range(2..20);
--- a/crates/signalbox/tests/support/ending.rs
+++ b/crates/signalbox/tests/support/ending.rs
@@ -1,5 +1,7 @@
 //! Planned ends: a process is told to stop, hands over as the control process does, and ends.
 
+use orchidvalve_interlocking::View;
+
 use super::world::World;
 
 /// Time that a process has from the order to stop until it is killed.
@@ -46,16 +48,37 @@
         };
         let others: Vec<usize> = (0..self.machines.len()).filter(|m| *m != machine && stands(m)).collect();
         let voters = others.iter().filter(|m| view.is_voter(self.machines[**m].member())).count();
-        // Entries may be there that aren't known to be committed yet.
-        let end = self.auditor.floor();
-        let has_all = |m: &&usize| {
-            let node = &self.machines[**m];
-            view.in_chain(node.member()) && node.disk.recover().journal.end() >= end
-        };
+        let has_all = |m: &&usize| self.holds_all(**m, &view);
         let leaves_chain = !view.in_chain(self.machines[machine].member());
         leaves_chain && voters > view.voters.len() / 2 && others.iter().any(|m| has_all(&m))
     }
 
+    /// Whether a machine is of a chain and has everything on its disk.
+    fn holds_all(&self, machine: usize, view: &View) -> bool {
+        let node = &self.machines[machine];
+        // Entries may be there that aren't known to be committed yet.
+        let end = self.auditor.floor();
+        !node.gone && view.in_chain(node.member()) && node.disk.recover().journal.end() >= end
+    }
+
+    /// Whether nobody needs the process of a machine, whoever else runs: the newest view doesn't name it, and what it
+    /// knows of views is on the disks of a majority of their voters.
+    fn is_outside(&self, machine: usize) -> bool {
+        let node = &self.machines[machine];
+        let (Some(newest), me) = (self.newest_view(), node.member()) else { return true };
+        let Some(known) = node.core.as_ref().and_then(|core| core.view()) else { return true };
+        let others = || (0..self.machines.len()).filter(|m| *m != machine && !self.machines[*m].gone);
+        let is_voter = |m: &usize| known.is_voter(self.machines[*m].member());
+        let knowing = others().filter(|m| is_voter(m) && self.has_on_disk(*m, known)).count();
+        let is_named = newest.is_voter(me) || newest.in_chain(me);
+        !is_named && knowing > known.voters.len() / 2 && others().any(|m| self.holds_all(m, &newest))
+    }
+
+    fn has_on_disk(&self, machine: usize, view: &View) -> bool {
+        let durable = self.machines[machine].disk.recover().agreement.and_then(|state| state.view);
+        durable.is_some_and(|durable| durable.epoch >= view.epoch)
+    }
+
     /// Ends a process that was told to stop, once it may go or its time is up. True if it ended.
     pub fn end_if_due(&mut self, machine: usize) -> bool {
         let node = &self.machines[machine];
@@ -65,7 +88,7 @@
         if !handed_over && self.now < ending.deadline {
             return false;
         }
-        if handed_over && !self.others_go_on_without(machine) {
+        if handed_over && !self.others_go_on_without(machine) && !self.is_outside(machine) {
             let state = self.describe();
             self.auditor.fail(format!("machine {machine} ends while the others need it; {state}"));
         }
@@ -83,6 +106,7 @@
                 for other in (0..self.machines.len()).filter(|m| *m != machine) {
                     self.link_closed(other, address);
                 }
+                self.renew_seeds();
             }
         }
         true
--- a/crates/signalbox/tests/support/faults.rs
+++ b/crates/signalbox/tests/support/faults.rs
@@ -176,11 +176,13 @@
         self.add_machine(address(number), false);
         let machine = self.machines.len() - 1;
         self.machines[machine].lost = Some(u64::MAX);
+        self.renew_seeds();
         self.schedule(pause, Event::Start { machine });
     }
 
     pub fn end_cut(&mut self, machine: usize) {
         self.cuts.retain(|(from, to)| *from != machine && *to != machine);
+        self.machines[machine].cut_off = false;
         self.end_sides(machine);
         if self.machines[machine].core.is_some() && !self.machines[machine].frozen {
             self.machines[machine].lost = Some(self.now);
@@ -199,6 +201,7 @@
         self.calm = true;
         self.cuts.clear();
         for machine in 0..self.machines.len() {
+            self.machines[machine].cut_off = false;
             self.end_sides(machine);
         }
         for machine in 0..self.machines.len() {
--- a/crates/signalbox/tests/support/followers.rs
+++ b/crates/signalbox/tests/support/followers.rs
@@ -6,9 +6,10 @@
 use orchidvalve_lineside::{FeedCopy, FeedNews};
 use orchidvalve_track::frames::encode;
 use orchidvalve_track::identity::NodeAddress;
-use orchidvalve_track::messages::FromControl;
+use orchidvalve_track::messages::{FromControl, TableVersion};
 
 use super::plan::Sabotage;
+use super::tables::list_of;
 use super::world::{Event, World};
 
 const HEARTBEAT_MS: u64 = 250;
@@ -50,14 +51,15 @@
 /// A session at its control machine.
 #[derive(Debug)]
 pub struct HostedSession {
-    follower: usize,
+    pub follower: usize,
     position: u64,
+    pub table: TableVersion,
     heard_at: u64,
 }
 
 #[derive(Debug)]
 pub enum ToMachine {
-    Introduce { position: u64 },
+    Introduce { position: u64, table: TableVersion },
     Heartbeat,
 }
 
@@ -141,9 +143,9 @@
             heard_at: now,
             heartbeat_at: now,
         };
-        let position = follower.copy.sequence();
+        let (position, table) = (follower.copy.sequence(), follower.copy.servers().version());
         follower.session = Some(session);
-        self.tell_machine(index, ToMachine::Introduce { position });
+        self.tell_machine(index, ToMachine::Introduce { position, table });
     }
 
     fn leave_session(&mut self, index: usize) {
@@ -210,7 +212,10 @@
             return;
         }
         match message {
-            ToMachine::Introduce { position } => self.introduce_follower(follower, number, machine, position),
+            ToMachine::Introduce { position, table } => {
+                let hosted = HostedSession { follower, position, table, heard_at: self.now };
+                self.introduce_follower(number, machine, hosted);
+            }
             ToMachine::Heartbeat => {
                 let now = self.now;
                 if let Some(hosted) = self.machines[machine].sessions.get_mut(&number) {
@@ -232,7 +237,8 @@
         self.machines[machine].core.as_ref().is_some_and(|core| core.in_touch())
     }
 
-    fn introduce_follower(&mut self, follower: usize, number: SessionNumber, machine: usize, position: u64) {
+    fn introduce_follower(&mut self, number: SessionNumber, machine: usize, hosted: HostedSession) {
+        let HostedSession { follower, position, .. } = hosted;
         let controls = self.controls_of(machine);
         if !self.in_touch(machine) {
             return self.tell_follower(machine, follower, number, FromControl::Elsewhere { controls });
@@ -243,13 +249,13 @@
             Some(Sabotage::BackwardFeed) => 0,
             _ => position,
         };
-        let hosted = HostedSession { follower, position, heard_at: self.now };
+        let hosted = HostedSession { position, ..hosted };
         self.machines[machine].sessions.insert(number, hosted);
         self.tell_follower(machine, follower, number, FromControl::Welcome { controls });
         self.advance_followers(machine);
     }
 
-    fn tell_follower(
+    pub fn tell_follower(
         &mut self,
         machine: usize,
         follower: usize,
@@ -291,6 +297,7 @@
 
     /// Sends every follower what it doesn't have yet.
     fn advance_followers(&mut self, machine: usize) {
+        self.advance_tables(machine);
         let Some(core) = &self.machines[machine].core else { return };
         let (state, applied) = core.state();
         let behind = |hosted: &&HostedSession| hosted.position < applied;
@@ -380,6 +387,12 @@
         free.clone().all(|follower| follower.copy.sequence() >= end)
     }
 
+    /// Numbers of the platform's lists that the followers show which nothing is in the way of.
+    pub fn free_lists(&self) -> impl Iterator<Item = u32> {
+        let free = self.followers.iter().filter(|follower| follower.cut_from.is_empty());
+        free.map(|follower| list_of(follower.copy.servers()))
+    }
+
     pub fn followers_have(&self, end: u64) -> bool {
         self.followers.iter().all(|follower| follower.copy.sequence() >= end)
     }
--- a/crates/signalbox/tests/support/mod.rs
+++ b/crates/signalbox/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod auditor;
 pub mod clients;
+pub mod cuts;
 pub mod days;
 pub mod disk;
 pub mod ending;
@@ -10,9 +11,13 @@
 pub mod followers;
 pub mod history;
 pub mod links;
+pub mod mix;
 pub mod operators;
+pub mod orders;
 pub mod placements;
 pub mod plan;
 pub mod recovery;
+pub mod retirements;
 pub mod script;
+pub mod tables;
 pub mod world;
--- a/crates/signalbox/tests/support/operators.rs
+++ b/crates/signalbox/tests/support/operators.rs
@@ -10,6 +10,7 @@
 
 use super::auditor::ChangeNumber;
 use super::clients::CallKind;
+use super::cuts::Aim;
 use super::history::{Answer, ChangeIndex, History, RecordedRead, Stamp};
 use super::plan::Sabotage;
 use super::world::{Event, World};
@@ -73,8 +74,11 @@
     pub sent_at: u64,
     /// A send that is waited for.
     waiting: bool,
-    tried: Option<usize>,
+    /// Machines that the last sends went to.
+    tried: Vec<usize>,
     pub is_over: bool,
+    /// The machine that it is sent to in any case.
+    pub aim: Option<Aim>,
     /// Since when it has been open while the core was stable.
     pub stable_since: Option<u64>,
 }
@@ -94,6 +98,8 @@
     pub history: History,
     named: u64,
     stopped: bool,
+    /// The machine that calls which begin now are for.
+    aim: Option<Aim>,
     /// Sends that arrive when the cut of their machine ends.
     held: Vec<(usize, Attempt)>,
     pub acknowledged: u64,
@@ -139,8 +145,7 @@
             return;
         }
         self.schedule(self.plan.operator_pause, Event::Operator(OperatorEvent::Step { operator }));
-        let own = |call: &&OperatorCall| call.operator == operator && !call.is_over;
-        if self.operators.calls.iter().filter(own).count() >= MOST_UNDER_WAY {
+        if self.has_many_under_way(operator) {
             return;
         }
         match self.random.random_range(0..100) {
@@ -163,6 +168,11 @@
         }
     }
 
+    fn has_many_under_way(&self, operator: usize) -> bool {
+        let own = |call: &&OperatorCall| call.operator == operator && !call.is_over;
+        self.operators.calls.iter().filter(own).count() >= MOST_UNDER_WAY
+    }
+
     fn send_change(&mut self, operator: usize) {
         let Operator { seen, newest } = self.operators.operators[operator];
         // Some build on a change of their own that is still under way.
@@ -219,22 +229,32 @@
             sent: 0,
             sent_at: self.now,
             waiting: false,
-            tried: None,
+            tried: Vec::new(),
             is_over: false,
+            aim: self.operators.aim,
             stable_since: None,
         };
         self.operators.calls.push(call);
+        if matches!(request, Request::Configure { .. }) {
+            self.change_sent();
+        }
         self.send_call(self.operators.calls.len() - 1);
     }
 
     fn send_call(&mut self, call: usize) {
-        let tried = self.operators.calls[call].tried;
+        let tried = &self.operators.calls[call].tried;
         let machines: Vec<usize> =
-            (0..self.machines.len()).filter(|m| !self.machines[*m].gone && Some(*m) != tried).collect();
-        let Some(machine) = machines.choose(&mut self.random).copied() else { return };
+            (0..self.machines.len()).filter(|m| !self.machines[*m].gone && !tried.contains(m)).collect();
+        let Some(any) = machines.choose(&mut self.random).copied() else { return };
+        let machine = self.aimed_machine(call).unwrap_or(any);
         let sent = self.operators.history.stamp();
+        let most_left_out = self.plan.tolerance;
         let open = &mut self.operators.calls[call];
-        open.tried = Some(machine);
+        // As many machines as may be lost are left out, as callers go on to others.
+        open.tried.push(machine);
+        if open.tried.len() > most_left_out {
+            open.tried.remove(0);
+        }
         open.sends += 1;
         open.sent = sent;
         open.sent_at = self.now;
@@ -250,6 +270,24 @@
         self.schedule(SILENCE_MS, Event::Operator(OperatorEvent::Silence { attempt }));
     }
 
+    /// The machine that a call has to be sent to, if it is there.
+    fn aimed_machine(&self, call: usize) -> Option<usize> {
+        let call = &self.operators.calls[call];
+        let aim = call.aim.filter(|aim| call.sends == 0 || self.now < aim.until)?;
+        Some(aim.machine).filter(|machine| !self.machines[*machine].gone)
+    }
+
+    /// Some operator sends a change to this machine, if it hasn't too many calls under way.
+    pub fn send_aimed_change(&mut self, aim: Aim) {
+        let operator = self.random.random_range(0..self.operators.operators.len());
+        if self.operators.stopped || self.has_many_under_way(operator) {
+            return;
+        }
+        self.operators.aim = Some(aim);
+        self.send_change(operator);
+        self.operators.aim = None;
+    }
+
     fn call_arrives(&mut self, attempt: Attempt, machine: usize) {
         let node = &mut self.machines[machine];
         if self.operator_cuts.contains(&machine) {
--- a/crates/signalbox/tests/support/placements.rs
+++ b/crates/signalbox/tests/support/placements.rs
@@ -9,7 +9,7 @@
 
 /// Addresses of stores lie above those of control machines.
 const FIRST_STORE: u8 = 200;
-const STORES: u8 = 5;
+pub const STORES: u8 = 5;
 const PARTITIONS: u16 = 8;
 /// Share of the changes that register a store with another disk.
 const REGISTRATIONS: f64 = 0.2;
--- a/crates/signalbox/tests/support/plan.rs
+++ b/crates/signalbox/tests/support/plan.rs
@@ -44,6 +44,12 @@
     BackwardFeed,
     /// A control machine that isn't in touch keeps its followers.
     KeptFollowers,
+    /// Tables of servers bear the view of the head, which outlives its process, in place of a term of its own.
+    TermsOfViews,
+    /// A new head gives orders without waiting for the lease of the former one.
+    NoLease,
+    /// A machine says by its own state alone that there is no such store.
+    LocalNotFound,
 }
 
 /// What may happen in a run.
@@ -78,7 +84,13 @@
     pub followers: usize,
     /// Pause between two changes of placements that the head enters; 0 for none.
     pub placement_pause: u64,
+    /// Whether links keep the order of their messages, as connections do.
+    pub keeps_order: bool,
+    /// Whether the head reads the platform's list, tells everyone of it and gives orders.
+    pub platform: bool,
     pub script: Vec<Step>,
+    /// Whether troubles strike machines that are lost already, once these are as many as the tolerance bears.
+    pub within_tolerance: bool,
     /// Bytes per millisecond that a machine can send; None for any number.
     pub bandwidth: Option<u64>,
     /// Whether every state is compared with that of all others; bodies may be too large for that.
@@ -110,7 +122,10 @@
             huge: None,
             followers: 0,
             placement_pause: 0,
+            keeps_order: false,
+            platform: false,
             script: Vec::new(),
+            within_tolerance: false,
             bandwidth: None,
             compares_states: true,
             blackout_after_acknowledgement: 0.0,
--- a/crates/signalbox/tests/support/recovery.rs
+++ b/crates/signalbox/tests/support/recovery.rs
@@ -6,7 +6,8 @@
 use orchidvalve_interlocking::View;
 
 use super::operators::Request;
-use super::world::{Event, World};
+use super::script::DISTURBED_MS;
+use super::world::{Event, Machine, World};
 
 /// Bounds of the deployments, in milliseconds.
 pub const ACK_MS: u64 = 4_000;
@@ -44,6 +45,8 @@
     pub finished: Vec<Recovered>,
     /// When something last happened that ends the stability of the core.
     pub unstable_at: u64,
+    /// When a disk was last seen to hang.
+    disk_hung_at: u64,
     /// Committed changes as of some time ago.
     ends: VecDeque<(u64, u64)>,
     older_ends: VecDeque<(u64, u64)>,
@@ -85,6 +88,7 @@
 impl World {
     pub fn watch(&mut self) {
         self.schedule(WATCH_MS, Event::Watch);
+        self.note_disturbed();
         let (now, newest) = (self.now, self.auditor.end());
         let stable = self.core_is_stable();
         let older_end = committed_before(&mut self.recovery.older_ends, FRESH_MS, now, newest);
@@ -92,6 +96,11 @@
             let state = self.describe();
             self.auditor.fail(format!("a follower lacks what was committed {FRESH_MS} ms ago; {state}"));
         }
+        if stable && self.disks_are_sound() && !self.free_followers_show_the_list() {
+            let lists: Vec<u32> = self.free_lists().collect();
+            let state = self.describe();
+            self.auditor.fail(format!("followers show the platform's lists {lists:?}, older ones; {state}"));
+        }
         self.check_acknowledgements(stable);
         let end = committed_before(&mut self.recovery.ends, LAG_MS, now, newest);
         let Some(struck_at) = self.recovery.struck_at else { return };
@@ -120,6 +129,33 @@
         }
     }
 
+    /// Notes which machines are away or disturbed. While these are more than the tolerance bears, nobody can catch up.
+    fn note_disturbed(&mut self) {
+        let until = self.now + DISTURBED_MS;
+        let disturbed: Vec<usize> =
+            (0..self.machines.len()).filter(|m| self.is_disturbed(&self.machines[*m])).collect();
+        if self.machines.iter().any(|m| m.hanging) {
+            self.recovery.disk_hung_at = self.now;
+        }
+        let nobody_catches_up = disturbed.len() > self.plan.tolerance;
+        for (index, machine) in self.machines.iter_mut().enumerate().filter(|(_, m)| !m.gone) {
+            if nobody_catches_up || disturbed.contains(&index) {
+                machine.disturbed_until = until;
+            }
+        }
+    }
+
+    /// No disk has been hanging for as long as it takes to put another head in the place of its machine.
+    fn disks_are_sound(&self) -> bool {
+        self.machines.iter().all(|m| m.gone || !m.hanging)
+            && self.now >= self.recovery.disk_hung_at + CONTACT_MS
+    }
+
+    fn is_disturbed(&self, machine: &Machine) -> bool {
+        let slow = machine.hanging || machine.sync_factor > 1 || machine.slowness > 1;
+        !machine.gone && (!machine.runs() || machine.cut_off || machine.ending.is_some() || slow)
+    }
+
     /// The greatest number of machines that run and all reach each other.
     fn connected(&self) -> usize {
         let running = self.living();
@@ -138,7 +174,7 @@
     /// More than half of the core runs and is connected, and nothing has happened to it for a while.
     fn core_is_stable(&self) -> bool {
         let core = self.machines.iter().filter(|m| !m.gone).count();
-        let slowed = self.machines.iter().any(|m| m.sync_factor > 1);
+        let slowed = self.machines.iter().any(|m| m.sync_factor > 1 || m.slowness > 1);
         let disturbed = slowed || self.answer_loss > 0.0 || self.plan.loss > 0.0;
         !disturbed && self.now >= self.recovery.unstable_at + CONTACT_MS && 2 * self.connected() > core
     }
@@ -148,8 +184,9 @@
         let mut late = None;
         for call in self.operators.open_calls() {
             let since = *call.stable_since.get_or_insert(now);
+            let insists = call.aim.is_some_and(|aim| now < aim.until);
             let bound = if call.request == Request::Read { READ_MS } else { ACK_MS };
-            if !stable {
+            if !stable || insists {
                 call.stable_since = None;
             } else if now > since + bound {
                 late.get_or_insert((call.request, bound));
@@ -163,8 +200,7 @@
     }
 
     fn all_are_back(&self) -> bool {
-        let undisturbed = |m: &super::world::Machine| !m.hanging && m.sync_factor == 1 && m.ending.is_none();
-        let back = |m: &super::world::Machine| m.gone || (m.runs() && undisturbed(m));
+        let back = |m: &Machine| !self.is_disturbed(m);
         let links_sound = self.cuts.is_empty() && self.operator_cuts.is_empty() && self.plan.loss == 0.0;
         self.machines.iter().all(back) && links_sound && self.answer_loss == 0.0
     }
@@ -173,14 +209,13 @@
     /// that knows the view, and a machine of the chain that has everything committed up to `end`.
     pub fn tolerance_is_whole(&self, end: u64) -> bool {
         let Some(view) = self.newest_view() else { return false };
-        let knows = |m: &&super::world::Machine| {
+        let knows = |m: &&Machine| {
             m.runs() && m.core.as_ref().is_some_and(|c| c.view() == Some(&view) && c.epoch() == view.epoch)
         };
         let knowing: Vec<_> = self.machines.iter().filter(knows).collect();
         let voters = knowing.iter().filter(|m| view.is_voter(m.member())).count();
-        let has_all = |m: &&&super::world::Machine| {
-            view.in_chain(m.member()) && m.core.as_ref().is_some_and(|c| c.state().1 >= end)
-        };
+        let has_all =
+            |m: &&&Machine| view.in_chain(m.member()) && m.core.as_ref().is_some_and(|c| c.state().1 >= end);
         let copies = knowing.iter().filter(has_all).count();
         let majority = view.voters.len() / 2 + 1;
         voters >= majority + self.plan.tolerance && copies > self.plan.tolerance
--- /dev/null
+++ b/crates/signalbox/tests/support/retirements.rs
@@ -0,0 +1,75 @@
+//! Calls to empty storage machines. A store that is registered stays known, so "there is no such machine" (404) is
+//! wrong whenever the registration was committed before the call came; an accepted call is noted in the state.
+
+use orchidvalve_signalbox::core::{Origin, RetirementVerdict};
+use orchidvalve_signalbox::peer::{CallOutcome, ForwardedCall};
+use rand::Rng;
+use rand::seq::IndexedRandom;
+
+use super::clients::CallKind;
+use super::placements::STORES;
+use super::plan::Sabotage;
+use super::world::{Event, World};
+
+/// Pause between two calls.
+const PAUSE_MS: u64 = 150;
+
+fn name_of(store: u8) -> String {
+    format!("store-{store}")
+}
+
+impl World {
+    pub fn begin_retirements(&mut self) {
+        if self.plan.platform {
+            self.schedule(PAUSE_MS, Event::Retirement);
+        }
+    }
+
+    /// Some store is to be emptied; any machine may be asked, also one that is cut off.
+    pub fn retire(&mut self) {
+        if self.operators.has_stopped() {
+            return;
+        }
+        self.schedule(PAUSE_MS, Event::Retirement);
+        let Some(machine) = self.living().choose(&mut self.random).copied() else { return };
+        let store = self.random.random_range(0..STORES);
+        let is_known = self.auditor.state().stores().contains_key(&name_of(store));
+        let call = self.open_call(machine, CallKind::Retirement { store, is_known });
+        if let Some(core) = &mut self.machines[machine].core {
+            core.call(call, ForwardedCall::Retire { name: name_of(store) });
+        }
+        if self.plan.sabotage == Some(Sabotage::LocalNotFound) && !self.is_known_at(machine, store) {
+            let reason = "not known here".to_owned();
+            self.outcome(machine, call, CallOutcome::NotFound { reason });
+        }
+        self.drain(machine);
+        self.begin_sync(machine);
+    }
+
+    fn is_known_at(&self, machine: usize, store: u8) -> bool {
+        let core = self.machines[machine].core.as_ref();
+        core.is_some_and(|core| core.state().0.stores().contains_key(&name_of(store)))
+    }
+
+    /// The head's host has nothing against it: how many sessions it sees is for other tests.
+    pub fn allow_retirement(&mut self, machine: usize, origin: Origin, name: &str) {
+        if let Some(core) = &mut self.machines[machine].core {
+            core.decide_retirement(origin, name, RetirementVerdict::Allowed);
+        }
+    }
+
+    pub fn retirement_decided(&mut self, store: u8, is_known: bool, outcome: &CallOutcome) {
+        let is_known_now = self.auditor.state().stores().contains_key(&name_of(store));
+        match outcome {
+            CallOutcome::NotFound { .. } if is_known => {
+                self.auditor
+                    .fail(format!("store {store} wasn't found though its registration was committed"));
+            }
+            CallOutcome::Done if !is_known_now => {
+                self.auditor.fail(format!("store {store} is to be emptied but isn't known"));
+            }
+            CallOutcome::Done | CallOutcome::NotFound { .. } | CallOutcome::Unclear => {}
+            other => self.auditor.fail(format!("a retirement was answered as {other:?}")),
+        }
+    }
+}
--- a/crates/signalbox/tests/support/script.rs
+++ b/crates/signalbox/tests/support/script.rs
@@ -1,10 +1,17 @@
 //! Troubles at fixed times, with the meaning that the deployments' pages give them.
 
+use orchidvalve_track::identity::NodeAddress;
 use rand::Rng;
+use rand::seq::IndexedRandom;
 
+use super::cuts::{Aim, CutEnding, LeftBehind, Lure};
 use super::ending::Afterwards;
+use super::recovery::CATCH_UP_MS;
 use super::world::{Event, World, address};
 
+/// A machine that is back counts as lost for so long.
+pub const DISTURBED_MS: u64 = CATCH_UP_MS + 100;
+
 /// Whom a trouble strikes.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Target {
@@ -20,6 +27,8 @@
     Any,
     /// The machine with this index, if its process runs.
     Machine(usize),
+    /// The same, whatever is lost already.
+    Exactly(usize),
 }
 
 /// Which ways a cut closes.
@@ -107,6 +116,24 @@
         factor: u64,
         down: u64,
     },
+    /// The links and the disk of a machine are slower than usual.
+    NodeSlow {
+        target: Target,
+        factor: u64,
+        down: u64,
+    },
+    /// As many machines as may be lost are cut off from all others together.
+    CutGroup {
+        ways: Ways,
+        down: u64,
+        ending: CutEnding,
+        lure: Option<Lure>,
+    },
+    /// The machine at a seed's address goes for good; an empty one at another address takes its place among the seeds.
+    ReplaceSeed {
+        seed: usize,
+        after: u64,
+    },
     /// Answers to operators get lost.
     LoseAnswers {
         share: f64,
@@ -119,6 +146,8 @@
     },
     /// Right after the next acknowledgement that a machine gives.
     AfterAcknowledgement(Box<Trouble>),
+    /// Some time after the next change that an operator sends.
+    AfterSend(Box<Trouble>),
 }
 
 #[derive(Clone, Debug)]
@@ -133,6 +162,9 @@
     EndLostAnswers,
     EndLostMessages,
     DiskFast { machine: usize },
+    NodeFast { machine: usize },
+    AimedChange(Aim),
+    LeaveBehind(LeftBehind),
 }
 
 impl World {
@@ -148,6 +180,9 @@
             ScriptEvent::EndLostAnswers => self.answer_loss = 0.0,
             ScriptEvent::EndLostMessages => (self.plan.loss, self.plan.doubling) = (0.0, 0.0),
             ScriptEvent::DiskFast { machine } => self.machines[machine].sync_factor = 1,
+            ScriptEvent::NodeFast { machine } => self.machines[machine].slowness = 1,
+            ScriptEvent::LeaveBehind(left) => return self.leave_behind(left),
+            ScriptEvent::AimedChange(aim) => return self.send_aimed_change(aim),
         }
         self.recovery.unstable_at = self.now;
     }
@@ -162,6 +197,31 @@
         }
     }
 
+    /// A change is sent: what waits for that strikes 5 to 400 ms later.
+    pub fn change_sent(&mut self) {
+        for trouble in std::mem::take(&mut self.after_send) {
+            let delay = self.random.random_range(5..=400);
+            self.schedule(delay, Event::Script(ScriptEvent::Strike(trouble)));
+        }
+    }
+
+    /// Whom a trouble strikes that is meant for this machine.
+    fn within_tolerance(&mut self, meant: usize) -> Option<usize> {
+        if !self.plan.within_tolerance {
+            return Some(meant);
+        }
+        let lost = self.counted_lost();
+        if lost.len() > self.plan.tolerance {
+            return None;
+        }
+        if lost.len() < self.plan.tolerance || lost.contains(&meant) {
+            return Some(meant);
+        }
+        let sound = |m: &&usize| !self.machines[**m].gone && self.machines[**m].core.is_some();
+        let candidates: Vec<usize> = lost.iter().filter(sound).copied().collect();
+        candidates.choose(&mut self.random).copied()
+    }
+
     fn target(&mut self, target: Target) -> Option<usize> {
         let view = self.newest_view()?;
         let sound = |m: &usize| !self.machines[*m].gone && self.machines[*m].core.is_some();
@@ -176,14 +236,18 @@
             Target::Middle => chain.get(1).copied(),
             Target::Last => self.struck_last.filter(sound),
             Target::Any => None,
-            Target::Machine(machine) => return Some(machine).filter(sound),
+            Target::Exactly(machine) => return Some(machine).filter(sound),
+            Target::Machine(machine) => {
+                let meant = Some(machine).filter(sound)?;
+                return self.within_tolerance(meant);
+            }
         };
         let all: Vec<usize> = (0..self.machines.len()).filter(sound).collect();
         if all.is_empty() {
             return None;
         }
         let any = all[self.random.random_range(0..all.len())];
-        Some(chosen.unwrap_or(any))
+        self.within_tolerance(chosen.unwrap_or(any))
     }
 
     fn strike_trouble(&mut self, trouble: Trouble) {
@@ -191,6 +255,13 @@
             self.after_acknowledgement.push(*trouble);
             return;
         }
+        if let Trouble::AfterSend(trouble) = trouble {
+            self.after_send.push(*trouble);
+            return;
+        }
+        if self.cut_waits(&trouble) {
+            return;
+        }
         self.trace(|| format!("trouble: {trouble:?}"));
         let disk_only = matches!(trouble, Trouble::DiskHang { .. });
         let unstable_at = self.recovery.unstable_at;
@@ -226,7 +297,8 @@
             Trouble::KillAll { back_within } => self.stop_all(true, back_within, 0),
             Trouble::PowerLossOfAll { back_within } => self.stop_all(false, back_within, 0),
             Trouble::PowerLossOfAllAndWipes { back_within } => {
-                self.stop_all(false, back_within, self.plan.tolerance);
+                let bearable = !self.plan.within_tolerance || self.counted_lost().is_empty();
+                self.stop_all(false, back_within, if bearable { self.plan.tolerance } else { 0 });
             }
             Trouble::ResetLinks => self.reset_links(),
             Trouble::RestartFollowers => self.restart_followers(),
@@ -246,7 +318,42 @@
                 (self.plan.loss, self.plan.doubling) = (share, share);
                 self.schedule(down, Event::Script(ScriptEvent::EndLostMessages));
             }
-            Trouble::AfterAcknowledgement(_) => {}
+            Trouble::NodeSlow { target, factor, down } => self.at(target, |world, m| {
+                world.machines[m].slowness = factor;
+                world.schedule(down, Event::Script(ScriptEvent::NodeFast { machine: m }));
+            }),
+            Trouble::CutGroup { ways, down, ending, lure } => self.cut_group_off(ways, down, ending, lure),
+            Trouble::ReplaceSeed { seed, after } => self.replace_seed(seed, after),
+            Trouble::AfterAcknowledgement(_) | Trouble::AfterSend(_) => {}
+        }
+    }
+
+    fn replace_seed(&mut self, seed: usize, after: u64) {
+        let address = self.seeds[seed];
+        let found = self.machines.iter().position(|m| m.address == address && !m.gone);
+        let Some(machine) = found.filter(|m| self.within_tolerance(*m) == Some(*m)) else { return };
+        self.replace(machine, after);
+        let successor = self.machines.len() - 1;
+        self.seeds[seed] = self.machines[successor].address;
+        self.trace(|| format!("machine {machine} is replaced by {successor}"));
+    }
+
+    /// Once too few of the seeds stand, as many as may be lost and one more, the settings name other machines in place
+    /// of those that have gone: nobody finds a deployment of which only addresses without a machine are known.
+    pub fn renew_seeds(&mut self) {
+        let stands = |address: &NodeAddress| self.machines.iter().any(|m| m.address == *address && !m.gone);
+        let standing = self.seeds.iter().filter(|seed| stands(seed)).count();
+        if !self.plan.within_tolerance || standing > self.plan.tolerance {
+            return;
+        }
+        let is_other = |address: &NodeAddress| !self.seeds.contains(address);
+        let present = self.machines.iter().filter(|m| !m.gone).map(|m| m.address);
+        let mut others: Vec<NodeAddress> = present.filter(is_other).collect();
+        let gone: Vec<usize> = (0..self.seeds.len()).filter(|s| !stands(&self.seeds[*s])).collect();
+        for seed in gone {
+            if let Some(address) = others.pop() {
+                self.seeds[seed] = address;
+            }
         }
     }
 
@@ -261,6 +368,7 @@
     fn at(&mut self, target: Target, strike: impl FnOnce(&mut World, usize)) {
         if let Some(machine) = self.target(target) {
             self.struck_last = Some(machine);
+            self.machines[machine].disturbed_until = self.now + DISTURBED_MS;
             self.trace(|| format!("machine {machine} is struck"));
             strike(self, machine);
         }
@@ -273,7 +381,17 @@
             let chosen = self.random.random_range(0..others.len());
             others = vec![others[chosen]];
         }
-        for other in others {
+        self.cut_from(machine, &others, ways);
+        if ways == Ways::OneOther {
+            return;
+        }
+        self.take_side(machine, side);
+    }
+
+    /// Cuts the links between a machine and others.
+    pub fn cut_from(&mut self, machine: usize, others: &[usize], ways: Ways) {
+        self.machines[machine].cut_off = true;
+        for other in others.iter().copied() {
             if ways != Ways::Inwards {
                 self.cuts.push((machine, other));
             }
@@ -281,9 +399,10 @@
                 self.cuts.push((other, machine));
             }
         }
-        if ways == Ways::OneOther {
-            return;
-        }
+    }
+
+    /// Cuts operators and followers off, too, as far as they aren't on this side.
+    pub fn take_side(&mut self, machine: usize, side: Side) {
         match side {
             Side::Alone => {
                 self.operator_cuts.push(machine);
--- a/crates/signalbox/tests/support/world.rs
+++ b/crates/signalbox/tests/support/world.rs
@@ -22,9 +22,11 @@
 use super::history::ChangeIndex;
 use super::links::Links;
 use super::operators::{Attempt, OperatorEvent, Operators};
+use super::orders::{OrderDuty, OrdersGiven};
 use super::plan::{MutationKind, Plan, Sabotage, Summary, kind_of};
 use super::recovery::Recovery;
 use super::script::{ScriptEvent, Trouble};
+use super::tables::{Listing, TableQueue};
 
 /// Time from the return of a machine until the next one may be lost, as in the small deployments.
 const CATCH_UP_MS: u64 = 4_400;
@@ -57,6 +59,8 @@
     Script(ScriptEvent),
     Watch,
     Place,
+    Retirement,
+    Table { from: usize, to: usize },
 }
 
 pub struct Machine {
@@ -91,6 +95,14 @@
     pub remembered_positions: RememberedPositions,
     /// How many times slower than usual the disk is.
     pub sync_factor: u64,
+    /// How many times slower than usual the machine is, on its links and its disk.
+    pub slowness: u64,
+    /// Cut off from several others, or from all.
+    pub cut_off: bool,
+    /// It counts as lost up to this time, where troubles keep to the tolerance.
+    pub disturbed_until: u64,
+    pub listing: Listing,
+    pub orders: Option<OrderDuty>,
     /// When everything handed to the line will have left.
     line_free_at: u64,
 }
@@ -130,7 +142,12 @@
     pub sessions_opened: SessionNumber,
     pub recovery: Recovery,
     pub after_acknowledgement: Vec<Trouble>,
+    pub after_send: Vec<Trouble>,
     pub struck_last: Option<usize>,
+    /// When the last message on each link arrives.
+    last_arrivals: BTreeMap<(usize, usize), u64>,
+    pub orders_given: OrdersGiven,
+    pub table_queues: BTreeMap<(usize, usize), TableQueue>,
     /// Most bytes that a disk held, as far as that counts.
     pub most_disk_bytes: usize,
     pub disks: u64,
@@ -199,7 +216,11 @@
             sessions_opened: 0,
             recovery: Recovery::default(),
             after_acknowledgement: Vec::new(),
+            after_send: Vec::new(),
             struck_last: None,
+            last_arrivals: BTreeMap::new(),
+            orders_given: OrdersGiven::default(),
+            table_queues: BTreeMap::new(),
             most_disk_bytes: 0,
             disks: 0,
             // A body that is large fills a file of the ring by itself.
@@ -235,6 +256,7 @@
         self.add_followers();
         self.schedule_script();
         self.schedule(1_000, Event::Watch);
+        self.begin_retirements();
         if self.plan.placement_pause > 0 {
             self.schedule(self.plan.placement_pause, Event::Place);
         }
@@ -269,6 +291,11 @@
             sessions: BTreeMap::new(),
             remembered_positions: BTreeMap::new(),
             sync_factor: 1,
+            slowness: 1,
+            cut_off: false,
+            disturbed_until: 0,
+            listing: Listing::default(),
+            orders: None,
             line_free_at: 0,
         });
     }
@@ -344,6 +371,8 @@
             Event::Script(event) => self.script_event(event),
             Event::Watch => self.watch(),
             Event::Place => self.place(),
+            Event::Retirement => self.retire(),
+            Event::Table { from, to } => self.table_arrives(from, to),
         }
     }
 
@@ -357,6 +386,7 @@
             nonce = 1;
         }
         let recovered = self.recover(machine);
+        let orders = self.new_order_duty();
         let node = &mut self.machines[machine];
         let identity = Identity {
             me: node.member(),
@@ -370,6 +400,8 @@
         node.start += 1;
         node.started_at = self.now;
         node.next_call = 1;
+        node.listing = Listing::default();
+        node.orders = orders;
         node.links = Links::default();
         let me = node.address;
         node.links.set_lasting(me, self.seeds.iter().copied());
@@ -497,6 +529,8 @@
         self.drain(machine);
         self.check_term(machine);
         self.check_calls(machine);
+        self.keep_table(machine);
+        self.give_orders(machine);
         self.host_followers(machine);
         if self.end_if_due(machine) {
             return;
@@ -524,6 +558,7 @@
         }
         self.transmit(machine, other, start, Packet::Introduce(me));
         self.transmit(machine, other, start, Packet::Message(hello));
+        self.tell_whole_table(machine, other, start);
     }
 
     /// Hands over what the state machine has put out.
@@ -559,12 +594,12 @@
             }
             CoreEvent::ViewChanged(view) => {
                 self.trace(|| format!("machine {machine}: view {} {:?}", view.epoch, view.chain));
+                self.order_duty_moves(machine, &view);
                 let node = &mut self.machines[machine];
                 let addresses = view.voters.iter().map(|m| m.address).chain(self.seeds.iter().copied());
                 node.links.set_lasting(node.address, addresses);
             }
-            // No client of the simulation retires storage machines.
-            CoreEvent::RetirementAsked { .. } => {}
+            CoreEvent::RetirementAsked { origin, name } => self.allow_retirement(machine, origin, &name),
             CoreEvent::Outcome { call, outcome } => self.outcome(machine, call, outcome),
             CoreEvent::ReadReady { call } => self.read_ready(machine, call),
             CoreEvent::ReadUnclear { call } => self.read_unclear(machine, call),
@@ -674,6 +709,7 @@
                 self.schedule(4_000, Event::Deliver { from, sender, to, to_start, packet });
             }
         }
+        let slowness = self.machines[from].slowness.max(self.machines[to].slowness);
         for _ in 0..copies {
             let longest = if self.calm { 3 } else { self.plan.delay };
             let delay = match self.plan.bandwidth {
@@ -682,10 +718,21 @@
                 Some(_) => 1 + self.line_delay(from, bytes_of(&packet)),
             };
             let packet = packet.clone();
+            let delay = self.in_order(from, to, delay * slowness);
             self.schedule(delay, Event::Deliver { from, sender, to, to_start, packet });
         }
     }
 
+    /// Time until a message arrives, after those sent before it on the same link if links keep their order.
+    fn in_order(&mut self, from: usize, to: usize, delay: u64) -> u64 {
+        if !self.plan.keeps_order {
+            return delay;
+        }
+        let latest = self.last_arrivals.entry((from, to)).or_default();
+        *latest = (*latest).max(self.now + delay);
+        *latest - self.now
+    }
+
     /// Time until so many bytes have left a machine, after everything else that waits there.
     pub fn line_delay(&mut self, machine: usize, bytes: usize) -> u64 {
         let Some(bytes_per_ms) = self.plan.bandwidth else { return 0 };
@@ -707,7 +754,7 @@
         self.summary.records = self.summary.records.max(records);
         self.most_disk_bytes = self.most_disk_bytes.max(bytes);
         let usual = if self.calm { self.random.random_range(1..4) } else { self.random.random_range(1..15) };
-        let delay = usual * self.machines[machine].sync_factor;
+        let delay = usual * self.machines[machine].sync_factor.max(self.machines[machine].slowness);
         self.schedule(delay, Event::Synced { machine, disk, through });
     }
 
