Control: an order reaches its server within 1.05 s of its head's last confirmation

Cause (by reading): an order is given up to 0.6 s after the head's last confirmation, written up to 0.3 s later, and the system sent it again for 1.5 s where it was lost on its way: 2.4 s, while the next head waits the lease and 1 s. Change: orders are given within 0.45 s of a confirmation, connections to servers give up after 0.3 s without acknowledgement, and a new head waits the lease and the sum (1.05 s instead of 1 s).

--- a/crates/signalbox/src/client.rs
+++ b/crates/signalbox/src/client.rs
@@ -12,8 +12,11 @@
 use orchidvalve_track::network::{ConnectionId, Network};
 
 const HEADER_LIMIT: usize = 64 << 10;
-/// Sent bytes may stay unacknowledged by the peer's machine for this time.
+/// Bytes sent on a kept connection may stay unacknowledged by the peer's machine for this time.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
+/// The same on a connection of its own, in milliseconds: longer the system doesn't send a request again that was lost on
+/// its way, so that an order reaches its server soon after it was sent or not at all.
+pub const OWN_USER_TIMEOUT_MS: u64 = 300;
 
 /// A request that isn't handed to the system within this time, in milliseconds, since its connection wasn't up or this
 /// process stood still, is never sent: a later order would reach its server after its sender's lease.
@@ -28,6 +31,16 @@
     KeptConnection,
 }
 
+impl Carrier {
+    /// How long bytes that were sent may stay unacknowledged.
+    pub fn user_timeout(self) -> Duration {
+        match self {
+            Carrier::OwnConnection => Duration::from_millis(OWN_USER_TIMEOUT_MS),
+            Carrier::KeptConnection => USER_TIMEOUT,
+        }
+    }
+}
+
 /// Where a call goes, and until when an answer counts. Times are steady, in milliseconds.
 #[derive(Clone, Copy, Debug)]
 pub struct Destination {
@@ -94,7 +107,7 @@
         };
         let connection = match kept {
             Some(connection) => connection,
-            None => match network.connect(destination.address, USER_TIMEOUT) {
+            None => match network.connect(destination.address, destination.carrier.user_timeout()) {
                 Ok(connection) => connection,
                 Err(_) => return Err(purpose),
             },
--- a/crates/signalbox/src/duties/mod.rs
+++ b/crates/signalbox/src/duties/mod.rs
@@ -16,16 +16,18 @@
 use orchidvalve_waybill::state::ModelUse;
 
 use self::orders::{order_outcome, order_under_way};
-use crate::client::{Carrier, Destination, Finished, HttpClient};
+use crate::client::{CONNECT_TIMEOUT_MS, Carrier, Destination, Finished, HttpClient, OWN_USER_TIMEOUT_MS};
 use crate::discovery::{CALL_TIMEOUT_MS, POLL_INTERVAL_MS, Progress, RETRY_INTERVAL_MS, Reading};
 use crate::weights::{Holder, Order, OrderOutcome, WeightsPlanner};
 
 pub use self::placing::{may_retire, registrations};
 
-/// A majority has to have confirmed this machine as head within this time before it gives an order.
-pub const ORDER_VALIDITY_MS: u64 = 600;
-/// Time that a new head waits beyond the lease, for orders of the former one that are still under way.
-const ORDER_MARGIN_MS: u64 = 400;
+/// A majority has to have confirmed this machine as head within this time before it gives an order: two rounds of
+/// pings, in milliseconds.
+pub const ORDER_VALIDITY_MS: u64 = 450;
+/// An order arrives at its server at most this long after the last confirmation of its head: it is given, handed to the
+/// system and sent again by it after a loss on the way, each in its time.
+pub const ORDER_ARRIVAL_MS: u64 = ORDER_VALIDITY_MS + CONNECT_TIMEOUT_MS + OWN_USER_TIMEOUT_MS;
 
 /// What a call of a duty is for.
 #[derive(Debug)]
@@ -110,7 +112,8 @@
             self.lost_since.clear();
             return;
         }
-        let wait = self.options.lease_ms + ORDER_VALIDITY_MS + ORDER_MARGIN_MS;
+        // No confirmation of the former head is later than this view.
+        let wait = self.options.lease_ms + ORDER_ARRIVAL_MS;
         self.holder.begin(now, epoch, same_head, wait);
         if self.head_since.is_none() {
             self.head_since = Some(now);
--- a/crates/signalbox/tests/weights.rs
+++ b/crates/signalbox/tests/weights.rs
@@ -3,6 +3,8 @@
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
+use orchidvalve_signalbox::client::{CONNECT_TIMEOUT_MS, Carrier};
+use orchidvalve_signalbox::duties::{ORDER_ARRIVAL_MS, ORDER_VALIDITY_MS};
 use orchidvalve_signalbox::weights::{Holder, Order, OrderOutcome, WeightsPlanner};
 use orchidvalve_track::identity::NodeAddress;
 use orchidvalve_track::messages::ServerEntry;
@@ -310,7 +312,7 @@
 }
 
 const LEASE_MS: u64 = 3_000;
-const VALIDITY_MS: u64 = 600;
+const VALIDITY_MS: u64 = ORDER_VALIDITY_MS;
 
 /// What happens to a holder: a view (epoch, same head), another head, or a question (confirmed, expected token).
 enum HolderStep {
@@ -333,7 +335,7 @@
 #[case::deposed(&[Begin(1_000, 1, true), End, Fence(1_100, Some(1_100), None)])]
 #[case::deposed_and_head_again(&[Begin(1_000, 1, true), End, Begin(5_000, 3, false), Fence(5_100, Some(5_100), None), Fence(8_000, Some(8_000), Some(3))])]
 #[case::never_confirmed(&[Begin(1_000, 1, true), Fence(1_100, None, None)])]
-#[case::confirmed_too_long_ago(&[Begin(1_000, 1, true), Fence(1_599, Some(1_000), Some(1)), Fence(1_600, Some(1_000), None)])]
+#[case::confirmed_too_long_ago(&[Begin(1_000, 1, true), Fence(1_449, Some(1_000), Some(1)), Fence(1_450, Some(1_000), None)])]
 #[case::frozen(&[Begin(1_000, 1, true), Fence(1_100, Some(1_050), Some(1)), Fence(60_000, Some(1_050), None)])]
 fn a_holder_gives_orders_only_under_its_lease(#[case] steps: &[HolderStep]) {
     let mut holder = Holder::default();
@@ -351,7 +353,7 @@
 /// Two holders that follow each other never may give orders at the same time, whatever the second one is told of
 /// the view and when, as long as the first one isn't confirmed after the second one's view was decided.
 #[rstest]
-fn two_holders_never_overlap(#[values(0, 1, 300, 599, 600, 2_000)] frozen: u64) {
+fn two_holders_never_overlap(#[values(0, 1, 300, 449, 450, 2_000)] frozen: u64) {
     let (decided, confirmed) = (10_000, 9_999);
     let mut first = Holder::default();
     first.begin(1_000, 1, true, LEASE_MS);
@@ -363,3 +365,24 @@
         assert!(old.is_none() || new.is_none(), "both at {now}");
     }
 }
+
+/// Orders of two holders that follow each other reach a server at least a lease apart, also where the first one's last
+/// order was lost on its way and sent again by the system.
+#[test]
+fn the_last_order_of_a_holder_arrives_a_lease_before_the_first_of_the_next() {
+    let (decided, confirmed) = (10_000, 9_999);
+    let mut first = Holder::default();
+    first.begin(1_000, 1, true, LEASE_MS);
+    let given = (confirmed..decided + LEASE_MS)
+        .filter(|now| first.fence(*now, Some(confirmed), ORDER_VALIDITY_MS).is_some())
+        .max()
+        .expect("it gives orders while it is confirmed");
+    let sent_again = Carrier::OwnConnection.user_timeout().as_millis() as u64;
+    let arrives = given + CONNECT_TIMEOUT_MS + sent_again;
+    let mut second = Holder::default();
+    second.begin(decided, 2, false, LEASE_MS + ORDER_ARRIVAL_MS);
+    let next = (decided..decided + 3 * LEASE_MS)
+        .find(|now| second.fence(*now, Some(*now), ORDER_VALIDITY_MS).is_some())
+        .expect("it gives orders in the end");
+    assert!(next >= arrives + LEASE_MS, "at {arrives} and at {next}");
+}
