--- a/crates/signalbox/tests/core_epochs.rs
+++ b/crates/signalbox/tests/core_epochs.rs
@@ -1,52 +1,18 @@
 //! What a machine may rely on while it knows of a newer view than the one it acts in.
 
-use std::net::Ipv4Addr;
+mod one_core;
 
-use orchidvalve_interlocking::{DurableState, MemberStatus, Message, View};
-use orchidvalve_signalbox::core::{Core, Disk, Event, Identity};
-use orchidvalve_signalbox::journal::Recovered;
+use one_core::{NumberingDisk, head_of_three, member, view};
+use orchidvalve_interlocking::{MemberStatus, Message};
+use orchidvalve_signalbox::core::{Core, Event};
 use orchidvalve_signalbox::peer::PeerMessage;
-use orchidvalve_track::identity::{MemberId, NodeAddress};
 
-/// A disk that numbers its records; the test says when they are durable.
-#[derive(Default)]
-struct SlowDisk {
-    position: u64,
-}
-
-impl Disk for SlowDisk {
-    fn append(&mut self, _: Vec<u8>) -> u64 {
-        self.position += 1;
-        self.position
-    }
-
-    fn release_before(&mut self, _: u64) {}
-}
-
-fn member(number: u8) -> MemberId {
-    MemberId { address: NodeAddress::new(Ipv4Addr::new(10, 0, 0, number), 7000), disk: u64::from(number) }
-}
-
-fn view(epoch: u64, chain: &[u8]) -> View {
-    View { epoch, voters: [1, 2, 3].map(member).to_vec(), chain: chain.iter().map(|m| member(*m)).collect() }
-}
-
-fn head_of_view_one() -> Core<SlowDisk> {
-    let identity = Identity {
-        me: member(1),
-        bootstrap: false,
-        seeds: Vec::new(),
-        tolerance: 1,
-        catch_up_ms: 4_400,
-        nonce: 7,
-    };
-    let agreement = DurableState { view: Some(view(1, &[1, 2, 3])), ..DurableState::default() };
-    let recovered = Recovered { agreement: Some(agreement), ..Recovered::default() };
-    Core::new(identity, recovered, SlowDisk::default(), 1_000)
+fn head_of_view_one() -> Core<NumberingDisk> {
+    head_of_three(false, 1_000)
 }
 
 /// Numbers of the pings that the machine has sent.
-fn pings(core: &mut Core<SlowDisk>) -> Vec<u64> {
+fn pings(core: &mut Core<NumberingDisk>) -> Vec<u64> {
     let number = |event: &Event| match event {
         Event::Send { message: PeerMessage::Agreement(Message::Ping { number, .. }), .. } => Some(*number),
         _ => None,
@@ -55,7 +21,7 @@
 }
 
 /// Both others answer a ping as members of `epoch`.
-fn answer(core: &mut Core<SlowDisk>, number: u64, epoch: u64) {
+fn answer(core: &mut Core<NumberingDisk>, number: u64, epoch: u64) {
     let status = MemberStatus { ready: true, ..MemberStatus::default() };
     for other in [2, 3] {
         let pong = Message::Pong { number, epoch, status };
--- a/crates/signalbox/tests/core_retirement.rs
+++ b/crates/signalbox/tests/core_retirement.rs
@@ -1,49 +1,18 @@
 //! Orders to empty a storage machine: decided at the head, refused only under proof.
 
-use std::net::Ipv4Addr;
+mod one_core;
 
+use one_core::{NumberingDisk, head_of_three};
 use orchidvalve_coupling::Message as ChainMessage;
-use orchidvalve_interlocking::{DurableState, MemberStatus, Message, View};
-use orchidvalve_signalbox::core::{CALL_TIMEOUT_MS, Core, Disk, Event, Identity, Origin, RetirementVerdict};
-use orchidvalve_signalbox::journal::Recovered;
+use orchidvalve_interlocking::{MemberStatus, Message};
+use orchidvalve_signalbox::core::{CALL_TIMEOUT_MS, Core, Event, Origin, RetirementVerdict};
 use orchidvalve_signalbox::peer::{CallOutcome, ForwardedCall, PeerMessage};
-use orchidvalve_track::identity::{MemberId, NodeAddress};
 
 const CALL: u64 = 41;
 
-#[derive(Default)]
-struct SlowDisk {
-    position: u64,
-}
-
-impl Disk for SlowDisk {
-    fn append(&mut self, _: Vec<u8>) -> u64 {
-        self.position += 1;
-        self.position
-    }
-
-    fn release_before(&mut self, _: u64) {}
-}
-
-fn member(number: u8) -> MemberId {
-    MemberId { address: NodeAddress::new(Ipv4Addr::new(10, 0, 0, number), 7000), disk: u64::from(number) }
-}
-
 /// The head of a chain of three that a majority has just confirmed.
-fn settled_head() -> Core<SlowDisk> {
-    let members = [1, 2, 3].map(member).to_vec();
-    let view = View { epoch: 1, voters: members.clone(), chain: members };
-    let identity = Identity {
-        me: member(1),
-        bootstrap: false,
-        seeds: Vec::new(),
-        tolerance: 1,
-        catch_up_ms: 4_400,
-        nonce: 7,
-    };
-    let agreement = DurableState { view: Some(view), ..DurableState::default() };
-    let recovered = Recovered { agreement: Some(agreement), ..Recovered::default() };
-    let mut core = Core::new(identity, recovered, SlowDisk::default(), 1_000);
+fn settled_head() -> Core<NumberingDisk> {
+    let mut core = head_of_three(false, 1_000);
     core.tick(1_000);
     let status = MemberStatus { ready: true, ..MemberStatus::default() };
     for event in core.take_events() {
@@ -55,7 +24,7 @@
     core
 }
 
-fn ask(core: &mut Core<SlowDisk>) -> Origin {
+fn ask(core: &mut Core<NumberingDisk>) -> Origin {
     core.call(CALL, ForwardedCall::Retire { name: "store-1".to_owned() });
     let asked = core.take_events().into_iter().find_map(|event| match event {
         Event::RetirementAsked { origin, name } if name == "store-1" => Some(origin),
@@ -65,7 +34,7 @@
 }
 
 /// The outcomes told, after all others confirmed the view if they can be reached.
-fn outcomes(core: &mut Core<SlowDisk>, others_confirm: bool) -> Vec<CallOutcome> {
+fn outcomes(core: &mut Core<NumberingDisk>, others_confirm: bool) -> Vec<CallOutcome> {
     let mut outcomes = Vec::new();
     for event in core.take_events() {
         match event {
--- a/crates/signalbox/tests/core_thaw.rs
+++ b/crates/signalbox/tests/core_thaw.rs
@@ -1,59 +1,27 @@
 //! A process that stood still knows how late it is before it looks at anything that has come meanwhile.
 
-use std::net::Ipv4Addr;
+mod one_core;
 
-use orchidvalve_interlocking::{DurableState, MemberStatus, Message, View};
-use orchidvalve_signalbox::core::{Core, Disk, Event, Identity};
-use orchidvalve_signalbox::journal::Recovered;
+use one_core::{NumberingDisk, head_of_three, member};
+use orchidvalve_interlocking::{MemberStatus, Message};
+use orchidvalve_signalbox::core::{Core, Event};
 use orchidvalve_signalbox::peer::{CallOutcome, ForwardedCall, PeerMessage};
 use orchidvalve_track::frames::encode;
-use orchidvalve_track::identity::{MemberId, NodeAddress};
 use orchidvalve_waybill::state::Change;
 
 const START: u64 = 1_000;
 /// Long enough that nothing which was confirmed before is relied on any more.
 const FREEZE_MS: u64 = 20_000;
 
-/// A disk on which records are as soon as they are written.
-#[derive(Default)]
-struct QuickDisk {
-    position: u64,
-}
-
-impl Disk for QuickDisk {
-    fn append(&mut self, _: Vec<u8>) -> u64 {
-        self.position += 1;
-        self.position
-    }
-
-    fn release_before(&mut self, _: u64) {}
-}
-
-fn member(number: u8) -> MemberId {
-    MemberId { address: NodeAddress::new(Ipv4Addr::new(10, 0, 0, number), 7000), disk: u64::from(number) }
-}
-
-/// Machine 1, the head of three, as it takes messages and calls at `START`.
-fn head() -> Core<QuickDisk> {
-    let members = [1, 2, 3].map(member).to_vec();
-    let view = View { epoch: 1, voters: members.clone(), chain: members };
-    let agreement = DurableState { view: Some(view), complete: true, ..DurableState::default() };
-    let recovered = Recovered { agreement: Some(agreement), ..Recovered::default() };
-    let identity = Identity {
-        me: member(1),
-        bootstrap: false,
-        seeds: Vec::new(),
-        tolerance: 1,
-        catch_up_ms: 4_400,
-        nonce: 7,
-    };
-    let mut core = Core::new(identity, recovered, QuickDisk::default(), START);
+/// The head of three, as it takes messages and calls at `START`.
+fn head() -> Core<NumberingDisk> {
+    let mut core = head_of_three(true, START);
     core.tick(START);
     core
 }
 
 /// Number of the newest ping that was sent.
-fn last_ping(core: &mut Core<QuickDisk>) -> u64 {
+fn last_ping(core: &mut Core<NumberingDisk>) -> u64 {
     let number = |event: Event| match event {
         Event::Send { message: PeerMessage::Agreement(Message::Ping { number, .. }), .. } => Some(number),
         _ => None,
@@ -61,7 +29,7 @@
     core.take_events().into_iter().filter_map(number).last().expect("a ping")
 }
 
-fn answer(core: &mut Core<QuickDisk>, from: u8, number: u64) {
+fn answer(core: &mut Core<NumberingDisk>, from: u8, number: u64) {
     let status = MemberStatus { ready: true, ..MemberStatus::default() };
     core.agreement_message(member(from), Message::Pong { number, epoch: 1, status });
 }
--- /dev/null
+++ b/crates/signalbox/tests/one_core/mod.rs
@@ -0,0 +1,50 @@
+//! The core of one control machine alone, driven by hand: its members, its disk, its start from what the disk holds.
+
+#![allow(dead_code)]
+
+use std::net::Ipv4Addr;
+
+use orchidvalve_interlocking::{DurableState, View};
+use orchidvalve_signalbox::core::{Core, Disk, Identity};
+use orchidvalve_signalbox::journal::Recovered;
+use orchidvalve_track::identity::{MemberId, NodeAddress};
+
+/// A disk that numbers its records; the test says when they are durable.
+#[derive(Default)]
+pub struct NumberingDisk {
+    position: u64,
+}
+
+impl Disk for NumberingDisk {
+    fn append(&mut self, _: Vec<u8>) -> u64 {
+        self.position += 1;
+        self.position
+    }
+
+    fn release_before(&mut self, _: u64) {}
+}
+
+pub fn member(number: u8) -> MemberId {
+    MemberId { address: NodeAddress::new(Ipv4Addr::new(10, 0, 0, number), 7000), disk: u64::from(number) }
+}
+
+/// A view with the voters 1, 2 and 3.
+pub fn view(epoch: u64, chain: &[u8]) -> View {
+    View { epoch, voters: [1, 2, 3].map(member).to_vec(), chain: chain.iter().map(|m| member(*m)).collect() }
+}
+
+/// Machine 1, the head of three in their first view, as it starts at `now`; `complete` says whether its disk holds
+/// everything.
+pub fn head_of_three(complete: bool, now: u64) -> Core<NumberingDisk> {
+    let identity = Identity {
+        me: member(1),
+        bootstrap: false,
+        seeds: Vec::new(),
+        tolerance: 1,
+        catch_up_ms: 4_400,
+        nonce: 7,
+    };
+    let agreement = DurableState { view: Some(view(1, &[1, 2, 3])), complete, ..DurableState::default() };
+    let recovered = Recovered { agreement: Some(agreement), ..Recovered::default() };
+    Core::new(identity, recovered, NumberingDisk::default(), now)
+}
