Agreement: only news of a ready member asks for the next look at once

Change: candidate_ready reports whether it was news, and only then asks. The new test fails in 3 of 3 cases without the change.

--- a/crates/interlocking/src/agreement.rs
+++ b/crates/interlocking/src/agreement.rs
@@ -181,16 +181,24 @@
         if epoch != self.epoch() {
             return;
         }
+        let is_news =
+            if member == self.me { self.mark_me_ready(outputs) } else { self.liveness.mark_ready(member) };
+        // The host tells it each time that it looks: only news may ask for the next look at once.
+        self.reconsider |= is_news;
+    }
+
+    /// This process holds every entry; true if that wasn't known.
+    fn mark_me_ready(&mut self, outputs: &mut Vec<Output>) -> bool {
         let in_chain = self.view().is_some_and(|view| view.in_chain(self.me));
-        if member != self.me {
-            self.liveness.mark_ready(member);
-        } else if !in_chain {
-            self.learner_ready = true;
-        } else if !self.state.complete {
+        if !in_chain {
+            return !std::mem::replace(&mut self.learner_ready, true);
+        }
+        let is_news = !self.state.complete;
+        if is_news {
             self.state.complete = true;
             self.persist(outputs);
         }
-        self.reconsider = true;
+        is_news
     }
 
     /// The write with this ticket, and all before it, will survive a loss of power.
--- a/crates/interlocking/tests/liveness.rs
+++ b/crates/interlocking/tests/liveness.rs
@@ -2,6 +2,7 @@
 
 use orchidvalve_interlocking::timing::{FAILURE_TIMEOUT, PING_INTERVAL};
 use orchidvalve_interlocking::{Agreement, MemberStatus, Message, Output};
+use orchidvalve_track::identity::MemberId;
 use rstest::rstest;
 
 mod support;
@@ -9,7 +10,7 @@
 use support::network::Network;
 use support::{ballot, member, members, ready, sent_to, settle, started, view};
 
-fn ping_number(outputs: &[Output], to: orchidvalve_track::identity::MemberId) -> u64 {
+fn ping_number(outputs: &[Output], to: MemberId) -> u64 {
     let number = |message: &Message| match message {
         Message::Ping { number, .. } => Some(*number),
         _ => None,
@@ -184,3 +185,19 @@
     agreement.message(1_060, member(2, 1), pong(number), &mut Vec::new());
     assert_eq!(agreement.quorum_confirmed_at(), Some(1_000));
 }
+
+/// A host tells at each look that a member holds everything: one outside the chain for as long as it stands by.
+#[rstest]
+#[case::one_that_stands_by(member(4, 1), member(4, 1))]
+#[case::a_member_of_the_chain(member(1, 1), member(1, 1))]
+#[case::another_one(member(1, 1), member(4, 1))]
+fn only_news_of_a_ready_member_is_looked_at_at_once(#[case] me: MemberId, #[case] ready: MemberId) {
+    let mut agreement = started(me, &view(1, &members(3), &members(3)));
+    for turn in 0..3 {
+        agreement.tick(1_000, &mut Vec::new());
+        let waits_until = agreement.next_tick_at();
+        assert!(waits_until > 1_000, "turn {turn}: nothing has happened");
+        agreement.candidate_ready(ready, 1, &mut Vec::new());
+        assert!(turn == 0 || agreement.next_tick_at() == waits_until, "turn {turn}: it was known");
+    }
+}
