Doors: few of them run generations, with parts of slots that add up to the slots

Cause: 61 doors shared 45 servers of 6 slots. A part of under one slot was rounded up to one at each server, so 61 times 45 sends could be out for 270 slots; 25 to 73 in 100 arrivals were rejected, what was urgent queued behind what wasn't, and each rejected send cost a connection. Change: control machines choose as many doors as a server has slots, more where processors can't carry the slots, by rendezvous hashing; the feed tells the list in place of number and shares of doors; slots are dealt out among the workers in an order of its own for each server. A stopping door is none. A server in trouble gets nothing where the door has no part.

--- a/crates/goodsyard/src/handout.rs
+++ b/crates/goodsyard/src/handout.rs
@@ -3,7 +3,9 @@
 use std::collections::BTreeMap;
 
 use compact_str::CompactString;
+use orchidvalve_track::identity::NodeAddress;
 use orchidvalve_track::messages::{FromStore, ScorerCall, WorkGroup, WorkItem, WorkTerms};
+use orchidvalve_track::rendezvous;
 use orchidvalve_waybill::job::Item;
 
 use crate::doors::{Door, DoorId, Doors};
@@ -123,12 +125,11 @@
 /// The less loaded of the two doors that the group's hash ranks first. A new head so chooses mostly the same
 /// doors as the one before it.
 fn choose(doors: &Doors, job: &str, group: usize, items: u32, pass: Pass) -> Option<DoorId> {
-    let seed = hash(job.as_bytes(), group as u64);
+    let seed = rendezvous::hash(job.as_bytes(), group as u64);
     let open = |door: &Door| door.has_room(items) && (pass == Pass::Needed || door.is_idle());
     let mut best: [Option<(f64, DoorId, f32)>; 2] = [None, None];
     for (id, door) in doors.iter().filter(|(_, door)| open(door)) {
-        let address = u64::from(u32::from(door.address.ip())) << 16 | u64::from(door.address.port());
-        let ranked = Some((rank(seed, address, door.weight()), id, door.load()));
+        let ranked = Some((rank(seed, door.address, door.weight()), id, door.load()));
         if best[0].is_none_or(|(first, _, _)| ranked.is_some_and(|(rank, _, _)| rank < first)) {
             best = [ranked, best[0]];
         } else if best[1].is_none_or(|(second, _, _)| ranked.is_some_and(|(rank, _, _)| rank < second)) {
@@ -139,23 +140,11 @@
 }
 
 /// Weighted rendezvous hashing: the lowest rank wins, with a probability in proportion to the weight.
-fn rank(seed: u64, address: u64, weight: f32) -> f64 {
-    let random = (mix(seed ^ mix(address)) >> 11) as f64 / (1u64 << 53) as f64;
+fn rank(seed: u64, address: NodeAddress, weight: f32) -> f64 {
+    let random = (rendezvous::rank(seed, address) >> 11) as f64 / (1u64 << 53) as f64;
     -(1.0 - random).ln() / f64::from(weight)
 }
 
-fn hash(bytes: &[u8], seed: u64) -> u64 {
-    bytes.iter().fold(mix(seed), |hash, &byte| mix(hash ^ u64::from(byte)))
-}
-
-/// Finalizer of splitmix64.
-fn mix(value: u64) -> u64 {
-    let value = value.wrapping_add(0x9e37_79b9_7f4a_7c15);
-    let value = (value ^ (value >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let value = (value ^ (value >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    value ^ (value >> 31)
-}
-
 /// Sends the groups that doors, or one of them, hold once more: a new view gave them a new epoch, or a message
 /// may have been lost. A door ignores what it has.
 pub(crate) fn send_again(
--- a/crates/lineside/src/copy.rs
+++ b/crates/lineside/src/copy.rs
@@ -1,6 +1,7 @@
 //! A follower's copy of what the feed tells. It never goes back within one run of the process.
 
 use orchidvalve_track::frames::decode;
+use orchidvalve_track::identity::NodeAddress;
 use orchidvalve_track::messages::{FeedPosition, ServersUpdate};
 use orchidvalve_track::server_table::ServerTable;
 use orchidvalve_waybill::state::{Change, ControlState, StateImage};
@@ -10,13 +11,13 @@
 pub struct FeedNews {
     pub state: bool,
     pub servers: bool,
-    pub fleet: bool,
+    pub workers: bool,
 }
 
 impl FeedNews {
     /// Whether anything changed.
     pub fn any(&self) -> bool {
-        self.state || self.servers || self.fleet
+        self.state || self.servers || self.workers
     }
 }
 
@@ -24,7 +25,7 @@
     fn bitor_assign(&mut self, other: FeedNews) {
         self.state |= other.state;
         self.servers |= other.servers;
-        self.fleet |= other.fleet;
+        self.workers |= other.workers;
     }
 }
 
@@ -34,8 +35,7 @@
     state: ControlState,
     sequence: u64,
     servers: ServerTable,
-    doors: u32,
-    doors_share: f32,
+    workers: Vec<NodeAddress>,
 }
 
 impl FeedCopy {
@@ -52,9 +52,9 @@
         &self.servers
     }
 
-    /// Number of doors and the sum of their shares of a core.
-    pub fn doors(&self) -> (u32, f32) {
-        (self.doors, self.doors_share)
+    /// The doors that run generations.
+    pub fn workers(&self) -> &[NodeAddress] {
+        &self.workers
     }
 
     pub fn position(&self) -> FeedPosition {
@@ -102,9 +102,10 @@
         Some(FeedNews { servers: self.servers.version() != before, ..FeedNews::default() })
     }
 
-    pub fn fleet(&mut self, doors: u32, share: f32) -> FeedNews {
-        let changed = (self.doors, self.doors_share) != (doors, share);
-        (self.doors, self.doors_share) = (doors, share);
-        FeedNews { fleet: changed, ..FeedNews::default() }
+    /// Takes over the list of the doors that run generations.
+    pub fn workers_named(&mut self, doors: Vec<NodeAddress>) -> FeedNews {
+        let changed = self.workers != doors;
+        self.workers = doors;
+        FeedNews { workers: changed, ..FeedNews::default() }
     }
 }
--- a/crates/lineside/tests/feed_copy.rs
+++ b/crates/lineside/tests/feed_copy.rs
@@ -9,8 +9,8 @@
 use orchidvalve_waybill::state::{Change, ControlState};
 use rstest::rstest;
 
-const STATE: FeedNews = FeedNews { state: true, servers: false, fleet: false };
-const NOTHING: FeedNews = FeedNews { state: false, servers: false, fleet: false };
+const STATE: FeedNews = FeedNews { state: true, servers: false, workers: false };
+const NOTHING: FeedNews = FeedNews { state: false, servers: false, workers: false };
 
 fn change(version: u64) -> Change {
     Change::NameVersion { model: "large".to_owned(), version }
@@ -190,18 +190,21 @@
 }
 
 #[test]
-fn the_fleet_is_news_only_when_it_changes() {
+fn the_workers_are_news_only_when_they_change() {
     let mut copy = FeedCopy::default();
-    let fleet = FeedNews { fleet: true, ..NOTHING };
-    assert_eq!(copy.fleet(3, 0.75), fleet);
-    assert_eq!(copy.fleet(3, 0.75), NOTHING);
-    assert_eq!(copy.fleet(3, 0.5), fleet);
-    assert_eq!(copy.doors(), (3, 0.5));
+    let workers = FeedNews { workers: true, ..NOTHING };
+    let doors = |numbers: &[u8]| -> Vec<NodeAddress> {
+        numbers.iter().map(|number| NodeAddress::new(Ipv4Addr::new(10, 0, 0, *number), 0)).collect()
+    };
+    assert_eq!(copy.workers_named(doors(&[1, 2, 3])), workers);
+    assert_eq!(copy.workers_named(doors(&[1, 2, 3])), NOTHING);
+    assert_eq!(copy.workers_named(doors(&[1, 2, 4])), workers);
+    assert_eq!(copy.workers(), doors(&[1, 2, 4]));
     let mut sum = NOTHING;
     assert!(!sum.any());
     sum |= STATE;
-    sum |= fleet;
-    assert_eq!(sum, FeedNews { state: true, servers: false, fleet: true });
+    sum |= workers;
+    assert_eq!(sum, FeedNews { state: true, servers: false, workers: true });
     assert!(sum.any());
 }
 
--- a/crates/signalbox/src/followers.rs
+++ b/crates/signalbox/src/followers.rs
@@ -35,7 +35,6 @@
     /// First change that is still held.
     pub first_change: u64,
     pub servers: &'a ServerTable,
-    pub doors: (u32, f32),
 }
 
 impl Feed<'_> {
--- a/crates/signalbox/src/lib.rs
+++ b/crates/signalbox/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod redirector;
 pub mod sessions;
 pub mod weights;
+pub mod workers;
--- a/crates/signalbox/src/process/links.rs
+++ b/crates/signalbox/src/process/links.rs
@@ -196,8 +196,8 @@
                     self.followers.open(network, connection, &introduction, position, controls, now);
                 self.sessions.opened(session);
                 self.sessions_changed = true;
-                let (doors, share) = self.told_fleet;
-                send(&mut self.network, connection, &FromControl::Fleet { doors, share });
+                let doors = self.workers.chosen().to_vec();
+                send(&mut self.network, connection, &FromControl::Workers { doors });
                 true
             }
             ToControl::Heartbeat { health, .. } => {
@@ -250,22 +250,15 @@
             let message = PeerMessage::Sessions { sessions: self.sessions.own() };
             self.links.broadcast(&mut self.network, &message);
         }
-        let (doors, share) = self.sessions.doors();
-        if (doors, share) != self.told_fleet {
-            self.told_fleet = (doors, share);
-            self.followers.broadcast(&mut self.network, &FromControl::Fleet { doors, share });
+        if self.workers.choose(&self.sessions, &self.servers) {
+            let doors = self.workers.chosen().to_vec();
+            self.followers.broadcast(&mut self.network, &FromControl::Workers { doors });
         }
     }
 
     pub(super) fn advance_followers(&mut self) {
         let (state, applied) = self.core.state();
-        let feed = Feed {
-            state,
-            applied,
-            first_change: self.core.first_change(),
-            servers: &self.servers,
-            doors: self.told_fleet,
-        };
+        let feed = Feed { state, applied, first_change: self.core.first_change(), servers: &self.servers };
         let changes_from = |first| self.core.changes_from(first);
         self.followers.advance(&mut self.network, &feed, &changes_from);
     }
--- a/crates/signalbox/src/process/mod.rs
+++ b/crates/signalbox/src/process/mod.rs
@@ -28,6 +28,7 @@
 use crate::operator::OperatorAnswer;
 use crate::peer::PeerMessage;
 use crate::sessions::SessionTable;
+use crate::workers::Workers;
 use orchidvalve_track::server_table::ServerTable;
 
 const OPERATOR_LISTENER: u32 = 1;
@@ -93,7 +94,7 @@
     sessions_changed: bool,
     servers: ServerTable,
     duties: Duties,
-    told_fleet: (u32, f32),
+    workers: Workers,
     operators: BTreeMap<ConnectionId, OperatorConnection>,
     /// Connections of operators that end once their last answers are written.
     finishing: Vec<ConnectionId>,
@@ -174,7 +175,7 @@
             sessions_changed: false,
             servers: ServerTable::default(),
             duties,
-            told_fleet: (0, 0.0),
+            workers: Workers::default(),
             operators: BTreeMap::new(),
             finishing: Vec::new(),
             calls: BTreeMap::new(),
--- a/crates/signalbox/src/sessions.rs
+++ b/crates/signalbox/src/sessions.rs
@@ -134,9 +134,9 @@
         own.map(|k| k.session.clone()).collect()
     }
 
-    /// Number of doors and the sum of their shares of a core.
-    pub fn doors(&self) -> (u32, f32) {
-        let doors = self.sessions().filter(|s| s.role == Role::Door);
-        doors.fold((0, 0.0), |(count, share), session| (count + 1, share + session.share))
+    /// Doors that have a session and weren't told to stop.
+    pub fn doors(&self) -> impl Iterator<Item = &Session> {
+        let leaving = |session: &Session| session.health.is_some_and(|health| health.leaving);
+        self.sessions().filter(move |session| session.role == Role::Door && !leaving(session))
     }
 }
--- a/crates/signalbox/tests/followers.rs
+++ b/crates/signalbox/tests/followers.rs
@@ -134,7 +134,7 @@
 ) {
     let (state, changes) = configured(count, bytes);
     let servers = ServerTable::default();
-    let feed = Feed { state: &state, applied: count, first_change, servers: &servers, doors: (0, 0.0) };
+    let feed = Feed { state: &state, applied: count, first_change, servers: &servers };
     let changes_from = |first: u64| changes[first as usize - 1..].to_vec();
     let mut copy = FeedCopy::default();
     if position > 0 {
--- a/crates/signalbox/tests/messages.rs
+++ b/crates/signalbox/tests/messages.rs
@@ -221,7 +221,7 @@
         FromControl::Snapshot { .. } => 3,
         FromControl::Changes { .. } => 4,
         FromControl::Servers(_) => 5,
-        FromControl::Fleet { .. } => 6,
+        FromControl::Workers { .. } => 6,
     }
 }
 
@@ -232,7 +232,7 @@
         FromControl::Heartbeat,
         FromControl::Snapshot { sequence: 300, state: vec![1, 2, 250] },
         FromControl::Changes { first: 299, changes: vec![vec![1], vec![], vec![200, 3]] },
-        FromControl::Fleet { doors: 6, share: 1.5 },
+        FromControl::Workers { doors: vec![address(1), address(3)] },
     ];
     samples.extend(servers().into_iter().map(FromControl::Servers));
     samples
--- a/crates/signalbox/tests/sessions.rs
+++ b/crates/signalbox/tests/sessions.rs
@@ -45,9 +45,9 @@
     table.closed(&door(1), 1_000);
     assert!(table.own().is_empty());
     assert!(!table.expire(1_000 + MOVE_TIMEOUT_MS - 1));
-    assert_eq!(table.doors(), (1, 0.25));
+    assert_eq!(table.doors().count(), 1);
     assert!(table.expire(1_000 + MOVE_TIMEOUT_MS));
-    assert_eq!(table.doors(), (0, 0.0));
+    assert_eq!(table.doors().count(), 0);
 }
 
 #[test]
@@ -157,7 +157,7 @@
     table.opened(session("edge-1", Role::Door, 1));
     table.opened(session("edge-1", Role::Store, 2));
     assert_eq!(table.sessions().count(), 2);
-    assert_eq!(table.doors().0, 1);
+    assert_eq!(table.doors().count(), 1);
 }
 
 #[test]
--- a/crates/signalbox/tests/support/followers.rs
+++ b/crates/signalbox/tests/support/followers.rs
@@ -360,7 +360,7 @@
             FromControl::Snapshot { sequence, state } => follower.copy.snapshot(sequence, &state),
             FromControl::Changes { first, changes } => follower.copy.changes(first, &changes),
             FromControl::Servers(update) => follower.copy.servers_update(&update),
-            FromControl::Fleet { doors, share } => Some(follower.copy.fleet(doors, share)),
+            FromControl::Workers { doors } => Some(follower.copy.workers_named(doors)),
         };
         match news {
             None => self.leave_session(index),
--- /dev/null
+++ b/crates/signalbox/tests/workers.rs
@@ -0,0 +1,124 @@
+//! Which doors run generations.
+
+use std::net::Ipv4Addr;
+
+use orchidvalve_signalbox::sessions::{Session, SessionTable};
+use orchidvalve_signalbox::workers::{Candidate, Slots, Workers, choose};
+use orchidvalve_track::identity::{MemberId, NodeAddress};
+use orchidvalve_track::messages::{Introduction, PROTOCOL_VERSION, Role, ServerEntry, StoreHealth};
+use orchidvalve_track::server_table::ServerTable;
+use rstest::rstest;
+
+fn address(number: u8) -> NodeAddress {
+    NodeAddress::new(Ipv4Addr::new(10, 0, 0, number), 0)
+}
+
+fn candidates(count: u8, share: f32) -> Vec<Candidate> {
+    (0..count).map(|number| Candidate { address: address(number), share }).collect()
+}
+
+fn door(number: u8) -> Session {
+    Session::new(&Introduction {
+        version: PROTOCOL_VERSION,
+        role: Role::Door,
+        name: format!("edge-{number}"),
+        zone: "north".to_owned(),
+        member: MemberId { address: address(number), disk: 0 },
+        incarnation: 1,
+        share: 0.25,
+    })
+}
+
+fn server(number: u8, slots: u32, model: Option<&str>) -> ServerEntry {
+    ServerEntry {
+        instance: format!("i-{number}"),
+        service: "service".to_owned(),
+        address: address(100 + number),
+        zone: "north".to_owned(),
+        slots,
+        draining: false,
+        models: model.into_iter().map(|name| (name.to_owned(), 1)).collect(),
+    }
+}
+
+fn table(servers: Vec<ServerEntry>) -> ServerTable {
+    let mut table = ServerTable::default();
+    table.replace(1, servers);
+    table
+}
+
+#[rstest]
+#[case::one_for_each_slot_of_a_server(60, 0.12, Slots { most: 6, sum: 270 }, 6)]
+#[case::as_many_as_there_are(4, 0.25, Slots { most: 12, sum: 108 }, 4)]
+#[case::more_where_processors_cannot_carry_the_slots(60, 0.1, Slots { most: 6, sum: 800 }, 20)]
+#[case::no_model_servers(60, 0.1, Slots { most: 0, sum: 0 }, 0)]
+fn workers_are_as_few_as_can_carry_the_slots(
+    #[case] doors: u8,
+    #[case] share: f32,
+    #[case] slots: Slots,
+    #[case] count: usize,
+) {
+    assert_eq!(choose(candidates(doors, share), slots).len(), count);
+}
+
+#[test]
+fn the_choice_does_not_depend_on_the_order_of_the_doors() {
+    let slots = Slots { most: 6, sum: 100 };
+    let mut reversed = candidates(40, 0.1);
+    reversed.reverse();
+    assert_eq!(choose(candidates(40, 0.1), slots), choose(reversed, slots));
+}
+
+#[test]
+fn a_worker_that_goes_is_replaced_by_one_door_and_all_others_stay() {
+    let slots = Slots { most: 6, sum: 100 };
+    let before = choose(candidates(40, 0.1), slots);
+    for gone in &before {
+        let left = candidates(40, 0.1).into_iter().filter(|candidate| candidate.address != *gone);
+        let after = choose(left.collect(), slots);
+        assert_eq!(after.len(), before.len());
+        assert_eq!(after.iter().filter(|door| before.contains(door)).count(), before.len() - 1);
+    }
+}
+
+#[test]
+fn slots_are_counted_at_model_servers_only() {
+    let table = table(vec![server(1, 6, Some("m")), server(2, 8, Some("m")), server(3, 30, None)]);
+    assert_eq!(Slots::of(&table), Slots { most: 8, sum: 14 });
+}
+
+#[test]
+fn the_choice_is_news_when_doors_come_stop_or_go() {
+    let servers = table(vec![server(1, 2, Some("m"))]);
+    let mut sessions = SessionTable::default();
+    let mut workers = Workers::default();
+    assert!(!workers.choose(&sessions, &servers));
+    sessions.opened(door(1));
+    assert!(workers.choose(&sessions, &servers));
+    assert_eq!(workers.chosen(), [address(1)]);
+    assert!(!workers.choose(&sessions, &servers));
+    sessions.opened(door(2));
+    assert!(workers.choose(&sessions, &servers));
+    assert_eq!(workers.chosen(), [address(1), address(2)]);
+    let leaving = StoreHealth { leaving: true, ..StoreHealth::default() };
+    sessions.opened(Session { health: Some(leaving), ..door(1) });
+    assert!(workers.choose(&sessions, &servers));
+    assert_eq!(workers.chosen(), [address(2)]);
+    sessions.closed(&door(2), 0);
+    sessions.expire(u64::MAX);
+    assert!(workers.choose(&sessions, &servers));
+    assert_eq!(workers.chosen(), []);
+}
+
+#[test]
+fn a_server_with_more_slots_makes_room_for_more_workers() {
+    let mut sessions = SessionTable::default();
+    (1..=9).for_each(|number| sessions.opened(door(number)));
+    let mut workers = Workers::default();
+    let mut servers = table(vec![server(1, 3, Some("m"))]);
+    workers.choose(&sessions, &servers);
+    assert_eq!(workers.chosen().len(), 3);
+    servers.replace(1, vec![server(1, 5, Some("m"))]);
+    assert!(workers.choose(&sessions, &servers));
+    assert_eq!(workers.chosen().len(), 5);
+}
--- a/crates/track/src/lib.rs
+++ b/crates/track/src/lib.rs
@@ -9,5 +9,6 @@
 pub mod messages;
 pub mod network;
 pub mod outgoing_link;
+pub mod rendezvous;
 pub mod server_table;
 pub mod settings;
--- a/crates/track/src/messages.rs
+++ b/crates/track/src/messages.rs
@@ -10,7 +10,7 @@
 use crate::identity::{MemberId, NodeAddress};
 
 /// Version of the messages between processes; a peer that speaks another one is refused.
-pub const PROTOCOL_VERSION: u16 = 2;
+pub const PROTOCOL_VERSION: u16 = 3;
 
 /// The first byte on every connection between two processes: which messages follow.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -144,10 +144,9 @@
         changes: Vec<Vec<u8>>,
     },
     Servers(ServersUpdate),
-    /// How many doors have sessions, and the sum of their shares of a core.
-    Fleet {
-        doors: u32,
-        share: f32,
+    /// The doors that run generations, the whole list. Each has a part of every model server's slots.
+    Workers {
+        doors: Vec<NodeAddress>,
     },
 }
 
--- a/crates/track/tests/messages/strategies.rs
+++ b/crates/track/tests/messages/strategies.rs
@@ -29,7 +29,7 @@
     Snapshot { sequence, state },
     Changes { first, changes },
     Servers(update),
-    Fleet { doors, share },
+    Workers { doors },
 });
 generate_struct!(ServerEntry { instance, service, address, zone, slots, draining, models });
 generate_enum!(ServersUpdate {
--- a/crates/turnstile/src/fleet.rs
+++ b/crates/turnstile/src/fleet.rs
@@ -4,9 +4,10 @@
 use std::net::SocketAddrV4;
 
 use compact_str::CompactString;
+use orchidvalve_track::identity::NodeAddress;
 use orchidvalve_track::messages::ServerEntry;
+use orchidvalve_track::rendezvous;
 use orchidvalve_track::server_table::ServerTable;
-use orchidvalve_waybill::configuration::fingerprint;
 use rand::RngCore;
 
 /// Number of a server at this door; never used twice.
@@ -188,21 +189,16 @@
     }
 }
 
-/// A door's part of a server's slots as a whole number: what is left of it after the whole slots is given as one
-/// slot more at so many of the servers, others for each door. None where the part is under one slot.
-pub fn whole_share(slots: u32, share: f64, door: &str, instance: &str) -> Option<u32> {
-    let part = f64::from(slots) * share;
-    if part < 1.0 {
+/// A worker's part of a server's slots, where `workers` share them: the slots are dealt out in an order of the workers
+/// that is another one for each server, so the parts of all workers add up to the slots. None for one that isn't a worker.
+pub fn slot_part(slots: u32, workers: &[NodeAddress], door: NodeAddress, instance: &str) -> Option<u32> {
+    if !workers.contains(&door) {
         return None;
     }
-    let draw = mix(fingerprint(format!("{door} {instance}").as_bytes())) >> 11;
-    let fraction = draw as f64 / (1u64 << 53) as f64;
-    Some(part.floor() as u32 + u32::from(fraction < part.fract()))
-}
-
-/// Spreads what differs between two hashes over all of their bits (the finalizer of SplitMix64).
-fn mix(hash: u64) -> u64 {
-    let hash = (hash ^ (hash >> 30)).wrapping_mul(0xbf58_476d_1ce4_e5b9);
-    let hash = (hash ^ (hash >> 27)).wrapping_mul(0x94d0_49bb_1331_11eb);
-    hash ^ (hash >> 31)
+    let seed = rendezvous::hash(instance.as_bytes(), 0);
+    let place = |address| (rendezvous::rank(seed, address), address);
+    let own = place(door);
+    let before = workers.iter().filter(|&&other| place(other) < own).count() as u32;
+    let count = workers.len() as u32;
+    Some(slots / count + u32::from(before < slots % count))
 }
--- a/crates/turnstile/src/generations/servers.rs
+++ b/crates/turnstile/src/generations/servers.rs
@@ -145,11 +145,11 @@
     /// The most generations this door may have in flight at the server; 0 if it is leaving.
     pub fn limit(&self, key: ServerKey) -> u32 {
         let Some(server) = self.table.get(&key).filter(|server| !server.draining) else { return 0 };
-        if server.failures >= FAILURES_IN_TROUBLE {
-            return 1;
-        }
         let usable = server.slots.saturating_sub(server.queued);
         let usual = server.limit.unwrap_or_else(|| share_limit(usable, self.share));
+        if server.failures >= FAILURES_IN_TROUBLE {
+            return usual.min(1);
+        }
         let pool_gap = self.gap_ms.get(&server.pool).copied().unwrap_or(0.0);
         if pool_gap > 0.0 && server.gap_ms > pool_gap * SLOW_FACTOR {
             let pace = (pool_gap / server.gap_ms).max(LEAST_PACE_SHARE);
--- a/crates/turnstile/src/process/mod.rs
+++ b/crates/turnstile/src/process/mod.rs
@@ -15,7 +15,7 @@
 use orchidvalve_lineside::{FeedClient, FeedNews};
 use orchidvalve_track::clock::Clock;
 use orchidvalve_track::identity::{MemberId, NodeAddress, random_incarnation};
-use orchidvalve_track::messages::{Introduction, PROTOCOL_VERSION, Role};
+use orchidvalve_track::messages::{Introduction, PROTOCOL_VERSION, Role, StoreHealth};
 use orchidvalve_track::network::{ConnectionId, Event, Network};
 use orchidvalve_waybill::RouteTable;
 use rand::SeedableRng;
@@ -95,6 +95,11 @@
     now: u64,
 }
 
+/// The address by which other processes know a door; nothing listens there.
+fn door_address(options: &DoorOptions) -> NodeAddress {
+    NodeAddress::new(*options.frontend.ip(), 0)
+}
+
 /// Runs a door process until it is told to stop and has answered what it took.
 ///
 /// # Errors
@@ -132,7 +137,7 @@
             role: Role::Door,
             name: options.name.clone(),
             zone: options.zone.clone(),
-            member: MemberId { address: NodeAddress::new(*options.frontend.ip(), 0), disk: 0 },
+            member: MemberId { address: door_address(&options), disk: 0 },
             incarnation: seed,
             share: options.share,
         };
@@ -263,8 +268,10 @@
         if news.servers {
             self.servers_changed();
         }
-        if news.fleet || news.servers {
-            self.share_changed();
+        if news.workers {
+            self.parts_changed();
+        } else if news.servers {
+            self.tell_work_limit();
         }
     }
 
@@ -343,6 +350,7 @@
         log::info!("door: stopping; {} requests are open", self.requests.open());
         self.stopping_since = Some(self.now);
         self.stores.set_work_limit(&mut self.network, 0);
+        self.feed.set_health(StoreHealth { leaving: true, ..StoreHealth::default() });
         self.clients.begin_closing(&mut self.network, self.now);
     }
 
--- a/crates/turnstile/src/process/work.rs
+++ b/crates/turnstile/src/process/work.rs
@@ -1,11 +1,12 @@
 //! Groups handed out by stores, and what the runner of generations asks for.
 
+use orchidvalve_track::identity::NodeAddress;
 use orchidvalve_track::messages::FromStore;
 use orchidvalve_track::network::ConnectionId;
 
-use super::Process;
+use super::{Process, door_address};
 use crate::exchanges::{Purpose, Stream, generation_bytes, reward_bytes};
-use crate::fleet::{Server, ServerKey, whole_share};
+use crate::fleet::{Server, ServerKey, slot_part};
 use crate::generations::{Command, Outcome, RewardOutcome, ServerInfo};
 use crate::runs::Repetition;
 use crate::upstream::Outbound;
@@ -24,38 +25,42 @@
             near: entry.zone == self.options.zone,
             slots: entry.slots,
             queued: server.queued,
-            limit: self.slot_share(server),
+            limit: self.slot_part(server),
             models: entry.models.iter().map(|(m, v)| (m.as_str().into(), *v)).collect(),
             draining: entry.draining,
         });
     }
 
-    /// This door's part of the slots of a model server. The parts of all doors add up to the slots, so that what
-    /// is urgent finds room at the server instead of a queue.
-    fn slot_share(&self, server: &Server) -> Option<u32> {
+    /// This door's part of the slots of a model server, if it is a worker. What a former worker still holds goes on
+    /// with one generation at a time at each server.
+    fn slot_part(&self, server: &Server) -> Option<u32> {
         if server.entry.models.is_empty() {
             return None;
         }
-        whole_share(server.entry.slots, f64::from(self.share()), &self.options.name, &server.entry.instance)
+        let workers = self.feed.copy().workers();
+        slot_part(server.entry.slots, workers, self.own_address(), &server.entry.instance)
     }
 
-    /// This door's share of all doors' processors.
-    fn share(&self) -> f32 {
-        let (doors, total) = self.feed.copy().doors();
-        if doors == 0 || total <= 0.0 { 1.0 } else { (self.options.share / total).min(1.0) }
+    fn own_address(&self) -> NodeAddress {
+        door_address(&self.options)
     }
 
-    /// This door's part of the servers' slots follows its share of all doors' processors.
-    pub(super) fn share_changed(&mut self) {
-        let share = self.share();
-        self.runner.set_share(f64::from(share));
+    /// Workers or servers have changed, and with them this door's parts of the servers' slots.
+    pub(super) fn parts_changed(&mut self) {
+        let workers = self.feed.copy().workers().len().max(1);
+        self.runner.set_share(1.0 / workers as f64);
         for key in self.fleet.keys() {
             self.tell_runner(key);
         }
-        let slots: u32 =
-            self.feed.copy().servers().servers().filter(|s| !s.models.is_empty()).map(|s| s.slots).sum();
-        let limit = (slots as f32 * share * (1.0 + QUEUE_SHARE)).ceil() as u32;
-        let limit = if self.stopping_since.is_some() { 0 } else { limit.max(1) };
+        self.tell_work_limit();
+    }
+
+    /// Tells stores how many generations this door may hold: its slots and a few that wait for them.
+    pub(super) fn tell_work_limit(&mut self) {
+        let servers = self.fleet.keys().into_iter().filter_map(|key| self.fleet.get(key));
+        let slots: u32 = servers.filter_map(|server| self.slot_part(server)).sum();
+        let limit = (slots as f32 * (1.0 + QUEUE_SHARE)).ceil() as u32;
+        let limit = if self.stopping_since.is_some() { 0 } else { limit };
         self.stores.set_work_limit(&mut self.network, limit);
     }
 
--- a/crates/turnstile/tests/fleet.rs
+++ b/crates/turnstile/tests/fleet.rs
@@ -2,7 +2,10 @@
 
 mod requests_support;
 
-use orchidvalve_turnstile::fleet::{Fleet, ServerKey, whole_share};
+use std::net::Ipv4Addr;
+
+use orchidvalve_track::identity::NodeAddress;
+use orchidvalve_turnstile::fleet::{Fleet, ServerKey, slot_part};
 use rand_pcg::Pcg64Mcg;
 use requests_support::{SERVICE, Servers, ZONE, entry};
 use rstest::rstest;
@@ -169,31 +172,44 @@
     assert_eq!(servers.fleet.get(keys[0]).unwrap().queued, queued);
 }
 
+fn doors(count: u8) -> Vec<NodeAddress> {
+    (1..=count).map(|number| NodeAddress::new(Ipv4Addr::new(10, 0, 0, number), 0)).collect()
+}
+
 #[rstest]
-#[case::under_one_slot(6, 0.013, None)]
-#[case::whole_slots(12, 0.25, Some((3, 3)))]
-#[case::all(12, 1.0, Some((12, 12)))]
-#[case::a_little_more_than_one(12, 0.0877, Some((1, 2)))]
-fn a_part_of_the_slots_is_rounded_to_a_neighbour(
+#[case::a_slot_each(6, 6, 1, 1)]
+#[case::fewer_slots_than_workers(6, 17, 0, 1)]
+#[case::some_have_one_more(12, 9, 1, 2)]
+#[case::whole_parts(16, 4, 4, 4)]
+#[case::one_worker(8, 1, 8, 8)]
+fn the_parts_of_all_workers_are_even_and_add_up_to_the_slots(
     #[case] slots: u32,
-    #[case] share: f64,
-    #[case] bounds: Option<(u32, u32)>,
+    #[case] count: u8,
+    #[case] least: u32,
+    #[case] most: u32,
 ) {
-    for number in 0..50 {
-        let part = whole_share(slots, share, "door", &format!("i-{number}"));
-        assert_eq!(part.is_some(), bounds.is_some());
-        assert!(part.is_none_or(|p| bounds.is_some_and(|(least, most)| (least..=most).contains(&p))));
+    let workers = doors(count);
+    for server in 0..40 {
+        let instance = format!("i-{server:x}");
+        let parts: Vec<u32> =
+            workers.iter().map(|door| slot_part(slots, &workers, *door, &instance).unwrap()).collect();
+        assert_eq!(parts.iter().sum::<u32>(), slots);
+        assert!(parts.iter().all(|part| (least..=most).contains(part)), "{parts:?}");
     }
 }
 
 #[test]
-fn the_parts_of_all_doors_come_to_about_the_slots() {
-    let shares: Vec<f64> = [0.25; 6].into_iter().chain([0.45; 3]).map(|s| s / 2.85).collect();
-    let mut sum = 0;
-    for server in 0..100 {
-        for (door, share) in shares.iter().enumerate() {
-            sum += whole_share(12, *share, &format!("edge-{door}"), &format!("i-{server:x}")).unwrap();
-        }
-    }
-    assert!((1_150..=1_250).contains(&sum), "{sum} for 1,200 slots");
+fn what_is_left_of_the_slots_goes_to_other_workers_at_each_server() {
+    let workers = doors(9);
+    let sum = |door: &NodeAddress| -> u32 {
+        (0..300).map(|server| slot_part(12, &workers, *door, &format!("i-{server:x}")).unwrap()).sum()
+    };
+    // 400 each in the mean, of 300 for sure and 300 more that are dealt out at random.
+    assert!(workers.iter().map(sum).all(|slots| (350..450).contains(&slots)));
+}
+
+#[test]
+fn a_door_that_is_no_worker_has_no_part() {
+    assert_eq!(slot_part(6, &doors(3), doors(4)[3], "i-1"), None);
+    assert_eq!(slot_part(6, &[], doors(1)[0], "i-1"), None);
 }
--- a/crates/turnstile/tests/generations.rs
+++ b/crates/turnstile/tests/generations.rs
@@ -136,6 +136,20 @@
     assert_eq!(door.runner.in_flight(), 3, "a whole text shows that the trouble is over");
 }
 
+#[test]
+fn a_server_in_trouble_gets_nothing_where_this_door_has_no_part_of_it() {
+    let mut door = Door::new(&[]);
+    door.runner.set_server(&ServerInfo { slots: 4, ..server(0, 7) });
+    door.assign(group("job", 0, &["a"]));
+    for _ in 0..3 {
+        door.ended(&door.last(), Outcome::Broken);
+        door.pass(800);
+    }
+    door.direct(|runner, out| runner.cancel("job", out));
+    door.runner.set_server(&ServerInfo { slots: 4, limit: Some(0), ..server(0, 7) });
+    assert_eq!(load_at(&mut door, 0, 4), 0);
+}
+
 #[test]
 fn a_server_slower_than_the_others_gets_fewer() {
     let mut door = Door::new(&[]);
