Doors: requests wait for a configuration and servers instead of being refused at once

Cause: after a loss of power of all machines the doors are up 0.2 to 0.6 s before they know a configuration, and the table of servers comes a little later still. Requests of these moments got 503 at once, used up their client's only retry, and were the most of the unserved ones. What a connection is busy with is its own key.

--- a/crates/turnstile/src/clients.rs
+++ b/crates/turnstile/src/clients.rs
@@ -8,12 +8,15 @@
 };
 use orchidvalve_track::network::{ConnectionId, Network};
 
+use crate::early::EarlyId;
 use crate::jobs::CallId;
 use crate::requests::{RequestId, passed_headers};
 
 /// What a client's connection is busy with.
-#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+#[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
 pub enum Busy {
+    /// A request that waits for a configuration and servers.
+    Early(EarlyId),
     Request(RequestId),
     Job(CallId),
 }
@@ -46,7 +49,7 @@
 #[derive(Default, Debug)]
 pub struct Clients {
     clients: HashMap<ConnectionId, Client>,
-    by_use: HashMap<BusyKey, ConnectionId>,
+    by_use: HashMap<Busy, ConnectionId>,
     /// Connections end with their next answer.
     closing: bool,
     /// Connections that were closed since then, and whose last answers may still be on their way.
@@ -59,16 +62,6 @@
 /// Pause between two searches for connections that are late, in milliseconds.
 const SEARCH_MS: u64 = 100;
 
-/// Key of what a connection is busy with.
-type BusyKey = (bool, u64);
-
-fn key(busy: Busy) -> BusyKey {
-    match busy {
-        Busy::Request(id) => (true, id),
-        Busy::Job(id) => (false, id),
-    }
-}
-
 /// What was read from a client.
 #[derive(Debug)]
 pub enum Arrival {
@@ -202,18 +195,18 @@
     pub fn occupy(&mut self, connection: ConnectionId, busy: Busy) {
         if let Some(client) = self.clients.get_mut(&connection) {
             client.busy = Some(busy);
-            self.by_use.insert(key(busy), connection);
+            self.by_use.insert(busy, connection);
         }
     }
 
     pub fn connection_of(&self, busy: Busy) -> Option<ConnectionId> {
-        self.by_use.get(&key(busy)).copied()
+        self.by_use.get(&busy).copied()
     }
 
     /// A connection has ended; what it was busy with.
     pub fn closed(&mut self, connection: ConnectionId) -> Option<Busy> {
         let busy = self.clients.remove(&connection)?.busy?;
-        self.by_use.remove(&key(busy));
+        self.by_use.remove(&busy);
         Some(busy)
     }
 
@@ -222,7 +215,7 @@
             client.waiting_since = now;
             client.answered_at = Some(now);
             if let Some(busy) = client.busy.take() {
-                self.by_use.remove(&key(busy));
+                self.by_use.remove(&busy);
             }
         }
     }
--- a/crates/turnstile/src/lib.rs
+++ b/crates/turnstile/src/lib.rs
@@ -1,6 +1,7 @@
 //! Data plane: requests, streams, generations, reward calls.
 
 pub mod clients;
+pub mod early;
 mod ended_jobs;
 pub mod exchanges;
 pub mod fleet;
--- a/crates/turnstile/src/process/mod.rs
+++ b/crates/turnstile/src/process/mod.rs
@@ -22,6 +22,7 @@
 use rand_pcg::Pcg64Mcg;
 
 use crate::clients::Clients;
+use crate::early::EarlyRequests;
 use crate::exchanges::Exchanges;
 use crate::fleet::Fleet;
 use crate::generations::Runner;
@@ -83,6 +84,7 @@
     fleet: Fleet,
     upstreams: Upstreams,
     exchanges: Exchanges,
+    early: EarlyRequests,
     requests: Requests,
     calls: JobCalls,
     stores: StoreLinks,
@@ -155,6 +157,7 @@
             fleet: Fleet::default(),
             upstreams: Upstreams::default(),
             exchanges: Exchanges::default(),
+            early: EarlyRequests::default(),
             requests: Requests::new(&options.zone, Pcg64Mcg::seed_from_u64(seed ^ 1)),
             calls: JobCalls::default(),
             stores: StoreLinks::new(introduction),
@@ -173,6 +176,7 @@
         let next = [
             self.feed.next_wakeup(),
             self.stores.next_wakeup(),
+            self.early.next_wakeup(),
             self.requests.next_wakeup(),
             self.calls.next_wakeup(),
             self.work.next_wakeup(),
@@ -324,6 +328,7 @@
     fn turn(&mut self) {
         self.refuse_late_requests();
         self.feed.maintain(&mut self.network, self.now);
+        self.serve_early();
         self.stores.maintain(&mut self.network, self.now);
         let mut events = Vec::new();
         self.upstreams.expire(&mut self.network, self.now, &mut events);
@@ -351,6 +356,8 @@
         self.stopping_since = Some(self.now);
         self.stores.set_work_limit(&mut self.network, 0);
         self.feed.set_health(StoreHealth { leaving: true, ..StoreHealth::default() });
+        let waiting = self.early.take_all();
+        self.refuse_early(waiting);
         self.clients.begin_closing(&mut self.network, self.now);
     }
 
--- a/crates/turnstile/src/process/requests.rs
+++ b/crates/turnstile/src/process/requests.rs
@@ -6,6 +6,7 @@
 
 use super::Process;
 use crate::clients::{Arrival, Busy, unreadable_status};
+use crate::early::EarlyId;
 use crate::exchanges::{Purpose, request_bytes};
 use crate::jobs::{ITEMS_PREFIX, JOBS_PREFIX};
 use crate::requests::{Answer, Arrived, RETRY_AFTER, RequestCommand};
@@ -54,9 +55,60 @@
             self.begin_job_call(connection, &request);
             return;
         }
+        if !self.knows_routes_and_servers() {
+            self.keep_early(connection, request);
+            return;
+        }
+        self.begin_routed(connection, request);
+    }
+
+    /// Whether there is a configuration, and a table of servers to go with it.
+    fn knows_routes_and_servers(&self) -> bool {
+        self.table.is_some() && self.feed.copy().servers().version().number > 0
+    }
+
+    /// What a request needs is on its way to this door, unless that is stopping.
+    fn keep_early(&mut self, connection: ConnectionId, request: Request) {
+        let begun_at = self.clients.begun_at(connection).unwrap_or(self.now);
+        let arrived = Arrived { request, begun_at };
+        let kept = if self.stopping_since.is_none() { self.early.keep(arrived) } else { None };
+        match kept {
+            Some(id) => self.clients.occupy(connection, Busy::Early(id)),
+            None => self.refuse(connection),
+        }
+    }
+
+    /// Nothing of the request has run.
+    fn refuse(&mut self, connection: ConnectionId) {
+        self.own_answer(connection, 503, &[("Retry-After", RETRY_AFTER)], b"");
+    }
+
+    /// Requests that waited go on once what they need is known; those that have waited for too long are refused.
+    pub(super) fn serve_early(&mut self) {
+        if self.knows_routes_and_servers() {
+            for (id, arrived) in self.early.take_all() {
+                if let Some(connection) = self.clients.connection_of(Busy::Early(id)) {
+                    self.begin_routed(connection, arrived.request);
+                }
+            }
+        }
+        let late = self.early.take_late(self.now);
+        self.refuse_early(late);
+    }
+
+    /// Requests that waited are answered with the promise that they haven't run.
+    pub(super) fn refuse_early(&mut self, refused: Vec<(EarlyId, Arrived)>) {
+        for (id, _) in refused {
+            if let Some(connection) = self.clients.connection_of(Busy::Early(id)) {
+                self.refuse(connection);
+                self.answered.push(connection);
+            }
+        }
+    }
+
+    fn begin_routed(&mut self, connection: ConnectionId, request: Request) {
         let Some(table) = self.table.clone() else {
-            // Nothing has run, and a configuration is on its way.
-            self.own_answer(connection, 503, &[("Retry-After", RETRY_AFTER)], b"");
+            self.refuse(connection);
             return;
         };
         let host = request.headers.get("host").unwrap_or_default();
@@ -146,7 +198,7 @@
             Answer::Server { head, body } => {
                 self.clients.pass_on(&mut self.network, connection, head, body, self.now);
             }
-            Answer::NeverRan(_) => self.own_answer(connection, 503, &[("Retry-After", RETRY_AFTER)], b""),
+            Answer::NeverRan(_) => self.refuse(connection),
             Answer::Unclear { status } => self.own_answer(connection, *status, &[], b""),
         }
         self.answered.push(connection);
@@ -159,6 +211,7 @@
                 self.requests.client_left(id, &mut commands);
                 self.run_requests(commands);
             }
+            Some(Busy::Early(id)) => self.early.forget(id),
             Some(Busy::Job(call)) => self.calls.forget(call),
             None => {}
         }
@@ -191,9 +244,7 @@
 
     /// Ready while it has a configuration and servers and isn't stopping.
     fn is_ready(&self) -> bool {
-        self.stopping_since.is_none()
-            && self.table.is_some()
-            && self.feed.copy().servers().version().number > 0
+        self.stopping_since.is_none() && self.knows_routes_and_servers()
     }
 
     pub(super) fn expire_clients(&mut self) {
