Control: questions after a load go on the connection of its order

Change: an order begins a connection as before; the questions that follow it go on that one until the load is done. A second answer to the order is no report, a second one to an earlier question says only that the load went on then (duty_of_orders.rs).

--- a/crates/signalbox/src/client.rs
+++ b/crates/signalbox/src/client.rs
@@ -1,8 +1,9 @@
 //! Calls of this machine to the platform and to servers over HTTP.
 //!
 //! An answer belongs to a call by the connection alone: these calls carry no id that comes back. Servers may send a
-//! second answer, late, so a call to one has a connection of its own. Only readings of the platform's list share
-//! kept connections, and only such that owe nothing in either direction.
+//! second answer, late, so an order begins a connection of its own. Only the questions that follow it, whose answers
+//! can't be taken for that to the order, share that connection, and readings of the platform's list share another one,
+//! while it owes nothing in either direction.
 
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -14,9 +15,9 @@
 const HEADER_LIMIT: usize = 64 << 10;
 /// Bytes sent on a kept connection may stay unacknowledged by the peer's machine for this time.
 const USER_TIMEOUT: Duration = Duration::from_millis(1_500);
-/// The same on a connection of its own, in milliseconds: longer the system doesn't send a request again that was lost on
+/// The same on a connection that an order begins, in milliseconds: longer the system doesn't send a request again that was lost on
 /// its way, so that an order reaches its server soon after it was sent or not at all.
-pub const OWN_USER_TIMEOUT_MS: u64 = 300;
+pub const NEW_USER_TIMEOUT_MS: u64 = 300;
 
 /// A request that isn't handed to the system within this time, in milliseconds, since its connection wasn't up or this
 /// process stood still, is never sent: a later order would reach its server after its sender's lease.
@@ -25,9 +26,10 @@
 /// Which connection carries a call.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
 pub enum Carrier {
-    /// A new one that is closed after the answer: whatever comes on it belongs to this call.
-    OwnConnection,
-    /// One that is kept between calls. For calls that may be repeated, to peers that answer each call once.
+    /// A new one, kept after the answer for calls that follow: no earlier call's answer can come on it.
+    NewConnection,
+    /// One that is kept between calls, or a new one. For calls that may be repeated, and whose answers can't be taken for
+    /// a second one to an earlier call.
     KeptConnection,
 }
 
@@ -35,7 +37,7 @@
     /// How long bytes that were sent may stay unacknowledged.
     pub fn user_timeout(self) -> Duration {
         match self {
-            Carrier::OwnConnection => Duration::from_millis(OWN_USER_TIMEOUT_MS),
+            Carrier::NewConnection => Duration::from_millis(NEW_USER_TIMEOUT_MS),
             Carrier::KeptConnection => USER_TIMEOUT,
         }
     }
@@ -103,7 +105,7 @@
     ) -> Result<(), P> {
         let kept = match destination.carrier {
             Carrier::KeptConnection => self.take_idle(network, destination.address),
-            Carrier::OwnConnection => None,
+            Carrier::NewConnection => None,
         };
         let connection = match kept {
             Some(connection) => connection,
@@ -122,6 +124,13 @@
         Ok(())
     }
 
+    /// Closes the kept connection to `address`: no more calls follow.
+    pub fn close_kept(&mut self, network: &mut Network, address: SocketAddrV4) {
+        if let Some(connection) = self.idle.remove(&address) {
+            network.forget(connection);
+        }
+    }
+
     /// The kept connection to `address`, unless it has ended or bytes have come on it that nobody asked for.
     fn take_idle(&mut self, network: &mut Network, address: SocketAddrV4) -> Option<ConnectionId> {
         let connection = self.idle.remove(&address)?;
@@ -151,8 +160,7 @@
             return None;
         }
         let call = self.calls.remove(&connection)?;
-        let keeps = call.destination.carrier == Carrier::KeptConnection && call.reader.reusable();
-        if keeps && owes_nothing(network, connection) {
+        if call.reader.reusable() && owes_nothing(network, connection) {
             if let Some(older) = self.idle.insert(call.destination.address, connection) {
                 network.forget(older);
             }
--- a/crates/signalbox/src/duties/mod.rs
+++ b/crates/signalbox/src/duties/mod.rs
@@ -16,7 +16,7 @@
 use orchidvalve_waybill::state::ModelUse;
 
 use self::orders::{order_outcome, order_under_way};
-use crate::client::{CONNECT_TIMEOUT_MS, Carrier, Destination, Finished, HttpClient, OWN_USER_TIMEOUT_MS};
+use crate::client::{CONNECT_TIMEOUT_MS, Carrier, Destination, Finished, HttpClient, NEW_USER_TIMEOUT_MS};
 use crate::discovery::{CALL_TIMEOUT_MS, POLL_INTERVAL_MS, Progress, RETRY_INTERVAL_MS, Reading};
 use crate::weights::{Holder, Order, OrderOutcome, WeightsPlanner};
 
@@ -27,7 +27,7 @@
 pub const ORDER_VALIDITY_MS: u64 = 450;
 /// An order arrives at its server at most this long after the last confirmation of its head: it is given, handed to the
 /// system and sent again by it after a loss on the way, each in its time.
-pub const ORDER_ARRIVAL_MS: u64 = ORDER_VALIDITY_MS + CONNECT_TIMEOUT_MS + OWN_USER_TIMEOUT_MS;
+pub const ORDER_ARRIVAL_MS: u64 = ORDER_VALIDITY_MS + CONNECT_TIMEOUT_MS + NEW_USER_TIMEOUT_MS;
 
 /// What a call of a duty is for.
 #[derive(Debug)]
@@ -216,13 +216,20 @@
                     log::info!("weights: order {order:?} ended as {outcome:?}");
                 }
                 self.planner.answered(now, &order, outcome);
+                if !matches!(outcome, OrderOutcome::Taken { already: false }) {
+                    self.end_questions(network, &order.instance);
+                }
                 self.publish(table, now)
             }
             Purpose::Report { instance } => {
                 let page = finished.answer.filter(|(head, _)| head.status == 200);
-                if let Some(busy) = page.and_then(|(_, body)| order_under_way(&body)) {
+                let busy = page.and_then(|(_, body)| order_under_way(&body));
+                if let Some(busy) = busy {
                     self.planner.reported(now, &instance, busy);
                 }
+                if busy != Some(true) {
+                    self.end_questions(network, &instance);
+                }
                 None
             }
             Purpose::ListPage { reading } if reading != self.reading_number => None,
@@ -233,6 +240,13 @@
         }
     }
 
+    /// No question follows the last order at the server: the connection that was kept for them ends.
+    fn end_questions(&mut self, network: &mut Network, instance: &str) {
+        if let Some(server) = self.listed.iter().find(|server| server.instance == instance) {
+            self.client.close_kept(network, server.address.socket());
+        }
+    }
+
     fn page_read(
         &mut self,
         network: &mut Network,
--- a/crates/signalbox/src/duties/orders.rs
+++ b/crates/signalbox/src/duties/orders.rs
@@ -67,7 +67,8 @@
             let single = state.models().get(&order.model).is_none_or(|m| m.single_version);
             log::info!("weights: {} is to load version {} of {}", order.instance, order.version, order.model);
             let request = self.order_request(&order, fence, if single { "wait" } else { "retain" });
-            let destination = to_server(address, now, ORDER_TIMEOUT_MS);
+            let carrier = Carrier::NewConnection;
+            let destination = to_server(address, carrier, now, ORDER_TIMEOUT_MS);
             let purpose = Purpose::Order(order);
             let started = self.client.start(network, destination, "POST", &request, purpose);
             if let Err(Purpose::Order(order)) = started {
@@ -87,7 +88,10 @@
             write_header(&mut request, "Expected-Instance", &instance);
             end_head(&mut request);
             let purpose = Purpose::Report { instance: instance.clone() };
-            let destination = to_server(server.address, now, REPORT_TIMEOUT_MS);
+            // A second answer to the order is no report, and one to an earlier question says no more than that the load went
+            // on then: neither can be taken for the end of the load.
+            let carrier = Carrier::KeptConnection;
+            let destination = to_server(server.address, carrier, now, REPORT_TIMEOUT_MS);
             // Without an answer the load counts as done when its time is over.
             let _ = self.client.start(network, destination, "GET", &request, purpose);
         }
@@ -115,10 +119,8 @@
     }
 }
 
-/// A call to a server: it may send a second answer, which must not meet the next call.
-fn to_server(address: NodeAddress, now: u64, timeout_ms: u64) -> Destination {
-    let (address, carrier) = (address.socket(), Carrier::OwnConnection);
-    Destination { address, carrier, begun_at: now, deadline: now + timeout_ms }
+fn to_server(address: NodeAddress, carrier: Carrier, now: u64, timeout_ms: u64) -> Destination {
+    Destination { address: address.socket(), carrier, begun_at: now, deadline: now + timeout_ms }
 }
 
 /// Whether a server's report says that an order is under way; None if it can't be read.
--- /dev/null
+++ b/crates/signalbox/tests/duty_of_orders.rs
@@ -0,0 +1,193 @@
+//! The duty of ordering weights, against a platform and a server over loopback: how the end of a load is learnt.
+
+#[path = "../../turnstile/tests/sockets_support/mod.rs"]
+mod sockets_support;
+
+use std::net::TcpListener;
+
+use orchidvalve_signalbox::duties::{Duties, DutyOptions};
+use orchidvalve_track::network::{Event, Network};
+use orchidvalve_track::server_table::ServerTable;
+use orchidvalve_waybill::state::{Change, ControlState};
+use serde_json::json;
+use sockets_support::*;
+
+const SINCE: u64 = 1_000;
+const LEASE_MS: u64 = 1_000;
+const TERM: u64 = 5;
+const MODEL: &str = "large";
+const ACCEPTED: &str = "HTTP/1.1 202 Accepted\r\nContent-Length: 0\r\n\r\n";
+
+struct Head {
+    network: Network,
+    duties: Duties,
+    table: ServerTable,
+    state: ControlState,
+    server: TcpListener,
+    now: u64,
+}
+
+fn json_answer(body: &serde_json::Value) -> String {
+    let body = body.to_string();
+    format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
+}
+
+fn report(busy: bool) -> String {
+    json_answer(&json!({ "stage": "both", "models": [], "utilization": busy, "sequence": 1 }))
+}
+
+impl Head {
+    /// A head that has read a list with one server, whose model has a version to load.
+    fn new() -> Head {
+        let (platform, platform_address) = listen();
+        let (server, server_address) = listen();
+        let options = DutyOptions {
+            name: "control".to_owned(),
+            platform: Some(platform_address),
+            lease_ms: LEASE_MS,
+            tolerance: 1,
+        };
+        let mut duties = Duties::new(options);
+        duties.view_changed(SINCE, 1, true, true);
+        duties.set_term(Some(TERM));
+        let mut state = ControlState::default();
+        state.apply(&Change::NameVersion { model: MODEL.to_owned(), version: 2 }).unwrap();
+        let network = Network::new().unwrap();
+        let mut head = Head { network, duties, table: ServerTable::default(), state, server, now: SINCE };
+        head.duties.poll_list(&mut head.network, SINCE);
+        let mut peer = head.accept_at(&platform);
+        let list = json!({ "instances": [{
+            "instance-id": "i-1", "service": "s", "address": server_address.to_string(), "zone": "z",
+            "config-version": "v1", "slots": 4, "state": "available", "cold-remaining-ms": 0,
+            "models": [{ "name": MODEL, "config-version": 1, "adapters": [] }],
+        }], "next-token": null });
+        peer.send(&json_answer(&list));
+        head.until(|head| head.table.servers().next().map(|_| ()));
+        head
+    }
+
+    fn turn(&mut self) {
+        for event in self.network.poll(TURN).unwrap() {
+            let finished = match event {
+                Event::Data(id) if self.duties.owns(id) => self.duties.client().data(&mut self.network, id),
+                Event::Closed { connection, .. } if self.duties.owns(connection) => {
+                    self.duties.client().closed(&mut self.network, connection)
+                }
+                _ => None,
+            };
+            if let Some(finished) = finished {
+                self.duties.finished(&mut self.network, finished, &mut self.table, self.now);
+            }
+        }
+    }
+
+    fn until<T>(&mut self, mut found: impl FnMut(&mut Head) -> Option<T>) -> T {
+        for _ in 0..MOST_TURNS {
+            if let Some(result) = found(self) {
+                return result;
+            }
+            self.turn();
+        }
+        panic!("it doesn't come");
+    }
+
+    fn accept_at(&mut self, listener: &TcpListener) -> Peer {
+        let mut peer = self.until(|_| listener.accept().ok().map(|(stream, _)| Peer::new(stream)));
+        self.next_request(&mut peer);
+        peer
+    }
+
+    /// The server's end of the connection of the next call.
+    fn accept(&mut self) -> Peer {
+        let mut peer = self.until(|head| head.server.accept().ok().map(|(stream, _)| Peer::new(stream)));
+        self.next_request(&mut peer);
+        peer
+    }
+
+    /// The next request on a connection.
+    fn next_request(&mut self, peer: &mut Peer) -> String {
+        let text = self.until(|_| {
+            peer.look();
+            peer.text().contains("\r\n\r\n").then(|| peer.text().to_owned())
+        });
+        peer.got.clear();
+        text
+    }
+
+    /// Gives orders and asks after loads.
+    fn order(&mut self, now: u64) {
+        self.now = now;
+        let (network, table) = (&mut self.network, &mut self.table);
+        self.duties.order_weights(network, &self.state, Some(now), table, now);
+    }
+
+    /// Whether doors are told of the model at the server, which they aren't while it loads.
+    fn is_offered(&self) -> bool {
+        self.table.servers().any(|server| !server.models.is_empty())
+    }
+
+    /// When the load is asked after for the first time, or next.
+    fn ask_due(&mut self) -> u64 {
+        self.duties.next_wakeup().max(self.now + 1)
+    }
+}
+
+/// An order under way whose load is asked after on the same connection.
+fn asked() -> (Head, Peer) {
+    let mut head = Head::new();
+    head.order(SINCE + LEASE_MS);
+    let mut peer = head.accept();
+    peer.send(ACCEPTED);
+    head.until(|head| (!head.is_offered()).then_some(()));
+    (0..10).for_each(|_| head.turn());
+    while head.is_offered() || peer.text().is_empty() {
+        let due = head.ask_due();
+        head.order(due);
+        head.turn();
+        peer.look();
+        assert!(due < SINCE + LEASE_MS + 2_000, "the load isn't asked after");
+    }
+    assert!(head.next_request(&mut peer).starts_with("GET /v1/report"));
+    (head, peer)
+}
+
+#[test]
+fn the_end_of_a_load_is_learnt_on_the_connection_of_its_order() {
+    let (mut head, mut peer) = asked();
+    peer.send(&report(false));
+    head.until(|_| {
+        peer.look();
+        peer.ended.then_some(())
+    });
+    head.order(head.now + 1);
+    assert!(head.is_offered());
+}
+
+#[test]
+fn a_second_answer_to_the_order_is_no_report() {
+    let (mut head, mut peer) = asked();
+    peer.send(ACCEPTED);
+    head.until(|_| {
+        peer.look();
+        peer.ended.then_some(())
+    });
+    head.order(head.now + 1);
+    assert!(!head.is_offered(), "the load goes on");
+}
+
+#[test]
+fn a_load_that_goes_on_is_asked_after_again_on_the_same_connection() {
+    let (mut head, mut peer) = asked();
+    peer.send(&report(true));
+    let mut text = String::new();
+    while text.is_empty() {
+        let due = head.ask_due();
+        head.order(due);
+        (0..3).for_each(|_| head.turn());
+        peer.look();
+        text = peer.text().to_owned();
+        assert!(due < SINCE + LEASE_MS + 4_000, "the load isn't asked after again");
+    }
+    assert!(text.starts_with("GET /v1/report"));
+    assert!(!head.is_offered());
+}
