Doors: a few copies are allowed however few requests a door takes

Change: a request that has missed its target is copied where fewer than three were in 30 s. The budget of generations is as it was.

--- a/crates/points/src/budget.rs
+++ b/crates/points/src/budget.rs
@@ -34,11 +34,20 @@
 
     /// Whether one more copy still leaves copies under their share.
     pub fn allows_copy(&self, now: u64) -> bool {
+        let (generations, copies) = self.recent(now);
+        (copies + 1) * COPY_SHARE < generations
+    }
+
+    /// Whether one more copy makes no more than `reserve` of them, however few generations there are: a share of few
+    /// is none.
+    pub fn allows_reserved(&self, now: u64, reserve: u64) -> bool {
+        self.recent(now).1 < reserve
+    }
+
+    fn recent(&self, now: u64) -> (u64, u64) {
         let oldest = (now / BUCKET_MS).saturating_sub(BUCKETS as u64 - 1);
         let recent = self.buckets.iter().filter(|bucket| bucket.second >= oldest);
-        let (generations, copies) =
-            recent.fold((0, 0), |(g, c), bucket| (g + bucket.generations, c + bucket.copies));
-        (copies + 1) * COPY_SHARE < generations
+        recent.fold((0, 0), |(g, c), bucket| (g + bucket.generations, c + bucket.copies))
     }
 
     fn bucket(&mut self, now: u64) -> &mut Bucket {
--- a/crates/turnstile/src/requests/pending.rs
+++ b/crates/turnstile/src/requests/pending.rs
@@ -6,8 +6,8 @@
 use orchidvalve_track::http::{Request, ResponseHead};
 use orchidvalve_waybill::{Route, RouteTable, RouteType};
 
-use super::SendId;
 use super::passing::Passing;
+use super::{DEFAULT_DEADLINE_MS, SendId};
 use crate::fleet::ServerKey;
 use crate::runs::{NeverRan, Repetition, Runs, SendPermit, SurelyNotRun};
 
@@ -100,6 +100,11 @@
         self.destination.service()
     }
 
+    /// The time within which an answer is wanted, in milliseconds.
+    pub fn target_ms(&self) -> u64 {
+        self.route().target_latency_ms.unwrap_or(DEFAULT_DEADLINE_MS)
+    }
+
     /// Begins a send to `server`; None where the request may run only once and may already have.
     pub fn begin_send(
         &mut self,
--- a/crates/turnstile/src/requests/sending.rs
+++ b/crates/turnstile/src/requests/sending.rs
@@ -4,13 +4,16 @@
 
 use super::passing::Passing;
 use super::pending::Counting;
-use super::{DEFAULT_DEADLINE_MS, RequestCommand, RequestId, Requests, SendId};
+use super::{RequestCommand, RequestId, Requests, SendId};
 use crate::fleet::{Fleet, ServerKey};
 use crate::runs::SurelyNotRun;
 use crate::upstream::Failure;
 
 /// Pause before a refused request is tried at further servers.
 const REFUSED_PAUSE_MS: u64 = 15;
+/// Copies within [`orchidvalve_points::WINDOW_MS`] that don't have to be a small share of the requests, for requests that
+/// have missed their target: a door that takes few would never copy one whose server has fallen silent.
+const RESERVED_COPIES: u64 = 3;
 /// Least delay of a copy.
 const LEAST_COPY_DELAY_MS: u64 = 20;
 
@@ -60,7 +63,7 @@
     /// Sets the time at which a second server is asked.
     fn plan_copy(&mut self, now: u64, id: RequestId) {
         let Some(pending) = self.pending.get_mut(&id).filter(|p| p.may_be_copied()) else { return };
-        let target = pending.route().target_latency_ms.unwrap_or(DEFAULT_DEADLINE_MS);
+        let target = pending.target_ms();
         let service = pending.service();
         if !self.latencies.contains_key(service) {
             self.latencies.insert(service.to_owned(), Latencies::new(target));
@@ -71,10 +74,20 @@
 
     /// Sends a late request to a second server as well.
     pub(super) fn copy(&mut self, now: u64, id: RequestId, fleet: &Fleet, out: &mut Vec<RequestCommand>) {
-        let Some(pending) = self.pending.get(&id) else { return };
-        if pending.open_sends() != 1 || !pending.sends_left() || !self.copies.allows_copy(now) {
+        let Some(pending) = self.pending.get_mut(&id) else { return };
+        if pending.open_sends() != 1 || !pending.sends_left() {
             return;
         }
+        if !self.copies.allows_copy(now) {
+            let overdue_at = pending.arrived_at + pending.target_ms();
+            if now < overdue_at {
+                pending.copy_at = Some(overdue_at);
+                return;
+            }
+            if !self.copies.allows_reserved(now, RESERVED_COPIES) {
+                return;
+            }
+        }
         let service = pending.service();
         if fleet.choose(service, &self.zone, &pending.tried, now, &mut self.random).is_some() {
             self.copies.count_copy(now);
--- a/crates/turnstile/tests/requests.rs
+++ b/crates/turnstile/tests/requests.rs
@@ -347,6 +347,31 @@
     assert_eq!(table.sends.len(), 1);
 }
 
+/// Target latency of the routes, in milliseconds.
+const TARGET_MS: u64 = 400;
+
+/// A door that takes few requests: a share of them would be no copy at all.
+#[test]
+fn a_few_copies_are_allowed_however_few_requests_there_are() {
+    let mut table = Table::new(6);
+    let mut copied = Vec::new();
+    for _ in 0..5 {
+        table.sends.clear();
+        let id = table.begin("repeat");
+        table.pass(TARGET_MS - 1);
+        assert_eq!(table.sends.len(), 1);
+        table.pass(1);
+        copied.push(table.sends.len() - 1);
+        table.leave(id);
+    }
+    assert_eq!(copied, [1, 1, 1, 0, 0]);
+    table.now += orchidvalve_points::WINDOW_MS;
+    table.sends.clear();
+    table.begin("repeat");
+    table.pass(TARGET_MS);
+    assert_eq!(table.sends.len(), 2);
+}
+
 #[test]
 fn copies_stay_within_their_budget() {
     let mut table = Table::new(3);
