Doors: of equal servers the one to which a connection is kept gets the request

Change: after fewest exchanges and zone, a server whose connection is kept goes first, unless its last answer took three times as long as is usual or it failed since.

--- a/crates/turnstile/src/fleet.rs
+++ b/crates/turnstile/src/fleet.rs
@@ -18,6 +18,10 @@
 const LONGEST_PAUSE_MS: u64 = 1_000;
 /// A server that fails so many requests in a row with errors of its own is paused.
 const ERRORS_IN_A_ROW: u32 = 3;
+/// An answer that took so many times as long as is usual at its service is slow.
+const SLOW_FACTOR: f64 = 3.0;
+/// Weight of a new latency in what is usual.
+const LATENCY_WEIGHT: f64 = 0.1;
 
 /// One start of a server.
 #[derive(Clone, Debug)]
@@ -32,6 +36,18 @@
     failures: u32,
     errors: u32,
     paused_until: u64,
+    /// Up to then a connection of this door to it is kept, and its last answer wasn't slow.
+    warm_until: u64,
+}
+
+/// An answer that a server gave.
+#[derive(Clone, Copy, Debug)]
+pub struct Answered {
+    pub at: u64,
+    /// How long it took.
+    pub latency_ms: u64,
+    /// How long its connection is kept.
+    pub kept_ms: u64,
 }
 
 /// All servers.
@@ -40,6 +56,8 @@
     keys: HashMap<String, ServerKey>,
     servers: HashMap<ServerKey, Server>,
     by_service: HashMap<CompactString, Vec<ServerKey>>,
+    /// Usual latency of each service, in milliseconds.
+    latencies: HashMap<String, f64>,
     next: ServerKey,
 }
 
@@ -90,6 +108,7 @@
             failures: 0,
             errors: 0,
             paused_until: 0,
+            warm_until: 0,
         };
         self.keys.insert(entry.instance.clone(), key);
         self.servers.insert(key, server);
@@ -111,8 +130,9 @@
         self.servers.get(&key)
     }
 
-    /// The server with the fewest exchanges of this door; then one of this zone; ties at random. Servers in
-    /// `excluded` and those that are leaving aren't taken; paused ones only where there is no other.
+    /// The server with the fewest exchanges of this door; then one of this zone; then one to which a connection is kept,
+    /// unless its last answer was slow; ties at random. Servers in `excluded` and those that are leaving aren't taken;
+    /// paused ones only where there is no other.
     pub fn choose(
         &self,
         service: &str,
@@ -124,7 +144,8 @@
         let keys = self.by_service.get(service)?;
         let servers = keys.iter().filter_map(|k| self.servers.get(k));
         let usable = servers.filter(|s| !s.entry.draining && !excluded.contains(&s.key));
-        let rank = |s: &Server| (now < s.paused_until, s.in_flight, s.entry.zone != zone);
+        let rank =
+            |s: &Server| (now < s.paused_until, s.in_flight, s.entry.zone != zone, now >= s.warm_until);
         let mut best: Option<(&Server, u32)> = None;
         for server in usable {
             best = match best {
@@ -154,12 +175,16 @@
     }
 
     /// The server answered.
-    pub fn succeeded(&mut self, key: ServerKey) {
-        if let Some(server) = self.servers.get_mut(&key) {
-            server.failures = 0;
-            server.errors = 0;
-            server.paused_until = 0;
-        }
+    pub fn succeeded(&mut self, key: ServerKey, answered: Answered) {
+        let Some(server) = self.servers.get_mut(&key) else { return };
+        server.failures = 0;
+        server.errors = 0;
+        server.paused_until = 0;
+        let latency = answered.latency_ms as f64;
+        let usual = self.latencies.entry(server.entry.service.clone()).or_insert(latency);
+        let slow = latency > *usual * SLOW_FACTOR;
+        *usual += LATENCY_WEIGHT * (latency - *usual);
+        server.warm_until = if slow { 0 } else { answered.at.saturating_add(answered.kept_ms) };
     }
 
     /// The server answered with an error of its own.
@@ -177,6 +202,7 @@
             let pause = (FIRST_PAUSE_MS << server.failures.min(6)).min(LONGEST_PAUSE_MS);
             server.failures += 1;
             server.paused_until = now + pause;
+            server.warm_until = 0;
         }
     }
 
--- a/crates/turnstile/src/requests/answering.rs
+++ b/crates/turnstile/src/requests/answering.rs
@@ -5,9 +5,9 @@
 use super::answers::{is_failure, is_promise, is_stamped, is_success};
 use super::pending::Send;
 use super::{Answer, RequestCommand, RequestId, Requests, SendId};
-use crate::fleet::Fleet;
+use crate::fleet::{Answered, Fleet};
 use crate::runs::SurelyNotRun;
-use crate::upstream::Failure;
+use crate::upstream::{Failure, kept_ms};
 
 impl Requests {
     /// The answer of a send is whole by its framing.
@@ -34,7 +34,10 @@
         }
         match head.status {
             500.. => fleet.errored(ended.server, now),
-            _ => fleet.succeeded(ended.server),
+            _ => fleet.succeeded(
+                ended.server,
+                Answered { at: now, latency_ms: now.saturating_sub(ended.sent_at), kept_ms: kept_ms(&head) },
+            ),
         }
         if passed {
             self.end_stream(id, out);
--- a/crates/turnstile/src/upstream/idle.rs
+++ b/crates/turnstile/src/upstream/idle.rs
@@ -143,7 +143,12 @@
         && network.queued_bytes(connection) == 0
 }
 
-/// How long a connection may be kept idle after this answer, in milliseconds, where the server says so.
+/// How long a connection is kept idle after this answer, in milliseconds.
+pub fn kept_ms(head: &ResponseHead) -> u64 {
+    stated_idle_ms(head).unwrap_or(DEFAULT_IDLE_MS)
+}
+
+/// The same where the server says so.
 pub(super) fn stated_idle_ms(head: &ResponseHead) -> Option<u64> {
     let parts = head.headers.get("keep-alive")?.split(',');
     let seconds = parts.filter_map(|p| p.trim().strip_prefix("timeout=")).next()?;
--- a/crates/turnstile/src/upstream/mod.rs
+++ b/crates/turnstile/src/upstream/mod.rs
@@ -13,5 +13,6 @@
 mod sent_ids;
 mod upstreams;
 
+pub use idle::kept_ms;
 pub use messages::{ExchangeId, Failure, Outbound, Repetition, UpstreamEvent};
 pub use upstreams::{CONNECT_TIMEOUT_MS, Upstreams};
--- a/crates/turnstile/tests/fleet.rs
+++ b/crates/turnstile/tests/fleet.rs
@@ -5,7 +5,7 @@
 use std::net::Ipv4Addr;
 
 use orchidvalve_track::identity::NodeAddress;
-use orchidvalve_turnstile::fleet::{Fleet, ServerKey, slot_part};
+use orchidvalve_turnstile::fleet::{Answered, Fleet, ServerKey, slot_part};
 use rand_pcg::Pcg64Mcg;
 use requests_support::{SERVICE, Servers, ZONE, entry};
 use rstest::rstest;
@@ -29,6 +29,44 @@
     (servers, keys)
 }
 
+/// An answer whose connection is kept for a second.
+fn answered(latency_ms: u64) -> Answered {
+    Answered { at: NOW, latency_ms, kept_ms: 1_000 }
+}
+
+/// How often each of the servers is chosen of a thousand times.
+fn chosen(fleet: &Fleet, keys: &[ServerKey], now: u64) -> Vec<usize> {
+    let mut random = Pcg64Mcg::new(9);
+    let mut counts = vec![0; keys.len()];
+    for _ in 0..1_000 {
+        let key = fleet.choose(SERVICE, ZONE, &[], now, &mut random).unwrap();
+        counts[keys.iter().position(|k| *k == key).unwrap()] += 1;
+    }
+    counts
+}
+
+#[test]
+fn of_equal_servers_one_with_a_kept_connection_is_chosen_as_long_as_it_is_kept() {
+    let (mut servers, keys) = servers(4);
+    servers.fleet.succeeded(keys[2], answered(20));
+    assert_eq!(chosen(&servers.fleet, &keys, NOW + 999), [0, 0, 1_000, 0]);
+    assert!(chosen(&servers.fleet, &keys, NOW + 1_000).iter().all(|count| *count > 150));
+    servers.fleet.begun(keys[2]);
+    assert_eq!(chosen(&servers.fleet, &keys, NOW)[2], 0, "the number of exchanges goes first");
+}
+
+#[rstest]
+#[case::a_slow_answer(|fleet: &mut Fleet, key| fleet.succeeded(key, answered(61)))]
+#[case::a_failure(|fleet: &mut Fleet, key| fleet.failed(key, NOW - 100))]
+fn a_server_in_trouble_is_not_preferred_for_its_connection(#[case] trouble: fn(&mut Fleet, ServerKey)) {
+    let (mut servers, keys) = servers(4);
+    servers.fleet.succeeded(keys[2], answered(20));
+    trouble(&mut servers.fleet, keys[2]);
+    assert!(chosen(&servers.fleet, &keys, NOW).iter().all(|count| *count > 150));
+    servers.fleet.succeeded(keys[2], answered(20));
+    assert_eq!(chosen(&servers.fleet, &keys, NOW), [0, 0, 1_000, 0]);
+}
+
 #[test]
 fn the_server_with_the_fewest_exchanges_is_chosen() {
     let (mut servers, keys) = servers(3);
@@ -97,7 +135,7 @@
     assert_eq!(choose(&servers.fleet, &[], now + pause - 1).as_deref(), Some("b"));
     assert_eq!(choose(&servers.fleet, &[], now + pause).as_deref(), Some("a"));
     servers.fleet.failed(keys[0], now);
-    servers.fleet.succeeded(keys[0]);
+    servers.fleet.succeeded(keys[0], answered(20));
     assert_eq!(choose(&servers.fleet, &[], now).as_deref(), Some("a"));
 }
 
@@ -116,7 +154,7 @@
     let errored = |servers: &mut Servers| servers.fleet.errored(keys[0], NOW);
     errored(&mut servers);
     errored(&mut servers);
-    servers.fleet.succeeded(keys[0]);
+    servers.fleet.succeeded(keys[0], answered(20));
     errored(&mut servers);
     errored(&mut servers);
     assert_eq!(choose(&servers.fleet, &[], NOW).as_deref(), Some("a"));
