--- a/crates/signalbox/tests/core_planted.rs
+++ b/crates/signalbox/tests/core_planted.rs
@@ -38,6 +38,7 @@
 #[case::acknowledged_before_commit(Sabotage::EarlyAnswers, Day::Kill, &["isn't committed", "isn't noted"])]
 #[case::lying_disks(Sabotage::LyingDisks, Day::HerdPowerLoss, &["told another change", "are known", "no_order", "a read saw"])]
 #[case::reads_without_barrier(Sabotage::LocalReads, Day::LongCut, &["a read saw"])]
+#[case::reads_without_barrier_in_halves(Sabotage::LocalReads, Day::Halves, &["a read saw"])]
 #[case::refusals_without_barrier(Sabotage::LocalRefusals, Day::LongCut, &["NoOrder", "refused but is in force"])]
 #[case::refusals_confirmed(Sabotage::RefusalsAsDone, Day::Kill, &["isn't committed", "same base"])]
 #[case::resends_refused(Sabotage::DoneAsRefusals, Day::Kill, &["a proper call"])]
--- a/crates/signalbox/tests/core_worst_days.rs
+++ b/crates/signalbox/tests/core_worst_days.rs
@@ -96,6 +96,7 @@
         Day::QuickRestarts,
         Day::CutAndReset,
         Day::FollowerRestarts,
+        Day::Halves,
         Day::EverythingInTurn,
         Day::Mixed
     )]
--- a/crates/signalbox/tests/support/cuts.rs
+++ b/crates/signalbox/tests/support/cuts.rs
@@ -113,6 +113,20 @@
         }
     }
 
+    /// Cuts half of the machines off from the other half. Nobody else is on either side.
+    pub fn cut_in_halves(&mut self, down: u64) {
+        let mut half = self.living();
+        half.shuffle(&mut self.random);
+        let others = half.split_off(half.len() / 2);
+        self.trace(|| format!("machines {half:?} are cut off from {others:?}"));
+        for machine in &half {
+            self.cut_from(*machine, &others, Ways::Both);
+            self.take_side(*machine, Side::Open);
+            self.machines[*machine].disturbed_until = self.now + DISTURBED_MS;
+        }
+        self.end_group_cut(&half, &others, down, CutEnding::Healed);
+    }
+
     fn strike_in(&mut self, delay: u64, trouble: Trouble) {
         self.schedule(delay, Event::Script(ScriptEvent::Strike(trouble)));
     }
--- a/crates/signalbox/tests/support/days.rs
+++ b/crates/signalbox/tests/support/days.rs
@@ -61,13 +61,15 @@
     CutAndReset,
     /// Followers are restarted, and move, while machines are.
     FollowerRestarts,
+    /// The machines are cut into halves; one of them is lost meanwhile, with its disk or without, or right as it heals.
+    Halves,
     /// A loss of all, a wipe after an acknowledgement, a replacement and a cut.
     EverythingInTurn,
     /// Five to eight kinds of troubles of the deployments, several at the same time; see [`super::mix`].
     Mixed,
 }
 
-pub const DAYS: [Day; 27] = [
+pub const DAYS: [Day; 28] = [
     Day::LongCut,
     Day::Kill,
     Day::PowerLoss,
@@ -93,6 +95,7 @@
     Day::QuickRestarts,
     Day::CutAndReset,
     Day::FollowerRestarts,
+    Day::Halves,
     Day::EverythingInTurn,
     Day::Mixed,
 ];
@@ -285,6 +288,13 @@
                     self.strike(Trouble::Kill { target: restarted, down: 50 }, 50);
                 }
             }
+            Day::Halves => {
+                let down = 1_000 + down;
+                self.steps.push(Step { at: self.now, trouble: Trouble::CutInHalves { down } });
+                self.now += self.random.random_range(0..down + 300);
+                let loss = self.loss(target);
+                self.strike(loss, down + 3_000);
+            }
             Day::EverythingInTurn => {
                 self.strike(Trouble::KillAll { back_within: 1_000 }, 1_000);
                 let target = self.target();
--- a/crates/signalbox/tests/support/script.rs
+++ b/crates/signalbox/tests/support/script.rs
@@ -129,6 +129,10 @@
         ending: CutEnding,
         lure: Option<Lure>,
     },
+    /// The machines are cut into two halves, whatever may be lost at once; operators and followers reach both.
+    CutInHalves {
+        down: u64,
+    },
     /// The machine at a seed's address goes for good; an empty one at another address takes its place among the seeds.
     ReplaceSeed {
         seed: usize,
@@ -323,6 +327,7 @@
                 world.schedule(down, Event::Script(ScriptEvent::NodeFast { machine: m }));
             }),
             Trouble::CutGroup { ways, down, ending, lure } => self.cut_group_off(ways, down, ending, lure),
+            Trouble::CutInHalves { down } => self.cut_in_halves(down),
             Trouble::ReplaceSeed { seed, after } => self.replace_seed(seed, after),
             Trouble::AfterAcknowledgement(_) | Trouble::AfterSend(_) => {}
         }
