Stores: groups beyond what a trainer waits for wait for half of its time

Cause: spare groups went to doors as soon as these were idle; most were cut when the job ended, each cut run costing its connection and slots that other jobs waited for. Change: they go out once half of the route's target time is over, where the door is idle as before.

--- a/crates/goodsyard/src/handout.rs
+++ b/crates/goodsyard/src/handout.rs
@@ -26,9 +26,14 @@
     Spare,
 }
 
+/// Groups that are needed only if others fail are begun once this part of the job's time is over.
+const SPARE_WAIT_PART: u64 = 2;
+
 /// A job with groups to hand out.
 struct Candidate {
     due: u64,
+    /// From then on spare groups are begun.
+    spare_from: u64,
     partition: u16,
     id: CompactString,
 }
@@ -49,7 +54,8 @@
     let candidates = candidates(partitions);
     let mut batches = Batches::new();
     for pass in [Pass::Needed, Pass::Spare] {
-        for candidate in &candidates {
+        let begins = |candidate: &&Candidate| pass == Pass::Needed || moment.wall >= candidate.spare_from;
+        for candidate in candidates.iter().filter(begins) {
             let Some(partition) = partitions.get_mut(&candidate.partition) else { continue };
             if let Some(open) = partition.jobs.open_mut(&candidate.id) {
                 hand_out_job(open, candidate, pass, doors, moment.steady, &mut batches);
@@ -69,6 +75,7 @@
         let waiting = partition.jobs.iter_open().filter(|(_, _, open)| has_waiting_group(open));
         candidates.extend(waiting.map(|(id, job, _)| Candidate {
             due: job.accepted_at_ms + job.target_run_ms,
+            spare_from: job.accepted_at_ms + job.target_run_ms / SPARE_WAIT_PART,
             partition: number,
             id: id.clone(),
         }));
--- a/crates/goodsyard/tests/groups.rs
+++ b/crates/goodsyard/tests/groups.rs
@@ -6,7 +6,7 @@
 
 use orchidvalve_goodsyard::DOOR_TIMEOUT_MS;
 use orchidvalve_track::messages::ToStore;
-use support::{World, job, member};
+use support::{TARGET_RUN_MS, World, job, member};
 
 fn groups_of(world: &World, door: u64) -> Vec<u32> {
     world.doors[&door].assigned.iter().map(|(_, group)| group.index).collect()
@@ -46,12 +46,30 @@
     world.submit(1, 0, "j", job("j", 20, 1, 4));
     world.run();
     // Four and a margin of two; then nothing, since more than half of the room is taken.
+    world.advance(TARGET_RUN_MS / 2);
+    world.run();
     assert_eq!(groups_of(&world, 1).len(), 6);
     world.report(1, 0, "j", &["j-0-0", "j-1-0", "j-2-0"]);
     world.run();
     assert_eq!(groups_of(&world, 1).len(), 7);
 }
 
+#[test]
+fn groups_beyond_what_the_trainer_waits_for_wait_for_half_of_the_time() {
+    let mut world = World::placed(2, 2);
+    world.door_up(1, 1);
+    world.submit(1, 0, "j", job("j", 20, 1, 1));
+    world.run();
+    // One and a margin of two, though the door is idle.
+    assert_eq!(groups_of(&world, 1).len(), 3);
+    world.advance(TARGET_RUN_MS / 2 - 300);
+    world.run();
+    assert_eq!(groups_of(&world, 1).len(), 3);
+    world.advance(600);
+    world.run();
+    assert!(groups_of(&world, 1).len() > 3);
+}
+
 #[test]
 fn the_job_that_is_due_first_goes_first() {
     let mut world = World::placed(2, 2);
