Doors: servers that fall silent are left alone for longer, and looked at on new connections

Cause: a server of which nothing was heard was tried again after 50 ms, and each try cost an item 2 s before its first event or 1 s between two; an item could meet several such servers in a row, its allowance doubling each time. Plain requests may be copied from half of their target on where their door copies few, so that the copy is in time.

--- a/crates/turnstile/src/generations/calls.rs
+++ b/crates/turnstile/src/generations/calls.rs
@@ -216,6 +216,11 @@
         /// The send.
         attempt: AttemptId,
     },
+    /// Close idle connections to the server, which has fallen silent: on a new one it is soonest seen whether it is back.
+    Distrust {
+        /// The server.
+        server: ServerKey,
+    },
     /// Post the item's reward call to the server.
     SendReward {
         /// Names the call in what follows.
--- a/crates/turnstile/src/generations/servers.rs
+++ b/crates/turnstile/src/generations/servers.rs
@@ -11,6 +11,11 @@
 const FIRST_PAUSE_MS: u64 = 50;
 /// The longest pause of this kind.
 const LONGEST_PAUSE_MS: u64 = 800;
+/// A server that has fallen silent is left alone this long at first, in milliseconds; the time doubles. Each try there costs
+/// an item as long as it takes to see the silence.
+const FIRST_SILENT_PAUSE_MS: u64 = 800;
+/// The longest pause of this kind.
+const LONGEST_SILENT_PAUSE_MS: u64 = 3_200;
 /// The longest wish of a server to be left alone that is heeded.
 const LONGEST_RETRY_AFTER_MS: u64 = 2_000;
 /// From this many failures in a row on, a server gets one generation at a time.
@@ -227,6 +232,16 @@
         self.pause(key, now + pause);
     }
 
+    /// Nothing is heard of the server: it is left alone for longer than one that fails.
+    pub fn silent(&mut self, key: ServerKey, now: u64) {
+        let Some(server) = self.table.get_mut(&key).filter(|server| server.pause_until <= now) else {
+            return;
+        };
+        let pause = doubled(FIRST_SILENT_PAUSE_MS, server.failures).min(LONGEST_SILENT_PAUSE_MS);
+        server.failures = server.failures.saturating_add(1);
+        self.pause(key, now + pause);
+    }
+
     /// The server took a request in.
     pub fn accepted(&mut self, key: ServerKey) {
         if let Some(server) = self.table.get_mut(&key) {
@@ -287,7 +302,11 @@
 }
 
 fn pause_ms(times: u32) -> u64 {
-    (FIRST_PAUSE_MS << times.saturating_sub(1).min(16)).min(LONGEST_PAUSE_MS)
+    doubled(FIRST_PAUSE_MS, times.saturating_sub(1)).min(LONGEST_PAUSE_MS)
+}
+
+fn doubled(first_ms: u64, times: u32) -> u64 {
+    first_ms << times.min(16)
 }
 
 /// Takes an observation into a running average; 0 stands for no observation yet.
--- a/crates/turnstile/src/generations/streams.rs
+++ b/crates/turnstile/src/generations/streams.rs
@@ -10,9 +10,9 @@
 use super::timers::Timer;
 
 /// The least silence between events after which a stream is given up, in milliseconds.
-const LEAST_SILENCE_MS: u64 = 1_000;
-/// The same before the first event, when the item may have to wait for a slot.
-const LEAST_FIRST_SILENCE_MS: u64 = 2_000;
+const LEAST_SILENCE_MS: u64 = 600;
+/// The same before the first event.
+const LEAST_FIRST_SILENCE_MS: u64 = 800;
 /// A stream is given up after a silence of this many times the usual one.
 const SILENCE_FACTOR: f64 = 6.0;
 /// Before any silence is known: this part of the time in which all is due.
@@ -119,11 +119,12 @@
             Outcome::Status { code: 429 | 503, retry_after_ms, .. } => {
                 self.servers.refused(run.server, now, retry_after_ms);
             }
-            Outcome::Complete | Outcome::Status { .. } | Outcome::Broken | Outcome::ConnectFailed => {
+            Outcome::Complete | Outcome::Status { .. } | Outcome::Broken => {
                 self.server_failed(now, run.server);
             }
+            Outcome::ConnectFailed => self.server_silent(now, run.server, out),
             Outcome::Stalled => {
-                self.server_failed(now, run.server);
+                self.server_silent(now, run.server, out);
                 if let Some(item) = self.item(run.generation) {
                     item.stalls += 1;
                 }
@@ -333,6 +334,12 @@
         self.refresh_limit(server);
     }
 
+    fn server_silent(&mut self, now: u64, server: ServerKey, out: &mut Vec<Command>) {
+        self.servers.silent(server, now);
+        self.refresh_limit(server);
+        out.push(Command::Distrust { server });
+    }
+
     fn note_pace(&mut self, run: &Attempt) {
         let Some(gap_ms) = run.gap_ms() else { return };
         self.servers.observe_pace(run.server, gap_ms);
--- a/crates/turnstile/src/process/work.rs
+++ b/crates/turnstile/src/process/work.rs
@@ -138,6 +138,11 @@
                     self.drop_exchange(exchange);
                 }
             }
+            Command::Distrust { server } => {
+                if let Some(server) = self.fleet.get(server) {
+                    self.upstreams.close_idle(&mut self.network, server.address);
+                }
+            }
             Command::SendReward { call, server, item, deadline_ms } => {
                 let target = self.fleet.get(server).map(|s| (s.address, s.entry.instance.clone()));
                 let exchange = target.and_then(|(address, instance)| {
--- a/crates/turnstile/src/requests/sending.rs
+++ b/crates/turnstile/src/requests/sending.rs
@@ -11,8 +11,10 @@
 
 /// Pause before a refused request is tried at further servers.
 const REFUSED_PAUSE_MS: u64 = 15;
-/// Copies within [`orchidvalve_points::WINDOW_MS`] that don't have to be a small share of the requests, for requests that
-/// have missed their target: a door that takes few would never copy one whose server has fallen silent.
+/// A request is overdue once this part of its target is over: a copy then may still be in time.
+const OVERDUE_PART: u64 = 2;
+/// Copies within [`orchidvalve_points::WINDOW_MS`] that don't have to be a small share of the requests, for those that
+/// are overdue: a door that takes few would never copy one whose server has fallen silent.
 const RESERVED_COPIES: u64 = 3;
 /// Least delay of a copy.
 const LEAST_COPY_DELAY_MS: u64 = 20;
@@ -79,7 +81,7 @@
             return;
         }
         if !self.copies.allows_copy(now) {
-            let overdue_at = pending.arrived_at + pending.target_ms();
+            let overdue_at = pending.arrived_at + pending.target_ms() / OVERDUE_PART;
             if now < overdue_at {
                 pending.copy_at = Some(overdue_at);
                 return;
--- a/crates/turnstile/src/upstream/idle.rs
+++ b/crates/turnstile/src/upstream/idle.rs
@@ -116,6 +116,14 @@
         }
     }
 
+    /// Closes all idle connections to `server`.
+    pub(super) fn close_all(&mut self, network: &mut Network, server: &SocketAddrV4) {
+        for idle in self.by_server.remove(server).unwrap_or_default() {
+            self.servers.remove(&idle.connection);
+            network.forget(idle.connection);
+        }
+    }
+
     /// Closes the connections that have been idle for too long.
     pub(super) fn close_old(&mut self, network: &mut Network, now: u64) {
         if now < self.next_search {
--- a/crates/turnstile/src/upstream/upstreams.rs
+++ b/crates/turnstile/src/upstream/upstreams.rs
@@ -102,6 +102,11 @@
         }
     }
 
+    /// Closes the idle connections to `server`.
+    pub fn close_idle(&mut self, network: &mut Network, server: SocketAddrV4) {
+        self.idle.close_all(network, &server);
+    }
+
     /// Drops an exchange with its connection.
     pub fn cancel(&mut self, network: &mut Network, exchange: ExchangeId) {
         if let Some(connection) = self.connections.remove(&exchange) {
--- a/crates/turnstile/tests/upstream.rs
+++ b/crates/turnstile/tests/upstream.rs
@@ -355,6 +355,15 @@
     assert_eq!(door.reuses(&mut peer, runs_once), reused);
 }
 
+#[test]
+fn idle_connections_to_a_server_that_fell_silent_are_closed() {
+    let mut door = Door::new();
+    let mut peer = door.exchange(ANSWER);
+    door.upstreams.close_idle(&mut door.network, door.server);
+    door.dropped(&mut peer);
+    assert!(!door.reuses(&mut peer, false));
+}
+
 #[test]
 fn old_idle_connections_are_closed() {
     let mut door = Door::new();
