Stores and doors: a door that control machines don't reach gets no groups, and gives back what it can't run

Change: stores follow the list of workers in the feed and hand groups to these only; a door without a session for 0.5 s gives back groups of which nothing runs and that no server it knows of could run. Where all control machines are away no version is named either, so nothing goes back then. Tests: only_doors_that_run_generations_get_groups, a_group_that_no_known_server_could_run_is_given_up and those beside them.

--- a/crates/goodsyard/src/doors.rs
+++ b/crates/goodsyard/src/doors.rs
@@ -1,6 +1,6 @@
 //! The doors that groups are handed to.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, BTreeSet};
 
 use orchidvalve_track::identity::NodeAddress;
 use orchidvalve_track::messages::Introduction;
@@ -23,6 +23,8 @@
     heard: u64,
     /// Whether it was silent for so long that its groups were given to others.
     silent: bool,
+    /// Whether it is among the doors that run generations, by the control machines' word.
+    worker: bool,
     /// Share of a core.
     share: f32,
     /// Generations it can have in flight or queued.
@@ -36,6 +38,7 @@
     pub fn has_room(&self, items: u32) -> bool {
         self.link.is_some()
             && !self.silent
+            && self.worker
             && self.limit > 0
             && (self.out == 0 || self.out + items <= self.limit)
     }
@@ -73,6 +76,8 @@
     doors: BTreeMap<DoorId, Door>,
     links: BTreeMap<u64, DoorId>,
     next: DoorId,
+    /// Doors that run generations; None as long as nobody has said which.
+    workers: Option<BTreeSet<NodeAddress>>,
 }
 
 impl Doors {
@@ -107,6 +112,7 @@
             newest_link: link,
             heard: now,
             silent: false,
+            worker: self.is_worker(address),
             share: introduction.share,
             limit: 0,
             out: 0,
@@ -134,6 +140,18 @@
         Some((id, std::mem::take(&mut door.silent)))
     }
 
+    /// The doors that run generations from now on: no other ones get groups. A door that the control machines don't
+    /// reach may not know that it is none any more, nor which servers could run what it gets.
+    pub fn set_workers(&mut self, workers: &[NodeAddress]) {
+        self.workers = Some(workers.iter().copied().collect());
+        let listed = |address: &NodeAddress| workers.contains(address);
+        self.doors.values_mut().for_each(|door| door.worker = listed(&door.address));
+    }
+
+    fn is_worker(&self, address: NodeAddress) -> bool {
+        self.workers.as_ref().is_none_or(|workers| workers.contains(&address))
+    }
+
     /// Takes up a heartbeat. Returns whether there may be more room than before.
     pub fn heartbeat(&mut self, link: u64, limit: u32) -> bool {
         let Some(door) = self.links.get(&link).and_then(|id| self.doors.get_mut(id)) else { return false };
--- a/crates/goodsyard/src/process.rs
+++ b/crates/goodsyard/src/process.rs
@@ -181,6 +181,9 @@
                 if news.state {
                     self.state_changed();
                 }
+                if news.workers {
+                    self.workers_changed();
+                }
             }
             Event::Data(connection) => self.internal_data(connection),
             Event::Closed { connection, .. } => self.closed(connection),
@@ -202,6 +205,12 @@
         self.network.forget(connection);
     }
 
+    fn workers_changed(&mut self) {
+        let mut outputs = Vec::new();
+        self.store.set_workers(self.feed.copy().workers(), self.moment(), &mut outputs);
+        self.run(outputs);
+    }
+
     fn state_changed(&mut self) {
         let state = self.feed.copy().state();
         let version = state.configuration_version();
--- a/crates/goodsyard/src/store.rs
+++ b/crates/goodsyard/src/store.rs
@@ -9,7 +9,7 @@
 
 use compact_str::CompactString;
 use orchidvalve_coupling::ChainView;
-use orchidvalve_track::identity::MemberId;
+use orchidvalve_track::identity::{MemberId, NodeAddress};
 use orchidvalve_track::messages::{FromStore, Introduction, StoreHealth, ToStore};
 use orchidvalve_waybill::Job;
 use orchidvalve_waybill::state::Placement;
@@ -236,6 +236,13 @@
         self.settle(moment, outputs);
     }
 
+    /// The doors that run generations have changed.
+    pub fn set_workers(&mut self, workers: &[NodeAddress], moment: Moment, outputs: &mut Vec<Output>) {
+        self.doors.set_workers(workers);
+        self.hand_out_due = true;
+        self.settle(moment, outputs);
+    }
+
     /// The link to a door is lost. Its groups stay with it until it has been silent for too long.
     pub fn door_down(&mut self, link: u64) {
         self.doors.down(link);
--- a/crates/goodsyard/tests/groups.rs
+++ b/crates/goodsyard/tests/groups.rs
@@ -6,7 +6,7 @@
 
 use orchidvalve_goodsyard::DOOR_TIMEOUT_MS;
 use orchidvalve_track::messages::ToStore;
-use support::{TARGET_RUN_MS, World, job, member};
+use support::{TARGET_RUN_MS, World, disk, job, member};
 
 fn groups_of(world: &World, door: u64) -> Vec<u32> {
     world.doors[&door].assigned.iter().map(|(_, group)| group.index).collect()
@@ -95,6 +95,28 @@
     }
 }
 
+/// Doors that the control machines name get groups, whatever others think of themselves.
+#[test]
+fn only_doors_that_run_generations_get_groups() {
+    let mut world = World::placed(2, 2);
+    (1..=3).for_each(|door| world.door_up(door, 1));
+    let set_workers = |world: &mut World, doors: &[u8]| {
+        let workers: Vec<_> = doors.iter().map(|door| disk(100 + door, 0).address).collect();
+        world.input(0, |store, moment, outputs| store.set_workers(&workers, moment, outputs));
+    };
+    set_workers(&mut world, &[2, 4]);
+    world.submit(1, 0, "j", job("j", 8, 2, 0));
+    world.run();
+    let counts = |world: &World| [1, 2, 3].map(|door| groups_of(world, door).len());
+    assert_eq!(counts(&world), [0, 4, 0]);
+    set_workers(&mut world, &[3, 4]);
+    assert_eq!(counts(&world), [0, 4, 4]);
+    // One that comes is known already.
+    world.submit(1, 0, "k", job("k", 4, 2, 0));
+    world.door_up(4, 1);
+    assert_eq!(groups_of(&world, 4).len(), 4);
+}
+
 #[test]
 fn a_silent_door_loses_its_groups() {
     let mut world = World::placed(2, 2);
--- a/crates/turnstile/src/generations/assignments.rs
+++ b/crates/turnstile/src/generations/assignments.rs
@@ -7,7 +7,7 @@
 use orchidvalve_points::{Generation, RouteKey};
 
 use super::archive::Kept;
-use super::calls::{Assignment, Command, Item, ItemResult, RouteFacts};
+use super::calls::{Assignment, Command, GroupId, Item, ItemResult, RouteFacts};
 use super::group::{Group, ItemState, Needs, Phase, Scoring};
 use super::runner::Runner;
 use super::streams::can_go_on;
@@ -66,6 +66,26 @@
         self.drop_groups(out, |group| group.id.partition == partition && group.id.epoch <= epoch);
     }
 
+    /// Groups that nothing runs of, and that no server could run as far as this door knows, are dropped; which they were.
+    /// For a door that doesn't hear of servers any more.
+    pub fn give_up_hopeless(&mut self, out: &mut Vec<Command>) -> Vec<GroupId> {
+        let hopeless = self.groups_where(|group| {
+            let needs = group.needs;
+            let waits = |item: &ItemState| match item.phase {
+                Phase::Generating => item.attempts.is_empty(),
+                Phase::Scoring(_) => false,
+                Phase::Done => true,
+            };
+            let suits = |model| self.servers.any_holds_from(needs.pool, model, needs.minimum.unwrap_or(0));
+            group.items.iter().all(waits) && needs.model.is_some_and(|model| !suits(model))
+        });
+        let ids = hopeless.iter().map(|key| self.groups[key].id.clone()).collect();
+        for key in hopeless {
+            self.archive_group(key, out);
+        }
+        ids
+    }
+
     /// The configuration has changed a route or ended it (`None`); items of an ended route expire.
     pub fn set_route(&mut self, id: &str, facts: Option<Arc<RouteFacts>>, out: &mut Vec<Command>) {
         for key in self.groups_where(|group| group.route.id == id) {
--- a/crates/turnstile/src/generations/servers.rs
+++ b/crates/turnstile/src/generations/servers.rs
@@ -178,6 +178,11 @@
         self.versions.contains_key(&(pool, model, version))
     }
 
+    /// Whether some server that isn't leaving holds this version or a later one.
+    pub fn any_holds_from(&self, pool: PoolKey, model: ModelKey, version: u64) -> bool {
+        self.versions.range((pool, model, version)..=(pool, model, u64::MAX)).next().is_some()
+    }
+
     /// Whether the last holder of some version may have gone since the last call.
     pub fn take_version_gone(&mut self) -> bool {
         std::mem::take(&mut self.version_gone)
--- a/crates/turnstile/src/process/mod.rs
+++ b/crates/turnstile/src/process/mod.rs
@@ -94,6 +94,8 @@
     runner: Runner,
     work: Work,
     stopping_since: Option<u64>,
+    /// Since when no session with a control machine stands.
+    session_missing_since: Option<u64>,
     now: u64,
 }
 
@@ -166,6 +168,7 @@
             runner,
             work: Work::default(),
             stopping_since: None,
+            session_missing_since: None,
             now,
             options,
         })
@@ -343,6 +346,7 @@
         while let Some(connection) = self.answered.pop() {
             self.client_data(connection);
         }
+        self.give_back_hopeless();
         self.send_outcomes();
         self.expire_clients();
     }
--- a/crates/turnstile/src/process/work.rs
+++ b/crates/turnstile/src/process/work.rs
@@ -12,6 +12,8 @@
 use crate::upstream::Outbound;
 use crate::work::HandedOut;
 
+/// A door without a session for so long gives back what no server that it knows can run.
+const OUT_OF_TOUCH_MS: u64 = 500;
 /// Groups that are queued here beyond what can be in flight, as a share of that.
 const QUEUE_SHARE: f32 = 0.25;
 
@@ -173,6 +175,27 @@
         }
     }
 
+    /// A door that no control machine in touch speaks to doesn't hear which servers could run what it holds. Other doors
+    /// do, so it gives such groups back. Where the control side as a whole is away, no version is named either, and the
+    /// servers that this door knows go on suiting.
+    pub(super) fn give_back_hopeless(&mut self) {
+        if self.feed.is_standing() {
+            self.session_missing_since = None;
+            return;
+        }
+        let since = *self.session_missing_since.get_or_insert(self.now);
+        if self.now < since + OUT_OF_TOUCH_MS {
+            return;
+        }
+        let mut commands = Vec::new();
+        let groups = self.runner.give_up_hopeless(&mut commands);
+        self.run_work(commands);
+        for (store, message) in self.work.give_back(groups) {
+            log::info!("work: out of touch, {message:?} goes back to store {store}");
+            self.stores.send(&mut self.network, store, &message);
+        }
+    }
+
     pub(super) fn send_outcomes(&mut self) {
         for (store, message) in self.work.due_outcomes(self.now, self.feed.copy().state()) {
             self.stores.send(&mut self.network, store, &message);
--- a/crates/turnstile/src/work.rs
+++ b/crates/turnstile/src/work.rs
@@ -180,6 +180,20 @@
         self.unconfirmed.remove(&key);
     }
 
+    /// Groups that this door gives back to the stores that handed them out, as messages to these.
+    pub fn give_back(&self, groups: Vec<GroupId>) -> Vec<(NodeAddress, ToStore)> {
+        let mut by_job: BTreeMap<(u32, u64, CompactString), Vec<u32>> = BTreeMap::new();
+        for id in groups {
+            by_job.entry((id.partition, id.epoch, id.job)).or_default().push(id.group);
+        }
+        let message = |((partition, epoch, job), groups): ((u32, u64, CompactString), Vec<u32>)| {
+            let partition = partition as u16;
+            let lessor = self.lessors.get(&partition).filter(|lessor| lessor.epoch == epoch)?;
+            Some((lessor.store, ToStore::Returned { partition, epoch, job: job.to_string(), groups }))
+        };
+        by_job.into_iter().filter_map(message).collect()
+    }
+
     /// The leases of a store are over: what it handed out is dropped. A head that is newer than the placement that this
     /// door knows of keeps its leases whoever is silent, and loses them by its own silence.
     pub fn store_silent(
--- a/crates/turnstile/tests/generations_versions.rs
+++ b/crates/turnstile/tests/generations_versions.rs
@@ -221,3 +221,43 @@
     assert_ne!(third.server, second.server);
     assert_eq!((third.last_event_id, third.expect_version), (Some(2), Some(7)));
 }
+
+/// Gives up what no server could run; the numbers of the groups.
+fn hopeless(door: &mut Door) -> Vec<u32> {
+    let mut groups = Vec::new();
+    door.direct(|runner, out| groups = runner.give_up_hopeless(out).iter().map(|id| id.group).collect());
+    groups
+}
+
+#[test]
+fn a_group_that_no_known_server_could_run_is_given_up() {
+    let mut door = Door::new(&[MINIMUM - 1]);
+    door.assign(group("job", 0, &["a", "b"]));
+    assert_eq!(hopeless(&mut door), [0]);
+    assert_eq!((door.runner.open_groups(), hopeless(&mut door).len()), (0, 0));
+    door.runner.set_server(&server(0, MINIMUM));
+    door.tick();
+    assert!(door.sends.is_empty() && door.reports.is_empty(), "nothing of it is left here");
+}
+
+#[rstest]
+#[case::a_server_suits(&[MINIMUM - 1, MINIMUM])]
+#[case::a_busy_server_suits(&[MINIMUM])]
+fn a_group_that_only_waits_its_turn_is_kept(#[case] versions: &[u64]) {
+    let mut door = Door::new(versions);
+    door.assign(group("job", 0, &["a", "b"]));
+    door.assign(group("job", 1, &["c"]));
+    assert!(hopeless(&mut door).is_empty());
+}
+
+#[test]
+fn a_group_of_which_something_runs_or_waits_for_its_score_is_kept() {
+    let mut door = Door::new(&[MINIMUM, MINIMUM]);
+    door.assign(scored(group("job", 0, &["a"])));
+    door.assign(group("job", 1, &["b"]));
+    let scored = door.sends[0].clone();
+    door.events(&scored, 1..=1);
+    door.ended(&scored, Outcome::Complete);
+    (0..2).for_each(|key| door.runner.set_server(&ServerInfo { draining: true, ..server(key, MINIMUM) }));
+    assert!(hopeless(&mut door).is_empty());
+}
--- a/crates/turnstile/tests/work.rs
+++ b/crates/turnstile/tests/work.rs
@@ -331,6 +331,21 @@
     assert_eq!(door.runner.open_groups(), usize::from(!dropped));
 }
 
+/// Groups go back to the head that handed them out, by job, and only under the epoch in which it did.
+#[test]
+fn groups_are_given_back_to_their_lessor() {
+    let mut door = Door::new();
+    door.assign_from(store(7), terms("j", 3), 0, Some(&table("pule252")));
+    let id =
+        |job: &str, epoch, group| GroupId { partition: u32::from(PARTITION), epoch, job: job.into(), group };
+    let given_back = door.work.give_back(vec![id("j", 3, 0), id("k", 3, 4), id("j", 3, 2), id("j", 2, 1)]);
+    let returned = |job: &str, groups: &[u32]| {
+        let (partition, epoch, job) = (PARTITION, 3, job.to_owned());
+        (store(7), ToStore::Returned { partition, epoch, job, groups: groups.to_vec() })
+    };
+    assert_eq!(given_back, [returned("j", &[0, 2]), returned("k", &[4])]);
+}
+
 /// Reward calls follow the weights of their route, as clients' requests do.
 #[test]
 fn reward_calls_are_shared_out_by_the_weights_of_their_route() {
