Doors: reward calls leave a third of the slots of their service to clients

Cause: reward calls took one slot at each server of the scoring service for each worker, all of them together, and clients' requests of the same service queued behind them when many texts became whole at once. Change: all doors together take two thirds of the service's slots, each its part and one call at least.

--- a/crates/turnstile/src/generations/rewards.rs
+++ b/crates/turnstile/src/generations/rewards.rs
@@ -24,6 +24,10 @@
 /// A call is given at least this long, in milliseconds.
 const LEAST_DEADLINE_MS: u64 = 2_000;
 
+/// Reward calls take this share of a service's slots at most, all doors together: the rest is for requests that somebody
+/// waits for.
+const SLOT_SHARE: f64 = 2.0 / 3.0;
+
 /// One send of a reward call.
 struct RewardCall {
     generation: Generation,
@@ -31,11 +35,39 @@
     server: ServerKey,
 }
 
+/// Servers that score, and what is out at them.
+#[derive(Default)]
+struct Pool {
+    servers: LoadIndex<ServerKey>,
+    /// Slots of each server that isn't leaving.
+    slots: HashMap<ServerKey, u32>,
+    all_slots: u32,
+    out: u32,
+}
+
+impl Pool {
+    fn set_slots(&mut self, key: ServerKey, slots: u32) {
+        let before = self.slots.insert(key, slots).unwrap_or(0);
+        self.all_slots = self.all_slots + slots - before;
+    }
+
+    fn remove(&mut self, key: ServerKey) {
+        self.servers.remove(key);
+        self.all_slots -= self.slots.remove(&key).unwrap_or(0);
+    }
+
+    /// Whether one more call leaves this door within its part of the slots that reward calls may take.
+    fn has_room(&self, door_share: f64) -> bool {
+        let part = f64::from(self.all_slots) * SLOT_SHARE * door_share;
+        self.out < (part.ceil() as u32).max(1)
+    }
+}
+
 /// The reward calls of a door.
 pub struct Rewards {
     pub(super) routes: Arc<dyn Routes>,
     random: Pcg64Mcg,
-    pools: BTreeMap<PoolKey, LoadIndex<ServerKey>>,
+    pools: BTreeMap<PoolKey, Pool>,
     homes: HashMap<ServerKey, PoolKey>,
     queue: VecDeque<Generation>,
     calls: HashMap<RewardCallId, RewardCall>,
@@ -56,19 +88,21 @@
         }
     }
 
-    /// Adds a server or changes how many calls this door may have in flight there.
-    pub fn set_server(&mut self, key: ServerKey, pool: PoolKey, limit: u32, near: bool) {
+    /// Adds a server or changes how many calls this door may have in flight there, and how many slots it has.
+    pub fn set_server(&mut self, key: ServerKey, pool: PoolKey, limit: u32, slots: u32, near: bool) {
         if self.homes.get(&key).is_some_and(|home| *home != pool) {
             self.remove_server(key);
         }
         self.homes.insert(key, pool);
-        self.pools.entry(pool).or_default().set(key, limit, near, &mut self.random);
+        let pool = self.pools.entry(pool).or_default();
+        pool.servers.set(key, limit, near, &mut self.random);
+        pool.set_slots(key, slots);
     }
 
     /// Takes a server out.
     pub fn remove_server(&mut self, key: ServerKey) {
-        if let Some(index) = self.homes.remove(&key).and_then(|pool| self.pools.get_mut(&pool)) {
-            index.remove(key);
+        if let Some(pool) = self.homes.remove(&key).and_then(|pool| self.pools.get_mut(&pool)) {
+            pool.remove(key);
         }
     }
 
@@ -90,15 +124,18 @@
     fn begin(&mut self, generation: Generation, pool: PoolKey, server: ServerKey) -> RewardCallId {
         self.next_call += 1;
         let call = RewardCallId(self.next_call);
-        self.pools.entry(pool).or_default().begin(server, &mut self.random);
+        let entry = self.pools.entry(pool).or_default();
+        entry.servers.begin(server, &mut self.random);
+        entry.out += 1;
         self.calls.insert(call, RewardCall { generation, pool, server });
         call
     }
 
     fn end(&mut self, call: RewardCallId) -> Option<RewardCall> {
         let ended = self.calls.remove(&call)?;
-        if let Some(index) = self.pools.get_mut(&ended.pool) {
-            index.end(ended.server, &mut self.random);
+        if let Some(pool) = self.pools.get_mut(&ended.pool) {
+            pool.servers.end(ended.server, &mut self.random);
+            pool.out -= 1;
         }
         Some(ended)
     }
@@ -224,7 +261,8 @@
         let pool = self.servers.pool(&route.service);
         let avoid = self.scoring(generation)?.last_server;
         let servers = &self.servers;
-        let index = self.rewards.pools.get(&pool)?;
+        let pool = self.rewards.pools.get(&pool).filter(|pool| pool.has_room(servers.share()))?;
+        let index = &pool.servers;
         let free = |server: ServerKey| servers.available(server, now);
         let other = index.pick(|server| Some(server) != avoid && free(server));
         if same { other.or_else(|| index.pick(free)) } else { other }
--- a/crates/turnstile/src/generations/runner.rs
+++ b/crates/turnstile/src/generations/runner.rs
@@ -143,7 +143,7 @@
         let limit = self.servers.limit(key);
         if let Some(server) = self.servers.get(key) {
             self.scheduler.set_server(key, server.pool, limit);
-            self.rewards.set_server(key, server.pool, limit, server.near);
+            self.rewards.set_server(key, server.pool, limit, server.usable_slots(), server.near);
             self.changed = true;
         }
     }
--- a/crates/turnstile/src/generations/servers.rs
+++ b/crates/turnstile/src/generations/servers.rs
@@ -54,6 +54,11 @@
 }
 
 impl Server {
+    /// Its slots, unless it is leaving.
+    pub fn usable_slots(&self) -> u32 {
+        if self.draining { 0 } else { self.slots }
+    }
+
     fn version(&self, model: ModelKey) -> Option<u64> {
         self.models.iter().find(|(known, _)| *known == model).map(|(_, version)| *version)
     }
@@ -88,6 +93,11 @@
     }
 
     /// This door's part of every server's slots.
+    pub fn share(&self) -> f64 {
+        self.share
+    }
+
+    /// This door's part of every server's slots has changed.
     pub fn set_share(&mut self, share: f64) {
         self.share = share;
     }
--- a/crates/turnstile/tests/generations_rewards.rs
+++ b/crates/turnstile/tests/generations_rewards.rs
@@ -3,7 +3,7 @@
 mod generations_support;
 
 use generations_support::*;
-use orchidvalve_turnstile::generations::{ItemResult, Outcome, RewardOutcome};
+use orchidvalve_turnstile::generations::{ItemResult, Outcome, RewardOutcome, ServerInfo};
 use rstest::rstest;
 
 /// A door whose only item has a whole text.
@@ -150,3 +150,26 @@
     door.reward_status(&door.last_reward(), 200);
     assert_eq!(door.result(), &completed("e1\ne2", &[7], Some("stamp-200")));
 }
+
+/// Two thirds of the four slots of the scoring service, in this door's part of them.
+#[rstest]
+#[case::the_only_door(1.0, 3)]
+#[case::one_of_two(0.5, 2)]
+#[case::one_of_many_has_one_at_least(0.01, 1)]
+fn reward_calls_leave_slots_to_clients(#[case] share: f64, #[case] most: usize) {
+    let mut door = Door::new(&[7, 7, 7, 7]);
+    door.runner.set_share(share);
+    door.assign(scored(group("job", 0, &["a", "b", "c", "d"])));
+    for sent in door.sends.clone() {
+        door.events(&sent, 1..=1);
+        door.ended(&sent, Outcome::Complete);
+    }
+    assert_eq!(door.rewards.len(), most);
+    door.reward_status(&door.rewards[0].clone(), 200);
+    assert_eq!(door.rewards.len(), most + 1, "the next one follows");
+    let leaving =
+        |key| ServerInfo { service: "scoring".into(), models: vec![], draining: true, ..server(key, 0) };
+    (100..102).for_each(|key| door.runner.set_server(&leaving(key)));
+    door.tick();
+    assert_eq!(door.rewards.len(), most + 1);
+}
