--- a/crates/track/src/messages.rs
+++ b/crates/track/src/messages.rs
@@ -81,7 +81,7 @@
     pub number: u64,
 }
 
-/// Condition of a store.
+/// Condition of a store. Of a door, only `leaving` counts.
 #[derive(Clone, Copy, PartialEq, Eq, Default, Debug, Encode, Decode)]
 pub struct StoreHealth {
     /// Writes are failing or have been hanging for over a second.
--- a/crates/turnstile/src/process/exchanges.rs
+++ b/crates/turnstile/src/process/exchanges.rs
@@ -1,12 +1,42 @@
-//! What comes from servers, told to whatever waits for it.
+//! What is sent to servers, and what comes from them, told to whatever waits for it.
 
 use super::Process;
 use crate::exchanges::{Purpose, reward_outcome, stream_outcome, weight_version};
+use crate::fleet::ServerKey;
 use crate::generations::{Command, Outcome, RewardOutcome};
 use crate::requests::RequestCommand;
-use crate::upstream::{ExchangeId, Failure, UpstreamEvent};
+use crate::runs::Repetition;
+use crate::upstream::{ExchangeId, Failure, Outbound, UpstreamEvent};
+
+/// A request to a server, but for its bytes.
+pub(super) struct Envelope<'a> {
+    pub method: &'a str,
+    pub attempt_id: Option<&'a str>,
+    pub repetition: Repetition,
+}
 
 impl Process {
+    /// Sends a request to a server, whose instance the bytes name. False where the server has gone or no connection can be
+    /// begun: nothing was sent.
+    pub(super) fn begin_exchange(
+        &mut self,
+        server: ServerKey,
+        purpose: Purpose,
+        envelope: Envelope<'_>,
+        bytes: impl FnOnce(&str) -> Vec<u8>,
+    ) -> bool {
+        let Some(target) = self.fleet.get(server) else { return false };
+        let Envelope { method, attempt_id, repetition } = envelope;
+        let outbound = Outbound { method, attempt_id, bytes: &bytes(&target.entry.instance), repetition };
+        let Some(exchange) = self.upstreams.send(&mut self.network, target.address, &outbound, self.now)
+        else {
+            return false;
+        };
+        self.fleet.begun(server);
+        self.exchanges.insert(exchange, server, purpose);
+        true
+    }
+
     pub(super) fn drop_exchange(&mut self, exchange: ExchangeId) {
         self.upstreams.cancel(&mut self.network, exchange);
         if let Some(entry) = self.exchanges.remove(exchange) {
--- a/crates/turnstile/src/process/mod.rs
+++ b/crates/turnstile/src/process/mod.rs
@@ -3,6 +3,7 @@
 mod exchanges;
 mod jobs;
 mod requests;
+mod stopping;
 mod work;
 
 use std::collections::BTreeSet;
@@ -15,7 +16,7 @@
 use orchidvalve_lineside::{FeedClient, FeedNews};
 use orchidvalve_track::clock::Clock;
 use orchidvalve_track::identity::{MemberId, NodeAddress, random_incarnation};
-use orchidvalve_track::messages::{Introduction, PROTOCOL_VERSION, Role, StoreHealth};
+use orchidvalve_track::messages::{Introduction, PROTOCOL_VERSION, Role};
 use orchidvalve_track::network::{ConnectionId, Event, Network};
 use orchidvalve_waybill::RouteTable;
 use rand::SeedableRng;
@@ -36,11 +37,6 @@
 const READINESS_LISTENER: u32 = 2;
 /// Longest wait of the event loop.
 const LONGEST_WAIT_MS: u64 = 250;
-/// Time after SIGTERM in which the platform still sends new connections.
-const LINGER_MS: u64 = 2_600;
-/// Time before SIGKILL at which a stopping process ends whatever is left.
-const STOP_MARGIN_MS: u64 = 700;
-
 /// What a door process is started with.
 #[derive(Clone, Debug)]
 pub struct DoorOptions {
@@ -64,13 +60,6 @@
     Network(io::Error),
 }
 
-/// The last moments of a process that was told to stop, in milliseconds of its clock.
-#[derive(Clone, Copy)]
-struct LastMoments {
-    last_answer_at: u64,
-    lingered_at: u64,
-}
-
 struct Process {
     options: DoorOptions,
     clock: Clock,
@@ -350,67 +339,4 @@
         self.send_outcomes();
         self.expire_clients();
     }
-
-    /// SIGTERM: nothing new is handed out to this door, and the platform sends no new connections soon.
-    fn begin_stop(&mut self) {
-        if self.stopping_since.is_some() {
-            return;
-        }
-        log::info!("door: stopping; {} requests are open", self.requests.open());
-        self.stopping_since = Some(self.now);
-        self.stores.set_work_limit(&mut self.network, 0);
-        self.feed.set_health(StoreHealth { leaving: true, ..StoreHealth::default() });
-        let waiting = self.early.take_all();
-        self.refuse_early(waiting);
-        self.clients.begin_closing(&mut self.network, self.now);
-    }
-
-    /// When a process that was told to stop gives its last answers, and when the platform has surely heard that it isn't
-    /// ready.
-    fn last_moments(&self) -> Option<LastMoments> {
-        self.stopping_since.map(|since| LastMoments {
-            last_answer_at: (since + self.options.grace_ms).saturating_sub(STOP_MARGIN_MS),
-            lingered_at: since + LINGER_MS,
-        })
-    }
-
-    /// Where the platform goes on sending clients to a process that stops, since too few others are ready, those are
-    /// refused that it may not be able to answer any more.
-    fn refuse_late_requests(&mut self) {
-        if let Some(moments) = self.last_moments().filter(|moments| self.now >= moments.lingered_at) {
-            self.requests.refuse_beyond(moments.last_answer_at);
-        }
-    }
-
-    /// Whether a stopping process has answered everything, or has no time left; what is open then is answered.
-    fn may_end(&mut self) -> bool {
-        let Some(moments) = self.last_moments() else { return false };
-        let time_is_up = self.now >= moments.last_answer_at;
-        if !(time_is_up || (self.now >= moments.lingered_at && self.is_idle())) {
-            return false;
-        }
-        self.end_open_calls();
-        self.feed.stop(&mut self.network);
-        true
-    }
-
-    /// Whether nothing is open or arriving, and every answer is on its way.
-    fn is_idle(&mut self) -> bool {
-        self.requests.open() == 0
-            && !self.clients.is_any_arriving()
-            && self.calls.open() == 0
-            && self.runner.open_groups() == 0
-            && self.work.unconfirmed() == 0
-            && self.clients.is_flushed(&self.network)
-    }
-
-    /// Gives everybody who waits a final answer.
-    fn end_open_calls(&mut self) {
-        let mut commands = Vec::new();
-        self.requests.end_all(&mut commands);
-        self.run_requests(commands);
-        for (call, answer) in self.calls.end_all() {
-            self.answer_job(call, &answer);
-        }
-    }
 }
--- a/crates/turnstile/src/process/requests.rs
+++ b/crates/turnstile/src/process/requests.rs
@@ -5,12 +5,13 @@
 use orchidvalve_waybill::RouteType;
 
 use super::Process;
+use super::exchanges::Envelope;
 use crate::clients::{Arrival, Busy, unreadable_status};
 use crate::early::EarlyId;
 use crate::exchanges::{Purpose, request_bytes};
 use crate::jobs::{ITEMS_PREFIX, JOBS_PREFIX};
 use crate::requests::{Answer, Arrived, RETRY_AFTER, RequestCommand};
-use crate::upstream::{Failure, Outbound};
+use crate::upstream::Failure;
 
 const READINESS_LIMITS: MessageLimits = MessageLimits { header_bytes: 8 << 10, body_bytes: 1 << 10 };
 
@@ -143,23 +144,17 @@
     fn run_request_command(&mut self, command: RequestCommand, next: &mut Vec<RequestCommand>) {
         match command {
             RequestCommand::Send { send, request, server, deadline_ms, last_event_id, permit } => {
-                let target = self.fleet.get(server).map(|s| (s.address, s.entry.instance.clone()));
-                let facts = self.requests.request(request).cloned();
-                let exchange = target.zip(facts).and_then(|((address, instance), request)| {
-                    let bytes = request_bytes(&request, &instance, deadline_ms, last_event_id);
-                    let attempt_id = request.headers.get("attempt-id");
-                    let (method, repetition) = (request.method.as_str(), permit.repetition());
-                    let outbound = Outbound { method, attempt_id, bytes: &bytes, repetition };
-                    self.upstreams.send(&mut self.network, address, &outbound, self.now)
+                let Some(request) = self.requests.request(request).cloned() else { return };
+                let envelope = Envelope {
+                    method: request.method.as_str(),
+                    attempt_id: request.headers.get("attempt-id"),
+                    repetition: permit.repetition(),
+                };
+                let sent = self.begin_exchange(server, Purpose::Request(send), envelope, |instance| {
+                    request_bytes(&request, instance, deadline_ms, last_event_id)
                 });
-                match exchange {
-                    Some(exchange) => {
-                        self.fleet.begun(server);
-                        self.exchanges.insert(exchange, server, Purpose::Request(send));
-                    }
-                    None => {
-                        self.requests.failed(self.now, send, Failure::Connect, &mut self.fleet, next);
-                    }
+                if !sent {
+                    self.requests.failed(self.now, send, Failure::Connect, &mut self.fleet, next);
                 }
             }
             RequestCommand::Cancel { send } => {
--- a/crates/turnstile/src/process/work.rs
+++ b/crates/turnstile/src/process/work.rs
@@ -4,12 +4,12 @@
 use orchidvalve_track::messages::FromStore;
 use orchidvalve_track::network::ConnectionId;
 
+use super::exchanges::Envelope;
 use super::{Process, door_address};
 use crate::exchanges::{Purpose, Stream, generation_bytes, reward_bytes};
 use crate::fleet::{Server, ServerKey, slot_part};
 use crate::generations::{Command, Outcome, RewardOutcome, ServerInfo};
 use crate::runs::Repetition;
-use crate::upstream::Outbound;
 use crate::work::HandedOut;
 
 /// A door without a session for so long gives back what no server that it knows can run.
@@ -108,31 +108,12 @@
     fn run_command(&mut self, command: Command, next: &mut Vec<Command>) {
         match command {
             Command::Send { attempt, server, item, route, last_event_id, expect_version, deadline_ms } => {
-                let target = self.fleet.get(server).map(|s| (s.address, s.entry.instance.clone()));
-                let exchange = target.and_then(|(address, instance)| {
-                    let bytes = generation_bytes(
-                        &item,
-                        &route,
-                        &instance,
-                        last_event_id,
-                        expect_version,
-                        deadline_ms,
-                    );
-                    let outbound = Outbound {
-                        method: "POST",
-                        attempt_id: Some(&item.id),
-                        bytes: &bytes,
-                        repetition: Repetition::Repeatable,
-                    };
-                    self.upstreams.send(&mut self.network, address, &outbound, self.now)
+                let purpose = Purpose::Attempt(Stream { attempt, head: None, events: Default::default() });
+                let sent = self.begin_exchange(server, purpose, post(Some(&item.id)), |instance| {
+                    generation_bytes(&item, &route, instance, last_event_id, expect_version, deadline_ms)
                 });
-                match exchange {
-                    Some(exchange) => {
-                        self.fleet.begun(server);
-                        let stream = Stream { attempt, head: None, events: Default::default() };
-                        self.exchanges.insert(exchange, server, Purpose::Attempt(stream));
-                    }
-                    None => self.runner.ended(self.now, attempt, Outcome::ConnectFailed, next),
+                if !sent {
+                    self.runner.ended(self.now, attempt, Outcome::ConnectFailed, next);
                 }
             }
             Command::CancelAttempt { attempt } => {
@@ -146,24 +127,13 @@
                 }
             }
             Command::SendReward { call, server, item, deadline_ms } => {
-                let target = self.fleet.get(server).map(|s| (s.address, s.entry.instance.clone()));
-                let exchange = target.and_then(|(address, instance)| {
-                    let bytes = reward_bytes(&item, &instance, deadline_ms);
-                    let attempt_id = item.scorer.as_ref().map(|s| s.id.as_str());
-                    let outbound = Outbound {
-                        method: "POST",
-                        attempt_id,
-                        bytes: &bytes,
-                        repetition: Repetition::Repeatable,
-                    };
-                    self.upstreams.send(&mut self.network, address, &outbound, self.now)
+                let purpose = Purpose::Reward { call, head: None };
+                let scorer_id = item.scorer.as_ref().map(|scorer| scorer.id.as_str());
+                let sent = self.begin_exchange(server, purpose, post(scorer_id), |instance| {
+                    reward_bytes(&item, instance, deadline_ms)
                 });
-                match exchange {
-                    Some(exchange) => {
-                        self.fleet.begun(server);
-                        self.exchanges.insert(exchange, server, Purpose::Reward { call, head: None });
-                    }
-                    None => self.runner.reward_ended(self.now, call, RewardOutcome::ConnectFailed, next),
+                if !sent {
+                    self.runner.reward_ended(self.now, call, RewardOutcome::ConnectFailed, next);
                 }
             }
             Command::CancelReward { call } => {
@@ -202,3 +172,8 @@
         }
     }
 }
+
+/// A generation or a reward call, which may be sent again.
+fn post(attempt_id: Option<&str>) -> Envelope<'_> {
+    Envelope { method: "POST", attempt_id, repetition: Repetition::Repeatable }
+}
