--- a/crates/signalbox/src/duties/mod.rs
+++ b/crates/signalbox/src/duties/mod.rs
@@ -15,7 +15,7 @@
 use orchidvalve_track::server_table::ServerTable;
 use orchidvalve_waybill::state::ModelUse;
 
-use self::orders::{order_outcome, order_under_way};
+use self::orders::order_under_way;
 use crate::client::{CONNECT_TIMEOUT_MS, Carrier, Destination, Finished, HttpClient, NEW_USER_TIMEOUT_MS};
 use crate::discovery::{CALL_TIMEOUT_MS, POLL_INTERVAL_MS, Progress, RETRY_INTERVAL_MS, Reading};
 use crate::weights::{Holder, Order, OrderOutcome, WeightsPlanner};
@@ -211,7 +211,7 @@
     ) -> Option<ServersUpdate> {
         match finished.purpose {
             Purpose::Order(order) => {
-                let outcome = order_outcome(finished.answer.as_ref().map(|(head, _)| head.status));
+                let outcome = OrderOutcome::of(finished.answer.as_ref().map(|(head, _)| head.status));
                 if outcome != (OrderOutcome::Taken { already: false }) {
                     log::info!("weights: order {order:?} ended as {outcome:?}");
                 }
--- a/crates/signalbox/src/duties/orders.rs
+++ b/crates/signalbox/src/duties/orders.rs
@@ -128,14 +128,3 @@
     let report: serde_json::Value = serde_json::from_slice(body).ok()?;
     report.get("utilization")?.as_bool()
 }
-
-/// What the status of an answer to an order says; `None` for no answer.
-pub(super) fn order_outcome(status: Option<u16>) -> OrderOutcome {
-    match status {
-        Some(202) => OrderOutcome::Taken { already: false },
-        Some(200) => OrderOutcome::Taken { already: true },
-        Some(409 | 429 | 503) => OrderOutcome::Busy,
-        Some(_) => OrderOutcome::Refused,
-        None => OrderOutcome::Unclear,
-    }
-}
--- a/crates/signalbox/src/weights.rs
+++ b/crates/signalbox/src/weights.rs
@@ -42,6 +42,21 @@
     Unclear,
 }
 
+impl OrderOutcome {
+    /// What the status of an answer to an order says; `None` for no answer. 202: it is being done; 200: it holds already;
+    /// 409: another one is under way, or the server's sequence differs; 412: a fence lower than one that it has seen; 421:
+    /// another server has its address; 400: no such order or version.
+    pub fn of(status: Option<u16>) -> OrderOutcome {
+        match status {
+            Some(202) => OrderOutcome::Taken { already: false },
+            Some(200) => OrderOutcome::Taken { already: true },
+            Some(409 | 429 | 503) => OrderOutcome::Busy,
+            Some(_) => OrderOutcome::Refused,
+            None => OrderOutcome::Unclear,
+        }
+    }
+}
+
 #[derive(Clone, Copy, Debug)]
 struct Progress {
     version: u64,
--- a/crates/signalbox/tests/weights.rs
+++ b/crates/signalbox/tests/weights.rs
@@ -386,3 +386,15 @@
         .expect("it gives orders in the end");
     assert!(next >= arrives + LEASE_MS, "at {arrives} and at {next}");
 }
+
+#[rstest]
+#[case::being_done(Some(202), OrderOutcome::Taken { already: false })]
+#[case::holds_already(Some(200), OrderOutcome::Taken { already: true })]
+#[case::another_is_under_way(Some(409), OrderOutcome::Busy)]
+#[case::lower_fence(Some(412), OrderOutcome::Refused)]
+#[case::another_server(Some(421), OrderOutcome::Refused)]
+#[case::no_such_order(Some(400), OrderOutcome::Refused)]
+#[case::no_answer(None, OrderOutcome::Unclear)]
+fn the_answer_to_an_order_has_one_meaning(#[case] status: Option<u16>, #[case] outcome: OrderOutcome) {
+    assert_eq!(OrderOutcome::of(status), outcome);
+}
--- a/crates/turnstile/src/process/mod.rs
+++ b/crates/turnstile/src/process/mod.rs
@@ -3,7 +3,7 @@
 mod exchanges;
 mod jobs;
 mod requests;
-mod stopping;
+pub mod stopping;
 mod work;
 
 use std::collections::BTreeSet;
--- a/crates/turnstile/src/process/stopping.rs
+++ b/crates/turnstile/src/process/stopping.rs
@@ -6,8 +6,11 @@
 
 /// Time after SIGTERM in which the platform still sends new connections.
 const LINGER_MS: u64 = 2_600;
-/// Time before SIGKILL at which a stopping process ends whatever is left.
+/// Time before SIGKILL at which a stopping process ends whatever is left, at most...
 const STOP_MARGIN_MS: u64 = 700;
+/// ...and as a part of the time from SIGTERM to SIGKILL: what a server still works on may be ended in the last sixth of
+/// that time only.
+const STOP_MARGIN_PART: u64 = 8;
 
 /// The last moments of a process that was told to stop, in milliseconds of its clock.
 #[derive(Clone, Copy)]
@@ -16,6 +19,11 @@
     lingered_at: u64,
 }
 
+/// How long after SIGTERM a process gives its last answers, where SIGKILL follows after `grace_ms`.
+pub fn last_answer_after_ms(grace_ms: u64) -> u64 {
+    grace_ms - STOP_MARGIN_MS.min(grace_ms / STOP_MARGIN_PART)
+}
+
 impl Process {
     /// SIGTERM: nothing new is handed out to this door, and the platform sends no new connections soon.
     pub(super) fn begin_stop(&mut self) {
@@ -35,7 +43,7 @@
     /// ready.
     fn last_moments(&self) -> Option<LastMoments> {
         self.stopping_since.map(|since| LastMoments {
-            last_answer_at: (since + self.options.grace_ms).saturating_sub(STOP_MARGIN_MS),
+            last_answer_at: since + last_answer_after_ms(self.options.grace_ms),
             lingered_at: since + LINGER_MS,
         })
     }
--- a/crates/turnstile/tests/exchanges.rs
+++ b/crates/turnstile/tests/exchanges.rs
@@ -38,6 +38,17 @@
     assert_eq!(all(&sent.headers, "expected-instance"), ["i-7f3a91c2"]);
 }
 
+/// What tells a server the model, the size and the shared parts of a prompt is the client's.
+#[test]
+fn what_describes_a_prompt_is_unchanged() {
+    let lines = "Model: daka510000\r\nToken-Usage: 540,400\r\nPrompt-Prefix: 9c2e41:300,5d07b8:240\r\n";
+    let sent = sent(&format!("POST /a/1 HTTP/1.1\r\nHost: h\r\n{lines}Content-Length: 0\r\n\r\n"), None);
+    let described = |headers: &Headers| {
+        ["model", "token-usage", "prompt-prefix"].map(|name| all(headers, name).join("|"))
+    };
+    assert_eq!(described(&sent.headers), ["daka510000", "540,400", "9c2e41:300,5d07b8:240"]);
+}
+
 #[test]
 fn headers_of_one_connection_are_left_out() {
     let text = "POST / HTTP/1.1\r\nHost: h\r\nConnection: X-One, keep-alive\r\nConnection: x-two\r\nX-One: 1\r\n\
--- a/crates/turnstile/tests/requests.rs
+++ b/crates/turnstile/tests/requests.rs
@@ -287,6 +287,21 @@
     assert_eq!(table.client.status, None);
 }
 
+#[test]
+fn a_client_that_has_left_ends_both_sends_of_its_request() {
+    let mut table = Table::new(2);
+    warm(&mut table);
+    let id = table.begin("repeat");
+    table.pass(50);
+    let sends: Vec<_> = table.sends.iter().map(|sent| sent.send).collect();
+    assert_eq!(sends.len(), 2);
+    table.leave(id);
+    table.cancelled.sort_unstable();
+    assert_eq!((table.cancelled.as_slice(), table.requests.open()), (sends.as_slice(), 0));
+    table.pass(5_000);
+    assert_eq!(table.sends.len(), 2, "nothing is sent any more");
+}
+
 /// Requests that allow copies by their number.
 fn warm(table: &mut Table) {
     for _ in 0..30 {
