Control: the head alone lists the doors that run generations, under its term

Cause, by reading: each control machine chose from the sessions that it knows. Machines outside the view don't know each other's (CAPACITY.md), so a store and a door that follow different ones could go by lists that share few doors, and generations would rest. Also, a machine that had just lost all sessions named few doors. Change: the head writes the list with term and number, like the table of servers; others pass it on, and nobody goes back to an older one. Until a new head knows all sessions, doors on the list are presumed to have one. Tests: workers.rs, feed_copy.rs.

--- a/crates/lineside/src/copy.rs
+++ b/crates/lineside/src/copy.rs
@@ -2,7 +2,7 @@
 
 use orchidvalve_track::frames::decode;
 use orchidvalve_track::identity::NodeAddress;
-use orchidvalve_track::messages::{FeedPosition, ServersUpdate};
+use orchidvalve_track::messages::{FeedPosition, ServersUpdate, WorkerList};
 use orchidvalve_track::server_table::ServerTable;
 use orchidvalve_waybill::state::{Change, ControlState, StateImage};
 
@@ -35,7 +35,7 @@
     state: ControlState,
     sequence: u64,
     servers: ServerTable,
-    workers: Vec<NodeAddress>,
+    workers: WorkerList,
 }
 
 impl FeedCopy {
@@ -54,7 +54,7 @@
 
     /// The doors that run generations.
     pub fn workers(&self) -> &[NodeAddress] {
-        &self.workers
+        &self.workers.doors
     }
 
     pub fn position(&self) -> FeedPosition {
@@ -102,10 +102,13 @@
         Some(FeedNews { servers: self.servers.version() != before, ..FeedNews::default() })
     }
 
-    /// Takes over the list of the doors that run generations.
-    pub fn workers_named(&mut self, doors: Vec<NodeAddress>) -> FeedNews {
-        let changed = self.workers != doors;
-        self.workers = doors;
+    /// Takes over the list of the doors that run generations, unless it is older than the copy.
+    pub fn workers_named(&mut self, list: WorkerList) -> FeedNews {
+        if list.version <= self.workers.version {
+            return FeedNews::default();
+        }
+        let changed = self.workers.doors != list.doors;
+        self.workers = list;
         FeedNews { workers: changed, ..FeedNews::default() }
     }
 }
--- a/crates/lineside/src/session.rs
+++ b/crates/lineside/src/session.rs
@@ -249,7 +249,7 @@
             FromControl::Snapshot { sequence, state } => self.copy.snapshot(sequence, &state).ok_or(Leave),
             FromControl::Changes { first, changes } => self.copy.changes(first, &changes).ok_or(Leave),
             FromControl::Servers(update) => self.copy.servers_update(&update).ok_or(Leave),
-            FromControl::Workers { doors } => Ok(self.copy.workers_named(doors)),
+            FromControl::Workers(list) => Ok(self.copy.workers_named(list)),
         }
     }
 
--- a/crates/lineside/tests/feed_copy.rs
+++ b/crates/lineside/tests/feed_copy.rs
@@ -5,7 +5,7 @@
 use orchidvalve_lineside::{FeedCopy, FeedNews};
 use orchidvalve_track::frames::encode;
 use orchidvalve_track::identity::{MemberId, NodeAddress};
-use orchidvalve_track::messages::{ServerEntry, ServersUpdate, TableVersion};
+use orchidvalve_track::messages::{ServerEntry, ServersUpdate, TableVersion, WorkerList};
 use orchidvalve_waybill::state::{Change, ControlState};
 use rstest::rstest;
 
@@ -196,10 +196,18 @@
     let doors = |numbers: &[u8]| -> Vec<NodeAddress> {
         numbers.iter().map(|number| NodeAddress::new(Ipv4Addr::new(10, 0, 0, *number), 0)).collect()
     };
-    assert_eq!(copy.workers_named(doors(&[1, 2, 3])), workers);
-    assert_eq!(copy.workers_named(doors(&[1, 2, 3])), NOTHING);
-    assert_eq!(copy.workers_named(doors(&[1, 2, 4])), workers);
+    let list = |term, number, members: &[u8]| WorkerList {
+        version: TableVersion { term, number },
+        doors: doors(members),
+    };
+    assert_eq!(copy.workers_named(list(3, 1, &[1, 2, 3])), workers);
+    assert_eq!(copy.workers_named(list(3, 2, &[1, 2, 3])), NOTHING);
+    assert_eq!(copy.workers_named(list(3, 3, &[1, 2, 4])), workers);
+    // Late ones of this head and of a former one.
+    assert_eq!(copy.workers_named(list(3, 2, &[1, 2, 3])), NOTHING);
+    assert_eq!(copy.workers_named(list(2, 9, &[7])), NOTHING);
     assert_eq!(copy.workers(), doors(&[1, 2, 4]));
+    assert_eq!(copy.workers_named(list(4, 1, &[7])), workers);
     let mut sum = NOTHING;
     assert!(!sum.any());
     sum |= STATE;
--- a/crates/signalbox/src/duties/placing.rs
+++ b/crates/signalbox/src/duties/placing.rs
@@ -33,7 +33,7 @@
         sessions: &SessionTable,
         name: &str,
     ) -> RetirementVerdict {
-        let knows_sessions = self.sessions_since.is_some_and(|since| now >= since + STORE_GRACE_MS);
+        let knows_sessions = self.knows_sessions(now);
         match state.stores().get(name) {
             Some(store) if store.retiring => RetirementVerdict::Allowed,
             Some(_) if may_retire(state, sessions, name, self.options.tolerance) => {
@@ -46,6 +46,12 @@
         }
     }
 
+    /// Whether all processes that live have had time to open a session since this machine became the head or was in touch
+    /// again.
+    pub fn knows_sessions(&self, now: u64) -> bool {
+        self.sessions_since.is_some_and(|since| now >= since + STORE_GRACE_MS)
+    }
+
     /// Changes of the placement of partitions that are due.
     pub fn place(&mut self, now: u64, state: &ControlState, sessions: &SessionTable) -> Option<Change> {
         let since = self.sessions_since?;
--- a/crates/signalbox/src/peer.rs
+++ b/crates/signalbox/src/peer.rs
@@ -2,7 +2,7 @@
 
 use musli::{Decode, Encode};
 use orchidvalve_track::identity::MemberId;
-use orchidvalve_track::messages::{Introduction, ServersUpdate};
+use orchidvalve_track::messages::{Introduction, ServersUpdate, WorkerList};
 
 use crate::sessions::Session;
 
@@ -30,6 +30,7 @@
         sessions: Vec<Session>,
     },
     Servers(ServersUpdate),
+    Workers(WorkerList),
     /// A learner of a partition has copied everything; for the head, which places partitions.
     LearnerReady {
         partition: u16,
--- a/crates/signalbox/src/process/links.rs
+++ b/crates/signalbox/src/process/links.rs
@@ -34,6 +34,8 @@
         }
         self.links.send(&mut self.network, address, &self.core.hello());
         self.links.send(&mut self.network, address, &PeerMessage::Servers(self.servers.whole()));
+        let workers = PeerMessage::Workers(self.workers.list().clone());
+        self.links.send(&mut self.network, address, &workers);
         self.sessions_changed = true;
         if let Some(member) = self.links.member_at(address) {
             self.core.link_up(member);
@@ -161,6 +163,11 @@
             PeerMessage::Forward { request, call } => self.core.forwarded_call(from, request, call),
             PeerMessage::Forwarded { request, outcome } => self.core.forwarded_outcome(request, outcome),
             PeerMessage::Sessions { sessions } => self.sessions.listed(from, sessions, self.now),
+            PeerMessage::Workers(list) => {
+                if self.workers.take(list) {
+                    self.tell_followers_workers();
+                }
+            }
             PeerMessage::Servers(update) => {
                 self.servers.apply(&update);
             }
@@ -196,8 +203,8 @@
                     self.followers.open(network, connection, &introduction, position, controls, now);
                 self.sessions.opened(session);
                 self.sessions_changed = true;
-                let doors = self.workers.chosen().to_vec();
-                send(&mut self.network, connection, &FromControl::Workers { doors });
+                let workers = FromControl::Workers(self.workers.list().clone());
+                send(&mut self.network, connection, &workers);
                 true
             }
             ToControl::Heartbeat { health, .. } => {
@@ -250,12 +257,23 @@
             let message = PeerMessage::Sessions { sessions: self.sessions.own() };
             self.links.broadcast(&mut self.network, &message);
         }
-        if self.workers.choose(&self.sessions, &self.servers) {
-            let doors = self.workers.chosen().to_vec();
-            self.followers.broadcast(&mut self.network, &FromControl::Workers { doors });
+    }
+
+    /// As the head: chooses the doors that run generations, and tells everyone where the choice is another one.
+    pub(super) fn choose_workers(&mut self, term: u64) {
+        let presumed = !self.duties.knows_sessions(self.now);
+        if self.workers.choose(term, &self.sessions, presumed, &self.servers) {
+            let list = PeerMessage::Workers(self.workers.list().clone());
+            self.links.broadcast(&mut self.network, &list);
+            self.tell_followers_workers();
         }
     }
 
+    fn tell_followers_workers(&mut self) {
+        let list = FromControl::Workers(self.workers.list().clone());
+        self.followers.broadcast(&mut self.network, &list);
+    }
+
     pub(super) fn advance_followers(&mut self) {
         let (state, applied) = self.core.state();
         let feed = Feed { state, applied, first_change: self.core.first_change(), servers: &self.servers };
--- a/crates/signalbox/src/process/mod.rs
+++ b/crates/signalbox/src/process/mod.rs
@@ -328,9 +328,8 @@
         self.duties.set_in_touch(self.now, self.core.in_touch());
         let term = self.core.duty_term();
         self.duties.set_term(term);
-        if term.is_none() {
-            return;
-        }
+        let Some(term) = term else { return };
+        self.choose_workers(term);
         self.duties.poll_list(&mut self.network, self.now);
         let confirmed_at = self.core.quorum_confirmed_at();
         let state = self.core.newest_state();
--- a/crates/signalbox/src/workers.rs
+++ b/crates/signalbox/src/workers.rs
@@ -5,7 +5,7 @@
 //! slot. Fewer workers also share fewer connections, and a group that one door holds can use more servers at once.
 
 use orchidvalve_track::identity::NodeAddress;
-use orchidvalve_track::messages::TableVersion;
+use orchidvalve_track::messages::{TableVersion, WorkerList};
 use orchidvalve_track::rendezvous;
 use orchidvalve_track::server_table::ServerTable;
 
@@ -13,6 +13,8 @@
 
 /// Slots that a whole core of a door carries at under half of its time, by measurement (`docs/further-customer.md`).
 const SLOTS_PER_CORE: f32 = 400.0;
+/// Share of a core that a door counts with whose session isn't known yet.
+const PRESUMED_SHARE: f32 = 0.1;
 /// Begins the hashes by which doors are ranked.
 const RANK_SEED: u64 = 0x77_6f72_6b65_7273;
 
@@ -62,36 +64,76 @@
     workers
 }
 
-/// The present choice, and what it was made from.
+/// What a choice was made from.
+#[derive(PartialEq, Default, Debug)]
+struct Basis {
+    term: u64,
+    candidates: Vec<Candidate>,
+    slots: Slots,
+}
+
+/// The newest list that this machine knows, and what it was made from if this machine made it.
 #[derive(Default, Debug)]
 pub struct Workers {
-    candidates: Vec<Candidate>,
+    list: WorkerList,
+    basis: Basis,
     table: TableVersion,
     slots: Slots,
-    chosen: Vec<NodeAddress>,
 }
 
 impl Workers {
-    /// The doors that run generations.
-    pub fn chosen(&self) -> &[NodeAddress] {
-        &self.chosen
+    /// The newest list.
+    pub fn list(&self) -> &WorkerList {
+        &self.list
+    }
+
+    /// Takes over a list of the head, if it is newer than the one known; whether it is.
+    pub fn take(&mut self, list: WorkerList) -> bool {
+        let newer = list.version > self.list.version;
+        if newer {
+            self.list = list;
+        }
+        newer
     }
 
-    /// Chooses anew where sessions or servers have changed; whether the choice is another one.
-    pub fn choose(&mut self, sessions: &SessionTable, servers: &ServerTable) -> bool {
+    /// Chooses anew as the head under `term`, where sessions or servers have changed; whether the list is another one.
+    /// Right after it became the head it may not know all sessions: those on the list are `presumed` to have one.
+    pub fn choose(
+        &mut self,
+        term: u64,
+        sessions: &SessionTable,
+        presumed: bool,
+        servers: &ServerTable,
+    ) -> bool {
+        if servers.version() != self.table {
+            self.table = servers.version();
+            self.slots = Slots::of(servers);
+        }
+        let basis = Basis { term, candidates: self.candidates(sessions, presumed), slots: self.slots };
+        // Before the first reading of the platform's list nobody knows how many are needed.
+        if basis == self.basis || self.slots.sum == 0 {
+            return false;
+        }
+        let doors = choose(basis.candidates.clone(), basis.slots);
+        self.basis = basis;
+        if self.list.version.term == term && self.list.doors == doors {
+            return false;
+        }
+        let number = if self.list.version.term == term { self.list.version.number + 1 } else { 1 };
+        self.list = WorkerList { version: TableVersion { term, number }, doors };
+        true
+    }
+
+    fn candidates(&self, sessions: &SessionTable, presumed: bool) -> Vec<Candidate> {
         let doors = sessions.doors();
-        let candidates: Vec<Candidate> =
+        let mut candidates: Vec<Candidate> =
             doors.map(|door| Candidate { address: door.member.address, share: door.share }).collect();
-        let slots = if servers.version() == self.table { self.slots } else { Slots::of(servers) };
-        self.table = servers.version();
-        if candidates == self.candidates && slots == self.slots {
-            return false;
+        let listed = self.list.doors.iter().filter(|_| presumed);
+        for &address in listed {
+            if !candidates.iter().any(|candidate| candidate.address == address) {
+                candidates.push(Candidate { address, share: PRESUMED_SHARE });
+            }
         }
-        self.candidates = candidates.clone();
-        self.slots = slots;
-        let chosen = choose(candidates, slots);
-        let changed = chosen != self.chosen;
-        self.chosen = chosen;
-        changed
+        candidates
     }
 }
--- a/crates/signalbox/tests/messages.rs
+++ b/crates/signalbox/tests/messages.rs
@@ -18,7 +18,7 @@
 use orchidvalve_track::identity::{MemberId, NodeAddress};
 use orchidvalve_track::messages::{
     FeedPosition, FromControl, Introduction, PROTOCOL_VERSION, Role, ServerEntry, ServersUpdate, StoreHealth,
-    TableVersion, ToControl,
+    TableVersion, ToControl, WorkerList,
 };
 
 fn address(number: u8) -> NodeAddress {
@@ -67,6 +67,10 @@
     ]
 }
 
+fn workers() -> WorkerList {
+    WorkerList { version: TableVersion { term: 2, number: 300 }, doors: vec![address(1), address(3)] }
+}
+
 fn agreement_place(message: &AgreementMessage) -> usize {
     match message {
         AgreementMessage::Hello { .. } => 0,
@@ -167,6 +171,7 @@
         PeerMessage::Sessions { .. } => 5,
         PeerMessage::Servers(_) => 6,
         PeerMessage::LearnerReady { .. } => 7,
+        PeerMessage::Workers(_) => 8,
     }
 }
 
@@ -180,6 +185,8 @@
         PeerMessage::Sessions { sessions: vec![session, door] },
         PeerMessage::Sessions { sessions: Vec::new() },
         PeerMessage::LearnerReady { partition: 7, epoch: 300, member: member(3) },
+        PeerMessage::Workers(workers()),
+        PeerMessage::Workers(WorkerList::default()),
     ];
     samples.extend(agreement_samples().into_iter().map(PeerMessage::Agreement));
     samples.extend(chain_samples().into_iter().map(PeerMessage::Chain));
@@ -221,7 +228,7 @@
         FromControl::Snapshot { .. } => 3,
         FromControl::Changes { .. } => 4,
         FromControl::Servers(_) => 5,
-        FromControl::Workers { .. } => 6,
+        FromControl::Workers(_) => 6,
     }
 }
 
@@ -232,7 +239,7 @@
         FromControl::Heartbeat,
         FromControl::Snapshot { sequence: 300, state: vec![1, 2, 250] },
         FromControl::Changes { first: 299, changes: vec![vec![1], vec![], vec![200, 3]] },
-        FromControl::Workers { doors: vec![address(1), address(3)] },
+        FromControl::Workers(workers()),
     ];
     samples.extend(servers().into_iter().map(FromControl::Servers));
     samples
@@ -249,7 +256,7 @@
     assert_complete(&agreement_samples(), agreement_place, 9);
     assert_complete(&chain_samples(), chain_place, 7);
     assert_complete(&outcome_samples(), outcome_place, 6);
-    assert_complete(&peer_samples(), peer_place, 8);
+    assert_complete(&peer_samples(), peer_place, 9);
     assert_complete(&to_control_samples(), to_control_place, 5);
     assert_complete(&from_control_samples(), from_control_place, 7);
 }
--- a/crates/signalbox/tests/records/strategies.rs
+++ b/crates/signalbox/tests/records/strategies.rs
@@ -24,6 +24,7 @@
     Forwarded { request, outcome },
     Sessions { sessions },
     Servers(update),
+    Workers(list),
     LearnerReady { partition, epoch, member },
 });
 generate_enum!(DiskRecord {
--- a/crates/signalbox/tests/support/followers.rs
+++ b/crates/signalbox/tests/support/followers.rs
@@ -360,7 +360,7 @@
             FromControl::Snapshot { sequence, state } => follower.copy.snapshot(sequence, &state),
             FromControl::Changes { first, changes } => follower.copy.changes(first, &changes),
             FromControl::Servers(update) => follower.copy.servers_update(&update),
-            FromControl::Workers { doors } => Some(follower.copy.workers_named(doors)),
+            FromControl::Workers(list) => Some(follower.copy.workers_named(list)),
         };
         match news {
             None => self.leave_session(index),
--- a/crates/signalbox/tests/support/plan.rs
+++ b/crates/signalbox/tests/support/plan.rs
@@ -184,6 +184,7 @@
         PeerMessage::Introduce { .. }
         | PeerMessage::Sessions { .. }
         | PeerMessage::Servers(_)
+        | PeerMessage::Workers(_)
         | PeerMessage::LearnerReady { .. } => return None,
     };
     Some(kind)
--- a/crates/signalbox/tests/workers.rs
+++ b/crates/signalbox/tests/workers.rs
@@ -5,7 +5,9 @@
 use orchidvalve_signalbox::sessions::{Session, SessionTable};
 use orchidvalve_signalbox::workers::{Candidate, Slots, Workers, choose};
 use orchidvalve_track::identity::{MemberId, NodeAddress};
-use orchidvalve_track::messages::{Introduction, PROTOCOL_VERSION, Role, ServerEntry, StoreHealth};
+use orchidvalve_track::messages::{
+    Introduction, PROTOCOL_VERSION, Role, ServerEntry, StoreHealth, TableVersion, WorkerList,
+};
 use orchidvalve_track::server_table::ServerTable;
 use rstest::rstest;
 
@@ -87,27 +89,86 @@
     assert_eq!(Slots::of(&table), Slots { most: 8, sum: 14 });
 }
 
+const TERM: u64 = 5;
+
+/// Chooses as a head that knows all sessions.
+fn chooses(workers: &mut Workers, sessions: &SessionTable, servers: &ServerTable) -> bool {
+    workers.choose(TERM, sessions, false, servers)
+}
+
 #[test]
 fn the_choice_is_news_when_doors_come_stop_or_go() {
     let servers = table(vec![server(1, 2, Some("m"))]);
     let mut sessions = SessionTable::default();
     let mut workers = Workers::default();
-    assert!(!workers.choose(&sessions, &servers));
     sessions.opened(door(1));
-    assert!(workers.choose(&sessions, &servers));
-    assert_eq!(workers.chosen(), [address(1)]);
-    assert!(!workers.choose(&sessions, &servers));
+    assert!(chooses(&mut workers, &sessions, &servers));
+    assert_eq!(workers.list().doors, [address(1)]);
+    assert!(!chooses(&mut workers, &sessions, &servers));
     sessions.opened(door(2));
-    assert!(workers.choose(&sessions, &servers));
-    assert_eq!(workers.chosen(), [address(1), address(2)]);
+    assert!(chooses(&mut workers, &sessions, &servers));
+    assert_eq!(workers.list().doors, [address(1), address(2)]);
     let leaving = StoreHealth { leaving: true, ..StoreHealth::default() };
     sessions.opened(Session { health: Some(leaving), ..door(1) });
-    assert!(workers.choose(&sessions, &servers));
-    assert_eq!(workers.chosen(), [address(2)]);
+    assert!(chooses(&mut workers, &sessions, &servers));
+    assert_eq!(workers.list().doors, [address(2)]);
     sessions.closed(&door(2), 0);
     sessions.expire(u64::MAX);
-    assert!(workers.choose(&sessions, &servers));
-    assert_eq!(workers.chosen(), []);
+    assert!(chooses(&mut workers, &sessions, &servers));
+    assert_eq!(workers.list().doors, []);
+    assert_eq!(workers.list().version, TableVersion { term: TERM, number: 4 });
+}
+
+#[test]
+fn nobody_is_chosen_before_servers_are_known() {
+    let mut sessions = SessionTable::default();
+    sessions.opened(door(1));
+    let mut workers = Workers::default();
+    assert!(!chooses(&mut workers, &sessions, &ServerTable::default()));
+    assert_eq!(workers.list(), &WorkerList::default());
+}
+
+#[test]
+fn a_new_head_says_the_same_under_its_own_term() {
+    let servers = table(vec![server(1, 2, Some("m"))]);
+    let mut sessions = SessionTable::default();
+    sessions.opened(door(1));
+    let mut workers = Workers::default();
+    let former = WorkerList { version: TableVersion { term: TERM - 1, number: 9 }, doors: vec![address(1)] };
+    assert!(workers.take(former));
+    assert!(chooses(&mut workers, &sessions, &servers));
+    assert_eq!(
+        workers.list(),
+        &WorkerList { version: TableVersion { term: TERM, number: 1 }, doors: vec![address(1)] }
+    );
+}
+
+/// All sessions ended with the touch to a majority: their doors go on meanwhile.
+#[test]
+fn a_head_that_does_not_know_all_sessions_yet_keeps_the_doors_on_the_list() {
+    let servers = table(vec![server(1, 2, Some("m"))]);
+    let mut sessions = SessionTable::default();
+    let mut workers = Workers::default();
+    let doors = vec![address(1), address(2)];
+    workers.take(WorkerList { version: TableVersion { term: TERM, number: 3 }, doors: doors.clone() });
+    sessions.opened(door(1));
+    assert!(!workers.choose(TERM, &sessions, true, &servers));
+    assert_eq!(workers.list().doors, doors);
+    assert!(workers.choose(TERM, &sessions, false, &servers));
+    assert_eq!(workers.list().doors, [address(1)]);
+}
+
+#[test]
+fn older_lists_are_ignored() {
+    let list = |term, number| WorkerList {
+        version: TableVersion { term, number },
+        doors: vec![address(number as u8)],
+    };
+    let mut workers = Workers::default();
+    assert!(workers.take(list(2, 5)));
+    assert!(!workers.take(list(2, 5)) && !workers.take(list(2, 4)) && !workers.take(list(1, 9)));
+    assert_eq!(workers.list(), &list(2, 5));
+    assert!(workers.take(list(3, 1)));
 }
 
 #[test]
@@ -116,9 +177,9 @@
     (1..=9).for_each(|number| sessions.opened(door(number)));
     let mut workers = Workers::default();
     let mut servers = table(vec![server(1, 3, Some("m"))]);
-    workers.choose(&sessions, &servers);
-    assert_eq!(workers.chosen().len(), 3);
+    chooses(&mut workers, &sessions, &servers);
+    assert_eq!(workers.list().doors.len(), 3);
     servers.replace(1, vec![server(1, 5, Some("m"))]);
-    assert!(workers.choose(&sessions, &servers));
-    assert_eq!(workers.chosen().len(), 5);
+    assert!(chooses(&mut workers, &sessions, &servers));
+    assert_eq!(workers.list().doors.len(), 5);
 }
--- a/crates/track/src/messages.rs
+++ b/crates/track/src/messages.rs
@@ -144,10 +144,7 @@
         changes: Vec<Vec<u8>>,
     },
     Servers(ServersUpdate),
-    /// The doors that run generations, the whole list. Each has a part of every model server's slots.
-    Workers {
-        doors: Vec<NodeAddress>,
-    },
+    Workers(WorkerList),
 }
 
 /// A server as the platform's list shows it.
@@ -164,6 +161,14 @@
     pub models: Vec<(String, u64)>,
 }
 
+/// The doors that run generations. Each has a part of every model server's slots. The head of the control chain writes the
+/// list, so that all go by the same one.
+#[derive(Clone, PartialEq, Eq, Default, Debug, Encode, Decode)]
+pub struct WorkerList {
+    pub version: TableVersion,
+    pub doors: Vec<NodeAddress>,
+}
+
 /// The table of servers, whole or as the difference from an earlier version.
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub enum ServersUpdate {
--- a/crates/track/tests/messages/strategies.rs
+++ b/crates/track/tests/messages/strategies.rs
@@ -4,7 +4,7 @@
 use orchidvalve_track::messages::{
     FeedPosition, FromControl, FromStore, Introduction, ItemOutcome, ItemState, Role, ScorerCall,
     ServerEntry, ServersUpdate, StoreAnswer, StoreHealth, TableVersion, ToControl, ToStore, WorkGroup,
-    WorkItem, WorkTerms,
+    WorkItem, WorkTerms, WorkerList,
 };
 
 use crate::{generate_enum, generate_struct};
@@ -29,8 +29,9 @@
     Snapshot { sequence, state },
     Changes { first, changes },
     Servers(update),
-    Workers { doors },
+    Workers(workers),
 });
+generate_struct!(WorkerList { version, doors });
 generate_struct!(ServerEntry { instance, service, address, zone, slots, draining, models });
 generate_enum!(ServersUpdate {
     Whole { version, servers },
