--- a/crates/points/src/latency.rs
+++ b/crates/points/src/latency.rs
@@ -4,22 +4,24 @@
 pub const ENOUGH_LATENCIES: usize = 20;
 
 const KEPT: usize = 128;
-const PERCENTILE: usize = 90;
 const TARGET_FRACTION: u64 = 4;
 
 /// The most recent latencies of one route, in milliseconds.
 #[derive(Debug)]
 pub struct Latencies {
     target_run_ms: u64,
+    /// Percentile of the latencies that the delay follows.
+    percent: usize,
     ring: Vec<u64>,
     next: usize,
     percentile: u64,
 }
 
 impl Latencies {
-    /// Starts empty; `target_run_ms` is the route's time within which a batch job is due.
-    pub fn new(target_run_ms: u64) -> Self {
-        Self { target_run_ms, ring: Vec::new(), next: 0, percentile: 0 }
+    /// Starts empty; `target_run_ms` is the route's time within which a batch job is due, and `percent` the percentile of
+    /// latencies that the delay follows, from 1 to 100.
+    pub fn new(target_run_ms: u64, percent: usize) -> Self {
+        Self { target_run_ms, percent, ring: Vec::new(), next: 0, percentile: 0 }
     }
 
     /// The route's target may change with the configuration.
@@ -38,7 +40,7 @@
         let mut sorted = [0; KEPT];
         let sorted = &mut sorted[..self.ring.len()];
         sorted.copy_from_slice(&self.ring);
-        let rank = (sorted.len() * PERCENTILE).div_ceil(100) - 1;
+        let rank = (sorted.len() * self.percent).div_ceil(100) - 1;
         self.percentile = *sorted.select_nth_unstable(rank).1;
     }
 
--- a/crates/points/src/scheduler.rs
+++ b/crates/points/src/scheduler.rs
@@ -9,6 +9,10 @@
 use crate::latency::Latencies;
 use crate::load::{LoadIndex, ServerKey};
 
+/// Percentile of a route's latencies after which a generation may be copied. Most of those that take long are long texts,
+/// which a copy doesn't shorten.
+const COPY_PERCENT: usize = 99;
+
 /// Names a set of servers among which a group's servers are chosen, usually those of one service.
 pub type PoolKey = u32;
 /// Names a route; latencies are kept for each.
@@ -186,7 +190,7 @@
             .extend((0..spec.generations).map(|index| (spec.rank, Generation { group: spec.key, index })));
         let route = self.routes.entry(spec.route).or_insert_with(|| Route {
             pool: spec.pool,
-            latencies: Latencies::new(spec.target_run_ms),
+            latencies: Latencies::new(spec.target_run_ms, COPY_PERCENT),
             single: BTreeSet::new(),
         });
         route.latencies.set_target(spec.target_run_ms);
--- a/crates/turnstile/src/generations/servers.rs
+++ b/crates/turnstile/src/generations/servers.rs
@@ -11,15 +11,8 @@
 const FIRST_PAUSE_MS: u64 = 50;
 /// The longest pause of this kind.
 const LONGEST_PAUSE_MS: u64 = 800;
-/// A server that has fallen silent is left alone this long at first, in milliseconds; the time doubles. Each try there costs
-/// an item as long as it takes to see the silence.
-const FIRST_SILENT_PAUSE_MS: u64 = 800;
-/// The longest pause of this kind.
-const LONGEST_SILENT_PAUSE_MS: u64 = 3_200;
 /// The longest wish of a server to be left alone that is heeded.
 const LONGEST_RETRY_AFTER_MS: u64 = 2_000;
-/// From this many failures in a row on, a server gets one generation at a time.
-const FAILURES_IN_TROUBLE: u32 = 3;
 /// A server slower than the others by this factor gets fewer generations.
 const SLOW_FACTOR: f64 = 1.5;
 /// The least share of its usual number that a slow server gets.
@@ -162,9 +155,6 @@
         let Some(server) = self.table.get(&key).filter(|server| !server.draining) else { return 0 };
         let usable = server.slots.saturating_sub(server.queued);
         let usual = server.limit.unwrap_or_else(|| share_limit(usable, self.share));
-        if server.failures >= FAILURES_IN_TROUBLE {
-            return usual.min(1);
-        }
         let pool_gap = self.gap_ms.get(&server.pool).copied().unwrap_or(0.0);
         if pool_gap > 0.0 && server.gap_ms > pool_gap * SLOW_FACTOR {
             let pace = (pool_gap / server.gap_ms).max(LEAST_PACE_SHARE);
@@ -236,8 +226,8 @@
         self.pause(key, now + pause);
     }
 
-    /// A send failed at the server: it is left alone for a little, and gets fewer if this goes on. Failures that
-    /// come while it is left alone belong to the same trouble, such as a reset of all its streams.
+    /// A send failed at the server: it is left alone for a little. Failures that come while it is left alone belong to
+    /// the same trouble, such as a reset of all its streams.
     pub fn failed(&mut self, key: ServerKey, now: u64) {
         let Some(server) = self.table.get_mut(&key).filter(|server| server.pause_until <= now) else {
             return;
@@ -247,16 +237,6 @@
         self.pause(key, now + pause);
     }
 
-    /// Nothing is heard of the server: it is left alone for longer than one that fails.
-    pub fn silent(&mut self, key: ServerKey, now: u64) {
-        let Some(server) = self.table.get_mut(&key).filter(|server| server.pause_until <= now) else {
-            return;
-        };
-        let pause = doubled(FIRST_SILENT_PAUSE_MS, server.failures).min(LONGEST_SILENT_PAUSE_MS);
-        server.failures = server.failures.saturating_add(1);
-        self.pause(key, now + pause);
-    }
-
     /// The server took a request in.
     pub fn accepted(&mut self, key: ServerKey) {
         if let Some(server) = self.table.get_mut(&key) {
@@ -317,11 +297,7 @@
 }
 
 fn pause_ms(times: u32) -> u64 {
-    doubled(FIRST_PAUSE_MS, times.saturating_sub(1)).min(LONGEST_PAUSE_MS)
-}
-
-fn doubled(first_ms: u64, times: u32) -> u64 {
-    first_ms << times.min(16)
+    (FIRST_PAUSE_MS << times.saturating_sub(1).min(16)).min(LONGEST_PAUSE_MS)
 }
 
 /// Takes an observation into a running average; 0 stands for no observation yet.
--- a/crates/turnstile/src/generations/streams.rs
+++ b/crates/turnstile/src/generations/streams.rs
@@ -335,8 +335,7 @@
     }
 
     fn server_silent(&mut self, now: u64, server: ServerKey, out: &mut Vec<Command>) {
-        self.servers.silent(server, now);
-        self.refresh_limit(server);
+        self.server_failed(now, server);
         out.push(Command::Distrust { server });
     }
 
--- a/crates/turnstile/src/requests/sending.rs
+++ b/crates/turnstile/src/requests/sending.rs
@@ -16,6 +16,8 @@
 /// Copies within [`orchidvalve_points::WINDOW_MS`] that don't have to be a small share of the requests, for those that
 /// are overdue: a door that takes few would never copy one whose server has fallen silent.
 const RESERVED_COPIES: u64 = 3;
+/// Percentile of a service's latencies after which a request may be copied.
+const COPY_PERCENT: usize = 90;
 /// Least delay of a copy.
 const LEAST_COPY_DELAY_MS: u64 = 20;
 
@@ -68,7 +70,7 @@
         let target = pending.target_ms();
         let service = pending.service();
         if !self.latencies.contains_key(service) {
-            self.latencies.insert(service.to_owned(), Latencies::new(target));
+            self.latencies.insert(service.to_owned(), Latencies::new(target, COPY_PERCENT));
         }
         let delay = self.latencies.get(service).map_or(target, Latencies::copy_delay_ms);
         pending.copy_at = Some(now + delay.max(LEAST_COPY_DELAY_MS));
