Event loops: no deadline is judged before what had arrived by then was read

Cause: a process that is held (stopped, or without a processor) between the end of its wait and the reading of the clock judged its deadlines by the later time, with the answers that had arrived meanwhile unread: attempts timed out, leases and sessions ended.

Change: net::turn::collect_events reads the time before a second look at events, without a wait, wherever something is due by then; Network::poll and the front node go by it, and a turn has the time of that reading.

--- a/crates/batch-store/src/process.rs
+++ b/crates/batch-store/src/process.rs
@@ -102,7 +102,7 @@
     loop {
         let wait = process.wait();
         let events = process.network.poll(wait)?;
-        process.now = process.clock.now();
+        process.now = process.clock.at(process.network.turn_started_at());
         events.into_iter().for_each(|event| process.handle(event));
         process.finish_round();
         if process.may_end() {
--- a/crates/control-plane/src/process/mod.rs
+++ b/crates/control-plane/src/process/mod.rs
@@ -169,7 +169,7 @@
     loop {
         let timeout = process.poll_timeout();
         let events = process.network.poll(timeout)?;
-        process.now = process.clock.now();
+        process.now = process.clock.at(process.network.turn_started_at());
         process.node.advance_clock(process.now);
         for event in events {
             process.handle_event(event);
--- a/crates/data-plane/src/gateway/mod.rs
+++ b/crates/data-plane/src/gateway/mod.rs
@@ -133,7 +133,7 @@
     loop {
         let wait = gateway.wait();
         let events = gateway.network.poll(wait)?;
-        gateway.now = gateway.clock.now();
+        gateway.now = gateway.clock.at(gateway.network.turn_started_at());
         gateway.drop_expired_leases();
         for event in events {
             gateway.handle(event);
--- a/crates/frontnode/src/node/mod.rs
+++ b/crates/frontnode/src/node/mod.rs
@@ -18,6 +18,7 @@
 use orchidvalve::interface::{AggregatorSettings, Nanos};
 use orchidvalve::state::SampleRing;
 use orchidvalve_maintenance::raft_group::RecoveredLog;
+use orchidvalve_net::turn::{MayWait, collect_events};
 
 use crate::client_protocol;
 use crate::clients::Clients;
@@ -173,7 +174,7 @@
         let known_endpoints = state.config.known_endpoints.clone();
         let state = RefCell::new(state);
         let mut node = Node { events, ready, aggregator, state, tick, last_round: Nanos::MIN / 2 };
-        node.round(|state, aggregator_state| {
+        node.round(node.ready.clock.now(), |state, aggregator_state| {
             let NodeState { discovery, connections, queries, context, cold_start, .. } = state;
             // Where there is a cold start, it says which list is used.
             if cold_start.is_none() {
@@ -236,9 +237,7 @@
             let due = if self.has_work() { Some(now) } else { next_due() };
             let due = due.map(|due| due.max(self.last_round + self.tick));
             let wait = due.map(|due| Duration::from_nanos((due - now).max(0) as u64));
-            let waited = self.events.dispatch(wait, &mut self.ready);
-            waited.map_err(|error| NodeError::Wait(error.to_string()))?;
-            let now = self.ready.clock.now();
+            let now = self.collect_events(due, wait)?;
             let next_due = self.state.get_mut().context.deadlines.next_due();
             let is_due = next_due.is_some_and(|at| at <= now);
             if now - self.last_round >= self.tick && (is_due || self.has_work()) {
@@ -246,7 +245,7 @@
                     self.state.get_mut().context.metrics.rounds_late += 1;
                 }
                 let ready = std::mem::take(&mut self.ready.ready);
-                self.round(|state, aggregator_state| state.handle_events(ready, aggregator_state));
+                self.round(now, |state, aggregator_state| state.handle_events(ready, aggregator_state));
             }
         }
         let context = &mut self.state.get_mut().context;
@@ -257,6 +256,21 @@
         log!("stopped; {}", context.metrics.line());
         Ok(())
     }
+
+    /// Waits for events until something is due. Returns the time of the round: what had arrived by then is collected, so
+    /// that no attempt times out with its answer unread.
+    fn collect_events(&mut self, due: Option<Nanos>, wait: Option<Duration>) -> Result<Nanos, NodeError> {
+        let (clock, events, ready) = (self.ready.clock, &mut self.events, &mut self.ready);
+        let time = collect_events(
+            due,
+            || clock.now(),
+            |may_wait| {
+                let wait = if may_wait == MayWait::UntilDue { wait } else { Some(Duration::ZERO) };
+                events.dispatch(wait, ready)
+            },
+        );
+        time.map_err(|error| NodeError::Wait(error.to_string()))
+    }
 }
 
 impl NodeState {
--- a/crates/frontnode/src/node/round.rs
+++ b/crates/frontnode/src/node/round.rs
@@ -30,9 +30,8 @@
             || !state.context.ready_again.is_empty()
     }
 
-    /// One round. `handle`: reads what arrived and handles the timers that fell due.
-    pub(super) fn round(&mut self, handle: impl FnOnce(&mut NodeState, &mut AggregatorState)) {
-        let now = self.ready.clock.now();
+    /// One round, at the time `now`. `handle`: reads what arrived and handles the timers that fell due.
+    pub(super) fn round(&mut self, now: Nanos, handle: impl FnOnce(&mut NodeState, &mut AggregatorState)) {
         self.last_round = now;
         let state = &self.state;
         state.borrow_mut().context.now = now;
@@ -94,6 +93,8 @@
         let again = std::mem::take(&mut self.context.ready_again);
         let again = again.into_iter().map(|source| ReadyEvent { source, at: now });
         for event in ready.into_iter().chain(again) {
+            // What was collected a moment after the time of the round counts as of then.
+            let event = ReadyEvent { at: event.at.min(now), ..event };
             self.handle_ready(event, aggregator_state);
         }
         while let Some(timer) = self.context.deadlines.pop_due(now) {
--- a/crates/net/src/clock.rs
+++ b/crates/net/src/clock.rs
@@ -28,7 +28,12 @@
 
     /// The time now, in milliseconds of the monotonic clock; never below 100,000.
     pub fn now(&self) -> u64 {
-        self.start.elapsed().as_millis() as u64 + Clock::OFFSET_MS
+        self.at(Instant::now())
+    }
+
+    /// That moment in milliseconds of the monotonic clock.
+    pub fn at(&self, moment: Instant) -> u64 {
+        moment.saturating_duration_since(self.start).as_millis() as u64 + Clock::OFFSET_MS
     }
 
     /// Time of day at the moment `now` of this clock, in milliseconds since 1970. It is read once, at the start of the
--- a/crates/net/src/event_loop.rs
+++ b/crates/net/src/event_loop.rs
@@ -15,6 +15,7 @@
 use super::event::{Event, Ready, Source, Waker};
 use super::sockets;
 use super::table::ConnectionTable;
+use super::turn::{MayWait, collect_events};
 
 /// Most bytes that one call reads from a socket.
 const READ_BYTES: usize = 16 << 10;
@@ -50,7 +51,7 @@
     waker: Waker,
     /// What is read from a socket first goes here.
     scratch: Vec<u8>,
-    /// When the latest turn began: when polling returned what had happened.
+    /// When the latest turn began: everything that had arrived by then was reported.
     turn_started_at: Instant,
     /// Connections whose peer has yet to close its end, oldest first.
     lingering: VecDeque<LingeringConnection>,
@@ -155,7 +156,8 @@
         Ok(id)
     }
 
-    /// Writes the outboxes, waits up to `wait` for something to happen and returns it.
+    /// Writes the outboxes, waits up to `wait` for something to happen and returns it. A turn that is judged by
+    /// [`Network::turn_started_at`] misses nothing that had arrived by then.
     ///
     /// # Errors
     ///
@@ -163,13 +165,15 @@
     pub fn poll(&mut self, wait: Duration) -> io::Result<Vec<Event>> {
         self.flush();
         self.abort_lingering();
-        let wait = if self.pending_events.is_empty() && self.more_to_read.is_empty() {
-            wait
-        } else {
-            Duration::ZERO
-        };
-        self.events.dispatch(wait, &mut self.ready).map_err(io_error)?;
-        self.turn_started_at = Instant::now();
+        let due = Instant::now().checked_add(wait);
+        let has_events = !self.pending_events.is_empty() || !self.more_to_read.is_empty();
+        let wait = if has_events { Duration::ZERO } else { wait };
+        let (loop_of_events, ready) = (&mut self.events, &mut self.ready);
+        self.turn_started_at = collect_events(due, Instant::now, |may_wait| {
+            let wait = if may_wait == MayWait::UntilDue { wait } else { Duration::ZERO };
+            loop_of_events.dispatch(wait, ready)
+        })
+        .map_err(io_error)?;
         let mut sources = std::mem::take(&mut self.ready.sources);
         for id in std::mem::take(&mut self.more_to_read) {
             if !sources.contains(&Source::Connection(id)) {
@@ -189,6 +193,12 @@
         Ok(events)
     }
 
+    /// When the latest turn began: everything that had arrived by then was returned by [`Network::poll`]. Deadlines are
+    /// judged by this time, since a process may be held after it.
+    pub fn turn_started_at(&self) -> Instant {
+        self.turn_started_at
+    }
+
     fn accept(&mut self, index: usize, events: &mut Vec<Event>) {
         loop {
             let (socket, tag) = (self.listeners[index].socket.clone(), self.listeners[index].tag);
--- a/crates/net/src/lib.rs
+++ b/crates/net/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod outgoing_link;
 mod sockets;
 mod table;
+pub mod turn;
 
 pub use connection::ConnectionId;
 pub use event::{Event, Waker};
