Front node: a request read while newcomers are accepted is spared until it is looked at

Cause: the client was spared in that round only.

Change: such a client has a flag until its inbox is looked at, and isn't evicted while it is set. Half a request that was looked at gives way as before.

--- a/crates/frontnode/src/clients.rs
+++ b/crates/frontnode/src/clients.rs
@@ -177,13 +177,17 @@
 
     /// Closes a connection that has said nothing since it came, where one that connects in order to ask would have;
     /// where there is none, the one that has been idle longest, and where none is idle, one that has not sent its whole
-    /// request. Those that came in this round are spared: their requests may be there, not read yet.
+    /// request. Those that came in this round are spared: their requests may be there, not read yet. So are those whose
+    /// requests were read here and not looked at yet: that may be up to the end of the next round.
     fn evict(&mut self, context: &mut Context) -> bool {
         let (now, soon) = (context.now, self.timeouts.linger / 10);
         let is_mute =
             |client: &Client| client.is_idle() && !client.has_sent_request && client.last_used + soon <= now;
         let is_evictable = |client: &Client| {
-            client.pending.is_none() && client.stream.is_flushed() && client.last_used < now
+            client.pending.is_none()
+                && client.stream.is_flushed()
+                && !client.has_unseen_request
+                && client.last_used < now
         };
         loop {
             let evictable = self.clients.iter().filter(|(_, client)| is_evictable(client));
@@ -194,7 +198,7 @@
             let is_open = matches!(client.stream.fill(http::MAX_MESSAGE_BYTES), Ok(true));
             if was_idle && is_open && !client.stream.inbox().is_empty() {
                 // Its request came while the newcomers did, and would be lost with it.
-                client.last_used = now;
+                client.has_unseen_request = true;
                 context.ready_again.push(EventSource::Client(key));
                 continue;
             }
@@ -247,8 +251,7 @@
     }
 
     /// A client's time limit has passed. Half a request is refused; a client that has sent nothing, or has been
-    /// answered, is
-    /// closed. Returns the queries whose client has disconnected.
+    /// answered, is closed. Returns the queries whose client has disconnected.
     pub fn timer_due(&mut self, key: ClientKey, context: &mut Context) -> Vec<QueryIndex> {
         let Some(client) = self.clients.get_mut(key) else { return Vec::new() };
         client.timer = None;
@@ -270,3 +273,6 @@
         self.answer(key, &Reply::text(error.status, error.text), context);
     }
 }
+
+#[cfg(test)]
+mod tests;
--- a/crates/frontnode/src/clients/client.rs
+++ b/crates/frontnode/src/clients/client.rs
@@ -30,6 +30,8 @@
     /// When the request that is being read began to arrive.
     pub(super) request_since: Option<Nanos>,
     pub(super) last_used: Nanos,
+    /// Bytes of its inbox arrived while newcomers were accepted, and no round has looked at them yet.
+    pub(super) has_unseen_request: bool,
     /// Whether it stays open after the answer.
     pub(super) keeps_alive: bool,
     /// Nothing more is written; what the peer still sends is read until it closes.
@@ -46,6 +48,7 @@
             pending: None,
             request_since: None,
             last_used: now,
+            has_unseen_request: false,
             keeps_alive: true,
             finished: false,
             timer: Some(timer),
--- a/crates/frontnode/src/clients/requests.rs
+++ b/crates/frontnode/src/clients/requests.rs
@@ -27,6 +27,7 @@
         context: &mut Context,
     ) -> Vec<QueryIndex> {
         let Some(client) = self.clients.get_mut(key) else { return Vec::new() };
+        client.has_unseen_request = false;
         let before = client.stream.bytes_read;
         let filled = if client.finished {
             client.stream.discard(MAX_DISCARDED_BYTES)
