Decisions: no hedge goes to a replica that fails the service class

Change: hedges leave them out always; a first attempt or a retry may still go there where nothing else is.

Test: decisions/hedging.rs, fails on the old code (run).

--- a/src/decisions/hedging.rs
+++ b/src/decisions/hedging.rs
@@ -5,7 +5,7 @@
 use super::latency::{FIRST_DELAY, scaled};
 use crate::interface::{ActionSink, Nanos, ReplicaIndex, ShardRequestIndex};
 use crate::state::ShardRequest;
-use crate::trace::AttemptReason;
+use crate::trace::{AttemptReason, ExclusionReason};
 
 /// Hedges stay under this share of the recent shard requests.
 const HEDGE_SHARE: f64 = 0.1;
@@ -28,10 +28,16 @@
             if !may_hedge || !self.may_retry(self.state.request(ix)) || !self.within_retry_budget() {
                 continue;
             }
+            let class = self.state.query(self.state.request(ix).query).class;
             let mut idle = self.choices(ix, &candidates);
             idle.retain(|&replica| {
                 let candidate = &candidates[replica];
-                candidate.sound && candidate.has_quota && candidate.calls == 0
+                // Where no other is left, a retry may go to one that fails the class; a hedge there is only wasted.
+                let fails = self.fails_class(replica, class).then_some(ExclusionReason::ClassFails);
+                candidate.sound
+                    && candidate.has_quota
+                    && candidate.calls == 0
+                    && self.passes(ix, replica, fails)
             });
             if let Some(replica) = self.any_of(&idle) {
                 self.start_attempt(ix, replica, AttemptReason::Hedge, sink);
--- a/tests/decisions/hedging.rs
+++ b/tests/decisions/hedging.rs
@@ -32,3 +32,34 @@
         "{hedges} hedges for 72 shard requests, with an idle replica for each of 12"
     );
 }
+
+#[test]
+fn no_hedge_goes_to_a_replica_that_fails_the_service_class() {
+    let mut settings = settings(2);
+    settings.classes.push(settings.classes[0].clone());
+    let mut host = Host::new(settings);
+    host.traffic(40, &[]);
+    // Replica A answers the second class with an error; the shard request is served by B.
+    let failed_at_a = (0..40).any(|_| {
+        let (_, actions) = host.ask(1, &[0]);
+        host.now += 5 * MS;
+        host.end_attempts(|r| (r == A).then_some(AttemptOutcome::Failed));
+        host.now += 5 * MS;
+        host.end_attempts(|_| Some(AttemptOutcome::Answered));
+        attempts(&actions)[0].1 == A
+    });
+    assert!(failed_at_a);
+    host.traffic(15, &[]);
+    let (_, actions) = host.ask(1, &[0]);
+    assert_eq!(attempts(&actions)[0].1, B);
+    assert!(attempts(&host.wait(120 * MS)).is_empty(), "a hedge at A would only be wasted");
+    host.end_attempts(|_| Some(AttemptOutcome::Answered));
+    // The other class is hedged there.
+    let is_hedged_at_a = (0..20).any(|_| {
+        let (_, actions) = host.ask(0, &[0]);
+        let hedges = attempts(&host.wait(120 * MS));
+        host.end_attempts(|_| Some(AttemptOutcome::Answered));
+        attempts(&actions)[0].1 == B && hedges.iter().any(|attempt| attempt.1 == A)
+    });
+    assert!(is_hedged_at_a);
+}
