Search: a document to be created has one canonical form whatever the order of its keys

Change: the carried text is sorted by key at every level.

Test: two_spellings_of_a_document_have_one_canonical_form, fails on the old code (run).

--- a/crates/search/src/request/create.rs
+++ b/crates/search/src/request/create.rs
@@ -38,12 +38,14 @@
         Ok(CreateRequest { index, id, routing, document: body.to_serde() })
     }
 
-    /// The text that the shard request carries, the same on every wire.
+    /// The text that the shard request carries, the same on every wire and for every order of the document's keys.
     pub fn canonical(&self) -> String {
         let mut inner = json!({"index": self.index, "id": self.id, "document": self.document});
         if let Some(routing) = &self.routing {
             inner["routing"] = json!(routing);
         }
-        json!({ "create": inner }).to_string()
+        let mut carried = json!({ "create": inner });
+        carried.sort_all_objects();
+        carried.to_string()
     }
 }
--- a/crates/search/tests/language.rs
+++ b/crates/search/tests/language.rs
@@ -303,6 +303,17 @@
     assert_eq!(create(r#"{"van": {"seats": 2}}"#).unwrap_err().path, "van.seats");
 }
 
+#[test]
+fn two_spellings_of_a_document_have_one_canonical_form() {
+    let canonical = |body: &str| {
+        CreateRequest::read(body.as_bytes(), "jobs", "j1", Some("c1"), &mapping()).unwrap().canonical()
+    };
+    let one = canonical(r#"{"customer": "c1", "van": {"plate": "x"}, "crew": [2, 1]}"#);
+    let other = canonical(r#"{"crew":[2,1],"van":{"plate":"x"},"customer":"c1"}"#);
+    assert_eq!(one, other);
+    assert_ne!(one, canonical(r#"{"crew":[1,2],"van":{"plate":"x"},"customer":"c1"}"#));
+}
+
 fn clause() -> impl Strategy<Value = Value> {
     let text = select(vec!["c1", "c3", "piano", "Two stairs", "", "ΑΣ İ", "a*b?"]);
     let number = prop_oneof![(-3i64..9).prop_map(|n| json!(n)), (-3.0f64..9.0).prop_map(|n| json!(n))];
