--- a/crates/batch/src/job/document.rs
+++ b/crates/batch/src/job/document.rs
@@ -21,9 +21,9 @@
 #[derive(Default)]
 pub struct Headers<'a>(pub Vec<(Text<'a>, Text<'a>)>);
 
-/// A batch job. Errors told to clients name these types.
+/// A batch job.
 #[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case", expecting = "an object: a batch job")]
 pub struct JobDocument<'a> {
     pub step: Option<u64>,
     #[serde(borrow)]
@@ -36,7 +36,7 @@
 
 /// One of its requests.
 #[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case", expecting = "an object: a request of the batch job")]
 pub struct ItemDocument<'a> {
     #[serde(borrow)]
     pub instance_id: Text<'a>,
@@ -55,7 +55,7 @@
 
 /// The request that scores an item's text.
 #[derive(Deserialize)]
-#[serde(rename_all = "kebab-case")]
+#[serde(rename_all = "kebab-case", expecting = "an object: the request that scores the text")]
 pub struct ScorerDocument<'a> {
     #[serde(borrow)]
     pub instance_id: Text<'a>,
--- a/crates/batch/tests/job.rs
+++ b/crates/batch/tests/job.rs
@@ -348,3 +348,23 @@
         assert_eq!(job.group_count(), names.len());
     }
 }
+
+#[rstest]
+#[case::the_document("", json!(7), "an object: a batch job")]
+#[case::an_item("/requests/1", json!("x"), "an object: a request of the batch job")]
+#[case::a_scorer("/requests/1/scorer-url", json!("x"), "an object: the request that scores the text")]
+#[case::headers("/requests/1/headers", json!(true), "an object of header names and values")]
+#[case::a_text("/requests/1/path", json!(3), "a text")]
+fn errors_say_what_was_expected_in_the_words_of_the_page(
+    #[case] pointer: &str,
+    #[case] value: Value,
+    #[case] expected: &str,
+) {
+    let mut document = valid();
+    *document.pointer_mut(pointer).unwrap() = value;
+    let error = parse(&document).unwrap_err().to_string();
+    assert!(error.contains(&format!("expected {expected}")), "{error}");
+    for internal in ["Document", "struct", "Visitor"] {
+        assert!(!error.contains(internal), "{error}");
+    }
+}
