Data plane: ties between servers are broken by the random numbers alone

Change: servers are kept and told in the order of their keys; the tie is drawn over them as before.

Test: balancer.rs, six tables with the same seed give the same 600 picks, and each of twelve servers is picked 25 to 75 times; fails on the old code (run). No golden file changes.

--- a/crates/data-plane/src/balancer/mod.rs
+++ b/crates/data-plane/src/balancer/mod.rs
@@ -75,6 +75,7 @@
             }
         }
         self.index_by_service();
+        change.removed.sort_unstable();
         change
     }
 
@@ -86,16 +87,20 @@
         key
     }
 
+    /// In the order of the keys, so that ties are broken by the random numbers alone.
     fn index_by_service(&mut self) {
         self.by_service.clear();
         for upstream in self.upstreams.values() {
             self.by_service.entry(upstream.entry.service.as_str().into()).or_default().push(upstream.key);
         }
+        self.by_service.values_mut().for_each(|keys| keys.sort_unstable());
     }
 
-    /// All servers, in no order.
+    /// All servers, in the order of their keys.
     pub fn keys(&self) -> Vec<ServerKey> {
-        self.upstreams.keys().copied().collect()
+        let mut keys: Vec<ServerKey> = self.upstreams.keys().copied().collect();
+        keys.sort_unstable();
+        keys
     }
 
     /// What is known of a server; None once it is no longer listed.
--- a/crates/data-plane/tests/balancer.rs
+++ b/crates/data-plane/tests/balancer.rs
@@ -256,3 +256,33 @@
     assert_eq!(slot_share(6, &gateways(3), gateways(4)[3], "i-1"), None);
     assert_eq!(slot_share(6, &[], gateways(1)[0], "i-1"), None);
 }
+
+#[test]
+fn ties_are_broken_by_the_random_numbers_alone_and_over_all_servers() {
+    let names: Vec<String> = (0..12).map(|number| format!("i-{number}")).collect();
+    // Each has its own tables, whose hashes differ from those of the others.
+    let run = || {
+        let mut servers = Servers::default();
+        servers.list(names.iter().map(|name| entry(name)).collect());
+        let mut random = Pcg64Mcg::new(9);
+        let picks = (0..600).map(|_| servers.balancer.pick(SERVICE, ZONE, &[], NOW, &mut random).unwrap());
+        picks.collect::<Vec<ServerKey>>()
+    };
+    let picks = run();
+    assert!((0..5).all(|_| run() == picks), "the same random numbers give the same servers");
+    for key in (1..=12).map(ServerKey) {
+        let count = picks.iter().filter(|picked| **picked == key).count();
+        assert!((25..=75).contains(&count), "{key:?} was picked {count} times of 600");
+    }
+}
+
+#[test]
+fn what_an_update_of_the_table_removed_is_told_in_the_order_of_the_keys() {
+    let mut servers = Servers::default();
+    let names: Vec<String> = (0..12).map(|number| format!("i-{number}")).collect();
+    servers.list(names.iter().map(|name| entry(name)).collect());
+    assert!(servers.balancer.keys().is_sorted());
+    let removed = servers.list(Vec::new()).removed;
+    assert_eq!(removed.len(), 12);
+    assert!(removed.is_sorted());
+}
