Gateway: idle connections of readiness checks outlast the platform's interval

Change: ten seconds at least.

Test: connections_of_readiness_checks_outlast_the_platforms_interval; there was no such bound before.

--- a/crates/data-plane/src/clients.rs
+++ b/crates/data-plane/src/clients.rs
@@ -18,6 +18,17 @@
 /// Time between two sweeps for connections that have timed out, in milliseconds.
 const SWEEP_INTERVAL_MS: u64 = 100;
 
+/// Least time after which an idle connection of the platform's readiness checks is closed, in milliseconds: many times
+/// the second after which the platform asks again. Closed at that very moment, the connection would meet the next
+/// question, which would count as a miss.
+const MIN_READINESS_IDLE_TIMEOUT_MS: u64 = 10_000;
+
+/// Time after which an idle connection of the platform's readiness checks is closed, where clients may be idle for
+/// `client_idle_ms`.
+pub fn readiness_idle_timeout_ms(client_idle_ms: u64) -> u64 {
+    client_idle_ms.max(MIN_READINESS_IDLE_TIMEOUT_MS)
+}
+
 /// What a client's connection is busy with.
 #[derive(Clone, Copy, PartialEq, Eq, Hash, Debug)]
 pub enum Busy {
--- a/crates/data-plane/src/gateway/client_requests.rs
+++ b/crates/data-plane/src/gateway/client_requests.rs
@@ -7,7 +7,7 @@
 use super::Gateway;
 use super::upstream_io::Envelope;
 use crate::batch_calls::{ITEMS_PREFIX, JOBS_PREFIX};
-use crate::clients::{Busy, ReadOutcome, malformed_status};
+use crate::clients::{Busy, ReadOutcome, malformed_status, readiness_idle_timeout_ms};
 use crate::exchanges::{Purpose, request_bytes};
 use crate::requests::{RETRY_AFTER, ReceivedRequest, RequestCommand, RequestId, Response};
 use crate::startup_queue::QueuedRequest;
@@ -281,6 +281,7 @@
             None => (DEFAULT_IDLE_TIMEOUT_MS, DEFAULT_HEADER_TIMEOUT_MS),
         };
         self.frontend.clients.close_expired(&mut self.network, self.now, idle_ms, header_ms);
-        self.frontend.readiness.close_expired(&mut self.network, self.now, idle_ms, header_ms);
+        let readiness_idle_ms = readiness_idle_timeout_ms(idle_ms);
+        self.frontend.readiness.close_expired(&mut self.network, self.now, readiness_idle_ms, header_ms);
     }
 }
--- a/crates/data-plane/tests/clients.rs
+++ b/crates/data-plane/tests/clients.rs
@@ -4,7 +4,9 @@
 
 use std::net::SocketAddrV4;
 
-use orchidvalve_data_plane::clients::{Busy, Clients, ReadOutcome, malformed_status};
+use orchidvalve_data_plane::clients::{
+    Busy, Clients, ReadOutcome, malformed_status, readiness_idle_timeout_ms,
+};
 use orchidvalve_data_plane::requests::RequestId;
 use orchidvalve_http::{Headers, HttpError, MessageLimits, Request, ResponseHead};
 use orchidvalve_net::{ConnectionId, Event, Network};
@@ -587,3 +589,14 @@
     );
     assert!(streaming || peer.got.is_empty(), "{}", peer.text());
 }
+
+#[rstest]
+#[case::as_short_as_the_platforms_interval(1_000, 10_000)]
+#[case::as_two_of_its_intervals(2_000, 10_000)]
+#[case::longer(15_000, 15_000)]
+fn connections_of_readiness_checks_outlast_the_platforms_interval(
+    #[case] idle_ms: u64,
+    #[case] expected: u64,
+) {
+    assert_eq!(readiness_idle_timeout_ms(idle_ms), expected);
+}
