Generations: the end of a route ends its items, and a text in scoring keeps its version rule

A job whose route was removed went on by its old facts for good, and where a shorter route of another type covered its path it went on by that one; groups were found by the route's name, so a renamed route left them behind. And a text of two versions that waited for its score stood when its route was made single-version.

Change: Runner::reroute asks for the route of each group by its job; only rollout_control counts, and items whose route has ended expire, as set_route(None) always did for a caller that there never was. A text in scoring that the new rule forbids is made anew.

Test: work.rs (five) and generations_versions.rs (one).

--- a/crates/data-plane/src/generations/runner/groups.rs
+++ b/crates/data-plane/src/generations/runner/groups.rs
@@ -84,12 +84,18 @@
         ids
     }
 
-    /// The configuration has changed a route or ended it (`None`); items of an ended route expire.
-    pub fn set_route(&mut self, id: &str, facts: Option<Arc<RouteFacts>>, out: &mut Vec<RunnerCommand>) {
-        for key in self.groups_where(|group| group.route.id == id) {
-            match &facts {
+    /// The configuration has changed: each group goes on by the route that `find` gives for it. `None`: its route has
+    /// ended, and its items expire.
+    pub fn reroute(
+        &mut self,
+        find: impl Fn(&GroupId) -> Option<Arc<RouteFacts>>,
+        out: &mut Vec<RunnerCommand>,
+    ) {
+        for key in self.groups_where(|_| true) {
+            let Some(group) = self.groups.get(&key) else { continue };
+            match find(&group.id) {
                 None => self.expire_group(key, out),
-                Some(facts) => self.reroute_group(key, facts, out),
+                Some(facts) => self.reroute_group(key, &facts, out),
             }
         }
     }
@@ -145,6 +151,9 @@
         group.eligibility_class = self.eligibility_class(group.requirements);
         let rule = group.rule();
         for item in &mut group.items {
+            if matches!(&item.phase, Phase::Scoring(scoring) if !scoring.text.satisfies(rule)) {
+                item.phase = Phase::Generating;
+            }
             let usable = item.resumable_text.satisfies(rule)
                 && group.requirements.allow_resuming(&item.resumable_text, rule, &self.servers);
             if moved || !usable {
--- a/crates/data-plane/src/work/mod.rs
+++ b/crates/data-plane/src/work/mod.rs
@@ -17,8 +17,8 @@
 use self::ended_jobs::EndedJobs;
 use self::outcomes::OutcomeQueue;
 pub use self::routes::RewardRoutes;
-use self::routes::{DEFAULT_RUN_MS, assigned_item, route_facts};
-use crate::generations::{Assignment, GroupId, ItemResult, Runner, RunnerCommand};
+use self::routes::{DEFAULT_RUN_MS, assigned_item, rollout_route, route_facts};
+use crate::generations::{Assignment, GroupId, ItemResult, RouteFacts, Runner, RunnerCommand};
 use crate::store_links::OutboundMessage;
 
 /// Items expire this much after the time that the route allows, in milliseconds: the age of a job that a store tells is
@@ -131,8 +131,7 @@
         commands: &mut Vec<RunnerCommand>,
     ) {
         let job = &unrouted.job;
-        let found =
-            table.and_then(|table| table.lookup(&job.hostname, &job.path).map(|route| (table, route)));
+        let found = table.and_then(|table| Some((table, rollout_route(table, &job.hostname, &job.path)?)));
         let Some((table, route)) = found else {
             log::warn!("work: job {} has no route now; its groups wait for a configuration", job.job);
             self.unrouted.push(unrouted);
@@ -166,7 +165,8 @@
         self.jobs.insert(key, open);
     }
 
-    /// The configuration has changed: open jobs go on by their routes in it.
+    /// The configuration has changed: open jobs go on by their routes in it. The items of those whose route has ended
+    /// expire.
     pub fn routes_changed(
         &mut self,
         table: &Arc<RouteTable>,
@@ -177,14 +177,15 @@
         for unrouted in std::mem::take(&mut self.unrouted) {
             self.route(unrouted, Some(table), runner, commands);
         }
-        let mut updated: Vec<CompactString> = Vec::new();
-        for job in self.jobs.values() {
-            let Some(route) = table.lookup(&job.hostname, &job.path) else { continue };
-            if !updated.contains(&route.name) {
-                updated.push(route.name.clone());
-                runner.set_route(&route.name, Some(Arc::new(route_facts(table, route))), commands);
-            }
-        }
+        let facts: HashMap<&JobKey, Arc<RouteFacts>> = self
+            .jobs
+            .iter()
+            .filter_map(|(key, job)| {
+                let route = rollout_route(table, &job.hostname, &job.path)?;
+                Some((key, Arc::new(route_facts(table, route))))
+            })
+            .collect();
+        runner.reroute(|group| facts.get(&JobKey::of_group(group)).cloned(), commands);
     }
 
     /// A job has ended.
--- a/crates/data-plane/src/work/routes.rs
+++ b/crates/data-plane/src/work/routes.rs
@@ -3,7 +3,7 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
-use orchidvalve_configuration::{Route, RouteTable};
+use orchidvalve_configuration::{Route, RouteTable, RouteType};
 use orchidvalve_protocol::messages::AssignedItem;
 
 use crate::generations::{Item, RewardRoute, RouteFacts, Routes, Scorer};
@@ -29,6 +29,11 @@
     }
 }
 
+/// The route of a batch job; `None` where only a route of another type covers its path.
+pub(super) fn rollout_route<'a>(table: &'a RouteTable, hostname: &str, path: &str) -> Option<&'a Route> {
+    table.lookup(hostname, path).filter(|route| route.route_type == RouteType::RolloutControl)
+}
+
 /// What a runner needs of the route of a batch job.
 pub(super) fn route_facts(table: &RouteTable, route: &Route) -> RouteFacts {
     let service = table.services().get(route.split.main_service());
--- a/crates/data-plane/tests/generations.rs
+++ b/crates/data-plane/tests/generations.rs
@@ -189,7 +189,7 @@
 fn the_end_of_its_route_expires_a_group() {
     let mut gateway = Gateway::new(&[7]);
     gateway.assign(group("job", 0, &["a"]));
-    gateway.direct(|runner, out| runner.set_route("route", None, out));
+    gateway.direct(|runner, out| runner.reroute(|_| None, out));
     assert_eq!(gateway.result(), &ItemResult::Expired);
     assert_eq!(gateway.cancelled, [gateway.last().id]);
 }
@@ -204,7 +204,8 @@
     gateway.events(&first, 1..=1);
     let mut moved = (*facts(false)).clone();
     moved.service = "other".into();
-    gateway.direct(|runner, out| runner.set_route("route", Some(moved.into()), out));
+    let moved = std::sync::Arc::new(moved);
+    gateway.direct(|runner, out| runner.reroute(|_| Some(moved.clone()), out));
     assert_eq!(gateway.cancelled, [first.id]);
     gateway.tick();
     assert_eq!((gateway.last().server.0, gateway.last().last_event_id), (9, None));
--- a/crates/data-plane/tests/generations_versions.rs
+++ b/crates/data-plane/tests/generations_versions.rs
@@ -3,7 +3,7 @@
 mod generations_support;
 
 use generations_support::*;
-use orchidvalve_data_plane::generations::{AttemptOutcome, ServerInfo, ServerKey};
+use orchidvalve_data_plane::generations::{AttemptOutcome, ItemResult, ServerInfo, ServerKey};
 use rstest::rstest;
 
 #[test]
@@ -172,12 +172,37 @@
     gateway.ended(&first, AttemptOutcome::Broken);
     gateway.runner.set_server(&server(0, 8));
     gateway.tick();
-    gateway.direct(|runner, out| runner.set_route("route", Some(facts(true)), out));
+    gateway.direct(|runner, out| runner.reroute(|_| Some(facts(true)), out));
     gateway.pass(100);
     let second = gateway.last();
     assert_eq!((second.last_event_id, second.expect_version), (None, Some(8)));
 }
 
+#[test]
+fn a_text_of_two_versions_that_waits_for_its_score_is_made_anew_if_its_route_is_made_single_version() {
+    let mut gateway = Gateway::new(&[7]);
+    gateway.assign(scored(group("job", 0, &["a"])));
+    let first = gateway.last();
+    gateway.started(&first, 7);
+    gateway.events(&first, 1..=1);
+    gateway.event(&first, 2, "e2", Some(8));
+    gateway.ended(&first, AttemptOutcome::Complete);
+    let call = gateway.last_reward();
+    gateway.direct(|runner, out| runner.reroute(|_| Some(facts(true)), out));
+    gateway.tick();
+    gateway.reward_status(&call, 200);
+    assert!(gateway.reports.is_empty(), "a text of versions 7 and 8 is no result of this route");
+    let second = gateway.last();
+    assert_ne!(second.id, first.id);
+    assert_eq!(second.last_event_id, None);
+    gateway.started(&second, 8);
+    gateway.events(&second, 1..=2);
+    gateway.ended(&second, AttemptOutcome::Complete);
+    gateway.reward_status(&gateway.last_reward(), 200);
+    let ItemResult::Completed { weight_versions, .. } = gateway.result() else { panic!("it has a text") };
+    assert_eq!(*weight_versions, [8]);
+}
+
 #[test]
 fn a_single_version_text_brought_back_goes_on_where_its_version_is_served() {
     let mut gateway = Gateway::new(&[7]);
--- a/crates/data-plane/tests/golden_generations.rs
+++ b/crates/data-plane/tests/golden_generations.rs
@@ -88,7 +88,7 @@
                         moved.max_attempts += 1;
                         moved.into()
                     });
-                    scenario.gateway.direct(|runner, out| runner.set_route("route", moved, out));
+                    scenario.gateway.direct(|runner, out| runner.reroute(|_| moved.clone(), out));
                     scenario.gateway.direct(|runner, out| drop(runner.drop_unservable(out)));
                     scenario.gateway.assign(scored(group("new", number, &["n1", "n2", "n3"])));
                 }
--- a/crates/data-plane/tests/work.rs
+++ b/crates/data-plane/tests/work.rs
@@ -35,10 +35,20 @@
 }
 
 fn table(prefix: &str) -> Arc<RouteTable> {
+    table_with(&route("r", prefix, "rollout_control"))
+}
+
+fn route(name: &str, prefix: &str, route_type: &str) -> String {
+    format!(
+        r#"{{"name":"{name}","hostname":"ficu95.example","path-prefix":"/{prefix}/",
+        "route-type":"{route_type}","target-latency-ms":200,"target-run-ms":8000,"max-queue-s":20.0,
+        "priority":1,"service":"huvo11a","max-attempts":2}}"#
+    )
+}
+
+fn table_with(routes: &str) -> Arc<RouteTable> {
     let document = format!(
-        r#"{{"config-version":1,"routes":[{{"name":"r","hostname":"ficu95.example","path-prefix":"/{prefix}/",
-        "route-type":"rollout_control","target-latency-ms":200,"target-run-ms":8000,"max-queue-s":20.0,
-        "priority":1,"service":"huvo11a","max-attempts":2}}],"services":[{{"name":"huvo11a",
+        r#"{{"config-version":1,"routes":[{routes}],"services":[{{"name":"huvo11a",
         "health-path":"/health","max-connections":10,"protocol":"h1","tls":false}}],"limits":{{
         "max-header-bytes":16384,"max-body-bytes":65536,"header-timeout-ms":3000,"idle-timeout-ms":15000}}}}"#
     );
@@ -388,3 +398,44 @@
     let blue = (0..10_000).filter(|_| service(random.next_u64()) == "blue").count();
     assert!((5_800..6_200).contains(&blue), "{blue}");
 }
+
+fn expired(gateway: &Gateway) -> usize {
+    let is_expired = |command: &&RunnerCommand| {
+        matches!(command, RunnerCommand::Report { result: ItemResult::Expired, .. })
+    };
+    gateway.commands.iter().filter(is_expired).count()
+}
+
+#[rstest]
+#[case::no_route(table("elsewhere"))]
+#[case::a_plain_route_that_is_shorter(table_with(&route("plain", "pule252", "idempotent")))]
+#[case::a_plain_route_of_the_same_name(table_with(&route("r", "pule252", "non_idempotent")))]
+fn items_expire_with_their_route(#[case] after: Arc<RouteTable>) {
+    let mut gateway = Gateway::new();
+    let before = table_with(&route("r", "pule252/7c41e0", "rollout_control"));
+    gateway.assign(AssignedJob { path: "/pule252/7c41e0/1".into(), ..terms("job", 1) }, 0, Some(&before));
+    gateway.configure(&before);
+    assert_eq!((expired(&gateway), gateway.runner.open_groups()), (0, 1));
+    gateway.configure(&after);
+    assert_eq!((expired(&gateway), gateway.runner.open_groups()), (1, 0));
+    assert_eq!(gateway.sent().len(), 1, "it isn't attempted by a route of another type");
+}
+
+#[test]
+fn a_job_goes_on_by_a_route_that_was_renamed() {
+    let mut gateway = Gateway::new();
+    gateway.assign(terms("job", 1), 0, Some(&table("pule252")));
+    gateway.configure(&table_with(&route("new", "pule252", "rollout_control")));
+    assert_eq!((expired(&gateway), gateway.runner.open_groups()), (0, 1));
+    gateway.configure(&table("elsewhere"));
+    assert_eq!((expired(&gateway), gateway.runner.open_groups()), (1, 0));
+}
+
+#[test]
+fn a_plain_route_gives_no_work() {
+    let mut gateway = Gateway::new();
+    gateway.assign(terms("job", 1), 0, Some(&table_with(&route("plain", "pule252", "idempotent"))));
+    assert_eq!((gateway.sent().len(), gateway.runner.open_groups()), (0, 0));
+    gateway.configure(&table("pule252"));
+    assert_eq!(gateway.sent().len(), 1);
+}
