Data plane: streams without a signature or a framed end don't count as complete texts

A 2xx without Server-Signature on an item's stream counted as its text; and a response without length and chunks ends with its connection, which a dying server's system closes in order, too: a text could be cut between two events and look whole.

Change: only signed heads begin a stream of an item. Such an end is an event of its own (Closed): an item, or a client's stream that may be resumed, is asked for what follows, and is complete once an attempt adds nothing. The server isn't blamed. Other responses without a length end with their connection as before.

Test: exchanges.rs, generations.rs, requests_streams.rs, upstream_responses.rs.

--- a/crates/data-plane/src/exchanges/mod.rs
+++ b/crates/data-plane/src/exchanges/mod.rs
@@ -7,7 +7,7 @@
 
 use orchidvalve_http::{EventStreamReader, ResponseHead};
 
-pub use self::outcomes::{reward_outcome, stream_outcome, weight_version};
+pub use self::outcomes::{closed_stream_outcome, reward_outcome, stream_outcome, weight_version};
 pub use self::request_encoding::{generation_bytes, request_bytes, reward_bytes};
 use crate::balancer::ServerKey;
 use crate::generations::{AttemptId, RewardCallId};
--- a/crates/data-plane/src/exchanges/outcomes.rs
+++ b/crates/data-plane/src/exchanges/outcomes.rs
@@ -4,13 +4,14 @@
 
 use super::Stream;
 use crate::generations::{AttemptOutcome, RewardOutcome};
-use crate::response_class::is_success;
+use crate::response_class::{is_signed, is_success};
 
-/// How a generation's stream ended that is complete by its framing.
+/// How a generation's stream ended that is complete by its framing. A success without its server's signature is no
+/// response of a server.
 pub fn stream_outcome(stream: &Stream) -> AttemptOutcome {
     match &stream.head {
         Some(head) if is_success(head) => {
-            if stream.events.has_partial_event() {
+            if !is_signed(head) || stream.events.has_partial_event() {
                 AttemptOutcome::Broken
             } else {
                 AttemptOutcome::Complete
@@ -26,6 +27,14 @@
     }
 }
 
+/// How a generation's stream ended that has no framing, when its connection was closed in order.
+pub fn closed_stream_outcome(stream: &Stream) -> AttemptOutcome {
+    match stream_outcome(stream) {
+        AttemptOutcome::Complete => AttemptOutcome::Closed,
+        outcome => outcome,
+    }
+}
+
 /// How a reward call ended whose response is complete.
 pub fn reward_outcome(head: Option<&ResponseHead>) -> RewardOutcome {
     match head {
--- a/crates/data-plane/src/gateway/upstream_io.rs
+++ b/crates/data-plane/src/gateway/upstream_io.rs
@@ -6,10 +6,10 @@
 use super::Gateway;
 use crate::attempts::Idempotency;
 use crate::balancer::ServerKey;
-use crate::exchanges::{Purpose, reward_outcome, stream_outcome, weight_version};
+use crate::exchanges::{Purpose, closed_stream_outcome, reward_outcome, stream_outcome, weight_version};
 use crate::generations::{AttemptOutcome, RewardOutcome, RunnerCommand};
 use crate::requests::RequestCommand;
-use crate::response_class::is_success;
+use crate::response_class::is_signed;
 use crate::upstream::{ExchangeId, Failure, OutboundRequest, UpstreamEvent};
 
 /// A request to a server, but for its bytes.
@@ -20,6 +20,15 @@
     pub idempotency: Idempotency,
 }
 
+/// What says that a response is complete.
+#[derive(Clone, Copy, Debug)]
+enum Framing {
+    /// Its length or its chunks.
+    Complete,
+    /// Only the end of its connection.
+    None,
+}
+
 /// Commands that events of exchanges have caused.
 #[derive(Default)]
 struct EventCommands {
@@ -66,7 +75,12 @@
             match event {
                 UpstreamEvent::Head { exchange, head } => self.head_received(exchange, head, &mut commands),
                 UpstreamEvent::Body { exchange, bytes } => self.body_received(exchange, bytes, &mut commands),
-                UpstreamEvent::Complete { exchange } => self.exchange_completed(exchange, &mut commands),
+                UpstreamEvent::Complete { exchange } => {
+                    self.exchange_completed(exchange, Framing::Complete, &mut commands);
+                }
+                UpstreamEvent::Closed { exchange } => {
+                    self.exchange_completed(exchange, Framing::None, &mut commands);
+                }
                 UpstreamEvent::Failed { exchange, failure } => {
                     self.exchange_failed(exchange, failure, &mut commands);
                 }
@@ -81,7 +95,7 @@
         match &mut exchange.purpose {
             Purpose::Request(attempt) => self.requests.head_received(*attempt, head, &mut commands.requests),
             Purpose::Generation(stream) => {
-                if is_success(&head) {
+                if is_signed(&head) {
                     let version = weight_version(&head);
                     self.runner.stream_started(stream.attempt, version, &mut commands.generations);
                 }
@@ -99,7 +113,7 @@
                 self.requests.body_received(self.now, *attempt, bytes, balancer, &mut commands.requests);
             }
             Purpose::Generation(stream) => {
-                if stream.head.as_ref().is_some_and(is_success) {
+                if stream.head.as_ref().is_some_and(is_signed) {
                     let (runner, now, attempt) = (&mut self.runner, self.now, stream.attempt);
                     let out = &mut commands.generations;
                     stream.events.read(&bytes, |event, _| {
@@ -113,16 +127,23 @@
         }
     }
 
-    fn exchange_completed(&mut self, id: ExchangeId, commands: &mut EventCommands) {
+    fn exchange_completed(&mut self, id: ExchangeId, framing: Framing, commands: &mut EventCommands) {
         let Some(exchange) = self.servers.exchanges.remove(id) else { return };
         self.servers.balancer.end_exchange(exchange.server);
         match exchange.purpose {
             Purpose::Request(attempt) => {
                 let balancer = &mut self.servers.balancer;
-                self.requests.attempt_completed(self.now, attempt, balancer, &mut commands.requests);
+                let (now, out) = (self.now, &mut commands.requests);
+                match framing {
+                    Framing::Complete => self.requests.attempt_completed(now, attempt, balancer, out),
+                    Framing::None => self.requests.attempt_closed(now, attempt, balancer, out),
+                }
             }
             Purpose::Generation(stream) => {
-                let outcome = stream_outcome(&stream);
+                let outcome = match framing {
+                    Framing::Complete => stream_outcome(&stream),
+                    Framing::None => closed_stream_outcome(&stream),
+                };
                 self.runner.attempt_ended(self.now, stream.attempt, outcome, &mut commands.generations);
             }
             Purpose::Reward { call, head } => {
--- a/crates/data-plane/src/generations/interface.rs
+++ b/crates/data-plane/src/generations/interface.rs
@@ -146,6 +146,9 @@
 pub enum AttemptOutcome {
     /// A response with a status of 2xx that is complete by its framing.
     Complete,
+    /// The same without framing: the connection was closed in order after a complete event. The server may have died
+    /// there.
+    Closed,
     /// A complete response with another status.
     Status {
         /// The status.
--- a/crates/data-plane/src/generations/runner/streams.rs
+++ b/crates/data-plane/src/generations/runner/streams.rs
@@ -73,6 +73,11 @@
             AttemptOutcome::Complete if !attempt.text.is_empty() => {
                 return self.completed(now, id, attempt, out);
             }
+            // Another attempt has been asked for what follows this text, and nothing does.
+            AttemptOutcome::Closed if !attempt.text.is_empty() && attempt.events == 0 => {
+                return self.completed(now, id, attempt, out);
+            }
+            AttemptOutcome::Closed if !attempt.text.is_empty() => {}
             AttemptOutcome::Status { code: 422, .. } => {
                 self.detach(id, attempt.generation);
                 return self.report(attempt.generation, ItemResult::Expired, out);
@@ -91,7 +96,10 @@
             AttemptOutcome::Status { code: 429 | 503, retry_after_ms, .. } => {
                 self.servers.rejected(attempt.server, now, retry_after_ms);
             }
-            AttemptOutcome::Complete | AttemptOutcome::Status { .. } | AttemptOutcome::Broken => {
+            AttemptOutcome::Complete
+            | AttemptOutcome::Closed
+            | AttemptOutcome::Status { .. }
+            | AttemptOutcome::Broken => {
                 self.server_failed(now, attempt.server);
             }
             AttemptOutcome::ConnectFailed => self.server_unresponsive(now, attempt.server, out),
--- a/crates/data-plane/src/requests/attempt.rs
+++ b/crates/data-plane/src/requests/attempt.rs
@@ -159,7 +159,7 @@
         let retry_transparently = stale && alone && pending.is_idempotent() && !pending.transparently_retried;
         pending.transparently_retried |= retry_transparently;
         self.attempts.remove(&attempt);
-        if !stale {
+        if !stale && failure != Failure::Unfinished {
             balancer.failed(ended.server, now);
         }
         if !alone {
--- a/crates/data-plane/src/requests/completion.rs
+++ b/crates/data-plane/src/requests/completion.rs
@@ -60,6 +60,24 @@
         }
     }
 
+    /// The connection of an attempt was closed in order, and its response has no framing.
+    ///
+    /// A stream that may be resumed is resumed after its last event, as its server may have died there: it is complete
+    /// once an attempt adds nothing. Any other response is complete.
+    pub fn attempt_closed(
+        &mut self,
+        now: u64,
+        attempt: RequestAttemptId,
+        balancer: &mut Balancer,
+        out: &mut Vec<RequestCommand>,
+    ) {
+        if self.find(attempt).is_some_and(|(_, pending)| pending.may_be_unfinished(attempt)) {
+            self.attempt_failed(now, attempt, Failure::Unfinished, balancer, out);
+        } else {
+            self.attempt_completed(now, attempt, balancer, out);
+        }
+    }
+
     fn end_stream(&mut self, id: RequestId, out: &mut Vec<RequestCommand>) {
         let Some(mut pending) = self.pending.remove(&id) else { return };
         let stream = pending.stream.take();
--- a/crates/data-plane/src/requests/forwarded_stream.rs
+++ b/crates/data-plane/src/requests/forwarded_stream.rs
@@ -33,6 +33,8 @@
     reader: EventStreamReader,
     /// Id of the last one, or that from which the client asked.
     last_id: Option<u64>,
+    /// Whether the attempt that is being forwarded has added any.
+    has_added: bool,
 }
 
 impl ForwardedStream {
@@ -55,7 +57,11 @@
         head: ResponseHead,
         requested_after: Option<u64>,
     ) -> ForwardedStream {
-        let events = ForwardedEvents { reader: EventStreamReader::default(), last_id: requested_after };
+        let events = ForwardedEvents {
+            reader: EventStreamReader::default(),
+            last_id: requested_after,
+            has_added: false,
+        };
         ForwardedStream { request, attempt, deferred_head: Some(head), events: Some(events), boundary: None }
     }
 
@@ -74,6 +80,7 @@
         self.attempt = attempt;
         if let Some(events) = &mut self.events {
             events.reader = EventStreamReader::default();
+            events.has_added = false;
         }
     }
 
@@ -108,12 +115,18 @@
             complete.extend_from_slice(raw);
         });
         if !complete.is_empty() {
+            events.has_added = true;
             self.send_deferred_head(out);
             out.push(RequestCommand::StreamChunk { request, bytes: complete });
         }
         result
     }
 
+    /// Whether events of the attempt were forwarded in a stream that may be resumed after them.
+    pub fn has_added_events(&self) -> bool {
+        self.events.as_ref().is_some_and(|events| events.has_added)
+    }
+
     /// Whether the attempt ended between two events. A server that dies in the middle of one may end its connection in
     /// order, which is the end of a response without a length.
     pub fn ends_between_events(&self) -> bool {
--- a/crates/data-plane/src/requests/pending.rs
+++ b/crates/data-plane/src/requests/pending.rs
@@ -198,6 +198,13 @@
         self.stream.as_ref().is_some_and(ForwardedStream::has_started)
     }
 
+    /// Whether an attempt whose stream ended without framing may have left out events that another one could add.
+    pub fn may_be_unfinished(&self, attempt: RequestAttemptId) -> bool {
+        let stream = self.stream.as_ref().filter(|stream| stream.attempt == attempt);
+        stream.is_some_and(|stream| stream.has_added_events() && stream.ends_between_events())
+            && self.has_attempts_left()
+    }
+
     /// The earliest of its timers.
     pub fn next_due(&self) -> u64 {
         let retry = self.retry_at.unwrap_or(u64::MAX);
--- a/crates/data-plane/src/upstream/connections.rs
+++ b/crates/data-plane/src/upstream/connections.rs
@@ -190,7 +190,7 @@
         };
         if exchange.head_reported && exchange.reader.complete_at_close() && network.closed_cleanly(connection)
         {
-            events.push(UpstreamEvent::Complete { exchange: exchange.id });
+            events.push(UpstreamEvent::Closed { exchange: exchange.id });
             self.drop_exchange(network, connection);
             return;
         }
--- a/crates/data-plane/src/upstream/exchange.rs
+++ b/crates/data-plane/src/upstream/exchange.rs
@@ -25,6 +25,8 @@
     Stale,
     /// The connection ended, or what came is no response to this request. The request may have run.
     Broken,
+    /// A stream without a length ended between two events, in order: it may be complete, or its server may have died.
+    Unfinished,
 }
 
 /// A complete request to a server.
@@ -57,11 +59,17 @@
         /// The part.
         bytes: Vec<u8>,
     },
-    /// The response is complete.
+    /// The response is complete by its length or its chunks.
     Complete {
         /// Which exchange.
         exchange: ExchangeId,
     },
+    /// The response has neither a length nor chunks, and its connection was closed in order. That is its end (RFC 9112,
+    /// section 6.3), but the connection of a server that dies may end like that, too.
+    Closed {
+        /// Which exchange.
+        exchange: ExchangeId,
+    },
     /// The exchange ended without a complete response.
     Failed {
         /// Which exchange.
--- a/crates/data-plane/tests/exchanges.rs
+++ b/crates/data-plane/tests/exchanges.rs
@@ -4,7 +4,8 @@
 
 use orchidvalve_data_plane::balancer::ServerKey;
 use orchidvalve_data_plane::exchanges::{
-    Exchanges, Purpose, Stream, request_bytes, reward_outcome, stream_outcome, weight_version,
+    Exchanges, Purpose, Stream, closed_stream_outcome, request_bytes, reward_outcome, stream_outcome,
+    weight_version,
 };
 use orchidvalve_data_plane::generations::{AttemptId, AttemptOutcome, RewardCallId, RewardOutcome};
 use orchidvalve_data_plane::requests::RequestAttemptId;
@@ -109,6 +110,7 @@
 #[case::whole(Some(success()), "id: 1\ndata: a\n\n", AttemptOutcome::Complete)]
 #[case::within_an_event(Some(success()), "id: 1\ndata: a\n", AttemptOutcome::Broken)]
 #[case::no_head(None, "", AttemptOutcome::Broken)]
+#[case::unsigned(Some(head(200, &[])), "id: 1\ndata: a\n\n", AttemptOutcome::Broken)]
 #[case::rejected(
     Some(head(503, &[("Not-Executed", "1"), ("Retry-After", "0.25"), ("Weight-Versions", "6,7")])),
     "",
@@ -127,6 +129,23 @@
     assert_eq!(stream_outcome(&stream(head, text)), expected);
 }
 
+#[rstest]
+#[case::between_two_events(success(), "id: 1\ndata: a\n\n", AttemptOutcome::Closed)]
+#[case::within_an_event(success(), "id: 1\ndata: a\n", AttemptOutcome::Broken)]
+#[case::unsigned(head(200, &[]), "id: 1\ndata: a\n\n", AttemptOutcome::Broken)]
+#[case::error(
+    head(500, &[]),
+    "",
+    AttemptOutcome::Status { code: 500, not_executed: false, retry_after_ms: None, version: None }
+)]
+fn streams_without_framing_end(
+    #[case] head: ResponseHead,
+    #[case] text: &str,
+    #[case] expected: AttemptOutcome,
+) {
+    assert_eq!(closed_stream_outcome(&stream(Some(head), text)), expected);
+}
+
 #[test]
 fn reward_calls_end_with_their_signature() {
     let expected = RewardOutcome::Response {
--- a/crates/data-plane/tests/generations.rs
+++ b/crates/data-plane/tests/generations.rs
@@ -194,6 +194,38 @@
     assert_eq!(gateway.cancelled, [gateway.last().id]);
 }
 
+/// The server of a stream without framing may have died between two events.
+#[test]
+fn a_stream_that_ends_without_framing_is_complete_once_nothing_follows() {
+    let mut gateway = Gateway::new(&[7, 7]);
+    gateway.assign(group("job", 0, &["a"]));
+    let first = gateway.last();
+    gateway.started(&first, 7);
+    gateway.events(&first, 1..=2);
+    gateway.ended(&first, AttemptOutcome::Closed);
+    assert!(gateway.reports.is_empty(), "more may follow");
+    let second = gateway.last();
+    assert_eq!(second.last_event_id, Some(2));
+    gateway.started(&second, 7);
+    gateway.events(&second, 3..=3);
+    gateway.ended(&second, AttemptOutcome::Closed);
+    assert!(gateway.reports.is_empty(), "it was not the end, and may not be now");
+    let third = gateway.last();
+    assert_eq!(third.last_event_id, Some(3));
+    gateway.started(&third, 7);
+    gateway.ended(&third, AttemptOutcome::Closed);
+    let ItemResult::Completed { message, .. } = gateway.result() else { panic!("it has a text") };
+    assert_eq!(message, b"e1\ne2\ne3");
+}
+
+#[test]
+fn a_stream_without_framing_and_events_is_no_text() {
+    let mut gateway = Gateway::new(&[7, 7]);
+    gateway.assign(group("job", 0, &["a"]));
+    gateway.ended(&gateway.last(), AttemptOutcome::Closed);
+    assert!(gateway.reports.is_empty());
+}
+
 #[test]
 fn a_route_that_moves_to_another_service_cancels_its_attempts() {
     let mut gateway = Gateway::new(&[7]);
--- a/crates/data-plane/tests/requests_streams.rs
+++ b/crates/data-plane/tests/requests_streams.rs
@@ -125,6 +125,53 @@
     }
 }
 
+/// The server of a stream without framing may have died between two events.
+#[test]
+fn a_stream_that_ends_without_framing_is_complete_once_nothing_follows() {
+    let mut table = Table::new(3);
+    table.begin("resume");
+    let first = table.last();
+    table.head(first, success());
+    table.body(first, &events(1..=2));
+    table.close(first);
+    assert!(!table.client.whole, "more may follow");
+    let second = table.last();
+    assert_eq!(second.last_event_id, Some(2));
+    table.head(second, other_success());
+    table.close(second);
+    assert_eq!(table.client.body, events(1..=2));
+    assert_eq!((table.client.signature.as_str(), table.client.whole), (SIGNATURE, true));
+}
+
+/// With its last attempt the end of the connection has to do, as for any response without a length.
+#[test]
+fn a_stream_without_framing_is_complete_after_the_last_attempt() {
+    let mut table = Table::new(3);
+    table.begin("resume");
+    while !table.client.whole {
+        let attempt = table.last();
+        table.head(attempt, success());
+        let next = attempt.last_event_id.map_or(1, |id| id + 1);
+        table.body(attempt, &events(next..=next));
+        table.close(attempt);
+    }
+    assert_eq!(table.client.body, events(1..=table.attempts.len() as u64));
+    assert!(!table.client.broken);
+}
+
+#[rstest]
+#[case::not_resumable("stream")]
+#[case::repeatable("repeat")]
+fn any_other_response_without_a_length_ends_with_its_connection(#[case] kind: &str) {
+    let mut table = Table::new(3);
+    table.begin(kind);
+    let attempt = table.last();
+    table.head(attempt, success());
+    table.body(attempt, &events(1..=2));
+    table.close(attempt);
+    assert_eq!((table.client.status, table.client.whole), (Some(200), true));
+}
+
 #[test]
 fn a_stream_that_ends_within_an_event_is_resumed() {
     let mut table = Table::new(2);
--- a/crates/data-plane/tests/requests_support/mod.rs
+++ b/crates/data-plane/tests/requests_support/mod.rs
@@ -192,6 +192,12 @@
         self.settle();
     }
 
+    /// The connection of the attempt is closed in order, and its response has no length.
+    pub fn close(&mut self, attempt: Attempted) {
+        self.requests.attempt_closed(self.now, attempt.id, &mut self.servers.balancer, &mut self.out);
+        self.settle();
+    }
+
     pub fn fail(&mut self, attempt: Attempted, failure: Failure) {
         self.requests.attempt_failed(
             self.now,
--- a/crates/data-plane/tests/upstream_responses.rs
+++ b/crates/data-plane/tests/upstream_responses.rs
@@ -94,7 +94,7 @@
 const WITHOUT_LENGTH: &str = "HTTP/1.1 200 OK\r\nAttempt-Id: 9c41d07be2a35f68\r\n\r\nbytes";
 
 #[test]
-fn a_response_without_a_length_is_complete_when_its_connection_ends_in_order() {
+fn a_response_without_a_length_ends_with_its_connection() {
     let mut gateway = Gateway::new();
     let exchange = gateway.send();
     let mut peer = gateway.accept();
@@ -103,7 +103,7 @@
     drop(peer);
     let events = gateway.ended();
     assert_eq!(body(&events).as_str(), "bytes");
-    assert_eq!(events.last(), Some(&UpstreamEvent::Complete { exchange }));
+    assert_eq!(events.last(), Some(&UpstreamEvent::Closed { exchange }));
     assert_eq!(gateway.upstreams.connections_to(&gateway.server), 0);
     assert_eq!(gateway.network.connection_count(), 0);
 }
--- a/crates/data-plane/tests/upstream_support/mod.rs
+++ b/crates/data-plane/tests/upstream_support/mod.rs
@@ -104,7 +104,12 @@
     pub fn ended(&mut self) -> Vec<UpstreamEvent> {
         for _ in 0..MOST_TURNS {
             let is_end = |e: &UpstreamEvent| {
-                matches!(e, UpstreamEvent::Complete { .. } | UpstreamEvent::Failed { .. })
+                matches!(
+                    e,
+                    UpstreamEvent::Complete { .. }
+                        | UpstreamEvent::Closed { .. }
+                        | UpstreamEvent::Failed { .. }
+                )
             };
             if self.events.iter().any(is_end) {
                 return std::mem::take(&mut self.events);
