Control plane: learning a view proves no quorum

Cause: a Decided of an old view that was held up on its way made a node that was out of touch count as in touch for 1.2 s, so it took subscribers and answered them (a row of the suspicions).

Change: only answers to pings prove a quorum; what was confirmed in the view before counts on while pings of the new one are under way, as it did.

--- a/crates/control-plane/src/node/views.rs
+++ b/crates/control-plane/src/node/views.rs
@@ -19,10 +19,7 @@
                     self.agreement_record.set_state(state);
                     self.write_agreement(Some(write_number));
                 }
-                AgreementOutput::ViewChanged(view) => {
-                    self.quorum.view_learned(self.now);
-                    self.enter_view(view);
-                }
+                AgreementOutput::ViewChanged(view) => self.enter_view(view),
             }
         }
     }
