Batch store: a learner out of touch may have joined, and waits with its planned end

Cause: a learner that is told to stop ended at once.

Change: without a session a partition that it copies counts as needed, until the time is up.

--- a/crates/batch-store/src/graceful_shutdown.rs
+++ b/crates/batch-store/src/graceful_shutdown.rs
@@ -31,7 +31,10 @@
         if now_ms >= self.deadline_ms {
             return true;
         }
-        let needed: Vec<&Placement> = state.partitions().iter().filter(|p| may_need(p, me)).collect();
+        // Out of touch, a learner may have become a member without hearing of it.
+        let may_have_joined = |p: &Placement| !has_session && p.learners.contains(&me);
+        let is_needed = |p: &&Placement| may_need(p, me) || may_have_joined(p);
+        let needed: Vec<&Placement> = state.partitions().iter().filter(is_needed).collect();
         let was_answered = has_session && now_ms >= self.started_at_ms + LEARNER_TIMEOUT_MS;
         let waits = |placement: &&Placement| {
             is_being_copied(placement) || (!was_answered && has_candidate(placement, me, state))
