Batch store: outcomes of a job that nobody knows are acknowledged once the view is confirmed

Change: the head proves its view by a barrier, as for a 404, and then acknowledges what it doesn't know. A head that was left behind can't prove its view and stays silent.

Test: three of acknowledgements.rs; the first fails on the code before.

--- a/crates/batch-store/src/pending_calls.rs
+++ b/crates/batch-store/src/pending_calls.rs
@@ -25,6 +25,16 @@
     Body { item: CompactString },
     /// Whether the job has ended.
     End,
+    /// Whether outcomes of these items of a job that isn't known here are still wanted. The gateway gets no response but
+    /// an acknowledgement.
+    Outcomes { items: Vec<String> },
+}
+
+impl Query {
+    /// Whether the caller waits for a response to its call.
+    fn has_response(&self) -> bool {
+        !matches!(self, Query::Outcomes { .. })
+    }
 }
 
 /// A call that waits for a barrier.
@@ -147,12 +157,13 @@
         self.unconfirmed.remove(&barrier)
     }
 
-    /// Takes out the calls whose barrier took too long, or whose partition this store is no member of any more.
+    /// Takes out the calls whose barrier took too long, or whose partition this store is no member of any more. Returns
+    /// the callers that wait for a response.
     pub fn take_expired_unconfirmed(&mut self, now_ms: u64, is_member: impl Fn(u16) -> bool) -> Vec<Caller> {
         let mut expired = Vec::new();
         self.unconfirmed.retain(|_, call| {
             let is_expired = call.deadline_ms <= now_ms || !is_member(call.partition);
-            if is_expired {
+            if is_expired && call.query.has_response() {
                 expired.push(call.caller);
             }
             !is_expired
--- a/crates/batch-store/src/store/gateway_calls.rs
+++ b/crates/batch-store/src/store/gateway_calls.rs
@@ -150,7 +150,7 @@
     }
 
     /// Keeps a call until it is confirmed that the view is still in force (ReadIndex: Ongaro 2014, section 6.4).
-    fn confirm_view(
+    pub(super) fn confirm_view(
         &mut self,
         caller: Caller,
         number: u16,
@@ -188,6 +188,12 @@
         let Some(partition) = self.partitions.get(&number) else { return };
         let Some(job) = partition.jobs.get(&id) else {
             let is_uncommitted = partition.uncommitted.contains_job(&id);
+            if let Query::Outcomes { items } = query {
+                if !is_uncommitted {
+                    self.pending_results.acknowledge_all(caller.link, number, &id, items);
+                }
+                return;
+            }
             let unknown = if is_uncommitted { StoreResponse::Unavailable } else { StoreResponse::NotFound };
             return answer(caller, unknown, outputs);
         };
@@ -204,6 +210,8 @@
             Query::End => self.end(caller, number, &id, now, outputs),
             // Answered at once, as the job is known.
             Query::Body { .. } => {}
+            // The gateway sends them again, now that the job is known.
+            Query::Outcomes { .. } => {}
         }
     }
 
@@ -292,7 +300,7 @@
             (exists || job.is_complete()).then(|| results(job, *after))
         }
         Query::Body { item } => Some(body(job, item)),
-        Query::End => None,
+        Query::End | Query::Outcomes { .. } => None,
     }
 }
 
--- a/crates/batch-store/src/store/results.rs
+++ b/crates/batch-store/src/store/results.rs
@@ -10,6 +10,7 @@
 use crate::job_key::{ItemKey, JobKey};
 use crate::link::LinkId;
 use crate::output::Output;
+use crate::pending_calls::{Caller, Query};
 use crate::store::Store;
 use crate::timestamp::Timestamp;
 
@@ -55,6 +56,12 @@
         self.committed.entry(key).or_default().push(item.to_owned());
     }
 
+    /// Outcomes that nobody wants any more are to be acknowledged.
+    pub fn acknowledge_all(&mut self, link: LinkId, number: u16, job: &str, items: Vec<String>) {
+        let key = AcknowledgementKey { link, job: JobKey::new(number, job) };
+        self.committed.entry(key).or_default().extend(items);
+    }
+
     /// Sends the acknowledgements, one message for each link and job.
     pub fn send_acknowledgements(&mut self, outputs: &mut Vec<Output>) {
         for (AcknowledgementKey { link, job }, items) in std::mem::take(&mut self.committed) {
@@ -85,6 +92,8 @@
     AwaitCommit,
     /// It is recorded, or nobody wants it any more.
     Acknowledge,
+    /// The job isn't known here: nobody wants the result any more if this store is still the head.
+    Confirm,
     /// This store isn't the head that dispatches the job, or not yet: the gateway sends it again.
     Ignore,
 }
@@ -100,9 +109,14 @@
         now: Timestamp,
         outputs: &mut Vec<Output>,
     ) {
+        let mut unknown = Vec::new();
         for outcome in outcomes {
             match self.result_action(number, job, &outcome.item) {
                 ResultAction::Ignore => continue,
+                ResultAction::Confirm => {
+                    unknown.push(outcome.item.clone());
+                    continue;
+                }
                 ResultAction::Acknowledge => {
                     self.pending_results.acknowledge(link, number, job, &outcome.item);
                     continue;
@@ -117,6 +131,10 @@
             }
             self.pending_results.add(link, number, job, &outcome.item);
         }
+        if !unknown.is_empty() {
+            let caller = Caller { link, call: 0 };
+            self.confirm_view(caller, number, job, Query::Outcomes { items: unknown }, now, outputs);
+        }
     }
 
     fn result_action(&self, number: u16, job: &str, item: &str) -> ResultAction {
@@ -124,7 +142,7 @@
         else {
             return ResultAction::Ignore;
         };
-        let Some(state) = partition.jobs.get(job) else { return ResultAction::Ignore };
+        let Some(state) = partition.jobs.get(job) else { return ResultAction::Confirm };
         let Some(active) = state.active() else { return ResultAction::Acknowledge };
         match active.item_index(item) {
             None => ResultAction::Acknowledge,
--- a/crates/batch-store/tests/acknowledgements.rs
+++ b/crates/batch-store/tests/acknowledgements.rs
@@ -157,3 +157,39 @@
         other => panic!("no results but {other:?}"),
     }
 }
+
+/// A partition that began anew has forgotten its jobs. A gateway that has an outcome of one of them would send it again
+/// for ever.
+#[test]
+fn outcomes_of_a_job_that_nobody_knows_are_acknowledged() {
+    let mut world = World::placed(STORES, TOLERANCE + 1);
+    world.gateway_connected(GATEWAY, 1);
+    world.report(GATEWAY, 0, "forgotten", &["a", "b"]);
+    world.run();
+    assert_eq!(world.gateways[&GATEWAY].recorded, ["a", "b"]);
+    assert!(world.gateways[&GATEWAY].answers.is_empty(), "no call was made");
+}
+
+/// A head that was left behind doesn't know what its successors have accepted.
+#[test]
+fn outcomes_of_a_job_that_is_not_known_are_kept_where_the_view_cannot_be_confirmed() {
+    let mut world = World::placed(STORES, TOLERANCE + 1);
+    world.gateway_connected(GATEWAY, 1);
+    for index in 1..usize::from(STORES) {
+        world.stores[index].running = false;
+    }
+    world.report(GATEWAY, 0, "unknown", &["a"]);
+    world.advance(5_000);
+    assert!(world.gateways[&GATEWAY].recorded.is_empty());
+    assert!(world.gateways[&GATEWAY].answers.is_empty(), "no call was made");
+}
+
+/// Sent to a store that isn't the head, they are sent again to the head.
+#[test]
+fn outcomes_at_another_member_are_not_acknowledged() {
+    let mut world = World::placed(STORES, TOLERANCE + 1);
+    world.gateway_connected(GATEWAY, 1);
+    world.report(GATEWAY, 1, "unknown", &["a"]);
+    world.run();
+    assert!(world.gateways[&GATEWAY].recorded.is_empty());
+}
