Control plane, batch store: a disk with records of another version is refused, not read in part

Cause: records that couldn't be decoded were left out and the process went on.

Change: both processes end at their start with the number of records and a remedy.

Test: disk_records.rs, mutations.rs (records_that_cannot_be_read_are_counted).

--- a/crates/batch-store/src/process.rs
+++ b/crates/batch-store/src/process.rs
@@ -125,6 +125,9 @@
             memory_limit_bytes: (options.memory_bytes as f64 * MEMORY_SHARE) as usize,
         };
         let store = Store::new(settings, Rc::new(RouteLimits(None)), records, ring.next_position(), nonce);
+        if store.unreadable_records() > 0 {
+            return Err(ProcessError::UnreadableRecords { count: store.unreadable_records() });
+        }
         let feed = FeedClient::new(handshake, options.seeds.clone(), nonce);
         let now = clock.now();
         let mut process = Process {
--- a/crates/batch-store/src/recovery.rs
+++ b/crates/batch-store/src/recovery.rs
@@ -83,13 +83,23 @@
     }
 }
 
+/// What the records of the write-ahead log add up to.
+#[derive(Debug, Default)]
+pub(crate) struct RecoveredRecords {
+    pub partitions: BTreeMap<u16, RecoveredPartition>,
+    /// Number of records that couldn't be read: another version wrote them.
+    pub unreadable: usize,
+}
+
 /// Replays the records of the write-ahead log, given in order.
-pub(crate) fn replay(records: impl IntoIterator<Item = Record>) -> BTreeMap<u16, RecoveredPartition> {
+pub(crate) fn replay(records: impl IntoIterator<Item = Record>) -> RecoveredRecords {
     let mut partitions: BTreeMap<u16, RecoveredPartition> = BTreeMap::new();
+    let mut unreadable = 0;
     for Record { position, payload } in records {
         let decoded = orchidvalve_protocol::frames::decode::<DiskRecord>(&payload);
         let Some(record) = decoded.filter(DiskRecord::is_valid) else {
-            log::error!("store: record {position} is of another version; start the version that wrote it");
+            log::error!("store: record {position} is of another version");
+            unreadable += 1;
             continue;
         };
         match record {
@@ -108,5 +118,5 @@
             }
         }
     }
-    partitions
+    RecoveredRecords { partitions, unreadable }
 }
--- a/crates/batch-store/src/store.rs
+++ b/crates/batch-store/src/store.rs
@@ -25,7 +25,7 @@
 use crate::partition::Partition;
 use crate::pending_calls::{Caller, PendingCalls, Query};
 use crate::record_writer::RecordWriter;
-use crate::recovery::replay;
+use crate::recovery::{RecoveredRecords, replay};
 use crate::store::gateway_calls::JobSubmission;
 use crate::store::maintenance::Schedule;
 use crate::store::results::PendingResults;
@@ -60,6 +60,7 @@
     dispatch_due: bool,
     nonce: u64,
     schedule: Schedule,
+    unreadable_records: usize,
 }
 
 impl Store {
@@ -72,9 +73,10 @@
         nonce: u64,
     ) -> Store {
         let me = settings.me;
-        let recovered = replay(records).into_iter();
+        let RecoveredRecords { partitions, unreadable } = replay(records);
         Store {
-            partitions: recovered
+            partitions: partitions
+                .into_iter()
                 .map(|(number, recovered)| (number, Partition::new(number, me, recovered, nonce)))
                 .collect(),
             settings,
@@ -88,9 +90,16 @@
             dispatch_due: false,
             nonce,
             schedule: Schedule::default(),
+            unreadable_records: unreadable,
         }
     }
 
+    /// Number of records at the start that couldn't be read, since another version wrote them. What they held may have
+    /// been acknowledged, so the host doesn't go on with such a store.
+    pub fn unreadable_records(&self) -> usize {
+        self.unreadable_records
+    }
+
     /// Other stores that share a partition with this one: a link to each is needed.
     pub fn peers(&self) -> BTreeSet<MemberId> {
         let me = self.settings.me;
--- a/crates/batch-store/tests/mutations.rs
+++ b/crates/batch-store/tests/mutations.rs
@@ -261,3 +261,16 @@
     let introduce = PeerMessage::Handshake { version: 1, member: disk(1, 2) };
     assert_eq!(decode(&encode(&introduce)), Some(introduce));
 }
+
+/// What another version wrote may have been acknowledged: the host is told and doesn't go on.
+#[test]
+fn records_that_cannot_be_read_are_counted() {
+    let mut world = World::placed(1, 1);
+    world.gateway_connected(1, 1);
+    world.submit(1, 0, "j", job("j", 1, 1, 1));
+    world.run();
+    let mut records = world.stores[0].disk.clone();
+    assert_eq!(Process::start(member(1), records.clone(), 1, 5).store.unreadable_records(), 0);
+    records[0].payload = vec![0xff; 9].into();
+    assert_eq!(Process::start(member(1), records, 1, 5).store.unreadable_records(), 1);
+}
--- a/crates/control-plane/src/disk_records.rs
+++ b/crates/control-plane/src/disk_records.rs
@@ -1,6 +1,7 @@
 //! Records that a control node keeps on its disk, and what they add up to when it starts.
 
 use musli::{Decode, Encode};
+use orchidvalve_bootstrap::ProcessError;
 use orchidvalve_chain_replication::{Entry, Epoch, Sequence};
 use orchidvalve_consensus::DurableState;
 use orchidvalve_protocol::frames::decode;
@@ -75,6 +76,19 @@
         }
     }
 
+    /// Checks that all records could be read. What an unreadable one held may have been acknowledged or promised, so a
+    /// node that left it out could lose a change, or break a promise that it gave as an acceptor.
+    ///
+    /// # Errors
+    ///
+    /// The number of records that another version wrote.
+    pub fn require_readable(&self) -> Result<(), ProcessError> {
+        match self.unreadable {
+            0 => Ok(()),
+            count => Err(ProcessError::UnreadableRecords { count }),
+        }
+    }
+
     fn apply_entry(&mut self, entry: Entry, position: Position) {
         if self.log.is_empty() && entry.sequence != self.log.first() {
             // Records before it were released: nothing before it is needed.
--- a/crates/control-plane/src/process/mod.rs
+++ b/crates/control-plane/src/process/mod.rs
@@ -191,7 +191,7 @@
         network.listen(options.machine.internal_listener, INTERNAL_LISTENER)?;
         let now = clock.now();
         let disk = RingDisk(ring.clone());
-        let node = ControlNode::new(options.node_config(&handshake), recover(&records), disk, now);
+        let node = ControlNode::new(options.node_config(&handshake), recover(&records)?, disk, now);
         let mut links = PeerLinks::new(handshake.member.address);
         links.set_permanent_peers(options.seed_nodes());
         let mut process = Process {
@@ -394,16 +394,11 @@
 }
 
 /// What the records of the ring add up to.
-fn recover(records: &[Record]) -> RecoveredState {
+fn recover(records: &[Record]) -> Result<RecoveredState, ProcessError> {
     let mut recovered = RecoveredState::default();
     for record in records {
         recovered.apply_record(record.position, &record.payload);
     }
-    if recovered.unreadable > 0 {
-        log::error!(
-            "control: {} records can't be read; run the version that wrote them",
-            recovered.unreadable
-        );
-    }
-    recovered
+    recovered.require_readable()?;
+    Ok(recovered)
 }
--- a/crates/control-plane/tests/disk_records.rs
+++ b/crates/control-plane/tests/disk_records.rs
@@ -37,6 +37,19 @@
     recovered
 }
 
+#[test]
+fn a_disk_with_records_of_another_version_is_refused_with_a_remedy() {
+    let mut recovered = recover("1.1 2.1 a");
+    assert!(recovered.require_readable().is_ok());
+    recovered.apply_record(4, &[0xff; 9]);
+    recovered.apply_record(5, &encode(&record("4.1")));
+    let refused = recovered.require_readable().unwrap_err().to_string();
+    assert!(
+        refused.contains("1 records") && refused.contains("run the version that wrote them"),
+        "{refused}"
+    );
+}
+
 fn held(journal: &ReplicatedLog) -> String {
     let entries = (journal.first()..=journal.end()).map(|s| journal.get(s).unwrap());
     let words: Vec<String> = entries.map(|e| format!("{}.{}", e.sequence, e.epoch)).collect();
