Control plane: operators' connections have time limits

Change: idle ones end after a minute; a request of which nothing more arrives for three seconds is answered with 408 and ended, which it may be, as it wasn't read whole.

Test: operator_connections/tests.rs; there were no such limits before.

--- a/crates/control-plane/src/process/mod.rs
+++ b/crates/control-plane/src/process/mod.rs
@@ -237,7 +237,7 @@
     fn handle_event(&mut self, event: NetworkEvent) {
         match event {
             NetworkEvent::Accepted { listener: OPERATOR_LISTENER, connection } => {
-                self.operators.accepted(connection);
+                self.operators.accepted(connection, self.now);
             }
             NetworkEvent::Accepted { connection, .. } => {
                 self.incoming.insert(connection, Incoming::Unidentified);
@@ -312,6 +312,7 @@
         self.handle_outputs();
         self.maintain_sessions();
         self.send_feed_updates();
+        self.operators.expire(&mut self.network, self.now);
     }
 
     /// Tells the node which records are durable, and whether the disk hangs.
--- a/crates/control-plane/src/process/operator_connections.rs
+++ b/crates/control-plane/src/process/operator_connections.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
 
+use orchidvalve_chain_replication::Milliseconds;
 use orchidvalve_consensus::View;
 use orchidvalve_control_state::{Change, ControlState, Placement};
 use orchidvalve_http::{RequestReader, write_response};
@@ -19,6 +20,12 @@
 use crate::peer_messages::{HeadRequest, RequestOutcome};
 use crate::placement;
 
+/// A connection without a request is closed after this time, in milliseconds: its operator's machine may be gone.
+const IDLE_TIMEOUT_MS: Milliseconds = 60_000;
+/// A request of which nothing more arrives for this time is given up, in milliseconds. So long at most it also holds up
+/// the planned end of this process.
+const REQUEST_STALL_TIMEOUT_MS: Milliseconds = 3_000;
+
 /// An operator's connection, on which one request is answered at a time.
 #[derive(Debug)]
 struct OperatorConnection {
@@ -27,6 +34,8 @@
     keep_alive: bool,
     /// Number of the request whose response is waited for.
     waiting_for: Option<RequestNumber>,
+    /// When bytes last arrived, or a response was last written.
+    active_at: Milliseconds,
 }
 
 /// What an operator's request asks for.
@@ -56,12 +65,53 @@
 }
 
 impl OperatorConnections {
-    pub(super) fn accepted(&mut self, connection: ConnectionId) {
+    pub(super) fn accepted(&mut self, connection: ConnectionId, now: Milliseconds) {
         let reader = RequestReader::default();
-        let operator = OperatorConnection { reader, keep_alive: true, waiting_for: None };
+        let operator = OperatorConnection { reader, keep_alive: true, waiting_for: None, active_at: now };
         self.connections.insert(connection, operator);
     }
 
+    /// Bytes have arrived on a connection.
+    fn data_arrived(&mut self, connection: ConnectionId, now: Milliseconds) {
+        if let Some(operator) = self.connections.get_mut(&connection) {
+            operator.active_at = now;
+        }
+    }
+
+    /// Closes the connections that were idle for too long, and gives up requests of which nothing more arrives: they
+    /// weren't read whole, so they haven't run.
+    pub(super) fn expire(&mut self, network: &mut Network, now: Milliseconds) {
+        let is_free = |(_, operator): &(&ConnectionId, &OperatorConnection)| operator.waiting_for.is_none();
+        let expired: Vec<ConnectionId> = self
+            .connections
+            .iter()
+            .filter(is_free)
+            .filter(|(connection, operator)| {
+                let has_begun = operator.reader.is_mid_request() || !network.inbox(**connection).is_empty();
+                let limit = if has_begun { REQUEST_STALL_TIMEOUT_MS } else { IDLE_TIMEOUT_MS };
+                now >= operator.active_at + limit
+            })
+            .map(|(connection, _)| *connection)
+            .collect();
+        for connection in expired {
+            if let Some(operator) = self.connections.remove(&connection) {
+                if operator.reader.is_mid_request() {
+                    let response =
+                        OperatorResponse::error(408, "the rest of the request didn't come in time");
+                    write_operator_response(network, connection, &response, true);
+                }
+                self.close(network, connection);
+            }
+        }
+    }
+
+    /// Ends a connection once what was written on it has left.
+    fn close(&mut self, network: &mut Network, connection: ConnectionId) {
+        network.finish(connection);
+        self.closing.retain(|closing| network.queued_bytes(*closing) > 0);
+        self.closing.push(connection);
+    }
+
     pub(super) fn contains(&self, connection: ConnectionId) -> bool {
         self.connections.contains_key(&connection)
     }
@@ -95,29 +145,47 @@
     }
 
     /// Writes a response, and ends the connection where its request asked for that.
-    fn respond(&mut self, network: &mut Network, connection: ConnectionId, response: &OperatorResponse) {
+    fn respond(
+        &mut self,
+        network: &mut Network,
+        connection: ConnectionId,
+        response: &OperatorResponse,
+        now: Milliseconds,
+    ) {
         let Some(operator) = self.connections.get_mut(&connection) else { return };
         operator.waiting_for = None;
+        operator.active_at = now;
         let close = !operator.keep_alive;
-        if let Some(outbox) = network.outbox(connection) {
-            let mut headers = vec![("Content-Type", "application/json")];
-            headers.extend(response.location.as_deref().map(|location| ("Location", location)));
-            write_response(outbox, response.status, &headers, &response.body, close);
-        }
+        write_operator_response(network, connection, response, close);
         if close {
             self.connections.remove(&connection);
-            network.finish(connection);
-            self.closing.retain(|closing| network.queued_bytes(*closing) > 0);
-            self.closing.push(connection);
+            self.close(network, connection);
         }
     }
 }
 
+fn write_operator_response(
+    network: &mut Network,
+    connection: ConnectionId,
+    response: &OperatorResponse,
+    close: bool,
+) {
+    let Some(outbox) = network.outbox(connection) else { return };
+    let mut headers = vec![("Content-Type", "application/json")];
+    headers.extend(response.location.as_deref().map(|location| ("Location", location)));
+    write_response(outbox, response.status, &headers, &response.body, close);
+}
+
 impl Process {
     /// Handles the requests that have arrived, one after the other. Each waits for its response before the next is
     /// read. The node's outputs are carried out later in the turn, so that requests that are answered at once don't
     /// recurse into one another.
     pub(super) fn operator_data_received(&mut self, connection: ConnectionId) {
+        self.operators.data_arrived(connection, self.now);
+        self.read_operator_requests(connection);
+    }
+
+    fn read_operator_requests(&mut self, connection: ConnectionId) {
         let is_free = |operator: &&mut OperatorConnection| operator.waiting_for.is_none();
         while let Some(operator) = self.operators.connections.get_mut(&connection).filter(is_free) {
             match operator.reader.read(self.network.inbox(connection), &OPERATOR_LIMITS) {
@@ -214,11 +282,11 @@
     pub(super) fn respond_to(&mut self, number: RequestNumber, response: &OperatorResponse) {
         let Some(OpenRequest { connection, .. }) = self.operators.open.remove(&number) else { return };
         self.respond(connection, response);
-        self.operator_data_received(connection);
+        self.read_operator_requests(connection);
     }
 
     fn respond(&mut self, connection: ConnectionId, response: &OperatorResponse) {
-        self.operators.respond(&mut self.network, connection, response);
+        self.operators.respond(&mut self.network, connection, response, self.now);
     }
 
     /// Members, chain, singleton roles and partitions, for operators.
@@ -274,3 +342,6 @@
     let is_done = store.retiring && placement::is_store_empty(&store.member, state.partitions());
     OperatorResponse::new(200, &json!({ "state": if is_done { "completed" } else { "in_progress" } }))
 }
+
+#[cfg(test)]
+mod tests;
