Consensus tests: a wiped seed helps to no second first view

Change: none in the code. One test plays the schedule; a second one starts the wiped seed with bootstrap=true and finds the second first view, which shows that the simulation would have found it.

--- a/crates/consensus/tests/first_view.rs
+++ b/crates/consensus/tests/first_view.rs
@@ -95,3 +95,45 @@
     let first = site.views().into_iter().find(|view| view.epoch == 1).expect("a first view");
     assert!(first.voters.iter().all(|voter| voter.address <= address(SEEDS)), "{first:?}");
 }
+
+/// Seeds 1 and 2 have decided the first view, seed 3 hasn't risen yet. Seed 1 loses its disk, seed 2 is cut off, and seed
+/// 3 starts: two of three seeds that know of no view.
+fn with_a_wiped_seed(bootstrap: bool) -> Site {
+    let mut site = start(&[1, 2], 1);
+    site.run(3_000);
+    assert_eq!(site.view().epoch, 1);
+    site.lose(member(1, 1));
+    site.add_first(member(3, 1));
+    if bootstrap {
+        site.add_first(member(1, 2));
+    } else {
+        site.add_empty(member(1, 2));
+    }
+    site.isolate(member(2, 1));
+    site.run(30_000);
+    site
+}
+
+/// Votes on the first view are counted by address, but only a machine that starts with the system may give one, and one
+/// that has lost its disk doesn't.
+#[test]
+fn a_seed_without_its_disk_helps_to_no_second_first_view() {
+    let mut site = with_a_wiped_seed(false);
+    for machine in [member(1, 2), member(3, 1)] {
+        assert_eq!(site.agreement(machine).view(), None, "{machine}");
+    }
+    site.network.heal();
+    site.run(10_000);
+    let newest = site.view();
+    assert!(newest.voters.contains(&member(2, 1)), "the first view goes on: {newest:?}");
+    assert!(site.network.nodes.values().all(|agreement| agreement.view() == Some(&newest)));
+}
+
+/// What the rule prevents: were the wiped seed told that the system begins, it would decide another first view.
+#[test]
+fn the_simulation_finds_a_second_first_view_where_a_wiped_seed_votes() {
+    let mut site = with_a_wiped_seed(true);
+    let second = site.agreement(member(3, 1)).view().cloned().expect("a view");
+    assert_eq!(second.epoch, 1);
+    assert!(!second.voters.contains(&member(2, 1)));
+}
