--- a/crates/batch-store/src/active_job.rs
+++ b/crates/batch-store/src/active_job.rs
@@ -49,6 +49,9 @@
     job: Box<Job>,
     item_indices: BTreeMap<CompactString, u32>,
     has_result: Vec<bool>,
+    /// Responses of 500 that gateways have reported, by the index of the item. Not replicated: a new head begins
+    /// without them.
+    failures: BTreeMap<u32, u32>,
     groups: Vec<Group>,
     /// Groups of which every item has a result.
     finished_groups: u32,
@@ -72,6 +75,7 @@
                 .map(|(item, index)| (CompactString::from(item.id()), index))
                 .collect(),
             has_result: vec![false; job.len()],
+            failures: BTreeMap::new(),
             groups: groups.collect(),
             finished_groups: 0,
             assigned_groups: 0,
@@ -155,6 +159,17 @@
         }
     }
 
+    /// Notes that an item has failed so often; a gateway that knows less than another takes nothing back.
+    pub fn record_failures(&mut self, index: u32, count: u32) {
+        let known = self.failures.entry(index).or_default();
+        *known = count.max(*known);
+    }
+
+    /// How often an item has failed.
+    pub fn failures(&self, index: u32) -> u32 {
+        self.failures.get(&index).copied().unwrap_or(0)
+    }
+
     /// Notes that an item has a result. Returns the gateway that worked on it.
     pub fn record_result(&mut self, index: u32) -> Option<GatewayId> {
         self.has_result[index as usize] = true;
--- a/crates/batch-store/src/dispatch.rs
+++ b/crates/batch-store/src/dispatch.rs
@@ -5,7 +5,9 @@
 use compact_str::CompactString;
 use orchidvalve_batch::job::Item;
 use orchidvalve_protocol::identity::NodeAddress;
-use orchidvalve_protocol::messages::{AssignedGroup, AssignedItem, AssignedJob, ScorerRequest, StoreMessage};
+use orchidvalve_protocol::messages::{
+    AssignedGroup, AssignedItem, AssignedJob, ItemFailures, ScorerRequest, StoreMessage,
+};
 use orchidvalve_protocol::rendezvous;
 
 use crate::active_job::ActiveJob;
@@ -227,8 +229,25 @@
         min_weights_version: active.job().min_weights_version,
         age_ms: now.wall_ms.saturating_sub(state.times.accepted_at_ms),
     };
+    let failures = known_failures(active, groups);
     let groups = groups.iter().map(|&index| work_group(active, index)).collect();
     outputs.push(Output::ToGateway { link, message: StoreMessage::AssignGroups { job: terms, groups } });
+    if !failures.is_empty() {
+        let (partition, job) = (partition.number(), job.to_string());
+        let message = StoreMessage::KnownFailures { partition, job, failures };
+        outputs.push(Output::ToGateway { link, message });
+    }
+}
+
+/// Items of the groups that have failed at a gateway.
+fn known_failures(active: &ActiveJob, groups: &[u32]) -> Vec<ItemFailures> {
+    let items = groups.iter().flat_map(|&index| active.groups()[index as usize].items());
+    let failed = items.filter(|&&item| !active.has_result(item) && active.failures(item) > 0);
+    let failures = failed.filter_map(|&index| {
+        let item = active.job().item(index as usize)?.id().to_owned();
+        Some(ItemFailures { item, count: active.failures(index) })
+    });
+    failures.collect()
 }
 
 fn work_group(active: &ActiveJob, index: u32) -> AssignedGroup {
--- a/crates/batch-store/src/store.rs
+++ b/crates/batch-store/src/store.rs
@@ -245,6 +245,9 @@
                 let gateway = sender.map(|sender| sender.id);
                 self.return_groups(gateway, partition, epoch, &job, &groups, now.monotonic_ms);
             }
+            GatewayMessage::ReportFailures { partition, job, failures } => {
+                self.record_failures(partition, &job, &failures);
+            }
         }
         self.finish_input(now, outputs);
     }
--- a/crates/batch-store/src/store/results.rs
+++ b/crates/batch-store/src/store/results.rs
@@ -3,7 +3,7 @@
 use std::collections::BTreeMap;
 
 use compact_str::CompactString;
-use orchidvalve_protocol::messages::{ItemOutcome, StoreMessage};
+use orchidvalve_protocol::messages::{ItemFailures, ItemOutcome, StoreMessage};
 
 use crate::entry::EntryRef;
 use crate::gateways::GatewayId;
@@ -152,6 +152,17 @@
         }
     }
 
+    /// Servers answered items with 500: the next gateway is told if their group moves.
+    pub(super) fn record_failures(&mut self, number: u16, job: &str, failures: &[ItemFailures]) {
+        let partition = self.partitions.get_mut(&number);
+        let Some(active) = partition.and_then(|partition| partition.jobs.active_mut(job)) else { return };
+        for ItemFailures { item, count } in failures {
+            if let Some(index) = active.item_index(item) {
+                active.record_failures(index, *count);
+            }
+        }
+    }
+
     /// A gateway returned groups that were assigned to it in the view of this epoch.
     pub(super) fn return_groups(
         &mut self,
--- a/crates/batch-store/tests/golden_inputs.rs
+++ b/crates/batch-store/tests/golden_inputs.rs
@@ -410,7 +410,7 @@
         Output::ToControl(_) => 2,
         Output::ToGateway { message, .. } => match message {
             StoreMessage::Heartbeat => 3,
-            StoreMessage::AssignGroups { .. } => 4,
+            StoreMessage::AssignGroups { .. } | StoreMessage::KnownFailures { .. } => 4,
             StoreMessage::CancelJob { .. } => 5,
             StoreMessage::AcknowledgeOutcomes { .. } => 6,
             StoreMessage::Response { response: answer, .. } => match answer {
--- a/crates/batch-store/tests/groups.rs
+++ b/crates/batch-store/tests/groups.rs
@@ -5,7 +5,7 @@
 use std::collections::BTreeSet;
 
 use orchidvalve_batch_store::GATEWAY_TIMEOUT_MS;
-use orchidvalve_protocol::messages::GatewayMessage;
+use orchidvalve_protocol::messages::{GatewayMessage, ItemFailures};
 use support::{TARGET_RUN_MS, World, disk, job, member};
 
 fn groups_of(world: &World, gateway: u64) -> Vec<u32> {
@@ -232,3 +232,27 @@
     let epochs: Vec<u64> = world.gateways[&1].assigned.iter().map(|(terms, _)| terms.epoch).collect();
     assert_eq!(epochs, [1, 2]);
 }
+
+/// The next gateway goes on counting where the one before it stopped.
+#[test]
+fn failures_of_items_go_with_a_group_to_its_next_gateway() {
+    let mut world = World::placed(2, 2);
+    world.gateway_connected(1, 1);
+    world.submit(1, 0, "j", job("j", 1, 2, 1));
+    world.run();
+    let failed = |item: &str, count| {
+        let failures = vec![ItemFailures { item: item.to_owned(), count }];
+        GatewayMessage::ReportFailures { partition: 0, job: "j".to_owned(), failures }
+    };
+    for message in [failed("j-0-0", 1), failed("j-0-0", 3), failed("j-0-0", 2), failed("elsewhere", 1)] {
+        world.send_to_store(1, 0, message);
+    }
+    world.run();
+    assert!(world.gateways[&1].known_failures.is_empty(), "it knows them itself");
+    let groups = vec![0];
+    let returned = GatewayMessage::ReturnGroups { partition: 0, epoch: 1, job: "j".to_owned(), groups };
+    world.send_to_store(1, 0, returned);
+    world.advance(1_000);
+    let known = vec![ItemFailures { item: "j-0-0".to_owned(), count: 3 }];
+    assert_eq!(world.gateways[&1].known_failures, known);
+}
--- a/crates/batch-store/tests/mutations.rs
+++ b/crates/batch-store/tests/mutations.rs
@@ -9,7 +9,7 @@
 use musli::{Decode, Encode};
 use orchidvalve_batch_store::{DiskRecord, PeerMessage};
 use orchidvalve_protocol::frames::{decode, encode};
-use orchidvalve_protocol::messages::{GatewayMessage, StoreMessage, StoreResponse};
+use orchidvalve_protocol::messages::{GatewayMessage, ItemFailures, StoreMessage, StoreResponse};
 use rstest::rstest;
 use support::{Message, Mutation, Process, World, disk, job, member, result_items};
 
@@ -23,18 +23,20 @@
     End,
     Outcomes,
     Returned,
+    Failures,
     StoreHeartbeat,
     Answer,
     Assign,
     Cancel,
     Recorded,
+    KnownFailures,
     Chain,
     /// Sent by the process, not by the store in the tests.
     PeerLink,
 }
 
 /// Every kind of message that the scenario sends; [`kind`] doesn't compile without a case for each.
-const KINDS: [Kind; 14] = [
+const KINDS: [Kind; 16] = [
     Kind::Handshake,
     Kind::GatewayHeartbeat,
     Kind::Submit,
@@ -43,11 +45,13 @@
     Kind::End,
     Kind::Outcomes,
     Kind::Returned,
+    Kind::Failures,
     Kind::StoreHeartbeat,
     Kind::Answer,
     Kind::Assign,
     Kind::Cancel,
     Kind::Recorded,
+    Kind::KnownFailures,
     Kind::Chain,
 ];
 
@@ -62,6 +66,7 @@
             GatewayMessage::EndJob { .. } => Kind::End,
             GatewayMessage::ReportOutcomes { .. } => Kind::Outcomes,
             GatewayMessage::ReturnGroups { .. } => Kind::Returned,
+            GatewayMessage::ReportFailures { .. } => Kind::Failures,
         },
         Message::ToGateway { message, .. } => match message {
             StoreMessage::Heartbeat => Kind::StoreHeartbeat,
@@ -69,6 +74,7 @@
             StoreMessage::AssignGroups { .. } => Kind::Assign,
             StoreMessage::CancelJob { .. } => Kind::Cancel,
             StoreMessage::AcknowledgeOutcomes { .. } => Kind::Recorded,
+            StoreMessage::KnownFailures { .. } => Kind::KnownFailures,
         },
         Message::Peer { message, .. } => match message {
             PeerMessage::Handshake { .. } | PeerMessage::Heartbeat => Kind::PeerLink,
@@ -123,6 +129,9 @@
         |world| is_assigned(world, 0) && is_assigned(world, 1),
     );
     world.release_delayed();
+    let failures = vec![ItemFailures { item: "j-1-1".to_owned(), count: 1 }];
+    let failed = GatewayMessage::ReportFailures { partition: 0, job: "j".to_owned(), failures };
+    world.send_to_store(1, 0, failed);
     let returned =
         GatewayMessage::ReturnGroups { partition: 0, epoch: 1, job: "j".to_owned(), groups: vec![1] };
     world.send_to_store(1, 0, returned);
--- a/crates/batch-store/tests/support/mod.rs
+++ b/crates/batch-store/tests/support/mod.rs
@@ -16,8 +16,8 @@
 use orchidvalve_protocol::frames::encode;
 use orchidvalve_protocol::identity::{MemberId, NodeAddress};
 use orchidvalve_protocol::messages::{
-    AssignedGroup, AssignedJob, GatewayMessage, Handshake, ItemOutcome, ItemState, Role, SessionMessage,
-    StoreHealth, StoreMessage, StoreResponse,
+    AssignedGroup, AssignedJob, GatewayMessage, Handshake, ItemFailures, ItemOutcome, ItemState, Role,
+    SessionMessage, StoreHealth, StoreMessage, StoreResponse,
 };
 
 pub const TARGET_RUN_MS: u64 = 10_000;
@@ -109,6 +109,7 @@
     pub assigned: Vec<(AssignedJob, AssignedGroup)>,
     pub cancelled: Vec<String>,
     pub recorded: Vec<String>,
+    pub known_failures: Vec<ItemFailures>,
 }
 
 /// A message on its way.
@@ -296,6 +297,7 @@
             }
             StoreMessage::CancelJob { job, .. } => gateway.cancelled.push(job),
             StoreMessage::AcknowledgeOutcomes { items, .. } => gateway.recorded.extend(items),
+            StoreMessage::KnownFailures { failures, .. } => gateway.known_failures.extend(failures),
         }
     }
 
--- a/crates/control-plane/src/process/connections.rs
+++ b/crates/control-plane/src/process/connections.rs
@@ -235,7 +235,7 @@
                 let (network, now) = (&mut self.network, self.now);
                 let changed = self.subscribers.heartbeat_received(network, connection, health, now);
                 if let Some(session) = changed {
-                    self.sessions.open(session);
+                    self.sessions.open(session, now);
                     self.session_reports.set_changed();
                 }
                 if !self.subscribers.contains(connection) {
@@ -280,7 +280,7 @@
         log::info!("sessions: {} has come", handshake.name);
         let (network, now) = (&mut self.network, self.now);
         let session = self.subscribers.open(network, connection, handshake, position, controls, now);
-        self.sessions.open(session);
+        self.sessions.open(session, now);
         self.session_reports.set_changed();
         let workers = ControlMessage::Gateways(self.workers.list().clone());
         send(&mut self.network, connection, &workers);
@@ -305,7 +305,7 @@
         self.sessions.expire(self.now);
         self.refresh_observers();
         if self.session_reports.take_due(self.now) {
-            let message = PeerMessage::Sessions { sessions: self.sessions.local() };
+            let message = PeerMessage::Sessions { sessions: self.sessions.local(self.now) };
             self.links.broadcast(&mut self.network, &message);
         }
     }
--- a/crates/control-plane/src/sessions.rs
+++ b/crates/control-plane/src/sessions.rs
@@ -3,7 +3,12 @@
 //! A process is a member for as long as its session is open. Every control node reports its list of local sessions to
 //! the others. A process that is missing from a report is given a moment to open a session with another control node
 //! before it counts as dead.
+//!
+//! Of two starts of a process the one whose session was opened last is the later one. Reports say how old each session
+//! is by the clock of its reporter, since two reports may arrive in either order, and a control node that has just
+//! started knows neither start.
 
+use std::cmp::Reverse;
 use std::collections::BTreeMap;
 
 use musli::{Decode, Encode};
@@ -33,6 +38,8 @@
     pub share: f32,
     /// Newest health that the process has sent; `None` before the first one.
     pub health: Option<StoreHealth>,
+    /// Time since the session was opened, when it was reported, in milliseconds.
+    pub age_ms: Milliseconds,
 }
 
 impl Session {
@@ -46,6 +53,7 @@
             incarnation: handshake.incarnation,
             share: handshake.cpu_share,
             health: None,
+            age_ms: 0,
         }
     }
 }
@@ -56,12 +64,15 @@
     session: Session,
     /// The control node that reported the session; `None` for a local one.
     reporter: Option<MemberId>,
+    /// When the session was opened, by the clock of this node: the earliest time that any report of it gave, as reports
+    /// may be delayed.
+    opened_at: Milliseconds,
     /// From this time on the report says nothing, unless it is renewed.
     expires_at: Option<Milliseconds>,
 }
 
 impl SessionReport {
-    /// A local session that hasn't ended: the most reliable report there is.
+    /// A local session that hasn't ended.
     fn is_open_here(&self) -> bool {
         self.reporter.is_none() && self.expires_at.is_none()
     }
@@ -83,7 +94,7 @@
 }
 
 /// All sessions known to this control node, by name and role of the process: what each control node reports, with the
-/// latest incarnation first. A process lives for as long as one report says so.
+/// session that was opened last first. A process lives for as long as one report says so.
 #[derive(Default, Debug)]
 pub struct SessionTable {
     reports: BTreeMap<ProcessKey, Vec<SessionReport>>,
@@ -91,10 +102,14 @@
 
 impl SessionTable {
     /// A local session was opened or its facts changed.
-    pub fn open(&mut self, session: Session) {
+    pub fn open(&mut self, session: Session, now: Milliseconds) {
         let reports = self.reports.entry(ProcessKey::of(&session)).or_default();
+        let is_known = |report: &&SessionReport| {
+            report.is_open_here() && report.session.incarnation == session.incarnation
+        };
+        let opened_at = reports.iter().find(is_known).map_or(now, |report| report.opened_at);
         reports.retain(|report| report.reporter.is_some());
-        reports.insert(0, SessionReport { session, reporter: None, expires_at: None });
+        insert(reports, SessionReport { session, reporter: None, opened_at, expires_at: None });
     }
 
     /// A local session ended.
@@ -116,25 +131,21 @@
             report.expires_at = Some(report.expires_at.map_or(limit, |at| at.min(limit)));
         }
         for session in sessions {
-            self.add_reported(session, reporter, now + REPORT_TIMEOUT_MS);
+            self.add_reported(session, reporter, now);
         }
     }
 
-    fn add_reported(&mut self, session: Session, reporter: MemberId, expires_at: Milliseconds) {
+    fn add_reported(&mut self, session: Session, reporter: MemberId, now: Milliseconds) {
         let reports = self.reports.entry(ProcessKey::of(&session)).or_default();
-        let incarnation = session.incarnation;
-        let report = SessionReport { session, reporter: Some(reporter), expires_at: Some(expires_at) };
+        let mut opened_at = now.saturating_sub(session.age_ms);
         if let Some(index) = reports.iter().position(|known| known.reporter == Some(reporter)) {
-            if reports[index].session.incarnation == incarnation {
-                reports[index] = report;
-                return;
+            let known = reports.remove(index);
+            if known.session.incarnation == session.incarnation {
+                opened_at = opened_at.min(known.opened_at);
             }
-            reports.remove(index);
         }
-        // An incarnation that nobody has reported before is a later one.
-        let same_incarnation = reports.iter().position(|known| known.session.incarnation == incarnation);
-        let is_open_here = reports.first().is_some_and(SessionReport::is_open_here);
-        reports.insert(same_incarnation.map_or(usize::from(is_open_here), |index| index + 1), report);
+        let expires_at = Some(now + REPORT_TIMEOUT_MS);
+        insert(reports, SessionReport { session, reporter: Some(reporter), opened_at, expires_at });
     }
 
     /// Removes expired reports; true if a process is dead by that.
@@ -152,10 +163,14 @@
         self.reports.values().filter_map(|reports| reports.first()).map(|report| &report.session)
     }
 
-    /// Open sessions with this control node.
-    pub fn local(&self) -> Vec<Session> {
+    /// Open sessions with this control node, with their ages.
+    pub fn local(&self, now: Milliseconds) -> Vec<Session> {
         let local = self.reports.values().flatten().filter(|report| report.is_open_here());
-        local.map(|report| report.session.clone()).collect()
+        let aged = |report: &SessionReport| Session {
+            age_ms: now.saturating_sub(report.opened_at),
+            ..report.session.clone()
+        };
+        local.map(aged).collect()
     }
 
     /// Gateways that have a session and aren't shutting down.
@@ -164,3 +179,10 @@
         self.sessions().filter(move |session| session.role == Role::Gateway && !is_leaving(session))
     }
 }
+
+/// Adds a report in its place: the session that was opened last first, of two opened at one time the local one.
+fn insert(reports: &mut Vec<SessionReport>, report: SessionReport) {
+    let place = |report: &SessionReport| (Reverse(report.opened_at), !report.is_open_here());
+    let index = reports.partition_point(|known| place(known) < place(&report));
+    reports.insert(index, report);
+}
--- a/crates/control-plane/tests/encodings/strategies.rs
+++ b/crates/control-plane/tests/encodings/strategies.rs
@@ -15,7 +15,7 @@
     }
 }
 
-generate_struct!(Session { role, name, zone, member, incarnation, share, health });
+generate_struct!(Session { role, name, zone, member, incarnation, share, health, age_ms });
 generate_enum!(HeadRequest { Change { change }, Retire { name } });
 generate_enum!(RequestOutcome {
     Done,
--- a/crates/control-plane/tests/golden_duties.rs
+++ b/crates/control-plane/tests/golden_duties.rs
@@ -254,11 +254,11 @@
     Session { health: random.random_bool(0.7).then_some(health), ..Session::new(&handshake) }
 }
 
-fn add_sessions(trace: &mut Trace, sessions: &SessionTable) {
+fn add_sessions(trace: &mut Trace, sessions: &SessionTable, now: u64) {
     for session in sessions.sessions() {
         trace.add(&encode(session));
     }
-    for session in sessions.local() {
+    for session in sessions.local(now) {
         trace.add(&encode(&session));
     }
     for session in sessions.gateways() {
@@ -269,7 +269,7 @@
 /// Something happens to the sessions of the system.
 fn change_sessions(random: &mut Pcg64Mcg, sessions: &mut SessionTable, now: u64) {
     match random.random_range(0..4) {
-        0 => sessions.open(session(random)),
+        0 => sessions.open(session(random), now),
         1 => sessions.close(&session(random), now),
         _ => {
             let reporter = member(200 + random.random_range(0..3), 1);
@@ -285,7 +285,7 @@
         now += random.random_range(1..400);
         change_sessions(random, &mut sessions, now);
         trace.add_number(u64::from(sessions.expire(now)));
-        add_sessions(trace, &sessions);
+        add_sessions(trace, &sessions, now);
     }
 }
 
--- a/crates/control-plane/tests/role_placement.rs
+++ b/crates/control-plane/tests/role_placement.rs
@@ -31,7 +31,7 @@
 
 fn sessions(members: &[MemberId]) -> SessionTable {
     let mut table = SessionTable::default();
-    members.iter().for_each(|member| table.open(session(*member)));
+    members.iter().for_each(|member| table.open(session(*member), 0));
     table
 }
 
@@ -95,7 +95,7 @@
 fn one_is_leaving(members: &[MemberId]) -> SessionTable {
     let mut table = sessions(members);
     let health = StoreHealth { draining: true, ..StoreHealth::default() };
-    table.open(Session { health: Some(health), ..session(members[0]) });
+    table.open(Session { health: Some(health), ..session(members[0]) }, 0);
     table
 }
 
@@ -120,7 +120,7 @@
 fn a_store_that_left_and_came_back_is_an_ordinary_one() {
     let state = placed(&[member(2, 1), member(3, 1)]);
     let mut here = one_is_leaving(&[member(1, 1), member(2, 1)]);
-    here.open(Session { incarnation: 9, ..session(member(1, 1)) });
+    here.open(Session { incarnation: 9, ..session(member(1, 1)) }, 0);
     let (_, placement) = first_change(&mut duties(), &state, &here, 5_000).unwrap();
     assert_eq!((placement.members, placement.learners), (vec![member(2, 1)], vec![member(1, 1)]));
 }
@@ -133,12 +133,12 @@
     };
     let state = placed(&[member(1, 1), member(2, 1)]);
     let mut leaving = one_is_leaving(&[member(1, 1), member(2, 1)]);
-    leaving.open(full(76));
+    leaving.open(full(76), 0);
     assert_eq!(first_change(&mut duties(), &state, &leaving, 5_000), None);
-    leaving.open(full(75));
+    leaving.open(full(75), 0);
     assert!(first_change(&mut duties(), &state, &leaving, 5_000).is_some());
     let mut lost = sessions(&[member(1, 1)]);
-    lost.open(full(76));
+    lost.open(full(76), 0);
     let (_, placement) = first_change(&mut duties(), &state, &lost, 5_000).unwrap();
     assert_eq!((placement.members, placement.learners), (vec![member(1, 1)], vec![member(3, 1)]));
 }
--- a/crates/control-plane/tests/sessions.rs
+++ b/crates/control-plane/tests/sessions.rs
@@ -7,6 +7,8 @@
 use orchidvalve_protocol::messages::{Handshake, PROTOCOL_VERSION, Role, StoreHealth};
 use rstest::rstest;
 
+/// When the sessions with this control node are opened, where that doesn't matter.
+const OPENED_AT: u64 = 1_050;
 /// Pause between two lists of one control node.
 const LIST_INTERVAL_MS: u64 = 400;
 
@@ -33,6 +35,11 @@
     session("door-1", Role::Gateway, incarnation)
 }
 
+/// Open local sessions, without their ages.
+fn local(table: &SessionTable) -> Vec<Session> {
+    table.local(2_000).into_iter().map(|session| Session { age_ms: 0, ..session }).collect()
+}
+
 fn incarnations(table: &SessionTable) -> Vec<u64> {
     table.sessions().map(|s| s.incarnation).collect()
 }
@@ -40,10 +47,10 @@
 #[test]
 fn an_own_session_stands_until_it_ends_and_then_for_the_time_of_a_move() {
     let mut table = SessionTable::default();
-    table.open(door(1));
+    table.open(door(1), OPENED_AT);
     assert!(!table.expire(1_000_000));
     table.close(&door(1), 1_000);
-    assert!(table.local().is_empty());
+    assert!(local(&table).is_empty());
     assert!(!table.expire(1_000 + RECONNECT_GRACE_MS - 1));
     assert_eq!(table.gateways().count(), 1);
     assert!(table.expire(1_000 + RECONNECT_GRACE_MS));
@@ -53,8 +60,8 @@
 #[test]
 fn the_end_of_an_earlier_start_does_not_end_the_later_one() {
     let mut table = SessionTable::default();
-    table.open(door(1));
-    table.open(door(2));
+    table.open(door(1), OPENED_AT);
+    table.open(door(2), OPENED_AT);
     table.close(&door(1), 1_000);
     table.expire(10_000);
     assert_eq!(incarnations(&table), [2]);
@@ -63,33 +70,33 @@
 #[test]
 fn a_session_that_moved_to_another_control_node_never_lapses() {
     let mut table = SessionTable::default();
-    table.open(door(1));
+    table.open(door(1), OPENED_AT);
     table.close(&door(1), 1_000);
     table.apply_report(member(2), vec![door(1)], 1_300);
     for now in 1_300..1_300 + REPORT_TIMEOUT_MS {
         assert!(!table.expire(now), "lapsed at {now}");
     }
-    assert!(table.local().is_empty());
+    assert!(local(&table).is_empty());
 }
 
 #[test]
 fn a_session_that_moved_here_stays_local_whatever_the_former_reporter_says() {
     let mut table = SessionTable::default();
     table.apply_report(member(2), vec![door(1)], 1_000);
-    table.open(door(1));
+    table.open(door(1), OPENED_AT);
     table.apply_report(member(2), vec![door(1)], 1_100);
     table.apply_report(member(2), vec![], 1_500);
     assert!(!table.expire(100_000));
-    assert_eq!(table.local(), [door(1)]);
+    assert_eq!(local(&table), [door(1)]);
 }
 
 #[test]
 fn a_stale_report_of_an_earlier_incarnation_does_not_replace_an_open_local_session() {
     let mut table = SessionTable::default();
     table.apply_report(member(2), vec![door(1)], 1_000);
-    table.open(door(2));
+    table.open(door(2), OPENED_AT);
     table.apply_report(member(2), vec![door(1)], 1_200);
-    assert_eq!(table.local(), [door(2)], "the door is connected here");
+    assert_eq!(local(&table), [door(2)], "the door is connected here");
     table.apply_report(member(2), vec![], 1_600);
     table.expire(10_000);
     assert_eq!(incarnations(&table), [2]);
@@ -143,7 +150,7 @@
 #[test]
 fn a_later_start_elsewhere_replaces_a_session_that_ended_here() {
     let mut table = SessionTable::default();
-    table.open(door(1));
+    table.open(door(1), OPENED_AT);
     table.close(&door(1), 1_000);
     table.apply_report(member(2), vec![door(2)], 1_100);
     assert_eq!(incarnations(&table), [2]);
@@ -154,8 +161,8 @@
 #[test]
 fn a_gateway_and_a_store_node_of_one_machine_are_two_sessions() {
     let mut table = SessionTable::default();
-    table.open(session("edge-1", Role::Gateway, 1));
-    table.open(session("edge-1", Role::Store, 2));
+    table.open(session("edge-1", Role::Gateway, 1), OPENED_AT);
+    table.open(session("edge-1", Role::Store, 2), OPENED_AT);
     assert_eq!(table.sessions().count(), 2);
     assert_eq!(table.gateways().count(), 1);
 }
@@ -163,9 +170,60 @@
 #[test]
 fn facts_of_an_open_session_are_replaced() {
     let mut table = SessionTable::default();
-    table.open(session("store-1", Role::Store, 1));
+    table.open(session("store-1", Role::Store, 1), OPENED_AT);
     let health = StoreHealth { disk_failing: true, used_bytes: 5, capacity_bytes: 10, draining: false };
     let changed = Session { health: Some(health), ..session("store-1", Role::Store, 1) };
-    table.open(changed.clone());
-    assert_eq!(table.local(), [changed]);
+    table.open(changed.clone(), OPENED_AT);
+    assert_eq!(local(&table), [changed]);
+}
+
+/// A session of that age when it is reported.
+fn aged(incarnation: u64, age_ms: u64) -> Session {
+    Session { age_ms, ..session("store-1", Role::Store, incarnation) }
+}
+
+/// A control node that has just started hears of both starts of a store for the first time, the later one first.
+#[rstest]
+#[case::later_start_first(&[(3, 2, 40), (2, 1, 9_000)])]
+#[case::earlier_start_first(&[(2, 1, 9_000), (3, 2, 40)])]
+#[case::later_start_first_and_again(&[(3, 2, 40), (2, 1, 9_000), (2, 1, 9_001), (3, 2, 41)])]
+fn of_two_starts_the_one_whose_session_was_opened_last_is_the_later(#[case] reports: &[(u8, u64, u64)]) {
+    let mut table = SessionTable::default();
+    for &(reporter, incarnation, age_ms) in reports {
+        table.apply_report(member(reporter), vec![aged(incarnation, age_ms)], 20_000);
+        table.expire(20_000);
+    }
+    assert_eq!(incarnations(&table), [2]);
+}
+
+#[test]
+fn a_local_session_whose_process_has_started_anew_elsewhere_is_not_shown() {
+    let mut table = SessionTable::default();
+    table.open(aged(1, 0), 1_000);
+    table.apply_report(member(2), vec![aged(2, 50)], 9_000);
+    assert_eq!(incarnations(&table), [2], "the end of the first start isn't noticed yet");
+    table.open(Session { health: None, ..aged(1, 0) }, 9_100);
+    assert_eq!(
+        incarnations(&table),
+        [2],
+        "facts of the first start that come late don't make it a later one"
+    );
+}
+
+#[test]
+fn a_delayed_report_makes_no_session_younger() {
+    let mut table = SessionTable::default();
+    table.apply_report(member(2), vec![aged(1, 100)], 5_000);
+    table.apply_report(member(3), vec![aged(2, 10)], 6_000);
+    // This one was three seconds on its way.
+    table.apply_report(member(2), vec![aged(1, 500)], 8_400);
+    assert_eq!(incarnations(&table), [2]);
+}
+
+#[test]
+fn ages_of_local_sessions_are_reported() {
+    let mut table = SessionTable::default();
+    table.open(aged(1, 0), 1_000);
+    table.open(aged(1, 0), 1_700);
+    assert_eq!(table.local(4_000), [aged(1, 3_000)], "other facts don't make it younger");
 }
--- a/crates/control-plane/tests/subscribers.rs
+++ b/crates/control-plane/tests/subscribers.rs
@@ -72,12 +72,12 @@
     let (mut followers, mut sessions) = (FeedSubscribers::default(), SessionTable::default());
     let (handshake, position) = (handshake(), FeedPosition::default());
     assert_eq!(followers.supersede(&handshake), []);
-    sessions.open(followers.open(&mut network, first, &handshake, position, controls(&[1]), 1_000));
+    sessions.open(followers.open(&mut network, first, &handshake, position, controls(&[1]), 1_000), 1_000);
     assert_eq!(followers.supersede(&handshake), [first]);
-    sessions.open(followers.open(&mut network, second, &handshake, position, controls(&[1]), 1_900));
+    sessions.open(followers.open(&mut network, second, &handshake, position, controls(&[1]), 1_900), 1_900);
     assert_eq!(followers.close(first), None);
     sessions.expire(60_000);
-    assert_eq!(sessions.local().len(), 1);
+    assert_eq!(sessions.local(1_900).len(), 1);
     let another = Handshake { role: Role::Store, ..handshake };
     assert_eq!(followers.supersede(&another), [], "another process of the same machine");
 }
--- a/crates/control-plane/tests/workers.rs
+++ b/crates/control-plane/tests/workers.rs
@@ -101,15 +101,15 @@
     let servers = table(vec![server(1, 2, Some("m"))]);
     let mut sessions = SessionTable::default();
     let mut workers = WorkerSelection::default();
-    sessions.open(door(1));
+    sessions.open(door(1), 1_000);
     assert!(chooses(&mut workers, &sessions, &servers));
     assert_eq!(workers.list().gateways, [address(1)]);
     assert!(!chooses(&mut workers, &sessions, &servers));
-    sessions.open(door(2));
+    sessions.open(door(2), 1_000);
     assert!(chooses(&mut workers, &sessions, &servers));
     assert_eq!(workers.list().gateways, [address(1), address(2)]);
     let leaving = StoreHealth { draining: true, ..StoreHealth::default() };
-    sessions.open(Session { health: Some(leaving), ..door(1) });
+    sessions.open(Session { health: Some(leaving), ..door(1) }, 1_000);
     assert!(chooses(&mut workers, &sessions, &servers));
     assert_eq!(workers.list().gateways, [address(2)]);
     sessions.close(&door(2), 0);
@@ -122,7 +122,7 @@
 #[test]
 fn nobody_is_chosen_before_servers_are_known() {
     let mut sessions = SessionTable::default();
-    sessions.open(door(1));
+    sessions.open(door(1), 1_000);
     let mut workers = WorkerSelection::default();
     assert!(!chooses(&mut workers, &sessions, &ServerTable::default()));
     assert_eq!(workers.list(), &GatewayList::default());
@@ -132,7 +132,7 @@
 fn a_new_head_says_the_same_under_its_own_term() {
     let servers = table(vec![server(1, 2, Some("m"))]);
     let mut sessions = SessionTable::default();
-    sessions.open(door(1));
+    sessions.open(door(1), 1_000);
     let mut workers = WorkerSelection::default();
     let former =
         GatewayList { version: TableVersion { term: TERM - 1, number: 9 }, gateways: vec![address(1)] };
@@ -152,7 +152,7 @@
     let mut workers = WorkerSelection::default();
     let doors = vec![address(1), address(2)];
     workers.adopt(GatewayList { version: TableVersion { term: TERM, number: 3 }, gateways: doors.clone() });
-    sessions.open(door(1));
+    sessions.open(door(1), 1_000);
     assert!(!workers.select(TERM, &sessions, true, &servers));
     assert_eq!(workers.list().gateways, doors);
     assert!(workers.select(TERM, &sessions, false, &servers));
@@ -175,7 +175,7 @@
 #[test]
 fn a_server_with_more_slots_makes_room_for_more_workers() {
     let mut sessions = SessionTable::default();
-    (1..=9).for_each(|number| sessions.open(door(number)));
+    (1..=9).for_each(|number| sessions.open(door(number), 1_000));
     let mut workers = WorkerSelection::default();
     let mut servers = table(vec![server(1, 3, Some("m"))]);
     chooses(&mut workers, &sessions, &servers);
--- a/crates/data-plane/src/gateway/generation_work.rs
+++ b/crates/data-plane/src/gateway/generation_work.rs
@@ -2,7 +2,7 @@
 
 use orchidvalve_net::ConnectionId;
 use orchidvalve_protocol::identity::NodeAddress;
-use orchidvalve_protocol::messages::StoreMessage;
+use orchidvalve_protocol::messages::{ItemFailures, StoreMessage};
 
 use super::upstream_io::Envelope;
 use super::{Gateway, gateway_address};
@@ -95,6 +95,11 @@
                 StoreMessage::AcknowledgeOutcomes { partition, job, items } => {
                     self.work.acknowledge(partition, &job, &items);
                 }
+                StoreMessage::KnownFailures { job, failures, .. } => {
+                    for ItemFailures { item, count } in failures {
+                        self.runner.failures_known(&job, &item, count, &mut commands);
+                    }
+                }
             }
         }
         self.run_generation_commands(commands);
@@ -156,6 +161,10 @@
                     self.drop_exchange(exchange);
                 }
             }
+            RunnerCommand::ReportFailures { group, item, failures } => {
+                let message = self.work.failure_report(&group, &item, failures);
+                self.send_to_stores(message.as_slice());
+            }
             RunnerCommand::Report { group, item, result } => self.work.report(&group, &item, result),
         }
     }
--- a/crates/data-plane/src/generations/interface.rs
+++ b/crates/data-plane/src/generations/interface.rs
@@ -227,6 +227,15 @@
         /// The attempt.
         attempt: AttemptId,
     },
+    /// Tell the store that a server answered the item with 500.
+    ReportFailures {
+        /// The group of the item.
+        group: GroupId,
+        /// Id of the item.
+        item: CompactString,
+        /// Such responses so far, those at other gateways included.
+        failures: u32,
+    },
     /// Close idle connections to a server that doesn't respond: a new connection shows soonest whether it is back.
     CloseIdleConnections {
         /// The server.
--- a/crates/data-plane/src/generations/runner/streams.rs
+++ b/crates/data-plane/src/generations/runner/streams.rs
@@ -84,9 +84,7 @@
             }
             AttemptOutcome::Status { code: 500, .. } => {
                 self.server_failed(now, attempt.server);
-                if let Some(item) = self.item(attempt.generation) {
-                    item.failures += 1;
-                }
+                self.item_failed(attempt.generation, out);
             }
             AttemptOutcome::Status { code: 421, version, retry_after_ms, .. } => {
                 if !self.version_mismatch(&attempt, version) {
@@ -262,6 +260,31 @@
         }
     }
 
+    /// A server has answered an item with 500.
+    fn item_failed(&mut self, generation: GenerationId, out: &mut Vec<RunnerCommand>) {
+        let Some(group) = self.groups.get_mut(&generation.group) else { return };
+        let Some(state) = group.items.get_mut(generation.index as usize) else { return };
+        state.failures += 1;
+        let (item, failures) = (state.item.id.clone(), state.failures);
+        out.push(RunnerCommand::ReportFailures { group: group.id.clone(), item, failures });
+    }
+
+    /// An item has had so many responses of 500, at other gateways among them: at their limit it expires.
+    pub fn failures_known(&mut self, job: &str, item: &str, failures: u32, out: &mut Vec<RunnerCommand>) {
+        for key in self.jobs.get(job).cloned().unwrap_or_default() {
+            let Some(group) = self.groups.get_mut(&key) else { continue };
+            let max_attempts = group.route.max_attempts;
+            let Some(index) = group.items.iter().position(|state| state.item.id == item) else { continue };
+            let state = &mut group.items[index];
+            state.failures = state.failures.max(failures);
+            let is_over = max_attempts > 0 && state.failures >= max_attempts;
+            if is_over && matches!(state.phase, Phase::Generating) {
+                let generation = GenerationId { group: key, index: index as u32 };
+                self.report(generation, ItemResult::Expired, out);
+            }
+        }
+    }
+
     fn detach(&mut self, id: AttemptId, generation: GenerationId) {
         if let Some(item) = self.item(generation) {
             item.remove_attempt(id);
--- a/crates/data-plane/src/work/mod.rs
+++ b/crates/data-plane/src/work/mod.rs
@@ -12,7 +12,7 @@
 use orchidvalve_configuration::RouteTable;
 use orchidvalve_control_state::ControlState;
 use orchidvalve_protocol::identity::NodeAddress;
-use orchidvalve_protocol::messages::{AssignedGroup, AssignedJob, GatewayMessage};
+use orchidvalve_protocol::messages::{AssignedGroup, AssignedJob, GatewayMessage, ItemFailures};
 
 use self::ended_jobs::EndedJobs;
 use self::outcomes::OutcomeQueue;
@@ -244,6 +244,15 @@
         runner.lease_expired(partition, u64::MAX, commands);
     }
 
+    /// The message that tells the store of responses of 500 to an item; `None` where its lessor isn't known any more.
+    pub fn failure_report(&self, group: &GroupId, item: &str, count: u32) -> Option<OutboundMessage> {
+        let lessor = self.lessors.get(&group.partition)?;
+        let failures = vec![ItemFailures { item: item.to_owned(), count }];
+        let job = group.job.to_string();
+        let message = GatewayMessage::ReportFailures { partition: group.partition, job, failures };
+        Some(OutboundMessage { store: lessor.store, message })
+    }
+
     /// An item has a result.
     pub fn report(&mut self, group: &GroupId, item: &str, result: ItemResult) {
         self.outcomes.push(JobKey::of_group(group), item, result);
--- a/crates/data-plane/tests/generations.rs
+++ b/crates/data-plane/tests/generations.rs
@@ -167,6 +167,46 @@
     assert_eq!(gateway.result(), &ItemResult::Expired);
 }
 
+/// The store tells the next gateway what it was told. Five gateways, each lost after one answer of 500.
+#[test]
+fn responses_of_500_expire_an_item_at_their_limit_wherever_its_group_goes() {
+    let mut known = 0;
+    let mut answers = 0;
+    for _ in 0..5 {
+        let mut gateway = Gateway::new(&[7, 7]);
+        gateway.assign(group("job", 0, &["a", "b"]));
+        gateway.direct(|runner, out| runner.failures_known("job", "a", known, out));
+        if gateway.reports.iter().any(|(item, result)| item == "a" && *result == ItemResult::Expired) {
+            break;
+        }
+        gateway.tick();
+        let attempt =
+            gateway.attempts.iter().find(|attempt| attempt.item == "a").cloned().expect("it is sent");
+        gateway.status(&attempt, 500);
+        answers += 1;
+        known = gateway.failures.last().expect("the store is told").1;
+        assert_eq!(known, answers);
+    }
+    assert_eq!(answers, MAX_ATTEMPTS);
+}
+
+#[test]
+fn failures_known_elsewhere_take_nothing_back() {
+    let mut gateway = Gateway::new(&[7, 7]);
+    gateway.assign(group("job", 0, &["a"]));
+    gateway.status(&gateway.last(), 500);
+    gateway.direct(|runner, out| {
+        runner.failures_known("job", "a", 0, out);
+        runner.failures_known("job", "unknown", 9, out);
+        runner.failures_known("unknown", "a", 9, out);
+    });
+    assert!(gateway.reports.is_empty());
+    gateway.pass(1_000);
+    gateway.status(&gateway.last(), 500);
+    assert_eq!(gateway.result(), &ItemResult::Expired);
+    assert_eq!(gateway.failures, [("a".to_owned(), 1), ("a".to_owned(), 2)]);
+}
+
 #[rstest]
 #[case::with_servers(&[7, 7])]
 #[case::without_servers(&[])]
--- a/crates/data-plane/tests/generations_support/mod.rs
+++ b/crates/data-plane/tests/generations_support/mod.rs
@@ -59,6 +59,8 @@
     pub cancelled: Vec<AttemptId>,
     pub reports: Vec<(String, ItemResult)>,
     pub report_groups: Vec<GroupId>,
+    /// Failures that the store was told of.
+    pub failures: Vec<(String, u32)>,
     /// Servers whose idle connections were closed.
     pub idle_closed: Vec<ServerKey>,
     /// Everything that the runner asked for, encoded, with its time.
@@ -72,7 +74,7 @@
     pub fn new(versions: &[u64]) -> Self {
         let runner = Runner::new(Pcg64Mcg::new(5), 1.0, routes(true));
         let (attempts, rewards, cancelled) = Default::default();
-        let (reports, report_groups, idle_closed, trace, out) = Default::default();
+        let (reports, report_groups, failures, idle_closed, trace, out) = Default::default();
         let mut gateway = Self {
             runner,
             now: 1_000,
@@ -81,6 +83,7 @@
             cancelled,
             reports,
             report_groups,
+            failures,
             idle_closed,
             trace,
             out,
@@ -199,6 +202,9 @@
                     self.rewards.push(RewardAttempt { call, server });
                 }
                 RunnerCommand::CancelReward { .. } => {}
+                RunnerCommand::ReportFailures { item, failures, .. } => {
+                    self.failures.push((item.to_string(), failures));
+                }
                 RunnerCommand::CloseIdleConnections { server } => self.idle_closed.push(server),
                 RunnerCommand::Report { group, item, result } => {
                     self.reports.push((item.to_string(), result));
@@ -245,6 +251,12 @@
         RunnerCommand::CancelReward { call } => {
             [5, call.0].into_iter().for_each(|number| trace.add_number(number));
         }
+        RunnerCommand::ReportFailures { group, item, failures } => {
+            [7, group.group.into(), (*failures).into()]
+                .into_iter()
+                .for_each(|number| trace.add_number(number));
+            trace.add(item.as_bytes());
+        }
         RunnerCommand::Report { group, item, result } => {
             let place = [6, group.partition.into(), group.epoch, group.group.into()];
             place.into_iter().for_each(|number| trace.add_number(number));
--- a/crates/data-plane/tests/golden_work.rs
+++ b/crates/data-plane/tests/golden_work.rs
@@ -251,6 +251,11 @@
                     self.attempts.retain(|(other, _)| *other != attempt);
                 }
                 RunnerCommand::CloseIdleConnections { .. } => self.trace.add_number(3),
+                RunnerCommand::ReportFailures { group, item, failures } => {
+                    if let Some(message) = self.work.failure_report(&group, &item, failures) {
+                        self.trace.add(&frames::encode(&message.message));
+                    }
+                }
                 RunnerCommand::CallReward { call, server, item, deadline_ms } => {
                     let numbers = [4, call.0, server.0.into(), deadline_ms];
                     numbers.into_iter().for_each(|number| self.trace.add_number(number));
--- a/crates/protocol/src/messages/mod.rs
+++ b/crates/protocol/src/messages/mod.rs
@@ -16,6 +16,6 @@
 pub use server_list::{ServerEntry, ServerTableUpdate, TableVersion};
 pub use session::{ControlMessage, FeedPosition, GatewayList, SessionMessage, StoreHealth};
 pub use store_link::{
-    AssignedGroup, AssignedItem, AssignedJob, GatewayMessage, ItemOutcome, ItemState, ScorerRequest,
-    StoreMessage, StoreResponse,
+    AssignedGroup, AssignedItem, AssignedJob, GatewayMessage, ItemFailures, ItemOutcome, ItemState,
+    ScorerRequest, StoreMessage, StoreResponse,
 };
--- a/crates/protocol/src/messages/store_link.rs
+++ b/crates/protocol/src/messages/store_link.rs
@@ -101,6 +101,15 @@
     pub score: Option<String>,
 }
 
+/// How often servers answered an item with status 500.
+#[derive(Clone, PartialEq, Eq, Debug, Encode, Decode)]
+pub struct ItemFailures {
+    /// Id of the item.
+    pub item: String,
+    /// Number of these responses, at all gateways that ran it.
+    pub count: u32,
+}
+
 /// From a gateway to a store node.
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub enum GatewayMessage {
@@ -178,6 +187,15 @@
         /// Indices of the groups in the job.
         groups: Vec<u32>,
     },
+    /// Items that servers answered with 500, so that the next gateway knows if their group moves. Not acknowledged.
+    ReportFailures {
+        /// Partition that keeps the job.
+        partition: u16,
+        /// Id of the job.
+        job: String,
+        /// The items, with all failures known to the gateway.
+        failures: Vec<ItemFailures>,
+    },
 }
 
 /// From a store node to a gateway.
@@ -215,6 +233,15 @@
         /// Ids of the items.
         items: Vec<String>,
     },
+    /// Follows groups that were assigned: failures that some of their items had at other gateways.
+    KnownFailures {
+        /// Partition that keeps the job.
+        partition: u16,
+        /// Id of the job.
+        job: String,
+        /// The items.
+        failures: Vec<ItemFailures>,
+    },
 }
 
 /// Response to a request of a gateway.
--- a/crates/protocol/tests/golden_messages.rs
+++ b/crates/protocol/tests/golden_messages.rs
@@ -11,8 +11,8 @@
 use orchidvalve_protocol::identity::{MemberId, NodeAddress};
 use orchidvalve_protocol::messages::{
     AssignedGroup, AssignedItem, AssignedJob, ControlMessage, FeedPosition, GatewayList, GatewayMessage,
-    Handshake, ItemOutcome, ItemState, LinkProtocol, PROTOCOL_VERSION, Role, ScorerRequest, ServerEntry,
-    ServerTableUpdate, SessionMessage, StoreHealth, StoreMessage, StoreResponse, TableVersion,
+    Handshake, ItemFailures, ItemOutcome, ItemState, LinkProtocol, PROTOCOL_VERSION, Role, ScorerRequest,
+    ServerEntry, ServerTableUpdate, SessionMessage, StoreHealth, StoreMessage, StoreResponse, TableVersion,
 };
 use orchidvalve_protocol::rendezvous::{hash, mix, rank};
 
@@ -252,6 +252,17 @@
         "to-store-returned",
         GatewayMessage::ReturnGroups { partition, epoch: 4, job: id(), groups: vec![0, 70_000] },
     );
+    let failures = || vec![ItemFailures { item: "item-1".to_owned(), count: 3 }];
+    add(
+        to,
+        "to-store-failures",
+        GatewayMessage::ReportFailures { partition, job: id(), failures: failures() },
+    );
+    add(
+        to,
+        "from-store-failures",
+        StoreMessage::KnownFailures { partition, job: id(), failures: failures() },
+    );
     add(to, "from-store-heartbeat", StoreMessage::Heartbeat);
     add(
         to,
--- a/crates/protocol/tests/messages/strategies.rs
+++ b/crates/protocol/tests/messages/strategies.rs
@@ -3,8 +3,8 @@
 use orchidvalve_protocol::identity::MemberId;
 use orchidvalve_protocol::messages::{
     AssignedGroup, AssignedItem, AssignedJob, ControlMessage, FeedPosition, GatewayList, GatewayMessage,
-    Handshake, ItemOutcome, ItemState, Role, ScorerRequest, ServerEntry, ServerTableUpdate, SessionMessage,
-    StoreHealth, StoreMessage, StoreResponse, TableVersion,
+    Handshake, ItemFailures, ItemOutcome, ItemState, Role, ScorerRequest, ServerEntry, ServerTableUpdate,
+    SessionMessage, StoreHealth, StoreMessage, StoreResponse, TableVersion,
 };
 
 use crate::{generate_enum, generate_struct};
@@ -42,6 +42,7 @@
 generate_struct!(AssignedGroup { index, items });
 generate_struct!(AssignedJob { partition, epoch, job, hostname, path, model, min_weights_version, age_ms });
 generate_enum!(ItemState { Completed, Expired });
+generate_struct!(ItemFailures { item, count });
 generate_struct!(ItemOutcome { item, state, message, weight_versions, score });
 generate_enum!(GatewayMessage {
     Handshake(handshake),
@@ -52,6 +53,7 @@
     EndJob { request_id, partition, id },
     ReportOutcomes { partition, job, outcomes },
     ReturnGroups { partition, epoch, job, groups },
+    ReportFailures { partition, job, failures },
 });
 generate_enum!(StoreMessage {
     Heartbeat,
@@ -59,6 +61,7 @@
     AssignGroups { job, groups },
     CancelJob { partition, job },
     AcknowledgeOutcomes { partition, job, items },
+    KnownFailures { partition, job, failures },
 });
 generate_enum!(StoreResponse {
     Accepted,
--- a/crates/server/tests/placement_simulation/mod.rs
+++ b/crates/server/tests/placement_simulation/mod.rs
@@ -154,7 +154,7 @@
             let is_partitioned =
                 machine.partitioned.is_some_and(|(from, _)| self.world.now >= from + DETECTION_MS);
             if !is_partitioned && if process.running { age >= SESSION_MS } else { age < DETECTION_MS } {
-                table.open(self.session(index));
+                table.open(self.session(index), self.world.now);
             }
         }
         table
