--- a/crates/batch-store/tests/mutations.rs
+++ b/crates/batch-store/tests/mutations.rs
@@ -280,6 +280,6 @@
     world.run();
     let mut records = world.stores[0].disk.clone();
     assert_eq!(Process::start(member(1), records.clone(), 1, 5).store.unreadable_records(), 0);
-    records[0].payload = vec![0xff; 9].into();
+    records[0].payload = vec![0xff; 9];
     assert_eq!(Process::start(member(1), records, 1, 5).store.unreadable_records(), 1);
 }
