Control plane: the server table is published at most every 50 ms, and more deltas are kept

Cause (docs/CAPACITY.md, by counting): while weights change every answer to an order made a version of the table, copied the whole list for it and went to every subscriber; 32 deltas were a fraction of a second then, so whoever came back got the whole table.

Change: what changes within 50 ms goes into one version; up to 256 deltas are kept while they hold under half as many entries as the table.

--- a/crates/control-plane/src/singleton_roles/mod.rs
+++ b/crates/control-plane/src/singleton_roles/mod.rs
@@ -34,6 +34,10 @@
 /// system and retransmitted by it after a loss on the way, each in its time. In milliseconds.
 pub const ORDER_ARRIVAL_MS: Milliseconds = ORDER_VALIDITY_MS + CONNECT_TIMEOUT_MS + NEW_USER_TIMEOUT_MS;
 
+/// Least time between two versions of the server table, in milliseconds: while weights change, servers answer many orders
+/// within it, and each version goes to every subscriber.
+const PUBLISH_INTERVAL_MS: Milliseconds = 50;
+
 /// What an exchange of a singleton role is for.
 #[derive(Debug)]
 pub enum ExchangePurpose {
@@ -82,6 +86,31 @@
     list: ListPolling,
     rollout: Rollout,
     placement: PlacementRole,
+    publication: Publication,
+}
+
+/// When the server table is published.
+#[derive(Default, Debug)]
+struct Publication {
+    last_at: Option<Milliseconds>,
+    /// Something has changed since.
+    is_pending: bool,
+}
+
+impl Publication {
+    /// When what is pending is due.
+    fn due_at(&self) -> Option<Milliseconds> {
+        self.is_pending.then(|| self.last_at.map_or(0, |at| at + PUBLISH_INTERVAL_MS))
+    }
+
+    /// Whether what is pending is due now; if so, it is pending no more.
+    fn take_due(&mut self, now: Milliseconds) -> bool {
+        let is_due = self.due_at().is_some_and(|at| at <= now);
+        if is_due {
+            *self = Publication { last_at: Some(now), is_pending: false };
+        }
+        is_due
+    }
 }
 
 impl SingletonRoles {
@@ -94,6 +123,7 @@
             list: ListPolling::default(),
             rollout: Rollout::default(),
             placement: PlacementRole::default(),
+            publication: Publication::default(),
         }
     }
 
@@ -105,6 +135,7 @@
             self.rollout.stop();
             self.list.stop();
             self.placement.forget_losses();
+            self.publication = Publication::default();
             return;
         }
         // No confirmation of the former head is later than this view.
@@ -140,7 +171,8 @@
         }
         let rollout = self.rollout.next_wakeup().unwrap_or(u64::MAX);
         let deadline = self.client.next_deadline().unwrap_or(u64::MAX);
-        rollout.min(deadline).min(self.list.next_wakeup())
+        let publication = self.tenure.term.and_then(|_| self.publication.due_at()).unwrap_or(u64::MAX);
+        rollout.min(deadline).min(self.list.next_wakeup()).min(publication)
     }
 
     /// Whether this connection carries an exchange of a singleton role.
@@ -219,10 +251,21 @@
         }
     }
 
-    /// Puts the list, with the versions known from orders, into the server table.
+    /// The list or the versions known from orders have changed: they are put into the server table, now or a moment
+    /// after the last time.
     fn publish(&mut self, table: &mut ServerTable, now: Milliseconds) -> Option<ServerTableUpdate> {
+        self.publication.is_pending = !self.list.servers().is_empty();
+        self.publish_if_due(table, now)
+    }
+
+    /// Puts the list, with the versions known from orders, into the server table if that is due.
+    pub fn publish_if_due(
+        &mut self,
+        table: &mut ServerTable,
+        now: Milliseconds,
+    ) -> Option<ServerTableUpdate> {
         let term = self.tenure.term?;
-        if self.list.servers().is_empty() {
+        if !self.publication.take_due(now) {
             return None;
         }
         let mut servers = self.list.servers().to_vec();
--- a/crates/control-plane/tests/role_weight_rollout.rs
+++ b/crates/control-plane/tests/role_weight_rollout.rs
@@ -191,3 +191,25 @@
     assert!(text.starts_with("GET /v1/report"));
     assert!(!head.is_offered());
 }
+
+/// While weights change, many answers come within a moment: the table isn't published for each of them.
+#[test]
+fn versions_of_the_server_table_are_published_at_intervals() {
+    let mut head = Head::new();
+    let before = head.table.version().number;
+    let mut published = Vec::new();
+    for now in head.now..head.now + 400 {
+        head.now = now;
+        let mut list = head.duties.publish_if_due(&mut head.table, now).is_some();
+        // What changes the table: an order is sent, or a load is done.
+        list |= head
+            .duties
+            .order_weights(&mut head.network, &head.state, Some(now), &mut head.table, now)
+            .is_some();
+        if list {
+            published.push(now);
+        }
+    }
+    assert!(head.table.version().number > before);
+    assert!(published.windows(2).all(|pair| pair[1] >= pair[0] + 50), "{published:?}");
+}
--- a/crates/protocol/src/server_table.rs
+++ b/crates/protocol/src/server_table.rs
@@ -3,12 +3,15 @@
 //! The leader of the reading role replaces the table ([`ServerTable::replace`]) and spreads the updates; every other
 //! process applies them ([`ServerTable::apply`]).
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 
 use crate::messages::{ServerEntry, ServerTableUpdate, TableVersion};
 
-/// Deltas that are kept for subscribers that are a little behind.
-const KEPT_DELTAS: usize = 32;
+/// Deltas that are kept at most for subscribers that are a little behind...
+const MAX_KEPT_DELTAS: usize = 256;
+/// ...and entries in them, in parts of the table: beyond that a snapshot is smaller. So many deltas are kept in any case.
+const KEPT_ENTRIES_DIVISOR: usize = 2;
+const MIN_KEPT_DELTAS: usize = 32;
 
 /// The table with its latest deltas.
 #[derive(Default, Debug)]
@@ -16,7 +19,17 @@
     version: TableVersion,
     servers: BTreeMap<String, ServerEntry>,
     /// Latest deltas, oldest first; each starts from the version that the one before leads to.
-    deltas: Vec<ServerTableUpdate>,
+    deltas: VecDeque<ServerTableUpdate>,
+    /// Entries in them.
+    delta_entries: usize,
+}
+
+/// Entries that an update carries.
+fn entries(update: &ServerTableUpdate) -> usize {
+    match update {
+        ServerTableUpdate::Snapshot { servers, .. } => servers.len(),
+        ServerTableUpdate::Delta { changed, removed, .. } => changed.len() + removed.len(),
+    }
 }
 
 impl ServerTable {
@@ -62,10 +75,18 @@
     }
 
     fn keep(&mut self, update: ServerTableUpdate) {
-        if self.deltas.len() == KEPT_DELTAS {
-            self.deltas.remove(0);
+        self.delta_entries += entries(&update);
+        self.deltas.push_back(update);
+        while self.has_surplus_deltas() {
+            let Some(oldest) = self.deltas.pop_front() else { return };
+            self.delta_entries -= entries(&oldest);
         }
-        self.deltas.push(update);
+    }
+
+    fn has_surplus_deltas(&self) -> bool {
+        let max_entries = self.servers.len() / KEPT_ENTRIES_DIVISOR;
+        self.deltas.len() > MAX_KEPT_DELTAS
+            || (self.deltas.len() > MIN_KEPT_DELTAS && self.delta_entries > max_entries)
     }
 
     /// Applies an update that another machine wrote; false where a snapshot is needed first. Older ones are ignored.
@@ -76,6 +97,7 @@
                     self.version = *version;
                     self.servers = servers.iter().map(|s| (s.instance.clone(), s.clone())).collect();
                     self.deltas.clear();
+                    self.delta_entries = 0;
                 }
                 true
             }
@@ -115,7 +137,7 @@
         let starts =
             |u: &ServerTableUpdate| matches!(u, ServerTableUpdate::Delta { from: f, .. } if *f == from);
         match self.deltas.iter().position(starts) {
-            Some(start) => self.deltas[start..].to_vec(),
+            Some(start) => self.deltas.range(start..).cloned().collect(),
             None => vec![self.snapshot()],
         }
     }
