Control plane: the feed is encoded once, and few subscribers get a large table at a time

Cause: the table was encoded anew for each subscriber, and a herd of new sessions was sent all whole tables at once: 100 sessions with 192 kB each are 19 MB, 1.5 s of a 100 Mbit/s line, on which heartbeats, agreement and operators' calls wait. Sessions timed out, came back and were sent the table again.

Change: what brings subscribers at one position up to date is encoded once. While 512 kB wait for all of them, no further one is begun on an update of over 32 kB; the configuration goes before the table. A store's few bytes more on its disk are no news for other control nodes; a fiftieth of the disk is.

Test: subscribers.rs: twelve subscribers and a table of 366 kB never have more than four of them waiting, and all get it; 49 reports for a disk that fills.

--- a/crates/control-plane/src/subscribers.rs
+++ b/crates/control-plane/src/subscribers.rs
@@ -8,7 +8,7 @@
 use orchidvalve_net::{ConnectionId, Network};
 use orchidvalve_protocol::frames::{encode, write_frame};
 use orchidvalve_protocol::identity::NodeAddress;
-use orchidvalve_protocol::messages::{ControlMessage, FeedPosition, Handshake, StoreHealth};
+use orchidvalve_protocol::messages::{ControlMessage, FeedPosition, Handshake, StoreHealth, TableVersion};
 use orchidvalve_protocol::server_table::ServerTable;
 
 use crate::sessions::Session;
@@ -18,14 +18,23 @@
 /// A subscriber with more bytes waiting for it is sent nothing more of the feed until they are out: other messages
 /// share the line, and by then a snapshot may be smaller than what it has missed.
 const MAX_QUEUED_BYTES: usize = 128 << 10;
+/// While so many bytes wait for all subscribers together, no further one is sent a large update of the server table: they
+/// get it one after the other, and meanwhile what is small and urgent isn't held up on the line that they share.
+const MAX_TOTAL_QUEUED_BYTES: usize = 512 << 10;
+/// An update of more bytes is large.
+const LARGE_UPDATE_BYTES: usize = 32 << 10;
 /// Changes of at most this many bytes are always sent one by one.
 const MIN_SNAPSHOT_BYTES: usize = 64 << 10;
 
+/// Parts of a store's disk in which a change of what is used is told to other control nodes.
+const USED_SHARES: u64 = 50;
+
 #[derive(Debug)]
 struct Subscriber {
     session: Session,
     /// What it was sent last, or had when it subscribed.
     position: FeedPosition,
+    opened_at: Milliseconds,
     last_received_at: Milliseconds,
 }
 
@@ -88,7 +97,8 @@
         now: Milliseconds,
     ) -> Session {
         let session = Session::new(handshake);
-        let subscriber = Subscriber { session: session.clone(), position, last_received_at: now };
+        let subscriber =
+            Subscriber { session: session.clone(), position, opened_at: now, last_received_at: now };
         self.subscribers.insert(connection, subscriber);
         send(network, connection, &ControlMessage::Welcome { controls: control_nodes });
         session
@@ -105,11 +115,8 @@
         let subscriber = self.subscribers.get_mut(&connection)?;
         subscriber.last_received_at = now;
         send(network, connection, &ControlMessage::Heartbeat);
-        if subscriber.session.health == health {
-            return None;
-        }
-        subscriber.session.health = health;
-        Some(subscriber.session.clone())
+        let before = std::mem::replace(&mut subscriber.session.health, health);
+        is_news(before, health).then(|| subscriber.session.clone())
     }
 
     /// Whether a session is open on this connection.
@@ -141,6 +148,22 @@
         timed_out.map(|(connection, _)| *connection).collect()
     }
 
+    /// The number of sessions.
+    pub fn len(&self) -> usize {
+        self.subscribers.len()
+    }
+
+    /// Whether there is no session.
+    pub fn is_empty(&self) -> bool {
+        self.subscribers.is_empty()
+    }
+
+    /// Connection of the session that was opened last, of those that may be meant.
+    pub fn youngest(&self, is_meant: impl Fn(&Session) -> bool) -> Option<ConnectionId> {
+        let meant = self.subscribers.iter().filter(|(_, subscriber)| is_meant(&subscriber.session));
+        meant.max_by_key(|(_, subscriber)| subscriber.opened_at).map(|(connection, _)| *connection)
+    }
+
     /// Connections of all sessions.
     pub fn connections(&self) -> Vec<ConnectionId> {
         self.subscribers.keys().copied().collect()
@@ -169,34 +192,74 @@
         feed: &Feed,
         changes_from: &dyn Fn(u64) -> Vec<Rc<[u8]>>,
     ) {
+        let connections = self.subscribers.keys();
+        let mut queued_bytes: usize = connections.map(|connection| network.queued_bytes(*connection)).sum();
+        let mut encoded = EncodedFeed::default();
         for (connection, subscriber) in &mut self.subscribers {
             if network.queued_bytes(*connection) > MAX_QUEUED_BYTES {
                 continue;
             }
-            subscriber.send_state(network, *connection, feed, changes_from);
-            for update in feed.servers.updates_since(subscriber.position.servers) {
-                send(network, *connection, &ControlMessage::Servers(update));
+            let position = &mut subscriber.position;
+            if position.applied < feed.applied {
+                let state = encoded.state_since(position.applied, feed, changes_from);
+                network.send(*connection, state);
+                queued_bytes += state.len();
+                position.applied = feed.applied;
+            }
+            if position.servers < feed.servers.version() {
+                let table = encoded.table_since(position.servers, feed);
+                if table.len() > LARGE_UPDATE_BYTES && queued_bytes > MAX_TOTAL_QUEUED_BYTES {
+                    continue;
+                }
+                network.send(*connection, table);
+                queued_bytes += table.len();
+                position.servers = feed.servers.version();
             }
-            subscriber.position.servers = subscriber.position.servers.max(feed.servers.version());
         }
     }
 }
 
-impl Subscriber {
-    fn send_state(
+/// What brings subscribers at some position up to date, encoded once for all of them.
+#[derive(Default)]
+struct EncodedFeed {
+    /// By the last change that they have.
+    states: BTreeMap<u64, Vec<u8>>,
+    /// By the version of the table that they have.
+    tables: BTreeMap<TableVersion, Vec<u8>>,
+}
+
+impl EncodedFeed {
+    fn state_since(
         &mut self,
-        network: &mut Network,
-        connection: ConnectionId,
+        applied: u64,
         feed: &Feed,
         changes_from: &dyn Fn(u64) -> Vec<Rc<[u8]>>,
-    ) {
-        if self.position.applied >= feed.applied {
-            return;
-        }
-        let message = feed.catch_up(self.position.applied, changes_from);
-        send(network, connection, &message);
-        self.position.applied = feed.applied;
+    ) -> &[u8] {
+        self.states.entry(applied).or_insert_with(|| {
+            let mut frames = Vec::new();
+            write_frame(&mut frames, &feed.catch_up(applied, changes_from));
+            frames
+        })
     }
+
+    fn table_since(&mut self, version: TableVersion, feed: &Feed) -> &[u8] {
+        self.tables.entry(version).or_insert_with(|| {
+            let mut frames = Vec::new();
+            for update in feed.servers.updates_since(version) {
+                write_frame(&mut frames, &ControlMessage::Servers(update));
+            }
+            frames
+        })
+    }
+}
+
+/// Whether others have to be told of a process's health: a store that writes uses a few bytes more with each heartbeat,
+/// which says nothing to them.
+fn is_news(before: Option<StoreHealth>, after: Option<StoreHealth>) -> bool {
+    let (Some(before), Some(after)) = (before, after) else { return before != after };
+    let share = |health: &StoreHealth| health.used_bytes * USED_SHARES / health.capacity_bytes.max(1);
+    let rounded = |health: &StoreHealth| StoreHealth { used_bytes: share(health), ..*health };
+    rounded(&before) != rounded(&after)
 }
 
 /// Sends a message of the feed; it is lost if the connection has ended.
--- a/crates/control-plane/tests/subscribers.rs
+++ b/crates/control-plane/tests/subscribers.rs
@@ -13,7 +13,9 @@
 use orchidvalve_net::{ConnectionId, Event, Network};
 use orchidvalve_protocol::frames::{encode, read_frame};
 use orchidvalve_protocol::identity::{MemberId, NodeAddress};
-use orchidvalve_protocol::messages::{ControlMessage, FeedPosition, Handshake, PROTOCOL_VERSION, Role};
+use orchidvalve_protocol::messages::{
+    ControlMessage, FeedPosition, Handshake, PROTOCOL_VERSION, Role, ServerEntry, StoreHealth,
+};
 use orchidvalve_protocol::server_table::ServerTable;
 use rstest::rstest;
 use sockets_support::*;
@@ -155,3 +157,78 @@
     assert_eq!(copy.sequence(), count);
     assert_eq!(copy.state().snapshot(), state.snapshot());
 }
+
+fn entry(number: usize) -> ServerEntry {
+    ServerEntry {
+        instance: format!("i-{number:08}"),
+        service: "a-service-with-a-long-name-that-takes-some-bytes".repeat(4),
+        address: controls(&[1])[0],
+        zone: "upper-hill".to_owned(),
+        slots: 6,
+        draining: false,
+        models: vec![("large".to_owned(), 1)],
+    }
+}
+
+/// Many subscribers come at once to one whose server table is large: they don't all get it at the same time, and what
+/// is small isn't held up behind all of it.
+#[test]
+fn large_updates_of_the_server_table_are_sent_to_a_few_at_a_time() {
+    let mut network = Network::new().unwrap();
+    let address = v4(network.listen(loopback(), 1).unwrap());
+    let mut table = ServerTable::default();
+    table.replace(1, (0..1_500).map(entry).collect());
+    let snapshot_bytes = encode(&ControlMessage::Servers(table.snapshot())).len();
+    assert!(snapshot_bytes > 300_000, "{snapshot_bytes}");
+    let (mut followers, state) = (FeedSubscribers::default(), ControlState::default());
+    let mut peers = Vec::new();
+    for number in 0..12 {
+        let (connection, peer) = accepted(&mut network, address);
+        let handshake = Handshake { name: format!("edge-{number}"), ..handshake() };
+        let position = FeedPosition::default();
+        followers.open(&mut network, connection, &handshake, position, controls(&[1]), 1_000);
+        peers.push((connection, peer));
+    }
+    let feed = Feed { state: &state, applied: 0, first_change: 1, servers: &table };
+    let mut most_queued = 0;
+    let mut received: Vec<FeedReplica> = peers.iter().map(|_| FeedReplica::default()).collect();
+    for _ in 0..MOST_TURNS {
+        followers.send_updates(&mut network, &feed, &|_| Vec::new());
+        let queued: usize = peers.iter().map(|(connection, _)| network.queued_bytes(*connection)).sum();
+        most_queued = most_queued.max(queued);
+        network.poll(std::time::Duration::ZERO).unwrap();
+        for ((_, peer), replica) in peers.iter_mut().zip(&mut received) {
+            peer.look();
+            while let Some((message, length)) = read_frame::<ControlMessage>(&peer.got).unwrap() {
+                peer.got.drain(..length);
+                if let ControlMessage::Servers(update) = message {
+                    replica.apply_server_update(&update).unwrap();
+                }
+            }
+        }
+        if received.iter().all(|replica| replica.servers().version() == table.version()) {
+            break;
+        }
+    }
+    assert!(received.iter().all(|replica| replica.servers().servers().count() == 1_500), "all get it");
+    assert!(most_queued < 4 * snapshot_bytes, "{most_queued} bytes waited, {snapshot_bytes} a snapshot");
+}
+
+/// A store that writes tells a little more with each heartbeat.
+#[test]
+fn a_few_bytes_more_on_a_disk_are_no_news_of_a_store() {
+    let mut network = Network::new().unwrap();
+    let address = v4(network.listen(loopback(), 1).unwrap());
+    let (connection, _peer) = accepted(&mut network, address);
+    let mut followers = FeedSubscribers::default();
+    followers.open(&mut network, connection, &handshake(), FeedPosition::default(), controls(&[1]), 1_000);
+    let health = |used_bytes, draining| {
+        Some(StoreHealth { disk_failing: false, used_bytes, capacity_bytes: 10_000, draining })
+    };
+    let mut told = |health| followers.heartbeat_received(&mut network, connection, health, 1_100).is_some();
+    assert!(told(health(100, false)), "the first one");
+    let news = (100..10_000).step_by(10).filter(|used| told(health(*used, false))).count();
+    assert_eq!(news, 49, "each fiftieth part of the disk");
+    assert!(told(health(9_990, true)), "it shuts down");
+    assert!(!told(health(9_991, true)));
+}
