Control plane: lists of sessions are renewed in a few bytes, and sessions spread over the chain

Cause: each control node sent its whole list of sessions to all others every 400 ms and at each change, 27 kB for 350 sessions; and all sessions stayed with the three seeds.

Change: SessionsUnchanged renews the last list, which receivers keep, also where it expired meanwhile; lists are 30 ms apart at least. A node of the chain with over a quarter more sessions than the mean sends a new process elsewhere, once for each start, and moves one session of a gateway that runs no generations every half second, not within 5 s of a change of views.

--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -22,6 +22,7 @@
 pub mod process;
 pub mod redirector;
 pub mod replicated_log;
+pub mod session_balance;
 pub mod sessions;
 pub mod singleton_roles;
 pub mod subscribers;
--- a/crates/control-plane/src/peer_messages.rs
+++ b/crates/control-plane/src/peer_messages.rs
@@ -57,6 +57,8 @@
         /// The learner, or a member that holds everything that was committed before.
         member: MemberId,
     },
+    /// The local sessions of the sender are those of its last [`PeerMessage::Sessions`].
+    SessionsUnchanged,
 }
 
 /// A request that only the head can decide.
--- a/crates/control-plane/src/process/connections.rs
+++ b/crates/control-plane/src/process/connections.rs
@@ -11,10 +11,15 @@
 
 use super::Process;
 use crate::peer_messages::PeerMessage;
+use crate::session_balance::has_surplus;
+use crate::sessions::Session;
 use crate::subscribers::{Feed, send};
 
-/// Sessions are reported to the other control nodes at least so often, in milliseconds.
+/// The other control nodes are told at least so often that the local sessions stand, in milliseconds.
 const SESSION_REPORT_INTERVAL_MS: Milliseconds = 400;
+/// Lists of sessions are at least this far apart, in milliseconds: when many processes come at once, each list holds
+/// more of them.
+const MIN_SESSION_LIST_INTERVAL_MS: Milliseconds = 30;
 
 /// What is known of a connection that came in on the internal listener.
 #[derive(Clone, Copy, Debug)]
@@ -36,10 +41,20 @@
     Drop,
 }
 
+/// What the other control nodes are to be told of the local sessions.
+#[derive(Clone, Copy, PartialEq, Eq, Debug)]
+enum SessionReport {
+    /// All of them.
+    List,
+    /// That they are those of the last list.
+    Unchanged,
+}
+
 /// When the local sessions are reported to the other control nodes.
 #[derive(Default, Debug)]
 pub(super) struct SessionReports {
     last_sent_at: Milliseconds,
+    /// Sessions have changed since the last list, or a link is new and whoever is at its other end has no list.
     has_changes: bool,
 }
 
@@ -48,13 +63,18 @@
         self.has_changes = true;
     }
 
-    /// Whether a report is due; if so, the next one is due after the interval.
-    fn take_due(&mut self, now: Milliseconds) -> bool {
-        let is_due = self.has_changes || now >= self.last_sent_at + SESSION_REPORT_INTERVAL_MS;
-        if is_due {
-            *self = SessionReports { last_sent_at: now, has_changes: false };
+    /// The report that is due; the next one is due after an interval.
+    fn take_due(&mut self, now: Milliseconds) -> Option<SessionReport> {
+        let (report, interval) = if self.has_changes {
+            (SessionReport::List, MIN_SESSION_LIST_INTERVAL_MS)
+        } else {
+            (SessionReport::Unchanged, SESSION_REPORT_INTERVAL_MS)
+        };
+        if now < self.last_sent_at + interval {
+            return None;
         }
-        is_due
+        *self = SessionReports { last_sent_at: now, has_changes: false };
+        Some(report)
     }
 }
 
@@ -205,6 +225,7 @@
             PeerMessage::Forward { number, request } => self.node.forwarded_request(from, number, request),
             PeerMessage::ForwardOutcome { number, outcome } => self.node.forwarded_outcome(number, outcome),
             PeerMessage::Sessions { sessions } => self.sessions.apply_report(from, sessions, self.now),
+            PeerMessage::SessionsUnchanged => self.sessions.renew_report(from, self.now),
             PeerMessage::Workers(list) => {
                 if self.workers.adopt(list) {
                     self.broadcast_workers();
@@ -270,7 +291,7 @@
             return Disposition::Drop;
         }
         let controls = self.control_nodes();
-        if !self.node.has_quorum() {
+        if !self.node.has_quorum() || self.is_referred(handshake, position) {
             send(&mut self.network, connection, &ControlMessage::Redirect { controls });
             return Disposition::Drop;
         }
@@ -300,16 +321,51 @@
                 self.drop_connection(connection);
             }
         }
+        self.move_surplus_session();
         let control_nodes = self.control_nodes();
         self.subscribers.announce_control_nodes(&mut self.network, control_nodes);
         self.sessions.expire(self.now);
         self.refresh_observers();
-        if self.session_reports.take_due(self.now) {
-            let message = PeerMessage::Sessions { sessions: self.sessions.local(self.now) };
+        if let Some(report) = self.session_reports.take_due(self.now) {
+            let message = match report {
+                SessionReport::List => PeerMessage::Sessions { sessions: self.sessions.local(self.now) },
+                SessionReport::Unchanged => PeerMessage::SessionsUnchanged,
+            };
             self.links.broadcast(&mut self.network, &message);
         }
     }
 
+    /// Whether a process is sent to nodes with fewer sessions. One that has had a session before isn't held up.
+    fn is_referred(&mut self, handshake: &Handshake, position: FeedPosition) -> bool {
+        position == FeedPosition::default()
+            && self.has_session_surplus()
+            && self.referrals.refer(handshake.incarnation, self.now)
+    }
+
+    /// Whether this node has many more sessions than the other members of the chain.
+    fn has_session_surplus(&self) -> bool {
+        let chain = self.node.view().map_or(&[][..], |view| &view.chain);
+        let others = chain.iter().filter(|member| **member != self.me());
+        let counts: Option<Vec<usize>> =
+            others.map(|member| self.sessions.reported_count(*member, self.now)).collect();
+        counts.is_some_and(|others| has_surplus(self.subscribers.len(), &others))
+    }
+
+    /// Where this node has too many sessions, the youngest one of a gateway that runs no generations moves elsewhere.
+    fn move_surplus_session(&mut self) {
+        if !self.node.has_quorum() || !self.has_session_surplus() || !self.session_moves.take_due(self.now) {
+            return;
+        }
+        let workers = &self.workers.list().gateways;
+        let is_movable =
+            |session: &Session| session.role == Role::Gateway && !workers.contains(&session.member.address);
+        if let Some(connection) = self.subscribers.youngest(is_movable) {
+            let controls = self.control_nodes();
+            send(&mut self.network, connection, &ControlMessage::Redirect { controls });
+            self.drop_connection(connection);
+        }
+    }
+
     /// As the leader: selects the gateways that run generations, and tells everyone where the selection is another one.
     pub(super) fn select_workers(&mut self, term: u64) {
         let presumed = !self.roles.knows_sessions(self.now);
--- a/crates/control-plane/src/process/mod.rs
+++ b/crates/control-plane/src/process/mod.rs
@@ -37,6 +37,7 @@
 use crate::operator_api::OperatorResponse;
 use crate::peer_links::PeerLinks;
 use crate::peer_messages::PeerMessage;
+use crate::session_balance::{MoveSchedule, Referrals};
 use crate::sessions::SessionTable;
 use crate::singleton_roles::{self, ExchangePurpose, SingletonRoleOptions, SingletonRoles};
 use crate::subscribers::FeedSubscribers;
@@ -145,6 +146,8 @@
     /// Sessions at all control nodes.
     sessions: SessionTable,
     session_reports: SessionReports,
+    session_moves: MoveSchedule,
+    referrals: Referrals,
     /// Servers, as the leader of the discovery role has published them.
     servers: ServerTable,
     /// Gateways that run generations.
@@ -208,6 +211,8 @@
             subscribers: FeedSubscribers::default(),
             sessions: SessionTable::default(),
             session_reports: SessionReports::default(),
+            session_moves: MoveSchedule::default(),
+            referrals: Referrals::default(),
             servers: ServerTable::default(),
             workers: WorkerSelection::default(),
             roles: SingletonRoles::new(options.role_options()),
@@ -361,6 +366,7 @@
         };
         self.roles.view_changed(self.now, view.epoch, head == Some(self.me()), was_head);
         self.head = head.map(|member| KnownHead { epoch: view.epoch, member });
+        self.session_moves.view_changed(self.now);
         let voters = view.voters.iter().map(|voter| voter.address);
         self.links.set_permanent_peers(voters.chain(self.options.seed_nodes()));
     }
@@ -384,6 +390,7 @@
         let state = self.node.state();
         let (network, table) = (&mut self.network, &mut self.servers);
         let update = self.roles.order_weights(network, state, confirmed_at, table, self.now);
+        let update = update.or_else(|| self.roles.publish_if_due(table, self.now));
         if self.roles.may_order(self.now, confirmed_at) {
             self.node.persist_leadership();
         }
--- a/crates/control-plane/src/sessions.rs
+++ b/crates/control-plane/src/sessions.rs
@@ -21,6 +21,9 @@
 /// A report says nothing about its sessions any more once it is older than this, in milliseconds.
 pub const REPORT_TIMEOUT_MS: Milliseconds = 1_500;
 
+/// A list of sessions that isn't renewed for this time is forgotten, in milliseconds: its reporter has gone for good.
+const LIST_RETENTION_MS: Milliseconds = 600_000;
+
 /// A session as one control node reports it to the others.
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub struct Session {
@@ -98,6 +101,16 @@
 #[derive(Default, Debug)]
 pub struct SessionTable {
     reports: BTreeMap<ProcessKey, Vec<SessionReport>>,
+    /// The last list of each control node.
+    lists: BTreeMap<MemberId, ReportedList>,
+}
+
+/// The local sessions of another control node.
+#[derive(Debug)]
+struct ReportedList {
+    sessions: Vec<Session>,
+    /// When it was received or renewed; the ages are as of then.
+    received_at: Milliseconds,
 }
 
 impl SessionTable {
@@ -130,9 +143,26 @@
         for report in former {
             report.expires_at = Some(report.expires_at.map_or(limit, |at| at.min(limit)));
         }
-        for session in sessions {
-            self.add_reported(session, reporter, now);
+        for session in &sessions {
+            self.add_reported(session.clone(), reporter, now);
         }
+        self.lists.insert(reporter, ReportedList { sessions, received_at: now });
+    }
+
+    /// Another control node has reported that its local sessions are those of its last list. They count as reported
+    /// anew, also if they have expired here meanwhile.
+    pub fn renew_report(&mut self, reporter: MemberId, now: Milliseconds) {
+        let Some(list) = self.lists.get(&reporter) else { return };
+        let waited_ms = now.saturating_sub(list.received_at);
+        let aged = |session: &Session| Session { age_ms: session.age_ms + waited_ms, ..session.clone() };
+        let sessions = list.sessions.iter().map(aged).collect();
+        self.apply_report(reporter, sessions, now);
+    }
+
+    /// How many sessions a control node has by its last list, if that says anything still.
+    pub fn reported_count(&self, reporter: MemberId, now: Milliseconds) -> Option<usize> {
+        let list = self.lists.get(&reporter).filter(|list| now < list.received_at + REPORT_TIMEOUT_MS)?;
+        Some(list.sessions.len())
     }
 
     fn add_reported(&mut self, session: Session, reporter: MemberId, now: Milliseconds) {
@@ -150,6 +180,7 @@
 
     /// Removes expired reports; true if a process is dead by that.
     pub fn expire(&mut self, now: Milliseconds) -> bool {
+        self.lists.retain(|_, list| now < list.received_at + LIST_RETENTION_MS);
         let before = self.reports.len();
         self.reports.retain(|_, reports| {
             reports.retain(|report| report.expires_at.is_none_or(|at| at > now));
--- a/crates/control-plane/tests/encodings/strategies.rs
+++ b/crates/control-plane/tests/encodings/strategies.rs
@@ -35,6 +35,7 @@
     Servers(update),
     Workers(list),
     LearnerCaughtUp { partition, epoch, member },
+    SessionsUnchanged,
 });
 generate_enum!(DiskRecord {
     Entry(entry),
--- a/crates/control-plane/tests/golden_samples.rs
+++ b/crates/control-plane/tests/golden_samples.rs
@@ -175,6 +175,7 @@
             ("outcome-unclear", forwarded(RequestOutcome::Unknown)),
             ("sessions", PeerMessage::Sessions { sessions }),
             ("no-sessions", PeerMessage::Sessions { sessions: Vec::new() }),
+            ("sessions-unchanged", PeerMessage::SessionsUnchanged),
             ("whole-table", PeerMessage::Servers(whole_table())),
             ("table-difference", PeerMessage::Servers(table_difference())),
             ("workers", PeerMessage::Workers(workers())),
--- a/crates/control-plane/tests/messages.rs
+++ b/crates/control-plane/tests/messages.rs
@@ -176,6 +176,7 @@
         PeerMessage::Servers(_) => 6,
         PeerMessage::LearnerCaughtUp { .. } => 7,
         PeerMessage::Workers(_) => 8,
+        PeerMessage::SessionsUnchanged => 9,
     }
 }
 
@@ -188,6 +189,7 @@
         PeerMessage::Forward { number: ForwardNumber(u64::MAX), request: call },
         PeerMessage::Sessions { sessions: vec![session, door] },
         PeerMessage::Sessions { sessions: Vec::new() },
+        PeerMessage::SessionsUnchanged,
         PeerMessage::LearnerCaughtUp { partition: 7, epoch: 300, member: member(3) },
         PeerMessage::Workers(workers()),
         PeerMessage::Workers(GatewayList::default()),
@@ -263,7 +265,7 @@
     assert_complete(&agreement_samples(), agreement_place, 9);
     assert_complete(&chain_samples(), chain_place, 7);
     assert_complete(&outcome_samples(), outcome_place, 6);
-    assert_complete(&peer_samples(), peer_place, 9);
+    assert_complete(&peer_samples(), peer_place, 10);
     assert_complete(&to_control_samples(), to_control_place, 5);
     assert_complete(&from_control_samples(), from_control_place, 7);
 }
--- a/crates/control-plane/tests/sessions.rs
+++ b/crates/control-plane/tests/sessions.rs
@@ -227,3 +227,35 @@
     table.open(aged(1, 0), 1_700);
     assert_eq!(table.local(4_000), [aged(1, 3_000)], "other facts don't make it younger");
 }
+
+/// A control node that has nothing new to tell says only that its sessions stand.
+#[test]
+fn a_list_that_is_renewed_stands_as_if_it_were_sent_again() {
+    let mut table = SessionTable::default();
+    table.apply_report(member(2), vec![door(1), session("door-2", Role::Gateway, 5)], 1_000);
+    table.apply_report(member(2), vec![door(1)], 1_200);
+    for now in (1_600..9_000).step_by(400) {
+        table.renew_report(member(2), now);
+        table.expire(now + 100);
+        let expected: &[u64] = if now + 100 < 1_200 + RECONNECT_GRACE_MS { &[1, 5] } else { &[1] };
+        assert_eq!(incarnations(&table), expected, "at {now}: what left isn't brought back");
+    }
+    assert_eq!(table.reported_count(member(2), 8_900), Some(1));
+    table.expire(8_800 + REPORT_TIMEOUT_MS);
+    assert_eq!(table.sessions().count(), 0, "nothing was renewed");
+    assert_eq!(table.reported_count(member(2), 8_800 + REPORT_TIMEOUT_MS), None);
+}
+
+/// The reporter couldn't be heard for longer than its list counts, but didn't notice: it hears this node.
+#[test]
+fn a_list_that_expired_is_renewed_too() {
+    let mut table = SessionTable::default();
+    table.apply_report(member(2), vec![aged(1, 100)], 1_000);
+    assert!(table.expire(1_000 + REPORT_TIMEOUT_MS));
+    table.open(aged(2, 0), 5_000);
+    table.renew_report(member(2), 20_000);
+    assert_eq!(table.sessions().count(), 1);
+    assert_eq!(incarnations(&table), [2], "the ages of what is renewed have grown meanwhile");
+    table.renew_report(member(3), 20_000);
+    assert_eq!(table.reported_count(member(3), 20_000), None, "it has sent no list");
+}
--- a/crates/control-plane/tests/support/scenario.rs
+++ b/crates/control-plane/tests/support/scenario.rs
@@ -202,6 +202,7 @@
         PeerMessage::ForwardOutcome { .. } => 16,
         PeerMessage::Handshake { .. }
         | PeerMessage::Sessions { .. }
+        | PeerMessage::SessionsUnchanged
         | PeerMessage::Servers(_)
         | PeerMessage::Workers(_)
         | PeerMessage::LearnerCaughtUp { .. } => return None,
