Discovery: a page of the list that was refused is requested once more by itself

Cause: one 429 or time-out began the reading of the whole list anew.

Test: two of role_discovery.rs, which the code before fails (it asked for the first page).

--- a/crates/control-plane/src/singleton_roles/list_polling.rs
+++ b/crates/control-plane/src/singleton_roles/list_polling.rs
@@ -5,6 +5,9 @@
 
 use crate::discovery::{ListError, ListReader, POLL_INTERVAL_MS, PageOutcome, RETRY_INTERVAL_MS};
 
+/// A page is requested so many times more before the whole list is read again.
+const MAX_PAGE_RETRIES: u32 = 4;
+
 /// What follows a response of the platform.
 #[derive(Debug)]
 pub(super) enum PolledPage {
@@ -12,15 +15,27 @@
     NextPage { token: String },
     /// The list was read in full.
     Complete,
-    /// The list has to be read again after a pause.
+    /// The page, or the list, has to be read again after a pause.
     Failed,
 }
 
+/// A page that is requested once more after a pause.
+#[derive(Debug)]
+struct PageRetry {
+    token: Option<String>,
+    due_at: Milliseconds,
+}
+
 /// The newest list and the reading of the next one, of which there is at most one at a time.
 #[derive(Default, Debug)]
 pub(super) struct ListPolling {
     next_poll_at: Milliseconds,
     reader: Option<ListReader>,
+    /// Token of the page that was requested last; none for the first page.
+    token: Option<String>,
+    /// Requests of that page that have failed.
+    failed_requests: u32,
+    retry: Option<PageRetry>,
     /// Number of the latest reading: a late page of an earlier one is no part of it.
     read_number: u64,
     /// Newest list, before versions known from orders are added.
@@ -37,6 +52,7 @@
     /// Another node is the head.
     pub(super) fn stop(&mut self) {
         self.reader = None;
+        self.retry = None;
     }
 
     /// Newest list, empty before the first one.
@@ -53,15 +69,32 @@
         self.reader.is_none() && now >= self.next_poll_at
     }
 
-    /// When the next reading is due; never while one is in flight.
+    /// When the next reading is due, or a page of the one in flight has to be requested once more.
     pub(super) fn next_wakeup(&self) -> Milliseconds {
-        if self.reader.is_some() { u64::MAX } else { self.next_poll_at }
+        match (&self.reader, &self.retry) {
+            (Some(_), Some(retry)) => retry.due_at,
+            (Some(_), None) => u64::MAX,
+            (None, _) => self.next_poll_at,
+        }
+    }
+
+    /// Token of the page that has to be requested once more now, if any.
+    pub(super) fn take_due_retry(&mut self, now: Milliseconds) -> Option<Option<String>> {
+        self.retry.take_if(|retry| retry.due_at <= now).map(|retry| retry.token)
     }
 
     /// Begins a reading.
     pub(super) fn start_read(&mut self) {
         self.reader = Some(ListReader::default());
         self.read_number += 1;
+        self.page_requested(None);
+    }
+
+    /// The next page is requested.
+    fn page_requested(&mut self, token: Option<String>) {
+        self.token = token;
+        self.failed_requests = 0;
+        self.retry = None;
     }
 
     /// Number of the latest reading.
@@ -72,9 +105,21 @@
     /// The reading can't go on.
     pub(super) fn fail(&mut self, now: Milliseconds) {
         self.reader = None;
+        self.retry = None;
         self.next_poll_at = now + RETRY_INTERVAL_MS;
     }
 
+    /// A request has failed: the same page is requested once more, and not the pages before it. The platform takes so
+    /// many requests a second from all machines together, so a long list would never be read otherwise.
+    fn request_failed(&mut self, now: Milliseconds) {
+        self.failed_requests += 1;
+        if self.failed_requests > MAX_PAGE_RETRIES {
+            return self.fail(now);
+        }
+        let due_at = now + RETRY_INTERVAL_MS;
+        self.retry = Some(PageRetry { token: self.token.clone(), due_at });
+    }
+
     /// A response of the platform: the body of a page, unless the request failed. `can_publish` says whether a list
     /// that is complete by it can be published; else it is read again at once.
     pub(super) fn page_received(
@@ -84,11 +129,14 @@
         now: Milliseconds,
     ) -> PolledPage {
         let (Some(reader), Some(body)) = (self.reader.as_mut(), body) else {
-            self.fail(now);
+            self.request_failed(now);
             return PolledPage::Failed;
         };
         match reader.add_page(body) {
-            Ok(PageOutcome::NextPage { token }) => PolledPage::NextPage { token },
+            Ok(PageOutcome::NextPage { token }) => {
+                self.page_requested(Some(token.clone()));
+                PolledPage::NextPage { token }
+            }
             Ok(PageOutcome::Complete(servers)) => {
                 self.reader = None;
                 self.next_poll_at = if can_publish { now + POLL_INTERVAL_MS } else { now };
--- a/crates/control-plane/src/singleton_roles/mod.rs
+++ b/crates/control-plane/src/singleton_roles/mod.rs
@@ -185,11 +185,16 @@
         &mut self.client
     }
 
-    /// Begins to read the platform's list when it is due.
+    /// Begins to read the platform's list, or requests a page of it once more, when that is due.
     pub fn poll_list(&mut self, network: &mut Network, now: Milliseconds) {
-        if self.tenure.head_since.is_some() && self.list.is_due(now) {
+        if self.tenure.head_since.is_none() {
+            return;
+        }
+        if self.list.is_due(now) {
             self.list.start_read();
             self.request_page(network, now, None);
+        } else if let Some(token) = self.list.take_due_retry(now) {
+            self.request_page(network, now, token.as_deref());
         }
     }
 
--- a/crates/control-plane/tests/role_discovery.rs
+++ b/crates/control-plane/tests/role_discovery.rs
@@ -89,7 +89,11 @@
 
     /// The platform answers, and the answer is taken up.
     fn answered(&mut self, peer: &mut Peer, instances: &[&str]) -> Vec<ServerTableUpdate> {
-        peer.send(&page(instances));
+        self.answered_with(peer, &page(instances))
+    }
+
+    fn answered_with(&mut self, peer: &mut Peer, answer: &str) -> Vec<ServerTableUpdate> {
+        peer.send(answer);
         let completed = self.completed;
         for _ in 0..MOST_TURNS {
             let updates = self.turn();
@@ -107,13 +111,18 @@
 
 /// The only page of a list.
 fn page(instances: &[&str]) -> String {
+    page_with_next(instances, None)
+}
+
+fn page_with_next(instances: &[&str], next: Option<&str>) -> String {
     let entry = |id: &&str| {
         json!({
             "instance-id": id, "service": "text", "address": "10.0.0.1:80", "zone": "north", "slots": 4,
             "state": "available", "models": [],
         })
     };
-    let body = json!({ "instances": instances.iter().map(entry).collect::<Vec<_>>() }).to_string();
+    let instances: Vec<_> = instances.iter().map(entry).collect();
+    let body = json!({ "instances": instances, "next-token": next }).to_string();
     format!("HTTP/1.1 200 OK\r\nContent-Length: {}\r\n\r\n{body}", body.len())
 }
 
@@ -156,3 +165,47 @@
     assert_eq!(head.answered(&mut peer, &["one"]).len(), 1);
     assert_eq!(head.servers(), ["one"]);
 }
+
+const TOO_MANY: &str = "HTTP/1.1 429 Too Many Requests\r\nContent-Length: 0\r\n\r\n";
+
+/// The next request on the connection.
+fn next_request(head: &mut Head, peer: &mut Peer) -> String {
+    head.duties.poll_list(&mut head.network, head.now);
+    peer.got.clear();
+    head.request(peer);
+    peer.text().lines().next().unwrap_or_default().to_owned()
+}
+
+/// The platform takes few requests a second from all machines together: a list of many pages would never be read if one
+/// refusal began it anew.
+#[test]
+fn a_page_that_was_refused_is_requested_once_more_by_itself() {
+    let mut head = Head::new();
+    let mut peer = head.asked();
+    assert!(head.answered_with(&mut peer, &page_with_next(&["one"], Some("p-1"))).is_empty());
+    let mut line = next_request(&mut head, &mut peer);
+    for _ in 0..4 {
+        assert!(line.contains("page-token=p-1"), "{line}");
+        assert!(head.answered_with(&mut peer, TOO_MANY).is_empty());
+        assert!(head.duties.next_wakeup() > head.now, "after a pause");
+        head.now = head.duties.next_wakeup();
+        line = next_request(&mut head, &mut peer);
+    }
+    assert!(line.contains("page-token=p-1"), "{line}");
+    assert_eq!(head.answered(&mut peer, &["two"]).len(), 1);
+    assert_eq!(head.servers(), ["one", "two"]);
+}
+
+#[test]
+fn a_page_that_is_always_refused_begins_the_list_anew() {
+    let mut head = Head::new();
+    let mut peer = head.asked();
+    assert!(head.answered_with(&mut peer, &page_with_next(&["one"], Some("p-1"))).is_empty());
+    let mut lines = Vec::new();
+    for _ in 0..7 {
+        lines.push(next_request(&mut head, &mut peer).contains("page-token"));
+        assert!(head.answered_with(&mut peer, TOO_MANY).is_empty());
+        head.now = head.duties.next_wakeup();
+    }
+    assert_eq!(lines, [true, true, true, true, true, false, false]);
+}
