Testbed: a quota of processor time as a fault, and the invariant of items left lying

LOST is also an item that was at no server for 5 s when its step ran out of time, others of the step had begun, no version was named for 6 s, no item began for 3 s, and nothing was disrupted.

--- a/crates/testbed/src/invariants/mod.rs
+++ b/crates/testbed/src/invariants/mod.rs
@@ -11,6 +11,7 @@
 mod outputs;
 mod requests;
 mod server_log;
+mod starved_items;
 
 use crate::observation::Observation;
 use configurations::Configurations;
@@ -19,6 +20,7 @@
 use jobs::Jobs;
 use requests::Requests;
 use server_log::ServerLog;
+use starved_items::StarvedItems;
 
 pub use invariant::{Invariant, InvariantBounds, Violation};
 
@@ -30,6 +32,7 @@
     jobs: Jobs,
     configurations: Configurations,
     fencing_tokens: FencingTokens,
+    starved_items: StarvedItems,
 }
 
 impl InvariantChecker {
@@ -42,6 +45,7 @@
             jobs: Jobs::default(),
             configurations: Configurations::default(),
             fencing_tokens: FencingTokens::default(),
+            starved_items: StarvedItems::default(),
         }
     }
 
@@ -53,6 +57,7 @@
         self.jobs.observe(&mut self.context, &self.server_log, observation);
         self.configurations.observe(&mut self.context, observation);
         self.fencing_tokens.observe(&mut self.context, observation);
+        self.starved_items.observe(&mut self.context, observation);
         match observation {
             Observation::ExecutionStarted { server, id, method, target, body, .. } => {
                 self.check_execution(server, id, method, target, *body);
--- /dev/null
+++ b/crates/testbed/src/invariants/starved_items.rs
@@ -0,0 +1,122 @@
+//! The invariant LOST for items that the system leaves lying: a step runs out of time while one of its items is at no
+//! server, though nothing stands in its way.
+
+use std::collections::{BTreeMap, HashMap, HashSet};
+
+use super::context::CheckContext;
+use super::invariant::Invariant;
+use crate::observation::Observation;
+
+/// An item has to have been at no server for this time, in milliseconds.
+const STARVED_MS: u64 = 5_000;
+/// Servers that load new weights take no items for a while after a version is named, in milliseconds.
+const LOADING_MS: u64 = 6_000;
+/// The servers may be busy with items of other models if one began within this time, in milliseconds.
+const BUSY_MS: u64 = 3_000;
+
+/// What servers did with an item.
+#[derive(Clone, Copy, Debug, Default)]
+struct ItemActivity {
+    has_begun: bool,
+    /// Executions without a response; one that was cancelled counts for good.
+    open: u32,
+    /// It was finished, or a server failed it.
+    is_over: bool,
+    last_at: u64,
+}
+
+/// A step, as far as this check needs it.
+#[derive(Clone, Debug)]
+struct Step {
+    items: Vec<String>,
+    first_sent: u64,
+    deadline_ms: u64,
+    accepted_at: Option<u64>,
+}
+
+/// All items and the steps that they belong to.
+#[derive(Debug, Default)]
+pub(super) struct StarvedItems {
+    steps: BTreeMap<String, Step>,
+    items: HashMap<String, ItemActivity>,
+    cancelled: HashSet<String>,
+    last_begun_at: Option<u64>,
+    last_version_at: Option<u64>,
+}
+
+impl StarvedItems {
+    pub fn observe(&mut self, context: &mut CheckContext, observation: &Observation) {
+        match observation {
+            Observation::JobSent(sent) => {
+                for item in &sent.items {
+                    self.items.entry(item.id.clone()).or_default();
+                }
+                self.steps.entry(sent.job.clone()).or_insert_with(|| Step {
+                    items: sent.items.iter().map(|item| item.id.clone()).collect(),
+                    first_sent: context.now,
+                    deadline_ms: sent.deadline_ms,
+                    accepted_at: None,
+                });
+            }
+            Observation::JobAnswered { job, status: Some(202) } => {
+                if let Some(step) = self.steps.get_mut(job) {
+                    step.accepted_at.get_or_insert(context.now);
+                }
+            }
+            Observation::ExecutionStarted { id, .. } => self.begun(context.now, id),
+            Observation::EventEmitted { id, .. } => self.active(context.now, id),
+            Observation::ResponseSent { id, status, .. } => self.responded(context.now, id, *status),
+            Observation::VersionNamed { .. } => self.last_version_at = Some(context.now),
+            Observation::JobCancelSent { job } => self.check(context, job),
+            _ => {}
+        }
+    }
+
+    fn begun(&mut self, now: u64, id: &str) {
+        if let Some(item) = self.items.get_mut(id) {
+            item.has_begun = true;
+            item.open += 1;
+            item.last_at = now;
+            self.last_begun_at = Some(now);
+        }
+    }
+
+    fn active(&mut self, now: u64, id: &str) {
+        if let Some(item) = self.items.get_mut(id) {
+            item.last_at = now;
+        }
+    }
+
+    fn responded(&mut self, now: u64, id: &str, status: u16) {
+        if let Some(item) = self.items.get_mut(id) {
+            item.open = item.open.saturating_sub(1);
+            item.last_at = now;
+            item.is_over |= (200..300).contains(&status) || matches!(status, 422 | 500);
+        }
+    }
+
+    /// A trainer gives a step up.
+    fn check(&mut self, context: &mut CheckContext, job: &str) {
+        let Some(step) = self.steps.get(job) else { return };
+        let now = context.now;
+        let ran_out_of_time = now >= step.first_sent + step.deadline_ms;
+        if !self.cancelled.insert(job.to_owned()) || !ran_out_of_time {
+            return;
+        }
+        let is_long_ago = |at: Option<u64>, time_ms: u64| at.is_none_or(|at| at + time_ms <= now);
+        let is_free =
+            is_long_ago(self.last_version_at, LOADING_MS) && is_long_ago(self.last_begun_at, BUSY_MS);
+        let is_calm = now >= STARVED_MS && context.is_undisrupted_since(now - STARVED_MS);
+        let others_began = step.items.iter().any(|item| self.items[item].has_begun);
+        let Some(accepted_at) = step.accepted_at.filter(|_| is_free && is_calm && others_began) else {
+            return;
+        };
+        let is_starved = |item: &ItemActivity| {
+            !item.is_over && item.open == 0 && item.last_at.max(accepted_at) + STARVED_MS <= now
+        };
+        if let Some(item) = step.items.iter().find(|item| is_starved(&self.items[*item])) {
+            let detail = format!("was at no server for {STARVED_MS} ms when step {job} ran out of time");
+            context.violate(Invariant::Lost, item, detail);
+        }
+    }
+}
--- a/crates/testbed/src/observation.rs
+++ b/crates/testbed/src/observation.rs
@@ -274,6 +274,8 @@
     pub max_attempts: u64,
     /// Time after the first send at which items may be given up, in milliseconds.
     pub max_queue_ms: u64,
+    /// Time after the first send at which its trainer gives it up, in milliseconds.
+    pub deadline_ms: u64,
     /// Its items, in order.
     pub items: Vec<ItemSent>,
 }
--- a/crates/testbed/src/scenario/execution.rs
+++ b/crates/testbed/src/scenario/execution.rs
@@ -21,7 +21,10 @@
             steps.into_iter().partition(|scheduled| scheduled.at <= now);
         self.schedule.steps = later;
         for ScheduledStep { step, .. } in due {
-            log::info!("scenario: {step:?}");
+            match step {
+                Step::SpendQuota(_) | Step::RenewQuota(_) => log::debug!("scenario: {step:?}"),
+                _ => log::info!("scenario: {step:?}"),
+            }
             if step.concerns_machines() {
                 if !step.is_planned() {
                     self.schedule.disrupted_until = self.end_of_disruption(now);
@@ -48,6 +51,8 @@
             Step::Start(ids) => ids.into_iter().try_for_each(|id| self.launcher.start(id))?,
             Step::Pause(ids) => ids.into_iter().try_for_each(|id| self.launcher.pause(id))?,
             Step::Resume(ids) => ids.into_iter().try_for_each(|id| self.launcher.resume(id))?,
+            Step::SpendQuota(ids) => self.running(ids).try_for_each(|id| self.launcher.pause(id))?,
+            Step::RenewQuota(ids) => self.running(ids).try_for_each(|id| self.launcher.resume(id))?,
             Step::Terminate(ids) => self.terminate(now, &ids)?,
             Step::TerminateForGood(ids) => {
                 self.supervision.leaving.extend(&ids);
@@ -77,6 +82,12 @@
         Ok(())
     }
 
+    /// Those of them that run: another fault may have ended some.
+    fn running(&self, ids: Vec<ProcessId>) -> std::vec::IntoIter<ProcessId> {
+        let running: Vec<ProcessId> = ids.into_iter().filter(|id| self.launcher.is_running(*id)).collect();
+        running.into_iter()
+    }
+
     /// Tells processes to stop.
     fn terminate(&mut self, now: u64, ids: &[ProcessId]) -> Result<(), ScenarioError> {
         for id in ids {
--- a/crates/testbed/src/scenario/fault_steps.rs
+++ b/crates/testbed/src/scenario/fault_steps.rs
@@ -11,7 +11,7 @@
 use super::link_faults::{Directions, SLOW_LINK, fault_links};
 use super::servers::ServerIndices;
 use super::steps::{ScheduledStep, Step, after};
-use super::timing::{DOWN_MS, SERVER_FAULT_MS};
+use super::timing::{DOWN_MS, QUOTA_MS, QUOTA_PERIOD_MS, QUOTA_RUN_MS, SERVER_FAULT_MS};
 use super::workload::Workload;
 use crate::fault_proxy::LinkFault;
 use crate::launch::{Launcher, ProcessId, Role};
@@ -81,6 +81,10 @@
             restart_one_then_all(&targets.pick(Role::Control, random), &launcher.ids())
         }
         Fault::DuplicateResponses => duplicate_responses(servers),
+        Fault::QuotaControl => under_quota(&targets.pick(Role::Control, random)),
+        Fault::QuotaStore => under_quota(&targets.pick(Role::Store, random)),
+        Fault::QuotaGateway => under_quota(&last_gateway(launcher)),
+        Fault::QuotaAll => under_quota(&launcher.ids()),
     }
 }
 
@@ -141,6 +145,19 @@
     vec![after(0, Step::Pause(ids.clone())), after(DOWN_MS, Step::Resume(ids))]
 }
 
+/// Processes stand still for the rest of each period of their quota. All periods begin together, as they do for the
+/// processes of one machine.
+fn under_quota(ids: &[ProcessId]) -> Vec<ScheduledStep> {
+    let periods = (0..QUOTA_MS / QUOTA_PERIOD_MS).map(|period| period * QUOTA_PERIOD_MS);
+    let of_period = |start: u64| {
+        [
+            after(start + QUOTA_RUN_MS, Step::SpendQuota(ids.to_vec())),
+            after(start + QUOTA_PERIOD_MS, Step::RenewQuota(ids.to_vec())),
+        ]
+    };
+    periods.flat_map(of_period).collect()
+}
+
 fn faulty_then_restarted(servers: &ServerIndices, fault: ServerFault) -> Vec<ScheduledStep> {
     let server = servers.models[0];
     vec![
--- a/crates/testbed/src/scenario/faults.rs
+++ b/crates/testbed/src/scenario/faults.rs
@@ -74,10 +74,19 @@
     RestartAfterManyChanges,
     /// All servers respond twice, and some early.
     DuplicateResponses,
+    /// A machine with a control node runs under a quota of processor time: at full speed until it is spent, then not at
+    /// all until the end of its period.
+    QuotaControl,
+    /// The same for a storage machine.
+    QuotaStore,
+    /// The same for a gateway.
+    QuotaGateway,
+    /// The same for all machines.
+    QuotaAll,
 }
 
 /// Every fault with its name on the command line.
-pub(super) const FAULT_NAMES: [(&str, Fault); 31] = [
+pub(super) const FAULT_NAMES: [(&str, Fault); 35] = [
     ("kill-store", Fault::KillStore),
     ("kill-control", Fault::KillControl),
     ("kill-door", Fault::KillGateway),
@@ -109,6 +118,10 @@
     ("leave-with-only-copy", Fault::LeaveWithOnlyCopy),
     ("restart-after-hundreds", Fault::RestartAfterManyChanges),
     ("answer-twice", Fault::DuplicateResponses),
+    ("quota-control", Fault::QuotaControl),
+    ("quota-store", Fault::QuotaStore),
+    ("quota-door", Fault::QuotaGateway),
+    ("quota-all", Fault::QuotaAll),
 ];
 
 impl Fault {
--- a/crates/testbed/src/scenario/run.rs
+++ b/crates/testbed/src/scenario/run.rs
@@ -183,7 +183,8 @@
 
     /// One turn of the host, with what follows from it.
     fn turn(&mut self, until: u64) -> Result<(), ScenarioError> {
-        self.host.turn(until)?;
+        let next_step = self.schedule.steps.first().map_or(until, |scheduled| scheduled.at);
+        self.host.turn(until.min(next_step))?;
         for seen in self.host.take_observations() {
             self.checker.observe(seen.at_ms, &seen.observation);
         }
--- a/crates/testbed/src/scenario/steps.rs
+++ b/crates/testbed/src/scenario/steps.rs
@@ -15,6 +15,10 @@
     Start(Vec<ProcessId>),
     Pause(Vec<ProcessId>),
     Resume(Vec<ProcessId>),
+    /// Their quota of processor time is spent. That is no disruption: what is promised holds meanwhile.
+    SpendQuota(Vec<ProcessId>),
+    /// Their quota begins anew.
+    RenewQuota(Vec<ProcessId>),
     /// They are told to stop, and started again once they have.
     Terminate(Vec<ProcessId>),
     /// They are told to stop; once they have, their machines are taken away with their disks.
@@ -67,7 +71,9 @@
     pub fn concerns_machines(&self) -> bool {
         !matches!(
             self,
-            Step::InjectServerFault(..)
+            Step::SpendQuota(_)
+                | Step::RenewQuota(_)
+                | Step::InjectServerFault(..)
                 | Step::RestartServer(_)
                 | Step::ClearServerFaults(_)
                 | Step::DrainServer(_)
--- a/crates/testbed/src/scenario/tests.rs
+++ b/crates/testbed/src/scenario/tests.rs
@@ -149,6 +149,8 @@
         Step::ClearServerFaults(server) => add_numbers(trace, &[14, server.0 as u64]),
         Step::DrainServer(server) => add_numbers(trace, &[15, server.0 as u64]),
         Step::RemoveServer(server) => add_numbers(trace, &[16, server.0 as u64]),
+        Step::SpendQuota(ids) => add_processes(trace, 18, ids),
+        Step::RenewQuota(ids) => add_processes(trace, 19, ids),
         Step::Operator(action) => {
             trace.add_number(17);
             add_action(trace, action);
--- a/crates/testbed/src/trainer/job.rs
+++ b/crates/testbed/src/trainer/job.rs
@@ -76,6 +76,7 @@
             single_version: settings.batch.single_version,
             max_attempts: settings.batch.max_attempts,
             max_queue_ms: settings.batch.max_queue_ms,
+            deadline_ms: settings.batch.deadline_ms,
             items: items().map(|DrawnItem { sent, .. }| sent.clone()).collect(),
         };
         Job {
--- a/crates/testbed/tests/command_line.rs
+++ b/crates/testbed/tests/command_line.rs
@@ -14,7 +14,7 @@
     "--keep",
 ];
 
-const FAULTS: [&str; 31] = [
+const FAULTS: [&str; 35] = [
     "kill-store",
     "kill-control",
     "kill-door",
@@ -46,6 +46,10 @@
     "leave-with-only-copy",
     "restart-after-hundreds",
     "answer-twice",
+    "quota-control",
+    "quota-store",
+    "quota-door",
+    "quota-all",
 ];
 
 fn run(arguments: &[&str]) -> Output {
--- a/crates/testbed/tests/invariants.rs
+++ b/crates/testbed/tests/invariants.rs
@@ -6,11 +6,11 @@
 }
 
 use orchidvalve_testbed::invariants::{Invariant, InvariantBounds, InvariantChecker};
-use orchidvalve_testbed::observation::Observation;
+use orchidvalve_testbed::observation::{ItemSent, Observation};
 use rstest::rstest;
 use support::observed_run::{
     EVENTS, ITEM, ITEM_BODY, JOB, ObservedRun, REWARD, REWARD_BODY, configuration_answered,
-    configuration_sent, event_emitted, execution_started, insert, orderly_run, response_sent,
+    configuration_sent, event_emitted, execution_started, insert, item, orderly_run, response_sent,
 };
 use support::sabotages::*;
 
@@ -217,3 +217,58 @@
     edit_result(&mut observed, |result| result.versions = vec![3]);
     assert_eq!(violations(&observed), []);
 }
+
+const STEP: &str = "step-1";
+
+fn named(id: &str) -> ItemSent {
+    ItemSent { id: id.to_owned(), ..item() }
+}
+
+fn cancel_sent(job: &str) -> Observation {
+    Observation::JobCancelSent { job: job.to_owned() }
+}
+
+/// A step of which one item is finished; the other one has been at no server when the trainer gives up at 60 s.
+fn run_with_an_idle_item() -> ObservedRun {
+    let mut observed = orderly_run();
+    let job = |status| Observation::JobAnswered { job: STEP.to_owned(), status };
+    observed.extend([
+        (40_000, support::observed_run::job(STEP, vec![named("done"), named("idle")])),
+        (40_010, job(Some(202))),
+        (40_100, execution_started("m1", 300, "done", "/lots/1", ITEM_BODY, 0)),
+        (40_900, response_sent(300, "done", 200, "stamp", 9)),
+        (60_000, cancel_sent(STEP)),
+    ]);
+    observed
+}
+
+fn starved(observed: &mut ObservedRun) -> Vec<String> {
+    observed.sort_by_key(|(at, _)| *at);
+    let lost = violations(observed).into_iter().filter(|(invariant, ..)| *invariant == Invariant::Lost);
+    lost.map(|(_, subject, _)| subject).collect()
+}
+
+#[test]
+fn an_item_at_no_server_when_its_step_runs_out_of_time_is_lost() {
+    assert_eq!(starved(&mut run_with_an_idle_item()), ["idle"]);
+}
+
+#[rstest]
+#[case::the_trainer_has_what_it_wants(58_000, cancel_sent(STEP))]
+#[case::it_runs(56_000, execution_started("m2", 301, "idle", "/lots/1", ITEM_BODY, 0))]
+#[case::its_server_failed_it(50_000, response_sent(301, "idle", 500, "stamp", 9))]
+#[case::others_begin(58_000, execution_started("m2", 301, "done", "/lots/1", ITEM_BODY, 0))]
+#[case::weights_are_loaded(55_000, Observation::VersionNamed { model: "m".to_owned(), version: 3 })]
+#[case::a_machine_is_down(53_000, Observation::Disruption { description: "down".to_owned(), planned: false })]
+fn an_item_that_had_to_wait_is_not_lost(#[case] at: u64, #[case] observation: Observation) {
+    let mut observed = run_with_an_idle_item();
+    observed.push((at, observation));
+    assert_eq!(starved(&mut observed), [""; 0]);
+}
+
+#[test]
+fn a_step_of_which_nothing_began_is_not_blamed_on_one_item() {
+    let mut observed = run_with_an_idle_item();
+    observed.retain(|(at, _)| !(40_100..=40_900).contains(at));
+    assert_eq!(starved(&mut observed), [""; 0]);
+}
--- a/crates/testbed/tests/support/observed_run.rs
+++ b/crates/testbed/tests/support/observed_run.rs
@@ -56,6 +56,7 @@
         single_version: false,
         max_attempts: 3,
         max_queue_ms: 40_000,
+        deadline_ms: 20_000,
         items,
     })
 }
