Server table: versions of weights are sent without the rest of their entries

Cause: while weights are rolled out nearly all changes of the table are another version of one model at one server, and each was sent as a whole entry of some 64 bytes to every subscriber.

Change: a delta names such changes by the places of server and model in the table that it applies to, in under 8 bytes. A delta that doesn't fit is refused as one with a gap is, and the whole table follows. Kept deltas are counted by what they cost.

--- a/crates/control-client/tests/feed_replica.rs
+++ b/crates/control-client/tests/feed_replica.rs
@@ -178,6 +178,7 @@
     let difference = |from, to| ServerTableUpdate::Delta {
         from: version(from),
         version: version(to),
+        versions: Vec::new(),
         changed: vec![entry(to as u32)],
         removed: Vec::new(),
     };
--- a/crates/control-plane/tests/golden_samples.rs
+++ b/crates/control-plane/tests/golden_samples.rs
@@ -21,8 +21,8 @@
 use orchidvalve_protocol::frames::{decode, encode};
 use orchidvalve_protocol::identity::{MemberId, NodeAddress};
 use orchidvalve_protocol::messages::{
-    ControlMessage, FeedPosition, GatewayList, Handshake, Role, ServerEntry, ServerTableUpdate,
-    SessionMessage, StoreHealth, TableVersion,
+    ControlMessage, FeedPosition, GatewayList, Handshake, ModelVersionChange, Role, ServerEntry,
+    ServerTableUpdate, SessionMessage, StoreHealth, TableVersion,
 };
 
 fn file(name: &str) -> PathBuf {
@@ -90,6 +90,7 @@
     ServerTableUpdate::Delta {
         from: version(1, 300),
         version: version(2, 9),
+        versions: vec![ModelVersionChange { server: 1, model: 0, version: 300 }],
         changed: vec![entry()],
         removed: vec!["i-2".to_owned()],
     }
--- a/crates/control-plane/tests/messages.rs
+++ b/crates/control-plane/tests/messages.rs
@@ -17,8 +17,8 @@
 use orchidvalve_protocol::frames::{FrameError, MAX_FRAME_BYTES, read_frame, write_frame};
 use orchidvalve_protocol::identity::{MemberId, NodeAddress};
 use orchidvalve_protocol::messages::{
-    ControlMessage, FeedPosition, GatewayList, Handshake, PROTOCOL_VERSION, Role, ServerEntry,
-    ServerTableUpdate, SessionMessage, StoreHealth, TableVersion,
+    ControlMessage, FeedPosition, GatewayList, Handshake, ModelVersionChange, PROTOCOL_VERSION, Role,
+    ServerEntry, ServerTableUpdate, SessionMessage, StoreHealth, TableVersion,
 };
 
 fn address(number: u8) -> NodeAddress {
@@ -61,6 +61,7 @@
         ServerTableUpdate::Delta {
             from: TableVersion { term: 1, number: 300 },
             version,
+            versions: vec![ModelVersionChange { server: 1, model: 0, version: 300 }],
             changed: vec![entry],
             removed: vec!["i-2".to_owned()],
         },
--- a/crates/protocol/src/messages/mod.rs
+++ b/crates/protocol/src/messages/mod.rs
@@ -13,7 +13,7 @@
 mod store_link;
 
 pub use handshake::{Handshake, LinkProtocol, PROTOCOL_VERSION, Role};
-pub use server_list::{ServerEntry, ServerTableUpdate, TableVersion};
+pub use server_list::{ModelVersionChange, ServerEntry, ServerTableUpdate, TableVersion};
 pub use session::{ControlMessage, FeedPosition, GatewayList, SessionMessage, StoreHealth};
 pub use store_link::{
     AssignedGroup, AssignedItem, AssignedJob, GatewayMessage, ItemFailures, ItemOutcome, ItemState,
--- a/crates/protocol/src/messages/server_list.rs
+++ b/crates/protocol/src/messages/server_list.rs
@@ -33,6 +33,19 @@
     pub models: Vec<(String, u64)>,
 }
 
+/// Another version of the weights of one model at one server. While weights are rolled out nearly all changes are of
+/// this kind, and a whole entry takes some ten times as many bytes.
+#[derive(Clone, Copy, PartialEq, Eq, Debug, Encode, Decode)]
+#[musli(packed)]
+pub struct ModelVersionChange {
+    /// The server, by its place in the order of instance ids.
+    pub server: u32,
+    /// The model, by its place in the server's entry.
+    pub model: u32,
+    /// The version of its weights from now on.
+    pub version: u64,
+}
+
 /// A new version of the server table, in whole or as the difference from an earlier one.
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
 pub enum ServerTableUpdate {
@@ -49,9 +62,12 @@
         from: TableVersion,
         /// Version that it leads to.
         version: TableVersion,
-        /// Servers that are new or differ.
+        /// Servers that are new or differ otherwise than in `versions`.
         changed: Vec<ServerEntry>,
         /// Instances that are gone.
         removed: Vec<String>,
+        /// Servers at which nothing but versions of weights differ. Their places are those in the table that the
+        /// difference applies to, in ascending order.
+        versions: Vec<ModelVersionChange>,
     },
 }
--- a/crates/protocol/src/server_table.rs
+++ b/crates/protocol/src/server_table.rs
@@ -5,14 +5,18 @@
 
 use std::collections::{BTreeMap, VecDeque};
 
-use crate::messages::{ServerEntry, ServerTableUpdate, TableVersion};
+use crate::messages::{ModelVersionChange, ServerEntry, ServerTableUpdate, TableVersion};
 
 /// Deltas that are kept at most for subscribers that are a little behind...
 const MAX_KEPT_DELTAS: usize = 256;
-/// ...and entries in them, in parts of the table: beyond that a snapshot is smaller. So many deltas are kept in any case.
-const KEPT_ENTRIES_DIVISOR: usize = 2;
+/// ...and what they cost together, in parts of the table: beyond that a snapshot is smaller. So many deltas are kept in
+/// any case.
+const KEPT_COST_DIVISOR: usize = 2;
 const MIN_KEPT_DELTAS: usize = 32;
 
+/// Cost of a whole entry or of an instance that is gone, in changes of a model's version: roughly by their bytes.
+const ENTRY_COST: usize = 8;
+
 /// The table with its latest deltas.
 #[derive(Default, Debug)]
 pub struct ServerTable {
@@ -20,18 +24,51 @@
     servers: BTreeMap<String, ServerEntry>,
     /// Latest deltas, oldest first; each starts from the version that the one before leads to.
     deltas: VecDeque<ServerTableUpdate>,
-    /// Entries in them.
-    delta_entries: usize,
+    /// What they cost together.
+    delta_cost: usize,
 }
 
-/// Entries that an update carries.
-fn entries(update: &ServerTableUpdate) -> usize {
+/// What an update costs, in changes of a model's version.
+fn cost(update: &ServerTableUpdate) -> usize {
     match update {
-        ServerTableUpdate::Snapshot { servers, .. } => servers.len(),
-        ServerTableUpdate::Delta { changed, removed, .. } => changed.len() + removed.len(),
+        ServerTableUpdate::Snapshot { servers, .. } => servers.len() * ENTRY_COST,
+        ServerTableUpdate::Delta { versions, changed, removed, .. } => {
+            versions.len() + (changed.len() + removed.len()) * ENTRY_COST
+        }
     }
 }
 
+/// Whether two entries of a server differ in the versions of its weights at most.
+fn differ_in_versions_only(before: &ServerEntry, after: &ServerEntry) -> bool {
+    let ServerEntry { instance, service, address, zone, slots, draining, models } = before;
+    let has_same_models =
+        || models.iter().map(|(name, _)| name).eq(after.models.iter().map(|(name, _)| name));
+    *instance == after.instance
+        && *service == after.service
+        && *address == after.address
+        && *zone == after.zone
+        && *slots == after.slots
+        && *draining == after.draining
+        && has_same_models()
+}
+
+/// A place in a list as messages carry it. No list has four billion entries.
+fn place(index: usize) -> u32 {
+    u32::try_from(index).unwrap_or(u32::MAX)
+}
+
+/// The changes that lead from one entry of the server at place `server` to another.
+fn version_changes(
+    server: usize,
+    before: &ServerEntry,
+    after: &ServerEntry,
+) -> impl Iterator<Item = ModelVersionChange> {
+    let pairs = before.models.iter().zip(&after.models).enumerate();
+    pairs.filter(|(_, ((_, before), (_, after)))| before != after).map(move |(model, (_, (_, version)))| {
+        ModelVersionChange { server: place(server), model: place(model), version: *version }
+    })
+}
+
 impl ServerTable {
     /// Version of the table.
     pub fn version(&self) -> TableVersion {
@@ -59,34 +96,51 @@
         let begins_term = term > from.term || from.number == 0;
         let listed: BTreeMap<String, ServerEntry> =
             servers.into_iter().map(|s| (s.instance.clone(), s)).collect();
-        let changed: Vec<ServerEntry> =
-            listed.values().filter(|s| self.servers.get(&s.instance) != Some(s)).cloned().collect();
-        let removed: Vec<String> =
-            self.servers.keys().filter(|i| !listed.contains_key(*i)).cloned().collect();
-        if changed.is_empty() && removed.is_empty() && !begins_term {
+        let number = if begins_term { 1 } else { from.number + 1 };
+        let update = self.delta_to(TableVersion { term, number }, &listed);
+        if cost(&update) == 0 && !begins_term {
             return None;
         }
-        let number = if begins_term { 1 } else { from.number + 1 };
         self.version = TableVersion { term, number };
         self.servers = listed;
-        let update = ServerTableUpdate::Delta { from, version: self.version, changed, removed };
         self.keep(update.clone());
         Some(if begins_term { self.snapshot() } else { update })
     }
 
+    /// The difference between the table as it is and a list that becomes `version` of it.
+    fn delta_to(&self, version: TableVersion, listed: &BTreeMap<String, ServerEntry>) -> ServerTableUpdate {
+        let mut versions = Vec::new();
+        let mut removed = Vec::new();
+        for (index, before) in self.servers.values().enumerate() {
+            match listed.get(&before.instance) {
+                None => removed.push(before.instance.clone()),
+                Some(after) if differ_in_versions_only(before, after) => {
+                    versions.extend(version_changes(index, before, after));
+                }
+                Some(_) => {}
+            }
+        }
+        let before = |after: &ServerEntry| self.servers.get(&after.instance);
+        let differs_otherwise = |after: &&ServerEntry| {
+            !before(after).is_some_and(|before| differ_in_versions_only(before, after))
+        };
+        let changed = listed.values().filter(differs_otherwise).cloned().collect();
+        ServerTableUpdate::Delta { from: self.version, version, versions, changed, removed }
+    }
+
     fn keep(&mut self, update: ServerTableUpdate) {
-        self.delta_entries += entries(&update);
+        self.delta_cost += cost(&update);
         self.deltas.push_back(update);
         while self.has_surplus_deltas() {
             let Some(oldest) = self.deltas.pop_front() else { return };
-            self.delta_entries -= entries(&oldest);
+            self.delta_cost -= cost(&oldest);
         }
     }
 
     fn has_surplus_deltas(&self) -> bool {
-        let max_entries = self.servers.len() / KEPT_ENTRIES_DIVISOR;
+        let max_cost = self.servers.len() * ENTRY_COST / KEPT_COST_DIVISOR;
         self.deltas.len() > MAX_KEPT_DELTAS
-            || (self.deltas.len() > MIN_KEPT_DELTAS && self.delta_entries > max_entries)
+            || (self.deltas.len() > MIN_KEPT_DELTAS && self.delta_cost > max_cost)
     }
 
     /// Applies an update that another machine wrote; false where a snapshot is needed first. Older ones are ignored.
@@ -97,17 +151,18 @@
                     self.version = *version;
                     self.servers = servers.iter().map(|s| (s.instance.clone(), s.clone())).collect();
                     self.deltas.clear();
-                    self.delta_entries = 0;
+                    self.delta_cost = 0;
                 }
                 true
             }
-            ServerTableUpdate::Delta { from, version, changed, removed } => {
+            ServerTableUpdate::Delta { from, version, versions, changed, removed } => {
                 if *version <= self.version {
                     return true;
                 }
-                if *from != self.version {
+                if *from != self.version || !self.has_all(versions) {
                     return false;
                 }
+                self.change_versions(versions);
                 for instance in removed {
                     self.servers.remove(instance);
                 }
@@ -121,6 +176,30 @@
         }
     }
 
+    /// Whether the servers and models of all changes are in the table.
+    fn has_all(&self, changes: &[ModelVersionChange]) -> bool {
+        let mut changes = changes.iter().peekable();
+        for (index, server) in self.servers.values().enumerate() {
+            while let Some(change) = changes.next_if(|change| change.server == place(index)) {
+                if change.model >= place(server.models.len()) {
+                    return false;
+                }
+            }
+        }
+        changes.peek().is_none()
+    }
+
+    fn change_versions(&mut self, changes: &[ModelVersionChange]) {
+        let mut changes = changes.iter().peekable();
+        for (index, server) in self.servers.values_mut().enumerate() {
+            while let Some(change) = changes.next_if(|change| change.server == place(index)) {
+                if let Some((_, version)) = server.models.get_mut(change.model as usize) {
+                    *version = change.version;
+                }
+            }
+        }
+    }
+
     /// The whole table as an update.
     pub fn snapshot(&self) -> ServerTableUpdate {
         ServerTableUpdate::Snapshot {
--- a/crates/protocol/tests/golden_messages.rs
+++ b/crates/protocol/tests/golden_messages.rs
@@ -11,8 +11,9 @@
 use orchidvalve_protocol::identity::{MemberId, NodeAddress};
 use orchidvalve_protocol::messages::{
     AssignedGroup, AssignedItem, AssignedJob, ControlMessage, FeedPosition, GatewayList, GatewayMessage,
-    Handshake, ItemFailures, ItemOutcome, ItemState, LinkProtocol, PROTOCOL_VERSION, Role, ScorerRequest,
-    ServerEntry, ServerTableUpdate, SessionMessage, StoreHealth, StoreMessage, StoreResponse, TableVersion,
+    Handshake, ItemFailures, ItemOutcome, ItemState, LinkProtocol, ModelVersionChange, PROTOCOL_VERSION,
+    Role, ScorerRequest, ServerEntry, ServerTableUpdate, SessionMessage, StoreHealth, StoreMessage,
+    StoreResponse, TableVersion,
 };
 use orchidvalve_protocol::rendezvous::{hash, mix, rank};
 
@@ -198,6 +199,7 @@
     let difference = ServerTableUpdate::Delta {
         from: TableVersion { term: 5, number: 999 },
         version: servers_version(),
+        versions: vec![ModelVersionChange { server: 2, model: 1, version: 300 }],
         changed: vec![server(3)],
         removed: vec!["i-4".to_owned(), "i-5".to_owned()],
     };
--- a/crates/protocol/tests/messages/strategies.rs
+++ b/crates/protocol/tests/messages/strategies.rs
@@ -3,8 +3,8 @@
 use orchidvalve_protocol::identity::MemberId;
 use orchidvalve_protocol::messages::{
     AssignedGroup, AssignedItem, AssignedJob, ControlMessage, FeedPosition, GatewayList, GatewayMessage,
-    Handshake, ItemFailures, ItemOutcome, ItemState, Role, ScorerRequest, ServerEntry, ServerTableUpdate,
-    SessionMessage, StoreHealth, StoreMessage, StoreResponse, TableVersion,
+    Handshake, ItemFailures, ItemOutcome, ItemState, ModelVersionChange, Role, ScorerRequest, ServerEntry,
+    ServerTableUpdate, SessionMessage, StoreHealth, StoreMessage, StoreResponse, TableVersion,
 };
 
 use crate::{generate_enum, generate_struct};
@@ -33,9 +33,10 @@
 });
 generate_struct!(GatewayList { version, gateways });
 generate_struct!(ServerEntry { instance, service, address, zone, slots, draining, models });
+generate_struct!(ModelVersionChange { server, model, version });
 generate_enum!(ServerTableUpdate {
     Snapshot { version, servers },
-    Delta { from, version, changed, removed },
+    Delta { from, version, versions, changed, removed },
 });
 generate_struct!(ScorerRequest { id, hostname, path, body });
 generate_struct!(AssignedItem { id, path, headers, body, token_usage, scorer });
--- a/crates/protocol/tests/server_table.rs
+++ b/crates/protocol/tests/server_table.rs
@@ -2,8 +2,9 @@
 
 use std::net::Ipv4Addr;
 
+use orchidvalve_protocol::frames::encode;
 use orchidvalve_protocol::identity::NodeAddress;
-use orchidvalve_protocol::messages::{ServerEntry, ServerTableUpdate, TableVersion};
+use orchidvalve_protocol::messages::{ModelVersionChange, ServerEntry, ServerTableUpdate, TableVersion};
 use orchidvalve_protocol::server_table::ServerTable;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
@@ -64,6 +65,99 @@
     assert_eq!(subscriber.version(), leader.version());
 }
 
+/// An entry that holds two models.
+fn entry_with(number: u8, versions: [u64; 2]) -> ServerEntry {
+    let models = vec![("large".to_owned(), versions[0]), ("small".to_owned(), versions[1])];
+    ServerEntry { models, ..entry(number, 4) }
+}
+
+fn tables_with(servers: Vec<ServerEntry>) -> (ServerTable, ServerTable) {
+    let mut leader = ServerTable::default();
+    let mut subscriber = ServerTable::default();
+    leader.replace(2, servers);
+    assert!(subscriber.apply(&leader.snapshot()));
+    (leader, subscriber)
+}
+
+#[test]
+fn other_versions_of_weights_are_sent_without_the_rest_of_their_entries() {
+    let servers = |version| (1..=200).map(|number| entry_with(number, [version, 1])).collect::<Vec<_>>();
+    let (mut leader, mut subscriber) = tables_with(servers(999));
+    let update = leader.replace(2, servers(1_000)).expect("an update");
+    let ServerTableUpdate::Delta { versions, changed, .. } = &update else { panic!("{update:?}") };
+    assert_eq!((versions.len(), changed.len()), (200, 0));
+    let bytes = encode(&update).len();
+    assert!(bytes < 200 * 8, "{bytes} bytes");
+    assert!(subscriber.apply(&update));
+    assert_eq!(entries(&subscriber), entries(&leader));
+}
+
+#[test]
+fn a_delta_may_change_versions_add_change_and_remove_servers_at_once() {
+    let before = vec![entry_with(1, [1, 1]), entry_with(2, [1, 1]), entry_with(3, [1, 1]), entry(4, 4)];
+    let after =
+        vec![entry_with(2, [2, 7]), entry_with(3, [1, 9]), entry_with(4, [1, 1]), entry_with(5, [1, 1])];
+    let (mut leader, mut subscriber) = tables_with(before);
+    let update = leader.replace(2, after).expect("an update");
+    let change = |server, model, version| ModelVersionChange { server, model, version };
+    let ServerTableUpdate::Delta { versions, changed, removed, .. } = &update else { panic!("{update:?}") };
+    assert_eq!(versions, &[change(1, 0, 2), change(1, 1, 7), change(2, 1, 9)]);
+    assert_eq!(changed, &[entry_with(4, [1, 1]), entry_with(5, [1, 1])]);
+    assert_eq!(removed, &["i-1"]);
+    assert!(subscriber.apply(&update));
+    assert_eq!(entries(&subscriber), entries(&leader));
+}
+
+#[rstest]
+#[case::no_such_server(&[(0, 0), (2, 0)])]
+#[case::no_such_model(&[(0, 0), (1, 2)])]
+#[case::out_of_order(&[(1, 0), (0, 0)])]
+fn versions_that_do_not_fit_the_table_change_nothing(#[case] places: &[(u32, u32)]) {
+    let (_, mut subscriber) = tables_with(vec![entry_with(1, [1, 1]), entry_with(2, [1, 1])]);
+    let change =
+        |(server, model): &(u32, u32)| ModelVersionChange { server: *server, model: *model, version: 2 };
+    let update = ServerTableUpdate::Delta {
+        from: version(2, 1),
+        version: version(2, 2),
+        versions: places.iter().map(change).collect(),
+        changed: Vec::new(),
+        removed: Vec::new(),
+    };
+    assert!(!subscriber.apply(&update));
+    assert_eq!(subscriber.version(), version(2, 1));
+    assert_eq!(entries(&subscriber), [entry_with(1, [1, 1]), entry_with(2, [1, 1])]);
+}
+
+/// Whichever of the updates a subscriber gets, it has the leader's table once it has the leader's version.
+#[rstest]
+#[case(1)]
+#[case(2)]
+#[case(3)]
+fn deltas_and_snapshots_give_the_same_table_in_any_interleaving(#[case] seed: u64) {
+    let mut random = Pcg64Mcg::seed_from_u64(seed);
+    let mut leader = ServerTable::default();
+    let mut subscriber = ServerTable::default();
+    for _ in 0..2_000 {
+        let numbers: Vec<u8> = (1..9).filter(|_| random.random_bool(0.8)).collect();
+        let mut versions = || [random.random_range(1..3), random.random_range(1..3)];
+        let list = numbers.into_iter().map(|number| entry_with(number, versions())).collect();
+        let update = leader.replace(1, list);
+        if let Some(update) = update
+            && random.random_bool(0.7)
+        {
+            subscriber.apply(&update);
+        }
+        if random.random_bool(0.1) {
+            for update in leader.updates_since(subscriber.version()) {
+                assert!(subscriber.apply(&update));
+            }
+        }
+        if subscriber.version() == leader.version() {
+            assert_eq!(entries(&subscriber), entries(&leader));
+        }
+    }
+}
+
 #[test]
 fn a_gap_is_reported_and_changes_nothing() {
     let mut leader = ServerTable::default();
