--- a/crates/control-plane/src/process/operator_connections/tests.rs
+++ b/crates/control-plane/src/process/operator_connections/tests.rs
@@ -68,7 +68,7 @@
 }
 
 #[test]
-fn a_request_of_which_nothing_more_comes_is_given_up_and_holds_up_no_end() {
+fn a_stalled_request_times_out_and_does_not_delay_a_shutdown() {
     let mut fixture = Fixture::new();
     fixture.send(HEAD);
     assert!(fixture.operators.has_open_requests(&fixture.network));
--- a/crates/control-plane/src/sessions.rs
+++ b/crates/control-plane/src/sessions.rs
@@ -211,9 +211,9 @@
     }
 }
 
-/// Adds a report in its place: the session that was opened last first, of two opened at one time the local one.
+/// Inserts a report in order: the session that was opened last first, of two opened at one time the local one.
 fn insert(reports: &mut Vec<SessionReport>, report: SessionReport) {
-    let place = |report: &SessionReport| (Reverse(report.opened_at), !report.is_open_here());
-    let index = reports.partition_point(|known| place(known) < place(&report));
+    let sort_key = |report: &SessionReport| (Reverse(report.opened_at), !report.is_open_here());
+    let index = reports.partition_point(|known| sort_key(known) < sort_key(&report));
     reports.insert(index, report);
 }
--- a/crates/control-plane/src/singleton_roles/list_polling.rs
+++ b/crates/control-plane/src/singleton_roles/list_polling.rs
@@ -21,8 +21,9 @@
 
 /// A page that is requested once more after a pause.
 #[derive(Debug)]
-struct PageRetry {
-    token: Option<String>,
+pub(super) struct PageRetry {
+    /// Token of the page; none for the first page.
+    pub token: Option<String>,
     due_at: Milliseconds,
 }
 
@@ -78,9 +79,9 @@
         }
     }
 
-    /// Token of the page that has to be requested once more now, if any.
-    pub(super) fn take_due_retry(&mut self, now: Milliseconds) -> Option<Option<String>> {
-        self.retry.take_if(|retry| retry.due_at <= now).map(|retry| retry.token)
+    /// The page that has to be requested once more now, if any.
+    pub(super) fn take_due_retry(&mut self, now: Milliseconds) -> Option<PageRetry> {
+        self.retry.take_if(|retry| retry.due_at <= now)
     }
 
     /// Begins a reading.
--- a/crates/control-plane/src/singleton_roles/mod.rs
+++ b/crates/control-plane/src/singleton_roles/mod.rs
@@ -193,8 +193,8 @@
         if self.list.is_due(now) {
             self.list.start_read();
             self.request_page(network, now, None);
-        } else if let Some(token) = self.list.take_due_retry(now) {
-            self.request_page(network, now, token.as_deref());
+        } else if let Some(retry) = self.list.take_due_retry(now) {
+            self.request_page(network, now, retry.token.as_deref());
         }
     }
 
--- a/crates/control-plane/src/subscribers.rs
+++ b/crates/control-plane/src/subscribers.rs
@@ -116,7 +116,7 @@
         subscriber.last_received_at = now;
         send(network, connection, &ControlMessage::Heartbeat);
         let before = std::mem::replace(&mut subscriber.session.health, health);
-        is_news(before, health).then(|| subscriber.session.clone())
+        is_significant_change(before, health).then(|| subscriber.session.clone())
     }
 
     /// Whether a session is open on this connection.
@@ -255,7 +255,7 @@
 
 /// Whether others have to be told of a process's health: a store that writes uses a few bytes more with each heartbeat,
 /// which says nothing to them.
-fn is_news(before: Option<StoreHealth>, after: Option<StoreHealth>) -> bool {
+fn is_significant_change(before: Option<StoreHealth>, after: Option<StoreHealth>) -> bool {
     let (Some(before), Some(after)) = (before, after) else { return before != after };
     let share = |health: &StoreHealth| health.used_bytes * USED_SHARES / health.capacity_bytes.max(1);
     let rounded = |health: &StoreHealth| StoreHealth { used_bytes: share(health), ..*health };
--- a/crates/frontnode/src/clients/tests.rs
+++ b/crates/frontnode/src/clients/tests.rs
@@ -90,7 +90,7 @@
 }
 
 #[test]
-fn a_request_that_was_read_while_newcomers_came_is_not_lost_where_they_come_first_again() {
+fn a_client_with_an_unseen_request_is_not_evicted_for_newcomers_in_later_rounds() {
     let mut fixture = Fixture::new(1);
     let mut usual = fixture.connect();
     fixture.wait_for(EventSource::Listener);
--- a/crates/protocol/src/messages/server_list.rs
+++ b/crates/protocol/src/messages/server_list.rs
@@ -38,9 +38,9 @@
 #[derive(Clone, Copy, PartialEq, Eq, Debug, Encode, Decode)]
 #[musli(packed)]
 pub struct ModelVersionChange {
-    /// The server, by its place in the order of instance ids.
+    /// Index of the server in the order of instance ids.
     pub server: u32,
-    /// The model, by its place in the server's entry.
+    /// Index of the model in the server's entry.
     pub model: u32,
     /// The version of its weights from now on.
     pub version: u64,
@@ -66,7 +66,7 @@
         changed: Vec<ServerEntry>,
         /// Instances that are gone.
         removed: Vec<String>,
-        /// Servers at which nothing but versions of weights differ. Their places are those in the table that the
+        /// Servers at which nothing but versions of weights differ. Their indices are those in the table that the
         /// difference applies to, in ascending order.
         versions: Vec<ModelVersionChange>,
     },
--- a/crates/protocol/src/server_table.rs
+++ b/crates/protocol/src/server_table.rs
@@ -52,12 +52,12 @@
         && has_same_models()
 }
 
-/// A place in a list as messages carry it. No list has four billion entries.
-fn place(index: usize) -> u32 {
+/// An index as messages carry it. No list has four billion entries.
+fn wire_index(index: usize) -> u32 {
     u32::try_from(index).unwrap_or(u32::MAX)
 }
 
-/// The changes that lead from one entry of the server at place `server` to another.
+/// The changes that lead from one entry of the server with index `server` to another.
 fn version_changes(
     server: usize,
     before: &ServerEntry,
@@ -65,7 +65,7 @@
 ) -> impl Iterator<Item = ModelVersionChange> {
     let pairs = before.models.iter().zip(&after.models).enumerate();
     pairs.filter(|(_, ((_, before), (_, after)))| before != after).map(move |(model, (_, (_, version)))| {
-        ModelVersionChange { server: place(server), model: place(model), version: *version }
+        ModelVersionChange { server: wire_index(server), model: wire_index(model), version: *version }
     })
 }
 
@@ -180,8 +180,8 @@
     fn has_all(&self, changes: &[ModelVersionChange]) -> bool {
         let mut changes = changes.iter().peekable();
         for (index, server) in self.servers.values().enumerate() {
-            while let Some(change) = changes.next_if(|change| change.server == place(index)) {
-                if change.model >= place(server.models.len()) {
+            while let Some(change) = changes.next_if(|change| change.server == wire_index(index)) {
+                if change.model >= wire_index(server.models.len()) {
                     return false;
                 }
             }
@@ -192,7 +192,7 @@
     fn change_versions(&mut self, changes: &[ModelVersionChange]) {
         let mut changes = changes.iter().peekable();
         for (index, server) in self.servers.values_mut().enumerate() {
-            while let Some(change) = changes.next_if(|change| change.server == place(index)) {
+            while let Some(change) = changes.next_if(|change| change.server == wire_index(index)) {
                 if let Some((_, version)) = server.models.get_mut(change.model as usize) {
                     *version = change.version;
                 }
