Configuration: tenants with their API keys, public routes, bounds of scaling

The document's tenants are read and checked (names, types, no shared key; errors name the path, never the key) and compiled into the immutable route table, so that routes and keys change at once.

--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -7,8 +7,10 @@
 pub mod reader;
 pub mod route_table;
 mod table_builder;
+mod tenant_table;
 
-pub use route_table::{Route, RouteTable, RouteType};
+pub use route_table::{Route, RouteTable, RouteType, Scaling};
+pub use tenant_table::{Tenant, TenantTable};
 
 use std::sync::Arc;
 
@@ -77,6 +79,26 @@
         /// Path of the time-out.
         path: String,
     },
+    /// Two tenants share an API key, which isn't named here: it is a secret.
+    #[display("{path}: the same key stands at {other} already; give each tenant keys of its own")]
+    #[from(skip)]
+    SharedKey {
+        /// Path of the later key.
+        path: String,
+        /// Path of the earlier one.
+        other: String,
+    },
+    /// The fewest servers of a service are more than the most.
+    #[display("{path}: min-count {min} is above max-count {max}; exchange or change them")]
+    #[from(skip)]
+    ScalingBounds {
+        /// Path of the service's scaling.
+        path: String,
+        /// Fewest servers in a zone.
+        min: u32,
+        /// Most servers in a zone.
+        max: u32,
+    },
     /// The version does not rise.
     #[display("config-version: {sent} is not above the current version {current}; send a higher one")]
     #[from(skip)]
--- a/crates/configuration/src/route_table.rs
+++ b/crates/configuration/src/route_table.rs
@@ -7,6 +7,7 @@
 use compact_str::CompactString;
 
 use super::Configuration;
+use super::tenant_table::TenantTable;
 
 /// What may be done with the requests of a route.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, Hash)]
@@ -54,6 +55,8 @@
     pub single_version: bool,
     /// Requests share prefixes of their prompts, so that affinity to a server pays.
     pub sticky: bool,
+    /// Requests need no API key, also where the configuration has tenants.
+    pub public: bool,
 }
 
 impl Route {
@@ -145,6 +148,19 @@
     pub max_connections: Option<u32>,
     /// What is known of the language models that the servers run, if they do.
     pub engine: Option<Engine>,
+    /// Bounds of the number of servers, where the system orders how many there are.
+    pub scaling: Option<Scaling>,
+}
+
+/// Bounds of the number of servers of a service in each zone.
+#[derive(Clone, Debug, PartialEq)]
+pub struct Scaling {
+    /// Fewest servers in a zone.
+    pub min_count: u32,
+    /// Most servers in a zone.
+    pub max_count: u32,
+    /// Time until a new server serves, in seconds.
+    pub boot_s: f64,
 }
 
 /// Facts of the servers that run language models.
@@ -192,6 +208,7 @@
     services: Vec<Service>,
     limits: Limits,
     hosts: HashMap<CompactString, HostRoutes>,
+    tenants: Option<TenantTable>,
 }
 
 /// Routes of one host by path prefix.
@@ -213,6 +230,7 @@
         routes: Vec<Route>,
         services: Vec<Service>,
         limits: Limits,
+        tenants: Option<TenantTable>,
     ) -> RouteTable {
         let mut hosts: HashMap<CompactString, HostRoutes> = HashMap::new();
         for route in &routes {
@@ -221,7 +239,7 @@
             host.most_slashes = host.most_slashes.max(slashes);
             host.by_prefix.insert(route.path_prefix.clone(), route.index);
         }
-        RouteTable { version, routes, services, limits, hosts }
+        RouteTable { version, routes, services, limits, hosts, tenants }
     }
 
     /// Version of the configuration that the table was compiled from.
@@ -244,6 +262,11 @@
         &self.limits
     }
 
+    /// The tenants, whose keys requests have to carry; None where the configuration has none, and nobody needs a key.
+    pub fn tenants(&self) -> Option<&TenantTable> {
+        self.tenants.as_ref()
+    }
+
     /// Index of a service by name.
     pub fn service_index(&self, name: &str) -> Option<usize> {
         self.services.iter().position(|service| service.name == name)
--- a/crates/configuration/src/table_builder.rs
+++ b/crates/configuration/src/table_builder.rs
@@ -6,8 +6,10 @@
 use serde_json::Value;
 
 use super::route_table::{
-    Engine, Limits, Route, RouteTable, RouteType, Service, ServiceWeight, TrafficSplit, normalize_host,
+    Engine, Limits, Route, RouteTable, RouteType, Scaling, Service, ServiceWeight, TrafficSplit,
+    normalize_host,
 };
+use super::tenant_table::{Tenant, TenantTable};
 use super::{ConfigurationError, VERSION_FIELD};
 use crate::reader::{ReadError, ValueReader};
 
@@ -22,14 +24,15 @@
 ///
 /// # Errors
 ///
-/// The first error in the order of the document's fields: version, services, routes, limits.
+/// The first error in the order of the document's fields: version, services, routes, limits, tenants.
 pub fn build(document: &Value) -> Result<RouteTable, ConfigurationError> {
     let root = ValueReader::root(document);
     let version = root.field(VERSION_FIELD)?.unsigned()?;
     let services = read_services(&root)?;
     let routes = read_routes(&root, &services)?;
     let limits = read_limits(&root)?;
-    Ok(RouteTable::new(version, routes, services, limits))
+    let tenants = read_tenants(&root)?;
+    Ok(RouteTable::new(version, routes, services, limits, tenants))
 }
 
 fn read_services(root: &ValueReader<'_, '_>) -> Result<Vec<Service>, ConfigurationError> {
@@ -47,6 +50,7 @@
             health_path: CompactString::from(health_path.unwrap_or(DEFAULT_HEALTH_PATH)),
             max_connections,
             engine,
+            scaling: read_scaling(&entry)?,
         });
     }
     Ok(services)
@@ -68,6 +72,58 @@
     })
 }
 
+fn read_scaling(entry: &ValueReader<'_, '_>) -> Result<Option<Scaling>, ConfigurationError> {
+    let Some(scaling) = entry.optional("scaling")? else { return Ok(None) };
+    let min_count = scaling.field("min-count")?.unsigned_32()?;
+    let max_count = scaling.field("max-count")?.unsigned_32()?;
+    if min_count > max_count {
+        return Err(ConfigurationError::ScalingBounds {
+            path: scaling.path(),
+            min: min_count,
+            max: max_count,
+        });
+    }
+    let boot_s = scaling.optional("boot-s")?.map(|boot| boot.number()).transpose()?;
+    Ok(Some(Scaling { min_count, max_count, boot_s: boot_s.unwrap_or(0.0) }))
+}
+
+/// The tenants; None where the document has no list of them.
+fn read_tenants(root: &ValueReader<'_, '_>) -> Result<Option<TenantTable>, ConfigurationError> {
+    let Some(list) = root.optional("tenants")? else { return Ok(None) };
+    let mut names = HashSet::new();
+    let mut tenants = Vec::new();
+    let mut by_key = HashMap::new();
+    let mut paths: HashMap<&str, String> = HashMap::new();
+    for entry in list.items()? {
+        let name = read_name(&entry, &mut names)?;
+        check_header_value(&entry.field("name")?)?;
+        let priority = entry.optional("priority")?.map(|rank| rank.unsigned_32()).transpose()?;
+        if let Some(keys) = entry.optional("api-keys")? {
+            for key in keys.items()? {
+                let text = key.non_empty_text()?;
+                // A key that a tenant has twice is no conflict.
+                let holder = by_key.insert(CompactString::from(text), tenants.len());
+                if holder.is_some_and(|holder| holder != tenants.len()) {
+                    let other = paths.remove(text).unwrap_or_default();
+                    return Err(ConfigurationError::SharedKey { path: key.path(), other });
+                }
+                paths.entry(text).or_insert_with(|| key.path());
+            }
+        }
+        tenants.push(Tenant { name, priority });
+    }
+    Ok(Some(TenantTable::new(tenants, by_key)))
+}
+
+/// Names of tenants are sent as values of a header (RFC 9110, section 5.5).
+fn check_header_value(name: &ValueReader<'_, '_>) -> Result<(), ReadError> {
+    let is_visible = |byte: u8| (0x20..=0x7e).contains(&byte);
+    if name.text()?.bytes().all(is_visible) {
+        return Ok(());
+    }
+    Err(name.error("must hold visible ASCII characters and spaces only: servers are told it in a header"))
+}
+
 fn read_routes(root: &ValueReader<'_, '_>, services: &[Service]) -> Result<Vec<Route>, ConfigurationError> {
     let list = root.field("routes")?;
     let indices =
@@ -114,6 +170,7 @@
         resumable: optional_flag(entry, "resumable")?,
         single_version: optional_flag(entry, "single-version")?,
         sticky: optional_flag(entry, "sticky")?,
+        public: optional_flag(entry, "public")?,
     })
 }
 
--- a/crates/configuration/tests/golden_configuration.rs
+++ b/crates/configuration/tests/golden_configuration.rs
@@ -171,6 +171,11 @@
         }
         ConfigurationError::TooLong { .. } => (9, ""),
         ConfigurationError::NothingToChange => (10, ""),
+        ConfigurationError::SharedKey { path, other } => {
+            trace.add(other.as_bytes());
+            (11, path.as_str())
+        }
+        ConfigurationError::ScalingBounds { path, .. } => (12, path.as_str()),
     };
     trace.add_number(number);
     trace.add_number(u64::from(error.status()));
--- a/crates/ctl/src/check.rs
+++ b/crates/ctl/src/check.rs
@@ -54,7 +54,9 @@
         ConfigurationError::UnknownService { path, .. }
         | ConfigurationError::DuplicateName { path, .. }
         | ConfigurationError::ZeroWeights { path }
-        | ConfigurationError::ZeroTimeout { path } => Some(path.clone()),
+        | ConfigurationError::ZeroTimeout { path }
+        | ConfigurationError::SharedKey { path, .. } => Some(path.clone()),
+        ConfigurationError::ScalingBounds { path, .. } => Some(format!("{path}.min-count")),
         ConfigurationError::DuplicateRoute { path, .. } => Some(format!("{path}.path-prefix")),
         ConfigurationError::VersionNotAbove { .. } => Some("config-version".to_owned()),
         ConfigurationError::NotJson { .. }
