--- a/crates/settings/src/lib.rs
+++ b/crates/settings/src/lib.rs
@@ -141,6 +141,16 @@
     pub lease_ms: u64,
     /// `bounds.thaw-slack-ms`, in milliseconds; steers no process.
     pub thaw_slack_ms: u64,
+    /// `bounds.strict-revocation`, a flag; steers no process.
+    pub strict_revocation: bool,
+    /// `bounds.revoke-ms`, in milliseconds; steers no process.
+    pub revoke_ms: u64,
+    /// Length of the windows of usage reports, in seconds; above 0.
+    pub usage_window_s: f64,
+    /// `bounds.usage-tolerance`, a fraction; steers no process.
+    pub usage_tolerance: f64,
+    /// Time after the end of a window by which its usage has to be reported, in seconds.
+    pub usage_late_s: f64,
 }
 
 /// Access to the platform's interface, which lists the servers.
@@ -154,6 +164,8 @@
     pub duties: Vec<String>,
     /// How long it may take until a change shows in its answers, in milliseconds.
     pub lag_ms: u64,
+    /// Calls of singleton duties a second that all processes together may make.
+    pub duty_per_s: f64,
 }
 
 /// Ports from the first to the last one.
@@ -322,6 +334,11 @@
         fencing_enforced: lines.or("bounds.fencing-enforced", "true or false", false)?,
         lease_ms: lines.milliseconds("bounds.lease-ms", 3_000)?,
         thaw_slack_ms: lines.milliseconds("bounds.thaw-slack-ms", 300)?,
+        strict_revocation: lines.or("bounds.strict-revocation", "true or false", false)?,
+        revoke_ms: lines.milliseconds("bounds.revoke-ms", 5_000)?,
+        usage_window_s: lines.positive("bounds.usage-window-s", 5.0)?,
+        usage_tolerance: lines.or("bounds.usage-tolerance", number, 0.05)?,
+        usage_late_s: lines.or("bounds.usage-late-s", number, 10.0)?,
     })
 }
 
@@ -331,5 +348,6 @@
         rate_per_s: lines.or("cloud-api.rate-per-s", "a number", 10.0)?,
         duties: lines.list("cloud-api.duties", "names")?,
         lag_ms: lines.milliseconds("cloud-api.lag-ms", 1_000)?,
+        duty_per_s: lines.positive("cloud-api.duty-per-s", 10.0)?,
     })
 }
--- a/crates/settings/src/lines.rs
+++ b/crates/settings/src/lines.rs
@@ -62,6 +62,14 @@
         number.map(|n| n.round() as u64).ok_or_else(|| self.malformed(key, *value, EXPECTED))
     }
 
+    /// A number above 0, or `default` where the key is missing.
+    pub(super) fn positive(&self, key: &str, default: f64) -> Result<f64, SettingsError> {
+        const EXPECTED: &str = "a number above 0";
+        let Some(value) = self.values.get(key) else { return Ok(default) };
+        let number: Option<f64> = value.text.parse().ok().filter(|n: &f64| n.is_finite() && *n > 0.0);
+        number.ok_or_else(|| self.malformed(key, *value, EXPECTED))
+    }
+
     /// A value that has to be there.
     pub(super) fn required<T: FromStr>(
         &self,
--- a/crates/settings/tests/golden_settings.rs
+++ b/crates/settings/tests/golden_settings.rs
@@ -61,10 +61,16 @@
 bounds.fencing-enforced=true
 bounds.lease-ms=3004
 bounds.thaw-slack-ms=301
+bounds.strict-revocation=true
+bounds.revoke-ms=5001
+bounds.usage-window-s=5.5
+bounds.usage-tolerance=0.06
+bounds.usage-late-s=10.25
 cloud-api.address=10.9.9.9:9000
 cloud-api.rate-per-s=12.5
 cloud-api.duties=list,tell
 cloud-api.lag-ms=1002
+cloud-api.duty-per-s=2.5
 unknown.key=is skipped
 ";
 
@@ -147,10 +153,16 @@
     add("bounds.fencing-enforced", flag(bounds.fencing_enforced));
     add("bounds.lease-ms", whole(bounds.lease_ms));
     add("bounds.thaw-slack-ms", whole(bounds.thaw_slack_ms));
+    add("bounds.strict-revocation", flag(bounds.strict_revocation));
+    add("bounds.revoke-ms", whole(bounds.revoke_ms));
+    add("bounds.usage-window-s", float(bounds.usage_window_s));
+    add("bounds.usage-tolerance", float(bounds.usage_tolerance));
+    add("bounds.usage-late-s", float(bounds.usage_late_s));
     add("cloud-api.address", address(settings.cloud_api.address));
     add("cloud-api.rate-per-s", float(settings.cloud_api.rate_per_s));
     add("cloud-api.duties", list(&settings.cloud_api.duties));
     add("cloud-api.lag-ms", whole(settings.cloud_api.lag_ms));
+    add("cloud-api.duty-per-s", float(settings.cloud_api.duty_per_s));
     samples
 }
 
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -142,6 +142,11 @@
         fencing_enforced: false,
         lease_ms: 3000,
         thaw_slack_ms: 300,
+        strict_revocation: false,
+        revoke_ms: 5_000,
+        usage_window_s: 5.0,
+        usage_tolerance: 0.05,
+        usage_late_s: 10.0,
     };
     assert_eq!(parse(EXAMPLE).unwrap().bounds, expected);
 }
