--- a/crates/batch-store/src/dispatch.rs
+++ b/crates/batch-store/src/dispatch.rs
@@ -228,6 +228,7 @@
         model: active.job().model.clone(),
         min_weights_version: active.job().min_weights_version,
         age_ms: now.wall_ms.saturating_sub(state.times.accepted_at_ms),
+        tenant: active.job().tenant.clone(),
     };
     let failures = known_failures(active, groups);
     let groups = groups.iter().map(|&index| work_group(active, index)).collect();
--- a/crates/batch-store/src/store.rs
+++ b/crates/batch-store/src/store.rs
@@ -227,15 +227,15 @@
                 let submission = JobSubmission { partition, id: &id, job: &job, received_at_ms };
                 self.submit(Caller { link, call }, &submission, now, outputs);
             }
-            GatewayMessage::ReadResults { request_id: call, partition, id, after, wait_ms } => {
+            GatewayMessage::ReadResults { request_id: call, partition, id, after, wait_ms, .. } => {
                 let query = Query::Read { after, deadline_ms: now.monotonic_ms + u64::from(wait_ms) };
                 self.query(Caller { link, call }, partition, &id, query, now, outputs);
             }
-            GatewayMessage::ReadItemBody { request_id: call, partition, id, item } => {
+            GatewayMessage::ReadItemBody { request_id: call, partition, id, item, .. } => {
                 let query = Query::Body { item: CompactString::from(item) };
                 self.query(Caller { link, call }, partition, &id, query, now, outputs);
             }
-            GatewayMessage::EndJob { request_id: call, partition, id } => {
+            GatewayMessage::EndJob { request_id: call, partition, id, .. } => {
                 self.end(Caller { link, call }, partition, &id, now, outputs);
             }
             GatewayMessage::ReportOutcomes { partition, job, outcomes } => {
--- a/crates/batch-store/tests/golden_disk.rs
+++ b/crates/batch-store/tests/golden_disk.rs
@@ -101,8 +101,14 @@
 
 fn read(world: &mut World, partition: u16, id: &str) -> StoreResponse {
     let call = world.next_call();
-    let read =
-        GatewayMessage::ReadResults { request_id: call, partition, id: id.to_owned(), after: 0, wait_ms: 0 };
+    let read = GatewayMessage::ReadResults {
+        request_id: call,
+        partition,
+        id: id.to_owned(),
+        after: 0,
+        wait_ms: 0,
+        tenant: None,
+    };
     world.send_to_store(GATEWAY, 0, read);
     world.run();
     world.answer(GATEWAY, call).cloned().expect("an answer")
@@ -147,7 +153,7 @@
     assert_eq!(read(&mut world, 2, "forgotten"), StoreResponse::NotFound);
     // What comes next goes behind it.
     let call = world.next_call();
-    let end = GatewayMessage::EndJob { request_id: call, partition: 2, id: "d".to_owned() };
+    let end = GatewayMessage::EndJob { request_id: call, partition: 2, id: "d".to_owned(), tenant: None };
     world.send_to_store(GATEWAY, 0, end);
     let written = world.stores[0].writes.last().map(|record| decode::<DiskRecord>(&record.payload));
     let payload = Rc::from(EntryRef::JobEnded { job: "d" }.encode());
--- a/crates/batch-store/tests/golden_inputs.rs
+++ b/crates/batch-store/tests/golden_inputs.rs
@@ -262,10 +262,10 @@
             }
             35..50 => {
                 let (after, wait_ms) = (self.random.random_range(0..6), self.random.random_range(0..1_500));
-                GatewayMessage::ReadResults { request_id: call, partition, id, after, wait_ms }
+                GatewayMessage::ReadResults { request_id: call, partition, id, after, wait_ms, tenant: None }
             }
-            50..57 => GatewayMessage::ReadItemBody { request_id: call, partition, id, item },
-            57..62 => GatewayMessage::EndJob { request_id: call, partition, id },
+            50..57 => GatewayMessage::ReadItemBody { request_id: call, partition, id, item, tenant: None },
+            57..62 => GatewayMessage::EndJob { request_id: call, partition, id, tenant: None },
             62..90 => {
                 let state =
                     if self.random.random_bool(0.9) { ItemState::Completed } else { ItemState::Expired };
@@ -423,6 +423,7 @@
                 StoreResponse::Results { .. } => 13,
                 StoreResponse::Body(_) => 14,
                 StoreResponse::Ended => 15,
+                StoreResponse::OtherTenant => panic!("no call carries a key"),
             },
         },
         Output::ToPeer { message, .. } => match message {
--- a/crates/batch-store/tests/support/mod.rs
+++ b/crates/batch-store/tests/support/mod.rs
@@ -55,7 +55,7 @@
         r#"{{"step":0,"model":"m","min-weights-version":1,"desired-count":{desired},"requests":[{}]}}"#,
         items.join(",")
     );
-    let origin = JobOrigin { id, hostname: "host", route_prefix: "/jobs" };
+    let origin = JobOrigin { id, hostname: "host", route_prefix: "/jobs", tenant: None };
     encode(&Job::parse(body.as_bytes(), &origin).unwrap())
 }
 
@@ -398,7 +398,14 @@
         self.send_to_store(
             gateway,
             index,
-            GatewayMessage::ReadResults { request_id: call, partition: 0, id: id.to_owned(), after, wait_ms },
+            GatewayMessage::ReadResults {
+                request_id: call,
+                partition: 0,
+                id: id.to_owned(),
+                after,
+                wait_ms,
+                tenant: None,
+            },
         );
         call
     }
@@ -408,7 +415,7 @@
         self.send_to_store(
             gateway,
             index,
-            GatewayMessage::EndJob { request_id: call, partition: 0, id: id.to_owned() },
+            GatewayMessage::EndJob { request_id: call, partition: 0, id: id.to_owned(), tenant: None },
         );
         call
     }
@@ -419,7 +426,7 @@
         self.send_to_store(
             gateway,
             index,
-            GatewayMessage::ReadItemBody { request_id: call, partition: 0, id, item },
+            GatewayMessage::ReadItemBody { request_id: call, partition: 0, id, item, tenant: None },
         );
         call
     }
--- a/crates/batch/src/job/builder.rs
+++ b/crates/batch/src/job/builder.rs
@@ -250,6 +250,7 @@
             id: origin.id.to_owned(),
             hostname: origin.hostname.to_owned(),
             route_prefix: origin.route_prefix.to_owned(),
+            tenant: origin.tenant.map(str::to_owned),
             step: document.step,
             model: document.model.as_ref().map(|model| model.as_str().to_owned()),
             // A trainer's first steps may allow versions before the first one: that allows all.
--- a/crates/batch/src/job/mod.rs
+++ b/crates/batch/src/job/mod.rs
@@ -47,6 +47,8 @@
     pub hostname: &'a str,
     /// `path-prefix` of the route that the request took.
     pub route_prefix: &'a str,
+    /// Tenant whose key the request carried; None where the configuration has no tenants.
+    pub tenant: Option<&'a str>,
 }
 
 /// A part of one of the buffers of a [`Job`], by position.
@@ -124,6 +126,9 @@
     headers: Vec<HeaderEntry>,
     scorers: Vec<ScorerEntry>,
     items: Vec<ItemEntry>,
+    /// Tenant that submitted it; None where the configuration had no tenants then.
+    #[musli(default)]
+    pub tenant: Option<String>,
 }
 
 /// One request of a batch job.
--- a/crates/batch/tests/golden_batch.rs
+++ b/crates/batch/tests/golden_batch.rs
@@ -19,7 +19,8 @@
 const SEEDS: u64 = 15;
 const DOCUMENTS: u32 = 40;
 const PAGES: u32 = 40;
-const ORIGIN: JobOrigin<'_> = JobOrigin { id: "job-7", hostname: "batch.example", route_prefix: "/batch/" };
+const ORIGIN: JobOrigin<'_> =
+    JobOrigin { id: "job-7", hostname: "batch.example", route_prefix: "/batch/", tenant: None };
 
 fn item(id: &str, group: &str, body: &[u8]) -> Value {
     json!({
--- a/crates/batch/tests/job.rs
+++ b/crates/batch/tests/job.rs
@@ -10,7 +10,7 @@
 use serde_json::{Value, json};
 
 const ORIGIN: JobOrigin<'_> =
-    JobOrigin { id: "7c41e09b52d6a3f8", hostname: "ficu95.example", route_prefix: "/pule252/" };
+    JobOrigin { id: "7c41e09b52d6a3f8", hostname: "ficu95.example", route_prefix: "/pule252/", tenant: None };
 
 fn item(id: &str, group: &str, body: &[u8]) -> Value {
     json!({
--- a/crates/control-plane/src/peer_messages.rs
+++ b/crates/control-plane/src/peer_messages.rs
@@ -3,7 +3,7 @@
 use musli::{Decode, Encode};
 use orchidvalve_chain_replication::Epoch;
 use orchidvalve_protocol::identity::MemberId;
-use orchidvalve_protocol::messages::{GatewayList, Handshake, ServerTableUpdate};
+use orchidvalve_protocol::messages::{GatewayList, Handshake, ServerTableUpdate, ServiceLoad, WindowUsage};
 
 use crate::sessions::Session;
 
@@ -59,6 +59,20 @@
     },
     /// The local sessions of the sender are those of its last [`PeerMessage::Sessions`].
     SessionsUnchanged,
+    /// Counts that a gateway has told the sender; for the head, which reports usage.
+    Usage {
+        /// Random number of the start of the gateway that counted.
+        incarnation: u64,
+        /// The counts since that start.
+        windows: Vec<WindowUsage>,
+    },
+    /// Work that a process has told the sender; for the head, which scales services.
+    Load {
+        /// Random number of the start of the process.
+        incarnation: u64,
+        /// Its work by service.
+        loads: Vec<ServiceLoad>,
+    },
 }
 
 /// A request that only the head can decide.
--- a/crates/control-plane/src/process/connections.rs
+++ b/crates/control-plane/src/process/connections.rs
@@ -237,6 +237,7 @@
             PeerMessage::LearnerCaughtUp { partition, epoch, member } => {
                 self.roles.learner_caught_up(partition, epoch, member);
             }
+            PeerMessage::Usage { .. } | PeerMessage::Load { .. } => {}
         }
     }
 
@@ -275,6 +276,7 @@
                 // Nobody waits for the outcome: gateways report it again with the next job.
                 self.submit_unattended(&Change::RecordModelUsage { model, usage });
             }
+            SessionMessage::ReportUsage { .. } | SessionMessage::ReportLoad { .. } => {}
             SessionMessage::Goodbye => return Disposition::Drop,
         }
         Disposition::Keep
--- a/crates/control-plane/src/process/mod.rs
+++ b/crates/control-plane/src/process/mod.rs
@@ -391,7 +391,7 @@
         let (network, table) = (&mut self.network, &mut self.servers);
         let update = self.roles.order_weights(network, state, confirmed_at, table, self.now);
         let update = update.or_else(|| self.roles.publish_if_due(table, self.now));
-        if self.roles.may_order(self.now, confirmed_at) {
+        if self.roles.may_act(self.now, confirmed_at) {
             self.node.persist_leadership();
         }
         self.broadcast_server_update(update);
--- a/crates/control-plane/src/role_lease.rs
+++ b/crates/control-plane/src/role_lease.rs
@@ -1,7 +1,7 @@
-//! The lease under which one node at a time orders servers to load weights (Gray and Cheriton 1989).
+//! The lease under which one node at a time acts in the singleton roles (Gray and Cheriton 1989).
 //!
-//! Orders carry the leadership term as fencing token. Servers may not check it, so a new leader waits until every
-//! order of the former one has certainly arrived.
+//! Orders to servers and calls of the platform carry the leadership term as fencing token. Whoever gets them may not
+//! check it, so a new leader waits until all that the former one sent has certainly arrived.
 
 use orchidvalve_chain_replication::{Epoch, Milliseconds};
 
@@ -10,17 +10,17 @@
 struct HeldLease {
     /// Epoch of the view in which this node is the head.
     epoch: Epoch,
-    /// Orders may be given from this time on.
+    /// Orders may be given and calls made from this time on.
     valid_from: u64,
 }
 
-/// Whether this node may give orders. Times are in milliseconds.
+/// Whether this node may act in the singleton roles. Times are in milliseconds.
 #[derive(Default, Debug)]
-pub struct OrderLease {
+pub struct RoleLease {
     held: Option<HeldLease>,
 }
 
-impl OrderLease {
+impl RoleLease {
     /// A view has begun in which this node is the head. `was_head` says that it was the head of the view just
     /// before, too, or that no view was before; else it waits for `wait_ms`.
     pub fn acquire(&mut self, now: Milliseconds, epoch: Epoch, was_head: bool, wait_ms: Milliseconds) {
@@ -37,7 +37,7 @@
         self.held = None;
     }
 
-    /// The epoch under which orders may be given now, if they may: `confirmed_at` is the last time at which a quorum
+    /// The epoch under which this node may act now, if it may: `confirmed_at` is the last time at which a quorum
     /// was in this node's view, and it has to be within `validity_ms`.
     pub fn valid_epoch(
         &self,
--- a/crates/control-plane/src/singleton_roles/mod.rs
+++ b/crates/control-plane/src/singleton_roles/mod.rs
@@ -4,6 +4,7 @@
 //! Another node has them as soon as it is the head, and every start of a head has a term of its own, higher than all
 //! before ([`crate::node::ControlNode::leadership_term`]): server tables and orders bear it.
 
+mod duty_calls;
 mod list_polling;
 mod order_sender;
 mod partition_placement;
@@ -23,6 +24,7 @@
 use crate::http_client::{
     CONNECT_TIMEOUT_MS, CompletedExchange, ConnectionUse, ExchangeTarget, HttpClient, NEW_USER_TIMEOUT_MS,
 };
+use crate::role_lease::RoleLease;
 use crate::weight_rollout::{LoadOrder, OrderOutcome};
 
 pub use self::partition_placement::{may_retire, registrations};
@@ -83,6 +85,7 @@
     options: SingletonRoleOptions,
     client: HttpClient<ExchangePurpose>,
     tenure: Tenure,
+    lease: RoleLease,
     list: ListPolling,
     rollout: Rollout,
     placement: PlacementRole,
@@ -120,6 +123,7 @@
             options,
             client: HttpClient::default(),
             tenure: Tenure::default(),
+            lease: RoleLease::default(),
             list: ListPolling::default(),
             rollout: Rollout::default(),
             placement: PlacementRole::default(),
@@ -132,6 +136,7 @@
         self.tenure.term = None;
         if !is_head {
             self.tenure = Tenure::default();
+            self.lease.release();
             self.rollout.stop();
             self.list.stop();
             self.placement.forget_losses();
@@ -140,7 +145,7 @@
         }
         // No confirmation of the former head is later than this view.
         let wait = self.options.lease_ms + ORDER_ARRIVAL_MS;
-        self.rollout.acquire_lease(now, epoch, was_head, wait);
+        self.lease.acquire(now, epoch, was_head, wait);
         if self.tenure.head_since.is_none() {
             self.tenure.head_since = Some(now);
             self.tenure.sessions_since = Some(now);
@@ -164,6 +169,16 @@
         self.tenure.term = term;
     }
 
+    /// Whether this node may give orders and call the platform now. `confirmed_at` is when a quorum was last in its view.
+    pub fn may_act(&self, now: Milliseconds, confirmed_at: Option<Milliseconds>) -> bool {
+        self.lease.valid_epoch(now, confirmed_at, ORDER_VALIDITY_MS).is_some()
+    }
+
+    /// The term under which this node may give orders and call the platform now, if it may.
+    fn fencing_token(&self, now: Milliseconds, confirmed_at: Option<Milliseconds>) -> Option<u64> {
+        self.tenure.term.filter(|_| self.may_act(now, confirmed_at))
+    }
+
     /// When something is due next by time.
     pub fn next_wakeup(&self) -> Milliseconds {
         if self.tenure.head_since.is_none() {
--- a/crates/control-plane/src/singleton_roles/order_sender.rs
+++ b/crates/control-plane/src/singleton_roles/order_sender.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use orchidvalve_chain_replication::{Epoch, Milliseconds};
+use orchidvalve_chain_replication::Milliseconds;
 use orchidvalve_control_state::{ControlState, ModelUsage};
 use orchidvalve_http::{write_head_end, write_header, write_number_header, write_request_line};
 use orchidvalve_net::Network;
@@ -12,9 +12,8 @@
 use orchidvalve_protocol::server_table::ServerTable;
 use serde_json::json;
 
-use super::{ExchangePurpose, ORDER_VALIDITY_MS, SingletonRoles};
+use super::{ExchangePurpose, SingletonRoles};
 use crate::http_client::{ConnectionUse, ExchangeTarget};
-use crate::order_lease::OrderLease;
 use crate::weight_rollout::{LoadOrder, OrderOutcome, RolloutPlanner};
 
 /// The outcome of an order without a response within this time is unknown, in milliseconds.
@@ -30,7 +29,6 @@
 #[derive(Default, Debug)]
 pub(super) struct Rollout {
     planner: RolloutPlanner,
-    lease: OrderLease,
     /// Usage of models as it was logged last.
     logged_models: BTreeMap<String, ModelUsage>,
 }
@@ -38,21 +36,9 @@
 impl Rollout {
     /// Another node is the head.
     pub(super) fn stop(&mut self) {
-        self.lease.release();
         self.planner.reset();
     }
 
-    /// This node is the head of a new view; see [`OrderLease::acquire`].
-    pub(super) fn acquire_lease(
-        &mut self,
-        now: Milliseconds,
-        epoch: Epoch,
-        was_head: bool,
-        wait_ms: Milliseconds,
-    ) {
-        self.lease.acquire(now, epoch, was_head, wait_ms);
-    }
-
     pub(super) fn next_wakeup(&self) -> Option<Milliseconds> {
         self.planner.next_wakeup()
     }
@@ -80,11 +66,6 @@
 }
 
 impl SingletonRoles {
-    /// Whether this node may give orders now. `confirmed_at` is when a quorum was last in its view.
-    pub fn may_order(&self, now: Milliseconds, confirmed_at: Option<Milliseconds>) -> bool {
-        self.rollout.lease.valid_epoch(now, confirmed_at, ORDER_VALIDITY_MS).is_some()
-    }
-
     /// Sends the orders and probes that are due. Returns the update of the server table that follows.
     pub fn order_weights(
         &mut self,
@@ -97,8 +78,7 @@
         self.send_probes(network, now);
         let mut is_changed = self.rollout.planner.finish_due_loads(now);
         self.rollout.set_usage(state.models());
-        let may_order = self.may_order(now, confirmed_at);
-        if let Some(fencing_token) = self.tenure.term.filter(|_| may_order) {
+        if let Some(fencing_token) = self.fencing_token(now, confirmed_at) {
             is_changed |= self.send_orders(network, state, fencing_token, now);
         }
         if is_changed { self.publish(table, now) } else { None }
--- a/crates/control-plane/tests/encodings/strategies.rs
+++ b/crates/control-plane/tests/encodings/strategies.rs
@@ -36,6 +36,8 @@
     Workers(list),
     LearnerCaughtUp { partition, epoch, member },
     SessionsUnchanged,
+    Usage { incarnation, windows },
+    Load { incarnation, loads },
 });
 generate_enum!(DiskRecord {
     Entry(entry),
--- a/crates/control-plane/tests/golden_duties.rs
+++ b/crates/control-plane/tests/golden_duties.rs
@@ -7,11 +7,11 @@
 
 use orchidvalve_control_plane::disk_hang::DiskHangDetector;
 use orchidvalve_control_plane::node::RetirementVerdict;
-use orchidvalve_control_plane::order_lease::OrderLease;
 use orchidvalve_control_plane::placement::{
     CaughtUp, LiveStore, PlacementInput, initial_placement, is_partition_lost, is_store_empty, plan,
 };
 use orchidvalve_control_plane::redirector::{Redirection, Redirector};
+use orchidvalve_control_plane::role_lease::RoleLease;
 use orchidvalve_control_plane::sessions::{Session, SessionTable};
 use orchidvalve_control_plane::singleton_roles::{
     SingletonRoleOptions, SingletonRoles, may_retire, registrations,
@@ -211,7 +211,7 @@
 
 /// Views with and without this machine as their head, confirmations that come late or not at all.
 fn hold(random: &mut Pcg64Mcg, trace: &mut Trace) {
-    let (mut lease, mut now, mut epoch, mut confirmed) = (OrderLease::default(), 1_000, 0, None);
+    let (mut lease, mut now, mut epoch, mut confirmed) = (RoleLease::default(), 1_000, 0, None);
     for _ in 0..300 {
         now += random.random_range(1..300);
         match random.random_range(0..10) {
@@ -337,7 +337,7 @@
         trace.add_number(u64::from(may_retire(&state, &sessions, &name, 1)));
         trace.add_number(u64::from(duties.knows_sessions(now)));
         trace.add_number(duties.next_wakeup());
-        trace.add_number(u64::from(duties.may_order(now, Some(now - 100))));
+        trace.add_number(u64::from(duties.may_act(now, Some(now - 100))));
     }
     trace.add(&encode(&state.snapshot()));
 }
--- a/crates/control-plane/tests/golden_samples.rs
+++ b/crates/control-plane/tests/golden_samples.rs
@@ -16,13 +16,13 @@
 use orchidvalve_control_plane::disk_records::DiskRecord;
 use orchidvalve_control_plane::peer_messages::{ForwardNumber, HeadRequest, PeerMessage, RequestOutcome};
 use orchidvalve_control_plane::sessions::Session;
-use orchidvalve_control_state::{Change, ControlState, ModelUsage, Placement};
+use orchidvalve_control_state::{Change, ControlState, ModelUsage, Placement, UsageReport};
 use orchidvalve_golden::{check_samples, read_samples};
 use orchidvalve_protocol::frames::{decode, encode};
 use orchidvalve_protocol::identity::{MemberId, NodeAddress};
 use orchidvalve_protocol::messages::{
     ControlMessage, FeedPosition, GatewayList, Handshake, ModelVersionChange, Role, ServerEntry,
-    ServerTableUpdate, SessionMessage, StoreHealth, TableVersion,
+    ServerTableUpdate, ServiceLoad, SessionMessage, StoreHealth, TableVersion, TenantRequests, WindowUsage,
 };
 
 fn file(name: &str) -> PathBuf {
@@ -182,6 +182,8 @@
             ("workers", PeerMessage::Workers(workers())),
             ("no-workers", PeerMessage::Workers(GatewayList::default())),
             ("learner-ready", PeerMessage::LearnerCaughtUp { partition: 7, epoch: 300, member: member(3) }),
+            ("usage", PeerMessage::Usage { incarnation: 1 << 60, windows: usage() }),
+            ("load", PeerMessage::Load { incarnation: 1 << 60, loads: loads() }),
         ],
     );
 }
@@ -207,6 +209,15 @@
     );
 }
 
+fn usage() -> Vec<WindowUsage> {
+    let counts = vec![TenantRequests { tenant: "cuka620".to_owned(), requests: 70_000 }];
+    vec![WindowUsage { window: 353_445_120, counts }, WindowUsage { window: 353_445_121, counts: Vec::new() }]
+}
+
+fn loads() -> Vec<ServiceLoad> {
+    vec![ServiceLoad { service: "blue".to_owned(), running: 300, waiting: 7 }]
+}
+
 #[test]
 fn messages_to_control_nodes_are_as_recorded() {
     let position = FeedPosition { applied: 500, servers: version(2, 3) };
@@ -227,6 +238,8 @@
                 "first-model-use",
                 SessionMessage::ReportModelUsage { model: model(), single_version: false, lag: None },
             ),
+            ("usage", SessionMessage::ReportUsage { windows: usage() }),
+            ("load", SessionMessage::ReportLoad { loads: loads() }),
         ],
     );
 }
@@ -261,6 +274,7 @@
     };
     let (name, zone) = ("store-1".to_owned(), "north".to_owned());
     let usage = ModelUsage { single_version: true, lag: Some(2) };
+    let report = UsageReport { window: 77, counts: [("cuka620".to_owned(), 412)].into() };
     vec![
         ("whole-configuration", Change::Replace { base: 0, body: configuration.to_vec() }),
         ("patch", Change::Patch { base: 1, body: br#"{"config-version":2}"#.to_vec() }),
@@ -270,6 +284,12 @@
         ("retirement", Change::Retire { name: "store-1".to_owned() }),
         ("term", Change::BeginTerm),
         ("model-use", Change::RecordModelUsage { model: "large".to_owned(), usage }),
+        ("usage-decided", Change::DecideUsageReport(report)),
+        (
+            "other-usage-decided",
+            Change::DecideUsageReport(UsageReport { window: 78, ..UsageReport::default() }),
+        ),
+        ("usage-accepted", Change::AcceptUsageReport { window: 77 }),
     ]
 }
 
--- a/crates/control-plane/tests/messages.rs
+++ b/crates/control-plane/tests/messages.rs
@@ -18,7 +18,8 @@
 use orchidvalve_protocol::identity::{MemberId, NodeAddress};
 use orchidvalve_protocol::messages::{
     ControlMessage, FeedPosition, GatewayList, Handshake, ModelVersionChange, PROTOCOL_VERSION, Role,
-    ServerEntry, ServerTableUpdate, SessionMessage, StoreHealth, TableVersion,
+    ServerEntry, ServerTableUpdate, ServiceLoad, SessionMessage, StoreHealth, TableVersion, TenantRequests,
+    WindowUsage,
 };
 
 fn address(number: u8) -> NodeAddress {
@@ -178,6 +179,8 @@
         PeerMessage::LearnerCaughtUp { .. } => 7,
         PeerMessage::Workers(_) => 8,
         PeerMessage::SessionsUnchanged => 9,
+        PeerMessage::Usage { .. } => 10,
+        PeerMessage::Load { .. } => 11,
     }
 }
 
@@ -194,6 +197,8 @@
         PeerMessage::LearnerCaughtUp { partition: 7, epoch: 300, member: member(3) },
         PeerMessage::Workers(workers()),
         PeerMessage::Workers(GatewayList::default()),
+        PeerMessage::Usage { incarnation: u64::MAX, windows: usage() },
+        PeerMessage::Load { incarnation: 7, loads: loads() },
     ];
     samples.extend(agreement_samples().into_iter().map(PeerMessage::Agreement));
     samples.extend(chain_samples().into_iter().map(PeerMessage::Chain));
@@ -206,6 +211,15 @@
     samples
 }
 
+fn usage() -> Vec<WindowUsage> {
+    let counts = vec![TenantRequests { tenant: "cuka620".to_owned(), requests: 70_000 }];
+    vec![WindowUsage { window: 353_445_120, counts }, WindowUsage { window: 353_445_121, counts: Vec::new() }]
+}
+
+fn loads() -> Vec<ServiceLoad> {
+    vec![ServiceLoad { service: "blue".to_owned(), running: 300, waiting: 7 }]
+}
+
 fn to_control_place(message: &SessionMessage) -> usize {
     match message {
         SessionMessage::Handshake { .. } => 0,
@@ -213,6 +227,8 @@
         SessionMessage::LearnerCaughtUp { .. } => 2,
         SessionMessage::Goodbye => 3,
         SessionMessage::ReportModelUsage { .. } => 4,
+        SessionMessage::ReportUsage { .. } => 5,
+        SessionMessage::ReportLoad { .. } => 6,
     }
 }
 
@@ -227,6 +243,8 @@
         SessionMessage::Goodbye,
         SessionMessage::ReportModelUsage { model: model(), single_version: true, lag: Some(3) },
         SessionMessage::ReportModelUsage { model: model(), single_version: false, lag: None },
+        SessionMessage::ReportUsage { windows: usage() },
+        SessionMessage::ReportLoad { loads: loads() },
     ]
 }
 
@@ -266,8 +284,8 @@
     assert_complete(&agreement_samples(), agreement_place, 9);
     assert_complete(&chain_samples(), chain_place, 7);
     assert_complete(&outcome_samples(), outcome_place, 6);
-    assert_complete(&peer_samples(), peer_place, 10);
-    assert_complete(&to_control_samples(), to_control_place, 5);
+    assert_complete(&peer_samples(), peer_place, 12);
+    assert_complete(&to_control_samples(), to_control_place, 7);
     assert_complete(&from_control_samples(), from_control_place, 7);
 }
 
--- a/crates/control-plane/tests/support/order_roles.rs
+++ b/crates/control-plane/tests/support/order_roles.rs
@@ -85,7 +85,7 @@
         let host = &mut self.machines[machine];
         let (Some(role), Some(control_node)) = (&host.orders, &mut host.control_node) else { return };
         let Some(term) = control_node.leadership_term() else { return };
-        if !role.roles.may_order(now, control_node.quorum_confirmed_at()) {
+        if !role.roles.may_act(now, control_node.quorum_confirmed_at()) {
             return;
         }
         control_node.persist_leadership();
--- a/crates/control-plane/tests/support/scenario.rs
+++ b/crates/control-plane/tests/support/scenario.rs
@@ -203,6 +203,8 @@
         PeerMessage::Handshake { .. }
         | PeerMessage::Sessions { .. }
         | PeerMessage::SessionsUnchanged
+        | PeerMessage::Usage { .. }
+        | PeerMessage::Load { .. }
         | PeerMessage::Servers(_)
         | PeerMessage::Workers(_)
         | PeerMessage::LearnerCaughtUp { .. } => return None,
--- a/crates/control-plane/tests/weight_rollout.rs
+++ b/crates/control-plane/tests/weight_rollout.rs
@@ -4,7 +4,7 @@
 use std::net::Ipv4Addr;
 
 use orchidvalve_control_plane::http_client::{CONNECT_TIMEOUT_MS, ConnectionUse};
-use orchidvalve_control_plane::order_lease::OrderLease;
+use orchidvalve_control_plane::role_lease::RoleLease;
 use orchidvalve_control_plane::singleton_roles::{ORDER_ARRIVAL_MS, ORDER_VALIDITY_MS};
 use orchidvalve_control_plane::weight_rollout::{LoadOrder, OrderOutcome, RolloutPlanner};
 use orchidvalve_protocol::identity::NodeAddress;
@@ -339,7 +339,7 @@
 #[case::confirmed_too_long_ago(&[Begin(1_000, 1, true), Fence(1_449, Some(1_000), Some(1)), Fence(1_450, Some(1_000), None)])]
 #[case::frozen(&[Begin(1_000, 1, true), Fence(1_100, Some(1_050), Some(1)), Fence(60_000, Some(1_050), None)])]
 fn a_holder_gives_orders_only_under_its_lease(#[case] steps: &[HolderStep]) {
-    let mut lease = OrderLease::default();
+    let mut lease = RoleLease::default();
     for step in steps {
         match *step {
             Begin(now, epoch, was_head) => lease.acquire(now, epoch, was_head, LEASE_MS),
@@ -356,9 +356,9 @@
 #[rstest]
 fn two_holders_never_overlap(#[values(0, 1, 300, 449, 450, 2_000)] frozen: u64) {
     let (decided, confirmed) = (10_000, 9_999);
-    let mut first = OrderLease::default();
+    let mut first = RoleLease::default();
     first.acquire(1_000, 1, true, LEASE_MS);
-    let mut second = OrderLease::default();
+    let mut second = RoleLease::default();
     second.acquire(decided, 2, false, LEASE_MS);
     for now in decided..decided + 10_000 {
         let old = first.valid_epoch(now + frozen, Some(confirmed), VALIDITY_MS);
@@ -372,7 +372,7 @@
 #[test]
 fn the_last_order_of_a_holder_arrives_a_lease_before_the_first_of_the_next() {
     let (decided, confirmed) = (10_000, 9_999);
-    let mut first = OrderLease::default();
+    let mut first = RoleLease::default();
     first.acquire(1_000, 1, true, LEASE_MS);
     let given = (confirmed..decided + LEASE_MS)
         .filter(|now| first.valid_epoch(*now, Some(confirmed), ORDER_VALIDITY_MS).is_some())
@@ -380,7 +380,7 @@
         .expect("it gives orders while it is confirmed");
     let sent_again = ConnectionUse::New.user_timeout().as_millis() as u64;
     let arrives = given + CONNECT_TIMEOUT_MS + sent_again;
-    let mut second = OrderLease::default();
+    let mut second = RoleLease::default();
     second.acquire(decided, 2, false, LEASE_MS + ORDER_ARRIVAL_MS);
     let next = (decided..decided + 3 * LEASE_MS)
         .find(|now| second.valid_epoch(*now, Some(*now), ORDER_VALIDITY_MS).is_some())
--- a/crates/control-state/src/change.rs
+++ b/crates/control-state/src/change.rs
@@ -7,6 +7,7 @@
 
 use crate::placement::Placement;
 use crate::snapshot::StateSnapshot;
+use crate::usage_reports::UsageReport;
 
 /// A change of the control state. The encoding knows the variants by their positions: new ones go to the end.
 #[derive(Clone, PartialEq, Debug, Encode, Decode)]
@@ -62,6 +63,13 @@
         /// How they use it.
         usage: ModelUsage,
     },
+    /// The counts of a window of usage are decided: the report of it says this from now on, whoever sends it.
+    DecideUsageReport(UsageReport),
+    /// The platform has accepted the report of a window.
+    AcceptUsageReport {
+        /// Number of the window.
+        window: u64,
+    },
 }
 
 /// How trainers use a model.
--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -9,9 +9,11 @@
 mod placement;
 mod snapshot;
 mod state;
+mod usage_reports;
 
 pub use change::{Applied, Change, ChangeError, ModelUsage};
 pub use configuration_history::REMEMBERED_CHANGES;
 pub use placement::{Placement, RegisteredStore};
 pub use snapshot::StateSnapshot;
 pub use state::ControlState;
+pub use usage_reports::{UsageReport, UsageReports};
--- a/crates/control-state/src/snapshot.rs
+++ b/crates/control-state/src/snapshot.rs
@@ -7,6 +7,7 @@
 use crate::change::ModelUsage;
 use crate::configuration_history::AcceptedChange;
 use crate::placement::{Placement, RegisteredStore};
+use crate::usage_reports::UsageReports;
 
 /// The whole state at one sequence number, for the feed and for checkpoints.
 #[derive(Clone, PartialEq, Default, Debug, Encode, Decode)]
@@ -19,4 +20,6 @@
     pub(crate) stores: BTreeMap<String, RegisteredStore>,
     pub(crate) partitions: Vec<Placement>,
     pub(crate) models: BTreeMap<String, ModelUsage>,
+    #[musli(default)]
+    pub(crate) usage_reports: UsageReports,
 }
--- a/crates/control-state/src/state.rs
+++ b/crates/control-state/src/state.rs
@@ -10,6 +10,7 @@
 use crate::configuration_history::{AcceptedChange, ConfigurationHistory};
 use crate::placement::{Placement, RegisteredStore};
 use crate::snapshot::StateSnapshot;
+use crate::usage_reports::UsageReports;
 
 /// Version of a model's weights before one is named.
 const FIRST_VERSION: u64 = 1;
@@ -23,6 +24,7 @@
     stores: BTreeMap<String, RegisteredStore>,
     partitions: Vec<Placement>,
     models: BTreeMap<String, ModelUsage>,
+    usage_reports: UsageReports,
 }
 
 impl ControlState {
@@ -46,6 +48,11 @@
         &self.models
     }
 
+    /// Reports of usage to the platform.
+    pub fn usage_reports(&self) -> &UsageReports {
+        &self.usage_reports
+    }
+
     /// Registered store nodes by name.
     pub fn stores(&self) -> &BTreeMap<String, RegisteredStore> {
         &self.stores
@@ -85,6 +92,8 @@
             Change::Retire { name } => self.retire(name),
             Change::BeginTerm => Ok(Applied::Unchanged),
             Change::RecordModelUsage { model, usage } => Ok(self.record_model_usage(model, *usage)),
+            Change::DecideUsageReport(report) => Ok(self.usage_reports.decide(report)),
+            Change::AcceptUsageReport { window } => Ok(self.usage_reports.accept(*window)),
         }
     }
 
@@ -166,6 +175,7 @@
             stores: self.stores.clone(),
             partitions: self.partitions.clone(),
             models: self.models.clone(),
+            usage_reports: self.usage_reports.clone(),
         }
     }
 
@@ -184,6 +194,7 @@
             stores: snapshot.stores.clone(),
             partitions: snapshot.partitions.clone(),
             models: snapshot.models.clone(),
+            usage_reports: snapshot.usage_reports.clone(),
         })
     }
 }
--- /dev/null
+++ b/crates/control-state/src/usage_reports.rs
@@ -0,0 +1,55 @@
+//! Reports of usage to the platform: what each says is decided once, before it is sent for the first time.
+
+use std::collections::BTreeMap;
+
+use musli::{Decode, Encode};
+
+use crate::change::Applied;
+
+/// The requests of each tenant that began within one window.
+#[derive(Clone, PartialEq, Eq, Default, Debug, Encode, Decode)]
+pub struct UsageReport {
+    /// Number of the window: it starts `window` times its length after the beginning of 1970.
+    pub window: u64,
+    /// Requests by tenant.
+    pub counts: BTreeMap<String, u64>,
+}
+
+/// Which windows are decided, and the reports that the platform hasn't accepted yet.
+#[derive(Clone, PartialEq, Default, Debug, Encode, Decode)]
+pub struct UsageReports {
+    /// The window that is decided next; None before the first decision.
+    next_window: Option<u64>,
+    /// Decided reports that the platform isn't known to have accepted, by window.
+    unaccepted: BTreeMap<u64, BTreeMap<String, u64>>,
+}
+
+impl UsageReports {
+    /// The window that is decided next; counts of earlier ones come too late. None before the first decision.
+    pub fn next_window(&self) -> Option<u64> {
+        self.next_window
+    }
+
+    /// Reports that have to be sent, oldest first.
+    pub fn unaccepted(&self) -> impl Iterator<Item = UsageReport> {
+        self.unaccepted.iter().map(|(window, counts)| UsageReport { window: *window, counts: counts.clone() })
+    }
+
+    /// Decides the report of a window, unless that window or a later one is decided.
+    pub(crate) fn decide(&mut self, report: &UsageReport) -> Applied {
+        if self.next_window.is_some_and(|next| report.window < next) {
+            return Applied::Unchanged;
+        }
+        self.next_window = Some(report.window + 1);
+        self.unaccepted.insert(report.window, report.counts.clone());
+        Applied::Changed
+    }
+
+    /// The platform has accepted the report of a window.
+    pub(crate) fn accept(&mut self, window: u64) -> Applied {
+        match self.unaccepted.remove(&window) {
+            Some(_) => Applied::Changed,
+            None => Applied::Unchanged,
+        }
+    }
+}
--- a/crates/control-state/tests/golden_control_state.rs
+++ b/crates/control-state/tests/golden_control_state.rs
@@ -8,7 +8,7 @@
 use musli::{Decode, Encode};
 use orchidvalve_control_state::{
     Applied, Change, ChangeError, ControlState, ModelUsage, Placement, REMEMBERED_CHANGES, RegisteredStore,
-    StateSnapshot,
+    StateSnapshot, UsageReport,
 };
 use orchidvalve_golden::{Trace, check_hashes, check_samples};
 use orchidvalve_protocol::frames::{decode, encode};
@@ -57,6 +57,11 @@
     Placement { epoch: 2, members: vec![member(1, 11)], copies: 2, ..Placement::default() }
 }
 
+fn usage_report(window: u64) -> UsageReport {
+    let counts = [("cuka620".to_owned(), 412), ("seje681".to_owned(), window)];
+    UsageReport { window, counts: counts.into() }
+}
+
 fn changes() -> Vec<(&'static str, Change)> {
     let register = |name: &str, last: u8| Change::RegisterStore {
         name: name.to_owned(),
@@ -87,6 +92,9 @@
                 usage: ModelUsage { single_version: false, lag: None },
             },
         ),
+        ("decide-usage", Change::DecideUsageReport(usage_report(353_445_120))),
+        ("decide-more-usage", Change::DecideUsageReport(usage_report(353_445_121))),
+        ("accept-usage", Change::AcceptUsageReport { window: 353_445_120 }),
     ]
 }
 
--- a/crates/control-state/tests/messages/strategies.rs
+++ b/crates/control-state/tests/messages/strategies.rs
@@ -4,6 +4,7 @@
 use orchidvalve_batch::{ItemResult, Job, JobOrigin};
 use orchidvalve_control_state::{
     Change, ControlState, ModelUsage, Placement, REMEMBERED_CHANGES, RegisteredStore, StateSnapshot,
+    UsageReport,
 };
 use proptest::collection::vec;
 use proptest::strategy::{BoxedStrategy, Just, Strategy};
@@ -25,7 +26,10 @@
     Retire { name },
     BeginTerm,
     RecordModelUsage { model, usage },
+    DecideUsageReport(report),
+    AcceptUsageReport { window },
 });
+generate_struct!(UsageReport { window, counts });
 generate_struct!(ModelUsage { single_version, lag });
 generate_struct!(Placement { epoch, members, learners, complete_replicas, copies, reset_epoch });
 generate_struct!(RegisteredStore { zone, member, retiring });
@@ -92,8 +96,12 @@
             });
             let (id, host, prefix) = names;
             let (id, hostname) = (format!("job-{id}"), format!("host-{host}.example"));
-            let origin =
-                JobOrigin { id: &id, hostname: &hostname, route_prefix: &format!("/prefix-{prefix}/") };
+            let origin = JobOrigin {
+                id: &id,
+                hostname: &hostname,
+                route_prefix: &format!("/prefix-{prefix}/"),
+                tenant: None,
+            };
             Job::parse(document.to_string().as_bytes(), &origin).expect("a job")
         });
         vec![job.boxed()]
--- a/crates/data-plane/src/batch_calls.rs
+++ b/crates/data-plane/src/batch_calls.rs
@@ -90,6 +90,8 @@
     Body(Vec<u8>),
     /// The job has ended.
     Ended,
+    /// The job belongs to another tenant.
+    OtherTenant,
 }
 
 /// An attempt of a call at a store.
@@ -226,6 +228,7 @@
             }
             StoreResponse::Body(body) => BatchResponse::Body(body),
             StoreResponse::Ended => BatchResponse::Ended,
+            StoreResponse::OtherTenant => BatchResponse::OtherTenant,
         };
         self.pending.remove(&call);
         Some(response)
@@ -254,7 +257,7 @@
             StoreResponse::Accepted | StoreResponse::Rejected { .. } | StoreResponse::OutcomeUnknown => {
                 matches!(self, BatchCall::Submit { .. })
             }
-            StoreResponse::NotFound => !matches!(self, BatchCall::Submit { .. }),
+            StoreResponse::NotFound | StoreResponse::OtherTenant => !matches!(self, BatchCall::Submit { .. }),
             StoreResponse::Unavailable => true,
             StoreResponse::Results { .. } => matches!(self, BatchCall::Read { .. }),
             StoreResponse::Body(_) => matches!(self, BatchCall::ItemBody { .. }),
@@ -361,11 +364,16 @@
                 id,
                 after: *after,
                 wait_ms: self.wait_left_ms(now) as u32,
+                tenant: None,
             },
-            BatchCall::ItemBody { item } => {
-                GatewayMessage::ReadItemBody { request_id: call, partition, id, item: item.clone() }
-            }
-            BatchCall::End => GatewayMessage::EndJob { request_id: call, partition, id },
+            BatchCall::ItemBody { item } => GatewayMessage::ReadItemBody {
+                request_id: call,
+                partition,
+                id,
+                item: item.clone(),
+                tenant: None,
+            },
+            BatchCall::End => GatewayMessage::EndJob { request_id: call, partition, id, tenant: None },
         }
     }
 
--- a/crates/data-plane/src/gateway/batch_calls.rs
+++ b/crates/data-plane/src/gateway/batch_calls.rs
@@ -37,7 +37,7 @@
             return;
         };
         let path = request.path();
-        let origin = JobOrigin { id, hostname: &route.hostname, route_prefix: path };
+        let origin = JobOrigin { id, hostname: &route.hostname, route_prefix: path, tenant: None };
         match Job::parse(&request.body, &origin) {
             Ok(job) => {
                 self.report_model_use(&job, route.single_version);
@@ -117,6 +117,9 @@
                 self.respond(connection, 503, &[("Retry-After", &seconds)], b"");
             }
             BatchResponse::OutcomeUnknown => self.respond(connection, 504, &[], b""),
+            BatchResponse::OtherTenant => {
+                self.respond(connection, 403, &[], b"the batch job belongs to another tenant");
+            }
             BatchResponse::NotFound => self.respond(connection, 404, &[], b""),
             BatchResponse::Unavailable => self.respond(connection, 503, &[], b""),
             BatchResponse::Results { total, after, outcomes } => {
--- a/crates/data-plane/tests/batch_calls.rs
+++ b/crates/data-plane/tests/batch_calls.rs
@@ -115,7 +115,7 @@
             assert_eq!((*number, *partition, id.as_str()), (call.0, expected, ID));
             assert_eq!((job.as_slice(), *received_at_ms), (&b"job"[..], 77));
         }
-        GatewayMessage::EndJob { request_id: number, partition, id } => {
+        GatewayMessage::EndJob { request_id: number, partition, id, .. } => {
             assert_eq!((*number, *partition, id.as_str()), (call.0, expected, ID));
         }
         other => panic!("{other:?}"),
@@ -177,6 +177,7 @@
         StoreResponse::Results { total: 1, next: 1, outcomes: vec![outcome()] },
         StoreResponse::Body(b"b".to_vec()),
         StoreResponse::Ended,
+        StoreResponse::OtherTenant,
     ];
     let mut ignored = 0;
     for answer in responses {
@@ -184,7 +185,9 @@
             StoreResponse::Accepted | StoreResponse::Rejected { .. } | StoreResponse::OutcomeUnknown => {
                 matches!(call, BatchCall::Submit { .. })
             }
-            StoreResponse::NotFound | StoreResponse::Unavailable => !matches!(call, BatchCall::Submit { .. }),
+            StoreResponse::NotFound | StoreResponse::OtherTenant | StoreResponse::Unavailable => {
+                !matches!(call, BatchCall::Submit { .. })
+            }
             StoreResponse::Results { .. } => matches!(call, BatchCall::Read { .. }),
             StoreResponse::Body(_) => matches!(call, BatchCall::ItemBody { .. }),
             StoreResponse::Ended => matches!(call, BatchCall::End),
--- a/crates/data-plane/tests/batch_calls_support/mod.rs
+++ b/crates/data-plane/tests/batch_calls_support/mod.rs
@@ -212,5 +212,6 @@
             trace.add(body);
         }
         BatchResponse::Ended => trace.add_number(8),
+        BatchResponse::OtherTenant => trace.add_number(9),
     }
 }
--- a/crates/data-plane/tests/golden_bytes.rs
+++ b/crates/data-plane/tests/golden_bytes.rs
@@ -341,6 +341,7 @@
             request_id: 0x7171_7171_7171,
             partition: 0,
             id: "the mark behind".into(),
+            tenant: None,
         };
         let mut frame = Vec::new();
         orchidvalve_protocol::frames::write_frame(&mut frame, &mark);
--- a/crates/data-plane/tests/golden_work.rs
+++ b/crates/data-plane/tests/golden_work.rs
@@ -122,6 +122,7 @@
             model: self.random.random_ratio(2, 3).then(|| "model".into()),
             min_weights_version: self.random.random_range(0..4),
             age_ms: self.random.random_range(0..21_000),
+            tenant: None,
         };
         let index = self.random.random_range(0..3);
         let items = (0..self.random.random_range(1..5)).map(|number| AssignedItem {
--- a/crates/data-plane/tests/work.rs
+++ b/crates/data-plane/tests/work.rs
@@ -65,6 +65,7 @@
         model: None,
         min_weights_version: 0,
         age_ms: 3_000,
+        tenant: None,
     }
 }
 
--- a/crates/protocol/src/messages/handshake.rs
+++ b/crates/protocol/src/messages/handshake.rs
@@ -6,7 +6,7 @@
 use crate::identity::MemberId;
 
 /// Version of the messages between processes; a peer that speaks another one is refused.
-pub const PROTOCOL_VERSION: u16 = 5;
+pub const PROTOCOL_VERSION: u16 = 6;
 
 /// The first byte on every connection between two processes: which messages follow.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
--- a/crates/protocol/src/messages/mod.rs
+++ b/crates/protocol/src/messages/mod.rs
@@ -14,7 +14,10 @@
 
 pub use handshake::{Handshake, LinkProtocol, PROTOCOL_VERSION, Role};
 pub use server_list::{ModelVersionChange, ServerEntry, ServerTableUpdate, TableVersion};
-pub use session::{ControlMessage, FeedPosition, GatewayList, SessionMessage, StoreHealth};
+pub use session::{
+    ControlMessage, FeedPosition, GatewayList, ServiceLoad, SessionMessage, StoreHealth, TenantRequests,
+    WindowUsage,
+};
 pub use store_link::{
     AssignedGroup, AssignedItem, AssignedJob, GatewayMessage, ItemFailures, ItemOutcome, ItemState,
     ScorerRequest, StoreMessage, StoreResponse,
--- a/crates/protocol/src/messages/session.rs
+++ b/crates/protocol/src/messages/session.rs
@@ -65,6 +65,46 @@
         /// How many versions its oldest allowed one is behind the newest; None where it allows every version.
         lag: Option<u64>,
     },
+    /// Requests of tenants that began at servers through this gateway. The counts are those since the start of the
+    /// process, so a message that comes twice or late does no harm.
+    ReportUsage {
+        /// Windows whose counts have changed since they were last sent, or may not have arrived.
+        windows: Vec<WindowUsage>,
+    },
+    /// What this process has to do at servers.
+    ReportLoad {
+        /// By service; one that isn't here has nothing to do.
+        loads: Vec<ServiceLoad>,
+    },
+}
+
+/// Requests that began within one window of usage, as one process counted them.
+#[derive(Clone, PartialEq, Eq, Debug, Encode, Decode)]
+pub struct WindowUsage {
+    /// Number of the window: it starts `window` times its length after the beginning of 1970.
+    pub window: u64,
+    /// Tenants that had requests in it.
+    pub counts: Vec<TenantRequests>,
+}
+
+/// How many requests of a tenant began.
+#[derive(Clone, PartialEq, Eq, Debug, Encode, Decode)]
+pub struct TenantRequests {
+    /// Name of the tenant.
+    pub tenant: String,
+    /// Number of its requests.
+    pub requests: u64,
+}
+
+/// Work of one process for the servers of a service.
+#[derive(Clone, PartialEq, Eq, Debug, Encode, Decode)]
+pub struct ServiceLoad {
+    /// Name of the service.
+    pub service: String,
+    /// Requests and generations that are in flight at its servers.
+    pub running: u32,
+    /// Requests and generations that wait to be sent.
+    pub waiting: u32,
 }
 
 /// From a control node to a gateway or a store node.
--- a/crates/protocol/src/messages/store_link.rs
+++ b/crates/protocol/src/messages/store_link.rs
@@ -64,6 +64,8 @@
     pub min_weights_version: u64,
     /// Milliseconds since the job was first received, at the time of sending.
     pub age_ms: u64,
+    /// Tenant that submitted the job; servers are told it. None where the configuration had no tenants then.
+    pub tenant: Option<String>,
 }
 
 /// How an item ended.
@@ -145,6 +147,8 @@
         after: u64,
         /// Longest wait for a further result, in milliseconds.
         wait_ms: u32,
+        /// Tenant whose key the call carries; None where it needs none.
+        tenant: Option<String>,
     },
     /// A client reads the body of an item.
     ReadItemBody {
@@ -156,6 +160,8 @@
         id: String,
         /// Id of the item.
         item: String,
+        /// Tenant whose key the call carries; None where it needs none.
+        tenant: Option<String>,
     },
     /// A client ends a job: nothing of it runs from then on.
     EndJob {
@@ -165,6 +171,8 @@
         partition: u16,
         /// Id of the job.
         id: String,
+        /// Tenant whose key the call carries; None where it needs none.
+        tenant: Option<String>,
     },
     /// Outcomes of generations that were dispatched to this gateway. They are sent again until
     /// [`StoreMessage::AcknowledgeOutcomes`].
@@ -273,4 +281,6 @@
     Body(#[musli(bytes)] Vec<u8>),
     /// The job is ended.
     Ended,
+    /// The job belongs to another tenant than the caller.
+    OtherTenant,
 }
--- a/crates/protocol/tests/golden_messages.rs
+++ b/crates/protocol/tests/golden_messages.rs
@@ -12,8 +12,8 @@
 use orchidvalve_protocol::messages::{
     AssignedGroup, AssignedItem, AssignedJob, ControlMessage, FeedPosition, GatewayList, GatewayMessage,
     Handshake, ItemFailures, ItemOutcome, ItemState, LinkProtocol, ModelVersionChange, PROTOCOL_VERSION,
-    Role, ScorerRequest, ServerEntry, ServerTableUpdate, SessionMessage, StoreHealth, StoreMessage,
-    StoreResponse, TableVersion,
+    Role, ScorerRequest, ServerEntry, ServerTableUpdate, ServiceLoad, SessionMessage, StoreHealth,
+    StoreMessage, StoreResponse, TableVersion, TenantRequests, WindowUsage,
 };
 use orchidvalve_protocol::rendezvous::{hash, mix, rank};
 
@@ -113,6 +113,7 @@
         model: model.map(str::to_owned),
         min_weights_version: 6,
         age_ms: 123_456,
+        tenant: model.map(|_| "cuka620".to_owned()),
     }
 }
 
@@ -182,6 +183,11 @@
     let use_of = |lag| SessionMessage::ReportModelUsage { model: model(), single_version: true, lag };
     add(to, "to-control-use-model", use_of(Some(3)));
     add(to, "to-control-use-model-without-lag", use_of(None));
+    let counts = vec![TenantRequests { tenant: "cuka620".to_owned(), requests: 70_000 }];
+    let windows = vec![WindowUsage { window: 353_445_120, counts }];
+    add(to, "to-control-report-usage", SessionMessage::ReportUsage { windows });
+    let loads = vec![ServiceLoad { service: "blue".to_owned(), running: 300, waiting: 7 }];
+    add(to, "to-control-report-load", SessionMessage::ReportLoad { loads });
     let controls = || vec![address(1), address(2)];
     add(to, "from-control-welcome", ControlMessage::Welcome { controls: controls() });
     add(to, "from-control-elsewhere", ControlMessage::Redirect { controls: controls() });
@@ -216,6 +222,7 @@
     let mut samples = Samples::new();
     let to = &mut samples;
     let id = || "job-7".to_owned();
+    let tenant = || Some("cuka620".to_owned());
     let (call, partition) = (1 << 40, 513);
     add(to, "to-store-introduce", GatewayMessage::Handshake(handshake(Role::Gateway)));
     add(to, "to-store-heartbeat", GatewayMessage::Heartbeat { generation_capacity: 640 });
@@ -234,15 +241,28 @@
     add(
         to,
         "to-store-read",
-        GatewayMessage::ReadResults { request_id: call, partition, id: id(), after: 17, wait_ms: 5_000 },
+        GatewayMessage::ReadResults {
+            request_id: call,
+            partition,
+            id: id(),
+            after: 17,
+            wait_ms: 5_000,
+            tenant: tenant(),
+        },
     );
     let item = || "item-1".to_owned();
     add(
         to,
         "to-store-item-body",
-        GatewayMessage::ReadItemBody { request_id: call, partition, id: id(), item: item() },
+        GatewayMessage::ReadItemBody {
+            request_id: call,
+            partition,
+            id: id(),
+            item: item(),
+            tenant: tenant(),
+        },
     );
-    add(to, "to-store-end", GatewayMessage::EndJob { request_id: call, partition, id: id() });
+    add(to, "to-store-end", GatewayMessage::EndJob { request_id: call, partition, id: id(), tenant: None });
     let outcomes = || vec![outcome(ItemState::Completed), outcome(ItemState::Expired)];
     add(
         to,
@@ -291,6 +311,7 @@
     add(to, "store-answer-results", StoreResponse::Results { total: 300, next: 2, outcomes: outcomes() });
     add(to, "store-answer-body", StoreResponse::Body(vec![0, 0x80, 0xff]));
     add(to, "store-answer-ended", StoreResponse::Ended);
+    add(to, "store-answer-other-tenant", StoreResponse::OtherTenant);
     check("store_messages.txt", &samples);
 }
 
--- a/crates/protocol/tests/messages/strategies.rs
+++ b/crates/protocol/tests/messages/strategies.rs
@@ -4,7 +4,8 @@
 use orchidvalve_protocol::messages::{
     AssignedGroup, AssignedItem, AssignedJob, ControlMessage, FeedPosition, GatewayList, GatewayMessage,
     Handshake, ItemFailures, ItemOutcome, ItemState, ModelVersionChange, Role, ScorerRequest, ServerEntry,
-    ServerTableUpdate, SessionMessage, StoreHealth, StoreMessage, StoreResponse, TableVersion,
+    ServerTableUpdate, ServiceLoad, SessionMessage, StoreHealth, StoreMessage, StoreResponse, TableVersion,
+    TenantRequests, WindowUsage,
 };
 
 use crate::{generate_enum, generate_struct};
@@ -21,7 +22,12 @@
     LearnerCaughtUp { partition, epoch, member },
     Goodbye,
     ReportModelUsage { model, single_version, lag },
+    ReportUsage { windows },
+    ReportLoad { loads },
 });
+generate_struct!(WindowUsage { window, counts });
+generate_struct!(TenantRequests { tenant, requests });
+generate_struct!(ServiceLoad { service, running, waiting });
 generate_enum!(ControlMessage {
     Welcome { controls },
     Redirect { controls },
@@ -41,7 +47,17 @@
 generate_struct!(ScorerRequest { id, hostname, path, body });
 generate_struct!(AssignedItem { id, path, headers, body, token_usage, scorer });
 generate_struct!(AssignedGroup { index, items });
-generate_struct!(AssignedJob { partition, epoch, job, hostname, path, model, min_weights_version, age_ms });
+generate_struct!(AssignedJob {
+    partition,
+    epoch,
+    job,
+    hostname,
+    path,
+    model,
+    min_weights_version,
+    age_ms,
+    tenant
+});
 generate_enum!(ItemState { Completed, Expired });
 generate_struct!(ItemFailures { item, count });
 generate_struct!(ItemOutcome { item, state, message, weight_versions, score });
@@ -49,9 +65,9 @@
     Handshake(handshake),
     Heartbeat { generation_capacity },
     SubmitJob { request_id, partition, id, job, received_at_ms },
-    ReadResults { request_id, partition, id, after, wait_ms },
-    ReadItemBody { request_id, partition, id, item },
-    EndJob { request_id, partition, id },
+    ReadResults { request_id, partition, id, after, wait_ms, tenant },
+    ReadItemBody { request_id, partition, id, item, tenant },
+    EndJob { request_id, partition, id, tenant },
     ReportOutcomes { partition, job, outcomes },
     ReturnGroups { partition, epoch, job, groups },
     ReportFailures { partition, job, failures },
@@ -73,4 +89,5 @@
     Results { total, next, outcomes },
     Body(bytes),
     Ended,
+    OtherTenant,
 });
