--- a/crates/batch-store/tests/golden_disk.rs
+++ b/crates/batch-store/tests/golden_disk.rs
@@ -19,8 +19,13 @@
 const GATEWAY: u64 = 1;
 const ACCEPTED_AT_MS: u64 = 1_700_000_100_000;
 
-fn path() -> PathBuf {
-    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/golden/disk.txt")
+/// What is written now.
+const DISK: &str = "disk.txt";
+/// What was written before jobs had tenants.
+const DISK_WITHOUT_TENANTS: &str = "disk-of-wire-version-5.txt";
+
+fn path(name: &str) -> PathBuf {
+    PathBuf::from(env!("CARGO_MANIFEST_DIR")).join("tests/golden").join(name)
 }
 
 /// The disk of a store that took a job, results of it, and the end of another one, in its first partition.
@@ -84,7 +89,7 @@
     let records: Vec<Vec<u8>> = written_by_a_store().into_iter().chain(written_by_chains()).collect();
     let samples: Vec<(String, &Vec<u8>)> =
         (1..).zip(&records).map(|(position, record)| (format!("record-{position}"), record)).collect();
-    check_samples(&path(), &samples);
+    check_samples(&path(DISK), &samples);
 }
 
 /// A store over these records that was given a view of each partition in which it is alone.
@@ -124,11 +129,12 @@
 #[case::torn_by_a_byte(1, &["d-1-0"], 13)]
 #[case::torn_by_twenty_bytes(20, &["d-1-0"], 13)]
 fn the_recorded_disk_is_read_back(
+    #[values(DISK, DISK_WITHOUT_TENANTS)] file: &str,
     #[case] torn_bytes: usize,
     #[case] latest_results: &[&str],
     #[case] next_sequence: u64,
 ) {
-    let mut records: Vec<Vec<u8>> = read_samples(&path()).into_iter().map(|(_, record)| record).collect();
+    let mut records: Vec<Vec<u8>> = read_samples(&path(file)).into_iter().map(|(_, record)| record).collect();
     let last = records.last_mut().expect("records");
     last.truncate(last.len() - torn_bytes);
     let recorded = records.len();
--- a/crates/control-plane/tests/golden_samples.rs
+++ b/crates/control-plane/tests/golden_samples.rs
@@ -300,5 +300,5 @@
     let applied: Vec<bool> = changes.iter().map(|(_, change)| state.apply(change).is_ok()).collect();
     changes.push(("checkpoint", Change::Checkpoint(state.snapshot())));
     check("changes.txt", &changes);
-    assert_eq!(applied, [true; 8]);
+    assert_eq!(applied, [true; 11]);
 }
--- a/crates/control-state/src/usage_reports.rs
+++ b/crates/control-state/src/usage_reports.rs
@@ -40,7 +40,7 @@
         if self.next_window.is_some_and(|next| report.window < next) {
             return Applied::Unchanged;
         }
-        self.next_window = Some(report.window + 1);
+        self.next_window = Some(report.window.saturating_add(1));
         self.unaccepted.insert(report.window, report.counts.clone());
         Applied::Changed
     }
--- a/crates/control-state/tests/golden_control_state.rs
+++ b/crates/control-state/tests/golden_control_state.rs
@@ -15,6 +15,7 @@
 use orchidvalve_protocol::identity::{MemberId, NodeAddress};
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
+use rstest::rstest;
 use serde_json::json;
 
 const FOLDER: &str = concat!(env!("CARGO_MANIFEST_DIR"), "/tests/golden");
@@ -136,12 +137,17 @@
 }
 
 /// The fixed snapshot is read into the state that it was taken of, field by field.
-#[test]
-fn the_recorded_snapshot_is_read_back() {
-    let samples = orchidvalve_golden::read_samples(&Path::new(FOLDER).join("control_state.txt"));
+#[rstest]
+#[case::of_now("control_state.txt", 2)]
+#[case::before_usage_was_reported("control_state_of_wire_version_5.txt", 0)]
+fn the_recorded_snapshot_is_read_back(#[case] file: &str, #[case] decided_reports: usize) {
+    let samples = orchidvalve_golden::read_samples(&Path::new(FOLDER).join(file));
     let (_, bytes) = samples.iter().find(|(name, _)| name == "image").expect("the sample of the image");
     let state = ControlState::from_snapshot(&decode(bytes).expect("an image")).expect("a state");
     assert_eq!(state.configuration_version(), 6);
+    assert_eq!(state.usage_reports().next_window().is_some(), decided_reports > 0);
+    // The platform has accepted the first one.
+    assert_eq!(state.usage_reports().unaccepted().count(), decided_reports.saturating_sub(1));
     let configuration = state.configuration().expect("a configuration");
     assert_eq!(configuration.document()["labels"], json!([{"name": "second", "text": 6}]));
     assert!(
--- a/crates/control-state/tests/messages/strategies.rs
+++ b/crates/control-state/tests/messages/strategies.rs
@@ -47,8 +47,9 @@
         let stores = Vec::<(String, RegisteredStore)>::generate();
         let placements = vec((0_u16..PARTITIONS, Placement::generate()), 0..3);
         let models = (Vec::<(String, u64)>::generate(), Vec::<(String, ModelUsage)>::generate());
-        let parts = (0_u64..4, stores, placements, models);
-        let snapshot = parts.prop_map(|(versions, stores, placements, (named, used))| {
+        let reports = vec(UsageReport::generate(), 0..3);
+        let parts = (0_u64..4, stores, placements, models, reports);
+        let snapshot = parts.prop_map(|(versions, stores, placements, (named, used), reports)| {
             let mut changes: Vec<Change> = (1..=versions).map(replace).collect();
             for (name, RegisteredStore { zone, member, retiring }) in stores {
                 changes.push(Change::RegisterStore { name: name.clone(), zone, member });
@@ -57,6 +58,7 @@
             changes.push(Change::Place(placements));
             changes.extend(named.into_iter().map(|(model, version)| Change::NameVersion { model, version }));
             changes.extend(used.into_iter().map(|(model, usage)| Change::RecordModelUsage { model, usage }));
+            changes.extend(reports.into_iter().map(Change::DecideUsageReport));
             let mut state = ControlState::default();
             for change in &changes {
                 state.apply(change).expect("a change that fits");
@@ -86,7 +88,7 @@
     fn variants() -> Vec<BoxedStrategy<Self>> {
         let head = (Option::<u64>::generate(), Option::<u8>::generate(), 0_u32..9, u32::generate());
         let items = vec(item(), 1..4);
-        let names = (0_u8..9, 0_u8..9, 0_u8..9);
+        let names = (0_u8..9, 0_u8..9, 0_u8..9, Option::<u8>::generate());
         let job = (head, items, names).prop_map(|((step, model, oldest, desired), items, names)| {
             let model = model.map(|model| format!("model-{model}"));
             let requests: Vec<Value> = items.into_iter().zip(0..).map(with_id).collect();
@@ -94,13 +96,14 @@
                 "step": step, "model": model, "min-weights-version": oldest, "desired-count": desired,
                 "requests": requests,
             });
-            let (id, host, prefix) = names;
+            let (id, host, prefix, tenant) = names;
+            let tenant = tenant.map(|tenant| format!("tenant-{tenant}"));
             let (id, hostname) = (format!("job-{id}"), format!("host-{host}.example"));
             let origin = JobOrigin {
                 id: &id,
                 hostname: &hostname,
                 route_prefix: &format!("/prefix-{prefix}/"),
-                tenant: None,
+                tenant: tenant.as_deref(),
             };
             Job::parse(document.to_string().as_bytes(), &origin).expect("a job")
         });
