Debug output shows no API key; a tenant's priority and the routes of a host

Cause: derived Debug of http::Headers and Configuration. Change: both leave secrets out. RouteTable::priority gives the tenant's priority or else the route's (no code of the gateways orders by priority today); routes_of_host serves the admission of calls on jobs.

--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -12,6 +12,7 @@
 pub use route_table::{Route, RouteTable, RouteType, Scaling};
 pub use tenant_table::{Tenant, TenantTable};
 
+use std::fmt;
 use std::sync::Arc;
 
 use derive_more::{Display, Error, From};
@@ -131,7 +132,7 @@
 }
 
 /// A checked configuration. Cloning copies the document; share it behind an `Arc`.
-#[derive(Clone, Debug)]
+#[derive(Clone)]
 pub struct Configuration {
     version: u64,
     fingerprint: u64,
@@ -225,6 +226,15 @@
     }
 }
 
+/// The document holds the tenants' keys, and is left out.
+impl fmt::Debug for Configuration {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let mut shown = formatter.debug_struct("Configuration");
+        shown.field("version", &self.version).field("fingerprint", &self.fingerprint);
+        shown.field("routes", &self.routes).finish_non_exhaustive()
+    }
+}
+
 /// Two configurations are equal if their documents are; how they came about does not matter.
 impl PartialEq for Configuration {
     fn eq(&self, other: &Configuration) -> bool {
--- a/crates/configuration/src/route_table.rs
+++ b/crates/configuration/src/route_table.rs
@@ -287,6 +287,20 @@
         longest.and_then(|index| self.routes.get(index))
     }
 
+    /// Routes of a host (`Host` header; port and case do not matter), in no particular order.
+    pub fn routes_of_host(&self, host: &str) -> impl Iterator<Item = &Route> {
+        let routes = self.hosts.get(&*normalize_host(host));
+        let indices = routes.into_iter().flat_map(|routes| routes.by_prefix.values());
+        indices.filter_map(|index| self.routes.get(*index))
+    }
+
+    /// Rank of a tenant's requests on a route: the tenant's, or else the route's; 0 is the highest. `tenant` is None
+    /// for requests of no tenant.
+    pub fn priority(&self, route: &Route, tenant: Option<&str>) -> u32 {
+        let tenant = self.tenants.as_ref().zip(tenant).and_then(|(tenants, name)| tenants.by_name(name));
+        tenant.and_then(|tenant| tenant.priority).unwrap_or(route.priority)
+    }
+
     /// Picks a service of a route by weight; `random` is uniform over all of `u64`.
     pub fn pick(&self, route: &Route, random: u64) -> usize {
         route.split.pick(random)
--- a/crates/configuration/tests/tenants.rs
+++ b/crates/configuration/tests/tenants.rs
@@ -157,3 +157,36 @@
     let shown = format!("{:?}", configuration.routes());
     assert!(shown.contains("second") && !shown.contains("key-"), "{shown}");
 }
+
+// Guards against UNASKED: a key that stands in a log can be used by who reads it.
+#[test]
+fn no_key_stands_in_what_can_be_logged() {
+    let configuration = put(&document()).unwrap();
+    let text = format!("{configuration:?}");
+    assert!(text.contains("first") && !text.contains("key-1"), "{text}");
+}
+
+#[rstest]
+#[case::of_the_tenant(Some("first"), 1)]
+#[case::tenant_without_one(Some("second"), 4)]
+#[case::tenant_that_is_gone(Some("fourth"), 4)]
+#[case::no_tenant(None, 4)]
+fn the_priority_of_a_tenant_comes_before_that_of_the_route(
+    #[case] tenant: Option<&str>,
+    #[case] expected: u32,
+) {
+    let mut document = document();
+    document["routes"][1]["priority"] = json!(4);
+    let configuration = put(&document).unwrap();
+    let routes = configuration.routes();
+    assert_eq!(routes.priority(&routes.routes()[1], tenant), expected);
+}
+
+#[rstest]
+#[case::as_it_stands("a.example", 2)]
+#[case::other_case_and_port("A.Example:8080", 2)]
+#[case::unknown("b.example", 0)]
+fn routes_are_found_by_their_host(#[case] host: &str, #[case] expected: usize) {
+    let configuration = put(&document()).unwrap();
+    assert_eq!(configuration.routes().routes_of_host(host).count(), expected);
+}
--- a/crates/http/src/headers.rs
+++ b/crates/http/src/headers.rs
@@ -1,5 +1,6 @@
 //! Header fields of a message (RFC 9110, section 5).
 
+use std::fmt;
 use std::ops::Range;
 
 use super::error::HttpError;
@@ -10,8 +11,11 @@
 /// value.
 const OPTIONAL_WHITESPACE: [char; 2] = [' ', '\t'];
 
+/// Headers whose values are secrets, which `Debug` leaves out.
+const SECRET_HEADERS: [&str; 2] = ["authorization", "proxy-authorization"];
+
 /// Header lines of a message, owned.
-#[derive(Clone, PartialEq, Eq, Default, Debug)]
+#[derive(Clone, PartialEq, Eq, Default)]
 pub struct Headers {
     text: String,
     lines: Vec<HeaderLine>,
@@ -93,3 +97,11 @@
         Err(_) => Err(HttpError::Malformed),
     }
 }
+
+impl fmt::Debug for Headers {
+    fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let is_secret = |name: &str| SECRET_HEADERS.iter().any(|secret| name.eq_ignore_ascii_case(secret));
+        let shown = self.iter().map(|(name, value)| (name, if is_secret(name) { "(secret)" } else { value }));
+        formatter.debug_map().entries(shown).finish()
+    }
+}
