Gateways: authenticate requests by API key, name the tenant to servers, keep the key

Cause: the data plane knew no tenants. Submissions carry the tenant, calls on jobs need a key; without a configuration they wait in the startup queue.

--- a/crates/data-plane/src/batch_calls.rs
+++ b/crates/data-plane/src/batch_calls.rs
@@ -106,6 +106,8 @@
 struct PendingCall {
     /// Id of the job.
     job: String,
+    /// Tenant of the caller.
+    tenant: Option<String>,
     call: BatchCall,
     deadline: u64,
     in_flight: Option<Attempt>,
@@ -142,11 +144,11 @@
         self.pending.len()
     }
 
-    /// Begins a call about the job `job`; it is sent with the next [`BatchCalls::tick`].
-    pub fn begin(&mut self, now: u64, job: &str, call: BatchCall) -> CallId {
+    /// Begins a call of a tenant about the job `job`; it is sent with the next [`BatchCalls::tick`].
+    pub fn begin(&mut self, now: u64, job: &str, tenant: Option<&str>, call: BatchCall) -> CallId {
         self.last += 1;
         let id = CallId(self.last);
-        self.pending.insert(id, PendingCall::new(now, job, call));
+        self.pending.insert(id, PendingCall::new(now, job, tenant, call));
         id
     }
 
@@ -267,7 +269,7 @@
 }
 
 impl PendingCall {
-    fn new(now: u64, job: &str, call: BatchCall) -> PendingCall {
+    fn new(now: u64, job: &str, tenant: Option<&str>, call: BatchCall) -> PendingCall {
         let allowed_ms = match &call {
             BatchCall::Submit { .. } => SUBMIT_TIMEOUT_MS,
             BatchCall::Read { wait_ms, .. } => u64::from(*wait_ms) + READ_TIMEOUT_MS,
@@ -275,6 +277,7 @@
         };
         PendingCall {
             job: job.to_owned(),
+            tenant: tenant.map(str::to_owned),
             call,
             deadline: now + allowed_ms,
             in_flight: None,
@@ -349,7 +352,7 @@
 
     fn message(&self, now: u64, id: CallId, partition: u16) -> GatewayMessage {
         let CallId(call) = id;
-        let id = self.job.clone();
+        let (id, tenant) = (self.job.clone(), self.tenant.clone());
         match &self.call {
             BatchCall::Submit { job, received_at_ms } => GatewayMessage::SubmitJob {
                 request_id: call,
@@ -364,16 +367,12 @@
                 id,
                 after: *after,
                 wait_ms: self.wait_left_ms(now) as u32,
-                tenant: None,
+                tenant,
             },
-            BatchCall::ItemBody { item } => GatewayMessage::ReadItemBody {
-                request_id: call,
-                partition,
-                id,
-                item: item.clone(),
-                tenant: None,
-            },
-            BatchCall::End => GatewayMessage::EndJob { request_id: call, partition, id, tenant: None },
+            BatchCall::ItemBody { item } => {
+                GatewayMessage::ReadItemBody { request_id: call, partition, id, item: item.clone(), tenant }
+            }
+            BatchCall::End => GatewayMessage::EndJob { request_id: call, partition, id, tenant },
         }
     }
 
--- a/crates/data-plane/src/exchanges/request_encoding.rs
+++ b/crates/data-plane/src/exchanges/request_encoding.rs
@@ -4,6 +4,7 @@
 
 use orchidvalve_http::{Request, write_head_end, write_header, write_number_header, write_request_line};
 
+use crate::authentication::{Authenticated, TENANT_HEADER, is_credential};
 use crate::generations::{Item, RouteFacts};
 use crate::response_class::forwarded_headers;
 
@@ -11,9 +12,11 @@
 const HEAD_CAPACITY: usize = 512;
 
 /// A client's request as it is sent to a server: unchanged but for the headers of its connection, the time that the
-/// server is given, the instance that is meant, and the event after which a stream is resumed.
+/// server is given, the instance that is meant, and the event after which a stream is resumed. Where the configuration
+/// has tenants, the client's key is left out, and the server is told the tenant.
 pub fn request_bytes(
     request: &Request,
+    caller: &Authenticated,
     instance: &str,
     deadline_ms: u64,
     last_event_id: Option<u64>,
@@ -23,6 +26,7 @@
     for (name, value) in forwarded_headers(&request.headers) {
         let replaced = name.eq_ignore_ascii_case("deadline-ms")
             || name.eq_ignore_ascii_case("expected-instance")
+            || caller.withholds(name)
             || (last_event_id.is_some() && name.eq_ignore_ascii_case("last-event-id"));
         if !replaced {
             write_header(&mut out, name, value);
@@ -30,6 +34,9 @@
     }
     write_number_header(&mut out, "Deadline-Ms", deadline_ms);
     write_header(&mut out, "Expected-Instance", instance);
+    if let Some(tenant) = caller.tenant() {
+        write_header(&mut out, TENANT_HEADER, tenant);
+    }
     if let Some(id) = last_event_id {
         write_number_header(&mut out, "Last-Event-Id", id);
     }
@@ -42,7 +49,8 @@
     out
 }
 
-/// A generation as it is sent to a server.
+/// A generation as it is sent to a server. Where its job has a tenant, or the configuration has tenants, headers of the
+/// item that say whose it is are left out: only this system tells servers the tenant.
 pub fn generation_bytes(
     item: &Item,
     route: &RouteFacts,
@@ -55,8 +63,14 @@
     write_request_line(&mut out, "POST", &item.path);
     write_header(&mut out, "Host", &route.host);
     write_header(&mut out, "Attempt-Id", &item.id);
+    let withholds_credentials = item.tenant.is_some() || route.has_tenants;
     for (name, value) in &item.headers {
-        write_header(&mut out, name, value);
+        if !(withholds_credentials && is_credential(name)) {
+            write_header(&mut out, name, value);
+        }
+    }
+    if let Some(tenant) = &item.tenant {
+        write_header(&mut out, TENANT_HEADER, tenant);
     }
     write_number_header(&mut out, "Deadline-Ms", deadline_ms);
     write_header(&mut out, "Expected-Instance", instance);
--- a/crates/data-plane/src/gateway/batch_calls.rs
+++ b/crates/data-plane/src/gateway/batch_calls.rs
@@ -10,6 +10,7 @@
 use orchidvalve_protocol::messages::{ItemOutcome, SessionMessage};
 
 use super::Gateway;
+use crate::admission::{Admitted, admit_job_call};
 use crate::batch_calls::{BatchCall, BatchResponse, CallId, CallResponse, ITEMS_PREFIX, JOBS_PREFIX};
 use crate::clients::Busy;
 use crate::text_compression::decompress;
@@ -25,9 +26,10 @@
         connection: ConnectionId,
         request: &Request,
         routes: &RouteTable,
-        route: usize,
+        admitted: &Admitted,
     ) {
-        let route = &routes.routes()[route];
+        let route = &routes.routes()[admitted.route];
+        let tenant = admitted.caller.tenant();
         if request.method != "POST" {
             self.respond(connection, 405, &[], b"batch jobs are submitted by POST");
             return;
@@ -37,7 +39,7 @@
             return;
         };
         let path = request.path();
-        let origin = JobOrigin { id, hostname: &route.hostname, route_prefix: path, tenant: None };
+        let origin = JobOrigin { id, hostname: &route.hostname, route_prefix: path, tenant };
         match Job::parse(&request.body, &origin) {
             Ok(job) => {
                 self.report_model_use(&job, route.single_version);
@@ -51,7 +53,7 @@
                 );
                 let call =
                     BatchCall::Submit { job: encoded, received_at_ms: self.clock.wall_ms_at(self.now) };
-                let call = self.calls.begin(self.now, id, call);
+                let call = self.calls.begin(self.now, id, tenant, call);
                 self.frontend.clients.assign(connection, Busy::Job(call));
             }
             Err(error) => {
@@ -81,7 +83,14 @@
     }
 
     /// A request about a job that was submitted: its results, an item's body, or its end.
-    pub(super) fn begin_job_call(&mut self, connection: ConnectionId, request: &Request) {
+    pub(super) fn begin_job_call(&mut self, connection: ConnectionId, request: Request) {
+        let Some(routes) = self.routes.clone() else {
+            return self.queue_until_ready(connection, request);
+        };
+        let caller = match admit_job_call(&request, &routes, self.configuration_age()) {
+            Ok(caller) => caller,
+            Err(refusal) => return self.refuse(connection, refusal),
+        };
         let path = request.path();
         let wait_ms = request.headers.number("wait-ms").unwrap_or(0).min(10_000) as u32;
         let after = request.query("after-seq").and_then(|number| number.parse().ok()).unwrap_or(0);
@@ -100,7 +109,7 @@
         };
         match call {
             Some((id, call)) => {
-                let call = self.calls.begin(self.now, id, call);
+                let call = self.calls.begin(self.now, id, caller.tenant(), call);
                 self.frontend.clients.assign(connection, Busy::Job(call));
             }
             None => self.respond(connection, 405, &[], b"this path has other methods"),
--- a/crates/data-plane/src/gateway/client_requests.rs
+++ b/crates/data-plane/src/gateway/client_requests.rs
@@ -1,11 +1,14 @@
 //! Requests of clients and the responses to them; readiness.
 
+use std::sync::Arc;
+
 use orchidvalve_configuration::RouteType;
 use orchidvalve_http::{MessageLimits, Request, write_response};
 use orchidvalve_net::ConnectionId;
 
 use super::Gateway;
 use super::upstream_io::Envelope;
+use crate::admission::{ConfigurationAge, Refusal, admit_request};
 use crate::batch_calls::{ITEMS_PREFIX, JOBS_PREFIX};
 use crate::clients::{Busy, ReadOutcome, malformed_status, readiness_idle_timeout_ms};
 use crate::exchanges::{Purpose, request_bytes};
@@ -65,7 +68,7 @@
     /// route table.
     fn begin_request(&mut self, connection: ConnectionId, request: Request) {
         if request.path().starts_with(JOBS_PREFIX) || request.path().starts_with(ITEMS_PREFIX) {
-            self.begin_job_call(connection, &request);
+            self.begin_job_call(connection, request);
             return;
         }
         if !self.is_configured() {
@@ -82,7 +85,7 @@
 
     /// Queues a request until there are a configuration and servers, which are on their way; a gateway that is shutting
     /// down rejects it.
-    fn queue_until_ready(&mut self, connection: ConnectionId, request: Request) {
+    pub(super) fn queue_until_ready(&mut self, connection: ConnectionId, request: Request) {
         let first_byte_at = self.frontend.clients.first_byte_at(connection).unwrap_or(self.now);
         let received = ReceivedRequest { request, first_byte_at };
         let queued = if self.shutdown_since.is_none() { self.startup_queue.push(received) } else { None };
@@ -102,7 +105,7 @@
         if self.is_configured() {
             for queued in self.startup_queue.drain() {
                 if let Some(connection) = self.frontend.clients.connection_of(Busy::Queued(queued.id)) {
-                    self.begin_routed(connection, queued.received.request);
+                    self.begin_request(connection, queued.received.request);
                 }
             }
         }
@@ -120,27 +123,35 @@
         }
     }
 
+    /// How the configuration in force stands to the newest one.
+    pub(super) fn configuration_age(&self) -> ConfigurationAge {
+        ConfigurationAge::of_feed(self.feed.last_received_at(), self.now)
+    }
+
+    /// Answers a request that isn't admitted.
+    pub(super) fn refuse(&mut self, connection: ConnectionId, refusal: Refusal) {
+        self.respond(connection, refusal.status(), refusal.headers(), refusal.body());
+    }
+
     /// Begins a request by its route.
     fn begin_routed(&mut self, connection: ConnectionId, request: Request) {
         let Some(routes) = self.routes.clone() else {
             self.reject(connection);
             return;
         };
-        let host = request.headers.get("host").unwrap_or_default();
-        let Some(route) = routes.lookup(host, &request.target) else {
-            self.respond(connection, 404, &[], b"no route for this host and path");
-            return;
+        let admitted = match admit_request(&request, &routes, self.configuration_age()) {
+            Ok(admitted) => admitted,
+            Err(refusal) => return self.refuse(connection, refusal),
         };
-        if route.route_type == RouteType::RolloutControl {
-            self.begin_submission(connection, &request, &routes, route.index);
+        if routes.routes()[admitted.route].route_type == RouteType::RolloutControl {
+            self.begin_submission(connection, &request, &routes, &admitted);
             return;
         }
-        let index = route.index;
         let mut commands = Vec::new();
         let first_byte_at = self.frontend.clients.first_byte_at(connection).unwrap_or(self.now);
         let received = ReceivedRequest { request, first_byte_at };
-        let id =
-            self.requests.begin(self.now, received, &routes, index, &self.servers.balancer, &mut commands);
+        let balancer = &self.servers.balancer;
+        let id = self.requests.begin(self.now, received, &routes, admitted, balancer, &mut commands);
         self.frontend.clients.assign(connection, Busy::Request(id));
         self.run_request_commands(commands);
     }
@@ -160,14 +171,15 @@
     fn run_request_command(&mut self, command: RequestCommand, next: &mut Vec<RequestCommand>) {
         match command {
             RequestCommand::Attempt { attempt, request, server, deadline_ms, last_event_id, permit } => {
-                let Some(request) = self.requests.request(request).cloned() else { return };
+                let Some(caller) = self.requests.caller(request).cloned() else { return };
+                let Some(request) = self.requests.request(request).map(Arc::clone) else { return };
                 let envelope = Envelope {
                     method: request.method.as_str(),
                     attempt_id: request.headers.get("attempt-id"),
                     idempotency: permit.idempotency(),
                 };
                 let sent = self.begin_exchange(server, Purpose::Request(attempt), envelope, |instance| {
-                    request_bytes(&request, instance, deadline_ms, last_event_id)
+                    request_bytes(&request, &caller, instance, deadline_ms, last_event_id)
                 });
                 if !sent {
                     let balancer = &mut self.servers.balancer;
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -5,6 +5,7 @@
 //!
 //! `docs/architecture.md` follows a client's request and a batch job through these modules step by step.
 //!
+//! * [`admission`] finds a request's route and its tenant, whom [`authentication`] tells by the API key.
 //! * [`requests`] decides on attempts, retries and hedges of clients' requests; [`balancer`] chooses the server of each;
 //!   [`attempts`] proves what may be attempted again and what may be promised.
 //! * [`generations`] runs groups of generations that stores assign through [`work`] and [`store_links`].
@@ -14,7 +15,9 @@
 //! * [`startup_queue`] keeps requests that come before there are a configuration and servers; [`response_class`] says
 //!   what a server's response means; [`text_compression`] packs texts on their way to the stores.
 
+pub mod admission;
 pub mod attempts;
+pub mod authentication;
 mod backoff;
 pub mod balancer;
 pub mod batch_calls;
--- a/crates/data-plane/src/requests/mod.rs
+++ b/crates/data-plane/src/requests/mod.rs
@@ -22,6 +22,8 @@
 use self::forwarded_stream::ForwardedStream;
 pub use self::messages::{ReceivedRequest, RequestAttemptId, RequestCommand, RequestId, Response};
 use self::pending::{DEFAULT_DEADLINE_MS, Destination, PendingRequest};
+use crate::admission::Admitted;
+use crate::authentication::Authenticated;
 use crate::balancer::Balancer;
 use crate::response_class::is_signed;
 use crate::upstream::Failure;
@@ -74,26 +76,32 @@
         self.pending.get(&id).map(|pending| &pending.request)
     }
 
-    /// Begins a request on `route`, an index of `routes`, and its first attempt.
+    /// Whose the request is: the same for all its attempts.
+    pub fn caller(&self, id: RequestId) -> Option<&Authenticated> {
+        self.pending.get(&id).map(|pending| &pending.caller)
+    }
+
+    /// Begins a request that was admitted by `routes`, and its first attempt.
     pub fn begin(
         &mut self,
         now: u64,
         received: ReceivedRequest,
         routes: &Arc<RouteTable>,
-        route: usize,
+        admitted: Admitted,
         balancer: &Balancer,
         out: &mut Vec<RequestCommand>,
     ) -> RequestId {
         let ReceivedRequest { request, first_byte_at } = received;
         self.last_request += 1;
         let id = RequestId(self.last_request);
+        let Admitted { route, caller } = admitted;
         let facts = &routes.routes()[route];
         let stated = request.headers.number("deadline-ms").unwrap_or(DEFAULT_DEADLINE_MS);
         let allowed = stated.min(facts.timeout_ms.unwrap_or(u64::MAX));
         let service = routes.pick(facts, self.random.next_u64());
         let deadline = first_byte_at.saturating_add(allowed.saturating_sub(DEADLINE_MARGIN_MS).max(1));
         let destination = Destination { routes: routes.clone(), route, service };
-        let pending = PendingRequest::new(request, destination, now, deadline);
+        let pending = PendingRequest::new(request, destination, caller, now, deadline);
         self.hedge_budget.record_first_attempt(now);
         self.pending.insert(id, pending);
         if deadline <= now || deadline > self.last_response_at {
--- a/crates/data-plane/src/requests/pending.rs
+++ b/crates/data-plane/src/requests/pending.rs
@@ -9,6 +9,7 @@
 use super::forwarded_stream::ForwardedStream;
 use super::messages::RequestAttemptId;
 use crate::attempts::{AttemptPermit, AttemptTracker, Idempotency, NeverExecuted, NotExecuted};
+use crate::authentication::Authenticated;
 use crate::balancer::ServerKey;
 
 /// Deadline of a request that states none, in milliseconds.
@@ -66,6 +67,8 @@
 pub(super) struct PendingRequest {
     pub request: Arc<Request>,
     pub destination: Destination,
+    /// Whose it is, by the configuration that its destination is from.
+    pub caller: Authenticated,
     pub received_at: u64,
     pub deadline: u64,
     attempts: HashMap<RequestAttemptId, Attempt>,
@@ -87,6 +90,7 @@
     pub fn new(
         request: Request,
         destination: Destination,
+        caller: Authenticated,
         received_at: u64,
         deadline: u64,
     ) -> PendingRequest {
@@ -95,6 +99,7 @@
         PendingRequest {
             request: Arc::new(request),
             destination,
+            caller,
             received_at,
             deadline,
             attempts: HashMap::new(),
--- a/crates/data-plane/src/work/mod.rs
+++ b/crates/data-plane/src/work/mod.rs
@@ -143,6 +143,7 @@
         let open = OpenJob { hostname: job.hostname.clone(), path: job.path.clone() };
         let allowed_ms =
             route.max_queue_s.map_or(NO_EXPIRY_MS, |seconds| (seconds * 1_000.0) as u64 + EXPIRY_MARGIN_MS);
+        let tenant = job.tenant.as_deref().map(CompactString::from);
         for group in groups {
             // A new head doesn't know what is on its way to it.
             let items = group.items.into_iter().filter(|item| !self.outcomes.contains(&key, &item.id));
@@ -158,7 +159,7 @@
                 min_weights_version: job.model.as_ref().map(|_| job.min_weights_version),
                 due_at: received_at + route.target_run_ms.unwrap_or(DEFAULT_RUN_MS),
                 expires_at: received_at.saturating_add(allowed_ms),
-                items: items.map(assigned_item).collect(),
+                items: items.map(|item| assigned_item(item, tenant.as_ref())).collect(),
             };
             runner.assign(assignment, commands);
         }
--- a/crates/data-plane/src/work/routes.rs
+++ b/crates/data-plane/src/work/routes.rs
@@ -44,11 +44,12 @@
         target_run_ms: route.target_run_ms.unwrap_or(DEFAULT_RUN_MS),
         max_attempts: route.max_attempts,
         single_version: route.single_version,
+        has_tenants: table.tenants().is_some(),
     }
 }
 
-/// The item that a store assigns.
-pub(super) fn assigned_item(item: AssignedItem) -> Item {
+/// The item that a store assigns, of a batch job of this tenant.
+pub(super) fn assigned_item(item: AssignedItem, tenant: Option<&CompactString>) -> Item {
     Item {
         id: item.id.into(),
         path: item.path.into(),
@@ -61,5 +62,6 @@
             path: scorer.path.into(),
             body: scorer.body.into(),
         }),
+        tenant: tenant.cloned(),
     }
 }
--- a/crates/data-plane/tests/batch_calls.rs
+++ b/crates/data-plane/tests/batch_calls.rs
@@ -48,7 +48,7 @@
     }
 
     fn begin(&mut self, call: BatchCall) -> CallId {
-        let call = self.calls.begin(self.now, ID, call);
+        let call = self.calls.begin(self.now, ID, None, call);
         self.pass(0);
         call
     }
--- a/crates/data-plane/tests/batch_calls_support/mod.rs
+++ b/crates/data-plane/tests/batch_calls_support/mod.rs
@@ -145,7 +145,7 @@
     /// Begins a reading of results.
     pub fn begin_reading(&mut self, number: usize) -> CallId {
         let call = BatchCall::Read { after: number as u64, wait_ms: 300 * number as u32 };
-        self.calls.begin(self.now, &format!("job-{number}"), call)
+        self.calls.begin(self.now, &format!("job-{number}"), None, call)
     }
 
     pub fn begin(&mut self, number: usize) -> (CallId, String) {
@@ -155,7 +155,7 @@
             1 => BatchCall::ItemBody { item: id.clone() },
             _ => BatchCall::End,
         };
-        (self.calls.begin(self.now, &id, call), id)
+        (self.calls.begin(self.now, &id, None, call), id)
     }
 
     /// What was told, once nothing is on its way any more: a job may also be taken after its client was answered.
--- a/crates/data-plane/tests/exchanges.rs
+++ b/crates/data-plane/tests/exchanges.rs
@@ -2,6 +2,7 @@
 
 mod requests_support;
 
+use orchidvalve_data_plane::authentication::Authenticated;
 use orchidvalve_data_plane::balancer::ServerKey;
 use orchidvalve_data_plane::exchanges::{
     Exchanges, Purpose, Stream, closed_stream_outcome, request_bytes, reward_outcome, stream_outcome,
@@ -16,7 +17,8 @@
 use rstest::rstest;
 
 fn sent(text: &str, last_event_id: Option<u64>) -> Request {
-    let bytes = request_bytes(&request(text), "i-7f3a91c2", 640, last_event_id);
+    let bytes =
+        request_bytes(&request(text), &Authenticated::WithoutTenants, "i-7f3a91c2", 640, last_event_id);
     let limits = MessageLimits { header_bytes: 4_096, body_bytes: 4_096 };
     let read = RequestReader::default().read(&bytes, &limits).unwrap();
     assert_eq!(read.consumed, bytes.len());
--- a/crates/data-plane/tests/generations_support/mod.rs
+++ b/crates/data-plane/tests/generations_support/mod.rs
@@ -302,6 +302,7 @@
         target_run_ms: TARGET_MS,
         max_attempts: MAX_ATTEMPTS,
         single_version,
+        has_tenants: false,
     })
 }
 
@@ -319,6 +320,7 @@
         body: Arc::from(&b"prompt"[..]),
         token_usage: 10,
         scorer: scored.then_some(scorer),
+        tenant: None,
     }
 }
 
--- a/crates/data-plane/tests/golden_bytes.rs
+++ b/crates/data-plane/tests/golden_bytes.rs
@@ -8,6 +8,7 @@
 use std::path::{Path, PathBuf};
 use std::sync::Arc;
 
+use orchidvalve_data_plane::authentication::Authenticated;
 use orchidvalve_data_plane::clients::{Busy, Clients, ReadOutcome};
 use orchidvalve_data_plane::exchanges::{generation_bytes, request_bytes, reward_bytes};
 use orchidvalve_data_plane::generations::{Item, RouteFacts, Scorer};
@@ -40,6 +41,7 @@
             path: "/score/9".into(),
             body: Arc::from(&b"score"[..]),
         }),
+        tenant: None,
     }
 }
 
@@ -51,6 +53,7 @@
         target_run_ms: 8_000,
         max_attempts: 2,
         single_version: true,
+        has_tenants: false,
     }
 }
 
@@ -61,12 +64,13 @@
                 Last-Event-Id: 4\r\nContent-Length: 3\r\n\r\na\0b";
     let get = "GET /a/1 HTTP/1.1\r\nHost: ficu95.example\r\n\r\n";
     let put = "PUT /a/1 HTTP/1.1\r\nHost: ficu95.example\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n";
+    let caller = Authenticated::WithoutTenants;
     let (plain, scored) = (item(false), Arc::new(item(true)));
     let samples = [
-        ("request-first", request_bytes(&request(post), "i-7f3a91c2", 640, None)),
-        ("request-resumed", request_bytes(&request(post), "i-7f3a91c2", 640, Some(7))),
-        ("request-without-body", request_bytes(&request(get), "i-1", 1, None)),
-        ("request-with-empty-body", request_bytes(&request(put), "i-1", 90_000, None)),
+        ("request-first", request_bytes(&request(post), &caller, "i-7f3a91c2", 640, None)),
+        ("request-resumed", request_bytes(&request(post), &caller, "i-7f3a91c2", 640, Some(7))),
+        ("request-without-body", request_bytes(&request(get), &caller, "i-1", 1, None)),
+        ("request-with-empty-body", request_bytes(&request(put), &caller, "i-1", 90_000, None)),
         ("generation-first", generation_bytes(&plain, &facts(), "i-7f3a91c2", None, None, 20_000)),
         ("generation-resumed", generation_bytes(&scored, &facts(), "i-7f3a91c2", Some(12), Some(7), 900)),
         ("reward-call", reward_bytes(&scored, "i-7f3a91c2", 2_000)),
--- a/crates/data-plane/tests/golden_requests.rs
+++ b/crates/data-plane/tests/golden_requests.rs
@@ -6,7 +6,9 @@
 use std::collections::BTreeMap;
 use std::path::{Path, PathBuf};
 
+use orchidvalve_data_plane::admission::Admitted;
 use orchidvalve_data_plane::attempts::Idempotency;
+use orchidvalve_data_plane::authentication::Authenticated;
 use orchidvalve_data_plane::balancer::{Balancer, ServerKey, Success};
 use orchidvalve_data_plane::exchanges::request_bytes;
 use orchidvalve_data_plane::requests::{
@@ -104,10 +106,11 @@
         let routes = routes();
         let request = request(&text);
         let route = routes.lookup("ficu95.example", &request.target).unwrap().index;
+        let admitted = Admitted { route, caller: Authenticated::WithoutTenants };
         let first_byte_at = self.now - self.random.random_range(0..30);
         let mut out = Vec::new();
         let received = ReceivedRequest { request, first_byte_at };
-        let id = self.requests.begin(self.now, received, &routes, route, &self.servers.balancer, &mut out);
+        let id = self.requests.begin(self.now, received, &routes, admitted, &self.servers.balancer, &mut out);
         self.open.push(id);
         self.take(out);
     }
@@ -149,7 +152,18 @@
                 let instance = &self.servers.balancer.get(server).expect("it is there").entry.instance;
                 let once = u64::from(permit.idempotency() == Idempotency::AtMostOnce);
                 let numbers = vec![1, place, u64::from(server.0), once];
-                (request, 2, numbers, request_bytes(&asked, instance, deadline_ms, last_event_id))
+                (
+                    request,
+                    2,
+                    numbers,
+                    request_bytes(
+                        &asked,
+                        &Authenticated::WithoutTenants,
+                        instance,
+                        deadline_ms,
+                        last_event_id,
+                    ),
+                )
             }
             RequestCommand::Cancel { attempt: id } => {
                 *self.kinds.entry("cancel").or_default() += 1;
--- a/crates/data-plane/tests/requests_support/mod.rs
+++ b/crates/data-plane/tests/requests_support/mod.rs
@@ -6,8 +6,11 @@
 use std::sync::Arc;
 
 use orchidvalve_configuration::{Configuration, RouteTable};
+use orchidvalve_data_plane::admission::Admitted;
 use orchidvalve_data_plane::attempts::Idempotency;
+use orchidvalve_data_plane::authentication::Authenticated;
 use orchidvalve_data_plane::balancer::{Balancer, BalancerChange, ServerKey};
+use orchidvalve_data_plane::exchanges::request_bytes;
 use orchidvalve_data_plane::requests::{
     ReceivedRequest, RequestAttemptId, RequestCommand, RequestId, Requests, Response,
 };
@@ -127,6 +130,8 @@
     pub servers: Servers,
     pub now: u64,
     pub attempts: Vec<Attempted>,
+    /// What the server of each attempt got.
+    pub sent: Vec<Vec<u8>>,
     pub cancelled: Vec<RequestAttemptId>,
     pub client: Client,
     routes: Arc<RouteTable>,
@@ -140,6 +145,7 @@
             servers: Servers::default(),
             now: 10_000,
             attempts: Vec::new(),
+            sent: Vec::new(),
             cancelled: Vec::new(),
             client: Client::default(),
             routes: routes(),
@@ -166,8 +172,17 @@
         let route = self.routes.lookup("ficu95.example", &request.target).unwrap().index;
         let routes = self.routes.clone();
         let arrived = ReceivedRequest { request, first_byte_at: self.now - took_ms };
-        let id =
-            self.requests.begin(self.now, arrived, &routes, route, &self.servers.balancer, &mut self.out);
+        self.begin_admitted(arrived, &routes, Admitted { route, caller: Authenticated::WithoutTenants })
+    }
+
+    pub fn begin_admitted(
+        &mut self,
+        arrived: ReceivedRequest,
+        routes: &Arc<RouteTable>,
+        admitted: Admitted,
+    ) -> RequestId {
+        let balancer = &self.servers.balancer;
+        let id = self.requests.begin(self.now, arrived, routes, admitted, balancer, &mut self.out);
         self.settle();
         id
     }
@@ -243,7 +258,10 @@
                 !self.client.whole && !self.client.broken || matches!(command, RequestCommand::Cancel { .. })
             );
             match command {
-                RequestCommand::Attempt { attempt, server, deadline_ms, last_event_id, permit, .. } => {
+                RequestCommand::Attempt { attempt, request, server, deadline_ms, last_event_id, permit } => {
+                    let caller = self.requests.caller(request).unwrap();
+                    let request = self.requests.request(request).unwrap();
+                    self.sent.push(request_bytes(request, caller, "i-7", deadline_ms, last_event_id));
                     let runs_once = permit.idempotency() == Idempotency::AtMostOnce;
                     self.attempts.push(Attempted {
                         id: attempt,
