Usage: counted by gateways, decided by the head, reported to the platform

Operators saw that no usage report ever came: each window was priced as a duty left undone. Nothing counted requests by tenant, and the messages for it were ignored. Gateways count requests that began at servers by window and tenant and tell their control node; control nodes pass counts on to the head; the head decides each window once in the control state and sends it under the lease until it is accepted. Status shows both.

--- a/crates/control-client/src/session.rs
+++ b/crates/control-client/src/session.rs
@@ -71,6 +71,8 @@
     /// When the next control node is asked while there is no session.
     next_attempt_at: u64,
     health: Option<StoreHealth>,
+    /// Sessions that this process has opened.
+    sessions_opened: u64,
     replica: FeedReplica,
 }
 
@@ -84,6 +86,7 @@
             attempts: Vec::new(),
             next_attempt_at: 0,
             health: None,
+            sessions_opened: 0,
             replica: FeedReplica::default(),
         }
     }
@@ -110,6 +113,11 @@
         self.next_attempt_at = self.next_attempt_at.min(now + RETRY_MS);
     }
 
+    /// Number of the session that is open, unlike that of every one before: what was sent in those may be lost.
+    pub fn session_number(&self) -> Option<u64> {
+        self.session.as_ref().map(|_| self.sessions_opened)
+    }
+
     /// The control node that keeps the session: it has a quorum.
     pub fn session_node(&self) -> Option<NodeAddress> {
         self.session.as_ref().map(|session| session.address)
@@ -281,6 +289,7 @@
         let Some(index) = self.attempts.iter().position(is_meant) else { return };
         let Attempt { address, .. } = self.attempts.remove(index);
         let next_heartbeat_at = now + HEARTBEAT_MS;
+        self.sessions_opened += 1;
         self.session = Some(Session { connection, address, last_received_at: now, next_heartbeat_at });
         for attempt in self.attempts.drain(..) {
             network.abort(attempt.connection);
--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -3,7 +3,7 @@
 //! The control nodes hold the control state in a chain; the view of the chain is agreed on by a quorum of them.
 //! Gateways and store nodes open a session to one of them and subscribe to the numbered feed of changes. The head of
 //! the chain acts in the roles that one node at a time may have: reading the platform's list, placing partitions
-//! on store nodes and rolling out new weights.
+//! on store nodes, rolling out new weights and reporting usage.
 //!
 //! [`node`] is the state machine of one control node and does no I/O. [`process`] connects it with sockets and disk;
 //! [`observer`] is the process of a machine without a disk.
@@ -26,5 +26,6 @@
 pub mod sessions;
 pub mod singleton_roles;
 pub mod subscribers;
+pub mod usage_collection;
 pub mod weight_rollout;
 pub mod workers;
--- a/crates/control-plane/src/process/connections.rs
+++ b/crates/control-plane/src/process/connections.rs
@@ -93,6 +93,7 @@
         let workers = PeerMessage::Workers(self.workers.list().clone());
         self.links.send(&mut self.network, address, &workers);
         self.session_reports.set_changed();
+        self.usage_link_opened(address);
         if let Some(member) = self.links.member_at(address) {
             self.node.link_up(member);
         }
@@ -237,7 +238,8 @@
             PeerMessage::LearnerCaughtUp { partition, epoch, member } => {
                 self.roles.learner_caught_up(partition, epoch, member);
             }
-            PeerMessage::Usage { .. } | PeerMessage::Load { .. } => {}
+            PeerMessage::Usage { incarnation, windows } => self.usage_passed_on(incarnation, windows),
+            PeerMessage::Load { .. } => {}
         }
     }
 
@@ -276,7 +278,8 @@
                 // Nobody waits for the outcome: gateways report it again with the next job.
                 self.submit_unattended(&Change::RecordModelUsage { model, usage });
             }
-            SessionMessage::ReportUsage { .. } | SessionMessage::ReportLoad { .. } => {}
+            SessionMessage::ReportUsage { windows } => self.usage_told(connection, windows),
+            SessionMessage::ReportLoad { .. } => {}
             SessionMessage::Goodbye => return Disposition::Drop,
         }
         Disposition::Keep
--- a/crates/control-plane/src/process/mod.rs
+++ b/crates/control-plane/src/process/mod.rs
@@ -12,6 +12,7 @@
 mod connections;
 mod operator_connections;
 mod shutdown;
+mod usage;
 
 use std::collections::BTreeMap;
 use std::net::SocketAddrV4;
@@ -41,6 +42,7 @@
 use crate::sessions::SessionTable;
 use crate::singleton_roles::{self, ExchangePurpose, SingletonRoleOptions, SingletonRoles};
 use crate::subscribers::FeedSubscribers;
+use crate::usage_collection::UsageCollection;
 use crate::workers::WorkerSelection;
 
 /// Tag of connections of operators and trainers.
@@ -73,6 +75,14 @@
     pub lease_ms: Milliseconds,
     /// Time from the return of a machine until the next one may be lost, in milliseconds.
     pub catch_up_ms: Milliseconds,
+    /// What the platform lets the system do, by the names of the settings.
+    pub duties: Vec<String>,
+    /// Calls a second that the platform takes for it from all nodes together.
+    pub duty_per_s: f64,
+    /// Length of a window of usage, in milliseconds.
+    pub usage_window_ms: Milliseconds,
+    /// The report of a window is due so long after its end, in milliseconds.
+    pub usage_late_ms: Milliseconds,
 }
 
 impl ControlOptions {
@@ -99,6 +109,10 @@
             platform: self.platform,
             lease_ms: self.lease_ms,
             tolerance: self.tolerance,
+            duties: self.duties.clone(),
+            duty_per_s: self.duty_per_s,
+            usage_window_ms: self.usage_window_ms,
+            usage_late_ms: self.usage_late_ms,
         }
     }
 }
@@ -154,6 +168,8 @@
     workers: WorkerSelection,
     /// Work that only the head does.
     roles: SingletonRoles,
+    /// Counts of gateways in windows whose reports aren't decided.
+    usage: UsageCollection,
     operators: OperatorConnections,
     /// When this process exits at the latest, once it is shutting down.
     shutdown_deadline: Option<Milliseconds>,
@@ -216,6 +232,7 @@
             servers: ServerTable::default(),
             workers: WorkerSelection::default(),
             roles: SingletonRoles::new(options.role_options()),
+            usage: UsageCollection::default(),
             operators: OperatorConnections::default(),
             shutdown_deadline: None,
             options,
@@ -313,6 +330,7 @@
             self.node.link_down(member);
         }
         self.handle_outputs();
+        self.pass_on_usage();
         self.run_singleton_roles();
         self.handle_outputs();
         self.maintain_sessions();
@@ -367,12 +385,13 @@
         self.roles.view_changed(self.now, view.epoch, head == Some(self.me()), was_head);
         self.head = head.map(|member| KnownHead { epoch: view.epoch, member });
         self.session_moves.view_changed(self.now);
+        self.usage.tell_all_again();
         let voters = view.voters.iter().map(|voter| voter.address);
         self.links.set_permanent_peers(voters.chain(self.options.seed_nodes()));
     }
 
     /// Expires exchanges of the singleton roles. As the leader, also selects workers, reads the platform's list, places
-    /// partitions and gives orders for weights; changes that follow are proposed to the log.
+    /// partitions, gives orders for weights and reports usage; changes that follow are proposed to the log.
     fn run_singleton_roles(&mut self) {
         for completed in self.roles.client().expire(&mut self.network, self.now) {
             self.role_exchange_completed(Some(completed));
@@ -398,6 +417,7 @@
         for change in registrations.into_iter().chain(placement) {
             self.node.propose(change);
         }
+        self.report_usage(confirmed_at);
     }
 }
 
--- a/crates/control-plane/src/process/operator_connections.rs
+++ b/crates/control-plane/src/process/operator_connections.rs
@@ -19,6 +19,7 @@
 };
 use crate::peer_messages::{HeadRequest, RequestOutcome};
 use crate::placement;
+use crate::singleton_roles::usage_status;
 
 /// A connection without a request is closed after this time, in milliseconds: its operator's machine may be gone.
 const IDLE_TIMEOUT_MS: Milliseconds = 60_000;
@@ -312,6 +313,7 @@
             "members": sessions.collect::<Vec<Value>>(),
             "partitions": partitions.collect::<Vec<Value>>(),
             "servers": self.servers.servers().count(),
+            "usage": usage_status(state.usage_reports()),
         });
         OperatorResponse::new(200, &status)
     }
--- a/crates/control-plane/src/singleton_roles/duty_calls.rs
+++ b/crates/control-plane/src/singleton_roles/duty_calls.rs
@@ -98,7 +98,7 @@
     /// When a call may be sent next: the first time at which [`CallPacing::take`] can succeed.
     pub(super) fn next_at(&self) -> Milliseconds {
         let missing = (1.0 - self.tokens).max(0.0);
-        let refilled = self.refilled_at + (missing / self.rate_per_ms).ceil() as Milliseconds;
+        let refilled = self.refilled_at.saturating_add((missing / self.rate_per_ms).ceil() as Milliseconds);
         refilled.max(self.paused_until)
     }
 
--- a/crates/control-plane/src/singleton_roles/mod.rs
+++ b/crates/control-plane/src/singleton_roles/mod.rs
@@ -1,5 +1,5 @@
-//! The singleton roles of the head of the control chain: reading the platform's list, placing partitions and ordering
-//! new weights.
+//! The singleton roles of the head of the control chain: reading the platform's list, placing partitions, ordering
+//! new weights and reporting usage.
 //!
 //! Another node has them as soon as it is the head, and every start of a head has a term of its own, higher than all
 //! before ([`crate::node::ControlNode::leadership_term`]): server tables and orders bear it.
@@ -8,6 +8,7 @@
 mod list_polling;
 mod order_sender;
 mod partition_placement;
+mod usage_reporting;
 
 use std::net::SocketAddrV4;
 
@@ -17,9 +18,11 @@
 use orchidvalve_protocol::messages::ServerTableUpdate;
 use orchidvalve_protocol::server_table::ServerTable;
 
+use self::duty_calls::CallPacing;
 use self::list_polling::{ListPolling, PolledPage};
 use self::order_sender::{Rollout, is_order_in_progress};
 use self::partition_placement::PlacementRole;
+use self::usage_reporting::UsageReporting;
 use crate::discovery::REQUEST_TIMEOUT_MS;
 use crate::http_client::{
     CONNECT_TIMEOUT_MS, CompletedExchange, ConnectionUse, ExchangeTarget, HttpClient, NEW_USER_TIMEOUT_MS,
@@ -28,6 +31,7 @@
 use crate::weight_rollout::{LoadOrder, OrderOutcome};
 
 pub use self::partition_placement::{may_retire, registrations};
+pub use self::usage_reporting::{DECISION_DELAY_MS, USAGE_REPORTING_DUTY, log_usage_decision, usage_status};
 
 /// A quorum has to have confirmed this node as head within this time before it gives an order: two rounds of
 /// pings, in milliseconds.
@@ -55,10 +59,15 @@
         /// The server that is asked.
         instance: String,
     },
+    /// The report of usage in one window.
+    UsageReport {
+        /// Number of the window.
+        window: u64,
+    },
 }
 
 /// Facts that the singleton roles go by.
-#[derive(Clone, Debug)]
+#[derive(Clone, Default, Debug)]
 pub struct SingletonRoleOptions {
     /// Name of this machine, given in its orders.
     pub name: String,
@@ -68,6 +77,14 @@
     pub lease_ms: Milliseconds,
     /// Store nodes that may be lost at once.
     pub tolerance: usize,
+    /// What the platform lets the system do, by the names of the settings.
+    pub duties: Vec<String>,
+    /// Calls a second that the platform takes from all nodes together.
+    pub duty_per_s: f64,
+    /// Length of a window of usage, in milliseconds.
+    pub usage_window_ms: Milliseconds,
+    /// The report of a window is due so long after its end, in milliseconds.
+    pub usage_late_ms: Milliseconds,
 }
 
 /// Since when this node has been the head, and what it may do as such.
@@ -90,6 +107,9 @@
     rollout: Rollout,
     placement: PlacementRole,
     publication: Publication,
+    /// When the platform may be called in the roles that it bounds.
+    duty_pacing: CallPacing,
+    usage: UsageReporting,
 }
 
 /// When the server table is published.
@@ -120,6 +140,8 @@
     /// The roles of a node that isn't the head yet.
     pub fn new(options: SingletonRoleOptions) -> SingletonRoles {
         SingletonRoles {
+            duty_pacing: CallPacing::new(options.duty_per_s),
+            usage: UsageReporting::default(),
             options,
             client: HttpClient::default(),
             tenure: Tenure::default(),
@@ -140,6 +162,7 @@
             self.rollout.stop();
             self.list.stop();
             self.placement.forget_losses();
+            self.usage.stop();
             self.publication = Publication::default();
             return;
         }
@@ -187,7 +210,9 @@
         let rollout = self.rollout.next_wakeup().unwrap_or(u64::MAX);
         let deadline = self.client.next_deadline().unwrap_or(u64::MAX);
         let publication = self.tenure.term.and_then(|_| self.publication.due_at()).unwrap_or(u64::MAX);
-        rollout.min(deadline).min(self.list.next_wakeup()).min(publication)
+        let usage = self.tenure.term.map(|_| self.usage.next_wakeup(self.duty_pacing.next_at()));
+        let usage = usage.unwrap_or(u64::MAX);
+        rollout.min(deadline).min(self.list.next_wakeup()).min(publication).min(usage)
     }
 
     /// Whether this connection carries an exchange of a singleton role.
@@ -256,6 +281,10 @@
                 self.probe_answered(network, &instance, is_busy, now);
                 None
             }
+            ExchangePurpose::UsageReport { window } => {
+                self.usage_report_answered(window, status, now);
+                None
+            }
             ExchangePurpose::ListPage { read_number } if read_number != self.list.read_number() => None,
             ExchangePurpose::ListPage { .. } => {
                 let can_publish = self.tenure.term.is_some();
--- a/crates/control-plane/src/subscribers.rs
+++ b/crates/control-plane/src/subscribers.rs
@@ -124,6 +124,11 @@
         self.subscribers.contains_key(&connection)
     }
 
+    /// Random number of the start of the process whose session is open on this connection.
+    pub fn incarnation(&self, connection: ConnectionId) -> Option<u64> {
+        self.subscribers.get(&connection).map(|subscriber| subscriber.session.incarnation)
+    }
+
     /// Forgets the older sessions of the process that introduces itself on a new connection, and returns their
     /// connections. Their end must not end the newer session, and what still arrives on them is older than what it
     /// brought.
--- a/crates/control-plane/tests/golden_requests.rs
+++ b/crates/control-plane/tests/golden_requests.rs
@@ -86,6 +86,7 @@
         platform: Some(platform_address),
         lease_ms: LEASE_MS,
         tolerance: 1,
+        ..SingletonRoleOptions::default()
     };
     let mut duties = SingletonRoles::new(options);
     duties.view_changed(SINCE, 1, true, true);
--- a/crates/control-plane/tests/role_discovery.rs
+++ b/crates/control-plane/tests/role_discovery.rs
@@ -35,6 +35,7 @@
             platform: Some(address),
             lease_ms: 1_000,
             tolerance: 1,
+            ..SingletonRoleOptions::default()
         };
         let mut duties = SingletonRoles::new(options);
         duties.view_changed(SINCE, 1, true, false);
--- a/crates/control-plane/tests/role_placement.rs
+++ b/crates/control-plane/tests/role_placement.rs
@@ -49,8 +49,13 @@
 }
 
 fn duties() -> SingletonRoles {
-    let options =
-        SingletonRoleOptions { name: "control".to_owned(), platform: None, lease_ms: 1_000, tolerance: 1 };
+    let options = SingletonRoleOptions {
+        name: "control".to_owned(),
+        platform: None,
+        lease_ms: 1_000,
+        tolerance: 1,
+        ..SingletonRoleOptions::default()
+    };
     let mut duties = SingletonRoles::new(options);
     duties.view_changed(SINCE, 1, true, false);
     duties
--- a/crates/control-plane/tests/role_weight_rollout.rs
+++ b/crates/control-plane/tests/role_weight_rollout.rs
@@ -46,6 +46,7 @@
             platform: Some(platform_address),
             lease_ms: LEASE_MS,
             tolerance: 1,
+            ..SingletonRoleOptions::default()
         };
         let mut duties = SingletonRoles::new(options);
         duties.view_changed(SINCE, 1, true, true);
--- a/crates/control-plane/tests/support/order_roles.rs
+++ b/crates/control-plane/tests/support/order_roles.rs
@@ -22,8 +22,13 @@
 
 impl OrderRole {
     fn new(lease_ms: u64) -> OrderRole {
-        let options =
-            SingletonRoleOptions { name: "control".to_owned(), platform: None, lease_ms, tolerance: 1 };
+        let options = SingletonRoleOptions {
+            name: "control".to_owned(),
+            platform: None,
+            lease_ms,
+            tolerance: 1,
+            ..SingletonRoleOptions::default()
+        };
         OrderRole { roles: SingletonRoles::new(options), head: None }
     }
 }
--- a/crates/control-state/src/usage_reports.rs
+++ b/crates/control-state/src/usage_reports.rs
@@ -6,6 +6,9 @@
 
 use crate::change::Applied;
 
+/// Windows whose counts are kept until their reports are decided. Older ones are never reported.
+pub const MAX_UNDECIDED_WINDOWS: u64 = 120;
+
 /// The requests of each tenant that began within one window.
 #[derive(Clone, PartialEq, Eq, Default, Debug, Encode, Decode)]
 pub struct UsageReport {
@@ -35,6 +38,16 @@
         self.unaccepted.iter().map(|(window, counts)| UsageReport { window: *window, counts: counts.clone() })
     }
 
+    /// Windows whose reports have to be sent, oldest first.
+    pub fn unaccepted_windows(&self) -> impl Iterator<Item = u64> {
+        self.unaccepted.keys().copied()
+    }
+
+    /// What the report of a window says; None unless it has to be sent.
+    pub fn unaccepted_counts(&self, window: u64) -> Option<&BTreeMap<String, u64>> {
+        self.unaccepted.get(&window)
+    }
+
     /// Decides the report of a window, unless that window or a later one is decided.
     pub(crate) fn decide(&mut self, report: &UsageReport) -> Applied {
         if self.next_window.is_some_and(|next| report.window < next) {
--- a/crates/ctl/src/status.rs
+++ b/crates/ctl/src/status.rs
@@ -27,7 +27,7 @@
     };
     let number = |name: &str| Ok::<_, ReadError>(status.field(name)?.unsigned()?.to_string());
     let duties = status.optional("duties")?.map(|d| d.text()).transpose()?;
-    let mut text = columns(&[
+    let mut facts = vec![
         vec!["asked".to_owned(), format!("{}, {in_touch}", status.field("name")?.text()?)],
         vec!["epoch".to_owned(), number("epoch")?],
         vec!["chain".to_owned(), joined(&status.field("chain")?, " -> ")?],
@@ -36,7 +36,9 @@
         vec!["change".to_owned(), number("change")?],
         vec!["configuration".to_owned(), number("configuration")?],
         vec!["servers".to_owned(), number("servers")?],
-    ]);
+    ];
+    facts.extend(usage(status)?);
+    let mut text = columns(&facts);
     for rows in [versions(status)?, members(status)?, partitions(status)?] {
         text.push('\n');
         text.push_str(&columns(&rows));
@@ -44,6 +46,17 @@
     Ok(text)
 }
 
+/// Reports of usage: the last window that is decided, and those that the platform hasn't accepted.
+fn usage(status: &ValueReader<'_, '_>) -> Result<Option<Vec<String>>, ReadError> {
+    let Some(usage) = status.optional("usage")? else { return Ok(None) };
+    let unaccepted = usage.field("unaccepted")?.items()?.count();
+    let text = match usage.optional("last-decided")? {
+        Some(window) => format!("decided through window {}, {unaccepted} not accepted", window.unsigned()?),
+        None => "none decided".to_owned(),
+    };
+    Ok(Some(vec!["usage".to_owned(), text]))
+}
+
 fn versions(status: &ValueReader<'_, '_>) -> Result<Vec<Vec<String>>, ReadError> {
     let mut rows = vec![header(&["MODEL", "VERSION"])];
     let versions = status.field("versions")?;
--- a/crates/data-plane/src/gateway/control_updates.rs
+++ b/crates/data-plane/src/gateway/control_updates.rs
@@ -58,6 +58,7 @@
             self.calls.store_lost(self.now, store);
         }
         self.heads_changed(heads);
+        self.forget_decided_usage();
         let state = self.feed.replica().state();
         let Some(configuration) = state.configuration() else { return };
         if self.routes.as_ref().is_none_or(|routes| routes.version() != configuration.version()) {
--- a/crates/data-plane/src/gateway/mod.rs
+++ b/crates/data-plane/src/gateway/mod.rs
@@ -7,6 +7,7 @@
 mod partition_heads;
 pub mod shutdown;
 mod upstream_io;
+mod usage_counts;
 
 use std::collections::BTreeSet;
 use std::io;
@@ -34,6 +35,7 @@
 use crate::startup_queue::StartupQueue;
 use crate::store_links::StoreLinks;
 use crate::upstream::UpstreamConnections;
+use crate::usage::UsageCounts;
 use crate::work::{RewardRoutes, Work};
 
 /// Listeners of the process, as the network numbers them.
@@ -61,6 +63,8 @@
     pub seeds: Vec<NodeAddress>,
     /// Time from SIGTERM to SIGKILL, in milliseconds.
     pub grace_ms: u64,
+    /// Length of a window of usage, in milliseconds.
+    pub usage_window_ms: u64,
 }
 
 /// Why a gateway process ends.
@@ -108,6 +112,7 @@
     stores: Stores,
     startup_queue: StartupQueue,
     requests: Requests,
+    usage: UsageCounts,
     calls: BatchCalls,
     runner: Runner,
     work: Work,
@@ -181,6 +186,7 @@
             },
             startup_queue: StartupQueue::default(),
             requests: Requests::new(&options.zone, Pcg64Mcg::seed_from_u64(seed ^ 1)),
+            usage: UsageCounts::new(options.usage_window_ms),
             calls: BatchCalls::default(),
             runner,
             work: Work::default(),
@@ -199,6 +205,7 @@
             self.stores.links.next_wakeup(),
             self.startup_queue.next_wakeup(),
             self.requests.next_wakeup(),
+            self.usage.next_wakeup(self.feed.session_number()),
             self.calls.next_wakeup(),
             self.work.next_wakeup(),
             self.runner.next_wakeup().unwrap_or(u64::MAX),
@@ -292,5 +299,7 @@
         self.return_unservable();
         self.send_outcomes();
         self.close_expired_clients();
+        self.count_usage();
+        self.report_usage();
     }
 }
--- a/crates/data-plane/src/gateway/shutdown.rs
+++ b/crates/data-plane/src/gateway/shutdown.rs
@@ -67,6 +67,7 @@
             return false;
         }
         self.end_pending();
+        self.report_all_usage();
         self.feed.say_goodbye(&mut self.network);
         true
     }
@@ -78,6 +79,7 @@
             && self.calls.pending() == 0
             && self.runner.open_groups() == 0
             && self.work.unacknowledged() == 0
+            && self.usage.is_told(self.feed.session_number())
             && self.frontend.clients.is_flushed(&self.network)
     }
 
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -9,6 +9,7 @@
 //!   [`attempts`] proves what may be attempted again and what may be promised.
 //! * [`generations`] runs groups of generations that stores assign through [`work`] and [`store_links`].
 //! * [`batch_calls`] carries clients' calls about batch jobs to the stores.
+//! * [`usage`] counts the requests of each tenant that began at servers, for the reports of usage.
 //! * [`clients`] and [`upstream`] keep the connections to clients and to servers; [`exchanges`] says what each exchange
 //!   with a server is for.
 //! * [`startup_queue`] keeps requests that come before there are a configuration and servers; [`response_class`] says
@@ -28,4 +29,5 @@
 pub mod store_links;
 pub mod text_compression;
 pub mod upstream;
+pub mod usage;
 pub mod work;
--- a/crates/data-plane/src/requests/attempt.rs
+++ b/crates/data-plane/src/requests/attempt.rs
@@ -154,6 +154,10 @@
         if failure == Failure::Connect {
             pending.uncount(&ended);
         }
+        // A connection that was closed as it was idle most likely carried nothing.
+        if !not_executed && failure != Failure::Stale {
+            pending.may_have_begun(ended.started_at);
+        }
         let alone = pending.attempts_in_flight() == 0;
         let stale = failure == Failure::Stale;
         let retry_transparently = stale && alone && pending.is_idempotent() && !pending.transparently_retried;
--- a/crates/data-plane/src/requests/forwarded_stream.rs
+++ b/crates/data-plane/src/requests/forwarded_stream.rs
@@ -127,6 +127,11 @@
         self.events.as_ref().is_some_and(|events| events.has_added)
     }
 
+    /// Whether an event of the attempt has come, once a part of its body has.
+    pub fn has_events(&self) -> bool {
+        self.events.as_ref().is_none_or(|events| events.has_added)
+    }
+
     /// Whether the attempt ended between two events. A server that dies in the middle of one may end its connection in
     /// order, which is the end of a response without a length.
     pub fn ends_between_events(&self) -> bool {
--- a/crates/data-plane/src/requests/mod.rs
+++ b/crates/data-plane/src/requests/mod.rs
@@ -5,6 +5,7 @@
 //! at another server within the same response. A request that can't be answered is given its final response at once.
 
 mod attempt;
+mod begun;
 mod completion;
 mod forwarded_stream;
 mod messages;
@@ -19,11 +20,12 @@
 use rand::RngCore;
 use rand_pcg::Pcg64Mcg;
 
+pub use self::begun::BegunRequest;
 use self::forwarded_stream::ForwardedStream;
 pub use self::messages::{ReceivedRequest, RequestAttemptId, RequestCommand, RequestId, Response};
 use self::pending::{DEFAULT_DEADLINE_MS, Destination, PendingRequest};
 use crate::balancer::Balancer;
-use crate::response_class::is_signed;
+use crate::response_class::{is_rejection, is_signed};
 use crate::upstream::Failure;
 
 /// Margin before the deadline at which a request without a response is ended, so that the client still receives the
@@ -46,6 +48,8 @@
     last_attempt: u64,
     /// When the process gives its last responses: a request whose deadline is later is rejected.
     last_response_at: u64,
+    /// Requests that have begun at servers and weren't taken yet.
+    begun: Vec<BegunRequest>,
 }
 
 impl Requests {
@@ -61,6 +65,7 @@
             last_request: 0,
             last_attempt: 0,
             last_response_at: u64::MAX,
+            begun: Vec::new(),
         }
     }
 
@@ -125,7 +130,13 @@
         }
     }
 
+    /// Requests of tenants that have begun at servers since the last call.
+    pub fn take_begun(&mut self) -> Vec<BegunRequest> {
+        std::mem::take(&mut self.begun)
+    }
+
     fn cancel_attempts(&mut self, pending: PendingRequest, out: &mut Vec<RequestCommand>) {
+        self.begun.extend(pending.begun_at_last());
         for attempt in pending.into_attempts_in_flight() {
             self.attempts.remove(&attempt);
             out.push(RequestCommand::Cancel { attempt });
@@ -140,6 +151,8 @@
         out: &mut Vec<RequestCommand>,
     ) {
         let Some((id, pending)) = self.find(attempt) else { return };
+        let shows_begin = !pending.begins_with_event() && !is_rejection(&head);
+        let begun = if shows_begin { pending.attempt_began(attempt, None) } else { None };
         if pending.route().route_type == RouteType::Streaming && is_signed(&head) {
             let resumable = pending.route().resumable;
             match &mut pending.stream {
@@ -157,6 +170,7 @@
         if let Some(attempt) = pending.attempt_mut(attempt) {
             attempt.head = Some(head);
         }
+        self.begun.extend(begun);
     }
 
     /// A part of the body of an attempt's response was received.
@@ -170,7 +184,11 @@
     ) {
         let Some((_, pending)) = self.find(attempt) else { return };
         if let Some(stream) = pending.stream.as_mut().filter(|stream| stream.attempt == attempt) {
-            if stream.forward(bytes, out).is_err() {
+            let result = stream.forward(bytes, out);
+            let has_events = stream.has_events();
+            let begun = if has_events { pending.attempt_began(attempt, Some(now)) } else { None };
+            self.begun.extend(begun);
+            if result.is_err() {
                 out.push(RequestCommand::Cancel { attempt });
                 self.attempt_failed(now, attempt, Failure::Broken, balancer, out);
             }
--- a/crates/data-plane/src/requests/pending.rs
+++ b/crates/data-plane/src/requests/pending.rs
@@ -3,9 +3,11 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use compact_str::CompactString;
 use orchidvalve_configuration::{Route, RouteTable, RouteType};
 use orchidvalve_http::{Request, ResponseHead};
 
+use super::begun::tenant_of;
 use super::forwarded_stream::ForwardedStream;
 use super::messages::RequestAttemptId;
 use crate::attempts::{AttemptPermit, AttemptTracker, Idempotency, NeverExecuted, NotExecuted};
@@ -33,6 +35,8 @@
     pub head: Option<ResponseHead>,
     /// Body of a response that isn't streamed, as far as received.
     pub body: Vec<u8>,
+    /// Whether it has surely begun at its server.
+    pub has_begun: bool,
 }
 
 /// The route and service of a request.
@@ -81,6 +85,12 @@
     pub hedge_at: Option<u64>,
     /// The last response with a failure status, forwarded if no later attempt succeeds.
     pub last_failure: Option<ServerResponse>,
+    /// Name of the tenant whose key it carries.
+    pub tenant: Option<CompactString>,
+    /// Whether an attempt has surely begun at a server.
+    pub has_begun: bool,
+    /// When the first attempt was sent that has ended without showing whether it ran.
+    pub may_have_begun_at: Option<u64>,
 }
 
 impl PendingRequest {
@@ -90,6 +100,7 @@
         received_at: u64,
         deadline: u64,
     ) -> PendingRequest {
+        let tenant = tenant_of(&request, &destination.routes);
         let is_idempotent = destination.route().is_repeatable();
         let idempotency = if is_idempotent { Idempotency::Idempotent } else { Idempotency::AtMostOnce };
         PendingRequest {
@@ -106,6 +117,9 @@
             retry_at: None,
             hedge_at: None,
             last_failure: None,
+            tenant,
+            has_begun: false,
+            may_have_begun_at: None,
         }
     }
 
@@ -135,7 +149,7 @@
             self.attempted_servers.push(server);
         }
         self.counted_attempts += u32::from(kind == AttemptKind::Counted);
-        let begun = Attempt { server, kind, started_at: now, head: None, body: Vec::new() };
+        let begun = Attempt { server, kind, started_at: now, head: None, body: Vec::new(), has_begun: false };
         self.attempts.insert(attempt, begun);
         Some(permit)
     }
@@ -164,6 +178,11 @@
         self.attempts.len()
     }
 
+    /// When the oldest attempt in flight was sent.
+    pub fn earliest_sent_at(&self) -> Option<u64> {
+        self.attempts.values().map(|attempt| attempt.started_at).min()
+    }
+
     /// Servers at which attempts are in flight.
     pub fn servers_in_flight(&self) -> Vec<ServerKey> {
         self.attempts.values().map(|attempt| attempt.server).collect()
--- a/crates/server/src/options.rs
+++ b/crates/server/src/options.rs
@@ -67,6 +67,10 @@
         platform: settings.cloud_api.address,
         lease_ms: settings.bounds.lease_ms,
         catch_up_ms: (settings.bounds.catch_up_s * 1_000.0) as u64,
+        duties: settings.cloud_api.duties.clone(),
+        duty_per_s: settings.cloud_api.duty_per_s,
+        usage_window_ms: usage_window_ms(settings),
+        usage_late_ms: (settings.bounds.usage_late_s * 1_000.0) as u64,
     })
 }
 
@@ -97,6 +101,7 @@
         source: source(settings),
         seeds: seeds(settings),
         grace_ms: grace_ms(settings),
+        usage_window_ms: usage_window_ms(settings),
     })
 }
 
@@ -126,6 +131,11 @@
     })
 }
 
+/// Length of a window of usage, in milliseconds.
+fn usage_window_ms(settings: &Settings) -> u64 {
+    (settings.bounds.usage_window_s * 1_000.0) as u64
+}
+
 /// Grace period for a shutdown, in milliseconds.
 fn grace_ms(settings: &Settings) -> u64 {
     (settings.bounds.grace_s * 1_000.0) as u64
