--- a/crates/data-plane/src/requests/begun.rs
+++ b/crates/data-plane/src/requests/begun.rs
@@ -5,8 +5,7 @@
 //! attempt got a head and one may have run, the request counts when it ends, at the time of the earliest of them.
 
 use compact_str::CompactString;
-use orchidvalve_configuration::{RouteTable, RouteType};
-use orchidvalve_http::Request;
+use orchidvalve_configuration::RouteType;
 
 use super::messages::RequestAttemptId;
 use super::pending::PendingRequest;
@@ -23,14 +22,11 @@
     pub at: u64,
 }
 
-/// The tenant whose key a request carries.
-pub(super) fn tenant_of(request: &Request, routes: &RouteTable) -> Option<CompactString> {
-    let (scheme, key) = request.headers.get("authorization")?.split_once(' ')?;
-    let tenant = scheme.eq_ignore_ascii_case("bearer").then(|| routes.tenants()?.of_key(key.trim()))?;
-    tenant.map(|tenant| tenant.name.clone())
-}
-
 impl PendingRequest {
+    fn tenant_name(&self) -> Option<CompactString> {
+        self.caller.tenant().map(CompactString::from)
+    }
+
     /// Whether its responses are series of events, of which the first shows that it has begun.
     pub fn begins_with_event(&self) -> bool {
         self.route().route_type == RouteType::Streaming
@@ -43,7 +39,7 @@
         let is_first_of_attempt = !std::mem::replace(&mut begun.has_begun, true);
         let is_first_of_request = !std::mem::replace(&mut self.has_begun, true);
         let counts = is_first_of_request || COUNTS_EACH_ATTEMPT && is_first_of_attempt;
-        self.tenant.clone().filter(|_| counts).map(|tenant| BegunRequest { tenant, at })
+        self.tenant_name().filter(|_| counts).map(|tenant| BegunRequest { tenant, at })
     }
 
     /// An attempt that was sent at `sent_at` has ended without showing whether it ran.
@@ -59,6 +55,6 @@
             return None;
         }
         let at = self.earliest_sent_at().into_iter().chain(self.may_have_begun_at).min()?;
-        self.tenant.clone().map(|tenant| BegunRequest { tenant, at })
+        self.tenant_name().map(|tenant| BegunRequest { tenant, at })
     }
 }
--- a/crates/data-plane/src/requests/pending.rs
+++ b/crates/data-plane/src/requests/pending.rs
@@ -3,11 +3,9 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use compact_str::CompactString;
 use orchidvalve_configuration::{Route, RouteTable, RouteType};
 use orchidvalve_http::{Request, ResponseHead};
 
-use super::begun::tenant_of;
 use super::forwarded_stream::ForwardedStream;
 use super::messages::RequestAttemptId;
 use crate::attempts::{AttemptPermit, AttemptTracker, Idempotency, NeverExecuted, NotExecuted};
@@ -88,8 +86,6 @@
     pub hedge_at: Option<u64>,
     /// The last response with a failure status, forwarded if no later attempt succeeds.
     pub last_failure: Option<ServerResponse>,
-    /// Name of the tenant whose key it carries.
-    pub tenant: Option<CompactString>,
     /// Whether an attempt has surely begun at a server.
     pub has_begun: bool,
     /// When the first attempt was sent that has ended without showing whether it ran.
@@ -104,7 +100,6 @@
         received_at: u64,
         deadline: u64,
     ) -> PendingRequest {
-        let tenant = tenant_of(&request, &destination.routes);
         let is_idempotent = destination.route().is_repeatable();
         let idempotency = if is_idempotent { Idempotency::Idempotent } else { Idempotency::AtMostOnce };
         PendingRequest {
@@ -122,7 +117,6 @@
             retry_at: None,
             hedge_at: None,
             last_failure: None,
-            tenant,
             has_begun: false,
             may_have_begun_at: None,
         }
