Stores: calls on a job by another tenant's key are answered OtherTenant

Cause: stores ignored the tenant of calls. Change: a job keeps its tenant when it is complete or ended; a known job answers OtherTenant where job and caller both have a tenant and these differ. A job that isn't known is confirmed by a barrier first, as before. Submissions aren't checked: a job that is sent again stays taken once.

--- a/crates/batch-store/src/jobs.rs
+++ b/crates/batch-store/src/jobs.rs
@@ -18,6 +18,8 @@
     pub times: JobTimes,
     /// Number of its items.
     pub item_count: u32,
+    /// Tenant that submitted it; None where the configuration had no tenants then.
+    tenant: Option<CompactString>,
     /// Monotonic time at which the end of the job was applied here, in milliseconds; None as long as it hasn't ended.
     pub ended_at_ms: Option<u64>,
     /// The entries that record its results, by position.
@@ -32,6 +34,12 @@
         self.active.as_deref()
     }
 
+    /// Whether a caller of this tenant may not see or end it. Calls and jobs without a tenant are open to all: the
+    /// configuration had no tenants then, or the route of the job is public.
+    pub fn is_closed_to(&self, tenant: Option<&str>) -> bool {
+        self.tenant.as_deref().zip(tenant).is_some_and(|(owner, caller)| owner != caller)
+    }
+
     /// Whether the trainer has ended the job.
     pub fn has_ended(&self) -> bool {
         self.ended_at_ms.is_some()
@@ -102,6 +110,7 @@
             sequence,
             times,
             item_count: job.len() as u32,
+            tenant: job.tenant.as_deref().map(CompactString::from),
             ended_at_ms: None,
             results: Vec::new(),
             active: Some(Box::new(ActiveJob::new(job))),
--- a/crates/batch-store/src/pending_calls.rs
+++ b/crates/batch-store/src/pending_calls.rs
@@ -20,17 +20,27 @@
 #[derive(Clone, Debug)]
 pub(crate) enum Query {
     /// The results from position `after` on; if there are none, those that come by `deadline_ms`.
-    Read { after: u64, deadline_ms: u64 },
+    Read { after: u64, deadline_ms: u64, tenant: Option<CompactString> },
     /// The body of an item.
-    Body { item: CompactString },
+    Body { item: CompactString, tenant: Option<CompactString> },
     /// Whether the job has ended.
-    End,
+    End { tenant: Option<CompactString> },
     /// Whether outcomes of these items of a job that isn't known here are still wanted. The gateway gets no response but
     /// an acknowledgement.
     Outcomes { items: Vec<String> },
 }
 
 impl Query {
+    /// Tenant of the caller, if the call has one.
+    pub fn tenant(&self) -> Option<&str> {
+        match self {
+            Query::Read { tenant, .. } | Query::Body { tenant, .. } | Query::End { tenant } => {
+                tenant.as_deref()
+            }
+            Query::Outcomes { .. } => None,
+        }
+    }
+
     /// Whether the caller waits for a response to its call.
     fn has_response(&self) -> bool {
         !matches!(self, Query::Outcomes { .. })
--- a/crates/batch-store/src/store.rs
+++ b/crates/batch-store/src/store.rs
@@ -227,16 +227,19 @@
                 let submission = JobSubmission { partition, id: &id, job: &job, received_at_ms };
                 self.submit(Caller { link, call }, &submission, now, outputs);
             }
-            GatewayMessage::ReadResults { request_id: call, partition, id, after, wait_ms, .. } => {
-                let query = Query::Read { after, deadline_ms: now.monotonic_ms + u64::from(wait_ms) };
+            GatewayMessage::ReadResults { request_id: call, partition, id, after, wait_ms, tenant } => {
+                let deadline_ms = now.monotonic_ms + u64::from(wait_ms);
+                let query = Query::Read { after, deadline_ms, tenant: tenant.map(CompactString::from) };
                 self.query(Caller { link, call }, partition, &id, query, now, outputs);
             }
-            GatewayMessage::ReadItemBody { request_id: call, partition, id, item, .. } => {
-                let query = Query::Body { item: CompactString::from(item) };
+            GatewayMessage::ReadItemBody { request_id: call, partition, id, item, tenant } => {
+                let (item, tenant) = (item.into(), tenant.map(CompactString::from));
+                let query = Query::Body { item, tenant };
                 self.query(Caller { link, call }, partition, &id, query, now, outputs);
             }
-            GatewayMessage::EndJob { request_id: call, partition, id, .. } => {
-                self.end(Caller { link, call }, partition, &id, now, outputs);
+            GatewayMessage::EndJob { request_id: call, partition, id, tenant } => {
+                let tenant = tenant.map(CompactString::from);
+                self.end(Caller { link, call }, partition, &id, tenant, now, outputs);
             }
             GatewayMessage::ReportOutcomes { partition, job, outcomes } => {
                 self.take_outcomes(link, partition, &job, &outcomes, now, outputs);
--- a/crates/batch-store/src/store/gateway_calls.rs
+++ b/crates/batch-store/src/store/gateway_calls.rs
@@ -119,6 +119,7 @@
         caller: Caller,
         number: u16,
         id: &str,
+        tenant: Option<CompactString>,
         now: Timestamp,
         outputs: &mut Vec<Output>,
     ) {
@@ -126,8 +127,11 @@
             return answer(caller, StoreResponse::Unavailable, outputs);
         };
         let Some(job) = partition.jobs.get(id) else {
-            return self.confirm_view(caller, number, id, Query::End, now, outputs);
+            return self.confirm_view(caller, number, id, Query::End { tenant }, now, outputs);
         };
+        if job.is_closed_to(tenant.as_deref()) {
+            return answer(caller, StoreResponse::OtherTenant, outputs);
+        }
         if job.has_ended() {
             return answer(caller, StoreResponse::Ended, outputs);
         }
@@ -201,13 +205,13 @@
             return answer(caller, response, outputs);
         }
         match query {
-            Query::Read { after, deadline_ms } if deadline_ms <= now.monotonic_ms => {
+            Query::Read { after, deadline_ms, .. } if deadline_ms <= now.monotonic_ms => {
                 answer(caller, results(job, after), outputs);
             }
-            Query::Read { after, deadline_ms } => {
+            Query::Read { after, deadline_ms, .. } => {
                 self.calls.add_read(number, id, PendingRead { caller, after, deadline_ms });
             }
-            Query::End => self.end(caller, number, &id, now, outputs),
+            Query::End { tenant } => self.end(caller, number, &id, tenant, now, outputs),
             // Answered at once, as the job is known.
             Query::Body { .. } => {}
             // The gateway sends them again, now that the job is known.
@@ -292,15 +296,18 @@
     }
 }
 
-/// What can be answered about a known job without a barrier: a result keeps its position and content.
+/// What can be answered about a known job without a barrier: a job keeps its tenant, a result its position and content.
 fn answer_at_once(job: &JobState, query: &Query) -> Option<StoreResponse> {
+    if job.is_closed_to(query.tenant()) {
+        return Some(StoreResponse::OtherTenant);
+    }
     match query {
         Query::Read { after, .. } => {
             let exists = *after < job.results.len() as u64;
             (exists || job.is_complete()).then(|| results(job, *after))
         }
-        Query::Body { item } => Some(body(job, item)),
-        Query::End | Query::Outcomes { .. } => None,
+        Query::Body { item, .. } => Some(body(job, item)),
+        Query::End { .. } | Query::Outcomes { .. } => None,
     }
 }
 
