--- /dev/null
+++ b/crates/data-plane/tests/gateway_support/mod.rs
@@ -0,0 +1,348 @@
+//! A gateway process in a thread of the test, between a control node, a store and a server that the test plays.
+
+use std::collections::BTreeMap;
+use std::io::{Read, Write};
+use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
+use std::sync::mpsc::{Sender, channel};
+use std::sync::{Arc, Mutex};
+use std::time::Duration;
+
+use orchidvalve_control_state::{Change, ControlState, Placement};
+use orchidvalve_data_plane::gateway::{GatewayOptions, run};
+use orchidvalve_http::{MessageLimits, RequestReader, ResponseReader};
+use orchidvalve_protocol::frames::{encode, read_frame, write_frame};
+use orchidvalve_protocol::identity::{MemberId, NodeAddress};
+use orchidvalve_protocol::messages::{
+    ControlMessage, GatewayMessage, ServerEntry, ServerTableUpdate, SessionMessage, StoreMessage,
+    StoreResponse, TableVersion,
+};
+
+/// A test that waits for longer than this for one message has failed.
+const READ_TIMEOUT: Duration = Duration::from_secs(20);
+/// Answers after which a client gives up.
+const MOST_TRIES: usize = 100_000;
+const LIMITS: MessageLimits = MessageLimits { header_bytes: 64 << 10, body_bytes: 64 << 10 };
+const SERVICE: &str = "huvo11a";
+
+/// What the threads of a test share.
+type Shared<T> = Arc<Mutex<T>>;
+
+fn listen(ip: Ipv4Addr) -> (TcpListener, SocketAddrV4) {
+    let listener = TcpListener::bind((ip, 0)).unwrap();
+    let port = listener.local_addr().unwrap().port();
+    (listener, SocketAddrV4::new(ip, port))
+}
+
+fn node(address: SocketAddrV4) -> NodeAddress {
+    NodeAddress::new(*address.ip(), address.port())
+}
+
+/// Calls `serve` with each connection, in a thread of its own.
+fn accept_each(listener: TcpListener, serve: impl Fn(TcpStream) + Clone + Send + 'static) {
+    std::thread::spawn(move || {
+        for stream in listener.incoming() {
+            let serve = serve.clone();
+            std::thread::spawn(move || serve(stream.unwrap()));
+        }
+    });
+}
+
+/// Reads more of a connection; false once it has ended.
+fn read_more(stream: &mut TcpStream, inbox: &mut Vec<u8>) -> bool {
+    let mut bytes = [0; 4_096];
+    let length = stream.read(&mut bytes).unwrap_or(0);
+    inbox.extend_from_slice(&bytes[..length]);
+    length > 0
+}
+
+/// The control node: keeps the state, and sends it to the gateway's session.
+#[derive(Default)]
+struct ControlNode {
+    state: ControlState,
+    sequence: u64,
+    session: Option<TcpStream>,
+    /// Is told of the first session: the gateway listens.
+    began: Option<Sender<()>>,
+    /// It drops its session and takes no other one.
+    cut_off: bool,
+}
+
+impl ControlNode {
+    fn apply(&mut self, change: &Change) {
+        self.state.apply(change).unwrap();
+        self.sequence += 1;
+        self.send_state();
+    }
+
+    fn send_state(&mut self) {
+        let state = encode(&self.state.snapshot());
+        self.send(&ControlMessage::Snapshot { sequence: self.sequence, state });
+    }
+
+    fn send(&mut self, message: &ControlMessage) {
+        let mut frame = Vec::new();
+        write_frame(&mut frame, message);
+        if let Some(session) = &mut self.session {
+            // The gateway may have closed it.
+            let _ = session.write_all(&frame);
+        }
+    }
+
+    fn begin_session(&mut self, stream: &TcpStream, servers: Vec<ServerEntry>) {
+        if self.cut_off {
+            return;
+        }
+        self.session = Some(stream.try_clone().unwrap());
+        if let Some(began) = self.began.take() {
+            began.send(()).unwrap();
+        }
+        self.send(&ControlMessage::Welcome { controls: Vec::new() });
+        self.send_state();
+        let version = TableVersion { term: 1, number: 1 };
+        self.send(&ControlMessage::Servers(ServerTableUpdate::Snapshot { version, servers }));
+    }
+}
+
+fn serve_session(mut stream: TcpStream, control: &Shared<ControlNode>, servers: &[ServerEntry]) {
+    let mut inbox = Vec::new();
+    let mut protocol_read = false;
+    while read_more(&mut stream, &mut inbox) {
+        if !protocol_read {
+            inbox.remove(0);
+            protocol_read = true;
+        }
+        while let Some((message, length)) = read_frame::<SessionMessage>(&inbox).unwrap() {
+            inbox.drain(..length);
+            let mut control = control.lock().unwrap();
+            match message {
+                SessionMessage::Handshake { .. } => control.begin_session(&stream, servers.to_vec()),
+                _ => control.send(&ControlMessage::Heartbeat),
+            }
+            if control.cut_off {
+                control.session = None;
+                return;
+            }
+        }
+    }
+}
+
+/// The server: records what it gets, and answers it once it has rejected `rejections` requests.
+#[derive(Default)]
+pub struct Server {
+    pub received: Vec<Vec<u8>>,
+    pub rejections: usize,
+}
+
+fn serve_requests(mut stream: TcpStream, server: &Shared<Server>) {
+    let mut inbox = Vec::new();
+    let mut reader = RequestReader::default();
+    let mut received = Vec::new();
+    while read_more(&mut stream, &mut inbox) {
+        loop {
+            let progress = reader.read(&inbox, &LIMITS).unwrap();
+            received.extend(inbox.drain(..progress.consumed));
+            let Some(request) = progress.request else { break };
+            let mut server = server.lock().unwrap();
+            server.received.push(std::mem::take(&mut received));
+            let head = if server.rejections > 0 {
+                server.rejections -= 1;
+                "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+            } else {
+                "HTTP/1.1 200 OK\r\nServer-Signature: 3e1b.07\r\n"
+            };
+            let id = request.headers.get("attempt-id").unwrap_or_default();
+            let response = format!("{head}Attempt-Id: {id}\r\nContent-Length: 2\r\n\r\nok");
+            stream.write_all(response.as_bytes()).unwrap();
+        }
+    }
+}
+
+/// What the store gets from the gateway: jobs by their ids, and the calls on them.
+#[derive(Default)]
+pub struct Store {
+    pub jobs: BTreeMap<String, Vec<u8>>,
+    pub calls: Vec<GatewayMessage>,
+}
+
+impl Store {
+    fn answer(&mut self, message: GatewayMessage) -> Option<StoreMessage> {
+        let (request_id, response) = match &message {
+            GatewayMessage::SubmitJob { request_id, id, job, .. } => {
+                self.jobs.insert(id.clone(), job.clone());
+                (*request_id, StoreResponse::Accepted)
+            }
+            GatewayMessage::ReadResults { request_id, .. } => {
+                (*request_id, StoreResponse::Results { total: 1, next: 0, outcomes: Vec::new() })
+            }
+            GatewayMessage::ReadItemBody { request_id, .. } => {
+                (*request_id, StoreResponse::Body(b"body".to_vec()))
+            }
+            GatewayMessage::EndJob { request_id, .. } => (*request_id, StoreResponse::OtherTenant),
+            GatewayMessage::Heartbeat { .. } => return Some(StoreMessage::Heartbeat),
+            _ => return None,
+        };
+        self.calls.push(message);
+        Some(StoreMessage::Response { request_id, response })
+    }
+}
+
+fn serve_gateway(mut stream: TcpStream, store: &Shared<Store>) {
+    let mut inbox = Vec::new();
+    let mut protocol_read = false;
+    while read_more(&mut stream, &mut inbox) {
+        if !protocol_read {
+            inbox.remove(0);
+            protocol_read = true;
+        }
+        while let Some((message, length)) = read_frame::<GatewayMessage>(&inbox).unwrap() {
+            inbox.drain(..length);
+            if let Some(answer) = store.lock().unwrap().answer(message) {
+                let mut frame = Vec::new();
+                write_frame(&mut frame, &answer);
+                stream.write_all(&frame).unwrap();
+            }
+        }
+    }
+}
+
+/// The gateway and what stands around it. The gateway's thread ends with the test's process.
+pub struct World {
+    control: Shared<ControlNode>,
+    pub server: Shared<Server>,
+    pub store: Shared<Store>,
+    pub frontend: SocketAddrV4,
+}
+
+impl World {
+    /// `number` gives each gateway of a test's process addresses of its own.
+    pub fn start(number: u8) -> World {
+        let ip = Ipv4Addr::new(127, 83, 1, number);
+        let (control, server, store): (Shared<ControlNode>, Shared<Server>, Shared<Store>) =
+            Default::default();
+        let (server_listener, server_address) = listen(ip);
+        let (store_listener, store_address) = listen(ip);
+        let (control_listener, control_address) = listen(ip);
+        let entry = ServerEntry {
+            instance: "i-7".to_owned(),
+            service: SERVICE.to_owned(),
+            address: node(server_address),
+            zone: "upper-hill".to_owned(),
+            slots: 8,
+            draining: false,
+            models: Vec::new(),
+        };
+        let members = vec![MemberId { address: node(store_address), disk: 1 }];
+        let placement = Placement { epoch: 1, members, ..Placement::default() };
+        control.lock().unwrap().apply(&Change::Place(vec![(0, placement)]));
+        let shared = server.clone();
+        accept_each(server_listener, move |stream| serve_requests(stream, &shared));
+        let shared = store.clone();
+        accept_each(store_listener, move |stream| serve_gateway(stream, &shared));
+        let shared = control.clone();
+        accept_each(control_listener, move |stream| {
+            serve_session(stream, &shared, std::slice::from_ref(&entry));
+        });
+        let frontend = listen(ip).1;
+        let options = GatewayOptions {
+            name: "edge-1".to_owned(),
+            zone: "upper-hill".to_owned(),
+            share: 1.0,
+            frontend,
+            readiness: listen(ip).1,
+            source: None,
+            seeds: vec![node(control_address)],
+            grace_ms: 8_000,
+        };
+        let (sender, begun) = channel();
+        control.lock().unwrap().began = Some(sender);
+        std::thread::spawn(move || run(options).unwrap());
+        begun.recv_timeout(READ_TIMEOUT).expect("the gateway begins a session");
+        World { control, server, store, frontend }
+    }
+
+    /// A configuration is committed; returns once it is in force at the gateway.
+    pub fn configure(&self, version: u64, document: &str) {
+        let mut control = self.control.lock().unwrap();
+        let base = control.state.configuration_version();
+        control.apply(&Change::Replace { base, body: document.as_bytes().to_vec() });
+        drop(control);
+        let mut client = self.client();
+        let path = format!("/v{version}/1");
+        let in_force = (0..MOST_TRIES).any(|_| client.ask("GET", &path, "").status == 200);
+        assert!(in_force, "version {version} isn't in force");
+        self.server.lock().unwrap().received.clear();
+    }
+
+    /// The gateway loses its session, and gets no other one.
+    pub fn cut_control_off(&self) {
+        let mut control = self.control.lock().unwrap();
+        control.cut_off = true;
+        if let Some(session) = control.session.take() {
+            session.shutdown(std::net::Shutdown::Both).unwrap();
+        }
+    }
+
+    /// A connection of a client.
+    pub fn client(&self) -> Client {
+        let stream = TcpStream::connect(self.frontend).unwrap();
+        stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
+        Client { stream, inbox: Vec::new() }
+    }
+}
+
+/// An answer to a client.
+#[derive(Debug)]
+pub struct Answer {
+    pub status: u16,
+    pub head: Vec<u8>,
+}
+
+/// A connection of a client, kept for several requests.
+pub struct Client {
+    stream: TcpStream,
+    inbox: Vec<u8>,
+}
+
+impl Client {
+    pub fn send(&mut self, method: &str, path: &str, lines: &str) {
+        self.send_body(method, path, lines, "");
+    }
+
+    pub fn send_body(&mut self, method: &str, path: &str, lines: &str, body: &str) {
+        let length = body.len();
+        let text = format!(
+            "{method} {path} HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: 9c41\r\n{lines}\
+             Content-Length: {length}\r\n\r\n{body}"
+        );
+        self.stream.write_all(text.as_bytes()).unwrap();
+    }
+
+    /// Sends bytes that are a part of a request.
+    pub fn send_part(&mut self, text: &str) {
+        self.stream.write_all(text.as_bytes()).unwrap();
+    }
+
+    pub fn receive(&mut self) -> Answer {
+        let mut reader = ResponseReader::new("GET");
+        let (mut head, mut body) = (Vec::new(), Vec::new());
+        loop {
+            let progress = reader.read(&self.inbox, LIMITS.header_bytes, &mut body).unwrap();
+            head.extend(self.inbox.drain(..progress.consumed));
+            if progress.complete {
+                return Answer { status: reader.head().unwrap().status, head };
+            }
+            assert!(read_more(&mut self.stream, &mut self.inbox), "the gateway closed the connection");
+        }
+    }
+
+    pub fn ask(&mut self, method: &str, path: &str, lines: &str) -> Answer {
+        self.send(method, path, lines);
+        self.receive()
+    }
+
+    /// Asks again while the answer is 503, as clients do.
+    pub fn ask_until_final(&mut self, method: &str, path: &str, lines: &str) -> Answer {
+        let answers = (0..MOST_TRIES).map(|_| self.ask(method, path, lines));
+        answers.into_iter().find(|answer| answer.status != 503).expect("a final answer")
+    }
+}
--- a/crates/data-plane/tests/tenants_support/mod.rs
+++ b/crates/data-plane/tests/tenants_support/mod.rs
@@ -15,9 +15,15 @@
 /// A tenant by its name, and its keys.
 pub type Keys<'a> = (&'a str, &'a [&'a str]);
 
-/// Routes `/repeat/`, `/resume/`, `/open/` (public) and `/jobs/` of one host, and `/open-jobs/` (public) of another one.
+/// A configuration with routes `/repeat/`, `/resume/`, `/open/` (public) and `/jobs/` of one host, and `/open-jobs/` (public) of another one.
 /// `None`: the configuration has no tenants.
 pub fn table(version: u64, tenants: Option<&[Keys<'_>]>) -> Arc<RouteTable> {
+    let document = document(version, tenants);
+    RouteTable::compile(&Configuration::replace(document.as_bytes(), None).unwrap())
+}
+
+/// The document of such a configuration. A public route `/vN/` tells that version N is in force.
+pub fn document(version: u64, tenants: Option<&[Keys<'_>]>) -> String {
     let route = |name: &str, host: &str, kind: &str, more: &str| {
         format!(
             r#"{{"name":"{name}","hostname":"{host}","path-prefix":"/{name}/","route-type":"{kind}",
@@ -29,6 +35,7 @@
         route("resume", "ficu95.example", "streaming", r#","resumable":true"#),
         route("open", "ficu95.example", "idempotent", r#","public":true"#),
         route("jobs", "ficu95.example", "rollout_control", ""),
+        route(&format!("v{version}"), "ficu95.example", "idempotent", r#","public":true"#),
         route("open-jobs", "open.example", "rollout_control", r#","public":true"#),
     ];
     let tenants = tenants.map_or_else(String::new, |tenants| {
@@ -39,11 +46,10 @@
         let listed: Vec<String> = tenants.iter().map(tenant).collect();
         format!(r#","tenants":[{}]"#, listed.join(","))
     });
-    let document = format!(
+    format!(
         r#"{{"config-version":{version},"routes":[{}],"services":[{{"name":"huvo11a"}}]{tenants}}}"#,
         routes.join(",")
-    );
-    RouteTable::compile(&Configuration::replace(document.as_bytes(), None).unwrap())
+    )
 }
 
 /// Two tenants with a key each.
