--- a/crates/data-plane/tests/requests_support/mod.rs
+++ b/crates/data-plane/tests/requests_support/mod.rs
@@ -27,6 +27,18 @@
 
 /// Routes by their path prefixes: `/repeat/`, `/once/`, `/stream/` and `/resume/`.
 pub fn routes() -> Arc<RouteTable> {
+    compile("")
+}
+
+/// The same routes in a configuration with so many tenants: `tenant-0` with the key `key-0`, and so on.
+pub fn routes_with_tenants(count: usize) -> Arc<RouteTable> {
+    let tenants: Vec<String> = (0..count)
+        .map(|number| format!(r#"{{"name":"tenant-{number}","api-keys":["key-{number}"]}}"#))
+        .collect();
+    compile(&format!(r#","tenants":[{}]"#, tenants.join(",")))
+}
+
+fn compile(tenants: &str) -> Arc<RouteTable> {
     let route = |name: &str, kind: &str, resumable: bool| {
         format!(
             r#"{{"name":"{name}","hostname":"ficu95.example","path-prefix":"/{name}/","route-type":"{kind}",
@@ -43,7 +55,7 @@
     let document = format!(
         r#"{{"config-version":1,"routes":[{}],"services":[{{"name":"{SERVICE}","health-path":"/health",
         "max-connections":10,"protocol":"h1","tls":false}}],"limits":{{"max-header-bytes":16384,
-        "max-body-bytes":65536,"header-timeout-ms":3000,"idle-timeout-ms":15000}}}}"#,
+        "max-body-bytes":65536,"header-timeout-ms":3000,"idle-timeout-ms":15000}}{tenants}}}"#,
         listed.join(",")
     );
     RouteTable::compile(&Configuration::replace(document.as_bytes(), None).unwrap())
@@ -135,6 +147,10 @@
 
 impl Table {
     pub fn new(servers: usize) -> Table {
+        Table::with_routes(servers, routes())
+    }
+
+    pub fn with_routes(servers: usize, routes: Arc<RouteTable>) -> Table {
         let mut table = Table {
             requests: Requests::new(ZONE, Pcg64Mcg::new(7)),
             servers: Servers::default(),
@@ -142,7 +158,7 @@
             attempts: Vec::new(),
             cancelled: Vec::new(),
             client: Client::default(),
-            routes: routes(),
+            routes,
             out: Vec::new(),
         };
         table.servers.list((0..servers).map(|n| entry(&format!("i-{}", "7".repeat(n + 1)))).collect());
