--- a/crates/control-plane/src/singleton_roles/usage_reporting.rs
+++ b/crates/control-plane/src/singleton_roles/usage_reporting.rs
@@ -198,20 +198,14 @@
     /// The call with the report of a window is over; without a status its outcome is unknown.
     pub(super) fn usage_report_answered(&mut self, window: u64, status: Option<u16>, now: Milliseconds) {
         self.usage.in_flight.remove(&window);
-        match status {
-            Some(200) => {
-                self.duty_pacing.succeeded();
-                self.usage.accepted.insert(window);
-                return;
-            }
-            Some(status) if status != 429 && status < 500 => {
-                if self.usage.refused.insert(window) {
-                    log::error!(
-                        "usage: the platform refuses the report of window {window} with status {status}"
-                    );
-                }
-            }
-            _ => {}
+        if status == Some(200) {
+            self.duty_pacing.succeeded();
+            self.usage.accepted.insert(window);
+            return;
+        }
+        let refusal = status.filter(|status| *status != 429 && *status < 500);
+        if let Some(status) = refusal.filter(|_| self.usage.refused.insert(window)) {
+            log::error!("usage: the platform refuses the report of window {window} with status {status}");
         }
         self.duty_pacing.failed(now);
     }
--- a/crates/data-plane/tests/requests_usage.rs
+++ b/crates/data-plane/tests/requests_usage.rs
@@ -178,9 +178,9 @@
     let id = begin(&mut table, "once");
     table.now += 60;
     if client_leaves {
-        table.leave(id)
+        table.leave(id);
     } else {
-        table.pass(2_000)
+        table.pass(2_000);
     }
     assert_eq!(begun(&mut table), [sent_at]);
 }
