--- a/crates/data-plane/tests/gateway_support/mod.rs
+++ b/crates/data-plane/tests/gateway_support/mod.rs
@@ -244,6 +244,7 @@
         });
         let frontend = listen(ip).1;
         let options = GatewayOptions {
+            usage_window_ms: 5_000,
             name: "edge-1".to_owned(),
             zone: "upper-hill".to_owned(),
             share: 1.0,
