Gateways: a new session is no news of the configuration before its first message

Cause: a gateway took its welcome, or part of a long message, for news of the control plane, so between the welcome of a new session and what it had missed it could answer 401 or 404 by an old configuration. Change: FeedClient::last_message_at, by which the gateway judges whether its configuration may be outdated; control nodes send changes before anything else on a link. Measured: the new test of control-client and the tests of the whole gateway pass.

--- a/crates/control-client/src/session.rs
+++ b/crates/control-client/src/session.rs
@@ -43,6 +43,8 @@
     connection: ConnectionId,
     address: NodeAddress,
     last_received_at: u64,
+    /// When the last whole message came after the welcome.
+    last_message_at: Option<u64>,
     next_heartbeat_at: u64,
 }
 
@@ -120,6 +122,12 @@
         self.session.as_ref().map(|session| session.last_received_at)
     }
 
+    /// When a whole message last came from the control node in this session, its welcome aside. Whatever the control node
+    /// knew of the control state before it sent that message is in the replica: changes are sent first.
+    pub fn last_message_at(&self) -> Option<u64> {
+        self.session.as_ref().and_then(|session| session.last_message_at)
+    }
+
     /// What the heartbeats say of this process from now on.
     pub fn set_health(&mut self, health: StoreHealth) {
         self.health = Some(health);
@@ -227,8 +235,14 @@
                 Ok(None) => break,
                 Ok(Some((message, length))) => {
                     network.consume(connection, length);
+                    let is_welcome = matches!(message, ControlMessage::Welcome { .. });
                     match self.apply(network, connection, message, now) {
-                        Ok(changed) => update |= changed,
+                        Ok(changed) => {
+                            update |= changed;
+                            if let Some(session) = self.session.as_mut().filter(|_| !is_welcome) {
+                                session.last_message_at = Some(now);
+                            }
+                        }
                         Err(reason) => {
                             log::debug!("feed: a connection to a control node ends: {reason}");
                             self.disconnect(network, connection, now);
@@ -281,7 +295,13 @@
         let Some(index) = self.attempts.iter().position(is_meant) else { return };
         let Attempt { address, .. } = self.attempts.remove(index);
         let next_heartbeat_at = now + HEARTBEAT_MS;
-        self.session = Some(Session { connection, address, last_received_at: now, next_heartbeat_at });
+        self.session = Some(Session {
+            connection,
+            address,
+            last_received_at: now,
+            last_message_at: None,
+            next_heartbeat_at,
+        });
         for attempt in self.attempts.drain(..) {
             network.abort(attempt.connection);
         }
--- a/crates/control-client/tests/session.rs
+++ b/crates/control-client/tests/session.rs
@@ -101,3 +101,24 @@
     pair.client.maintain(&mut pair.network, 2_100);
     assert!(!pair.client.has_session());
 }
+
+// Guards against CONFIG of incident keys-and-duties: a new session was taken for news of the control state, although what
+// this process had missed was still on its way.
+#[test]
+fn neither_a_welcome_nor_part_of_a_message_is_news_of_the_control_state() {
+    let mut pair = connect(1_000);
+    assert_eq!(pair.client.last_message_at(), None);
+    pair.arrive(&welcome(), 1_100);
+    assert_eq!((pair.client.has_session(), pair.client.last_message_at()), (true, None));
+    let mut heartbeat = Vec::new();
+    write_frame(&mut heartbeat, &ControlMessage::Heartbeat);
+    let (part, rest) = heartbeat.split_at(heartbeat.len() - 1);
+    pair.arrive(part, 1_200);
+    assert_eq!(pair.client.last_message_at(), None);
+    pair.arrive(rest, 1_300);
+    assert_eq!(pair.client.last_message_at(), Some(1_300));
+    pair.arrive(&welcome(), 1_400);
+    assert_eq!(pair.client.last_message_at(), Some(1_300));
+    pair.client.maintain(&mut pair.network, 2_400);
+    assert_eq!((pair.client.has_session(), pair.client.last_message_at()), (false, None));
+}
--- a/crates/data-plane/src/admission.rs
+++ b/crates/data-plane/src/admission.rs
@@ -23,10 +23,10 @@
 }
 
 impl ConfigurationAge {
-    /// The age at `now`; `last_received_at` is when something last came from the control node that keeps the session,
-    /// None without a session. Both in milliseconds of the steady clock.
-    pub fn of_feed(last_received_at: Option<u64>, now: u64) -> ConfigurationAge {
-        match last_received_at {
+    /// The age at `now`; `last_message_at` is when a message last came from the control node that keeps the session, None
+    /// without one. Both in milliseconds of the steady clock.
+    pub fn of_feed(last_message_at: Option<u64>, now: u64) -> ConfigurationAge {
+        match last_message_at {
             Some(at) if now <= at.saturating_add(FEED_SILENCE_MS) => ConfigurationAge::Current,
             _ => ConfigurationAge::MayBeOutdated,
         }
--- a/crates/data-plane/src/gateway/client_requests.rs
+++ b/crates/data-plane/src/gateway/client_requests.rs
@@ -125,7 +125,7 @@
 
     /// How the configuration in force stands to the newest one.
     pub(super) fn configuration_age(&self) -> ConfigurationAge {
-        ConfigurationAge::of_feed(self.feed.last_received_at(), self.now)
+        ConfigurationAge::of_feed(self.feed.last_message_at(), self.now)
     }
 
     /// Answers a request that isn't admitted.
--- a/crates/data-plane/tests/admission.rs
+++ b/crates/data-plane/tests/admission.rs
@@ -143,10 +143,10 @@
 #[case::two_heartbeats_ago(Some(9_500), CURRENT)]
 #[case::silent(Some(9_399), OUTDATED)]
 fn a_configuration_may_be_outdated_once_the_control_plane_is_silent(
-    #[case] last_received_at: Option<u64>,
+    #[case] last_message_at: Option<u64>,
     #[case] expected: ConfigurationAge,
 ) {
-    assert_eq!(ConfigurationAge::of_feed(last_received_at, 10_000), expected);
+    assert_eq!(ConfigurationAge::of_feed(last_message_at, 10_000), expected);
 }
 
 // Guards against DENIED: calls on jobs of a public route need no key, those of other hosts do.
