Generations: the text of another tenant's item isn't continued

Cause: texts of items whose lease or job ended are kept by item id, body and model, so an item of another tenant with the same three got them. Change: the tenant has to be the same, also where a group goes on under a new assignment.

--- a/crates/data-plane/src/generations/runner/groups.rs
+++ b/crates/data-plane/src/generations/runner/groups.rs
@@ -122,7 +122,9 @@
     fn reassign(&mut self, key: GroupKey, assignment: &Assignment) -> bool {
         let Some(group) = self.groups.get_mut(&key) else { return false };
         let open = group.items.iter().filter(|state| !matches!(state.phase, Phase::Done));
-        let same_items = open.map(|state| &state.item.id).eq(assignment.items.iter().map(|item| &item.id));
+        let same_items = open
+            .map(|state| (&state.item.id, &state.item.tenant))
+            .eq(assignment.items.iter().map(|item| (&item.id, &item.tenant)));
         let same_facts = *group.route == *assignment.route
             && group.requirements.min_version == assignment.min_weights_version;
         if !same_items || !same_facts {
@@ -184,7 +186,7 @@
     /// The state of an item, with the text that this gateway has kept of it, if it satisfies the rule and can be used:
     /// a part of a text whose version is served nowhere would wait for ever.
     fn restore(&mut self, item: Item, requirements: Requirements, rule: VersionRule) -> ItemState {
-        let archived = self.archive.take(&item.id, &item.body, requirements.model);
+        let archived = self.archive.take(&item, requirements.model);
         match archived.filter(|archived| archived.text.satisfies(rule)) {
             Some(archived) if archived.is_complete && item.scorer.is_some() => {
                 let mut state = ItemState::new(item, Text::default());
@@ -210,6 +212,7 @@
             let archived = ArchivedText {
                 body: state.item.body.clone(),
                 model: group.requirements.model,
+                tenant: state.item.tenant.clone(),
                 text,
                 is_complete,
             };
--- a/crates/data-plane/src/generations/text_archive.rs
+++ b/crates/data-plane/src/generations/text_archive.rs
@@ -5,6 +5,7 @@
 
 use compact_str::CompactString;
 
+use super::interface::Item;
 use super::servers::ModelKey;
 use super::text::Text;
 
@@ -18,6 +19,8 @@
     pub body: Arc<[u8]>,
     /// The model that made the text.
     pub model: Option<ModelKey>,
+    /// The tenant of the batch job: another one's text isn't used.
+    pub tenant: Option<CompactString>,
     /// The text as far as it goes.
     pub text: Text,
     /// The text is the complete output.
@@ -48,18 +51,14 @@
         }
     }
 
-    /// Takes out the text of an item with the same body and model.
-    pub fn take(
-        &mut self,
-        item: &CompactString,
-        body: &[u8],
-        model: Option<ModelKey>,
-    ) -> Option<ArchivedText> {
+    /// Takes out the text of an item with the same body, model and tenant.
+    pub fn take(&mut self, item: &Item, model: Option<ModelKey>) -> Option<ArchivedText> {
         if self.texts.is_empty() {
             return None;
         }
-        self.remove(item)
-            .filter(|resumable_text| *resumable_text.body == *body && resumable_text.model == model)
+        self.remove(&item.id).filter(|archived| {
+            *archived.body == *item.body && archived.model == model && archived.tenant == item.tenant
+        })
     }
 
     fn remove(&mut self, item: &CompactString) -> Option<ArchivedText> {
--- a/crates/data-plane/tests/item_tenants.rs
+++ b/crates/data-plane/tests/item_tenants.rs
@@ -108,8 +108,8 @@
     fn take(&mut self, commands: Vec<RunnerCommand>) {
         for command in commands {
             match command {
-                RunnerCommand::Attempt { attempt, item, route, deadline_ms, .. } => {
-                    let bytes = generation_bytes(&item, &route, "i-7", None, None, deadline_ms);
+                RunnerCommand::Attempt { attempt, item, route, last_event_id, deadline_ms, .. } => {
+                    let bytes = generation_bytes(&item, &route, "i-7", last_event_id, None, deadline_ms);
                     self.sent.push((attempt, bytes));
                     self.items.push(item);
                 }
@@ -196,6 +196,26 @@
     assert_eq!(values(gateway.last(), "tenant"), [TENANT]);
 }
 
+// Guards against UNASKED: a text that was begun for one tenant went on for another one, whose item has the same id and body.
+#[rstest]
+#[case::same_tenant(Some(TENANT), &["1"])]
+#[case::another_tenant(Some(OTHER_TENANT), &[])]
+#[case::no_tenant(None, &[])]
+fn the_text_of_another_tenant_is_not_continued(#[case] next: Option<&str>, #[case] resumed: &[&str]) {
+    let table = two_tenants(1);
+    let mut gateway = Gateway::new();
+    gateway.assign(Some(TENANT), &[], Some(&table));
+    let attempt = gateway.sent[0].0;
+    let mut commands = Vec::new();
+    gateway.runner.stream_started(attempt, None, &mut commands);
+    gateway.runner.event_received(gateway.now, attempt, 1, b"e1", None, &mut commands);
+    gateway.work.lease_expired(0, &mut gateway.runner, &mut commands);
+    gateway.take(commands);
+    gateway.assign(next, &[], Some(&table));
+    assert_eq!(gateway.sent.len(), 2);
+    assert_eq!(values(gateway.last(), "last-event-id"), resumed);
+}
+
 #[test]
 fn reward_calls_name_no_tenant() {
     let mut gateway = Gateway::new();
