Usage: the report of a window is decided once, also of a damaged one

The test of damaged changes failed on main: a change with the last number as its window ended the process by an overflow. That number is no window now.

--- a/crates/control-plane/src/singleton_roles/usage_reporting.rs
+++ b/crates/control-plane/src/singleton_roles/usage_reporting.rs
@@ -165,7 +165,7 @@
     /// First the reports that can still come in time, then those that are late, each of them oldest first.
     fn in_order_of_urgency(&self, windows: Vec<u64>, wall_ms: Milliseconds) -> Vec<u64> {
         let (window_ms, late_ms) = (self.options.usage_window_ms, self.options.usage_late_ms);
-        let is_late = |window: &u64| (window + 1) * window_ms + late_ms < wall_ms;
+        let is_late = |window: &u64| ends_at(*window, window_ms).saturating_add(late_ms) < wall_ms;
         let (late, mut ordered): (Vec<u64>, Vec<u64>) = windows.into_iter().partition(is_late);
         ordered.extend(late);
         ordered
@@ -211,9 +211,14 @@
     }
 }
 
+/// The time of day at which a window ends.
+fn ends_at(window: u64, window_ms: Milliseconds) -> Milliseconds {
+    window.saturating_add(1).saturating_mul(window_ms)
+}
+
 /// The time of day at which a window is decided.
 fn decided_at(window: u64, window_ms: Milliseconds) -> Milliseconds {
-    (window + 1) * window_ms + DECISION_DELAY_MS
+    ends_at(window, window_ms).saturating_add(DECISION_DELAY_MS)
 }
 
 /// The window itself, or a later one where it is so old that no counts of it can be known.
--- a/crates/control-state/src/usage_reports.rs
+++ b/crates/control-state/src/usage_reports.rs
@@ -50,10 +50,12 @@
 
     /// Decides the report of a window, unless that window or a later one is decided.
     pub(crate) fn decide(&mut self, report: &UsageReport) -> Applied {
-        if self.next_window.is_some_and(|next| report.window < next) {
+        let is_decided = self.next_window.is_some_and(|next| report.window < next);
+        // The last number has no next one: no window has it.
+        let Some(next_window) = report.window.checked_add(1).filter(|_| !is_decided) else {
             return Applied::Unchanged;
-        }
-        self.next_window = Some(report.window + 1);
+        };
+        self.next_window = Some(next_window);
         self.unaccepted.insert(report.window, report.counts.clone());
         Applied::Changed
     }
--- a/crates/control-state/tests/messages/strategies.rs
+++ b/crates/control-state/tests/messages/strategies.rs
@@ -47,8 +47,9 @@
         let stores = Vec::<(String, RegisteredStore)>::generate();
         let placements = vec((0_u16..PARTITIONS, Placement::generate()), 0..3);
         let models = (Vec::<(String, u64)>::generate(), Vec::<(String, ModelUsage)>::generate());
-        let parts = (0_u64..4, stores, placements, models);
-        let snapshot = parts.prop_map(|(versions, stores, placements, (named, used))| {
+        let reports = vec(UsageReport::generate(), 0..3);
+        let parts = (0_u64..4, stores, placements, models, reports);
+        let snapshot = parts.prop_map(|(versions, stores, placements, (named, used), reports)| {
             let mut changes: Vec<Change> = (1..=versions).map(replace).collect();
             for (name, RegisteredStore { zone, member, retiring }) in stores {
                 changes.push(Change::RegisterStore { name: name.clone(), zone, member });
@@ -57,6 +58,7 @@
             changes.push(Change::Place(placements));
             changes.extend(named.into_iter().map(|(model, version)| Change::NameVersion { model, version }));
             changes.extend(used.into_iter().map(|(model, usage)| Change::RecordModelUsage { model, usage }));
+            changes.extend(reports.into_iter().map(Change::DecideUsageReport));
             let mut state = ControlState::default();
             for change in &changes {
                 state.apply(change).expect("a change that fits");
--- a/crates/control-state/tests/state.rs
+++ b/crates/control-state/tests/state.rs
@@ -3,7 +3,7 @@
 use std::net::Ipv4Addr;
 
 use orchidvalve_control_state::{
-    Applied, Change, ChangeError, ControlState, Placement, REMEMBERED_CHANGES, StateSnapshot,
+    Applied, Change, ChangeError, ControlState, Placement, REMEMBERED_CHANGES, StateSnapshot, UsageReport,
 };
 use orchidvalve_protocol::frames::{decode, encode};
 use orchidvalve_protocol::identity::{MemberId, NodeAddress};
@@ -274,3 +274,47 @@
     assert_eq!(read, expected);
     assert!(!read.is_undersized(), "nothing may be concluded where the number of copies isn't known");
 }
+
+fn usage_report(window: u64, requests: u64) -> Change {
+    Change::DecideUsageReport(UsageReport { window, counts: [("cuka620".to_owned(), requests)].into() })
+}
+
+/// Windows whose reports have to be sent, with the requests of the one tenant.
+fn unaccepted(state: &ControlState) -> Vec<(u64, u64)> {
+    state.usage_reports().unaccepted().map(|report| (report.window, report.counts["cuka620"])).collect()
+}
+
+// Guards against two reports of one window that differ: the platform accepts both, and the tenant is charged twice.
+#[test]
+fn the_report_of_a_window_is_decided_once() {
+    let mut state = ControlState::default();
+    assert_eq!(state.apply(&usage_report(7, 3)), Ok(Applied::Changed));
+    assert_eq!(state.apply(&usage_report(7, 4)), Ok(Applied::Unchanged));
+    assert_eq!(state.apply(&usage_report(6, 4)), Ok(Applied::Unchanged));
+    assert_eq!(state.apply(&Change::AcceptUsageReport { window: 7 }), Ok(Applied::Changed));
+    assert_eq!(state.apply(&usage_report(7, 4)), Ok(Applied::Unchanged));
+    assert_eq!(state.apply(&Change::AcceptUsageReport { window: 7 }), Ok(Applied::Unchanged));
+    assert_eq!(state.apply(&usage_report(8, 1)), Ok(Applied::Changed));
+    assert_eq!((unaccepted(&state), state.usage_reports().next_window()), (vec![(8, 1)], Some(9)));
+}
+
+// Guards against a decision that is forgotten with the log behind a checkpoint, or with all processes.
+#[test]
+fn decided_reports_are_in_a_snapshot() {
+    let mut state = ControlState::default();
+    state.apply(&usage_report(7, 3)).unwrap();
+    state.apply(&usage_report(8, 5)).unwrap();
+    state.apply(&Change::AcceptUsageReport { window: 7 }).unwrap();
+    let snapshot: StateSnapshot = decode(&encode(&state.snapshot())).unwrap();
+    let mut restored = ControlState::from_snapshot(&snapshot).unwrap();
+    assert_eq!((unaccepted(&restored), restored.usage_reports().next_window()), (vec![(8, 5)], Some(9)));
+    assert_eq!(restored.apply(&usage_report(7, 9)), Ok(Applied::Unchanged));
+}
+
+// Guards against a damaged change that ends every node which applies it, since no window follows the last number.
+#[test]
+fn the_last_number_is_no_window() {
+    let mut state = ControlState::default();
+    assert_eq!(state.apply(&usage_report(u64::MAX, 3)), Ok(Applied::Unchanged));
+    assert_eq!(state.usage_reports().next_window(), None);
+}
