--- a/crates/control-client/tests/session.rs
+++ b/crates/control-client/tests/session.rs
@@ -101,3 +101,43 @@
     pair.client.maintain(&mut pair.network, 2_100);
     assert!(!pair.client.has_session());
 }
+
+// Guards against counts of usage that are sent in one session only: each new one is recognised by its number.
+#[test]
+fn each_session_has_a_number_of_its_own() {
+    let mut pair = connect(1_000);
+    assert_eq!(pair.client.session_number(), None);
+    pair.arrive(&welcome(), 1_100);
+    assert_eq!(pair.client.session_number(), Some(1));
+    pair.client.maintain(&mut pair.network, 2_100);
+    assert_eq!(pair.client.session_number(), None);
+    let (mut now, mut control) = (2_100, None);
+    let client_end = loop {
+        now += 20;
+        pair.client.maintain(&mut pair.network, now);
+        let mut connected = None;
+        for event in pair.network.poll(Duration::from_millis(5)).unwrap() {
+            match event {
+                Event::Accepted { connection, .. } => control = Some(connection),
+                Event::Connected(connection) if pair.client.owns(connection) => connected = Some(connection),
+                _ => {}
+            }
+        }
+        if let Some(connection) = connected {
+            pair.client.connected(&mut pair.network, connection);
+            break connection;
+        }
+        assert!(now < 12_000, "no control node is called");
+    };
+    while control.is_none() {
+        for event in pair.network.poll(Duration::from_millis(5)).unwrap() {
+            if let Event::Accepted { connection, .. } = event {
+                control = Some(connection);
+            }
+        }
+    }
+    pair.control = control.unwrap();
+    pair.client_end = client_end;
+    pair.arrive(&welcome(), now);
+    assert_eq!(pair.client.session_number(), Some(2));
+}
--- a/crates/ctl/tests/command_line/commands.rs
+++ b/crates/ctl/tests/command_line/commands.rs
@@ -202,6 +202,17 @@
     assert!(table.contains("duties         nobody\n"), "{table}");
 }
 
+#[rstest]
+#[case::some(json!({"unaccepted": [7, 9], "last-decided": 9}), "decided through window 9, 2 not accepted")]
+#[case::none(json!({"unaccepted": []}), "none decided")]
+fn status_tells_how_reports_of_usage_stand(#[case] usage: serde_json::Value, #[case] expected: &str) {
+    let mut status = status();
+    status["usage"] = usage;
+    let server = StubServer::start(vec![response(200, &status.to_string())]);
+    let table = control(&server, &["status"]).unwrap();
+    assert!(table.contains(&format!("servers        6\nusage          {expected}\n")), "{table}");
+}
+
 #[test]
 fn status_as_json_is_the_whole_answer() {
     let server = StubServer::start(vec![response(200, &status().to_string())]);
