Usage: unaccepted reports are bounded; no list is built while calls pause

Where the platform refuses reports for ever, the control state, which every process holds, grew by a report each window. The 720 newest are kept (an hour of windows of 5 s). While calls pause, the head built a list of all reports in each turn; it only looks whether there is one now.

--- a/crates/control-plane/src/singleton_roles/usage_reporting.rs
+++ b/crates/control-plane/src/singleton_roles/usage_reporting.rs
@@ -151,6 +151,11 @@
         self.usage.accepted.retain(is_unaccepted);
         self.usage.refused.retain(is_unaccepted);
         let Some(fencing_token) = self.fencing_token(now, confirmed_at) else { return };
+        if now < self.duty_pacing.next_at() {
+            self.usage.is_waiting_to_send =
+                reports.unaccepted_windows().any(|window| self.usage.is_sendable(window));
+            return;
+        }
         let sendable = reports.unaccepted_windows().filter(|window| self.usage.is_sendable(*window));
         let sendable: Vec<u64> = sendable.collect();
         for window in self.in_order_of_urgency(sendable, wall_ms) {
--- a/crates/control-state/src/lib.rs
+++ b/crates/control-state/src/lib.rs
@@ -16,4 +16,4 @@
 pub use placement::{Placement, RegisteredStore};
 pub use snapshot::StateSnapshot;
 pub use state::ControlState;
-pub use usage_reports::{MAX_UNDECIDED_WINDOWS, UsageReport, UsageReports};
+pub use usage_reports::{MAX_UNACCEPTED_REPORTS, MAX_UNDECIDED_WINDOWS, UsageReport, UsageReports};
--- a/crates/control-state/src/usage_reports.rs
+++ b/crates/control-state/src/usage_reports.rs
@@ -9,6 +9,10 @@
 /// Windows whose counts are kept until their reports are decided. Older ones are never reported.
 pub const MAX_UNDECIDED_WINDOWS: u64 = 120;
 
+/// Reports that are kept until the platform accepts them; beyond that the oldest are dropped. A platform that refuses them
+/// for ever must not fill the state, which every process holds.
+pub const MAX_UNACCEPTED_REPORTS: usize = 720;
+
 /// The requests of each tenant that began within one window.
 #[derive(Clone, PartialEq, Eq, Default, Debug, Encode, Decode)]
 pub struct UsageReport {
@@ -57,6 +61,9 @@
         };
         self.next_window = Some(next_window);
         self.unaccepted.insert(report.window, report.counts.clone());
+        while self.unaccepted.len() > MAX_UNACCEPTED_REPORTS {
+            self.unaccepted.pop_first();
+        }
         Applied::Changed
     }
 
--- a/crates/control-state/tests/state.rs
+++ b/crates/control-state/tests/state.rs
@@ -3,7 +3,8 @@
 use std::net::Ipv4Addr;
 
 use orchidvalve_control_state::{
-    Applied, Change, ChangeError, ControlState, Placement, REMEMBERED_CHANGES, StateSnapshot, UsageReport,
+    Applied, Change, ChangeError, ControlState, MAX_UNACCEPTED_REPORTS, Placement, REMEMBERED_CHANGES,
+    StateSnapshot, UsageReport,
 };
 use orchidvalve_protocol::frames::{decode, encode};
 use orchidvalve_protocol::identity::{MemberId, NodeAddress};
@@ -311,6 +312,19 @@
     assert_eq!(restored.apply(&usage_report(7, 9)), Ok(Applied::Unchanged));
 }
 
+// Guards against a state that grows without bound where the platform accepts nothing.
+#[test]
+fn so_many_unaccepted_reports_are_kept_and_no_more() {
+    let mut state = ControlState::default();
+    let count = MAX_UNACCEPTED_REPORTS as u64;
+    for window in 0..count + 5 {
+        assert_eq!(state.apply(&usage_report(window, 1)), Ok(Applied::Changed));
+    }
+    let windows: Vec<u64> = state.usage_reports().unaccepted_windows().collect();
+    assert_eq!(windows, (5..count + 5).collect::<Vec<u64>>());
+    assert_eq!(state.apply(&usage_report(0, 2)), Ok(Applied::Unchanged));
+}
+
 // Guards against a damaged change that ends every node which applies it, since no window follows the last number.
 #[test]
 fn the_last_number_is_no_window() {
