--- a/crates/control-plane/src/singleton_roles/usage_reporting.rs
+++ b/crates/control-plane/src/singleton_roles/usage_reporting.rs
@@ -151,6 +151,11 @@
         self.usage.accepted.retain(is_unaccepted);
         self.usage.refused.retain(is_unaccepted);
         let Some(fencing_token) = self.fencing_token(now, confirmed_at) else { return };
+        if now < self.duty_pacing.next_at() {
+            self.usage.is_waiting_to_send =
+                reports.unaccepted_windows().any(|window| self.usage.is_sendable(window));
+            return;
+        }
         let sendable = reports.unaccepted_windows().filter(|window| self.usage.is_sendable(*window));
         let sendable: Vec<u64> = sendable.collect();
         for window in self.in_order_of_urgency(sendable, wall_ms) {
@@ -165,7 +170,7 @@
     /// First the reports that can still come in time, then those that are late, each of them oldest first.
     fn in_order_of_urgency(&self, windows: Vec<u64>, wall_ms: Milliseconds) -> Vec<u64> {
         let (window_ms, late_ms) = (self.options.usage_window_ms, self.options.usage_late_ms);
-        let is_late = |window: &u64| (window + 1) * window_ms + late_ms < wall_ms;
+        let is_late = |window: &u64| ends_at(*window, window_ms).saturating_add(late_ms) < wall_ms;
         let (late, mut ordered): (Vec<u64>, Vec<u64>) = windows.into_iter().partition(is_late);
         ordered.extend(late);
         ordered
@@ -211,9 +216,14 @@
     }
 }
 
+/// The time of day at which a window ends.
+fn ends_at(window: u64, window_ms: Milliseconds) -> Milliseconds {
+    window.saturating_add(1).saturating_mul(window_ms)
+}
+
 /// The time of day at which a window is decided.
 fn decided_at(window: u64, window_ms: Milliseconds) -> Milliseconds {
-    (window + 1) * window_ms + DECISION_DELAY_MS
+    ends_at(window, window_ms).saturating_add(DECISION_DELAY_MS)
 }
 
 /// The window itself, or a later one where it is so old that no counts of it can be known.
