--- a/crates/testbed/src/application_server.rs
+++ b/crates/testbed/src/application_server.rs
@@ -160,6 +160,7 @@
                 target: queued.request.target.clone(),
                 body: synthetic_text::digest(&queued.request.body),
                 after_event: 0,
+                tenant: queued.request.headers.combined("Tenant"),
             });
             let work_ms = self.random.random_range(self.settings.work_ms.clone());
             self.running.push(Execution { queued, number, done_at: now + work_ms });
@@ -204,6 +205,7 @@
         if !self.frontend.is_open(connection) {
             return;
         }
+        self.frontend.observe_authorization(&request, out);
         let id = request.headers.get("Attempt-Id").unwrap_or_default().to_owned();
         if self.frontend.is_misdirected(&request) {
             return self.reject(connection, 421, &id, out);
--- a/crates/testbed/src/clients.rs
+++ b/crates/testbed/src/clients.rs
@@ -7,6 +7,7 @@
 use rand::{Rng, RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::credentials::Credentials;
 use crate::directory::Directory;
 use crate::effects::{Call, CallTag, Caller, Effects, Outcome};
 use crate::http;
@@ -47,6 +48,8 @@
     pub keep_alive: bool,
     /// Bodies are sent in chunks.
     pub chunked: bool,
+    /// How clients identify themselves: each request draws one of these; without any it sends nothing of the kind.
+    pub credentials: Vec<Credentials>,
     /// Requests begin at this time,
     pub from: u64,
     /// and before this one.
@@ -74,6 +77,8 @@
 struct PendingRequest {
     target: String,
     body: Vec<u8>,
+    /// The same for all of its attempts.
+    credentials: Credentials,
     started: u64,
     retries: u32,
     /// When it's attempted again; `None` while an attempt is in flight.
@@ -123,9 +128,11 @@
         let mut body = vec![0; self.settings.body_bytes];
         self.random.fill_bytes(&mut body);
         let target = format!("{}{:x}", self.settings.path_prefix, self.random.next_u32() & 0xffff);
+        let credentials = self.draw_credentials();
         let request = PendingRequest {
             target,
             body,
+            credentials,
             started: now,
             retries: 0,
             retry_at: None,
@@ -138,6 +145,14 @@
         self.attempt(now, tag, directory, out);
     }
 
+    fn draw_credentials(&mut self) -> Credentials {
+        let all = &self.settings.credentials;
+        if all.is_empty() {
+            return Credentials::default();
+        }
+        all[self.random.random_range(0..all.len())].clone()
+    }
+
     /// Sends a pending request under a new id.
     fn attempt(&mut self, now: u64, tag: CallTag, directory: &Directory, out: &mut Effects) {
         let attempt_id = random_id(&mut self.random);
@@ -155,9 +170,11 @@
             target: request.target.clone(),
             body: synthetic_text::digest(&request.body),
             idempotent: self.settings.idempotent,
+            credentials: request.credentials.clone(),
         });
         let deadline = timeout_ms.to_string();
-        let fields = [("Attempt-Id", attempt_id.as_str()), ("Deadline-Ms", &deadline)];
+        let mut fields = vec![("Attempt-Id", attempt_id.as_str()), ("Deadline-Ms", &deadline)];
+        fields.extend(request.credentials.fields());
         let write = if self.settings.chunked { http::chunked_request } else { http::request };
         let bytes = write("POST", &request.target, &self.settings.host, &fields, &request.body);
         out.calls.push(Call { tag, address, bytes, timeout_ms, keep_alive: self.settings.keep_alive });
--- a/crates/testbed/src/http.rs
+++ b/crates/testbed/src/http.rs
@@ -34,6 +34,13 @@
         self.0.iter().find(|(key, _)| key.eq_ignore_ascii_case(name)).map(|(_, value)| value.as_str())
     }
 
+    /// Values of all fields with this name, joined by commas (RFC 9110, section 5.3).
+    pub fn combined(&self, name: &str) -> Option<String> {
+        let of_name = self.0.iter().filter(|(key, _)| key.eq_ignore_ascii_case(name));
+        let values: Vec<&str> = of_name.map(|(_, value)| value.as_str()).collect();
+        (!values.is_empty()).then(|| values.join(", "))
+    }
+
     /// Value of a field as a whole number.
     pub fn number(&self, name: &str) -> Option<u64> {
         self.get(name)?.trim().parse().ok()
--- a/crates/testbed/src/invariants/configurations.rs
+++ b/crates/testbed/src/invariants/configurations.rs
@@ -4,6 +4,7 @@
 
 use super::context::{CheckContext, ExpectedRequest};
 use super::invariant::Invariant;
+use super::key_use::KeyHolders;
 use crate::configuration_document::{routes_of, services_of_route, version_of};
 use crate::observation::Observation;
 
@@ -12,17 +13,18 @@
 
 /// A configuration or a change that an operator sent; resends of it are the same change.
 #[derive(Debug)]
-struct ChangeRecord {
+pub(super) struct ChangeRecord {
     number: u64,
     version: u64,
     base: u64,
-    document: Value,
+    pub document: Value,
+    pub key_holders: KeyHolders,
     valid: bool,
     sent_at: u64,
     /// When the system first answered that it's accepted, also where that response was lost.
     accepted_at: Option<u64>,
     /// When the operator first had that response.
-    acknowledged_at: Option<u64>,
+    pub acknowledged_at: Option<u64>,
     refused: bool,
 }
 
@@ -40,7 +42,7 @@
 /// Every change of the operators, in the order of their first sends.
 #[derive(Debug, Default)]
 pub(super) struct Configurations {
-    sent: Vec<ChangeRecord>,
+    pub sent: Vec<ChangeRecord>,
     /// Indices of changes without a conclusive response.
     open: Vec<usize>,
 }
@@ -56,6 +58,7 @@
                     version: *version,
                     base: *base,
                     document: document.clone(),
+                    key_holders: KeyHolders::of(document),
                     valid: *valid,
                     sent_at: context.now,
                     accepted_at: None,
@@ -235,19 +238,24 @@
             let detail = format!("no configuration ever sends it to {service}");
             return context.violate(Invariant::Route, id, detail);
         }
-        let applied_at = expected.since.saturating_sub(context.bounds.config_apply_ms);
-        let acknowledged =
-            self.sent.iter().filter(|change| change.acknowledged_at.is_some_and(|at| at <= applied_at));
-        let oldest_in_force = acknowledged.map(|change| change.version).max().unwrap_or(0);
-        let mut in_force =
-            self.sent.iter().filter(|change| change.version >= oldest_in_force && !change.refused);
-        let is_allowed = in_force.any(|change| routes_to(&change.document, service, expected));
+        let is_allowed = self
+            .maybe_in_force(context, expected.since)
+            .any(|change| routes_to(&change.document, service, expected));
         if !is_allowed && context.is_undisrupted_since(expected.since) {
             let detail = format!("{service} executes it, as only an older configuration allows");
             context.violate(Invariant::Config, id, detail);
         }
     }
 
+    /// Configurations by which a machine in contact may handle what was sent at `since`.
+    pub fn maybe_in_force(&self, context: &CheckContext, since: u64) -> impl Iterator<Item = &ChangeRecord> {
+        let applied_at = since.saturating_sub(context.bounds.config_apply_ms);
+        let acknowledged =
+            self.sent.iter().filter(|change| change.acknowledged_at.is_some_and(|at| at <= applied_at));
+        let oldest = acknowledged.map(|change| change.version).max().unwrap_or(0);
+        self.sent.iter().filter(move |change| change.version >= oldest && !change.refused)
+    }
+
     /// Checks what is still open at the end.
     pub fn finish(&mut self, context: &mut CheckContext) {
         self.check_open(context);
@@ -263,13 +271,18 @@
     (400..500).contains(&status) && !matches!(status, 408 | 421 | 429)
 }
 
-/// Whether the longest matching route of a configuration sends a request to a service.
-fn routes_to(document: &Value, service: &str, expected: &ExpectedRequest<'_>) -> bool {
+/// The longest matching route of a configuration.
+pub(super) fn route_of<'a>(document: &'a Value, expected: &ExpectedRequest<'_>) -> Option<&'a Value> {
     let path = expected.target.split('?').next().unwrap_or_default();
     let matching = routes_of(document).filter_map(|route| {
         let prefix = route["path-prefix"].as_str()?;
         (route["hostname"] == expected.host && path.starts_with(prefix)).then_some((prefix.len(), route))
     });
-    let longest = matching.max_by_key(|(length, _)| *length);
-    longest.is_some_and(|(_, route)| services_of_route(route).iter().any(|name| name == service))
+    matching.max_by_key(|(length, _)| *length).map(|(_, route)| route)
+}
+
+/// Whether the longest matching route of a configuration sends a request to a service.
+fn routes_to(document: &Value, service: &str, expected: &ExpectedRequest<'_>) -> bool {
+    let route = route_of(document, expected);
+    route.is_some_and(|route| services_of_route(route).iter().any(|name| name == service))
 }
--- a/crates/testbed/src/invariants/context.rs
+++ b/crates/testbed/src/invariants/context.rs
@@ -1,6 +1,7 @@
 //! What all checks need: bounds, time, disruptions, and the list of violations.
 
 use super::invariant::{Invariant, InvariantBounds, Violation};
+use crate::credentials::Credentials;
 use crate::observation::Observation;
 
 /// The state that the checks share.
@@ -76,6 +77,17 @@
     }
 }
 
+/// Who asks for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RequestPurpose {
+    /// A client.
+    Client,
+    /// An item of a batch job.
+    Item,
+    /// The reward call of an item.
+    RewardCall,
+}
+
 /// A request as its sender asked for it.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ExpectedRequest<'a> {
@@ -84,6 +96,9 @@
     pub target: &'a str,
     /// Digest of its body.
     pub body: u64,
+    pub purpose: RequestPurpose,
+    /// How the client identified itself, or the trainer that handed in the batch job.
+    pub credentials: &'a Credentials,
     /// From when on configurations bind it.
     pub since: u64,
 }
--- a/crates/testbed/src/invariants/job_record.rs
+++ b/crates/testbed/src/invariants/job_record.rs
@@ -7,6 +7,7 @@
 use super::outputs::{OutputDefect, check_text, last_event_emitted, possible_versions};
 use super::server_log::{ResponseRecord, ServerLog};
 use crate::clients::NOT_EXECUTED_STATUSES;
+use crate::credentials::Credentials;
 use crate::observation::{ItemResult, ItemSent, JobSent};
 
 /// Results of a batch job that were read in one response.
@@ -31,6 +32,8 @@
 #[derive(Debug)]
 pub(super) struct JobRecord {
     pub sent: JobSent,
+    /// Those of all sends together: any of them may be the one that was accepted.
+    pub credentials: Credentials,
     pub first_sent: u64,
     pub sends: u64,
     refusals: u64,
@@ -46,6 +49,7 @@
     /// A batch job that is sent for the first time.
     pub fn new(now: u64, sent: JobSent) -> JobRecord {
         JobRecord {
+            credentials: sent.credentials.clone(),
             sent,
             first_sent: now,
             sends: 1,
--- a/crates/testbed/src/invariants/jobs.rs
+++ b/crates/testbed/src/invariants/jobs.rs
@@ -2,7 +2,7 @@
 
 use std::collections::{BTreeMap, HashMap};
 
-use super::context::{CheckContext, ExpectedRequest};
+use super::context::{CheckContext, ExpectedRequest, RequestPurpose};
 use super::invariant::Invariant;
 use super::job_record::{JobRecord, PageRead};
 use super::server_log::ServerLog;
@@ -33,11 +33,12 @@
         let job = &self.jobs[&reference.job];
         let item = &job.sent.items[reference.index];
         let since = job.accepted_at.unwrap_or(job.first_sent);
-        let (host, target, body) = match is_item {
-            true => (&job.sent.host, &item.path, item.body),
-            false => (&item.reward.host, &item.reward.path, item.reward.body),
+        let (host, target, body, purpose) = match is_item {
+            true => (&job.sent.host, &item.path, item.body, RequestPurpose::Item),
+            false => (&item.reward.host, &item.reward.path, item.reward.body, RequestPurpose::RewardCall),
         };
-        Some(ExpectedRequest { method: "POST", host, target, body, since })
+        let credentials = &job.credentials;
+        Some(ExpectedRequest { method: "POST", host, target, body, purpose, credentials, since })
     }
 
     /// Batch jobs that have an item or a reward call.
@@ -83,6 +84,7 @@
     fn record_send(&mut self, now: u64, sent: &JobSent) {
         if let Some(job) = self.jobs.get_mut(&sent.job) {
             job.sends += 1;
+            job.credentials.authorization.extend_from_slice(&sent.credentials.authorization);
             return;
         }
         for (index, item) in sent.items.iter().enumerate() {
--- a/crates/testbed/src/invariants/mod.rs
+++ b/crates/testbed/src/invariants/mod.rs
@@ -8,6 +8,7 @@
 mod invariant;
 mod job_record;
 mod jobs;
+mod key_use;
 mod outputs;
 mod requests;
 mod server_log;
@@ -59,8 +60,23 @@
         self.fencing_tokens.observe(&mut self.context, observation);
         self.starved_items.observe(&mut self.context, observation);
         match observation {
-            Observation::ExecutionStarted { server, id, method, target, body, .. } => {
+            Observation::ExecutionStarted { server, id, method, target, body, tenant, .. } => {
                 self.check_execution(server, id, method, target, *body);
+                self.check_caller(id, tenant.as_deref());
+            }
+            Observation::RequestAnswered {
+                id, status: status @ (401 | 403 | 404), signature: None, ..
+            } => {
+                if let Some(expected) = self.requests.expected(id) {
+                    self.configurations.check_denial(&mut self.context, id, &expected, *status);
+                }
+            }
+            Observation::JobCallDenied { job, status, credentials, sent_at } => {
+                let call = (credentials, *sent_at);
+                self.configurations.check_job_call_denial(&mut self.context, job, call, *status);
+            }
+            Observation::AuthorizationReceived { server, id } => {
+                self.configurations.check_authorization(&mut self.context, server, id);
             }
             Observation::LateBodyReceived { id, body } => self.check_late_body(id, *body),
             Observation::MalformedRequestReceived { reason } => {
@@ -80,6 +96,13 @@
         }
     }
 
+    /// Compares the tenant that a server is told with the key that was sent.
+    fn check_caller(&mut self, id: &str, tenant: Option<&str>) {
+        if let Some(expected) = self.requests.expected(id).or_else(|| self.jobs.expected(id)) {
+            self.configurations.check_caller(&mut self.context, id, &expected, tenant);
+        }
+    }
+
     /// Compares an execution with what was asked for and with the configurations.
     fn check_execution(&mut self, server: &str, id: &str, method: &str, target: &str, body: u64) {
         let Some(expected) = self.requests.expected(id).or_else(|| self.jobs.expected(id)) else {
--- a/crates/testbed/src/invariants/requests.rs
+++ b/crates/testbed/src/invariants/requests.rs
@@ -2,10 +2,11 @@
 
 use std::collections::HashMap;
 
-use super::context::{CheckContext, ExpectedRequest};
+use super::context::{CheckContext, ExpectedRequest, RequestPurpose};
 use super::invariant::Invariant;
 use super::server_log::ServerLog;
 use crate::clients::NOT_EXECUTED_STATUSES;
+use crate::credentials::Credentials;
 use crate::observation::Observation;
 
 /// Time after the grace that still counts as planned work, in milliseconds.
@@ -19,6 +20,7 @@
     target: String,
     body: u64,
     idempotent: bool,
+    credentials: Credentials,
     sent_at: u64,
     refused: bool,
 }
@@ -39,13 +41,15 @@
             host: &request.host,
             target: &request.target,
             body: request.body,
+            purpose: RequestPurpose::Client,
+            credentials: &request.credentials,
             since: request.sent_at,
         })
     }
 
     pub fn observe(&mut self, context: &mut CheckContext, server_log: &ServerLog, observation: &Observation) {
         match observation {
-            Observation::RequestSent { id, gateway, host, method, target, body, idempotent } => {
+            Observation::RequestSent { id, gateway, host, method, target, body, idempotent, credentials } => {
                 let request = RequestRecord {
                     gateway: gateway.clone(),
                     host: host.clone(),
@@ -53,6 +57,7 @@
                     target: target.clone(),
                     body: *body,
                     idempotent: *idempotent,
+                    credentials: credentials.clone(),
                     sent_at: context.now,
                     refused: false,
                 };
--- a/crates/testbed/src/lib.rs
+++ b/crates/testbed/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod concurrent_operators;
 pub mod configuration_document;
 pub mod control_call;
+pub mod credentials;
 pub mod directory;
 pub mod effects;
 pub mod fault_proxy;
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -37,6 +37,8 @@
         /// How long links are partitioned, in seconds
         #[bpaf(long("cut-seconds"), argument("N"), fallback(20), display_fallback)]
         partition_seconds: u64,
+        /// Configure no tenants: nobody sends a key
+        without_tenants: bool,
         /// Leave settings, data and logs behind
         keep: bool,
     },
@@ -52,6 +54,7 @@
         program,
         faults,
         partition_seconds,
+        without_tenants,
         keep,
     } = options().run();
     if let Err(error) = orchidvalve_settings::logging::start(log::LevelFilter::Info) {
@@ -66,6 +69,7 @@
         program,
         faults,
         partition_seconds,
+        without_tenants,
         keep,
     };
     match scenario::run(&options) {
--- a/crates/testbed/src/model_server/generations.rs
+++ b/crates/testbed/src/model_server/generations.rs
@@ -18,6 +18,8 @@
     /// Digest of its body.
     pub body: u64,
     pub model: String,
+    /// Its `Tenant`, as it came.
+    pub tenant: Option<String>,
     pub expected_version: Option<u64>,
     /// Last event that the caller has; 0 for none.
     pub after_event: u64,
--- a/crates/testbed/src/model_server/server.rs
+++ b/crates/testbed/src/model_server/server.rs
@@ -203,6 +203,7 @@
             after_event: headers.number("Last-Event-Id").unwrap_or(0),
             prompt_tokens: usage.prompt,
             deadline: headers.number("Deadline-Ms").map(|left_ms| now + left_ms),
+            tenant: headers.combined("Tenant"),
             body: synthetic_text::digest(&request.body),
             method: request.method,
             target: request.target,
@@ -242,6 +243,7 @@
             target: queued.target,
             body: queued.body,
             after_event: queued.after_event,
+            tenant: queued.tenant,
         });
         let prefill_ms = queued.prompt_tokens / self.settings.prefill_tokens_per_ms.max(1);
         self.work.running.push(Generation {
@@ -337,6 +339,7 @@
             self.active_faults.malformed_response = false;
             return out.send(connection, MALFORMED_RESPONSE.to_vec());
         }
+        self.frontend.observe_authorization(&request, out);
         if self.frontend.is_misdirected(&request) {
             let id = request.headers.get("Attempt-Id").unwrap_or_default().to_owned();
             return self.reject(connection, 421, &id, out);
--- a/crates/testbed/src/observation.rs
+++ b/crates/testbed/src/observation.rs
@@ -4,6 +4,8 @@
 
 use serde_json::Value;
 
+use crate::credentials::Credentials;
+
 /// An observation, and when it was made.
 #[derive(Clone, Debug, PartialEq)]
 pub struct TimedObservation {
@@ -32,6 +34,8 @@
         body: u64,
         /// It may be executed more than once.
         idempotent: bool,
+        /// How the client identifies itself.
+        credentials: Credentials,
     },
     /// A client got a whole response.
     RequestAnswered {
@@ -81,6 +85,15 @@
         body: u64,
         /// Event after which a stream goes on; 0 from the start.
         after_event: u64,
+        /// Its `Tenant`; several fields are joined by commas (RFC 9110, section 5.3).
+        tenant: Option<String>,
+    },
+    /// A request to a server, whatever its kind, has an `Authorization`. The value is a secret and isn't kept.
+    AuthorizationReceived {
+        /// Id of the incarnation.
+        server: String,
+        /// Id of the request; empty if it has none.
+        id: String,
     },
     /// A server that had responded to a request before its whole body was in has read the rest.
     LateBodyReceived {
@@ -150,6 +163,17 @@
         /// The results, in order.
         results: Vec<ItemResult>,
     },
+    /// A call for a batch job got 401 or 403.
+    JobCallDenied {
+        /// Id of the batch job.
+        job: String,
+        /// Status of the response.
+        status: u16,
+        /// How the trainer identified itself.
+        credentials: Credentials,
+        /// When the call was sent.
+        sent_at: u64,
+    },
     /// A reading of a batch job got 404 or 410.
     JobMissing {
         /// Id of the batch job.
@@ -266,6 +290,8 @@
     pub job: String,
     /// Value of `Host` for its items.
     pub host: String,
+    /// How its trainer identifies itself with this send; a later one may bring another key.
+    pub credentials: Credentials,
     /// Oldest version under which items may be generated.
     pub min_version: u64,
     /// Each item may be generated under one version only.
--- a/crates/testbed/src/scenario/fault_steps.rs
+++ b/crates/testbed/src/scenario/fault_steps.rs
@@ -8,6 +8,7 @@
     duplicate_responses, leave_with_only_copy, replace_then_wipe, restart_one_then_all,
 };
 use super::faults::Fault;
+use super::key_faults::{revoke_last, revoke_one_by_one};
 use super::link_faults::{Directions, SLOW_LINK, fault_links};
 use super::servers::ServerIndices;
 use super::steps::{ScheduledStep, Step, after};
@@ -85,6 +86,9 @@
         Fault::QuotaStore => under_quota(&targets.pick(Role::Store, random)),
         Fault::QuotaGateway => under_quota(&last_gateway(launcher)),
         Fault::QuotaAll => under_quota(&launcher.ids()),
+        Fault::RevokeKey => targets.workload.tenants.as_ref().map(revoke_one_by_one).unwrap_or_default(),
+        Fault::RevokeLastKey => targets.workload.tenants.as_ref().map(revoke_last).unwrap_or_default(),
+        Fault::UnknownKeys => Vec::new(),
     }
 }
 
--- a/crates/testbed/src/scenario/faults.rs
+++ b/crates/testbed/src/scenario/faults.rs
@@ -83,10 +83,16 @@
     QuotaGateway,
     /// The same for all machines.
     QuotaAll,
+    /// Keys are taken away one after the other while clients go on to use them; some are given back or passed on.
+    RevokeKey,
+    /// A tenant loses all of its keys, and then all tenants but one are removed.
+    RevokeLastKey,
+    /// Clients send keys that never existed, other schemes, several keys, and names of tenants.
+    UnknownKeys,
 }
 
 /// Every fault with its name on the command line.
-pub(super) const FAULT_NAMES: [(&str, Fault); 35] = [
+pub(super) const FAULT_NAMES: [(&str, Fault); 38] = [
     ("kill-store", Fault::KillStore),
     ("kill-control", Fault::KillControl),
     ("kill-door", Fault::KillGateway),
@@ -122,6 +128,9 @@
     ("quota-store", Fault::QuotaStore),
     ("quota-door", Fault::QuotaGateway),
     ("quota-all", Fault::QuotaAll),
+    ("revoke-key", Fault::RevokeKey),
+    ("revoke-last-key", Fault::RevokeLastKey),
+    ("unknown-keys", Fault::UnknownKeys),
 ];
 
 impl Fault {
@@ -143,6 +152,11 @@
         }
     }
 
+    /// Whether clients go on to use the keys that are taken away.
+    pub(super) fn revokes_keys(self) -> bool {
+        matches!(self, Fault::RevokeKey | Fault::RevokeLastKey)
+    }
+
     /// Whether the machines have to reach each other through the fault proxy.
     pub(super) fn needs_proxy(self) -> bool {
         matches!(
--- a/crates/testbed/src/scenario/mod.rs
+++ b/crates/testbed/src/scenario/mod.rs
@@ -5,12 +5,14 @@
 mod execution;
 mod fault_steps;
 mod faults;
+mod key_faults;
 mod link_faults;
 mod report;
 mod run;
 mod servers;
 mod steps;
 mod supervision;
+mod tenants;
 #[cfg(test)]
 mod tests;
 mod timing;
@@ -44,6 +46,8 @@
     pub faults: Vec<Fault>,
     /// How long links are partitioned, in seconds.
     pub partition_seconds: u64,
+    /// The configuration has no tenants, and nobody sends a key.
+    pub without_tenants: bool,
     /// Settings, data and logs stay behind.
     pub keep: bool,
 }
--- a/crates/testbed/src/scenario/run.rs
+++ b/crates/testbed/src/scenario/run.rs
@@ -32,6 +32,9 @@
 const REVIEW_MS: u64 = 15_000;
 /// How long concurrent operators go on after the last fault, in milliseconds.
 const OPERATORS_AFTER_MS: u64 = 2_000;
+/// How long clients go on to use their keys after the last change of keys: beyond the time after which that is in
+/// force, in milliseconds.
+const KEY_USE_AFTER_MS: u64 = 4_000;
 /// Where in the traffic the faults begin, in hundredths.
 const FAULT_PERCENT: u64 = 40;
 
@@ -83,7 +86,7 @@
     if options.faults.iter().any(|fault| fault.needs_proxy()) {
         launcher.use_proxy();
     }
-    let mut run = ScenarioRun::new(launcher, options.seed)?;
+    let mut run = ScenarioRun::new(launcher, options)?;
     if options.keep {
         run.launcher.keep_directory();
     }
@@ -94,9 +97,13 @@
 }
 
 impl ScenarioRun {
-    fn new(launcher: Launcher, seed: u64) -> Result<ScenarioRun, ScenarioError> {
+    fn new(launcher: Launcher, options: &ScenarioOptions) -> Result<ScenarioRun, ScenarioError> {
+        let seed = options.seed;
         let mut host = Host::new()?;
-        let workload = Workload::draw(seed);
+        let mut workload = Workload::draw(seed);
+        if options.without_tenants {
+            workload.tenants = None;
+        }
         let topology = launcher.topology();
         let servers = open_servers(&mut host, topology, &workload, seed)?;
         for machine in topology.machines.iter().filter(|machine| machine.roles.contains(&Role::Gateway)) {
@@ -179,6 +186,15 @@
         if options.faults.contains(&Fault::DuplicateResponses) {
             self.traffic.add_clients(host, workload.long_bodies(times, seed));
         }
+        if options.faults.iter().any(|fault| fault.revokes_keys()) {
+            let until = times.until.max(self.schedule.ends_at() + KEY_USE_AFTER_MS);
+            let users = workload.key_users(TrafficTimes { until, ..times }, seed);
+            users.into_iter().for_each(|settings| self.traffic.add_clients(host, settings));
+        }
+        if options.faults.contains(&Fault::UnknownKeys) && workload.tenants.is_some() {
+            let clients = workload.improper_clients(times, seed);
+            clients.into_iter().for_each(|settings| self.traffic.add_clients(host, settings));
+        }
     }
 
     /// One turn of the host, with what follows from it.
--- a/crates/testbed/src/scenario/tests.rs
+++ b/crates/testbed/src/scenario/tests.rs
@@ -12,6 +12,7 @@
 use super::steps::Step;
 use super::workload::{TrafficTimes, Workload};
 use crate::clients::ClientSettings;
+use crate::credentials::Credentials;
 use crate::fault_proxy::LinkFault;
 use crate::host::ServerIndex;
 use crate::launch::{Launcher, ProcessId, Role, Topology};
@@ -37,6 +38,7 @@
     let TrainerSettings { steps, batch, items, review, .. } = settings;
     add_texts(trace, &[&settings.name, &settings.zone, &settings.host, &items.path_prefix]);
     add_texts(trace, &[&settings.model, &items.reward_host, &items.reward_prefix]);
+    settings.keys.iter().for_each(|key| add_texts(trace, &[key]));
     let sizes = [batch.groups, batch.group_size, batch.required_groups, items.body_bytes];
     sizes.iter().for_each(|size| trace.add_number(*size as u64));
     add_numbers(trace, &[steps.interval_ms, steps.train_ms, steps.steps_ahead, batch.version_lag]);
@@ -58,6 +60,9 @@
     for flag in [settings.idempotent, settings.keep_alive, settings.chunked] {
         trace.add_number(u64::from(flag));
     }
+    settings.credentials.iter().flat_map(Credentials::fields).for_each(|(name, value)| {
+        add_texts(trace, &[name, value]);
+    });
 }
 
 #[test]
@@ -72,6 +77,8 @@
         workload.trainers(times, seed).iter().for_each(|settings| add_trainer(&mut trace, settings));
         workload.clients("north", times, seed).iter().for_each(|settings| add_clients(&mut trace, settings));
         add_clients(&mut trace, &workload.long_bodies(times, seed));
+        workload.key_users(times, seed).iter().for_each(|settings| add_clients(&mut trace, settings));
+        workload.improper_clients(times, seed).iter().for_each(|settings| add_clients(&mut trace, settings));
         hashes.push((format!("seed-{seed}"), trace.finish()));
     }
     check_hashes(&golden("scenes.txt"), &hashes);
--- a/crates/testbed/src/scenario/workload.rs
+++ b/crates/testbed/src/scenario/workload.rs
@@ -5,6 +5,7 @@
 use serde_json::{Value, json};
 
 use super::servers::{KV_CAPACITY, MODEL_SLOTS, STRIDE};
+use super::tenants::Tenants;
 use crate::clients::ClientSettings;
 use crate::launch::ZONES;
 use crate::trainer::{BatchSettings, ItemSettings, ReviewTimes, StepSettings, TrainerSettings};
@@ -40,6 +41,8 @@
     pub once_prefix: String,
     pub reward_prefix: String,
     pub rollout_prefixes: [String; 2],
+    /// None where the configuration has no tenants, and nobody sends a key.
+    pub tenants: Option<Tenants>,
 }
 
 impl Workload {
@@ -57,6 +60,7 @@
             once_prefix: format!("/{}/", word("o")),
             reward_prefix: format!("/{}/", word("q")),
             rollout_prefixes: [format!("/{}/", word("l")), format!("/{}/", word("k"))],
+            tenants: Some(Tenants::draw(seed)),
         }
     }
 
@@ -65,11 +69,15 @@
         let [long, short] = &self.rollout_prefixes;
         let mut once = self.plain_entry("r-once", &self.once_prefix, 1500, 150);
         once["route-type"] = json!("non_idempotent");
-        json!({
+        let mut reward = self.plain_entry("r-reward", &self.reward_prefix, 2000, 400);
+        if self.tenants.is_some() {
+            reward["public"] = json!(true);
+        }
+        let mut document = json!({
             "routes": [
                 self.plain_entry(&self.plain_route, &self.plain_prefix, 1500, 150),
                 once,
-                self.plain_entry("r-reward", &self.reward_prefix, 2000, 400),
+                reward,
                 self.rollout_entry("r-long", long, 12_000, false),
                 self.rollout_entry("r-short", short, 4_000, true),
             ],
@@ -83,7 +91,11 @@
             ],
             "limits": {"max-header-bytes": 16384, "max-body-bytes": 33_554_432, "header-timeout-ms": 3000,
                        "idle-timeout-ms": 15000},
-        })
+        });
+        if let Some(tenants) = &self.tenants {
+            document["tenants"] = tenants.document();
+        }
+        document
     }
 
     /// A route to the application servers.
@@ -108,6 +120,23 @@
         ClientSettings { interval_ms: 400, body_bytes: LONG_BODY_BYTES, ..idempotent }
     }
 
+    /// Clients that go on to use their keys, whatever becomes of them.
+    pub fn key_users(&self, times: TrafficTimes, seed: u64) -> [ClientSettings; 2] {
+        let clients = self.clients(ZONES[0], times, seed ^ 0x6b65_7973);
+        clients.map(|settings| ClientSettings { interval_ms: 40, retries: 0, ..settings })
+    }
+
+    /// Clients that send keys that don't exist, and what nobody should send.
+    pub fn improper_clients(&self, times: TrafficTimes, seed: u64) -> [ClientSettings; 2] {
+        let credentials = self.tenants.as_ref().map(Tenants::improper_credentials).unwrap_or_default();
+        let clients = self.clients(ZONES[0], times, seed ^ 0x756e_6b6e);
+        clients.map(|settings| ClientSettings {
+            interval_ms: 40,
+            credentials: credentials.clone(),
+            ..settings
+        })
+    }
+
     fn rollout_entry(&self, name: &str, prefix: &str, run_ms: u64, single_version: bool) -> Value {
         let mut entry = json!({"name": name, "hostname": self.host, "path-prefix": prefix,
             "route-type": "rollout_control", "timeout-ms": 20_000, "target-latency-ms": 500,
@@ -129,6 +158,7 @@
             name: "long".to_owned(),
             zone: ZONES[0].to_owned(),
             host: self.host.clone(),
+            keys: self.tenants.as_ref().map(|tenants| tenants.trainers.keys.clone()).unwrap_or_default(),
             model: self.models[0].clone(),
             steps: StepSettings {
                 from: times.from,
@@ -206,6 +236,7 @@
             body_bytes: 600,
             keep_alive: true,
             chunked: false,
+            credentials: self.tenants.as_ref().map(Tenants::client_credentials).unwrap_or_default(),
             from: times.from,
             until: times.until,
             seed,
--- a/crates/testbed/src/server_frontend.rs
+++ b/crates/testbed/src/server_frontend.rs
@@ -5,6 +5,7 @@
 
 use crate::effects::{ConnectionKey, Effects};
 use crate::http::{self, Request};
+use crate::observation::Observation;
 
 /// Bits of an execution's number below the index of its server.
 const EXECUTION_BITS: u32 = 40;
@@ -120,6 +121,14 @@
         request.headers.get("Expected-Instance").is_some_and(|expected| expected != self.instance())
     }
 
+    /// Notes a request that shows an API key, or whatever else stands in `Authorization`.
+    pub fn observe_authorization(&self, request: &Request, out: &mut Effects) {
+        if request.headers.get("Authorization").is_some() {
+            let id = request.headers.get("Attempt-Id").unwrap_or_default().to_owned();
+            out.observations.push(Observation::AuthorizationReceived { server: self.instance(), id });
+        }
+    }
+
     /// Whether a request is a health check.
     pub fn is_health_check(&self, request: &Request) -> bool {
         request.method == "GET" && request.path() == self.health_path
--- a/crates/testbed/src/trainer/calls.rs
+++ b/crates/testbed/src/trainer/calls.rs
@@ -5,6 +5,7 @@
 
 use super::job::Job;
 use super::settings::TrainerSettings;
+use crate::credentials::Credentials;
 use crate::effects::{Call, CallTag, Effects};
 use crate::http;
 
@@ -40,29 +41,37 @@
 
 impl Purpose {
     /// Bytes of the call for `job`.
-    pub(super) fn request(&self, settings: &TrainerSettings, job: &Job) -> Vec<u8> {
-        let host = &settings.host;
+    pub(super) fn request(
+        &self,
+        settings: &TrainerSettings,
+        job: &Job,
+        credentials: &Credentials,
+    ) -> Vec<u8> {
         let id = job.id();
+        let request = |method: &str, target: &str, fields: &[(&str, &str)], body: &[u8]| {
+            let fields: Vec<(&str, &str)> = fields.iter().copied().chain(credentials.fields()).collect();
+            http::request(method, target, &settings.host, &fields, body)
+        };
         match self {
             Purpose::Submit => {
                 let target = format!("{}{}", settings.items.path_prefix, &id[..ID_DIGITS_IN_PATH]);
                 let fields = [("Attempt-Id", id), ("Content-Type", "application/json")];
-                http::request("POST", &target, host, &fields, &job.document)
+                request("POST", &target, &fields, &job.document)
             }
             Purpose::Read { after } => {
                 let target = format!("/v1/lots/{id}?after-seq={after}");
                 let wait_ms = LONG_POLL_MS.to_string();
-                http::request("GET", &target, host, &[("Wait-Ms", &wait_ms)], &[])
+                request("GET", &target, &[("Wait-Ms", &wait_ms)], &[])
             }
             Purpose::Review { after } => {
                 let target = format!("/v1/lots/{id}?after-seq={after}");
-                http::request("GET", &target, host, &[], &[])
+                request("GET", &target, &[], &[])
             }
             Purpose::ItemBody { item } => {
                 let target = format!("/v1/items/{id}?instance-id={item}");
-                http::request("GET", &target, host, &[], &[])
+                request("GET", &target, &[], &[])
             }
-            Purpose::Cancel => http::request("DELETE", &format!("/v1/lots/{id}"), host, &[], &[]),
+            Purpose::Cancel => request("DELETE", &format!("/v1/lots/{id}"), &[], &[]),
         }
     }
 
@@ -79,11 +88,19 @@
 /// Index of a batch job among those of its trainer.
 pub(super) type JobIndex = usize;
 
+/// A call that a trainer made for a batch job.
+#[derive(Clone, Debug)]
+pub(super) struct JobCall {
+    pub job: JobIndex,
+    pub purpose: Purpose,
+    pub credentials: Credentials,
+    pub sent_at: u64,
+}
+
 /// The calls under way, and the tags by which their outcomes come back.
 #[derive(Debug)]
 pub(super) struct Calls {
-    /// Batch job and purpose of each call.
-    under_way: BTreeMap<CallTag, (JobIndex, Purpose)>,
+    under_way: BTreeMap<CallTag, JobCall>,
     next_tag: CallTag,
 }
 
@@ -100,22 +117,15 @@
     }
 
     /// Begins a call for a batch job.
-    pub(super) fn begin(
-        &mut self,
-        job: JobIndex,
-        purpose: Purpose,
-        address: SocketAddrV4,
-        bytes: Vec<u8>,
-        out: &mut Effects,
-    ) {
+    pub(super) fn begin(&mut self, call: JobCall, address: SocketAddrV4, bytes: Vec<u8>, out: &mut Effects) {
         let tag = self.new_tag();
-        let timeout_ms = purpose.timeout_ms();
-        self.under_way.insert(tag, (job, purpose));
+        let timeout_ms = call.purpose.timeout_ms();
+        self.under_way.insert(tag, call);
         out.calls.push(Call { tag, address, bytes, timeout_ms, keep_alive: false });
     }
 
-    /// A call is over: its batch job and its purpose.
-    pub(super) fn end(&mut self, tag: CallTag) -> Option<(JobIndex, Purpose)> {
+    /// A call is over.
+    pub(super) fn end(&mut self, tag: CallTag) -> Option<JobCall> {
         self.under_way.remove(&tag)
     }
 }
--- a/crates/testbed/src/trainer/job.rs
+++ b/crates/testbed/src/trainer/job.rs
@@ -7,6 +7,7 @@
 use super::groups::{DrawnItem, Group};
 use super::settings::TrainerSettings;
 use crate::clients::random_id;
+use crate::credentials::Credentials;
 use crate::observation::JobSent;
 
 /// What is done with a batch job next.
@@ -72,6 +73,7 @@
         let sent = JobSent {
             job: id,
             host: settings.host.clone(),
+            credentials: Credentials::default(),
             min_version,
             single_version: settings.batch.single_version,
             max_attempts: settings.batch.max_attempts,
--- a/crates/testbed/src/trainer/mod.rs
+++ b/crates/testbed/src/trainer/mod.rs
@@ -4,6 +4,7 @@
 mod group_progress;
 mod groups;
 mod job;
+mod keys;
 mod responses;
 mod result_reading;
 mod settings;
--- a/crates/testbed/src/trainer/settings.rs
+++ b/crates/testbed/src/trainer/settings.rs
@@ -9,6 +9,8 @@
     pub zone: String,
     /// Value of `Host`.
     pub host: String,
+    /// API keys of the trainer's tenant; without any it sends none.
+    pub keys: Vec<String>,
     /// The model that is trained.
     pub model: String,
     /// When steps begin.
--- a/crates/testbed/src/trainer/steps.rs
+++ b/crates/testbed/src/trainer/steps.rs
@@ -3,14 +3,16 @@
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
-use super::calls::{Calls, JobIndex, Purpose, RETRY_DELAY_MS};
+use super::calls::{Calls, JobCall, JobIndex, Purpose, RETRY_DELAY_MS};
 use super::groups::Group;
 use super::job::{Job, Phase};
+use super::keys::TrainerKeys;
 use super::settings::TrainerSettings;
 use super::stats::SharedTrainerStats;
 use super::version_naming::VersionNaming;
 use crate::directory::Directory;
 use crate::effects::{CallTag, Caller, Effects, Outcome};
+use crate::http::Response;
 use crate::observation::Observation;
 
 /// One read in so many begins at an earlier position.
@@ -24,6 +26,7 @@
     random: Pcg64Mcg,
     jobs: Vec<Job>,
     calls: Calls,
+    keys: TrainerKeys,
     next_step: u64,
     naming: VersionNaming,
     /// Groups for the next batch job to bring back.
@@ -41,6 +44,7 @@
         stats.borrow_mut().version = naming.version();
         let trainer = Trainer {
             random: Pcg64Mcg::seed_from_u64(settings.seed),
+            keys: TrainerKeys::new(settings.keys.clone()),
             settings,
             jobs: Vec::new(),
             calls: Calls::new(),
@@ -88,10 +92,10 @@
         let is_overdue = now >= job.first_sent + self.settings.batch.deadline_ms;
         match job.phase {
             Phase::Submitting if is_overdue => self.give_up_submitting(now, index),
-            Phase::Submitting => self.submit(index, directory, out),
+            Phase::Submitting => self.submit(now, index, directory, out),
             Phase::Reading if is_overdue => self.begin_cancel(now, index),
-            Phase::Reading => self.read(index, directory, out),
-            Phase::Cancelling => self.cancel(index, directory, out),
+            Phase::Reading => self.read(now, index, directory, out),
+            Phase::Cancelling => self.cancel(now, index, directory, out),
             Phase::Finished if now < self.settings.review.from => {
                 job.next_at = Some(self.settings.review.from);
             }
@@ -101,31 +105,35 @@
     }
 
     /// Makes a call at a gateway of the trainer's zone, if there is one.
-    fn call(&mut self, index: JobIndex, purpose: Purpose, directory: &Directory, out: &mut Effects) {
+    fn call(&mut self, now: u64, job: JobIndex, purpose: Purpose, directory: &Directory, out: &mut Effects) {
         let Some(address) = directory.pick_gateway(&self.settings.zone, &mut self.random) else { return };
-        let bytes = purpose.request(&self.settings, &self.jobs[index]);
-        self.calls.begin(index, purpose, address, bytes, out);
+        let credentials = self.keys.for_call(&purpose);
+        let bytes = purpose.request(&self.settings, &self.jobs[job], &credentials);
+        let call = JobCall { job, purpose, credentials, sent_at: now };
+        self.calls.begin(call, address, bytes, out);
     }
 
-    fn submit(&mut self, index: JobIndex, directory: &Directory, out: &mut Effects) {
-        out.observations.push(Observation::JobSent(self.jobs[index].sent.clone()));
-        self.call(index, Purpose::Submit, directory, out);
+    fn submit(&mut self, now: u64, index: JobIndex, directory: &Directory, out: &mut Effects) {
+        let sent = &mut self.jobs[index].sent;
+        sent.credentials = self.keys.for_call(&Purpose::Submit);
+        out.observations.push(Observation::JobSent(sent.clone()));
+        self.call(now, index, Purpose::Submit, directory, out);
     }
 
-    fn read(&mut self, index: JobIndex, directory: &Directory, out: &mut Effects) {
+    fn read(&mut self, now: u64, index: JobIndex, directory: &Directory, out: &mut Effects) {
         let position = self.jobs[index].position;
         let is_earlier = position > 0 && self.random.random_ratio(1, EARLIER_EVERY);
         let after = if is_earlier { self.random.random_range(0..position) } else { position };
-        self.call(index, Purpose::Read { after }, directory, out);
+        self.call(now, index, Purpose::Read { after }, directory, out);
         let item = self.jobs[index].progress.any_outstanding().map(str::to_owned);
         if let Some(item) = item.filter(|_| self.random.random_ratio(1, BODY_EVERY)) {
-            self.call(index, Purpose::ItemBody { item }, directory, out);
+            self.call(now, index, Purpose::ItemBody { item }, directory, out);
         }
     }
 
-    fn cancel(&mut self, index: JobIndex, directory: &Directory, out: &mut Effects) {
+    fn cancel(&mut self, now: u64, index: JobIndex, directory: &Directory, out: &mut Effects) {
         out.observations.push(Observation::JobCancelSent { job: self.jobs[index].id().to_owned() });
-        self.call(index, Purpose::Cancel, directory, out);
+        self.call(now, index, Purpose::Cancel, directory, out);
     }
 
     /// Reads a batch job again from the start, page by page.
@@ -137,7 +145,7 @@
             self.stats.borrow_mut().unreadable += 1;
             return;
         }
-        self.call(index, Purpose::Review { after }, directory, out);
+        self.call(now, index, Purpose::Review { after }, directory, out);
     }
 
     /// The deadline has come without a 202: the step is lost, and the training goes on without it.
@@ -193,6 +201,18 @@
         }
     }
 
+    /// A call whose key the system doesn't take is made again with another key of the tenant.
+    fn observe_denial(&mut self, call: &JobCall, outcome: &Outcome, out: &mut Effects) {
+        let Outcome::Answered(Response { status: status @ (401 | 403), .. }) = outcome else { return };
+        self.keys.denied(&call.credentials);
+        out.observations.push(Observation::JobCallDenied {
+            job: self.jobs[call.job].id().to_owned(),
+            status: *status,
+            credentials: call.credentials.clone(),
+            sent_at: call.sent_at,
+        });
+    }
+
     fn is_done(&self, now: u64) -> bool {
         now >= self.settings.review.from && self.jobs.iter().all(|job| job.review.is_none())
     }
@@ -220,8 +240,9 @@
         if self.naming.owns(tag) {
             self.naming.call_ended(now, outcome, &self.settings.model, out);
             self.stats.borrow_mut().version = self.naming.version();
-        } else if let Some((index, purpose)) = self.calls.end(tag) {
-            self.job_call_ended(now, index, purpose, &outcome, out);
+        } else if let Some(call) = self.calls.end(tag) {
+            self.observe_denial(&call, &outcome, out);
+            self.job_call_ended(now, call.job, call.purpose, &outcome, out);
         }
         self.wake(now, directory, out);
     }
--- a/crates/testbed/tests/command_line.rs
+++ b/crates/testbed/tests/command_line.rs
@@ -2,7 +2,7 @@
 
 use std::process::{Command, Output};
 
-const FLAGS: [&str; 9] = [
+const FLAGS: [&str; 10] = [
     "--seconds",
     "--controls",
     "--doors",
@@ -11,10 +11,11 @@
     "--program",
     "--trouble",
     "--cut-seconds",
+    "--without-tenants",
     "--keep",
 ];
 
-const FAULTS: [&str; 35] = [
+const FAULTS: [&str; 38] = [
     "kill-store",
     "kill-control",
     "kill-door",
@@ -50,6 +51,9 @@
     "quota-store",
     "quota-door",
     "quota-all",
+    "revoke-key",
+    "revoke-last-key",
+    "unknown-keys",
 ];
 
 fn run(arguments: &[&str]) -> Output {
--- a/crates/testbed/tests/host.rs
+++ b/crates/testbed/tests/host.rs
@@ -88,6 +88,7 @@
         retries: 1,
         body_bytes: 30_000,
         keep_alive,
+        credentials: Vec::new(),
         chunked,
         from,
         until: from + 100,
--- a/crates/testbed/tests/support/observed_run.rs
+++ b/crates/testbed/tests/support/observed_run.rs
@@ -1,6 +1,7 @@
 //! An orderly run as the checker sees it, and the observations of which it consists.
 #![allow(dead_code, reason = "each test file uses a part")]
 
+use orchidvalve_testbed::credentials::Credentials;
 use orchidvalve_testbed::observation::{ItemResult, ItemSent, JobSent, Observation, RewardSent};
 use orchidvalve_testbed::synthetic_text::whole_text;
 use serde_json::{Value, json};
@@ -36,7 +37,8 @@
 ) -> Observation {
     let (server, id) = (server.to_owned(), id.to_owned());
     let (method, target) = ("POST".to_owned(), target.to_owned());
-    Observation::ExecutionStarted { server, execution, id, method, target, body, after_event }
+    let tenant = None;
+    Observation::ExecutionStarted { server, execution, id, method, target, body, after_event, tenant }
 }
 
 pub fn event_emitted(execution: u64, event: u64, version: u64) -> Observation {
@@ -52,6 +54,7 @@
     Observation::JobSent(JobSent {
         job: id.to_owned(),
         host: HOST.to_owned(),
+        credentials: Credentials::default(),
         min_version: 2,
         single_version: false,
         max_attempts: 3,
@@ -100,6 +103,7 @@
         target: "/plain/1".to_owned(),
         body: 5,
         idempotent,
+        credentials: Credentials::default(),
     }
 }
 
--- a/crates/testbed/tests/support/recording.rs
+++ b/crates/testbed/tests/support/recording.rs
@@ -4,6 +4,7 @@
 use std::net::SocketAddrV4;
 
 use orchidvalve_golden::Trace;
+use orchidvalve_testbed::credentials::Credentials;
 use orchidvalve_testbed::directory::Directory;
 use orchidvalve_testbed::effects::{
     Call, CallTag, Caller, ConnectionKey, Effects, Notice, Outcome, Output, Service,
@@ -59,6 +60,7 @@
     trace.add_number(job.max_attempts);
     trace.add_number(job.max_queue_ms);
     trace.add_number(job.items.len() as u64);
+    add_credentials(trace, &job.credentials);
     job.items.iter().for_each(|item| add_item(trace, item));
 }
 
@@ -71,6 +73,12 @@
     text_or_none(trace, result.score.as_deref());
 }
 
+fn add_credentials(trace: &mut Trace, credentials: &Credentials) {
+    credentials
+        .fields()
+        .for_each(|(name, value)| [name, value].into_iter().for_each(|part| text(trace, part)));
+}
+
 /// Adds an observation: a number that stands for its kind, and its fields.
 pub fn add_observation(trace: &mut Trace, observation: &Observation) {
     add_request_observation(trace, observation);
@@ -82,11 +90,12 @@
 
 fn add_request_observation(trace: &mut Trace, observation: &Observation) {
     match observation {
-        Observation::RequestSent { id, gateway, host, method, target, body, idempotent } => {
+        Observation::RequestSent { id, gateway, host, method, target, body, idempotent, credentials } => {
             trace.add_number(1);
             [id, gateway, host, method, target].into_iter().for_each(|part| text(trace, part));
             trace.add_number(*body);
             flag(trace, *idempotent);
+            add_credentials(trace, credentials);
         }
         Observation::RequestAnswered { id, status, signature, echoed_id, body } => {
             trace.add_number(2);
@@ -116,10 +125,25 @@
             text(trace, server);
             text(trace, service);
         }
-        Observation::ExecutionStarted { server, execution, id, method, target, body, after_event } => {
+        Observation::ExecutionStarted {
+            server,
+            execution,
+            id,
+            method,
+            target,
+            body,
+            after_event,
+            tenant,
+        } => {
             trace.add_number(6);
             [server, id, method, target].into_iter().for_each(|part| text(trace, part));
             [execution, body, after_event].into_iter().for_each(|number| trace.add_number(*number));
+            tenant.iter().for_each(|tenant| text(trace, tenant));
+        }
+        Observation::AuthorizationReceived { server, id } => {
+            trace.add_number(31);
+            text(trace, server);
+            text(trace, id);
         }
         Observation::LateBodyReceived { id, body } => {
             trace.add_number(7);
@@ -166,6 +190,12 @@
             trace.add_number(results.len() as u64);
             results.iter().for_each(|result| add_result(trace, result));
         }
+        Observation::JobCallDenied { job, status, credentials, sent_at } => {
+            trace.add_number(32);
+            text(trace, job);
+            [u64::from(*status), *sent_at].into_iter().for_each(|number| trace.add_number(number));
+            add_credentials(trace, credentials);
+        }
         Observation::JobMissing { job, status } => {
             trace.add_number(15);
             text(trace, job);
--- a/crates/testbed/tests/support/world.rs
+++ b/crates/testbed/tests/support/world.rs
@@ -27,6 +27,7 @@
         name: "trainer".to_owned(),
         zone: "north".to_owned(),
         host: "h.example".to_owned(),
+        keys: Vec::new(),
         model: "alpha".to_owned(),
         steps: StepSettings { from: 1_000, until: RUN_MS, interval_ms: 3_000, train_ms: 300, steps_ahead: 2 },
         batch: BatchSettings {
