Testbed: clients pipeline requests on kept connections

A call carries the calls behind it; one that a peer closes in order before it came to ends as refused, since nothing of it ran.

A first run of the new test found an overflow: a kept connection on which bytes had been consumed consumed usize::MAX more. It now consumes what is there.

--- a/crates/testbed/src/clients.rs
+++ b/crates/testbed/src/clients.rs
@@ -1,7 +1,8 @@
 //! Clients with plain requests: open-loop load with deadlines and retries.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 
 use rand::{Rng, RngCore, SeedableRng};
@@ -46,6 +47,8 @@
     pub body_bytes: usize,
     /// Connections are kept for further requests.
     pub keep_alive: bool,
+    /// Requests that begin at a time, one right behind the other on the same connection.
+    pub pipelined: usize,
     /// Bodies are sent in chunks.
     pub chunked: bool,
     /// How clients identify themselves: each request draws one of these; without any it sends nothing of the kind.
@@ -124,7 +127,23 @@
         (clients, stats)
     }
 
-    fn begin(&mut self, now: u64, directory: &Directory, out: &mut Effects) {
+    /// Begins requests that are sent one right behind the other.
+    fn begin_pipelined(&mut self, now: u64, directory: &Directory, out: &mut Effects) {
+        let Some(mut first) = self.begin(now, None, directory, out) else { return };
+        for _ in 1..self.settings.pipelined {
+            first.following.extend(self.begin(now, Some(first.address), directory, out));
+        }
+        out.calls.push(first);
+    }
+
+    /// Begins a request, at a given gateway or at any.
+    fn begin(
+        &mut self,
+        now: u64,
+        gateway: Option<SocketAddrV4>,
+        directory: &Directory,
+        out: &mut Effects,
+    ) -> Option<Call> {
         let mut body = vec![0; self.settings.body_bytes];
         self.random.fill_bytes(&mut body);
         let target = format!("{}{:x}", self.settings.path_prefix, self.random.next_u32() & 0xffff);
@@ -142,7 +161,7 @@
         self.next_tag = tag.next();
         self.stats.borrow_mut().sent += 1;
         self.pending.insert(tag, request);
-        self.attempt(now, tag, directory, out);
+        self.attempt(now, tag, gateway, directory, out)
     }
 
     fn draw_credentials(&mut self) -> Credentials {
@@ -153,13 +172,23 @@
         all[self.random.random_range(0..all.len())].clone()
     }
 
-    /// Sends a pending request under a new id.
-    fn attempt(&mut self, now: u64, tag: CallTag, directory: &Directory, out: &mut Effects) {
+    /// The call that sends a pending request under a new id, at a given gateway or at any.
+    fn attempt(
+        &mut self,
+        now: u64,
+        tag: CallTag,
+        gateway: Option<SocketAddrV4>,
+        directory: &Directory,
+        out: &mut Effects,
+    ) -> Option<Call> {
         let attempt_id = random_id(&mut self.random);
-        let gateway = directory.pick_gateway(&self.settings.zone, &mut self.random);
-        let Some(request) = self.pending.get_mut(&tag) else { return };
+        let gateway = gateway.or_else(|| directory.pick_gateway(&self.settings.zone, &mut self.random));
+        let request = self.pending.get_mut(&tag)?;
         let timeout_ms = request.time_left(now, &self.settings);
-        let Some(address) = gateway.filter(|_| timeout_ms > 0) else { return self.fail(tag) };
+        let Some(address) = gateway.filter(|_| timeout_ms > 0) else {
+            self.fail(tag);
+            return None;
+        };
         request.retry_at = None;
         request.attempt_id.clone_from(&attempt_id);
         out.observations.push(Observation::RequestSent {
@@ -177,7 +206,8 @@
         fields.extend(request.credentials.fields());
         let write = if self.settings.chunked { http::chunked_request } else { http::request };
         let bytes = write("POST", &request.target, &self.settings.host, &fields, &request.body);
-        out.calls.push(Call { tag, address, bytes, timeout_ms, keep_alive: self.settings.keep_alive });
+        let keep_alive = self.settings.keep_alive;
+        Some(Call { tag, address, bytes, timeout_ms, keep_alive, following: VecDeque::new() })
     }
 
     fn fail(&mut self, tag: CallTag) {
@@ -231,10 +261,11 @@
             .map(|(tag, _)| *tag)
             .collect();
         for tag in due {
-            self.attempt(now, tag, directory, out);
+            let call = self.attempt(now, tag, None, directory, out);
+            out.calls.extend(call);
         }
         while self.next_at <= now && self.next_at < self.settings.until {
-            self.begin(now, directory, out);
+            self.begin_pipelined(now, directory, out);
             self.next_at += self.random.random_range(1..=self.settings.interval_ms.max(1) * 2);
         }
     }
--- a/crates/testbed/src/control_call.rs
+++ b/crates/testbed/src/control_call.rs
@@ -181,7 +181,14 @@
             Some(ResponseLoss::ConnectionClosedAfter { ms }) => *ms,
             _ => self.request.timeout_ms(),
         };
-        Some(Call { tag, address, bytes: self.request.to_bytes(address), timeout_ms, keep_alive: false })
+        Some(Call {
+            tag,
+            address,
+            bytes: self.request.to_bytes(address),
+            timeout_ms,
+            keep_alive: false,
+            following: VecDeque::new(),
+        })
     }
 
     /// Takes the outcome of the last attempt.
--- a/crates/testbed/src/effects.rs
+++ b/crates/testbed/src/effects.rs
@@ -3,6 +3,7 @@
 //! An emulator is a state machine without I/O. It implements [`Service`] if the system calls it, [`Caller`] if it
 //! calls the system, and collects everything that it does in [`Effects`]. Times are milliseconds of a steady clock.
 
+use std::collections::VecDeque;
 use std::net::SocketAddrV4;
 
 use crate::directory::Directory;
@@ -66,6 +67,9 @@
     pub timeout_ms: u64,
     /// An idle connection to the address may be used, and this one be kept; else it's a new one that is closed.
     pub keep_alive: bool,
+    /// Calls that are sent right behind this one on its connection (pipelining, RFC 9112, section 9.3.2). All of them
+    /// have the time of this one.
+    pub following: VecDeque<Call>,
 }
 
 /// How a call ended.
@@ -73,7 +77,7 @@
 pub enum Outcome {
     /// A whole response came.
     Answered(Response),
-    /// The address refused the connection.
+    /// The address refused the connection; or the peer closed it in order, before it came to a pipelined call.
     Refused,
     /// The connection ended before the response was whole.
     Disconnected {
--- a/crates/testbed/src/host/outbound.rs
+++ b/crates/testbed/src/host/outbound.rs
@@ -17,6 +17,17 @@
     !answer.headers.get("Connection").is_some_and(|value| value.eq_ignore_ascii_case("close"))
 }
 
+/// How a pipelined call ends whose connection ended with the call before it.
+fn outcome_behind(outcome: &Outcome) -> Outcome {
+    match outcome {
+        Outcome::Refused | Outcome::Answered(_) => Outcome::Refused,
+        Outcome::TimedOut => Outcome::TimedOut,
+        Outcome::Disconnected { .. } | Outcome::Malformed | Outcome::TrailingBytes(_) => {
+            Outcome::Disconnected { partial: false }
+        }
+    }
+}
+
 impl Host {
     pub(super) fn begin_call(&mut self, now: u64, caller: CallerIndex, call: Call) {
         let deadline = now + call.timeout_ms;
@@ -37,12 +48,15 @@
     pub(super) fn send_call(&mut self, id: ConnectionId) {
         if let Some(ConnectionRole::Outbound { call, connected, .. }) = self.roles.get_mut(&id) {
             *connected = true;
-            let bytes = std::mem::take(&mut call.bytes);
-            self.network.send(id, &bytes);
+            self.network.send(id, &std::mem::take(&mut call.bytes));
+            for behind in &mut call.following {
+                self.network.send(id, &std::mem::take(&mut behind.bytes));
+            }
         }
     }
 
     pub(super) fn read_response(&mut self, now: u64, id: ConnectionId, ended: bool) {
+        while self.read_pipelined_response(now, id) {}
         let bytes = self.network.inbox(id);
         let outcome = match http::parse_response(bytes, ended) {
             Ok(Some((answer, length))) if length < bytes.len() => Outcome::TrailingBytes(answer),
@@ -54,16 +68,46 @@
         self.end_call(now, id, outcome, ended);
     }
 
+    /// Reads the response to a call behind which others were sent; false if it isn't there, or is none, or the last one
+    /// on its connection.
+    fn read_pipelined_response(&mut self, now: u64, id: ConnectionId) -> bool {
+        let Some(ConnectionRole::Outbound { caller, call, .. }) = self.roles.get_mut(&id) else {
+            return false;
+        };
+        if call.following.is_empty() {
+            return false;
+        }
+        let Ok(Some((answer, length))) = http::parse_response(self.network.inbox(id), false) else {
+            return false;
+        };
+        let outcome = Outcome::Answered(answer);
+        if !may_be_kept(&outcome) {
+            return false;
+        }
+        let Some(next) = call.following.pop_front() else { return false };
+        let following = std::mem::take(&mut call.following);
+        let (caller, tag) = (*caller, call.tag);
+        *call = Call { following, ..next };
+        self.network.consume(id, length);
+        self.call_ended(now, caller, tag, outcome);
+        true
+    }
+
     pub(super) fn end_call(&mut self, now: u64, id: ConnectionId, outcome: Outcome, ended: bool) {
         let Some(ConnectionRole::Outbound { caller, call, .. }) = self.roles.remove(&id) else { return };
         if call.keep_alive && !ended && may_be_kept(&outcome) {
-            self.network.consume(id, usize::MAX);
+            let received = self.network.inbox(id).len();
+            self.network.consume(id, received);
             self.roles.insert(id, ConnectionRole::Idle { address: call.address });
             self.idle.entry(call.address).or_default().push(id);
         } else {
             self.network.abort(id);
         }
+        let outcome_behind = outcome_behind(&outcome);
         self.call_ended(now, caller, call.tag, outcome);
+        for behind in call.following {
+            self.call_ended(now, caller, behind.tag, outcome_behind.clone());
+        }
     }
 
     pub(super) fn drop_idle(&mut self, id: ConnectionId) {
--- a/crates/testbed/src/readiness_checks.rs
+++ b/crates/testbed/src/readiness_checks.rs
@@ -1,5 +1,7 @@
 //! The platform's readiness checks of the gateways.
 
+use std::collections::VecDeque;
+
 use crate::directory::Directory;
 use crate::effects::{Call, CallTag, Caller, Effects, Outcome};
 use crate::http;
@@ -27,6 +29,7 @@
                 bytes: http::request("GET", "/v1/readiness", &host, &[], &[]),
                 timeout_ms: CHECK_TIMEOUT_MS,
                 keep_alive: false,
+                following: VecDeque::new(),
             });
         }
     }
--- a/crates/testbed/src/scenario/tests.rs
+++ b/crates/testbed/src/scenario/tests.rs
@@ -56,7 +56,7 @@
         &[settings.interval_ms, settings.target_latency_ms, settings.deadline_ms, settings.seed],
     );
     add_numbers(trace, &[settings.from, settings.until, u64::from(settings.retries)]);
-    trace.add_number(settings.body_bytes as u64);
+    add_numbers(trace, &[settings.body_bytes as u64, settings.pipelined as u64]);
     for flag in [settings.idempotent, settings.keep_alive, settings.chunked] {
         trace.add_number(u64::from(flag));
     }
--- a/crates/testbed/src/scenario/workload.rs
+++ b/crates/testbed/src/scenario/workload.rs
@@ -122,8 +122,11 @@
 
     /// Clients that go on to use their keys, whatever becomes of them.
     pub fn key_users(&self, times: TrafficTimes, seed: u64) -> [ClientSettings; 2] {
-        let clients = self.clients(ZONES[0], times, seed ^ 0x6b65_7973);
-        clients.map(|settings| ClientSettings { interval_ms: 40, retries: 0, ..settings })
+        let [idempotent, once] = self.clients(ZONES[0], times, seed ^ 0x6b65_7973);
+        [
+            ClientSettings { interval_ms: 100, retries: 0, pipelined: 3, ..idempotent },
+            ClientSettings { interval_ms: 60, retries: 0, keep_alive: true, ..once },
+        ]
     }
 
     /// Clients that send keys that don't exist, and what nobody should send.
@@ -235,6 +238,7 @@
             retries: 1,
             body_bytes: 600,
             keep_alive: true,
+            pipelined: 1,
             chunked: false,
             credentials: self.tenants.as_ref().map(Tenants::client_credentials).unwrap_or_default(),
             from: times.from,
--- a/crates/testbed/src/trainer/calls.rs
+++ b/crates/testbed/src/trainer/calls.rs
@@ -1,6 +1,6 @@
 //! The calls that a trainer makes for its batch jobs: their bytes, their time, and which of them are under way.
 
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
 use std::net::SocketAddrV4;
 
 use super::job::Job;
@@ -121,7 +121,14 @@
         let tag = self.new_tag();
         let timeout_ms = call.purpose.timeout_ms();
         self.under_way.insert(tag, call);
-        out.calls.push(Call { tag, address, bytes, timeout_ms, keep_alive: false });
+        out.calls.push(Call {
+            tag,
+            address,
+            bytes,
+            timeout_ms,
+            keep_alive: false,
+            following: VecDeque::new(),
+        });
     }
 
     /// A call is over.
--- a/crates/testbed/tests/fault_proxy.rs
+++ b/crates/testbed/tests/fault_proxy.rs
@@ -3,6 +3,7 @@
 #[path = "support/one_call.rs"]
 mod one_call;
 
+use std::collections::VecDeque;
 use std::net::{Ipv4Addr, SocketAddrV4};
 
 use one_call::Ended;
@@ -67,6 +68,7 @@
             bytes,
             timeout_ms: LIMIT_MS * 2,
             keep_alive: false,
+            following: VecDeque::new(),
         };
         one_call::begin(&mut self.host, call)
     }
--- a/crates/testbed/tests/golden_callers.rs
+++ b/crates/testbed/tests/golden_callers.rs
@@ -86,6 +86,7 @@
         body_bytes: 20 * seed as usize,
         keep_alive: seed.is_multiple_of(3),
         credentials: Vec::new(),
+        pipelined: 1,
         chunked: seed % 4 == 1,
         from: 500,
         until: 12_000,
--- a/crates/testbed/tests/host.rs
+++ b/crates/testbed/tests/host.rs
@@ -3,6 +3,7 @@
 #[path = "support/one_call.rs"]
 mod one_call;
 
+use std::collections::VecDeque;
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpStream};
 
@@ -57,7 +58,8 @@
 
 /// Plays one call to its end.
 fn call(host: &mut Host, address: SocketAddrV4, bytes: Vec<u8>, timeout_ms: u64) -> Outcome {
-    let call = Call { tag: CallTag(1), address, bytes, timeout_ms, keep_alive: false };
+    let call =
+        Call { tag: CallTag(1), address, bytes, timeout_ms, keep_alive: false, following: VecDeque::new() };
     let ended = one_call::begin(host, call);
     one_call::wait(host, &ended, LIMIT_MS)
 }
@@ -89,6 +91,7 @@
         body_bytes: 30_000,
         keep_alive,
         credentials: Vec::new(),
+        pipelined: 1,
         chunked,
         from,
         until: from + 100,
