Testbed: the report counts violations by invariant, and no key comes into its log

On the code as it is, 1,764 UNASKED hid 27 CONFIG: a list of the first 30 showed none of them. Now each invariant has its count and its first 15. A step that sends a patch is logged without the patch, which holds keys.

--- a/crates/testbed/src/scenario/execution.rs
+++ b/crates/testbed/src/scenario/execution.rs
@@ -11,6 +11,7 @@
 use crate::host::ServerIndex;
 use crate::launch::{ProcessId, Role};
 use crate::observation::Observation;
+use crate::operator::Action;
 use crate::server_fault::ServerFault;
 
 impl ScenarioRun {
@@ -23,6 +24,8 @@
         for ScheduledStep { step, .. } in due {
             match step {
                 Step::SpendQuota(_) | Step::RenewQuota(_) => log::debug!("scenario: {step:?}"),
+                // Its text would hold keys.
+                Step::Operator(Action::Patch { .. }) => log::info!("scenario: the operator sends a patch"),
                 _ => log::info!("scenario: {step:?}"),
             }
             if step.concerns_machines() {
--- a/crates/testbed/src/scenario/report.rs
+++ b/crates/testbed/src/scenario/report.rs
@@ -1,17 +1,18 @@
 //! What came of a scenario.
 
+use std::collections::BTreeMap;
 use std::fmt;
 use std::path::PathBuf;
 
 use crate::clients::ClientStats;
 use crate::concurrent_operators::ConcurrentOperatorStats;
-use crate::invariants::Violation;
+use crate::invariants::{Invariant, Violation};
 use crate::launch::Usage;
 use crate::operator::OperatorStats;
 use crate::trainer::TrainerStats;
 
-/// Violations that are listed at most.
-const MAX_LISTED: usize = 30;
+/// Violations of one invariant that are listed at most.
+const MAX_LISTED_OF_EACH: usize = 15;
 
 /// A process that ended by itself, or didn't stop in time.
 #[derive(Clone, Debug)]
@@ -140,8 +141,15 @@
 
     fn write_violations(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "rules broken: {}", self.violations.len())?;
-        for violation in self.violations.iter().take(MAX_LISTED) {
-            writeln!(f, "  {violation}")?;
+        let mut by_invariant: BTreeMap<Invariant, Vec<&Violation>> = BTreeMap::new();
+        for violation in &self.violations {
+            by_invariant.entry(violation.invariant).or_default().push(violation);
+        }
+        for (invariant, violations) in by_invariant {
+            writeln!(f, "  {invariant}: {}, the first of them:", violations.len())?;
+            for violation in violations.into_iter().take(MAX_LISTED_OF_EACH) {
+                writeln!(f, "    {violation}")?;
+            }
         }
         for EndedProcess { process, log } in &self.ended {
             writeln!(f, "{process} ended by itself; its log ends so:\n{log}")?;
