Observability: when a configuration is committed and in force, and what a gateway itself answers

Seen: no log line had a time, so that a change that reaches a gateway late could not be told from one that isn't heeded.

Change: control nodes log when a configuration is committed, gateways when it's in force, with the numbers of its tenants and keys and of the requests that are still pending by an older one; a gap without a session from 0.5 s on; and every 10 s at most the failures that the gateway itself answered, by status. One line for each version and process, no key in any.

--- a/crates/configuration/src/tenant_table.rs
+++ b/crates/configuration/src/tenant_table.rs
@@ -37,6 +37,11 @@
         self.by_key.get(key).and_then(|index| self.tenants.get(*index))
     }
 
+    /// How many keys all tenants together have.
+    pub fn key_count(&self) -> usize {
+        self.by_key.len()
+    }
+
     /// The tenant with this name.
     pub fn by_name(&self, name: &str) -> Option<&Tenant> {
         self.tenants.iter().find(|tenant| tenant.name == name)
--- a/crates/configuration/tests/tenants.rs
+++ b/crates/configuration/tests/tenants.rs
@@ -51,6 +51,7 @@
     assert_eq!(tenants.by_name("first"), Some(&Tenant { name: "first".into(), priority: Some(1) }));
     assert_eq!(tenants.by_name("second"), Some(&Tenant { name: "second".into(), priority: None }));
     assert_eq!(tenants.tenants().len(), 3);
+    assert_eq!(tenants.key_count(), 3);
 }
 
 #[test]
--- a/crates/control-plane/src/process/mod.rs
+++ b/crates/control-plane/src/process/mod.rs
@@ -9,6 +9,7 @@
 //!    other members leave, and the response follows [`NodeOutput::RequestDecided`];
 //! 3. `Process::send_feed_updates` sends the committed change to subscribers.
 
+mod configuration_log;
 mod connections;
 mod operator_connections;
 mod shutdown;
@@ -132,6 +133,8 @@
     network: Network,
     ring: Rc<Ring>,
     disk_hang: DiskHangDetector,
+    /// Version of the configuration that was last logged.
+    logged_configuration: u64,
     /// Agreement, replicated log and control state.
     node: ControlNode<RingDisk>,
     /// What this process introduces itself with.
@@ -203,6 +206,7 @@
             network,
             ring,
             disk_hang: DiskHangDetector::default(),
+            logged_configuration: 0,
             node,
             handshake,
             head: None,
@@ -345,7 +349,7 @@
     fn handle_output(&mut self, output: NodeOutput) {
         match output {
             NodeOutput::Send { to, message } => self.links.send(&mut self.network, to.address, &message),
-            NodeOutput::Committed { .. } => {}
+            NodeOutput::Committed { .. } => self.log_configuration(),
             NodeOutput::ViewChanged(view) => self.view_changed(&view),
             NodeOutput::RetirementRequested { origin, name } => self.retirement_requested(origin, &name),
             NodeOutput::RequestDecided { request, outcome } => self.request_decided(request, &outcome),
--- a/crates/data-plane/src/gateway/client_requests.rs
+++ b/crates/data-plane/src/gateway/client_requests.rs
@@ -58,6 +58,7 @@
         headers: &[(&str, &str)],
         body: &[u8],
     ) {
+        self.own_answers.record(self.now, status);
         self.frontend.clients.respond(&mut self.network, connection, status, headers, body, self.now);
     }
 
--- a/crates/data-plane/src/gateway/control_updates.rs
+++ b/crates/data-plane/src/gateway/control_updates.rs
@@ -62,7 +62,7 @@
         let Some(configuration) = state.configuration() else { return };
         if self.routes.as_ref().is_none_or(|routes| routes.version() != configuration.version()) {
             let routes = RouteTable::compile(configuration);
-            log::info!("door: configuration {} is in force", routes.version());
+            self.log_configuration(&routes);
             let mut commands = Vec::new();
             self.work.routes_changed(&routes, &mut self.runner, &mut commands);
             self.routes = Some(routes);
--- a/crates/data-plane/src/gateway/generation_work.rs
+++ b/crates/data-plane/src/gateway/generation_work.rs
@@ -174,7 +174,9 @@
     /// this gateway knows stay eligible.
     pub(super) fn return_unservable(&mut self) {
         if self.feed.has_session() {
-            self.session_lost_since = None;
+            if let Some(since) = self.session_lost_since.take() {
+                self.log_session_gap(since);
+            }
             return;
         }
         let since = *self.session_lost_since.get_or_insert(self.now);
--- a/crates/data-plane/src/gateway/mod.rs
+++ b/crates/data-plane/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod generation_work;
 mod partition_heads;
 pub mod shutdown;
+mod status_log;
 mod upstream_io;
 
 use std::collections::BTreeSet;
@@ -30,6 +31,7 @@
 use crate::clients::Clients;
 use crate::exchanges::Exchanges;
 use crate::generations::Runner;
+use crate::own_answers::OwnAnswers;
 use crate::requests::Requests;
 use crate::startup_queue::StartupQueue;
 use crate::store_links::StoreLinks;
@@ -111,6 +113,7 @@
     calls: BatchCalls,
     runner: Runner,
     work: Work,
+    own_answers: OwnAnswers,
     shutdown_since: Option<u64>,
     /// Since when no session with a control node stands.
     session_lost_since: Option<u64>,
@@ -184,6 +187,7 @@
             calls: BatchCalls::default(),
             runner,
             work: Work::default(),
+            own_answers: OwnAnswers::default(),
             shutdown_since: None,
             session_lost_since: None,
             now,
@@ -292,5 +296,6 @@
         self.return_unservable();
         self.send_outcomes();
         self.close_expired_clients();
+        self.log_own_answers();
     }
 }
--- a/crates/data-plane/src/lib.rs
+++ b/crates/data-plane/src/lib.rs
@@ -12,7 +12,7 @@
 //! * [`clients`] and [`upstream`] keep the connections to clients and to servers; [`exchanges`] says what each exchange
 //!   with a server is for.
 //! * [`startup_queue`] keeps requests that come before there are a configuration and servers; [`response_class`] says
-//!   what a server's response means; [`text_compression`] packs texts on their way to the stores.
+//!   what a server's response means; [`own_answers`] counts what the gateway itself answers; [`text_compression`] packs texts on their way to the stores.
 
 pub mod attempts;
 mod backoff;
@@ -22,6 +22,7 @@
 pub mod exchanges;
 pub mod gateway;
 pub mod generations;
+pub mod own_answers;
 pub mod requests;
 pub mod response_class;
 pub mod startup_queue;
