--- a/crates/data-plane/src/gateway/mod.rs
+++ b/crates/data-plane/src/gateway/mod.rs
@@ -6,6 +6,7 @@
 mod generation_work;
 mod partition_heads;
 pub mod shutdown;
+mod status_log;
 mod upstream_io;
 mod usage_counts;
 
@@ -31,6 +32,7 @@
 use crate::clients::Clients;
 use crate::exchanges::Exchanges;
 use crate::generations::Runner;
+use crate::own_answers::OwnAnswers;
 use crate::requests::Requests;
 use crate::startup_queue::StartupQueue;
 use crate::store_links::StoreLinks;
@@ -116,6 +118,7 @@
     calls: BatchCalls,
     runner: Runner,
     work: Work,
+    own_answers: OwnAnswers,
     shutdown_since: Option<u64>,
     /// Since when no session with a control node stands.
     session_lost_since: Option<u64>,
@@ -190,6 +193,7 @@
             calls: BatchCalls::default(),
             runner,
             work: Work::default(),
+            own_answers: OwnAnswers::default(),
             shutdown_since: None,
             session_lost_since: None,
             now,
@@ -301,5 +305,6 @@
         self.close_expired_clients();
         self.count_usage();
         self.report_usage();
+        self.log_own_answers();
     }
 }
--- a/crates/testbed/src/clients.rs
+++ b/crates/testbed/src/clients.rs
@@ -1,12 +1,14 @@
 //! Clients with plain requests: open-loop load with deadlines and retries.
 
 use std::cell::RefCell;
-use std::collections::BTreeMap;
+use std::collections::{BTreeMap, VecDeque};
+use std::net::SocketAddrV4;
 use std::rc::Rc;
 
 use rand::{Rng, RngCore, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 
+use crate::credentials::Credentials;
 use crate::directory::Directory;
 use crate::effects::{Call, CallTag, Caller, Effects, Outcome};
 use crate::http;
@@ -45,8 +47,12 @@
     pub body_bytes: usize,
     /// Connections are kept for further requests.
     pub keep_alive: bool,
+    /// Requests that begin at a time, one right behind the other on the same connection.
+    pub pipelined: usize,
     /// Bodies are sent in chunks.
     pub chunked: bool,
+    /// How clients identify themselves: each request draws one of these; without any it sends nothing of the kind.
+    pub credentials: Vec<Credentials>,
     /// Requests begin at this time,
     pub from: u64,
     /// and before this one.
@@ -74,6 +80,8 @@
 struct PendingRequest {
     target: String,
     body: Vec<u8>,
+    /// The same for all of its attempts.
+    credentials: Credentials,
     started: u64,
     retries: u32,
     /// When it's attempted again; `None` while an attempt is in flight.
@@ -119,13 +127,31 @@
         (clients, stats)
     }
 
-    fn begin(&mut self, now: u64, directory: &Directory, out: &mut Effects) {
+    /// Begins requests that are sent one right behind the other.
+    fn begin_pipelined(&mut self, now: u64, directory: &Directory, out: &mut Effects) {
+        let Some(mut first) = self.begin(now, None, directory, out) else { return };
+        for _ in 1..self.settings.pipelined {
+            first.following.extend(self.begin(now, Some(first.address), directory, out));
+        }
+        out.calls.push(first);
+    }
+
+    /// Begins a request, at a given gateway or at any.
+    fn begin(
+        &mut self,
+        now: u64,
+        gateway: Option<SocketAddrV4>,
+        directory: &Directory,
+        out: &mut Effects,
+    ) -> Option<Call> {
         let mut body = vec![0; self.settings.body_bytes];
         self.random.fill_bytes(&mut body);
         let target = format!("{}{:x}", self.settings.path_prefix, self.random.next_u32() & 0xffff);
+        let credentials = self.draw_credentials();
         let request = PendingRequest {
             target,
             body,
+            credentials,
             started: now,
             retries: 0,
             retry_at: None,
@@ -135,16 +161,34 @@
         self.next_tag = tag.next();
         self.stats.borrow_mut().sent += 1;
         self.pending.insert(tag, request);
-        self.attempt(now, tag, directory, out);
+        self.attempt(now, tag, gateway, directory, out)
+    }
+
+    fn draw_credentials(&mut self) -> Credentials {
+        let all = &self.settings.credentials;
+        if all.is_empty() {
+            return Credentials::default();
+        }
+        all[self.random.random_range(0..all.len())].clone()
     }
 
-    /// Sends a pending request under a new id.
-    fn attempt(&mut self, now: u64, tag: CallTag, directory: &Directory, out: &mut Effects) {
+    /// The call that sends a pending request under a new id, at a given gateway or at any.
+    fn attempt(
+        &mut self,
+        now: u64,
+        tag: CallTag,
+        gateway: Option<SocketAddrV4>,
+        directory: &Directory,
+        out: &mut Effects,
+    ) -> Option<Call> {
         let attempt_id = random_id(&mut self.random);
-        let gateway = directory.pick_gateway(&self.settings.zone, &mut self.random);
-        let Some(request) = self.pending.get_mut(&tag) else { return };
+        let gateway = gateway.or_else(|| directory.pick_gateway(&self.settings.zone, &mut self.random));
+        let request = self.pending.get_mut(&tag)?;
         let timeout_ms = request.time_left(now, &self.settings);
-        let Some(address) = gateway.filter(|_| timeout_ms > 0) else { return self.fail(tag) };
+        let Some(address) = gateway.filter(|_| timeout_ms > 0) else {
+            self.fail(tag);
+            return None;
+        };
         request.retry_at = None;
         request.attempt_id.clone_from(&attempt_id);
         out.observations.push(Observation::RequestSent {
@@ -155,12 +199,15 @@
             target: request.target.clone(),
             body: synthetic_text::digest(&request.body),
             idempotent: self.settings.idempotent,
+            credentials: request.credentials.clone(),
         });
         let deadline = timeout_ms.to_string();
-        let fields = [("Attempt-Id", attempt_id.as_str()), ("Deadline-Ms", &deadline)];
+        let mut fields = vec![("Attempt-Id", attempt_id.as_str()), ("Deadline-Ms", &deadline)];
+        fields.extend(request.credentials.fields());
         let write = if self.settings.chunked { http::chunked_request } else { http::request };
         let bytes = write("POST", &request.target, &self.settings.host, &fields, &request.body);
-        out.calls.push(Call { tag, address, bytes, timeout_ms, keep_alive: self.settings.keep_alive });
+        let keep_alive = self.settings.keep_alive;
+        Some(Call { tag, address, bytes, timeout_ms, keep_alive, following: VecDeque::new() })
     }
 
     fn fail(&mut self, tag: CallTag) {
@@ -214,10 +261,11 @@
             .map(|(tag, _)| *tag)
             .collect();
         for tag in due {
-            self.attempt(now, tag, directory, out);
+            let call = self.attempt(now, tag, None, directory, out);
+            out.calls.extend(call);
         }
         while self.next_at <= now && self.next_at < self.settings.until {
-            self.begin(now, directory, out);
+            self.begin_pipelined(now, directory, out);
             self.next_at += self.random.random_range(1..=self.settings.interval_ms.max(1) * 2);
         }
     }
