Testbed: the platform takes usage reports and scaling orders, and has faults

The stub takes POST /usage-reports and POST /scaling, records each with Duty-Holder, Fence-Token, the address of the connection and the body, and answers 200, 400 for malformed calls and 429 over duty-per-s from all nodes together. Its interface may be slow, silent, busy, reset or cut off; silent and reset take the call, as a sender can't know. Scaling is recorded only: no emulated server starts or drains.

--- a/crates/testbed/src/effects.rs
+++ b/crates/testbed/src/effects.rs
@@ -3,7 +3,7 @@
 //! An emulator is a state machine without I/O. It implements [`Service`] if the system calls it, [`Caller`] if it
 //! calls the system, and collects everything that it does in [`Effects`]. Times are milliseconds of a steady clock.
 
-use std::net::SocketAddrV4;
+use std::net::{IpAddr, SocketAddrV4};
 
 use crate::directory::Directory;
 use crate::http::{Request, Response};
@@ -155,6 +155,9 @@
     /// A peer has connected.
     fn connected(&mut self, now: u64, connection: ConnectionKey, out: &mut Effects);
 
+    /// Tells where a connection comes from, before [`Service::connected`].
+    fn connected_from(&mut self, _connection: ConnectionKey, _source: IpAddr) {}
+
     /// A whole request has come.
     fn request(&mut self, now: u64, connection: ConnectionKey, request: Request, out: &mut Effects);
 
--- a/crates/testbed/src/host/inbound.rs
+++ b/crates/testbed/src/host/inbound.rs
@@ -14,7 +14,12 @@
         self.roles.insert(id, ConnectionRole::Inbound { server, key, head: HeadState::NotShown });
         self.accepted.insert(key, id);
         let mut out = Effects::default();
-        self.servers[server.0].service().connected(now, key, &mut out);
+        let source = self.network.peer_address(id).map(|peer| peer.ip());
+        let service = self.servers[server.0].service();
+        if let Some(source) = source {
+            service.connected_from(key, source);
+        }
+        service.connected(now, key, &mut out);
         self.apply(now, None, out);
     }
 
--- a/crates/testbed/src/host/mod.rs
+++ b/crates/testbed/src/host/mod.rs
@@ -103,6 +103,12 @@
         self.clock.now()
     }
 
+    /// Milliseconds from the start of 1970 to the zero of the host's clock.
+    pub fn wall_ms_at_zero(&self) -> u64 {
+        let now = self.now();
+        self.clock.wall_ms_at(now).saturating_sub(now)
+    }
+
     /// Opens a server at `address`; port 0 takes a free one.
     ///
     /// # Errors
--- a/crates/testbed/src/launch/settings_file.rs
+++ b/crates/testbed/src/launch/settings_file.rs
@@ -99,7 +99,7 @@
 ];
 
 /// What all processes of the system agree on.
-const SYSTEM_SETTINGS: [(&str, &str); 30] = [
+const SYSTEM_SETTINGS: [(&str, &str); 34] = [
     ("discovery", "cloud_api"),
     ("entry-mode", "virtual_ip"),
     ("heartbeat-ms", "1200"),
@@ -127,7 +127,11 @@
     ("bounds.fencing-enforced", "false"),
     ("bounds.lease-ms", "3000"),
     ("bounds.thaw-slack-ms", "300"),
+    ("bounds.usage-window-s", "2"),
+    ("bounds.usage-late-s", "4"),
+    ("bounds.usage-tolerance", "0.05"),
     ("cloud-api.rate-per-s", "40.0"),
-    ("cloud-api.duties", ""),
+    ("cloud-api.duties", "usage_reporting,autoscaling"),
+    ("cloud-api.duty-per-s", "10.0"),
     ("cloud-api.lag-ms", "800"),
 ];
--- a/crates/testbed/src/observation.rs
+++ b/crates/testbed/src/observation.rs
@@ -2,6 +2,8 @@
 //!
 //! Bodies are given by their [`digest`](crate::synthetic_text::digest).
 
+use std::collections::BTreeMap;
+
 use serde_json::Value;
 
 /// An observation, and when it was made.
@@ -128,6 +130,23 @@
         token: u64,
     },
 
+    /// The platform received a call that is the duty of one node at a time.
+    DutyCallReceived {
+        /// The call.
+        call: DutyCall,
+        /// The platform took it.
+        accepted: bool,
+    },
+    /// A server began to run a request for a tenant from its beginning.
+    TenantRequestStarted {
+        /// Id of the request.
+        id: String,
+        /// The tenant that the request names.
+        tenant: String,
+        /// It counts as begun with its first event only.
+        is_stream: bool,
+    },
+
     /// A trainer sends a batch job, for the first time or again.
     JobSent(JobSent),
     /// The sending of a batch job ended.
@@ -247,6 +266,16 @@
         /// Id of the incarnation.
         server: String,
     },
+    /// Machines of the system were thawed, or a link of theirs has healed.
+    MachinesThawed {
+        /// Their names.
+        machines: Vec<String>,
+    },
+    /// A disruption of the platform's interface begins or ends.
+    PlatformDisrupted {
+        /// It begins.
+        begins: bool,
+    },
     /// Something was done to the system's machines or their links, or they are slow: the control plane need not be
     /// stable.
     ControlPlaneDisturbed,
@@ -259,6 +288,40 @@
     },
 }
 
+/// A call of the platform's interface that is the duty of one node at a time.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub struct DutyCall {
+    /// The node that holds the duty, by its own words: the name of its machine.
+    pub holder: String,
+    /// Address of the machine that the call came from; empty if it isn't known.
+    pub source: String,
+    /// Its fencing token.
+    pub token: u64,
+    /// What it asks for.
+    pub order: DutyOrder,
+}
+
+/// What a call asks the platform for.
+#[derive(Clone, Debug, PartialEq, Eq)]
+pub enum DutyOrder {
+    /// It reports how many requests of each tenant began to run in a window.
+    UsageReport {
+        /// Number of the window.
+        window: u64,
+        /// Requests by tenant.
+        counts: BTreeMap<String, u64>,
+    },
+    /// It orders how many servers a service has in a zone.
+    Scaling {
+        /// The service.
+        service: String,
+        /// The zone.
+        zone: String,
+        /// How many.
+        desired_count: u64,
+    },
+}
+
 /// A batch job as it was sent.
 #[derive(Clone, Debug, PartialEq)]
 pub struct JobSent {
--- /dev/null
+++ b/crates/testbed/src/platform/mod.rs
@@ -0,0 +1,297 @@
+//! Stub of the platform: its list of servers, and the calls that are the duty of one node at a time, with rate limits
+//! and faults.
+
+mod duty_calls;
+mod fault;
+mod rate_limit;
+mod server_list;
+
+use std::borrow::Cow;
+use std::collections::BTreeMap;
+use std::net::IpAddr;
+
+use serde_json::Value;
+
+use self::duty_calls::{SCALING_PATH, USAGE_REPORTS_PATH, read_duty_call};
+use self::fault::{FaultState, Handling};
+use self::rate_limit::RateLimit;
+use self::server_list::ServerList;
+use crate::effects::{ConnectionKey, Effects, Service};
+use crate::http::{self, Request};
+use crate::observation::{DutyCall, DutyOrder, Observation};
+
+pub use self::fault::PlatformFault;
+pub use self::server_list::ListedServer;
+
+/// Status of a call that is taken.
+const TAKEN: u16 = 200;
+/// Status of a call that isn't as the interface describes it.
+const MALFORMED: u16 = 400;
+/// Status of a call of a path that isn't there.
+const UNKNOWN_PATH: u16 = 404;
+/// Status of a call over the rate.
+const OVER_RATE: u16 = 429;
+
+/// How the platform serves its list and takes calls.
+#[derive(Clone, Debug)]
+pub struct PlatformSettings {
+    /// How far the list lags, in milliseconds.
+    pub lag_ms: u64,
+    /// Calls of the list a second from all nodes together.
+    pub rate_per_s: f64,
+    /// Servers on one page.
+    pub page_size: usize,
+    /// Calls that are a duty a second from all nodes together.
+    pub duty_per_s: f64,
+}
+
+/// Counts of the calls that are a duty.
+#[derive(Clone, Copy, Debug, Default, PartialEq, Eq)]
+pub struct DutyCallCounts {
+    /// Reports of usage that were taken.
+    pub usage_reports: u64,
+    /// Orders of how many servers there are that were taken.
+    pub scaling_orders: u64,
+    /// Calls over the rate, and those refused because of a fault.
+    pub refused: u64,
+    /// Calls that weren't as the interface describes them.
+    pub malformed: u64,
+}
+
+/// An answer that is sent later.
+#[derive(Debug)]
+struct DelayedAnswer {
+    at: u64,
+    connection: ConnectionKey,
+    bytes: Vec<u8>,
+}
+
+/// Stub of the platform.
+#[derive(Debug)]
+pub struct PlatformStub {
+    list: ServerList,
+    list_rate: RateLimit,
+    duty_rate: RateLimit,
+    fault: FaultState,
+    delayed: Vec<DelayedAnswer>,
+    /// Where connections come from.
+    sources: BTreeMap<ConnectionKey, IpAddr>,
+    last_holder: Option<String>,
+    /// Calls that got a page.
+    pub calls: u64,
+    /// Calls of the list that were refused, over the rate or because of a fault, and those of an unknown path.
+    pub refused: u64,
+    /// Calls that are a duty.
+    pub duty_calls: DutyCallCounts,
+}
+
+impl PlatformStub {
+    /// A platform without servers.
+    pub fn new(settings: PlatformSettings) -> PlatformStub {
+        PlatformStub {
+            list: ServerList::new(settings.lag_ms, settings.page_size),
+            list_rate: RateLimit::new(settings.rate_per_s),
+            duty_rate: RateLimit::new(settings.duty_per_s),
+            fault: FaultState::default(),
+            delayed: Vec::new(),
+            sources: BTreeMap::new(),
+            last_holder: None,
+            calls: 0,
+            refused: 0,
+            duty_calls: DutyCallCounts::default(),
+        }
+    }
+
+    /// Adds a server.
+    pub fn add(&mut self, now: u64, server: ListedServer) {
+        self.list.add(now, server);
+    }
+
+    /// Marks a server as about to end.
+    pub fn mark_draining(&mut self, now: u64, instance: &str) {
+        self.list.change(now, instance, |server| server.draining = true);
+    }
+
+    /// Takes a server off the list.
+    pub fn remove(&mut self, now: u64, instance: &str) {
+        self.list.remove(now, instance);
+    }
+
+    /// Takes in that a server was started again as another incarnation.
+    pub fn rename(&mut self, now: u64, instance: &str, next: &str) {
+        self.list.change(now, instance, |server| server.instance = next.to_owned());
+    }
+
+    /// Takes in the version that a server has.
+    pub fn set_version(&mut self, now: u64, instance: &str, model: &str, version: u64) {
+        self.list.change(now, instance, |server| {
+            for held in server.models.iter_mut().filter(|held| held.model == model) {
+                held.version = version;
+            }
+        });
+    }
+
+    /// One page of the list as JSON.
+    pub fn page(&mut self, now: u64, zone: Option<&str>, from: usize) -> Value {
+        self.list.page(now, zone, from)
+    }
+
+    /// Puts a fault on the interface, or ends it.
+    pub fn set_fault(&mut self, fault: Option<PlatformFault>) {
+        self.fault.set(fault);
+    }
+
+    /// The holder that made the last call that is a duty.
+    pub fn last_holder(&self) -> Option<&str> {
+        self.last_holder.as_deref()
+    }
+
+    /// Deals with a call that has arrived: the answer, if it were given now.
+    fn take(&mut self, now: u64, connection: ConnectionKey, request: &Request, out: &mut Effects) -> Answer {
+        match (request.method.as_str(), request.path()) {
+            ("GET", "/instances") if self.list_rate.admit(now) => self.answer_page(now, request),
+            ("GET", "/instances") => self.refuse_list(OVER_RATE),
+            ("POST", USAGE_REPORTS_PATH | SCALING_PATH) => {
+                Answer::empty(self.take_duty_call(now, connection, request, None, out))
+            }
+            _ => self.refuse_list(UNKNOWN_PATH),
+        }
+    }
+
+    /// Refuses a call because of a fault.
+    fn refuse(
+        &mut self,
+        now: u64,
+        connection: ConnectionKey,
+        request: &Request,
+        status: u16,
+        out: &mut Effects,
+    ) -> Answer {
+        if request.method == "POST" {
+            return Answer::empty(self.take_duty_call(now, connection, request, Some(status), out));
+        }
+        self.refuse_list(status)
+    }
+
+    fn refuse_list(&mut self, status: u16) -> Answer {
+        self.refused += 1;
+        Answer::empty(status)
+    }
+
+    fn answer_page(&mut self, now: u64, request: &Request) -> Answer {
+        self.calls += 1;
+        let token = request.query("page-token").and_then(|token| token.strip_prefix("p-")?.parse().ok());
+        let page = self.page(now, request.query("zone"), token.unwrap_or(0));
+        Answer { status: TAKEN, page: Some(page) }
+    }
+
+    /// Takes a call that is a duty, unless it's to be refused, is malformed or over the rate. Returns its status.
+    fn take_duty_call(
+        &mut self,
+        now: u64,
+        connection: ConnectionKey,
+        request: &Request,
+        refusal: Option<u16>,
+        out: &mut Effects,
+    ) -> u16 {
+        let call = match read_duty_call(request) {
+            Ok(call) => DutyCall { source: self.source(connection), ..call },
+            Err(error) => {
+                log::warn!("platform: a call of {} is malformed: {error}", request.path());
+                self.duty_calls.malformed += 1;
+                return MALFORMED;
+            }
+        };
+        let status = match refusal {
+            Some(status) => status,
+            None if self.duty_rate.admit(now) => TAKEN,
+            None => OVER_RATE,
+        };
+        self.count(&call.order, status);
+        self.last_holder = Some(call.holder.clone());
+        out.observations.push(Observation::DutyCallReceived { call, accepted: status == TAKEN });
+        status
+    }
+
+    fn count(&mut self, order: &DutyOrder, status: u16) {
+        let counts = &mut self.duty_calls;
+        match order {
+            _ if status != TAKEN => counts.refused += 1,
+            DutyOrder::UsageReport { .. } => counts.usage_reports += 1,
+            DutyOrder::Scaling { .. } => counts.scaling_orders += 1,
+        }
+    }
+
+    /// Address of the machine that a connection comes from; empty if it isn't known.
+    fn source(&self, connection: ConnectionKey) -> String {
+        self.sources.get(&connection).map(ToString::to_string).unwrap_or_default()
+    }
+}
+
+/// An answer of the platform.
+struct Answer {
+    status: u16,
+    page: Option<Value>,
+}
+
+impl Answer {
+    fn empty(status: u16) -> Answer {
+        Answer { status, page: None }
+    }
+
+    fn to_bytes(&self) -> Vec<u8> {
+        let Some(page) = &self.page else { return http::response(self.status, &[], &[]) };
+        let fields = [("Content-Type", Cow::from("application/json"))];
+        http::response(self.status, &fields, page.to_string().as_bytes())
+    }
+}
+
+impl Service for PlatformStub {
+    fn connected(&mut self, _now: u64, _connection: ConnectionKey, _out: &mut Effects) {}
+
+    fn connected_from(&mut self, connection: ConnectionKey, source: IpAddr) {
+        self.sources.insert(connection, source);
+    }
+
+    fn request(&mut self, now: u64, connection: ConnectionKey, request: Request, out: &mut Effects) {
+        match self.fault.handling() {
+            Handling::Answer => {
+                let answer = self.take(now, connection, &request, out);
+                out.send(connection, answer.to_bytes());
+            }
+            Handling::AnswerLater(delay_ms) => {
+                let bytes = self.take(now, connection, &request, out).to_bytes();
+                self.delayed.push(DelayedAnswer { at: now + delay_ms, connection, bytes });
+            }
+            Handling::TakeSilently => {
+                self.take(now, connection, &request, out);
+            }
+            Handling::Refuse(status) => {
+                let answer = self.refuse(now, connection, &request, status, out);
+                out.send(connection, answer.to_bytes());
+            }
+            Handling::TakeAndReset => {
+                self.take(now, connection, &request, out);
+                out.reset(connection);
+                self.sources.remove(&connection);
+            }
+            Handling::Lose => {}
+        }
+    }
+
+    fn closed(&mut self, _now: u64, connection: ConnectionKey, _out: &mut Effects) {
+        self.sources.remove(&connection);
+        self.delayed.retain(|answer| answer.connection != connection);
+    }
+
+    fn wake(&mut self, now: u64, out: &mut Effects) {
+        let (due, later): (Vec<DelayedAnswer>, Vec<DelayedAnswer>) =
+            std::mem::take(&mut self.delayed).into_iter().partition(|answer| answer.at <= now);
+        self.delayed = later;
+        due.into_iter().for_each(|answer| out.send(answer.connection, answer.bytes));
+    }
+
+    fn next_wake(&self) -> Option<u64> {
+        self.delayed.iter().map(|answer| answer.at).min()
+    }
+}
--- a/crates/testbed/src/scenario/servers.rs
+++ b/crates/testbed/src/scenario/servers.rs
@@ -19,6 +19,8 @@
 const APPLICATION_SLOTS: usize = 6;
 const PLATFORM_LAG_MS: u64 = 800;
 const PLATFORM_RATE_PER_S: f64 = 40.0;
+/// The same as `cloud-api.duty-per-s` in the settings of the processes.
+const PLATFORM_DUTY_PER_S: f64 = 10.0;
 const PAGE_SIZE: usize = 50;
 /// Tokens in one event.
 pub(super) const STRIDE: u64 = 53;
@@ -41,8 +43,12 @@
     workload: &Workload,
     seed: u64,
 ) -> io::Result<ServerIndices> {
-    let settings =
-        PlatformSettings { lag_ms: PLATFORM_LAG_MS, rate_per_s: PLATFORM_RATE_PER_S, page_size: PAGE_SIZE };
+    let settings = PlatformSettings {
+        lag_ms: PLATFORM_LAG_MS,
+        rate_per_s: PLATFORM_RATE_PER_S,
+        page_size: PAGE_SIZE,
+        duty_per_s: PLATFORM_DUTY_PER_S,
+    };
     host.open(EmulatedServer::Platform(PlatformStub::new(settings)), topology.platform)?;
     let mut servers = ServerIndices::default();
     for index in 0..MODEL_SERVERS {
--- a/crates/testbed/tests/golden_servers.rs
+++ b/crates/testbed/tests/golden_servers.rs
@@ -223,8 +223,12 @@
 
 fn play_platform(seed: u64) -> u64 {
     let mut random = Pcg64Mcg::seed_from_u64(seed);
-    let settings =
-        PlatformSettings { lag_ms: 100 * seed, rate_per_s: 1.0 + seed as f64, page_size: 3 + seed as usize };
+    let settings = PlatformSettings {
+        lag_ms: 100 * seed,
+        rate_per_s: 1.0 + seed as f64,
+        page_size: 3 + seed as usize,
+        duty_per_s: 5.0,
+    };
     let mut platform = RecordedService::new(PlatformStub::new(settings));
     for step in 0..STEPS {
         let instance = format!("i-{}", random.random_range(0..=step));
--- /dev/null
+++ b/crates/testbed/tests/platform_duties.rs
@@ -0,0 +1,153 @@
+//! Calls of the platform that are the duty of one node at a time, and faults of its interface.
+
+mod support;
+
+use std::net::{IpAddr, Ipv4Addr};
+
+use orchidvalve_testbed::effects::{ConnectionKey, Service};
+use orchidvalve_testbed::http;
+use orchidvalve_testbed::observation::{DutyCall, DutyOrder, Observation};
+use orchidvalve_testbed::platform::{PlatformFault, PlatformSettings, PlatformStub};
+use rstest::rstest;
+use support::ServiceHarness;
+
+const DELAY_MS: u64 = 400;
+const REPORT: &str = r#"{"window":7,"counts":{"acme":3}}"#;
+const SCALING: &str = r#"{"service":"apps","zone":"north","desired-count":4}"#;
+
+fn harness() -> ServiceHarness<PlatformStub> {
+    let settings = PlatformSettings { lag_ms: 0, rate_per_s: 4.0, page_size: 10, duty_per_s: 2.0 };
+    ServiceHarness::new(PlatformStub::new(settings))
+}
+
+fn call(path: &str, fields: &[(&str, &str)], body: &str) -> Vec<u8> {
+    http::request("POST", path, "platform", fields, body.as_bytes())
+}
+
+fn of_leader(path: &str, body: &str) -> Vec<u8> {
+    call(path, &[("Duty-Holder", "edge-1"), ("Fence-Token", "12")], body)
+}
+
+fn received(harness: &ServiceHarness<PlatformStub>) -> Vec<(DutyCall, bool)> {
+    let calls = harness.observations.iter().filter_map(|observation| match observation {
+        Observation::DutyCallReceived { call, accepted } => Some((call.clone(), *accepted)),
+        _ => None,
+    });
+    calls.collect()
+}
+
+fn statuses(harness: &ServiceHarness<PlatformStub>, keys: &[ConnectionKey]) -> Vec<Option<u16>> {
+    keys.iter().map(|key| harness.answer(*key).map(|answer| answer.status)).collect()
+}
+
+#[test]
+fn calls_are_taken_and_recorded_with_holder_token_and_source() {
+    let mut harness = harness();
+    let key = harness.connect();
+    let (request, _) = http::parse_request(&of_leader("/usage-reports", REPORT)).unwrap().unwrap();
+    harness.service.connected_from(key, IpAddr::V4(Ipv4Addr::new(127, 9, 3, 1)));
+    harness.step(|platform, now, out| platform.request(now, key, request, out));
+    assert_eq!(statuses(&harness, &[key]), [Some(200)]);
+    let counts = [("acme".to_owned(), 3)].into();
+    let call = DutyCall {
+        holder: "edge-1".to_owned(),
+        source: "127.9.3.1".to_owned(),
+        token: 12,
+        order: DutyOrder::UsageReport { window: 7, counts },
+    };
+    assert_eq!(received(&harness), [(call, true)]);
+    assert_eq!(harness.service.last_holder(), Some("edge-1"));
+}
+
+#[test]
+fn orders_of_servers_are_recorded() {
+    let mut harness = harness();
+    assert_eq!(harness.ask(&of_leader("/scaling", SCALING)).status, 200);
+    let (service, zone) = ("apps".to_owned(), "north".to_owned());
+    assert_eq!(received(&harness)[0].0.order, DutyOrder::Scaling { service, zone, desired_count: 4 });
+    assert_eq!(harness.service.duty_calls.scaling_orders, 1);
+}
+
+#[rstest]
+#[case::no_holder("/usage-reports", &[("Fence-Token", "12")], REPORT)]
+#[case::empty_holder("/usage-reports", &[("Duty-Holder", ""), ("Fence-Token", "12")], REPORT)]
+#[case::no_token("/usage-reports", &[("Duty-Holder", "edge-1")], REPORT)]
+#[case::token_is_no_number("/scaling", &[("Duty-Holder", "edge-1"), ("Fence-Token", "-3")], SCALING)]
+#[case::no_json("/scaling", &[("Duty-Holder", "edge-1"), ("Fence-Token", "1")], "desired")]
+#[case::body_of_the_other("/scaling", &[("Duty-Holder", "edge-1"), ("Fence-Token", "1")], REPORT)]
+#[case::negative_count(
+    "/usage-reports",
+    &[("Duty-Holder", "edge-1"), ("Fence-Token", "1")],
+    r#"{"window":7,"counts":{"acme":-3}}"#
+)]
+fn malformed_calls_get_400(#[case] path: &str, #[case] fields: &[(&str, &str)], #[case] body: &str) {
+    let mut harness = harness();
+    assert_eq!(harness.ask(&call(path, fields, body)).status, 400);
+    assert_eq!(received(&harness), []);
+    assert_eq!(harness.service.duty_calls.malformed, 1);
+}
+
+#[test]
+fn calls_over_the_rate_get_429_whoever_made_them() {
+    let mut harness = harness();
+    let other = call("/scaling", &[("Duty-Holder", "edge-2"), ("Fence-Token", "13")], SCALING);
+    let calls = [of_leader("/usage-reports", REPORT), other.clone(), other];
+    let seen: Vec<u16> = calls.iter().map(|bytes| harness.ask(bytes).status).collect();
+    assert_eq!(seen, [200, 200, 429]);
+    assert_eq!(harness.ask(&http::request("GET", "/instances", "host", &[], b"")).status, 200);
+    harness.pass(500);
+    assert_eq!(harness.ask(&calls[0]).status, 200);
+    let accepted: Vec<bool> = received(&harness).into_iter().map(|(_, accepted)| accepted).collect();
+    assert_eq!(accepted, [true, true, false, true]);
+}
+
+#[test]
+fn a_slow_platform_takes_at_once_and_answers_late() {
+    let mut harness = harness();
+    harness.service.set_fault(Some(PlatformFault::Slow { delay_ms: DELAY_MS }));
+    let report = harness.send(&of_leader("/usage-reports", REPORT));
+    let list = harness.send(&http::request("GET", "/instances", "host", &[], b""));
+    assert_eq!(received(&harness).len(), 1);
+    harness.pass(DELAY_MS - 1);
+    assert_eq!(statuses(&harness, &[report, list]), [None, None]);
+    harness.pass(1);
+    assert_eq!(statuses(&harness, &[report, list]), [Some(200), Some(200)]);
+}
+
+#[test]
+fn a_late_answer_to_a_closed_connection_is_dropped() {
+    let mut harness = harness();
+    harness.service.set_fault(Some(PlatformFault::Slow { delay_ms: DELAY_MS }));
+    let key = harness.send(&of_leader("/usage-reports", REPORT));
+    harness.close(key);
+    harness.pass(2 * DELAY_MS);
+    assert_eq!(statuses(&harness, &[key]), [None]);
+}
+
+#[rstest]
+#[case::silent(PlatformFault::Silent, 1, 0)]
+#[case::reset(PlatformFault::Reset, 1, 1)]
+#[case::cut_off(PlatformFault::CutOff, 0, 0)]
+fn calls_without_an_answer(#[case] fault: PlatformFault, #[case] taken: usize, #[case] resets: usize) {
+    let mut harness = harness();
+    harness.service.set_fault(Some(fault));
+    let report = harness.send(&of_leader("/usage-reports", REPORT));
+    harness.pass(10_000);
+    assert_eq!(statuses(&harness, &[report]), [None]);
+    assert_eq!(received(&harness).into_iter().filter(|(_, accepted)| *accepted).count(), taken);
+    assert_eq!(harness.resets.len(), resets);
+    harness.service.set_fault(None);
+    assert_eq!(harness.ask(&of_leader("/usage-reports", REPORT)).status, 200);
+}
+
+#[test]
+fn a_busy_platform_refuses_with_429_and_503_in_turn() {
+    let mut harness = harness();
+    harness.service.set_fault(Some(PlatformFault::Busy));
+    let list = http::request("GET", "/instances", "host", &[], b"");
+    let calls = [of_leader("/scaling", SCALING), of_leader("/usage-reports", REPORT), list];
+    let seen: Vec<u16> = calls.iter().map(|bytes| harness.ask(bytes).status).collect();
+    assert_eq!(seen, [429, 503, 429]);
+    assert!(received(&harness).iter().all(|(_, accepted)| !accepted));
+    assert_eq!(harness.service.duty_calls.refused, 2);
+}
