Testbed: ONE for calls of the platform, and figures of usage reports

One implementation of the lease rules for orders to servers and calls of the platform: a token of two holders (name and machine), a lower token, holders that take turns within lease-ms. Not counted: within thaw-slack-ms of a thaw or healed link of the sender; for calls also in a disruption of the platform or that long after it. Two accepted reports of a window with different counts always count. Windows due, missing and off are figures, not broken rules; servers show requests that begin with the tenant that they name.

--- a/crates/testbed/src/application_server.rs
+++ b/crates/testbed/src/application_server.rs
@@ -161,6 +161,13 @@
                 body: synthetic_text::digest(&queued.request.body),
                 after_event: 0,
             });
+            if let Some(tenant) = queued.request.headers.get("Tenant") {
+                out.observations.push(Observation::TenantRequestStarted {
+                    id: queued.id.clone(),
+                    tenant: tenant.to_owned(),
+                    is_stream: false,
+                });
+            }
             let work_ms = self.random.random_range(self.settings.work_ms.clone());
             self.running.push(Execution { queued, number, done_at: now + work_ms });
         }
--- a/crates/testbed/src/invariants/context.rs
+++ b/crates/testbed/src/invariants/context.rs
@@ -1,5 +1,7 @@
 //! What all checks need: bounds, time, disruptions, and the list of violations.
 
+use std::collections::BTreeMap;
+
 use super::invariant::{Invariant, InvariantBounds, Violation};
 use crate::observation::Observation;
 
@@ -14,6 +16,12 @@
     last_disruption: Option<u64>,
     last_unplanned_disruption: Option<u64>,
     last_control_plane_disturbance: Option<u64>,
+    /// When machines were last thawed, or a link of theirs healed.
+    thawed_at: BTreeMap<String, u64>,
+    /// Disruptions of the platform that go on now.
+    platform_disruptions: u64,
+    /// When the last one ended.
+    platform_restored_at: Option<u64>,
     violations: Vec<Violation>,
 }
 
@@ -26,6 +34,9 @@
             last_disruption: None,
             last_unplanned_disruption: None,
             last_control_plane_disturbance: None,
+            thawed_at: BTreeMap::new(),
+            platform_disruptions: 0,
+            platform_restored_at: None,
             violations: Vec::new(),
         }
     }
@@ -42,6 +53,14 @@
                 }
             }
             Observation::ControlPlaneDisturbed => self.last_control_plane_disturbance = Some(now),
+            Observation::MachinesThawed { machines } => {
+                self.thawed_at.extend(machines.iter().map(|machine| (machine.clone(), now)));
+            }
+            Observation::PlatformDisrupted { begins: true } => self.platform_disruptions += 1,
+            Observation::PlatformDisrupted { begins: false } => {
+                self.platform_disruptions = self.platform_disruptions.saturating_sub(1);
+                self.platform_restored_at = Some(now);
+            }
             _ => {}
         }
     }
@@ -70,6 +89,17 @@
         disruption.is_none_or(|at| at + self.bounds.contact_ms <= since.min(self.now))
     }
 
+    /// Whether a machine was thawed, or a link of it healed, so short a time ago that its orders and calls don't count.
+    pub fn is_just_thawed(&self, machine: &str) -> bool {
+        self.thawed_at.get(machine).is_some_and(|at| self.now <= at + self.bounds.thaw_slack_ms)
+    }
+
+    /// Whether the platform is in disruption, or was a moment ago.
+    pub fn is_platform_disrupted(&self) -> bool {
+        let is_recent = |at| self.now <= at + self.bounds.thaw_slack_ms;
+        self.platform_disruptions > 0 || self.platform_restored_at.is_some_and(is_recent)
+    }
+
     /// Since when the control plane is stable, or when it will be if nothing more is done to it.
     pub fn stable_since(&self) -> u64 {
         self.last_control_plane_disturbance.map_or(0, |at| at + self.bounds.contact_ms)
--- a/crates/testbed/src/invariants/invariant.rs
+++ b/crates/testbed/src/invariants/invariant.rs
@@ -35,7 +35,7 @@
     /// A stable control plane acknowledges changes in time.
     #[display("ACKS")]
     Acks,
-    /// One leader at a time sends orders to a server.
+    /// One leader at a time sends orders to a server, and one holder at a time calls the platform.
     #[display("ONE")]
     One,
     /// Draining servers get no more requests.
@@ -72,6 +72,8 @@
     pub cancel_ms: u64,
     /// How long the lease of a leader lasts.
     pub lease_ms: u64,
+    /// How long orders and calls don't count after their sender was thawed or its link has healed.
+    pub thaw_slack_ms: u64,
     /// How long a server may get requests after the list shows that it's draining.
     pub drain_ms: u64,
     /// How far the platform's list lags.
@@ -91,6 +93,7 @@
             settle_ms: 1_000,
             cancel_ms: 3_000,
             lease_ms: 3_000,
+            thaw_slack_ms: 300,
             drain_ms: 3_000,
             list_lag_ms: 800,
             grace_ms: 8_000,
--- a/crates/testbed/src/invariants/mod.rs
+++ b/crates/testbed/src/invariants/mod.rs
@@ -8,21 +8,26 @@
 mod invariant;
 mod job_record;
 mod jobs;
+mod lease_history;
 mod outputs;
+mod platform_calls;
 mod requests;
 mod server_log;
 mod starved_items;
+mod usage_accounts;
 
 use crate::observation::Observation;
 use configurations::Configurations;
 use context::CheckContext;
 use fencing::FencingTokens;
 use jobs::Jobs;
+use platform_calls::PlatformCalls;
 use requests::Requests;
 use server_log::ServerLog;
 use starved_items::StarvedItems;
 
 pub use invariant::{Invariant, InvariantBounds, Violation};
+pub use usage_accounts::{UsageAccounts, UsageBounds, UsageFigures};
 
 /// Checks observations as they come.
 pub struct InvariantChecker {
@@ -32,6 +37,7 @@
     jobs: Jobs,
     configurations: Configurations,
     fencing_tokens: FencingTokens,
+    platform_calls: PlatformCalls,
     starved_items: StarvedItems,
 }
 
@@ -45,6 +51,7 @@
             jobs: Jobs::default(),
             configurations: Configurations::default(),
             fencing_tokens: FencingTokens::default(),
+            platform_calls: PlatformCalls::default(),
             starved_items: StarvedItems::default(),
         }
     }
@@ -57,6 +64,7 @@
         self.jobs.observe(&mut self.context, &self.server_log, observation);
         self.configurations.observe(&mut self.context, observation);
         self.fencing_tokens.observe(&mut self.context, observation);
+        self.platform_calls.observe(&mut self.context, observation);
         self.starved_items.observe(&mut self.context, observation);
         match observation {
             Observation::ExecutionStarted { server, id, method, target, body, .. } => {
--- a/crates/testbed/src/model_server/generations.rs
+++ b/crates/testbed/src/model_server/generations.rs
@@ -25,6 +25,8 @@
     /// Events of the whole text.
     pub events: u64,
     pub deadline: Option<u64>,
+    /// The tenant that it names, if it does.
+    pub tenant: Option<String>,
 }
 
 /// A stream of events that is being sent.
--- a/crates/testbed/src/model_server/server.rs
+++ b/crates/testbed/src/model_server/server.rs
@@ -204,6 +204,7 @@
             prompt_tokens: usage.prompt,
             deadline: headers.number("Deadline-Ms").map(|left_ms| now + left_ms),
             body: synthetic_text::digest(&request.body),
+            tenant: headers.get("Tenant").map(str::to_owned),
             method: request.method,
             target: request.target,
             id,
@@ -243,6 +244,10 @@
             body: queued.body,
             after_event: queued.after_event,
         });
+        if let Some(tenant) = queued.tenant.filter(|_| queued.after_event == 0) {
+            let id = queued.id.clone();
+            out.observations.push(Observation::TenantRequestStarted { id, tenant, is_stream: true });
+        }
         let prefill_ms = queued.prompt_tokens / self.settings.prefill_tokens_per_ms.max(1);
         self.work.running.push(Generation {
             connection: queued.connection,
--- a/crates/testbed/tests/application_server.rs
+++ b/crates/testbed/tests/application_server.rs
@@ -116,3 +116,18 @@
     let (_, length) = http::parse_response(&harness.received[&key], false).unwrap().unwrap();
     assert_eq!(length, harness.received[&key].len());
 }
+
+#[test]
+fn a_request_that_begins_is_shown_with_the_tenant_that_it_names() {
+    let mut harness = harness(0);
+    harness.send(&post("a1", &[("Tenant", "acme")]));
+    harness.pass(20);
+    harness.send(&post("a2", &[]));
+    let started: Vec<&Observation> = harness
+        .observations
+        .iter()
+        .filter(|seen| matches!(seen, Observation::TenantRequestStarted { .. }))
+        .collect();
+    let (id, tenant) = ("a1".to_owned(), "acme".to_owned());
+    assert_eq!(started, [&Observation::TenantRequestStarted { id, tenant, is_stream: false }]);
+}
--- a/crates/testbed/tests/model_server.rs
+++ b/crates/testbed/tests/model_server.rs
@@ -410,3 +410,19 @@
     let last = harness.observations.last().unwrap();
     assert!(matches!(last, Observation::ResponseSent { signature: seen, .. } if *seen == signature));
 }
+
+#[test]
+fn a_stream_that_begins_is_shown_with_its_tenant_and_one_that_goes_on_is_not() {
+    let mut harness = harness();
+    harness.send(&item("a1", &[("Tenant", "acme")]));
+    harness.send(&item("a2", &[("Tenant", "acme"), ("Last-Event-Id", "1")]));
+    harness.pass(1_000);
+    harness.send(&item("a3", &[]));
+    let started: Vec<&Observation> = harness
+        .observations
+        .iter()
+        .filter(|seen| matches!(seen, Observation::TenantRequestStarted { .. }))
+        .collect();
+    let (id, tenant) = ("a1".to_owned(), "acme".to_owned());
+    assert_eq!(started, [&Observation::TenantRequestStarted { id, tenant, is_stream: true }]);
+}
