Testbed: faults of the platform's interface and of the machine that called it last

Thaws, healed links and disruptions of the platform are told to the checker; the report shows calls taken and windows of usage.

The steps are checked by the recorded trace; no run against real processes yet.

--- a/crates/testbed/src/scenario/execution.rs
+++ b/crates/testbed/src/scenario/execution.rs
@@ -1,5 +1,6 @@
 //! Takes the steps of a scenario.
 
+use std::collections::BTreeSet;
 use std::net::SocketAddrV4;
 
 use super::error::ScenarioError;
@@ -7,10 +8,11 @@
 use super::steps::{ScheduledStep, Step};
 use super::timing::GRACE_MS;
 use super::wiring::{add_gateway, add_to_proxy};
-use crate::fault_proxy::LinkFault;
+use crate::fault_proxy::{LinkFault, MachineIndex};
 use crate::host::ServerIndex;
 use crate::launch::{ProcessId, Role};
 use crate::observation::Observation;
+use crate::platform::PlatformFault;
 use crate::server_fault::ServerFault;
 
 impl ScenarioRun {
@@ -44,13 +46,16 @@
         later.map(|scheduled| scheduled.at).chain([now]).max().unwrap_or(now)
     }
 
-    fn execute(&mut self, now: u64, step: Step) -> Result<(), ScenarioError> {
+    pub(super) fn execute(&mut self, now: u64, step: Step) -> Result<(), ScenarioError> {
         match step {
             Step::Kill(ids) => ids.into_iter().try_for_each(|id| self.launcher.kill(id))?,
             Step::Wipe(ids) => ids.into_iter().try_for_each(|id| self.launcher.wipe(id))?,
             Step::Start(ids) => ids.into_iter().try_for_each(|id| self.launcher.start(id))?,
             Step::Pause(ids) => ids.into_iter().try_for_each(|id| self.launcher.pause(id))?,
-            Step::Resume(ids) => ids.into_iter().try_for_each(|id| self.launcher.resume(id))?,
+            Step::Resume(ids) => {
+                ids.iter().try_for_each(|id| self.launcher.resume(*id))?;
+                self.observe_thaw(ids.iter().map(|id| self.launcher.machine_index(*id)).collect());
+            }
             Step::SpendQuota(ids) => self.running(ids).try_for_each(|id| self.launcher.pause(id))?,
             Step::RenewQuota(ids) => self.running(ids).try_for_each(|id| self.launcher.resume(id))?,
             Step::Terminate(ids) => self.terminate(now, &ids)?,
@@ -66,7 +71,10 @@
             Step::AddControl => self.add_control()?,
             Step::Links(links, fault) => {
                 self.schedule.is_link_slow = matches!(fault, Some(LinkFault::Slow { .. }));
-                links.into_iter().for_each(|link| self.host.set_link(link.from, link.to, fault));
+                links.iter().for_each(|link| self.host.set_link(link.from, link.to, fault));
+                if fault.is_none() {
+                    self.observe_thaw(links.iter().flat_map(|link| [link.from, link.to]).collect());
+                }
             }
             Step::InjectServerFault(index, fault) => {
                 self.host.with_server(index, |server, _, out| server.inject(fault, out));
@@ -77,11 +85,25 @@
             }
             Step::DrainServer(index) => self.drain_server(index),
             Step::RemoveServer(index) => self.remove_server(index),
+            Step::Platform(fault) => self.set_platform_fault(fault),
+            Step::Leader(fault, duration_ms) => self.begin_leader_fault(now, fault, duration_ms)?,
             Step::Operator(action) => self.traffic.add_action(now, action),
         }
         Ok(())
     }
 
+    /// Machines were thawed, or links of theirs have healed.
+    fn observe_thaw(&mut self, machines: BTreeSet<MachineIndex>) {
+        let topology = self.launcher.topology();
+        let machines = machines.into_iter().map(|index| topology.machines[index.0].name.clone()).collect();
+        self.host.observe(Observation::MachinesThawed { machines });
+    }
+
+    fn set_platform_fault(&mut self, fault: Option<PlatformFault>) {
+        self.host.with_platform(|platform, _| platform.set_fault(fault));
+        self.host.observe(Observation::PlatformDisrupted { begins: fault.is_some() });
+    }
+
     /// Those of them that run: another fault may have ended some.
     fn running(&self, ids: Vec<ProcessId>) -> std::vec::IntoIter<ProcessId> {
         let running: Vec<ProcessId> = ids.into_iter().filter(|id| self.launcher.is_running(*id)).collect();
--- a/crates/testbed/src/scenario/fault_steps.rs
+++ b/crates/testbed/src/scenario/fault_steps.rs
@@ -8,7 +8,9 @@
     duplicate_responses, leave_with_only_copy, replace_then_wipe, restart_one_then_all,
 };
 use super::faults::Fault;
+use super::leader_faults::LeaderFault;
 use super::link_faults::{Directions, SLOW_LINK, fault_links};
+use super::platform_faults::{SLOW_PLATFORM, platform_fault};
 use super::servers::ServerIndices;
 use super::steps::{ScheduledStep, Step, after};
 use super::timing::{DOWN_MS, QUOTA_MS, QUOTA_PERIOD_MS, QUOTA_RUN_MS, SERVER_FAULT_MS};
@@ -16,6 +18,7 @@
 use crate::fault_proxy::LinkFault;
 use crate::launch::{Launcher, ProcessId, Role};
 use crate::operator::Action;
+use crate::platform::PlatformFault;
 use crate::server_fault::ServerFault;
 
 /// How long a server goes on serving after it is marked as draining, in milliseconds.
@@ -85,6 +88,19 @@
         Fault::QuotaStore => under_quota(&targets.pick(Role::Store, random)),
         Fault::QuotaGateway => under_quota(&last_gateway(launcher)),
         Fault::QuotaAll => under_quota(&launcher.ids()),
+        Fault::PlatformSlow => platform_fault(SLOW_PLATFORM),
+        Fault::PlatformSilent => platform_fault(PlatformFault::Silent),
+        Fault::PlatformBusy => platform_fault(PlatformFault::Busy),
+        Fault::PlatformReset => platform_fault(PlatformFault::Reset),
+        Fault::PlatformCutOff => platform_fault(PlatformFault::CutOff),
+        Fault::KillLeader => vec![after(0, Step::Leader(LeaderFault::Kill, DOWN_MS))],
+        Fault::FreezeLeader => vec![after(0, Step::Leader(LeaderFault::Freeze, DOWN_MS))],
+        Fault::CutLeader => vec![after(0, Step::Leader(LeaderFault::Cut, targets.partition_ms))],
+        Fault::FreezeLeaderPlatformSilent => {
+            let mut steps = platform_fault(PlatformFault::Silent);
+            steps.insert(1, after(0, Step::Leader(LeaderFault::Freeze, DOWN_MS)));
+            steps
+        }
     }
 }
 
--- a/crates/testbed/src/scenario/faults.rs
+++ b/crates/testbed/src/scenario/faults.rs
@@ -83,10 +83,28 @@
     QuotaGateway,
     /// The same for all machines.
     QuotaAll,
+    /// Calls of the platform are answered late for a while.
+    PlatformSlow,
+    /// The platform takes calls and answers none for a while.
+    PlatformSilent,
+    /// The platform refuses all calls for a while.
+    PlatformBusy,
+    /// The platform resets connections after it has taken calls, for a while.
+    PlatformReset,
+    /// Nothing reaches the platform for a while.
+    PlatformCutOff,
+    /// The machine that called the platform last is killed and started again.
+    KillLeader,
+    /// The machine that called the platform last is paused for a while.
+    FreezeLeader,
+    /// The machine that called the platform last is partitioned from all other machines; it still reaches the platform.
+    CutLeader,
+    /// The machine that called the platform last is paused while the platform answers nothing.
+    FreezeLeaderPlatformSilent,
 }
 
 /// Every fault with its name on the command line.
-pub(super) const FAULT_NAMES: [(&str, Fault); 35] = [
+pub(super) const FAULT_NAMES: [(&str, Fault); 44] = [
     ("kill-store", Fault::KillStore),
     ("kill-control", Fault::KillControl),
     ("kill-door", Fault::KillGateway),
@@ -122,6 +140,15 @@
     ("quota-store", Fault::QuotaStore),
     ("quota-door", Fault::QuotaGateway),
     ("quota-all", Fault::QuotaAll),
+    ("platform-slow", Fault::PlatformSlow),
+    ("platform-silent", Fault::PlatformSilent),
+    ("platform-busy", Fault::PlatformBusy),
+    ("platform-reset", Fault::PlatformReset),
+    ("platform-cut-off", Fault::PlatformCutOff),
+    ("kill-leader", Fault::KillLeader),
+    ("freeze-leader", Fault::FreezeLeader),
+    ("cut-leader", Fault::CutLeader),
+    ("freeze-leader-platform-silent", Fault::FreezeLeaderPlatformSilent),
 ];
 
 impl Fault {
@@ -152,6 +179,7 @@
                 | Fault::PartitionControlOutbound
                 | Fault::ResetControlLinks
                 | Fault::SlowControlLinks
+                | Fault::CutLeader
         )
     }
 }
--- /dev/null
+++ b/crates/testbed/src/scenario/leader_faults.rs
@@ -0,0 +1,73 @@
+//! Faults of the machine that called the platform last. Which one that is shows only when the fault begins.
+
+use super::error::ScenarioError;
+use super::link_faults::{Directions, fault_links};
+use super::run::ScenarioRun;
+use super::steps::{ScheduledStep, Step, after};
+use crate::fault_proxy::LinkFault;
+use crate::launch::{ProcessId, Role};
+
+/// What happens to the machine.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum LeaderFault {
+    /// It's killed and started again.
+    Kill,
+    /// It's paused.
+    Freeze,
+    /// It's partitioned from all other machines.
+    Cut,
+}
+
+impl ScenarioRun {
+    /// Begins a fault of the machine that called the platform last, and schedules its end.
+    pub(super) fn begin_leader_fault(
+        &mut self,
+        now: u64,
+        fault: LeaderFault,
+        duration_ms: u64,
+    ) -> Result<(), ScenarioError> {
+        let processes = self.leader_processes();
+        for ScheduledStep { at, step } in self.leader_fault_steps(&processes, fault, duration_ms) {
+            if at == 0 {
+                self.execute(now, step)?;
+            } else {
+                self.schedule.steps.push(after(now + at, step));
+            }
+        }
+        self.schedule.disrupted_until = self.schedule.disrupted_until.max(now + duration_ms);
+        self.schedule.steps.sort_by_key(|scheduled| scheduled.at);
+        Ok(())
+    }
+
+    fn leader_fault_steps(
+        &self,
+        processes: &[ProcessId],
+        fault: LeaderFault,
+        duration_ms: u64,
+    ) -> Vec<ScheduledStep> {
+        let ids = processes.to_vec();
+        match fault {
+            LeaderFault::Kill => {
+                vec![after(0, Step::Kill(ids.clone())), after(duration_ms, Step::Start(ids))]
+            }
+            LeaderFault::Freeze => {
+                vec![after(0, Step::Pause(ids.clone())), after(duration_ms, Step::Resume(ids))]
+            }
+            LeaderFault::Cut => {
+                let fault = LinkFault::Partitioned;
+                fault_links(&self.launcher, processes, Directions::BOTH, fault, duration_ms)
+            }
+        }
+    }
+
+    /// All processes of the machine that called the platform last; of the first control node's machine if none has.
+    fn leader_processes(&self) -> Vec<ProcessId> {
+        let holder = self.host.platform().and_then(|platform| platform.last_holder());
+        let called = |id: &ProcessId| Some(self.launcher.machine(*id).name.as_str()) == holder;
+        let leader = self.launcher.ids().into_iter().find(called).or_else(|| {
+            log::warn!("scenario: no machine has called the platform; the first control node is taken");
+            self.launcher.with_role(Role::Control).first().copied()
+        });
+        leader.map(|id| self.launcher.processes_of_same_machine(id)).unwrap_or_default()
+    }
+}
--- a/crates/testbed/src/scenario/mod.rs
+++ b/crates/testbed/src/scenario/mod.rs
@@ -5,7 +5,9 @@
 mod execution;
 mod fault_steps;
 mod faults;
+mod leader_faults;
 mod link_faults;
+mod platform_faults;
 mod report;
 mod run;
 mod servers;
@@ -22,7 +24,7 @@
 
 pub use error::ScenarioError;
 pub use faults::{Fault, UnknownFault};
-pub use report::{EndedProcess, PlatformCalls, ProcessUsage, Report, TrainerReport, percentile};
+pub use report::{DutyReport, EndedProcess, PlatformCalls, ProcessUsage, Report, TrainerReport, percentile};
 pub use run::run;
 
 /// What is run.
--- a/crates/testbed/src/scenario/report.rs
+++ b/crates/testbed/src/scenario/report.rs
@@ -5,9 +5,10 @@
 
 use crate::clients::ClientStats;
 use crate::concurrent_operators::ConcurrentOperatorStats;
-use crate::invariants::Violation;
+use crate::invariants::{UsageFigures, Violation};
 use crate::launch::Usage;
 use crate::operator::OperatorStats;
+use crate::platform::DutyCallCounts;
 use crate::trainer::TrainerStats;
 
 /// Violations that are listed at most.
@@ -49,6 +50,15 @@
     pub refused: u64,
 }
 
+/// What came of the duties of one node at a time.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct DutyReport {
+    /// Calls of the platform by what became of them.
+    pub calls: DutyCallCounts,
+    /// Windows of usage by what became of their reports.
+    pub usage: UsageFigures,
+}
+
 /// Outcome of a scenario.
 #[derive(Clone, Debug, Default)]
 pub struct Report {
@@ -68,6 +78,8 @@
     pub usage: Vec<ProcessUsage>,
     /// Calls of the platform's list.
     pub platform_calls: PlatformCalls,
+    /// Of the duties of one node at a time.
+    pub duties: DutyReport,
     /// Where settings, data and logs were left.
     pub directory: Option<PathBuf>,
 }
@@ -138,6 +150,15 @@
         write_percentiles(f, &stats.ack_ms)
     }
 
+    fn write_duties(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        let DutyReport { calls, usage } = self.duties;
+        let (reports, scaling) = (calls.usage_reports, calls.scaling_orders);
+        write!(f, "duties: {reports} usage reports and {scaling} scaling orders taken, ")?;
+        writeln!(f, "{} refused, {} malformed", calls.refused, calls.malformed)?;
+        let (due, missing, off) = (usage.due, usage.missing, usage.off);
+        writeln!(f, "  windows of usage: {due} due, {missing} missing, {off} off")
+    }
+
     fn write_violations(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         writeln!(f, "rules broken: {}", self.violations.len())?;
         for violation in self.violations.iter().take(MAX_LISTED) {
@@ -164,6 +185,7 @@
         }
         let PlatformCalls { answered, refused } = self.platform_calls;
         writeln!(f, "platform: {answered} calls answered, {refused} refused")?;
+        self.write_duties(f)?;
         if !operator.retired.is_empty() {
             writeln!(f, "emptied and taken away: {}", operator.retired.join(", "))?;
         }
--- a/crates/testbed/src/scenario/run.rs
+++ b/crates/testbed/src/scenario/run.rs
@@ -7,7 +7,7 @@
 use super::error::ScenarioError;
 use super::fault_steps::{FaultTargets, steps};
 use super::faults::Fault;
-use super::report::{PlatformCalls, ProcessUsage, Report};
+use super::report::{DutyReport, PlatformCalls, ProcessUsage, Report};
 use super::servers::{ServerIndices, open_servers};
 use super::steps::ScheduledStep;
 use super::supervision::Supervision;
@@ -15,7 +15,7 @@
 use super::wiring::{add_gateway, add_to_proxy};
 use super::workload::{TrafficTimes, Workload};
 use crate::host::Host;
-use crate::invariants::{InvariantBounds, InvariantChecker};
+use crate::invariants::{InvariantBounds, InvariantChecker, UsageAccounts, UsageBounds};
 use crate::launch::{Launcher, Role, Topology};
 use crate::observation::Observation;
 use crate::operator::Action;
@@ -32,6 +32,11 @@
 const REVIEW_MS: u64 = 15_000;
 /// How long concurrent operators go on after the last fault, in milliseconds.
 const OPERATORS_AFTER_MS: u64 = 2_000;
+/// Windows of usage, when their reports are due, and how far they may be off; the same as `bounds.usage-window-s`,
+/// `bounds.usage-late-s` and `bounds.usage-tolerance` in the settings of the processes.
+const USAGE_WINDOW_S: u64 = 2;
+const USAGE_LATE_S: u64 = 4;
+const USAGE_TOLERANCE: f64 = 0.05;
 /// Where in the traffic the faults begin, in hundredths.
 const FAULT_PERCENT: u64 = 40;
 
@@ -65,6 +70,9 @@
     pub(super) host: Host,
     pub(super) launcher: Launcher,
     checker: InvariantChecker,
+    usage_accounts: UsageAccounts,
+    /// From when to when the traffic goes.
+    traffic_times: (u64, u64),
     pub(super) workload: Workload,
     servers: ServerIndices,
     pub(super) traffic: Traffic,
@@ -109,8 +117,16 @@
             }
         }
         let traffic = Traffic::start(&mut host, &workload, seed);
+        let usage_bounds = UsageBounds {
+            wall_ms_at_start: host.wall_ms_at_zero(),
+            window_s: USAGE_WINDOW_S,
+            late_s: USAGE_LATE_S,
+            tolerance: USAGE_TOLERANCE,
+        };
         Ok(ScenarioRun {
             host,
+            usage_accounts: UsageAccounts::new(usage_bounds),
+            traffic_times: (0, 0),
             launcher,
             checker: InvariantChecker::new(InvariantBounds::default()),
             workload,
@@ -146,6 +162,7 @@
         let review_from = (quiet_from + SETTLE_MS).max(until + FINISH_MS);
         let times = TrafficTimes { from, until, review_from, review_until: review_from + REVIEW_MS };
         let operators_until = until.max(quiet_from + OPERATORS_AFTER_MS);
+        self.traffic_times = (from, until);
         self.add_traffic(options, times, operators_until);
         while self.host.now() < review_from && !self.host.stopped {
             self.turn(review_from)?;
@@ -187,6 +204,7 @@
         self.host.turn(until.min(next_step))?;
         for seen in self.host.take_observations() {
             self.checker.observe(seen.at_ms, &seen.observation);
+            self.usage_accounts.observe(seen.at_ms, &seen.observation);
         }
         let now = self.host.now();
         self.run_due_steps(now)?;
@@ -209,7 +227,13 @@
             .host
             .platform()
             .map(|platform| PlatformCalls { answered: platform.calls, refused: platform.refused });
+        let (from, until) = self.traffic_times;
+        let duties = DutyReport {
+            calls: self.host.platform().map(|platform| platform.duty_calls).unwrap_or_default(),
+            usage: self.usage_accounts.figures(from, until),
+        };
         let mut report = Report {
+            duties,
             clients: self.traffic.client_stats(),
             trainers: self.traffic.trainer_stats(),
             operator: self.traffic.operator_stats(),
--- a/crates/testbed/src/scenario/steps.rs
+++ b/crates/testbed/src/scenario/steps.rs
@@ -1,10 +1,12 @@
 //! The single steps of which faults consist.
 
+use super::leader_faults::LeaderFault;
 use super::timing::GRACE_MS;
 use crate::fault_proxy::{Link, LinkFault};
 use crate::host::ServerIndex;
 use crate::launch::ProcessId;
 use crate::operator::Action;
+use crate::platform::PlatformFault;
 use crate::server_fault::ServerFault;
 
 /// One thing that is done to processes, links or servers.
@@ -34,6 +36,10 @@
     ClearServerFaults(ServerIndex),
     DrainServer(ServerIndex),
     RemoveServer(ServerIndex),
+    /// A fault of the platform's interface; `None` ends the one that it has.
+    Platform(Option<PlatformFault>),
+    /// A fault of the machine that called the platform last, for a time in milliseconds.
+    Leader(LeaderFault, u64),
     Operator(Action),
 }
 
@@ -64,7 +70,11 @@
 
     /// How long it may go on after its beginning, in milliseconds.
     pub fn lasts_ms(&self) -> u64 {
-        if matches!(self, Step::Terminate(_) | Step::TerminateForGood(_)) { GRACE_MS } else { 0 }
+        match self {
+            Step::Terminate(_) | Step::TerminateForGood(_) => GRACE_MS,
+            Step::Leader(_, duration_ms) => *duration_ms,
+            _ => 0,
+        }
     }
 
     /// Whether it concerns the system's own machines, which then need not be in contact.
@@ -78,6 +88,7 @@
                 | Step::ClearServerFaults(_)
                 | Step::DrainServer(_)
                 | Step::RemoveServer(_)
+                | Step::Platform(_)
                 | Step::Operator(_)
         )
     }
--- a/crates/testbed/src/scenario/tests.rs
+++ b/crates/testbed/src/scenario/tests.rs
@@ -8,6 +8,7 @@
 
 use super::fault_steps::{FaultTargets, steps};
 use super::faults::FAULT_NAMES;
+use super::leader_faults::LeaderFault;
 use super::servers::ServerIndices;
 use super::steps::Step;
 use super::workload::{TrafficTimes, Workload};
@@ -16,6 +17,7 @@
 use crate::host::ServerIndex;
 use crate::launch::{Launcher, ProcessId, Role, Topology};
 use crate::operator::Action;
+use crate::platform::PlatformFault;
 use crate::server_fault::ServerFault;
 use crate::trainer::TrainerSettings;
 
@@ -124,6 +126,18 @@
     }
 }
 
+fn add_platform_fault(trace: &mut Trace, fault: Option<PlatformFault>) {
+    trace.add_number(20);
+    match fault {
+        None => trace.add_number(0),
+        Some(PlatformFault::Slow { delay_ms }) => add_numbers(trace, &[1, delay_ms]),
+        Some(PlatformFault::Silent) => trace.add_number(2),
+        Some(PlatformFault::Busy) => trace.add_number(3),
+        Some(PlatformFault::Reset) => trace.add_number(4),
+        Some(PlatformFault::CutOff) => trace.add_number(5),
+    }
+}
+
 fn add_step(trace: &mut Trace, step: &Step) {
     match step {
         Step::Kill(ids) => add_processes(trace, 1, ids),
@@ -151,6 +165,15 @@
         Step::RemoveServer(server) => add_numbers(trace, &[16, server.0 as u64]),
         Step::SpendQuota(ids) => add_processes(trace, 18, ids),
         Step::RenewQuota(ids) => add_processes(trace, 19, ids),
+        Step::Platform(fault) => add_platform_fault(trace, *fault),
+        Step::Leader(fault, duration_ms) => {
+            let number = match fault {
+                LeaderFault::Kill => 1,
+                LeaderFault::Freeze => 2,
+                LeaderFault::Cut => 3,
+            };
+            add_numbers(trace, &[21, number, *duration_ms]);
+        }
         Step::Operator(action) => {
             trace.add_number(17);
             add_action(trace, action);
--- a/crates/testbed/tests/command_line.rs
+++ b/crates/testbed/tests/command_line.rs
@@ -14,7 +14,7 @@
     "--keep",
 ];
 
-const FAULTS: [&str; 35] = [
+const FAULTS: [&str; 44] = [
     "kill-store",
     "kill-control",
     "kill-door",
@@ -50,6 +50,15 @@
     "quota-store",
     "quota-door",
     "quota-all",
+    "platform-slow",
+    "platform-silent",
+    "platform-busy",
+    "platform-reset",
+    "platform-cut-off",
+    "kill-leader",
+    "freeze-leader",
+    "cut-leader",
+    "freeze-leader-platform-silent",
 ];
 
 fn run(arguments: &[&str]) -> Output {
