Role lease: a start waits until the calls of its own earlier process have arrived

A head that is started again in its view acted at once, under a new term. What the process before had written may still be on its way (0.3 s at most, on a connection of its own), so a lower token could arrive after a higher one. What wasn't written ends with the process, so the wait is NEW_USER_TIMEOUT_MS.

The calls of golden_duties and weight_rollout pass the wait as before; one test is new.

--- a/crates/control-plane/src/role_lease.rs
+++ b/crates/control-plane/src/role_lease.rs
@@ -14,6 +14,16 @@
     valid_from: u64,
 }
 
+/// How long a new head waits before it acts, in milliseconds.
+#[derive(Clone, Copy, Debug)]
+pub struct LeaseWaits {
+    /// Where another node was the head: until its calls have arrived and its lease is over.
+    pub after_another_head: Milliseconds,
+    /// Where an earlier process of this node was: until the calls that it left behind have arrived. They bear a lower
+    /// term, and come on connections of their own.
+    pub after_own_process: Milliseconds,
+}
+
 /// Whether this node may act in the singleton roles. Times are in milliseconds.
 #[derive(Default, Debug)]
 pub struct RoleLease {
@@ -22,12 +32,12 @@
 
 impl RoleLease {
     /// A view has begun in which this node is the head. `was_head` says that it was the head of the view just
-    /// before, too, or that no view was before; else it waits for `wait_ms`.
-    pub fn acquire(&mut self, now: Milliseconds, epoch: Epoch, was_head: bool, wait_ms: Milliseconds) {
+    /// before, too, or that no view was before.
+    pub fn acquire(&mut self, now: Milliseconds, epoch: Epoch, was_head: bool, waits: LeaseWaits) {
         let wait = match (self.held, was_head) {
             (Some(held), true) => held.valid_from.saturating_sub(now),
-            (None, true) => 0,
-            (_, false) => wait_ms,
+            (None, true) => waits.after_own_process,
+            (_, false) => waits.after_another_head,
         };
         self.held = Some(HeldLease { epoch, valid_from: now + wait });
     }
--- a/crates/control-plane/src/singleton_roles/mod.rs
+++ b/crates/control-plane/src/singleton_roles/mod.rs
@@ -24,7 +24,7 @@
 use crate::http_client::{
     CONNECT_TIMEOUT_MS, CompletedExchange, ConnectionUse, ExchangeTarget, HttpClient, NEW_USER_TIMEOUT_MS,
 };
-use crate::role_lease::RoleLease;
+use crate::role_lease::{LeaseWaits, RoleLease};
 use crate::weight_rollout::{LoadOrder, OrderOutcome};
 
 pub use self::partition_placement::{may_retire, registrations};
@@ -144,8 +144,12 @@
             return;
         }
         // No confirmation of the former head is later than this view.
-        let wait = self.options.lease_ms + ORDER_ARRIVAL_MS;
-        self.lease.acquire(now, epoch, was_head, wait);
+        let waits = LeaseWaits {
+            after_another_head: self.options.lease_ms + ORDER_ARRIVAL_MS,
+            // What an ended process had not written is lost with it.
+            after_own_process: NEW_USER_TIMEOUT_MS,
+        };
+        self.lease.acquire(now, epoch, was_head, waits);
         if self.tenure.head_since.is_none() {
             self.tenure.head_since = Some(now);
             self.tenure.sessions_since = Some(now);
--- a/crates/control-plane/tests/golden_duties.rs
+++ b/crates/control-plane/tests/golden_duties.rs
@@ -11,7 +11,7 @@
     CaughtUp, LiveStore, PlacementInput, initial_placement, is_partition_lost, is_store_empty, plan,
 };
 use orchidvalve_control_plane::redirector::{Redirection, Redirector};
-use orchidvalve_control_plane::role_lease::RoleLease;
+use orchidvalve_control_plane::role_lease::{LeaseWaits, RoleLease};
 use orchidvalve_control_plane::sessions::{Session, SessionTable};
 use orchidvalve_control_plane::singleton_roles::{
     SingletonRoleOptions, SingletonRoles, may_retire, registrations,
@@ -217,7 +217,10 @@
         match random.random_range(0..10) {
             0 => {
                 epoch += 1;
-                lease.acquire(now, epoch, random.random_bool(0.5), random.random_range(0..2_000));
+                let was_head = random.random_bool(0.5);
+                let after_another_head = random.random_range(0..2_000);
+                let waits = LeaseWaits { after_another_head, after_own_process: 0 };
+                lease.acquire(now, epoch, was_head, waits);
             }
             1 => lease.release(),
             2..8 => confirmed = Some(now - random.random_range(0..200)),
--- a/crates/control-plane/tests/weight_rollout.rs
+++ b/crates/control-plane/tests/weight_rollout.rs
@@ -3,8 +3,8 @@
 use std::collections::BTreeMap;
 use std::net::Ipv4Addr;
 
-use orchidvalve_control_plane::http_client::{CONNECT_TIMEOUT_MS, ConnectionUse};
-use orchidvalve_control_plane::role_lease::RoleLease;
+use orchidvalve_control_plane::http_client::{CONNECT_TIMEOUT_MS, ConnectionUse, NEW_USER_TIMEOUT_MS};
+use orchidvalve_control_plane::role_lease::{LeaseWaits, RoleLease};
 use orchidvalve_control_plane::singleton_roles::{ORDER_ARRIVAL_MS, ORDER_VALIDITY_MS};
 use orchidvalve_control_plane::weight_rollout::{LoadOrder, OrderOutcome, RolloutPlanner};
 use orchidvalve_protocol::identity::NodeAddress;
@@ -324,6 +324,22 @@
 
 use HolderStep::{Begin, End, Fence};
 
+fn wait_for(after_another_head: u64) -> LeaseWaits {
+    LeaseWaits { after_another_head, after_own_process: 0 }
+}
+
+/// Calls that the process before has written may still arrive, under a lower term.
+#[test]
+fn a_start_waits_for_what_the_process_before_it_has_sent() {
+    let mut lease = RoleLease::default();
+    let waits = LeaseWaits { after_another_head: LEASE_MS, after_own_process: NEW_USER_TIMEOUT_MS };
+    lease.acquire(1_000, 4, true, waits);
+    assert_eq!(lease.valid_epoch(1_299, Some(1_299), VALIDITY_MS), None);
+    assert_eq!(lease.valid_epoch(1_300, Some(1_300), VALIDITY_MS), Some(4));
+    lease.acquire(1_400, 5, true, waits);
+    assert_eq!(lease.valid_epoch(1_400, Some(1_400), VALIDITY_MS), Some(5));
+}
+
 #[rstest]
 #[case::never_head(&[Fence(5_000, Some(5_000), None)])]
 #[case::first_view(&[Begin(1_000, 1, true), Fence(1_000, Some(1_000), Some(1))])]
@@ -342,7 +358,7 @@
     let mut lease = RoleLease::default();
     for step in steps {
         match *step {
-            Begin(now, epoch, was_head) => lease.acquire(now, epoch, was_head, LEASE_MS),
+            Begin(now, epoch, was_head) => lease.acquire(now, epoch, was_head, wait_for(LEASE_MS)),
             End => lease.release(),
             Fence(now, confirmed, expected) => {
                 assert_eq!(lease.valid_epoch(now, confirmed, VALIDITY_MS), expected, "at {now}");
@@ -357,9 +373,9 @@
 fn two_holders_never_overlap(#[values(0, 1, 300, 449, 450, 2_000)] frozen: u64) {
     let (decided, confirmed) = (10_000, 9_999);
     let mut first = RoleLease::default();
-    first.acquire(1_000, 1, true, LEASE_MS);
+    first.acquire(1_000, 1, true, wait_for(LEASE_MS));
     let mut second = RoleLease::default();
-    second.acquire(decided, 2, false, LEASE_MS);
+    second.acquire(decided, 2, false, wait_for(LEASE_MS));
     for now in decided..decided + 10_000 {
         let old = first.valid_epoch(now + frozen, Some(confirmed), VALIDITY_MS);
         let new = second.valid_epoch(now, Some(now), VALIDITY_MS);
@@ -373,7 +389,7 @@
 fn the_last_order_of_a_holder_arrives_a_lease_before_the_first_of_the_next() {
     let (decided, confirmed) = (10_000, 9_999);
     let mut first = RoleLease::default();
-    first.acquire(1_000, 1, true, LEASE_MS);
+    first.acquire(1_000, 1, true, wait_for(LEASE_MS));
     let given = (confirmed..decided + LEASE_MS)
         .filter(|now| first.valid_epoch(*now, Some(confirmed), ORDER_VALIDITY_MS).is_some())
         .max()
@@ -381,7 +397,7 @@
     let sent_again = ConnectionUse::New.user_timeout().as_millis() as u64;
     let arrives = given + CONNECT_TIMEOUT_MS + sent_again;
     let mut second = RoleLease::default();
-    second.acquire(decided, 2, false, LEASE_MS + ORDER_ARRIVAL_MS);
+    second.acquire(decided, 2, false, wait_for(LEASE_MS + ORDER_ARRIVAL_MS));
     let next = (decided..decided + 3 * LEASE_MS)
         .find(|now| second.valid_epoch(*now, Some(*now), ORDER_VALIDITY_MS).is_some())
         .expect("it gives orders in the end");
