--- a/crates/testbed/src/application_server.rs
+++ b/crates/testbed/src/application_server.rs
@@ -162,6 +162,13 @@
                 after_event: 0,
                 tenant: queued.request.headers.combined("Tenant"),
             });
+            if let Some(tenant) = queued.request.headers.get("Tenant") {
+                out.observations.push(Observation::TenantRequestStarted {
+                    id: queued.id.clone(),
+                    tenant: tenant.to_owned(),
+                    is_stream: false,
+                });
+            }
             let work_ms = self.random.random_range(self.settings.work_ms.clone());
             self.running.push(Execution { queued, number, done_at: now + work_ms });
         }
--- a/crates/testbed/src/model_server/server.rs
+++ b/crates/testbed/src/model_server/server.rs
@@ -243,8 +243,12 @@
             target: queued.target,
             body: queued.body,
             after_event: queued.after_event,
-            tenant: queued.tenant,
+            tenant: queued.tenant.clone(),
         });
+        if let Some(tenant) = queued.tenant.filter(|_| queued.after_event == 0) {
+            let id = queued.id.clone();
+            out.observations.push(Observation::TenantRequestStarted { id, tenant, is_stream: true });
+        }
         let prefill_ms = queued.prompt_tokens / self.settings.prefill_tokens_per_ms.max(1);
         self.work.running.push(Generation {
             connection: queued.connection,
--- a/crates/testbed/tests/command_line.rs
+++ b/crates/testbed/tests/command_line.rs
@@ -15,7 +15,7 @@
     "--keep",
 ];
 
-const FAULTS: [&str; 38] = [
+const FAULTS: [&str; 47] = [
     "kill-store",
     "kill-control",
     "kill-door",
@@ -54,6 +54,15 @@
     "revoke-key",
     "revoke-last-key",
     "unknown-keys",
+    "platform-slow",
+    "platform-silent",
+    "platform-busy",
+    "platform-reset",
+    "platform-cut-off",
+    "kill-leader",
+    "freeze-leader",
+    "cut-leader",
+    "freeze-leader-platform-silent",
 ];
 
 fn run(arguments: &[&str]) -> Output {
