Scaling: planner without I/O, delivery of orders and the singleton role

Nobody ordered numbers of servers (POST /scaling), so services with bounds kept what they had at the start. load_summaries keeps what processes report, demand_window the last 20 s of it, scaling_planner decides, scaling_orders delivers one call a service and zone at a time, singleton_roles/scaling sends under the lease. Active only with the duty autoscaling.

--- a/crates/control-plane/src/lib.rs
+++ b/crates/control-plane/src/lib.rs
@@ -8,10 +8,12 @@
 //! [`node`] is the state machine of one control node and does no I/O. [`process`] connects it with sockets and disk;
 //! [`observer`] is the process of a machine without a disk.
 
+pub mod demand_window;
 pub mod discovery;
 pub mod disk_hang;
 pub mod disk_records;
 pub mod http_client;
+pub mod load_summaries;
 pub mod node;
 pub mod observer;
 pub mod operator_api;
@@ -22,6 +24,8 @@
 pub mod redirector;
 pub mod replicated_log;
 pub mod role_lease;
+pub mod scaling_orders;
+pub mod scaling_planner;
 pub mod session_balance;
 pub mod sessions;
 pub mod singleton_roles;
--- a/crates/control-plane/src/process/connections.rs
+++ b/crates/control-plane/src/process/connections.rs
@@ -6,7 +6,8 @@
 use orchidvalve_protocol::frames::{FrameError, read_frame};
 use orchidvalve_protocol::identity::{MemberId, NodeAddress};
 use orchidvalve_protocol::messages::{
-    ControlMessage, FeedPosition, Handshake, LinkProtocol, PROTOCOL_VERSION, Role, SessionMessage,
+    ControlMessage, FeedPosition, Handshake, LinkProtocol, PROTOCOL_VERSION, Role, ServiceLoad,
+    SessionMessage,
 };
 
 use super::Process;
@@ -237,7 +238,10 @@
             PeerMessage::LearnerCaughtUp { partition, epoch, member } => {
                 self.roles.learner_caught_up(partition, epoch, member);
             }
-            PeerMessage::Usage { .. } | PeerMessage::Load { .. } => {}
+            PeerMessage::Usage { .. } => {}
+            PeerMessage::Load { incarnation, loads } => {
+                self.roles.record_load(incarnation, loads, self.now);
+            }
         }
     }
 
@@ -276,12 +280,25 @@
                 // Nobody waits for the outcome: gateways report it again with the next job.
                 self.submit_unattended(&Change::RecordModelUsage { model, usage });
             }
-            SessionMessage::ReportUsage { .. } | SessionMessage::ReportLoad { .. } => {}
+            SessionMessage::ReportUsage { .. } => {}
+            SessionMessage::ReportLoad { loads } => self.load_reported(connection, loads),
             SessionMessage::Goodbye => return Disposition::Drop,
         }
         Disposition::Keep
     }
 
+    /// A process has reported its work: the head is told.
+    fn load_reported(&mut self, connection: ConnectionId, loads: Vec<ServiceLoad>) {
+        let Some(incarnation) = self.subscribers.incarnation(connection) else { return };
+        match self.head {
+            Some(head) if head.member != self.me() => {
+                let message = PeerMessage::Load { incarnation, loads };
+                self.links.send(&mut self.network, head.member.address, &message);
+            }
+            _ => self.roles.record_load(incarnation, loads, self.now),
+        }
+    }
+
     /// Opens a session, or refers the process to the other control nodes if this one has no quorum.
     fn open_session(
         &mut self,
--- a/crates/control-plane/src/process/mod.rs
+++ b/crates/control-plane/src/process/mod.rs
@@ -73,6 +73,10 @@
     pub lease_ms: Milliseconds,
     /// Time from the return of a machine until the next one may be lost, in milliseconds.
     pub catch_up_ms: Milliseconds,
+    /// What the system may do through the platform's interface, by the names in the settings.
+    pub duties: Vec<String>,
+    /// Calls of singleton duties a second that the platform takes from all nodes together.
+    pub duty_per_s: f64,
 }
 
 impl ControlOptions {
@@ -99,6 +103,8 @@
             platform: self.platform,
             lease_ms: self.lease_ms,
             tolerance: self.tolerance,
+            duties: self.duties.clone(),
+            duty_per_s: self.duty_per_s,
         }
     }
 }
@@ -391,6 +397,8 @@
         let (network, table) = (&mut self.network, &mut self.servers);
         let update = self.roles.order_weights(network, state, confirmed_at, table, self.now);
         let update = update.or_else(|| self.roles.publish_if_due(table, self.now));
+        // Last of the calls of duties: the others are more urgent.
+        self.roles.scale_services(network, state, &self.sessions, confirmed_at, self.now);
         if self.roles.may_act(self.now, confirmed_at) {
             self.node.persist_leadership();
         }
--- a/crates/control-plane/src/singleton_roles/mod.rs
+++ b/crates/control-plane/src/singleton_roles/mod.rs
@@ -1,5 +1,5 @@
-//! The singleton roles of the head of the control chain: reading the platform's list, placing partitions and ordering
-//! new weights.
+//! The singleton roles of the head of the control chain: reading the platform's list, placing partitions, ordering
+//! new weights and scaling services.
 //!
 //! Another node has them as soon as it is the head, and every start of a head has a term of its own, higher than all
 //! before ([`crate::node::ControlNode::leadership_term`]): server tables and orders bear it.
@@ -8,6 +8,7 @@
 mod list_polling;
 mod order_sender;
 mod partition_placement;
+mod scaling;
 
 use std::net::SocketAddrV4;
 
@@ -17,14 +18,17 @@
 use orchidvalve_protocol::messages::ServerTableUpdate;
 use orchidvalve_protocol::server_table::ServerTable;
 
+use self::duty_calls::CallPacing;
 use self::list_polling::{ListPolling, PolledPage};
 use self::order_sender::{Rollout, is_order_in_progress};
 use self::partition_placement::PlacementRole;
+use self::scaling::ScalingRole;
 use crate::discovery::REQUEST_TIMEOUT_MS;
 use crate::http_client::{
     CONNECT_TIMEOUT_MS, CompletedExchange, ConnectionUse, ExchangeTarget, HttpClient, NEW_USER_TIMEOUT_MS,
 };
 use crate::role_lease::RoleLease;
+use crate::scaling_planner::ScalingOrder;
 use crate::weight_rollout::{LoadOrder, OrderOutcome};
 
 pub use self::partition_placement::{may_retire, registrations};
@@ -55,6 +59,8 @@
         /// The server that is asked.
         instance: String,
     },
+    /// An order to the platform.
+    Scaling(ScalingOrder),
 }
 
 /// Facts that the singleton roles go by.
@@ -68,6 +74,10 @@
     pub lease_ms: Milliseconds,
     /// Store nodes that may be lost at once.
     pub tolerance: usize,
+    /// What the system may do through the platform's interface, by the names in the settings.
+    pub duties: Vec<String>,
+    /// Calls of singleton duties a second that the platform takes from all nodes together.
+    pub duty_per_s: f64,
 }
 
 /// Since when this node has been the head, and what it may do as such.
@@ -89,6 +99,8 @@
     list: ListPolling,
     rollout: Rollout,
     placement: PlacementRole,
+    scaling: ScalingRole,
+    duty_pacing: CallPacing,
     publication: Publication,
 }
 
@@ -120,6 +132,7 @@
     /// The roles of a node that isn't the head yet.
     pub fn new(options: SingletonRoleOptions) -> SingletonRoles {
         SingletonRoles {
+            duty_pacing: CallPacing::new(options.duty_per_s),
             options,
             client: HttpClient::default(),
             tenure: Tenure::default(),
@@ -127,6 +140,7 @@
             list: ListPolling::default(),
             rollout: Rollout::default(),
             placement: PlacementRole::default(),
+            scaling: ScalingRole::default(),
             publication: Publication::default(),
         }
     }
@@ -140,6 +154,7 @@
             self.rollout.stop();
             self.list.stop();
             self.placement.forget_losses();
+            self.scaling.stop();
             self.publication = Publication::default();
             return;
         }
@@ -187,7 +202,8 @@
         let rollout = self.rollout.next_wakeup().unwrap_or(u64::MAX);
         let deadline = self.client.next_deadline().unwrap_or(u64::MAX);
         let publication = self.tenure.term.and_then(|_| self.publication.due_at()).unwrap_or(u64::MAX);
-        rollout.min(deadline).min(self.list.next_wakeup()).min(publication)
+        let scaling = self.next_scaling();
+        rollout.min(deadline).min(self.list.next_wakeup()).min(publication).min(scaling)
     }
 
     /// Whether this connection carries an exchange of a singleton role.
@@ -256,6 +272,10 @@
                 self.probe_answered(network, &instance, is_busy, now);
                 None
             }
+            ExchangePurpose::Scaling(order) => {
+                self.scaling_answered(&order, status, now);
+                None
+            }
             ExchangePurpose::ListPage { read_number } if read_number != self.list.read_number() => None,
             ExchangePurpose::ListPage { .. } => {
                 let can_publish = self.tenure.term.is_some();
--- a/crates/control-plane/src/singleton_roles/order_sender.rs
+++ b/crates/control-plane/src/singleton_roles/order_sender.rs
@@ -43,6 +43,11 @@
         self.planner.next_wakeup()
     }
 
+    /// Whether weights are being loaded onto a server.
+    pub(super) fn is_loading(&self, now: Milliseconds, instance: &str) -> bool {
+        self.planner.is_loading(now, instance)
+    }
+
     /// Models of a server and the versions that it holds, but those that are being loaded: these take no requests, so
     /// gateways shouldn't try.
     pub(super) fn available_models(&self, server: &ServerEntry, now: Milliseconds) -> Vec<(String, u64)> {
--- a/crates/control-plane/src/subscribers.rs
+++ b/crates/control-plane/src/subscribers.rs
@@ -104,6 +104,11 @@
         session
     }
 
+    /// The incarnation of the process whose session this connection carries, if it does.
+    pub fn incarnation(&self, connection: ConnectionId) -> Option<u64> {
+        self.subscribers.get(&connection).map(|subscriber| subscriber.session.incarnation)
+    }
+
     /// A heartbeat was received, and is answered. The session if its facts changed.
     pub fn heartbeat_received(
         &mut self,
--- a/crates/control-plane/src/weight_rollout.rs
+++ b/crates/control-plane/src/weight_rollout.rs
@@ -216,7 +216,8 @@
             .is_some_and(|progress| matches!(progress.stage, OrderStage::BackingOff { until } if now < until))
     }
 
-    fn is_loading(&self, now: Milliseconds, instance: &str) -> bool {
+    /// Whether an order is in progress at a server.
+    pub fn is_loading(&self, now: Milliseconds, instance: &str) -> bool {
         let start = OrderKey::new(instance, "");
         let of_server = self.progress.range(start..).take_while(|(key, _)| key.instance == instance);
         of_server.into_iter().any(|(_, progress)| progress.is_loading(now))
--- a/crates/control-plane/tests/golden_duties.rs
+++ b/crates/control-plane/tests/golden_duties.rs
@@ -297,8 +297,14 @@
 /// The role of placement as the head does it, by sessions that come and go: changes of the control state, what it says
 /// to retirements, and who registers.
 fn do_placement_duty(random: &mut Pcg64Mcg, trace: &mut Trace) {
-    let options =
-        SingletonRoleOptions { name: "control".to_owned(), platform: None, lease_ms: 1_000, tolerance: 1 };
+    let options = SingletonRoleOptions {
+        name: "control".to_owned(),
+        platform: None,
+        lease_ms: 1_000,
+        tolerance: 1,
+        duties: Vec::new(),
+        duty_per_s: 10.0,
+    };
     let mut duties = SingletonRoles::new(options);
     let (mut sessions, mut state, mut now) = (SessionTable::default(), ControlState::default(), 1_000);
     duties.view_changed(now, 1, true, random.random_bool(0.5));
--- a/crates/control-plane/tests/golden_requests.rs
+++ b/crates/control-plane/tests/golden_requests.rs
@@ -86,6 +86,8 @@
         platform: Some(platform_address),
         lease_ms: LEASE_MS,
         tolerance: 1,
+        duties: Vec::new(),
+        duty_per_s: 10.0,
     };
     let mut duties = SingletonRoles::new(options);
     duties.view_changed(SINCE, 1, true, true);
--- a/crates/control-plane/tests/graceful_shutdown_support/mod.rs
+++ b/crates/control-plane/tests/graceful_shutdown_support/mod.rs
@@ -44,6 +44,8 @@
         platform: None,
         lease_ms: 1_000,
         catch_up_ms: 4_400,
+        duties: Vec::new(),
+        duty_per_s: 10.0,
     }
 }
 
--- a/crates/control-plane/tests/role_discovery.rs
+++ b/crates/control-plane/tests/role_discovery.rs
@@ -35,6 +35,8 @@
             platform: Some(address),
             lease_ms: 1_000,
             tolerance: 1,
+            duties: Vec::new(),
+            duty_per_s: 10.0,
         };
         let mut duties = SingletonRoles::new(options);
         duties.view_changed(SINCE, 1, true, false);
--- a/crates/control-plane/tests/role_placement.rs
+++ b/crates/control-plane/tests/role_placement.rs
@@ -49,8 +49,14 @@
 }
 
 fn duties() -> SingletonRoles {
-    let options =
-        SingletonRoleOptions { name: "control".to_owned(), platform: None, lease_ms: 1_000, tolerance: 1 };
+    let options = SingletonRoleOptions {
+        name: "control".to_owned(),
+        platform: None,
+        lease_ms: 1_000,
+        tolerance: 1,
+        duties: Vec::new(),
+        duty_per_s: 10.0,
+    };
     let mut duties = SingletonRoles::new(options);
     duties.view_changed(SINCE, 1, true, false);
     duties
--- a/crates/control-plane/tests/role_weight_rollout.rs
+++ b/crates/control-plane/tests/role_weight_rollout.rs
@@ -46,6 +46,8 @@
             platform: Some(platform_address),
             lease_ms: LEASE_MS,
             tolerance: 1,
+            duties: Vec::new(),
+            duty_per_s: 10.0,
         };
         let mut duties = SingletonRoles::new(options);
         duties.view_changed(SINCE, 1, true, true);
--- a/crates/control-plane/tests/support/order_roles.rs
+++ b/crates/control-plane/tests/support/order_roles.rs
@@ -22,8 +22,14 @@
 
 impl OrderRole {
     fn new(lease_ms: u64) -> OrderRole {
-        let options =
-            SingletonRoleOptions { name: "control".to_owned(), platform: None, lease_ms, tolerance: 1 };
+        let options = SingletonRoleOptions {
+            name: "control".to_owned(),
+            platform: None,
+            lease_ms,
+            tolerance: 1,
+            duties: Vec::new(),
+            duty_per_s: 10.0,
+        };
         OrderRole { roles: SingletonRoles::new(options), head: None }
     }
 }
--- a/crates/server/tests/placement_simulation/mod.rs
+++ b/crates/server/tests/placement_simulation/mod.rs
@@ -76,6 +76,8 @@
         platform: None,
         lease_ms: 1_000,
         tolerance: COPIES - 1,
+        duties: Vec::new(),
+        duty_per_s: 10.0,
     };
     let mut roles = SingletonRoles::new(options);
     roles.view_changed(now, 1, true, false);
