Gateways and stores report their work at the servers of scaled services

The head has to know what runs and waits to scale services. Waiting reward calls aren't counted: they have no service until sent.

--- a/crates/batch-store/src/active_job.rs
+++ b/crates/batch-store/src/active_job.rs
@@ -104,6 +104,12 @@
         self.started_groups() < self.groups.len() as u32
     }
 
+    /// Items without a result of up to `max_groups` groups that wait for a gateway.
+    pub fn unassigned_items(&self, max_groups: u32) -> u32 {
+        let waiting = self.groups.iter().skip(self.first_unassigned).filter(|group| group.is_unassigned());
+        waiting.take(max_groups as usize).map(Group::missing_results).sum()
+    }
+
     /// Index of an item in the job.
     pub fn item_index(&self, item: &str) -> Option<u32> {
         self.item_indices.get(item).copied()
--- a/crates/batch-store/src/dispatch.rs
+++ b/crates/batch-store/src/dispatch.rs
@@ -104,6 +104,12 @@
     }
 }
 
+/// Items of a job that wait for a gateway and are needed, whatever else fails.
+pub(crate) fn undispatched_items(active: &ActiveJob) -> u32 {
+    let max_started = max_started_groups(active, Purpose::Required);
+    active.unassigned_items(max_started.saturating_sub(active.started_groups()))
+}
+
 fn dispatch_job(
     active: &mut ActiveJob,
     candidate: &Candidate,
--- a/crates/batch-store/src/lib.rs
+++ b/crates/batch-store/src/lib.rs
@@ -35,7 +35,7 @@
 pub use messages::PeerMessage;
 pub use output::Output;
 pub use record::DiskRecord;
-pub use store::{Store, StoreSettings};
+pub use store::{Store, StoreSettings, UndispatchedItems};
 pub use timestamp::Timestamp;
 
 // What `Store::new` takes: hosts needn't depend on the write-ahead log for it.
--- a/crates/batch-store/src/process.rs
+++ b/crates/batch-store/src/process.rs
@@ -2,6 +2,7 @@
 
 mod disk_progress;
 mod incoming;
+mod load_reports;
 
 use std::rc::Rc;
 use std::sync::Arc;
@@ -9,7 +10,7 @@
 
 use orchidvalve_bootstrap::{MachineOptions, ProcessError, StartedProcess};
 use orchidvalve_configuration::RouteTable;
-use orchidvalve_control_client::FeedClient;
+use orchidvalve_control_client::{FeedClient, LoadReports};
 use orchidvalve_net::clock::Clock;
 use orchidvalve_net::{ConnectionId, Event, Network};
 use orchidvalve_protocol::frames::write_frame;
@@ -82,6 +83,7 @@
     /// Version of the configuration that the store goes by.
     configuration: u64,
     disk_progress: DiskProgress,
+    load_reports: LoadReports,
     grace_ms: u64,
     /// Set once the process was requested to stop.
     shutdown: Option<GracefulShutdown>,
@@ -141,6 +143,7 @@
             incoming: IncomingLinks::default(),
             configuration: 0,
             disk_progress: DiskProgress::new(now),
+            load_reports: LoadReports::default(),
             grace_ms: options.machine.grace_ms,
             shutdown: None,
             now,
@@ -254,6 +257,7 @@
             self.store.peer_disconnected(member);
         }
         self.input(Store::tick);
+        self.report_load();
     }
 
     fn advance_disk(&mut self) {
--- a/crates/batch-store/src/store.rs
+++ b/crates/batch-store/src/store.rs
@@ -3,6 +3,7 @@
 mod gateway_calls;
 mod maintenance;
 mod results;
+mod undispatched;
 mod views;
 
 use std::collections::{BTreeMap, BTreeSet};
@@ -15,6 +16,7 @@
 use orchidvalve_protocol::messages::{GatewayMessage, Handshake, StoreHealth, StoreMessage};
 use orchidvalve_wal::{Position, Record};
 
+pub use self::undispatched::UndispatchedItems;
 use crate::dispatch;
 use crate::effect::{Effect, PartitionEffect, Sinks};
 use crate::gateways::{GatewayId, GatewayTable, LinkStatus};
--- a/crates/control-client/src/lib.rs
+++ b/crates/control-client/src/lib.rs
@@ -2,8 +2,10 @@
 //! replica of the control state and of the server table that the feed keeps up to date.
 
 mod candidates;
+mod load_reports;
 mod replica;
 mod session;
 
+pub use load_reports::LoadReports;
 pub use replica::{FeedError, FeedReplica, FeedUpdate};
 pub use session::FeedClient;
--- a/crates/data-plane/src/balancer/mod.rs
+++ b/crates/data-plane/src/balancer/mod.rs
@@ -143,6 +143,12 @@
         best.map(|(upstream, _)| upstream.key)
     }
 
+    /// Exchanges of this gateway with all servers of a service.
+    pub fn in_flight(&self, service: &str) -> u32 {
+        let keys = self.by_service.get(service).into_iter().flatten();
+        keys.filter_map(|key| self.upstreams.get(key)).map(|upstream| upstream.in_flight).sum()
+    }
+
     /// An exchange with the server begins.
     pub fn begin_exchange(&mut self, key: ServerKey) {
         if let Some(upstream) = self.upstreams.get_mut(&key) {
--- a/crates/data-plane/src/gateway/mod.rs
+++ b/crates/data-plane/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod client_requests;
 mod control_updates;
 mod generation_work;
+mod load_reports;
 mod partition_heads;
 pub mod shutdown;
 mod upstream_io;
@@ -16,7 +17,7 @@
 
 use derive_more::{Display, Error, From};
 use orchidvalve_configuration::RouteTable;
-use orchidvalve_control_client::FeedClient;
+use orchidvalve_control_client::{FeedClient, LoadReports};
 use orchidvalve_net::clock::Clock;
 use orchidvalve_net::{ConnectionId, Event, Network};
 use orchidvalve_protocol::identity::{MemberId, NodeAddress, random_incarnation};
@@ -111,6 +112,7 @@
     calls: BatchCalls,
     runner: Runner,
     work: Work,
+    load_reports: LoadReports,
     shutdown_since: Option<u64>,
     /// Since when no session with a control node stands.
     session_lost_since: Option<u64>,
@@ -184,6 +186,7 @@
             calls: BatchCalls::default(),
             runner,
             work: Work::default(),
+            load_reports: LoadReports::default(),
             shutdown_since: None,
             session_lost_since: None,
             now,
@@ -291,6 +294,7 @@
         }
         self.return_unservable();
         self.send_outcomes();
+        self.report_load();
         self.close_expired_clients();
     }
 }
--- a/crates/data-plane/src/generations/runner/mod.rs
+++ b/crates/data-plane/src/generations/runner/mod.rs
@@ -130,6 +130,11 @@
         self.groups.len()
     }
 
+    /// The number of generations that wait for a server of a service.
+    pub fn waiting_generations(&self, service: &str) -> usize {
+        self.servers.known_pool(service).map_or(0, |pool| self.scheduler.pending(pool))
+    }
+
     /// The number of attempts in flight, reward calls included.
     pub fn in_flight(&self) -> usize {
         self.attempts.len() + self.rewards.in_flight()
--- a/crates/data-plane/src/generations/servers/mod.rs
+++ b/crates/data-plane/src/generations/servers/mod.rs
@@ -117,6 +117,11 @@
         intern(&mut self.services, service, PoolKey)
     }
 
+    /// The pool of a service, if any of its servers or generations were known.
+    pub fn known_pool(&self, service: &str) -> Option<PoolKey> {
+        self.services.get(service).copied()
+    }
+
     /// The key of a model.
     pub fn model(&mut self, name: &CompactString) -> ModelKey {
         intern(&mut self.models, name, ModelKey)
--- a/crates/data-plane/src/requests/mod.rs
+++ b/crates/data-plane/src/requests/mod.rs
@@ -69,6 +69,12 @@
         self.pending.len()
     }
 
+    /// The number of pending requests for a service that have no attempt in flight.
+    pub fn waiting(&self, service: &str) -> usize {
+        let of_service = self.pending.values().filter(|pending| pending.service() == service);
+        of_service.filter(|pending| pending.attempts_in_flight() == 0).count()
+    }
+
     /// The request as received from the client.
     pub fn request(&self, id: RequestId) -> Option<&Arc<Request>> {
         self.pending.get(&id).map(|pending| &pending.request)
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -203,6 +203,11 @@
         pool.map_or(0, |pool| pool.servers.in_flight(server))
     }
 
+    /// The number of generations that wait for a server of a pool.
+    pub fn pending(&self, pool: PoolKey) -> usize {
+        self.pools.get(&pool).map_or(0, |pool| pool.pending.len())
+    }
+
     /// Whether a generation waits for a server.
     pub fn has_pending(&self) -> bool {
         self.pools.values().any(|pool| !pool.pending.is_empty())
