--- a/crates/control-plane/src/scaling_planner.rs
+++ b/crates/control-plane/src/scaling_planner.rs
@@ -1,9 +1,10 @@
 //! Decides how many servers each service is to have in each zone, where its configuration bounds that number.
 //!
 //! Servers are paid by the second, but work that isn't done in time costs far more. So the planner begins with the
-//! servers that are there, adds some as soon as work can't be begun in time, and takes one away at a time, only after
-//! the busiest moment of the last seconds would have had room on the rest. Where it lacks facts it leaves things as they
-//! are. Nothing can be read back from the platform: what is desired in a zone is what was ordered last or, before the
+//! servers that are there, adds some as soon as work can't be begun in time, and takes one away at a time, only if the
+//! busiest moment of the last seconds would have had room on the rest, and for those that were there at the beginning the
+//! busiest of the last minutes. Where it lacks facts it leaves things as they are: also a service that had nothing to do
+//! yet. What it took away it orders back at the first sign of need. Nothing can be read back from the platform: what is desired in a zone is what was ordered last or, before the
 //! first order, the most servers that were seen there.
 //!
 //! The planner does no I/O: its owner has the orders delivered ([`crate::scaling_orders`]).
@@ -45,6 +46,8 @@
 const MIN_PILE_UP_GROWTH: f64 = 1.25;
 /// Of the slots that stay when a server is taken away, this share may have been taken at the busiest moment.
 const TARGET_UTILIZATION: f64 = 0.7;
+/// Servers that were taken away are ordered back at once when more than this share of the slots is taken.
+const RESTORING_UTILIZATION: f64 = 0.85;
 
 /// Bounds of the number of servers of a service in each zone.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -100,6 +103,8 @@
     /// What is desired by the last order in this tenure, or else the most that were available.
     desired: u32,
     is_ordered: bool,
+    /// The most that were available before the first order.
+    at_beginning: u32,
 }
 
 /// What is known of one service since this node became the head. Times are in milliseconds.
@@ -196,7 +201,7 @@
             self.hold_removals(now + ROLLOUT_HOLD_MS);
         }
         if self.window.newest().is_some_and(|newest| now > newest.at + MAX_GAP_MS) {
-            self.window.clear();
+            self.window.begin_anew();
         }
         let demand = input.demand.get(service).copied().unwrap_or_default();
         self.window.push(DemandSample { at: now, demand, slots });
@@ -218,6 +223,7 @@
             }
         }
         for zone in self.zones.values_mut().filter(|zone| !zone.is_ordered) {
+            zone.at_beginning = zone.at_beginning.max(zone.available);
             zone.desired = zone.desired.max(zone.available);
         }
         slots
@@ -236,7 +242,10 @@
             zones.extend(self.keep_in_bounds(is_changed));
         }
         if age_ms >= self.effect_ms() && now >= self.refusal_hold_until {
-            zones.extend(self.add_servers(now));
+            zones.extend(self.restore_servers(now));
+            if zones.is_empty() {
+                zones.extend(self.add_servers(now));
+            }
             if zones.is_empty() && age_ms >= SETTLE_MS {
                 zones.extend(self.remove_server(now));
             }
@@ -272,6 +281,29 @@
         changed.collect()
     }
 
+    /// Orders back what was taken away as soon as the rest is nearly full.
+    fn restore_servers(&mut self, now: Milliseconds) -> Vec<String> {
+        let is_nearly_full = |newest: &DemandSample| {
+            f64::from(newest.demand.outstanding()) > f64::from(newest.slots) * RESTORING_UTILIZATION
+        };
+        let newest = self.window.newest().filter(|newest| newest.at == now);
+        if !newest.is_some_and(is_nearly_full) {
+            return Vec::new();
+        }
+        let bounds = self.bounds;
+        let goal = |zone: &ZoneState| bounds.clamp(zone.at_beginning);
+        let reduced = self.zones.iter_mut().filter(|(_, zone)| zone.is_ordered && zone.desired < goal(zone));
+        let restored = reduced.map(|(name, zone)| {
+            zone.desired = goal(zone);
+            name.clone()
+        });
+        let zones: Vec<String> = restored.collect();
+        if !zones.is_empty() {
+            self.added_at = Some(now);
+        }
+        zones
+    }
+
     /// Adds servers where work can't be begun in time.
     fn add_servers(&mut self, now: Milliseconds) -> Vec<String> {
         let Some(growth) = self.wanted_growth(now) else { return Vec::new() };
@@ -342,8 +374,16 @@
         self.zones.values().all(|zone| zone.available == zone.desired)
     }
 
-    /// Whether one server less would have had room for the busiest moment of the window, and just enough without the
-    /// largest zone, too.
+    /// The most that was to do at one time, within the time that counts for taking a server away: it is longer for those
+    /// that were there at the beginning. None if nothing was to do yet.
+    fn decisive_peak(&self) -> Option<u32> {
+        let at_beginning: u32 = self.zones.values().map(|zone| zone.at_beginning).sum();
+        let remembered = self.window.remembered_peak();
+        let is_added = self.available() > at_beginning;
+        (remembered > 0).then(|| if is_added { self.window.peak() } else { remembered })
+    }
+
+    /// Whether one server less would have had room for the busiest moment, and just enough without the largest zone, too.
     fn has_spare_server(&self) -> bool {
         let (Some(newest), available) = (self.window.newest(), self.available()) else { return false };
         if available < 2 {
@@ -351,7 +391,7 @@
         }
         let slots_per_server = f64::from(newest.slots) / f64::from(available);
         let slots_left = |servers: u32| f64::from(servers) * slots_per_server;
-        let peak = f64::from(self.window.peak());
+        let Some(peak) = self.decisive_peak().map(f64::from) else { return false };
         let largest_zone = self.zones.values().map(|zone| zone.available).max().unwrap_or(0);
         let has_several_zones = self.zones.values().filter(|zone| zone.available > 0).count() > 1;
         let left = available - 1;
--- /dev/null
+++ b/crates/control-plane/tests/demand_window.rs
@@ -0,0 +1,89 @@
+//! The window of demand: peaks, memory, speed, and work that piles up.
+
+use orchidvalve_control_plane::demand_window::{DemandSample, DemandWindow, MEMORY_MS, WINDOW_MS};
+use orchidvalve_control_plane::load_summaries::ServiceDemand;
+
+const SLOTS: u32 = 100;
+const STEP_MS: u64 = 250;
+
+fn push(window: &mut DemandWindow, at: u64, running: u32, waiting: u32) {
+    window.push(DemandSample { at, demand: ServiceDemand { running, waiting }, slots: SLOTS });
+}
+
+/// Samples from `from` to before `to`, of work that `outstanding` gives.
+fn fill(window: &mut DemandWindow, from: u64, to: u64, outstanding: impl Fn(u64) -> u32) {
+    for at in (from..to).step_by(STEP_MS as usize) {
+        let outstanding = outstanding(at);
+        push(window, at, outstanding.min(SLOTS), outstanding.saturating_sub(SLOTS));
+    }
+}
+
+#[test]
+fn the_peak_leaves_the_window_and_stays_in_the_memory() {
+    let mut window = DemandWindow::default();
+    push(&mut window, 0, 90, 5);
+    fill(&mut window, STEP_MS, WINDOW_MS, |_| 10);
+    assert_eq!((window.peak(), window.is_full(WINDOW_MS)), (95, true));
+    fill(&mut window, WINDOW_MS, WINDOW_MS + 1_000, |_| 10);
+    assert_eq!((window.peak(), window.remembered_peak()), (10, 95));
+    fill(&mut window, WINDOW_MS + 1_000, MEMORY_MS + 20_000, |_| 10);
+    assert_eq!(window.remembered_peak(), 10);
+}
+
+#[test]
+fn after_a_gap_the_window_is_covered_anew_and_the_memory_stays() {
+    let mut window = DemandWindow::default();
+    fill(&mut window, 0, WINDOW_MS + 1, |_| 50);
+    assert!(window.is_full(WINDOW_MS));
+    window.begin_anew();
+    push(&mut window, WINDOW_MS + 5_000, 1, 0);
+    assert!(!window.is_full(WINDOW_MS + 5_000 + WINDOW_MS - 1));
+    assert!(window.is_full(WINDOW_MS + 5_000 + WINDOW_MS));
+    assert_eq!((window.peak(), window.remembered_peak()), (1, 50));
+}
+
+#[test]
+fn the_wait_is_projected_from_how_fast_work_became_less() {
+    let mut window = DemandWindow::default();
+    // 200 a second on 100 slots.
+    fill(&mut window, 0, 3_000, |at| 700 - (at / 5) as u32);
+    assert_eq!(window.newest().map(|newest| newest.demand.outstanding()), Some(150));
+    push(&mut window, 3_000, 100, 1_000);
+    let wait_ms = window.projected_wait_ms().unwrap();
+    assert!((wait_ms - 5_000.0).abs() < 1.0, "{wait_ms}");
+}
+
+#[test]
+fn no_wait_is_projected_while_nothing_waits_or_no_work_ended() {
+    let mut window = DemandWindow::default();
+    fill(&mut window, 0, 5_000, |_| 90);
+    assert_eq!(window.projected_wait_ms(), None);
+    fill(&mut window, 5_000, 7_000, |_| 500);
+    assert_eq!(window.projected_wait_ms(), None, "it isn't known how fast the servers are");
+}
+
+#[test]
+fn work_that_waits_while_servers_are_free_calls_for_none() {
+    let mut window = DemandWindow::default();
+    for at in (0..10_000).step_by(STEP_MS as usize) {
+        push(&mut window, at, 30, 500 - (at / 100) as u32);
+    }
+    assert_eq!(window.projected_wait_ms(), None);
+    assert!(!window.is_piling_up(9_750));
+}
+
+#[test]
+fn work_piles_up_only_if_it_never_fits_and_does_not_become_less() {
+    let mut rising = DemandWindow::default();
+    fill(&mut rising, 0, 6_000, |at| 150 + (at / 100) as u32);
+    assert!(rising.is_piling_up(5_750));
+    let mut falling = DemandWindow::default();
+    fill(&mut falling, 0, 6_000, |at| 300 - (at / 100) as u32);
+    assert!(!falling.is_piling_up(5_750));
+    let mut interrupted = DemandWindow::default();
+    fill(&mut interrupted, 0, 6_000, |at| if at == 3_000 { 80 } else { 200 });
+    assert!(!interrupted.is_piling_up(5_750));
+    let mut short = DemandWindow::default();
+    fill(&mut short, 2_000, 6_000, |_| 200);
+    assert!(!short.is_piling_up(5_750), "it hasn't been seen for long enough");
+}
