--- a/crates/control-plane/src/scaling_planner.rs
+++ b/crates/control-plane/src/scaling_planner.rs
@@ -93,6 +93,8 @@
     pub is_demand_complete: bool,
     /// Services on whose servers weights are being loaded.
     pub rolling_out: &'a BTreeSet<String>,
+    /// Services with orders that the platform hasn't confirmed.
+    pub unconfirmed: &'a BTreeSet<String>,
 }
 
 /// Servers of one service in one zone.
@@ -190,16 +192,26 @@
     /// Takes in the newest list and demand.
     fn observe(&mut self, service: &str, input: &ScalingInput<'_>) {
         let now = input.now;
-        if input.servers.is_empty() || !input.is_demand_complete {
+        if input.unconfirmed.contains(service) {
+            self.ordered_at = Some(now);
+        }
+        if input.servers.is_empty() {
             return self.hold_removals(now + DISTURBANCE_HOLD_MS);
         }
         let slots = self.count_servers(service, input.servers);
-        if self.zones.values().any(|zone| zone.available < zone.desired) {
+        if !self.has_recent_order(now, self.effect_ms()) {
+            self.adopt_surplus();
+        }
+        let has_lost_servers = self.zones.values().any(|zone| zone.available < zone.desired);
+        if has_lost_servers || !input.is_demand_complete {
             self.hold_removals(now + DISTURBANCE_HOLD_MS);
         }
         if input.rolling_out.contains(service) {
             self.hold_removals(now + ROLLOUT_HOLD_MS);
         }
+        if !input.is_demand_complete {
+            return;
+        }
         if self.window.newest().is_some_and(|newest| now > newest.at + MAX_GAP_MS) {
             self.window.begin_anew();
         }
@@ -229,6 +241,13 @@
         slots
     }
 
+    /// More servers than were ordered, once orders have taken effect, are so by the will of somebody else.
+    fn adopt_surplus(&mut self) {
+        for zone in self.zones.values_mut() {
+            zone.desired = zone.desired.max(zone.available);
+        }
+    }
+
     fn available(&self) -> u32 {
         self.zones.values().map(|zone| zone.available).sum()
     }
@@ -275,7 +294,7 @@
         };
         let outside = self.zones.iter_mut().filter(|(_, zone)| zone.desired > 0 && is_outside(zone));
         let changed = outside.map(|(name, zone)| {
-            (zone.desired, zone.is_ordered) = (bounds.clamp(zone.desired), true);
+            (zone.desired, zone.is_ordered) = (bounds.clamp(zone.desired.max(zone.available)), true);
             name.clone()
         });
         changed.collect()
@@ -291,7 +310,7 @@
             return Vec::new();
         }
         let bounds = self.bounds;
-        let goal = |zone: &ZoneState| bounds.clamp(zone.at_beginning);
+        let goal = |zone: &ZoneState| bounds.clamp(zone.at_beginning.max(zone.available));
         let reduced = self.zones.iter_mut().filter(|(_, zone)| zone.is_ordered && zone.desired < goal(zone));
         let restored = reduced.map(|(name, zone)| {
             zone.desired = goal(zone);
--- a/crates/control-plane/src/singleton_roles/scaling.rs
+++ b/crates/control-plane/src/singleton_roles/scaling.rs
@@ -101,13 +101,17 @@
         let is_loading = |instance: &str| self.rollout.is_loading(now, instance);
         let loading = servers.iter().filter(|server| is_loading(&server.instance));
         let rolling_out: BTreeSet<String> = loading.map(|server| server.service.clone()).collect();
+        let bounds = scaling_bounds(state);
+        let is_unconfirmed = |service: &&String| self.scaling.orders.has_open(service);
+        let unconfirmed = bounds.keys().filter(is_unconfirmed).cloned().collect();
         let orders = self.scaling.planner.plan(&ScalingInput {
             now,
-            bounds: &scaling_bounds(state),
+            bounds: &bounds,
             servers,
             demand: &demand,
             is_demand_complete: knows_demand,
             rolling_out: &rolling_out,
+            unconfirmed: &unconfirmed,
         });
         for order in orders {
             self.scaling.orders.decide(&order, now);
--- a/crates/control-plane/tests/scaling_support/mod.rs
+++ b/crates/control-plane/tests/scaling_support/mod.rs
@@ -41,6 +41,7 @@
     pub demand: ServiceDemand,
     pub is_demand_complete: bool,
     pub is_rolling_out: bool,
+    pub is_unconfirmed: bool,
 }
 
 impl Planning {
@@ -54,6 +55,7 @@
             demand: ServiceDemand::default(),
             is_demand_complete: true,
             is_rolling_out: false,
+            is_unconfirmed: false,
         }
     }
 
@@ -82,6 +84,8 @@
             .collect();
         let rolling_out: BTreeSet<String> =
             self.is_rolling_out.then(|| SERVICE.to_owned()).into_iter().collect();
+        let unconfirmed: BTreeSet<String> =
+            self.is_unconfirmed.then(|| SERVICE.to_owned()).into_iter().collect();
         let orders = self.planner.plan(&ScalingInput {
             now: self.now,
             bounds: &self.bounds,
@@ -89,6 +93,7 @@
             demand: &BTreeMap::from([(SERVICE.to_owned(), self.demand)]),
             is_demand_complete: self.is_demand_complete,
             rolling_out: &rolling_out,
+            unconfirmed: &unconfirmed,
         });
         self.now += PLAN_INTERVAL_MS;
         orders
--- a/crates/control-plane/tests/scaling_support/simulation.rs
+++ b/crates/control-plane/tests/scaling_support/simulation.rs
@@ -237,6 +237,7 @@
             demand: &BTreeMap::from([(SERVICE.to_owned(), self.demand)]),
             is_demand_complete: true,
             rolling_out: &rolling_out,
+            unconfirmed: &BTreeSet::new(),
         });
         for order in orders {
             assert!((BOUNDS.min_count..=BOUNDS.max_count).contains(&order.desired_count), "{order:?}");
