--- a/crates/batch-store/tests/groups.rs
+++ b/crates/batch-store/tests/groups.rs
@@ -256,3 +256,34 @@
     let known = vec![ItemFailures { item: "j-0-0".to_owned(), count: 3 }];
     assert_eq!(world.gateways[&1].known_failures, known);
 }
+
+/// Number of needed items that wait at the only store, by route.
+fn waiting(world: &World) -> Vec<(String, String, u32)> {
+    let items = world.stores[0].store.undispatched_items().into_iter();
+    items.map(|items| (items.hostname, items.route_prefix, items.count)).collect()
+}
+
+#[test]
+fn needed_items_that_wait_for_a_gateway_are_known_by_route() {
+    let mut world = World::placed(2, 2);
+    world.gateway_connected(1, 1);
+    assert_eq!(waiting(&world), []);
+    world.submit(1, 0, "j", job("j", 10, 3, 0));
+    world.run();
+    assert_eq!(groups_of(&world, 1), [0, 1]);
+    assert_eq!(waiting(&world), [("host".to_owned(), "/jobs".to_owned(), 24)]);
+    world.report(1, 0, "j", &["j-0-0", "j-0-1", "j-0-2"]);
+    world.run();
+    assert_eq!(waiting(&world), [("host".to_owned(), "/jobs".to_owned(), 21)]);
+    assert_eq!(world.stores[1].store.undispatched_items(), [], "only the head dispatches");
+}
+
+#[test]
+fn spare_groups_are_not_among_what_waits() {
+    let mut world = World::placed(2, 2);
+    world.gateway_connected(1, 1);
+    world.submit(1, 0, "j", job("j", 20, 1, 4));
+    world.run();
+    assert_eq!(groups_of(&world, 1).len(), 6);
+    assert_eq!(waiting(&world), []);
+}
--- a/crates/control-plane/tests/scaling_planner.rs
+++ b/crates/control-plane/tests/scaling_planner.rs
@@ -250,6 +250,17 @@
     assert_eq!(planning.plan().len(), 4);
 }
 
+#[test]
+fn servers_that_came_while_facts_were_missing_count_for_changed_bounds() {
+    let mut planning = Planning::with_demand(200, 0);
+    planning.plan();
+    planning.is_demand_complete = false;
+    planning.set_count("apapa", 16);
+    planning.bounds.insert(SERVICE.to_owned(), ScalingBounds { min_count: 13, ..BOUNDS });
+    let orders = planning.plan();
+    assert_eq!(counts(&orders), [("ikeja", 13), ("lekki", 13), ("surulere", 13)].into());
+}
+
 #[test]
 fn a_service_without_bounds_any_more_is_left_alone() {
     let mut planning = Planning::with_demand(30, 0);
--- a/crates/data-plane/tests/balancer.rs
+++ b/crates/data-plane/tests/balancer.rs
@@ -286,3 +286,14 @@
     assert_eq!(removed.len(), 12);
     assert!(removed.is_sorted());
 }
+
+#[test]
+fn exchanges_are_counted_by_service() {
+    let (mut servers, keys) = servers(2);
+    assert_eq!((servers.balancer.in_flight(SERVICE), servers.balancer.in_flight("other")), (0, 0));
+    servers.balancer.begin_exchange(keys[0]);
+    servers.balancer.begin_exchange(keys[0]);
+    servers.balancer.begin_exchange(keys[1]);
+    servers.balancer.end_exchange(keys[0]);
+    assert_eq!((servers.balancer.in_flight(SERVICE), servers.balancer.in_flight("other")), (2, 0));
+}
--- a/crates/data-plane/tests/generations.rs
+++ b/crates/data-plane/tests/generations.rs
@@ -456,3 +456,16 @@
     let at = |key| gateway.attempts.iter().filter(|attempt| attempt.server.0 == key).count();
     assert_eq!([at(0), at(1), at(2)], [2, 0, 1]);
 }
+
+#[test]
+fn generations_that_find_no_server_wait_for_its_service() {
+    let mut gateway = Gateway::new(&[7]);
+    let names: Vec<String> = (0..100).map(|number| format!("item-{number}")).collect();
+    let names: Vec<&str> = names.iter().map(String::as_str).collect();
+    assert_eq!(gateway.runner.waiting_generations("tokens"), 0);
+    gateway.assign(group("job", 0, &names));
+    let in_flight = gateway.runner.in_flight();
+    assert!(in_flight > 0 && in_flight < 100);
+    assert_eq!(gateway.runner.waiting_generations("tokens"), 100 - in_flight);
+    assert_eq!(gateway.runner.waiting_generations("other"), 0);
+}
--- a/crates/data-plane/tests/requests.rs
+++ b/crates/data-plane/tests/requests.rs
@@ -515,3 +515,15 @@
     let asked: std::collections::BTreeSet<_> = table.attempts.iter().map(|attempt| attempt.server).collect();
     assert_eq!(asked.len(), MAX_ATTEMPTS as usize, "{:?}", table.attempts);
 }
+
+#[test]
+fn a_request_without_an_attempt_in_flight_waits_for_its_service() {
+    let mut table = Table::new(1);
+    table.begin("repeat");
+    assert_eq!(table.requests.waiting(SERVICE), 0);
+    let attempt = table.last();
+    table.answer(attempt, rejection(503), "");
+    assert_eq!((table.requests.waiting(SERVICE), table.requests.waiting("other")), (1, 0));
+    table.pass(100);
+    assert_eq!(table.requests.waiting(SERVICE), 0);
+}
