--- a/crates/control-plane/src/process/connections.rs
+++ b/crates/control-plane/src/process/connections.rs
@@ -6,7 +6,8 @@
 use orchidvalve_protocol::frames::{FrameError, read_frame};
 use orchidvalve_protocol::identity::{MemberId, NodeAddress};
 use orchidvalve_protocol::messages::{
-    ControlMessage, FeedPosition, Handshake, LinkProtocol, PROTOCOL_VERSION, Role, SessionMessage,
+    ControlMessage, FeedPosition, Handshake, LinkProtocol, PROTOCOL_VERSION, Role, ServiceLoad,
+    SessionMessage,
 };
 
 use super::Process;
@@ -239,7 +240,9 @@
                 self.roles.learner_caught_up(partition, epoch, member);
             }
             PeerMessage::Usage { incarnation, windows } => self.usage_passed_on(incarnation, windows),
-            PeerMessage::Load { .. } => {}
+            PeerMessage::Load { incarnation, loads } => {
+                self.roles.record_load(incarnation, loads, self.now);
+            }
         }
     }
 
@@ -279,12 +282,24 @@
                 self.submit_unattended(&Change::RecordModelUsage { model, usage });
             }
             SessionMessage::ReportUsage { windows } => self.usage_told(connection, windows),
-            SessionMessage::ReportLoad { .. } => {}
+            SessionMessage::ReportLoad { loads } => self.load_reported(connection, loads),
             SessionMessage::Goodbye => return Disposition::Drop,
         }
         Disposition::Keep
     }
 
+    /// A process has reported its work: the head is told.
+    fn load_reported(&mut self, connection: ConnectionId, loads: Vec<ServiceLoad>) {
+        let Some(incarnation) = self.subscribers.incarnation(connection) else { return };
+        match self.head {
+            Some(head) if head.member != self.me() => {
+                let message = PeerMessage::Load { incarnation, loads };
+                self.links.send(&mut self.network, head.member.address, &message);
+            }
+            _ => self.roles.record_load(incarnation, loads, self.now),
+        }
+    }
+
     /// Opens a session, or refers the process to the other control nodes if this one has no quorum.
     fn open_session(
         &mut self,
--- a/crates/control-plane/src/process/mod.rs
+++ b/crates/control-plane/src/process/mod.rs
@@ -395,7 +395,7 @@
     }
 
     /// Expires exchanges of the singleton roles. As the leader, also selects workers, reads the platform's list, places
-    /// partitions, gives orders for weights and reports usage; changes that follow are proposed to the log.
+    /// partitions, gives orders for weights, reports usage and scales services; changes that follow are proposed to the log.
     fn run_singleton_roles(&mut self) {
         for completed in self.roles.client().expire(&mut self.network, self.now) {
             self.role_exchange_completed(Some(completed));
@@ -422,6 +422,9 @@
             self.node.propose(change);
         }
         self.report_usage(confirmed_at);
+        // Last of the calls of the platform: the others are more urgent.
+        let state = self.node.state();
+        self.roles.scale_services(&mut self.network, state, &self.sessions, confirmed_at, self.now);
     }
 }
 
--- a/crates/control-plane/src/singleton_roles/mod.rs
+++ b/crates/control-plane/src/singleton_roles/mod.rs
@@ -1,5 +1,5 @@
 //! The singleton roles of the head of the control chain: reading the platform's list, placing partitions, ordering
-//! new weights and reporting usage.
+//! new weights, reporting usage and scaling services.
 //!
 //! Another node has them as soon as it is the head, and every start of a head has a term of its own, higher than all
 //! before ([`crate::node::ControlNode::leadership_term`]): server tables and orders bear it.
@@ -8,6 +8,7 @@
 mod list_polling;
 mod order_sender;
 mod partition_placement;
+mod scaling;
 mod usage_reporting;
 
 use std::net::SocketAddrV4;
@@ -22,12 +23,14 @@
 use self::list_polling::{ListPolling, PolledPage};
 use self::order_sender::{Rollout, is_order_in_progress};
 use self::partition_placement::PlacementRole;
+use self::scaling::ScalingRole;
 use self::usage_reporting::UsageReporting;
 use crate::discovery::REQUEST_TIMEOUT_MS;
 use crate::http_client::{
     CONNECT_TIMEOUT_MS, CompletedExchange, ConnectionUse, ExchangeTarget, HttpClient, NEW_USER_TIMEOUT_MS,
 };
 use crate::role_lease::{LeaseWaits, RoleLease};
+use crate::scaling_planner::ScalingOrder;
 use crate::weight_rollout::{LoadOrder, OrderOutcome};
 
 pub use self::partition_placement::{may_retire, registrations};
@@ -64,6 +67,8 @@
         /// Number of the window.
         window: u64,
     },
+    /// An order to the platform.
+    Scaling(ScalingOrder),
 }
 
 /// Facts that the singleton roles go by.
@@ -106,6 +111,7 @@
     list: ListPolling,
     rollout: Rollout,
     placement: PlacementRole,
+    scaling: ScalingRole,
     publication: Publication,
     /// When the platform may be called in the roles that it bounds.
     duty_pacing: CallPacing,
@@ -149,6 +155,7 @@
             list: ListPolling::default(),
             rollout: Rollout::default(),
             placement: PlacementRole::default(),
+            scaling: ScalingRole::default(),
             publication: Publication::default(),
         }
     }
@@ -163,6 +170,7 @@
             self.list.stop();
             self.placement.forget_losses();
             self.usage.stop();
+            self.scaling.stop();
             self.publication = Publication::default();
             return;
         }
@@ -216,7 +224,8 @@
         let publication = self.tenure.term.and_then(|_| self.publication.due_at()).unwrap_or(u64::MAX);
         let usage = self.tenure.term.map(|_| self.usage.next_wakeup(self.duty_pacing.next_at()));
         let usage = usage.unwrap_or(u64::MAX);
-        rollout.min(deadline).min(self.list.next_wakeup()).min(publication).min(usage)
+        let duties = usage.min(self.next_scaling());
+        rollout.min(deadline).min(self.list.next_wakeup()).min(publication).min(duties)
     }
 
     /// Whether this connection carries an exchange of a singleton role.
@@ -289,6 +298,10 @@
                 self.usage_report_answered(window, status, now);
                 None
             }
+            ExchangePurpose::Scaling(order) => {
+                self.scaling_answered(&order, status, now);
+                None
+            }
             ExchangePurpose::ListPage { read_number } if read_number != self.list.read_number() => None,
             ExchangePurpose::ListPage { .. } => {
                 let can_publish = self.tenure.term.is_some();
--- a/crates/data-plane/src/gateway/mod.rs
+++ b/crates/data-plane/src/gateway/mod.rs
@@ -4,6 +4,7 @@
 mod client_requests;
 mod control_updates;
 mod generation_work;
+mod load_reports;
 mod partition_heads;
 pub mod shutdown;
 mod status_log;
@@ -18,7 +19,7 @@
 
 use derive_more::{Display, Error, From};
 use orchidvalve_configuration::RouteTable;
-use orchidvalve_control_client::FeedClient;
+use orchidvalve_control_client::{FeedClient, LoadReports};
 use orchidvalve_net::clock::Clock;
 use orchidvalve_net::{ConnectionId, Event, Network};
 use orchidvalve_protocol::identity::{MemberId, NodeAddress, random_incarnation};
@@ -119,6 +120,7 @@
     runner: Runner,
     work: Work,
     own_answers: OwnAnswers,
+    load_reports: LoadReports,
     shutdown_since: Option<u64>,
     /// Since when no session with a control node stands.
     session_lost_since: Option<u64>,
@@ -194,6 +196,7 @@
             runner,
             work: Work::default(),
             own_answers: OwnAnswers::default(),
+            load_reports: LoadReports::default(),
             shutdown_since: None,
             session_lost_since: None,
             now,
@@ -302,6 +305,7 @@
         }
         self.return_unservable();
         self.send_outcomes();
+        self.report_load();
         self.close_expired_clients();
         self.count_usage();
         self.report_usage();
