--- a/crates/testbed/src/observation.rs
+++ b/crates/testbed/src/observation.rs
@@ -288,6 +288,17 @@
     },
 }
 
+impl Observation {
+    /// The machine that acted as the leader, if this shows one that did.
+    pub fn leader(&self) -> Option<&str> {
+        match self {
+            Observation::OrderReceived { leader, .. } => Some(leader),
+            Observation::DutyCallReceived { call, .. } => Some(&call.holder),
+            _ => None,
+        }
+    }
+}
+
 /// A call of the platform's interface that is the duty of one node at a time.
 #[derive(Clone, Debug, PartialEq, Eq)]
 pub struct DutyCall {
--- a/crates/testbed/src/platform/mod.rs
+++ b/crates/testbed/src/platform/mod.rs
@@ -76,7 +76,6 @@
     delayed: Vec<DelayedAnswer>,
     /// Where connections come from.
     sources: BTreeMap<ConnectionKey, IpAddr>,
-    last_holder: Option<String>,
     /// Calls that got a page.
     pub calls: u64,
     /// Calls of the list that were refused, over the rate or because of a fault, and those of an unknown path.
@@ -95,7 +94,6 @@
             fault: FaultState::default(),
             delayed: Vec::new(),
             sources: BTreeMap::new(),
-            last_holder: None,
             calls: 0,
             refused: 0,
             duty_calls: DutyCallCounts::default(),
@@ -141,11 +139,6 @@
         self.fault.set(fault);
     }
 
-    /// The holder that made the last call that is a duty.
-    pub fn last_holder(&self) -> Option<&str> {
-        self.last_holder.as_deref()
-    }
-
     /// Deals with a call that has arrived: the answer, if it were given now.
     fn take(&mut self, now: u64, connection: ConnectionKey, request: &Request, out: &mut Effects) -> Answer {
         match (request.method.as_str(), request.path()) {
@@ -208,7 +201,6 @@
             None => OVER_RATE,
         };
         self.count(&call.order, status);
-        self.last_holder = Some(call.holder.clone());
         out.observations.push(Observation::DutyCallReceived { call, accepted: status == TAKEN });
         status
     }
--- a/crates/testbed/src/scenario/faults.rs
+++ b/crates/testbed/src/scenario/faults.rs
@@ -93,13 +93,13 @@
     PlatformReset,
     /// Nothing reaches the platform for a while.
     PlatformCutOff,
-    /// The machine that called the platform last is killed and started again.
+    /// The machine that acted last as the leader is killed and started again.
     KillLeader,
-    /// The machine that called the platform last is paused for a while.
+    /// The machine that acted last as the leader is paused for a while.
     FreezeLeader,
-    /// The machine that called the platform last is partitioned from all other machines; it still reaches the platform.
+    /// The machine that acted last as the leader is partitioned from all other machines; it still reaches the platform.
     CutLeader,
-    /// The machine that called the platform last is paused while the platform answers nothing.
+    /// The machine that acted last as the leader is paused while the platform answers nothing.
     FreezeLeaderPlatformSilent,
 }
 
--- a/crates/testbed/src/scenario/leader_faults.rs
+++ b/crates/testbed/src/scenario/leader_faults.rs
@@ -1,4 +1,4 @@
-//! Faults of the machine that called the platform last. Which one that is shows only when the fault begins.
+//! Faults of the machine that acted last as the leader: by an order to a server or a call of the platform. Which one that is shows only when the fault begins.
 
 use super::error::ScenarioError;
 use super::link_faults::{Directions, fault_links};
@@ -19,7 +19,7 @@
 }
 
 impl ScenarioRun {
-    /// Begins a fault of the machine that called the platform last, and schedules its end.
+    /// Begins a fault of the machine that acted last as the leader, and schedules its end.
     pub(super) fn begin_leader_fault(
         &mut self,
         now: u64,
@@ -60,12 +60,12 @@
         }
     }
 
-    /// All processes of the machine that called the platform last; of the first control node's machine if none has.
+    /// All processes of the machine that acted last as the leader; of the first control node's machine if none has.
     fn leader_processes(&self) -> Vec<ProcessId> {
-        let holder = self.host.platform().and_then(|platform| platform.last_holder());
-        let called = |id: &ProcessId| Some(self.launcher.machine(*id).name.as_str()) == holder;
-        let leader = self.launcher.ids().into_iter().find(called).or_else(|| {
-            log::warn!("scenario: no machine has called the platform; the first control node is taken");
+        let name = self.last_leader.as_deref();
+        let is_leader = |id: &ProcessId| Some(self.launcher.machine(*id).name.as_str()) == name;
+        let leader = self.launcher.ids().into_iter().find(is_leader).or_else(|| {
+            log::warn!("scenario: no machine has acted as the leader; the first control node is taken");
             self.launcher.with_role(Role::Control).first().copied()
         });
         leader.map(|id| self.launcher.processes_of_same_machine(id)).unwrap_or_default()
--- a/crates/testbed/src/scenario/run.rs
+++ b/crates/testbed/src/scenario/run.rs
@@ -71,6 +71,8 @@
     pub(super) launcher: Launcher,
     checker: InvariantChecker,
     usage_accounts: UsageAccounts,
+    /// Machine that sent the last order to a server or made the last call of the platform that is a duty.
+    pub(super) last_leader: Option<String>,
     /// From when to when the traffic goes.
     traffic_times: (u64, u64),
     pub(super) workload: Workload,
@@ -126,6 +128,7 @@
         Ok(ScenarioRun {
             host,
             usage_accounts: UsageAccounts::new(usage_bounds),
+            last_leader: None,
             traffic_times: (0, 0),
             launcher,
             checker: InvariantChecker::new(InvariantBounds::default()),
@@ -205,6 +208,9 @@
         for seen in self.host.take_observations() {
             self.checker.observe(seen.at_ms, &seen.observation);
             self.usage_accounts.observe(seen.at_ms, &seen.observation);
+            if let Some(leader) = seen.observation.leader() {
+                self.last_leader = Some(leader.to_owned());
+            }
         }
         let now = self.host.now();
         self.run_due_steps(now)?;
--- a/crates/testbed/src/scenario/steps.rs
+++ b/crates/testbed/src/scenario/steps.rs
@@ -38,7 +38,7 @@
     RemoveServer(ServerIndex),
     /// A fault of the platform's interface; `None` ends the one that it has.
     Platform(Option<PlatformFault>),
-    /// A fault of the machine that called the platform last, for a time in milliseconds.
+    /// A fault of the machine that acted last as the leader, for a time in milliseconds.
     Leader(LeaderFault, u64),
     Operator(Action),
 }
--- a/crates/testbed/tests/platform_duties.rs
+++ b/crates/testbed/tests/platform_duties.rs
@@ -56,7 +56,6 @@
         order: DutyOrder::UsageReport { window: 7, counts },
     };
     assert_eq!(received(&harness), [(call, true)]);
-    assert_eq!(harness.service.last_holder(), Some("edge-1"));
 }
 
 #[test]
--- a/crates/testbed/tests/platform_invariants.rs
+++ b/crates/testbed/tests/platform_invariants.rs
@@ -284,3 +284,12 @@
     observed.extend(also);
     assert_eq!(figures(&observed), UsageFigures { due: 1, missing, off });
 }
+
+#[rstest]
+#[case::an_order(order(A, 1), Some(A))]
+#[case::a_call(report(B, 1, 7), Some(B))]
+#[case::a_refused_call(refused(report(B, 1, 7)), Some(B))]
+#[case::another_observation(thawed(A), None)]
+fn orders_and_calls_show_the_leader(#[case] observation: Observation, #[case] leader: Option<&str>) {
+    assert_eq!(observation.leader(), leader);
+}
