--- a/crates/data-plane/src/gateway/control_updates.rs
+++ b/crates/data-plane/src/gateway/control_updates.rs
@@ -58,11 +58,12 @@
             self.calls.store_lost(self.now, store);
         }
         self.heads_changed(heads);
+        self.forget_decided_usage();
         let state = self.feed.replica().state();
         let Some(configuration) = state.configuration() else { return };
         if self.routes.as_ref().is_none_or(|routes| routes.version() != configuration.version()) {
             let routes = RouteTable::compile(configuration);
-            log::info!("door: configuration {} is in force", routes.version());
+            self.log_configuration(&routes);
             let mut commands = Vec::new();
             self.work.routes_changed(&routes, &mut self.runner, &mut commands);
             self.routes = Some(routes);
--- a/crates/data-plane/src/gateway/mod.rs
+++ b/crates/data-plane/src/gateway/mod.rs
@@ -4,9 +4,12 @@
 mod client_requests;
 mod control_updates;
 mod generation_work;
+mod load_reports;
 mod partition_heads;
 pub mod shutdown;
+mod status_log;
 mod upstream_io;
+mod usage_counts;
 
 use std::collections::BTreeSet;
 use std::io;
@@ -16,7 +19,7 @@
 
 use derive_more::{Display, Error, From};
 use orchidvalve_configuration::RouteTable;
-use orchidvalve_control_client::FeedClient;
+use orchidvalve_control_client::{FeedClient, LoadReports};
 use orchidvalve_net::clock::Clock;
 use orchidvalve_net::{ConnectionId, Event, Network};
 use orchidvalve_protocol::identity::{MemberId, NodeAddress, random_incarnation};
@@ -30,10 +33,12 @@
 use crate::clients::Clients;
 use crate::exchanges::Exchanges;
 use crate::generations::Runner;
+use crate::own_answers::OwnAnswers;
 use crate::requests::Requests;
 use crate::startup_queue::StartupQueue;
 use crate::store_links::StoreLinks;
 use crate::upstream::UpstreamConnections;
+use crate::usage::UsageCounts;
 use crate::work::{RewardRoutes, Work};
 
 /// Listeners of the process, as the network numbers them.
@@ -61,6 +66,8 @@
     pub seeds: Vec<NodeAddress>,
     /// Time from SIGTERM to SIGKILL, in milliseconds.
     pub grace_ms: u64,
+    /// Length of a window of usage, in milliseconds.
+    pub usage_window_ms: u64,
 }
 
 /// Why a gateway process ends.
@@ -108,9 +115,12 @@
     stores: Stores,
     startup_queue: StartupQueue,
     requests: Requests,
+    usage: UsageCounts,
     calls: BatchCalls,
     runner: Runner,
     work: Work,
+    own_answers: OwnAnswers,
+    load_reports: LoadReports,
     shutdown_since: Option<u64>,
     /// Since when no session with a control node stands.
     session_lost_since: Option<u64>,
@@ -181,9 +191,12 @@
             },
             startup_queue: StartupQueue::default(),
             requests: Requests::new(&options.zone, Pcg64Mcg::seed_from_u64(seed ^ 1)),
+            usage: UsageCounts::new(options.usage_window_ms),
             calls: BatchCalls::default(),
             runner,
             work: Work::default(),
+            own_answers: OwnAnswers::default(),
+            load_reports: LoadReports::default(),
             shutdown_since: None,
             session_lost_since: None,
             now,
@@ -199,6 +212,7 @@
             self.stores.links.next_wakeup(),
             self.startup_queue.next_wakeup(),
             self.requests.next_wakeup(),
+            self.usage.next_wakeup(self.feed.session_number()),
             self.calls.next_wakeup(),
             self.work.next_wakeup(),
             self.runner.next_wakeup().unwrap_or(u64::MAX),
@@ -291,6 +305,10 @@
         }
         self.return_unservable();
         self.send_outcomes();
+        self.report_load();
         self.close_expired_clients();
+        self.count_usage();
+        self.report_usage();
+        self.log_own_answers();
     }
 }
--- a/crates/data-plane/src/requests/mod.rs
+++ b/crates/data-plane/src/requests/mod.rs
@@ -5,6 +5,7 @@
 //! at another server within the same response. A request that can't be answered is given its final response at once.
 
 mod attempt;
+mod begun;
 mod completion;
 mod forwarded_stream;
 mod messages;
@@ -19,11 +20,14 @@
 use rand::RngCore;
 use rand_pcg::Pcg64Mcg;
 
+pub use self::begun::BegunRequest;
 use self::forwarded_stream::ForwardedStream;
 pub use self::messages::{ReceivedRequest, RequestAttemptId, RequestCommand, RequestId, Response};
 use self::pending::{DEFAULT_DEADLINE_MS, Destination, PendingRequest};
+use crate::admission::Admitted;
+use crate::authentication::Authenticated;
 use crate::balancer::Balancer;
-use crate::response_class::is_signed;
+use crate::response_class::{is_rejection, is_signed};
 use crate::upstream::Failure;
 
 /// Margin before the deadline at which a request without a response is ended, so that the client still receives the
@@ -46,6 +50,8 @@
     last_attempt: u64,
     /// When the process gives its last responses: a request whose deadline is later is rejected.
     last_response_at: u64,
+    /// Requests that have begun at servers and weren't taken yet.
+    begun: Vec<BegunRequest>,
 }
 
 impl Requests {
@@ -61,6 +67,7 @@
             last_request: 0,
             last_attempt: 0,
             last_response_at: u64::MAX,
+            begun: Vec::new(),
         }
     }
 
@@ -69,31 +76,43 @@
         self.pending.len()
     }
 
+    /// The number of pending requests for a service that have no attempt in flight.
+    pub fn waiting(&self, service: &str) -> usize {
+        let of_service = self.pending.values().filter(|pending| pending.service() == service);
+        of_service.filter(|pending| pending.attempts_in_flight() == 0).count()
+    }
+
     /// The request as received from the client.
     pub fn request(&self, id: RequestId) -> Option<&Arc<Request>> {
         self.pending.get(&id).map(|pending| &pending.request)
     }
 
-    /// Begins a request on `route`, an index of `routes`, and its first attempt.
+    /// Whose the request is: the same for all its attempts.
+    pub fn caller(&self, id: RequestId) -> Option<&Authenticated> {
+        self.pending.get(&id).map(|pending| &pending.caller)
+    }
+
+    /// Begins a request that was admitted by `routes`, and its first attempt.
     pub fn begin(
         &mut self,
         now: u64,
         received: ReceivedRequest,
         routes: &Arc<RouteTable>,
-        route: usize,
+        admitted: Admitted,
         balancer: &Balancer,
         out: &mut Vec<RequestCommand>,
     ) -> RequestId {
         let ReceivedRequest { request, first_byte_at } = received;
         self.last_request += 1;
         let id = RequestId(self.last_request);
+        let Admitted { route, caller } = admitted;
         let facts = &routes.routes()[route];
         let stated = request.headers.number("deadline-ms").unwrap_or(DEFAULT_DEADLINE_MS);
         let allowed = stated.min(facts.timeout_ms.unwrap_or(u64::MAX));
         let service = routes.pick(facts, self.random.next_u64());
         let deadline = first_byte_at.saturating_add(allowed.saturating_sub(DEADLINE_MARGIN_MS).max(1));
         let destination = Destination { routes: routes.clone(), route, service };
-        let pending = PendingRequest::new(request, destination, now, deadline);
+        let pending = PendingRequest::new(request, destination, caller, now, deadline);
         self.hedge_budget.record_first_attempt(now);
         self.pending.insert(id, pending);
         if deadline <= now || deadline > self.last_response_at {
@@ -125,7 +144,13 @@
         }
     }
 
+    /// Requests of tenants that have begun at servers since the last call.
+    pub fn take_begun(&mut self) -> Vec<BegunRequest> {
+        std::mem::take(&mut self.begun)
+    }
+
     fn cancel_attempts(&mut self, pending: PendingRequest, out: &mut Vec<RequestCommand>) {
+        self.begun.extend(pending.begun_at_last());
         for attempt in pending.into_attempts_in_flight() {
             self.attempts.remove(&attempt);
             out.push(RequestCommand::Cancel { attempt });
@@ -140,6 +165,8 @@
         out: &mut Vec<RequestCommand>,
     ) {
         let Some((id, pending)) = self.find(attempt) else { return };
+        let shows_begin = !pending.begins_with_event() && !is_rejection(&head);
+        let begun = if shows_begin { pending.attempt_began(attempt, None) } else { None };
         if pending.route().route_type == RouteType::Streaming && is_signed(&head) {
             let resumable = pending.route().resumable;
             match &mut pending.stream {
@@ -157,6 +184,7 @@
         if let Some(attempt) = pending.attempt_mut(attempt) {
             attempt.head = Some(head);
         }
+        self.begun.extend(begun);
     }
 
     /// A part of the body of an attempt's response was received.
@@ -170,7 +198,11 @@
     ) {
         let Some((_, pending)) = self.find(attempt) else { return };
         if let Some(stream) = pending.stream.as_mut().filter(|stream| stream.attempt == attempt) {
-            if stream.forward(bytes, out).is_err() {
+            let result = stream.forward(bytes, out);
+            let has_events = stream.has_events();
+            let begun = if has_events { pending.attempt_began(attempt, Some(now)) } else { None };
+            self.begun.extend(begun);
+            if result.is_err() {
                 out.push(RequestCommand::Cancel { attempt });
                 self.attempt_failed(now, attempt, Failure::Broken, balancer, out);
             }
--- a/crates/data-plane/src/requests/pending.rs
+++ b/crates/data-plane/src/requests/pending.rs
@@ -9,6 +9,7 @@
 use super::forwarded_stream::ForwardedStream;
 use super::messages::RequestAttemptId;
 use crate::attempts::{AttemptPermit, AttemptTracker, Idempotency, NeverExecuted, NotExecuted};
+use crate::authentication::Authenticated;
 use crate::balancer::ServerKey;
 
 /// Deadline of a request that states none, in milliseconds.
@@ -33,6 +34,8 @@
     pub head: Option<ResponseHead>,
     /// Body of a response that isn't streamed, as far as received.
     pub body: Vec<u8>,
+    /// Whether it has surely begun at its server.
+    pub has_begun: bool,
 }
 
 /// The route and service of a request.
@@ -66,6 +69,8 @@
 pub(super) struct PendingRequest {
     pub request: Arc<Request>,
     pub destination: Destination,
+    /// Whose it is, by the configuration that its destination is from.
+    pub caller: Authenticated,
     pub received_at: u64,
     pub deadline: u64,
     attempts: HashMap<RequestAttemptId, Attempt>,
@@ -81,12 +86,17 @@
     pub hedge_at: Option<u64>,
     /// The last response with a failure status, forwarded if no later attempt succeeds.
     pub last_failure: Option<ServerResponse>,
+    /// Whether an attempt has surely begun at a server.
+    pub has_begun: bool,
+    /// When the first attempt was sent that has ended without showing whether it ran.
+    pub may_have_begun_at: Option<u64>,
 }
 
 impl PendingRequest {
     pub fn new(
         request: Request,
         destination: Destination,
+        caller: Authenticated,
         received_at: u64,
         deadline: u64,
     ) -> PendingRequest {
@@ -95,6 +105,7 @@
         PendingRequest {
             request: Arc::new(request),
             destination,
+            caller,
             received_at,
             deadline,
             attempts: HashMap::new(),
@@ -106,6 +117,8 @@
             retry_at: None,
             hedge_at: None,
             last_failure: None,
+            has_begun: false,
+            may_have_begun_at: None,
         }
     }
 
@@ -135,7 +148,7 @@
             self.attempted_servers.push(server);
         }
         self.counted_attempts += u32::from(kind == AttemptKind::Counted);
-        let begun = Attempt { server, kind, started_at: now, head: None, body: Vec::new() };
+        let begun = Attempt { server, kind, started_at: now, head: None, body: Vec::new(), has_begun: false };
         self.attempts.insert(attempt, begun);
         Some(permit)
     }
@@ -164,6 +177,11 @@
         self.attempts.len()
     }
 
+    /// When the oldest attempt in flight was sent.
+    pub fn earliest_sent_at(&self) -> Option<u64> {
+        self.attempts.values().map(|attempt| attempt.started_at).min()
+    }
+
     /// Servers at which attempts are in flight.
     pub fn servers_in_flight(&self) -> Vec<ServerKey> {
         self.attempts.values().map(|attempt| attempt.server).collect()
--- a/crates/data-plane/tests/requests_support/mod.rs
+++ b/crates/data-plane/tests/requests_support/mod.rs
@@ -6,8 +6,11 @@
 use std::sync::Arc;
 
 use orchidvalve_configuration::{Configuration, RouteTable};
+use orchidvalve_data_plane::admission::Admitted;
 use orchidvalve_data_plane::attempts::Idempotency;
+use orchidvalve_data_plane::authentication::Authenticated;
 use orchidvalve_data_plane::balancer::{Balancer, BalancerChange, ServerKey};
+use orchidvalve_data_plane::exchanges::request_bytes;
 use orchidvalve_data_plane::requests::{
     ReceivedRequest, RequestAttemptId, RequestCommand, RequestId, Requests, Response,
 };
@@ -27,6 +30,18 @@
 
 /// Routes by their path prefixes: `/repeat/`, `/once/`, `/stream/` and `/resume/`.
 pub fn routes() -> Arc<RouteTable> {
+    compile("")
+}
+
+/// The same routes in a configuration with so many tenants: `tenant-0` with the key `key-0`, and so on.
+pub fn routes_with_tenants(count: usize) -> Arc<RouteTable> {
+    let tenants: Vec<String> = (0..count)
+        .map(|number| format!(r#"{{"name":"tenant-{number}","api-keys":["key-{number}"]}}"#))
+        .collect();
+    compile(&format!(r#","tenants":[{}]"#, tenants.join(",")))
+}
+
+fn compile(tenants: &str) -> Arc<RouteTable> {
     let route = |name: &str, kind: &str, resumable: bool| {
         format!(
             r#"{{"name":"{name}","hostname":"ficu95.example","path-prefix":"/{name}/","route-type":"{kind}",
@@ -43,7 +58,7 @@
     let document = format!(
         r#"{{"config-version":1,"routes":[{}],"services":[{{"name":"{SERVICE}","health-path":"/health",
         "max-connections":10,"protocol":"h1","tls":false}}],"limits":{{"max-header-bytes":16384,
-        "max-body-bytes":65536,"header-timeout-ms":3000,"idle-timeout-ms":15000}}}}"#,
+        "max-body-bytes":65536,"header-timeout-ms":3000,"idle-timeout-ms":15000}}{tenants}}}"#,
         listed.join(",")
     );
     RouteTable::compile(&Configuration::replace(document.as_bytes(), None).unwrap())
@@ -127,6 +142,8 @@
     pub servers: Servers,
     pub now: u64,
     pub attempts: Vec<Attempted>,
+    /// What the server of each attempt got.
+    pub sent: Vec<Vec<u8>>,
     pub cancelled: Vec<RequestAttemptId>,
     pub client: Client,
     routes: Arc<RouteTable>,
@@ -135,14 +152,19 @@
 
 impl Table {
     pub fn new(servers: usize) -> Table {
+        Table::with_routes(servers, routes())
+    }
+
+    pub fn with_routes(servers: usize, routes: Arc<RouteTable>) -> Table {
         let mut table = Table {
             requests: Requests::new(ZONE, Pcg64Mcg::new(7)),
             servers: Servers::default(),
             now: 10_000,
             attempts: Vec::new(),
+            sent: Vec::new(),
             cancelled: Vec::new(),
             client: Client::default(),
-            routes: routes(),
+            routes,
             out: Vec::new(),
         };
         table.servers.list((0..servers).map(|n| entry(&format!("i-{}", "7".repeat(n + 1)))).collect());
@@ -166,8 +188,17 @@
         let route = self.routes.lookup("ficu95.example", &request.target).unwrap().index;
         let routes = self.routes.clone();
         let arrived = ReceivedRequest { request, first_byte_at: self.now - took_ms };
-        let id =
-            self.requests.begin(self.now, arrived, &routes, route, &self.servers.balancer, &mut self.out);
+        self.begin_admitted(arrived, &routes, Admitted { route, caller: Authenticated::WithoutTenants })
+    }
+
+    pub fn begin_admitted(
+        &mut self,
+        arrived: ReceivedRequest,
+        routes: &Arc<RouteTable>,
+        admitted: Admitted,
+    ) -> RequestId {
+        let balancer = &self.servers.balancer;
+        let id = self.requests.begin(self.now, arrived, routes, admitted, balancer, &mut self.out);
         self.settle();
         id
     }
@@ -243,7 +274,10 @@
                 !self.client.whole && !self.client.broken || matches!(command, RequestCommand::Cancel { .. })
             );
             match command {
-                RequestCommand::Attempt { attempt, server, deadline_ms, last_event_id, permit, .. } => {
+                RequestCommand::Attempt { attempt, request, server, deadline_ms, last_event_id, permit } => {
+                    let caller = self.requests.caller(request).unwrap();
+                    let request = self.requests.request(request).unwrap();
+                    self.sent.push(request_bytes(request, caller, "i-7", deadline_ms, last_event_id));
                     let runs_once = permit.idempotency() == Idempotency::AtMostOnce;
                     self.attempts.push(Attempted {
                         id: attempt,
--- a/crates/testbed/src/application_server.rs
+++ b/crates/testbed/src/application_server.rs
@@ -160,6 +160,7 @@
                 target: queued.request.target.clone(),
                 body: synthetic_text::digest(&queued.request.body),
                 after_event: 0,
+                tenant: queued.request.headers.combined("Tenant"),
             });
             if let Some(tenant) = queued.request.headers.get("Tenant") {
                 out.observations.push(Observation::TenantRequestStarted {
@@ -211,6 +212,7 @@
         if !self.frontend.is_open(connection) {
             return;
         }
+        self.frontend.observe_authorization(&request, out);
         let id = request.headers.get("Attempt-Id").unwrap_or_default().to_owned();
         if self.frontend.is_misdirected(&request) {
             return self.reject(connection, 421, &id, out);
--- a/crates/testbed/src/invariants/context.rs
+++ b/crates/testbed/src/invariants/context.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeMap;
 
 use super::invariant::{Invariant, InvariantBounds, Violation};
+use crate::credentials::Credentials;
 use crate::observation::Observation;
 
 /// The state that the checks share.
@@ -106,6 +107,17 @@
     }
 }
 
+/// Who asks for a request.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub(super) enum RequestPurpose {
+    /// A client.
+    Client,
+    /// An item of a batch job.
+    Item,
+    /// The reward call of an item.
+    RewardCall,
+}
+
 /// A request as its sender asked for it.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ExpectedRequest<'a> {
@@ -114,6 +126,9 @@
     pub target: &'a str,
     /// Digest of its body.
     pub body: u64,
+    pub purpose: RequestPurpose,
+    /// How the client identified itself, or the trainer that handed in the batch job.
+    pub credentials: &'a Credentials,
     /// From when on configurations bind it.
     pub since: u64,
 }
--- a/crates/testbed/src/model_server/server.rs
+++ b/crates/testbed/src/model_server/server.rs
@@ -203,8 +203,8 @@
             after_event: headers.number("Last-Event-Id").unwrap_or(0),
             prompt_tokens: usage.prompt,
             deadline: headers.number("Deadline-Ms").map(|left_ms| now + left_ms),
+            tenant: headers.combined("Tenant"),
             body: synthetic_text::digest(&request.body),
-            tenant: headers.get("Tenant").map(str::to_owned),
             method: request.method,
             target: request.target,
             id,
@@ -243,6 +243,7 @@
             target: queued.target,
             body: queued.body,
             after_event: queued.after_event,
+            tenant: queued.tenant.clone(),
         });
         if let Some(tenant) = queued.tenant.filter(|_| queued.after_event == 0) {
             let id = queued.id.clone();
@@ -342,6 +343,7 @@
             self.active_faults.malformed_response = false;
             return out.send(connection, MALFORMED_RESPONSE.to_vec());
         }
+        self.frontend.observe_authorization(&request, out);
         if self.frontend.is_misdirected(&request) {
             let id = request.headers.get("Attempt-Id").unwrap_or_default().to_owned();
             return self.reject(connection, 421, &id, out);
--- a/crates/testbed/src/scenario/fault_steps.rs
+++ b/crates/testbed/src/scenario/fault_steps.rs
@@ -8,6 +8,7 @@
     duplicate_responses, leave_with_only_copy, replace_then_wipe, restart_one_then_all,
 };
 use super::faults::Fault;
+use super::key_faults::{revoke_last, revoke_one_by_one};
 use super::leader_faults::LeaderFault;
 use super::link_faults::{Directions, SLOW_LINK, fault_links};
 use super::platform_faults::{SLOW_PLATFORM, platform_fault};
@@ -88,6 +89,9 @@
         Fault::QuotaStore => under_quota(&targets.pick(Role::Store, random)),
         Fault::QuotaGateway => under_quota(&last_gateway(launcher)),
         Fault::QuotaAll => under_quota(&launcher.ids()),
+        Fault::RevokeKey => targets.workload.tenants.as_ref().map(revoke_one_by_one).unwrap_or_default(),
+        Fault::RevokeLastKey => targets.workload.tenants.as_ref().map(revoke_last).unwrap_or_default(),
+        Fault::UnknownKeys => Vec::new(),
         Fault::PlatformSlow => platform_fault(SLOW_PLATFORM),
         Fault::PlatformSilent => platform_fault(PlatformFault::Silent),
         Fault::PlatformBusy => platform_fault(PlatformFault::Busy),
--- a/crates/testbed/tests/platform_invariants.rs
+++ b/crates/testbed/tests/platform_invariants.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use orchidvalve_testbed::credentials::Credentials;
 use orchidvalve_testbed::invariants::{
     Invariant, InvariantBounds, InvariantChecker, UsageAccounts, UsageBounds, UsageFigures,
 };
@@ -227,6 +228,7 @@
         max_queue_ms: 1,
         deadline_ms: 1,
         items: vec![item],
+        credentials: Credentials::default(),
     })
 }
 
