--- a/crates/batch-store/src/process/load_reports.rs
+++ b/crates/batch-store/src/process/load_reports.rs
@@ -10,11 +10,14 @@
     /// Tells the control node of the session what waits, if that is due. Without a service that is scaled nobody needs to
     /// know.
     pub(super) fn report_load(&mut self) {
+        if !self.load_reports.is_due(self.now) {
+            return;
+        }
         let Some(configuration) = self.feed.replica().state().configuration() else { return };
         let routes = configuration.routes();
         let scaled = routes.services().iter().filter(|service| service.scaling.is_some());
         let scaled: Vec<&str> = scaled.map(|service| service.name.as_str()).collect();
-        if scaled.is_empty() || !self.load_reports.is_due(self.now) {
+        if scaled.is_empty() {
             return;
         }
         let undispatched = self.store.undispatched_items();
--- a/crates/control-plane/tests/subscribers.rs
+++ b/crates/control-plane/tests/subscribers.rs
@@ -232,3 +232,16 @@
     assert!(told(health(9_990, true)), "it shuts down");
     assert!(!told(health(9_991, true)));
 }
+
+#[test]
+fn the_process_of_a_session_is_known_by_its_connection() {
+    let mut network = Network::new().unwrap();
+    let address = v4(network.listen(loopback(), 1).unwrap());
+    let (connection, _peer) = accepted(&mut network, address);
+    let mut followers = FeedSubscribers::default();
+    assert_eq!(followers.incarnation(connection), None);
+    followers.open(&mut network, connection, &handshake(), FeedPosition::default(), controls(&[1]), 1_000);
+    assert_eq!(followers.incarnation(connection), Some(5));
+    followers.close(connection);
+    assert_eq!(followers.incarnation(connection), None);
+}
--- a/crates/data-plane/src/gateway/load_reports.rs
+++ b/crates/data-plane/src/gateway/load_reports.rs
@@ -9,10 +9,10 @@
     /// Tells the control node of the session what there is to do, if that is due. Without a service that is scaled nobody
     /// needs to know.
     pub(super) fn report_load(&mut self) {
-        let Some(routes) = self.routes.as_ref().filter(|routes| has_scaled_service(routes)) else { return };
         if !self.load_reports.is_due(self.now) {
             return;
         }
+        let Some(routes) = self.routes.as_ref().filter(|routes| has_scaled_service(routes)) else { return };
         let scaled = routes.services().iter().filter(|service| service.scaling.is_some());
         let loads = scaled.map(|service| self.service_load(&service.name)).collect();
         if let Some(report) = self.load_reports.observe(self.now, self.feed.session_node(), loads) {
