Scaling planner: tests for conditions that no test missed, one redundant hold removed

Of 6 conditions taken out by hand 4 weren't noticed: the loss of a zone and an order not carried out have a test now; the hold after additions went, since the window of 20 s does the same (test).

--- a/crates/control-plane/src/scaling_planner.rs
+++ b/crates/control-plane/src/scaling_planner.rs
@@ -30,8 +30,6 @@
 const DISTURBANCE_HOLD_MS: Milliseconds = 5_000;
 /// After weights were rolled out, no servers are taken away for this time, in milliseconds.
 const ROLLOUT_HOLD_MS: Milliseconds = 1_000;
-/// After servers were added, none are taken away for this time, in milliseconds.
-const ADDED_HOLD_MS: Milliseconds = 20_000;
 /// Pause between two orders that take a server of a service away, in milliseconds.
 const REMOVAL_INTERVAL_MS: Milliseconds = 5_000;
 /// After the platform refused an order for good, the service is left as it is for this time, in milliseconds.
@@ -119,8 +117,6 @@
     late_since: Option<Milliseconds>,
     /// The number of servers was last ordered then.
     ordered_at: Option<Milliseconds>,
-    /// Servers were last added then.
-    added_at: Option<Milliseconds>,
     /// No servers are taken away before.
     removal_hold_until: Milliseconds,
     /// Nothing is ordered for the sake of load before.
@@ -183,7 +179,6 @@
             window: DemandWindow::default(),
             late_since: None,
             ordered_at: None,
-            added_at: None,
             removal_hold_until: 0,
             refusal_hold_until: 0,
         }
@@ -316,11 +311,7 @@
             zone.desired = goal(zone);
             name.clone()
         });
-        let zones: Vec<String> = restored.collect();
-        if !zones.is_empty() {
-            self.added_at = Some(now);
-        }
-        zones
+        restored.collect()
     }
 
     /// Adds servers where work can't be begun in time.
@@ -340,9 +331,6 @@
             }
             zones.insert(name);
         }
-        if !zones.is_empty() {
-            self.added_at = Some(now);
-        }
         zones.into_iter().collect()
     }
 
@@ -372,9 +360,7 @@
 
     /// Takes one server away if the rest would have had room for the busiest moment.
     fn remove_server(&mut self, now: Milliseconds) -> Option<String> {
-        let is_held = now < self.removal_hold_until
-            || self.has_recent_order(now, REMOVAL_INTERVAL_MS)
-            || self.added_at.is_some_and(|at| now < at + ADDED_HOLD_MS);
+        let is_held = now < self.removal_hold_until || self.has_recent_order(now, REMOVAL_INTERVAL_MS);
         if is_held || !self.window.is_full(now) || !self.is_as_desired() || !self.has_spare_server() {
             return None;
         }
--- a/crates/control-plane/tests/scaling_planner.rs
+++ b/crates/control-plane/tests/scaling_planner.rs
@@ -326,6 +326,36 @@
     assert!(orders.iter().all(|order| order.zone != "apapa" || order.desired_count >= 17), "{orders:?}");
 }
 
+#[test]
+fn no_second_server_is_taken_away_while_the_first_is_still_there() {
+    let mut planning = Planning::with_demand(30, 0);
+    assert_eq!(planning.plan_for(20_500).len(), 1);
+    assert_eq!(planning.plan_for(6_000), [], "the platform hasn't carried the order out");
+}
+
+#[test]
+fn the_loss_of_a_zone_is_borne_after_a_server_was_taken_away() {
+    for (running, total) in [(67, 24), (66, 23)] {
+        let mut planning = Planning::with_demand(running, 0);
+        planning.counts = [("ikeja".to_owned(), 12), ("lekki".to_owned(), 12)].into();
+        planning.carry_out_for(LONG_MS * 2);
+        assert_eq!(planning.total(), total, "{running}");
+    }
+}
+
+#[test]
+fn servers_that_were_just_added_stay_though_the_work_has_ended() {
+    let mut planning = Planning::with_demand(100, 0);
+    planning.plan_for(8_000);
+    planning.set_demand(ALL_SLOTS, 300);
+    while planning.total() == 48 {
+        planning.carry_out_for(250);
+    }
+    planning.set_demand(10, 0);
+    assert_eq!(planning.carry_out_for(19_000), []);
+    assert!(!planning.carry_out_for(10_000).is_empty());
+}
+
 #[test]
 fn a_refused_order_is_not_made_again_soon() {
     let mut planning = Planning::with_demand(30, 0);
