Usage: one report on its way at a time; scaling: a new head orders no fewer than it can know

All windows of usage are one subject, and up to four reports flew at once: one of a former term that the network had to send again could arrive after one of the next term, a lower fence after a higher one. Now nothing is sent while a call is open, whatever its term. A new head that had seen only what was left of a zone could order fewer servers there than a former head had. boot-s beyond all reason no longer overflows. Tests of usage counts name their caller as authentication does.

--- a/crates/control-plane/src/scaling_planner.rs
+++ b/crates/control-plane/src/scaling_planner.rs
@@ -166,7 +166,7 @@
         let Some(state) = self.services.get_mut(&order.service) else { return };
         state.refusal_hold_until = now + REFUSAL_HOLD_MS;
         if let Some(zone) = state.zones.get_mut(&order.zone) {
-            (zone.desired, zone.is_ordered) = (zone.available, false);
+            (zone.desired, zone.is_ordered) = (zone.available.max(zone.at_beginning), false);
         }
     }
 }
@@ -272,12 +272,12 @@
 
     /// Time after which an order shows in the list.
     fn effect_ms(&self) -> Milliseconds {
-        self.bounds.boot_ms + LIST_LAG_MS
+        self.bounds.boot_ms.saturating_add(LIST_LAG_MS)
     }
 
     /// Whether an order was given so lately that it may not have taken effect.
     fn has_recent_order(&self, now: Milliseconds, within_ms: Milliseconds) -> bool {
-        self.ordered_at.is_some_and(|at| now < at + within_ms)
+        self.ordered_at.is_some_and(|at| now < at.saturating_add(within_ms))
     }
 
     /// Brings what is desired into the bounds. Too few servers count only where the bounds have changed under this head:
@@ -322,11 +322,14 @@
         }
         let available = self.available();
         let added = (f64::from(available) * (growth - 1.0)).ceil() as u32;
+        let greatest = self.zones.values().map(|zone| zone.desired).max().unwrap_or(0);
         let mut zones = BTreeSet::new();
         for _ in 0..added {
             let Some(name) = self.smallest_growing_zone() else { break };
             if let Some(zone) = self.zones.get_mut(&name) {
-                zone.desired = (zone.desired + 1).max(self.bounds.min_count);
+                // A former head may have ordered more than are left of a zone that has lost some.
+                let known = if zone.is_ordered { zone.desired } else { zone.desired.max(greatest) };
+                zone.desired = self.bounds.clamp(known + 1);
                 zone.is_ordered = true;
             }
             zones.insert(name);
--- a/crates/control-plane/src/singleton_roles/usage_reporting.rs
+++ b/crates/control-plane/src/singleton_roles/usage_reporting.rs
@@ -30,7 +30,7 @@
 pub(super) struct UsageReporting {
     /// The window that was running when this node first was the head under a configuration with tenants.
     first_window: Option<u64>,
-    /// Windows whose reports are on their way.
+    /// Windows whose reports are on their way; at most one of this tenure.
     in_flight: BTreeSet<u64>,
     /// Windows whose reports the platform has accepted, until the committed state says so.
     accepted: BTreeSet<u64>,
@@ -151,6 +151,10 @@
         self.usage.accepted.retain(is_unaccepted);
         self.usage.refused.retain(is_unaccepted);
         let Some(fencing_token) = self.fencing_token(now, confirmed_at) else { return };
+        // All windows are one subject: a call still on its way under a former term could arrive after one of this term.
+        if !self.usage.in_flight.is_empty() {
+            return;
+        }
         if now < self.duty_pacing.next_at() {
             self.usage.is_waiting_to_send =
                 reports.unaccepted_windows().any(|window| self.usage.is_sendable(window));
@@ -158,13 +162,12 @@
         }
         let sendable = reports.unaccepted_windows().filter(|window| self.usage.is_sendable(*window));
         let sendable: Vec<u64> = sendable.collect();
-        for window in self.in_order_of_urgency(sendable, wall_ms) {
-            if !self.duty_pacing.take(now) {
-                self.usage.is_waiting_to_send = true;
-                return;
-            }
-            self.send_report(network, reports, window, fencing_token, now);
+        let Some(window) = self.in_order_of_urgency(sendable, wall_ms).into_iter().next() else { return };
+        if !self.duty_pacing.take(now) {
+            self.usage.is_waiting_to_send = true;
+            return;
         }
+        self.send_report(network, reports, window, fencing_token, now);
     }
 
     /// First the reports that can still come in time, then those that are late, each of them oldest first.
--- a/crates/data-plane/tests/requests_support/mod.rs
+++ b/crates/data-plane/tests/requests_support/mod.rs
@@ -6,7 +6,7 @@
 use std::sync::Arc;
 
 use orchidvalve_configuration::{Configuration, RouteTable};
-use orchidvalve_data_plane::admission::Admitted;
+use orchidvalve_data_plane::admission::{Admitted, ConfigurationAge, admit_request};
 use orchidvalve_data_plane::attempts::Idempotency;
 use orchidvalve_data_plane::authentication::Authenticated;
 use orchidvalve_data_plane::balancer::{Balancer, BalancerChange, ServerKey};
@@ -185,10 +185,13 @@
             "POST /{kind}/2f HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: 9c41d07be2a35f68\r\n{lines}\r\n"
         );
         let request = request(&text);
-        let route = self.routes.lookup("ficu95.example", &request.target).unwrap().index;
         let routes = self.routes.clone();
+        // A request without a known key reaches a server by a public route only.
+        let route = routes.lookup("ficu95.example", &request.target).unwrap().index;
+        let public = Admitted { route, caller: Authenticated::Public };
+        let admitted = admit_request(&request, &routes, ConfigurationAge::Current).unwrap_or(public);
         let arrived = ReceivedRequest { request, first_byte_at: self.now - took_ms };
-        self.begin_admitted(arrived, &routes, Admitted { route, caller: Authenticated::WithoutTenants })
+        self.begin_admitted(arrived, &routes, admitted)
     }
 
     pub fn begin_admitted(
