Role lease: a head that goes on in the next view waits for calls of its former term

All windows of usage are one subject, and each report has a connection of its own, so after a view change that keeps the head a report under the new term could arrive before one under the old (0.3 s to be written, 0.3 s on its way): the platform would see a lower token after a higher one. The head now waits those 0.6 s.

--- a/crates/control-plane/src/role_lease.rs
+++ b/crates/control-plane/src/role_lease.rs
@@ -22,6 +22,9 @@
     /// Where an earlier process of this node was: until the calls that it left behind have arrived. They bear a lower
     /// term, and come on connections of their own.
     pub after_own_process: Milliseconds,
+    /// Where this process was the head in the view before, under a lower term: until the calls that it began then have
+    /// arrived.
+    pub after_own_term: Milliseconds,
 }
 
 /// Whether this node may act in the singleton roles. Times are in milliseconds.
@@ -35,7 +38,7 @@
     /// before, too, or that no view was before.
     pub fn acquire(&mut self, now: Milliseconds, epoch: Epoch, was_head: bool, waits: LeaseWaits) {
         let wait = match (self.held, was_head) {
-            (Some(held), true) => held.valid_from.saturating_sub(now),
+            (Some(held), true) => held.valid_from.saturating_sub(now).max(waits.after_own_term),
             (None, true) => waits.after_own_process,
             (_, false) => waits.after_another_head,
         };
--- a/crates/control-plane/src/singleton_roles/mod.rs
+++ b/crates/control-plane/src/singleton_roles/mod.rs
@@ -179,6 +179,7 @@
             after_another_head: self.options.lease_ms + ORDER_ARRIVAL_MS,
             // What an ended process had not written is lost with it.
             after_own_process: NEW_USER_TIMEOUT_MS,
+            after_own_term: CONNECT_TIMEOUT_MS + NEW_USER_TIMEOUT_MS,
         };
         self.lease.acquire(now, epoch, was_head, waits);
         if self.tenure.head_since.is_none() {
