Stores: jobs of a tenant that is gone are open to its successor

A trainer whose tenant was renamed would have got 403 for its own jobs: the check compared names alone. Found by review. The owner has to be a tenant of the configuration in force for others to be turned away. The test failed to compile before; without the condition it fails.

--- a/crates/batch-store/src/jobs.rs
+++ b/crates/batch-store/src/jobs.rs
@@ -9,6 +9,7 @@
 use crate::active_job::ActiveJob;
 use crate::entry::JobTimes;
 use crate::gateways::GatewayId;
+use crate::limits::LimitSource;
 
 /// A job and its results.
 #[derive(Debug)]
@@ -35,9 +36,11 @@
     }
 
     /// Whether a caller of this tenant may not see or end it. Calls and jobs without a tenant are open to all: the
-    /// configuration had no tenants then, or the route of the job is public.
-    pub fn is_closed_to(&self, tenant: Option<&str>) -> bool {
-        self.tenant.as_deref().zip(tenant).is_some_and(|(owner, caller)| owner != caller)
+    /// configuration had no tenants then, or the route of the job is public. So are jobs of a tenant that is gone: it may
+    /// have another name now.
+    pub fn is_closed_to(&self, tenant: Option<&str>, limits: &dyn LimitSource) -> bool {
+        let owner_and_caller = self.tenant.as_deref().zip(tenant);
+        owner_and_caller.is_some_and(|(owner, caller)| owner != caller && limits.has_tenant(owner))
     }
 
     /// Whether the trainer has ended the job.
--- a/crates/batch-store/src/limits.rs
+++ b/crates/batch-store/src/limits.rs
@@ -18,4 +18,7 @@
 pub trait LimitSource {
     /// Limits of the route of these jobs; None if there is no such route.
     fn limits(&self, hostname: &str, route_prefix: &str) -> Option<JobLimits>;
+
+    /// Whether there is a tenant with this name.
+    fn has_tenant(&self, name: &str) -> bool;
 }
--- a/crates/batch-store/src/process.rs
+++ b/crates/batch-store/src/process.rs
@@ -68,6 +68,11 @@
             max_queue_ms: route.max_queue_s.map_or(NO_QUEUE_LIMIT_MS, |s| (s * 1_000.0) as u64),
         })
     }
+
+    fn has_tenant(&self, name: &str) -> bool {
+        let tenants = self.0.as_ref().and_then(|table| table.tenants());
+        tenants.is_some_and(|tenants| tenants.by_name(name).is_some())
+    }
 }
 
 /// The state of the process. Times are those of the monotonic clock, in milliseconds.
--- a/crates/batch-store/src/store/gateway_calls.rs
+++ b/crates/batch-store/src/store/gateway_calls.rs
@@ -10,6 +10,7 @@
 use crate::entry::{EntryRef, decode_outcome};
 use crate::job_key::JobKey;
 use crate::jobs::JobState;
+use crate::limits::LimitSource;
 use crate::output::Output;
 use crate::pending_calls::{Caller, ExpiredRead, PendingRead, Query, UnconfirmedCall};
 use crate::store::Store;
@@ -107,7 +108,7 @@
         outputs: &mut Vec<Output>,
     ) {
         let job = self.job(number, id);
-        match job.and_then(|job| answer_at_once(job, &query)) {
+        match job.and_then(|job| answer_at_once(job, &query, &*self.limits)) {
             Some(response) => answer(caller, response, outputs),
             None => self.confirm_view(caller, number, id, query, now, outputs),
         }
@@ -129,7 +130,7 @@
         let Some(job) = partition.jobs.get(id) else {
             return self.confirm_view(caller, number, id, Query::End { tenant }, now, outputs);
         };
-        if job.is_closed_to(tenant.as_deref()) {
+        if job.is_closed_to(tenant.as_deref(), &*self.limits) {
             return answer(caller, StoreResponse::OtherTenant, outputs);
         }
         if job.has_ended() {
@@ -201,7 +202,7 @@
             let unknown = if is_uncommitted { StoreResponse::Unavailable } else { StoreResponse::NotFound };
             return answer(caller, unknown, outputs);
         };
-        if let Some(response) = answer_at_once(job, &query) {
+        if let Some(response) = answer_at_once(job, &query, &*self.limits) {
             return answer(caller, response, outputs);
         }
         match query {
@@ -297,8 +298,8 @@
 }
 
 /// What can be answered about a known job without a barrier: a job keeps its tenant, a result its position and content.
-fn answer_at_once(job: &JobState, query: &Query) -> Option<StoreResponse> {
-    if job.is_closed_to(query.tenant()) {
+fn answer_at_once(job: &JobState, query: &Query, limits: &dyn LimitSource) -> Option<StoreResponse> {
+    if job.is_closed_to(query.tenant(), limits) {
         return Some(StoreResponse::OtherTenant);
     }
     match query {
--- a/crates/batch-store/tests/golden_inputs.rs
+++ b/crates/batch-store/tests/golden_inputs.rs
@@ -42,6 +42,10 @@
         let known = self.is_known && (hostname, route_prefix) == ("host", "/jobs");
         known.then_some(JobLimits { target_run_ms: 5_000, max_queue_ms: 9_000 })
     }
+
+    fn has_tenant(&self, _: &str) -> bool {
+        false
+    }
 }
 
 /// One store, and everything around it.
--- a/crates/batch-store/tests/support/mod.rs
+++ b/crates/batch-store/tests/support/mod.rs
@@ -33,12 +33,19 @@
     MemberId { address: NodeAddress::new(Ipv4Addr::new(10, 0, 0, number), 7000), disk }
 }
 
+/// A tenant that the configuration doesn't have any more.
+pub const GONE_TENANT: &str = "gone";
+
 struct Limits;
 
 impl LimitSource for Limits {
     fn limits(&self, _: &str, _: &str) -> Option<JobLimits> {
         Some(JobLimits { target_run_ms: TARGET_RUN_MS, max_queue_ms: MAX_QUEUE_MS })
     }
+
+    fn has_tenant(&self, name: &str) -> bool {
+        name != GONE_TENANT
+    }
 }
 
 /// A job of `groups` groups with `per_group` items each, named `ID-GROUP-ITEM`.
--- a/crates/batch-store/tests/tenants.rs
+++ b/crates/batch-store/tests/tenants.rs
@@ -6,7 +6,7 @@
 use orchidvalve_protocol::frames::encode;
 use orchidvalve_protocol::messages::{GatewayMessage, StoreResponse};
 use rstest::rstest;
-use support::{World, member, result_items};
+use support::{GONE_TENANT, World, member, result_items};
 
 const OWNER: &str = "cuka620";
 const OTHER: &str = "seje681";
@@ -151,3 +151,13 @@
     assert!(!assigned.is_empty());
     assert!(assigned.iter().all(|(job, _)| job.tenant.as_deref() == tenant));
 }
+
+// Guards against LOST of incident keys-and-duties: a trainer whose tenant was renamed could not read or end its jobs.
+#[rstest]
+fn a_job_of_a_tenant_that_is_gone_is_open_to_its_successor(
+    #[values(Call::Read, Call::Body, Call::End)] call: Call,
+) {
+    let mut stores = Stores::with_job(Some(GONE_TENANT));
+    let answer = stores.call(0, "j", call, Some(OTHER));
+    assert!(answer.is_some() && answer != Some(StoreResponse::OtherTenant), "{answer:?}");
+}
