--- a/crates/control-plane/src/demand_window.rs
+++ b/crates/control-plane/src/demand_window.rs
@@ -135,7 +135,7 @@
         best
     }
 
-    /// Whether there has been more to do than fits on the servers all the time for [`PILE_UP_SPAN_MS`], and it isn't less
+    /// Whether there has been more to do than fits on the servers all the time for `PILE_UP_SPAN_MS`, and it isn't less
     /// than at its beginning.
     pub fn is_piling_up(&self, now: Milliseconds) -> bool {
         let Some(begin) = now.checked_sub(PILE_UP_SPAN_MS) else { return false };
