--- a/review/stand-ins/lab.py
+++ b/review/stand-ins/lab.py
@@ -160,7 +160,7 @@
         open(path, "w").write(m.settings(self.role))
         log = open(os.path.join(m.dir, self.role + ".log"), "ab")
         program, *words = self.lab.commands[self.role]
-        self.p = subprocess.Popen([os.path.join(ROOT, program)] + words, cwd=ROOT, env={"ORCHIDVALVE_BOOT": path, "PATH": os.environ.get("PATH", "")}, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
+        self.p = subprocess.Popen([os.path.join(ROOT, program)] + words, cwd=ROOT, env={"MALLOC_ARENA_MAX": "1", "ORCHIDVALVE_BOOT": path, "PATH": os.environ.get("PATH", "")}, stdout=log, stderr=log, stdin=subprocess.DEVNULL)
         self.lab.record("start", m.name, self.role)
     def signal(self, s):
         self.lab.record("signal", signal.Signals(s).name, self.machine.name, self.role); self.p.send_signal(s)
