--- a/review/2/case.py
+++ b/review/2/case.py
@@ -1,66 +1,58 @@
-"""Fault: the store nodes go over their memory limit, again and again, when large batch jobs are submitted together."""
+"""CONFIG: items of batch jobs sent long after a route was moved to another service run at the old service."""
 import os, sys
 HERE = os.path.dirname(os.path.abspath(__file__))
 sys.path.insert(0, os.path.join(HERE, "..", "stand-ins"))
 from lab import *
 
 TROUBLE = os.environ.get("TROUBLE", "1") != "0"
-TRAINERS, GROUPS, SIZE = 8, 6, 4
-JOB_BYTES = 31_000_000 if TROUBLE else 400_000    # max-body-bytes is 33,554,432; a usual plan-draft job has about 400 kB
-SEND_S = 45                                       # how long the trainers go on sending
-LIMIT_MB = {"store": 280, "door": 260, "control": 260}    # limits.memory-mb in the settings of the processes
+GROUPS, SIZE = 81, 4          # plan-draft: a batch job has 81 groups of 4 items
+APPLY_S = 2.0                 # config-apply-ms
 
-def anonymous_mb(process):
-    """Memory of a process without the pages of its program and of other files, so rather too little than too much."""
-    with open("/proc/%d/status" % process.p.pid) as f:
-        for line in f:
-            if line.startswith("RssAnon:"): return int(line.split()[1]) / 1024
-    raise CannotRun("the size of a process cannot be read")
+def events_of(id):
+    """Lengths of texts: most have 5 to 24 events, one in fifty has 90 (the sheet: 21 events, a tail of 4 times that)."""
+    x = int(hashlib.md5(id.encode()).hexdigest(), 16)
+    return 90 if x % 50 == 0 else 5 + x % 20
 
 async def case(lab):
-    ended, jobs = {}, {}
-    async def keep_limits():
-        """Kills a process that goes over memory-mb, as the pages say, and starts it again after a second."""
-        down = set()
-        async def again(process):
-            await asyncio.sleep(1); process.machine.bootstrap = False; process.start(); down.discard(process)
-        while True:
-            for machine in lab.edges + lab.stores:
-                for process in machine.procs.values():
-                    if process in down: continue
-                    if not process.alive(): why = "ended by itself, status %s" % process.p.returncode
-                    else:
-                        size = anonymous_mb(process)
-                        if size <= LIMIT_MB[process.role]: continue
-                        why = "%d MB of memory, limit %d MB" % (size, LIMIT_MB[process.role]); process.kill()
-                    lab.record("OVER", machine.name, process.role, why)
-                    ended.setdefault(machine.name, []).append("%.1f s: %s, %s" % (now(), process.role, why))
-                    down.add(process); asyncio.create_task(again(process))
-            await asyncio.sleep(0.02)
-    async def trainer(id):
-        document = lab.job("/plan/", id, GROUPS, SIZE)
-        for item in document["requests"]: item["body"] = base64.b64encode(os.urandom(JOB_BYTES * 3 // 4 // len(document["requests"]))).decode()
-        body = json.dumps(document).encode(); headers = [("Host", lab.host), ("Attempt-Id", id), ("Content-Type", "application/json")]
-        begin.append(id)
-        while len(begin) < TRAINERS: await asyncio.sleep(0.01)
-        until, answers, node = now() + SEND_S, [], random.choice(lab.edges)
-        while now() < until:
-            status = (await call((node.ip, lab.front), "POST", "/plan/" + id, headers, body, 10))[0]
-            answers.append(status); lab.record("job", id, len(body), "bytes to", node.name, "->", status or "no answer")
-            if status == 202: break
-            await asyncio.sleep(0.5); node = random.choice([n for n in lab.edges if n is not node])
-        jobs[id] = answers[-1] == 202
-    begin = []
-    await lab.up(lab.configuration(5))
-    watch = asyncio.create_task(keep_limits())
-    await asyncio.gather(*[trainer("job%d" % i) for i in range(TRAINERS)])
-    await asyncio.sleep(3)
-    if watch.done(): watch.result()
-    lab.record("jobs taken:", sum(jobs.values()), "of", TRAINERS)
-    print("jobs taken: %d of %d; processes ended: %s" % (sum(jobs.values()), TRAINERS, {k: len(v) for k, v in ended.items()}))
-    often = {name: ends for name, ends in ended.items() if len(ends) >= 3}
-    if len(often) < max(2, (len(lab.edges) + len(lab.stores)) / 10): return []
-    return ["Fault: %s ended %d times without trouble there, %s" % (name, len(ends), "; ".join(ends[:3])) for name, ends in sorted(often.items())]
+    broken = []
+    async def job(id):
+        document = lab.job("/plan/", id, GROUPS, SIZE, desired=GROUPS)
+        sent = now(); lab.record("job", id, "is sent")
+        while await lab.submit(random.choice(lab.edges), "/plan/", id, document) != 202:
+            if now() > sent + 20: raise CannotRun("no gateway takes job " + id)
+            await asyncio.sleep(0.1)
+        got = 0
+        while got < GROUPS * SIZE and now() < sent + 20:
+            status, _, body = await lab.read(random.choice(lab.edges), id, got)
+            if status == 200: got = json.loads(body)["next-token"]
+            else: await asyncio.sleep(0.2)
+        lab.record("job", id, "has", got, "results"); await lab.end(random.choice(lab.edges), id)
+        return sent
 
-lab = Lab(os.path.join(HERE, "record.txt"), doors=4, stores=3, movers=6, desks=3)
+    document = lab.configuration(5)
+    document["services"].insert(1, dict(document["services"][0], name="movemind2"))
+    await lab.up(document)
+    await job("before")
+    allowed, acknowledged = "movemind", now()
+    if TROUBLE:
+        route = next(r for r in document["routes"] if r["name"] == "r-plan")
+        change = {"config-version": 7, "upsert": {"routes": [dict(route, service="movemind2")]}}
+        if await lab.patch(change, 5) != 200: raise CannotRun("the change was not taken")
+        allowed, acknowledged = "movemind2", now()
+        lab.record("version 7, which moves r-plan to movemind2, is acknowledged")
+    await asyncio.sleep(2 * APPLY_S)
+    sent = {id: await job(id) for id in ("after1", "after2", "after3")}
+    service = {s.instance: s.service for s in lab.platform.servers}
+    for at, instance, id, after, path in lab.runs:
+        name = id.split("-")[0]
+        if name in sent and sent[name] > acknowledged + APPLY_S and service[instance] != allowed:
+            broken.append("CONFIG: at %.3f a server of %s began item %s (Last-Event-Id %d); its job was sent %.1f s after the "
+                          "acknowledgement of the version by which only %s runs it" % (at, service[instance], id, after, sent[name] - acknowledged, allowed))
+    return broken
+
+lab = Lab(os.path.join(HERE, "record.txt"), doors=4, stores=3, movers=9, desks=3)
+port = lab.movers[0].addr[1]
+lab.movers += [Server(lab, 10 + i, "movemind2", ("127.0.4.%d" % (i + 11), port), lab.zones[i % 3], {"m0": 1, "m1": 1}) for i in range(9)]
+for server in lab.movers: server.events_of = events_of
+lab.platform.servers = lab.movers + lab.desks
 run(case, lab)
