Review, case 6: changes of a large configuration put all control nodes over their memory limit

The first configuration of 31,000 routes is taken; each later whole one kills the control processes of all three machines again and again and is never acknowledged. The stand-ins take a process's anonymous memory.

--- a/review/harness-2/system.py
+++ b/review/harness-2/system.py
@@ -278,6 +278,7 @@
 
     def start(self, machine, role):
         environment = {key: os.environ[key] for key in ("PATH", "HOME", "LANG") if key in os.environ}
+        environment["MALLOC_ARENA_MAX"] = "1"
         environment["ORCHIDVALVE_BOOT"] = self.settings_file(machine, role)
         log = open(os.path.join(self.folder, f"{machine.name}-{role}.log"), "ab")
         process = subprocess.Popen(self.commands[role], cwd=ROOT, env=environment, stdout=log, stderr=log,
@@ -287,18 +288,18 @@
         return process
 
     async def watch_memory(self):
-        """Does what DEPLOY.md says of the platform: a process over `memory-mb` is killed, an ended one starts again."""
+        """Does what DEPLOY.md says of the platform: a process whose own memory (RssAnon, without its program, files and
+        bytes that are not read yet) is over `memory-mb` is killed, and starts again after a short delay."""
         self.peak = {}
         while True:
             for (name, role), process in list(self.processes.items()):
                 if process.poll() is not None:
                     continue
                 try:
-                    with open(f"/proc/{process.pid}/statm") as file:
-                        pages = file.read().split()
-                except OSError:
+                    with open(f"/proc/{process.pid}/status") as file:
+                        used = next(int(line.split()[1]) for line in file if line.startswith("RssAnon")) / 1024
+                except (OSError, StopIteration):
                     continue
-                used = (int(pages[1]) - int(pages[2])) * 4096 / 2**20
                 self.peak[name, role] = max(self.peak.get((name, role), 0), used)
                 if used > MEMORY_MB[role]:
                     self.record(f"{role} on {name} uses {used:.0f} MB of {MEMORY_MB[role]}: killed by the platform")
