Review, case 5: a first start whose three seeds have no disk never begins to work

Only machines at the seeds' addresses vote on the first view, and seeds without a disk are taken out, so nobody is left to decide it: no configuration is acknowledged and no request served.

--- a/review/harness-2/system.py
+++ b/review/harness-2/system.py
@@ -4,6 +4,7 @@
 import asyncio
 import base64
 import json
+import math
 import os
 import random
 import shutil
@@ -185,14 +186,15 @@
 
 
 class Machine:
-    def __init__(self, name, ip, zone, roles):
-        self.name, self.ip, self.zone, self.roles = name, ip, zone, roles
+    def __init__(self, name, ip, zone, roles, disk=True):
+        self.name, self.ip, self.zone, self.roles, self.disk = name, ip, zone, roles, disk
 
 
 class System:
-    """The deployment. `doors` machines without a disk are added to the three edge machines that have one."""
+    """The deployment: three zones with a store machine and `edges_per_zone` edge machines each, of which the first has a
+    disk. As deploy/system.toml says, doors run on all of these and control nodes on the first 0.21 of them, rounded up."""
 
-    def __init__(self, case, extra_doors=0, settings=()):
+    def __init__(self, case, edges_per_zone=1, settings=()):
         self.record = Record(case)
         self.folder = tempfile.mkdtemp(prefix="review-")
         self.settings = dict(settings)
@@ -201,9 +203,12 @@
         self.ports = {"frontend": self.port(), "readiness": self.port(), "control": self.port(),
                       "internal": self.port()}
         self.next_port += 20
-        self.edges = [Machine(f"edge-{z}-1", f"{self.net}.{10 + i}", z, ["control", "door"]) for i, z in enumerate(ZONES)]
-        self.edges += [Machine(f"edge-extra-{i}", f"{self.net}.{30 + i}", ZONES[i % 3], ["door"]) for i in range(extra_doors)]
-        self.stores = [Machine(f"storage-{z}-1", f"{self.net}.{50 + i}", z, ["store"]) for i, z in enumerate(ZONES)]
+        controls = math.ceil(0.21 * edges_per_zone)
+        self.edges = [Machine(f"edge-{zone}-{index + 1}", f"{self.net}.{10 + 10 * index + number}", zone,
+                              ["control", "door"] if index < controls else ["door"], disk=index == 0)
+                      for index in range(edges_per_zone) for number, zone in enumerate(ZONES)]
+        self.seeds = [machine for machine in self.edges if "control" in machine.roles][:3]
+        self.stores = [Machine(f"storage-{z}-1", f"{self.net}.{90 + i}", z, ["store"]) for i, z in enumerate(ZONES)]
         self.processes = {}
         self.exits = []
         self.servers = []
@@ -235,16 +240,15 @@
     # processes
 
     def settings_file(self, machine, role):
-        control_ips = [m.ip for m in self.edges if "control" in m.roles]
         lines = {
             "node-name": machine.name, "role": role, "machine-class": "storage" if role == "store" else "edge",
             "serves": {"control": "control_plane", "door": "edge", "store": "storage"}[role],
             "ip-address": machine.ip, "zone": machine.zone, "region": "region",
             **{f"zones.{zone}": "region" for zone in ZONES},
             "internal-port-range": f"{self.ports['internal']},{self.ports['internal'] + 15}",
-            "seed-nodes": ",".join(f"{ip}:{self.ports['control']}" for ip in control_ips[:3]),
+            "seed-nodes": ",".join(f"{seed.ip}:{self.ports['control']}" for seed in self.seeds),
             "bootstrap": str(self.bootstrap).lower(),
-            "quorum-member": str(role != "door").lower(),
+            "quorum-member": str(role != "door" and machine.disk).lower(),
             "limits.cpu-share": "0.45", "limits.cpu-cores": "1", "limits.memory-mb": MEMORY_MB[role],
             "limits.max-open-files": "4100", "limits.link-mbps": "1000.0",
             "discovery": "cloud_api", "entry-mode": "virtual_ip", "heartbeat-ms": "1200",
@@ -265,7 +269,7 @@
         if role == "door":
             lines["listen-addresses.frontend"] = f"{machine.ip}:{self.ports['frontend']}"
             lines["listen-addresses.readiness"] = f"{machine.ip}:{self.ports['readiness']}"
-        else:
+        elif machine.disk:
             data = os.path.join(self.folder, "data", machine.name)
             os.makedirs(data, exist_ok=True)
             lines["data-directory"] = data
@@ -340,14 +344,17 @@
         finally:
             writer.close()
 
-    async def begin(self, configuration):
-        """Starts everything, sends the first configuration, and waits until every door is ready."""
+    async def start_all(self):
         await asyncio.start_server(self.serve_platform, *self.platform)
         for server in self.servers:
             await server.start()
         for machine in self.edges + self.stores:
             for role in machine.roles:
                 self.start(machine, role)
+
+    async def begin(self, configuration):
+        """Starts everything, sends the first configuration, and waits until every door is ready."""
+        await self.start_all()
         status = await self.change("PUT", 0, configuration, limit_s=15)
         if status != 200:
             raise CannotRun(f"the first configuration got {status}")
@@ -365,10 +372,10 @@
 
     async def operator(self, method, path, headers=(), body=b"", limit_s=4.0, timeout=1.0):
         """A call as the operator makes it: on to another node after a failure, a 5xx, 408, 429 or silence."""
-        end, pause, turn = time.monotonic() + limit_s, 0.1, random.randrange(3)
+        end, pause, turn = time.monotonic() + limit_s, 0.1, random.randrange(100)
         status, got = 0, b""
         while time.monotonic() < end:
-            address = self.controls()[turn % 3]
+            address = self.controls()[turn % len(self.controls())]
             turn += 1
             status, answered, got = await call(address, method, path, headers, body, timeout)
             for _ in range(2):
