Times from outside of a process have a type whose sums can't overflow

Cause: times from the configuration were any 64-bit number. Seconds became milliseconds by a saturating conversion, and the sum with the margin for different clocks, or with a clock reading, wrapped around in the release build: at the gateway (`Work::route`) and at the store node (`expire_items`). The same held for timeouts of idle connections and incomplete requests, target latencies of reward calls, target times of jobs, settings of processes, and the limits in the record of a job that a store node reads back.

Change: `TimeLimit` in `protocol` is the type of these times, at most 1,000 years. Configuration, settings, headers and records make one where the value enters, so no use needs a check; saturating sums that stood at some uses are gone.

Golden files unchanged.

--- a/crates/batch-store/src/dispatch.rs
+++ b/crates/batch-store/src/dispatch.rs
@@ -85,10 +85,13 @@
     let mut candidates: Vec<Candidate> = Vec::new();
     for (&number, partition) in partitions.iter().filter(|(_, partition)| partition.is_active_head()) {
         let waiting = partition.jobs.iter_active().filter(|(_, _, active)| active.has_unassigned_group());
-        candidates.extend(waiting.map(|(id, job, _)| Candidate {
-            deadline_ms: job.times.accepted_at_ms + job.times.target_run_ms,
-            spare_from_ms: job.times.accepted_at_ms + job.times.target_run_ms / SPARE_WAIT_DIVISOR,
-            key: JobKey { partition: number, job: id.clone() },
+        candidates.extend(waiting.map(|(id, job, _)| {
+            let target_run_ms = job.times.target_run.as_millis();
+            Candidate {
+                deadline_ms: job.times.accepted_at_ms + target_run_ms,
+                spare_from_ms: job.times.accepted_at_ms + target_run_ms / SPARE_WAIT_DIVISOR,
+                key: JobKey { partition: number, job: id.clone() },
+            }
         }));
     }
     candidates
--- a/crates/batch-store/src/entry.rs
+++ b/crates/batch-store/src/entry.rs
@@ -4,6 +4,7 @@
 use musli::{Decode, Encode};
 use orchidvalve_batch::Job;
 use orchidvalve_protocol::messages::{ItemOutcome, ItemState};
+use orchidvalve_protocol::time_limit::TimeLimit;
 
 /// The content of an entry, borrowed from its bytes.
 #[derive(Clone, Debug, PartialEq, Encode, Decode)]
@@ -82,15 +83,15 @@
     })
 }
 
-/// The time of acceptance of a job and its time limits, in milliseconds.
+/// The time of acceptance of a job and its time limits.
 #[derive(Clone, Copy, Debug)]
 pub(crate) struct JobTimes {
     /// Wall clock time in milliseconds since 1970.
     pub accepted_at_ms: u64,
     /// Time after acceptance by which all results are due.
-    pub target_run_ms: u64,
+    pub target_run: TimeLimit,
     /// Time after acceptance after which items may expire.
-    pub max_queue_ms: u64,
+    pub max_queue: TimeLimit,
 }
 
 /// The part of an entry that is needed to apply it, decoded when the entry is appended.
@@ -118,7 +119,11 @@
                 match orchidvalve_protocol::frames::decode::<Job>(job) {
                     Some(job) => ParsedEntry::JobAccepted {
                         job: Box::new(job),
-                        times: JobTimes { accepted_at_ms, target_run_ms, max_queue_ms },
+                        times: JobTimes {
+                            accepted_at_ms,
+                            target_run: TimeLimit::from_millis(target_run_ms),
+                            max_queue: TimeLimit::from_millis(max_queue_ms),
+                        },
                     },
                     None => ParsedEntry::Unknown,
                 }
--- a/crates/batch-store/src/process.rs
+++ b/crates/batch-store/src/process.rs
@@ -16,6 +16,7 @@
 use orchidvalve_protocol::frames::write_frame;
 use orchidvalve_protocol::identity::{MemberId, NodeAddress};
 use orchidvalve_protocol::messages::{Role, SessionMessage, StoreHealth};
+use orchidvalve_protocol::time_limit::TimeLimit;
 use orchidvalve_wal::Ring;
 
 use crate::graceful_shutdown::GracefulShutdown;
@@ -37,11 +38,8 @@
 const RETENTION_MARGIN_MS: u64 = 10_000;
 /// In-memory logs may use this fraction of the process's memory; above it, new jobs are rejected.
 const LOG_MEMORY_FRACTION: f64 = 0.4;
-/// Time by which all results of a job are due if its route does not specify it, in milliseconds.
-const DEFAULT_TARGET_RUN_MS: u64 = 30_000;
-/// Time after which items may expire if the route does not specify it, in milliseconds: never. Low enough to be added
-/// to a time without overflow.
-const NO_QUEUE_LIMIT_MS: u64 = u64::MAX / 4;
+/// Time by which all results of a job are due if its route does not specify it.
+const DEFAULT_TARGET_RUN: TimeLimit = TimeLimit::from_millis(30_000);
 
 /// Options of a store process.
 #[derive(Clone, Debug)]
@@ -65,8 +63,8 @@
     fn limits(&self, hostname: &str, route_prefix: &str) -> Option<JobLimits> {
         let route = self.0.as_ref()?.lookup(hostname, route_prefix)?;
         Some(JobLimits {
-            target_run_ms: route.target_run_ms.unwrap_or(DEFAULT_TARGET_RUN_MS),
-            max_queue_ms: route.max_queue_s.map_or(NO_QUEUE_LIMIT_MS, |s| (s * 1_000.0) as u64),
+            target_run: route.target_run.unwrap_or(DEFAULT_TARGET_RUN),
+            max_queue: route.max_queue.unwrap_or(TimeLimit::MAX),
         })
     }
 
--- a/crates/batch-store/src/store/gateway_calls.rs
+++ b/crates/batch-store/src/store/gateway_calls.rs
@@ -83,8 +83,8 @@
         let entry = EntryRef::JobAccepted {
             job,
             accepted_at_ms: received_at_ms,
-            target_run_ms: limits.target_run_ms,
-            max_queue_ms: limits.max_queue_ms,
+            target_run_ms: limits.target_run.as_millis(),
+            max_queue_ms: limits.max_queue.as_millis(),
         };
         self.calls.submits.add(number, id, caller, deadline_ms);
         self.with_partition(number, now, outputs, |partition, sinks| partition.propose(&entry, sinks));
--- a/crates/batch-store/src/store/maintenance.rs
+++ b/crates/batch-store/src/store/maintenance.rs
@@ -89,7 +89,8 @@
         for (&number, partition) in self.partitions.iter().filter(|(_, partition)| partition.is_active_head())
         {
             for (id, job, active) in partition.jobs.iter_active() {
-                if now.wall_ms < job.times.accepted_at_ms + job.times.max_queue_ms + EXPIRY_SLACK_MS {
+                let allowed_ms = job.times.max_queue.as_millis() + EXPIRY_SLACK_MS;
+                if now.wall_ms < job.times.accepted_at_ms + allowed_ms {
                     continue;
                 }
                 let items =
--- a/crates/batch-store/tests/golden_inputs.rs
+++ b/crates/batch-store/tests/golden_inputs.rs
@@ -18,6 +18,7 @@
 use orchidvalve_protocol::messages::{
     GatewayMessage, Handshake, ItemOutcome, ItemState, Role, StoreHealth, StoreMessage, StoreResponse,
 };
+use orchidvalve_protocol::time_limit::TimeLimit;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -40,7 +41,10 @@
 impl LimitSource for OneRoute {
     fn limits(&self, hostname: &str, route_prefix: &str) -> Option<JobLimits> {
         let known = self.is_known && (hostname, route_prefix) == ("host", "/jobs");
-        known.then_some(JobLimits { target_run_ms: 5_000, max_queue_ms: 9_000 })
+        known.then_some(JobLimits {
+            target_run: TimeLimit::from_millis(5_000),
+            max_queue: TimeLimit::from_millis(9_000),
+        })
     }
 
     fn has_tenant(&self, _: &str) -> bool {
--- a/crates/batch-store/tests/jobs.rs
+++ b/crates/batch-store/tests/jobs.rs
@@ -286,6 +286,28 @@
     assert_eq!(world.response(1, call), Some(&StoreResponse::Unavailable));
 }
 
+/// Guards against items that expire at once because a limit from a job's record overflows the clock.
+#[test]
+fn items_of_a_recorded_job_with_the_largest_limits_do_not_expire() {
+    let document = job("j", 1, 2, 1);
+    let accepted = EntryRef::JobAccepted {
+        job: &document,
+        accepted_at_ms: 1_700_000_000_000,
+        target_run_ms: u64::MAX,
+        max_queue_ms: u64::MAX,
+    };
+    let entry = Entry { sequence: 1, epoch: 1, payload: accepted.encode().into() };
+    let record = Record { position: 1, payload: encode(&DiskRecord::Append { partition: 0, entry }) };
+    let mut world = World::new(1, 1);
+    world.stores[0] = support::Process::start(member(1), vec![record], 1, 9);
+    world.place(2, &[member(1)], &[]);
+    world.gateway_connected(1, 1);
+    world.advance(60_000);
+    let call = world.read(1, 0, "j", 0, 0);
+    assert_eq!(result_items(world.response(1, call)), [] as [&str; 0]);
+    assert_eq!(world.gateways[&1].assigned.len(), 1);
+}
+
 #[test]
 fn a_result_that_is_logged_twice_has_one_position() {
     let document = job("j", 1, 2, 1);
--- a/crates/batch-store/tests/support/mod.rs
+++ b/crates/batch-store/tests/support/mod.rs
@@ -19,6 +19,7 @@
     AssignedGroup, AssignedJob, GatewayMessage, Handshake, ItemFailures, ItemOutcome, ItemState, Role,
     SessionMessage, StoreHealth, StoreMessage, StoreResponse,
 };
+use orchidvalve_protocol::time_limit::TimeLimit;
 
 pub const TARGET_RUN_MS: u64 = 10_000;
 pub const MAX_QUEUE_MS: u64 = 20_000;
@@ -40,7 +41,10 @@
 
 impl LimitSource for Limits {
     fn limits(&self, _: &str, _: &str) -> Option<JobLimits> {
-        Some(JobLimits { target_run_ms: TARGET_RUN_MS, max_queue_ms: MAX_QUEUE_MS })
+        Some(JobLimits {
+            target_run: TimeLimit::from_millis(TARGET_RUN_MS),
+            max_queue: TimeLimit::from_millis(MAX_QUEUE_MS),
+        })
     }
 
     fn has_tenant(&self, name: &str) -> bool {
--- a/crates/configuration/src/route_table.rs
+++ b/crates/configuration/src/route_table.rs
@@ -5,6 +5,7 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
+use orchidvalve_protocol::time_limit::TimeLimit;
 
 use super::Configuration;
 use super::tenant_table::TenantTable;
@@ -35,14 +36,14 @@
     pub path_prefix: CompactString,
     /// How often the requests may run.
     pub route_type: RouteType,
-    /// Maximum time to respond to a request, in milliseconds; above 0.
-    pub timeout_ms: Option<u64>,
-    /// Latency target within which a response has its full value, in milliseconds.
-    pub target_latency_ms: Option<u64>,
-    /// Time after the first submission of a batch job by which its results are due, in milliseconds.
-    pub target_run_ms: Option<u64>,
-    /// Time after the first submission of a batch job after which its items may expire, in seconds.
-    pub max_queue_s: Option<f64>,
+    /// Maximum time to respond to a request; above 0.
+    pub timeout: Option<TimeLimit>,
+    /// Latency target within which a response has its full value.
+    pub target_latency: Option<TimeLimit>,
+    /// Time after the first submission of a batch job by which its results are due.
+    pub target_run: Option<TimeLimit>,
+    /// Time after the first submission of a batch job after which its items may expire.
+    pub max_queue: Option<TimeLimit>,
     /// Priority of the requests; 0 is the highest.
     pub priority: u32,
     /// Services of the route and their weights.
@@ -159,8 +160,8 @@
     pub min_count: u32,
     /// Maximum number of servers in a zone.
     pub max_count: u32,
-    /// Time until a new server is ready, in seconds.
-    pub boot_s: f64,
+    /// Time until a new server is ready.
+    pub boot: TimeLimit,
 }
 
 /// Properties of servers that run language models.
@@ -183,10 +184,10 @@
     pub max_header_bytes: u64,
     /// Maximum size of a request body, in bytes.
     pub max_body_bytes: u64,
-    /// Maximum time until the head of a request is complete, in milliseconds.
-    pub header_timeout_ms: u64,
-    /// Maximum time that a persistent connection may be idle, in milliseconds.
-    pub idle_timeout_ms: u64,
+    /// Maximum time until the head of a request is complete.
+    pub header_timeout: TimeLimit,
+    /// Maximum time that a persistent connection may be idle.
+    pub idle_timeout: TimeLimit,
 }
 
 impl Default for Limits {
@@ -194,8 +195,8 @@
         Limits {
             max_header_bytes: 16 * 1024,
             max_body_bytes: 32 * 1024 * 1024,
-            header_timeout_ms: 3_000,
-            idle_timeout_ms: 15_000,
+            header_timeout: TimeLimit::from_millis(3_000),
+            idle_timeout: TimeLimit::from_millis(15_000),
         }
     }
 }
--- a/crates/configuration/src/table_builder.rs
+++ b/crates/configuration/src/table_builder.rs
@@ -3,6 +3,7 @@
 use std::collections::{HashMap, HashSet};
 
 use compact_str::CompactString;
+use orchidvalve_protocol::time_limit::TimeLimit;
 use serde_json::Value;
 
 use super::route_table::{
@@ -83,8 +84,8 @@
             max: max_count,
         });
     }
-    let boot_s = scaling.optional("boot-s")?.map(|boot| boot.number()).transpose()?;
-    Ok(Some(Scaling { min_count, max_count, boot_s: boot_s.unwrap_or(0.0) }))
+    let boot = optional_seconds(&scaling, "boot-s")?;
+    Ok(Some(Scaling { min_count, max_count, boot: boot.unwrap_or_default() }))
 }
 
 /// Parses the tenants; `None` if the document has no list of them.
@@ -151,7 +152,6 @@
     services: &HashMap<&str, usize>,
 ) -> Result<Route, ConfigurationError> {
     let hostname = entry.field("hostname")?.non_empty_text()?;
-    let max_queue_s = entry.optional("max-queue-s")?.map(|limit| limit.number()).transpose()?;
     let priority = entry.optional("priority")?.map(|priority| priority.unsigned_32()).transpose()?;
     let max_attempts = entry.optional("max-attempts")?.map(|limit| limit.unsigned_32()).transpose()?;
     Ok(Route {
@@ -160,10 +160,10 @@
         hostname: CompactString::from(normalize_host(hostname)),
         path_prefix: read_prefix(entry)?,
         route_type: read_route_type(entry)?,
-        timeout_ms: read_timeout(entry)?,
-        target_latency_ms: optional_rounded(entry, "target-latency-ms")?,
-        target_run_ms: optional_rounded(entry, "target-run-ms")?,
-        max_queue_s,
+        timeout: read_timeout(entry)?,
+        target_latency: optional_milliseconds(entry, "target-latency-ms")?,
+        target_run: optional_milliseconds(entry, "target-run-ms")?,
+        max_queue: optional_seconds(entry, "max-queue-s")?,
         priority: priority.unwrap_or(0),
         split: read_split(entry, services)?,
         max_attempts: max_attempts.unwrap_or(1).max(1),
@@ -207,12 +207,12 @@
     })
 }
 
-fn read_timeout(entry: &ValueReader<'_, '_>) -> Result<Option<u64>, ConfigurationError> {
+fn read_timeout(entry: &ValueReader<'_, '_>) -> Result<Option<TimeLimit>, ConfigurationError> {
     let Some(timeout) = entry.optional("timeout-ms")? else { return Ok(None) };
     if timeout.number()? == 0.0 {
         return Err(ConfigurationError::ZeroTimeout { path: timeout.path() });
     }
-    Ok(Some(rounded_up(&timeout)?))
+    Ok(Some(milliseconds(&timeout)?))
 }
 
 fn read_split(
@@ -268,13 +268,13 @@
 fn read_limits(root: &ValueReader<'_, '_>) -> Result<Limits, ReadError> {
     let defaults = Limits::default();
     let Some(limits) = root.optional("limits")? else { return Ok(defaults) };
-    let read =
-        |name: &str, default: u64| optional_rounded(&limits, name).map(|limit| limit.unwrap_or(default));
+    let header_timeout = optional_milliseconds(&limits, "header-timeout-ms")?;
+    let idle_timeout = optional_milliseconds(&limits, "idle-timeout-ms")?;
     Ok(Limits {
-        max_header_bytes: read("max-header-bytes", defaults.max_header_bytes)?,
-        max_body_bytes: read("max-body-bytes", defaults.max_body_bytes)?,
-        header_timeout_ms: read("header-timeout-ms", defaults.header_timeout_ms)?,
-        idle_timeout_ms: read("idle-timeout-ms", defaults.idle_timeout_ms)?,
+        max_header_bytes: optional_bytes(&limits, "max-header-bytes")?.unwrap_or(defaults.max_header_bytes),
+        max_body_bytes: optional_bytes(&limits, "max-body-bytes")?.unwrap_or(defaults.max_body_bytes),
+        header_timeout: header_timeout.unwrap_or(defaults.header_timeout),
+        idle_timeout: idle_timeout.unwrap_or(defaults.idle_timeout),
     })
 }
 
@@ -282,10 +282,23 @@
     entry.optional(name)?.map(|number| number.unsigned()).transpose()
 }
 
-fn optional_rounded(entry: &ValueReader<'_, '_>, name: &str) -> Result<Option<u64>, ReadError> {
+fn optional_bytes(entry: &ValueReader<'_, '_>, name: &str) -> Result<Option<u64>, ReadError> {
     entry.optional(name)?.map(|number| rounded_up(&number)).transpose()
 }
 
+fn optional_seconds(entry: &ValueReader<'_, '_>, name: &str) -> Result<Option<TimeLimit>, ReadError> {
+    entry.optional(name)?.map(|limit| Ok(TimeLimit::from_seconds(limit.number()?))).transpose()
+}
+
+fn optional_milliseconds(entry: &ValueReader<'_, '_>, name: &str) -> Result<Option<TimeLimit>, ReadError> {
+    entry.optional(name)?.map(|limit| milliseconds(&limit)).transpose()
+}
+
+/// Returns a number of milliseconds, rounded up to an integer.
+fn milliseconds(limit: &ValueReader<'_, '_>) -> Result<TimeLimit, ReadError> {
+    Ok(TimeLimit::from_millis(rounded_up(limit)?))
+}
+
 /// Returns a number of at least 0, rounded up to an integer.
 fn rounded_up(number: &ValueReader<'_, '_>) -> Result<u64, ReadError> {
     Ok(number.number()?.ceil() as u64)
--- a/crates/configuration/tests/golden_configuration.rs
+++ b/crates/configuration/tests/golden_configuration.rs
@@ -5,6 +5,7 @@
 use orchidvalve_configuration::{Configuration, ConfigurationError, Route, RouteTable, RouteType};
 use orchidvalve_configuration::{MAX_DOCUMENT_BYTES, fingerprint};
 use orchidvalve_golden::{Trace, check_hashes, check_samples};
+use orchidvalve_protocol::time_limit::TimeLimit;
 use rand::seq::IndexedRandom;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
@@ -192,10 +193,11 @@
         RouteType::Streaming => 2,
         RouteType::RolloutControl => 3,
     });
-    for time in [route.timeout_ms, route.target_latency_ms, route.target_run_ms] {
-        trace.add_number(time.unwrap_or(u64::MAX));
+    for time in [route.timeout, route.target_latency, route.target_run] {
+        trace.add_number(time.map_or(u64::MAX, TimeLimit::as_millis));
     }
-    trace.add_number(route.max_queue_s.map_or(u64::MAX, f64::to_bits));
+    let max_queue_s = route.max_queue.map(|limit| limit.as_millis() as f64 / 1_000.0);
+    trace.add_number(max_queue_s.map_or(u64::MAX, f64::to_bits));
     trace.add_number(u64::from(route.priority));
     trace.add_number(u64::from(route.max_attempts));
     for flag in [route.resumable, route.single_version, route.sticky, route.is_repeatable()] {
@@ -228,7 +230,7 @@
     }
     let limits = table.limits();
     let bytes = [limits.max_header_bytes, limits.max_body_bytes];
-    let times = [limits.header_timeout_ms, limits.idle_timeout_ms];
+    let times = [limits.header_timeout, limits.idle_timeout].map(TimeLimit::as_millis);
     bytes.into_iter().chain(times).for_each(|limit| trace.add_number(limit));
     for host in ["a.example", "A.EXAMPLE:8144", "b.example", "d.example", ""] {
         for target in ["/", "/one/x", "/one/two/3/x?y=/", "/0/", "/one/two/three/1/2", "/three/2", "*", ""] {
--- a/crates/configuration/tests/route_table.rs
+++ b/crates/configuration/tests/route_table.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 
 use orchidvalve_configuration::{Configuration, RouteTable, RouteType};
+use orchidvalve_protocol::time_limit::TimeLimit;
 use rand::{Rng, SeedableRng};
 use rand_pcg::Pcg64Mcg;
 use rstest::rstest;
@@ -107,10 +108,10 @@
     let route = &table.routes()[0];
     assert_eq!(route.hostname, "a.example");
     assert_eq!(route.route_type, RouteType::RolloutControl);
-    assert_eq!(route.timeout_ms, Some(8000));
-    assert_eq!(route.target_latency_ms, Some(500));
-    assert_eq!(route.target_run_ms, Some(4000));
-    assert_eq!(route.max_queue_s, Some(7.5));
+    assert_eq!(route.timeout, Some(TimeLimit::from_millis(8_000)));
+    assert_eq!(route.target_latency, Some(TimeLimit::from_millis(500)));
+    assert_eq!(route.target_run, Some(TimeLimit::from_millis(4_000)));
+    assert_eq!(route.max_queue, Some(TimeLimit::from_millis(7_500)));
     assert_eq!((route.priority, route.max_attempts), (1, 3));
     assert!(route.single_version && route.sticky && route.resumable);
     assert_eq!(route.split.services().collect::<Vec<_>>(), [1]);
@@ -124,6 +125,30 @@
     assert_eq!(table.service_index("grey"), None);
 }
 
+/// Guards against times that overflow when they are added to a clock reading: the largest numbers mean "no limit".
+#[rstest]
+#[case::largest_signed_number(json!(i64::MAX))]
+#[case::largest_unsigned_number(json!(u64::MAX))]
+#[case::largest_float(json!(f64::MAX))]
+fn times_above_the_longest_limit_count_as_the_longest_limit(#[case] time: Value) {
+    let mut batch = route("batch", "a.example", "/b/");
+    for field in ["timeout-ms", "target-latency-ms", "target-run-ms", "max-queue-s"] {
+        batch[field] = time.clone();
+    }
+    let limits = json!({"header-timeout-ms": time.clone(), "idle-timeout-ms": time.clone()});
+    let scaling = json!({"min-count": 1, "max-count": 2, "boot-s": time});
+    let document = json!({"config-version": 1, "routes": [batch], "limits": limits,
+        "services": [{"name": "blue", "scaling": scaling}]});
+    let configuration = Configuration::replace(document.to_string().as_bytes(), None).unwrap();
+    let table = configuration.routes();
+    let route = &table.routes()[0];
+    for limit in [route.timeout, route.target_latency, route.target_run, route.max_queue] {
+        assert_eq!(limit, Some(TimeLimit::MAX));
+    }
+    assert_eq!([table.limits().header_timeout, table.limits().idle_timeout], [TimeLimit::MAX; 2]);
+    assert_eq!(table.services()[0].scaling.as_ref().map(|scaling| scaling.boot), Some(TimeLimit::MAX));
+}
+
 #[rstest]
 #[case(json!("idempotent"), RouteType::Idempotent, true)]
 #[case(json!("non_idempotent"), RouteType::NonIdempotent, false)]
--- a/crates/configuration/tests/tenants.rs
+++ b/crates/configuration/tests/tenants.rs
@@ -1,6 +1,7 @@
 //! Tenants and their API keys, public routes, and bounds of scaling.
 
 use orchidvalve_configuration::{Configuration, ConfigurationError, RouteTable, Scaling, Tenant};
+use orchidvalve_protocol::time_limit::TimeLimit;
 use rstest::rstest;
 use serde_json::{Value, json};
 
@@ -75,7 +76,10 @@
     let configuration = put(&document()).unwrap();
     let scaling: Vec<_> =
         configuration.routes().services().iter().map(|service| service.scaling.clone()).collect();
-    assert_eq!(scaling, [Some(Scaling { min_count: 2, max_count: 6, boot_s: 4.5 }), None]);
+    assert_eq!(
+        scaling,
+        [Some(Scaling { min_count: 2, max_count: 6, boot: TimeLimit::from_millis(4_500) }), None]
+    );
 }
 
 #[rstest]
--- a/crates/control-plane/src/scaling_planner.rs
+++ b/crates/control-plane/src/scaling_planner.rs
@@ -275,7 +275,7 @@
 
     /// Returns the time after which an order shows in the list.
     fn effect_ms(&self) -> Milliseconds {
-        self.bounds.boot_ms.saturating_add(LIST_LAG_MS)
+        self.bounds.boot_ms + LIST_LAG_MS
     }
 
     /// Returns whether the last order is so recent that it may not have taken effect.
--- a/crates/control-plane/src/singleton_roles/scaling.rs
+++ b/crates/control-plane/src/singleton_roles/scaling.rs
@@ -19,7 +19,6 @@
 /// Name of this role in the settings.
 const ROLE_NAME: &str = "autoscaling";
 const SCALING_PATH: &str = "/scaling";
-const MS_PER_S: f64 = 1_000.0;
 
 /// State of scaling while this node leads it.
 #[derive(Default, Debug)]
@@ -175,7 +174,7 @@
     let scaled =
         services.iter().filter_map(|service| Some((service.name.to_string(), service.scaling.as_ref()?)));
     let bounds = scaled.map(|(service, scaling)| {
-        let boot_ms = (scaling.boot_s * MS_PER_S) as Milliseconds;
+        let boot_ms = scaling.boot.as_millis();
         (service, ScalingBounds { min_count: scaling.min_count, max_count: scaling.max_count, boot_ms })
     });
     bounds.collect()
--- a/crates/data-plane/src/balancer/upstream.rs
+++ b/crates/data-plane/src/balancer/upstream.rs
@@ -68,7 +68,7 @@
 
     pub(super) fn succeeded(&mut self, success: Success, is_slow: bool) {
         self.accrual.succeeded();
-        self.warm_until = if is_slow { 0 } else { success.at.saturating_add(success.keep_alive_ms) };
+        self.warm_until = if is_slow { 0 } else { success.at + success.keep_alive_ms };
     }
 
     pub(super) fn returned_error(&mut self, now: u64) {
--- a/crates/data-plane/src/exchanges/outcomes.rs
+++ b/crates/data-plane/src/exchanges/outcomes.rs
@@ -1,6 +1,7 @@
 //! Maps servers' responses to outcomes of generations and reward calls.
 
 use orchidvalve_http::ResponseHead;
+use orchidvalve_protocol::time_limit::TimeLimit;
 
 use super::Stream;
 use crate::generations::{AttemptOutcome, RewardOutcome};
@@ -49,7 +50,7 @@
 
 fn retry_after_ms(head: &ResponseHead) -> Option<u64> {
     let seconds: f64 = head.headers.get("retry-after")?.parse().ok()?;
-    (seconds >= 0.0).then_some((seconds * 1_000.0) as u64)
+    (seconds >= 0.0).then_some(TimeLimit::from_seconds(seconds).as_millis())
 }
 
 /// Returns the version of the weights under which a response begins: the last one in `Weight-Versions`.
--- a/crates/data-plane/src/gateway/client_requests.rs
+++ b/crates/data-plane/src/gateway/client_requests.rs
@@ -291,7 +291,10 @@
     /// Closes connections that have been idle, or whose request has been incomplete, for too long.
     pub(super) fn close_expired_clients(&mut self) {
         let (idle_ms, header_ms) = match &self.routes {
-            Some(routes) => (routes.limits().idle_timeout_ms, routes.limits().header_timeout_ms),
+            Some(routes) => {
+                let limits = routes.limits();
+                (limits.idle_timeout.as_millis(), limits.header_timeout.as_millis())
+            }
             None => (DEFAULT_IDLE_TIMEOUT_MS, DEFAULT_HEADER_TIMEOUT_MS),
         };
         self.frontend.clients.close_expired(&mut self.network, self.now, idle_ms, header_ms);
--- a/crates/data-plane/src/requests/pending.rs
+++ b/crates/data-plane/src/requests/pending.rs
@@ -5,6 +5,7 @@
 
 use orchidvalve_configuration::{Route, RouteTable, RouteType};
 use orchidvalve_http::{Request, ResponseHead};
+use orchidvalve_protocol::time_limit::TimeLimit;
 
 use super::forwarded_stream::ForwardedStream;
 use super::messages::RequestAttemptId;
@@ -12,8 +13,8 @@
 use crate::authentication::Authenticated;
 use crate::balancer::ServerKey;
 
-/// The time allowed for a request that states no deadline, in milliseconds.
-pub(super) const DEFAULT_DEADLINE_MS: u64 = 30_000;
+/// The time allowed for a request that states no deadline.
+pub(super) const DEFAULT_DEADLINE: TimeLimit = TimeLimit::from_millis(30_000);
 
 /// How an attempt counts towards the route's `max-attempts`.
 #[derive(Clone, Copy, PartialEq, Eq, Debug)]
@@ -132,7 +133,7 @@
 
     /// Returns the latency target of the route, in milliseconds.
     pub fn latency_target_ms(&self) -> u64 {
-        self.route().target_latency_ms.unwrap_or(DEFAULT_DEADLINE_MS)
+        self.route().target_latency.unwrap_or(DEFAULT_DEADLINE).as_millis()
     }
 
     /// Begins an attempt at `server`. Returns `None` if the request isn't idempotent and may have run.
--- a/crates/data-plane/src/startup_queue.rs
+++ b/crates/data-plane/src/startup_queue.rs
@@ -5,6 +5,7 @@
 //! allows: the rest is enough for an attempt at another gateway.
 
 use orchidvalve_http::Request;
+use orchidvalve_protocol::time_limit::TimeLimit;
 
 use crate::requests::ReceivedRequest;
 
@@ -81,7 +82,6 @@
 }
 
 fn wait_ms(request: &Request) -> u64 {
-    let stated = request.headers.number("deadline-ms");
-    stated
-        .map_or(MAX_WAIT_MS, |deadline_ms| (deadline_ms.saturating_mul(WAIT_PERCENT) / 100).min(MAX_WAIT_MS))
+    let deadline = request.headers.number("deadline-ms").map(TimeLimit::from_millis);
+    deadline.map_or(MAX_WAIT_MS, |deadline| (deadline.as_millis() * WAIT_PERCENT / 100).min(MAX_WAIT_MS))
 }
--- a/crates/data-plane/src/upstream/idle_pool.rs
+++ b/crates/data-plane/src/upstream/idle_pool.rs
@@ -5,6 +5,7 @@
 
 use orchidvalve_http::ResponseHead;
 use orchidvalve_net::{ConnectionId, Network};
+use orchidvalve_protocol::time_limit::TimeLimit;
 
 use super::exchange::{Idempotency, OutboundRequest};
 use super::recent_ids::RecentIds;
@@ -100,7 +101,7 @@
         let idle = self.by_server.entry(server).or_default();
         // Bytes beyond the response belong to no request, so the connection can't be trusted.
         if is_quiescent(network, connection) && keep_alive_ms > 0 && idle.len() < MAX_IDLE {
-            let (trusted_until, until) = (now.saturating_add(trusted_ms), now.saturating_add(keep_alive_ms));
+            let (trusted_until, until) = (now + trusted_ms, now + keep_alive_ms);
             idle.push(IdleConnection { connection, trusted_until, until, recent_ids });
             self.servers.insert(connection, server);
         } else {
@@ -163,5 +164,5 @@
     let parts = head.headers.get("keep-alive")?.split(',');
     let seconds = parts.filter_map(|part| part.trim().strip_prefix("timeout=")).next()?;
     let seconds: u64 = seconds.trim().parse().ok()?;
-    Some(seconds.saturating_mul(1_000).saturating_sub(IDLE_MARGIN_MS))
+    Some(TimeLimit::from_seconds(seconds as f64).as_millis().saturating_sub(IDLE_MARGIN_MS))
 }
--- a/crates/data-plane/src/work/mod.rs
+++ b/crates/data-plane/src/work/mod.rs
@@ -13,11 +13,12 @@
 use orchidvalve_control_state::ControlState;
 use orchidvalve_protocol::identity::NodeAddress;
 use orchidvalve_protocol::messages::{AssignedGroup, AssignedJob, GatewayMessage, ItemFailures};
+use orchidvalve_protocol::time_limit::TimeLimit;
 
 use self::ended_jobs::EndedJobs;
 use self::outcomes::OutcomeQueue;
 pub use self::routes::RewardRoutes;
-use self::routes::{DEFAULT_RUN_MS, assigned_item, rollout_route, route_settings};
+use self::routes::{DEFAULT_RUN, assigned_item, rollout_route, route_settings};
 use crate::generations::{Assignment, GroupId, ItemResult, RouteSettings, Runner, RunnerCommand};
 use crate::store_links::OutboundMessage;
 
@@ -25,8 +26,6 @@
 /// reports is the difference between the wall clocks of two processes. These may differ by two seconds if one of the
 /// clocks was being adjusted when its process started.
 const EXPIRY_MARGIN_MS: u64 = 3_000;
-/// The time allowed for items whose route states no limit, in milliseconds.
-const NO_EXPIRY_MS: u64 = u64::MAX / 4;
 
 /// Identifies a batch job by its store partition and its id.
 #[derive(Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Debug)]
@@ -146,8 +145,8 @@
         let settings = Arc::new(route_settings(table, route));
         let key = JobKey::of_job(&job);
         let open = OpenJob { hostname: job.hostname.clone(), path: job.path.clone() };
-        let allowed_ms =
-            route.max_queue_s.map_or(NO_EXPIRY_MS, |seconds| (seconds * 1_000.0) as u64 + EXPIRY_MARGIN_MS);
+        let target_run = route.target_run.unwrap_or(DEFAULT_RUN);
+        let max_queue = route.max_queue.unwrap_or(TimeLimit::MAX);
         let tenant = job.tenant.as_deref().map(CompactString::from);
         for group in groups {
             // A new head doesn't know of outcomes that are in transit to it.
@@ -162,8 +161,8 @@
                 route: settings.clone(),
                 model: job.model.as_deref().map(CompactString::from),
                 min_weights_version: job.model.as_ref().map(|_| job.min_weights_version),
-                due_at: received_at + route.target_run_ms.unwrap_or(DEFAULT_RUN_MS),
-                expires_at: received_at.saturating_add(allowed_ms),
+                due_at: received_at + target_run.as_millis(),
+                expires_at: received_at + max_queue.as_millis() + EXPIRY_MARGIN_MS,
                 items: items.map(|item| assigned_item(item, tenant.as_ref())).collect(),
             };
             runner.assign(assignment, commands);
--- a/crates/data-plane/src/work/routes.rs
+++ b/crates/data-plane/src/work/routes.rs
@@ -5,13 +5,14 @@
 use compact_str::CompactString;
 use orchidvalve_configuration::{Route, RouteTable, RouteType};
 use orchidvalve_protocol::messages::AssignedItem;
+use orchidvalve_protocol::time_limit::TimeLimit;
 
 use crate::generations::{Item, RewardRoute, RouteSettings, Routes, Scorer};
 
-/// The target duration of a job whose route states none, in milliseconds.
-pub(super) const DEFAULT_RUN_MS: u64 = 30_000;
-/// The latency target of reward calls whose route states none, in milliseconds.
-const DEFAULT_REWARD_TARGET_MS: u64 = 500;
+/// The target duration of a job whose route states none.
+pub(super) const DEFAULT_RUN: TimeLimit = TimeLimit::from_millis(30_000);
+/// The latency target of reward calls whose route states none.
+const DEFAULT_REWARD_TARGET: TimeLimit = TimeLimit::from_millis(500);
 
 /// Routes of reward calls in the current configuration.
 pub struct RewardRoutes(pub Option<Arc<RouteTable>>);
@@ -23,7 +24,7 @@
         let service = table.services().get(table.pick(route, random))?;
         Some(RewardRoute {
             service: service.name.clone(),
-            target_latency_ms: route.target_latency_ms.unwrap_or(DEFAULT_REWARD_TARGET_MS),
+            target_latency_ms: route.target_latency.unwrap_or(DEFAULT_REWARD_TARGET).as_millis(),
             max_attempts: route.max_attempts,
         })
     }
@@ -41,7 +42,7 @@
         id: route.name.clone(),
         host: route.hostname.clone(),
         service: service.map_or_else(CompactString::default, |service| service.name.clone()),
-        target_run_ms: route.target_run_ms.unwrap_or(DEFAULT_RUN_MS),
+        target_run_ms: route.target_run.unwrap_or(DEFAULT_RUN).as_millis(),
         max_attempts: route.max_attempts,
         single_version: route.single_version,
         has_tenants: table.tenants().is_some(),
--- a/crates/data-plane/tests/clients.rs
+++ b/crates/data-plane/tests/clients.rs
@@ -4,6 +4,7 @@
 
 use std::net::SocketAddrV4;
 
+use orchidvalve_configuration::Configuration;
 use orchidvalve_data_plane::clients::{
     Busy, Clients, ReadOutcome, malformed_status, readiness_idle_timeout_ms,
 };
@@ -437,6 +438,24 @@
     assert!(gateway.requests.is_empty());
 }
 
+/// Guards against idle connections that are closed at once because the configured timeout overflows the clock.
+#[test]
+fn idle_connections_are_kept_with_the_largest_timeout() {
+    let mut gateway = Gateway::new();
+    let mut peer = gateway.connect();
+    peer.send(&request("1", ""));
+    gateway.wait_for_requests(1);
+    gateway.respond("whole");
+    gateway.receive_until(&mut peer, "whole");
+    gateway.now += 60_000;
+    let document = br#"{"config-version":1,"routes":[],"services":[],
+        "limits":{"header-timeout-ms":18446744073709551615,"idle-timeout-ms":1.7e308}}"#;
+    let configuration = Configuration::replace(document, None).unwrap();
+    let limits = configuration.routes().limits();
+    let (idle_ms, header_ms) = (limits.idle_timeout.as_millis(), limits.header_timeout.as_millis());
+    assert_eq!(gateway.clients.close_expired(&mut gateway.network, gateway.now, idle_ms, header_ms).len(), 0);
+}
+
 #[test]
 fn draining_closes_idle_connections_and_completes_the_others() {
     let mut gateway = Gateway::new();
--- a/crates/data-plane/tests/work.rs
+++ b/crates/data-plane/tests/work.rs
@@ -34,6 +34,13 @@
     state.apply(&Change::Place(vec![(PARTITION, placement)])).unwrap();
 }
 
+/// Returns a route of batch jobs with this text for `target-run-ms` and `max-queue-s`.
+fn table_with_limit(limit: &str) -> Arc<RouteTable> {
+    let route = route("r", "pule252", "rollout_control");
+    let route = route.replace(r#""target-run-ms":8000"#, &format!(r#""target-run-ms":{limit}"#));
+    table_with(&route.replace(r#""max-queue-s":20.0"#, &format!(r#""max-queue-s":{limit}"#)))
+}
+
 fn table(prefix: &str) -> Arc<RouteTable> {
     table_with(&route("r", prefix, "rollout_control"))
 }
@@ -206,6 +213,21 @@
     );
 }
 
+/// Guards against a time allowed for items that overflows and leaves only the margin for different clocks.
+#[rstest]
+#[case::largest_signed_number("9223372036854775807")]
+#[case::largest_unsigned_number("18446744073709551615")]
+#[case::largest_float("1.7e308")]
+fn the_largest_limit_never_expires_items(#[case] limit: &str) {
+    let mut gateway = Gateway::new();
+    gateway.assign(assigned_job("job", 1), 0, Some(&table_with_limit(limit)));
+    assert_eq!(gateway.sent().len(), 1);
+    gateway.now += 4_000;
+    gateway.runner.tick(gateway.now, &mut gateway.commands);
+    let reported = gateway.commands.iter().any(|command| matches!(command, RunnerCommand::Report { .. }));
+    assert!(!reported, "{:?}", gateway.commands);
+}
+
 #[test]
 fn groups_of_an_older_epoch_are_ignored() {
     let mut gateway = Gateway::new();
--- a/crates/server/src/options.rs
+++ b/crates/server/src/options.rs
@@ -10,6 +10,7 @@
 use orchidvalve_control_plane::process::ControlOptions;
 use orchidvalve_data_plane::gateway::GatewayOptions;
 use orchidvalve_protocol::identity::NodeAddress;
+use orchidvalve_protocol::time_limit::TimeLimit;
 use orchidvalve_settings::Settings;
 
 /// Names of the roles on the command line.
@@ -66,11 +67,11 @@
         tolerance: settings.fault_tolerance.machines as usize,
         platform: settings.cloud_api.address,
         lease_ms: settings.bounds.lease_ms,
-        catch_up_ms: (settings.bounds.catch_up_s * 1_000.0) as u64,
+        catch_up_ms: TimeLimit::from_seconds(settings.bounds.catch_up_s).as_millis(),
         enabled_platform_roles: settings.cloud_api.platform_roles.clone(),
         platform_calls_per_second: settings.cloud_api.platform_calls_per_second,
         usage_window_ms: usage_window_ms(settings),
-        usage_report_deadline_ms: (settings.bounds.usage_late_s * 1_000.0) as u64,
+        usage_report_deadline_ms: TimeLimit::from_seconds(settings.bounds.usage_late_s).as_millis(),
     })
 }
 
@@ -112,7 +113,7 @@
         seeds: seeds(settings),
         memory_bytes: settings.limits.memory_mb << 20,
         tolerance: settings.fault_tolerance.machines as usize,
-        status_interval_ms: (settings.bounds.status_interval_s * 1_000.0) as u64,
+        status_interval_ms: TimeLimit::from_seconds(settings.bounds.status_interval_s).as_millis(),
     })
 }
 
@@ -133,12 +134,12 @@
 
 /// Returns the length of a usage window in milliseconds.
 fn usage_window_ms(settings: &Settings) -> u64 {
-    (settings.bounds.usage_window_s * 1_000.0) as u64
+    TimeLimit::from_seconds(settings.bounds.usage_window_s).as_millis()
 }
 
 /// Returns the grace period of a shutdown in milliseconds.
 fn grace_ms(settings: &Settings) -> u64 {
-    (settings.bounds.grace_s * 1_000.0) as u64
+    TimeLimit::from_seconds(settings.bounds.grace_s).as_millis()
 }
 
 fn data_directory(settings: &Settings, role: &'static str) -> Result<PathBuf, MissingSetting> {
--- a/crates/settings/src/lines.rs
+++ b/crates/settings/src/lines.rs
@@ -4,6 +4,8 @@
 use std::path::Path;
 use std::str::FromStr;
 
+use orchidvalve_protocol::time_limit::TimeLimit;
+
 use super::{PortRange, SettingsError};
 
 /// The lines of a settings file by key.
@@ -59,7 +61,9 @@
         const EXPECTED: &str = "a number of milliseconds, 0 or more";
         let Some(value) = self.values.get(key) else { return Ok(default) };
         let number: Option<f64> = value.text.parse().ok().filter(|n: &f64| n.is_finite() && *n >= 0.0);
-        number.map(|n| n.round() as u64).ok_or_else(|| self.malformed(key, *value, EXPECTED))
+        number
+            .map(|n| TimeLimit::from_millis(n.round() as u64).as_millis())
+            .ok_or_else(|| self.malformed(key, *value, EXPECTED))
     }
 
     /// Returns a number above 0, or `default` if the key is missing.
--- a/crates/settings/tests/settings.rs
+++ b/crates/settings/tests/settings.rs
@@ -2,6 +2,7 @@
 
 use std::path::{Path, PathBuf};
 
+use orchidvalve_protocol::time_limit::TimeLimit;
 use orchidvalve_settings::{Bounds, FaultTolerance, PortRange, Settings, SettingsError};
 use rstest::rstest;
 
@@ -200,6 +201,15 @@
     assert_eq!(settings, parse(EXAMPLE).unwrap());
 }
 
+/// Guards against times that overflow when a process adds them to a clock reading.
+#[rstest]
+#[case::largest_whole_number("18446744073709551615")]
+#[case::largest_float("1.7e308")]
+fn milliseconds_are_at_most_the_longest_time_limit(#[case] value: &str) {
+    let settings = parse(&with("bounds.lease-ms", value)).unwrap();
+    assert_eq!(settings.bounds.lease_ms, TimeLimit::MAX.as_millis());
+}
+
 #[test]
 fn a_value_may_contain_an_equals_sign_and_is_trimmed() {
     let settings = parse(&with("node-name", " a=b ")).unwrap();
