Seeds without a disk vote on the first view as witnesses

Cause: the first view was decided by machines at the addresses of the seeds, as these are all that every process knows. Seeds without a disk can't be in a view and were left out of the vote; with all left out nobody had one.

Change: if every seed has said that it has no disk, the seeds vote on the first view in memory (`consensus::Witness`), on the links that members open to them; members propose a view of themselves. It takes a majority of the seeds and, on disk, a majority of its own voters. A process that was not started with `bootstrap=true`, or that heard of a view, doesn't vote. Nothing changes while one seed has a disk. One new message (`FirstViewVote`), sent in reply to a proposal only, so processes of the build before never get one; one line more in two golden files, the rest unchanged.

--- a/crates/consensus/src/agreement.rs
+++ b/crates/consensus/src/agreement.rs
@@ -94,9 +94,15 @@
     }
 
     /// Excludes the control node at the address `seed` because it has no disk: it is not a member, and the first view
-    /// is decided without it.
+    /// is decided without it. If no seed has a disk, the seeds decide it as witnesses.
     pub fn exclude_seed(&mut self, seed: NodeAddress) {
-        self.reconsider |= self.seeds.exclude(seed);
+        if !self.seeds.exclude(seed) {
+            return;
+        }
+        self.reconsider = true;
+        if self.state.view.is_none() {
+            self.watch_members();
+        }
     }
 
     /// Returns the `Hello` that is sent first on every new connection.
@@ -294,13 +300,26 @@
     pub(crate) fn may_vote(&self) -> bool {
         match &self.state.view {
             Some(view) => view.is_voter(self.me),
-            None => {
-                let bootstraps = self.bootstrap || self.state.acceptor.promised.is_some();
-                bootstraps && self.seeds.is_seed(self.me) && !self.seeds.system_exists
-            }
+            None => self.seeds.is_seed(self.me) && self.may_begin_system(),
         }
     }
 
+    /// Returns whether this process may start a proposal: it votes, or it is a candidate for a first view on which
+    /// witnesses vote.
+    pub(crate) fn may_propose(&self) -> bool {
+        self.may_vote() || self.has_witnesses() && self.may_begin_system()
+    }
+
+    /// Returns whether witnesses vote on the next view, which is the first one.
+    pub(crate) fn has_witnesses(&self) -> bool {
+        self.state.view.is_none() && self.seeds.are_witnesses()
+    }
+
+    fn may_begin_system(&self) -> bool {
+        let bootstraps = self.bootstrap || self.state.acceptor.promised.is_some();
+        bootstraps && !self.seeds.system_exists
+    }
+
     /// Sends `message` once all writes issued so far are durable.
     pub(crate) fn send_when_durable(&mut self, to: MemberId, message: Message) {
         self.pending_writes.defer(Output::Send { to, message });
--- a/crates/consensus/src/paxos.rs
+++ b/crates/consensus/src/paxos.rs
@@ -18,7 +18,7 @@
     /// they don't outbid each other forever (section 2.4, progress).
     pub(crate) fn propose_if_due(&mut self, outputs: &mut Vec<Output>) {
         self.instance.next_attempt_at = None;
-        if !self.may_vote() || self.condition.impaired {
+        if !self.may_propose() || self.condition.impaired {
             return;
         }
         let Some(view) = self.next_view().or_else(|| self.accepted_view()) else {
@@ -154,9 +154,13 @@
             return;
         };
         self.instance.progress_at = Some(self.clock.now());
-        self.accept_received(self.me, ballot, view.clone(), outputs);
-        if self.state.acceptor.accepted_ballot() != Some(ballot) {
-            return;
+        if self.has_witnesses() && !view.is_voter(self.me) {
+            self.count_acceptances(ballot, view.clone(), outputs);
+        } else {
+            self.accept_received(self.me, ballot, view.clone(), outputs);
+            if self.state.acceptor.accepted_ballot() != Some(ballot) {
+                return;
+            }
         }
         for voter in self.others_involved(&view) {
             self.send_when_durable(voter, Message::Accept { ballot, view: view.clone() });
@@ -185,7 +189,7 @@
         }
     }
 
-    /// Returns true if `ballot` is from a voter and for the instance after the current view. Sends the current view to
+    /// Returns true if `ballot` is from a process that may propose and for the instance after the current view. Sends the current view to
     /// a sender that is behind, and a `Hello`, which requests the latest view, to a sender that is ahead.
     fn is_current_instance(
         &self,
@@ -200,15 +204,18 @@
         } else if epoch > next {
             outputs.push(Output::Send { to: from, message: self.hello() });
         }
-        let from_voter = ballot.proposer == from && self.voter_set().contains(from);
-        epoch == next && from_voter
+        let may_propose = self.has_witnesses() || self.voter_set().contains(from);
+        epoch == next && ballot.proposer == from && may_propose
     }
 
     /// Returns whether this process may accept `view`: it votes on it, or becomes a voter by it, and `view` may follow
     /// the current view.
     fn may_accept(&self, view: &View) -> bool {
         match &self.state.view {
-            None => view.epoch == 1 && view.is_well_formed() && self.may_vote(),
+            None => {
+                let votes = if self.has_witnesses() { view.is_voter(self.me) } else { self.may_vote() };
+                view.epoch == 1 && view.is_well_formed() && votes && self.may_propose()
+            }
             Some(current) => view.follows(current) && (self.may_vote() || view.is_voter(self.me)),
         }
     }
@@ -224,7 +231,7 @@
     fn other_voters(&self) -> Vec<MemberId> {
         let me = self.me;
         match &self.state.view {
-            None => self.seeds.known().filter(|member| *member != me).collect(),
+            None => self.seeds.voters().into_iter().filter(|member| *member != me).collect(),
             Some(view) => view.voters.iter().copied().filter(|voter| *voter != me).collect(),
         }
     }
--- a/crates/consensus/tests/support/network.rs
+++ b/crates/consensus/tests/support/network.rs
@@ -3,7 +3,7 @@
 
 use std::collections::BTreeMap;
 
-use orchidvalve_consensus::{Agreement, Message, Output, View};
+use orchidvalve_consensus::{Agreement, Message, Output, View, Witness};
 use orchidvalve_protocol::identity::MemberId;
 
 use super::settle;
@@ -14,6 +14,8 @@
 pub struct Network {
     pub now: u64,
     pub nodes: BTreeMap<MemberId, Agreement>,
+    /// Running seeds without a disk.
+    pub witnesses: BTreeMap<MemberId, Witness>,
     pub changes: Vec<(MemberId, View)>,
     /// Keyed by time of arrival and order of sending.
     in_flight: BTreeMap<(u64, u64), (MemberId, MemberId, Message)>,
@@ -27,6 +29,7 @@
         Network {
             now: 1_000,
             nodes: BTreeMap::new(),
+            witnesses: BTreeMap::new(),
             changes: Vec::new(),
             in_flight: BTreeMap::new(),
             sent: 0,
@@ -101,11 +104,18 @@
             self.now += 1;
             while let Some(entry) = self.in_flight.first_entry().filter(|entry| entry.key().0 <= self.now) {
                 let (from, to, message) = entry.remove();
-                if !self.partitions.contains(&(from, to)) {
-                    self.drive(to, |agreement, now, outputs| {
-                        agreement.message_received(now, from, message, outputs);
-                    });
+                if self.partitions.contains(&(from, to)) {
+                    continue;
                 }
+                if let Some(witness) = self.witnesses.get_mut(&to) {
+                    if let Some(reply) = witness.message_received(from, &message) {
+                        self.send(to, from, reply);
+                    }
+                    continue;
+                }
+                self.drive(to, |agreement, now, outputs| {
+                    agreement.message_received(now, from, message, outputs);
+                });
             }
             let due = |(_, node): &(&MemberId, &Agreement)| node.next_tick_at() <= self.now;
             let members: Vec<MemberId> = self.nodes.iter().filter(due).map(|(member, _)| *member).collect();
--- a/crates/control-client/src/session.rs
+++ b/crates/control-client/src/session.rs
@@ -289,7 +289,7 @@
             }
             // Only a control node that has a quorum, and has welcomed this process, may send anything else.
             _ if !self.is_session(connection) => Err(Disconnect::NotWelcomed),
-            ControlMessage::Heartbeat => Ok(FeedUpdate::default()),
+            ControlMessage::Heartbeat | ControlMessage::FirstViewVote { .. } => Ok(FeedUpdate::default()),
             ControlMessage::Snapshot { sequence, state } => {
                 Ok(self.replica.apply_snapshot(sequence, &state)?)
             }
--- a/crates/control-plane/src/observer/mod.rs
+++ b/crates/control-plane/src/observer/mod.rs
@@ -6,6 +6,8 @@
 //! So it subscribes to the feed to learn the members, and redirects operators to them with status 307, and gateways, store
 //! nodes and control nodes with [`ControlMessage::Redirect`]. Members keep opening links to an observer that they know,
 //! since after a restart it knows only its seeds, and these may all be observers.
+//!
+//! If all seeds are observers at the first start of a system, they vote on its first view ([`Witness`]).
 
 mod member_directory;
 
@@ -15,12 +17,13 @@
 use std::time::Duration;
 
 use orchidvalve_chain_replication::Milliseconds;
+use orchidvalve_consensus::Witness;
 use orchidvalve_control_client::FeedClient;
 use orchidvalve_http::{Request, RequestReader, write_response};
 use orchidvalve_net::clock::Clock;
 use orchidvalve_net::{ConnectionId, Event, Network};
 use orchidvalve_protocol::frames::{FrameError, read_frame};
-use orchidvalve_protocol::identity::{MemberId, NodeAddress};
+use orchidvalve_protocol::identity::{MemberId, NO_DISK, NodeAddress};
 use orchidvalve_protocol::messages::{
     ControlMessage, Handshake, LinkProtocol, PROTOCOL_VERSION, Role, SessionMessage,
 };
@@ -57,6 +60,8 @@
     pub source: Option<Ipv4Addr>,
     /// Control addresses of the control nodes in the settings.
     pub seeds: Vec<SocketAddrV4>,
+    /// Whether this is the first start of the system: the process votes on the first view if no seed has a disk.
+    pub bootstrap: bool,
 }
 
 /// The state of an incoming connection.
@@ -68,8 +73,8 @@
     Subscriber,
     /// A control node that has not sent its handshake yet.
     NewPeer,
-    /// A member. Its messages are ignored, since they are meant for other members.
-    Member,
+    /// A member. Only its proposals of the first view are meant for this process.
+    Member(MemberId),
 }
 
 struct Observer {
@@ -77,6 +82,8 @@
     network: Network,
     feed: FeedClient,
     directory: MemberDirectory,
+    /// The votes of this process on the first view; `None` if the system has started before.
+    witness: Option<Witness>,
     redirector: Redirector,
     connections: BTreeMap<ConnectionId, Connection>,
     /// When the lack of a known member is logged; `None` once it was logged or a member was known.
@@ -119,7 +126,10 @@
             role: Role::Control,
             name: options.name.clone(),
             zone: options.zone.clone(),
-            member: MemberId { address: NodeAddress::new(*options.internal_address.ip(), port), disk: 0 },
+            member: MemberId {
+                address: NodeAddress::new(*options.internal_address.ip(), port),
+                disk: NO_DISK,
+            },
             incarnation,
             cpu_share: options.cpu_share,
         };
@@ -129,6 +139,7 @@
             network,
             feed: FeedClient::new(handshake, seeds, incarnation),
             directory: MemberDirectory::default(),
+            witness: options.bootstrap.then(Witness::default),
             redirector: Redirector::new(options.control_address, &options.seeds),
             connections: BTreeMap::new(),
         })
@@ -194,11 +205,7 @@
                 Connection::Unidentified => self.identify(connection),
                 Connection::Subscriber => self.subscriber_data_received(connection),
                 Connection::NewPeer => self.peer_data_received(connection),
-                Connection::Member => {
-                    let length = self.network.inbox(connection).len();
-                    self.network.consume(connection, length);
-                    Progress::Incomplete
-                }
+                Connection::Member(member) => self.member_data_received(connection, *member),
             };
             match progress {
                 Progress::Consumed => {}
@@ -249,17 +256,41 @@
             log::warn!("control: a peer uses another protocol version; run the same version on all machines");
             return Progress::Close;
         }
-        let member = handshake.member.address;
+        let address = handshake.member.address;
         self.redirect_process(connection);
-        self.connections.insert(connection, Connection::Member);
+        self.connections.insert(connection, Connection::Member(handshake.member));
         let now = self.clock.now();
-        if let Some(older) = self.directory.link_opened(connection, member, now) {
+        if let Some(older) = self.directory.link_opened(connection, address, now) {
             self.abort_connection(older);
         }
-        self.feed.add_hints(vec![member], now);
+        self.feed.add_hints(vec![address], now);
         Progress::Consumed
     }
 
+    /// Processes a message of a member: votes on a first view that it proposes. All others are meant for members.
+    fn member_data_received(&mut self, connection: ConnectionId, member: MemberId) -> Progress {
+        let (message, length) = match read_frame::<PeerMessage>(self.network.inbox(connection)) {
+            Ok(None) => return Progress::Incomplete,
+            Ok(Some(frame)) => frame,
+            Err(error) => return malformed(&error),
+        };
+        self.network.consume(connection, length);
+        if let (PeerMessage::Agreement(message), Some(witness)) = (message, &mut self.witness)
+            && let Some(vote) = witness.message_received(member, &message)
+        {
+            self.send_vote(connection, &vote);
+        }
+        Progress::Consumed
+    }
+
+    fn send_vote(&mut self, connection: ConnectionId, vote: &orchidvalve_consensus::Message) {
+        let mut message = Vec::new();
+        match vote.encode(&mut message) {
+            Ok(()) => send(&mut self.network, connection, &ControlMessage::FirstViewVote { message }),
+            Err(error) => log::error!("control: a vote on the first view cannot be encoded: {error}"),
+        }
+    }
+
     fn redirect_process(&mut self, connection: ConnectionId) {
         let redirect = ControlMessage::Redirect { controls: self.members() };
         send(&mut self.network, connection, &redirect);
--- a/crates/control-plane/src/process/connections.rs
+++ b/crates/control-plane/src/process/connections.rs
@@ -4,7 +4,7 @@
 use orchidvalve_control_state::{Change, ModelUsage};
 use orchidvalve_net::ConnectionId;
 use orchidvalve_protocol::frames::{FrameError, read_frame};
-use orchidvalve_protocol::identity::{MemberId, NodeAddress};
+use orchidvalve_protocol::identity::{MemberId, NO_DISK, NodeAddress};
 use orchidvalve_protocol::messages::{
     ControlMessage, FeedPosition, Handshake, LinkProtocol, PROTOCOL_VERSION, Role, ServiceLoad,
     SessionMessage,
@@ -86,10 +86,10 @@
         self.network.send(connection, &[LinkProtocol::ControlPeer.byte()]);
         let handshake = PeerMessage::Handshake { handshake: self.handshake.clone() };
         self.links.send(&mut self.network, address, &handshake);
+        self.links.send(&mut self.network, address, &self.node.hello());
         if self.links.is_observer(address) {
             return;
         }
-        self.links.send(&mut self.network, address, &self.node.hello());
         self.links.send(&mut self.network, address, &PeerMessage::Servers(self.servers.snapshot()));
         let workers = PeerMessage::Workers(self.workers.list().clone());
         self.links.send(&mut self.network, address, &workers);
@@ -101,7 +101,7 @@
     }
 
     /// Processes data received on a link that this node opened. Members send on links of their own, so the peer is an
-    /// observer, which sends the members that it knows.
+    /// observer, which sends the members that it knows, and its votes on the first view.
     pub(super) fn observer_data_received(&mut self, connection: ConnectionId, address: NodeAddress) {
         loop {
             let (message, length) = match read_frame::<ControlMessage>(self.network.inbox(connection)) {
@@ -114,14 +114,25 @@
                 }
             };
             self.network.consume(connection, length);
-            if let ControlMessage::Redirect { controls } = message {
-                self.links.mark_observer(address);
-                self.links.add_hints(controls, self.now);
-                self.node.exclude_seed(address);
+            match message {
+                ControlMessage::Redirect { controls } => {
+                    self.links.mark_observer(address);
+                    self.links.add_hints(controls, self.now);
+                    self.node.exclude_seed(address);
+                }
+                ControlMessage::FirstViewVote { message } => self.first_view_vote_received(address, &message),
+                _ => {}
             }
         }
     }
 
+    fn first_view_vote_received(&mut self, address: NodeAddress, message: &[u8]) {
+        match orchidvalve_consensus::Message::decode(message) {
+            Ok(message) => self.node.agreement_message(MemberId { address, disk: NO_DISK }, message),
+            Err(error) => log::warn!("control: a vote of {address} on the first view: {error}"),
+        }
+    }
+
     /// Keeps links to all observers that have a session with any member.
     fn refresh_observers(&mut self) {
         let observers = self.sessions.sessions().filter(|session| session.role == Role::Control);
--- a/crates/control-plane/tests/golden_samples.rs
+++ b/crates/control-plane/tests/golden_samples.rs
@@ -257,6 +257,7 @@
             ("whole-table", ControlMessage::Servers(complete_table())),
             ("table-difference", ControlMessage::Servers(table_difference())),
             ("workers", ControlMessage::Gateways(workers())),
+            ("first-view-vote", ControlMessage::FirstViewVote { message: vec![3, 250, 1] }),
         ],
     );
 }
--- a/crates/control-plane/tests/messages.rs
+++ b/crates/control-plane/tests/messages.rs
@@ -257,6 +257,7 @@
         ControlMessage::Changes { .. } => 4,
         ControlMessage::Servers(_) => 5,
         ControlMessage::Gateways(_) => 6,
+        ControlMessage::FirstViewVote { .. } => 7,
     }
 }
 
@@ -268,6 +269,7 @@
         ControlMessage::Snapshot { sequence: 300, state: vec![1, 2, 250] },
         ControlMessage::Changes { first: 299, changes: vec![vec![1], vec![], vec![200, 3]] },
         ControlMessage::Gateways(workers()),
+        ControlMessage::FirstViewVote { message: vec![3, 250, 1] },
     ];
     samples.extend(servers().into_iter().map(ControlMessage::Servers));
     samples
@@ -286,7 +288,7 @@
     assert_complete(&outcome_samples(), outcome_index, 6);
     assert_complete(&peer_samples(), peer_index, 12);
     assert_complete(&to_control_samples(), to_control_index, 7);
-    assert_complete(&from_control_samples(), from_control_index, 7);
+    assert_complete(&from_control_samples(), from_control_index, 8);
 }
 
 trait Message: PartialEq + std::fmt::Debug + Encode<Binary> + for<'de> Decode<'de, Binary, Global> {}
--- a/crates/control-plane/tests/observer.rs
+++ b/crates/control-plane/tests/observer.rs
@@ -2,13 +2,14 @@
 //! with a disk.
 
 use std::io::{Read, Write};
-use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
+use std::net::{Ipv4Addr, Shutdown, SocketAddrV4, TcpListener, TcpStream};
 use std::thread;
 use std::time::Duration;
 
 use musli::Decode;
 use musli::alloc::Global;
 use musli::mode::Binary;
+use orchidvalve_consensus::{Ballot, Message};
 use orchidvalve_control_plane::observer::{self, MemberDirectory, ObserverOptions};
 use orchidvalve_control_plane::peer_messages::PeerMessage;
 use orchidvalve_net::{Event, Network};
@@ -44,6 +45,10 @@
 
 /// Starts a control node without a disk whose only seed is itself.
 fn start_observer() -> ObserverOptions {
+    start_observer_with(true)
+}
+
+fn start_observer_with(bootstrap: bool) -> ObserverOptions {
     let internal_address = free_address();
     let control_address = free_address();
     let options = ObserverOptions {
@@ -55,6 +60,7 @@
         internal_listener: internal_address,
         source: None,
         seeds: vec![control_address],
+        bootstrap,
     };
     let running = options.clone();
     thread::spawn(move || observer::run(&running, 5));
@@ -187,6 +193,26 @@
     location.to_owned()
 }
 
+/// Guards against a first start that never ends because none of the seeds has a disk: they vote on the first view.
+#[test]
+fn an_observer_votes_on_the_first_view_at_the_first_start_only() {
+    let proposer = MemberId { address: node(free_address()), disk: 7 };
+    let ballot = Ballot { round: 1, proposer };
+    let prepare = PeerMessage::Agreement(Message::Prepare { epoch: 1, ballot });
+    let (mut link, _) = link_as_member(&start_observer(), proposer.address);
+    link.write_all(&frame_of(&prepare)).expect("sent");
+    let ControlMessage::FirstViewVote { message } = receive(&mut link, 0) else { panic!("no vote") };
+    let promise = Message::Promise { epoch: 1, ballot, accepted: None };
+    assert_eq!(Message::decode(&message).expect("a message of the agreement"), promise);
+
+    let (mut link, _) = link_as_member(&start_observer_with(false), proposer.address);
+    link.write_all(&frame_of(&prepare)).expect("sent");
+    link.shutdown(Shutdown::Write).expect("shut down");
+    let mut rest = Vec::new();
+    link.read_to_end(&mut rest).expect("the end of the link");
+    assert!(rest.is_empty(), "{rest:?}");
+}
+
 #[test]
 fn a_member_without_a_recent_link_is_forgotten() {
     let mut network = Network::new().expect("an event loop");
--- a/crates/control-plane/tests/support/subscribers.rs
+++ b/crates/control-plane/tests/support/subscribers.rs
@@ -373,7 +373,7 @@
                 }
                 None
             }
-            ControlMessage::Heartbeat => Some(FeedUpdate::default()),
+            ControlMessage::Heartbeat | ControlMessage::FirstViewVote { .. } => Some(FeedUpdate::default()),
             ControlMessage::Snapshot { sequence, state } => {
                 subscriber.replica.apply_snapshot(sequence, &state).ok()
             }
--- a/crates/data-plane/src/gateway/mod.rs
+++ b/crates/data-plane/src/gateway/mod.rs
@@ -22,7 +22,7 @@
 use orchidvalve_control_client::{FeedClient, LoadReports};
 use orchidvalve_net::clock::Clock;
 use orchidvalve_net::{ConnectionId, Event, Network};
-use orchidvalve_protocol::identity::{MemberId, NodeAddress, random_incarnation};
+use orchidvalve_protocol::identity::{MemberId, NO_DISK, NodeAddress, random_incarnation};
 use orchidvalve_protocol::messages::{Handshake, PROTOCOL_VERSION, Role};
 use rand::SeedableRng;
 use rand_pcg::Pcg64Mcg;
@@ -172,7 +172,7 @@
             role: Role::Gateway,
             name: options.name.clone(),
             zone: options.zone.clone(),
-            member: MemberId { address: gateway_address(&options), disk: 0 },
+            member: MemberId { address: gateway_address(&options), disk: NO_DISK },
             incarnation: seed,
             cpu_share: options.share,
         };
--- a/crates/protocol/src/identity.rs
+++ b/crates/protocol/src/identity.rs
@@ -53,10 +53,13 @@
 pub struct MemberId {
     /// Address at which the process accepts connections from other processes.
     pub address: NodeAddress,
-    /// Random number drawn when the data directory is first used; never zero.
+    /// Random number drawn when the data directory is first used; [`NO_DISK`] for a process without one.
     pub disk: u64,
 }
 
+/// [`MemberId::disk`] of a process without a disk. No disk has this number.
+pub const NO_DISK: u64 = 0;
+
 impl fmt::Display for MemberId {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         write!(formatter, "{}/{:04x}", self.address, self.disk & 0xffff)
--- a/crates/protocol/src/messages/session.rs
+++ b/crates/protocol/src/messages/session.rs
@@ -141,6 +141,11 @@
     Servers(ServerTableUpdate),
     /// A new list of the gateways that run generations.
     Gateways(GatewayList),
+    /// Reply of a control node without a disk to a member that proposes the first view.
+    FirstViewVote {
+        /// The encoded message of the agreement (`orchidvalve-consensus`).
+        message: Vec<u8>,
+    },
 }
 
 /// The gateways that run generations. Each has a quota of every model server's slots. The head of the control chain
--- a/crates/protocol/tests/golden_messages.rs
+++ b/crates/protocol/tests/golden_messages.rs
@@ -214,6 +214,8 @@
     add(to, "from-control-workers", ControlMessage::Gateways(gateways));
     add(to, "servers-update-whole", snapshot);
     add(to, "servers-update-difference", difference);
+    let message = vec![3, 250, 1];
+    add(to, "from-control-first-view-vote", ControlMessage::FirstViewVote { message });
     check("session_messages.txt", &samples);
 }
 
--- a/crates/protocol/tests/messages/strategies.rs
+++ b/crates/protocol/tests/messages/strategies.rs
@@ -36,6 +36,7 @@
     Changes { first, changes },
     Servers(update),
     Gateways(gateways),
+    FirstViewVote { message },
 });
 generate_struct!(GatewayList { version, gateways });
 generate_struct!(ServerEntry { instance, service, address, zone, slots, draining, models });
--- a/crates/server/src/options.rs
+++ b/crates/server/src/options.rs
@@ -87,6 +87,7 @@
         internal_listener: internal_listener(settings),
         source: source(settings),
         seeds: settings.seed_nodes.clone(),
+        bootstrap: settings.bootstrap,
     })
 }
 
