--- a/crates/configuration/tests/configuration.rs
+++ b/crates/configuration/tests/configuration.rs
@@ -87,6 +87,33 @@
     assert_eq!(configuration.to_json(), bytes(&valid()));
 }
 
+/// Returns weights with many digits: shares of a whole in percent, drawn fractions, and the largest integers.
+fn weights_with_many_digits() -> Vec<String> {
+    let parts = (3..60).flat_map(|whole| (1..=5).map(move |part| 100.0 * f64::from(part) / f64::from(whole)));
+    let mut random = Pcg64Mcg::seed_from_u64(84);
+    let drawn = (0..1_000).map(|_| random.random_range(1e-3..1e9));
+    let fractions = parts.chain(drawn).map(|number| number.to_string());
+    fractions.chain([u64::MAX.to_string(), i64::MIN.to_string(), (1_u64 << 53).to_string()]).collect()
+}
+
+/// Guards against numbers that are read back as other numbers than were sent. Fails without the feature
+/// `float_roundtrip` of serde_json if this package is tested alone.
+#[test]
+fn numbers_are_read_back_as_they_were_sent() {
+    let labels = weights_with_many_digits().join(",");
+    let sent = format!(r#"{{"config-version":1,"routes":[],"services":[],"labels":[{labels}]}}"#);
+    let first = Configuration::replace(sent.as_bytes(), None).unwrap();
+    assert_eq!(String::from_utf8(first.to_json()).unwrap(), sent);
+    let restored = Configuration::restore(&first.to_json(), first.fingerprint()).unwrap();
+    assert_eq!(String::from_utf8(restored.to_json()).unwrap(), sent);
+
+    let patch = format!(r#"{{"config-version":2,"upsert":{{"limits":{{"weights":[{labels}]}}}}}}"#);
+    let patched = Configuration::patch(patch.as_bytes(), Some(&restored)).unwrap();
+    let expected = sent.replace(r#""config-version":1"#, r#""config-version":2"#);
+    let expected = format!(r#"{},"limits":{{"weights":[{labels}]}}}}"#, expected.strip_suffix('}').unwrap());
+    assert_eq!(String::from_utf8(patched.to_json()).unwrap(), expected);
+}
+
 #[test]
 fn a_stored_configuration_is_restored_with_its_fingerprint() {
     let configuration = current();
