Hedges of a generation go to the pool of its group, also after its route was moved

Cause: the scheduler kept a route's pool from the time when it first saw the route, beside the pool of each group. First attempts used the group's, hedges the route's.

Change: the pool belongs to the group alone. Generations that may be hedged are kept in the pool of their group, by route for the hedge delay; a route has only latencies.

--- a/crates/data-plane/tests/generations_hedges.rs
+++ b/crates/data-plane/tests/generations_hedges.rs
@@ -5,7 +5,9 @@
 use std::sync::Arc;
 
 use generations_support::*;
-use orchidvalve_data_plane::generations::{AttemptOutcome, ItemResult, RouteSettings};
+use orchidvalve_data_plane::generations::{
+    Assignment, AttemptOutcome, ItemResult, RouteSettings, ServerInfo,
+};
 use rstest::rstest;
 
 /// The number of generations for which the hedge budget allows one hedge.
@@ -51,6 +53,39 @@
     HedgedGeneration { gateway, slow: (slow, next), hedge: (hedge, hedge_next) }
 }
 
+/// Guards against hedges that run at the service from which the route was moved, as long as the process lives.
+#[test]
+fn hedges_run_at_the_service_to_which_the_route_was_moved() {
+    const NEW_SERVERS: std::ops::Range<u32> = 20..20 + GENERATIONS as u32;
+    let mut gateway = Gateway::new(&[7; GENERATIONS]);
+    for key in NEW_SERVERS {
+        gateway.runner.set_server(&ServerInfo { service: "other".into(), ..server(key, 7) });
+    }
+    let ids: Vec<String> = (0..GENERATIONS).map(|index| format!("i{index}")).collect();
+    let items: Vec<&str> = ids.iter().map(String::as_str).collect();
+    let moved = Arc::new(RouteSettings { service: "other".into(), ..(*route_settings(false)).clone() });
+    for (job, route, left) in [("before", route_settings(false), 0), ("after", moved, 1)] {
+        let started = gateway.attempts.len();
+        gateway.assign(Assignment { route, ..group(job, 0, &items) });
+        for attempt in gateway.attempts[started + left..].to_vec() {
+            gateway.events(&attempt, 1..=1);
+            gateway.ended(&attempt, AttemptOutcome::Complete);
+        }
+    }
+    assert_eq!(gateway.reports.len(), 2 * GENERATIONS - 1);
+    let slow = gateway.attempts[GENERATIONS].clone();
+    let mut next = 1;
+    while gateway.attempts.len() == 2 * GENERATIONS {
+        gateway.event(&slow, next, "s", None);
+        next += 1;
+        gateway.advance(100);
+    }
+    let hedge = gateway.last();
+    assert_eq!((&hedge.item, &gateway.cancelled), (&slow.item, &vec![]), "both attempts are in flight");
+    assert!(NEW_SERVERS.contains(&slow.server.0), "{slow:?}");
+    assert!(NEW_SERVERS.contains(&hedge.server.0), "{hedge:?}");
+}
+
 #[rstest]
 #[case::first_wins(true)]
 #[case::hedge_wins(false)]
--- a/crates/scheduler/src/scheduler.rs
+++ b/crates/scheduler/src/scheduler.rs
@@ -73,32 +73,29 @@
     generation: GenerationId,
 }
 
+/// Servers, and the generations of the groups that use them.
 #[derive(Debug)]
 struct Pool<S> {
     servers: LoadIndex<S>,
     pending: BTreeSet<Pending>,
+    /// By route, which determines the hedge delay. A route may have groups in several pools, as a group keeps its pool
+    /// when the route of later ones is moved to another.
+    unhedged: BTreeMap<RouteKey, BTreeSet<Unhedged>>,
 }
 
 impl<S> Default for Pool<S> {
     fn default() -> Self {
-        Self { servers: LoadIndex::default(), pending: BTreeSet::new() }
+        Self { servers: LoadIndex::default(), pending: BTreeSet::new(), unhedged: BTreeMap::new() }
     }
 }
 
-#[derive(Debug)]
-struct Route {
-    pool: PoolKey,
-    latencies: LatencyWindow,
-    unhedged: BTreeSet<Unhedged>,
-}
-
 /// Schedules the open groups of a node.
 #[derive(Debug)]
 pub struct Scheduler<S> {
     random: Pcg64Mcg,
     pool_of: HashMap<S, PoolKey>,
     pools: BTreeMap<PoolKey, Pool<S>>,
-    routes: BTreeMap<RouteKey, Route>,
+    latencies: BTreeMap<RouteKey, LatencyWindow>,
     groups: HashMap<GroupKey, Group<S>>,
     budget: HedgeBudget,
 }
@@ -110,7 +107,7 @@
             random,
             pool_of: HashMap::new(),
             pools: BTreeMap::new(),
-            routes: BTreeMap::new(),
+            latencies: BTreeMap::new(),
             groups: HashMap::new(),
             budget: HedgeBudget::default(),
         }
@@ -141,12 +138,10 @@
             priority: spec.priority,
             generation: GenerationId { group: spec.key, index },
         }));
-        let route = self.routes.entry(spec.route).or_insert_with(|| Route {
-            pool: spec.pool,
-            latencies: LatencyWindow::new(spec.target_run_ms, HEDGE_PERCENTILE),
-            unhedged: BTreeSet::new(),
-        });
-        route.latencies.set_target_run_ms(spec.target_run_ms);
+        let latencies = self.latencies.entry(spec.route);
+        latencies
+            .or_insert_with(|| LatencyWindow::new(spec.target_run_ms, HEDGE_PERCENTILE))
+            .set_target_run_ms(spec.target_run_ms);
         self.groups.insert(spec.key, Group::new(spec));
     }
 
@@ -167,8 +162,8 @@
             return;
         }
         let route = self.groups[&generation.group].route;
-        if let Some(route) = self.routes.get_mut(&route) {
-            route.latencies.record(now.saturating_sub(first_attempt_at));
+        if let Some(latencies) = self.latencies.get_mut(&route) {
+            latencies.record(now.saturating_sub(first_attempt_at));
         }
         self.settle(generation, out);
     }
@@ -216,7 +211,7 @@
     /// Returns the age from which a generation of the route may be hedged, in milliseconds, or `None` for an unknown
     /// route.
     pub fn hedge_delay_ms(&self, route: RouteKey) -> Option<u64> {
-        self.routes.get(&route).map(|route| route.latencies.hedge_delay_ms())
+        self.latencies.get(&route).map(LatencyWindow::hedge_delay_ms)
     }
 
     /// Ends an attempt at the server. Returns whether there was one.
@@ -248,14 +243,12 @@
         let Some(state) = self.generation(generation).filter(|state| !state.is_settled()) else { return };
         let (attempts, first_attempt_at) = (state.servers().count(), state.first_attempt_at);
         let group = &self.groups[&generation.group];
+        let Some(pool) = self.pools.get_mut(&group.pool) else { return };
         if attempts == 0 {
-            if let Some(pool) = self.pools.get_mut(&group.pool) {
-                pool.pending.insert(Pending { priority: group.priority, generation });
-            }
-        } else if let (1, Some(first_attempt_at)) = (attempts, first_attempt_at)
-            && let Some(route) = self.routes.get_mut(&group.route)
-        {
-            route.unhedged.insert(Unhedged { first_attempt_at, generation });
+            pool.pending.insert(Pending { priority: group.priority, generation });
+        } else if let (1, Some(first_attempt_at)) = (attempts, first_attempt_at) {
+            let unhedged = pool.unhedged.entry(group.route).or_default();
+            unhedged.insert(Unhedged { first_attempt_at, generation });
         }
     }
 
@@ -265,11 +258,12 @@
             return;
         };
         let group = &self.groups[&generation.group];
-        if let Some(pool) = self.pools.get_mut(&group.pool) {
-            pool.pending.remove(&Pending { priority: group.priority, generation });
-        }
-        if let (Some(first_attempt_at), Some(route)) = (first_attempt_at, self.routes.get_mut(&group.route)) {
-            route.unhedged.remove(&Unhedged { first_attempt_at, generation });
+        let Some(pool) = self.pools.get_mut(&group.pool) else { return };
+        pool.pending.remove(&Pending { priority: group.priority, generation });
+        if let (Some(first_attempt_at), Some(unhedged)) =
+            (first_attempt_at, pool.unhedged.get_mut(&group.route))
+        {
+            unhedged.remove(&Unhedged { first_attempt_at, generation });
         }
     }
 }
--- a/crates/scheduler/src/scheduler/dispatch.rs
+++ b/crates/scheduler/src/scheduler/dispatch.rs
@@ -1,9 +1,10 @@
 //! Assignment of generations to servers: first attempts by priority, then hedges, oldest first.
 
+use std::collections::BTreeSet;
 use std::ops::Bound::{Excluded, Unbounded};
 
-use super::{Decision, Eligibility, Route, Scheduler, Unhedged};
-use crate::group::{GenerationId, GroupKey, PoolKey};
+use super::{Decision, Eligibility, Scheduler, Unhedged};
+use crate::group::{GenerationId, GroupKey, PoolKey, RouteKey};
 use crate::load_index::ServerKey;
 
 impl<S: ServerKey> Scheduler<S> {
@@ -19,19 +20,19 @@
 
     /// Returns when the next generation reaches the hedge delay, or `None` if none will without another event.
     pub fn next_wakeup(&self, now: u64) -> Option<u64> {
-        let due = |route: &Route| {
-            let delay = route.latencies.hedge_delay_ms();
+        let due = |(route, unhedged): (&RouteKey, &BTreeSet<Unhedged>)| {
+            let delay = self.hedge_delay_ms(*route)?;
             let last = GenerationId { group: GroupKey(u32::MAX), index: u32::MAX };
             let next = match now.checked_sub(delay) {
                 Some(first_attempt_at) => {
                     let reached = Unhedged { first_attempt_at, generation: last };
-                    route.unhedged.range((Excluded(reached), Unbounded)).next()
+                    unhedged.range((Excluded(reached), Unbounded)).next()
                 }
-                None => route.unhedged.first(),
+                None => unhedged.first(),
             };
             next.map(|next| next.first_attempt_at + delay)
         };
-        self.routes.values().filter_map(due).min()
+        self.pools.values().flat_map(|pool| &pool.unhedged).filter_map(due).min()
     }
 
     fn dispatch_pending(
@@ -94,9 +95,9 @@
     /// Returns the unhedged generations of a pool that have reached the hedge delay, oldest first.
     fn hedge_candidates(&self, now: u64, key: PoolKey) -> Vec<GenerationId> {
         let mut candidates = Vec::new();
-        for route in self.routes.values().filter(|route| route.pool == key) {
-            let delay = route.latencies.hedge_delay_ms();
-            let reached = route.unhedged.iter().take_while(|entry| entry.first_attempt_at + delay <= now);
+        for (route, unhedged) in &self.pools[&key].unhedged {
+            let Some(delay) = self.hedge_delay_ms(*route) else { continue };
+            let reached = unhedged.iter().take_while(|entry| entry.first_attempt_at + delay <= now);
             candidates.extend(reached.copied());
         }
         candidates.sort_unstable();
--- a/crates/scheduler/tests/scheduler.rs
+++ b/crates/scheduler/tests/scheduler.rs
@@ -93,6 +93,34 @@
     scheduler
 }
 
+/// Guards against hedges at the service from which a route was moved: the pool is a property of each group.
+#[rstest]
+#[case::route_moved_after_its_groups_ended(0)]
+#[case::route_moved_while_a_group_is_open(1)]
+fn hedges_of_a_moved_route_go_to_the_pool_of_their_group(#[case] left: u32) {
+    const NEW_POOL: PoolKey = PoolKey(2);
+    const LATENCY_MS: u64 = 100;
+    let old_servers = 0..4;
+    let new_servers = 10..14;
+    let mut scheduler = endgame(4, left, LATENCY_MS);
+    new_servers.clone().for_each(|server| scheduler.set_server(server, NEW_POOL, LARGE));
+    scheduler.add_group(&GroupSpec { pool: NEW_POOL, ..spec(2, 1) });
+    let mut decisions = dispatch(&mut scheduler, LATENCY_MS, &Host::default());
+    assert_eq!(scheduler.next_wakeup(LATENCY_MS), Some(2 * LATENCY_MS));
+    decisions.extend(dispatch(&mut scheduler, 2 * LATENCY_MS, &Host::default()));
+    let hedges_in = |servers: &std::ops::Range<u32>, group: u32| -> u32 {
+        let is_hedge = |decision: &&Decision<u32>| match decision {
+            Decision::Hedge { generation, server } => {
+                generation.group == GroupKey(group) && servers.contains(server)
+            }
+            _ => false,
+        };
+        decisions.iter().filter(is_hedge).count() as u32
+    };
+    assert_eq!((hedges_in(&old_servers, 1), hedges_in(&new_servers, 1)), (left, 0), "{decisions:?}");
+    assert_eq!((hedges_in(&old_servers, 2), hedges_in(&new_servers, 2)), (0, 1), "{decisions:?}");
+}
+
 #[test]
 fn starts_spread_evenly_over_servers() {
     let mut scheduler = scheduler(5, 10);
