The hedge delay of requests follows a change of the target latency

After a change of `target-latency-ms`, requests to a service with few samples were hedged by the target that was in force when the gateway first saw the service, so earlier or later than the route says.

Cause: the window of latencies was created with the first request's target and kept it.

Change: each request sets the target of its own route before the delay is read.

Evidence: `the_hedge_delay_follows_a_change_of_the_target_latency` fails without the change (hedged at 100 ms for 300) and passes; all 746 tests of the data plane pass. A first form of the test failed with and without the change, since one request gives no hedge budget. Golden files unchanged.

--- a/crates/data-plane/src/requests/attempt.rs
+++ b/crates/data-plane/src/requests/attempt.rs
@@ -83,8 +83,10 @@
         if !self.latencies.contains_key(service) {
             self.latencies.insert(service.to_owned(), LatencyWindow::new(target_ms, HEDGE_PERCENTILE));
         }
-        let delay_ms = self.latencies.get(service).map_or(target_ms, LatencyWindow::hedge_delay_ms);
-        pending.hedge_at = Some(now + delay_ms.max(MIN_HEDGE_DELAY_MS));
+        let Some(latencies) = self.latencies.get_mut(service) else { return };
+        // The target is that of the request's own route and configuration, not of the first request to the service.
+        latencies.set_target_run_ms(target_ms);
+        pending.hedge_at = Some(now + latencies.hedge_delay_ms().max(MIN_HEDGE_DELAY_MS));
     }
 
     /// Sends an overdue request to a second server as well, if the hedge budget allows it.
--- a/crates/data-plane/tests/requests.rs
+++ b/crates/data-plane/tests/requests.rs
@@ -310,9 +310,13 @@
     assert_eq!(harness.attempts.len(), 2, "nothing more is sent");
 }
 
-/// Completes enough requests for the hedge budget to allow hedges.
+/// Completes enough requests for the hedge budget to allow hedges, and for their latencies to determine the delay.
 fn complete_many_requests(harness: &mut Harness) {
-    for _ in 0..30 {
+    complete_requests(harness, 30);
+}
+
+fn complete_requests(harness: &mut Harness, count: usize) {
+    for _ in 0..count {
         harness.begin("repeat");
         let attempt = harness.last();
         harness.now += 30;
@@ -370,8 +374,19 @@
     assert_eq!(harness.attempts.len(), 1);
 }
 
-/// The latency target of the routes, in milliseconds.
-const TARGET_MS: u64 = 400;
+/// Guards against hedges by the target that the service's route had when the gateway first saw it.
+#[test]
+fn the_hedge_delay_follows_a_change_of_the_target_latency() {
+    let mut harness = Harness::new(2);
+    // Enough for the budget, too few for the delay to use their latencies.
+    complete_requests(&mut harness, 12);
+    harness.routes = routes_with_target(3 * TARGET_MS);
+    harness.begin("repeat");
+    harness.advance(3 * TARGET_MS / 4 - 1);
+    assert_eq!(harness.attempts.len(), 1, "the delay is a quarter of the new target");
+    harness.advance(1);
+    assert_eq!(harness.attempts.len(), 2);
+}
 
 /// For a gateway with few requests, the hedge budget as a fraction of the requests would allow no hedge at all.
 #[test]
--- a/crates/data-plane/tests/requests_support/mod.rs
+++ b/crates/data-plane/tests/requests_support/mod.rs
@@ -26,11 +26,18 @@
 pub const SERVICE: &str = "huvo11a";
 pub const MAX_ATTEMPTS: u32 = 3;
 pub const TIMEOUT_MS: u64 = 2_000;
+/// Latency target of all routes, in milliseconds.
+pub const TARGET_MS: u64 = 400;
 pub const SIGNATURE: &str = "3e1b.07.5a2.600.0.c9f2a4d1";
 
 /// Returns routes by their path prefixes: `/repeat/`, `/once/`, `/stream/` and `/resume/`.
 pub fn routes() -> Arc<RouteTable> {
-    compile("")
+    routes_with_target(TARGET_MS)
+}
+
+/// Returns the same routes with this target latency, in milliseconds.
+pub fn routes_with_target(target_ms: u64) -> Arc<RouteTable> {
+    compile(target_ms, "")
 }
 
 /// Returns the same routes in a configuration with this many tenants: `tenant-0` with the key `key-0`, and so on.
@@ -38,14 +45,14 @@
     let tenants: Vec<String> = (0..count)
         .map(|number| format!(r#"{{"name":"tenant-{number}","api-keys":["key-{number}"]}}"#))
         .collect();
-    compile(&format!(r#","tenants":[{}]"#, tenants.join(",")))
+    compile(TARGET_MS, &format!(r#","tenants":[{}]"#, tenants.join(",")))
 }
 
-fn compile(tenants: &str) -> Arc<RouteTable> {
+fn compile(target_ms: u64, tenants: &str) -> Arc<RouteTable> {
     let route = |name: &str, kind: &str, resumable: bool| {
         format!(
             r#"{{"name":"{name}","hostname":"ficu95.example","path-prefix":"/{name}/","route-type":"{kind}",
-            "timeout-ms":{TIMEOUT_MS},"target-latency-ms":400,"priority":1,"service":"{SERVICE}",
+            "timeout-ms":{TIMEOUT_MS},"target-latency-ms":{target_ms},"priority":1,"service":"{SERVICE}",
             "max-attempts":{MAX_ATTEMPTS},"resumable":{resumable}}}"#
         )
     };
@@ -146,7 +153,7 @@
     pub sent: Vec<Vec<u8>>,
     pub cancelled: Vec<RequestAttemptId>,
     pub client: Client,
-    routes: Arc<RouteTable>,
+    pub routes: Arc<RouteTable>,
     out: Vec<RequestCommand>,
 }
 
