An incomplete text is not resumed at a service other than the one that wrote it

If a group was assigned again by a new head after its route had been moved, the text that the gateway had kept was resumed at the new service: one text of two services. A change of the route while the group is open drops such a text.

Cause: kept texts were matched by body, model and tenant, but not by the pool that wrote them.

Change: a kept text has its pool, and an incomplete one is resumed in that pool only.

Golden files unchanged.

--- a/crates/data-plane/src/generations/runner/groups.rs
+++ b/crates/data-plane/src/generations/runner/groups.rs
@@ -192,7 +192,10 @@
                 state.phase = Phase::Scoring(Box::new(Scoring::new(archived.text)));
                 state
             }
-            Some(archived) if requirements.allow_resuming(&archived.text, rule, &self.servers) => {
+            Some(archived)
+                if archived.pool == requirements.pool
+                    && requirements.allow_resuming(&archived.text, rule, &self.servers) =>
+            {
                 ItemState::new(item, archived.text)
             }
             _ => ItemState::new(item, Text::default()),
@@ -210,6 +213,7 @@
             };
             let archived = ArchivedText {
                 body: state.item.body.clone(),
+                pool: group.requirements.pool,
                 model: group.requirements.model,
                 tenant: state.item.tenant.clone(),
                 text,
--- a/crates/data-plane/src/generations/text_archive.rs
+++ b/crates/data-plane/src/generations/text_archive.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
+use orchidvalve_scheduler::PoolKey;
 
 use super::interface::Item;
 use super::servers::ModelKey;
@@ -17,6 +18,8 @@
 pub struct ArchivedText {
     /// The body of the item.
     pub body: Arc<[u8]>,
+    /// The pool of servers that generated the text. An incomplete text is never resumed in another pool.
+    pub pool: PoolKey,
     /// The model that generated the text.
     pub model: Option<ModelKey>,
     /// The tenant of the batch job. The text is never reused for another tenant.
--- a/crates/data-plane/tests/generations.rs
+++ b/crates/data-plane/tests/generations.rs
@@ -2,8 +2,12 @@
 
 mod generations_support;
 
+use std::sync::Arc;
+
 use generations_support::*;
-use orchidvalve_data_plane::generations::{AttemptOutcome, ItemResult, ServerInfo, ServerKey, slot_limit};
+use orchidvalve_data_plane::generations::{
+    AttemptOutcome, ItemResult, RouteSettings, ServerInfo, ServerKey, slot_limit,
+};
 use rstest::rstest;
 
 #[test]
@@ -287,6 +291,23 @@
     assert_eq!((gateway.last().server.0, gateway.last().last_event_id), (9, None));
 }
 
+/// Guards against a text that two services have generated: its route was moved before the group was assigned again.
+#[test]
+fn a_kept_text_is_not_resumed_at_another_service() {
+    let mut gateway = Gateway::new(&[7]);
+    gateway.runner.set_server(&ServerInfo { service: "other".into(), ..server(9, 7) });
+    gateway.assign(group("job", 0, &["a"]));
+    let first = gateway.last();
+    gateway.started(&first, 7);
+    gateway.events(&first, 1..=1);
+    let mut again = group("job", 0, &["a"]);
+    again.id.epoch += 1;
+    again.route = Arc::new(RouteSettings { service: "other".into(), ..(*route_settings(false)).clone() });
+    gateway.assign(again);
+    assert_eq!(gateway.cancelled, [first.id]);
+    assert_eq!((gateway.last().server.0, gateway.last().last_event_id), (9, None));
+}
+
 #[test]
 fn a_stalled_stream_is_resumed_elsewhere() {
     let mut gateway = Gateway::new(&[7, 7]);
