Front node: durations of settings are bounded where they are read

Cause: durations were any 64-bit number of nanoseconds, and are added to points in time.

Change: `Section::duration`, which reads all of them, takes one above 30 days as 30 days.

Evidence: `durations_above_the_longest_count_as_the_longest` fails without the bound and passes; tests of the root package and of aggregator-settings pass, golden files unchanged.

--- a/crates/aggregator-settings/src/section.rs
+++ b/crates/aggregator-settings/src/section.rs
@@ -2,6 +2,7 @@
 
 use std::borrow::Cow;
 
+use orchidvalve::interface::MAX_DURATION;
 use serde_json::{Map, Value};
 
 use crate::error::{Problem, SettingsError};
@@ -90,14 +91,15 @@
         self.field(name, "a whole number", Value::as_i64)
     }
 
-    /// Reads a duration in nanoseconds, 0 or more.
+    /// Reads a duration in nanoseconds, 0 or more. One above [`MAX_DURATION`] counts as that.
     ///
     /// # Errors
     ///
     /// As for [`Section::text`].
     pub fn duration(&self, name: &str) -> Result<i64, SettingsError> {
         let expected = "a whole number, 0 or more";
-        self.field(name, expected, |value| value.as_i64().filter(|&number| number >= 0))
+        let duration = self.field(name, expected, |value| value.as_i64().filter(|&number| number >= 0))?;
+        Ok(duration.min(MAX_DURATION))
     }
 
     /// Reads a fraction, multiple or rate: a number of 0 or more.
--- a/crates/aggregator-settings/tests/settings.rs
+++ b/crates/aggregator-settings/tests/settings.rs
@@ -1,5 +1,6 @@
 //! Invalid settings.
 
+use orchidvalve::interface::{Idempotence, MAX_DURATION};
 use orchidvalve_aggregator_settings::{Section, read};
 use serde_json::json;
 
@@ -45,3 +46,25 @@
     let message = read(&Section::of("settings", &settings).unwrap()).unwrap_err();
     assert_eq!(message.to_string(), "settings.rules.ratioSpanNs: missing");
 }
+
+/// Guards against durations that overflow when they are added to a point in time: an idempotency window of the largest
+/// number would end before it begins, and nothing would be retried.
+#[test]
+fn durations_above_the_longest_count_as_the_longest() {
+    for largest in [MAX_DURATION + 1, i64::MAX] {
+        let settings = json!({
+            "classes": [{"objectiveNs": largest, "deadlineNs": largest, "effect": "token", "windowNs": largest}],
+            "extra": {"positions": 2, "reach": 2}, "limits": {"retryAfter": true, "maxRetryAfterNs": largest},
+            "rules": {"budgetFree": 5.0, "ratioSpanNs": largest, "coldNs": largest, "fallNs": largest,
+                "askWithinNs": largest}, "resolutionNs": largest
+        });
+        let read = read(&Section::of("settings", &settings).unwrap()).unwrap();
+        let class = &read.classes[0];
+        assert_eq!([class.latency_target, class.deadline], [MAX_DURATION; 2]);
+        assert_eq!(class.idempotence, Idempotence::Deduplicated(MAX_DURATION));
+        assert_eq!([read.max_retry_after, read.membership_request_interval, read.tick], [MAX_DURATION; 3]);
+        assert_eq!([read.slow_start.duration, read.slow_start.overload_window], [MAX_DURATION; 2]);
+        assert_eq!(read.retry_budget.unwrap().window, MAX_DURATION);
+    }
+    assert!(MAX_DURATION.checked_mul(1_000).is_some());
+}
--- a/src/interface.rs
+++ b/src/interface.rs
@@ -3,6 +3,10 @@
 /// A point in time or a duration, in whole nanoseconds.
 pub type Nanos = i64;
 
+/// The longest duration in settings, 30 days; a longer one counts as that. It outlasts any request, and a multiple of it
+/// can be added to any point in time without overflow.
+pub const MAX_DURATION: Nanos = 30 * 24 * 3_600 * 1_000_000_000;
+
 /// Number of a query, counted from 0 since the aggregator was created.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct QueryIndex(pub usize);
