--- a/crates/data-plane/tests/generations_hedges.rs
+++ b/crates/data-plane/tests/generations_hedges.rs
@@ -67,10 +67,12 @@
     for (job, route, left) in [("before", route_settings(false), 0), ("after", moved, 1)] {
         let started = gateway.attempts.len();
         gateway.assign(Assignment { route, ..group(job, 0, &items) });
-        for attempt in gateway.attempts[started + left..].to_vec() {
-            gateway.events(&attempt, 1..=1);
-            gateway.ended(&attempt, AttemptOutcome::Complete);
+        let finished = gateway.attempts.split_off(started + left);
+        for attempt in &finished {
+            gateway.events(attempt, 1..=1);
+            gateway.ended(attempt, AttemptOutcome::Complete);
         }
+        gateway.attempts.extend(finished);
     }
     assert_eq!(gateway.reports.len(), 2 * GENERATIONS - 1);
     let slow = gateway.attempts[GENERATIONS].clone();
