--- a/crates/control-plane/tests/observer.rs
+++ b/crates/control-plane/tests/observer.rs
@@ -45,10 +45,11 @@
 
 /// Starts a control node without a disk whose only seed is itself.
 fn start_observer() -> ObserverOptions {
-    start_observer_with(true)
+    start_observer_with(true, Vec::new())
 }
 
-fn start_observer_with(bootstrap: bool) -> ObserverOptions {
+/// Starts a control node without a disk with these seeds besides itself.
+fn start_observer_with(bootstrap: bool, seeds: Vec<SocketAddrV4>) -> ObserverOptions {
     let internal_address = free_address();
     let control_address = free_address();
     let options = ObserverOptions {
@@ -59,7 +60,7 @@
         internal_address,
         internal_listener: internal_address,
         source: None,
-        seeds: vec![control_address],
+        seeds: [vec![control_address], seeds].concat(),
         bootstrap,
     };
     let running = options.clone();
@@ -181,18 +182,34 @@
     assert_eq!(operator_redirect_target(&observer), format!("http://127.0.0.1:{port}/v1/configuration"));
 }
 
-fn operator_redirect_target(observer: &ObserverOptions) -> String {
+fn operator_response(observer: &ObserverOptions) -> String {
     let mut operator = connect(observer.control_address);
     operator
         .write_all(b"GET /v1/configuration HTTP/1.1\r\nHost: control\r\nConnection: close\r\n\r\n")
         .expect("sent");
     let mut response = String::new();
     operator.read_to_string(&mut response).expect("a response");
+    response
+}
+
+fn operator_redirect_target(observer: &ObserverOptions) -> String {
+    let response = operator_response(observer);
     assert!(response.starts_with("HTTP/1.1 307"), "{response}");
     let location = response.lines().find_map(|line| line.strip_prefix("Location: ")).expect("a location");
     location.to_owned()
 }
 
+/// Guards against operators that seeds without a disk redirect to each other at the first start: a third redirection ends
+/// their call. With 503 they try another node.
+#[test]
+fn operators_are_not_redirected_to_seeds_at_the_first_start() {
+    let seed = free_address();
+    let first_start = start_observer_with(true, vec![seed]);
+    assert!(operator_response(&first_start).starts_with("HTTP/1.1 503"));
+    let later_start = start_observer_with(false, vec![seed]);
+    assert_eq!(operator_redirect_target(&later_start), format!("http://{seed}/v1/configuration"));
+}
+
 /// Guards against a first start that never ends because none of the seeds has a disk: they vote on the first view.
 #[test]
 fn an_observer_votes_on_the_first_view_at_the_first_start_only() {
@@ -205,7 +222,7 @@
     let promise = Message::Promise { epoch: 1, ballot, accepted: None };
     assert_eq!(Message::decode(&message).expect("a message of the agreement"), promise);
 
-    let (mut link, _) = link_as_member(&start_observer_with(false), proposer.address);
+    let (mut link, _) = link_as_member(&start_observer_with(false, Vec::new()), proposer.address);
     link.write_all(&frame_of(&prepare)).expect("sent");
     link.shutdown(Shutdown::Write).expect("shut down");
     let mut rest = Vec::new();
