Latencies and paces of generations are kept for a route at its service

After a route was moved, streams at the new service were cancelled as stalled at the pace of the old one, and hedges began after the old one's latency, until the measurements had adapted.

Change: the runner's key of a route includes the pool of its servers, so every measurement by that key starts anew at another service, and is found again if the route comes back.

--- a/crates/data-plane/src/generations/group.rs
+++ b/crates/data-plane/src/generations/group.rs
@@ -37,13 +37,23 @@
     }
 }
 
+/// A route and the servers that run its items. Latencies and paces are measured for both together: those of one service
+/// say nothing about another one, to which the route may be moved.
+#[derive(Clone, Debug, PartialEq, Eq, Hash)]
+pub struct RouteAtService {
+    /// Name of the route.
+    pub id: CompactString,
+    /// The servers of the service.
+    pub pool: PoolKey,
+}
+
 /// An open group.
 pub struct Group {
     /// Identifies the group in reports to the store node.
     pub id: GroupId,
     /// The route of the batch job.
     pub route: Arc<RouteSettings>,
-    /// The scheduler's key of the route.
+    /// The scheduler's key of the route at its service.
     pub route_key: RouteKey,
     /// What the group requires of its servers.
     pub requirements: Requirements,
--- a/crates/data-plane/src/generations/runner/groups.rs
+++ b/crates/data-plane/src/generations/runner/groups.rs
@@ -5,10 +5,10 @@
 use std::sync::Arc;
 
 use compact_str::CompactString;
-use orchidvalve_scheduler::{GenerationId, GroupKey, RouteKey};
+use orchidvalve_scheduler::{GenerationId, GroupKey, PoolKey, RouteKey};
 
 use super::Runner;
-use crate::generations::group::{Group, Requirements};
+use crate::generations::group::{Group, Requirements, RouteAtService};
 use crate::generations::interface::{Assignment, GroupId, Item, ItemResult, RouteSettings, RunnerCommand};
 use crate::generations::item::{ItemState, Phase, Scoring};
 use crate::generations::text::{Text, VersionRule};
@@ -31,12 +31,12 @@
         if assignment.items.is_empty() {
             return;
         }
-        let route_key = self.route_key(&assignment.route.id);
         let requirements = Requirements {
             pool: self.servers.pool(&assignment.route.service),
             model: assignment.model.as_ref().map(|model| self.servers.model(model)),
             min_version: assignment.min_weights_version,
         };
+        let route_key = self.route_key(&assignment.route.id, requirements.pool);
         let rule =
             VersionRule { min_version: requirements.min_version, single: assignment.route.single_version };
         let items = assignment
@@ -149,6 +149,7 @@
         group.route = settings.clone();
         let pool = self.servers.pool(&settings.service);
         let moved = std::mem::replace(&mut group.requirements.pool, pool) != pool;
+        group.route_key = self.route_key(&settings.id, pool);
         group.eligibility_class = self.eligibility_class(group.requirements);
         let rule = group.rule();
         for item in &mut group.items {
@@ -240,8 +241,9 @@
         self.jobs.get(job)?.iter().copied().find(|key| self.groups[key].id.group == index)
     }
 
-    fn route_key(&mut self, id: &CompactString) -> RouteKey {
-        intern(&mut self.route_keys, id.clone(), |count| RouteKey(count as u32))
+    fn route_key(&mut self, id: &CompactString, pool: PoolKey) -> RouteKey {
+        let key = RouteAtService { id: id.clone(), pool };
+        intern(&mut self.route_keys, key, |count| RouteKey(count as u32))
     }
 
     fn eligibility_class(&mut self, requirements: Requirements) -> u64 {
--- a/crates/data-plane/src/generations/runner/mod.rs
+++ b/crates/data-plane/src/generations/runner/mod.rs
@@ -8,13 +8,12 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
-use compact_str::CompactString;
 use orchidvalve_scheduler::{Decision, GenerationId, GroupKey, RouteKey, Scheduler};
 use rand_pcg::Pcg64Mcg;
 
 use crate::generations::attempt::{Attempt, StreamPace};
 use crate::generations::eligibility::EligibilityView;
-use crate::generations::group::{Group, GroupsByJob, Requirements};
+use crate::generations::group::{Group, GroupsByJob, Requirements, RouteAtService};
 use crate::generations::interface::{AttemptId, ItemResult, Routes, RunnerCommand, ServerInfo, ServerKey};
 use crate::generations::item::{ItemState, Phase};
 use crate::generations::reward_calls::RewardCalls;
@@ -32,7 +31,7 @@
     rewards: RewardCalls,
     timers: Timers,
     archive: TextArchive,
-    route_keys: HashMap<CompactString, RouteKey>,
+    route_keys: HashMap<RouteAtService, RouteKey>,
     paces: HashMap<RouteKey, StreamPace>,
     eligibility_classes: HashMap<Requirements, u64>,
     next_group: u32,
--- a/crates/data-plane/tests/generations_hedges.rs
+++ b/crates/data-plane/tests/generations_hedges.rs
@@ -53,20 +53,50 @@
     HedgedGeneration { gateway, slow: (slow, next), hedge: (hedge, hedge_next) }
 }
 
+/// Servers of the service to which the route is moved.
+const NEW_SERVERS: std::ops::Range<u32> = 20..20 + GENERATIONS as u32;
+/// Stall timeout and hedge delay of a route at a service where nothing was measured yet.
+const UNMEASURED_MS: u64 = TARGET_MS / 4;
+
+/// Returns a group of twelve items.
+fn group_of_twelve(job: &str, route: Arc<RouteSettings>) -> Assignment {
+    let ids: Vec<String> = (0..GENERATIONS).map(|index| format!("i{index}")).collect();
+    Assignment { route, ..group(job, 0, &ids.iter().map(String::as_str).collect::<Vec<_>>()) }
+}
+
+/// Returns a gateway where the items of two jobs have completed quickly, and the settings of their route after it was
+/// moved to another service.
+fn quick_route_that_was_moved() -> (Gateway, Arc<RouteSettings>) {
+    let mut gateway = Gateway::new(&[7; GENERATIONS]);
+    for key in NEW_SERVERS {
+        gateway.runner.set_server(&ServerInfo { service: "other".into(), ..server(key, 7) });
+    }
+    for job in ["first", "second"] {
+        let started = gateway.attempts.len();
+        gateway.assign(group_of_twelve(job, route_settings(false)));
+        for attempt in gateway.attempts.split_off(started) {
+            gateway.events(&attempt, 1..=3);
+            gateway.ended(&attempt, AttemptOutcome::Complete);
+        }
+    }
+    assert_eq!(gateway.reports.len(), 2 * GENERATIONS);
+    // The last items of the second job were hedged.
+    gateway.attempts.clear();
+    gateway.cancelled.clear();
+    (gateway, Arc::new(RouteSettings { service: "other".into(), ..(*route_settings(false)).clone() }))
+}
+
 /// Guards against hedges that run at the service from which the route was moved, as long as the process lives.
 #[test]
 fn hedges_run_at_the_service_to_which_the_route_was_moved() {
-    const NEW_SERVERS: std::ops::Range<u32> = 20..20 + GENERATIONS as u32;
     let mut gateway = Gateway::new(&[7; GENERATIONS]);
     for key in NEW_SERVERS {
         gateway.runner.set_server(&ServerInfo { service: "other".into(), ..server(key, 7) });
     }
-    let ids: Vec<String> = (0..GENERATIONS).map(|index| format!("i{index}")).collect();
-    let items: Vec<&str> = ids.iter().map(String::as_str).collect();
     let moved = Arc::new(RouteSettings { service: "other".into(), ..(*route_settings(false)).clone() });
     for (job, route, left) in [("before", route_settings(false), 0), ("after", moved, 1)] {
         let started = gateway.attempts.len();
-        gateway.assign(Assignment { route, ..group(job, 0, &items) });
+        gateway.assign(group_of_twelve(job, route));
         let finished = gateway.attempts.split_off(started + left);
         for attempt in &finished {
             gateway.events(attempt, 1..=1);
@@ -88,6 +118,50 @@
     assert!(NEW_SERVERS.contains(&hedge.server.0), "{hedge:?}");
 }
 
+/// Guards against hedges that are sent after the latency of the service from which their route was moved.
+#[test]
+fn hedges_of_a_moved_route_do_not_use_the_latencies_of_the_former_service() {
+    let (mut gateway, moved) = quick_route_that_was_moved();
+    let started_at = gateway.now;
+    gateway.assign(group_of_twelve("after", moved));
+    let slow = gateway.attempts[0].clone();
+    for attempt in gateway.attempts[1..].to_vec() {
+        gateway.events(&attempt, 1..=1);
+        gateway.ended(&attempt, AttemptOutcome::Complete);
+    }
+    let mut next = 1;
+    while gateway.attempts.len() == GENERATIONS {
+        gateway.event(&slow, next, "s", None);
+        next += 1;
+        gateway.advance(100);
+    }
+    let waited_ms = gateway.now - started_at;
+    assert_eq!(gateway.last().item, slow.item);
+    assert!(waited_ms >= UNMEASURED_MS, "hedged after {waited_ms} ms");
+}
+
+/// Guards against streams that are cancelled as stalled at the pace of the service from which their route was moved.
+#[rstest]
+#[case::assigned_after_the_move(false)]
+#[case::open_while_the_route_is_moved(true)]
+fn streams_of_a_moved_route_do_not_stall_at_the_pace_of_the_former_service(#[case] is_open: bool) {
+    let (mut gateway, moved) = quick_route_that_was_moved();
+    let route = if is_open { route_settings(false) } else { moved.clone() };
+    gateway.assign(Assignment { route, ..group("job", 0, &["slow"]) });
+    if is_open {
+        gateway.with_runner(|runner, out| runner.reroute(|_| Some(moved.clone()), out));
+        assert_eq!(gateway.cancelled, [gateway.last().id]);
+        gateway.cancelled.clear();
+        gateway.tick();
+    }
+    let attempt = gateway.last();
+    assert!(NEW_SERVERS.contains(&attempt.server.0), "{attempt:?}");
+    gateway.advance(UNMEASURED_MS - 1);
+    assert_eq!(gateway.cancelled, []);
+    gateway.advance(1);
+    assert_eq!(gateway.cancelled, [attempt.id]);
+}
+
 #[rstest]
 #[case::first_wins(true)]
 #[case::hedge_wins(false)]
--- a/crates/scheduler/src/group.rs
+++ b/crates/scheduler/src/group.rs
@@ -10,7 +10,7 @@
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct PoolKey(pub u32);
 
-/// Identifies a route. Latencies are recorded per route.
+/// Identifies a route at the service that runs its generations. Latencies are recorded per route and service.
 #[derive(Clone, Copy, Debug, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct RouteKey(pub u32);
 
