Configuration: integers of more than 64 bits are refused, as they can't be read back

Cause: the parser reads an integer of more than 64 bits as the nearest double.

Change: the operator's documents and patches are searched for such integers where they enter, and refused with 400 that names the key and how to write the number. Documents that were stored before are restored as they are.

Evidence: without the search `integers_above_64_bits_are_refused_by_key` fails in all three cases.

--- a/crates/configuration/src/lib.rs
+++ b/crates/configuration/src/lib.rs
@@ -3,6 +3,7 @@
 //! A [`Configuration`] always holds a valid document and the [`RouteTable`] compiled from it. Unknown fields are kept
 //! as they were sent.
 
+mod large_integers;
 mod patch;
 pub mod reader;
 pub mod route_table;
@@ -18,6 +19,7 @@
 use derive_more::{Display, Error, From};
 use serde_json::Value;
 
+use crate::large_integers::LargeInteger;
 use crate::reader::{ReadError, ValueReader};
 
 pub(crate) const VERSION_FIELD: &str = "config-version";
@@ -118,6 +120,17 @@
         /// Size of the document in bytes.
         bytes: usize,
     },
+    /// An integer would be read back as another number.
+    #[display(
+        "{key}: the integer {literal} has more than 64 bits and can't be kept exactly; write it with an exponent, like 1e20"
+    )]
+    #[from(skip)]
+    LargeInteger {
+        /// Key of the value that contains the integer.
+        key: String,
+        /// The integer as it was sent.
+        literal: String,
+    },
     /// A patch was sent, but there is no configuration to apply it to.
     #[display("there is no configuration to change; send a whole one with PUT first")]
     #[from(skip)]
@@ -151,7 +164,7 @@
         current: Option<&Configuration>,
     ) -> Result<Configuration, ConfigurationError> {
         check_length(body.len())?;
-        Configuration::replace_document(parse(body)?, fingerprint(body), current)
+        Configuration::replace_document(parse_sent(body)?, fingerprint(body), current)
     }
 
     /// Parses a patch of named items (`PATCH`) and applies it to `current`.
@@ -161,7 +174,7 @@
     /// Returns an error if there is no current configuration, if the patch or its result is invalid, or if the version
     /// is not above the current one.
     pub fn patch(body: &[u8], current: Option<&Configuration>) -> Result<Configuration, ConfigurationError> {
-        let change = parse(body)?;
+        let change = parse_sent(body)?;
         let base = current.ok_or(ConfigurationError::NothingToChange)?;
         let version = read_version(&change)?;
         check_version(version, current)?;
@@ -255,6 +268,17 @@
     serde_json::from_slice(body).map_err(|error| ConfigurationError::NotJson { reason: error.to_string() })
 }
 
+/// Parses a document of the operator, which has to be read back as it was sent.
+fn parse_sent(body: &[u8]) -> Result<Value, ConfigurationError> {
+    let document = parse(body)?;
+    match std::str::from_utf8(body).ok().and_then(large_integers::find) {
+        None => Ok(document),
+        Some(LargeInteger { key, literal }) => {
+            Err(ConfigurationError::LargeInteger { key: key.to_owned(), literal: literal.to_owned() })
+        }
+    }
+}
+
 fn read_version(document: &Value) -> Result<u64, ConfigurationError> {
     Ok(ValueReader::root(document).field(VERSION_FIELD)?.unsigned()?)
 }
--- a/crates/configuration/tests/configuration.rs
+++ b/crates/configuration/tests/configuration.rs
@@ -114,6 +114,43 @@
     assert_eq!(String::from_utf8(patched.to_json()).unwrap(), expected);
 }
 
+/// Guards against integers that are acknowledged and then read back as the nearest double.
+#[rstest]
+#[case::first_above_64_bits("18446744073709551616", "max-queue-s")]
+#[case::negative("-9223372036854775809", "note")]
+#[case::many_nines("[1,{\"a\\\"b\":[\"18446744073709551616\",99999999999999999999]}]", "a\\\"b")]
+fn integers_above_64_bits_are_refused_by_key(#[case] value: &str, #[case] key: &str) {
+    let field = if value.starts_with('[') { "list" } else { key };
+    let document = format!(r#"{{"config-version":8,"{field}":{value},"routes":[],"services":[]}}"#);
+    let patch = format!(r#"{{"config-version":8,"{field}":{value}}}"#);
+    let literal = value.trim_end_matches([']', '}']).rsplit(',').next().unwrap();
+    for sent in [
+        Configuration::replace(document.as_bytes(), None),
+        Configuration::patch(patch.as_bytes(), Some(&current())),
+    ] {
+        let error = sent.unwrap_err();
+        let expected = ConfigurationError::LargeInteger { key: key.to_owned(), literal: literal.to_owned() };
+        assert_eq!((&error, error.status()), (&expected, 400));
+        assert!(
+            error.to_string().starts_with(&format!("{key}: the integer {literal} has more than 64 bits"))
+        );
+    }
+}
+
+/// Texts that look like large integers, and large numbers that are read back as the same number.
+#[rstest]
+#[case(r#""18446744073709551616""#)]
+#[case(r#""a\\\" 18446744073709551616""#)]
+#[case("1e+20")]
+#[case("18446744073709551616.0")]
+#[case("-9223372036854775808")]
+fn other_large_values_are_accepted(#[case] value: &str) {
+    let document = format!(r#"{{"config-version":8,"note":{value},"routes":[],"services":[]}}"#);
+    let configuration = Configuration::replace(document.as_bytes(), None).unwrap();
+    let read_back: Value = serde_json::from_slice(&configuration.to_json()).unwrap();
+    assert_eq!(read_back["note"], serde_json::from_str::<Value>(value).unwrap());
+}
+
 #[test]
 fn a_stored_configuration_is_restored_with_its_fingerprint() {
     let configuration = current();
--- a/crates/configuration/tests/golden_configuration.rs
+++ b/crates/configuration/tests/golden_configuration.rs
@@ -176,6 +176,7 @@
             (11, path.as_str())
         }
         ConfigurationError::ScalingBounds { path, .. } => (12, path.as_str()),
+        ConfigurationError::LargeInteger { key, .. } => (13, key.as_str()),
     };
     trace.add_number(number);
     trace.add_number(u64::from(error.status()));
