Configuration: counts of more than 32 bits stand for "no limit" in place of being refused

Cause: these fields were read by a conversion to 32 bits that fails.

Change: `ValueReader::count` reads them; a number above 32 bits counts as the largest of 32 bits, as `TimeLimit` does for times. Negative numbers, fractions and texts are refused as before.

--- a/crates/configuration/src/reader.rs
+++ b/crates/configuration/src/reader.rs
@@ -156,13 +156,17 @@
         }
     }
 
-    /// Returns an integer of at least 0 that fits 32 bits.
+    /// Returns a count or a limit: an integer of at least 0. One that exceeds 32 bits counts as the largest of them, which
+    /// stands for "no limit".
     ///
     /// # Errors
     ///
-    /// Returns an error if the value is negative, has a fraction, is too large, or is not a number.
-    pub fn unsigned_32(&self) -> Result<u32, ReadError> {
-        u32::try_from(self.unsigned()?).map_err(|_| self.error("must be below 4294967296"))
+    /// Returns an error if the value is negative, has a fraction, or is not a number.
+    pub fn count(&self) -> Result<u32, ReadError> {
+        match self.value.as_f64() {
+            Some(number) if number >= 0.0 && number.fract() == 0.0 => Ok(number as u32),
+            _ => Err(self.error("must be a whole number of zero or more")),
+        }
     }
 
     /// Returns a number of at least 0.
--- a/crates/configuration/src/table_builder.rs
+++ b/crates/configuration/src/table_builder.rs
@@ -43,8 +43,7 @@
     for entry in list.items()? {
         let name = read_name(&entry, &mut names)?;
         let health_path = entry.optional("health-path")?.map(|path| path.text()).transpose()?;
-        let max_connections =
-            entry.optional("max-connections")?.map(|limit| limit.unsigned_32()).transpose()?;
+        let max_connections = entry.optional("max-connections")?.map(|limit| limit.count()).transpose()?;
         let engine = entry.optional("engine")?.map(|engine| read_engine(&engine)).transpose()?;
         services.push(Service {
             name,
@@ -75,8 +74,8 @@
 
 fn read_scaling(entry: &ValueReader<'_, '_>) -> Result<Option<Scaling>, ConfigurationError> {
     let Some(scaling) = entry.optional("scaling")? else { return Ok(None) };
-    let min_count = scaling.field("min-count")?.unsigned_32()?;
-    let max_count = scaling.field("max-count")?.unsigned_32()?;
+    let min_count = scaling.field("min-count")?.count()?;
+    let max_count = scaling.field("max-count")?.count()?;
     if min_count > max_count {
         return Err(ConfigurationError::ScalingBounds {
             path: scaling.path(),
@@ -98,7 +97,7 @@
     for entry in list.items()? {
         let name = read_name(&entry, &mut names)?;
         check_header_value(&entry.field("name")?)?;
-        let priority = entry.optional("priority")?.map(|priority| priority.unsigned_32()).transpose()?;
+        let priority = entry.optional("priority")?.map(|priority| priority.count()).transpose()?;
         if let Some(keys) = entry.optional("api-keys")? {
             for key in keys.items()? {
                 let text = key.non_empty_text()?;
@@ -152,8 +151,8 @@
     services: &HashMap<&str, usize>,
 ) -> Result<Route, ConfigurationError> {
     let hostname = entry.field("hostname")?.non_empty_text()?;
-    let priority = entry.optional("priority")?.map(|priority| priority.unsigned_32()).transpose()?;
-    let max_attempts = entry.optional("max-attempts")?.map(|limit| limit.unsigned_32()).transpose()?;
+    let priority = entry.optional("priority")?.map(|priority| priority.count()).transpose()?;
+    let max_attempts = entry.optional("max-attempts")?.map(|limit| limit.count()).transpose()?;
     Ok(Route {
         index,
         name,
--- a/crates/configuration/tests/route_table.rs
+++ b/crates/configuration/tests/route_table.rs
@@ -205,6 +205,30 @@
     assert_eq!(table.pick(route, 501), 0);
 }
 
+/// Guards against a configuration that is refused because a limit is the largest number, for "no limit".
+#[rstest]
+#[case::largest_signed_number(json!(i64::MAX))]
+#[case::largest_unsigned_number(json!(u64::MAX))]
+#[case::largest_float(json!(f64::MAX))]
+fn the_largest_numbers_are_accepted_as_limits(#[case] largest: Value) {
+    let mut entry = route("r", "a.example", "/r/");
+    for name in
+        ["max-attempts", "priority", "timeout-ms", "target-latency-ms", "target-run-ms", "max-queue-s"]
+    {
+        entry[name] = largest.clone();
+    }
+    let scaling = json!({"min-count": 1, "max-count": largest, "boot-s": largest});
+    let document = json!({"config-version": 1, "routes": [entry],
+        "services": [{"name": "blue", "max-connections": largest, "scaling": scaling}],
+        "tenants": [{"name": "t", "priority": largest}],
+        "limits": {"max-header-bytes": largest, "max-body-bytes": largest, "idle-timeout-ms": largest}});
+    let configuration = Configuration::replace(document.to_string().as_bytes(), None).unwrap();
+    let table = configuration.routes();
+    assert_eq!(table.routes()[0].max_attempts, u32::MAX);
+    assert!(table.limits().max_body_bytes >= i64::MAX as u64);
+    assert_eq!(table.services()[0].scaling.as_ref().map(|scaling| scaling.max_count), Some(u32::MAX));
+}
+
 #[test]
 fn a_single_service_is_always_picked() {
     let table = nested();
