Weights of a traffic split keep their ratio, however small or large they are

Cause: each weight was multiplied by 1,000 and rounded up to an integer, so that all weights up to 0.001 were the same.

Change: weights are scaled in proportion to the largest one of their split, to 2^40.

--- a/crates/configuration/src/route_table.rs
+++ b/crates/configuration/src/route_table.rs
@@ -71,20 +71,24 @@
     }
 }
 
-/// The scaled weight of a service in a traffic split.
+/// The weight of a service in a traffic split, which has a meaning in proportion to the other weights only.
 #[derive(Clone, Copy, Debug)]
 pub(super) struct ServiceWeight {
     /// Index in [`RouteTable::services`].
     pub(super) service: usize,
-    pub(super) weight: u64,
+    /// At least 0, and finite.
+    pub(super) weight: f64,
 }
 
+/// The largest weight of a traffic split is scaled to this integer. Keeps the sum of all weights within 64 bits.
+const LARGEST_SCALED_WEIGHT: u64 = 1 << 40;
+
 /// A service of a traffic split.
 #[derive(Clone, Copy, Debug, PartialEq)]
 struct SplitEntry {
     /// Index in [`RouteTable::services`].
     service: usize,
-    /// Sum of the weights up to and including this service.
+    /// Sum of the scaled weights up to and including this service.
     cumulative_weight: u64,
 }
 
@@ -97,11 +101,14 @@
 
 impl TrafficSplit {
     /// Creates a split. Returns `None` if the weights sum to 0.
+    ///
+    /// Weights are scaled in proportion to the largest one, so that any weights keep their ratios.
     pub(super) fn new(weights: &[ServiceWeight]) -> Option<TrafficSplit> {
+        let largest = weights.iter().map(|entry| entry.weight).fold(0.0, f64::max);
         let mut sum = 0_u64;
         let mut entries = Vec::with_capacity(weights.len());
-        for ServiceWeight { service, weight } in weights.iter().filter(|entry| entry.weight > 0) {
-            sum += weight;
+        for ServiceWeight { service, weight } in weights.iter().filter(|entry| entry.weight > 0.0) {
+            sum += scaled(weight / largest);
             entries.push(SplitEntry { service: *service, cumulative_weight: sum });
         }
         (sum > 0).then_some(TrafficSplit { entries })
@@ -115,15 +122,15 @@
     /// Returns the index of the service with the highest weight.
     pub fn main_service(&self) -> usize {
         let mut weight_before = 0;
-        let mut main = ServiceWeight { service: 0, weight: 0 };
+        let (mut main_service, mut main_weight) = (0, 0);
         for entry in &self.entries {
             let weight = entry.cumulative_weight - weight_before;
-            if weight > main.weight {
-                main = ServiceWeight { service: entry.service, weight };
+            if weight > main_weight {
+                (main_service, main_weight) = (entry.service, weight);
             }
             weight_before = entry.cumulative_weight;
         }
-        main.service
+        main_service
     }
 
     fn pick(&self, random: u64) -> usize {
@@ -138,6 +145,13 @@
     }
 }
 
+/// Returns the scaled weight of a service whose weight is this fraction of the largest one. A weight above 0 remains
+/// above 0.
+fn scaled(fraction: f64) -> u64 {
+    let weight = (fraction * LARGEST_SCALED_WEIGHT as f64).round() as u64;
+    weight.max(1)
+}
+
 /// A group of servers that perform the same work.
 #[derive(Clone, Debug, PartialEq)]
 pub struct Service {
--- a/crates/configuration/src/table_builder.rs
+++ b/crates/configuration/src/table_builder.rs
@@ -16,10 +16,6 @@
 
 /// Path of health checks if a service does not specify one.
 const DEFAULT_HEALTH_PATH: &str = "/health";
-/// Weights are multiplied by this number and rounded up to integers, so that fractions of weights are kept.
-const WEIGHT_SCALE: f64 = 1_000.0;
-/// Maximum weight; keeps the sum of all weights within 64 bits.
-const MAX_WEIGHT: f64 = 1e9;
 
 /// Parses and validates a document.
 ///
@@ -226,12 +222,12 @@
         let service = single_service.ok_or_else(|| {
             entry.field_error("service", "is missing; name a service, or several under traffic-split")
         })?;
-        return split_of(entry, &[ServiceWeight { service, weight: WEIGHT_SCALE as u64 }]);
+        return split_of(entry, &[ServiceWeight { service, weight: 1.0 }]);
     };
     let mut weights = Vec::new();
     for part in list.items()? {
         let service = read_service(&part.field("service")?, services)?;
-        let weight = read_weight(&part.field("weight")?)?;
+        let weight = part.field("weight")?.number()?;
         weights.push(ServiceWeight { service, weight });
     }
     split_of(&list, &weights)
@@ -255,15 +251,6 @@
         .ok_or_else(|| ConfigurationError::UnknownService { path: name.path(), service: text.to_owned() })
 }
 
-/// Parses a weight and scales it to an integer. A weight above 0 remains above 0.
-fn read_weight(weight: &ValueReader<'_, '_>) -> Result<u64, ReadError> {
-    let number = weight.number()?;
-    if number > MAX_WEIGHT {
-        return Err(weight.error("must be at most 1000000000"));
-    }
-    Ok((number * WEIGHT_SCALE).ceil() as u64)
-}
-
 fn read_limits(root: &ValueReader<'_, '_>) -> Result<Limits, ReadError> {
     let defaults = Limits::default();
     let Some(limits) = root.optional("limits")? else { return Ok(defaults) };
