Testbed: faults may overlap on one process, and begin at different times

Cause: a killed process stayed in the list of those that have to stop. Steps also failed the scenario if another fault had ended or restarted their process.

Change: a kill or removal takes a process off that list, a paused one has its grace from the time at which it is resumed, steps on a process that isn't running have no effect, and machines that were removed don't start again. `--trouble NAME@SECONDS` begins a fault later than the others.

Evidence: `steps_on_one_process_may_overlap` (8 orders of steps), `a_paused_process_has_its_grace_from_the_time_at_which_it_is_resumed`.

--- a/crates/testbed/src/launch/launcher.rs
+++ b/crates/testbed/src/launch/launcher.rs
@@ -156,7 +156,7 @@
         self.ids().into_iter().try_for_each(|id| self.start_with(id, true))
     }
 
-    /// Starts a process with its existing disk. Does nothing if the process is running.
+    /// Starts a process with its existing disk. Does nothing if the process is running or its machine was removed.
     ///
     /// # Errors
     ///
@@ -166,7 +166,7 @@
     }
 
     fn start_with(&mut self, id: ProcessId, bootstrap: bool) -> Result<(), LaunchError> {
-        if self.is_running(id) {
+        if self.is_running(id) || self.machine(id).is_removed {
             return Ok(());
         }
         let data = self.path(id, "data");
--- a/crates/testbed/src/main.rs
+++ b/crates/testbed/src/main.rs
@@ -4,7 +4,7 @@
 use std::process::ExitCode;
 
 use bpaf::Bpaf;
-use orchidvalve_testbed::scenario::{self, Fault, ScenarioOptions};
+use orchidvalve_testbed::scenario::{self, ScenarioOptions, TimedFault};
 
 /// Emulators of everything outside the system
 #[derive(Clone, Debug, Bpaf)]
@@ -31,9 +31,10 @@
         /// The program with the roles control, door and store
         #[bpaf(argument("PATH"))]
         program: PathBuf,
-        /// A fault, such as kill-store, kill-control or freeze-store; may be given several times
+        /// A fault, such as kill-store, kill-control or freeze-store; may be given several times. All begin together,
+        /// except those given as NAME@SECONDS, which begin so many seconds later
         #[bpaf(long("trouble"), argument("NAME"), many)]
-        faults: Vec<Fault>,
+        faults: Vec<TimedFault>,
         /// Duration of link faults, in seconds
         #[bpaf(long("cut-seconds"), argument("N"), fallback(20), display_fallback)]
         partition_seconds: u64,
--- a/crates/testbed/src/scenario/mod.rs
+++ b/crates/testbed/src/scenario/mod.rs
@@ -8,6 +8,8 @@
 mod key_faults;
 mod leader_faults;
 mod link_faults;
+#[cfg(test)]
+mod overlap_tests;
 mod platform_faults;
 mod report;
 mod run;
@@ -17,6 +19,7 @@
 mod tenants;
 #[cfg(test)]
 mod tests;
+mod timed_fault;
 mod timing;
 mod traffic;
 mod wiring;
@@ -30,6 +33,7 @@
     EndedProcess, ListCallCounts, ProcessUsage, Report, SingletonRoleReport, TrainerReport, percentile,
 };
 pub use run::run;
+pub use timed_fault::{InvalidFault, TimedFault};
 
 /// Options of a scenario.
 #[derive(Clone, Debug)]
@@ -46,8 +50,8 @@
     pub seed: u64,
     /// The program with the roles `control`, `door` and `store`.
     pub program: PathBuf,
-    /// The faults to inject. All of them begin at the same time.
-    pub faults: Vec<Fault>,
+    /// The faults to inject. Those of the same delay begin at the same time.
+    pub faults: Vec<TimedFault>,
     /// Duration of link faults, in seconds.
     pub partition_seconds: u64,
     /// Whether the configuration has no tenants and no client sends an API key.
@@ -55,3 +59,10 @@
     /// Whether to keep settings, data and logs after the scenario.
     pub keep: bool,
 }
+
+impl ScenarioOptions {
+    /// Whether one of the faults satisfies the predicate.
+    fn has_fault(&self, predicate: impl Fn(Fault) -> bool) -> bool {
+        self.faults.iter().any(|timed| predicate(timed.fault))
+    }
+}
--- a/crates/testbed/src/scenario/supervision.rs
+++ b/crates/testbed/src/scenario/supervision.rs
@@ -6,6 +6,7 @@
 use super::report::EndedProcess;
 use super::run::ScenarioRun;
 use super::steps::{Step, after};
+use super::timing::GRACE_MS;
 use crate::launch::ProcessId;
 use crate::observation::Observation;
 
@@ -37,6 +38,19 @@
         is_due
     }
 
+    /// Forgets that a process was to stop, since it has been killed or removed.
+    pub fn forget(&mut self, id: ProcessId) {
+        self.stopping.remove(&id);
+        self.removed_after_exit.remove(&id);
+    }
+
+    /// Allows resumed processes the whole time to stop, since they receive SIGTERM only now.
+    pub fn extend_grace(&mut self, resumed: &[ProcessId], now: u64) {
+        for (_, kill_at) in self.stopping.iter_mut().filter(|(id, _)| resumed.contains(id)) {
+            *kill_at = now + GRACE_MS;
+        }
+    }
+
     /// Removes and returns the processes that did not stop in time.
     fn take_overdue(&mut self, now: u64) -> Vec<ProcessId> {
         let overdue: Vec<ProcessId> =
@@ -97,8 +111,7 @@
         for node in &retired[self.supervision.retired..] {
             for id in self.launcher.ids() {
                 if self.launcher.machine(id).name == *node {
-                    self.launcher.kill(id)?;
-                    self.launcher.wipe(id)?;
+                    self.remove(&[id])?;
                 }
             }
         }
--- a/crates/testbed/src/scenario/traffic.rs
+++ b/crates/testbed/src/scenario/traffic.rs
@@ -3,8 +3,8 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 
-use super::faults::Fault;
 use super::report::TrainerReport;
+use super::timed_fault::TimedFault;
 use super::workload::{TrafficTimes, Workload};
 use crate::clients::{ClientSettings, ClientStats, Clients};
 use crate::concurrent_operators::{ConcurrentOperatorSettings, ConcurrentOperatorStats, ConcurrentOperators};
@@ -76,11 +76,11 @@
         &mut self,
         host: &mut Host,
         workload: &Workload,
-        faults: &[Fault],
+        faults: &[TimedFault],
         (from, until): (u64, u64),
         seed: u64,
     ) {
-        let Some(pace) = faults.iter().find_map(|fault| fault.operator_pace()) else { return };
+        let Some(pace) = faults.iter().find_map(|timed| timed.fault.operator_pace()) else { return };
         let routes = workload.changing_routes();
         let settings = ConcurrentOperatorSettings { pace, routes, from, until, seed };
         let (operators, stats) = ConcurrentOperators::new(settings);
