orchidvalvectl check reports an integer of more than 64 bits and the errors beside it

The check goes on with the number that the parser keeps, so other errors are still reported (`errors_beside_a_large_integer_are_reported`).

--- a/crates/ctl/src/check.rs
+++ b/crates/ctl/src/check.rs
@@ -27,6 +27,10 @@
 
 /// Corrects the error and returns the next one, if any. `number` makes names that do not occur in the document.
 fn correct(document: &mut Value, error: &ConfigurationError, number: usize) -> Option<ConfigurationError> {
+    if matches!(error, ConfigurationError::LargeInteger { .. }) {
+        // The parsed document has the nearest number that can be kept.
+        return Configuration::replace(document.to_string().as_bytes(), None).err();
+    }
     let path = path_of(error)?;
     add_service_if_none(document, &unused_name(document, number));
     let unused = unused_name(document, number);
@@ -61,6 +65,7 @@
         ConfigurationError::VersionNotAbove { .. } => Some("config-version".to_owned()),
         ConfigurationError::NotJson { .. }
         | ConfigurationError::TooLong { .. }
+        | ConfigurationError::LargeInteger { .. }
         | ConfigurationError::NothingToChange => None,
     }
 }
--- a/crates/ctl/tests/command_line/check.rs
+++ b/crates/ctl/tests/command_line/check.rs
@@ -101,6 +101,16 @@
     assert_eq!(check::errors(body.as_bytes()), ["document: must be a JSON object"]);
 }
 
+#[test]
+fn errors_beside_a_large_integer_are_reported() {
+    let wrong =
+        changed(&[("/routes/0/timeout-ms", json!("long")), ("/limits/max-header-bytes", json!("huge"))]);
+    let errors = check::errors(wrong.to_string().replace(r#""huge""#, "99999999999999999999").as_bytes());
+    assert_eq!(errors.len(), 2, "{errors:?}");
+    assert!(errors[0].starts_with("max-header-bytes: the integer 99999999999999999999"), "{errors:?}");
+    assert!(errors[1].starts_with("routes[0].timeout-ms: must be a number"), "{errors:?}");
+}
+
 #[test]
 fn errors_are_bounded() {
     let route =
