--- a/crates/consensus/src/paxos.rs
+++ b/crates/consensus/src/paxos.rs
@@ -189,8 +189,9 @@
         }
     }
 
-    /// Returns true if `ballot` is from a process that may propose and for the instance after the current view. Sends the current view to
-    /// a sender that is behind, and a `Hello`, which requests the latest view, to a sender that is ahead.
+    /// Returns true if `ballot` is from a process that may propose and for the instance after the current view. Sends
+    /// the current view to a sender that is behind, and a `Hello`, which requests the latest view, to a sender that is
+    /// ahead.
     fn is_current_instance(
         &self,
         from: MemberId,
