Control nodes without a disk redirect operators to members only, at any start

Cause: that of the mend for the first start, which looked at `bootstrap`: until it knows a member such a node redirected to its seeds, and these, just started too, redirected to each other.

Change: seeds are no targets any more; without a known member the answer is 503 at any start, and the caller goes on to another node. The special case of the first start is gone.

--- a/crates/control-plane/src/observer/mod.rs
+++ b/crates/control-plane/src/observer/mod.rs
@@ -140,7 +140,7 @@
             feed: FeedClient::new(handshake, seeds, incarnation),
             directory: MemberDirectory::default(),
             witness: options.bootstrap.then(Witness::default),
-            redirector: Redirector::new(options.control_address, redirect_targets(options)),
+            redirector: Redirector::new(options.control_address),
             connections: BTreeMap::new(),
         })
     }
@@ -336,12 +336,6 @@
     }
 }
 
-/// Returns the nodes to which operators are redirected before a member is known. At the first start of a system the seeds
-/// know no more than this process, and those without a disk would redirect operators to each other.
-fn redirect_targets(options: &ObserverOptions) -> &[SocketAddrV4] {
-    if options.bootstrap { &[] } else { &options.seeds }
-}
-
 /// The result of handling the bytes received on a connection.
 enum Progress {
     /// A message was consumed; there may be more.
--- a/crates/control-plane/src/redirector.rs
+++ b/crates/control-plane/src/redirector.rs
@@ -12,7 +12,7 @@
 pub struct Redirector {
     /// This node's own control address. All nodes use the same port.
     control_address: SocketAddrV4,
-    /// Control addresses of other nodes.
+    /// Control addresses of known members.
     targets: Vec<SocketAddrV4>,
     next: usize,
 }
@@ -22,15 +22,16 @@
 pub enum Redirection {
     /// Redirects to the same path at another node, by this URL.
     To(String),
-    /// No other node is known.
+    /// No member is known. The caller goes on to another node.
     Unavailable,
 }
 
 impl Redirector {
-    /// Creates a redirector. `control_address` is the address of this node, which is never a target.
-    pub fn new(control_address: SocketAddrV4, seeds: &[SocketAddrV4]) -> Redirector {
-        let targets = seeds.iter().copied().filter(|seed| *seed != control_address).collect();
-        Redirector { control_address, targets, next: 0 }
+    /// Creates a redirector that knows no member. `control_address` is the address of this node, which is never a target.
+    ///
+    /// The seeds are no targets: they may all be observers, and would redirect callers to each other after a start.
+    pub fn new(control_address: SocketAddrV4) -> Redirector {
+        Redirector { control_address, targets: Vec::new(), next: 0 }
     }
 
     /// Sets the known members, and the member with which this node has a session, which is preferred. The former targets
@@ -38,11 +39,12 @@
     pub fn set_members(&mut self, session_node: Option<NodeAddress>, members: &[NodeAddress]) {
         let session_node = session_node.as_ref().map(std::slice::from_ref);
         let members = session_node.unwrap_or(members);
-        if members.is_empty() {
-            return;
-        }
         let port = self.control_address.port();
-        self.targets = members.iter().map(|member| SocketAddrV4::new(member.ip(), port)).collect();
+        let targets = members.iter().map(|member| SocketAddrV4::new(member.ip(), port));
+        let targets: Vec<SocketAddrV4> = targets.filter(|target| *target != self.control_address).collect();
+        if !targets.is_empty() {
+            self.targets = targets;
+        }
     }
 
     /// Returns where a request is redirected.
