Testbed: a configuration in which two tenants share a key counts as invalid

Change: such a document is marked as invalid, so that its refusal is right and its acceptance a broken rule. `an_api_key_has_one_owner` fails without it.

--- a/crates/testbed/src/configuration_document.rs
+++ b/crates/testbed/src/configuration_document.rs
@@ -1,5 +1,7 @@
 //! Configurations as JSON documents: routes, services, and changes of named items.
 
+use std::collections::HashMap;
+
 use serde_json::{Value, json};
 
 /// Path at which the control nodes serve the configuration.
@@ -32,12 +34,28 @@
 }
 
 /// Whether all services named by routes exist in the configuration.
-pub fn routes_name_known_services(document: &Value) -> bool {
+fn routes_name_known_services(document: &Value) -> bool {
     let entries = document["services"].as_array().into_iter().flatten();
     let services: Vec<&str> = entries.filter_map(|entry| entry["name"].as_str()).collect();
     routes_of(document).flat_map(services_of_route).all(|name| services.contains(&name.as_str()))
 }
 
+/// Whether the system has to accept the configuration: its routes name known services, and no API key has two owners.
+pub fn is_valid(document: &Value) -> bool {
+    routes_name_known_services(document) && keys_have_one_owner(document)
+}
+
+/// Whether no two tenants of the configuration have the same API key.
+fn keys_have_one_owner(document: &Value) -> bool {
+    let mut owners = HashMap::new();
+    let tenants = document["tenants"].as_array().into_iter().flatten().enumerate();
+    let mut keys = tenants.flat_map(|(tenant, entry)| {
+        let keys = entry["api-keys"].as_array().into_iter().flatten();
+        keys.filter_map(Value::as_str).map(move |key| (key, tenant))
+    });
+    keys.all(|(key, tenant)| *owners.entry(key).or_insert(tenant) == tenant)
+}
+
 /// Applies a change of named items to a configuration. `remove` contains names of items by list, `upsert` contains
 /// new or changed items by list.
 pub fn apply_patch(document: &mut Value, upsert: &Value, remove: &Value) {
--- a/crates/testbed/src/operator.rs
+++ b/crates/testbed/src/operator.rs
@@ -9,9 +9,7 @@
 use rand_pcg::Pcg64Mcg;
 use serde_json::{Value, json};
 
-use crate::configuration_document::{
-    CONFIGURATION_PATH, apply_patch, routes_name_known_services, set_version, version_of,
-};
+use crate::configuration_document::{CONFIGURATION_PATH, apply_patch, is_valid, set_version, version_of};
 use crate::control_call::{CallProgress, ControlCall, ControlRequest};
 use crate::directory::Directory;
 use crate::effects::{CallTag, Caller, Effects, Outcome};
@@ -243,7 +241,7 @@
             version: change.version,
             base: self.version,
             document: change.document.clone(),
-            valid: routes_name_known_services(&change.document),
+            valid: is_valid(&change.document),
         });
         let call = ControlCall::new(request.based_on(self.version), now, deadline);
         self.call(Purpose::Change(change), call);
@@ -266,7 +264,12 @@
         let is_success = response.as_ref().is_some_and(Response::is_success);
         let body = response.and_then(|response| serde_json::from_slice::<Value>(&response.body).ok());
         match purpose {
-            Purpose::Change(change) => self.change_completed(now, change, status, out),
+            Purpose::Change(change) => {
+                if let Some(error) = body.filter(|_| !is_success) {
+                    log::info!("operator: change {} was refused: {error}", change.version);
+                }
+                self.change_completed(now, change, status, out);
+            }
             Purpose::ReadBack => {
                 let document = body.filter(|_| is_success);
                 self.stats.borrow_mut().read_back = document.is_some();
