--- a/crates/data-plane/tests/generations_hedges.rs
+++ b/crates/data-plane/tests/generations_hedges.rs
@@ -125,9 +125,10 @@
     let started_at = gateway.now;
     gateway.assign(group_of_twelve("after", moved));
     let slow = gateway.attempts[0].clone();
-    for attempt in gateway.attempts[1..].to_vec() {
-        gateway.events(&attempt, 1..=1);
-        gateway.ended(&attempt, AttemptOutcome::Complete);
+    let others: Vec<Attempted> = gateway.attempts.iter().skip(1).cloned().collect();
+    for attempt in &others {
+        gateway.events(attempt, 1..=1);
+        gateway.ended(attempt, AttemptOutcome::Complete);
     }
     let mut next = 1;
     while gateway.attempts.len() == GENERATIONS {
