A response with a status outside 100 to 599 counts as broken

What callers saw: a server in trouble sent an answer with status 000 and the client got it (MIXED): `HTTP/1.1 0 Answer`, with that answer's body, on routes of all types, also where it came to the attempt that resumes a stream, or to one of two attempts in flight. The server counted as healthy after it. An order of weights that was answered so counted as refused, though it may have been taken.

Cause: httparse accepts any three digits as a status, and `read_response_head` took whatever it had. RFC 9110, section 15 knows 100 to 599 only.

Change: `ResponseReader` reports any other status as malformed, also behind an interim response. All callers already end an exchange whose bytes are malformed as one whose server broke off, and close its connection.

--- a/crates/control-plane/tests/http_client.rs
+++ b/crates/control-plane/tests/http_client.rs
@@ -248,6 +248,28 @@
     assert_eq!(fixture.completed_body(), (1, None));
 }
 
+/// The exchange ends as if the server had broken off, and its connection is closed.
+#[rstest]
+#[case::invalid_status("HTTP/1.1 000 OK\r\nContent-Length: 1\r\n\r\nb")]
+#[case::invalid_status_after_an_interim_response(
+    "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 600 OK\r\nContent-Length: 1\r\n\r\nb"
+)]
+fn a_broken_response_does_not_count(
+    #[case] bytes: &str,
+    #[values(ConnectionUse::New, ConnectionUse::Reused)] connection_use: ConnectionUse,
+) {
+    let mut fixture = ClientFixture::new();
+    fixture.start(1, connection_use);
+    let mut peer = fixture.accept();
+    fixture.read_request(&mut peer);
+    peer.send(bytes);
+    assert_eq!(fixture.completed_body(), (1, None));
+    fixture.until(|_| {
+        peer.receive();
+        peer.ended.then_some(())
+    });
+}
+
 #[test]
 fn an_order_whose_connection_is_not_established_in_time_is_never_sent() {
     let mut fixture = ClientFixture::new();
--- a/crates/data-plane/tests/gateway_support/mod.rs
+++ b/crates/data-plane/tests/gateway_support/mod.rs
@@ -1,9 +1,11 @@
-//! A gateway process in a thread of the test, with a control node, a store node and a server simulated by the test.
+//! A gateway process in a thread of the test, with a control node, a store node and servers simulated by the test.
 
-use std::collections::BTreeMap;
+#![allow(dead_code)]
+
+use std::collections::{BTreeMap, VecDeque};
 use std::io::{Read, Write};
 use std::net::{Ipv4Addr, SocketAddrV4, TcpListener, TcpStream};
-use std::sync::mpsc::{Sender, channel};
+use std::sync::mpsc::{Receiver, Sender, channel};
 use std::sync::{Arc, Mutex};
 use std::time::Duration;
 
@@ -126,35 +128,125 @@
     }
 }
 
-/// The simulated server. It records all requests, rejects the first `rejections` of them and responds to the others.
+/// In a scripted response, this text is replaced by the id of the attempt.
+pub const ATTEMPT_ID: &str = "ATTEMPT-ID";
+
+/// Bytes that a simulated server sends in place of its normal response.
+#[derive(Debug)]
+pub struct ScriptedResponse {
+    pub bytes: Vec<u8>,
+    /// Whether the server closes the connection after the bytes.
+    pub closes: bool,
+    /// If set, the server waits for this signal before it sends the bytes.
+    pub released: Option<Receiver<()>>,
+}
+
+impl ScriptedResponse {
+    /// Returns a response that is sent at once and leaves the connection open.
+    pub fn new(bytes: &[u8]) -> ScriptedResponse {
+        ScriptedResponse { bytes: bytes.to_vec(), closes: false, released: None }
+    }
+
+    /// Returns a response after which the server closes the connection.
+    pub fn closing(bytes: &[u8]) -> ScriptedResponse {
+        ScriptedResponse { closes: true, ..ScriptedResponse::new(bytes) }
+    }
+
+    /// Delays the response until a signal is sent through the returned sender.
+    pub fn held(self) -> (ScriptedResponse, Sender<()>) {
+        let (release, released) = channel();
+        (ScriptedResponse { released: Some(released), ..self }, release)
+    }
+}
+
+/// The simulated servers. They record all requests, send the scripted responses to the next ones, reject the first
+/// `rejections` of the others and respond to the rest.
 #[derive(Default)]
 pub struct Server {
     pub received: Vec<Vec<u8>>,
     pub rejections: usize,
+    pub scripted: VecDeque<ScriptedResponse>,
+    /// The number of requests received on a connection that had carried another request before.
+    pub received_on_kept_connections: usize,
+    /// The number of requests received on a connection that had carried a scripted response.
+    pub received_after_scripted: usize,
+    /// Notified of each request received.
+    pub request_received: Option<Sender<()>>,
+    /// Notified when the gateway closes a connection that has carried a scripted response.
+    pub scripted_connection_closed: Option<Sender<()>>,
+}
+
+impl Server {
+    /// Records a request. Returns the scripted response to it, if there is one.
+    fn receive(&mut self, request: Vec<u8>, history: ConnectionHistory) -> Option<ScriptedResponse> {
+        self.received.push(request);
+        self.received_on_kept_connections += usize::from(history.has_carried_request);
+        self.received_after_scripted += usize::from(history.has_carried_scripted);
+        if let Some(request_received) = &self.request_received {
+            let _ = request_received.send(());
+        }
+        self.scripted.pop_front()
+    }
+
+    fn normal_response(&mut self, attempt_id: &str) -> Vec<u8> {
+        let head = if self.rejections > 0 {
+            self.rejections -= 1;
+            "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
+        } else {
+            "HTTP/1.1 200 OK\r\nServer-Signature: 3e1b.07\r\n"
+        };
+        format!("{head}Attempt-Id: {attempt_id}\r\nContent-Length: 2\r\n\r\nok").into_bytes()
+    }
+}
+
+/// Replaces [`ATTEMPT_ID`] in a scripted response, which need not be UTF-8.
+fn with_attempt_id(bytes: &[u8], attempt_id: &str) -> Vec<u8> {
+    let Some(at) = bytes.windows(ATTEMPT_ID.len()).position(|window| window == ATTEMPT_ID.as_bytes()) else {
+        return bytes.to_vec();
+    };
+    [&bytes[..at], attempt_id.as_bytes(), &bytes[at + ATTEMPT_ID.len()..]].concat()
+}
+
+/// What a connection to a simulated server has carried so far.
+#[derive(Clone, Copy, Default)]
+struct ConnectionHistory {
+    has_carried_request: bool,
+    has_carried_scripted: bool,
 }
 
 fn serve_requests(mut stream: TcpStream, server: &Shared<Server>) {
     let mut inbox = Vec::new();
     let mut reader = RequestReader::default();
     let mut received = Vec::new();
+    let mut history = ConnectionHistory::default();
     while read_more(&mut stream, &mut inbox) {
         loop {
             let progress = reader.read(&inbox, &LIMITS).unwrap();
             received.extend(inbox.drain(..progress.consumed));
             let Some(request) = progress.request else { break };
-            let mut server = server.lock().unwrap();
-            server.received.push(std::mem::take(&mut received));
-            let head = if server.rejections > 0 {
-                server.rejections -= 1;
-                "HTTP/1.1 503 Service Unavailable\r\nNot-Executed: 1\r\n"
-            } else {
-                "HTTP/1.1 200 OK\r\nServer-Signature: 3e1b.07\r\n"
-            };
             let id = request.headers.get("attempt-id").unwrap_or_default();
-            let response = format!("{head}Attempt-Id: {id}\r\nContent-Length: 2\r\n\r\nok");
-            stream.write_all(response.as_bytes()).unwrap();
+            let scripted = server.lock().unwrap().receive(std::mem::take(&mut received), history);
+            history.has_carried_request = true;
+            let Some(scripted) = scripted else {
+                let response = server.lock().unwrap().normal_response(id);
+                stream.write_all(&response).unwrap();
+                continue;
+            };
+            if let Some(released) = &scripted.released {
+                released.recv_timeout(READ_TIMEOUT).expect("the test releases the response");
+            }
+            let sent = stream.write_all(&with_attempt_id(&scripted.bytes, id));
+            if sent.is_err() || scripted.closes {
+                return;
+            }
+            history.has_carried_scripted = true;
         }
     }
+    let server = server.lock().unwrap();
+    if let Some(closed) = server.scripted_connection_closed.as_ref().filter(|_| history.has_carried_scripted)
+    {
+        let _ = closed.send(());
+    }
 }
 
 /// The simulated store node. It records the submitted jobs by their ids, and all calls.
@@ -205,6 +297,22 @@
     }
 }
 
+/// Starts a simulated server. `number` distinguishes it from the other ones.
+fn start_server(ip: Ipv4Addr, number: usize, server: &Shared<Server>) -> ServerEntry {
+    let (listener, address) = listen(ip);
+    let shared = server.clone();
+    accept_each(listener, move |stream| serve_requests(stream, &shared));
+    ServerEntry {
+        instance: format!("i-{}", 7 + number),
+        service: SERVICE.to_owned(),
+        address: node(address),
+        zone: "upper-hill".to_owned(),
+        slots: 8,
+        draining: false,
+        models: Vec::new(),
+    }
+}
+
 /// The gateway and the processes around it. The gateway's thread ends with the test process.
 pub struct World {
     control: Shared<ControlNode>,
@@ -214,49 +322,47 @@
 }
 
 impl World {
-    /// Starts a gateway. `number` selects the loopback address, which must be unique within a test process.
+    /// Starts a gateway in a thread, with one server. `number` selects the loopback address, which must be unique within
+    /// a test process.
     pub fn start(number: u8) -> World {
-        let ip = Ipv4Addr::new(127, 83, 1, number);
+        World::start_with(Ipv4Addr::new(127, 83, 1, number), 1, |options| {
+            std::thread::spawn(move || run(options).unwrap());
+        })
+    }
+
+    /// Starts a gateway by `start_gateway`, with this number of servers of the service. `ip` must be unique.
+    pub fn start_with(ip: Ipv4Addr, servers: usize, start_gateway: impl FnOnce(GatewayOptions)) -> World {
         let (control, server, store): (Shared<ControlNode>, Shared<Server>, Shared<Store>) =
             Default::default();
-        let (server_listener, server_address) = listen(ip);
+        let entries: Vec<ServerEntry> =
+            (0..servers).map(|number| start_server(ip, number, &server)).collect();
         let (store_listener, store_address) = listen(ip);
         let (control_listener, control_address) = listen(ip);
-        let entry = ServerEntry {
-            instance: "i-7".to_owned(),
-            service: SERVICE.to_owned(),
-            address: node(server_address),
-            zone: "upper-hill".to_owned(),
-            slots: 8,
-            draining: false,
-            models: Vec::new(),
-        };
         let members = vec![MemberId { address: node(store_address), disk: 1 }];
         let placement = Placement { epoch: 1, members, ..Placement::default() };
         control.lock().unwrap().apply(&Change::Place(vec![(0, placement)]));
-        let shared = server.clone();
-        accept_each(server_listener, move |stream| serve_requests(stream, &shared));
         let shared = store.clone();
         accept_each(store_listener, move |stream| serve_gateway(stream, &shared));
         let shared = control.clone();
-        accept_each(control_listener, move |stream| {
-            serve_session(stream, &shared, std::slice::from_ref(&entry));
-        });
-        let frontend = listen(ip).1;
+        accept_each(control_listener, move |stream| serve_session(stream, &shared, &entries));
+        // Both ports are reserved before either is released, as the second one could be the first one again otherwise.
+        let reserved = [listen(ip), listen(ip)];
+        let [frontend, readiness] = [reserved[0].1, reserved[1].1];
+        drop(reserved);
         let options = GatewayOptions {
             usage_window_ms: 5_000,
             name: "edge-1".to_owned(),
             zone: "upper-hill".to_owned(),
             share: 1.0,
             frontend,
-            readiness: listen(ip).1,
+            readiness,
             source: None,
             seeds: vec![node(control_address)],
             grace_ms: 8_000,
         };
         let (sender, session_started) = channel();
         control.lock().unwrap().session_started = Some(sender);
-        std::thread::spawn(move || run(options).unwrap());
+        start_gateway(options);
         session_started.recv_timeout(READ_TIMEOUT).expect("the gateway starts a session");
         World { control, server, store, frontend }
     }
@@ -287,7 +393,7 @@
     pub fn client(&self) -> Client {
         let stream = TcpStream::connect(self.frontend).unwrap();
         stream.set_read_timeout(Some(READ_TIMEOUT)).unwrap();
-        Client { stream, inbox: Vec::new() }
+        Client { stream, inbox: Vec::new(), attempt_id: "9c41".to_owned() }
     }
 }
 
@@ -296,12 +402,15 @@
 pub struct Response {
     pub status: u16,
     pub head: Vec<u8>,
+    pub body: Vec<u8>,
 }
 
 /// A client connection for several requests.
 pub struct Client {
     stream: TcpStream,
     inbox: Vec<u8>,
+    /// The `Attempt-Id` of the requests. No connection to a server carries the same one twice.
+    pub attempt_id: String,
 }
 
 impl Client {
@@ -310,9 +419,9 @@
     }
 
     pub fn send_body(&mut self, method: &str, path: &str, lines: &str, body: &str) {
-        let length = body.len();
+        let (length, id) = (body.len(), &self.attempt_id);
         let text = format!(
-            "{method} {path} HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: 9c41\r\n{lines}\
+            "{method} {path} HTTP/1.1\r\nHost: ficu95.example\r\nAttempt-Id: {id}\r\n{lines}\
              Content-Length: {length}\r\n\r\n{body}"
         );
         self.stream.write_all(text.as_bytes()).unwrap();
@@ -324,15 +433,24 @@
     }
 
     pub fn receive(&mut self) -> Response {
+        self.receive_until_closed().expect("a complete response")
+    }
+
+    /// Reads a response. Returns `None` if the gateway closes the connection before the response is complete.
+    pub fn receive_until_closed(&mut self) -> Option<Response> {
         let mut reader = ResponseReader::new("GET");
         let (mut head, mut body) = (Vec::new(), Vec::new());
         loop {
-            let progress = reader.read(&self.inbox, LIMITS.header_bytes, &mut body).unwrap();
+            let progress = reader
+                .read(&self.inbox, LIMITS.header_bytes, &mut body)
+                .unwrap_or_else(|error| panic!("{error}: received {}", self.inbox.escape_ascii()));
             head.extend(self.inbox.drain(..progress.consumed));
             if progress.complete {
-                return Response { status: reader.head().unwrap().status, head };
+                return Some(Response { status: reader.head().unwrap().status, head, body });
+            }
+            if !read_more(&mut self.stream, &mut self.inbox) {
+                return None;
             }
-            assert!(read_more(&mut self.stream, &mut self.inbox), "the gateway closed the connection");
         }
     }
 
--- a/crates/data-plane/tests/upstream_responses.rs
+++ b/crates/data-plane/tests/upstream_responses.rs
@@ -65,6 +65,10 @@
 #[case::two_lengths(
     "HTTP/1.1 200 OK\r\nAttempt-Id: 9c41d07be2a35f68\r\nContent-Length: 1\r\nContent-Length: 2\r\n\r\nb"
 )]
+#[case::invalid_status("HTTP/1.1 000 OK\r\nAttempt-Id: 9c41d07be2a35f68\r\nContent-Length: 1\r\n\r\nb")]
+#[case::invalid_rejection(
+    "HTTP/1.1 000 Full\r\nAttempt-Id: 9c41d07be2a35f68\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
+)]
 #[case::other_protocol("HTTP/1.1 101 Switching Protocols\r\nAttempt-Id: 9c41d07be2a35f68\r\n\r\n")]
 fn responses_to_other_requests_are_never_reported(#[case] bytes: &str) {
     let mut gateway = Gateway::new();
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -1,16 +1,20 @@
 //! Parsing of responses: the head, then the body in pieces as it arrives.
 
+use std::ops::RangeInclusive;
+
 use super::body::{BodyReader, Framing, framing};
 use super::error::HttpError;
 use super::headers::{Headers, MAX_HEADERS, head_length};
 
+/// The valid status codes (RFC 9110, section 15).
+const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
 /// Status of a switch to another protocol. It is never valid, as no request here asks for an upgrade.
 const SWITCHING_PROTOCOLS: u16 = 101;
 
 /// The head of a response.
 #[derive(Clone, PartialEq, Eq, Debug)]
 pub struct ResponseHead {
-    /// The status code.
+    /// The status code, from 100 to 599.
     pub status: u16,
     /// All header lines.
     pub headers: Headers,
@@ -126,7 +130,7 @@
     let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Response::new(&mut lines);
     let Some(length) = head_length(parsed.parse(bytes), bytes.len(), limit)? else { return Ok(None) };
-    let headers = Headers::read(parsed.headers)?;
-    let head = ResponseHead { status: parsed.code.unwrap_or_default(), headers };
+    let status = parsed.code.filter(|status| VALID_STATUSES.contains(status)).ok_or(HttpError::Malformed)?;
+    let head = ResponseHead { status, headers: Headers::read(parsed.headers)? };
     Ok(Some(ParsedHead { head, minor_version: parsed.version.unwrap_or(0), length }))
 }
--- a/crates/http/tests/messages.rs
+++ b/crates/http/tests/messages.rs
@@ -390,6 +390,22 @@
     assert!(read_response("GET", &[text.as_bytes()]).is_err());
 }
 
+/// Only statuses from 100 to 599 are valid (RFC 9110, section 15), also where a response follows an interim one.
+#[rstest]
+fn responses_with_an_invalid_status_are_rejected(
+    #[values(0, 1, 99, 600, 999)] status: u16,
+    #[values("", "HTTP/1.1 100 Continue\r\n\r\n")] before: &str,
+) {
+    let text = format!("{before}HTTP/1.1 {status:03} OK\r\nContent-Length: 2\r\n\r\nok");
+    assert_eq!(read_response("GET", &[text.as_bytes()]).err(), Some(HttpError::Malformed));
+}
+
+#[rstest]
+fn responses_with_any_valid_status_are_read(#[values(200, 299, 306, 499, 500, 599)] status: u16) {
+    let text = format!("HTTP/1.1 {status} OK\r\nContent-Length: 2\r\n\r\nok");
+    assert_eq!(read_at_once(&text).status, Some(status));
+}
+
 #[test]
 fn response_heads_are_bounded() {
     let text = format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(HEADER_LIMIT));
