Only CRLF ends a line of a response's head

What callers saw: a server's answer in whose head the name of a field began with a line feed reached the client as a 200 with the server's signature and a body that was not the server's: the rest of the head, cut to the stated length ("Name: " in place of "server"). orchidvalvectl took "{}" for a configuration that way, and a control node took such an answer for one of the platform.

Cause: httparse accepts a line feed without a carriage return as the end of a line, as RFC 9112, section 2.2 permits, so that a line feed at the beginning of a name ends the head.

Change: `ResponseReader` reports a head with a bare line feed as malformed, as the reader of chunks already did. Requests are read as before.

What held already: names with any other of the bytes 0 to 32 and 127 as the first byte, within or last, in the head of a response, of an interim response and after one. Their tests stay in the tables. A CRLF at the beginning of a name is the end of the head by definition, and nothing can tell the two apart.

--- a/crates/control-plane/tests/http_client.rs
+++ b/crates/control-plane/tests/http_client.rs
@@ -254,6 +254,8 @@
 #[case::invalid_status_after_an_interim_response(
     "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 600 OK\r\nContent-Length: 1\r\n\r\nb"
 )]
+#[case::field_name_after_a_line_feed("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\nName: value\r\n\r\nb")]
+#[case::control_byte_in_a_field_name("HTTP/1.1 200 OK\r\nNa\x7fme: value\r\nContent-Length: 1\r\n\r\nb")]
 fn a_broken_response_does_not_count(
     #[case] bytes: &str,
     #[values(ConnectionUse::New, ConnectionUse::Reused)] connection_use: ConnectionUse,
--- a/crates/data-plane/tests/upstream_responses.rs
+++ b/crates/data-plane/tests/upstream_responses.rs
@@ -69,6 +69,12 @@
 #[case::invalid_rejection(
     "HTTP/1.1 000 Full\r\nAttempt-Id: 9c41d07be2a35f68\r\nNot-Executed: 1\r\nContent-Length: 0\r\n\r\n"
 )]
+#[case::field_name_after_a_line_feed(
+    "HTTP/1.1 200 OK\r\nAttempt-Id: 9c41d07be2a35f68\r\nContent-Length: 1\r\n\nName: value\r\n\r\nb"
+)]
+#[case::control_byte_in_a_field_name(
+    "HTTP/1.1 200 OK\r\nAttempt-Id: 9c41d07be2a35f68\r\nNa\x01me: value\r\nContent-Length: 1\r\n\r\nb"
+)]
 #[case::other_protocol("HTTP/1.1 101 Switching Protocols\r\nAttempt-Id: 9c41d07be2a35f68\r\n\r\n")]
 fn responses_to_other_requests_are_never_reported(#[case] bytes: &str) {
     let mut gateway = Gateway::new();
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -4,7 +4,7 @@
 
 use super::body::{BodyReader, Framing, framing};
 use super::error::HttpError;
-use super::headers::{Headers, MAX_HEADERS, head_length};
+use super::headers::{Headers, MAX_HEADERS, has_bare_line_feed, head_length};
 
 /// The valid status codes (RFC 9110, section 15).
 const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
@@ -130,6 +130,9 @@
     let mut lines = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut parsed = httparse::Response::new(&mut lines);
     let Some(length) = head_length(parsed.parse(bytes), bytes.len(), limit)? else { return Ok(None) };
+    if has_bare_line_feed(&bytes[..length]) {
+        return Err(HttpError::Malformed);
+    }
     let status = parsed.code.filter(|status| VALID_STATUSES.contains(status)).ok_or(HttpError::Malformed)?;
     let head = ResponseHead { status, headers: Headers::read(parsed.headers)? };
     Ok(Some(ParsedHead { head, minor_version: parsed.version.unwrap_or(0), length }))
--- a/crates/http/tests/messages.rs
+++ b/crates/http/tests/messages.rs
@@ -406,6 +406,38 @@
     assert_eq!(read_at_once(&text).status, Some(status));
 }
 
+/// The blanks and control bytes: no token, such as the name of a field, contains them (RFC 9110, section 5.6.2).
+fn blanks_and_controls() -> impl Iterator<Item = u8> {
+    (0..=b' ').chain([0x7f])
+}
+
+/// Returns field lines whose name has `byte` as its first byte, within it, or as its last byte.
+fn field_lines_with(byte: u8) -> [Vec<u8>; 3] {
+    [("", "Name"), ("Na", "me"), ("Name", "")]
+        .map(|(before, after)| [before.as_bytes(), &[byte], after.as_bytes(), b": value\r\n"].concat())
+}
+
+#[rstest]
+#[case::only_field(b"HTTP/1.1 200 OK\r\n", b"\r\nbody")]
+#[case::first_field(b"HTTP/1.1 200 OK\r\n", b"Content-Length: 4\r\n\r\nbody")]
+#[case::middle_field(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n", b"X: 1\r\n\r\nbody")]
+#[case::last_field(b"HTTP/1.1 200 OK\r\nContent-Length: 4\r\n", b"\r\nbody")]
+#[case::interim_response(
+    b"HTTP/1.1 103 Early Hints\r\n",
+    b"\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nbody"
+)]
+#[case::after_interim_response(
+    b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n",
+    b"\r\nbody"
+)]
+fn responses_with_an_invalid_field_name_are_rejected(#[case] before: &[u8], #[case] after: &[u8]) {
+    for line in blanks_and_controls().flat_map(field_lines_with) {
+        let bytes = [before, &line, after].concat();
+        let read = read_response("GET", &[&bytes]);
+        assert_eq!(read, Err(HttpError::Malformed), "{}", line.escape_ascii());
+    }
+}
+
 #[test]
 fn response_heads_are_bounded() {
     let text = format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(HEADER_LIMIT));
--- a/crates/server/tests/broken_responses.rs
+++ b/crates/server/tests/broken_responses.rs
@@ -151,11 +151,11 @@
     }
 }
 
-/// Returns a complete response with this status line and header lines besides the usual ones.
+/// Returns a complete response with this status line, and with these header lines after the usual ones.
 fn response(status_line: &str, header_lines: &str) -> Vec<u8> {
     format!(
-        "{status_line}\r\nAttempt-Id: {ATTEMPT_ID}\r\n{header_lines}Server-Signature: 3e1b.07\r\n\
-         Content-Length: 6\r\n\r\nserver"
+        "{status_line}\r\nAttempt-Id: {ATTEMPT_ID}\r\nServer-Signature: 3e1b.07\r\n\
+         Content-Length: 6\r\n{header_lines}\r\nserver"
     )
     .into_bytes()
 }
@@ -177,12 +177,28 @@
 const INVALID_STATUS_LINES: [&str; 5] =
     ["HTTP/1.1 000 ", "HTTP/1.1 000 OK", "HTTP/1.1 099 Low", "HTTP/1.1 600 High", "HTTP/1.1 999 Highest"];
 
-/// Broken responses: each invalid status, alone and after an interim response.
+const INTERIM_RESPONSE: &str = "HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
+
+/// Returns header lines whose names are none: with a blank, a control byte or a line end as the first byte, within, or as
+/// the last byte (RFC 9110, section 5.6.2).
+fn invalid_header_lines() -> impl Iterator<Item = String> {
+    let bytes = (0..=b' ').chain([0x7f]).map(char::from);
+    bytes.flat_map(|byte| {
+        [format!("{byte}Name: value"), format!("Na{byte}me: value"), format!("Name{byte}: value")]
+    })
+}
+
+/// Broken responses: each invalid status and each invalid header line, the latter also in an interim response.
 fn broken_responses() -> Vec<Vec<u8>> {
-    let interim = b"HTTP/1.1 103 Early Hints\r\nLink: </a>\r\n\r\n";
-    let invalid_statuses = INVALID_STATUS_LINES.map(|line| response(line, ""));
-    let after_interim = response("HTTP/1.1 000 OK", "");
-    invalid_statuses.into_iter().chain([[interim.as_slice(), &after_interim].concat()]).collect()
+    let valid = response("HTTP/1.1 200 OK", "");
+    let mut broken: Vec<Vec<u8>> = INVALID_STATUS_LINES.iter().map(|line| response(line, "")).collect();
+    broken.push([INTERIM_RESPONSE.as_bytes(), &broken[0]].concat());
+    for line in invalid_header_lines() {
+        broken.push(response("HTTP/1.1 200 OK", &format!("{line}\r\n")));
+        let interim = format!("HTTP/1.1 103 Early Hints\r\n{line}\r\n\r\n");
+        broken.push([interim.as_bytes(), &valid].concat());
+    }
+    broken
 }
 
 #[rstest]
