What precedes the invalid bytes of a response is reported

What callers saw: a server sent events and then bytes that are no part of a response. If both arrived at once, the gateway dropped the events: a stream that may not be resumed ended with 502, in place of its events and a closed connection as behind a server that breaks off, and one that may be resumed lost its place.

Cause: `UpstreamConnections::data` returned at the reader's error before it reported the head and the body that the same read had given.

Change: head and body are reported first, the failure after them.

Evidence: the new test failed on the code before where the bytes arrive at once (status None, body "") and passed where they arrive in two turns; both pass now.

--- a/crates/data-plane/src/upstream/connections.rs
+++ b/crates/data-plane/src/upstream/connections.rs
@@ -123,7 +123,8 @@
         }
     }
 
-    /// Reads the bytes that have arrived on a connection.
+    /// Reads the bytes that have arrived on a connection. What precedes invalid bytes is reported, as if the connection
+    /// had ended there.
     pub fn data(
         &mut self,
         network: &mut Network,
@@ -137,29 +138,30 @@
         };
         let id = exchange.id;
         let mut bytes = Vec::new();
-        let Ok(progress) = exchange.reader.read(network.inbox(connection), HEADER_LIMIT, &mut bytes) else {
-            self.fail(network, connection, Failure::Broken, events);
-            return;
-        };
-        network.consume(connection, progress.consumed);
-        exchange.received_any |= progress.consumed > 0;
-        if progress.head && !exchange.head_reported {
+        let read = exchange.reader.read(network.inbox(connection), HEADER_LIMIT, &mut bytes);
+        if let Ok(progress) = read {
+            network.consume(connection, progress.consumed);
+            exchange.received_any |= progress.consumed > 0;
+        }
+        if let Some(head) = exchange.reader.head().filter(|_| !exchange.head_reported) {
             exchange.head_reported = true;
-            if let Some(head) = exchange.reader.head() {
-                if !matches_request(head, exchange.attempt_id.as_deref(), exchange.reused) {
-                    log::warn!("servers: {} sent the response to another request", exchange.server);
-                    self.fail(network, connection, Failure::Broken, events);
-                    return;
-                }
-                events.push(UpstreamEvent::Head { exchange: id, head: head.clone() });
+            if !matches_request(head, exchange.attempt_id.as_deref(), exchange.reused) {
+                log::warn!("servers: {} sent the response to another request", exchange.server);
+                self.fail(network, connection, Failure::Broken, events);
+                return;
             }
+            events.push(UpstreamEvent::Head { exchange: id, head: head.clone() });
         }
         if !bytes.is_empty() {
             events.push(UpstreamEvent::Body { exchange: id, bytes });
         }
-        if progress.complete {
-            events.push(UpstreamEvent::Complete { exchange: id });
-            self.return_to_pool(network, connection, now);
+        match read {
+            Ok(progress) if progress.complete => {
+                events.push(UpstreamEvent::Complete { exchange: id });
+                self.return_to_pool(network, connection, now);
+            }
+            Ok(_) => {}
+            Err(_) => self.fail(network, connection, Failure::Broken, events),
         }
     }
 
--- a/crates/data-plane/tests/upstream_responses.rs
+++ b/crates/data-plane/tests/upstream_responses.rs
@@ -136,6 +136,31 @@
     assert_eq!(failure(&gateway.wait_for_end()), Some(Failure::Broken));
 }
 
+/// What precedes the invalid bytes is reported, whether or not it arrives together with them: parts of a stream are
+/// forwarded as if the connection had ended there.
+#[rstest]
+fn the_beginning_of_a_response_is_reported_before_its_invalid_bytes(#[values(true, false)] at_once: bool) {
+    const INVALID_CHUNK: &str = "zz\r\n";
+    let mut gateway = Gateway::new();
+    gateway.send();
+    let mut peer = gateway.accept();
+    gateway.request(&mut peer);
+    let (beginning, _) = CHUNKED.split_at(CHUNKED.len() - "0\r\n\r\n".len());
+    if at_once {
+        peer.send(&format!("{beginning}{INVALID_CHUNK}"));
+    } else {
+        peer.send(beginning);
+        while body(&gateway.events) != "bytes" {
+            gateway.turn();
+        }
+        peer.send(INVALID_CHUNK);
+    }
+    let events = gateway.wait_for_end();
+    assert_eq!((status(&events), body(&events).as_str()), (Some(200), "bytes"));
+    assert_eq!(failure(&events), Some(Failure::Broken));
+    gateway.wait_for_disconnect(&mut peer);
+}
+
 /// The server closes its end in order without having read the entire request, so its system resets the connection.
 #[test]
 fn a_response_without_a_length_whose_end_is_lost_to_a_reset_is_broken() {
