Trailers are checked as the field lines of a head are

What callers saw: an answer in chunks whose trailer had a name with a blank or a control byte reached the client as a complete one, and its connection was used again. Operators' commands, orders and readings of the platform's list took such answers too.

Cause: `BodyReader` skipped trailer lines without reading them; only the line end was checked.

Change: each trailer line has to be a field line, by the parser that reads heads. Requests have the same bodies: one with such a trailer gets 400, as one with such a line in its head always did.

--- a/crates/control-plane/tests/http_client.rs
+++ b/crates/control-plane/tests/http_client.rs
@@ -256,6 +256,9 @@
 )]
 #[case::field_name_after_a_line_feed("HTTP/1.1 200 OK\r\nContent-Length: 1\r\n\nName: value\r\n\r\nb")]
 #[case::control_byte_in_a_field_name("HTTP/1.1 200 OK\r\nNa\x7fme: value\r\nContent-Length: 1\r\n\r\nb")]
+#[case::control_byte_in_a_trailer_name(
+    "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n1\r\nb\r\n0\r\nNa\0me: value\r\n\r\n"
+)]
 fn a_broken_response_does_not_count(
     #[case] bytes: &str,
     #[values(ConnectionUse::New, ConnectionUse::Reused)] connection_use: ConnectionUse,
--- a/crates/ctl/tests/command_line/commands.rs
+++ b/crates/ctl/tests/command_line/commands.rs
@@ -80,6 +80,9 @@
         Reply::Bytes(b"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\nhalf"),
         Reply::Bytes(b"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}"),
         Reply::Bytes(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\n{}: 1\r\n\r\n{}"),
+        Reply::Bytes(
+            b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nNa me: 1\r\n\r\n",
+        ),
         Reply::Bytes(b"HTTP/1.1 200 OK\r\nNa me: 1\r\nContent-Length: 2\r\n\r\n{}"),
         Reply::Respond(307, Vec::new(), String::new()),
         Reply::Respond(307, vec![("Location", "elsewhere".to_owned())], String::new()),
--- a/crates/data-plane/tests/upstream_responses.rs
+++ b/crates/data-plane/tests/upstream_responses.rs
@@ -139,21 +139,30 @@
 /// What precedes the invalid bytes is reported, whether or not it arrives together with them: parts of a stream are
 /// forwarded as if the connection had ended there.
 #[rstest]
-fn the_beginning_of_a_response_is_reported_before_its_invalid_bytes(#[values(true, false)] at_once: bool) {
-    const INVALID_CHUNK: &str = "zz\r\n";
+fn the_beginning_of_a_response_is_reported_before_its_invalid_bytes(
+    #[values(
+        "zz\r\n",
+        "0\r\nNa me: value\r\n\r\n",
+        "0\r\n\x7fName: value\r\n\r\n",
+        "0\r\nNa\rme: value\r\n\r\n",
+        "0\r\nName value\r\n\r\n"
+    )]
+    invalid: &str,
+    #[values(true, false)] at_once: bool,
+) {
     let mut gateway = Gateway::new();
     gateway.send();
     let mut peer = gateway.accept();
     gateway.request(&mut peer);
     let (beginning, _) = CHUNKED.split_at(CHUNKED.len() - "0\r\n\r\n".len());
     if at_once {
-        peer.send(&format!("{beginning}{INVALID_CHUNK}"));
+        peer.send(&format!("{beginning}{invalid}"));
     } else {
         peer.send(beginning);
         while body(&gateway.events) != "bytes" {
             gateway.turn();
         }
-        peer.send(INVALID_CHUNK);
+        peer.send(invalid);
     }
     let events = gateway.wait_for_end();
     assert_eq!((status(&events), body(&events).as_str()), (Some(200), "bytes"));
--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -159,10 +159,13 @@
 
     fn read_trailer_line(&mut self, bytes: &[u8]) -> Result<Step, HttpError> {
         let Some(length) = line_length(bytes)? else { return Ok(Step::NeedsMore(0)) };
+        let line = &bytes[..length + LINE_END_BYTES];
         if length == 0 {
             self.state = BodyState::Done;
+        } else {
+            check_field_line(line)?;
         }
-        Ok(Step::Consumed(length + LINE_END_BYTES))
+        Ok(Step::Consumed(line.len()))
     }
 
     /// Whether the body is delimited by the end of the connection.
@@ -189,6 +192,16 @@
     }
 }
 
+/// Checks the syntax of a field line with its terminator, as in a head (RFC 9112, section 5).
+fn check_field_line(line: &[u8]) -> Result<(), HttpError> {
+    let mut fields = [httparse::EMPTY_HEADER];
+    // A valid line is only a part of the fields, which an empty line ends.
+    match httparse::parse_headers(line, &mut fields) {
+        Ok(httparse::Status::Partial) => Ok(()),
+        Ok(httparse::Status::Complete(_)) | Err(_) => Err(HttpError::Malformed),
+    }
+}
+
 /// A decoded chunk-size line.
 struct ChunkSizeLine {
     /// The length of the line with its terminator, in bytes.
--- a/crates/http/tests/messages.rs
+++ b/crates/http/tests/messages.rs
@@ -195,6 +195,7 @@
 #[case::longer_than_stated("4\r\nhello\r\n")]
 #[case::shorter_than_stated("6\r\nhello\r\n0\r\n\r\n")]
 #[case::end_by_line_feed("5\r\nhello\n0\r\n\r\n")]
+#[case::blank_in_trailer_name("5\r\nhello\r\n0\r\nNa me: value\r\n\r\n")]
 fn malformed_chunks_are_rejected(#[case] chunks: &str) {
     let text = format!("POST / HTTP/1.1\r\nHost: a\r\nTransfer-Encoding: chunked\r\n\r\n{chunks}");
     assert_eq!(requests(text.as_bytes()).err(), Some(HttpError::Malformed));
@@ -430,6 +431,11 @@
     b"HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nContent-Length: 4\r\n",
     b"\r\nbody"
 )]
+#[case::trailer(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\n", b"\r\n")]
+#[case::later_trailer(
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nX: 1\r\n",
+    b"Y: 2\r\n\r\n"
+)]
 fn responses_with_an_invalid_field_name_are_rejected(#[case] before: &[u8], #[case] after: &[u8]) {
     for line in blanks_and_controls().flat_map(field_lines_with) {
         let bytes = [before, &line, after].concat();
@@ -438,6 +444,29 @@
     }
 }
 
+#[rstest]
+#[case::no_colon("Name value")]
+#[case::empty_name(": value")]
+#[case::folded("X: 1\r\n value")]
+#[case::return_in_value("X: a\rb")]
+#[case::zero_byte_in_value("X: a\0b")]
+fn responses_with_a_malformed_trailer_are_rejected(#[case] line: &str) {
+    let head = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n";
+    let text = format!("{head}4\r\nbody\r\n0\r\n{line}\r\n\r\n");
+    assert_eq!(read_response("GET", &[text.as_bytes()]), Err(HttpError::Malformed));
+}
+
+#[test]
+fn valid_trailers_are_skipped_at_every_split() {
+    let text = "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n4\r\nbody\r\n0\r\nA: 1\r\nB:\r\nC!: caf\u{e9} \t\r\n\r\n";
+    let at_once = read_at_once(text);
+    assert_eq!((at_once.body.as_slice(), at_once.complete, at_once.extra), (b"body".as_slice(), true, 0));
+    for split in 0..text.len() {
+        let (first, rest) = text.as_bytes().split_at(split);
+        assert_eq!(read_response("GET", &[first, rest]).unwrap(), at_once, "{split}");
+    }
+}
+
 #[test]
 fn response_heads_are_bounded() {
     let text = format!("HTTP/1.1 200 OK\r\nX: {}", "x".repeat(HEADER_LIMIT));
--- a/crates/server/tests/broken_responses.rs
+++ b/crates/server/tests/broken_responses.rs
@@ -250,6 +250,28 @@
     }
 }
 
+/// Trailers follow the last chunk, so parts of a stream may have been forwarded before them.
+#[rstest]
+#[case::idempotent(8, "/repeat/1")]
+#[case::at_most_once(9, "/once/1")]
+#[case::streaming(10, "/stream/1")]
+#[case::resumable(11, "/resume/1")]
+fn a_broken_trailer_ends_a_request_as_a_broken_connection_does(#[case] number: u8, #[case] path: &str) {
+    let system = System::start(number, 1);
+    let without_last_chunk = stream(&chunk(FIRST_EVENT));
+    // The response to the attempt that resumes a stream; other routes have none.
+    let rest = || ScriptedResponse::closing(&stream(&(chunk(SECOND_EVENT) + "0\r\n\r\n")));
+    let resumes = path.starts_with("/resume/");
+    let following = |first: ScriptedResponse| std::iter::once(first).chain(resumes.then(rest)).collect();
+    let expected = system.request(path, following(ScriptedResponse::closing(&without_last_chunk)));
+    for line in invalid_header_lines() {
+        let bytes = stream(&format!("{}0\r\n{line}\r\n\r\n", chunk(FIRST_EVENT)));
+        let ending = system.request(path, following(ScriptedResponse::new(&bytes)));
+        assert_eq!(ending, expected, "{}", line.escape_default());
+        assert!(!system.reuses_scripted_connection(), "{}", line.escape_default());
+    }
+}
+
 /// Two attempts are in flight, and the earlier one receives a broken response before the other one receives a valid one.
 #[test]
 fn a_broken_response_to_one_of_two_attempts_leaves_the_other_one_in_flight() {
