The syntax checks of HTTP messages are a module of the http crate

Need: the front node has a reader of its own that lacks the same checks. A move, no change of behaviour; the tests of the crate pass unchanged.

--- a/crates/http/src/body.rs
+++ b/crates/http/src/body.rs
@@ -2,6 +2,7 @@
 
 use super::error::HttpError;
 use super::headers::Headers;
+use super::syntax::is_field_line;
 
 /// The longest chunk-size or trailer line, in bytes.
 const MAX_LINE_BYTES: usize = 4096;
@@ -162,8 +163,8 @@
         let line = &bytes[..length + LINE_END_BYTES];
         if length == 0 {
             self.state = BodyState::Done;
-        } else {
-            check_field_line(line)?;
+        } else if !is_field_line(line) {
+            return Err(HttpError::Malformed);
         }
         Ok(Step::Consumed(line.len()))
     }
@@ -192,16 +193,6 @@
     }
 }
 
-/// Checks the syntax of a field line with its terminator, as in a head (RFC 9112, section 5).
-fn check_field_line(line: &[u8]) -> Result<(), HttpError> {
-    let mut fields = [httparse::EMPTY_HEADER];
-    // A valid line is only a part of the fields, which an empty line ends.
-    match httparse::parse_headers(line, &mut fields) {
-        Ok(httparse::Status::Partial) => Ok(()),
-        Ok(httparse::Status::Complete(_)) | Err(_) => Err(HttpError::Malformed),
-    }
-}
-
 /// A decoded chunk-size line.
 struct ChunkSizeLine {
     /// The length of the line with its terminator, in bytes.
--- a/crates/http/src/headers.rs
+++ b/crates/http/src/headers.rs
@@ -100,12 +100,6 @@
     }
 }
 
-/// Whether a line of a complete head ends with a line feed that has no carriage return before it. Recipients may accept such an
-/// end (RFC 9112, section 2.2), but a field name that begins with a line feed then looks like the end of the head.
-pub(super) fn has_bare_line_feed(head: &[u8]) -> bool {
-    head.split_inclusive(|byte| *byte == b'\n').any(|line| !line.ends_with(b"\r\n"))
-}
-
 impl fmt::Debug for Headers {
     fn fmt(&self, formatter: &mut fmt::Formatter<'_>) -> fmt::Result {
         let is_secret = |name: &str| SECRET_HEADERS.iter().any(|secret| name.eq_ignore_ascii_case(secret));
--- a/crates/http/src/lib.rs
+++ b/crates/http/src/lib.rs
@@ -10,6 +10,7 @@
 mod headers;
 mod request;
 mod response;
+pub mod syntax;
 mod write;
 
 pub use error::HttpError;
--- a/crates/http/src/response.rs
+++ b/crates/http/src/response.rs
@@ -1,13 +1,10 @@
 //! Parsing of responses: the head, then the body in pieces as it arrives.
 
-use std::ops::RangeInclusive;
-
 use super::body::{BodyReader, Framing, framing};
 use super::error::HttpError;
-use super::headers::{Headers, MAX_HEADERS, has_bare_line_feed, head_length};
+use super::headers::{Headers, MAX_HEADERS, head_length};
+use super::syntax::{has_bare_line_feed, is_valid_status};
 
-/// The valid status codes (RFC 9110, section 15).
-const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
 /// Status of a switch to another protocol. It is never valid, as no request here asks for an upgrade.
 const SWITCHING_PROTOCOLS: u16 = 101;
 
@@ -133,7 +130,7 @@
     if has_bare_line_feed(&bytes[..length]) {
         return Err(HttpError::Malformed);
     }
-    let status = parsed.code.filter(|status| VALID_STATUSES.contains(status)).ok_or(HttpError::Malformed)?;
+    let status = parsed.code.filter(|status| is_valid_status(*status)).ok_or(HttpError::Malformed)?;
     let head = ResponseHead { status, headers: Headers::read(parsed.headers)? };
     Ok(Some(ParsedHead { head, minor_version: parsed.version.unwrap_or(0), length }))
 }
