The front node takes a status outside 100 to 599 for a broken response

What was seen: a store with the search API answered with status 000. The client got its result from the other replica, but the attempt counted as one answered with an error, and the connection carried further requests.

Cause: `parse_response` took any three digits as a status.

Change: such a response is malformed, so its connection is closed and the attempt ends as broken. The check is that of the http crate. The stub store can send any bytes in place of a response (`Fault::Replaced`).

--- a/crates/frontnode/src/http.rs
+++ b/crates/frontnode/src/http.rs
@@ -3,6 +3,7 @@
 use std::borrow::Cow;
 
 use derive_more::{Display, Error};
+use orchidvalve_http::syntax::is_valid_status;
 
 /// The maximum length of a head in bytes.
 pub const MAX_HEAD_BYTES: usize = 16 << 10;
@@ -107,12 +108,13 @@
     let mut slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut head = httparse::Response::new(&mut slots);
     let Some(length) = head_length(head.parse(buffer), buffer)? else { return Ok(None) };
+    let status = head.code.filter(|status| is_valid_status(*status)).ok_or(BAD_HEAD)?;
     let headers: Vec<Header> = head.headers.iter().map(Header::of).collect();
     let Some(body) = parse_body(&headers, &buffer[length..])? else { return Ok(None) };
     Ok(Some(Message {
         method: "",
         path: "",
-        status: head.code.unwrap_or(0),
+        status,
         keeps_alive: keeps_alive(&headers, head.version == Some(1)),
         headers,
         body: body.bytes,
--- a/crates/test-store/src/connection.rs
+++ b/crates/test-store/src/connection.rs
@@ -5,7 +5,7 @@
 use std::thread;
 use std::time::Duration;
 
-use crate::{Fault, StoreState};
+use crate::{Fault, ReplacedResponse, StoreState};
 
 /// Pause before each byte of a trickled response; a slow response is delayed by twice this time.
 const PAUSE: Duration = Duration::from_millis(20);
@@ -55,6 +55,7 @@
             thread::sleep(2 * PAUSE);
             socket.write_all(response)
         }
+        Some(Fault::Replaced(ReplacedResponse(bytes))) => socket.write_all(bytes),
         _ => socket.write_all(response),
     }
 }
--- a/crates/test-store/src/fault.rs
+++ b/crates/test-store/src/fault.rs
@@ -39,8 +39,15 @@
     /// The request is executed, and the connection is closed without a response.
     #[serde(rename = "dead")]
     Disconnected,
+    /// These bytes are sent in place of the response.
+    #[serde(skip)]
+    Replaced(ReplacedResponse),
 }
 
+/// The bytes that a store sends in place of a response.
+#[derive(Clone, Copy, Debug, PartialEq, Eq)]
+pub struct ReplacedResponse(pub &'static [u8]);
+
 /// Selects the faults of shard requests and health checks.
 #[derive(Clone, Debug, Default)]
 pub struct FaultPlan {
--- a/crates/test-store/src/lib.rs
+++ b/crates/test-store/src/lib.rs
@@ -19,7 +19,7 @@
 use std::time::Instant;
 
 pub use documents::{Documents, RunError, RunResult};
-pub use fault::{Fault, FaultPlan};
+pub use fault::{Fault, FaultPlan, ReplacedResponse};
 
 /// Counters of a store since its start.
 #[derive(Clone, Debug, Default)]
