The front node takes only CRLF for the end of a line of a response's head

What callers saw: a store's answer with a field name that begins with a line feed counted as valid, with the rest of its head as the body: a client received 9 hits of 30, marked as complete.

Change: `parse_response` refuses such a head. Requests are read as before.

Evidence: the two new cases failed on the code before and pass now. Names with the other bytes of 0 to 32 and 127 were refused already, first, within and last; they are in the table.

--- a/crates/frontnode/src/http.rs
+++ b/crates/frontnode/src/http.rs
@@ -3,7 +3,7 @@
 use std::borrow::Cow;
 
 use derive_more::{Display, Error};
-use orchidvalve_http::syntax::is_valid_status;
+use orchidvalve_http::syntax::{has_bare_line_feed, is_valid_status};
 
 /// The maximum length of a head in bytes.
 pub const MAX_HEAD_BYTES: usize = 16 << 10;
@@ -108,6 +108,9 @@
     let mut slots = [httparse::EMPTY_HEADER; MAX_HEADERS];
     let mut head = httparse::Response::new(&mut slots);
     let Some(length) = head_length(head.parse(buffer), buffer)? else { return Ok(None) };
+    if has_bare_line_feed(&buffer[..length]) {
+        return Err(BAD_HEAD);
+    }
     let status = head.code.filter(|status| is_valid_status(*status)).ok_or(BAD_HEAD)?;
     let headers: Vec<Header> = head.headers.iter().map(Header::of).collect();
     let Some(body) = parse_body(&headers, &buffer[length..])? else { return Ok(None) };
--- a/crates/frontnode/tests/broken_responses.rs
+++ b/crates/frontnode/tests/broken_responses.rs
@@ -13,6 +13,19 @@
 const RESULT: &str = r#"{"took":1,"timed_out":false,"_shards":{"total":1,"successful":1,"skipped":0,"failed":0},"hits":{"total":{"value":0,"relation":"eq"},"max_score":null,"hits":[]}}"#;
 const INTERIM_HEAD: &str = "HTTP/1.1 103 Early Hints\r\nX: 1\r\n";
 
+/// The blanks and control bytes, which no field name contains (RFC 9110, section 5.6.2).
+fn blanks_and_controls() -> impl Iterator<Item = char> {
+    (0..=b' ').chain([0x7f]).map(char::from)
+}
+
+/// Returns field lines whose name has a blank, a control byte or a line end as its first byte, within it, or as its last
+/// byte.
+fn invalid_field_lines() -> impl Iterator<Item = String> {
+    blanks_and_controls().flat_map(|byte| {
+        [format!("{byte}Name: v\r\n"), format!("Na{byte}me: v\r\n"), format!("Name{byte}: v\r\n")]
+    })
+}
+
 fn with_length(status: &str, lines: &str) -> String {
     format!("HTTP/1.1 {status} X\r\nContent-Length: {}\r\n{lines}\r\n{RESULT}", RESULT.len())
 }
@@ -26,6 +39,16 @@
     ["000", "001", "099", "600", "999"].map(|status| with_length(status, "")).to_vec()
 }
 
+fn invalid_heads() -> Vec<String> {
+    let heads = invalid_field_lines().map(|line| with_length("200", &line));
+    heads.chain(invalid_field_lines().map(|line| format!("{INTERIM_HEAD}{line}\r\n"))).collect()
+}
+
+/// Returns a response whose head ends with a bare line feed, before a field whose name is a shard result.
+fn result_as_field_name() -> String {
+    format!("HTTP/1.1 200 X\r\nContent-Length: {}\r\n\n{RESULT}: v\r\n\r\n{RESULT}", RESULT.len())
+}
+
 #[test]
 fn the_responses_are_valid_without_their_invalid_parts() {
     let interim = format!("{INTERIM_HEAD}\r\n");
@@ -40,6 +63,7 @@
 
 #[rstest]
 #[case::status(invalid_statuses())]
+#[case::head(invalid_heads())]
 fn broken_responses_are_malformed(#[case] broken: Vec<String>) {
     for text in broken {
         let parsed = parse_response(text.as_bytes());
@@ -51,6 +75,7 @@
 /// One of two stores sends the broken response to every shard request; the other one has all documents, too.
 #[rstest]
 #[case::status("broken-status", with_length("000", ""))]
+#[case::head("broken-head", result_as_field_name())]
 fn a_broken_response_ends_its_connection_and_another_replica_is_tried(
     #[case] test_name: &str,
     #[case] broken: String,
