The front node checks trailers as the field lines of a head

A list of discovery in such a response was used.

Cause: `trailers_length` only looked for line ends.

Change: each trailer has to be a field line. Requests share the reader of chunks: one with such a trailer gets 400 ("malformed trailer").

Evidence: the two new cases failed on the code before and pass now.

--- a/crates/frontnode/src/http.rs
+++ b/crates/frontnode/src/http.rs
@@ -3,7 +3,7 @@
 use std::borrow::Cow;
 
 use derive_more::{Display, Error};
-use orchidvalve_http::syntax::{has_bare_line_feed, is_valid_status};
+use orchidvalve_http::syntax::{has_bare_line_feed, is_field_line, is_valid_status};
 
 /// The maximum length of a head in bytes.
 pub const MAX_HEAD_BYTES: usize = 16 << 10;
@@ -34,6 +34,7 @@
 /// A body exceeds [`MAX_BODY_BYTES`], or its message exceeds [`MAX_MESSAGE_BYTES`].
 pub const BODY_TOO_LARGE: MessageError = MessageError { status: 413, text: "body too large" };
 const BAD_CHUNK: MessageError = MessageError { status: 400, text: "malformed chunk" };
+const BAD_TRAILER: MessageError = MessageError { status: 400, text: "malformed trailer" };
 
 /// A header line.
 #[derive(Clone, Copy, Debug)]
@@ -228,11 +229,15 @@
 /// Returns the length of the trailer lines after the last chunk, including the empty line.
 fn trailers_length(rest: &[u8]) -> Result<Option<usize>, MessageError> {
     let mut length = 0;
-    while let Some(line) = rest[length..].windows(2).position(|bytes| bytes == b"\r\n") {
-        length += line + 2;
-        if line == 0 {
+    while let Some(end) = rest[length..].windows(2).position(|bytes| bytes == b"\r\n") {
+        let line = &rest[length..length + end + 2];
+        length += line.len();
+        if end == 0 {
             return Ok(Some(length));
         }
+        if !is_field_line(line) {
+            return Err(BAD_TRAILER);
+        }
     }
     if rest.len() > MAX_HEAD_BYTES { Err(HEAD_TOO_LARGE) } else { Ok(None) }
 }
--- a/crates/frontnode/tests/broken_responses.rs
+++ b/crates/frontnode/tests/broken_responses.rs
@@ -44,6 +44,10 @@
     heads.chain(invalid_field_lines().map(|line| format!("{INTERIM_HEAD}{line}\r\n"))).collect()
 }
 
+fn invalid_trailers() -> Vec<String> {
+    invalid_field_lines().map(|line| with_trailers(&line)).collect()
+}
+
 /// Returns a response whose head ends with a bare line feed, before a field whose name is a shard result.
 fn result_as_field_name() -> String {
     format!("HTTP/1.1 200 X\r\nContent-Length: {}\r\n\n{RESULT}: v\r\n\r\n{RESULT}", RESULT.len())
@@ -64,6 +68,7 @@
 #[rstest]
 #[case::status(invalid_statuses())]
 #[case::head(invalid_heads())]
+#[case::trailer(invalid_trailers())]
 fn broken_responses_are_malformed(#[case] broken: Vec<String>) {
     for text in broken {
         let parsed = parse_response(text.as_bytes());
@@ -76,6 +81,7 @@
 #[rstest]
 #[case::status("broken-status", with_length("000", ""))]
 #[case::head("broken-head", result_as_field_name())]
+#[case::trailer("broken-trailer", with_trailers("Na me: v\r\n"))]
 fn a_broken_response_ends_its_connection_and_another_replica_is_tried(
     #[case] test_name: &str,
     #[case] broken: String,
--- a/crates/frontnode/tests/sockets/discovery.rs
+++ b/crates/frontnode/tests/sockets/discovery.rs
@@ -102,6 +102,31 @@
     assert_eq!((client.response().0, harness.counter("launches")), (503, 0));
 }
 
+/// The list of a broken response is not used, and the watch is reopened on a new connection from the revision before it.
+#[test]
+fn a_list_in_a_broken_response_is_not_used() {
+    const LIST: &str = r#"{"revision":9,"complete":true,"members":[]}"#;
+    let (length, chunk) = (LIST.len(), format!("{:x}\r\n{LIST}\r\n0\r\n", LIST.len()));
+    let broken = [
+        format!("HTTP/1.1 000 OK\r\nContent-Length: {length}\r\n\r\n{LIST}"),
+        format!("HTTP/1.1 200 OK\r\nContent-Length: {length}\r\n\n{LIST}: v\r\n\r\n{LIST}"),
+        format!("HTTP/1.1 200 OK\r\nNa me: v\r\nContent-Length: {length}\r\n\r\n{LIST}"),
+        format!("HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n{chunk}Na me: v\r\n\r\n"),
+    ];
+    for (n, response) in broken.iter().enumerate() {
+        let harness = Harness::open_with(&format!("broken-list-{n}"), 1, settings_with_long_timeouts());
+        for response in [Some(response), None] {
+            let mut agent = Peer::new(harness.agent.accept().unwrap().0);
+            let mut received = String::new();
+            while !received.ends_with("\r\n\r\n") {
+                received.push(agent.take(1)[0] as char);
+            }
+            assert!(received.contains("?from=1&hold_ms="), "{n}: {received}");
+            response.into_iter().for_each(|response| agent.send(response.as_bytes()));
+        }
+    }
+}
+
 #[test]
 fn a_new_discovery_agent_that_is_unresponsive_or_trickles_is_queried_again() {
     let mut harness = Harness::open_with("agent-silent", 1, settings_with_long_timeouts());
