`orchidvalve maintenance` reads responses with the http crate's reader

What was seen: an answer with status 000 was reported as one of the node ("0: maintenance is not enabled on this node"); one with a blank or a control byte in the name of a field, or cut short, was listed as the queue.

Cause: the command split the text of a response by itself.

Change: it uses `ResponseReader`; what is broken or incomplete is "malformed HTTP response".

--- a/crates/cli/src/maintenance.rs
+++ b/crates/cli/src/maintenance.rs
@@ -5,11 +5,14 @@
 use std::time::{Duration, Instant};
 
 use clap::{Args, Subcommand};
+use orchidvalve_http::ResponseReader;
 use serde_json::{Value, json};
 
 use crate::error::CommandError;
 
 const RESPONSE_TIMEOUT: Duration = Duration::from_secs(5);
+/// The maximum length of a response's head, in bytes.
+const MAX_HEADER_BYTES: usize = 64 << 10;
 const POLL_INTERVAL: Duration = Duration::from_millis(100);
 
 #[derive(Args)]
@@ -187,9 +190,16 @@
         body.len()
     );
     stream.write_all(format!("{head}{body}").as_bytes()).map_err(CommandError::about(node))?;
-    let mut response = String::new();
-    stream.read_to_string(&mut response).map_err(CommandError::about(node))?;
-    let (head, body) = response.split_once("\r\n\r\n").ok_or(CommandError::MalformedResponse { node })?;
-    let status = head.split(' ').nth(1).and_then(|s| s.parse().ok());
-    Ok((status.ok_or(CommandError::MalformedResponse { node })?, body.to_owned()))
+    let mut response = Vec::new();
+    stream.read_to_end(&mut response).map_err(CommandError::about(node))?;
+    parse_response(method, &response).ok_or(CommandError::MalformedResponse { node })
+}
+
+/// Parses a response whose connection has ended. Returns its status and its body.
+fn parse_response(method: &str, response: &[u8]) -> Option<(u16, String)> {
+    let (mut reader, mut body) = (ResponseReader::new(method), Vec::new());
+    let progress = reader.read(response, MAX_HEADER_BYTES, &mut body).ok()?;
+    let is_complete = progress.complete || reader.complete_at_close();
+    let head = reader.head().filter(|_| is_complete)?;
+    Some((head.status, String::from_utf8(body).ok()?))
 }
