The clients of fault injection read responses with the http crate's reader

Cause: two functions split the text of a front node's response by themselves and took any status (0 where there was none) and any field name, so a broken response would have counted as an answer of the front node instead of a lost one.

Change: both use `ResponseReader`; a broken response ends the query as lost. The new tests are of the function in its new form and were not run on the code before.

--- a/crates/fault-injection/src/real/clients.rs
+++ b/crates/fault-injection/src/real/clients.rs
@@ -231,7 +231,7 @@
         match self.connections.exchange(&self.log, address, &request, latest) {
             Ok(response) => self.response_received(id, response),
             Err(ExchangeError::TimedOut) => (Reply::Late, QueryOutcome::Late),
-            Err(ExchangeError::NoResponse | ExchangeError::Truncated) => {
+            Err(ExchangeError::NoResponse | ExchangeError::Truncated | ExchangeError::Malformed) => {
                 self.log.observe(Event::Unanswered { id });
                 (Reply::Lost, QueryOutcome::Lost)
             }
--- a/crates/fault-injection/src/real/exchange.rs
+++ b/crates/fault-injection/src/real/exchange.rs
@@ -1,15 +1,23 @@
 //! One HTTP exchange with a front node, on an idle connection if there is one.
 
+#[cfg(test)]
+mod tests;
+
 use std::collections::HashMap;
 use std::io::{ErrorKind, Read, Write};
 use std::net::{SocketAddr, TcpStream};
 use std::sync::Mutex;
 use std::time::Duration;
 
+use orchidvalve_http::{HttpError, ResponseReader};
+
 use super::{EventLog, locked};
 use crate::scenario::seconds;
 use crate::{MS, Nanos};
 
+/// The maximum length of a response's head, in bytes.
+const MAX_HEADER_BYTES: usize = 64 << 10;
+
 /// A front node's response.
 pub struct Response {
     pub status: u16,
@@ -24,6 +32,8 @@
     NoResponse,
     /// The connection ended within a response.
     Truncated,
+    /// The bytes received are not a response.
+    Malformed,
     /// There was no complete response before the time limit.
     TimedOut,
 }
@@ -70,8 +80,10 @@
         stream.write_all(request.as_bytes()).map_err(|_| ExchangeError::NoResponse)?;
         let (mut received, mut buffer) = (Vec::new(), [0u8; 4096]);
         loop {
-            if let Some((response, closes)) = parse(&received) {
-                if !closes {
+            if let Some((response, keeps_alive)) =
+                parse_response(&received).map_err(|_| ExchangeError::Malformed)?
+            {
+                if keeps_alive {
                     locked(&self.idle).entry(address).or_default().push(stream);
                 }
                 return Ok(response);
@@ -89,15 +101,12 @@
     }
 }
 
-/// Parses a complete response. Returns it, and whether its connection closes after it; `None` if it is incomplete.
-fn parse(received: &[u8]) -> Option<(Response, bool)> {
-    let end = received.windows(4).position(|window| window == b"\r\n\r\n")?;
-    let head = String::from_utf8_lossy(&received[..end]).to_ascii_lowercase();
-    let field =
-        |name: &str| head.lines().find_map(|line| line.strip_prefix(name)?.strip_prefix(':')).map(str::trim);
-    let length: usize = field("content-length").and_then(|length| length.parse().ok()).unwrap_or(0);
-    let body = received.get(end + 4..end + 4 + length)?.to_vec();
-    let status = head.split(' ').nth(1).and_then(|status| status.parse().ok()).unwrap_or(0);
-    let retry_after = field("retry-after").and_then(|text| text.parse::<f64>().ok()).map(seconds);
-    Some((Response { status, retry_after, body }, field("connection") == Some("close")))
+/// Parses a complete response to a request with a body. Returns it, and whether its connection stays open after it;
+/// `None` if it is incomplete.
+pub(super) fn parse_response(received: &[u8]) -> Result<Option<(Response, bool)>, HttpError> {
+    let (mut reader, mut body) = (ResponseReader::new("POST"), Vec::new());
+    let progress = reader.read(received, MAX_HEADER_BYTES, &mut body)?;
+    let Some(head) = reader.head().filter(|_| progress.complete) else { return Ok(None) };
+    let retry_after = head.headers.get("retry-after").and_then(|text| text.parse::<f64>().ok()).map(seconds);
+    Ok(Some((Response { status: head.status, retry_after, body }, reader.is_reusable())))
 }
--- a/crates/fault-injection/src/real/front_nodes.rs
+++ b/crates/fault-injection/src/real/front_nodes.rs
@@ -13,6 +13,7 @@
 use serde_json::{Value, json};
 
 use super::Program;
+use super::exchange::parse_response;
 use crate::error::RunError;
 use crate::scenario::{Fleet, Order, Scenario};
 use crate::settings::settings;
@@ -243,10 +244,10 @@
             body.len()
         );
         stream.write_all(format!("{head}{body}").as_bytes()).ok()?;
-        let mut answer = String::new();
-        stream.read_to_string(&mut answer).ok()?;
-        let status = answer.split(' ').nth(1)?.parse().ok()?;
-        Some((status, answer.split_once("\r\n\r\n")?.1.to_owned()))
+        let mut received = Vec::new();
+        stream.read_to_end(&mut received).ok()?;
+        let (response, _) = parse_response(&received).ok()??;
+        Some((response.status, String::from_utf8(response.body).ok()?))
     }
 }
 
