The testbed's clients report broken responses

Need: the testbed's own reader took any status, a bare line feed as a line end and any trailer, so a gateway that passes on an answer of status 000 held MIXED there.

Change: `parse_response` refuses them; the host reports a malformed response, which breaks MIXED. The reader stays apart from that of the system on purpose. Evidence: 5 of the 6 new cases failed on the code before (a blank in a name of the head was refused already), all pass now.

--- a/crates/testbed/src/http.rs
+++ b/crates/testbed/src/http.rs
@@ -6,11 +6,14 @@
 
 use std::borrow::Cow;
 use std::fmt::Write;
+use std::ops::RangeInclusive;
 
 use derive_more::{Display, Error};
 
 /// Maximum number of header fields in a message.
 const MAX_HEADERS: usize = 96;
+/// The valid status codes (RFC 9110, section 15).
+const VALID_STATUSES: RangeInclusive<u16> = 100..=599;
 
 /// The bytes are not a valid HTTP/1.1 message.
 #[derive(Clone, Debug, PartialEq, Eq, Display, Error)]
@@ -154,6 +157,12 @@
     let httparse::Status::Complete(start) = head.parse(bytes).map_err(malformed)? else { return Ok(None) };
     let headers = Headers::read(head.headers);
     let status = head.code.unwrap_or(0);
+    if !VALID_STATUSES.contains(&status) {
+        return Err(malformed(format!("status {status:03}")));
+    }
+    if bytes[..start].split_inclusive(|byte| *byte == b'\n').any(|line| !line.ends_with(b"\r\n")) {
+        return Err(malformed("a line of the head ends with a bare line feed"));
+    }
     let rest = &bytes[start..];
     let body = if headers.is_chunked() {
         read_chunks(rest)?
@@ -175,7 +184,7 @@
         let httparse::Status::Complete((head, length)) = status else { return Ok(None) };
         position += head;
         if length == 0 {
-            return Ok(trailer_length(&bytes[position..]).map(|end| (body, position + end)));
+            return Ok(trailer_length(&bytes[position..])?.map(|end| (body, position + end)));
         }
         let Some(chunk) = bytes.get(position..position + length as usize + 2) else { return Ok(None) };
         let (data, end) = chunk.split_at(length as usize);
@@ -187,12 +196,17 @@
     }
 }
 
-/// Returns the length of a trailer section, including the empty line that ends it.
-fn trailer_length(bytes: &[u8]) -> Option<usize> {
+/// Returns the length of a trailer section, including the empty line that ends it; `None` while it is incomplete.
+fn trailer_length(bytes: &[u8]) -> Result<Option<usize>, MalformedError> {
     if bytes.starts_with(b"\r\n") {
-        return Some(2);
+        return Ok(Some(2));
+    }
+    let Some(at) = bytes.windows(4).position(|window| window == b"\r\n\r\n") else { return Ok(None) };
+    let mut fields = [httparse::EMPTY_HEADER; MAX_HEADERS];
+    match httparse::parse_headers(bytes, &mut fields).map_err(malformed)? {
+        httparse::Status::Complete((length, _)) if length == at + 4 => Ok(Some(length)),
+        _ => Err(malformed("a trailer ends with a bare line feed")),
     }
-    bytes.windows(4).position(|window| window == b"\r\n\r\n").map(|at| at + 4)
 }
 
 /// Formats a request to `host`.
--- a/crates/testbed/tests/http.rs
+++ b/crates/testbed/tests/http.rs
@@ -50,6 +50,14 @@
 #[case(b"\x16\x03\x01 these bytes".as_slice())]
 #[case(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\nzz\r\n".as_slice())]
 #[case(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nabcd\r\n".as_slice())]
+#[case::status(b"HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\nok".as_slice())]
+#[case::high_status(b"HTTP/1.1 600 OK\r\nContent-Length: 2\r\n\r\nok".as_slice())]
+#[case::line_feed(b"HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\nName: value\r\n\r\nok".as_slice())]
+#[case::field_name(b"HTTP/1.1 200 OK\r\nNa me: value\r\nContent-Length: 2\r\n\r\nok".as_slice())]
+#[case::trailer(b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\nNa me: v\r\n\r\n".as_slice())]
+#[case::trailer_line_feed(
+    b"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n0\r\n\nName: v\r\n\r\n".as_slice()
+)]
 fn invalid_bytes_are_rejected(#[case] bytes: &[u8]) {
     assert!(parse_response(bytes, true).is_err());
 }
