Tests: broken responses to health checks and to orders of weights

What the new test of orders shows on the code before: an order that was answered with status 000 was repeated after 5,000 ms, as one that the server refused, in place of 400 ms as behind a closed connection.

--- a/crates/control-plane/tests/role_weight_rollout.rs
+++ b/crates/control-plane/tests/role_weight_rollout.rs
@@ -164,6 +164,41 @@
     assert!(head.is_model_published());
 }
 
+/// Returns how long after an order that received this response, on a connection that was closed then, the next order
+/// follows, in milliseconds, rounded up to full steps.
+fn repeated_after(response: &str) -> u64 {
+    const STEP_MS: u64 = 100;
+    let mut head = Head::new();
+    head.order(SINCE + LEASE_MS);
+    let mut peer = head.accept();
+    peer.send(response);
+    drop(peer);
+    (0..20).for_each(|_| head.turn());
+    let ordered_at = head.now;
+    loop {
+        head.order(head.now + STEP_MS);
+        (0..2).for_each(|_| head.turn());
+        if head.server.accept().is_ok() {
+            return head.now - ordered_at;
+        }
+        assert!(head.now < ordered_at + 20_000, "no second order was sent");
+    }
+}
+
+/// The server may have taken an order whose response is broken, as at a closed connection; a refusal is another case.
+#[test]
+fn a_broken_response_to_an_order_counts_as_none() {
+    let closed = repeated_after("HTTP/1.1 20");
+    for broken in [
+        "HTTP/1.1 000 OK\r\nContent-Length: 0\r\n\r\n",
+        "HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\nName: v\r\n\r\n",
+        "HTTP/1.1 400 Bad\r\nTransfer-Encoding: chunked\r\n\r\n0\r\nNa me: v\r\n\r\n",
+    ] {
+        assert_eq!(repeated_after(broken), closed, "{}", broken.escape_default());
+    }
+    assert_ne!(repeated_after("HTTP/1.1 400 Bad\r\nContent-Length: 0\r\n\r\n"), closed);
+}
+
 #[test]
 fn a_second_response_to_an_order_is_not_taken_for_a_report() {
     let (mut head, mut peer) = head_with_probe();
--- a/crates/frontnode/tests/store_search_protocol.rs
+++ b/crates/frontnode/tests/store_search_protocol.rs
@@ -85,3 +85,19 @@
         assert_eq!(message, StoreMessage::Health { answered, load });
     }
 }
+
+/// Guards against a replica that counts as healthy by a broken response. The error closes the connection.
+#[test]
+fn a_broken_response_to_a_health_check_is_an_error() {
+    for broken in [
+        "HTTP/1.1 000 OK\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\n{}: v\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\nNa me: v\r\nContent-Length: 2\r\n\r\n{}",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\n{}\r\n0\r\nNa me: v\r\n\r\n",
+    ] {
+        let (mut protocol, mut out) = (Search::new("s".to_owned()), Vec::new());
+        protocol.write_health_check(&mut out);
+        let read = protocol.next_message(broken.as_bytes());
+        assert!(matches!(read, Err(ProtocolError::Http(_))), "{}: {read:?}", broken.escape_default());
+    }
+}
